--- /dev/null
+++ b/crates/oatpier-types/src/names.rs
@@ -0,0 +1,148 @@
+//! Checked, shared names.
+//!
+//! Names travel through every table, so each is an `Arc<str>`: cloning one costs a counter, not
+//! a copy. A name is made only by `TryFrom`, which enforces the length and the alphabet.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The longest name, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// Why a raw string is not a name.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum NameError {
+    /// The string is empty.
+    #[error("a {kind} name is empty; give it at least one character")]
+    Empty {
+        /// What the name is for.
+        kind: &'static str,
+    },
+    /// The string is longer than [`MAX_NAME_BYTES`].
+    #[error("{kind} name `{value}` is {length} bytes long; use at most {MAX_NAME_BYTES}")]
+    Long {
+        /// What the name is for.
+        kind: &'static str,
+        /// The start of the offending value.
+        value: String,
+        /// Its length, in bytes.
+        length: usize,
+    },
+    /// The string holds a character outside `a-z A-Z 0-9 . _ : / -`.
+    #[error(
+        "{kind} name `{value}` holds `{found}`; use letters, digits, `.`, `_`, `:`, `/` and `-`"
+    )]
+    Character {
+        /// What the name is for.
+        kind: &'static str,
+        /// The offending value.
+        value: String,
+        /// The first character that is not allowed.
+        found: char,
+    },
+}
+
+fn check_name(kind: &'static str, raw: &str) -> Result<Arc<str>, NameError> {
+    if raw.is_empty() {
+        return Err(NameError::Empty { kind });
+    }
+    if raw.len() > MAX_NAME_BYTES {
+        return Err(NameError::Long {
+            kind,
+            value: raw.chars().take(32).collect(),
+            length: raw.len(),
+        });
+    }
+    match raw.chars().find(|character| !is_name_character(*character)) {
+        Some(found) => Err(NameError::Character {
+            kind,
+            value: raw.to_owned(),
+            found,
+        }),
+        None => Ok(Arc::from(raw)),
+    }
+}
+
+fn is_name_character(character: char) -> bool {
+    character.is_ascii_alphanumeric() || matches!(character, '.' | '_' | ':' | '/' | '-')
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident, $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = NameError;
+
+            fn try_from(raw: &str) -> Result<Self, NameError> {
+                check_name($kind, raw).map(Self)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(raw: String) -> Result<Self, NameError> {
+                Self::try_from(raw.as_str())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.as_str().to_owned()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{:?}", &*self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// A base model, as callers name it.
+    ModelName, "model";
+    /// An adapter of a base model, as callers name it.
+    AdapterName, "adapter";
+    /// A version of a model's or an adapter's weights.
+    VersionName, "version";
+    /// A class of work with a target.
+    ClassName, "class";
+    /// One back end: an engine or a plain service process.
+    EndpointName, "endpoint";
+    /// A group of endpoints of one kind, such as `seat-llm` or `plan-api`.
+    PoolName, "pool";
+    /// An availability zone.
+    ZoneName, "availability zone";
+    /// A region: availability zones that are close to each other.
+    RegionName, "region";
+    /// A VM.
+    VmName, "VM";
+    /// One oatpier process (entry or agent).
+    DaemonName, "daemon";
+    /// Who sent a request, as far as the entry can tell.
+    CallerName, "caller";
+}
--- /dev/null
+++ b/crates/oatpierd/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
