--- /dev/null
+++ b/crates/oatpier-claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- a/crates/oatpier-types/src/lib.rs
+++ b/crates/oatpier-types/src/lib.rs
@@ -12,6 +12,8 @@
 //! - [`config`]: the operators' configuration, checked.
 //! - [`engine`]: orders to engines and what engines report.
 //! - [`plan`]: which endpoint holds which model.
+//! - [`pulse`]: what an agent says of its endpoint.
+//! - [`refusal`]: why a request is refused, and when to come back.
 //! - [`event`]: the typed event log that the invariant checker reads.
 
 pub mod clock;
@@ -21,5 +23,7 @@
 pub mod ids;
 pub mod names;
 pub mod plan;
+pub mod pulse;
+pub mod refusal;
 pub mod request;
 pub mod verdict;
--- /dev/null
+++ b/crates/oatpier-types/src/refusal.rs
@@ -0,0 +1,68 @@
+//! Why a request is refused, and when to come back.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Why an entry or an agent does not run a request. Always with the verdict "not run".
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalCause {
+    /// The process or its endpoint is leaving.
+    Leaving,
+    /// The queue is at its bound.
+    QueueFull,
+    /// It could not be answered in time.
+    TooLate,
+    /// The weights are not ready here.
+    WeightsMissing,
+    /// The endpoint does not answer.
+    EndpointDown,
+    /// This attempt was given up before it came.
+    GivenUp,
+    /// This attempt is here already.
+    Duplicate,
+    /// No endpoint is known that could run it.
+    NoEndpoint,
+    /// The class has used up its retries.
+    RetriesSpent,
+    /// The idempotency key was used already.
+    KeyUsed,
+    /// The idempotency key can't be claimed, since the key-value service is away.
+    ClaimUnavailable,
+    /// No such model, adapter, service or class is configured.
+    Unknown,
+    /// The request itself is malformed or over a limit.
+    Invalid,
+}
+
+/// A refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// When to come back; none where coming back is of no use.
+    pub retry_after: Option<Duration>,
+}
+
+impl RefusalCause {
+    /// The word that answers, logs and metrics use.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::QueueFull => "queue-full",
+            Self::TooLate => "too-late",
+            Self::WeightsMissing => "weights-missing",
+            Self::EndpointDown => "endpoint-down",
+            Self::GivenUp => "given-up",
+            Self::Duplicate => "duplicate",
+            Self::NoEndpoint => "no-endpoint",
+            Self::RetriesSpent => "retries-spent",
+            Self::KeyUsed => "key-used",
+            Self::ClaimUnavailable => "claim-unavailable",
+            Self::Unknown => "unknown",
+            Self::Invalid => "invalid",
+        }
+    }
+}
