--- /dev/null
+++ b/crates/oatpier-checker/src/rules/answers.rs
@@ -0,0 +1,69 @@
+//! A caller gets the whole answer to its own request and no other, and gets it once.
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::event::{AnswerEnd, FleetEvent, LoggedEvent};
+use oatpier_types::ids::RequestId;
+
+use super::PromiseRule;
+use crate::breach::{PromiseName, RuleBreach};
+
+/// Matches each answer with the request that it was sent for.
+#[derive(Default)]
+pub(super) struct AnswerRule {
+    open: IndexMap<RequestId, ClockTime>,
+    answered: IndexMap<RequestId, ()>,
+}
+
+impl AnswerRule {
+    fn ended(
+        &mut self,
+        request: RequestId,
+        content_of: Option<RequestId>,
+        end: AnswerEnd,
+    ) -> Option<String> {
+        self.open.swap_remove(&request);
+        if self.answered.insert(request, ()).is_some() {
+            return Some(format!("request {request} was answered twice"));
+        }
+        match (end, content_of) {
+            (AnswerEnd::Cut, _) => Some(format!("the answer to {request} just stopped")),
+            (AnswerEnd::Whole, None) => Some(format!("the whole answer to {request} was empty")),
+            (_, Some(content)) if content != request => {
+                Some(format!("request {request} got the answer to {content}"))
+            }
+            _ => None,
+        }
+    }
+}
+
+impl PromiseRule for AnswerRule {
+    fn observe(&mut self, logged: &LoggedEvent, breaches: &mut Vec<RuleBreach>) {
+        let finding = match &logged.event {
+            FleetEvent::RequestSent { request, .. } => {
+                self.open.insert(*request, logged.at);
+                None
+            }
+            FleetEvent::AnswerEnded {
+                request,
+                content_of,
+                end,
+                ..
+            } => self.ended(*request, *content_of, *end),
+            _ => None,
+        };
+        breaches.extend(finding.map(|finding| RuleBreach {
+            promise: PromiseName::OwnAnswer,
+            at: logged.at,
+            finding,
+        }));
+    }
+
+    fn finish(&mut self, breaches: &mut Vec<RuleBreach>) {
+        breaches.extend(self.open.iter().map(|(request, sent_at)| RuleBreach {
+            promise: PromiseName::OwnAnswer,
+            at: *sent_at,
+            finding: format!("request {request} was never answered"),
+        }));
+    }
+}
--- /dev/null
+++ b/crates/oatpier-checker/src/rules/mod.rs
@@ -0,0 +1,39 @@
+//! One rule a promise.
+
+mod answers;
+mod configuration;
+mod leaving;
+mod memory;
+mod once;
+mod reach;
+mod refusals;
+mod stops;
+
+use oatpier_types::event::LoggedEvent;
+
+use crate::bounds::RuleBounds;
+use crate::breach::RuleBreach;
+
+/// Folds over a log in time order and reports what breaks its promise.
+pub trait PromiseRule {
+    /// Takes the next event.
+    fn observe(&mut self, logged: &LoggedEvent, breaches: &mut Vec<RuleBreach>);
+
+    /// Judges what only the end of the log shows.
+    fn finish(&mut self, _breaches: &mut Vec<RuleBreach>) {}
+}
+
+/// All rules, fresh.
+#[must_use]
+pub fn all_rules(bounds: RuleBounds) -> Vec<Box<dyn PromiseRule>> {
+    vec![
+        Box::new(memory::MemoryRule),
+        Box::new(reach::ReachRule::new(bounds.reach)),
+        Box::new(answers::AnswerRule::default()),
+        Box::new(refusals::RefusalRule::default()),
+        Box::new(once::OnceRule::default()),
+        Box::new(leaving::LeaveRule::new(bounds.leave)),
+        Box::new(stops::StopRule),
+        Box::new(configuration::ConfigRule::new(bounds.spread)),
+    ]
+}
