Add the operators' configuration and the oatpier command line

Cause: there was a checked FleetConfig and no way to get one: no text format, no record in the store, no merge of two operators' changes, no command.

oatpier-types, config: - TOML text to FleetConfig: raw serde tables (unknown keys denied), TryFrom, then `verify` between the items. All faults of a text at once as miette diagnostics with place and mend; a key that can't be read gets a substitute, so that the rest of its item is still checked and what only follows from it is not shown. `to_text`, `content_hash` (xxh3 of sorted JSON). - `reach`: first-fit-decreasing packing per pool, everything once and the largest model with its adapters twice, with the figures; and the shortage with each availability zone away (warning). - `diff`: typed edits with before and after; endpoints are items of their own, so that a change of one among thousands is small. Apply, undo, fit, clashing items. - `record`: generation, content, last 50 changes; a pure merge decision: change id first (lost answer), forgotten try refused, clash by item named with the other change, effect of the edits checked against what they say, merged content verified and packed again. Examples of both deployments, docs/CONFIGURATION.md.

Ruled out: - Deserializing the whole text by serde: stops at its first error. Now each table is read by itself, and the key of an error is taken out and the table read again. - Applying a file as a whole onto what is there: an edited copy of an old generation would undo other operators' changes unseen. The text names its generation (`based_on`), and only the edits since then are merged. Without it `apply` says that it replaced all. - Comparing edit lists only: a pool that is removed takes an endpoint with it that another put there meanwhile, though no item is in both lists.

Conclusion: operators can check, apply, race, lose answers and go back; what the store can't tell is said as unknown and settled by the change's id. The text parser recovers from some errors of syntax only, so a text that is not TOML may show its errors in more than one go.

--- /dev/null
+++ b/crates/oatpier-types/src/config/diff.rs
@@ -0,0 +1,379 @@
+//! The edits between two configurations.
+//!
+//! An edit names one item and holds it as it was and as it is to be, so that a list of edits can
+//! be applied, undone, checked against another list, and sent between processes in place of a
+//! whole configuration. The endpoints of a pool are items of their own: two operators who add
+//! endpoints to one pool do not clash, and a change of one among thousands stays small.
+
+use std::fmt;
+use std::hash::Hash;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::fault::{ItemKind, ItemRef};
+use super::{
+    AdapterSpec, ClassSpec, FleetConfig, ModelSpec, PoolKind, PoolSpec, RegionSpec, WeightStoreSpec,
+};
+use crate::names::{
+    AdapterName, ClassName, EndpointName, ModelName, PoolName, RegionName, ZoneName,
+};
+
+/// One item as it was and as it is to be; none: it is not there.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ItemEdit<N, S> {
+    /// The item's name.
+    pub name: N,
+    /// The item before.
+    pub before: Option<S>,
+    /// The item after.
+    pub after: Option<S>,
+}
+
+/// Where an endpoint stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointSite {
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// One change of one item.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConfigEdit {
+    /// A region.
+    Region(ItemEdit<RegionName, RegionSpec>),
+    /// A class.
+    Class(ItemEdit<ClassName, ClassSpec>),
+    /// A pool without its endpoints.
+    Pool(ItemEdit<PoolName, PoolKind>),
+    /// An endpoint of a pool.
+    Endpoint(ItemEdit<EndpointName, EndpointSite>),
+    /// A base model.
+    Model(ItemEdit<ModelName, ModelSpec>),
+    /// An adapter.
+    Adapter(ItemEdit<AdapterName, AdapterSpec>),
+    /// What the weight store allows.
+    WeightStore {
+        /// As it was.
+        before: WeightStoreSpec,
+        /// As it is to be.
+        after: WeightStoreSpec,
+    },
+}
+
+/// Whether an edit makes, removes or changes its item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EditKind {
+    /// The item is new.
+    Added,
+    /// The item goes.
+    Removed,
+    /// The item is another.
+    Changed,
+}
+
+/// Whether an edit can be applied to a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EditFit {
+    /// The item is as the edit expects.
+    Applies,
+    /// The item is already as the edit wants it.
+    Done,
+    /// The item is something else.
+    Clashes,
+}
+
+impl ConfigEdit {
+    /// The item that is edited.
+    #[must_use]
+    pub fn item(&self) -> ItemRef {
+        match self {
+            Self::Region(edit) => ItemRef::new(ItemKind::Region, edit.name.as_str()),
+            Self::Class(edit) => ItemRef::new(ItemKind::Class, edit.name.as_str()),
+            Self::Pool(edit) => ItemRef::new(ItemKind::Pool, edit.name.as_str()),
+            Self::Endpoint(edit) => ItemRef::new(ItemKind::Endpoint, edit.name.as_str()),
+            Self::Model(edit) => ItemRef::new(ItemKind::Model, edit.name.as_str()),
+            Self::Adapter(edit) => ItemRef::new(ItemKind::Adapter, edit.name.as_str()),
+            Self::WeightStore { .. } => ItemRef::new(ItemKind::WeightStore, ""),
+        }
+    }
+
+    /// Whether the item is added, removed or changed.
+    #[must_use]
+    pub fn kind(&self) -> EditKind {
+        match self {
+            Self::Region(edit) => edit.kind(),
+            Self::Class(edit) => edit.kind(),
+            Self::Pool(edit) => edit.kind(),
+            Self::Endpoint(edit) => edit.kind(),
+            Self::Model(edit) => edit.kind(),
+            Self::Adapter(edit) => edit.kind(),
+            Self::WeightStore { .. } => EditKind::Changed,
+        }
+    }
+
+    /// The edit that takes this one back.
+    #[must_use]
+    pub fn undo(&self) -> Self {
+        match self.clone() {
+            Self::Region(edit) => Self::Region(edit.undo()),
+            Self::Class(edit) => Self::Class(edit.undo()),
+            Self::Pool(edit) => Self::Pool(edit.undo()),
+            Self::Endpoint(edit) => Self::Endpoint(edit.undo()),
+            Self::Model(edit) => Self::Model(edit.undo()),
+            Self::Adapter(edit) => Self::Adapter(edit.undo()),
+            Self::WeightStore { before, after } => Self::WeightStore {
+                before: after,
+                after: before,
+            },
+        }
+    }
+
+    /// Whether the edit can be applied to `config`.
+    #[must_use]
+    pub fn fit(&self, config: &FleetConfig) -> EditFit {
+        match self {
+            Self::Region(edit) => edit.fit(config.regions.get(&edit.name)),
+            Self::Class(edit) => edit.fit(config.classes.get(&edit.name)),
+            Self::Pool(edit) => edit.fit(config.pools.get(&edit.name).map(|pool| &pool.kind)),
+            Self::Endpoint(edit) => edit.fit(config.site_of(&edit.name).as_ref()),
+            Self::Model(edit) => edit.fit(config.models.get(&edit.name)),
+            Self::Adapter(edit) => edit.fit(config.adapters.get(&edit.name)),
+            Self::WeightStore { before, after } => {
+                let present = Some(&config.weight_store);
+                fit_of(present, Some(before), Some(after))
+            }
+        }
+    }
+}
+
+impl fmt::Display for ConfigEdit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = match self.kind() {
+            EditKind::Added => '+',
+            EditKind::Removed => '-',
+            EditKind::Changed => '~',
+        };
+        write!(formatter, "{sign} {}", self.item())
+    }
+}
+
+impl<N, S: Clone + PartialEq> ItemEdit<N, S> {
+    fn kind(&self) -> EditKind {
+        match (&self.before, &self.after) {
+            (None, _) => EditKind::Added,
+            (Some(_), None) => EditKind::Removed,
+            (Some(_), Some(_)) => EditKind::Changed,
+        }
+    }
+
+    fn undo(self) -> Self {
+        Self {
+            name: self.name,
+            before: self.after,
+            after: self.before,
+        }
+    }
+
+    fn fit(&self, present: Option<&S>) -> EditFit {
+        fit_of(present, self.before.as_ref(), self.after.as_ref())
+    }
+}
+
+fn fit_of<S: PartialEq>(present: Option<&S>, before: Option<&S>, after: Option<&S>) -> EditFit {
+    if present == after {
+        EditFit::Done
+    } else if present == before {
+        EditFit::Applies
+    } else {
+        EditFit::Clashes
+    }
+}
+
+/// The edits that make `after` of `before`, sorted by kind and name.
+#[must_use]
+pub fn diff(before: &FleetConfig, after: &FleetConfig) -> Vec<ConfigEdit> {
+    let mut edits = Vec::new();
+    if before.weight_store != after.weight_store {
+        edits.push(ConfigEdit::WeightStore {
+            before: before.weight_store,
+            after: after.weight_store,
+        });
+    }
+    let regions = item_edits(&before.regions, &after.regions);
+    edits.extend(regions.into_iter().map(ConfigEdit::Region));
+    let classes = item_edits(&before.classes, &after.classes);
+    edits.extend(classes.into_iter().map(ConfigEdit::Class));
+    let pools = item_edits(&before.pool_kinds(), &after.pool_kinds());
+    edits.extend(pools.into_iter().map(ConfigEdit::Pool));
+    let endpoints = item_edits(&before.endpoint_sites(), &after.endpoint_sites());
+    edits.extend(endpoints.into_iter().map(ConfigEdit::Endpoint));
+    let models = item_edits(&before.models, &after.models);
+    edits.extend(models.into_iter().map(ConfigEdit::Model));
+    let adapters = item_edits(&before.adapters, &after.adapters);
+    edits.extend(adapters.into_iter().map(ConfigEdit::Adapter));
+    edits
+}
+
+fn item_edits<N, S>(before: &IndexMap<N, S>, after: &IndexMap<N, S>) -> Vec<ItemEdit<N, S>>
+where
+    N: Clone + Eq + Hash + Ord,
+    S: Clone + PartialEq,
+{
+    let added = after.keys().filter(|name| !before.contains_key(*name));
+    let names = before.keys().chain(added);
+    let edits = names.map(|name| ItemEdit {
+        name: name.clone(),
+        before: before.get(name).cloned(),
+        after: after.get(name).cloned(),
+    });
+    let mut edits = edits
+        .filter(|edit| edit.before != edit.after)
+        .collect::<Vec<_>>();
+    edits.sort_by(|left, right| left.name.cmp(&right.name));
+    edits
+}
+
+/// The items that two edit lists, made from the same configuration, want differently.
+#[must_use]
+pub fn clashing_items(left: &[ConfigEdit], right: &[ConfigEdit]) -> Vec<ItemRef> {
+    let theirs: std::collections::HashMap<ItemRef, &ConfigEdit> =
+        right.iter().map(|edit| (edit.item(), edit)).collect();
+    let both = left.iter().filter(|edit| {
+        let other = theirs.get(&edit.item());
+        other.is_some_and(|other| *other != *edit)
+    });
+    both.map(ConfigEdit::item).collect()
+}
+
+/// Makes `edits` on `config`, whatever it holds; the outcome is in canonical order.
+///
+/// Use [`ConfigEdit::fit`] first where the configuration may be another than the edits expect.
+/// An endpoint whose pool is not there is left out.
+#[must_use]
+pub fn apply(config: &FleetConfig, edits: &[ConfigEdit]) -> FleetConfig {
+    let mut changed = config.clone();
+    let mut endpoints = Vec::new();
+    for edit in edits {
+        match edit {
+            ConfigEdit::Region(edit) => set_item(&mut changed.regions, edit),
+            ConfigEdit::Class(edit) => set_item(&mut changed.classes, edit),
+            ConfigEdit::Pool(edit) => set_pool(&mut changed.pools, edit),
+            ConfigEdit::Endpoint(edit) => endpoints.push(edit),
+            ConfigEdit::Model(edit) => set_item(&mut changed.models, edit),
+            ConfigEdit::Adapter(edit) => set_item(&mut changed.adapters, edit),
+            ConfigEdit::WeightStore { after, .. } => changed.weight_store = *after,
+        }
+    }
+    // Last, since an endpoint can only go into a pool that is there.
+    for edit in endpoints {
+        set_endpoint(&mut changed, edit);
+    }
+    changed.sort_items();
+    changed
+}
+
+fn set_item<N, S>(items: &mut IndexMap<N, S>, edit: &ItemEdit<N, S>)
+where
+    N: Clone + Eq + Hash,
+    S: Clone,
+{
+    match &edit.after {
+        Some(after) => {
+            items.insert(edit.name.clone(), after.clone());
+        }
+        None => {
+            items.swap_remove(&edit.name);
+        }
+    }
+}
+
+fn set_pool(pools: &mut IndexMap<PoolName, PoolSpec>, edit: &ItemEdit<PoolName, PoolKind>) {
+    let Some(kind) = edit.after.clone() else {
+        pools.swap_remove(&edit.name);
+        return;
+    };
+    if let Some(pool) = pools.get_mut(&edit.name) {
+        pool.kind = kind;
+        return;
+    }
+    let endpoints = IndexMap::new();
+    pools.insert(edit.name.clone(), PoolSpec { kind, endpoints });
+}
+
+fn set_endpoint(config: &mut FleetConfig, edit: &ItemEdit<EndpointName, EndpointSite>) {
+    for pool in config.pools.values_mut() {
+        pool.endpoints.swap_remove(&edit.name);
+    }
+    let Some(site) = &edit.after else {
+        return;
+    };
+    if let Some(pool) = config.pools.get_mut(&site.pool) {
+        pool.endpoints.insert(edit.name.clone(), site.zone.clone());
+    }
+}
+
+impl FleetConfig {
+    /// Where an endpoint stands.
+    #[must_use]
+    pub fn site_of(&self, endpoint: &EndpointName) -> Option<EndpointSite> {
+        let (pool, spec) = self.pool_of(endpoint)?;
+        let zone = spec.endpoints.get(endpoint)?;
+        Some(EndpointSite {
+            pool: pool.clone(),
+            zone: zone.clone(),
+        })
+    }
+
+    /// Brings all items into canonical order: sorted by name.
+    pub fn sort_items(&mut self) {
+        self.regions.sort_unstable_keys();
+        self.classes.sort_unstable_keys();
+        self.pools.sort_unstable_keys();
+        self.models.sort_unstable_keys();
+        self.adapters.sort_unstable_keys();
+        for pool in self.pools.values_mut() {
+            pool.endpoints.sort_unstable_keys();
+        }
+    }
+
+    /// A hash of the content: the same for the same content in every process and version, in
+    /// whatever order the items were written.
+    ///
+    /// # Panics
+    ///
+    /// Never: a configuration always has a form in JSON.
+    #[must_use]
+    pub fn content_hash(&self) -> u64 {
+        let mut canonical = self.clone();
+        canonical.sort_items();
+        let bytes = serde_json::to_vec(&canonical).expect("a configuration has a form in JSON");
+        xxhash_rust::xxh3::xxh3_64(&bytes)
+    }
+
+    fn pool_kinds(&self) -> IndexMap<PoolName, PoolKind> {
+        let pools = self.pools.iter();
+        pools
+            .map(|(name, pool)| (name.clone(), pool.kind.clone()))
+            .collect()
+    }
+
+    fn endpoint_sites(&self) -> IndexMap<EndpointName, EndpointSite> {
+        let pools = self.pools.iter();
+        pools
+            .flat_map(|(name, pool)| {
+                pool.endpoints.iter().map(move |(endpoint, zone)| {
+                    let site = EndpointSite {
+                        pool: name.clone(),
+                        zone: zone.clone(),
+                    };
+                    (endpoint.clone(), site)
+                })
+            })
+            .collect()
+    }
+}
--- a/crates/oatpier-types/src/config/mod.rs
+++ b/crates/oatpier-types/src/config/mod.rs
@@ -4,6 +4,22 @@
 //! (classes with targets). They never write weights, placements or addresses. The TOML text
 //! becomes raw tables, and these become a [`FleetConfig`] through `TryFrom`, which reports all
 //! errors of a text at once.
+//!
+//! - [`text`]: reads a text into a [`FleetConfig`], and writes one back.
+//! - [`fault`]: what is wrong with a configuration, with the place in its text.
+//! - [`verify`]: what must hold between the items of a configuration.
+//! - [`reach`]: whether all models and adapters fit into the memory there is.
+//! - [`diff`]: the edits between two configurations.
+//! - [`record`]: what the store keeps, and how a change is merged into it.
+
+pub mod diff;
+pub mod fault;
+mod raw;
+pub mod reach;
+pub mod record;
+mod render;
+pub mod text;
+pub mod verify;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,13 +73,16 @@
     /// A streamed answer of a model.
     Stream {
         /// Until the first token.
+        #[serde(with = "humantime_serde")]
         first_token: Duration,
         /// Between two tokens, on average over the answer.
+        #[serde(with = "humantime_serde")]
         between_tokens: Duration,
     },
     /// A whole answer.
     Whole {
         /// Until its end.
+        #[serde(with = "humantime_serde")]
         answer: Duration,
     },
 }
--- /dev/null
+++ b/crates/oatpier-types/src/config/reach.rs
@@ -0,0 +1,224 @@
+//! Whether all models and adapters fit into the memory there is, at the same time.
+//!
+//! No model may ever be evicted, so every base model needs a place in some endpoint of its pool,
+//! and every adapter a place beside some replica of its base. The check packs them by first-fit
+//! decreasing. It is sound: what it accepts can be placed so, since the packing that it found is
+//! such a placement. It is not complete: a configuration that fills the last few percent can be
+//! refused although a cleverer packing exists.
+//!
+//! A version is changed by loading the new weights before the old ones go. The packing therefore
+//! holds the largest model of each pool, with its adapters, twice.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{FleetConfig, PoolKind, PoolSpec};
+use crate::names::{ModelName, PoolName, ZoneName};
+
+/// Whether everything fits, pool by pool.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ReachReport {
+    /// One row for each pool of engines that has models.
+    pub pools: Vec<PoolReach>,
+}
+
+/// Whether everything fits into one pool. All sizes are in MiB.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolReach {
+    /// The pool.
+    pub pool: PoolName,
+    /// Its endpoints.
+    pub endpoints: usize,
+    /// Memory for weights of one endpoint.
+    pub endpoint_mib: u64,
+    /// Memory for weights of all endpoints.
+    pub total_mib: u64,
+    /// What all models and adapters take once.
+    pub weights_mib: u64,
+    /// What changing the version of the largest model takes besides.
+    pub change_mib: u64,
+    /// The model that this is.
+    pub largest: ModelName,
+    /// Everything once.
+    pub steady: PackResult,
+    /// Everything once, and the largest model with its adapters a second time.
+    pub changing: PackResult,
+    /// The same with one availability zone away.
+    pub zone_away: Vec<ZoneAway>,
+}
+
+/// What a packing came to.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PackResult {
+    /// Sizes that found no place, in MiB; 0: everything fits.
+    pub short_mib: u64,
+    /// Names that found no place.
+    pub unplaced: Vec<String>,
+    /// Endpoints that hold something.
+    pub used: usize,
+}
+
+/// What happens to reachability while an availability zone is away.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneAway {
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// Sizes that find no place in the others, in MiB; 0: everything fits.
+    pub short_mib: u64,
+}
+
+impl ReachReport {
+    /// Whether everything fits, a change of one version included.
+    #[must_use]
+    pub fn fits(&self) -> bool {
+        self.pools.iter().all(PoolReach::fits)
+    }
+}
+
+impl PoolReach {
+    /// Whether everything fits, a change of one version included.
+    #[must_use]
+    pub fn fits(&self) -> bool {
+        self.changing.short_mib == 0
+    }
+}
+
+/// A base model with its adapters.
+#[derive(Debug, Clone)]
+struct ModelGroup<'a> {
+    name: &'a str,
+    base_mib: u64,
+    /// Largest first.
+    adapters: Vec<(&'a str, u64)>,
+}
+
+impl ModelGroup<'_> {
+    fn total_mib(&self) -> u64 {
+        self.adapters
+            .iter()
+            .fold(self.base_mib, |sum, (_, size)| sum.saturating_add(*size))
+    }
+}
+
+/// Checks all pools of a configuration.
+#[must_use]
+pub fn check_reach(config: &FleetConfig) -> ReachReport {
+    let pools = config.pools.iter();
+    let pools = pools.filter_map(|(name, pool)| pool_reach(config, name, pool));
+    ReachReport {
+        pools: pools.collect(),
+    }
+}
+
+fn pool_reach(config: &FleetConfig, name: &PoolName, pool: &PoolSpec) -> Option<PoolReach> {
+    let PoolKind::Engine { memory_mib, .. } = pool.kind else {
+        return None;
+    };
+    let groups = model_groups(config, name);
+    let largest = groups.first()?.clone();
+    let mut doubled = groups.clone();
+    doubled.insert(0, largest.clone());
+    let count = pool.endpoints.len();
+    Some(PoolReach {
+        pool: name.clone(),
+        endpoints: count,
+        endpoint_mib: memory_mib,
+        total_mib: memory_mib.saturating_mul(count as u64),
+        weights_mib: groups.iter().map(ModelGroup::total_mib).sum(),
+        change_mib: largest.total_mib(),
+        largest: ModelName::try_from(largest.name).ok()?,
+        steady: pack(&groups, count, memory_mib),
+        changing: pack(&doubled, count, memory_mib),
+        zone_away: zones_away(pool, &groups, memory_mib),
+    })
+}
+
+/// The models of a pool with their adapters, largest first.
+fn model_groups<'a>(config: &'a FleetConfig, pool: &PoolName) -> Vec<ModelGroup<'a>> {
+    let mut adapters = HashMap::<&ModelName, Vec<(&str, u64)>>::new();
+    for (name, adapter) in &config.adapters {
+        let beside = adapters.entry(&adapter.model).or_default();
+        beside.push((name.as_str(), adapter.memory_mib));
+    }
+    let models = config.models.iter();
+    let models = models.filter(|(_, model)| model.pool == *pool);
+    let mut groups = models
+        .map(|(name, model)| {
+            let mut adapters = adapters.remove(name).unwrap_or_default();
+            adapters.sort_by(|left, right| right.1.cmp(&left.1).then(left.0.cmp(right.0)));
+            ModelGroup {
+                name: name.as_str(),
+                base_mib: model.memory_mib,
+                adapters,
+            }
+        })
+        .collect::<Vec<_>>();
+    groups.sort_by(|left, right| {
+        let sizes = right.total_mib().cmp(&left.total_mib());
+        sizes.then(left.name.cmp(right.name))
+    });
+    groups
+}
+
+fn zones_away(pool: &PoolSpec, groups: &[ModelGroup<'_>], memory_mib: u64) -> Vec<ZoneAway> {
+    let mut zones = pool.endpoints.values().collect::<Vec<_>>();
+    zones.sort_unstable();
+    let count = zones.len();
+    zones
+        .chunk_by(|left, right| left == right)
+        .map(|zone| ZoneAway {
+            zone: zone[0].clone(),
+            short_mib: pack(groups, count - zone.len(), memory_mib).short_mib,
+        })
+        .collect()
+}
+
+/// Packs the groups, largest first, into `count` endpoints of `memory_mib` each.
+fn pack(groups: &[ModelGroup<'_>], count: usize, memory_mib: u64) -> PackResult {
+    let mut free = vec![memory_mib; count];
+    let mut result = PackResult::default();
+    for group in groups {
+        let total = group.total_mib();
+        match free.iter_mut().find(|free| **free >= total) {
+            Some(free) => *free -= total,
+            None => pack_apart(group, &mut free, &mut result),
+        }
+    }
+    result.used = free.iter().filter(|free| **free < memory_mib).count();
+    result
+}
+
+/// Packs a group that fits into no endpoint whole: its base as often as needed, each time where
+/// most is free, with as many of the remaining adapters beside it as fit.
+fn pack_apart(group: &ModelGroup<'_>, free: &mut [u64], result: &mut PackResult) {
+    let mut rest = group.adapters.clone();
+    let mut placed_base = false;
+    while !placed_base || !rest.is_empty() {
+        let roomiest = (0..free.len()).rev().max_by_key(|index| free[*index]);
+        let roomiest = roomiest.filter(|index| free[*index] >= group.base_mib);
+        let Some(most) = roomiest.map(|index| &mut free[index]) else {
+            break;
+        };
+        let mut room = *most - group.base_mib;
+        let before = rest.len();
+        rest.retain(|(_, size)| {
+            let fits = *size <= room;
+            room -= if fits { *size } else { 0 };
+            !fits
+        });
+        if placed_base && rest.len() == before {
+            break;
+        }
+        *most = room;
+        placed_base = true;
+    }
+    if !placed_base {
+        result.short_mib += group.base_mib;
+        result.unplaced.push(group.name.to_owned());
+    }
+    for (name, size) in rest {
+        result.short_mib += size;
+        result.unplaced.push(name.to_owned());
+    }
+}
--- /dev/null
+++ b/crates/oatpier-types/src/config/text/reader.rs
@@ -0,0 +1,284 @@
+//! Takes a TOML text apart into raw tables, and notes the place of each key.
+
+use std::collections::HashMap;
+use std::ops::Range;
+
+use miette::SourceSpan;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue, ValueDeserializer};
+
+use crate::config::fault::{ConfigFault, FaultCause, ItemKind, ItemRef, nearest_name};
+use crate::config::raw::{
+    RawAdapter, RawClass, RawGroup, RawModel, RawPool, RawRegion, RawStore, RawTable,
+};
+
+/// The tables and keys at the top of a text.
+const TOP_KEYS: &[&str] = &[
+    "based_on",
+    "weight_store",
+    "region",
+    "class",
+    "pool",
+    "model",
+    "adapter",
+];
+
+/// The place of each key of each item; the empty key is the item itself.
+#[derive(Debug, Default)]
+pub(super) struct PlaceIndex {
+    places: HashMap<(ItemRef, String), SourceSpan>,
+}
+
+impl PlaceIndex {
+    pub(super) fn note(&mut self, item: &ItemRef, key: &str, place: SourceSpan) {
+        let entry = (item.clone(), key.to_owned());
+        self.places.entry(entry).or_insert(place);
+    }
+
+    /// The place of a key, or else of its item.
+    pub(super) fn find(&self, item: &ItemRef, key: &str) -> Option<SourceSpan> {
+        let place = |key: &str| self.places.get(&(item.clone(), key.to_owned())).copied();
+        place(key).or_else(|| place(""))
+    }
+}
+
+/// A raw table with its item.
+#[derive(Debug)]
+pub(super) struct RawItem<T> {
+    pub(super) item: ItemRef,
+    pub(super) place: SourceSpan,
+    pub(super) raw: T,
+    /// Keys whose values were unreadable. They are reported already, so they are not missing.
+    pub(super) dropped: Vec<String>,
+}
+
+/// A pool with its groups.
+#[derive(Debug)]
+pub(super) struct RawPoolItem {
+    pub(super) pool: RawItem<RawPool>,
+    pub(super) groups: Vec<RawItem<RawGroup>>,
+}
+
+/// A whole text as raw tables, with the faults found on the way.
+#[derive(Debug, Default)]
+pub(super) struct RawDocument {
+    pub(super) based_on: Option<u64>,
+    pub(super) store: Option<RawItem<RawStore>>,
+    pub(super) regions: Vec<RawItem<RawRegion>>,
+    pub(super) classes: Vec<RawItem<RawClass>>,
+    pub(super) pools: Vec<RawPoolItem>,
+    pub(super) models: Vec<RawItem<RawModel>>,
+    pub(super) adapters: Vec<RawItem<RawAdapter>>,
+    pub(super) faults: Vec<ConfigFault>,
+    pub(super) places: PlaceIndex,
+}
+
+impl RawDocument {
+    /// Reads a text. After errors of syntax nothing else is looked at, since what remains of
+    /// the text would give faults that the operator did not make.
+    pub(super) fn read(text: &str) -> Self {
+        let mut document = Self::default();
+        let (root, errors) = DeTable::parse_recoverable(text);
+        if errors.is_empty() {
+            document.read_top(root.into_inner());
+        }
+        for error in errors {
+            let message = error.message().to_owned();
+            document.note_top(FaultCause::Syntax { message }, error.span());
+        }
+        document
+    }
+
+    fn read_top(&mut self, root: DeTable<'_>) {
+        for (key, value) in root {
+            match key.get_ref().as_ref() {
+                "based_on" => self.read_base(&value),
+                "weight_store" => self.store = self.read_single(value),
+                "region" => self.regions = self.read_named(ItemKind::Region, value),
+                "class" => self.classes = self.read_named(ItemKind::Class, value),
+                "model" => self.models = self.read_named(ItemKind::Model, value),
+                "adapter" => self.adapters = self.read_named(ItemKind::Adapter, value),
+                "pool" => self.pools = self.read_pools(value),
+                unknown => self.note_top(unknown_key(unknown, TOP_KEYS), Some(key.span())),
+            }
+        }
+    }
+
+    fn read_base(&mut self, value: &Spanned<DeValue<'_>>) {
+        let number = value.get_ref().as_integer();
+        self.based_on = number.and_then(|number| number.as_str().parse().ok());
+        if self.based_on.is_none() {
+            let cause = wrong_type("based_on", "expected the number of a generation");
+            self.note_top(cause, Some(value.span()));
+        }
+    }
+
+    fn read_single(&mut self, value: Spanned<DeValue<'_>>) -> Option<RawItem<RawStore>> {
+        let item = ItemRef::new(ItemKind::WeightStore, "");
+        let (place, table) = self.expect_table(item.kind.as_str(), value)?;
+        Some(self.read_table(item, place, table))
+    }
+
+    fn read_named<T: RawTable>(
+        &mut self,
+        kind: ItemKind,
+        value: Spanned<DeValue<'_>>,
+    ) -> Vec<RawItem<T>> {
+        self.split_named(kind, value)
+            .into_iter()
+            .map(|(item, place, table)| self.read_table(item, place, table))
+            .collect()
+    }
+
+    fn read_pools(&mut self, value: Spanned<DeValue<'_>>) -> Vec<RawPoolItem> {
+        self.split_named(ItemKind::Pool, value)
+            .into_iter()
+            .map(|(item, place, mut table)| {
+                let groups = table.remove("group");
+                let pool = self.read_table(item.clone(), place, table);
+                let groups = groups.map_or_else(Vec::new, |list| self.read_groups(&item, list));
+                RawPoolItem { pool, groups }
+            })
+            .collect()
+    }
+
+    fn read_groups(
+        &mut self,
+        pool: &ItemRef,
+        value: Spanned<DeValue<'_>>,
+    ) -> Vec<RawItem<RawGroup>> {
+        let place = value.span();
+        let DeValue::Array(list) = value.into_inner() else {
+            let cause = wrong_type("group", "expected [[pool.NAME.group]] tables");
+            self.note(pool, cause, place);
+            return Vec::new();
+        };
+        list.into_iter()
+            .filter_map(|group| self.expect_table("group", group))
+            .collect::<Vec<_>>()
+            .into_iter()
+            .map(|(place, table)| self.read_table(pool.clone(), place, table))
+            .collect()
+    }
+
+    /// The tables under `[KIND.NAME]`, each with its item and place.
+    fn split_named<'t>(
+        &mut self,
+        kind: ItemKind,
+        value: Spanned<DeValue<'t>>,
+    ) -> Vec<(ItemRef, Range<usize>, DeTable<'t>)> {
+        let Some((_, tables)) = self.expect_table(kind.as_str(), value) else {
+            return Vec::new();
+        };
+        tables
+            .into_iter()
+            .filter_map(|(name, value)| {
+                let item = ItemRef::new(kind, name.get_ref().as_ref());
+                let (_, table) = self.expect_table(&item.name, value)?;
+                Some((item, name.span(), table))
+            })
+            .collect()
+    }
+
+    fn expect_table<'t>(
+        &mut self,
+        key: &str,
+        value: Spanned<DeValue<'t>>,
+    ) -> Option<(Range<usize>, DeTable<'t>)> {
+        let place = value.span();
+        match value.into_inner() {
+            DeValue::Table(table) => Some((place, table)),
+            other => {
+                let message = format!("expected a table, found {}", other.type_str());
+                self.note_top(wrong_type(key, &message), Some(place));
+                None
+            }
+        }
+    }
+
+    fn read_table<T: RawTable>(
+        &mut self,
+        item: ItemRef,
+        place: Range<usize>,
+        mut table: DeTable<'_>,
+    ) -> RawItem<T> {
+        self.places.note(&item, "", place.clone().into());
+        self.drop_unknown::<T>(&item, &mut table);
+        for (key, value) in &table {
+            self.places.note(&item, key.get_ref(), value.span().into());
+        }
+        let mut dropped = Vec::new();
+        let raw = loop {
+            let value = Spanned::new(place.clone(), DeValue::Table(table.clone()));
+            let error = match T::deserialize(ValueDeserializer::from(value)) {
+                Ok(raw) => break raw,
+                Err(error) => error,
+            };
+            // The reader stops at its first error. Without the key that caused it, the next
+            // round finds the next error; every round takes one key away, so the rounds end.
+            let Some((key, place)) = key_around(&table, error.span()) else {
+                self.note(&item, wrong_type("", error.message()), place.clone());
+                break T::default();
+            };
+            self.note(&item, wrong_type(&key, error.message()), place);
+            table.remove(key.as_str());
+            dropped.push(key);
+        };
+        RawItem {
+            item,
+            place: place.into(),
+            raw,
+            dropped,
+        }
+    }
+
+    fn drop_unknown<T: RawTable>(&mut self, item: &ItemRef, table: &mut DeTable<'_>) {
+        let unknown: Vec<(String, Range<usize>)> = table
+            .keys()
+            .filter(|key| !T::KEYS.contains(&key.get_ref().as_ref()))
+            .map(|key| (key.get_ref().to_string(), key.span()))
+            .collect();
+        for (key, place) in unknown {
+            table.remove(key.as_str());
+            self.note(item, unknown_key(&key, T::KEYS), place);
+        }
+    }
+
+    fn note(&mut self, item: &ItemRef, cause: FaultCause, place: Range<usize>) {
+        self.faults.push(ConfigFault {
+            item: item.clone(),
+            key: "",
+            cause,
+            place: Some(place.into()),
+        });
+    }
+
+    fn note_top(&mut self, cause: FaultCause, place: Option<Range<usize>>) {
+        let item = ItemRef::new(ItemKind::Document, "");
+        self.note(&item, cause, place.unwrap_or(0..0));
+    }
+}
+
+/// The key of `table` whose value holds the place.
+fn key_around(table: &DeTable<'_>, place: Option<Range<usize>>) -> Option<(String, Range<usize>)> {
+    let place = place?;
+    table
+        .iter()
+        .find(|(_, value)| value.span().start <= place.start && place.end <= value.span().end)
+        .map(|(key, _)| (key.get_ref().to_string(), place))
+}
+
+fn unknown_key(key: &str, known: &'static [&'static str]) -> FaultCause {
+    FaultCause::UnknownKey {
+        key: key.to_owned(),
+        known,
+        nearest: nearest_name(key, known.iter().copied()),
+    }
+}
+
+fn wrong_type(key: &str, message: &str) -> FaultCause {
+    FaultCause::WrongType {
+        key: key.to_owned(),
+        message: message.to_owned(),
+    }
+}
--- a/crates/oatpier-types/src/lib.rs
+++ b/crates/oatpier-types/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`request`]: what a decision needs to know of one request.
 //! - [`config`]: the operators' configuration, checked.
 //! - [`engine`]: orders to engines and what engines report.
+//! - [`operator`]: what a daemon answers an operator's command.
 //! - [`plan`]: which endpoint holds which model.
 //! - [`pulse`]: what an agent says of its endpoint.
 //! - [`refusal`]: why a request is refused, and when to come back.
@@ -22,6 +23,7 @@
 pub mod event;
 pub mod ids;
 pub mod names;
+pub mod operator;
 pub mod plan;
 pub mod pulse;
 pub mod refusal;
--- /dev/null
+++ b/crates/oatpier-types/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the shared types.
+
+mod config_diff;
+mod config_errors;
+mod config_reach;
+mod config_record;
+mod config_text;
+mod fleets;
--- /dev/null
+++ b/crates/oatpier/src/commands/mod.rs
@@ -0,0 +1,43 @@
+//! The subcommands, one file each: `cli` declares the arguments, `exec` runs.
+
+pub mod completions;
+pub mod config;
+pub mod explain;
+pub mod status;
+pub mod stop;
+
+use clap::{ArgMatches, Command};
+
+use crate::context::CliContext;
+use crate::error::CommandError;
+
+/// What every subcommand returns.
+pub type CommandResult = Result<(), CommandError>;
+
+/// All subcommands.
+#[must_use]
+pub fn all() -> Vec<Command> {
+    vec![
+        config::cli(),
+        stop::cli(),
+        status::cli(),
+        explain::cli(),
+        completions::cli(),
+    ]
+}
+
+/// Runs the subcommand that was given.
+///
+/// # Errors
+///
+/// What it failed with.
+pub fn exec(context: &CliContext, matches: &ArgMatches) -> CommandResult {
+    match matches.subcommand() {
+        Some(("config", matches)) => config::exec(context, matches),
+        Some(("stop", matches)) => stop::exec(context, matches),
+        Some(("status", _)) => status::exec(context),
+        Some(("explain", matches)) => explain::exec(context, matches),
+        Some(("completions", matches)) => completions::exec(matches),
+        _ => unreachable!("clap requires one of the subcommands"),
+    }
+}
--- a/crates/oatpier/src/main.rs
+++ b/crates/oatpier/src/main.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The binary of the operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    oatpier::cli::main()
+}
--- /dev/null
+++ b/crates/oatpier/src/ops/mod.rs
@@ -0,0 +1,10 @@
+//! The work behind the commands. Nothing here reads arguments or prints.
+
+pub mod apply;
+pub mod entries;
+pub mod files;
+pub mod reach_text;
+pub mod record_store;
+pub mod stamp;
+pub mod stops;
+pub mod wait;
--- /dev/null
+++ b/crates/oatpier/src/ops/stops.rs
@@ -0,0 +1,145 @@
+//! Planned stops in the store: one key for each process that is to leave.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use oatpier_membership::stops::STOP_PREFIX;
+use oatpier_platform::store::{ExpectedValue, KeyStore, StoreError};
+use oatpier_types::config::FleetConfig;
+use oatpier_types::config::fault::nearest_name;
+use oatpier_types::config::reach::check_reach;
+use oatpier_types::names::DaemonName;
+use serde::{Deserialize, Serialize};
+
+use crate::error::CommandError;
+
+/// A planned stop, as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannedStop {
+    /// Who planned it.
+    pub operator: String,
+    /// When, in seconds since 1970.
+    pub at: u64,
+    /// What for.
+    pub reason: String,
+}
+
+/// A planned stop with the process that is to leave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopRow {
+    /// The process.
+    pub daemon: DaemonName,
+    /// The stop; none if the value in the store can't be read.
+    pub stop: Option<PlannedStop>,
+}
+
+/// Plans a stop. Tells whether it is new; a stop that another operator planned stays as it is.
+///
+/// # Errors
+///
+/// The store did not answer.
+pub async fn plan_stop(
+    store: &dyn KeyStore,
+    daemon: &DaemonName,
+    stop: &PlannedStop,
+) -> Result<bool, CommandError> {
+    let key = stop_key(daemon);
+    let value = serde_json::to_vec(stop);
+    let value = Bytes::from(value.map_err(|source| CommandError::WrongAnswer {
+        what: "a planned stop",
+        source,
+    })?);
+    match store
+        .put(&key, value.clone(), ExpectedValue::Absent, None)
+        .await
+    {
+        Ok(_) => Ok(true),
+        Err(StoreError::Conflict { .. }) => Ok(false),
+        Err(lost @ StoreError::AnswerLost { .. }) => {
+            // Planning is idempotent: what counts is whether the key is there now.
+            match store.get(&key).await {
+                Ok(Some(stored)) => Ok(stored.value == value),
+                Ok(None) | Err(_) => Err(uncertain("planning a stop", lost)),
+            }
+        }
+        Err(source) => Err(unreached("planning a stop", source)),
+    }
+}
+
+/// Withdraws a planned stop.
+///
+/// # Errors
+///
+/// There is none, or the store did not answer.
+pub async fn cancel_stop(store: &dyn KeyStore, daemon: &DaemonName) -> Result<(), CommandError> {
+    const ACTION: &str = "withdrawing a stop";
+    let key = stop_key(daemon);
+    let stored = store.get(&key).await;
+    let stored = stored.map_err(|source| unreached(ACTION, source))?;
+    let Some(stored) = stored else {
+        let rows = list_stops(store).await?;
+        let names = rows.iter().map(|row| row.daemon.as_str());
+        return Err(CommandError::NotFound {
+            kind: "planned stop of",
+            name: daemon.to_string(),
+            nearest: nearest_name(daemon.as_str(), names),
+        });
+    };
+    match store.delete(&key, ExpectedValue::At(stored.revision)).await {
+        Ok(()) => Ok(()),
+        Err(StoreError::Conflict { current }) if current.0 == 0 => Ok(()),
+        Err(StoreError::Conflict { .. }) => Err(CommandError::Raced { action: ACTION }),
+        Err(lost @ StoreError::AnswerLost { .. }) => match store.get(&key).await {
+            Ok(None) => Ok(()),
+            Ok(Some(_)) | Err(_) => Err(uncertain(ACTION, lost)),
+        },
+        Err(source) => Err(unreached(ACTION, source)),
+    }
+}
+
+/// All planned stops, sorted by process.
+///
+/// # Errors
+///
+/// The store did not answer.
+pub async fn list_stops(store: &dyn KeyStore) -> Result<Vec<StopRow>, CommandError> {
+    let listed = store.list(STOP_PREFIX).await;
+    let listed = listed.map_err(|source| unreached("listing the planned stops", source))?;
+    let rows = listed.iter().filter_map(|stored| {
+        let name = stored.key.strip_prefix(STOP_PREFIX)?;
+        Some(StopRow {
+            daemon: DaemonName::try_from(name).ok()?,
+            stop: serde_json::from_slice(&stored.value).ok(),
+        })
+    });
+    Ok(rows.collect())
+}
+
+/// What would not be reachable, in MiB, once all of `leaving` are gone. Names that are no
+/// endpoints cost nothing.
+#[must_use]
+pub fn reach_cost(config: &FleetConfig, leaving: &BTreeSet<&str>) -> u64 {
+    let mut rest = config.clone();
+    for pool in rest.pools.values_mut() {
+        pool.endpoints
+            .retain(|endpoint, _| !leaving.contains(endpoint.as_str()));
+    }
+    let report = check_reach(&rest);
+    report.pools.iter().map(|pool| pool.steady.short_mib).sum()
+}
+
+fn stop_key(daemon: &DaemonName) -> String {
+    format!("{STOP_PREFIX}{daemon}")
+}
+
+fn unreached(action: &'static str, source: StoreError) -> CommandError {
+    CommandError::Store { action, source }
+}
+
+fn uncertain(action: &'static str, source: StoreError) -> CommandError {
+    CommandError::Uncertain {
+        action,
+        change: None,
+        source,
+    }
+}
--- /dev/null
+++ b/crates/oatpier/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the operators' command line.
+
+mod apply;
+mod config_commands;
+mod entry_commands;
+mod fixture;
+mod settings;
+mod stop_commands;
