Add stand-ins of the store, VM list, weight store, engine and service

Tests and the quickstart need the platform's outside interfaces without the platform. Each stand-in is a plain core that takes the time as an argument, an in-process form on the runtime's clock that implements the platform's trait, and an HTTP server around it, so that a test on a paused clock and a test with separate processes meet the same answers and the same fault switches.

Ruled out: a second set of fault switches in the HTTP layer (the two ways in would drift apart); a log of changes for watches (it grows without bound, and the last change of each key, removals included, is enough for every reader).

A body that fails makes the HTTP server drop what it has not yet flushed, so a cut stream lost the tokens before its cut; one pending poll before the error makes it flush.

Not modelled: export and import of KV cache (the interface has no call for it; a role is kept, and a prefill-only engine refuses completions).

--- /dev/null
+++ b/crates/oatpier-standin/src/engine/completion.rs
@@ -0,0 +1,209 @@
+//! The usual interface of completions, as far as tests need it.
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde::{Deserialize, Serialize};
+
+use super::{EngineRequest, OutputKind, RunStream};
+use crate::answer::{prefix_chain, prompt_hash, prompt_tokens, token_text};
+use crate::serve::{Answer, AnswerBody, CallerIds, DropConnection, WholeRequest, json, with_body};
+
+/// Tokens of an answer whose request names no number.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// The body of a request for a completion; other members are ignored.
+#[derive(Debug, Deserialize)]
+pub(super) struct CompletionBody {
+    model: String,
+    #[serde(default)]
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    prompt: String,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+/// What is needed to write an answer's text.
+#[derive(Debug)]
+pub(super) struct AnswerPlace {
+    id: String,
+    model: String,
+    chat: bool,
+    prompt_hash: u64,
+    max_tokens: u32,
+    pub(super) stream: bool,
+}
+
+/// An answer, or one event of a streamed one.
+#[derive(Serialize)]
+struct Completion<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [CompletionChoice; 1],
+}
+
+#[derive(Serialize, Default)]
+struct CompletionChoice {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<ChatText>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<ChatText>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<String>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct ChatText {
+    role: &'static str,
+    content: String,
+}
+
+impl CompletionBody {
+    /// The prompt: the text, or the contents of the messages, one a line.
+    fn prompt(&self, chat: bool) -> String {
+        if !chat {
+            return self.prompt.clone();
+        }
+        let contents: Vec<&str> = self
+            .messages
+            .iter()
+            .map(|message| message.content.as_str())
+            .collect();
+        contents.join("\n")
+    }
+
+    pub(super) fn into_request(
+        self,
+        request: &WholeRequest,
+        chat: bool,
+    ) -> (EngineRequest, AnswerPlace) {
+        let ids = CallerIds::of(request);
+        let prompt = self.prompt(chat);
+        let max_tokens = self.max_tokens.or(self.max_completion_tokens);
+        let max_tokens = max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        let number = |name| request.header(name).and_then(|value| value.parse().ok());
+        let place = AnswerPlace {
+            id: ids.attempt.to_string(),
+            model: self.model.clone(),
+            chat,
+            prompt_hash: prompt_hash(&prompt),
+            max_tokens,
+            stream: self.stream,
+        };
+        let engine_request = EngineRequest {
+            attempt: ids.attempt,
+            request: ids.request,
+            key: request.header("idempotency-key").map(str::to_owned),
+            target: self.model,
+            prompt_hash: place.prompt_hash,
+            prompt_tokens: prompt_tokens(&prompt),
+            prefix: prefix_chain(&prompt),
+            max_tokens,
+            priority: number("x-priority").unwrap_or(0),
+            resume_after: number("x-resume-after").unwrap_or(0),
+        };
+        (engine_request, place)
+    }
+}
+
+impl AnswerPlace {
+    fn completion(&self, object: &'static str, choice: CompletionChoice) -> Completion<'_> {
+        Completion {
+            id: &self.id,
+            object,
+            model: &self.model,
+            choices: [choice],
+        }
+    }
+
+    /// One token as a server-sent event. The last token says that the answer ends there.
+    fn token_event(&self, index: u32) -> String {
+        let text = token_text(self.prompt_hash, index);
+        let mut choice = self.choice(text, true);
+        choice.finish_reason = (index + 1 == self.max_tokens).then_some("length");
+        let object = if self.chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        };
+        let json = serde_json::to_string(&self.completion(object, choice));
+        format!("data: {}\n\n", json.unwrap_or_default())
+    }
+
+    fn choice(&self, text: String, streamed: bool) -> CompletionChoice {
+        let mut choice = CompletionChoice::default();
+        if !self.chat {
+            choice.text = Some(text);
+            return choice;
+        }
+        let chat = ChatText {
+            role: "assistant",
+            content: text,
+        };
+        if streamed {
+            choice.delta = Some(chat);
+        } else {
+            choice.message = Some(chat);
+        }
+        choice
+    }
+}
+
+/// An answer of server-sent events, one token an event.
+pub(super) fn stream_answer(place: AnswerPlace, run: RunStream) -> Response<AnswerBody> {
+    let frames = stream::unfold(Some((place, run)), |state| async move {
+        let (place, mut run) = state?;
+        match run.next().await {
+            Some(OutputKind::Token(index)) => {
+                let event = place.token_event(index);
+                Some((Ok(data(event)), Some((place, run))))
+            }
+            Some(OutputKind::Done) => Some((Ok(data("data: [DONE]\n\n")), None)),
+            Some(OutputKind::Cut) | None => {
+                // The server drops what it has not yet flushed when a body fails. A pending body
+                // makes it flush, so that the tokens before the cut arrive.
+                tokio::task::yield_now().await;
+                Some((Err(DropConnection), None))
+            }
+        }
+    });
+    let body = StreamBody::new(frames.boxed()).boxed_unsync();
+    with_body(StatusCode::OK, "text/event-stream", body)
+}
+
+fn data(text: impl Into<Bytes>) -> Frame<Bytes> {
+    Frame::data(text.into())
+}
+
+/// An answer in one piece.
+pub(super) async fn whole_answer(place: AnswerPlace, mut run: RunStream) -> Answer {
+    let mut text = String::new();
+    loop {
+        match run.next().await {
+            Some(OutputKind::Token(index)) => text += &token_text(place.prompt_hash, index),
+            Some(OutputKind::Done) => break,
+            Some(OutputKind::Cut) | None => return Err(DropConnection),
+        }
+    }
+    let mut choice = place.choice(text, false);
+    choice.finish_reason = Some("length");
+    let object = if place.chat {
+        "chat.completion"
+    } else {
+        "text_completion"
+    };
+    Ok(json(StatusCode::OK, &place.completion(object, choice)))
+}
--- /dev/null
+++ b/crates/oatpier-standin/src/engine/http.rs
@@ -0,0 +1,182 @@
+//! The HTTP server around a [`LocalEngine`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::{Response, StatusCode};
+use oatpier_platform::engine::OrderError;
+use oatpier_types::engine::EngineOrder;
+use oatpier_types::ids::{AttemptId, OrderNumber};
+use serde::Serialize;
+
+use super::completion::{CompletionBody, stream_answer, whole_answer};
+use super::{EngineOptions, LocalEngine, SubmitError};
+use crate::clock::StandinClock;
+use crate::serve::{
+    Answer, AnswerBody, DropConnection, RequestHandler, Running, WholeRequest, empty, json,
+    not_found, plain, start,
+};
+use crate::weights::SharedWeights;
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelRow>,
+}
+
+#[derive(Serialize)]
+struct ModelRow {
+    id: String,
+    object: &'static str,
+}
+
+#[derive(Serialize)]
+struct StaleAnswer {
+    highest: OrderNumber,
+}
+
+#[derive(Serialize)]
+struct MemoryAnswer {
+    used_mib: u64,
+    memory_mib: u64,
+    overcommits: u64,
+}
+
+/// Serves an engine.
+///
+/// # Errors
+///
+/// The address can't be bound.
+pub async fn start_engine(
+    address: SocketAddr,
+    options: EngineOptions,
+    store: SharedWeights,
+    clock: StandinClock,
+) -> std::io::Result<Running<LocalEngine>> {
+    start(address, LocalEngine::start(options, store, clock)).await
+}
+
+impl RequestHandler for LocalEngine {
+    fn handle(self: Arc<Self>, request: WholeRequest) -> BoxFuture<'static, Answer> {
+        async move { answer(&self, &request).await }.boxed()
+    }
+}
+
+async fn answer(engine: &Arc<LocalEngine>, request: &WholeRequest) -> Answer {
+    if let Some(rest) = request.path.strip_prefix("/standin/") {
+        return Ok(control(engine, rest, request));
+    }
+    engine.check_up().map_err(|_| DropConnection)?;
+    match (request.method.as_str(), request.path.as_str()) {
+        ("POST", "/v1/chat/completions") => complete(engine, request, true).await,
+        ("POST", "/v1/completions") => complete(engine, request, false).await,
+        ("POST", "/orders") => order(engine, request),
+        ("GET", _) => Ok(report(engine, request)),
+        ("DELETE", path) => Ok(cancel(engine, path)),
+        _ => Ok(not_found()),
+    }
+}
+
+fn report(engine: &LocalEngine, request: &WholeRequest) -> Response<AnswerBody> {
+    engine.with_core(|core, now| match request.path.as_str() {
+        "/health" => empty(StatusCode::OK),
+        "/state" => json(StatusCode::OK, &core.state()),
+        "/load" => json(StatusCode::OK, &core.load(now)),
+        "/cache-events" => json(
+            StatusCode::OK,
+            &core.cache_events(now, request.number("after")),
+        ),
+        "/v1/models" => json(StatusCode::OK, &model_list(core.served_names())),
+        _ => not_found(),
+    })
+}
+
+fn model_list(names: Vec<String>) -> ModelList {
+    let row = |id| ModelRow {
+        id,
+        object: "model",
+    };
+    ModelList {
+        object: "list",
+        data: names.into_iter().map(row).collect(),
+    }
+}
+
+fn cancel(engine: &LocalEngine, path: &str) -> Response<AnswerBody> {
+    let attempt = path
+        .strip_prefix("/v1/requests/")
+        .and_then(|id| u128::from_str_radix(id, 16).ok());
+    match attempt {
+        Some(attempt) => {
+            engine.cancel_attempt(AttemptId(attempt));
+            empty(StatusCode::NO_CONTENT)
+        }
+        None => not_found(),
+    }
+}
+
+fn order(engine: &LocalEngine, request: &WholeRequest) -> Answer {
+    let order: EngineOrder = match request.json() {
+        Ok(order) => order,
+        Err(response) => return Ok(*response),
+    };
+    match engine.with_core(|core, now| core.order(now, &order)) {
+        Ok(()) => Ok(empty(StatusCode::ACCEPTED)),
+        Err(OrderError::Stale { highest }) => {
+            Ok(json(StatusCode::CONFLICT, &StaleAnswer { highest }))
+        }
+        Err(OrderError::Refused { cause }) => Ok(plain(StatusCode::UNPROCESSABLE_ENTITY, cause)),
+        Err(OrderError::NotSent { .. } | OrderError::Unknown { .. }) => Err(DropConnection),
+    }
+}
+
+async fn complete(engine: &Arc<LocalEngine>, request: &WholeRequest, chat: bool) -> Answer {
+    let body: CompletionBody = match request.json() {
+        Ok(body) => body,
+        Err(response) => return Ok(*response),
+    };
+    let (engine_request, place) = body.into_request(request, chat);
+    let streamed = place.stream;
+    match engine.submit(engine_request) {
+        Ok(stream) if streamed => Ok(stream_answer(place, stream)),
+        Ok(stream) => whole_answer(place, stream).await,
+        Err(error) => Ok(refusal(error)),
+    }
+}
+
+fn refusal(error: SubmitError) -> Response<AnswerBody> {
+    match error {
+        SubmitError::NotReady => plain(StatusCode::NOT_FOUND, "the model is not ready"),
+        SubmitError::QueueFull => plain(StatusCode::TOO_MANY_REQUESTS, "too many wait"),
+        SubmitError::PrefillOnly => plain(StatusCode::SERVICE_UNAVAILABLE, "wrong role"),
+    }
+}
+
+fn control(engine: &LocalEngine, rest: &str, request: &WholeRequest) -> Response<AnswerBody> {
+    match (request.method.as_str(), rest) {
+        ("POST", "faults") => match request.json() {
+            Ok(faults) => {
+                engine.set_faults(faults);
+                empty(StatusCode::NO_CONTENT)
+            }
+            Err(response) => *response,
+        },
+        ("GET", _) => engine.with_core(|core, _| match rest {
+            "faults" => json(StatusCode::OK, &core.faults()),
+            "runs" => json(StatusCode::OK, &core.runs()),
+            "events" => json(StatusCode::OK, &core.events()),
+            "memory" => json(
+                StatusCode::OK,
+                &MemoryAnswer {
+                    used_mib: core.used_mib(),
+                    memory_mib: core.options().memory_mib,
+                    overcommits: core.overcommits(),
+                },
+            ),
+            _ => not_found(),
+        }),
+        _ => not_found(),
+    }
+}
--- /dev/null
+++ b/crates/oatpier-standin/src/service.rs
@@ -0,0 +1,188 @@
+//! A stand-in of a plain service, which records each call.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::{Response, StatusCode};
+use oatpier_types::event::{FleetEvent, LoggedEvent};
+use oatpier_types::names::EndpointName;
+use serde::{Deserialize, Serialize};
+
+use crate::answer::key_hash;
+use crate::clock::StandinClock;
+use crate::serve::{
+    Answer, AnswerBody, CallerIds, DropConnection, RequestHandler, Running, WholeRequest, empty,
+    json, not_found, start,
+};
+
+/// A call that the service acted on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCall {
+    /// Its place among the calls, from 1.
+    pub number: u64,
+    /// The method, in capitals.
+    pub method: String,
+    /// The path, with the query.
+    pub path: String,
+    /// The body as text.
+    pub body: String,
+    /// The attempt (`x-request-id`), 32 hex digits.
+    pub attempt: String,
+    /// The caller's idempotency key.
+    pub key: Option<String>,
+}
+
+/// The service's fault switches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ServiceFaults {
+    /// Drops each connection, and acts on nothing.
+    pub down: bool,
+    /// Time between acting on a call and answering it, in milliseconds.
+    pub delay_ms: u64,
+    /// So many of the next calls are acted on and lose their answer.
+    pub lose_answers: u32,
+    /// Answers `500` after it has acted.
+    pub fail: bool,
+}
+
+#[derive(Debug, Default)]
+struct ServiceShared {
+    faults: ServiceFaults,
+    calls: Vec<ServiceCall>,
+    events: Vec<LoggedEvent>,
+}
+
+/// A plain service. It answers each call with its [`ServiceCall`] as JSON.
+#[derive(Debug)]
+pub struct LocalService {
+    endpoint: EndpointName,
+    clock: StandinClock,
+    shared: Mutex<ServiceShared>,
+}
+
+impl LocalService {
+    /// A service of this name.
+    #[must_use]
+    pub fn new(endpoint: EndpointName, clock: StandinClock) -> Self {
+        Self {
+            endpoint,
+            clock,
+            shared: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ServiceShared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the fault switches.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// The calls that it acted on.
+    #[must_use]
+    pub fn calls(&self) -> Vec<ServiceCall> {
+        self.lock().calls.clone()
+    }
+
+    /// The events so far.
+    #[must_use]
+    pub fn events(&self) -> Vec<LoggedEvent> {
+        self.lock().events.clone()
+    }
+
+    fn act(&self, request: &WholeRequest) -> ServiceCall {
+        let ids = CallerIds::of(request);
+        let key = request.header("idempotency-key");
+        let event = FleetEvent::RunStarted {
+            request: ids.request,
+            attempt: ids.attempt,
+            endpoint: self.endpoint.clone(),
+            key: key.map(key_hash),
+        };
+        let at = self.clock.now();
+        let mut shared = self.lock();
+        let call = ServiceCall {
+            number: shared.calls.len() as u64 + 1,
+            method: request.method.clone(),
+            path: request.path_and_query(),
+            body: String::from_utf8_lossy(&request.body).into_owned(),
+            attempt: ids.attempt.to_string(),
+            key: key.map(str::to_owned),
+        };
+        shared.calls.push(call.clone());
+        shared.events.push(LoggedEvent { at, event });
+        call
+    }
+
+    async fn call(&self, request: &WholeRequest) -> Answer {
+        if self.lock().faults.down {
+            return Err(DropConnection);
+        }
+        if request.path == "/health" {
+            return Ok(empty(StatusCode::OK));
+        }
+        let call = self.act(request);
+        let (faults, loses) = {
+            let mut shared = self.lock();
+            let loses = shared.faults.lose_answers > 0;
+            shared.faults.lose_answers = shared.faults.lose_answers.saturating_sub(1);
+            (shared.faults, loses)
+        };
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if loses {
+            return Err(DropConnection);
+        }
+        let status = if faults.fail {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            StatusCode::OK
+        };
+        Ok(json(status, &call))
+    }
+
+    fn control(&self, rest: &str, request: &WholeRequest) -> Response<AnswerBody> {
+        match (request.method.as_str(), rest) {
+            ("GET", "calls") => json(StatusCode::OK, &self.calls()),
+            ("GET", "events") => json(StatusCode::OK, &self.events()),
+            ("POST", "faults") => match request.json() {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    empty(StatusCode::NO_CONTENT)
+                }
+                Err(response) => *response,
+            },
+            _ => not_found(),
+        }
+    }
+}
+
+impl RequestHandler for LocalService {
+    fn handle(self: Arc<Self>, request: WholeRequest) -> BoxFuture<'static, Answer> {
+        async move {
+            match request.path.strip_prefix("/standin/") {
+                Some(rest) => Ok(self.control(rest, &request)),
+                None => self.call(&request).await,
+            }
+        }
+        .boxed()
+    }
+}
+
+/// Serves a plain service.
+///
+/// # Errors
+///
+/// The address can't be bound.
+pub async fn start_service(
+    address: SocketAddr,
+    endpoint: EndpointName,
+    clock: StandinClock,
+) -> std::io::Result<Running<LocalService>> {
+    start(address, Arc::new(LocalService::new(endpoint, clock))).await
+}
--- /dev/null
+++ b/crates/oatpier-standin/src/work.rs
@@ -0,0 +1,112 @@
+//! An engine or plain service as an [`EndpointWork`], without sockets.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use futures::{FutureExt, StreamExt};
+use http::{HeaderValue, StatusCode};
+use http_body_util::BodyExt;
+use oatpier_platform::work::{CallError, EndpointAnswer, EndpointCall, EndpointWork};
+use oatpier_types::ids::AttemptId;
+use oatpier_types::verdict::RunVerdict;
+
+use crate::engine::LocalEngine;
+use crate::serve::{Answer, DropConnection, RequestHandler, WholeRequest};
+use crate::service::LocalService;
+
+/// Calls a stand-in inside the process in place of its HTTP server, so that a test on a paused
+/// clock meets the same answers and faults. A dropped connection reads as "may have run", also
+/// where the stand-in did nothing.
+pub struct LocalWork<H> {
+    handler: Arc<H>,
+    /// Whether the endpoint knows cancels; a plain service would take one for a call.
+    cancels: bool,
+}
+
+impl LocalWork<LocalEngine> {
+    /// The working side of an engine.
+    #[must_use]
+    pub fn engine(engine: Arc<LocalEngine>) -> Self {
+        Self {
+            handler: engine,
+            cancels: true,
+        }
+    }
+}
+
+impl LocalWork<LocalService> {
+    /// The working side of a plain service.
+    #[must_use]
+    pub fn service(service: Arc<LocalService>) -> Self {
+        Self {
+            handler: service,
+            cancels: false,
+        }
+    }
+}
+
+impl<H: RequestHandler> LocalWork<H> {
+    fn send(&self, method: &str, path: &str) -> BoxFuture<'static, Answer> {
+        let request = WholeRequest {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            ..WholeRequest::default()
+        };
+        Arc::clone(&self.handler).handle(request)
+    }
+}
+
+fn whole_request(call: EndpointCall) -> WholeRequest {
+    let (path, query) = call.path.split_once('?').unwrap_or((&call.path, ""));
+    let mut headers = call.headers;
+    headers.insert("x-priority", HeaderValue::from(call.priority));
+    headers.insert("x-resume-after", HeaderValue::from(call.resume_after));
+    if let Ok(attempt) = HeaderValue::try_from(call.attempt.to_string()) {
+        headers.insert("x-request-id", attempt);
+    }
+    WholeRequest {
+        method: call.method.as_str().to_owned(),
+        path: path.to_owned(),
+        query: query.to_owned(),
+        headers,
+        body: call.body,
+    }
+}
+
+fn call_error(dropped: DropConnection) -> CallError {
+    CallError {
+        verdict: RunVerdict::MayHaveRun,
+        cause: dropped.to_string(),
+    }
+}
+
+impl<H: RequestHandler> EndpointWork for LocalWork<H> {
+    fn run(&self, call: EndpointCall) -> BoxFuture<'_, Result<EndpointAnswer, CallError>> {
+        let answer = Arc::clone(&self.handler).handle(whole_request(call));
+        async move {
+            let (parts, body) = answer.await.map_err(call_error)?.into_parts();
+            let pieces = body.into_data_stream();
+            Ok(EndpointAnswer {
+                status: parts.status,
+                headers: parts.headers,
+                body: pieces.map(|piece| piece.map_err(call_error)).boxed(),
+            })
+        }
+        .boxed()
+    }
+
+    fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, ()> {
+        if !self.cancels {
+            return futures::future::ready(()).boxed();
+        }
+        let answer = self.send("DELETE", &format!("/v1/requests/{attempt}"));
+        answer.map(drop).boxed()
+    }
+
+    fn probe(&self) -> BoxFuture<'_, bool> {
+        let answer = self.send("GET", "/health");
+        answer
+            .map(|answer| answer.is_ok_and(|response| response.status() == StatusCode::OK))
+            .boxed()
+    }
+}
