--- /dev/null
+++ b/crates/oatpier-policy/src/entry/classes.rs
@@ -0,0 +1,64 @@
+//! The classes and goals that the configuration knows.
+
+use indexmap::IndexSet;
+use oatpier_types::config::{ClassTarget, FleetConfig, PoolKind};
+use oatpier_types::names::ClassName;
+use oatpier_types::request::RequestGoal;
+
+use crate::index::ClassIndex;
+
+/// Classes with their targets, and goals. An index of a class stays its own when the class is
+/// removed and comes back.
+#[derive(Debug, Default)]
+pub(super) struct KnownWork {
+    classes: IndexSet<ClassName>,
+    targets: Vec<Option<ClassTarget>>,
+    goals: IndexSet<RequestGoal>,
+}
+
+impl KnownWork {
+    pub(super) fn apply_config(&mut self, config: &FleetConfig) {
+        self.targets.fill(None);
+        for (name, spec) in &config.classes {
+            let place = self.classes.insert_full(name.clone()).0;
+            self.targets.resize(self.classes.len(), None);
+            self.targets[place] = Some(spec.target);
+        }
+        self.goals = config_goals(config);
+    }
+
+    pub(super) fn class(&self, name: &ClassName) -> Option<(ClassIndex, ClassTarget)> {
+        let place = self.classes.get_index_of(name)?;
+        let target = self.targets[place]?;
+        Some((ClassIndex::of_place(place), target))
+    }
+
+    pub(super) fn index(&self, name: &ClassName) -> Option<ClassIndex> {
+        self.classes.get_index_of(name).map(ClassIndex::of_place)
+    }
+
+    pub(super) fn knows(&self, goal: &RequestGoal) -> bool {
+        self.goals.contains(goal)
+    }
+}
+
+fn config_goals(config: &FleetConfig) -> IndexSet<RequestGoal> {
+    let models = config.models.keys().map(|model| RequestGoal::Model {
+        model: model.clone(),
+        adapter: None,
+    });
+    let adapters = config
+        .adapters
+        .iter()
+        .map(|(adapter, spec)| RequestGoal::Model {
+            model: spec.model.clone(),
+            adapter: Some(adapter.clone()),
+        });
+    let is_service = |kind: &PoolKind| matches!(kind, PoolKind::Service { .. });
+    let services = config
+        .pools
+        .iter()
+        .filter(|(_, pool)| is_service(&pool.kind))
+        .map(|(pool, _)| RequestGoal::Service { pool: pool.clone() });
+    models.chain(adapters).chain(services).collect()
+}
--- /dev/null
+++ b/crates/oatpier-policy/src/entry/core.rs
@@ -0,0 +1,142 @@
+//! What requests share: the table, the router, health, prefixes and retry budgets.
+
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::AttemptId;
+use oatpier_types::names::{EndpointName, ZoneName};
+use oatpier_types::refusal::{Refusal, RefusalCause};
+
+use super::EntrySettings;
+use crate::health::{AttemptEvidence, HealthChange, HealthTracker};
+use crate::index::{ClassIndex, EndpointIndex, GoalIndex};
+use crate::machine::AttemptContext;
+use crate::prefix::PrefixIndex;
+use crate::retry::RetryBudget;
+use crate::router::{RequestRouter, RouteChoice, RouteQuery, RouteView};
+use crate::table::EndpointTable;
+
+#[derive(Debug)]
+pub(super) struct EntryCore {
+    pub table: EndpointTable,
+    pub router: RequestRouter,
+    pub health: HealthTracker,
+    pub prefix: PrefixIndex,
+    pub retry: RetryBudget,
+    ejected_percent: u32,
+}
+
+impl EntryCore {
+    pub(super) fn new(settings: &EntrySettings, own_zone: ZoneName, seed: u64) -> Self {
+        Self {
+            table: EndpointTable::new(settings.table, own_zone),
+            router: RequestRouter::new(settings.router, seed),
+            health: HealthTracker::new(settings.health),
+            prefix: PrefixIndex::new(settings.prefix),
+            retry: RetryBudget::new(settings.retry),
+            ejected_percent: settings.health.ejected_percent,
+        }
+    }
+
+    /// Replicas that left or were unloaded may have raised the ejected share of those that are
+    /// left above the bound: as many ejected ones come back.
+    pub(super) fn keep_share(&mut self, now: ClockTime) {
+        let percent = self.ejected_percent;
+        while let Some(endpoint) = self.first_excess(percent) {
+            self.reinstate(endpoint, now);
+        }
+    }
+
+    fn first_excess(&self, percent: u32) -> Option<EndpointIndex> {
+        let ejected = self.health.ejected().iter().copied();
+        ejected
+            .into_iter()
+            .find(|endpoint| !self.table.may_eject(*endpoint, percent))
+    }
+
+    fn reinstate(&mut self, endpoint: EndpointIndex, now: ClockTime) {
+        self.health.reinstate(endpoint, now);
+        self.table.set_ejected(endpoint, false);
+    }
+
+    fn apply(&mut self, endpoint: EndpointIndex, change: HealthChange, now: ClockTime) {
+        match change {
+            HealthChange::Reinstate => self.reinstate(endpoint, now),
+            HealthChange::Eject(fault) => {
+                if self.table.may_eject(endpoint, self.ejected_percent) {
+                    self.health.eject(endpoint, fault, now);
+                    self.table.set_ejected(endpoint, true);
+                }
+            }
+        }
+    }
+}
+
+impl AttemptContext for EntryCore {
+    fn choose(&mut self, query: &RouteQuery<'_>, now: ClockTime) -> Result<RouteChoice, Refusal> {
+        let view = RouteView {
+            table: &self.table,
+            health: &self.health,
+            prefix: &self.prefix,
+        };
+        self.router.choose(view, query, now)
+    }
+
+    fn endpoint_name(&self, endpoint: EndpointIndex) -> EndpointName {
+        self.table.row(endpoint).name.clone()
+    }
+
+    fn next_attempt(&mut self) -> AttemptId {
+        AttemptId(self.router.draw())
+    }
+
+    fn take_retry(&mut self, class: ClassIndex) -> bool {
+        self.retry.take(class)
+    }
+
+    fn silence_after(&self, predicted: Duration) -> Duration {
+        self.health.silence_after(predicted)
+    }
+
+    fn note_sent(&mut self, choice: &RouteChoice, prefixes: &[u64], now: ClockTime) {
+        let endpoint = choice.endpoint;
+        self.table.note_sent(endpoint, choice.tokens_to_read, now);
+        self.prefix.learn(endpoint, prefixes, now);
+        if choice.probe {
+            self.health.start_probe(endpoint, now);
+        }
+    }
+
+    fn note_done(&mut self, endpoint: EndpointIndex, ran: Option<Duration>) {
+        self.table.note_done(endpoint, ran);
+    }
+
+    fn note_evidence(
+        &mut self,
+        endpoint: EndpointIndex,
+        evidence: AttemptEvidence,
+        now: ClockTime,
+    ) {
+        if let Some(change) = self.health.note(endpoint, evidence, now) {
+            self.apply(endpoint, change, now);
+        }
+    }
+
+    fn note_refused(
+        &mut self,
+        endpoint: EndpointIndex,
+        goal: GoalIndex,
+        cause: RefusalCause,
+        now: ClockTime,
+    ) {
+        match cause {
+            RefusalCause::Leaving => self.table.close(endpoint),
+            RefusalCause::WeightsMissing => {
+                self.table.drop_goal(endpoint, goal);
+                self.keep_share(now);
+            }
+            _ => {}
+        }
+        self.note_evidence(endpoint, AttemptEvidence::Refused(cause), now);
+    }
+}
--- /dev/null
+++ b/crates/oatpier-policy/src/machine/again.rs
@@ -0,0 +1,227 @@
+//! Another attempt: after a refusal, a failure or silence, if verdict and budget allow.
+
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::AttemptId;
+use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_types::request::AttemptSpec;
+use oatpier_types::verdict::{Repeat, RunVerdict};
+
+use super::attempt::{LiveAttempt, SealState};
+use super::{EventTurn, RequestMachine};
+use crate::action::{CancelMode, EntryAction};
+use crate::health::AttemptEvidence;
+use crate::index::EndpointIndex;
+use crate::outcome::FinalCause;
+use crate::router::{RouteChoice, RouteQuery};
+
+/// Why an attempt is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AttemptCause {
+    /// It is the first.
+    First,
+    /// The former one was refused since the entry's table was old. It cost its endpoint nothing.
+    StaleTable,
+    /// The former one was refused, or sealed before it ran.
+    Refused,
+    /// The former one failed. Its endpoint may do better the next time, and is often the only
+    /// replica there is.
+    Failed,
+}
+
+impl RequestMachine {
+    /// Sends another attempt, or ends the request.
+    pub(super) fn try_again(&mut self, cause: AttemptCause, turn: &mut EventTurn<'_>) {
+        if !self.may_repeat(self.settled_for_repeat()) {
+            self.finish_failed(FinalCause::Incomplete, turn);
+            return;
+        }
+        if turn.now >= self.deadline() {
+            self.finish_failed(FinalCause::DeadlinePassed, turn);
+            return;
+        }
+        if self.attempts_spent() {
+            self.finish_refused(refusal(RefusalCause::RetriesSpent), turn);
+            return;
+        }
+        let choice = match self.choose_for(cause, turn) {
+            Ok(choice) => choice,
+            Err(refusal) => return self.finish_refused(refusal, turn),
+        };
+        let class = self.frame.class;
+        let charged = matches!(cause, AttemptCause::Refused | AttemptCause::Failed);
+        if charged && !turn.context.take_retry(class) {
+            self.finish_refused(refusal(RefusalCause::RetriesSpent), turn);
+            return;
+        }
+        self.send(&choice, turn);
+    }
+
+    fn choose_for(
+        &self,
+        cause: AttemptCause,
+        turn: &mut EventTurn<'_>,
+    ) -> Result<RouteChoice, Refusal> {
+        let elsewhere = self.choose(&self.tried, turn);
+        match elsewhere {
+            Err(refusal)
+                if cause == AttemptCause::Failed && refusal.cause == RefusalCause::NoEndpoint =>
+            {
+                self.choose(&[], turn)
+            }
+            _ => elsewhere,
+        }
+    }
+
+    fn choose(
+        &self,
+        excluded: &[EndpointIndex],
+        turn: &mut EventTurn<'_>,
+    ) -> Result<RouteChoice, Refusal> {
+        let first_idempotent = self.attempts == 0 && self.intake.repeat == Repeat::Idempotent;
+        let query = RouteQuery {
+            goal: self.frame.goal,
+            tokens: self.intake.tokens,
+            prefixes: &self.intake.prefixes,
+            whole: self.is_whole(),
+            remaining: self.remaining(turn.now),
+            excluded,
+            may_probe: first_idempotent,
+        };
+        turn.context.choose(&query, turn.now)
+    }
+
+    fn send(&mut self, choice: &RouteChoice, turn: &mut EventTurn<'_>) {
+        let attempt = turn.context.next_attempt();
+        let silence = self.silence_of(choice, turn);
+        turn.context
+            .note_sent(choice, &self.intake.prefixes, turn.now);
+        self.live = Some(LiveAttempt::new(attempt, choice, silence, turn.now));
+        self.attempts += 1;
+        self.tried.push(choice.endpoint);
+        let endpoint = turn.context.endpoint_name(choice.endpoint);
+        let spec = Box::new(self.spec(attempt, turn.now));
+        turn.actions.push(if self.begun() {
+            EntryAction::Resume { endpoint, spec }
+        } else {
+            EntryAction::Send { endpoint, spec }
+        });
+    }
+
+    /// While an endpoint's speed is not known, a prediction says nothing: it gets a share of the
+    /// time left before it is called silent.
+    fn silence_of(&self, choice: &RouteChoice, turn: &EventTurn<'_>) -> Duration {
+        let expected = turn.context.silence_after(choice.predicted);
+        if choice.informed {
+            return expected;
+        }
+        let share = self.remaining(turn.now) * self.settings.uninformed_percent / 100;
+        expected.max(share)
+    }
+
+    fn spec(&self, attempt: AttemptId, now: ClockTime) -> AttemptSpec {
+        AttemptSpec {
+            attempt,
+            request: self.intake.request,
+            goal: self.intake.goal.clone(),
+            class: self.intake.class.clone(),
+            caller: self.intake.caller.clone(),
+            repeat: self.intake.repeat,
+            remaining: self.remaining(now),
+            tokens: self.intake.tokens,
+            resume_after: self.relayed_tokens,
+        }
+    }
+
+    pub(super) fn may_repeat(&self, verdict: RunVerdict) -> bool {
+        let can_go_on = !self.begun() || self.intake.resumable;
+        can_go_on && verdict.may_repeat(self.intake.repeat)
+    }
+
+    /// What another attempt depends on. At most once looks at all former attempts, however their
+    /// words contradict each other; for the rest each attempt was judged when it ended.
+    fn settled_for_repeat(&self) -> RunVerdict {
+        match self.intake.repeat {
+            Repeat::AtMostOnce => self.settled,
+            Repeat::Idempotent => RunVerdict::NotRun,
+        }
+    }
+
+    fn attempts_spent(&self) -> bool {
+        self.attempts >= self.settings.attempts
+    }
+
+    /// Gives a live attempt up whose verdict is not known.
+    fn abandon(&mut self, live: LiveAttempt, turn: &mut EventTurn<'_>) {
+        turn.cancel(&live, CancelMode::Abort);
+        self.unsettled.push(live.attempt);
+        self.drop_live(live, turn);
+    }
+
+    pub(super) fn drop_live(&mut self, live: LiveAttempt, turn: &mut EventTurn<'_>) {
+        self.live = None;
+        turn.context.note_done(live.endpoint, None);
+    }
+
+    pub(super) fn on_silence(&mut self, live: LiveAttempt, turn: &mut EventTurn<'_>) {
+        let since = live.last_sign;
+        turn.context
+            .note_evidence(live.endpoint, AttemptEvidence::Silent { since }, turn.now);
+        match self.intake.repeat {
+            Repeat::Idempotent => self.replace_silent(live, turn),
+            Repeat::AtMostOnce if live.framed => self.wait_or_end(live, turn),
+            Repeat::AtMostOnce => self.ask_seal(live, turn),
+        }
+    }
+
+    /// A silent attempt at an idempotent request is left only for another one: while there is
+    /// none, its answer may still come.
+    fn replace_silent(&mut self, live: LiveAttempt, turn: &mut EventTurn<'_>) {
+        let allowed = self.may_repeat(RunVerdict::MayHaveRun) && !self.attempts_spent();
+        let choice = allowed
+            .then(|| self.choose(&self.tried, turn).ok())
+            .flatten();
+        let class = self.frame.class;
+        match choice {
+            Some(choice) if turn.context.take_retry(class) => {
+                self.abandon(live, turn);
+                self.send(&choice, turn);
+            }
+            _ => self.wait_or_end(live, turn),
+        }
+    }
+
+    /// Waits on until the deadline. A stream that has begun has none: it ends when the last sign
+    /// of its attempt is a stall old.
+    fn wait_or_end(&mut self, live: LiveAttempt, turn: &mut EventTurn<'_>) {
+        let stalled_at = live.last_sign + self.stall_span();
+        if self.begun() && turn.now >= stalled_at {
+            self.finish_failed(FinalCause::Incomplete, turn);
+            return;
+        }
+        let silent_at = if self.begun() {
+            stalled_at
+        } else {
+            ClockTime::NEVER
+        };
+        self.live = Some(LiveAttempt { silent_at, ..live });
+    }
+
+    fn ask_seal(&mut self, live: LiveAttempt, turn: &mut EventTurn<'_>) {
+        let until = turn.now + self.settings.cancel_wait;
+        turn.cancel(&live, CancelMode::SealOnly);
+        self.live = Some(LiveAttempt {
+            silent_at: ClockTime::NEVER,
+            seal: SealState::Asked { until },
+            ..live
+        });
+    }
+}
+
+pub(super) fn refusal(cause: RefusalCause) -> Refusal {
+    Refusal {
+        cause,
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/oatpier-policy/src/machine/steps.rs
@@ -0,0 +1,252 @@
+//! What each event does to a request.
+
+use oatpier_types::ids::AttemptId;
+use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_types::verdict::RunVerdict;
+
+use super::again::{AttemptCause, refusal};
+use super::attempt::{LiveAttempt, SealState};
+use super::{EventTurn, RequestMachine, RequestStep};
+use crate::action::EntryAction;
+use crate::event::EntryEvent;
+use crate::health::AttemptEvidence;
+use crate::outcome::FinalCause;
+
+impl RequestMachine {
+    pub(super) fn on_claim(&mut self, event: &EntryEvent, turn: &mut EventTurn<'_>) {
+        if self.step != RequestStep::Claiming {
+            self.dropped += 1;
+            return;
+        }
+        match event {
+            EntryEvent::ClaimGranted => self.send_first(turn),
+            EntryEvent::ClaimRefused { earlier } => {
+                // The key is another submission's: it is not this one's to settle.
+                self.claimed = false;
+                self.settled = *earlier;
+                self.finish_refused(refusal(RefusalCause::KeyUsed), turn);
+            }
+            _ => {
+                let retry_after = Some(self.settings.retry_after);
+                let cause = RefusalCause::ClaimUnavailable;
+                self.finish_refused(Refusal { cause, retry_after }, turn);
+            }
+        }
+    }
+
+    pub(super) fn send_first(&mut self, turn: &mut EventTurn<'_>) {
+        self.step = RequestStep::Attempting;
+        self.try_again(AttemptCause::First, turn);
+    }
+
+    pub(super) fn on_frame(&mut self, turn: &mut EventTurn<'_>) {
+        let stall = self.stall_span();
+        let Some(live) = &mut self.live else {
+            return;
+        };
+        if live.framed {
+            self.dropped += 1;
+            return;
+        }
+        live.framed = true;
+        live.last_sign = turn.now;
+        live.silent_at = turn.now + stall;
+        let evidence = AttemptEvidence::FirstFrame {
+            took: turn.now.since(live.sent_at),
+            predicted: live.predicted,
+        };
+        turn.context
+            .note_evidence(live.endpoint, evidence, turn.now);
+    }
+
+    pub(super) fn on_piece(&mut self, tokens: u32, turn: &mut EventTurn<'_>) {
+        if self.live.is_some_and(|live| !live.framed) {
+            self.on_frame(turn);
+        }
+        let stall = self.stall_span();
+        let Some(live) = &mut self.live else {
+            return;
+        };
+        live.last_sign = turn.now;
+        live.silent_at = turn.now + stall;
+        turn.context
+            .note_evidence(live.endpoint, AttemptEvidence::Piece, turn.now);
+        turn.actions.push(EntryAction::Relay {
+            attempt: live.attempt,
+        });
+        self.first_piece.get_or_insert(turn.now);
+        self.relayed_tokens = self.relayed_tokens.saturating_add(tokens);
+    }
+
+    pub(super) fn on_ended(&mut self, live: LiveAttempt, turn: &mut EventTurn<'_>) {
+        if !live.framed {
+            self.on_frame(turn);
+        }
+        let ran = live.ran(turn.now);
+        turn.context
+            .note_evidence(live.endpoint, AttemptEvidence::Ended, turn.now);
+        turn.context.note_done(live.endpoint, Some(ran));
+        self.live = None;
+        self.settled = RunVerdict::Ran;
+        self.finish_whole(turn);
+    }
+
+    pub(super) fn on_refused(
+        &mut self,
+        live: LiveAttempt,
+        refusal: Refusal,
+        turn: &mut EventTurn<'_>,
+    ) {
+        if refusal.cause == RefusalCause::Duplicate {
+            // The message was doubled on its way. Its first copy is the attempt, and goes on.
+            self.dropped += 1;
+            return;
+        }
+        if live.framed {
+            // Something of its answer came: it can't be "not run".
+            self.on_failed(live, RunVerdict::MayHaveRun, turn);
+            return;
+        }
+        self.drop_live(live, turn);
+        let goal = self.frame.goal;
+        turn.context
+            .note_refused(live.endpoint, goal, refusal.cause, turn.now);
+        self.last_refusal = Some(refusal);
+        match refusal.cause {
+            RefusalCause::KeyUsed => {
+                // The refusal is of this attempt; what used the key may have run.
+                self.settled = self.settled.and(RunVerdict::MayHaveRun);
+                self.finish_refused(refusal, turn);
+            }
+            RefusalCause::Invalid | RefusalCause::Unknown => self.finish_refused(refusal, turn),
+            RefusalCause::Leaving | RefusalCause::WeightsMissing => {
+                self.try_again(AttemptCause::StaleTable, turn);
+            }
+            _ => self.try_again(AttemptCause::Refused, turn),
+        }
+    }
+
+    pub(super) fn on_connect_failed(&mut self, live: LiveAttempt, turn: &mut EventTurn<'_>) {
+        if live.framed {
+            self.on_failed(live, RunVerdict::MayHaveRun, turn);
+            return;
+        }
+        self.drop_live(live, turn);
+        turn.context
+            .note_evidence(live.endpoint, AttemptEvidence::ConnectFailed, turn.now);
+        self.last_refusal = Some(self.endpoint_down());
+        self.try_again(AttemptCause::Failed, turn);
+    }
+
+    pub(super) fn on_failed(
+        &mut self,
+        live: LiveAttempt,
+        verdict: RunVerdict,
+        turn: &mut EventTurn<'_>,
+    ) {
+        let least = if live.framed {
+            RunVerdict::MayHaveRun
+        } else {
+            RunVerdict::NotRun
+        };
+        let verdict = verdict.and(least);
+        let evidence = match verdict {
+            RunVerdict::NotRun => AttemptEvidence::Refused(RefusalCause::EndpointDown),
+            RunVerdict::MayHaveRun | RunVerdict::Ran => AttemptEvidence::Cut,
+        };
+        self.drop_live(live, turn);
+        turn.context
+            .note_evidence(live.endpoint, evidence, turn.now);
+        self.settled = self.settled.and(verdict);
+        self.last_refusal = Some(self.endpoint_down());
+        if self.may_repeat(verdict) {
+            self.try_again(AttemptCause::Failed, turn);
+        } else {
+            self.finish_failed(FinalCause::Incomplete, turn);
+        }
+    }
+
+    pub(super) fn on_cancel_answered(
+        &mut self,
+        attempt: AttemptId,
+        verdict: RunVerdict,
+        turn: &mut EventTurn<'_>,
+    ) {
+        if let Some(place) = self.unsettled.iter().position(|other| *other == attempt) {
+            self.unsettled.remove(place);
+            self.settled = self.settled.and(verdict);
+            return;
+        }
+        match self.live.filter(|live| live.attempt == attempt) {
+            Some(live) if awaits_seal(&live) => self.on_seal_answered(live, verdict, turn),
+            _ => self.dropped += 1,
+        }
+    }
+
+    /// Only "not run" allows another attempt at an at-most-once request. Otherwise the attempt is
+    /// left to answer until the deadline.
+    fn on_seal_answered(
+        &mut self,
+        live: LiveAttempt,
+        verdict: RunVerdict,
+        turn: &mut EventTurn<'_>,
+    ) {
+        if verdict == RunVerdict::NotRun {
+            self.drop_live(live, turn);
+            self.try_again(AttemptCause::Refused, turn);
+            return;
+        }
+        self.settled = self.settled.and(verdict);
+        self.live = Some(LiveAttempt {
+            seal: SealState::Refused,
+            ..live
+        });
+    }
+
+    pub(super) fn on_timer(&mut self, turn: &mut EventTurn<'_>) {
+        if let Some(since) = self.blocked_since {
+            if turn.now >= since + self.settings.caller_hold {
+                self.on_caller_gone(turn);
+            }
+            return;
+        }
+        if turn.now >= self.deadline() {
+            self.finish_failed(FinalCause::DeadlinePassed, turn);
+            return;
+        }
+        let Some(live) = &mut self.live else {
+            return;
+        };
+        if matches!(live.seal, SealState::Asked { until } if turn.now >= until) {
+            live.seal = SealState::Overdue;
+        }
+        if turn.now >= live.silent_at {
+            let live = *live;
+            self.on_silence(live, turn);
+        }
+    }
+
+    pub(super) fn on_caller_blocked(&mut self, turn: &mut EventTurn<'_>) {
+        if self.begun() {
+            self.blocked_since.get_or_insert(turn.now);
+        }
+    }
+
+    pub(super) fn on_caller_ready(&mut self, turn: &mut EventTurn<'_>) {
+        let stall = self.stall_span();
+        if self.blocked_since.take().is_some()
+            && let Some(live) = &mut self.live
+        {
+            live.silent_at = turn.now + stall;
+        }
+    }
+
+    pub(super) fn on_caller_gone(&mut self, turn: &mut EventTurn<'_>) {
+        self.finish_failed(FinalCause::CallerGone, turn);
+    }
+}
+
+fn awaits_seal(live: &LiveAttempt) -> bool {
+    let asked = matches!(live.seal, SealState::Asked { .. } | SealState::Overdue);
+    asked && !live.framed
+}
--- /dev/null
+++ b/crates/oatpier-policy/src/prefix.rs
@@ -0,0 +1,263 @@
+//! Who is expected to have a prompt's prefix cached.
+//!
+//! Learnt from what this entry itself sent, and corrected by cache events, which come late and
+//! with gaps. Bounded: a fixed table of small sets, where the oldest of a set makes room. A wrong
+//! expectation costs some prefill time, never a wrong answer.
+
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::engine::CacheEvent;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::index::EndpointIndex;
+use crate::units::{micros, scale};
+
+/// Settings of a [`PrefixIndex`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PrefixSettings {
+    /// Blocks that are remembered; rounded up to a power of two.
+    pub blocks: usize,
+    /// Tokens in a block, as the prefix hashes are made.
+    pub block_tokens: u32,
+    /// The age at which an expectation counts half.
+    #[serde(with = "humantime_serde")]
+    pub half_life: Duration,
+    /// How late cache events may come: a removal does not undo what was sent since then.
+    #[serde(with = "humantime_serde")]
+    pub event_lag: Duration,
+}
+
+impl Default for PrefixSettings {
+    fn default() -> Self {
+        Self {
+            blocks: 1 << 16,
+            block_tokens: 64,
+            half_life: Duration::from_mins(2),
+            event_lag: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Slots of one set.
+const WAYS: usize = 4;
+
+/// The most blocks of one prompt that are looked up; of a longer prompt, evenly spread ones.
+const LOOKUP_BOUND: usize = 16;
+
+/// The most blocks of one prompt that are learnt, the first ones.
+const LEARN_BOUND: usize = 128;
+
+/// Full confidence.
+const CERTAIN: u64 = 1_000;
+
+/// An event number so far below the expected one comes from a restarted engine.
+const RESTART_DISTANCE: u64 = 64;
+
+#[derive(Debug, Clone, Copy)]
+struct BlockSlot {
+    block: u64,
+    endpoint: EndpointIndex,
+    learnt_at: ClockTime,
+}
+
+const EMPTY_SLOT: BlockSlot = BlockSlot {
+    block: 0,
+    endpoint: EndpointIndex(u32::MAX),
+    learnt_at: ClockTime::ZERO,
+};
+
+/// How far what was learnt of an endpoint is trusted.
+#[derive(Debug, Clone, Copy, Default)]
+struct EventTrack {
+    next: Option<u64>,
+    /// What was learnt before this point counts by `trust` only.
+    doubted_at: ClockTime,
+    trust: u64,
+}
+
+/// An endpoint that is expected to have a part of a prompt cached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PrefixHolder {
+    /// The endpoint.
+    pub endpoint: EndpointIndex,
+    /// Tokens that it is expected to save, weighed by confidence.
+    pub tokens: u32,
+}
+
+/// Holders of a prompt's prefixes, the longest first.
+pub type PrefixHolders = SmallVec<[PrefixHolder; WAYS]>;
+
+/// A bounded index from prefix blocks to endpoints.
+#[derive(Debug)]
+pub struct PrefixIndex {
+    settings: PrefixSettings,
+    sets: Vec<[BlockSlot; WAYS]>,
+    tracks: Vec<EventTrack>,
+    gaps: u64,
+}
+
+impl PrefixIndex {
+    /// An empty index. All its memory is taken here.
+    #[must_use]
+    pub fn new(settings: PrefixSettings) -> Self {
+        let sets = settings.blocks.div_ceil(WAYS).next_power_of_two();
+        Self {
+            settings,
+            sets: vec![[EMPTY_SLOT; WAYS]; sets],
+            tracks: Vec::new(),
+            gaps: 0,
+        }
+    }
+
+    /// A prompt was sent to the endpoint, which will have its prefixes cached.
+    pub fn learn(&mut self, endpoint: EndpointIndex, prefixes: &[u64], now: ClockTime) {
+        for block in prefixes.iter().take(LEARN_BOUND) {
+            self.insert(*block, endpoint, now);
+        }
+    }
+
+    /// An engine's cache event came. A gap says that removals may have been missed: all that was
+    /// learnt of the endpoint before counts half from then on.
+    pub fn on_event(&mut self, endpoint: EndpointIndex, event: &CacheEvent, now: ClockTime) {
+        let track = self.track(endpoint);
+        let next = track.next.unwrap_or(event.sequence);
+        if event.sequence + RESTART_DISTANCE < next {
+            self.forget(endpoint, now);
+        } else if event.sequence < next {
+            return;
+        } else if event.sequence > next {
+            self.doubt(endpoint, now);
+        }
+        self.track(endpoint).next = Some(event.sequence + 1);
+        if event.present {
+            self.insert(event.block, endpoint, now);
+        } else {
+            self.remove(event.block, endpoint, now);
+        }
+    }
+
+    /// Nothing that was learnt of the endpoint holds any longer.
+    pub fn forget(&mut self, endpoint: EndpointIndex, now: ClockTime) {
+        let track = self.track(endpoint);
+        track.doubted_at = now;
+        track.trust = 0;
+    }
+
+    /// Who is expected to have prefixes of a prompt cached. `prefixes` holds the hashes of its
+    /// growing prefixes, the shortest first. Does not allocate.
+    #[must_use]
+    pub fn holders(&self, prefixes: &[u64], now: ClockTime) -> PrefixHolders {
+        let mut holders = PrefixHolders::new();
+        let stride = prefixes.len().div_ceil(LOOKUP_BOUND).max(1);
+        for (place, block) in prefixes.iter().enumerate().rev().step_by(stride) {
+            let depth = u64::try_from(place + 1).unwrap_or(u64::MAX);
+            self.collect(*block, depth, now, &mut holders);
+            if holders.len() == WAYS {
+                break;
+            }
+        }
+        holders
+    }
+
+    /// How many gaps in cache events were seen.
+    #[must_use]
+    pub fn gaps(&self) -> u64 {
+        self.gaps
+    }
+
+    fn collect(&self, block: u64, depth: u64, now: ClockTime, holders: &mut PrefixHolders) {
+        let set = &self.sets[self.set_of(block)];
+        for slot in set.iter().filter(|slot| is_filled(slot, block)) {
+            let known = holders
+                .iter()
+                .any(|holder| holder.endpoint == slot.endpoint);
+            if known || holders.len() == WAYS {
+                continue;
+            }
+            let tokens = depth.saturating_mul(u64::from(self.settings.block_tokens));
+            let expected = scale(tokens, self.confidence(slot, now), CERTAIN);
+            holders.push(PrefixHolder {
+                endpoint: slot.endpoint,
+                tokens: u32::try_from(expected).unwrap_or(u32::MAX),
+            });
+        }
+    }
+
+    fn confidence(&self, slot: &BlockSlot, now: ClockTime) -> u64 {
+        let half_life = micros(self.settings.half_life).max(1);
+        let age = micros(now.since(slot.learnt_at));
+        let fresh = scale(CERTAIN, half_life, half_life.saturating_add(age));
+        let track = self.tracks.get(slot.endpoint.place());
+        match track {
+            Some(track) if slot.learnt_at < track.doubted_at => scale(fresh, track.trust, CERTAIN),
+            _ => fresh,
+        }
+    }
+
+    fn doubt(&mut self, endpoint: EndpointIndex, now: ClockTime) {
+        self.gaps += 1;
+        let track = self.track(endpoint);
+        let trust = if track.doubted_at == ClockTime::ZERO {
+            CERTAIN
+        } else {
+            track.trust
+        };
+        track.trust = trust / 2;
+        track.doubted_at = now;
+    }
+
+    fn insert(&mut self, block: u64, endpoint: EndpointIndex, now: ClockTime) {
+        let place = self.set_of(block);
+        let set = &mut self.sets[place];
+        let same = set
+            .iter()
+            .position(|slot| is_filled(slot, block) && slot.endpoint == endpoint);
+        let way = same.unwrap_or_else(|| oldest_way(set));
+        set[way] = BlockSlot {
+            block,
+            endpoint,
+            learnt_at: now,
+        };
+    }
+
+    fn remove(&mut self, block: u64, endpoint: EndpointIndex, now: ClockTime) {
+        let lag = self.settings.event_lag;
+        let place = self.set_of(block);
+        for slot in &mut self.sets[place] {
+            let same = is_filled(slot, block) && slot.endpoint == endpoint;
+            if same && now.since(slot.learnt_at) >= lag {
+                *slot = EMPTY_SLOT;
+            }
+        }
+    }
+
+    fn track(&mut self, endpoint: EndpointIndex) -> &mut EventTrack {
+        if self.tracks.len() <= endpoint.place() {
+            self.tracks
+                .resize(endpoint.place() + 1, EventTrack::default());
+        }
+        &mut self.tracks[endpoint.place()]
+    }
+
+    fn set_of(&self, block: u64) -> usize {
+        let mask = self.sets.len() as u64 - 1;
+        usize::try_from(block & mask).unwrap_or(0)
+    }
+}
+
+fn is_filled(slot: &BlockSlot, block: u64) -> bool {
+    slot.block == block && slot.endpoint != EMPTY_SLOT.endpoint
+}
+
+fn oldest_way(set: &[BlockSlot; WAYS]) -> usize {
+    let age_order = |way: &usize| {
+        (
+            set[*way].endpoint != EMPTY_SLOT.endpoint,
+            set[*way].learnt_at,
+        )
+    };
+    (0..WAYS).min_by_key(age_order).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/oatpier-policy/src/table/mod.rs
@@ -0,0 +1,350 @@
+//! What an entry knows of endpoints, and who can serve what.
+//!
+//! The table may be old or wrong; agents refuse what they can't run. It serves efficiency alone.
+
+mod candidates;
+mod row;
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::engine::{LoadReport, WeightsKey};
+use oatpier_types::ids::BootId;
+use oatpier_types::names::{EndpointName, PoolName, ZoneName};
+use oatpier_types::pulse::{AgentPulse, EndpointStatus};
+use oatpier_types::request::RequestGoal;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::index::{EndpointIndex, GoalIndex, ZoneIndex};
+use crate::units::micros;
+
+pub use candidates::CandidateList;
+pub use row::{AttemptPrediction, AttemptSize, EndpointRow};
+
+use candidates::ListingState;
+use row::BootCheck;
+
+/// Settings of an [`EndpointTable`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct TableSettings {
+    /// The age at which a pulse counts half, and the prior the other half.
+    #[serde(with = "humantime_serde")]
+    pub pulse_half_life: Duration,
+    /// Round trip within the availability zone.
+    #[serde(with = "humantime_serde")]
+    pub zone_trip: Duration,
+    /// Round trip to another availability zone of the region.
+    #[serde(with = "humantime_serde")]
+    pub region_trip: Duration,
+    /// Round trip to another region.
+    #[serde(with = "humantime_serde")]
+    pub far_trip: Duration,
+    /// Time to read one prompt token while an endpoint has not said, in nanoseconds.
+    pub prompt_token_ns: u32,
+}
+
+impl Default for TableSettings {
+    fn default() -> Self {
+        Self {
+            pulse_half_life: Duration::from_millis(250),
+            zone_trip: Duration::from_millis(1),
+            region_trip: Duration::from_millis(3),
+            far_trip: Duration::from_millis(60),
+            prompt_token_ns: 50_000,
+        }
+    }
+}
+
+/// The zone that the entry itself is in.
+const OWN_ZONE: ZoneIndex = ZoneIndex(0);
+
+/// What an entry knows of endpoints.
+#[derive(Debug)]
+pub struct EndpointTable {
+    settings: TableSettings,
+    /// Round trips in microseconds, by zone; the own zone comes first.
+    zones: IndexMap<ZoneName, u64>,
+    by_name: IndexMap<EndpointName, EndpointIndex>,
+    rows: Vec<EndpointRow>,
+    goals: IndexSet<RequestGoal>,
+    lists: Vec<CandidateList>,
+    stale_dropped: u64,
+}
+
+impl EndpointTable {
+    /// An empty table of an entry in `own_zone`.
+    #[must_use]
+    pub fn new(settings: TableSettings, own_zone: ZoneName) -> Self {
+        let own_trip = micros(settings.zone_trip);
+        Self {
+            settings,
+            zones: IndexMap::from([(own_zone, own_trip)]),
+            by_name: IndexMap::new(),
+            rows: Vec::new(),
+            goals: IndexSet::new(),
+            lists: Vec::new(),
+            stale_dropped: 0,
+        }
+    }
+
+    /// Takes over which availability zones are near.
+    pub fn apply_config(&mut self, config: &FleetConfig) {
+        let own = self.zones.get_index(0).map(|(name, _)| name.clone());
+        let own_region = own.as_ref().and_then(|name| config.region_of(name));
+        let near = micros(self.settings.region_trip);
+        let far = micros(self.settings.far_trip);
+        for (region, spec) in &config.regions {
+            let trip = if Some(region) == own_region {
+                near
+            } else {
+                far
+            };
+            for zone in spec.zones.iter().filter(|zone| Some(*zone) != own.as_ref()) {
+                self.zones.insert(zone.clone(), trip);
+            }
+        }
+    }
+
+    /// Takes an agent's whole word over. Stale parts are ignored and counted.
+    pub fn on_status(&mut self, status: &EndpointStatus, now: ClockTime) -> EndpointIndex {
+        let index = self.intern(&status.endpoint, &status.pool, &status.zone);
+        if self.check_boot(index, status.pulse.boot, now) == BootCheck::Former {
+            self.stale_dropped += 1;
+            return index;
+        }
+        if self.rows[index.place()].gone {
+            self.relist(index, |row| row.gone = false);
+        }
+        let row = &self.rows[index.place()];
+        let news = row
+            .ready_sequence
+            .is_none_or(|known| known < status.ready_sequence);
+        if news {
+            let goals = self.intern_goals(&status.pool, &status.ready);
+            self.relist(index, |row| {
+                row.goals = goals;
+                row.ready_sequence = Some(status.ready_sequence);
+            });
+        }
+        self.take_pulse(index, &status.pulse, now);
+        index
+    }
+
+    /// Takes a pulse of a known endpoint over. A stale one is ignored and counted.
+    pub fn on_pulse(&mut self, index: EndpointIndex, pulse: &AgentPulse, now: ClockTime) {
+        match self.check_boot(index, pulse.boot, now) {
+            BootCheck::Former => self.stale_dropped += 1,
+            BootCheck::Present | BootCheck::New => self.take_pulse(index, pulse, now),
+        }
+    }
+
+    /// Takes a lagged load report over as the prior of the wait.
+    pub fn on_report(&mut self, index: EndpointIndex, report: &LoadReport) {
+        self.rows[index.place()].take_report(report);
+    }
+
+    /// No new work goes to the endpoint until its agent starts anew or [`Self::clear_leaving`].
+    pub fn mark_leaving(&mut self, index: EndpointIndex) {
+        self.relist(index, |row| row.leaving = true);
+    }
+
+    /// The endpoint does not leave after all.
+    pub fn clear_leaving(&mut self, index: EndpointIndex) {
+        self.relist(index, |row| row.leaving = false);
+    }
+
+    /// The agent said that it takes no new work: none goes there until a newer pulse says else.
+    pub fn close(&mut self, index: EndpointIndex) {
+        self.relist(index, EndpointRow::close);
+    }
+
+    /// The endpoint is gone, until a status of it comes.
+    pub fn forget(&mut self, index: EndpointIndex) {
+        self.relist(index, |row| row.gone = true);
+    }
+
+    /// The endpoint lacks the goal's weights, whatever its last status said.
+    pub fn drop_goal(&mut self, index: EndpointIndex, goal: GoalIndex) {
+        self.relist(index, |row| row.goals.retain(|other| *other != goal));
+    }
+
+    /// Ejects or reinstates an endpoint.
+    pub fn set_ejected(&mut self, index: EndpointIndex, ejected: bool) {
+        self.relist(index, |row| row.ejected = ejected);
+    }
+
+    /// Whether the endpoint's ejection would leave at most `percent` of each of its goals'
+    /// replicas ejected. Beyond that share the fault is more likely here or in what is asked of
+    /// them, and ejecting more would only pile all load on the rest.
+    #[must_use]
+    pub fn may_eject(&self, index: EndpointIndex, percent: u32) -> bool {
+        self.rows[index.place()].goals.iter().all(|goal| {
+            let list = &self.lists[goal.place()];
+            let others = list.ejected().iter().filter(|other| **other != index);
+            let ejected = others.count() as u64 + 1;
+            ejected * 100 <= u64::from(list.members()) * u64::from(percent)
+        })
+    }
+
+    /// An attempt was sent to the endpoint; `tokens` of its prompt are to be read.
+    pub fn note_sent(&mut self, index: EndpointIndex, tokens: u32, now: ClockTime) {
+        self.rows[index.place()].note_sent(tokens, now);
+    }
+
+    /// An attempt at the endpoint is over; `took` if it came to its end.
+    pub fn note_done(&mut self, index: EndpointIndex, took: Option<Duration>) {
+        self.rows[index.place()].note_done(took.map(micros));
+    }
+
+    /// The predicted times of an attempt sent now, network included.
+    #[must_use]
+    pub fn predict(
+        &self,
+        index: EndpointIndex,
+        size: AttemptSize,
+        now: ClockTime,
+    ) -> AttemptPrediction {
+        let row = &self.rows[index.place()];
+        let mut prediction = row.predict(size, &self.settings, now);
+        let trip = self.zones[row.zone.place()];
+        prediction.total_us = prediction.total_us.saturating_add(trip);
+        prediction
+    }
+
+    /// The index of an endpoint.
+    #[must_use]
+    pub fn find(&self, name: &EndpointName) -> Option<EndpointIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    /// The index of a goal; none if no endpoint ever served it.
+    #[must_use]
+    pub fn find_goal(&self, goal: &RequestGoal) -> Option<GoalIndex> {
+        self.goals.get_index_of(goal).map(GoalIndex::of_place)
+    }
+
+    /// One endpoint.
+    #[must_use]
+    pub fn row(&self, index: EndpointIndex) -> &EndpointRow {
+        &self.rows[index.place()]
+    }
+
+    /// The replicas of a goal.
+    #[must_use]
+    pub fn candidates(&self, goal: GoalIndex) -> &CandidateList {
+        &self.lists[goal.place()]
+    }
+
+    /// The entry's own availability zone.
+    #[must_use]
+    pub fn own_zone(&self) -> ZoneIndex {
+        OWN_ZONE
+    }
+
+    /// How many availability zones are known.
+    #[must_use]
+    pub fn zone_count(&self) -> usize {
+        self.zones.len()
+    }
+
+    /// How many endpoints were ever known.
+    #[must_use]
+    pub fn endpoint_count(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// How many stale statuses and pulses were ignored.
+    #[must_use]
+    pub fn stale_dropped(&self) -> u64 {
+        self.stale_dropped
+    }
+
+    fn check_boot(&mut self, index: EndpointIndex, boot: BootId, now: ClockTime) -> BootCheck {
+        let check = self.rows[index.place()].check_boot(boot, now);
+        if check == BootCheck::New {
+            self.relist(index, |row| row.adopt_boot(boot, now));
+        }
+        check
+    }
+
+    fn take_pulse(&mut self, index: EndpointIndex, pulse: &AgentPulse, now: ClockTime) {
+        let row = &mut self.rows[index.place()];
+        if !row.is_news(pulse) {
+            self.stale_dropped += 1;
+            return;
+        }
+        let trip = self.zones[row.zone.place()];
+        let known = row.pulse().map(|known| known.accepting);
+        if known == Some(pulse.accepting) {
+            row.take_pulse(pulse, trip, now);
+        } else {
+            self.relist(index, |row| row.take_pulse(pulse, trip, now));
+        }
+    }
+
+    fn intern(&mut self, name: &EndpointName, pool: &PoolName, zone: &ZoneName) -> EndpointIndex {
+        if let Some(index) = self.find(name) {
+            return index;
+        }
+        let index = EndpointIndex::of_place(self.rows.len());
+        let far = micros(self.settings.far_trip);
+        let zone_entry = self.zones.entry(zone.clone());
+        let zone_index = ZoneIndex::of_place(zone_entry.index());
+        zone_entry.or_insert(far);
+        self.by_name.insert(name.clone(), index);
+        self.rows
+            .push(EndpointRow::new(name.clone(), pool.clone(), zone_index));
+        index
+    }
+
+    /// The goals that ready weights serve. A model's goal needs its base ready, an adapter's
+    /// needs the adapter beside its base; versions don't appear in requests.
+    fn intern_goals(&mut self, pool: &PoolName, ready: &[WeightsKey]) -> SmallVec<[GoalIndex; 8]> {
+        let base_ready = |key: &WeightsKey| {
+            ready
+                .iter()
+                .any(|other| other.adapter.is_none() && other.model == key.model)
+        };
+        let models = ready
+            .iter()
+            .filter(|key| base_ready(key))
+            .map(|key| RequestGoal::Model {
+                model: key.model.clone(),
+                adapter: key.adapter.clone(),
+            });
+        let service = RequestGoal::Service { pool: pool.clone() };
+        let mut goals: SmallVec<[GoalIndex; 8]> = models
+            .chain([service])
+            .map(|goal| GoalIndex::of_place(self.goals.insert_full(goal).0))
+            .collect();
+        self.lists
+            .resize_with(self.goals.len(), CandidateList::default);
+        goals.sort_unstable();
+        goals.dedup();
+        goals
+    }
+
+    /// Changes a row, and moves it within the lists of its goals if its standing changes.
+    fn relist<T>(&mut self, index: EndpointIndex, change: impl FnOnce(&mut EndpointRow) -> T) -> T {
+        self.each_list(index, CandidateList::remove);
+        let value = change(&mut self.rows[index.place()]);
+        self.each_list(index, CandidateList::add);
+        value
+    }
+
+    fn each_list(
+        &mut self,
+        index: EndpointIndex,
+        step: fn(&mut CandidateList, EndpointIndex, ZoneIndex, ListingState),
+    ) {
+        let row = &self.rows[index.place()];
+        let listing = row.listing();
+        for goal in &row.goals {
+            step(&mut self.lists[goal.place()], index, row.zone, listing);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-policy/tests/testsuite/attainment.rs
@@ -0,0 +1,83 @@
+//! The attained share of each class.
+
+use std::time::Duration;
+
+use oatpier_policy::attainment::AttainmentLedger;
+use oatpier_policy::entry::settings::AttainmentSettings;
+use oatpier_policy::event::EntryEvent;
+use oatpier_policy::index::ClassIndex;
+use oatpier_types::ids::RequestId;
+
+use crate::support::{at, begin, draft, ended, name, policy};
+
+const CLASS: ClassIndex = ClassIndex(0);
+
+fn ledger() -> AttainmentLedger {
+    let mut ledger = AttainmentLedger::new(AttainmentSettings {
+        window: Duration::from_secs(12),
+    });
+    ledger.set_target(CLASS, 900_000);
+    ledger
+}
+
+#[test]
+fn a_class_below_its_target_has_need() {
+    let mut ledger = ledger();
+    assert!(!ledger.has_need(CLASS, at(0)), "nothing is known yet");
+    for number in 0..10 {
+        ledger.record(CLASS, number >= 2, at(0));
+    }
+    assert_eq!(ledger.share_ppm(CLASS, at(0)), Some(800_000));
+    assert!(ledger.has_need(CLASS, at(0)));
+    assert!(ledger.any_need(at(0)));
+}
+
+#[test]
+fn what_left_the_window_no_longer_counts() {
+    let mut ledger = ledger();
+    ledger.record(CLASS, false, at(0));
+    ledger.record(CLASS, true, at(6_000));
+    assert_eq!(ledger.share_ppm(CLASS, at(6_000)), Some(500_000));
+    assert_eq!(ledger.share_ppm(CLASS, at(13_000)), Some(1_000_000));
+    assert_eq!(ledger.share_ppm(CLASS, at(60_000)), None);
+    assert_eq!(ledger.totals(CLASS).ended, 2);
+}
+
+fn share_after(
+    events: impl Fn(oatpier_types::ids::AttemptId) -> Vec<(EntryEvent, u64)>,
+) -> Option<u64> {
+    let mut policy = policy(3, 0, 1);
+    let (attempt, _) = begin(&mut policy, draft(1));
+    for (event, millis) in events(attempt) {
+        policy.handle(RequestId(1), &event, at(millis));
+    }
+    let class = policy.class_index(&name("draft")).expect("configured");
+    policy.ledger().share_ppm(class, at(10_000))
+}
+
+/// A stream is in time only if its first token was, and the rest kept the pace on average.
+#[test]
+fn a_stream_is_judged_by_first_token_and_pace() {
+    let piece = |attempt, tokens| EntryEvent::Piece { attempt, tokens };
+    let kept = share_after(|attempt| {
+        vec![
+            (piece(attempt, 1), 300),
+            (piece(attempt, 10), 600),
+            (ended(attempt), 610),
+        ]
+    });
+    let slow = share_after(|attempt| {
+        vec![
+            (piece(attempt, 1), 300),
+            (piece(attempt, 10), 640),
+            (ended(attempt), 650),
+        ]
+    });
+    assert_eq!(kept, Some(1_000_000));
+    assert_eq!(slow, Some(0));
+}
+
+#[test]
+fn a_caller_that_went_away_says_nothing_of_the_class() {
+    assert_eq!(share_after(|_| vec![(EntryEvent::CallerGone, 10)]), None);
+}
--- /dev/null
+++ b/crates/oatpier-policy/tests/testsuite/limits.rs
@@ -0,0 +1,130 @@
+//! Bounds: concurrent requests, fair shares, retry budgets.
+
+use std::time::Duration;
+
+use oatpier_policy::entry::EntrySettings;
+use oatpier_policy::event::EntryEvent;
+use oatpier_policy::index::ClassIndex;
+use oatpier_policy::limit::{ClassStanding, EntryLimiter, LimitSettings};
+use oatpier_policy::retry::{RetryBudget, RetrySettings};
+use oatpier_types::ids::RequestId;
+use oatpier_types::names::CallerName;
+
+use crate::support::{answer, at, begin, draft, name, policy_with, sent};
+
+fn limiter(bound: u32) -> EntryLimiter {
+    EntryLimiter::new(LimitSettings {
+        bound,
+        ..LimitSettings::default()
+    })
+}
+
+fn caller(number: u32) -> CallerName {
+    name(&format!("caller-{number}"))
+}
+
+fn admitted(limiter: &mut EntryLimiter, caller: &CallerName, tries: u32) -> usize {
+    let tries = 0..tries;
+    tries
+        .filter(|_| limiter.admit(caller, ClassStanding::Level).is_ok())
+        .count()
+}
+
+#[test]
+fn the_bound_holds() {
+    let mut limiter = limiter(10);
+    let total: usize = (0..20)
+        .map(|number| admitted(&mut limiter, &caller(number), 1))
+        .sum();
+    assert_eq!(total, 10);
+    limiter.release(&caller(0), Duration::from_millis(100));
+    assert_eq!(admitted(&mut limiter, &caller(30), 1), 1);
+}
+
+/// One caller sends a hundred requests at once, and others want one each. Without shares the one
+/// takes all places.
+#[test]
+fn a_greedy_caller_leaves_room() {
+    let mut limiter = limiter(20);
+    assert_eq!(admitted(&mut limiter, &caller(1), 5), 5);
+    let greedy = admitted(&mut limiter, &caller(0), 100);
+    assert!(greedy <= 10, "{greedy}");
+    assert_eq!(admitted(&mut limiter, &caller(2), 1), 1);
+    assert_eq!(admitted(&mut limiter, &caller(3), 1), 1);
+}
+
+#[test]
+fn a_class_with_slack_gives_way_near_the_bound() {
+    let mut limiter = limiter(100);
+    for number in 0..85 {
+        assert!(limiter.admit(&caller(number), ClassStanding::Slack).is_ok());
+    }
+    assert!(limiter.admit(&caller(90), ClassStanding::Slack).is_err());
+    assert!(limiter.admit(&caller(90), ClassStanding::Need).is_ok());
+    assert!(limiter.admit(&caller(91), ClassStanding::Level).is_ok());
+}
+
+#[test]
+fn later_refusals_come_back_later() {
+    let mut limiter = limiter(2);
+    admitted(&mut limiter, &caller(0), 1);
+    for _ in 0..50 {
+        admitted(&mut limiter, &caller(1), 1);
+        limiter.release(&caller(1), Duration::from_secs(1));
+    }
+    admitted(&mut limiter, &caller(1), 1);
+    let waits: Vec<Duration> = (0..20)
+        .filter_map(|_| limiter.admit(&caller(2), ClassStanding::Level).err())
+        .filter_map(|refusal| refusal.retry_after)
+        .collect();
+    assert_eq!(waits.len(), 20);
+    assert!(waits.is_sorted());
+    assert!(waits[19] > waits[0]);
+}
+
+#[test]
+fn a_full_entry_refuses_at_once() {
+    let mut settings = EntrySettings::default();
+    settings.limit.bound = 1;
+    let mut policy = policy_with(settings, 3, 0, 1);
+    let (attempt, _) = begin(&mut policy, draft(1));
+    let refused = answer(&policy.start(draft(2), at(1))).expect("a refusal");
+    assert_eq!(refused.status, 429);
+    assert!(refused.retry_after.is_some());
+    policy.handle(RequestId(1), &crate::support::ended(attempt), at(2));
+    assert!(sent(&policy.start(draft(3), at(3))).is_some());
+}
+
+#[test]
+fn repeats_are_a_share_of_successes() {
+    let mut budget = RetryBudget::new(RetrySettings {
+        percent: 20,
+        burst: 3,
+    });
+    let class = ClassIndex(0);
+    let taken = (0..10).filter(|_| budget.take(class)).count();
+    assert_eq!(taken, 3);
+    for _ in 0..10 {
+        budget.note_success(class);
+    }
+    let taken = (0..10).filter(|_| budget.take(class)).count();
+    assert_eq!(taken, 2);
+    assert_eq!(budget.refused(), 15);
+}
+
+/// All endpoints cut every answer. If each request were sent four times, the fault would multiply
+/// the load by four just when there is least room; the budget allows a burst, then one each.
+#[test]
+fn a_fault_does_not_multiply_load() {
+    let mut policy = policy_with(EntrySettings::default(), 12, 0, 1);
+    let mut attempts = 0_u32;
+    for number in 0..500 {
+        let mut actions = policy.start(draft(number), at(0));
+        while let Some((_, spec)) = sent(&actions) {
+            attempts += 1;
+            let attempt = spec.attempt;
+            actions = policy.handle(RequestId(number), &EntryEvent::Cut { attempt }, at(0));
+        }
+    }
+    assert!(attempts <= 500 + 20, "{attempts}");
+}
--- /dev/null
+++ b/crates/oatpier-policy/tests/testsuite/routing.rs
@@ -0,0 +1,163 @@
+//! The choice of endpoints.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use oatpier_policy::event::EntryEvent;
+use oatpier_policy::outcome::FinalCause;
+use oatpier_types::ids::RequestId;
+use oatpier_types::names::ClassName;
+use oatpier_types::refusal::RefusalCause;
+use oatpier_types::request::PrefixChain;
+
+use crate::support::{
+    answer, at, begin, config, draft, first_frame, name, policy, pulse, sent, status, weights,
+};
+
+fn zone_place(endpoint: &str) -> usize {
+    let number: usize = endpoint["engine-".len()..].parse().expect("a number");
+    number % 3
+}
+
+#[test]
+fn the_own_zone_goes_first() {
+    let mut policy = policy(30, 0, 3);
+    for number in 0..20 {
+        let (_, endpoint) = begin(&mut policy, draft(number));
+        assert_eq!(zone_place(endpoint.as_str()), 0);
+    }
+}
+
+#[test]
+fn another_zone_is_taken_when_the_own_one_would_be_late() {
+    let mut policy = policy(30, 0, 3);
+    for place in (0..30).step_by(3) {
+        policy.on_pulse(&name(&format!("engine-{place}")), &pulse(1, 2, 300), at(0));
+    }
+    let (_, endpoint) = begin(&mut policy, draft(1));
+    assert_ne!(zone_place(endpoint.as_str()), 0);
+}
+
+#[test]
+fn load_spreads_over_equal_endpoints() {
+    let mut policy = policy(30, 0, 3);
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    for number in 0..100 {
+        let (_, endpoint) = begin(&mut policy, draft(number));
+        *counts.entry(endpoint.to_string()).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 10);
+    assert!(counts.values().all(|count| *count <= 15), "{counts:?}");
+}
+
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once() {
+    let mut policy = policy(3, 0, 3);
+    for place in 0..3 {
+        policy.on_pulse(&name(&format!("engine-{place}")), &pulse(1, 2, 900), at(0));
+    }
+    let answer = answer(&policy.start(draft(1), at(0))).expect("a refusal");
+    assert_eq!(answer.cause, FinalCause::Refused(RefusalCause::TooLate));
+    assert!(
+        answer
+            .retry_after
+            .is_some_and(|wait| wait > Duration::from_millis(500))
+    );
+}
+
+#[test]
+fn a_prompt_goes_where_its_prefix_is() {
+    let mut policy = policy(60, 0, 3);
+    let prefixes: PrefixChain = (1..=100).collect();
+    let intake = |number| {
+        let mut intake = draft(number);
+        intake.tokens.prompt = 6_400;
+        intake.prefixes = prefixes.clone();
+        intake
+    };
+    let (attempt, holder) = begin(&mut policy, intake(1));
+    policy.handle(RequestId(1), &first_frame(attempt), at(50));
+    policy.handle(
+        RequestId(1),
+        &EntryEvent::Ended {
+            attempt,
+            pulse: Some(pulse(1, 2, 0)),
+        },
+        at(60),
+    );
+    for number in 2..10 {
+        let actions = policy.start(intake(number), at(100));
+        let (endpoint, spec) = sent(&actions).expect("an attempt");
+        assert_eq!(endpoint, holder);
+        let attempt = spec.attempt;
+        let pulse = Some(pulse(1, 1 + u64::try_from(number).expect("small"), 0));
+        policy.handle(
+            RequestId(number),
+            &EntryEvent::Ended { attempt, pulse },
+            at(105),
+        );
+    }
+}
+
+/// An endpoint is told to leave while its pulses still say that it takes work. Whatever the
+/// sample, it gets no new work.
+#[test]
+fn a_leaving_endpoint_is_never_chosen() {
+    let mut policy = policy(6, 0, 3);
+    policy.mark_leaving(&name("engine-0"), at(0));
+    for number in 0..50 {
+        let (_, endpoint) = begin(&mut policy, draft(number));
+        assert_ne!(endpoint.as_str(), "engine-0");
+    }
+}
+
+#[test]
+fn an_agent_that_says_leaving_gets_no_more() {
+    let mut policy = policy(6, 0, 3);
+    let (attempt, endpoint) = begin(&mut policy, draft(1));
+    policy.handle(
+        RequestId(1),
+        &crate::support::refused(attempt, RefusalCause::Leaving),
+        at(1),
+    );
+    for number in 2..50 {
+        let (_, next) = begin(&mut policy, draft(number));
+        assert_ne!(next, endpoint);
+    }
+}
+
+#[test]
+fn unknown_goals_and_classes_are_refused_for_good() {
+    let mut policy = policy(3, 0, 3);
+    let mut intake = draft(1);
+    intake.goal = crate::support::model_goal("nowhere");
+    let unknown = answer(&policy.start(intake, at(0))).expect("a refusal");
+    assert_eq!((unknown.status, unknown.retry_after), (404, None));
+    let mut intake = draft(2);
+    intake.goal = crate::support::model_goal("hall");
+    let unready = answer(&policy.start(intake, at(0))).expect("a refusal");
+    assert_eq!(unready.status, 503);
+    assert!(unready.retry_after.is_some());
+}
+
+#[test]
+fn a_removed_class_is_unknown() {
+    let mut policy = policy(3, 0, 3);
+    let mut config = config();
+    config.classes.shift_remove(&name::<ClassName, _>("draft"));
+    policy.apply_config(&config);
+    let actions = policy.start(draft(1), at(0));
+    assert_eq!(answer(&actions).map(|answer| answer.status), Some(404));
+}
+
+#[test]
+fn a_model_that_becomes_ready_is_served() {
+    let mut policy = policy(1, 0, 3);
+    let mut row = status("engine-0", "seat-llm", "ikeja", &[weights("hall", None)]);
+    row.ready_sequence = 2;
+    policy.on_status(&row, at(1));
+    let mut intake = draft(1);
+    intake.goal = crate::support::model_goal("hall");
+    assert!(sent(&policy.start(intake, at(2))).is_some());
+    assert!(sent(&policy.start(draft(2), at(2))).is_none());
+}
--- /dev/null
+++ b/crates/oatpier-policy/tests/testsuite/table.rs
@@ -0,0 +1,152 @@
+//! What an entry knows of endpoints.
+
+use std::time::Duration;
+
+use oatpier_policy::table::{AttemptSize, EndpointTable, TableSettings};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::engine::LoadReport;
+use oatpier_types::request::RequestGoal;
+
+use crate::support::{ZONES, at, model_goal, name, pulse, status, weights};
+
+const SIZE: AttemptSize = AttemptSize {
+    tokens_to_read: 0,
+    whole: false,
+};
+
+fn table() -> EndpointTable {
+    EndpointTable::new(TableSettings::default(), name(ZONES[0]))
+}
+
+fn open_count(table: &EndpointTable, goal: &RequestGoal) -> usize {
+    let goal = table.find_goal(goal);
+    goal.map_or(0, |goal| table.candidates(goal).open())
+}
+
+#[test]
+fn an_adapter_needs_its_base_beside_it() {
+    let mut table = table();
+    let adapter = weights("seat", Some("lagos"));
+    let goal = RequestGoal::Model {
+        model: name("seat"),
+        adapter: Some(name("lagos")),
+    };
+    table.on_status(
+        &status("a", "p", ZONES[0], std::slice::from_ref(&adapter)),
+        at(0),
+    );
+    assert_eq!(open_count(&table, &goal), 0);
+    let both = [weights("seat", None), adapter];
+    table.on_status(&status("b", "p", ZONES[0], &both), at(0));
+    assert_eq!(open_count(&table, &goal), 1);
+    assert_eq!(open_count(&table, &model_goal("seat")), 1);
+}
+
+#[test]
+fn an_older_word_on_what_is_ready_is_ignored() {
+    let mut table = table();
+    let mut newer = status("a", "p", ZONES[0], &[weights("seat", None)]);
+    newer.ready_sequence = 5;
+    table.on_status(&newer, at(0));
+    let mut older = status("a", "p", ZONES[0], &[weights("hall", None)]);
+    older.ready_sequence = 4;
+    older.pulse.sequence = 2;
+    table.on_status(&older, at(1));
+    assert_eq!(open_count(&table, &model_goal("seat")), 1);
+    assert_eq!(open_count(&table, &model_goal("hall")), 0);
+}
+
+/// An agent says that it takes no more work; a pulse that it sent before comes after that. If it
+/// counted, new work would go to a leaving endpoint again.
+#[test]
+fn a_late_pulse_does_not_open_a_closed_endpoint() {
+    let mut table = table();
+    let index = table.on_status(&status("a", "p", ZONES[0], &[weights("seat", None)]), at(0));
+    let mut closing = pulse(1, 7, 0);
+    closing.accepting = false;
+    table.on_pulse(index, &closing, at(1));
+    table.on_pulse(index, &pulse(1, 6, 0), at(2));
+    assert_eq!(open_count(&table, &model_goal("seat")), 0);
+    assert_eq!(table.stale_dropped(), 1);
+    table.on_pulse(index, &pulse(1, 8, 0), at(3));
+    assert_eq!(open_count(&table, &model_goal("seat")), 1);
+}
+
+/// A restarted agent counts from 1 again, and late pulses of its former start are still on the
+/// way. Judged by sequence alone, they would shut out the new one.
+#[test]
+fn a_former_start_is_told_from_a_new_one() {
+    let mut table = table();
+    let index = table.on_status(&status("a", "p", ZONES[0], &[weights("seat", None)]), at(0));
+    table.on_pulse(index, &pulse(1, 900, 40), at(1));
+    table.on_pulse(index, &pulse(2, 1, 0), at(2));
+    table.on_pulse(index, &pulse(1, 901, 40), at(3));
+    assert_eq!(
+        table.row(index).pulse().map(|known| known.sequence),
+        Some(1)
+    );
+}
+
+/// Boot ids have no order: an entry that heard a late message of a former start first takes the
+/// present start for former when another such message comes. That must not last.
+#[test]
+fn a_start_taken_for_former_by_mistake_counts_again() {
+    let mut table = table();
+    let index = table.on_status(&status("a", "p", ZONES[0], &[weights("seat", None)]), at(0));
+    table.on_pulse(index, &pulse(2, 1, 0), at(1));
+    table.on_pulse(index, &pulse(3, 1, 0), at(2));
+    table.on_pulse(index, &pulse(2, 2, 0), at(3));
+    assert_eq!(table.row(index).pulse().map(|known| known.boot.0), Some(3));
+    table.on_pulse(index, &pulse(2, 3, 0), at(6_000));
+    assert_eq!(table.row(index).pulse().map(|known| known.boot.0), Some(2));
+}
+
+#[test]
+fn a_leaving_endpoint_is_no_replica() {
+    let mut table = table();
+    let index = table.on_status(&status("a", "p", ZONES[0], &[weights("seat", None)]), at(0));
+    table.mark_leaving(index);
+    table.on_pulse(index, &pulse(1, 2, 0), at(1));
+    assert_eq!(open_count(&table, &model_goal("seat")), 0);
+    table.clear_leaving(index);
+    assert_eq!(open_count(&table, &model_goal("seat")), 1);
+}
+
+fn predicted(table: &EndpointTable, now: ClockTime) -> Duration {
+    let index = table.find(&name("a")).expect("known");
+    Duration::from_micros(table.predict(index, SIZE, now).total_us)
+}
+
+/// An agent's word on its wait is exact when it comes, and says less and less; the lagged report
+/// takes its place.
+#[test]
+fn an_aging_wait_moves_to_the_report() {
+    let mut table = table();
+    let index = table.on_status(&status("a", "p", ZONES[0], &[weights("seat", None)]), at(0));
+    table.on_pulse(index, &pulse(1, 2, 200), at(0));
+    table.on_report(index, &LoadReport::default());
+    let fresh = predicted(&table, at(0));
+    let aged = predicted(&table, at(250));
+    let old = predicted(&table, at(60_000));
+    assert_eq!(fresh, Duration::from_millis(206));
+    assert_eq!(aged, Duration::from_millis(106));
+    assert!(old < Duration::from_millis(7));
+}
+
+/// Ten requests come between two pulses. If the entry did not count what it sent itself, all
+/// would go to the endpoint that was idle when it last spoke.
+#[test]
+fn own_attempts_count_until_a_pulse_has_seen_them() {
+    let mut table = table();
+    let index = table.on_status(&status("a", "p", ZONES[0], &[weights("seat", None)]), at(0));
+    let idle = predicted(&table, at(1));
+    table.note_sent(index, 5_000, at(1));
+    assert_eq!(predicted(&table, at(1)), idle + Duration::from_millis(100));
+    table.on_pulse(index, &pulse(1, 2, 0), at(1));
+    assert!(
+        predicted(&table, at(1)) > idle,
+        "it was on its way when the pulse was made"
+    );
+    table.on_pulse(index, &pulse(1, 3, 0), at(50));
+    assert_eq!(predicted(&table, at(50)), idle);
+}
