--- /dev/null
+++ b/crates/oatpier-admission/src/estimate.rs
@@ -0,0 +1,216 @@
+//! How long things take at the endpoint, learnt from what the agent sees.
+//!
+//! The agent refuses at once what can't be in time, so that its caller can go elsewhere while
+//! there is time. Two rules keep the estimates from locking work out for good: nothing is refused
+//! on an estimate that was never learnt, and an idle endpoint whose estimates are old gets one
+//! attempt to learn from.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::ClassName;
+use oatpier_types::request::{AttemptSpec, RequestGoal, TokenDemand};
+
+/// Weight of a new sample in a mean, and in a deviation, as TCP's retransmission timer has them.
+const MEAN_GAIN: f64 = 0.125;
+const DEVIATION_GAIN: f64 = 0.25;
+
+/// Classes whose service times are kept apart.
+const MOST_CLASSES: usize = 64;
+
+/// An idle endpoint whose newest sample is older than this gets an attempt to learn from.
+const STALE_AFTER: Duration = Duration::from_secs(2);
+
+/// The longest wait that is predicted.
+const LONGEST_WAIT: Duration = Duration::from_mins(10);
+
+/// A smoothed mean and mean deviation.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SmoothedSample {
+    mean: f64,
+    deviation: f64,
+    known: bool,
+}
+
+impl SmoothedSample {
+    /// Takes a sample.
+    pub fn observe(&mut self, sample: f64) {
+        if !self.known {
+            *self = Self {
+                mean: sample,
+                deviation: sample / 2.0,
+                known: true,
+            };
+            return;
+        }
+        let error = sample - self.mean;
+        self.mean += MEAN_GAIN * error;
+        self.deviation += DEVIATION_GAIN * (error.abs() - self.deviation);
+    }
+
+    /// The mean; 0 if there was no sample.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// A value that few samples are below; 0 if there was no sample.
+    #[must_use]
+    pub fn low(&self) -> f64 {
+        (self.mean - 2.0 * self.deviation).max(0.0)
+    }
+}
+
+/// What is at the endpoint and before an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndpointLoad {
+    /// Attempts that go before it.
+    pub ahead: usize,
+    /// Attempts that run.
+    pub running: usize,
+    /// Attempts that run at once.
+    pub slots: usize,
+}
+
+/// How long things take at the endpoint, in seconds inside.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceEstimator {
+    step: SmoothedSample,
+    prompt_token: SmoothedSample,
+    service: SmoothedSample,
+    classes: IndexMap<ClassName, SmoothedSample>,
+    learnt_at: ClockTime,
+    slot_freed_at: ClockTime,
+}
+
+impl ServiceEstimator {
+    /// An attempt started; `running` others did already.
+    pub fn started(&mut self, running: usize, now: ClockTime) {
+        if running == 0 {
+            self.slot_freed_at = now;
+        }
+    }
+
+    /// An attempt's first token came `taken` after its start.
+    pub fn first_token(&mut self, tokens: TokenDemand, taken: Duration, now: ClockTime) {
+        self.learnt_at = now;
+        if tokens.prompt == 0 {
+            return;
+        }
+        let reading = (taken.as_secs_f64() - self.step.mean()).max(0.0);
+        self.prompt_token
+            .observe(reading / f64::from(tokens.prompt));
+    }
+
+    /// `tokens` more tokens came `taken` after the one before them.
+    pub fn piece(&mut self, tokens: u32, taken: Duration, now: ClockTime) {
+        self.learnt_at = now;
+        if tokens > 0 {
+            self.step.observe(taken.as_secs_f64() / f64::from(tokens));
+        }
+    }
+
+    /// An answer of a class came to its end `taken` after its start.
+    pub fn ended(&mut self, class: &ClassName, taken: Duration, now: ClockTime) {
+        self.learnt_at = now;
+        self.slot_freed_at = now;
+        let sample = taken.as_secs_f64();
+        self.service.observe(sample);
+        if let Some(service) = self.classes.get_mut(class) {
+            service.observe(sample);
+        } else if self.classes.len() < MOST_CLASSES {
+            let mut service = SmoothedSample::default();
+            service.observe(sample);
+            self.classes.insert(class.clone(), service);
+        }
+    }
+
+    /// A call failed or was cancelled: its slot is free, its time says nothing.
+    pub fn failed(&mut self, now: ClockTime) {
+        self.slot_freed_at = now;
+    }
+
+    /// The mean time of one generation step; zero if not known.
+    #[must_use]
+    pub fn step(&self) -> Duration {
+        span(self.step.mean())
+    }
+
+    /// The mean time to read one prompt token, in nanoseconds; 0 if not known.
+    #[must_use]
+    pub fn prompt_token_ns(&self) -> u32 {
+        let nanos = span(self.prompt_token.mean()).as_nanos();
+        u32::try_from(nanos).unwrap_or(u32::MAX)
+    }
+
+    /// From its start until what is due first (first token or whole answer), as expected.
+    #[must_use]
+    pub fn expected_due(&self, spec: &AttemptSpec) -> Duration {
+        self.due(spec, SmoothedSample::mean)
+    }
+
+    /// The same, but hardly ever shorter: what can't be met by this can't be met.
+    #[must_use]
+    pub fn least_due(&self, spec: &AttemptSpec) -> Duration {
+        self.due(spec, SmoothedSample::low)
+    }
+
+    /// How long an attempt behind this load waits for its slot.
+    ///
+    /// While all slots are taken, the time since one was freed bounds the pace from below: an
+    /// endpoint that froze ends nothing, and its old mean would go on promising slots.
+    #[must_use]
+    pub fn wait(&self, load: EndpointLoad, now: ClockTime) -> Duration {
+        let before = load.ahead + load.running;
+        if before < load.slots {
+            return Duration::ZERO;
+        }
+        let full = load.running >= load.slots;
+        let silence = if full {
+            now.since(self.slot_freed_at).as_secs_f64()
+        } else {
+            0.0
+        };
+        let pace = (self.service.mean() / count(load.slots)).max(silence);
+        span(pace * count(before + 1 - load.slots))
+    }
+
+    /// From now until what is due first, as expected. Zero if there is nothing to go by.
+    #[must_use]
+    pub fn predict(&self, spec: &AttemptSpec, load: EndpointLoad, now: ClockTime) -> Duration {
+        if load.ahead == 0 && self.is_stale(load.running, now) {
+            return Duration::ZERO;
+        }
+        self.wait(load, now) + self.expected_due(spec)
+    }
+
+    /// Whether the endpoint is idle and the estimates are too old to refuse anything on.
+    #[must_use]
+    pub fn is_stale(&self, running: usize, now: ClockTime) -> bool {
+        running == 0 && now.since(self.learnt_at) > STALE_AFTER
+    }
+
+    fn due(&self, spec: &AttemptSpec, pick: fn(&SmoothedSample) -> f64) -> Duration {
+        match spec.goal {
+            RequestGoal::Model { .. } => {
+                let reading = pick(&self.prompt_token) * f64::from(spec.tokens.prompt);
+                span(reading + pick(&self.step))
+            }
+            RequestGoal::Service { .. } => {
+                let service = self.classes.get(&spec.class).unwrap_or(&self.service);
+                span(pick(service))
+            }
+        }
+    }
+}
+
+fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds)
+        .unwrap_or(LONGEST_WAIT)
+        .min(LONGEST_WAIT)
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/oatpier-admission/tests/testsuite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of an agent's decisions about requests.
+
+mod arrivals;
+mod bench;
+mod drains;
+mod order;
+mod random;
+mod timeliness;
+mod weights;
--- /dev/null
+++ b/crates/oatpier-admission/tests/testsuite/timeliness.rs
@@ -0,0 +1,139 @@
+//! Refusing at once what can't be in time.
+
+use std::time::Duration;
+
+use oatpier_admission::event::{AgentAction, AgentEvent};
+use oatpier_types::ids::AttemptId;
+use oatpier_types::refusal::RefusalCause;
+use oatpier_types::request::AttemptSpec;
+
+use crate::bench::{AgentBench, model_spec, refused, spec, started, weights};
+
+fn within(attempt: u128, millis: u64) -> AttemptSpec {
+    AttemptSpec {
+        remaining: Duration::from_millis(millis),
+        ..spec(attempt)
+    }
+}
+
+fn learnt(millis: u64) -> AgentBench {
+    let mut bench = AgentBench::new(1);
+    (1..=20).for_each(|attempt| bench.learn(attempt, millis));
+    bench
+}
+
+#[test]
+fn hopeless_arrival_is_refused_with_the_drain_time() {
+    // Calls take 100 ms, and one runs with two behind it. A fourth with 200 ms left can't be in
+    // time: refused now, its entry can still try elsewhere; refused at its deadline, it can't.
+    let mut bench = learnt(100);
+    (31..=33).for_each(|attempt| {
+        bench.arrive(spec(attempt));
+    });
+    let late = bench.arrive(AttemptSpec {
+        remaining: Duration::from_millis(200),
+        ..spec(34)
+    });
+    // It goes before the two by its deadline, so only the running one counts.
+    assert!(!refused(34, RefusalCause::TooLate, &late));
+    let late = bench.arrive(within(35, 150));
+    assert!(refused(35, RefusalCause::TooLate, &late), "{late:?}");
+    let retry_after = late.iter().find_map(|action| match action {
+        AgentAction::Refuse { refusal, .. } => refusal.retry_after,
+        _ => None,
+    });
+    let drain = retry_after.unwrap();
+    assert!(drain >= Duration::from_millis(300), "{drain:?}");
+    assert!(drain <= Duration::from_millis(500), "{drain:?}");
+}
+
+#[test]
+fn waiting_attempt_is_refused_once_hopeless() {
+    // An attempt waits behind a call that takes longer than expected. As soon as it could not be
+    // answered in time even if it started now, it is refused, by the timer, before its deadline.
+    let mut bench = learnt(100);
+    bench.arrive(spec(31));
+    assert!(bench.arrive(within(32, 300)).is_empty());
+    let timer = bench.policy.next_timer();
+    let deadline = bench.now + Duration::from_millis(300);
+    assert!(timer < deadline, "{timer:?} before {deadline:?}");
+    bench.now = timer;
+    let late = bench.step(AgentEvent::Timer);
+    assert!(refused(32, RefusalCause::TooLate, &late), "{late:?}");
+}
+
+#[test]
+fn frozen_endpoint_is_not_trusted() {
+    // The endpoint froze a while ago: nothing ends. By the mean of better days a slot would be
+    // free in 100 ms; in truth none has been for 5 s, so attempts with 1 s left go elsewhere.
+    let mut bench = learnt(100);
+    bench.arrive(spec(31));
+    bench.wait(5_000);
+    assert!(refused(
+        32,
+        RefusalCause::TooLate,
+        &bench.arrive(within(32, 1_000))
+    ));
+    let now = bench.now;
+    assert!(bench.policy.pulse(now).wait >= Duration::from_secs(5));
+}
+
+#[test]
+fn slow_past_does_not_lock_the_endpoint() {
+    // Calls took 3 s for a while, so all with 1 s left are refused and nothing new is learnt.
+    // After a while an idle endpoint has to get one again, or it stays empty for ever.
+    let mut bench = learnt(3_000);
+    // The learning took a minute: an entry has heard the agent's pulse since.
+    bench.ticket = bench.fresh_ticket();
+    assert!(refused(
+        31,
+        RefusalCause::TooLate,
+        &bench.arrive(within(31, 1_000))
+    ));
+    bench.wait(3_000);
+    assert_eq!(started(&bench.arrive(within(32, 1_000))), [32]);
+}
+
+#[test]
+fn nothing_is_refused_on_no_evidence() {
+    let mut bench = AgentBench::new(1);
+    assert_eq!(started(&bench.arrive(within(1, 1))), [1]);
+    assert!(refused(
+        2,
+        RefusalCause::TooLate,
+        &bench.arrive(within(2, 0))
+    ));
+}
+
+#[test]
+fn long_prompts_are_predicted_from_short_ones() {
+    // An engine reads 100 tokens in 20 ms. A prompt of 10,000 can't be read in 300 ms.
+    let mut bench = AgentBench::new(1);
+    let ready = vec![weights(None)];
+    let loading = Vec::new();
+    bench.step(AgentEvent::ReadyChanged { ready, loading });
+    (1..=20).for_each(|attempt| {
+        bench.arrive(model_spec(attempt, None));
+        bench.wait(25);
+        let id = AttemptId(attempt);
+        bench.step(AgentEvent::EndpointFirstToken { attempt: id });
+        bench.wait(5);
+        bench.step(AgentEvent::EndpointPiece {
+            attempt: id,
+            tokens: 1,
+        });
+        bench.end(attempt);
+    });
+    let mut long = model_spec(50, None);
+    long.tokens.prompt = 10_000;
+    long.remaining = Duration::from_millis(300);
+    assert!(refused(50, RefusalCause::TooLate, &bench.arrive(long)));
+    let now = bench.now;
+    let pulse = bench.policy.pulse(now);
+    assert!((4_000..6_000).contains(&pulse.step_us), "{}", pulse.step_us);
+    assert!(
+        (190_000..260_000).contains(&pulse.prompt_token_ns),
+        "{}",
+        pulse.prompt_token_ns
+    );
+}
--- /dev/null
+++ b/crates/oatpier-claims/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the claims of idempotency keys.
+
+mod costs;
+mod fleet;
+mod outages;
+mod partitions;
+mod races;
+mod takeovers;
--- /dev/null
+++ b/crates/oatpier-membership/src/agent.rs
@@ -0,0 +1,290 @@
+//! Everything that an agent decides about configuration and membership, put together.
+//!
+//! An agent never calls the store for its configuration: 3,500 of them would. It learns it from
+//! its registrars, which push a change and answer each heartbeat with their generation.
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{BootId, Generation};
+use oatpier_types::pulse::{AgentPulse, EndpointStatus};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+use crate::backoff::jittered;
+use crate::entry::CallNumber;
+use crate::generation::{ConfigPayload, ConfigSource, GenerationKeeper, HeldConfig, OfferOutcome};
+use crate::members::MemberPhase;
+use crate::messages::{
+    ConfigAck, ConfigAnswer, ConfigPull, ConfigPush, EntryContact, PeerAnswer, PeerCall,
+};
+use crate::registrar::{HeartbeatAction, HeartbeatKeeper, RegistrarLost};
+use crate::stops::StopWord;
+
+/// Time after which a lost pull is made again.
+const PULL_AGAIN: Duration = Duration::from_millis(200);
+
+/// What an agent hears.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AgentEvent<P: ConfigPayload> {
+    /// Time has passed.
+    Tick,
+    /// A call of this agent ended; none: lost.
+    CallEnded {
+        /// Which.
+        call: CallNumber,
+        /// The answer.
+        answer: Option<Box<PeerAnswer<P>>>,
+    },
+    /// Entries that the list of VMs names.
+    Hints(Vec<EntryContact>),
+    /// The endpoint's whole status.
+    Status(Box<EndpointStatus>),
+    /// The agent's queue.
+    Pulse(AgentPulse),
+    /// The agent's own phase.
+    Phase(MemberPhase),
+}
+
+/// What an agent does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AgentAction<P: ConfigPayload> {
+    /// Call an entry.
+    Call {
+        /// The number to report its end by.
+        call: CallNumber,
+        /// Whom.
+        to: EntryContact,
+        /// The call.
+        body: PeerCall<P>,
+    },
+    /// This configuration is in force from now on.
+    InForce(HeldConfig<P>),
+    /// A planned stop of this agent was asked for or withdrawn.
+    Stop(StopWord),
+    /// A registrar did not answer and was replaced. Nothing else changes.
+    RegistrarLost(RegistrarLost),
+}
+
+type Actions<P> = Vec<AgentAction<P>>;
+
+/// An agent's part in configuration and membership.
+#[derive(Debug, Clone)]
+pub struct AgentMember<P: ConfigPayload> {
+    own: EntryContact,
+    boot: BootId,
+    heartbeats: HeartbeatKeeper,
+    keeper: GenerationKeeper<P>,
+    seen: Option<(EntryContact, Generation)>,
+    pulling: bool,
+    stop: Option<StopWord>,
+    next_pull: ClockTime,
+    calls: IndexMap<CallNumber, (EntryContact, bool)>,
+    next_call: u64,
+    generator: ChaCha8Rng,
+}
+
+impl<P: ConfigPayload> AgentMember<P> {
+    /// An agent that starts at `now`. `seeds` are entries that its settings name.
+    #[must_use]
+    pub fn new(
+        own: EntryContact,
+        boot: BootId,
+        seeds: Vec<EntryContact>,
+        status: EndpointStatus,
+        generator: &mut ChaCha8Rng,
+        now: ClockTime,
+    ) -> Self {
+        let mut fork = || ChaCha8Rng::from_rng(&mut *generator);
+        let mut heartbeats = HeartbeatKeeper::new(own.clone(), boot, status, fork(), now);
+        heartbeats.add_entries(seeds, now);
+        Self {
+            own,
+            boot,
+            heartbeats,
+            keeper: GenerationKeeper::default(),
+            seen: None,
+            pulling: false,
+            stop: None,
+            next_pull: now,
+            calls: IndexMap::new(),
+            next_call: 0,
+            generator: fork(),
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&HeldConfig<P>> {
+        self.keeper.in_force()
+    }
+
+    /// Its generation; 0: none yet.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.keeper.generation()
+    }
+
+    /// Its heartbeats.
+    #[must_use]
+    pub fn heartbeats(&self) -> &HeartbeatKeeper {
+        &self.heartbeats
+    }
+
+    /// When a tick has something to do.
+    #[must_use]
+    pub fn next_wake(&self) -> ClockTime {
+        let wake = self.heartbeats.next_wake().min(self.keeper.settles_at());
+        if self.seen.is_some() && !self.pulling {
+            return wake.min(self.next_pull);
+        }
+        wake
+    }
+
+    /// Hears an event.
+    pub fn handle(&mut self, event: AgentEvent<P>, now: ClockTime) -> Actions<P> {
+        let mut actions = Vec::new();
+        let before = self.generation();
+        match event {
+            AgentEvent::Tick => {}
+            AgentEvent::CallEnded { call, answer } => {
+                let answer = answer.map(|answer| *answer);
+                self.end_call(call, answer, now, &mut actions);
+            }
+            AgentEvent::Hints(contacts) => self.heartbeats.add_entries(contacts, now),
+            AgentEvent::Status(status) => self.heartbeats.set_status(*status, now),
+            AgentEvent::Pulse(pulse) => self.heartbeats.set_pulse(pulse),
+            AgentEvent::Phase(phase) => self.heartbeats.set_phase(phase, now),
+        }
+        self.finish(before, now, &mut actions);
+        actions
+    }
+
+    /// Answers a call of another process.
+    pub fn answer(&mut self, call: PeerCall<P>, now: ClockTime) -> (PeerAnswer<P>, Actions<P>) {
+        let mut actions = Vec::new();
+        let before = self.generation();
+        let answer = match call {
+            PeerCall::Push(push) => PeerAnswer::Push(self.take_push(&push, now)),
+            PeerCall::Pull(pull) => PeerAnswer::Pull(Box::new(ConfigAnswer {
+                generation: self.generation(),
+                former: None,
+                content: self.keeper.content_since(pull.have),
+            })),
+            _ => PeerAnswer::Unexpected,
+        };
+        self.finish(before, now, &mut actions);
+        (answer, actions)
+    }
+
+    fn finish(&mut self, before: Generation, now: ClockTime, actions: &mut Actions<P>) {
+        self.keeper.settle(now);
+        let after = self.generation();
+        if after > before {
+            actions.extend(self.keeper.in_force().cloned().map(AgentAction::InForce));
+        }
+        let beats = self.heartbeats.tick(after, now);
+        self.act(beats, now, actions);
+        self.pull(now, actions);
+    }
+
+    fn take_push(&mut self, push: &ConfigPush<P>, now: ClockTime) -> ConfigAck {
+        let outcome = self.keeper.offer(&push.content, ConfigSource::Peer, now);
+        if matches!(outcome, OfferOutcome::Behind | OfferOutcome::NeedFull) {
+            let known = self.heartbeats.entries();
+            let from = known.into_iter().find(|entry| entry.daemon == push.daemon);
+            self.seen = from.cloned().map(|from| (from, push.generation));
+        }
+        ConfigAck {
+            generation: self.keeper.latest(),
+        }
+    }
+
+    fn act(&mut self, beats: Vec<HeartbeatAction>, now: ClockTime, actions: &mut Actions<P>) {
+        for action in beats {
+            match action {
+                HeartbeatAction::Beat { to, heartbeat } => {
+                    self.call(to, false, PeerCall::Heartbeat(heartbeat), actions);
+                }
+                HeartbeatAction::Lost(lost) => actions.push(AgentAction::RegistrarLost(lost)),
+                HeartbeatAction::Former(former) => self.keeper.raise_floor(former.generation),
+                HeartbeatAction::Stop(word) => {
+                    // Every answer repeats it.
+                    if self.stop.replace(word) != Some(word) {
+                        actions.push(AgentAction::Stop(word));
+                    }
+                }
+                HeartbeatAction::Seen { from, generation } => {
+                    if generation > self.keeper.have() {
+                        self.seen = Some((from, generation));
+                    }
+                }
+            }
+        }
+        self.pull(now, actions);
+    }
+
+    /// Asks the registrar that is ahead.
+    fn pull(&mut self, now: ClockTime, actions: &mut Actions<P>) {
+        let have = self.keeper.have();
+        self.seen.take_if(|(_, generation)| *generation <= have);
+        if self.pulling || now < self.next_pull {
+            return;
+        }
+        let Some((to, _)) = self.seen.clone() else {
+            return;
+        };
+        self.pulling = true;
+        let pull = ConfigPull {
+            daemon: self.own.daemon.clone(),
+            boot: self.boot,
+            have,
+        };
+        self.call(to, true, PeerCall::Pull(pull), actions);
+    }
+
+    fn end_call(
+        &mut self,
+        call: CallNumber,
+        answer: Option<PeerAnswer<P>>,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) {
+        let Some((peer, pull)) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        if pull {
+            self.end_pull(answer, now);
+            return;
+        }
+        let beats = match answer {
+            Some(PeerAnswer::Heartbeat(answer)) => {
+                self.heartbeats.answered(&peer.daemon, &answer, now)
+            }
+            _ => self.heartbeats.lost(&peer.daemon, now),
+        };
+        self.act(beats, now, actions);
+    }
+
+    /// A lost pull goes to whichever registrar answers next, as its answer shows the generation.
+    fn end_pull(&mut self, answer: Option<PeerAnswer<P>>, now: ClockTime) {
+        self.pulling = false;
+        self.next_pull = now + jittered(PULL_AGAIN, &mut self.generator);
+        let Some(PeerAnswer::Pull(answer)) = answer else {
+            return;
+        };
+        if let Some(former) = answer.former {
+            self.keeper.raise_floor(former.generation);
+        }
+        if let Some(content) = &answer.content {
+            self.keeper.offer(content, ConfigSource::Peer, now);
+        }
+    }
+
+    fn call(&mut self, to: EntryContact, pull: bool, body: PeerCall<P>, actions: &mut Actions<P>) {
+        let call = CallNumber(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(call, (to.clone(), pull));
+        actions.push(AgentAction::Call { call, to, body });
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/backoff.rs
@@ -0,0 +1,50 @@
+//! Retries that don't come all at once.
+
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+/// A random time between half of `span` and the whole of it.
+pub fn jittered(span: Duration, generator: &mut ChaCha8Rng) -> Duration {
+    span.mul_f64(generator.random_range(0.5..=1.0))
+}
+
+/// Doubles the wait with each failure, with jitter, up to a longest one.
+#[derive(Debug, Clone)]
+pub struct RetryBackoff {
+    first: Duration,
+    longest: Duration,
+    failures: u32,
+}
+
+impl RetryBackoff {
+    /// Waits about `first` after the first failure and never more than `longest`.
+    #[must_use]
+    pub fn new(first: Duration, longest: Duration) -> Self {
+        Self {
+            first,
+            longest,
+            failures: 0,
+        }
+    }
+
+    /// Counts a failure; returns when to try again.
+    pub fn failed(&mut self, now: ClockTime, generator: &mut ChaCha8Rng) -> ClockTime {
+        let doubled = self.first.saturating_mul(1 << self.failures.min(16));
+        self.failures += 1;
+        now + jittered(doubled.min(self.longest), generator)
+    }
+
+    /// Forgets the failures.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Failures since the last success.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/entry/calls.rs
@@ -0,0 +1,181 @@
+//! The calls of an entry: their numbers, and what their ends mean.
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::Generation;
+
+use super::member::{Actions, CallPurpose, EntryMember};
+use super::{CallNumber, EntryAction};
+use crate::exchange::ExchangeAction;
+use crate::generation::ConfigPayload;
+use crate::messages::{EntryContact, GossipAnswer, PeerAnswer, PeerCall};
+use crate::registrar::RegistrarWord;
+use crate::spread::{SpreadAction, SpreadEvent};
+
+impl<P: ConfigPayload> EntryMember<P> {
+    pub(super) fn see(
+        &mut self,
+        from: EntryContact,
+        generation: Generation,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) {
+        let seen = SpreadEvent::Seen { from, generation };
+        self.spread(seen, now, actions);
+    }
+
+    pub(super) fn spread(
+        &mut self,
+        event: SpreadEvent<P>,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) {
+        let peers = self.peers();
+        for action in self.spreader.handle(event, &peers, now) {
+            match action {
+                SpreadAction::ReadStore => actions.push(EntryAction::ReadConfig),
+                SpreadAction::WatchStore { after, wait } => {
+                    actions.push(EntryAction::WatchConfig { after, wait });
+                }
+                SpreadAction::InForce(held) => actions.push(EntryAction::InForce(held)),
+                SpreadAction::Pull { to, pull } => {
+                    self.call(to, CallPurpose::Pull, PeerCall::Pull(pull), actions);
+                }
+                SpreadAction::Push { to, push } => {
+                    self.call(to, CallPurpose::Push, PeerCall::Push(push), actions);
+                }
+            }
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        sent: Vec<ExchangeAction>,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) {
+        for action in sent {
+            match action {
+                ExchangeAction::Gossip { to, mut gossip } => {
+                    gossip.summaries = self.summaries.pass_on(now);
+                    let body = PeerCall::Gossip(gossip);
+                    self.call(to, CallPurpose::Gossip, body, actions);
+                }
+                ExchangeAction::Summary { to, call } => {
+                    self.call(to, CallPurpose::Summary, PeerCall::Summary(call), actions);
+                }
+                ExchangeAction::Renewed => self.renew_words(now),
+                ExchangeAction::Former { former } => {
+                    self.spreader.raise_floor(former.generation);
+                }
+                ExchangeAction::Complaint { .. } => {}
+            }
+        }
+    }
+
+    pub(super) fn end_call(
+        &mut self,
+        call: CallNumber,
+        answer: Option<PeerAnswer<P>>,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) {
+        let Some((peer, purpose)) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        match purpose {
+            CallPurpose::Gossip => self.end_gossip(&peer, answer, now, actions),
+            CallPurpose::Summary => self.end_summary(&peer, answer, now, actions),
+            CallPurpose::Pull => {
+                let answer = match answer {
+                    Some(PeerAnswer::Pull(answer)) => Some(answer),
+                    _ => None,
+                };
+                let ended = SpreadEvent::PullEnded { from: peer, answer };
+                self.spread(ended, now, actions);
+            }
+            CallPurpose::Push => {
+                let ack = match answer {
+                    Some(PeerAnswer::Push(ack)) => Some(ack),
+                    _ => None,
+                };
+                if let Some(ack) = ack {
+                    self.registrar.note_generation(&peer.daemon, ack.generation);
+                }
+                let ended = SpreadEvent::PushEnded { to: peer, ack };
+                self.spread(ended, now, actions);
+            }
+        }
+    }
+
+    fn end_gossip(
+        &mut self,
+        peer: &EntryContact,
+        answer: Option<PeerAnswer<P>>,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) {
+        let sent = match answer {
+            Some(PeerAnswer::Gossip(answer)) => {
+                self.take_gossip_answer(peer, &answer, now, actions)
+            }
+            _ => self.exchange.lost(&peer.daemon, &mut self.table, now),
+        };
+        self.send(sent, now, actions);
+    }
+
+    fn take_gossip_answer(
+        &mut self,
+        peer: &EntryContact,
+        answer: &GossipAnswer,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) -> Vec<ExchangeAction> {
+        for summary in &answer.summaries {
+            self.book.merge(summary, now);
+        }
+        self.see(peer.clone(), answer.generation, now, actions);
+        let (table, stops) = (&mut self.table, &mut self.stops);
+        self.exchange
+            .answered(&peer.daemon, answer, table, stops, now)
+    }
+
+    fn end_summary(
+        &mut self,
+        peer: &EntryContact,
+        answer: Option<PeerAnswer<P>>,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) {
+        let Some(PeerAnswer::Summary(answer)) = answer else {
+            self.summaries.ended(peer, false);
+            return;
+        };
+        self.summaries.ended(peer, true);
+        self.summaries.add_contacts(&answer.contacts);
+        self.see(peer.clone(), answer.generation, now, actions);
+    }
+
+    /// Words under a former incarnation are void: each is said anew under the present one.
+    fn renew_words(&mut self, now: ClockTime) {
+        let own = self.exchange.own_row(self.spreader.generation());
+        self.table.merge(&own, now);
+        let words: Vec<RegistrarWord> = self.registrar.words();
+        for word in &words {
+            self.exchange.say(word, &mut self.table);
+        }
+        self.exchange.say_complaints_anew(&mut self.table);
+    }
+
+    fn call(
+        &mut self,
+        to: EntryContact,
+        purpose: CallPurpose,
+        body: PeerCall<P>,
+        actions: &mut Actions<P>,
+    ) {
+        let call = CallNumber(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(call, (to.clone(), purpose));
+        actions.push(EntryAction::Call { call, to, body });
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/entry/member.rs
@@ -0,0 +1,358 @@
+//! The machine itself.
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{BootId, Generation};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+use super::{CallNumber, EntryAction, EntryEvent};
+use crate::exchange::{EntryExchange, ExchangeScope, SummaryExchange};
+use crate::generation::{ConfigPayload, HeldConfig};
+use crate::members::{MemberFacts, MemberPhase, MemberTable, TableLimits, VmHint};
+use crate::messages::{
+    AgentHeartbeat, ConfigPull, EntryContact, EntryGossip, FormerBoot, HeartbeatAnswer, NamedStop,
+    PeerAnswer, PeerCall, SummaryAnswer, SummaryCall,
+};
+use crate::registrar::{RegistrarTable, entries_digest};
+use crate::spread::{ConfigSpreader, SpreadEvent, SpreadPeers};
+use crate::stops::{StopBoard, StopWord};
+use crate::summary::SummaryBook;
+
+/// Time between two looks at who went silent.
+const CHECK_EVERY: Duration = Duration::from_millis(500);
+
+/// A gap between two looks that shows that this process stood still.
+const PAUSED_AFTER: Duration = Duration::from_secs(3);
+
+/// An entry's part in configuration and membership.
+#[derive(Debug, Clone)]
+pub struct EntryMember<P: ConfigPayload> {
+    own: EntryContact,
+    pub(super) table: MemberTable,
+    pub(super) registrar: RegistrarTable,
+    pub(super) exchange: EntryExchange,
+    pub(super) summaries: SummaryExchange,
+    pub(super) book: SummaryBook,
+    pub(super) stops: StopBoard,
+    own_stop: Option<StopWord>,
+    pub(super) spreader: ConfigSpreader<P>,
+    pub(super) calls: IndexMap<CallNumber, (EntryContact, CallPurpose)>,
+    pub(super) next_call: u64,
+    checked: ClockTime,
+    seen_mark: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CallPurpose {
+    Gossip,
+    Summary,
+    Pull,
+    Push,
+}
+
+pub(super) type Actions<P> = Vec<EntryAction<P>>;
+
+impl<P: ConfigPayload> EntryMember<P> {
+    /// An entry that starts at `now`. `seeds` are entries that its settings name.
+    #[must_use]
+    pub fn new(
+        own: EntryContact,
+        boot: BootId,
+        seeds: Vec<EntryContact>,
+        limits: TableLimits,
+        generator: &mut ChaCha8Rng,
+        now: ClockTime,
+    ) -> Self {
+        let mut fork = || ChaCha8Rng::from_rng(&mut *generator);
+        let mut summaries = SummaryExchange::new(own.clone(), fork(), now);
+        summaries.add_contacts(&seeds);
+        Self {
+            table: MemberTable::new(own.daemon.clone(), limits),
+            registrar: RegistrarTable::default(),
+            exchange: EntryExchange::new(own.clone(), boot, seeds, fork(), now),
+            summaries,
+            book: SummaryBook::default(),
+            stops: StopBoard::default(),
+            own_stop: None,
+            spreader: ConfigSpreader::new(own.clone(), boot, fork(), now),
+            calls: IndexMap::new(),
+            next_call: 0,
+            checked: now,
+            seen_mark: 0,
+            own,
+        }
+    }
+
+    /// The table of members.
+    #[must_use]
+    pub fn table(&self) -> &MemberTable {
+        &self.table
+    }
+
+    /// What other availability zones have.
+    #[must_use]
+    pub fn book(&self) -> &SummaryBook {
+        &self.book
+    }
+
+    /// Planned stops.
+    #[must_use]
+    pub fn stops(&self) -> &StopBoard {
+        &self.stops
+    }
+
+    /// The agents that are registered here.
+    #[must_use]
+    pub fn registrar(&self) -> &RegistrarTable {
+        &self.registrar
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&HeldConfig<P>> {
+        self.spreader.in_force()
+    }
+
+    /// Its generation; 0: none yet.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.spreader.generation()
+    }
+
+    /// Whether this entry watches the store; it then also watches the planned stops.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        self.spreader.is_watcher()
+    }
+
+    /// When a tick has something to do.
+    #[must_use]
+    pub fn next_wake(&self) -> ClockTime {
+        let check = self.checked + CHECK_EVERY;
+        check
+            .min(self.exchange.next_wake())
+            .min(self.summaries.next_wake())
+            .min(self.spreader.next_wake())
+    }
+
+    /// Hears an event.
+    pub fn handle(&mut self, event: EntryEvent<P>, now: ClockTime) -> Actions<P> {
+        let mut actions = Vec::new();
+        match event {
+            EntryEvent::Tick => self.tick(now, &mut actions),
+            EntryEvent::CallEnded { call, answer } => {
+                let answer = answer.map(|answer| *answer);
+                self.end_call(call, answer, now, &mut actions);
+            }
+            EntryEvent::StoreEnded(reply) => {
+                self.spread(SpreadEvent::StoreEnded(reply), now, &mut actions);
+            }
+            EntryEvent::StopsListed(listed) => {
+                let news = self.stops.replace(&listed);
+                for stop in &news {
+                    self.exchange.tell_stop(&stop.daemon);
+                }
+            }
+            EntryEvent::StopChanged(stop) => self.note_stop(&stop),
+            EntryEvent::Hints(hints) => self.note_hints(hints),
+            EntryEvent::Path { daemon, evidence } => {
+                self.table.note_path(&daemon, evidence, now);
+                self.refresh(now, &mut actions);
+            }
+            EntryEvent::Pulse { daemon, pulse } => self.table.note_pulse(&daemon, &pulse),
+            EntryEvent::Phase(phase) => self.set_phase(phase, now, &mut actions),
+            EntryEvent::Scope(scope) => self.exchange.set_scope(scope),
+        }
+        self.finish(now, &mut actions);
+        actions
+    }
+
+    /// Answers a call of another process.
+    pub fn answer(&mut self, call: PeerCall<P>, now: ClockTime) -> (PeerAnswer<P>, Actions<P>) {
+        let mut actions = Vec::new();
+        let answer = match call {
+            PeerCall::Heartbeat(heartbeat) => {
+                let answer = self.hear_heartbeat(&heartbeat, now, &mut actions);
+                PeerAnswer::Heartbeat(Box::new(answer))
+            }
+            PeerCall::Gossip(gossip) => self.hear_gossip(&gossip, now, &mut actions),
+            PeerCall::Summary(call) => {
+                let answer = self.hear_summary(&call, now, &mut actions);
+                PeerAnswer::Summary(Box::new(answer))
+            }
+            PeerCall::Pull(pull) => {
+                let former = self.former_of(&pull);
+                PeerAnswer::Pull(Box::new(self.spreader.answer_pull(&pull, former)))
+            }
+            PeerCall::Push(push) => {
+                self.spread(SpreadEvent::Pushed(push), now, &mut actions);
+                PeerAnswer::Push(self.spreader.ack())
+            }
+        };
+        self.finish(now, &mut actions);
+        (answer, actions)
+    }
+
+    fn tick(&mut self, now: ClockTime, actions: &mut Actions<P>) {
+        if now.since(self.checked) >= CHECK_EVERY {
+            let paused = now.since(self.checked) >= PAUSED_AFTER;
+            self.checked = now;
+            for word in self.registrar.check(paused, &self.table, now) {
+                self.exchange.say(&word, &mut self.table);
+            }
+            self.book.prune(now);
+            self.refresh(now, actions);
+        }
+        let generation = self.generation();
+        let table = &mut self.table;
+        let sent = self.exchange.tick(table, &self.stops, generation, now);
+        self.send(sent, now, actions);
+        if self.exchange.scope() == ExchangeScope::Zone {
+            let sent = self.summaries.tick(&self.table, generation, now);
+            self.send(sent, now, actions);
+        }
+        self.spread(SpreadEvent::Tick, now, actions);
+    }
+
+    /// After every event: the own row, states after changes, and the own stop.
+    fn finish(&mut self, now: ClockTime, actions: &mut Actions<P>) {
+        let own = self.exchange.own_row(self.spreader.generation());
+        self.table.merge(&own, now);
+        if self.table.mark() != self.seen_mark {
+            self.refresh(now, actions);
+        }
+        let word = self.stops.word(&self.own.daemon);
+        if word != self.own_stop {
+            self.own_stop = word;
+            actions.extend(word.map(EntryAction::Stop));
+        }
+    }
+
+    fn refresh(&mut self, now: ClockTime, actions: &mut Actions<P>) {
+        self.seen_mark = self.table.mark();
+        let changes = self.table.refresh(now);
+        actions.extend(changes.into_iter().map(EntryAction::Changed));
+    }
+
+    fn note_stop(&mut self, stop: &NamedStop) {
+        if self.stops.merge(stop) {
+            self.exchange.tell_stop(&stop.daemon);
+        }
+    }
+
+    fn note_hints(&mut self, hints: Vec<VmHint>) {
+        let entries = hints.iter().filter(|hint| hint.entry && !hint.leaving);
+        self.summaries
+            .add_contacts(entries.map(|hint| &hint.contact));
+        self.table.note_hints(hints);
+    }
+
+    fn set_phase(&mut self, phase: MemberPhase, now: ClockTime, actions: &mut Actions<P>) {
+        let renewed = self.exchange.set_phase(phase, now);
+        self.send(renewed, now, actions);
+    }
+
+    fn hear_heartbeat(
+        &mut self,
+        heartbeat: &AgentHeartbeat,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) -> HeartbeatAnswer {
+        let mark = self.table.mark();
+        let heard = self.registrar.hear(heartbeat, &mut self.table, now);
+        let (mut answer, word) = heard;
+        if self.table.mark() != mark {
+            self.exchange.tell_row(&heartbeat.daemon);
+        }
+        if let Some(word) = word {
+            self.exchange.say(&word, &mut self.table);
+        }
+        let contact = EntryContact {
+            daemon: heartbeat.daemon.clone(),
+            zone: heartbeat.zone.clone(),
+            address: heartbeat.address,
+        };
+        // One that is behind pulls after this answer; one that is ahead is asked.
+        if heartbeat.generation > self.generation() {
+            let seen = SpreadEvent::Seen {
+                from: contact,
+                generation: heartbeat.generation,
+            };
+            self.spread(seen, now, actions);
+        }
+        answer.generation = self.generation();
+        answer.stop = self.stops.word(&heartbeat.daemon);
+        let entries = self.group_entries();
+        if entries_digest(entries.iter()) != heartbeat.entries_digest {
+            answer.entries = Some(entries);
+        }
+        answer
+    }
+
+    fn hear_gossip(
+        &mut self,
+        gossip: &EntryGossip,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) -> PeerAnswer<P> {
+        let stops = &mut self.stops;
+        let (mut answer, sent) = self.exchange.hear(gossip, &mut self.table, stops, now);
+        self.send(sent, now, actions);
+        for summary in &gossip.summaries {
+            self.summaries.take(summary, &mut self.book, now);
+        }
+        // A table with nothing in it: the sender has just started.
+        let blank = |parts: &Vec<u32>| parts.iter().filter(|part| **part != 0).count() <= 1;
+        if gossip
+            .digest
+            .as_ref()
+            .is_some_and(|digest| blank(&digest.parts))
+        {
+            answer.summaries = self.book.all(now);
+        }
+        self.see(gossip.from.clone(), gossip.generation, now, actions);
+        answer.generation = self.generation();
+        PeerAnswer::Gossip(Box::new(answer))
+    }
+
+    fn hear_summary(
+        &mut self,
+        call: &SummaryCall,
+        now: ClockTime,
+        actions: &mut Actions<P>,
+    ) -> SummaryAnswer {
+        self.summaries.take(&call.summary, &mut self.book, now);
+        self.summaries.add_contacts(&call.contacts);
+        self.see(call.from.clone(), call.generation, now, actions);
+        SummaryAnswer {
+            generation: self.generation(),
+            contacts: self.summaries.own_contacts(&self.table),
+        }
+    }
+
+    fn former_of(&self, pull: &ConfigPull) -> Option<FormerBoot> {
+        let known = &self.table.row(&pull.daemon)?.facts;
+        (known.boot != pull.boot).then_some(FormerBoot {
+            incarnation: known.incarnation,
+            generation: known.generation,
+        })
+    }
+
+    fn group_entries(&self) -> Vec<EntryContact> {
+        let live = self.table.live_entries().map(MemberFacts::contact);
+        live.filter(|entry| self.exchange.in_group(entry)).collect()
+    }
+
+    pub(super) fn peers(&self) -> SpreadPeers {
+        let mut group = self.group_entries();
+        group.retain(|peer| peer.daemon != self.own.daemon);
+        let agents = self.registrar.heard();
+        SpreadPeers {
+            group,
+            agents: agents.map(|(contact, at)| (contact.clone(), at)).collect(),
+            far: self.summaries.contacts().cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/exchange/group.rs
@@ -0,0 +1,375 @@
+//! Gossip within a group.
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{BootId, Generation};
+use oatpier_types::names::DaemonName;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+use super::own::OwnEntry;
+use super::probe::ProbeBook;
+use super::{DIGEST_ROUNDS, ExchangeAction, ExchangeScope, GOSSIP_EVERY, GOSSIP_FANOUT, ROW_SENDS};
+use crate::backoff::jittered;
+use crate::members::{
+    Hearing, MemberFacts, MemberPhase, MemberRow, MemberState, MemberTable, WitnessWord,
+};
+use crate::messages::{EntryContact, EntryGossip, FormerBoot, GossipAnswer, NamedStop};
+use crate::registrar::RegistrarWord;
+use crate::stops::StopBoard;
+
+/// Parts of the table that one answer brings at most.
+const ANSWER_PARTS: usize = 8;
+
+/// News in one answer that make the next round compare again.
+const MANY_NEWS: usize = 8;
+
+/// Every so many rounds, an entry that is gone or only hinted is tried: after a cut, the two
+/// sides think each other gone, and nobody else would bring them together.
+const OUTSIDER_ROUNDS: u64 = 5;
+
+/// What an entry tells and hears in its group.
+#[derive(Debug, Clone)]
+pub struct EntryExchange {
+    own: OwnEntry,
+    scope: ExchangeScope,
+    seeds: Vec<EntryContact>,
+    rumors: IndexMap<DaemonName, u8>,
+    stop_rumors: IndexMap<DaemonName, u8>,
+    probes: ProbeBook,
+    words: u64,
+    round: u64,
+    next_round: ClockTime,
+    catching_up: bool,
+    generator: ChaCha8Rng,
+}
+
+impl EntryExchange {
+    /// The exchange of a starting entry that knows `seeds` from its settings.
+    #[must_use]
+    pub fn new(
+        own: EntryContact,
+        boot: BootId,
+        seeds: Vec<EntryContact>,
+        mut generator: ChaCha8Rng,
+        now: ClockTime,
+    ) -> Self {
+        Self {
+            own: OwnEntry::new(own, boot, ChaCha8Rng::from_rng(&mut generator)),
+            scope: ExchangeScope::Zone,
+            seeds,
+            rumors: IndexMap::new(),
+            stop_rumors: IndexMap::new(),
+            probes: ProbeBook::default(),
+            words: 0,
+            round: 0,
+            next_round: now + jittered(GOSSIP_EVERY, &mut generator),
+            catching_up: true,
+            generator,
+        }
+    }
+
+    /// Sets which entries are the group.
+    pub fn set_scope(&mut self, scope: ExchangeScope) {
+        self.scope = scope;
+    }
+
+    /// Whether an entry belongs to the group.
+    #[must_use]
+    pub fn in_group(&self, contact: &EntryContact) -> bool {
+        self.scope == ExchangeScope::Fleet || contact.zone == self.own.contact.zone
+    }
+
+    /// Which entries are the group.
+    #[must_use]
+    pub fn scope(&self) -> ExchangeScope {
+        self.scope
+    }
+
+    /// The own incarnation.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.own.incarnation
+    }
+
+    /// Sets the own phase. Going back needs a new incarnation.
+    pub fn set_phase(&mut self, phase: MemberPhase, now: ClockTime) -> Vec<ExchangeAction> {
+        self.next_round = now;
+        self.own.set_phase(phase)
+    }
+
+    /// What this entry says of itself.
+    #[must_use]
+    pub fn own_row(&self, generation: Generation) -> MemberRow {
+        self.own.row(generation)
+    }
+
+    /// When a tick has something to do.
+    #[must_use]
+    pub fn next_wake(&self) -> ClockTime {
+        self.next_round.min(self.probes.next_wake())
+    }
+
+    /// Marks a row to be told.
+    pub fn tell_row(&mut self, daemon: &DaemonName) {
+        self.rumors.insert(daemon.clone(), ROW_SENDS);
+    }
+
+    /// Marks a stop to be told.
+    pub fn tell_stop(&mut self, daemon: &DaemonName) {
+        self.stop_rumors.insert(daemon.clone(), ROW_SENDS);
+    }
+
+    /// Takes a registrar's or the exchange's own word into the table and tells it.
+    pub fn say(&mut self, word: &RegistrarWord, table: &mut MemberTable) {
+        self.words += 1;
+        let word_on = WitnessWord {
+            witness: self.own.contact.daemon.clone(),
+            about: word.about,
+            order: (self.own.incarnation, self.words),
+            hearing: word.hearing,
+        };
+        if table.merge_word(&word.daemon, &word_on) {
+            self.tell_row(&word.daemon);
+        }
+    }
+
+    /// Sends a round of gossip if it is due, and asks again who left a call unanswered.
+    pub fn tick(
+        &mut self,
+        table: &mut MemberTable,
+        stops: &StopBoard,
+        generation: Generation,
+        now: ClockTime,
+    ) -> Vec<ExchangeAction> {
+        let mut targets: Vec<EntryContact> = Vec::new();
+        for daemon in self.probes.due(now) {
+            let row = table.row(&daemon);
+            targets.extend(row.map(|row| row.facts.contact()));
+        }
+        self.probes.retain(|peer| table.row(peer).is_some());
+        let round = now >= self.next_round;
+        if round {
+            self.round += 1;
+            self.next_round = now + jittered(GOSSIP_EVERY, &mut self.generator);
+            targets.extend(self.pick(table));
+        }
+        let digest = round && (self.catching_up || self.round.is_multiple_of(DIGEST_ROUNDS));
+        let mut actions = Vec::new();
+        for to in targets {
+            if self.probes.is_open(&to.daemon) {
+                continue;
+            }
+            self.probes.opened(&to.daemon);
+            let gossip = Box::new(self.gossip(table, stops, generation, digest));
+            actions.push(ExchangeAction::Gossip { to, gossip });
+        }
+        actions
+    }
+
+    /// Takes gossip of another entry in. Its summaries are not looked at here.
+    pub fn hear(
+        &mut self,
+        gossip: &EntryGossip,
+        table: &mut MemberTable,
+        stops: &mut StopBoard,
+        now: ClockTime,
+    ) -> (GossipAnswer, Vec<ExchangeAction>) {
+        let former = former_of(gossip, table);
+        let rows = gossip
+            .rows
+            .iter()
+            .filter(|row| former.is_none() || row.facts.daemon != gossip.from.daemon);
+        let (_, actions) = self.take_rows(rows, true, table, now);
+        for stop in &gossip.stops {
+            if stops.merge(stop) {
+                self.tell_stop(&stop.daemon);
+            }
+        }
+        let mut answer = GossipAnswer {
+            former,
+            ..GossipAnswer::default()
+        };
+        if let Some(digest) = &gossip.digest {
+            answer.rows = table.rows_apart(digest, ANSWER_PARTS);
+            answer.stops = stops.all();
+        }
+        (answer, actions)
+    }
+
+    /// An entry answered gossip.
+    pub fn answered(
+        &mut self,
+        from: &DaemonName,
+        answer: &GossipAnswer,
+        table: &mut MemberTable,
+        stops: &mut StopBoard,
+        now: ClockTime,
+    ) -> Vec<ExchangeAction> {
+        let (news, mut actions) = self.take_rows(answer.rows.iter(), false, table, now);
+        if !answer.rows.is_empty() || self.round.is_multiple_of(DIGEST_ROUNDS) {
+            self.catching_up = news >= MANY_NEWS;
+        }
+        for stop in &answer.stops {
+            stops.merge(stop);
+        }
+        if let Some(former) = answer.former {
+            actions.extend(self.own.rise(former.incarnation + 1));
+            actions.push(ExchangeAction::Former { former });
+        }
+        if self.probes.answered(from) {
+            self.complain(from, true, table, &mut actions);
+        }
+        actions
+    }
+
+    /// A call to an entry got no answer.
+    pub fn lost(
+        &mut self,
+        to: &DaemonName,
+        table: &mut MemberTable,
+        now: ClockTime,
+    ) -> Vec<ExchangeAction> {
+        let mut actions = Vec::new();
+        if self.probes.lost(to, &mut self.generator, now) {
+            self.complain(to, false, table, &mut actions);
+        }
+        actions
+    }
+
+    /// Says all complaints anew, after the own incarnation rose.
+    pub fn say_complaints_anew(&mut self, table: &mut MemberTable) {
+        let complaints: Vec<DaemonName> = self.probes.complaints().cloned().collect();
+        for daemon in complaints {
+            self.complain(&daemon, false, table, &mut Vec::new());
+        }
+    }
+
+    fn complain(
+        &mut self,
+        about: &DaemonName,
+        answers: bool,
+        table: &mut MemberTable,
+        actions: &mut Vec<ExchangeAction>,
+    ) {
+        let Some(row) = table.row(about) else {
+            return;
+        };
+        let word = RegistrarWord {
+            daemon: about.clone(),
+            about: row.facts.incarnation,
+            hearing: if answers {
+                Hearing::Heard
+            } else {
+                Hearing::Silent
+            },
+        };
+        self.say(&word, table);
+        let daemon = about.clone();
+        actions.push(ExchangeAction::Complaint { daemon, answers });
+    }
+
+    fn pick(&mut self, table: &MemberTable) -> Vec<EntryContact> {
+        let live = table.live_entries().map(MemberFacts::contact);
+        let others =
+            live.filter(|peer| peer.daemon != self.own.contact.daemon && self.in_group(peer));
+        let others: Vec<EntryContact> = others.collect();
+        let picked = others.sample(&mut self.generator, GOSSIP_FANOUT);
+        let mut picked: Vec<EntryContact> = picked.cloned().collect();
+        if picked.is_empty() || self.round.is_multiple_of(OUTSIDER_ROUNDS) {
+            let outsiders = self.outsiders(table);
+            picked.extend(outsiders.choose(&mut self.generator).cloned());
+        }
+        picked
+    }
+
+    /// Entries of the group that are gone, or that only settings or the list of VMs know.
+    fn outsiders(&self, table: &MemberTable) -> Vec<EntryContact> {
+        let gone = table.members().filter(|view| {
+            view.facts.is_entry()
+                && view.state == MemberState::Gone
+                && view.facts.phase != MemberPhase::Left
+        });
+        let gone = gone.map(|view| view.facts.contact());
+        let hinted = table.hinted_entries().chain(&self.seeds).cloned();
+        let unknown = hinted.filter(|contact| table.row(&contact.daemon).is_none());
+        let outsiders = gone.chain(unknown);
+        outsiders
+            .filter(|contact| contact.daemon != self.own.contact.daemon && self.in_group(contact))
+            .collect()
+    }
+
+    fn gossip(
+        &mut self,
+        table: &MemberTable,
+        stops: &StopBoard,
+        generation: Generation,
+        digest: bool,
+    ) -> EntryGossip {
+        let mut rows = vec![self.own_row(generation)];
+        let told = take_sends(&mut self.rumors);
+        rows.extend(told.iter().filter_map(|name| table.row(name)).cloned());
+        let told = take_sends(&mut self.stop_rumors);
+        let words = told.into_iter().filter_map(|daemon| {
+            let word = stops.word(&daemon)?;
+            Some(NamedStop { daemon, word })
+        });
+        EntryGossip {
+            from: self.own.contact.clone(),
+            boot: self.own.boot,
+            generation,
+            rows,
+            summaries: Vec::new(),
+            stops: words.collect(),
+            digest: digest.then(|| table.digest()),
+        }
+    }
+
+    /// Takes rows in; news that came as gossip are told on. Returns how many were news.
+    fn take_rows<'a>(
+        &mut self,
+        rows: impl Iterator<Item = &'a MemberRow>,
+        tell: bool,
+        table: &mut MemberTable,
+        now: ClockTime,
+    ) -> (usize, Vec<ExchangeAction>) {
+        let mut news = 0;
+        let mut actions = Vec::new();
+        for row in rows {
+            if row.facts.daemon == self.own.contact.daemon {
+                actions.extend(self.own.look_at(row, now));
+            } else if table.merge(row, now) {
+                news += 1;
+                if tell {
+                    self.tell_row(&row.facts.daemon);
+                }
+            }
+        }
+        (news, actions)
+    }
+}
+
+/// A former start of the sender that the table holds for the present one.
+fn former_of(gossip: &EntryGossip, table: &MemberTable) -> Option<FormerBoot> {
+    let known = &table.row(&gossip.from.daemon)?.facts;
+    let own = gossip
+        .rows
+        .iter()
+        .find(|row| row.facts.daemon == known.daemon)?;
+    let held = known.boot != gossip.boot && known.incarnation >= own.facts.incarnation;
+    held.then_some(FormerBoot {
+        incarnation: known.incarnation,
+        generation: known.generation,
+    })
+}
+
+/// The names that are still to be told, each counted down by one.
+fn take_sends(rumors: &mut IndexMap<DaemonName, u8>) -> Vec<DaemonName> {
+    let names = rumors.keys().cloned().collect();
+    for left in rumors.values_mut() {
+        *left -= 1;
+    }
+    rumors.retain(|_, left| *left > 0);
+    names
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/exchange/own.rs
@@ -0,0 +1,103 @@
+//! What an entry says of itself, and how it answers what others hold of it.
+
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{BootId, Generation};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use super::ExchangeAction;
+use crate::backoff::RetryBackoff;
+use crate::members::{Hearing, MemberFacts, MemberKind, MemberPhase, MemberRow, NEEDED_WORDS};
+use crate::messages::{EntryContact, FormerBoot};
+
+/// Waits between two answers to complaints.
+const REFUTE_FIRST: Duration = Duration::from_secs(1);
+const REFUTE_LONGEST: Duration = Duration::from_mins(1);
+
+/// The entry itself, as others are to know it.
+#[derive(Debug, Clone)]
+pub(super) struct OwnEntry {
+    pub(super) contact: EntryContact,
+    pub(super) boot: BootId,
+    pub(super) incarnation: u64,
+    phase: MemberPhase,
+    backoff: RetryBackoff,
+    refute_at: ClockTime,
+    generator: ChaCha8Rng,
+}
+
+impl OwnEntry {
+    pub(super) fn new(contact: EntryContact, boot: BootId, generator: ChaCha8Rng) -> Self {
+        Self {
+            contact,
+            boot,
+            incarnation: 0,
+            phase: MemberPhase::Serving,
+            backoff: RetryBackoff::new(REFUTE_FIRST, REFUTE_LONGEST),
+            refute_at: ClockTime::ZERO,
+            generator,
+        }
+    }
+
+    pub(super) fn set_phase(&mut self, phase: MemberPhase) -> Vec<ExchangeAction> {
+        let back = phase < self.phase;
+        self.phase = phase;
+        if back {
+            return self.rise(self.incarnation + 1);
+        }
+        Vec::new()
+    }
+
+    pub(super) fn row(&self, generation: Generation) -> MemberRow {
+        MemberRow {
+            facts: MemberFacts {
+                daemon: self.contact.daemon.clone(),
+                zone: self.contact.zone.clone(),
+                address: self.contact.address,
+                boot: self.boot,
+                incarnation: self.incarnation,
+                phase: self.phase,
+                generation,
+                kind: MemberKind::Entry,
+            },
+            words: SmallVec::new(),
+        }
+    }
+
+    /// What others hold of this entry: a former start, or complaints enough to remove it, call
+    /// for a higher incarnation. Complaints are answered more and more slowly. A single one is
+    /// left to the complaining entry, which asks again: each rise makes all words of this entry
+    /// travel anew.
+    pub(super) fn look_at(&mut self, row: &MemberRow, now: ClockTime) -> Vec<ExchangeAction> {
+        let facts = &row.facts;
+        if facts.boot != self.boot && facts.incarnation >= self.incarnation {
+            let mut actions = self.rise(facts.incarnation + 1);
+            let former = FormerBoot {
+                incarnation: facts.incarnation,
+                generation: facts.generation,
+            };
+            actions.push(ExchangeAction::Former { former });
+            return actions;
+        }
+        let about = self.incarnation;
+        let current = row.words.iter().filter(|word| word.about == about);
+        let complaints = current
+            .filter(|word| word.hearing == Hearing::Silent)
+            .count();
+        if complaints < NEEDED_WORDS || now < self.refute_at {
+            return Vec::new();
+        }
+        self.refute_at = self.backoff.failed(now, &mut self.generator);
+        self.rise(self.incarnation + 1)
+    }
+
+    pub(super) fn rise(&mut self, incarnation: u64) -> Vec<ExchangeAction> {
+        if incarnation <= self.incarnation {
+            return Vec::new();
+        }
+        self.incarnation = incarnation;
+        vec![ExchangeAction::Renewed]
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/exchange/summaries.rs
@@ -0,0 +1,226 @@
+//! Summaries between availability zones, at a bounded rate.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::Generation;
+use oatpier_types::names::{DaemonName, ZoneName};
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use super::{ExchangeAction, SUMMARY_SENDS};
+use crate::backoff::jittered;
+use crate::members::MemberTable;
+use crate::messages::{EntryContact, SummaryCall};
+use crate::rendezvous;
+use crate::summary::{
+    ModelSummary, SummaryBook, SummaryCursor, SummaryKey, ZoneSummary, aged, made_at, summarize,
+};
+
+/// Time between two summaries to one availability zone.
+pub const SUMMARY_EVERY: Duration = Duration::from_secs(2);
+
+/// Rows that one availability zone sends each other one in a second, on average at most.
+pub const SUMMARY_ROWS_PER_SECOND: u64 = 2;
+
+/// Rows that one message has at most, after a quiet time.
+pub const SUMMARY_BURST: u64 = 120;
+
+/// Entries of another availability zone that are kept as contacts.
+const KEPT_CONTACTS: usize = 6;
+
+/// Own entries that a summary names as contacts.
+const GIVEN_CONTACTS: usize = 3;
+
+#[derive(Debug, Clone, Default)]
+struct FarZone {
+    contacts: SmallVec<[EntryContact; KEPT_CONTACTS]>,
+    cursor: SummaryCursor,
+    open: Option<(DaemonName, Vec<SummaryKey>)>,
+}
+
+#[derive(Debug, Clone)]
+struct PassedRow {
+    zone: ZoneName,
+    row: ModelSummary,
+    made: ClockTime,
+    sends: u8,
+}
+
+/// Sends summaries of the own availability zone, if this entry is the one to do it, and passes
+/// on those that came.
+#[derive(Debug, Clone)]
+pub struct SummaryExchange {
+    own: EntryContact,
+    zones: IndexMap<ZoneName, FarZone>,
+    passed: Vec<PassedRow>,
+    next: ClockTime,
+    last: ClockTime,
+    /// Thousandths of a row.
+    allowance: u64,
+    generator: ChaCha8Rng,
+}
+
+impl SummaryExchange {
+    /// The exchange of an entry that starts at `now`.
+    #[must_use]
+    pub fn new(own: EntryContact, mut generator: ChaCha8Rng, now: ClockTime) -> Self {
+        Self {
+            own,
+            zones: IndexMap::new(),
+            passed: Vec::new(),
+            next: now + jittered(SUMMARY_EVERY, &mut generator),
+            last: now,
+            allowance: SUMMARY_BURST * 1_000,
+            generator,
+        }
+    }
+
+    /// When a tick has something to do.
+    #[must_use]
+    pub fn next_wake(&self) -> ClockTime {
+        self.next
+    }
+
+    /// Entries of other availability zones.
+    pub fn contacts(&self) -> impl Iterator<Item = &EntryContact> {
+        self.zones.values().flat_map(|zone| &zone.contacts)
+    }
+
+    /// Remembers entries of other availability zones, the latest first.
+    pub fn add_contacts<'a>(&mut self, contacts: impl IntoIterator<Item = &'a EntryContact>) {
+        let others = contacts.into_iter();
+        for contact in others.filter(|contact| contact.zone != self.own.zone) {
+            let zone = self.zones.entry(contact.zone.clone()).or_default();
+            zone.contacts.retain(|known| known.daemon != contact.daemon);
+            zone.contacts.insert(0, contact.clone());
+            zone.contacts.truncate(KEPT_CONTACTS);
+        }
+    }
+
+    /// A few entries of the own availability zone.
+    #[must_use]
+    pub fn own_contacts(&mut self, table: &MemberTable) -> SmallVec<[EntryContact; 4]> {
+        let near = table
+            .live_entries()
+            .filter(|entry| entry.zone == self.own.zone);
+        let near: Vec<EntryContact> = near.map(crate::members::MemberFacts::contact).collect();
+        near.sample(&mut self.generator, GIVEN_CONTACTS)
+            .cloned()
+            .collect()
+    }
+
+    /// Sends what is due, if rendezvous hashing picks this entry to speak for its zone.
+    pub fn tick(
+        &mut self,
+        table: &MemberTable,
+        generation: Generation,
+        now: ClockTime,
+    ) -> Vec<ExchangeAction> {
+        if now < self.next {
+            return Vec::new();
+        }
+        self.next = now + jittered(SUMMARY_EVERY, &mut self.generator);
+        if !self.speaks(table) {
+            return Vec::new();
+        }
+        let rows = summarize(table);
+        let most = self.refill(now);
+        let contacts = self.own_contacts(table);
+        let mut actions = Vec::new();
+        let mut used = 0;
+        for far in self.zones.values_mut() {
+            let Some(to) = far.contacts.choose(&mut self.generator).cloned() else {
+                continue;
+            };
+            if far.open.is_some() {
+                continue;
+            }
+            let models = far.cursor.next_rows(&rows, most, now);
+            used = used.max(models.len() as u64);
+            let keys = models.iter().map(|row| row.key.clone()).collect();
+            far.open = Some((to.daemon.clone(), keys));
+            let call = Box::new(SummaryCall {
+                from: self.own.clone(),
+                generation,
+                summary: ZoneSummary {
+                    zone: self.own.zone.clone(),
+                    models,
+                },
+                contacts: contacts.clone(),
+            });
+            actions.push(ExchangeAction::Summary { to, call });
+        }
+        self.allowance -= used.min(SUMMARY_BURST) * 1_000;
+        actions
+    }
+
+    /// A summary call ended.
+    pub fn ended(&mut self, to: &EntryContact, answered: bool) {
+        let Some(far) = self.zones.get_mut(&to.zone) else {
+            return;
+        };
+        let Some((_, keys)) = far.open.take_if(|open| open.0 == to.daemon) else {
+            return;
+        };
+        if !answered {
+            far.cursor.lost(&keys);
+            // The last contact is kept, however silent: it may be the only way back.
+            if far.contacts.len() > 1 {
+                far.contacts.retain(|contact| contact.daemon != to.daemon);
+            }
+        }
+    }
+
+    /// Takes a summary in, to be passed on within the group.
+    pub fn take(&mut self, summary: &ZoneSummary, book: &mut SummaryBook, now: ClockTime) {
+        if summary.zone == self.own.zone {
+            return;
+        }
+        for row in book.merge(summary, now) {
+            let made = made_at(&row, now);
+            self.passed.push(PassedRow {
+                zone: summary.zone.clone(),
+                row,
+                made,
+                sends: SUMMARY_SENDS,
+            });
+        }
+    }
+
+    /// The rows that go with the next gossip.
+    pub fn pass_on(&mut self, now: ClockTime) -> Vec<ZoneSummary> {
+        let mut zones: IndexMap<ZoneName, Vec<ModelSummary>> = IndexMap::new();
+        for passed in &mut self.passed {
+            passed.sends -= 1;
+            let rows = zones.entry(passed.zone.clone()).or_default();
+            rows.push(aged(&passed.row, passed.made, now));
+        }
+        self.passed.retain(|passed| passed.sends > 0);
+        let zones = zones.into_iter();
+        zones
+            .map(|(zone, models)| ZoneSummary { zone, models })
+            .collect()
+    }
+
+    fn speaks(&self, table: &MemberTable) -> bool {
+        let near = table
+            .live_entries()
+            .filter(|entry| entry.zone == self.own.zone);
+        let key = format!("summary/{}", self.own.zone);
+        let own = self.own.daemon.as_str();
+        let others = near.map(|entry| entry.daemon.as_str());
+        let others = others.filter(|name| *name != own);
+        rendezvous::rank_of(&key, others.chain([own]), own) == Some(0)
+    }
+
+    fn refill(&mut self, now: ClockTime) -> usize {
+        let elapsed = now.since(self.last).as_millis().min(3_600_000);
+        self.last = now;
+        let gained = u64::try_from(elapsed).unwrap_or(0) * SUMMARY_ROWS_PER_SECOND;
+        self.allowance = (self.allowance + gained).min(SUMMARY_BURST * 1_000);
+        usize::try_from(self.allowance / 1_000).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/members/table.rs
@@ -0,0 +1,338 @@
+//! The table itself: rows, the states that follow from them, and a bounded log of changes.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::DaemonName;
+use oatpier_types::pulse::AgentPulse;
+use smallvec::SmallVec;
+
+use super::evidence::{PathEvidence, PathMemory};
+use super::row::{Hearing, MemberFacts, MemberKind, MemberPhase, MemberRow, WitnessWord};
+use crate::messages::EntryContact;
+use crate::summary::TableDigest;
+
+/// How long this process's own evidence counts.
+pub const EVIDENCE_LASTS: Duration = Duration::from_secs(5);
+
+/// An agent that no live registrar speaks for becomes suspect after this long.
+pub const UNWITNESSED_SUSPECT: Duration = Duration::from_secs(30);
+
+/// How long a gone row is kept, so that late news about it is known to be old.
+pub const GONE_KEPT: Duration = Duration::from_mins(10);
+
+/// Words of different witnesses that remove a member.
+pub const NEEDED_WORDS: usize = 2;
+
+/// Where a member stands, as this process sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum MemberState {
+    /// It serves.
+    Alive,
+    /// Something speaks against it, but not enough to count it out.
+    Suspect,
+    /// It finishes what it has.
+    Leaving,
+    /// It isn't there.
+    Gone,
+}
+
+/// What happens to agents when the entry that they are registered with dies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LostRegistrar {
+    /// Their rows stay; they register with the successor.
+    #[default]
+    Keep,
+    /// They count as gone until they have registered again. For comparison in benches.
+    Drop,
+}
+
+/// Sizes of the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TableLimits {
+    /// Changes that the log keeps.
+    pub kept_changes: usize,
+    /// What happens when a registrar dies.
+    pub lost_registrar: LostRegistrar,
+}
+
+impl Default for TableLimits {
+    fn default() -> Self {
+        Self {
+            kept_changes: 2_048,
+            lost_registrar: LostRegistrar::Keep,
+        }
+    }
+}
+
+/// A row of the platform's list of VMs: a hint, never a proof.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmHint {
+    /// The process on the VM.
+    pub contact: EntryContact,
+    /// Whether that is an entry.
+    pub entry: bool,
+    /// Whether the platform means to stop the VM.
+    pub leaving: bool,
+}
+
+/// A member whose state changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberChange {
+    /// The member.
+    pub daemon: DaemonName,
+    /// Its state before; a new member was gone.
+    pub before: MemberState,
+    /// Its state now.
+    pub state: MemberState,
+}
+
+/// A member as this process sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct MemberView<'a> {
+    /// What it says of itself.
+    pub facts: &'a MemberFacts,
+    /// Its latest queue, for an agent.
+    pub pulse: Option<&'a AgentPulse>,
+    /// Where it stands.
+    pub state: MemberState,
+    /// Whether the list of VMs says that it will be stopped.
+    pub hinted_leaving: bool,
+}
+
+/// What changed since a mark.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TableDeltas {
+    /// The mark for the next question.
+    pub mark: u64,
+    /// Rows that changed, each once.
+    pub rows: Vec<MemberRow>,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct TableRecord {
+    pub(super) row: MemberRow,
+    pub(super) state: MemberState,
+    pub(super) gone_since: ClockTime,
+    pub(super) witnessed: ClockTime,
+    pub(super) dropped: Option<SmallVec<[WitnessWord; 2]>>,
+    hinted_leaving: bool,
+}
+
+impl TableRecord {
+    fn view(&self) -> MemberView<'_> {
+        MemberView {
+            facts: &self.row.facts,
+            pulse: self.row.facts.status().map(|status| &status.pulse),
+            state: self.state,
+            hinted_leaving: self.hinted_leaving,
+        }
+    }
+}
+
+/// The table of entries and agents.
+#[derive(Debug, Clone)]
+pub struct MemberTable {
+    pub(super) own: DaemonName,
+    pub(super) limits: TableLimits,
+    pub(super) records: IndexMap<DaemonName, TableRecord>,
+    hints: IndexMap<DaemonName, VmHint>,
+    pub(super) evidence: PathMemory,
+    log: VecDeque<(u64, DaemonName)>,
+    mark: u64,
+}
+
+impl MemberTable {
+    /// An empty table of the process `own`.
+    #[must_use]
+    pub fn new(own: DaemonName, limits: TableLimits) -> Self {
+        Self {
+            own,
+            limits,
+            records: IndexMap::new(),
+            hints: IndexMap::new(),
+            evidence: PathMemory::new(EVIDENCE_LASTS),
+            log: VecDeque::new(),
+            mark: 0,
+        }
+    }
+
+    /// Takes a row in; tells whether it had news. An unknown row that nobody hears is no news:
+    /// it would come back from table to table for ever.
+    pub fn merge(&mut self, row: &MemberRow, now: ClockTime) -> bool {
+        let daemon = &row.facts.daemon;
+        let Some(record) = self.records.get_mut(daemon) else {
+            return self.insert(row, now);
+        };
+        if !record.row.merge(row) {
+            return false;
+        }
+        self.log_change(daemon.clone());
+        true
+    }
+
+    /// Takes in one entry's word on a member.
+    pub fn merge_word(&mut self, daemon: &DaemonName, word: &WitnessWord) -> bool {
+        let Some(record) = self.records.get_mut(daemon) else {
+            return false;
+        };
+        let changed = record.row.merge_word(word);
+        if changed {
+            self.log_change(daemon.clone());
+        }
+        changed
+    }
+
+    /// Remembers an agent's queue, if it is later than the one known. Nobody is told of it.
+    pub fn note_pulse(&mut self, daemon: &DaemonName, pulse: &AgentPulse) {
+        let Some(record) = self.records.get_mut(daemon) else {
+            return;
+        };
+        let MemberKind::Agent(status) = &mut record.row.facts.kind else {
+            return;
+        };
+        if status.pulse.boot == pulse.boot && status.pulse.sequence < pulse.sequence {
+            status.pulse = *pulse;
+        }
+    }
+
+    /// Remembers what this process saw of a member on the data path.
+    pub fn note_path(&mut self, daemon: &DaemonName, evidence: PathEvidence, now: ClockTime) {
+        self.evidence.note(daemon, evidence, now);
+    }
+
+    /// Takes the list of VMs as a hint: whom to ask when nobody is known, and who may leave.
+    pub fn note_hints(&mut self, hints: impl IntoIterator<Item = VmHint>) {
+        self.hints = hints
+            .into_iter()
+            .map(|hint| (hint.contact.daemon.clone(), hint))
+            .collect();
+        for (daemon, record) in &mut self.records {
+            record.hinted_leaving = self.hints.get(daemon).is_some_and(|hint| hint.leaving);
+        }
+    }
+
+    /// Entries that only the list of VMs knows.
+    pub fn hinted_entries(&self) -> impl Iterator<Item = &EntryContact> {
+        self.hints
+            .values()
+            .filter(|hint| hint.entry && !self.records.contains_key(&hint.contact.daemon))
+            .map(|hint| &hint.contact)
+    }
+
+    /// One member.
+    #[must_use]
+    pub fn get(&self, daemon: &DaemonName) -> Option<MemberView<'_>> {
+        self.records.get(daemon).map(TableRecord::view)
+    }
+
+    /// One row, as it travels.
+    #[must_use]
+    pub fn row(&self, daemon: &DaemonName) -> Option<&MemberRow> {
+        self.records.get(daemon).map(|record| &record.row)
+    }
+
+    /// All members.
+    pub fn members(&self) -> impl Iterator<Item = MemberView<'_>> {
+        self.records.values().map(TableRecord::view)
+    }
+
+    /// Entries that aren't gone and haven't begun to leave.
+    pub fn live_entries(&self) -> impl Iterator<Item = &MemberFacts> {
+        self.members()
+            .filter(|view| view.facts.is_entry())
+            .filter(|view| matches!(view.state, MemberState::Alive | MemberState::Suspect))
+            .map(|view| view.facts)
+    }
+
+    /// Agents that may get new work.
+    pub fn usable_agents(&self) -> impl Iterator<Item = MemberView<'_>> {
+        self.members()
+            .filter(|view| !view.facts.is_entry() && view.state == MemberState::Alive)
+    }
+
+    /// The mark of the latest change.
+    #[must_use]
+    pub fn mark(&self) -> u64 {
+        self.mark
+    }
+
+    /// Rows that changed since `mark`; none if the log does not reach back so far.
+    #[must_use]
+    pub fn deltas_since(&self, mark: u64) -> Option<TableDeltas> {
+        let reaches = self.mark - self.log.len() as u64;
+        if mark < reaches || mark > self.mark {
+            return None;
+        }
+        let mut names: Vec<&DaemonName> = self
+            .log
+            .iter()
+            .filter(|(at, _)| *at > mark)
+            .map(|(_, daemon)| daemon)
+            .collect();
+        names.sort();
+        names.dedup();
+        let rows = names.into_iter().filter_map(|name| self.row(name)).cloned();
+        Some(TableDeltas {
+            mark: self.mark,
+            rows: rows.collect(),
+        })
+    }
+
+    /// Hashes of all rows that aren't gone.
+    #[must_use]
+    pub fn digest(&self) -> TableDigest {
+        let mut digest = TableDigest::default();
+        for (daemon, record) in &self.records {
+            if record.state != MemberState::Gone {
+                digest.add(daemon.as_str(), record.row.digest());
+            }
+        }
+        digest
+    }
+
+    /// Rows, gone ones too, in the parts where the two hashes differ.
+    #[must_use]
+    pub fn rows_apart(&self, other: &TableDigest, most_parts: usize) -> Vec<MemberRow> {
+        let parts = self.digest().differing(other, most_parts);
+        self.records
+            .iter()
+            .filter(|(daemon, _)| parts.contains(&TableDigest::part_of(daemon.as_str())))
+            .map(|(_, record)| record.row.clone())
+            .collect()
+    }
+
+    fn insert(&mut self, row: &MemberRow, now: ClockTime) -> bool {
+        let heard = row.words.iter().any(|word| word.hearing == Hearing::Heard);
+        let silent = row
+            .words
+            .iter()
+            .filter(|word| word.hearing == Hearing::Silent);
+        let silent = silent.count() >= NEEDED_WORDS && !heard;
+        if silent || row.facts.phase == MemberPhase::Left {
+            return false;
+        }
+        let daemon = row.facts.daemon.clone();
+        let record = TableRecord {
+            row: row.clone(),
+            state: MemberState::Gone,
+            gone_since: now,
+            witnessed: now,
+            dropped: None,
+            hinted_leaving: self.hints.get(&daemon).is_some_and(|hint| hint.leaving),
+        };
+        self.records.insert(daemon.clone(), record);
+        self.log_change(daemon);
+        true
+    }
+
+    fn log_change(&mut self, daemon: DaemonName) {
+        self.mark += 1;
+        self.log.push_back((self.mark, daemon));
+        if self.log.len() > self.limits.kept_changes {
+            self.log.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/payload.rs
@@ -0,0 +1,23 @@
+//! The operators' configuration as it is spread.
+
+use oatpier_types::config::FleetConfig;
+use oatpier_types::config::diff::{ConfigEdit, EditFit, apply, diff};
+
+use crate::generation::ConfigPayload;
+
+impl ConfigPayload for FleetConfig {
+    type Edit = Vec<ConfigEdit>;
+
+    fn edit_to(&self, next: &Self) -> Vec<ConfigEdit> {
+        diff(self, next)
+    }
+
+    fn apply(&self, edits: &Vec<ConfigEdit>) -> Option<Self> {
+        let fits = edits.iter().all(|edit| edit.fit(self) != EditFit::Clashes);
+        fits.then(|| apply(self, edits))
+    }
+
+    fn digest(&self) -> u64 {
+        self.content_hash()
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/registrar/keeper.rs
@@ -0,0 +1,365 @@
+//! The agent's side: to whom it sends heartbeats, when, and what is in them.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{BootId, Generation};
+use oatpier_types::names::DaemonName;
+use oatpier_types::pulse::{AgentPulse, EndpointStatus};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use super::choose::{AvoidBook, REGISTRARS, choose_registrars, entries_digest};
+use crate::backoff::jittered;
+use crate::members::MemberPhase;
+use crate::messages::{AgentHeartbeat, EntryContact, FormerBoot, HeartbeatAnswer, HeartbeatBody};
+use crate::stops::StopWord;
+
+/// The longest time between two heartbeats; on average it is a second. The registrars get them
+/// in turn.
+pub const HEARTBEAT_EVERY: Duration = Duration::from_millis(1_300);
+
+/// Time after which a lost heartbeat is sent again.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// A heartbeat without an answer counts as lost after this long.
+const ANSWER_WITHIN: Duration = Duration::from_millis(800);
+
+/// Heartbeats lost in a row before another entry takes the registrar's place. At a tenth of
+/// messages lost, fewer would change registrars all the time.
+const LOST_IN_ROW: u32 = 6;
+
+/// An entry that this agent stopped using as a registrar, as it did not answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegistrarLost {
+    /// The entry.
+    pub daemon: DaemonName,
+}
+
+/// What the agent is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum HeartbeatAction {
+    /// Send a heartbeat.
+    Beat {
+        /// To whom.
+        to: EntryContact,
+        /// The heartbeat.
+        heartbeat: Box<AgentHeartbeat>,
+    },
+    /// A registrar did not answer and was replaced.
+    Lost(RegistrarLost),
+    /// A registrar knows a former start of this agent.
+    Former(FormerBoot),
+    /// A registrar has this configuration.
+    Seen {
+        /// The registrar.
+        from: EntryContact,
+        /// Its generation.
+        generation: Generation,
+    },
+    /// A planned stop of this agent was asked for or withdrawn.
+    Stop(StopWord),
+}
+
+#[derive(Debug, Clone)]
+struct RegistrarSlot {
+    contact: EntryContact,
+    lost: u32,
+    acked: Option<FactsOrder>,
+    sent: Option<(ClockTime, FactsOrder)>,
+}
+
+type FactsOrder = (u64, MemberPhase, u64);
+
+/// Sends an agent's heartbeats.
+#[derive(Debug, Clone)]
+pub struct HeartbeatKeeper {
+    own: EntryContact,
+    boot: BootId,
+    incarnation: u64,
+    phase: MemberPhase,
+    status: EndpointStatus,
+    entries: IndexMap<DaemonName, EntryContact>,
+    digest: u64,
+    avoided: AvoidBook,
+    slots: SmallVec<[RegistrarSlot; REGISTRARS]>,
+    turn: usize,
+    next: ClockTime,
+    generator: ChaCha8Rng,
+}
+
+impl HeartbeatKeeper {
+    /// The keeper of a started agent that knows a few entries: from its settings, from the list
+    /// of VMs, or both.
+    #[must_use]
+    pub fn new(
+        own: EntryContact,
+        boot: BootId,
+        status: EndpointStatus,
+        mut generator: ChaCha8Rng,
+        now: ClockTime,
+    ) -> Self {
+        Self {
+            own,
+            boot,
+            incarnation: 0,
+            phase: MemberPhase::Serving,
+            status,
+            entries: IndexMap::new(),
+            digest: 0,
+            avoided: AvoidBook::default(),
+            slots: SmallVec::new(),
+            turn: 0,
+            next: now + jittered(RETRY_AFTER, &mut generator),
+            generator,
+        }
+    }
+
+    /// Its incarnation.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Its registrars, the first one first.
+    pub fn registrars(&self) -> impl Iterator<Item = &EntryContact> {
+        self.slots.iter().map(|slot| &slot.contact)
+    }
+
+    /// All entries that it knows.
+    pub fn entries(&self) -> impl Iterator<Item = &EntryContact> {
+        self.entries.values()
+    }
+
+    /// When a tick has something to do.
+    #[must_use]
+    pub fn next_wake(&self) -> ClockTime {
+        self.next
+    }
+
+    /// Adds entries that it may turn to.
+    pub fn add_entries(
+        &mut self,
+        contacts: impl IntoIterator<Item = EntryContact>,
+        now: ClockTime,
+    ) {
+        for contact in contacts {
+            self.entries.insert(contact.daemon.clone(), contact);
+        }
+        self.choose(now);
+    }
+
+    /// Sets the queue, which goes with the next heartbeat.
+    pub fn set_pulse(&mut self, pulse: AgentPulse) {
+        self.status.pulse = pulse;
+    }
+
+    /// Sets the whole status; a change of what is ready is told at once.
+    pub fn set_status(&mut self, status: EndpointStatus, now: ClockTime) {
+        if status.ready_sequence != self.status.ready_sequence {
+            self.next = now;
+        }
+        self.status = status;
+    }
+
+    /// Sets the phase and tells it at once. Going back needs a new incarnation, as a phase only
+    /// goes forward within one.
+    pub fn set_phase(&mut self, phase: MemberPhase, now: ClockTime) {
+        if phase < self.phase {
+            self.incarnation += 1;
+        }
+        self.phase = phase;
+        self.next = now;
+    }
+
+    /// Whether every registrar knows the present phase and status.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        let order = self.order();
+        !self.slots.is_empty() && self.slots.iter().all(|slot| slot.acked == Some(order))
+    }
+
+    /// Sends what is due.
+    pub fn tick(&mut self, generation: Generation, now: ClockTime) -> Vec<HeartbeatAction> {
+        let mut actions = Vec::new();
+        self.check_lost(now, &mut actions);
+        if now < self.next {
+            return actions;
+        }
+        self.choose(now);
+        self.next = now + jittered(HEARTBEAT_EVERY, &mut self.generator);
+        let order = self.order();
+        let turn = self.turn;
+        self.turn = (turn + 1) % REGISTRARS;
+        for index in 0..self.slots.len() {
+            let slot = &self.slots[index];
+            let urgent = slot.acked != Some(order) || slot.lost > 0;
+            let due = urgent || index == turn || self.slots.len() == 1;
+            if due && slot.sent.is_none() {
+                actions.push(self.beat(index, generation, now));
+            }
+        }
+        self.wake_for_answers(now);
+        actions
+    }
+
+    /// A registrar answered.
+    pub fn answered(
+        &mut self,
+        from: &DaemonName,
+        answer: &HeartbeatAnswer,
+        now: ClockTime,
+    ) -> Vec<HeartbeatAction> {
+        let mut actions = Vec::new();
+        if let Some(former) = answer.former {
+            self.take_former(former, now);
+            actions.push(HeartbeatAction::Former(former));
+        }
+        self.acknowledge(from, answer, now, &mut actions);
+        if let Some(entries) = &answer.entries {
+            self.take_entries(entries, now);
+        }
+        actions.extend(answer.stop.map(HeartbeatAction::Stop));
+        actions
+    }
+
+    /// A heartbeat got no answer.
+    pub fn lost(&mut self, to: &DaemonName, now: ClockTime) -> Vec<HeartbeatAction> {
+        let slots = &mut self.slots;
+        let Some(slot) = slots.iter_mut().find(|slot| slot.contact.daemon == *to) else {
+            return Vec::new();
+        };
+        if slot.sent.take().is_none() {
+            return Vec::new();
+        }
+        slot.lost += 1;
+        self.next = self
+            .next
+            .min(now + jittered(RETRY_AFTER, &mut self.generator));
+        if slot.lost < LOST_IN_ROW {
+            return Vec::new();
+        }
+        self.avoided.avoid(to, &mut self.generator, now);
+        self.choose(now);
+        vec![HeartbeatAction::Lost(RegistrarLost { daemon: to.clone() })]
+    }
+
+    fn order(&self) -> FactsOrder {
+        (self.incarnation, self.phase, self.status.ready_sequence)
+    }
+
+    fn check_lost(&mut self, now: ClockTime, actions: &mut Vec<HeartbeatAction>) {
+        let late = self.slots.iter().filter(|slot| {
+            slot.sent
+                .is_some_and(|(sent, _)| now.since(sent) >= ANSWER_WITHIN)
+        });
+        let late: Vec<DaemonName> = late.map(|slot| slot.contact.daemon.clone()).collect();
+        for daemon in late {
+            actions.extend(self.lost(&daemon, now));
+        }
+    }
+
+    fn wake_for_answers(&mut self, now: ClockTime) {
+        let waits = self.slots.iter().any(|slot| slot.sent.is_some());
+        if waits {
+            self.next = self.next.min(now + ANSWER_WITHIN);
+        }
+    }
+
+    fn beat(&mut self, index: usize, generation: Generation, now: ClockTime) -> HeartbeatAction {
+        let order = self.order();
+        let slot = &mut self.slots[index];
+        slot.sent = Some((now, order));
+        let body = if slot.acked == Some(order) {
+            HeartbeatBody::Pulse {
+                ready_sequence: self.status.ready_sequence,
+                pulse: self.status.pulse,
+            }
+        } else {
+            HeartbeatBody::Full(Box::new(EndpointStatus {
+                generation,
+                ..self.status.clone()
+            }))
+        };
+        HeartbeatAction::Beat {
+            to: slot.contact.clone(),
+            heartbeat: Box::new(AgentHeartbeat {
+                daemon: self.own.daemon.clone(),
+                zone: self.own.zone.clone(),
+                address: self.own.address,
+                boot: self.boot,
+                incarnation: self.incarnation,
+                phase: self.phase,
+                generation,
+                entries_digest: self.digest,
+                body,
+            }),
+        }
+    }
+
+    /// A former start is held for this one: take a higher incarnation, and say all anew.
+    fn take_former(&mut self, former: FormerBoot, now: ClockTime) {
+        self.incarnation = self.incarnation.max(former.incarnation + 1);
+        self.next = now;
+    }
+
+    fn acknowledge(
+        &mut self,
+        from: &DaemonName,
+        answer: &HeartbeatAnswer,
+        now: ClockTime,
+        actions: &mut Vec<HeartbeatAction>,
+    ) {
+        let slots = &mut self.slots;
+        let Some(slot) = slots.iter_mut().find(|slot| slot.contact.daemon == *from) else {
+            return;
+        };
+        actions.push(HeartbeatAction::Seen {
+            from: slot.contact.clone(),
+            generation: answer.generation,
+        });
+        let sent = slot.sent.take().map(|(_, order)| order);
+        slot.lost = 0;
+        slot.acked = if answer.need_full { None } else { sent };
+        if answer.need_full {
+            self.next = now;
+        }
+        self.avoided.forget(from);
+    }
+
+    /// The registrar's list takes the place of what was known. The registrar itself is in it.
+    fn take_entries(&mut self, entries: &[EntryContact], now: ClockTime) {
+        if entries.is_empty() {
+            return;
+        }
+        self.entries = entries
+            .iter()
+            .map(|contact| (contact.daemon.clone(), contact.clone()))
+            .collect();
+        self.choose(now);
+    }
+
+    fn choose(&mut self, now: ClockTime) {
+        self.digest = entries_digest(self.entries.values());
+        let usable = self.entries.values();
+        let usable = usable.filter(|contact| !self.avoided.avoids(&contact.daemon, now));
+        let usable: Vec<&EntryContact> = usable.collect();
+        // With every entry avoided, any is better than none.
+        let all: Vec<&EntryContact> = self.entries.values().collect();
+        let from = if usable.is_empty() { all } else { usable };
+        let chosen = choose_registrars(&self.own.daemon, &self.own.zone, from);
+        let slots = chosen.into_iter().map(|contact| self.slot_for(contact));
+        self.slots = slots.collect();
+    }
+
+    fn slot_for(&self, contact: &EntryContact) -> RegistrarSlot {
+        let known = self.slots.iter().find(|slot| slot.contact == *contact);
+        known.cloned().unwrap_or_else(|| RegistrarSlot {
+            contact: contact.clone(),
+            lost: 0,
+            acked: None,
+            sent: None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/registrar/table.rs
@@ -0,0 +1,281 @@
+//! The registrar's side: who is heard, and the word about it that other entries get.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{BootId, Generation};
+use oatpier_types::names::DaemonName;
+use smallvec::SmallVec;
+
+use crate::members::{Hearing, MemberFacts, MemberKind, MemberRow, MemberTable};
+use crate::messages::{AgentHeartbeat, EntryContact, FormerBoot, HeartbeatAnswer, HeartbeatBody};
+use crate::stops::StopWord;
+
+/// An agent that was not heard for this long is said to be silent: three heartbeats in a row,
+/// and a little for delays.
+pub const SILENT_AFTER: Duration = Duration::from_millis(6_500);
+
+/// An agent that was not heard for this long, but by others, has other registrars.
+const RELEASE_AFTER: Duration = Duration::from_secs(15);
+
+/// After the first return an agent must be heard for this long before the word changes back.
+pub const HOLD_FIRST: Duration = Duration::from_secs(3);
+
+/// The longest such time.
+pub const HOLD_LONGEST: Duration = Duration::from_mins(1);
+
+/// An agent that was heard steadily for this long has no past.
+const FLAPS_FORGOTTEN: Duration = Duration::from_mins(5);
+
+/// An agent that was silent for this long is forgotten by its registrar.
+const SILENT_KEPT: Duration = Duration::from_mins(10);
+
+/// A registrar's word on an agent, to be told to the other entries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegistrarWord {
+    /// The agent.
+    pub daemon: DaemonName,
+    /// The incarnation that the word is about.
+    pub about: u64,
+    /// Whether it is heard.
+    pub hearing: Hearing,
+}
+
+#[derive(Debug, Clone)]
+struct Registration {
+    boot: BootId,
+    incarnation: u64,
+    generation: Generation,
+    contact: EntryContact,
+    last_heard: ClockTime,
+    heard_since: ClockTime,
+    heard: bool,
+    flaps: u32,
+}
+
+impl Registration {
+    fn hold(&self) -> Duration {
+        let doubled = HOLD_FIRST.saturating_mul(1 << self.flaps.saturating_sub(1).min(16));
+        match self.flaps {
+            0 => Duration::ZERO,
+            _ => doubled.min(HOLD_LONGEST),
+        }
+    }
+}
+
+/// The agents that are registered with one entry.
+#[derive(Debug, Clone, Default)]
+pub struct RegistrarTable {
+    agents: IndexMap<DaemonName, Registration>,
+}
+
+impl RegistrarTable {
+    /// Hears a heartbeat. Takes what it says into `members`; the answer lacks the list of
+    /// entries, the stop and the generation, which the entry fills in. The word, if it changed,
+    /// goes to the other entries.
+    pub fn hear(
+        &mut self,
+        heartbeat: &AgentHeartbeat,
+        members: &mut MemberTable,
+        now: ClockTime,
+    ) -> (HeartbeatAnswer, Option<RegistrarWord>) {
+        let known = members.row(&heartbeat.daemon).map(|row| &row.facts);
+        let former = known.and_then(|known| former_boot(known, heartbeat));
+        let need_full = former.is_some() || !take_body(heartbeat, members, now);
+        let word = match former {
+            Some(_) => None,
+            None => self.register(heartbeat, now),
+        };
+        let answer = HeartbeatAnswer {
+            generation: Generation(0),
+            need_full,
+            former,
+            entries: None,
+            stop: None::<StopWord>,
+        };
+        (answer, word)
+    }
+
+    /// Looks for agents that went silent; returns changed words. To be called every second.
+    ///
+    /// `paused` tells that this entry itself stood still or was cut off: it heard nobody, which
+    /// says nothing about them.
+    pub fn check(
+        &mut self,
+        paused: bool,
+        members: &MemberTable,
+        now: ClockTime,
+    ) -> Vec<RegistrarWord> {
+        let mut words = Vec::new();
+        for (daemon, agent) in &mut self.agents {
+            if paused {
+                agent.last_heard = now;
+            }
+            if agent.heard && now.since(agent.last_heard) >= SILENT_AFTER {
+                agent.heard = false;
+                agent.flaps += 1;
+                words.push(word_on(daemon, agent));
+            }
+        }
+        self.release(members, now, &mut words);
+        words
+    }
+
+    /// Forgets agents that were silent for long, and those that others have heard while this
+    /// entry did not: they have other registrars now. Were this entry's word left at silent, two
+    /// such words would remove the agent as soon as its present registrars die.
+    fn release(&mut self, members: &MemberTable, now: ClockTime, words: &mut Vec<RegistrarWord>) {
+        self.agents.retain(|daemon, agent| {
+            let silent_for = now.since(agent.last_heard);
+            if silent_for >= RELEASE_AFTER && members.is_heard_elsewhere(daemon) {
+                words.push(RegistrarWord {
+                    hearing: Hearing::Released,
+                    ..word_on(daemon, agent)
+                });
+                return false;
+            }
+            silent_for < SILENT_KEPT
+        });
+    }
+
+    /// All words anew, for when the entry's own incarnation rose and its old ones are void.
+    #[must_use]
+    pub fn words(&self) -> Vec<RegistrarWord> {
+        let agents = self.agents.iter();
+        agents
+            .map(|(daemon, agent)| word_on(daemon, agent))
+            .collect()
+    }
+
+    /// Agents that are heard, with the generation that is in force at each.
+    pub fn heard(&self) -> impl Iterator<Item = (&EntryContact, Generation)> {
+        let agents = self.agents.values().filter(|agent| agent.heard);
+        agents.map(|agent| (&agent.contact, agent.generation))
+    }
+
+    /// An agent said which configuration it has.
+    pub fn note_generation(&mut self, daemon: &DaemonName, generation: Generation) {
+        if let Some(agent) = self.agents.get_mut(daemon) {
+            agent.generation = agent.generation.max(generation);
+        }
+    }
+
+    /// Agents that are registered and heard.
+    #[must_use]
+    pub fn heard_count(&self) -> usize {
+        self.agents.values().filter(|agent| agent.heard).count()
+    }
+
+    /// Registered agents with the generation that is in force at each.
+    pub fn generations(&self) -> impl Iterator<Item = (&DaemonName, Generation)> {
+        let agents = self.agents.iter();
+        agents.map(|(daemon, agent)| (daemon, agent.generation))
+    }
+
+    fn register(&mut self, heartbeat: &AgentHeartbeat, now: ClockTime) -> Option<RegistrarWord> {
+        let daemon = &heartbeat.daemon;
+        let Some(agent) = self.agents.get_mut(daemon) else {
+            let agent = new_registration(heartbeat, now);
+            let word = word_on(daemon, &agent);
+            self.agents.insert(daemon.clone(), agent);
+            return Some(word);
+        };
+        if now.since(agent.last_heard) >= SILENT_AFTER {
+            agent.heard_since = now;
+        }
+        let renewed = agent.incarnation != heartbeat.incarnation;
+        agent.boot = heartbeat.boot;
+        agent.incarnation = heartbeat.incarnation;
+        agent.generation = heartbeat.generation;
+        agent.contact.address = heartbeat.address;
+        agent.last_heard = now;
+        let steady = now.since(agent.heard_since);
+        if steady >= FLAPS_FORGOTTEN {
+            agent.flaps = 0;
+        }
+        // An agent that comes and goes would make every table change with it. It must be heard
+        // steadily for longer each time before the word changes back.
+        let returned = !agent.heard && steady >= agent.hold();
+        agent.heard |= returned;
+        (returned || renewed).then(|| word_on(daemon, agent))
+    }
+}
+
+fn new_registration(heartbeat: &AgentHeartbeat, now: ClockTime) -> Registration {
+    Registration {
+        boot: heartbeat.boot,
+        incarnation: heartbeat.incarnation,
+        generation: heartbeat.generation,
+        contact: EntryContact {
+            daemon: heartbeat.daemon.clone(),
+            zone: heartbeat.zone.clone(),
+            address: heartbeat.address,
+        },
+        last_heard: now,
+        heard_since: now,
+        heard: true,
+        flaps: 0,
+    }
+}
+
+fn word_on(daemon: &DaemonName, agent: &Registration) -> RegistrarWord {
+    RegistrarWord {
+        daemon: daemon.clone(),
+        about: agent.incarnation,
+        hearing: if agent.heard {
+            Hearing::Heard
+        } else {
+            Hearing::Silent
+        },
+    }
+}
+
+/// Another start of the agent that is held for the present one: the agent must take a higher
+/// incarnation. A late heartbeat of a former start gets this too, and changes nothing.
+fn former_boot(known: &MemberFacts, heartbeat: &AgentHeartbeat) -> Option<FormerBoot> {
+    let other = known.boot != heartbeat.boot && known.incarnation >= heartbeat.incarnation;
+    other.then_some(FormerBoot {
+        incarnation: known.incarnation,
+        generation: known.generation,
+    })
+}
+
+/// Takes in what the heartbeat says; false if it needs a full one for that.
+fn take_body(heartbeat: &AgentHeartbeat, members: &mut MemberTable, now: ClockTime) -> bool {
+    match &heartbeat.body {
+        HeartbeatBody::Full(status) => {
+            let row = MemberRow {
+                facts: MemberFacts {
+                    daemon: heartbeat.daemon.clone(),
+                    zone: heartbeat.zone.clone(),
+                    address: heartbeat.address,
+                    boot: heartbeat.boot,
+                    incarnation: heartbeat.incarnation,
+                    phase: heartbeat.phase,
+                    generation: heartbeat.generation,
+                    kind: MemberKind::Agent(status.clone()),
+                },
+                words: SmallVec::new(),
+            };
+            members.merge(&row, now);
+            members.note_pulse(&heartbeat.daemon, &status.pulse);
+            true
+        }
+        HeartbeatBody::Pulse {
+            ready_sequence,
+            pulse,
+        } => {
+            let known = members.row(&heartbeat.daemon).map(|row| &row.facts);
+            let order = (
+                heartbeat.incarnation,
+                heartbeat.phase,
+                *ready_sequence,
+                heartbeat.boot,
+            );
+            let same = known.is_some_and(|known| known.order() == order);
+            members.note_pulse(&heartbeat.daemon, pulse);
+            same
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/src/summary.rs
@@ -0,0 +1,292 @@
+//! What availability zones tell each other, and hashes of whole tables.
+//!
+//! A summary has one row for each model or adapter: how many endpoints have it ready, how much
+//! room they have, and a few of them with their addresses, so that an entry of another
+//! availability zone can send a request there. A row carries its age, not a number: any entry
+//! may make it, and the youngest counts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{AdapterName, EndpointName, ModelName, ZoneName};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::members::MemberTable;
+
+/// Endpoints that a row names.
+pub const SAMPLES: usize = 2;
+
+/// Parts of a table that are hashed apart.
+pub const DIGEST_PARTS: usize = 64;
+
+/// What the way from one process to another adds to a row's age, at least as long as it takes.
+pub const HOP_AGE: Duration = Duration::from_millis(250);
+
+/// A row that wasn't made anew for this long is forgotten.
+pub const ROW_KEPT: Duration = Duration::from_mins(15);
+
+/// A row is sent anew after this long even if nothing changed.
+pub const ROW_RENEWED: Duration = Duration::from_mins(5);
+
+/// What a row is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct SummaryKey {
+    /// The model.
+    pub model: ModelName,
+    /// An adapter on it; none for the model itself.
+    pub adapter: Option<AdapterName>,
+}
+
+/// One endpoint that has the model ready.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SampleEndpoint {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Where its agent listens.
+    pub address: SocketAddr,
+}
+
+/// One model in one availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelSummary {
+    /// The model.
+    pub key: SummaryKey,
+    /// Endpoints that have it ready.
+    pub ready: u32,
+    /// Attempts that these could begin at once.
+    pub spare: u32,
+    /// A few of them.
+    pub samples: SmallVec<[SampleEndpoint; SAMPLES]>,
+    /// Milliseconds since the row was made.
+    pub age_ms: u32,
+}
+
+impl ModelSummary {
+    /// Whether another row says the same, but for a small change of room.
+    fn is_like(&self, other: &Self) -> bool {
+        let class = |spare: u32| (u32::BITS - spare.leading_zeros()) / 2;
+        self.ready == other.ready
+            && class(self.spare) == class(other.spare)
+            && self.samples == other.samples
+    }
+}
+
+/// Rows of one availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneSummary {
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// Its rows; those that are missing didn't change.
+    pub models: Vec<ModelSummary>,
+}
+
+/// Works out the rows of the own group from the table. Agents of an availability zone that has
+/// no entry are registered here too, and are counted in.
+#[must_use]
+pub fn summarize(table: &MemberTable) -> IndexMap<SummaryKey, ModelSummary> {
+    let mut rows: IndexMap<SummaryKey, ModelSummary> = IndexMap::new();
+    for agent in table.usable_agents() {
+        let (Some(status), Some(pulse)) = (agent.facts.status(), agent.pulse) else {
+            continue;
+        };
+        let spare = pulse.slots.saturating_sub(pulse.running + pulse.queued);
+        for weights in &status.ready {
+            let key = SummaryKey {
+                model: weights.model.clone(),
+                adapter: weights.adapter.clone(),
+            };
+            let sample = SampleEndpoint {
+                endpoint: status.endpoint.clone(),
+                address: agent.facts.address,
+            };
+            let row = rows.entry(key).or_insert_with_key(empty_row);
+            row.ready += 1;
+            row.spare += spare;
+            if row.samples.len() < SAMPLES {
+                row.samples.push(sample);
+            }
+        }
+    }
+    rows
+}
+
+fn empty_row(key: &SummaryKey) -> ModelSummary {
+    ModelSummary {
+        key: key.clone(),
+        ready: 0,
+        spare: 0,
+        samples: SmallVec::new(),
+        age_ms: 0,
+    }
+}
+
+/// What one other availability zone was sent, to send only what changed.
+#[derive(Debug, Clone, Default)]
+pub struct SummaryCursor {
+    sent: IndexMap<SummaryKey, (ModelSummary, ClockTime)>,
+}
+
+impl SummaryCursor {
+    /// The next rows, at most `most`: first models that became reachable or unreachable, then
+    /// other changes, then rows that were not renewed for long.
+    pub fn next_rows(
+        &mut self,
+        rows: &IndexMap<SummaryKey, ModelSummary>,
+        most: usize,
+        now: ClockTime,
+    ) -> Vec<ModelSummary> {
+        let lost = self.sent.keys().filter(|key| !rows.contains_key(*key));
+        let lost: Vec<ModelSummary> = lost.map(empty_row).collect();
+        let mut due: Vec<(u8, ModelSummary)> = rows
+            .values()
+            .chain(&lost)
+            .filter_map(|row| Some((self.urgency(row, now)?, row.clone())))
+            .collect();
+        due.sort_by_key(|(urgency, _)| *urgency);
+        let next: Vec<ModelSummary> = due.into_iter().take(most).map(|row| row.1).collect();
+        for row in &next {
+            self.sent.insert(row.key.clone(), (row.clone(), now));
+        }
+        next
+    }
+
+    /// The rows did not arrive: they are to be sent again.
+    pub fn lost<'a>(&mut self, keys: impl IntoIterator<Item = &'a SummaryKey>) {
+        for key in keys {
+            if let Some((row, at)) = self.sent.get_mut(key) {
+                row.ready = u32::MAX;
+                *at = ClockTime::ZERO;
+            }
+        }
+    }
+
+    fn urgency(&self, row: &ModelSummary, now: ClockTime) -> Option<u8> {
+        match self.sent.get(&row.key) {
+            None => Some(0),
+            Some((sent, _)) if (sent.ready == 0) != (row.ready == 0) => Some(0),
+            Some((sent, _)) if sent.ready == u32::MAX => Some(1),
+            Some((sent, _)) if !sent.is_like(row) => Some(2),
+            Some((_, at)) if now.since(*at) >= ROW_RENEWED && row.ready > 0 => Some(3),
+            Some(_) => None,
+        }
+    }
+}
+
+/// What other availability zones said.
+#[derive(Debug, Clone, Default)]
+pub struct SummaryBook {
+    zones: IndexMap<ZoneName, IndexMap<SummaryKey, (ModelSummary, ClockTime)>>,
+}
+
+impl SummaryBook {
+    /// Takes rows in; returns those to pass on: younger, and another content or not renewed for
+    /// long. Each hop adds [`HOP_AGE`], so that a row never looks younger for having been passed
+    /// on: it would be passed round for ever.
+    pub fn merge(&mut self, summary: &ZoneSummary, now: ClockTime) -> Vec<ModelSummary> {
+        let rows = self.zones.entry(summary.zone.clone()).or_default();
+        let mut news = Vec::new();
+        for row in &summary.models {
+            let made = made_at(row, now);
+            let known = rows.get(&row.key);
+            if known.is_some_and(|(_, known)| *known >= made) {
+                continue;
+            }
+            let renewal = known
+                .is_some_and(|(known, at)| known.is_like(row) && made.since(*at) < ROW_RENEWED / 2);
+            rows.insert(row.key.clone(), (row.clone(), made));
+            if !renewal {
+                news.push(row.clone());
+            }
+        }
+        news
+    }
+
+    /// All availability zones that have a model ready, with their rows.
+    pub fn zones_with(&self, key: &SummaryKey) -> impl Iterator<Item = (&ZoneName, &ModelSummary)> {
+        self.zones.iter().filter_map(|(zone, rows)| {
+            let (row, _) = rows.get(key)?;
+            (row.ready > 0).then_some((zone, row))
+        })
+    }
+
+    /// All rows, with their present ages.
+    #[must_use]
+    pub fn all(&self, now: ClockTime) -> Vec<ZoneSummary> {
+        let zones = self.zones.iter();
+        zones
+            .map(|(zone, rows)| ZoneSummary {
+                zone: zone.clone(),
+                models: rows
+                    .values()
+                    .map(|(row, made)| aged(row, *made, now))
+                    .collect(),
+            })
+            .collect()
+    }
+
+    /// Forgets rows that nobody made anew for long.
+    pub fn prune(&mut self, now: ClockTime) {
+        for rows in self.zones.values_mut() {
+            rows.retain(|_, (_, made)| now.since(*made) < ROW_KEPT);
+        }
+    }
+}
+
+/// When a row that has just come was made.
+pub(crate) fn made_at(row: &ModelSummary, now: ClockTime) -> ClockTime {
+    now - Duration::from_millis(row.age_ms.into()) - HOP_AGE
+}
+
+/// The row with its age at `now`.
+pub(crate) fn aged(row: &ModelSummary, made: ClockTime, now: ClockTime) -> ModelSummary {
+    let age = now.since(made).as_millis();
+    ModelSummary {
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        ..row.clone()
+    }
+}
+
+/// Hashes of a table, part by part, to find what differs between two tables.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableDigest {
+    /// One hash for each part.
+    pub parts: Vec<u32>,
+}
+
+impl Default for TableDigest {
+    fn default() -> Self {
+        Self {
+            parts: vec![0; DIGEST_PARTS],
+        }
+    }
+}
+
+impl TableDigest {
+    /// The part that a name belongs to.
+    #[must_use]
+    pub fn part_of(name: &str) -> usize {
+        let parts = DIGEST_PARTS as u64;
+        usize::try_from(xxh3_64(name.as_bytes()) % parts).unwrap_or(0)
+    }
+
+    /// Adds a row's hash to its part, in any order.
+    pub fn add(&mut self, name: &str, hash: u64) {
+        let [low @ .., _, _, _, _] = hash.to_le_bytes();
+        self.parts[Self::part_of(name)] ^= u32::from_le_bytes(low);
+    }
+
+    /// The first `most` parts that differ.
+    #[must_use]
+    pub fn differing(&self, other: &Self, most: usize) -> IndexSet<usize> {
+        let pairs = self.parts.iter().zip(&other.parts).enumerate();
+        pairs
+            .filter(|(_, (left, right))| left != right)
+            .map(|(part, _)| part)
+            .take(most)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/tests/testsuite/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the decisions about configuration, membership and leases.
+
+mod budget;
+mod bytes;
+mod faults;
+mod generation;
+mod lease;
+mod members;
+mod registrar;
+mod rendezvous;
+mod spread;
+mod stops;
+mod summary;
+mod support;
--- /dev/null
+++ b/crates/oatpier-membership/tests/testsuite/members.rs
@@ -0,0 +1,183 @@
+//! The table by itself.
+
+use oatpier_membership::members::{
+    Hearing, MemberFacts, MemberKind, MemberPhase, MemberRow, MemberState, MemberTable,
+    TableLimits, VmHint, WitnessWord,
+};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{BootId, Generation};
+use proptest::prelude::*;
+use smallvec::SmallVec;
+
+use crate::support::{contact, daemon, pulse, status, zone};
+
+fn row(name: &str, incarnation: u64, words: &[(&str, u64, bool)]) -> MemberRow {
+    let boot = BootId(1);
+    let kind = if name.starts_with("entry") {
+        MemberKind::Entry
+    } else {
+        MemberKind::Agent(Box::new(status(name, "zone-0", boot, &["model"])))
+    };
+    let words = words.iter().map(|(witness, count, heard)| WitnessWord {
+        witness: daemon(witness),
+        about: incarnation,
+        order: (0, *count),
+        hearing: if *heard {
+            Hearing::Heard
+        } else {
+            Hearing::Silent
+        },
+    });
+    MemberRow {
+        facts: MemberFacts {
+            daemon: daemon(name),
+            zone: zone("zone-0"),
+            address: contact(name, "zone-0", 1).address,
+            boot,
+            incarnation,
+            phase: MemberPhase::Serving,
+            generation: Generation(1),
+            kind,
+        },
+        words: words.collect::<SmallVec<_>>(),
+    }
+}
+
+fn table_with(rows: &[MemberRow]) -> MemberTable {
+    let mut table = MemberTable::new(daemon("entry-0"), TableLimits::default());
+    for row in rows {
+        table.merge(row, ClockTime::ZERO);
+    }
+    table.refresh(ClockTime::ZERO);
+    table
+}
+
+fn entries() -> Vec<MemberRow> {
+    (0..4)
+        .map(|index| row(&format!("entry-{index}"), 0, &[]))
+        .collect()
+}
+
+fn state_with(words: &[(&str, u64, bool)]) -> Option<MemberState> {
+    let mut rows = entries();
+    rows.push(row("agent-1", 0, &[]));
+    let mut table = table_with(&rows);
+    table.merge(&row("agent-1", 0, words), ClockTime::ZERO);
+    table.refresh(ClockTime::ZERO);
+    table.get(&daemon("agent-1")).map(|view| view.state)
+}
+
+#[test]
+fn it_takes_two_words_to_remove_and_one_to_keep() {
+    assert_eq!(
+        state_with(&[("entry-1", 1, false)]),
+        Some(MemberState::Suspect)
+    );
+    let two = [("entry-1", 1, false), ("entry-2", 1, false)];
+    assert_eq!(state_with(&two), Some(MemberState::Gone));
+    let one_hears = [
+        ("entry-1", 1, false),
+        ("entry-2", 1, false),
+        ("entry-3", 1, true),
+    ];
+    assert_eq!(state_with(&one_hears), Some(MemberState::Alive));
+}
+
+/// A registrar that is itself gone said, before it went, that it hears the agent.
+/// Its word stands in every table; it must not keep an agent that two others miss.
+#[test]
+fn a_dead_witness_does_not_count() {
+    let mut rows = entries();
+    rows.push(row(
+        "entry-3",
+        0,
+        &[("entry-1", 1, false), ("entry-2", 1, false)],
+    ));
+    let words = [
+        ("entry-1", 1, false),
+        ("entry-2", 1, false),
+        ("entry-3", 1, true),
+    ];
+    rows.push(row("agent-1", 0, &words));
+    let table = table_with(&rows);
+    let state = |name: &str| table.get(&daemon(name)).map(|view| view.state);
+    assert_eq!(state("entry-3"), Some(MemberState::Gone));
+    assert_eq!(state("agent-1"), Some(MemberState::Gone));
+}
+
+#[test]
+fn the_list_of_vms_is_only_a_hint() {
+    let mut table = table_with(&[row("entry-1", 0, &[])]);
+    let hint = |name: &str, leaving| VmHint {
+        contact: contact(name, "zone-0", 9),
+        entry: true,
+        leaving,
+    };
+    table.note_hints([hint("entry-1", true), hint("entry-9", false)]);
+    table.refresh(ClockTime::ZERO);
+    let known = table.get(&daemon("entry-1")).expect("a row");
+    assert!(known.hinted_leaving && known.state == MemberState::Alive);
+    let hinted: Vec<_> = table.hinted_entries().collect();
+    assert_eq!(hinted, [&contact("entry-9", "zone-0", 9)]);
+}
+
+#[test]
+fn deltas_reach_back_as_far_as_the_log() {
+    let limits = TableLimits {
+        kept_changes: 2,
+        ..TableLimits::default()
+    };
+    let mut table = MemberTable::new(daemon("entry-0"), limits);
+    for index in 0..3 {
+        table.merge(&row(&format!("agent-{index}"), 0, &[]), ClockTime::ZERO);
+    }
+    assert_eq!(table.deltas_since(0), None);
+    let deltas = table.deltas_since(1).expect("within the log");
+    assert_eq!((deltas.mark, deltas.rows.len()), (3, 2));
+    let mut late = pulse(BootId(1), 1);
+    late.queued = 9;
+    table.note_pulse(&daemon("agent-1"), &late);
+    assert_eq!(
+        table
+            .get(&daemon("agent-1"))
+            .and_then(|view| view.pulse)
+            .map(|pulse| pulse.queued),
+        Some(0)
+    );
+}
+
+proptest! {
+    /// Tables that get the same rows, in any order and any number of times, are alike.
+    #[test]
+    fn tables_converge(
+        news in prop::collection::vec((0_u64..3, 0_usize..4, 1_u64..6, any::<bool>()), 1..20),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 60),
+    ) {
+        let rows: Vec<MemberRow> = news
+            .iter()
+            .map(|(incarnation, witness, count, _)| {
+                // A witness says one thing at one count.
+                let heard = (count + incarnation) % 2 == 0;
+                row("agent-1", *incarnation, &[(&format!("entry-{witness}"), *count, heard)])
+            })
+            .map(|mut row| {
+                for word in &mut row.words {
+                    word.order.1 += 10 * word.about;
+                }
+                row
+            })
+            .collect();
+        let mut first = row("agent-1", 0, &[]);
+        let mut second = first.clone();
+        for row in &rows {
+            first.merge(row);
+        }
+        for index in order {
+            second.merge(&rows[index.index(rows.len())]);
+        }
+        for row in rows.iter().rev() {
+            second.merge(row);
+        }
+        prop_assert_eq!(first.digest(), second.digest());
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/tests/testsuite/registrar.rs
@@ -0,0 +1,241 @@
+//! Registrars that die, links that are cut in one direction, agents that come and go.
+
+use oatpier_membership::agent::AgentEvent;
+use oatpier_membership::entry::EntryEvent;
+use oatpier_membership::members::{
+    LostRegistrar, MemberPhase, MemberState, PathEvidence, TableLimits,
+};
+
+use crate::support::fleet::{Fleet, Shape};
+use crate::support::network::{OneWayCut, Side};
+use crate::support::seconds;
+
+fn agents(fleet: &Fleet) -> std::ops::Range<usize> {
+    fleet.entries..fleet.processes.len()
+}
+
+fn states_are(fleet: &Fleet, agent: usize, wanted: MemberState) -> bool {
+    let zone = &fleet.processes[agent].contact.zone;
+    let entries = (0..fleet.entries).filter(|index| fleet.is_up(*index));
+    entries
+        .filter(|index| fleet.processes[*index].contact.zone == *zone)
+        .all(|index| fleet.state(index, agent) == Some(wanted))
+}
+
+fn settled(limits: TableLimits) -> Fleet {
+    let mut fleet = Fleet::new(
+        Shape {
+            limits,
+            ..Shape::zoned()
+        },
+        3,
+    );
+    fleet.accept(1, "first");
+    fleet.run_for(seconds(20));
+    assert!(agents(&fleet).all(|agent| states_are(&fleet, agent, MemberState::Alive)));
+    fleet
+}
+
+/// How often any entry saw an agent gone since `from`.
+fn agents_gone(fleet: &Fleet, from: oatpier_types::clock::ClockTime) -> usize {
+    let entries = &fleet.processes[..fleet.entries];
+    let changes = entries.iter().flat_map(|entry| &entry.changes);
+    changes
+        .filter(|(at, change)| {
+            *at > from
+                && change.state == MemberState::Gone
+                && fleet.index(&change.daemon) >= fleet.entries
+        })
+        .count()
+}
+
+/// An entry dies, and with it the rows of the agents that were registered with it.
+/// The agents serve on; only the directory entry is lost. They register with the next in rank,
+/// and no entry counts one of them out meanwhile. With their rows dropped, endpoints that are
+/// well would get no work until they had registered anew.
+#[test]
+fn nothing_is_torn_down_when_a_registrar_dies() {
+    for (policy, torn_down) in [(LostRegistrar::Keep, false), (LostRegistrar::Drop, true)] {
+        let limits = TableLimits {
+            lost_registrar: policy,
+            ..TableLimits::default()
+        };
+        let mut fleet = settled(limits);
+        let died = fleet.now;
+        fleet.kill(0);
+        fleet.run_for(seconds(60));
+        assert_eq!(agents_gone(&fleet, died) > 0, torn_down, "{policy:?}");
+        assert!(agents(&fleet).all(|agent| states_are(&fleet, agent, MemberState::Alive)));
+        for agent in agents(&fleet) {
+            let registrars = fleet.agent(agent).heartbeats().registrars();
+            assert!(
+                registrars
+                    .map(|contact| fleet.index(&contact.daemon))
+                    .all(|index| index != 0)
+            );
+        }
+    }
+}
+
+/// Both registrars of an agent die at the same moment. Nobody speaks for it until it has found
+/// two others, and it serves all the while.
+#[test]
+fn an_agent_outlives_both_its_registrars() {
+    let mut fleet = settled(TableLimits::default());
+    let agent = fleet.entries;
+    let both = fleet.agent(agent).heartbeats().registrars();
+    let both: Vec<usize> = both.map(|contact| fleet.index(&contact.daemon)).collect();
+    assert_eq!(both.len(), 2);
+    let died = fleet.now;
+    for index in both {
+        fleet.kill(index);
+    }
+    fleet.run_for(seconds(60));
+    assert_eq!(agents_gone(&fleet, died), 0);
+    assert!(states_are(&fleet, agent, MemberState::Alive));
+}
+
+#[test]
+fn an_agent_that_dies_is_gone_everywhere_and_back_after_its_start() {
+    let mut fleet = settled(TableLimits::default());
+    let agent = fleet.entries + 1;
+    fleet.kill(agent);
+    let took = fleet.run_until(seconds(15), |fleet| {
+        states_are(fleet, agent, MemberState::Gone)
+    });
+    assert!(took.is_some());
+    fleet.start(agent);
+    let took = fleet.run_until(seconds(15), |fleet| {
+        states_are(fleet, agent, MemberState::Alive)
+    });
+    assert!(took.is_some());
+}
+
+/// An agent's messages to one registrar are lost, those to the other arrive.
+/// The first says that it is silent. Taken by itself, that word would remove an endpoint that
+/// every caller reaches; the second registrar's word keeps it.
+#[test]
+fn one_registrar_that_hears_nothing_removes_nobody() {
+    let mut fleet = settled(TableLimits::default());
+    let cut_at = fleet.now;
+    let registrar = fleet.contact(0).daemon;
+    fleet.network.cuts.push(OneWayCut {
+        from: Side::Anyone,
+        to: Side::Process(registrar),
+    });
+    fleet.run_for(seconds(120));
+    let others = 1..fleet.entries;
+    let gone = others.flat_map(|index| &fleet.processes[index].changes);
+    let gone = gone.filter(|(at, change)| {
+        *at > cut_at
+            && change.state == MemberState::Gone
+            && fleet.index(&change.daemon) >= fleet.entries
+    });
+    assert_eq!(gone.count(), 0);
+}
+
+/// An entry sends but hears nothing, for ten minutes. Its peers count it out, it answers each
+/// time that it is there, and every table would change every few seconds. It answers more and
+/// more slowly.
+#[test]
+fn an_entry_that_is_cut_in_one_direction_does_not_flap() {
+    let mut fleet = settled(TableLimits::default());
+    let cut_at = fleet.now;
+    let deaf = fleet.contact(0).daemon;
+    fleet.network.cuts.push(OneWayCut {
+        from: Side::Anyone,
+        to: Side::Process(deaf.clone()),
+    });
+    fleet.run_for(seconds(600));
+    let changes = fleet.processes[2].changes.iter();
+    let changes = changes.filter(|(at, change)| *at > cut_at && change.daemon == deaf);
+    let count = changes.count();
+    assert!(count <= 60, "{count} changes in ten minutes");
+}
+
+/// An agent's VM stands still for ten seconds out of every fifteen.
+/// Each time its registrars miss it, and each time it comes back. Every entry would move work to
+/// it and away again. It must be heard steadily for longer and longer before it counts again.
+#[test]
+fn an_agent_that_comes_and_goes_does_not_flap() {
+    let mut fleet = settled(TableLimits::default());
+    let start = fleet.now;
+    let agent = fleet.entries + 2;
+    for _ in 0..20 {
+        fleet.pause(agent, seconds(10));
+        fleet.run_for(seconds(15));
+    }
+    let daemon = fleet.contact(agent).daemon;
+    let changes = fleet.processes[2].changes.iter();
+    let gone = changes.filter(|(at, change)| {
+        *at > start && change.daemon == daemon && change.state == MemberState::Gone
+    });
+    let count = gone.count();
+    assert!(count <= 3, "gone {count} times in 20 pauses");
+    fleet.run_for(seconds(90));
+    assert!(states_are(&fleet, agent, MemberState::Alive));
+}
+
+/// An endpoint is about to stop. Its agent tells both registrars at once, and no entry may send
+/// it new work a few seconds later, with a fifth of the messages lost on the way.
+#[test]
+fn a_leaving_agent_is_known_within_seconds() {
+    let mut fleet = settled(TableLimits::default());
+    fleet.network.loss = 0.1;
+    let agent = fleet.entries + 3;
+    fleet.agent_event(agent, AgentEvent::Phase(MemberPhase::Leaving));
+    let took = fleet.run_until(seconds(5), |fleet| {
+        states_are(fleet, agent, MemberState::Leaving)
+    });
+    assert!(took.is_some());
+    fleet.agent_event(agent, AgentEvent::Phase(MemberPhase::Left));
+    let took = fleet.run_until(seconds(5), |fleet| {
+        states_are(fleet, agent, MemberState::Gone)
+    });
+    assert!(took.is_some());
+}
+
+/// Evidence of the data path goes before every word: an entry whose own attempts fail doubts the
+/// agent at once, and one whose attempts are answered uses it whatever the registrars say.
+#[test]
+fn own_evidence_goes_before_words() {
+    let mut fleet = settled(TableLimits::default());
+    let agent = fleet.entries;
+    let daemon = fleet.contact(agent).daemon;
+    let note = |evidence| EntryEvent::Path {
+        daemon: daemon.clone(),
+        evidence,
+    };
+    fleet.entry_event(0, note(PathEvidence::Failed));
+    assert_eq!(fleet.state(0, agent), Some(MemberState::Suspect));
+    assert_eq!(fleet.state(2, agent), Some(MemberState::Alive));
+    fleet.kill(agent);
+    fleet.run_for(seconds(30));
+    assert_eq!(fleet.state(0, agent), Some(MemberState::Gone));
+    fleet.entry_event(0, note(PathEvidence::Answered));
+    assert_eq!(fleet.state(0, agent), Some(MemberState::Alive));
+}
+
+/// An agent restarts; a heartbeat of its former start was still on its way and comes last.
+/// Taken for news it would bring back weights that are no longer loaded.
+#[test]
+fn a_restarted_agent_takes_the_place_of_its_former_start() {
+    let mut fleet = settled(TableLimits::default());
+    let agent = fleet.entries;
+    fleet.kill(agent);
+    fleet.start(agent);
+    fleet.run_for(seconds(5));
+    assert!(fleet.agent(agent).heartbeats().incarnation() > 0);
+    let daemon = fleet.contact(agent).daemon;
+    let boot = |fleet: &Fleet, entry: usize| {
+        let view = fleet.entry(entry).table().get(&daemon).expect("a row");
+        view.facts.boot
+    };
+    let zone = fleet.contact(agent).zone;
+    let near: Vec<usize> = (0..fleet.entries)
+        .filter(|index| fleet.contact(*index).zone == zone)
+        .collect();
+    let boots: Vec<_> = near.iter().map(|index| boot(&fleet, *index)).collect();
+    assert!(boots.iter().all(|other| *other == boots[0]));
+    assert!(states_are(&fleet, agent, MemberState::Alive));
+}
--- /dev/null
+++ b/crates/oatpier-membership/tests/testsuite/spread.rs
@@ -0,0 +1,164 @@
+//! How a configuration gets everywhere, through losses, cuts and outages.
+
+use oatpier_types::ids::Generation;
+
+use crate::support::fleet::{Fleet, Shape};
+use crate::support::{millis, seconds};
+
+fn all_at(fleet: &Fleet, generation: Generation) -> bool {
+    let live = 0..fleet.processes.len();
+    live.filter(|index| fleet.is_up(*index))
+        .all(|index| fleet.generation(index) == Some(generation))
+}
+
+fn settled(shape: Shape, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(shape, seed);
+    fleet.accept(1, "first");
+    fleet.run_for(seconds(15));
+    assert!(all_at(&fleet, Generation(1)));
+    fleet
+}
+
+fn watchers(fleet: &Fleet) -> Vec<usize> {
+    let entries = 0..fleet.entries;
+    entries
+        .filter(|index| fleet.is_up(*index) && fleet.entry(*index).is_watcher())
+        .collect()
+}
+
+#[test]
+fn a_change_is_everywhere_at_once() {
+    for (shape, seed) in [(Shape::small(), 1), (Shape::zoned(), 2)] {
+        let mut fleet = settled(shape, seed);
+        let generation = fleet.accept(2, "second");
+        let took = fleet.run_until(seconds(5), |fleet| all_at(fleet, generation));
+        assert!(took.is_some_and(|took| took < millis(500)), "took {took:?}");
+    }
+}
+
+/// A tenth of all messages is lost, pushes and answers alike.
+/// Those whose push was lost learn from a second pusher, a retry, or the generation that rides on
+/// the next heartbeat or gossip. The operator still sees the change everywhere within seconds.
+#[test]
+fn a_change_is_everywhere_with_a_tenth_of_messages_lost() {
+    for seed in 0..4 {
+        let mut fleet = settled(Shape::zoned(), seed);
+        fleet.network.loss = 0.1;
+        for change in 0..5 {
+            let generation = fleet.accept(change, "under loss");
+            let took = fleet.run_until(seconds(5), |fleet| all_at(fleet, generation));
+            assert!(took.is_some(), "seed {seed} change {change}");
+        }
+    }
+}
+
+/// Every watcher of an availability zone dies at the same moment.
+/// Until the others notice, nobody there watches the store; a change is accepted meanwhile.
+/// Other entries are chosen as the dead ones are missed, and they read before they watch.
+#[test]
+fn watchers_that_die_are_replaced() {
+    let mut fleet = settled(Shape::zoned(), 5);
+    let zone = fleet.zones[0].clone();
+    let dead: Vec<usize> = watchers(&fleet)
+        .into_iter()
+        .filter(|index| fleet.processes[*index].contact.zone == zone)
+        .collect();
+    assert_eq!(dead.len(), 3);
+    for index in dead {
+        fleet.kill(index);
+    }
+    let generation = fleet.accept(2, "second");
+    let took = fleet.run_until(seconds(5), |fleet| all_at(fleet, generation));
+    assert!(took.is_some());
+    fleet.run_for(seconds(20));
+    let near = watchers(&fleet).into_iter();
+    let near = near.filter(|index| fleet.processes[*index].contact.zone == zone);
+    assert_eq!(near.count(), 2, "both entries that are left watch");
+}
+
+/// The connections of all watches break without a word: nobody would ever hear of a change.
+/// Each watcher gives its watch up a little after its time and reads.
+#[test]
+fn watches_that_hang_are_given_up() {
+    let mut fleet = settled(Shape::small(), 6);
+    fleet.store.watches_hang = true;
+    let generation = fleet.accept(2, "second");
+    let took = fleet.run_until(seconds(40), |fleet| all_at(fleet, generation));
+    assert!(took.is_some());
+}
+
+/// The store is down for twelve minutes. Half of all processes restart meanwhile and keep nothing.
+/// They must come up from their peers with what was in force, and nothing may go back. When the
+/// store returns, only the watchers call it, and the next change gets everywhere.
+#[test]
+fn processes_that_start_in_an_outage_learn_from_peers() {
+    let mut fleet = settled(Shape::zoned(), 7);
+    let generation = fleet.accept(2, "second");
+    fleet.run_for(seconds(5));
+    fleet.store_down();
+    fleet.run_for(seconds(60));
+    for index in (0..fleet.processes.len()).step_by(2) {
+        fleet.kill(index);
+        fleet.start(index);
+    }
+    let took = fleet.run_until(seconds(10), |fleet| all_at(fleet, generation));
+    assert!(took.is_some(), "all came up again");
+    fleet.run_for(seconds(60));
+    let before = fleet.store.calls;
+    fleet.run_for(seconds(600));
+    let calls = fleet.store.calls - before;
+    assert!(calls < 600 * 8, "{calls} calls in the outage");
+    fleet.store_up();
+    let before = fleet.store.calls;
+    let generation = fleet.accept(3, "after the outage");
+    let took = fleet.run_until(seconds(5), |fleet| all_at(fleet, generation));
+    assert!(took.is_some());
+    assert!(fleet.store.calls - before <= 30, "no stampede");
+}
+
+/// An entry restarts while the store is down. Half of its peers are a generation behind, as a cut
+/// kept them from the last change. If the first to answer is one of them, callers would see the
+/// change undone. Peers remember what the former start had, and that is a floor.
+#[test]
+fn a_restarted_entry_does_not_go_back() {
+    for seed in 0..6 {
+        let mut fleet = settled(Shape::small(), seed);
+        let zone = fleet.zones[1].clone();
+        fleet.network.cut_zone(&zone);
+        let generation = fleet.accept(2, "second");
+        fleet.run_for(seconds(12));
+        fleet.store_down();
+        let restarted = 0;
+        assert_eq!(fleet.generation(restarted), Some(generation));
+        fleet.kill(restarted);
+        fleet.start(restarted);
+        fleet.network.cuts.clear();
+        fleet.run_for(seconds(20));
+        let log = &fleet.processes[restarted].in_force;
+        assert!(log.is_sorted_by_key(|row| row.1), "seed {seed}: {log:?}");
+        assert!(all_at(&fleet, generation));
+    }
+}
+
+/// An availability zone is cut off from everything for a minute, the store included.
+/// Changes are accepted meanwhile. It keeps what it had, and after the cut it catches up.
+#[test]
+fn a_zone_that_was_cut_off_catches_up() {
+    for shape in [Shape::small(), Shape::zoned()] {
+        let mut fleet = settled(shape, 8);
+        let zone = fleet.zones[1].clone();
+        fleet.network.cut_zone(&zone);
+        fleet.run_for(seconds(30));
+        fleet.accept(2, "second");
+        let generation = fleet.accept(3, "third");
+        fleet.run_for(seconds(30));
+        for index in 0..fleet.processes.len() {
+            let inside = fleet.processes[index].contact.zone == zone;
+            let wanted = if inside { Generation(1) } else { generation };
+            assert_eq!(fleet.generation(index), Some(wanted));
+        }
+        fleet.network.cuts.clear();
+        let took = fleet.run_until(seconds(5), |fleet| all_at(fleet, generation));
+        assert!(took.is_some());
+    }
+}
--- /dev/null
+++ b/crates/oatpier-membership/tests/testsuite/stops.rs
@@ -0,0 +1,83 @@
+//! Planned stops.
+
+use oatpier_membership::messages::NamedStop;
+use oatpier_membership::stops::{
+    StopAction, StopBoard, StopEvent, StopKeeper, StopPhase, StopWord,
+};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::Revision;
+
+use crate::support::{daemon, seconds};
+
+fn word(revision: u64, withdrawn: bool) -> StopWord {
+    StopWord {
+        revision: Revision(revision),
+        withdrawn,
+    }
+}
+
+#[test]
+fn an_entry_announces_then_drains_then_ends() {
+    let mut keeper = StopKeeper::new(seconds(4));
+    let start = ClockTime::from_millis(10);
+    let told = keeper.handle(StopEvent::Told(word(1, false)), start);
+    assert_eq!(told, [StopAction::Announce]);
+    assert_eq!(keeper.next_wake(), start + seconds(4));
+    let later = start + seconds(4);
+    assert_eq!(
+        keeper.handle(StopEvent::Tick, later),
+        [StopAction::RefuseNew]
+    );
+    assert!(
+        keeper
+            .handle(StopEvent::Work { in_flight: 2 }, later)
+            .is_empty()
+    );
+    let ended = keeper.handle(StopEvent::Work { in_flight: 0 }, later + seconds(60));
+    assert_eq!(ended, [StopAction::End]);
+    assert_eq!(keeper.phase(), StopPhase::Drained);
+}
+
+/// Nothing was in flight when the process last counted; a request was admitted after that and
+/// before the refusal began. Ending on the old count would cut it off.
+#[test]
+fn a_count_from_before_the_refusal_ends_nothing() {
+    let mut keeper = StopKeeper::new(seconds(0));
+    keeper.handle(StopEvent::Work { in_flight: 0 }, ClockTime::ZERO);
+    let told = keeper.handle(StopEvent::Signalled, ClockTime::ZERO);
+    assert_eq!(told, [StopAction::Announce, StopAction::RefuseNew]);
+    let counted = keeper.handle(StopEvent::Work { in_flight: 1 }, ClockTime::ZERO);
+    assert!(counted.is_empty());
+}
+
+#[test]
+fn a_withdrawn_stop_is_served_again_and_an_old_word_does_not_return() {
+    let mut keeper = StopKeeper::new(seconds(4));
+    keeper.handle(StopEvent::Told(word(1, false)), ClockTime::ZERO);
+    let told = keeper.handle(StopEvent::Told(word(2, true)), ClockTime::ZERO);
+    assert_eq!(told, [StopAction::ServeAgain]);
+    assert!(
+        keeper
+            .handle(StopEvent::Told(word(1, false)), ClockTime::ZERO)
+            .is_empty()
+    );
+}
+
+/// A watcher was away while a stop was withdrawn: the key is missing from the list that it reads.
+/// Without a trace of it, its peers would bring the stop back by gossip for ever.
+#[test]
+fn what_the_list_lacks_was_withdrawn() {
+    let named = |name, revision, withdrawn| NamedStop {
+        daemon: daemon(name),
+        word: word(revision, withdrawn),
+    };
+    let mut board = StopBoard::default();
+    assert!(board.merge(&named("agent-1", 3, false)));
+    let news = board.replace(&[named("agent-2", 7, false)]);
+    assert_eq!(
+        news,
+        [named("agent-1", 3, true), named("agent-2", 7, false)]
+    );
+    assert!(!board.merge(&named("agent-1", 3, false)));
+    assert_eq!(board.asked().collect::<Vec<_>>(), [&daemon("agent-2")]);
+}
--- /dev/null
+++ b/crates/oatpier-placement/src/demand.rs
@@ -0,0 +1,227 @@
+//! Rates of demand for each model and adapter, at an entry and over all entries.
+//!
+//! Two exponential windows: the short one follows a burst within seconds, the long one tells
+//! what is usual. A peak of the short one is remembered for some minutes, so that the pause
+//! between two bursts does not empty the replicas that the next one needs.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{AdapterName, DaemonName, ModelName};
+use serde::{Deserialize, Serialize};
+
+/// The short window.
+const SHORT_WINDOW: Duration = Duration::from_secs(15);
+/// The long window.
+const LONG_WINDOW: Duration = Duration::from_mins(5);
+/// How long a peak is remembered.
+const PEAK_WINDOW: Duration = Duration::from_mins(10);
+/// The share of a remembered peak that is planned for.
+const PEAK_SHARE: f64 = 0.7;
+/// An entry's summary that is older than this no longer counts: the entry is gone.
+const SUMMARY_AGE: Duration = Duration::from_mins(1);
+/// Rows with a lower rate, in requests a second, are left out of a summary.
+const LEAST_RATE: f64 = 1e-4;
+
+/// What is asked for: a base model, or an adapter on one.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct DemandKey {
+    /// The base model.
+    pub model: ModelName,
+    /// The adapter; none for the base model itself.
+    pub adapter: Option<AdapterName>,
+}
+
+/// A rate of demand.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct DemandRate {
+    /// Requests a second.
+    pub requests: f64,
+    /// Prompt tokens a second.
+    pub prompt_tokens: f64,
+    /// Generated tokens a second.
+    pub output_tokens: f64,
+}
+
+impl DemandRate {
+    fn scaled(self, factor: f64) -> Self {
+        Self {
+            requests: self.requests * factor,
+            prompt_tokens: self.prompt_tokens * factor,
+            output_tokens: self.output_tokens * factor,
+        }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            prompt_tokens: self.prompt_tokens + other.prompt_tokens,
+            output_tokens: self.output_tokens + other.output_tokens,
+        }
+    }
+
+    fn at_least(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.max(other.requests),
+            prompt_tokens: self.prompt_tokens.max(other.prompt_tokens),
+            output_tokens: self.output_tokens.max(other.output_tokens),
+        }
+    }
+}
+
+/// One row of a summary.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DemandRow {
+    /// What is asked for.
+    pub key: DemandKey,
+    /// The rate to plan for.
+    pub rate: DemandRate,
+}
+
+/// Demand as one entry tells it, or of the whole fleet; sorted by key.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct DemandSummary {
+    /// One row for each key with demand.
+    pub rows: Vec<DemandRow>,
+}
+
+impl DemandSummary {
+    /// The rate for a key; zero if there is no row.
+    #[must_use]
+    pub fn rate_of(&self, key: &DemandKey) -> DemandRate {
+        self.rows
+            .binary_search_by(|row| row.key.cmp(key))
+            .map(|index| self.rows[index].rate)
+            .unwrap_or_default()
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct RateWindows {
+    short: DemandRate,
+    long: DemandRate,
+    peak: DemandRate,
+    at: ClockTime,
+}
+
+impl RateWindows {
+    fn advance(&mut self, now: ClockTime) {
+        let span = now.since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.short = self
+            .short
+            .scaled((-span / SHORT_WINDOW.as_secs_f64()).exp());
+        self.long = self.long.scaled((-span / LONG_WINDOW.as_secs_f64()).exp());
+        self.peak = self.peak.scaled((-span / PEAK_WINDOW.as_secs_f64()).exp());
+    }
+
+    fn add(&mut self, amount: DemandRate) {
+        let short = amount.scaled(1.0 / SHORT_WINDOW.as_secs_f64());
+        let long = amount.scaled(1.0 / LONG_WINDOW.as_secs_f64());
+        self.short = self.short.plus(short);
+        self.long = self.long.plus(long);
+        self.peak = self.peak.at_least(self.short);
+    }
+
+    fn planned(&self) -> DemandRate {
+        self.long
+            .at_least(self.short)
+            .at_least(self.peak.scaled(PEAK_SHARE))
+    }
+}
+
+/// Counts the demand that one entry sees.
+#[derive(Debug, Clone, Default)]
+pub struct DemandLedger {
+    windows: IndexMap<DemandKey, RateWindows>,
+}
+
+impl DemandLedger {
+    /// A ledger without demand.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts one request with its tokens.
+    pub fn record(&mut self, key: &DemandKey, prompt: u32, output: u32, now: ClockTime) {
+        let amount = DemandRate {
+            requests: 1.0,
+            prompt_tokens: f64::from(prompt),
+            output_tokens: f64::from(output),
+        };
+        if !self.windows.contains_key(key) {
+            let fresh = RateWindows {
+                at: now,
+                ..RateWindows::default()
+            };
+            self.windows.insert(key.clone(), fresh);
+        }
+        if let Some(windows) = self.windows.get_mut(key) {
+            windows.advance(now);
+            windows.add(amount);
+        }
+    }
+
+    /// The rates to plan for. Forgets keys without demand.
+    #[must_use]
+    pub fn summary(&mut self, now: ClockTime) -> DemandSummary {
+        for windows in self.windows.values_mut() {
+            windows.advance(now);
+        }
+        self.windows
+            .retain(|_, windows| windows.planned().requests >= LEAST_RATE);
+        let mut rows: Vec<DemandRow> = self
+            .windows
+            .iter()
+            .map(|(key, windows)| DemandRow {
+                key: key.clone(),
+                rate: windows.planned(),
+            })
+            .collect();
+        rows.sort_by(|left, right| left.key.cmp(&right.key));
+        DemandSummary { rows }
+    }
+}
+
+/// Adds up the summaries of all entries, at the planner.
+#[derive(Debug, Clone, Default)]
+pub struct DemandBook {
+    entries: IndexMap<DaemonName, (DemandSummary, ClockTime)>,
+}
+
+impl DemandBook {
+    /// A book without entries.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an entry's last summary.
+    pub fn absorb(&mut self, entry: DaemonName, summary: DemandSummary, now: ClockTime) {
+        self.entries.insert(entry, (summary, now));
+    }
+
+    /// The demand of the whole fleet.
+    #[must_use]
+    pub fn total(&mut self, now: ClockTime) -> DemandSummary {
+        self.entries
+            .retain(|_, (_, heard)| now.since(*heard) < SUMMARY_AGE);
+        let mut sums: IndexMap<DemandKey, DemandRate> = IndexMap::new();
+        // In the order of the entries' names: sums of floats depend on their order.
+        self.entries.sort_keys();
+        for (summary, _) in self.entries.values() {
+            for row in &summary.rows {
+                let sum = sums.entry(row.key.clone()).or_default();
+                *sum = sum.plus(row.rate);
+            }
+        }
+        sums.sort_keys();
+        let rows = sums
+            .into_iter()
+            .map(|(key, rate)| DemandRow { key, rate })
+            .collect();
+        DemandSummary { rows }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-placement/src/orders/keeper.rs
@@ -0,0 +1,378 @@
+//! The keeper: what may begin, what is sent, what is charged.
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::engine::{EngineOrder, EngineRole, OrderAction, WeightsKey, WeightsState};
+use oatpier_types::ids::{BootId, Epoch, OrderNumber};
+use smallvec::SmallVec;
+
+use super::track::{OrderSubject, OrderTrack, TrackPhase};
+use super::{BeginError, OrderCommand, OrderEvent, OrderSettings, PollTicket, ProofMark};
+use crate::ledger::MemoryLedger;
+use crate::record::{EpochState, OrderIntent, RecordAnswer, RecordKeeper};
+
+/// Gives orders to one engine. See the module's page.
+#[derive(Debug, Clone)]
+pub struct OrderKeeper {
+    pub(super) settings: OrderSettings,
+    pub(super) record: RecordKeeper,
+    pub(super) ledger: MemoryLedger,
+    pub(super) sequence: u64,
+    pub(super) fenced: bool,
+    pub(super) ready_after: Option<PollTicket>,
+    pub(super) tracks: IndexMap<OrderSubject, OrderTrack>,
+    pub(super) in_flight: Option<(OrderNumber, OrderSubject)>,
+    pub(super) refused: Vec<(OrderSubject, ClockTime)>,
+    pub(super) late_loads: Vec<(OrderIntent, ClockTime)>,
+    pub(super) late_unloads: Vec<(OrderIntent, ClockTime)>,
+    pub(super) role: Option<EngineRole>,
+    pub(super) polls: u64,
+    pub(super) poll_open: Option<PollTicket>,
+    pub(super) poll_seen: PollTicket,
+    pub(super) poll_at: ClockTime,
+    pub(super) in_force: PollTicket,
+}
+
+impl OrderKeeper {
+    /// A keeper for one start of an agent.
+    #[must_use]
+    pub fn new(settings: OrderSettings, boot: BootId) -> Self {
+        Self {
+            settings,
+            record: RecordKeeper::new(boot),
+            ledger: MemoryLedger::new(settings.capacity_mib),
+            sequence: 0,
+            fenced: false,
+            ready_after: None,
+            tracks: IndexMap::new(),
+            in_flight: None,
+            refused: Vec::new(),
+            late_loads: Vec::new(),
+            late_unloads: Vec::new(),
+            role: None,
+            polls: 0,
+            poll_open: None,
+            poll_seen: PollTicket::default(),
+            poll_at: ClockTime::ZERO,
+            in_force: PollTicket::default(),
+        }
+    }
+
+    /// What could be in the engine's memory.
+    #[must_use]
+    pub fn ledger(&self) -> &MemoryLedger {
+        &self.ledger
+    }
+
+    /// Where the agent stands with its epoch.
+    #[must_use]
+    pub fn epoch(&self) -> EpochState {
+        self.record.state()
+    }
+
+    /// The engine's role, as it last said.
+    #[must_use]
+    pub fn role(&self) -> Option<EngineRole> {
+        self.role
+    }
+
+    /// Whether an order for these weights has no known end.
+    #[must_use]
+    pub fn is_moving(&self, weights: &WeightsKey) -> bool {
+        self.tracks
+            .contains_key(&OrderSubject::Weights(weights.clone()))
+    }
+
+    /// Whether an order for the role has no known end.
+    #[must_use]
+    pub fn is_role_moving(&self) -> bool {
+        self.tracks.contains_key(&OrderSubject::Role)
+    }
+
+    /// Orders without a known end.
+    #[must_use]
+    pub fn moving(&self) -> usize {
+        self.tracks.len()
+    }
+
+    /// Whether orders may be begun at all.
+    ///
+    /// # Errors
+    ///
+    /// Says why not.
+    pub fn check_ready(&self) -> Result<(), BeginError> {
+        match self.record.state() {
+            EpochState::Superseded => return Err(BeginError::Superseded),
+            EpochState::Taking => return Err(BeginError::NotReady),
+            EpochState::Taken(_) => {}
+        }
+        // A state read before former agents were shut out may miss what they did since.
+        let known = self
+            .ready_after
+            .is_some_and(|ticket| self.poll_seen > ticket);
+        if !known {
+            return Err(BeginError::NotReady);
+        }
+        if !self.settings.checks_numbers && !self.record.store_up() {
+            return Err(BeginError::StoreDown);
+        }
+        Ok(())
+    }
+
+    /// Whether weights are ready here and no order, not even a late one, could take them away.
+    ///
+    /// Does not ask the store: a replica that exists may be relied on through an outage. An agent
+    /// that has not taken its epoch can't say this: a former one may be unloading.
+    #[must_use]
+    pub fn is_firm(&self, weights: &WeightsKey, now: ClockTime) -> bool {
+        let started = !matches!(
+            self.check_ready(),
+            Err(BeginError::NotReady | BeginError::Superseded)
+        );
+        started
+            && self.stays_ready(weights, now)
+            && (weights.adapter.is_none() || self.has_firm_base(weights, now))
+    }
+
+    /// Whether weights are ready and no order could take them away.
+    fn stays_ready(&self, weights: &WeightsKey, now: ClockTime) -> bool {
+        self.ledger.state_of(weights) == Some(WeightsState::Ready) && !self.may_vanish(weights, now)
+    }
+
+    /// Whether a version of an adapter's base model stays ready here.
+    fn has_firm_base(&self, adapter: &WeightsKey, now: ClockTime) -> bool {
+        self.ledger.ready().any(|held| {
+            let base = held.adapter.is_none() && held.model == adapter.model;
+            base && self.stays_ready(held, now)
+        })
+    }
+
+    /// Asks for a fresh proof that no later agent has the endpoint: see
+    /// [`OrderKeeper::is_confirmed`].
+    pub fn want_proof(&mut self, now: ClockTime) -> ProofMark {
+        if self.settings.checks_numbers {
+            self.poll_at = now;
+        } else {
+            self.record.want_confirmation();
+        }
+        ProofMark {
+            polls: PollTicket(self.polls),
+            calls: self.record.calls(),
+        }
+    }
+
+    /// Whether this agent's epoch surely was in force at some point after the mark: the engine
+    /// said so where it checks numbers, the store where it does not.
+    #[must_use]
+    pub fn is_confirmed(&self, mark: ProofMark) -> bool {
+        if self.settings.checks_numbers {
+            self.in_force > mark.polls
+        } else {
+            self.record.confirmed_after(mark.calls)
+        }
+    }
+
+    /// Begins a move. The keeper brings it to an end; there is nothing to repeat.
+    ///
+    /// An unload may take the place of a load that the engine has not answered for: it is how a
+    /// load that can't end is given up.
+    ///
+    /// # Errors
+    ///
+    /// Says why the move may not begin now. Nothing was ordered.
+    pub fn begin(
+        &mut self,
+        action: OrderAction,
+        config: &FleetConfig,
+        now: ClockTime,
+    ) -> Result<(), BeginError> {
+        self.check_ready()?;
+        let subject = OrderSubject::of(&action);
+        let replaces = self.may_replace(&subject, &action);
+        if self.tracks.contains_key(&subject) && !replaces {
+            return Err(BeginError::InFlight);
+        }
+        if self
+            .refused
+            .iter()
+            .any(|(refused, until)| *refused == subject && now < *until)
+        {
+            return Err(BeginError::JustRefused);
+        }
+        if let OrderAction::Load { weights } = &action {
+            self.check_load(weights, config, now)?;
+            self.ledger.charge_order(weights, config);
+        }
+        let number = self.next_number();
+        let ticket = PollTicket(self.polls);
+        let track = OrderTrack::new(action, number, ticket, now, replaces);
+        self.tracks.insert(subject, track);
+        Ok(())
+    }
+
+    /// What the agent is to do now. Call after each event and at [`OrderKeeper::next_wake`].
+    pub fn commands(
+        &mut self,
+        config: &FleetConfig,
+        now: ClockTime,
+    ) -> SmallVec<[OrderCommand; 3]> {
+        let mut commands = SmallVec::new();
+        self.forget_late(now);
+        let wanted = self.wanted_intents();
+        let sending = self.tracks.values().any(|track| track.is_due(now));
+        let renew = sending && !self.settings.checks_numbers;
+        if let Some(call) = self.record.next_call(&wanted, renew, now) {
+            commands.push(OrderCommand::CallStore(call));
+        }
+        self.begin_fence(now);
+        if let Some(order) = self.next_order(config, now) {
+            commands.push(OrderCommand::Send(order));
+        }
+        if self.poll_open.is_none() && now >= self.poll_at {
+            self.polls += 1;
+            let ticket = PollTicket(self.polls);
+            self.poll_open = Some(ticket);
+            commands.push(OrderCommand::Poll(ticket));
+        }
+        commands
+    }
+
+    /// When to ask for commands again if nothing happens before.
+    #[must_use]
+    pub fn next_wake(&self, now: ClockTime) -> ClockTime {
+        let wait = if self.tracks.is_empty() {
+            self.settings.poll_every
+        } else {
+            self.settings.poll_moving
+        };
+        now + wait
+    }
+
+    /// Takes what happened.
+    pub fn on_event(&mut self, event: OrderEvent, config: &FleetConfig, now: ClockTime) {
+        match event {
+            OrderEvent::Record(answer) => self.on_record(answer, config, now),
+            OrderEvent::Answered { number, outcome } => self.on_outcome(number, outcome, now),
+            OrderEvent::Polled { ticket, state } => self.on_state(ticket, &state, config, now),
+            OrderEvent::PollFailed { ticket } => {
+                if self.poll_open == Some(ticket) {
+                    self.poll_open = None;
+                    self.poll_at = now + self.settings.poll_moving;
+                }
+            }
+        }
+    }
+
+    /// Whether an unload of these weights has no known end, or a copy of it could still act.
+    #[must_use]
+    pub fn may_vanish(&self, weights: &WeightsKey, now: ClockTime) -> bool {
+        self.is_moving(weights) || self.unload_may_act(weights, now)
+    }
+
+    pub(super) fn own_epoch(&self) -> Option<Epoch> {
+        match self.record.state() {
+            EpochState::Taken(epoch) => Some(epoch),
+            _ => None,
+        }
+    }
+
+    fn next_number(&mut self) -> OrderNumber {
+        self.sequence += 1;
+        OrderNumber {
+            epoch: self.own_epoch().unwrap_or_default(),
+            sequence: self.sequence,
+        }
+    }
+
+    fn may_replace(&self, subject: &OrderSubject, action: &OrderAction) -> bool {
+        let unload = matches!(action, OrderAction::Unload { .. });
+        unload
+            && self.tracks.get(subject).is_some_and(|track| {
+                track.phase == TrackPhase::Waiting
+                    && matches!(track.action, OrderAction::Load { .. })
+            })
+    }
+
+    fn check_load(
+        &self,
+        weights: &WeightsKey,
+        config: &FleetConfig,
+        now: ClockTime,
+    ) -> Result<(), BeginError> {
+        let needed_mib = config
+            .memory_of(weights)
+            .ok_or(BeginError::UnknownWeights)?;
+        // A late unload would take the replica away again, when others may rely on it.
+        if self.unload_may_act(weights, now) {
+            return Err(BeginError::UnloadMayAct);
+        }
+        if self.ledger.fits(weights, needed_mib, now) {
+            return Ok(());
+        }
+        Err(BeginError::NoMemory {
+            needed_mib,
+            free_mib: self.ledger.free_mib(now),
+        })
+    }
+
+    /// A former agent's order could reach the engine after this agent has read its state. Taking
+    /// one order of the new epoch makes the engine refuse it; repeating the role changes nothing.
+    fn begin_fence(&mut self, now: ClockTime) {
+        let wanted = self.settings.checks_numbers && !self.fenced && self.own_epoch().is_some();
+        if !wanted || self.tracks.contains_key(&OrderSubject::Role) {
+            return;
+        }
+        let Some(role) = self.role else {
+            return;
+        };
+        let number = self.next_number();
+        let ticket = PollTicket(self.polls);
+        let track = OrderTrack::new(OrderAction::SetRole { role }, number, ticket, now, false);
+        self.tracks.insert(OrderSubject::Role, track);
+    }
+
+    fn next_order(&mut self, config: &FleetConfig, now: ClockTime) -> Option<EngineOrder> {
+        if self.in_flight.is_some() || self.own_epoch().is_none() {
+            return None;
+        }
+        let subject = self
+            .tracks
+            .iter()
+            .find(|(_, track)| track.is_due(now) && self.may_send(track, now))
+            .map(|(subject, _)| subject.clone())?;
+        let renumber = self.settings.checks_numbers;
+        let number = if renumber {
+            Some(self.next_number())
+        } else {
+            None
+        };
+        let track = self.tracks.get_mut(&subject)?;
+        track.start_try(number);
+        let order = track.order();
+        self.in_flight = Some((order.number, subject));
+        self.hold_copy(&order, config, now);
+        Some(order)
+    }
+
+    /// Where the engine ignores numbers, a successor must learn of the order from the store, so
+    /// it has to be there first.
+    fn may_send(&self, track: &OrderTrack, now: ClockTime) -> bool {
+        self.settings.checks_numbers || self.record.is_written(track.number, now)
+    }
+
+    fn on_record(&mut self, answer: RecordAnswer, config: &FleetConfig, now: ClockTime) {
+        self.record.on_answer(answer, now);
+        let taken = self.own_epoch().is_some() && !self.settings.checks_numbers;
+        if taken && self.ready_after.is_none() {
+            self.ready_after = Some(PollTicket(self.polls));
+            self.poll_at = now;
+        }
+        let inherited = self.record.take_inherited();
+        if !self.settings.checks_numbers {
+            for intent in inherited {
+                self.inherit(intent, config, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-placement/src/orders/late.rs
@@ -0,0 +1,89 @@
+//! Orders that may still act, where the engine ignores numbers.
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::engine::{EngineOrder, OrderAction, WeightsKey};
+
+use super::PollTicket;
+use super::keeper::OrderKeeper;
+use super::track::{OrderSubject, OrderTrack};
+use crate::record::OrderIntent;
+
+impl OrderKeeper {
+    pub(super) fn unload_may_act(&self, weights: &WeightsKey, now: ClockTime) -> bool {
+        self.late_unloads
+            .iter()
+            .any(|(intent, until)| now < *until && OrderSubject::of(&intent.action).is_for(weights))
+    }
+
+    pub(super) fn forget_late(&mut self, now: ClockTime) {
+        self.refused.retain(|(_, until)| now < *until);
+        self.late_loads.retain(|(_, until)| now < *until);
+        self.late_unloads.retain(|(_, until)| now < *until);
+    }
+
+    /// Every order that may be on its way or may still act.
+    pub(super) fn wanted_intents(&self) -> Vec<OrderIntent> {
+        if self.settings.checks_numbers {
+            return Vec::new();
+        }
+        let mut wanted: Vec<OrderIntent> = self.tracks.values().map(OrderTrack::intent).collect();
+        let late = self.late_loads.iter().chain(&self.late_unloads);
+        for (intent, _) in late {
+            if !wanted.contains(intent) {
+                wanted.push(intent.clone());
+            }
+        }
+        wanted
+    }
+
+    pub(super) fn hold_copy(&mut self, order: &EngineOrder, config: &FleetConfig, now: ClockTime) {
+        if self.settings.checks_numbers {
+            return;
+        }
+        let until = now + self.settings.late_order_hold;
+        let intent = OrderIntent {
+            number: order.number,
+            action: order.action.clone(),
+        };
+        self.hold_intent(intent, until, config);
+    }
+
+    pub(super) fn hold_intent(
+        &mut self,
+        intent: OrderIntent,
+        until: ClockTime,
+        config: &FleetConfig,
+    ) {
+        let late = match &intent.action {
+            OrderAction::Load { weights } => {
+                self.ledger.hold_copy(weights, until, config);
+                &mut self.late_loads
+            }
+            OrderAction::Unload { .. } => &mut self.late_unloads,
+            OrderAction::SetRole { .. } => return,
+        };
+        late.retain(|(held, _)| *held != intent);
+        late.push((intent, until));
+    }
+
+    /// A former agent may have given this order a moment ago: charge it, and finish it.
+    pub(super) fn inherit(&mut self, intent: OrderIntent, config: &FleetConfig, now: ClockTime) {
+        let until = now + self.settings.late_order_hold;
+        self.hold_intent(intent.clone(), until, config);
+        if let OrderAction::Load { weights } = &intent.action {
+            self.ledger.charge_order(weights, config);
+        }
+        let subject = OrderSubject::of(&intent.action);
+        // Of two orders for the same weights the later one is finished; both stay charged.
+        let later = self
+            .tracks
+            .get(&subject)
+            .is_none_or(|track| track.number < intent.number);
+        if later {
+            let ticket = PollTicket(self.polls);
+            let track = OrderTrack::inherited(intent, ticket, now);
+            self.tracks.insert(subject, track);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-placement/src/planner/board.rs
@@ -0,0 +1,367 @@
+//! The planner's working copy of the fleet: weights and endpoints as numbers.
+
+use std::collections::HashMap;
+
+use oatpier_types::config::{FleetConfig, ModelSpec};
+use oatpier_types::engine::{WeightsKey, WeightsState};
+use oatpier_types::names::{EndpointName, ModelName, PoolName, ZoneName};
+use oatpier_types::plan::EndpointPlan;
+use smallvec::SmallVec;
+
+use super::figures::{PoolFigures, load_of, pool_figures, rate_of};
+use super::{EndpointView, PlannerInput, PlannerSettings};
+use crate::demand::DemandRate;
+
+/// Weights that the configuration knows, in their present version.
+#[derive(Debug, Clone)]
+pub(super) struct BoardItem {
+    pub(super) weights: WeightsKey,
+    pub(super) pool: usize,
+    pub(super) base: Option<usize>,
+    pub(super) adapters: Vec<usize>,
+    pub(super) size_mib: u64,
+    /// The share of one endpoint's time that it takes in all.
+    pub(super) load: f64,
+    pub(super) requests: f64,
+    pub(super) holders: SmallVec<[usize; 4]>,
+}
+
+/// An endpoint, with what the plan has it hold.
+#[derive(Debug, Clone)]
+pub(super) struct BoardSlot {
+    pub(super) endpoint: EndpointName,
+    pub(super) pool: usize,
+    pub(super) zone: usize,
+    pub(super) memory_mib: u64,
+    pub(super) slots: u32,
+    pub(super) used_mib: u64,
+    pub(super) load: f64,
+    pub(super) items: SmallVec<[usize; 8]>,
+    /// Ready now, in any version.
+    pub(super) ready: SmallVec<[usize; 8]>,
+    pub(super) alive: bool,
+    pub(super) usable: bool,
+}
+
+/// The fleet while a plan is made.
+#[derive(Debug, Clone)]
+pub(super) struct FleetBoard {
+    pub(super) items: Vec<BoardItem>,
+    pub(super) slots: Vec<BoardSlot>,
+    pub(super) by_pool: Vec<Vec<usize>>,
+    /// The item of each model and adapter, in the order of the configuration.
+    models: Vec<Option<usize>>,
+    adapters: Vec<Option<usize>>,
+    zones: Vec<ZoneName>,
+}
+
+impl FleetBoard {
+    /// A board where nothing is placed.
+    pub(super) fn new(input: &PlannerInput<'_>, settings: &PlannerSettings) -> Self {
+        let pools: HashMap<&PoolName, usize> = input
+            .config
+            .pools
+            .keys()
+            .enumerate()
+            .map(|(index, name)| (name, index))
+            .collect();
+        let figures = pool_figures(input);
+        let mut board = Self {
+            items: Vec::new(),
+            slots: Vec::with_capacity(input.endpoints.len()),
+            by_pool: vec![Vec::new(); pools.len()],
+            models: Vec::new(),
+            adapters: Vec::new(),
+            zones: Vec::new(),
+        };
+        board.add_models(input, &pools, &figures, settings);
+        board.add_adapters(input, &figures);
+        for view in input.endpoints {
+            board.add_slot(input, view, &pools, &figures);
+        }
+        board
+    }
+
+    /// Takes over the plan in force, or what is held where there is none.
+    pub(super) fn start_from(&mut self, input: &PlannerInput<'_>) {
+        for (index, view) in input.endpoints.iter().enumerate() {
+            if !self.slots[index].alive {
+                continue;
+            }
+            let row = input
+                .previous
+                .and_then(|plan| row_of(&plan.endpoints, &view.endpoint, index));
+            let mut wanted: SmallVec<[usize; 8]> = match row {
+                Some(row) => self.items_of(input.config, row.weights.iter()),
+                None => self.items_of(input.config, view.held.iter().map(|held| &held.weights)),
+            };
+            wanted.sort_by_key(|item| self.items[*item].base.is_some());
+            for item in wanted {
+                if self.fits(item, index) {
+                    self.place(item, index);
+                }
+            }
+        }
+    }
+
+    /// The item of weights in whatever version.
+    pub(super) fn item_of(&self, config: &FleetConfig, weights: &WeightsKey) -> Option<usize> {
+        match &weights.adapter {
+            None => self.models[config.models.get_index_of(&weights.model)?],
+            Some(adapter) => {
+                let item = *self.adapters.get(config.adapters.get_index_of(adapter)?)?;
+                item.filter(|item| self.items[*item].weights.model == weights.model)
+            }
+        }
+    }
+
+    /// Memory that placing an item on a slot takes: with its base model where that is missing.
+    pub(super) fn needed_mib(&self, item: usize, slot: usize) -> u64 {
+        let base = self.items[item]
+            .base
+            .filter(|base| !self.slots[slot].items.contains(base))
+            .map_or(0, |base| self.items[base].size_mib);
+        self.items[item].size_mib + base
+    }
+
+    /// Whether a slot can take an item.
+    pub(super) fn fits(&self, item: usize, slot: usize) -> bool {
+        let place = &self.slots[slot];
+        place.used_mib + self.items[item].size_mib <= place.memory_mib
+            && place.pool == self.items[item].pool
+            && !place.items.contains(&item)
+            && place.used_mib + self.needed_mib(item, slot) <= place.memory_mib
+    }
+
+    /// Puts an item on a slot, with its base model.
+    pub(super) fn place(&mut self, item: usize, slot: usize) {
+        if let Some(base) = self.items[item].base
+            && !self.slots[slot].items.contains(&base)
+        {
+            self.place(base, slot);
+        }
+        self.shift_load(item, -1.0);
+        self.items[item].holders.push(slot);
+        self.shift_load(item, 1.0);
+        self.slots[slot].items.push(item);
+        self.slots[slot].used_mib += self.items[item].size_mib;
+    }
+
+    /// Takes an item off a slot, with the adapters on it.
+    pub(super) fn remove(&mut self, item: usize, slot: usize) {
+        for adapter in self.items[item].adapters.clone() {
+            if self.slots[slot].items.contains(&adapter) {
+                self.remove(adapter, slot);
+            }
+        }
+        self.shift_load(item, -1.0);
+        self.items[item].holders.retain(|holder| *holder != slot);
+        self.shift_load(item, 1.0);
+        self.slots[slot].items.retain(|held| *held != item);
+        self.slots[slot].used_mib -= self.items[item].size_mib;
+    }
+
+    /// Holders that take new work.
+    pub(super) fn usable_holders(&self, item: usize) -> impl Iterator<Item = usize> + '_ {
+        self.items[item]
+            .holders
+            .iter()
+            .copied()
+            .filter(|slot| self.slots[*slot].usable)
+    }
+
+    /// Whether an item stays ready somewhere else when a slot gives it up, adapters included.
+    pub(super) fn is_spare(&self, item: usize, slot: usize) -> bool {
+        let elsewhere = self
+            .usable_holders(item)
+            .any(|other| other != slot && self.slots[other].ready.contains(&item));
+        elsewhere
+            && self.items[item]
+                .adapters
+                .iter()
+                .filter(|adapter| self.slots[slot].items.contains(adapter))
+                .all(|adapter| self.is_spare(*adapter, slot))
+    }
+
+    /// Shifts load off a slot to other holders of what it holds, as far as they have time for it:
+    /// requests go to the holder that is first free, not evenly to all. Returns whether the slot
+    /// is at or below `limit` then.
+    pub(super) fn level(&mut self, slot: usize, limit: f64) -> bool {
+        for item in self.slots[slot].items.clone() {
+            let mut movable = self.share_with(item, 0);
+            let others: SmallVec<[usize; 8]> = self
+                .usable_holders(item)
+                .filter(|other| *other != slot)
+                .collect();
+            for other in others {
+                let excess = self.slots[slot].load - limit;
+                let slack = limit - self.slots[other].load;
+                let amount = excess.min(slack).min(movable).max(0.0);
+                movable -= amount;
+                self.slots[slot].load -= amount;
+                self.slots[other].load += amount;
+            }
+        }
+        self.slots[slot].load <= limit + f64::EPSILON
+    }
+
+    /// The load that one more replica of an item would bring to a slot.
+    pub(super) fn share_with(&self, item: usize, more: usize) -> f64 {
+        let holders = self.usable_holders(item).count() + more;
+        self.items[item].load / f64::from(u32::try_from(holders.max(1)).unwrap_or(u32::MAX))
+    }
+
+    fn shift_load(&mut self, item: usize, sign: f64) {
+        let share = self.share_with(item, 0) * sign;
+        for holder in self.items[item].holders.clone() {
+            if self.slots[holder].usable {
+                self.slots[holder].load += share;
+            }
+        }
+    }
+
+    fn items_of<'a>(
+        &self,
+        config: &FleetConfig,
+        weights: impl Iterator<Item = &'a WeightsKey>,
+    ) -> SmallVec<[usize; 8]> {
+        let mut found = SmallVec::new();
+        for item in weights.filter_map(|weights| self.item_of(config, weights)) {
+            if !found.contains(&item) {
+                found.push(item);
+            }
+        }
+        found
+    }
+
+    fn add_models(
+        &mut self,
+        input: &PlannerInput<'_>,
+        pools: &HashMap<&PoolName, usize>,
+        figures: &[PoolFigures],
+        settings: &PlannerSettings,
+    ) {
+        for (name, spec) in &input.config.models {
+            let Some(pool) = pools.get(&spec.pool).copied() else {
+                self.models.push(None);
+                continue;
+            };
+            self.models.push(Some(self.items.len()));
+            let weights = model_weights(name, spec);
+            let rate = rate_of(input, &weights);
+            let load = load_of(rate, figures[pool]).max(settings.assumed_load);
+            self.add_item(weights, pool, None, spec.memory_mib, load, rate);
+        }
+    }
+
+    fn add_adapters(&mut self, input: &PlannerInput<'_>, figures: &[PoolFigures]) {
+        for (name, spec) in &input.config.adapters {
+            let weights = WeightsKey {
+                model: spec.model.clone(),
+                adapter: Some(name.clone()),
+                version: spec.version.clone(),
+            };
+            let base = input.config.models.get_index_of(&spec.model);
+            let Some(base) = base.and_then(|base| self.models[base]) else {
+                self.adapters.push(None);
+                continue;
+            };
+            self.adapters.push(Some(self.items.len()));
+            let pool = self.items[base].pool;
+            let rate = rate_of(input, &weights);
+            let load = load_of(rate, figures[pool]);
+            self.add_item(weights, pool, Some(base), spec.memory_mib, load, rate);
+        }
+    }
+
+    fn add_item(
+        &mut self,
+        weights: WeightsKey,
+        pool: usize,
+        base: Option<usize>,
+        size_mib: u64,
+        load: f64,
+        rate: DemandRate,
+    ) {
+        let index = self.items.len();
+        if let Some(base) = base {
+            self.items[base].adapters.push(index);
+        }
+        self.items.push(BoardItem {
+            weights,
+            pool,
+            base,
+            adapters: Vec::new(),
+            size_mib,
+            load,
+            requests: rate.requests,
+            holders: SmallVec::new(),
+        });
+    }
+
+    fn zone_index(&mut self, zone: &ZoneName) -> usize {
+        let known = self.zones.iter().position(|other| other == zone);
+        known.unwrap_or_else(|| {
+            self.zones.push(zone.clone());
+            self.zones.len() - 1
+        })
+    }
+
+    /// Slots keep the order of the views; one of an unknown pool is never usable.
+    fn add_slot(
+        &mut self,
+        input: &PlannerInput<'_>,
+        view: &EndpointView,
+        pools: &HashMap<&PoolName, usize>,
+        figures: &[PoolFigures],
+    ) {
+        let index = self.slots.len();
+        let zone = self.zone_index(&view.zone);
+        let pool = pools.get(&view.pool).copied();
+        if let Some(pool) = pool {
+            self.by_pool[pool].push(index);
+        }
+        let figure = pool.map(|pool| figures[pool]);
+        let ready = view
+            .held
+            .iter()
+            .filter(|held| held.state == WeightsState::Ready)
+            .map(|held| &held.weights);
+        let ready = self.items_of(input.config, ready);
+        self.slots.push(BoardSlot {
+            endpoint: view.endpoint.clone(),
+            pool: pool.unwrap_or(usize::MAX),
+            zone,
+            memory_mib: figure.map_or(0, |figure| figure.memory_mib),
+            slots: figure.map_or(1, |figure| figure.slots),
+            used_mib: 0,
+            load: 0.0,
+            items: SmallVec::new(),
+            ready,
+            alive: view.alive && pool.is_some(),
+            usable: view.alive && !view.leaving && pool.is_some(),
+        });
+    }
+}
+
+/// The row of an endpoint in a sorted plan. Mostly it stands where the endpoint's view does.
+pub(super) fn row_of<'a>(
+    rows: &'a [EndpointPlan],
+    endpoint: &EndpointName,
+    place: usize,
+) -> Option<&'a EndpointPlan> {
+    if let Some(row) = rows.get(place).filter(|row| row.endpoint == *endpoint) {
+        return Some(row);
+    }
+    rows.binary_search_by(|row| row.endpoint.cmp(endpoint))
+        .ok()
+        .map(|index| &rows[index])
+}
+
+fn model_weights(name: &ModelName, spec: &ModelSpec) -> WeightsKey {
+    WeightsKey {
+        model: name.clone(),
+        adapter: None,
+        version: spec.version.clone(),
+    }
+}
--- /dev/null
+++ b/crates/oatpier-placement/src/planner/emptying.rs
@@ -0,0 +1,177 @@
+//! Empties quiet endpoints, so that fewer accelerators are used.
+//!
+//! A few at a time: what only one of them holds is loaded on endpoints in use first; what is ready
+//! elsewhere then leaves its row. Nothing is emptied in a pool that is short of memory or time.
+
+use std::collections::HashSet;
+
+use super::placement::PlanStep;
+use super::seek::SlotWish;
+
+/// The part of the endpoints in use that is emptied in one round: one in so many.
+const EMPTY_PART: usize = 16;
+/// The most endpoints that are emptied in one round.
+const EMPTY_AT_ONCE: usize = 32;
+/// How many endpoints are tried for each that is to be emptied.
+const EMPTY_TRIES: usize = 4;
+/// How many weights are sought a place for in one round: it bounds the time of a step.
+const EMPTY_SEEKS: usize = 128;
+/// The part of an endpoint's time that emptying it is worth.
+const EMPTY_WORTH: f64 = 0.1;
+
+impl PlanStep<'_> {
+    pub(super) fn empty_quiet(&mut self) {
+        let mut emptying = std::mem::take(&mut self.planner.emptying);
+        emptying.retain(|endpoint| {
+            let slots = &self.board.slots;
+            let slot = slots.iter().position(|slot| slot.endpoint == *endpoint);
+            slot.is_some_and(|slot| self.go_on_emptying(slot))
+        });
+        self.planner.emptying = emptying;
+        let waited = self.now.since(self.planner.emptied_at) >= self.settings().empty_every;
+        if waited && self.planner.emptying.is_empty() {
+            self.choose_quiet();
+        }
+    }
+
+    /// Removes what is ready elsewhere. Returns whether something is still to go.
+    fn go_on_emptying(&mut self, slot: usize) -> bool {
+        let place = &self.board.slots[slot];
+        if !place.usable || place.load > self.settings().high_load {
+            return false;
+        }
+        let mut items = place.items.clone();
+        items.sort_by_key(|item| self.board.items[*item].base.is_none());
+        for item in items {
+            if self.board.is_spare(item, slot) && self.leaves_calm(item, slot) {
+                self.board.remove(item, slot);
+            }
+        }
+        let left = self.board.slots[slot].items.clone();
+        let coming = left
+            .iter()
+            .all(|item| self.board.usable_holders(*item).any(|other| other != slot));
+        !left.is_empty() && coming
+    }
+
+    fn leaves_calm(&self, item: usize, slot: usize) -> bool {
+        let holders = self.board.usable_holders(item).count();
+        let others = u32::try_from(holders.saturating_sub(1)).unwrap_or(u32::MAX);
+        let more = self.board.share_with(item, 0) / f64::from(others.max(1));
+        self.board
+            .usable_holders(item)
+            .filter(|other| *other != slot)
+            .all(|other| self.load(other) + more < self.settings().high_load)
+    }
+
+    fn choose_quiet(&mut self) {
+        let low = self.settings().low_load;
+        let strained = self.strained_pools();
+        let used: Vec<usize> = (0..self.board.slots.len())
+            .filter(|slot| self.board.slots[*slot].usable)
+            .filter(|slot| !self.board.slots[*slot].items.is_empty())
+            .collect();
+        let wanted = (used.len() / EMPTY_PART).clamp(1, EMPTY_AT_ONCE);
+        let mut quiet: Vec<usize> = used
+            .into_iter()
+            .filter(|slot| self.load(*slot) < low && self.is_settled(*slot))
+            .filter(|slot| !strained.contains(&self.board.slots[*slot].pool))
+            .collect();
+        quiet.sort_by_cached_key(|slot| {
+            let held = self.board.slots[*slot].items.len();
+            (self.singles(*slot).len(), held, *slot)
+        });
+        let mut sought = 0;
+        for slot in quiet.into_iter().take(wanted * EMPTY_TRIES) {
+            sought += self.singles(slot).len();
+            if sought > EMPTY_SEEKS || self.planner.emptying.len() >= wanted {
+                return;
+            }
+            if self.start_emptying(slot) {
+                let endpoint = self.board.slots[slot].endpoint.clone();
+                self.planner.emptying.push(endpoint);
+                self.planner.emptied_at = self.now;
+            }
+        }
+    }
+
+    /// Pools where weights have no place, or an endpoint is overloaded and none is empty.
+    fn strained_pools(&self) -> HashSet<usize> {
+        let board = &self.board;
+        let high = self.settings().high_load;
+        let lost = (0..board.items.len())
+            .filter(|item| board.usable_holders(*item).next().is_none())
+            .map(|item| board.items[item].pool);
+        let full = board.by_pool.iter().enumerate().filter(|(_, slots)| {
+            let usable = || {
+                slots
+                    .iter()
+                    .map(|slot| &board.slots[*slot])
+                    .filter(|slot| slot.usable)
+            };
+            let empty = usable().any(|slot| slot.items.is_empty());
+            !empty && usable().any(|slot| slot.load > high)
+        });
+        lost.chain(full.map(|(pool, _)| pool)).collect()
+    }
+
+    /// Whether all that a slot holds is ready there and has stood for a while.
+    fn is_settled(&self, slot: usize) -> bool {
+        let place = &self.board.slots[slot];
+        place
+            .items
+            .iter()
+            .all(|item| place.ready.contains(item) && !self.dwells(*item, slot))
+    }
+
+    /// What no other endpoint holds.
+    fn singles(&self, slot: usize) -> Vec<usize> {
+        self.board.slots[slot]
+            .items
+            .iter()
+            .copied()
+            .filter(|item| self.board.usable_holders(*item).count() < 2)
+            .collect()
+    }
+
+    /// Gives all that only this slot holds a place on slots in use; none of it if one has none.
+    fn start_emptying(&mut self, slot: usize) -> bool {
+        let singles = self.singles(slot);
+        let loads = u32::try_from(singles.len()).unwrap_or(u32::MAX);
+        let moves = self.board.slots[slot].items.len() + singles.len();
+        let moves = f64::from(u32::try_from(moves).unwrap_or(u32::MAX));
+        if self.allowance == 0 || !self.pays(EMPTY_WORTH, slot, moves) {
+            return false;
+        }
+        let wish = SlotWish {
+            limit: self.settings().low_load,
+            over_limit: false,
+            empty: false,
+            new_zone: false,
+            spare_mib: 0,
+            except: Some(slot),
+        };
+        let mut placed = Vec::new();
+        for item in singles {
+            let Some(target) = self.board.seek_slot(item, wish) else {
+                self.take_back(placed);
+                return false;
+            };
+            let base = self.board.items[item].base;
+            let missing = base.filter(|base| !self.board.slots[target].items.contains(base));
+            placed.extend(missing.map(|base| (base, target)));
+            placed.push((item, target));
+            self.board.place(item, target);
+        }
+        let within = loads.min(self.allowance);
+        self.allowance -= within;
+        self.debt += loads - within;
+        true
+    }
+
+    fn take_back(&mut self, placed: Vec<(usize, usize)>) {
+        for (item, slot) in placed.into_iter().rev() {
+            self.board.remove(item, slot);
+        }
+    }
+}
