--- /dev/null
+++ b/crates/oatpier-placement/src/planner/placement.rs
@@ -0,0 +1,358 @@
+//! The product's planner: reachability first, then attainment per accelerator, with few moves.
+//!
+//! Each step starts from the plan in force and changes as little as it can:
+//!
+//! 1. weights without a live replica are placed, with spare replicas evicted where needed;
+//! 2. endpoints above the high load are relieved by one more replica of what loads them most,
+//!    where that gains more over the horizon than it costs;
+//! 3. models in use get a second replica in another availability zone, where memory in use allows;
+//! 4. a quiet endpoint is emptied, one at a time: what only it holds is loaded elsewhere first.
+//!
+//! A replica leaves the plan only while another is ready, and only when all that remain stay
+//! under the low load: this gap between high and low keeps weights from moving to and fro.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::WeightStoreSpec;
+use oatpier_types::engine::WeightsKey;
+use oatpier_types::names::EndpointName;
+
+use super::board::FleetBoard;
+use super::seek::SlotWish;
+use super::versions::{finish_plan, help_versions};
+use super::{FleetPlanner, PlanNote, PlanOutcome, PlannerInput, PlannerSettings};
+
+/// The product's planner. See the module's page.
+#[derive(Debug, Clone)]
+pub struct PlacementPlanner {
+    settings: PlannerSettings,
+    added: IndexMap<(EndpointName, WeightsKey), ClockTime>,
+    pub(super) emptying: Vec<EndpointName>,
+    pub(super) emptied_at: ClockTime,
+    load_tokens: f64,
+    stepped_at: Option<ClockTime>,
+}
+
+impl PlacementPlanner {
+    /// A planner that has made no plan yet.
+    #[must_use]
+    pub fn new(settings: PlannerSettings) -> Self {
+        Self {
+            settings,
+            added: IndexMap::new(),
+            emptying: Vec::new(),
+            emptied_at: ClockTime::ZERO,
+            load_tokens: 0.0,
+            stepped_at: None,
+        }
+    }
+
+    pub(super) fn settings(&self) -> &PlannerSettings {
+        &self.settings
+    }
+
+    /// Loads that may be added in this step, beyond those that reachability needs.
+    fn allowance(&mut self, store: WeightStoreSpec, open: u32, now: ClockTime) -> u32 {
+        let at_once = store.full_speed_loads.max(1) * self.settings.open_loads.max(1);
+        let rate = if store.loads_per_second > 0.0 {
+            store.loads_per_second
+        } else {
+            1.0
+        };
+        let since = self
+            .stepped_at
+            .map_or(Duration::from_secs(1), |last| now.since(last));
+        self.stepped_at = Some(now);
+        let filled = self.load_tokens + rate * since.as_secs_f64();
+        self.load_tokens = filled.min(f64::from(at_once));
+        whole(self.load_tokens).min(at_once.saturating_sub(open))
+    }
+}
+
+impl FleetPlanner for PlacementPlanner {
+    fn name(&self) -> &'static str {
+        "oatpier"
+    }
+
+    fn plan(&mut self, input: &PlannerInput<'_>, now: ClockTime) -> PlanOutcome {
+        let mut board = FleetBoard::new(input, &self.settings);
+        board.start_from(input);
+        let open = open_loads(&board);
+        let allowance = self.allowance(input.config.weight_store, open, now);
+        let dwell = self.settings.dwell;
+        self.added.retain(|_, added| now.since(*added) < dwell);
+        let mut step = PlanStep {
+            planner: self,
+            board,
+            allowance,
+            debt: 0,
+            notes: Vec::new(),
+            now,
+        };
+        step.place_unreachable();
+        step.relieve();
+        step.pair();
+        step.empty_quiet();
+        let PlanStep {
+            mut board,
+            mut notes,
+            allowance: left,
+            debt,
+            ..
+        } = step;
+        self.load_tokens -= f64::from(allowance - left + debt);
+        help_versions(&mut board, input, &mut notes);
+        finish_plan(&board, input, notes)
+    }
+}
+
+/// Replicas that are planned on live endpoints and not ready.
+fn open_loads(board: &FleetBoard) -> u32 {
+    let open: usize = board
+        .slots
+        .iter()
+        .filter(|slot| slot.usable)
+        .map(|slot| {
+            slot.items
+                .iter()
+                .filter(|item| !slot.ready.contains(item))
+                .count()
+        })
+        .sum();
+    u32::try_from(open).unwrap_or(u32::MAX)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "bounded by the loads at once"
+)]
+fn whole(tokens: f64) -> u32 {
+    tokens.max(0.0) as u32
+}
+
+pub(super) struct PlanStep<'a> {
+    pub(super) planner: &'a mut PlacementPlanner,
+    pub(super) board: FleetBoard,
+    pub(super) allowance: u32,
+    /// Loads of an endpoint that is emptied, beyond the allowance: later steps wait for them.
+    pub(super) debt: u32,
+    pub(super) notes: Vec<PlanNote>,
+    pub(super) now: ClockTime,
+}
+
+impl PlanStep<'_> {
+    pub(super) fn settings(&self) -> PlannerSettings {
+        self.planner.settings
+    }
+
+    fn add(&mut self, item: usize, slot: usize) {
+        self.board.place(item, slot);
+        let weights = self.board.items[item].weights.clone();
+        let endpoint = self.board.slots[slot].endpoint.clone();
+        self.planner.added.insert((endpoint, weights), self.now);
+    }
+
+    /// Whether a replica was added a short while ago, so that it stays.
+    pub(super) fn dwells(&self, item: usize, slot: usize) -> bool {
+        let key = (
+            self.board.slots[slot].endpoint.clone(),
+            self.board.items[item].weights.clone(),
+        );
+        self.planner.added.contains_key(&key)
+    }
+
+    /// Models first, the largest first: the small ones fit into what they leave.
+    fn place_unreachable(&mut self) {
+        let mut lost: Vec<usize> = (0..self.board.items.len())
+            .filter(|item| self.board.usable_holders(*item).next().is_none())
+            .collect();
+        lost.sort_by(|left, right| {
+            let adapters = self.board.items[*left].base.is_some();
+            let order = adapters.cmp(&self.board.items[*right].base.is_some());
+            order.then(self.board.by_size(*right, *left))
+        });
+        for item in lost {
+            // An adapter that was placed may have brought this base model along.
+            if self.board.usable_holders(item).next().is_none() {
+                self.place_one(item);
+            }
+        }
+    }
+
+    fn place_one(&mut self, item: usize) {
+        let wish = SlotWish {
+            limit: self.settings().high_load,
+            over_limit: true,
+            empty: true,
+            new_zone: false,
+            spare_mib: 0,
+            except: None,
+        };
+        // With room for its adapters, else each of them would bring the base along elsewhere.
+        let roomy = SlotWish {
+            spare_mib: self.lost_adapters_mib(item),
+            ..wish
+        };
+        let found = self.board.seek_slot(item, roomy);
+        if let Some(slot) = found.or_else(|| self.board.seek_slot(item, wish)) {
+            return self.add(item, slot);
+        }
+        let may_go = |_: &FleetBoard, _: usize, _: usize| true;
+        if let Some(slot) = self.board.evict_for(item, f64::INFINITY, &may_go) {
+            return self.add(item, slot);
+        }
+        self.board.move_aside_for(item, wish);
+        self.note_unplaced(item);
+    }
+
+    fn lost_adapters_mib(&self, item: usize) -> u64 {
+        let adapters = self.board.items[item].adapters.iter();
+        adapters
+            .filter(|adapter| self.board.usable_holders(**adapter).next().is_none())
+            .map(|adapter| self.board.items[*adapter].size_mib)
+            .sum()
+    }
+
+    fn note_unplaced(&mut self, item: usize) {
+        let board = &self.board;
+        let wanted = &board.items[item];
+        let base = wanted.base.map_or(0, |base| board.items[base].size_mib);
+        let largest = board.by_pool[wanted.pool]
+            .iter()
+            .map(|slot| &board.slots[*slot])
+            .filter(|slot| slot.usable)
+            .map(|slot| slot.memory_mib.saturating_sub(slot.used_mib))
+            .max();
+        self.notes.push(PlanNote::Unplaced {
+            weights: wanted.weights.clone(),
+            needed_mib: wanted.size_mib + base,
+            largest_free_mib: largest.unwrap_or(0),
+        });
+    }
+
+    fn relieve(&mut self) {
+        let high = self.settings().high_load;
+        let mut hot: Vec<usize> = (0..self.board.slots.len())
+            .filter(|slot| self.board.slots[*slot].usable && self.board.slots[*slot].load > high)
+            .collect();
+        hot.sort_by(|left, right| {
+            let (left_load, right_load) = (self.load(*left), self.load(*right));
+            right_load.total_cmp(&left_load).then(left.cmp(right))
+        });
+        // What found no place once in a step finds none later in it: loads only grow.
+        let mut stuck = HashSet::new();
+        for slot in hot {
+            while !self.board.level(slot, high) && self.allowance > 0 {
+                if !self.relieve_one(slot, &mut stuck) {
+                    let endpoint = self.board.slots[slot].endpoint.clone();
+                    self.notes.push(PlanNote::Overloaded(endpoint));
+                    break;
+                }
+            }
+        }
+    }
+
+    pub(super) fn load(&self, slot: usize) -> f64 {
+        self.board.slots[slot].load
+    }
+
+    /// Adds a replica of the item that brings the most load to a slot, if that pays.
+    fn relieve_one(&mut self, slot: usize, stuck: &mut HashSet<usize>) -> bool {
+        let settings = self.settings();
+        let heaviest = self.board.slots[slot]
+            .items
+            .iter()
+            .copied()
+            .max_by(|left, right| {
+                let shares = (
+                    self.board.share_with(*left, 0),
+                    self.board.share_with(*right, 0),
+                );
+                shares.0.total_cmp(&shares.1).then(right.cmp(left))
+            });
+        let Some(item) = heaviest else {
+            return false;
+        };
+        let moved = self.board.share_with(item, 0) - self.board.share_with(item, 1);
+        let excess = (self.load(slot) - settings.high_load).min(moved);
+        if stuck.contains(&item) || !self.pays(excess, slot, 1.0) {
+            return false;
+        }
+        // What takes more than one endpoint needs several replicas before any is below the high
+        // load: each one still takes a part off the others.
+        let limit = settings.high_load.max(self.board.share_with(item, 1) * 1.1);
+        let wish = SlotWish {
+            limit,
+            over_limit: false,
+            empty: true,
+            new_zone: false,
+            spare_mib: 0,
+            except: None,
+        };
+        let target = self.board.seek_slot(item, wish);
+        let Some(target) = target.or_else(|| self.make_room(item, limit)) else {
+            stuck.insert(item);
+            return false;
+        };
+        self.allowance -= 1;
+        self.add(item, target);
+        true
+    }
+
+    /// What a share of an endpoint's time gains over the horizon, against the cost of moves.
+    pub(super) fn pays(&self, share: f64, slot: usize, moves: f64) -> bool {
+        let settings = self.settings();
+        let places = f64::from(self.board.slots[slot].slots);
+        share * places * settings.horizon.as_secs_f64() > settings.move_cost * moves
+    }
+
+    /// Takes spare replicas away that the others can do without.
+    fn make_room(&mut self, item: usize, limit: f64) -> Option<usize> {
+        let settings = self.settings();
+        let added = &self.planner.added;
+        let may_go = |board: &FleetBoard, held: usize, slot: usize| {
+            let key = (
+                board.slots[slot].endpoint.clone(),
+                board.items[held].weights.clone(),
+            );
+            let before = board.share_with(held, 0);
+            let holders = f64::from(u32::try_from(board.usable_holders(held).count()).unwrap_or(1));
+            let after = before * holders / (holders - 1.0).max(1.0);
+            let calm = board
+                .usable_holders(held)
+                .filter(|other| *other != slot)
+                .all(|other| board.slots[other].load + after - before < settings.low_load);
+            calm
+        };
+        self.board.evict_for(item, limit, &may_go)
+    }
+
+    fn pair(&mut self) {
+        let settings = self.settings();
+        let single: Vec<usize> = (0..self.board.items.len())
+            .filter(|item| self.board.items[*item].requests >= settings.pair_rate)
+            .filter(|item| self.board.usable_holders(*item).count() == 1)
+            .collect();
+        let wish = SlotWish {
+            limit: settings.high_load,
+            over_limit: false,
+            empty: false,
+            new_zone: true,
+            spare_mib: 0,
+            except: None,
+        };
+        for item in single {
+            if self.allowance == 0 {
+                return;
+            }
+            if let Some(slot) = self.board.seek_slot(item, wish) {
+                self.allowance -= 1;
+                self.add(item, slot);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-placement/src/planner/seek.rs
@@ -0,0 +1,240 @@
+//! Finds a slot for one more replica, and makes room for it.
+
+use std::cmp::Ordering;
+
+use super::board::FleetBoard;
+
+/// Loads that differ by less than this are alike.
+const LOAD_STEPS: f64 = 20.0;
+/// Replicas in this many availability zones are spread enough.
+const ENOUGH_ZONES: usize = 3;
+/// How many slots are tried when weights have to be moved aside.
+const ASIDE_SLOTS: usize = 16;
+
+/// What a slot has to be.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SlotWish {
+    /// The load above which a slot is only taken if there is no other.
+    pub(super) limit: f64,
+    /// Whether a slot above the limit is taken at all.
+    pub(super) over_limit: bool,
+    /// Whether a slot that holds nothing is taken.
+    pub(super) empty: bool,
+    /// Whether another availability zone than those of the present replicas is a must.
+    pub(super) new_zone: bool,
+    /// Memory that is to stay free beside the item, in MiB.
+    pub(super) spare_mib: u64,
+    /// A slot that is not taken.
+    pub(super) except: Option<usize>,
+}
+
+/// How good a slot is; lower is better.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct SlotScore {
+    over: bool,
+    /// The base model is missing, the zone is taken, the slot is empty: in this order.
+    faults: [bool; 3],
+    load: u32,
+    tie: usize,
+}
+
+impl FleetBoard {
+    /// The best slot for one more replica.
+    pub(super) fn seek_slot(&self, item: usize, wish: SlotWish) -> Option<usize> {
+        let share = self.share_with(item, 1);
+        let mut zones: Vec<usize> = self
+            .usable_holders(item)
+            .map(|holder| self.slots[holder].zone)
+            .collect();
+        if Self::is_spread(&zones) {
+            zones.clear();
+        }
+        // The cheap tests first: this runs for every slot of the pool.
+        self.by_pool[self.items[item].pool]
+            .iter()
+            .copied()
+            .filter(|slot| self.may_take(*slot, share, wish))
+            .filter(|slot| self.fits(item, *slot) && self.has_spare(item, *slot, wish.spare_mib))
+            .filter(|slot| !wish.new_zone || !zones.contains(&self.slots[*slot].zone))
+            .map(|slot| (self.score(item, slot, share, &zones, wish), slot))
+            .min()
+            .map(|(_, slot)| slot)
+    }
+
+    fn may_take(&self, slot: usize, share: f64, wish: SlotWish) -> bool {
+        let place = &self.slots[slot];
+        let calm = wish.over_limit || place.load + share <= wish.limit;
+        let used = wish.empty || !place.items.is_empty();
+        place.usable && calm && used && Some(slot) != wish.except
+    }
+
+    /// Whether replicas stand in as many availability zones as are worth an empty endpoint.
+    fn is_spread(zones: &[usize]) -> bool {
+        let others = |index: usize| zones[..index].contains(&zones[index]);
+        let distinct = (0..zones.len()).filter(|index| !others(*index)).count();
+        distinct >= ENOUGH_ZONES
+    }
+
+    fn has_spare(&self, item: usize, slot: usize, spare_mib: u64) -> bool {
+        let place = &self.slots[slot];
+        place.used_mib + self.needed_mib(item, slot) + spare_mib <= place.memory_mib
+    }
+
+    /// The slot with the most free memory.
+    pub(super) fn seek_even(&self, item: usize, wish: SlotWish) -> Option<usize> {
+        self.by_pool[self.items[item].pool]
+            .iter()
+            .copied()
+            .filter(|slot| self.slots[*slot].usable && Some(*slot) != wish.except)
+            .filter(|slot| self.fits(item, *slot))
+            .min_by_key(|slot| {
+                let place = &self.slots[*slot];
+                let rest = place.memory_mib - place.used_mib - self.needed_mib(item, *slot);
+                (std::cmp::Reverse(rest), *slot)
+            })
+    }
+
+    fn score(
+        &self,
+        item: usize,
+        slot: usize,
+        share: f64,
+        zones: &[usize],
+        wish: SlotWish,
+    ) -> SlotScore {
+        let place = &self.slots[slot];
+        let load = place.load + share;
+        let zone_taken = zones.contains(&place.zone);
+        let base_missing = self.items[item]
+            .base
+            .is_some_and(|base| !place.items.contains(&base));
+        SlotScore {
+            over: load > wish.limit,
+            faults: [base_missing, zone_taken, place.items.is_empty()],
+            load: load_step(load),
+            tie: (slot + item * 7_919) % self.slots.len(),
+        }
+    }
+
+    /// Removes spare replicas from the slot where the fewest have to go, and returns it.
+    ///
+    /// `may_go` says whether a replica may be removed at all, `limit` the load that the slot may
+    /// have with the item.
+    pub(super) fn evict_for(
+        &mut self,
+        item: usize,
+        limit: f64,
+        may_go: &dyn Fn(&Self, usize, usize) -> bool,
+    ) -> Option<usize> {
+        let share = self.share_with(item, 1);
+        let slots = self.by_pool[self.items[item].pool].clone();
+        let (_, slot, victims) = slots
+            .into_iter()
+            .filter(|slot| self.slots[*slot].usable)
+            .filter(|slot| !self.slots[*slot].items.contains(&item))
+            .filter(|slot| self.slots[*slot].load + share <= limit)
+            .filter_map(|slot| {
+                let victims = self.victims(item, slot, may_go)?;
+                let key = (victims.len(), load_step(self.slots[slot].load));
+                Some((key, slot, victims))
+            })
+            .min_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)))?;
+        for victim in victims {
+            if self.slots[slot].items.contains(&victim) {
+                self.remove(victim, slot);
+            }
+        }
+        Some(slot)
+    }
+
+    /// The spare replicas whose removal makes room for an item, the largest first.
+    fn victims(
+        &self,
+        item: usize,
+        slot: usize,
+        may_go: &dyn Fn(&Self, usize, usize) -> bool,
+    ) -> Option<Vec<usize>> {
+        let place = &self.slots[slot];
+        let needed = self.needed_mib(item, slot);
+        let mut free = place.memory_mib.saturating_sub(place.used_mib);
+        if free >= needed {
+            return Some(Vec::new());
+        }
+        // Base models with adapters here would take them along: they stay.
+        let mut spare: Vec<usize> = place
+            .items
+            .iter()
+            .copied()
+            .filter(|held| Some(*held) != self.items[item].base)
+            .filter(|held| !self.has_adapter_at(*held, slot))
+            .filter(|held| self.is_spare(*held, slot) && may_go(self, *held, slot))
+            .collect();
+        spare.sort_by(|left, right| self.by_size(*right, *left));
+        let mut victims = Vec::new();
+        for held in spare {
+            free += self.items[held].size_mib;
+            victims.push(held);
+            if free >= needed {
+                return Some(victims);
+            }
+        }
+        None
+    }
+
+    /// Gives weights that stand in an item's way a second place, and returns whether it did.
+    ///
+    /// Once they are ready there, the replica that stands in the way is spare.
+    pub(super) fn move_aside_for(&mut self, item: usize, wish: SlotWish) -> bool {
+        let mut slots = self.by_pool[self.items[item].pool].clone();
+        slots.retain(|slot| self.slots[*slot].usable);
+        slots.sort_by_key(|slot| (self.slots[*slot].used_mib, *slot));
+        for slot in slots.into_iter().take(ASIDE_SLOTS) {
+            if let Some((held, target)) = self.aside_move(item, slot, wish) {
+                self.place(held, target);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn aside_move(&self, item: usize, slot: usize, wish: SlotWish) -> Option<(usize, usize)> {
+        let place = &self.slots[slot];
+        let free = place.memory_mib.saturating_sub(place.used_mib);
+        let missing = self.needed_mib(item, slot).saturating_sub(free);
+        let wish = SlotWish {
+            except: Some(slot),
+            ..wish
+        };
+        place
+            .items
+            .iter()
+            .copied()
+            .filter(|held| Some(*held) != self.items[item].base)
+            .filter(|held| self.items[*held].size_mib >= missing)
+            .filter(|held| !self.has_adapter_at(*held, slot))
+            .filter(|held| self.usable_holders(*held).count() == 1)
+            .find_map(|held| self.seek_slot(held, wish).map(|target| (held, target)))
+    }
+
+    pub(super) fn has_adapter_at(&self, item: usize, slot: usize) -> bool {
+        self.items[item]
+            .adapters
+            .iter()
+            .any(|adapter| self.slots[slot].items.contains(adapter))
+    }
+
+    pub(super) fn by_size(&self, left: usize, right: usize) -> Ordering {
+        let size = self.items[left].size_mib.cmp(&self.items[right].size_mib);
+        size.then(right.cmp(&left))
+    }
+}
+
+/// Loads in whole steps, so that nearly equal ones are ordered by what comes next.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "loads are small and not negative"
+)]
+fn load_step(load: f64) -> u32 {
+    (load.clamp(0.0, 1e6) * LOAD_STEPS) as u32
+}
--- /dev/null
+++ b/crates/oatpier-placement/src/steps/work.rs
@@ -0,0 +1,275 @@
+//! Finds one step: what is wanted, what may go, and in which order.
+
+use indexmap::IndexMap;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::engine::{OrderAction, WeightsKey, WeightsState};
+
+use super::{PlacementStep, StepInput, StepWait};
+use crate::orders::OrderKeeper;
+use crate::release::{ReleaseKeeper, ReleaseState};
+
+fn is_base_of(held: &WeightsKey, weights: &WeightsKey) -> bool {
+    held.adapter.is_none() && held.model == weights.model
+}
+
+/// Whether weights are to stay. An adapter that the plan wants has to go nevertheless while its
+/// base model changes version without memory for both: the old base can't go before it.
+pub(super) fn is_wanted(
+    input: StepInput<'_>,
+    keeper: &OrderKeeper,
+    weights: &WeightsKey,
+    now: ClockTime,
+) -> bool {
+    input.plan.weights.contains(weights) && !steps_aside(input, keeper, weights, now)
+}
+
+fn steps_aside(
+    input: StepInput<'_>,
+    keeper: &OrderKeeper,
+    weights: &WeightsKey,
+    now: ClockTime,
+) -> bool {
+    if weights.adapter.is_none() {
+        return false;
+    }
+    let base = input
+        .plan
+        .weights
+        .iter()
+        .find(|wanted| is_base_of(wanted, weights));
+    let Some(base) = base else {
+        return true;
+    };
+    let old_base = keeper
+        .ledger()
+        .ready()
+        .any(|held| is_base_of(held, weights) && held != base);
+    let absent = keeper.ledger().state_of(base).is_none() && !keeper.is_moving(base);
+    let size = input.config.memory_of(base).unwrap_or(u64::MAX);
+    old_base && absent && !keeper.ledger().fits(base, size, now)
+}
+
+pub(super) struct StepWork<'a> {
+    pub(super) input: StepInput<'a>,
+    pub(super) keeper: &'a mut OrderKeeper,
+    pub(super) releases: &'a mut ReleaseKeeper,
+    pub(super) draining: &'a mut IndexMap<WeightsKey, ClockTime>,
+    pub(super) wait: StepWait,
+}
+
+impl StepWork<'_> {
+    pub(super) fn find_step(&mut self, now: ClockTime) -> Option<PlacementStep> {
+        if let Some(step) = self.role_step(now) {
+            return Some(step);
+        }
+        if let Some(step) = self.load_step(now) {
+            return Some(step);
+        }
+        self.unload_step(now)
+    }
+
+    fn role_step(&mut self, now: ClockTime) -> Option<PlacementStep> {
+        let role = self.input.plan.role;
+        if self.keeper.role() == Some(role) || self.keeper.is_role_moving() {
+            return None;
+        }
+        self.order(OrderAction::SetRole { role }, now)
+    }
+
+    /// Loads the first wanted weights that are not there, fit, and have their base model ready.
+    fn load_step(&mut self, now: ClockTime) -> Option<PlacementStep> {
+        let missing: Vec<WeightsKey> = self
+            .input
+            .plan
+            .weights
+            .iter()
+            .filter(|weights| self.keeper.ledger().state_of(weights).is_none())
+            .filter(|weights| !self.keeper.is_moving(weights))
+            .cloned()
+            .collect();
+        for weights in missing {
+            if !self.base_is_ready(&weights) {
+                self.note(StepWait::Busy);
+                continue;
+            }
+            let action = OrderAction::Load {
+                weights: weights.clone(),
+            };
+            if let Some(step) = self.order(action, now) {
+                return Some(step);
+            }
+            self.note(StepWait::NoMemory(weights));
+        }
+        None
+    }
+
+    /// Only a base model that is to stay counts: the adapter would have to go with another.
+    fn base_is_ready(&self, weights: &WeightsKey) -> bool {
+        weights.adapter.is_none()
+            || self
+                .keeper
+                .ledger()
+                .ready()
+                .any(|held| is_base_of(held, weights) && self.input.plan.weights.contains(held))
+    }
+
+    /// Unloads the first weights that are not wanted and may go: adapters first.
+    fn unload_step(&mut self, now: ClockTime) -> Option<PlacementStep> {
+        let mut extra: Vec<WeightsKey> = self
+            .keeper
+            .ledger()
+            .charges()
+            .filter(|(_, charge)| charge.held.is_some() || charge.ordered)
+            .filter(|(weights, _)| !is_wanted(self.input, self.keeper, weights, now))
+            .map(|(weights, _)| weights.clone())
+            .collect();
+        extra.sort_by_key(|weights| weights.adapter.is_none());
+        extra
+            .into_iter()
+            .find_map(|weights| self.unload_one(&weights, now))
+    }
+
+    fn unload_one(&mut self, weights: &WeightsKey, now: ClockTime) -> Option<PlacementStep> {
+        let moving = self.keeper.is_moving(weights);
+        let state = self.keeper.ledger().state_of(weights);
+        if state == Some(WeightsState::Unloading) || (moving && state.is_some()) {
+            self.note(StepWait::Busy);
+            return None;
+        }
+        // A load that never came to an end serves nobody: it is given up without a release.
+        if state.is_none() {
+            return self.order_unload(weights, now);
+        }
+        if self.is_base_in_use(weights, now) || self.is_successor_coming(weights) {
+            self.note(StepWait::Busy);
+            return None;
+        }
+        match self.releases.state(weights) {
+            ReleaseState::Granted => self.drain_or_unload(weights, now),
+            ReleaseState::Asking => {
+                self.note(StepWait::Busy);
+                None
+            }
+            ReleaseState::None => self.seek_release(weights, now),
+        }
+    }
+
+    /// An adapter needs a version of its base model beside it until it is gone itself.
+    fn is_base_in_use(&self, weights: &WeightsKey, now: ClockTime) -> bool {
+        if weights.adapter.is_some() {
+            return false;
+        }
+        let ledger = self.keeper.ledger();
+        let other_base = ledger.ready().any(|held| {
+            is_base_of(held, weights) && held != weights && !self.keeper.may_vanish(held, now)
+        });
+        let adapters = ledger.charges().any(|(held, charge)| {
+            let there = charge.held.is_some() || charge.ordered;
+            held.adapter.is_some() && held.model == weights.model && there
+        });
+        adapters && !other_base
+    }
+
+    /// The version that takes the place of these weights is being loaded: they serve until then.
+    fn is_successor_coming(&self, weights: &WeightsKey) -> bool {
+        self.input.plan.weights.iter().any(|wanted| {
+            let sibling = wanted.model == weights.model && wanted.adapter == weights.adapter;
+            let loading = self.keeper.ledger().state_of(wanted) == Some(WeightsState::Loading);
+            sibling && wanted != weights && (loading || self.keeper.is_moving(wanted))
+        })
+    }
+
+    fn drain_or_unload(&mut self, weights: &WeightsKey, now: ClockTime) -> Option<PlacementStep> {
+        if !self.draining.contains_key(weights) {
+            self.draining.insert(weights.clone(), now);
+            return Some(PlacementStep::StartDrain(weights.clone()));
+        }
+        // An unload now would cut off what runs on these weights.
+        if self.input.attempts.in_flight(weights) > 0 {
+            self.note(StepWait::Busy);
+            return None;
+        }
+        self.order_unload(weights, now)
+    }
+
+    fn seek_release(&mut self, weights: &WeightsKey, now: ClockTime) -> Option<PlacementStep> {
+        let Some(present) = self.present_version(weights) else {
+            // Callers can't name these any more.
+            self.releases.grant_own(weights);
+            return self.drain_or_unload(weights, now);
+        };
+        if self.is_kept_here(weights, &present, now) {
+            self.releases.grant_own(weights);
+            return self.drain_or_unload(weights, now);
+        }
+        if !self.releases.may_ask(weights, now) {
+            self.note(StepWait::Busy);
+            return None;
+        }
+        self.ask_holder(weights, &present, now)
+    }
+
+    fn present_version(&self, weights: &WeightsKey) -> Option<WeightsKey> {
+        match &weights.adapter {
+            Some(adapter) => self.input.config.adapter_weights(adapter),
+            None => self.input.config.model_weights(&weights.model),
+        }
+    }
+
+    /// Whether the present version stays ready on this very endpoint.
+    fn is_kept_here(&self, weights: &WeightsKey, present: &WeightsKey, now: ClockTime) -> bool {
+        weights != present
+            && self.keeper.is_firm(present, now)
+            && !self.releases.is_releasing(present)
+    }
+
+    /// Holders of the present version are asked first; while there is none, during a change of
+    /// version without memory for both, those of the same old version, then of any other.
+    fn ask_holder(
+        &mut self,
+        weights: &WeightsKey,
+        present: &WeightsKey,
+        now: ClockTime,
+    ) -> Option<PlacementStep> {
+        let replicas = self.input.replicas;
+        let others = replicas.other_versions(weights);
+        let found = [present, weights]
+            .into_iter()
+            .chain(&others)
+            .find_map(|keep| {
+                let holders = replicas.ready_elsewhere(keep);
+                let to = holders.get(self.releases.turn(holders.len()));
+                to.map(|to| (to.clone(), keep.clone()))
+            });
+        let Some((to, keep)) = found else {
+            self.note(StepWait::LastReplica(weights.clone()));
+            return None;
+        };
+        let ask = self.releases.ask(weights, &keep, now);
+        Some(PlacementStep::AskRelease { to, ask })
+    }
+
+    fn order_unload(&mut self, weights: &WeightsKey, now: ClockTime) -> Option<PlacementStep> {
+        let action = OrderAction::Unload {
+            weights: weights.clone(),
+        };
+        let step = self.order(action, now);
+        if step.is_none() {
+            self.note(StepWait::Busy);
+        }
+        step
+    }
+
+    fn order(&mut self, action: OrderAction, now: ClockTime) -> Option<PlacementStep> {
+        self.keeper
+            .begin(action.clone(), self.input.config, now)
+            .ok()?;
+        Some(PlacementStep::Ordered(action))
+    }
+
+    fn note(&mut self, wait: StepWait) {
+        if matches!(self.wait, StepWait::Done | StepWait::Busy) {
+            self.wait = wait;
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-placement/tests/testsuite/main.rs
@@ -0,0 +1,15 @@
+//! Tests of the decisions about memory, moves and plans.
+
+mod demand;
+mod engine;
+mod fleet;
+mod moves;
+mod network;
+mod orders;
+mod plan_properties;
+mod planner;
+mod record;
+mod release;
+mod repair;
+mod steps;
+mod world;
--- /dev/null
+++ b/crates/oatpier-placement/tests/testsuite/moves.rs
@@ -0,0 +1,169 @@
+//! Random plans, versions and faults against the two promises about memory and reachability.
+
+use std::time::Duration;
+
+use oatpier_placement::orders::OrderSettings;
+use oatpier_placement::steps::StepWait;
+use oatpier_types::engine::WeightsKey;
+use oatpier_types::names::VersionName;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::fleet::{adapter, add_adapter, base, fleet};
+use crate::world::{FaultRates, World};
+
+const CAPACITY_MIB: u64 = 100;
+/// Longer than the latest order of the tests and the longest word of the store together.
+const HOLD: Duration = Duration::from_secs(40);
+
+pub fn settings(checks: bool) -> OrderSettings {
+    OrderSettings {
+        late_order_hold: HOLD,
+        ..OrderSettings::new(checks, CAPACITY_MIB)
+    }
+}
+
+/// Three engines; `a` with adapter `x`, `b` and `c`, each ready on two of them.
+pub fn world(checks: bool, settings: OrderSettings, seed: u64) -> World {
+    let mut config = fleet(3, CAPACITY_MIB, &[("a", 30), ("b", 30), ("c", 20)]);
+    add_adapter(&mut config, "x", "a", 10);
+    let mut world = World::new(config, checks, settings, seed);
+    let start = [
+        vec![base("a", "v1"), adapter("x", "a", "v1"), base("b", "v1")],
+        vec![base("b", "v1"), base("c", "v1")],
+        vec![base("a", "v1"), adapter("x", "a", "v1"), base("c", "v1")],
+    ];
+    for (index, weights) in start.iter().enumerate() {
+        for weights in weights {
+            world.engines[index].put_ready(weights);
+        }
+        world.rows[index].weights = weights.iter().cloned().collect();
+    }
+    world
+}
+
+fn all_weights(world: &World) -> Vec<WeightsKey> {
+    let config = &world.config;
+    let models = config
+        .models
+        .keys()
+        .filter_map(|model| config.model_weights(model));
+    let adapters = config.adapters.keys();
+    let adapters = adapters.filter_map(|adapter| config.adapter_weights(adapter));
+    models.chain(adapters).collect()
+}
+
+/// A plan with each of the weights on a random part of the endpoints.
+fn shuffle_plan(world: &mut World) {
+    for index in 0..world.rows.len() {
+        let mut row: Vec<WeightsKey> = Vec::new();
+        for weights in all_weights(world) {
+            let base =
+                weights.adapter.is_none() || row.iter().any(|held| held.model == weights.model);
+            if base && world.chance(0.55) {
+                row.push(weights);
+            }
+        }
+        world.rows[index].weights = row.into_iter().collect();
+    }
+}
+
+fn change_version(world: &mut World) {
+    let model = usize::from(world.chance(0.5));
+    let version = format!("v{}", world.now.as_micros());
+    let version = VersionName::try_from(version.as_str()).unwrap();
+    world.config.models[model].version = version.clone();
+    if world.chance(0.5) {
+        world.config.adapters[0].version = version;
+    }
+}
+
+/// Faults for a while, with the plan and the versions changing all the time.
+fn storm(world: &mut World) {
+    world.faults = FaultRates::MANY;
+    for round in 0..20 {
+        if round % 4 == 3 {
+            change_version(world);
+        }
+        world.store_down = world.chance(0.2);
+        shuffle_plan(world);
+        world.run(Duration::from_secs(8));
+    }
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(48))]
+
+    /// Orders are lost, late and doubled, agents restart or sleep and wake beside their
+    /// successors, the store is down or loses its answers, and the plan keeps changing. Whatever
+    /// the order of all this, no engine holds more than its memory, and no order takes the last
+    /// ready replica of a model or an adapter away.
+    #[test]
+    fn faults_never_overcommit_nor_unload_the_last(seed in any::<u64>(), checks in any::<bool>()) {
+        let mut world = world(checks, settings(checks), seed);
+        world.run(Duration::from_secs(5));
+        storm(&mut world);
+        prop_assert!(world.violations.is_empty(), "{:#?}", world.violations);
+        prop_assert!(world.orders_taken > 20, "only {} orders", world.orders_taken);
+    }
+
+    /// After the faults every endpoint comes to hold what the plan says, in the present version.
+    #[test]
+    fn after_faults_the_plan_is_carried_out(seed in any::<u64>(), checks in any::<bool>()) {
+        let mut world = world(checks, settings(checks), seed);
+        storm(&mut world);
+        world.faults = FaultRates::NONE;
+        world.store_down = false;
+        let all = all_weights(&world);
+        for row in &mut world.rows {
+            row.weights = all.iter().cloned().collect();
+        }
+        world.run(Duration::from_secs(400));
+        prop_assert!(world.violations.is_empty(), "{:#?}", world.violations);
+        for index in 0..3 {
+            let held = world.engines[index].state();
+            prop_assert_eq!(world.last_step(index), &Err(StepWait::Done), "{:?}", held);
+            prop_assert!(all.iter().all(|weights| world.engines[index].is_ready(weights)));
+        }
+    }
+}
+
+/// Violations over a few seeds with these beliefs of the agents.
+fn violations(engine_checks: bool, settings: OrderSettings) -> usize {
+    (0..12)
+        .map(|seed| {
+            let mut world = world(engine_checks, settings, seed);
+            storm(&mut world);
+            world.violations.len()
+        })
+        .sum()
+}
+
+/// The memory of a late copy is charged no longer than until the unload: a doubled load arrives
+/// after its weights went and others took their place, and the engine is overcommitted. This
+/// shows that the storm above would catch it.
+#[test]
+fn without_the_hold_a_late_copy_overcommits() {
+    let hold = Duration::ZERO;
+    let settings = OrderSettings {
+        late_order_hold: hold,
+        ..settings(false)
+    };
+    assert!(violations(false, settings) > 0);
+}
+
+/// The agents believe that engines check numbers, and they don't: nothing is written before an
+/// order, and a former agent's order is carried out. This shows that the storm would catch it.
+#[test]
+fn without_intents_a_former_agent_breaks_a_promise() {
+    assert!(violations(false, settings(true)) > 0);
+}
--- /dev/null
+++ b/crates/oatpier-placement/tests/testsuite/planner.rs
@@ -0,0 +1,333 @@
+//! Plans: reachability, attainment per accelerator, moves.
+
+use std::time::Duration;
+
+use oatpier_placement::demand::{DemandKey, DemandRate, DemandRow, DemandSummary};
+use oatpier_placement::planner::{
+    EndpointView, FleetPlanner, GreedyPlanner, PlacementPlanner, PlanNote, PlanOutcome,
+    PlannerInput, PlannerSettings, StaticPlanner, check_reachable,
+};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::engine::WeightsKey;
+use oatpier_types::ids::{Generation, Term};
+use oatpier_types::names::VersionName;
+use oatpier_types::plan::PlacementPlan;
+
+use crate::fleet::{adapter, add_adapter, base, fleet, model, ready, views};
+
+/// A fleet whose agents do at once what the plan says.
+pub struct Fleet {
+    pub config: FleetConfig,
+    pub views: Vec<EndpointView>,
+    pub plan: Option<PlacementPlan>,
+    pub demand: DemandSummary,
+    pub now: ClockTime,
+    pub generation: u64,
+}
+
+impl Fleet {
+    pub fn new(config: FleetConfig) -> Self {
+        Self {
+            views: views(&config),
+            config,
+            plan: None,
+            demand: DemandSummary::default(),
+            now: ClockTime::ZERO,
+            generation: 1,
+        }
+    }
+
+    pub fn input(&self) -> PlannerInput<'_> {
+        PlannerInput {
+            config: &self.config,
+            generation: Generation(self.generation),
+            term: Term(1),
+            demand: &self.demand,
+            endpoints: &self.views,
+            previous: self.plan.as_ref(),
+        }
+    }
+
+    /// Sets the rates of models, each with 200 generated tokens a request.
+    pub fn ask(&mut self, rates: &[(&str, f64)]) {
+        let rows = rates.iter().map(|(name, requests)| DemandRow {
+            key: DemandKey {
+                model: model(name),
+                adapter: None,
+            },
+            rate: DemandRate {
+                requests: *requests,
+                prompt_tokens: 0.0,
+                output_tokens: requests * 200.0,
+            },
+        });
+        self.demand.rows = rows.collect();
+        self.demand
+            .rows
+            .sort_by(|left, right| left.key.cmp(&right.key));
+    }
+
+    pub fn step(&mut self, planner: &mut dyn FleetPlanner) -> PlanOutcome {
+        self.now = self.now + Duration::from_secs(10);
+        let outcome = planner.plan(&self.input(), self.now);
+        for row in &outcome.plan.endpoints {
+            let view = self
+                .views
+                .iter_mut()
+                .find(|view| view.endpoint == row.endpoint)
+                .unwrap();
+            if view.alive {
+                view.held = row.weights.iter().map(ready).collect();
+            }
+        }
+        self.plan = Some(outcome.plan.clone());
+        outcome
+    }
+
+    pub fn steps(&mut self, planner: &mut dyn FleetPlanner, count: usize) -> u32 {
+        (0..count)
+            .map(|_| self.step(planner))
+            .map(|outcome| outcome.loads + outcome.unloads)
+            .sum()
+    }
+
+    /// Where weights are planned, as places in the list of endpoints.
+    pub fn holders(&self, weights: &WeightsKey) -> Vec<usize> {
+        let plan = self.plan.as_ref().unwrap();
+        let rows = plan.endpoints.iter().enumerate();
+        rows.filter(|(_, row)| row.weights.contains(weights))
+            .map(|(index, _)| index)
+            .collect()
+    }
+}
+
+pub fn planner() -> PlacementPlanner {
+    PlacementPlanner::new(PlannerSettings::default())
+}
+
+#[test]
+fn all_models_and_adapters_are_placed_on_few_endpoints() {
+    let mut config = fleet(9, 100, &[("a", 40), ("b", 40), ("c", 20), ("d", 60)]);
+    add_adapter(&mut config, "x", "a", 5);
+    let mut fleet = Fleet::new(config);
+    let outcome = fleet.step(&mut planner());
+    for weights in [
+        base("a", "v1"),
+        base("b", "v1"),
+        base("c", "v1"),
+        base("d", "v1"),
+    ] {
+        assert_eq!(fleet.holders(&weights).len(), 1);
+    }
+    assert_eq!(
+        fleet.holders(&adapter("x", "a", "v1")),
+        fleet.holders(&base("a", "v1"))
+    );
+    assert_eq!((outcome.endpoints_used, outcome.notes.len()), (2, 0));
+}
+
+#[test]
+fn demand_brings_replicas_in_several_zones() {
+    let mut fleet = Fleet::new(fleet(9, 100, &[("a", 40), ("b", 40)]));
+    let mut planner = planner();
+    fleet.step(&mut planner);
+    fleet.ask(&[("a", 30.0)]);
+    fleet.steps(&mut planner, 6);
+    let holders = fleet.holders(&base("a", "v1"));
+    assert!(holders.len() >= 3, "{holders:?}");
+    let mut zones: Vec<usize> = holders.iter().map(|index| index % 3).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    assert_eq!(zones.len(), 3);
+}
+
+/// Demand falls and stays low: after a while the endpoints that it needed are emptied again.
+#[test]
+fn quiet_endpoints_are_emptied() {
+    let mut fleet = Fleet::new(fleet(9, 100, &[("a", 40), ("b", 40)]));
+    let mut planner = planner();
+    fleet.ask(&[("a", 40.0), ("b", 20.0)]);
+    fleet.steps(&mut planner, 12);
+    let busy = fleet.step(&mut planner).endpoints_used;
+    fleet.ask(&[("a", 1.0)]);
+    fleet.steps(&mut planner, 600);
+    let quiet = fleet.step(&mut planner).endpoints_used;
+    assert!(busy >= 4 && quiet <= 2, "{busy} then {quiet}");
+}
+
+/// Demand swings to and fro every half minute. A planner that follows it loads and unloads the
+/// same weights all day; this one keeps what the next swing needs.
+#[test]
+fn swings_of_demand_cause_few_moves() {
+    let moves = |planner: &mut dyn FleetPlanner| {
+        let mut fleet = Fleet::new(fleet(9, 100, &[("a", 40), ("b", 40), ("c", 40)]));
+        (0..60)
+            .map(|round| {
+                let (left, right) = if round % 2 == 0 {
+                    (30.0, 2.0)
+                } else {
+                    (2.0, 30.0)
+                };
+                fleet.ask(&[("a", left), ("b", right)]);
+                fleet.steps(planner, 3)
+            })
+            .sum::<u32>()
+    };
+    let (own, greedy) = (moves(&mut planner()), moves(&mut GreedyPlanner::new()));
+    assert!(own * 2 < greedy, "{own} against {greedy}");
+}
+
+/// An endpoint drops out of sight and comes back: its row stays, and nothing is unloaded.
+#[test]
+fn an_endpoint_out_of_sight_loses_nothing() {
+    let mut fleet = Fleet::new(fleet(3, 100, &[("a", 60), ("b", 60)]));
+    let mut planner = planner();
+    fleet.step(&mut planner);
+    let lost = fleet.holders(&base("a", "v1"))[0];
+    let row = fleet.plan.as_ref().unwrap().endpoints[lost].clone();
+    fleet.views[lost].alive = false;
+    fleet.step(&mut planner);
+    assert_eq!(fleet.holders(&base("a", "v1")).len(), 2);
+    fleet.views[lost].alive = true;
+    fleet.step(&mut planner);
+    assert_eq!(fleet.plan.as_ref().unwrap().endpoints[lost], row);
+}
+
+/// Memory is full and a model has no place, as a lost endpoint had it. An extra replica goes.
+#[test]
+fn extra_replicas_make_room_for_reachability() {
+    let mut fleet = Fleet::new(fleet(3, 100, &[("a", 60), ("b", 60)]));
+    for (index, weights) in [base("a", "v1"), base("a", "v1"), base("b", "v1")]
+        .iter()
+        .enumerate()
+    {
+        fleet.views[index].held = [ready(weights)].into_iter().collect();
+    }
+    fleet.views[2].alive = false;
+    let outcome = fleet.step(&mut planner());
+    assert_eq!(fleet.holders(&base("b", "v1")).len(), 1);
+    assert_eq!(fleet.holders(&base("a", "v1")).len(), 1);
+    assert!(outcome.notes.is_empty());
+}
+
+/// A model fits on no endpoint as the small ones lie. One of them is given a second place first,
+/// and the model follows when that is ready.
+#[test]
+fn small_models_are_moved_aside_for_a_large_one() {
+    let models = [("a", 40), ("b", 40), ("big", 90)];
+    let mut fleet = Fleet::new(fleet(2, 100, &models));
+    fleet.views[0].held = [ready(&base("a", "v1"))].into_iter().collect();
+    fleet.views[1].held = [ready(&base("b", "v1"))].into_iter().collect();
+    let mut planner = planner();
+    let first = fleet.step(&mut planner);
+    assert!(matches!(first.notes[..], [PlanNote::Unplaced { .. }]));
+    fleet.steps(&mut planner, 2);
+    assert_eq!(fleet.holders(&base("big", "v1")).len(), 1);
+    assert_eq!(fleet.holders(&base("a", "v1")).len(), 1);
+    assert_eq!(fleet.holders(&base("b", "v1")).len(), 1);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_replacements_first() {
+    let mut fleet = Fleet::new(fleet(3, 100, &[("a", 60)]));
+    let mut planner = planner();
+    fleet.step(&mut planner);
+    let leaving = fleet.holders(&base("a", "v1"))[0];
+    let name = fleet.views[leaving].endpoint.clone();
+    let forecast = planner.forecast_stop(&fleet.input(), &[name], fleet.now);
+    assert_eq!(forecast.replacements, [base("a", "v1")]);
+    assert!(forecast.unreachable.is_empty());
+    fleet.views[leaving].leaving = true;
+    fleet.step(&mut planner);
+    let holders = fleet.holders(&base("a", "v1"));
+    assert!(holders.len() == 2 && holders.contains(&leaving));
+}
+
+/// A stop of two of three endpoints leaves no memory for one of the models: the forecast says
+/// which, and by how much.
+#[test]
+fn a_stop_that_costs_reachability_is_told() {
+    let mut fleet = Fleet::new(fleet(3, 100, &[("a", 60), ("b", 60)]));
+    let mut planner = planner();
+    fleet.step(&mut planner);
+    let names: Vec<_> = fleet.views[..2]
+        .iter()
+        .map(|view| view.endpoint.clone())
+        .collect();
+    let forecast = planner.forecast_stop(&fleet.input(), &names, fleet.now);
+    assert_eq!(forecast.unreachable.len(), 1);
+    let shortage = &forecast.unreachable[0];
+    assert_eq!((shortage.needed_mib, shortage.largest_free_mib), (60, 40));
+}
+
+#[test]
+fn a_configuration_without_memory_is_refused_with_figures() {
+    assert_eq!(
+        check_reachable(&fleet(2, 100, &[("a", 60), ("b", 60)])),
+        Ok(())
+    );
+    let shortages = check_reachable(&fleet(1, 100, &[("a", 60), ("b", 50)])).unwrap_err();
+    assert_eq!(shortages[0].weights, base("b", "v1"));
+    assert_eq!(
+        (shortages[0].needed_mib, shortages[0].largest_free_mib),
+        (50, 40)
+    );
+}
+
+/// A new version goes over the replicas a few at a time, and the rest keep the old one.
+#[test]
+fn versions_change_a_few_replicas_at_a_time() {
+    let mut fleet = Fleet::new(fleet(9, 100, &[("a", 40)]));
+    let mut planner = planner();
+    fleet.ask(&[("a", 60.0)]);
+    fleet.steps(&mut planner, 10);
+    let all = fleet.holders(&base("a", "v1")).len();
+    fleet.config.models[0].version = VersionName::try_from("v2").unwrap();
+    fleet.generation = 2;
+    fleet.step(&mut planner);
+    let changed = fleet.holders(&base("a", "v2")).len();
+    assert!(changed >= 1 && changed <= all / 2, "{changed} of {all}");
+    fleet.steps(&mut planner, 10);
+    assert_eq!(fleet.holders(&base("a", "v1")).len(), 0);
+}
+
+/// The only replica's endpoint has no memory for two versions: the new one is placed elsewhere.
+#[test]
+fn a_version_without_memory_for_both_gets_a_second_place() {
+    let mut fleet = Fleet::new(fleet(3, 100, &[("a", 60)]));
+    let mut planner = planner();
+    fleet.step(&mut planner);
+    let old = fleet.holders(&base("a", "v1"))[0];
+    fleet.config.models[0].version = VersionName::try_from("v2").unwrap();
+    fleet.generation = 2;
+    fleet.step(&mut planner);
+    assert!(
+        fleet
+            .holders(&base("a", "v2"))
+            .iter()
+            .any(|holder| *holder != old)
+    );
+}
+
+#[test]
+fn a_settled_plan_is_not_written_again() {
+    let mut fleet = Fleet::new(fleet(9, 100, &[("a", 40), ("b", 40)]));
+    let mut planner = planner();
+    fleet.ask(&[("a", 5.0)]);
+    fleet.steps(&mut planner, 100);
+    let before = fleet.plan.clone().unwrap();
+    let outcome = fleet.step(&mut planner);
+    assert_eq!(outcome.plan, before);
+}
+
+#[test]
+fn the_static_planner_never_moves() {
+    let mut fleet = Fleet::new(fleet(6, 100, &[("a", 40), ("b", 30)]));
+    let mut planner = StaticPlanner::new();
+    fleet.step(&mut planner);
+    fleet.ask(&[("a", 90.0)]);
+    fleet.views[1].alive = false;
+    assert_eq!(fleet.steps(&mut planner, 5), 0);
+    assert_eq!(fleet.holders(&base("a", "v1")).len(), 6);
+}
--- /dev/null
+++ b/crates/oatpier-placement/tests/testsuite/repair.rs
@@ -0,0 +1,129 @@
+//! Reachability without a planner and without the store.
+
+use std::time::Duration;
+
+use oatpier_placement::rank::rank_of;
+use oatpier_placement::repair::{RepairInput, RepairKeeper, RepairSettings};
+use oatpier_placement::steps::ReplicaCount;
+use oatpier_types::engine::WeightsKey;
+use oatpier_types::names::{EndpointName, PoolName};
+use smallvec::{SmallVec, smallvec};
+
+use crate::fleet::{adapter, add_adapter, base, endpoint, fleet};
+use crate::orders::Desk;
+
+struct Elsewhere(Vec<WeightsKey>);
+
+impl ReplicaCount for Elsewhere {
+    fn ready_elsewhere(&self, weights: &WeightsKey) -> SmallVec<[EndpointName; 4]> {
+        if self.0.contains(weights) {
+            smallvec![endpoint("other")]
+        } else {
+            SmallVec::new()
+        }
+    }
+}
+
+fn live(count: usize) -> Vec<EndpointName> {
+    (0..count)
+        .map(|index| endpoint(&format!("e{index:04}")))
+        .collect()
+}
+
+fn keeper(name: &EndpointName) -> RepairKeeper {
+    let pool = PoolName::try_from("llm").unwrap();
+    RepairKeeper::new(RepairSettings::default(), name.clone(), pool)
+}
+
+/// When each of five endpoints takes on a model that no one has, in seconds.
+fn turns(desk: &Desk, replicas: &Elsewhere) -> Vec<(usize, Option<u64>)> {
+    let live = live(5);
+    let ranked = live.iter().map(|name| {
+        let mut repair = keeper(name);
+        let turn = (0..40).find(|second| {
+            let now = desk.now + Duration::from_secs(*second);
+            let input = RepairInput {
+                config: &desk.config,
+                live: &live,
+                replicas,
+                plan: None,
+            };
+            let row = repair.repaired_row(&input, &desk.keeper, now);
+            row.weights.contains(&base("a", "v1"))
+        });
+        (rank_of("a", name, live.iter()), turn)
+    });
+    let mut ranked: Vec<_> = ranked.collect();
+    ranked.sort_unstable();
+    ranked
+}
+
+/// The only endpoint with a model dies while planner and store are away. The live endpoints take
+/// it in turn by rank, so that one loads it and not all.
+#[test]
+fn endpoints_take_a_lost_model_in_turn() {
+    let desk = Desk::ready(true, fleet(5, 100, &[("a", 60)]), 100);
+    let turns = turns(&desk, &Elsewhere(Vec::new()));
+    let wanted = [3, 7, 11, 15, 19].into_iter().map(Some).enumerate();
+    assert_eq!(turns, wanted.collect::<Vec<_>>());
+}
+
+#[test]
+fn a_model_that_another_endpoint_serves_is_left() {
+    let desk = Desk::ready(true, fleet(5, 100, &[("a", 60)]), 100);
+    let turns = turns(&desk, &Elsewhere(vec![base("a", "v1")]));
+    assert!(turns.iter().all(|(_, turn)| turn.is_none()));
+}
+
+/// Memory is full. A replica that another endpoint has too makes room; the last one never does.
+#[test]
+fn only_extra_replicas_make_room() {
+    for extra in [true, false] {
+        let mut desk = Desk::ready(true, fleet(1, 100, &[("a", 60), ("b", 60)]), 100);
+        desk.engine.put_ready(&base("b", "v1"));
+        desk.run(Duration::from_secs(6));
+        let replicas = Elsewhere(if extra {
+            vec![base("b", "v1")]
+        } else {
+            Vec::new()
+        });
+        let live = live(1);
+        let mut repair = keeper(&live[0]);
+        let input = RepairInput {
+            config: &desk.config,
+            live: &live,
+            replicas: &replicas,
+            plan: None,
+        };
+        repair.repaired_row(&input, &desk.keeper, desk.now);
+        let row = repair.repaired_row(&input, &desk.keeper, desk.now + Duration::from_secs(5));
+        let wanted = if extra {
+            base("a", "v1")
+        } else {
+            base("b", "v1")
+        };
+        assert_eq!(row.weights.as_slice(), [wanted]);
+    }
+}
+
+#[test]
+fn an_adapter_is_taken_with_its_base_model() {
+    let mut config = fleet(1, 100, &[("a", 60)]);
+    add_adapter(&mut config, "x", "a", 10);
+    let desk = Desk::ready(true, config, 100);
+    let live = live(1);
+    let mut repair = keeper(&live[0]);
+    let replicas = Elsewhere(vec![base("a", "v1")]);
+    let input = RepairInput {
+        config: &desk.config,
+        live: &live,
+        replicas: &replicas,
+        plan: None,
+    };
+    repair.repaired_row(&input, &desk.keeper, desk.now);
+    let row = repair.repaired_row(&input, &desk.keeper, desk.now + Duration::from_secs(5));
+    assert_eq!(
+        row.weights.as_slice(),
+        [base("a", "v1"), adapter("x", "a", "v1")]
+    );
+}
--- /dev/null
+++ b/crates/oatpier-placement/tests/testsuite/steps.rs
@@ -0,0 +1,217 @@
+//! From the plan to the next step.
+
+use std::time::Duration;
+
+use oatpier_placement::release::{ReleaseAnswer, ReleaseKeeper};
+use oatpier_placement::steps::{
+    AttemptCount, MoveStepper, PlacementStep, ReplicaCount, StepInput, StepWait,
+};
+use oatpier_types::config::FleetConfig;
+use oatpier_types::engine::{EngineRole, OrderAction, WeightsKey};
+use oatpier_types::ids::BootId;
+use oatpier_types::names::{EndpointName, VersionName};
+use oatpier_types::plan::EndpointPlan;
+use smallvec::{SmallVec, smallvec};
+
+use crate::fleet::{adapter, add_adapter, base, endpoint, fleet};
+use crate::orders::{Desk, load, unload};
+
+/// What this endpoint's agent sees around it.
+#[derive(Default)]
+struct Surroundings {
+    elsewhere: Vec<WeightsKey>,
+    running: Vec<WeightsKey>,
+}
+
+impl ReplicaCount for Surroundings {
+    fn ready_elsewhere(&self, weights: &WeightsKey) -> SmallVec<[EndpointName; 4]> {
+        if self.elsewhere.contains(weights) {
+            smallvec![endpoint("other")]
+        } else {
+            SmallVec::new()
+        }
+    }
+}
+
+impl AttemptCount for Surroundings {
+    fn in_flight(&self, weights: &WeightsKey) -> u32 {
+        u32::from(self.running.contains(weights))
+    }
+}
+
+struct Agent {
+    desk: Desk,
+    stepper: MoveStepper,
+    releases: ReleaseKeeper,
+    around: Surroundings,
+    plan: EndpointPlan,
+}
+
+impl Agent {
+    fn new(config: FleetConfig, memory_mib: u64, held: &[WeightsKey]) -> Self {
+        let mut desk = Desk::ready(true, config, memory_mib);
+        for weights in held {
+            desk.engine.put_ready(weights);
+        }
+        desk.run(Duration::from_secs(6));
+        let plan = EndpointPlan {
+            endpoint: endpoint("e0000"),
+            weights: held.iter().cloned().collect(),
+            role: EngineRole::Both,
+        };
+        Self {
+            desk,
+            stepper: MoveStepper::new(),
+            releases: ReleaseKeeper::new(endpoint("e0000"), BootId(1), 1),
+            around: Surroundings::default(),
+            plan,
+        }
+    }
+
+    fn step(&mut self) -> Result<PlacementStep, StepWait> {
+        let input = StepInput {
+            plan: &self.plan,
+            config: &self.desk.config,
+            replicas: &self.around,
+            attempts: &self.around,
+        };
+        let now = self.desk.now;
+        self.stepper
+            .next_step(input, &mut self.desk.keeper, &mut self.releases, now)
+    }
+
+    /// All steps until the endpoint is as planned; the other holder grants every ask.
+    fn all_steps(&mut self) -> Vec<PlacementStep> {
+        let mut steps = Vec::new();
+        for _ in 0..400 {
+            match self.step() {
+                Ok(step) => {
+                    if let PlacementStep::AskRelease { ask, .. } = &step {
+                        let answer = ReleaseAnswer {
+                            boot: ask.boot,
+                            sequence: ask.sequence,
+                            granted: true,
+                        };
+                        self.releases.on_answer(answer, self.desk.now);
+                    }
+                    steps.push(step);
+                }
+                Err(StepWait::Done) if self.desk.keeper.moving() == 0 => break,
+                Err(_) => self.desk.run(Duration::from_millis(100)),
+            }
+        }
+        steps
+    }
+
+    fn orders(&mut self) -> Vec<OrderAction> {
+        let steps = self.all_steps().into_iter();
+        let orders = steps.filter_map(|step| match step {
+            PlacementStep::Ordered(action) => Some(action),
+            _ => None,
+        });
+        orders.collect()
+    }
+}
+
+fn second_version(config: &mut FleetConfig) {
+    config.models[0].version = VersionName::try_from("v2").unwrap();
+}
+
+#[test]
+fn a_base_model_comes_before_its_adapter_and_goes_after_it() {
+    let mut config = fleet(1, 100, &[("a", 60)]);
+    add_adapter(&mut config, "x", "a", 10);
+    let both = [base("a", "v1"), adapter("x", "a", "v1")];
+    let mut agent = Agent::new(config, 100, &[]);
+    agent.plan.weights = both.iter().rev().cloned().collect();
+    assert_eq!(agent.orders(), [load(&both[0]), load(&both[1])]);
+    agent.plan.weights.clear();
+    agent.around.elsewhere = both.to_vec();
+    assert_eq!(agent.orders(), [unload(&both[1]), unload(&both[0])]);
+}
+
+/// The plan drops the only replica that is known. Callers would lose the model: it stays, and
+/// the wait says why.
+#[test]
+fn the_last_ready_replica_stays() {
+    let a = base("a", "v1");
+    let mut agent = Agent::new(fleet(1, 100, &[("a", 60)]), 100, std::slice::from_ref(&a));
+    agent.plan.weights.clear();
+    assert_eq!(agent.step(), Err(StepWait::LastReplica(a)));
+}
+
+/// A new version fits beside the old one: it is ready before the old one goes, without a word to
+/// anyone, as this endpoint goes on serving the model.
+#[test]
+fn a_version_is_changed_without_a_gap() {
+    let (old, new) = (base("a", "v1"), base("a", "v2"));
+    let mut agent = Agent::new(fleet(1, 130, &[("a", 60)]), 130, std::slice::from_ref(&old));
+    second_version(&mut agent.desk.config);
+    agent.plan.weights = smallvec![new.clone()];
+    let steps = agent.all_steps();
+    let wanted = [
+        PlacementStep::Ordered(load(&new)),
+        PlacementStep::StartDrain(old.clone()),
+        PlacementStep::Ordered(unload(&old)),
+    ];
+    assert_eq!(steps, wanted);
+}
+
+/// Memory does not hold both versions, and an adapter stands on the old one. While no other
+/// endpoint serves them nothing goes; once one does, the adapter goes, the old base, and both
+/// come back in order.
+#[test]
+fn a_version_without_memory_for_both_waits_for_another_replica() {
+    let mut config = fleet(1, 100, &[("a", 60)]);
+    add_adapter(&mut config, "x", "a", 10);
+    let (old, new, x) = (base("a", "v1"), base("a", "v2"), adapter("x", "a", "v1"));
+    let mut agent = Agent::new(config, 100, &[old.clone(), x.clone()]);
+    second_version(&mut agent.desk.config);
+    agent.plan.weights = smallvec![new.clone(), x.clone()];
+    agent.desk.run(Duration::from_secs(1));
+    assert!(agent.step().is_err());
+    agent.around.elsewhere = vec![old.clone(), x.clone()];
+    assert_eq!(
+        agent.orders(),
+        [unload(&x), unload(&old), load(&new), load(&x)]
+    );
+}
+
+/// An attempt runs on weights that the plan drops. An unload would cut it off: new attempts are
+/// no longer taken, and the order waits for the end of the last one.
+#[test]
+fn nothing_is_unloaded_under_an_attempt() {
+    let a = base("a", "v1");
+    let mut agent = Agent::new(fleet(1, 100, &[("a", 60)]), 100, std::slice::from_ref(&a));
+    agent.plan.weights.clear();
+    agent.around.elsewhere = vec![a.clone()];
+    agent.around.running = vec![a.clone()];
+    let steps = agent.all_steps();
+    assert_eq!(steps.last(), Some(&PlacementStep::StartDrain(a.clone())));
+    assert!(!agent.stepper.takes_new(&a));
+    agent.around.running.clear();
+    assert_eq!(agent.orders(), [unload(&a)]);
+}
+
+/// The plan wants weights back while they drain: they take new attempts again, and the agent may
+/// again grant releases to others.
+#[test]
+fn a_drain_is_given_up_when_the_plan_changes_back() {
+    let a = base("a", "v1");
+    let mut agent = Agent::new(fleet(1, 100, &[("a", 60)]), 100, std::slice::from_ref(&a));
+    agent.plan.weights.clear();
+    agent.around.elsewhere = vec![a.clone()];
+    agent.around.running = vec![a.clone()];
+    agent.all_steps();
+    agent.plan.weights = smallvec![a.clone()];
+    assert_eq!(agent.step(), Ok(PlacementStep::ResumeServing(a.clone())));
+    assert!(agent.stepper.takes_new(&a) && !agent.releases.is_releasing(&a));
+}
+
+#[test]
+fn a_role_is_changed_as_planned() {
+    let mut agent = Agent::new(fleet(1, 100, &[("a", 60)]), 100, &[]);
+    let role = EngineRole::Prefill;
+    agent.plan.role = role;
+    assert_eq!(agent.orders(), [OrderAction::SetRole { role }]);
+}
--- /dev/null
+++ b/crates/oatpier-placement/tests/testsuite/world.rs
@@ -0,0 +1,363 @@
+//! Agents, model engines, a store and the messages between them, with seeded faults.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oatpier_placement::orders::{OrderEvent, OrderKeeper, OrderOutcome, OrderSettings, PollTicket};
+use oatpier_placement::record::{EpochState, RecordCall, StoredRecord};
+use oatpier_placement::release::{ReleaseAnswer, ReleaseAsk, ReleaseKeeper};
+use oatpier_placement::steps::{
+    AttemptCount, MoveStepper, PlacementStep, ReplicaCount, StepInput, StepWait,
+};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::engine::{EngineOrder, EngineRole, WeightsKey};
+use oatpier_types::ids::BootId;
+use oatpier_types::names::EndpointName;
+use oatpier_types::plan::EndpointPlan;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use crate::engine::ModelEngine;
+
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// How often each fault happens.
+#[derive(Debug, Clone, Copy)]
+pub struct FaultRates {
+    pub order_lost: f64,
+    pub order_late: f64,
+    pub order_doubled: f64,
+    pub poll_lost: f64,
+    pub store_lost: f64,
+    pub restart: f64,
+    pub pause: f64,
+}
+
+impl FaultRates {
+    pub const NONE: Self = Self {
+        order_lost: 0.0,
+        order_late: 0.0,
+        order_doubled: 0.0,
+        poll_lost: 0.0,
+        store_lost: 0.0,
+        restart: 0.0,
+        pause: 0.0,
+    };
+    pub const MANY: Self = Self {
+        order_lost: 0.15,
+        order_late: 0.15,
+        order_doubled: 0.15,
+        poll_lost: 0.1,
+        store_lost: 0.1,
+        restart: 0.003,
+        pause: 0.003,
+    };
+}
+
+#[derive(Debug, Clone)]
+pub enum Message {
+    Order(usize, BootId, EngineOrder, bool),
+    StoreCall(usize, BootId, RecordCall, bool),
+    Poll(usize, BootId, PollTicket),
+    Event(BootId, OrderEvent),
+    Ask(usize, ReleaseAsk),
+    Answer(ReleaseAnswer),
+}
+
+pub struct Agent {
+    pub index: usize,
+    pub boot: BootId,
+    pub keeper: OrderKeeper,
+    pub releases: ReleaseKeeper,
+    pub stepper: MoveStepper,
+    pub awake_from: ClockTime,
+    pub view: Vec<(EndpointName, Vec<WeightsKey>)>,
+    pub view_until: ClockTime,
+    pub last: Result<PlacementStep, StepWait>,
+}
+
+struct AgentView<'a>(&'a [(EndpointName, Vec<WeightsKey>)], usize);
+
+impl ReplicaCount for AgentView<'_> {
+    fn ready_elsewhere(&self, weights: &WeightsKey) -> SmallVec<[EndpointName; 4]> {
+        self.0
+            .iter()
+            .enumerate()
+            .filter(|(index, (_, ready))| *index != self.1 && ready.contains(weights))
+            .map(|(_, (name, _))| name.clone())
+            .collect()
+    }
+
+    fn other_versions(&self, weights: &WeightsKey) -> SmallVec<[WeightsKey; 2]> {
+        let elsewhere = self.0.iter().enumerate();
+        let elsewhere = elsewhere.filter(|(index, _)| *index != self.1);
+        elsewhere
+            .flat_map(|(_, (_, ready))| ready)
+            .filter(|held| held.model == weights.model && held.adapter == weights.adapter)
+            .filter(|held| *held != weights)
+            .cloned()
+            .collect()
+    }
+}
+
+struct Busy(bool);
+
+impl AttemptCount for Busy {
+    fn in_flight(&self, _: &WeightsKey) -> u32 {
+        u32::from(self.0)
+    }
+}
+
+pub struct World {
+    pub now: ClockTime,
+    pub config: FleetConfig,
+    pub rows: Vec<EndpointPlan>,
+    pub engines: Vec<ModelEngine>,
+    pub faults: FaultRates,
+    pub store_down: bool,
+    pub violations: Vec<String>,
+    pub orders_taken: u32,
+    pub settings: OrderSettings,
+    pub agents: Vec<Agent>,
+    pub current: Vec<BootId>,
+    pub store: Vec<Option<StoredRecord>>,
+    pub queue: BTreeMap<(ClockTime, u64), Message>,
+    pub sequence: u64,
+    pub random: ChaCha8Rng,
+}
+
+impl World {
+    /// `checks` says whether the engines check order numbers; `settings` what agents believe.
+    pub fn new(config: FleetConfig, checks: bool, settings: OrderSettings, seed: u64) -> Self {
+        let names: Vec<EndpointName> = config.pools[0].endpoints.keys().cloned().collect();
+        let rows = names.iter().map(|name| EndpointPlan {
+            endpoint: name.clone(),
+            weights: SmallVec::new(),
+            role: EngineRole::Both,
+        });
+        let mut world = Self {
+            now: ClockTime::ZERO,
+            rows: rows.collect(),
+            engines: vec![ModelEngine::new(checks, settings.capacity_mib); names.len()],
+            faults: FaultRates::NONE,
+            store_down: false,
+            violations: Vec::new(),
+            orders_taken: 0,
+            settings,
+            agents: Vec::new(),
+            current: Vec::new(),
+            store: vec![None; names.len()],
+            queue: BTreeMap::new(),
+            sequence: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            config,
+        };
+        for index in 0..names.len() {
+            world.current.push(BootId(0));
+            world.start_agent(index);
+        }
+        world
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.engines
+                .iter_mut()
+                .for_each(|engine| engine.advance(self.now));
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let message = entry.remove();
+                self.deliver(message);
+            }
+            for agent in 0..self.agents.len() {
+                self.run_agent(agent);
+            }
+            self.end_superseded();
+            self.break_things();
+        }
+    }
+
+    /// Replaces the agent of an endpoint; the former one wakes up after `asleep`.
+    pub fn restart(&mut self, index: usize, asleep: Duration) {
+        let boot = self.current[index];
+        let wake = self.now + asleep;
+        if let Some(agent) = self.agents.iter_mut().find(|agent| agent.boot == boot) {
+            agent.awake_from = wake;
+        }
+        self.start_agent(index);
+    }
+
+    pub fn last_step(&self, index: usize) -> &Result<PlacementStep, StepWait> {
+        let boot = self.current[index];
+        &self
+            .agents
+            .iter()
+            .find(|agent| agent.boot == boot)
+            .unwrap()
+            .last
+    }
+
+    pub fn chance(&mut self, rate: f64) -> bool {
+        self.random.random_bool(rate)
+    }
+
+    pub fn up_to(&mut self, span: Duration) -> Duration {
+        span.mul_f64(self.random.random_range(0.0..1.0))
+    }
+
+    fn start_agent(&mut self, index: usize) {
+        self.sequence += 1;
+        let boot = BootId(u128::from(self.sequence));
+        self.current[index] = boot;
+        let endpoint = self.rows[index].endpoint.clone();
+        self.agents.push(Agent {
+            index,
+            boot,
+            keeper: OrderKeeper::new(self.settings, boot),
+            releases: ReleaseKeeper::new(endpoint, boot, self.sequence),
+            stepper: MoveStepper::new(),
+            awake_from: self.now,
+            view: Vec::new(),
+            view_until: ClockTime::ZERO,
+            last: Err(StepWait::NotReady),
+        });
+    }
+
+    /// An agent that learns of a later one ends. Where it was the one that peers reach, the VM
+    /// starts it anew.
+    fn end_superseded(&mut self) {
+        let ended = |agent: &Agent| agent.keeper.epoch() == EpochState::Superseded;
+        for index in 0..self.engines.len() {
+            let boot = self.current[index];
+            if self
+                .agents
+                .iter()
+                .any(|agent| agent.boot == boot && ended(agent))
+            {
+                self.start_agent(index);
+            }
+        }
+        self.agents.retain(|agent| !ended(agent));
+    }
+
+    fn break_things(&mut self) {
+        for index in 0..self.engines.len() {
+            if self.chance(self.faults.restart) {
+                let asleep = self.up_to(Duration::from_secs(30));
+                self.restart(index, asleep);
+            }
+            if self.chance(self.faults.pause) {
+                let boot = self.current[index];
+                let wake = self.now + self.up_to(Duration::from_secs(15));
+                if let Some(agent) = self.agents.iter_mut().find(|agent| agent.boot == boot) {
+                    agent.awake_from = wake;
+                }
+            }
+        }
+    }
+
+    fn run_agent(&mut self, agent: usize) {
+        if self.agents[agent].awake_from > self.now {
+            return;
+        }
+        self.refresh_view(agent);
+        for _ in 0..4 {
+            let busy = Busy(self.random.random_bool(0.3));
+            let now = self.now;
+            let Agent {
+                index,
+                keeper,
+                releases,
+                stepper,
+                view,
+                last,
+                ..
+            } = &mut self.agents[agent];
+            let replicas = AgentView(view, *index);
+            let input = StepInput {
+                plan: &self.rows[*index],
+                config: &self.config,
+                replicas: &replicas,
+                attempts: &busy,
+            };
+            *last = stepper.next_step(input, keeper, releases, now);
+            match last.clone() {
+                Ok(PlacementStep::AskRelease { to, ask }) => {
+                    let to = self.rows.iter().position(|row| row.endpoint == to).unwrap();
+                    self.post_lossy(&Message::Ask(to, ask));
+                }
+                Ok(_) => {}
+                Err(_) => break,
+            }
+        }
+        let Agent {
+            keeper, releases, ..
+        } = &mut self.agents[agent];
+        for reply in releases.replies(keeper, self.now) {
+            self.post_lossy(&Message::Answer(reply.answer));
+        }
+        let keeper = &mut self.agents[agent].keeper;
+        for command in keeper.commands(&self.config, self.now) {
+            self.carry_out(agent, command);
+        }
+    }
+
+    fn refresh_view(&mut self, agent: usize) {
+        if self.now < self.agents[agent].view_until {
+            return;
+        }
+        let lag = self.up_to(Duration::from_secs(2));
+        let view = self.rows.iter().zip(&self.engines).map(|(row, engine)| {
+            let state = engine.state();
+            let held = state.held.into_iter().map(|held| held.weights);
+            let ready = held.filter(|weights| engine.is_ready(weights)).collect();
+            (row.endpoint.clone(), ready)
+        });
+        let view = view.collect();
+        self.agents[agent].view = view;
+        self.agents[agent].view_until = self.now + lag;
+    }
+
+    pub fn take_order(&mut self, index: usize, order: &EngineOrder) -> OrderOutcome {
+        let before = self.served();
+        let outcome = self.engines[index].take(order, self.now);
+        self.orders_taken += u32::from(outcome == OrderOutcome::Taken);
+        let mut lost = before;
+        lost.retain(|weights| !self.is_served(weights));
+        for lost in lost {
+            let text = format!(
+                "{:?}: {order:?} at {index} made {lost:?} unreachable",
+                self.now
+            );
+            self.violations.push(text);
+        }
+        let used = self.engines[index].used_mib(&self.config);
+        if used > self.engines[index].memory_mib {
+            let text = format!(
+                "{:?}: {order:?} at {index} overcommits: {used} MiB",
+                self.now
+            );
+            self.violations.push(text);
+        }
+        outcome
+    }
+
+    fn served(&self) -> Vec<WeightsKey> {
+        let models = self.config.models.keys();
+        let models = models.filter_map(|model| self.config.model_weights(model));
+        let adapters = self.config.adapters.keys();
+        let adapters = adapters.filter_map(|adapter| self.config.adapter_weights(adapter));
+        let all = models.chain(adapters);
+        all.filter(|weights| self.is_served(weights)).collect()
+    }
+
+    pub fn is_served(&self, weights: &WeightsKey) -> bool {
+        self.engines.iter().any(|engine| engine.serves(weights))
+    }
+}
--- a/crates/oatpier-platform/src/lib.rs
+++ b/crates/oatpier-platform/src/lib.rs
@@ -8,8 +8,10 @@
 //! - [`vms`]: the lagging list of VMs.
 //! - [`engine`]: orders to an engine and what it reports.
 //! - [`work`]: running a request at an endpoint, engine or plain service.
+//! - [`http`]: the adapters that speak HTTP, as docs/design/platform-interfaces.md lays down.
 
 pub mod engine;
+pub mod http;
 pub mod store;
 pub mod vms;
 pub mod work;
--- /dev/null
+++ b/crates/oatpier-platform/tests/testsuite/endpoint_work.rs
@@ -0,0 +1,157 @@
+//! Running calls at an endpoint: what passes through, and which answers count as whole.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::TryStreamExt;
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use oatpier_platform::http::{EndpointKind, HttpWork};
+use oatpier_platform::work::{CallError, EndpointCall, EndpointWork};
+use oatpier_types::ids::AttemptId;
+use oatpier_types::verdict::RunVerdict;
+
+use crate::support::{FixedServer, LONG, closed_address, raw_server, silent_server};
+
+const ATTEMPT: AttemptId = AttemptId(0xab);
+const ATTEMPT_HEX: &str = "000000000000000000000000000000ab";
+
+fn call() -> EndpointCall {
+    let mut headers = HeaderMap::new();
+    headers.insert("accept", HeaderValue::from_static("text/plain"));
+    headers.insert("connection", HeaderValue::from_static("close"));
+    headers.insert("content-length", HeaderValue::from_static("999"));
+    headers.insert("host", HeaderValue::from_static("caller.example"));
+    EndpointCall {
+        attempt: ATTEMPT,
+        method: Method::POST,
+        path: "/plans?hall=3".to_owned(),
+        headers,
+        body: Bytes::from_static(b"seat 12"),
+        priority: 5,
+        resume_after: 17,
+    }
+}
+
+fn work(address: SocketAddr, kind: EndpointKind) -> HttpWork {
+    HttpWork::new(address, kind, LONG)
+}
+
+/// Runs a call at a service and reads its whole body.
+async fn run_whole(address: SocketAddr, call: EndpointCall) -> Result<Vec<u8>, CallError> {
+    let answer = work(address, EndpointKind::Service).run(call).await?;
+    let pieces: Vec<Bytes> = answer.body.try_collect().await?;
+    Ok(pieces.concat())
+}
+
+#[tokio::test]
+async fn an_engine_gets_a_call_and_its_cancel() {
+    let server = FixedServer::start(201, &[("x-note", "kept"), ("keep-alive", "9")], "ok").await;
+    let answer = work(server.address, EndpointKind::Engine).run(call()).await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, StatusCode::CREATED);
+    assert_eq!(answer.headers["x-note"], "kept");
+    assert!(!answer.headers.contains_key("keep-alive"));
+    let request = server.only_request();
+    assert_eq!(request.line, "POST /plans?hall=3");
+    assert_eq!(request.body, "seat 12");
+    assert_eq!(request.headers["x-request-id"], ATTEMPT_HEX);
+    assert_eq!(request.headers["x-priority"], "5");
+    assert_eq!(request.headers["x-resume-after"], "17");
+    assert_eq!(request.headers["accept"], "text/plain");
+    assert_eq!(request.headers["content-length"], "7");
+    assert_eq!(request.headers["host"], server.address.to_string());
+    assert!(!request.headers.contains_key("connection"));
+    let server = FixedServer::start(204, &[], "").await;
+    work(server.address, EndpointKind::Engine)
+        .cancel(ATTEMPT)
+        .await;
+    let line = format!("DELETE /v1/requests/{ATTEMPT_HEX}");
+    assert_eq!(server.only_request().line, line);
+}
+
+#[tokio::test]
+async fn a_plain_service_sees_no_engine_headers_and_no_cancel() {
+    let server = FixedServer::start(200, &[], "ok").await;
+    let work = work(server.address, EndpointKind::Service);
+    assert!(work.run(call()).await.is_ok());
+    work.cancel(ATTEMPT).await;
+    let request = server.only_request();
+    assert!(!request.headers.contains_key("x-priority"));
+    assert!(!request.headers.contains_key("x-resume-after"));
+}
+
+#[tokio::test]
+async fn a_probe_tells_whether_the_endpoint_answers() {
+    let healthy = FixedServer::start(200, &[], "").await;
+    let ill = FixedServer::start(500, &[], "").await;
+    let frozen = silent_server().await;
+    assert!(work(healthy.address, EndpointKind::Service).probe().await);
+    assert!(!work(ill.address, EndpointKind::Service).probe().await);
+    assert!(
+        !work(closed_address().await, EndpointKind::Service)
+            .probe()
+            .await
+    );
+    let hasty = HttpWork::new(frozen, EndpointKind::Service, Duration::from_millis(200));
+    assert!(!hasty.probe().await);
+}
+
+#[tokio::test]
+async fn a_call_that_was_not_sent_did_not_run() {
+    let error = run_whole(closed_address().await, call()).await;
+    assert_eq!(error.unwrap_err().verdict, RunVerdict::NotRun);
+    let mut unsendable = call();
+    unsendable.path = "no path".to_owned();
+    let server = FixedServer::start(200, &[], "").await;
+    let error = run_whole(server.address, unsendable).await;
+    assert_eq!(error.unwrap_err().verdict, RunVerdict::NotRun);
+    assert_eq!(server.request_count(), 0);
+}
+
+/// The service takes a call that posts a report, and dies before it answers. A repetition could
+/// post the report twice, so the verdict must not be "not run".
+#[tokio::test]
+async fn a_call_without_an_answer_may_have_run() {
+    let error = run_whole(raw_server(b"").await, call()).await;
+    assert_eq!(error.unwrap_err().verdict, RunVerdict::MayHaveRun);
+}
+
+/// A service dies in the middle of its answer. Whichever way the answer was framed, its short
+/// body is an error: a caller would show half a seating plan as the whole one. A body that ends
+/// with its connection has no framing, so its end can't be told from a cut, and is an error too.
+#[tokio::test]
+async fn a_cut_answer_is_an_error() {
+    let cuts: [&[u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhalf",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf",
+    ];
+    for cut in cuts {
+        let error = run_whole(raw_server(cut).await, call()).await;
+        assert_eq!(error.unwrap_err().verdict, RunVerdict::MayHaveRun);
+    }
+}
+
+#[tokio::test]
+async fn answers_that_show_their_end_are_whole() {
+    let answers: [(&[u8], &[u8]); 4] = [
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfour", b"four"),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+            b"four",
+        ),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", b""),
+        // Their reader looks for the last event.
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: [DONE]\n\n",
+            b"data: [DONE]\n\n",
+        ),
+    ];
+    for (answer, body) in answers {
+        assert_eq!(
+            run_whole(raw_server(answer).await, call()).await.unwrap(),
+            body
+        );
+    }
+}
--- /dev/null
+++ b/crates/oatpier-platform/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the HTTP adapters, against small servers on loopback sockets.
+
+mod endpoint_work;
+mod engine_orders;
+mod store_calls;
+mod support;
+mod vm_list;
--- /dev/null
+++ b/crates/oatpier-wire/src/client/pool.rs
@@ -0,0 +1,101 @@
+//! Unused connections, kept for the next request to the same address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use tokio::time::Instant;
+
+/// The sending side of a connection.
+pub(crate) struct PooledSender {
+    pub(crate) address: SocketAddr,
+    pub(crate) connection: SendRequest<Full<Bytes>>,
+    /// Whether an earlier request went over it.
+    pub(crate) reused: bool,
+}
+
+struct IdleSender {
+    sender: PooledSender,
+    since: Instant,
+}
+
+struct IdleTable {
+    senders: HashMap<SocketAddr, Vec<IdleSender>>,
+    swept: Instant,
+}
+
+/// All unused connections of a client.
+pub(crate) struct ConnectionPool {
+    table: Mutex<IdleTable>,
+    idle: Duration,
+    per_address: usize,
+}
+
+impl ConnectionPool {
+    pub(crate) fn new(idle: Duration, per_address: usize) -> Self {
+        let table = IdleTable {
+            senders: HashMap::new(),
+            swept: Instant::now(),
+        };
+        Self {
+            table: Mutex::new(table),
+            idle,
+            per_address,
+        }
+    }
+
+    /// Takes the connection to `address` that was used last.
+    pub(crate) fn take(&self, address: SocketAddr) -> Option<PooledSender> {
+        let now = Instant::now();
+        let mut table = self.lock();
+        let senders = table.senders.get_mut(&address)?;
+        let found = std::iter::from_fn(|| senders.pop())
+            .find(|idle| self.is_fresh(idle, now))
+            .map(|idle| idle.sender);
+        if senders.is_empty() {
+            table.senders.remove(&address);
+        }
+        found
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub(crate) fn put(&self, mut sender: PooledSender) {
+        if sender.connection.is_closed() {
+            return;
+        }
+        let now = Instant::now();
+        sender.reused = true;
+        let mut table = self.lock();
+        self.sweep(&mut table, now);
+        let senders = table.senders.entry(sender.address).or_default();
+        if senders.len() >= self.per_address {
+            senders.remove(0);
+        }
+        senders.push(IdleSender { sender, since: now });
+    }
+
+    /// Drops what has been unused for long, also of addresses that nobody calls any more.
+    fn sweep(&self, table: &mut IdleTable, now: Instant) {
+        if now.saturating_duration_since(table.swept) < self.idle {
+            return;
+        }
+        table.swept = now;
+        table.senders.retain(|_, senders| {
+            senders.retain(|idle| self.is_fresh(idle, now));
+            !senders.is_empty()
+        });
+    }
+
+    fn is_fresh(&self, idle: &IdleSender, now: Instant) -> bool {
+        let unused = now.saturating_duration_since(idle.since);
+        unused < self.idle && !idle.sender.connection.is_closed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IdleTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/oatpier-wire/src/reply.rs
@@ -0,0 +1,76 @@
+//! Answers of a server's handlers.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{Stream, TryStreamExt};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use serde::Serialize;
+
+/// Any error of a body's source.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The body of a reply, whole or streamed.
+pub type ReplyBody = UnsyncBoxBody<Bytes, BoxError>;
+
+/// What a handler answers.
+pub type Reply = Response<ReplyBody>;
+
+/// The media type of messages between oatpier processes.
+pub const MESSAGE_TYPE: &str = "application/msgpack";
+
+/// A reply with a whole body.
+#[must_use]
+pub fn whole(status: StatusCode, media_type: &'static str, body: impl Into<Bytes>) -> Reply {
+    let body = Full::new(body.into()).map_err(|never: Infallible| match never {});
+    let mut reply = Response::new(body.boxed_unsync());
+    *reply.status_mut() = status;
+    let media_type = HeaderValue::from_static(media_type);
+    reply.headers_mut().insert(CONTENT_TYPE, media_type);
+    reply
+}
+
+/// A reply of plain text.
+#[must_use]
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    whole(status, "text/plain; charset=utf-8", body)
+}
+
+/// A reply with an encoded message of our own processes.
+#[must_use]
+pub fn message<M: Serialize>(message: &M) -> Reply {
+    match rmp_serde::to_vec(message) {
+        Ok(bytes) => whole(StatusCode::OK, MESSAGE_TYPE, bytes),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+/// A reply whose body comes in pieces. An `Err` piece cuts the connection, so that the reader
+/// sees that the body is not whole.
+#[must_use]
+pub fn streamed<S>(status: StatusCode, media_type: &'static str, pieces: S) -> Reply
+where
+    S: Stream<Item = Result<Bytes, BoxError>> + Send + 'static,
+{
+    let body = StreamBody::new(pieces.map_ok(Frame::data));
+    let mut reply = Response::new(body.boxed_unsync());
+    *reply.status_mut() = status;
+    let media_type = HeaderValue::from_static(media_type);
+    reply.headers_mut().insert(CONTENT_TYPE, media_type);
+    reply
+}
+
+/// Adds when to come back, in whole seconds, rounded up.
+#[must_use]
+pub fn with_retry_after(mut reply: Reply, after: Duration) -> Reply {
+    let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+    reply
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    reply
+}
--- /dev/null
+++ b/crates/oatpier-wire/src/server/guard.rs
@@ -0,0 +1,255 @@
+//! A server's stream that gives up on callers who are too slow.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::task::AtomicWaker;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Instant, Sleep, sleep};
+
+use super::{ServerCounters, ServerLimits};
+use crate::reply::{BoxError, ReplyBody};
+use crate::stream::MeteredStream;
+
+/// What a connection is doing, told by its service and read by its stream.
+#[derive(Debug, Default)]
+pub(crate) struct ConnectionActivity {
+    /// A request is being read or answered.
+    serving: AtomicBool,
+    /// Bytes of a head have come since the last request.
+    head_begun: AtomicBool,
+    /// Wakes the connection when a request is over. `hyper` does not read again by itself after
+    /// an answer, so no limit would be started and an idle connection would be kept for ever.
+    over: AtomicWaker,
+}
+
+impl ConnectionActivity {
+    /// A request's head is here.
+    pub(crate) fn begin(&self) {
+        self.serving.store(true, Ordering::Relaxed);
+        self.head_begun.store(false, Ordering::Relaxed);
+    }
+
+    fn end(&self) {
+        self.serving.store(false, Ordering::Relaxed);
+        self.over.wake();
+    }
+}
+
+/// A reply's body that tells when it is over.
+pub(crate) struct TrackedBody {
+    inner: ReplyBody,
+    activity: Arc<ConnectionActivity>,
+}
+
+impl TrackedBody {
+    pub(crate) fn new(inner: ReplyBody, activity: Arc<ConnectionActivity>) -> Self {
+        Self { inner, activity }
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.activity.end();
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.inner).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Runs while one side is waited for.
+#[derive(Default)]
+struct WaitTimer {
+    sleep: Option<Pin<Box<Sleep>>>,
+    running: bool,
+}
+
+impl WaitTimer {
+    /// Starts, unless it runs, and is ready when `limit` has passed since its start.
+    fn poll(&mut self, context: &mut Context<'_>, limit: Duration) -> Poll<()> {
+        let sleep = self.sleep.get_or_insert_with(|| Box::pin(sleep(limit)));
+        if !self.running {
+            sleep.as_mut().reset(Instant::now() + limit);
+            self.running = true;
+        }
+        sleep.as_mut().poll(context)
+    }
+
+    fn stop(&mut self) {
+        self.running = false;
+    }
+}
+
+/// What the reading side waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadWait {
+    /// The first byte of a head.
+    Idle,
+    /// The rest of a head.
+    Head,
+    /// A request is being served: its body has its own limit, and its answer takes its time.
+    Unbounded,
+}
+
+/// A stream that fails when its caller sends no head or takes no byte for too long.
+pub(crate) struct GuardedStream {
+    inner: MeteredStream,
+    activity: Arc<ConnectionActivity>,
+    counters: Arc<ServerCounters>,
+    idle: Duration,
+    head_wait: Duration,
+    write_wait: Duration,
+    reading: WaitTimer,
+    read_wait: ReadWait,
+    writing: WaitTimer,
+}
+
+impl GuardedStream {
+    pub(crate) fn new(
+        inner: MeteredStream,
+        limits: &ServerLimits,
+        activity: Arc<ConnectionActivity>,
+        counters: Arc<ServerCounters>,
+    ) -> Self {
+        Self {
+            inner,
+            activity,
+            counters,
+            idle: limits.idle,
+            head_wait: limits.head_wait,
+            write_wait: limits.write_wait,
+            reading: WaitTimer::default(),
+            read_wait: ReadWait::Idle,
+            writing: WaitTimer::default(),
+        }
+    }
+
+    /// A head that comes byte by byte keeps one timer, so that trickling does not extend it.
+    fn poll_read_wait(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let wait = self.current_wait();
+        if wait != self.read_wait {
+            self.reading.stop();
+            self.read_wait = wait;
+        }
+        let limit = match wait {
+            ReadWait::Idle => self.idle,
+            ReadWait::Head => self.head_wait,
+            ReadWait::Unbounded => {
+                self.activity.over.register(context.waker());
+                return Poll::Pending;
+            }
+        };
+        ready!(self.reading.poll(context, limit));
+        if self.writing.running {
+            // The last answer is still on its way out, and has a limit of its own.
+            self.reading.stop();
+            ready!(self.reading.poll(context, limit));
+        }
+        Poll::Ready(Err(self.stalled()))
+    }
+
+    fn current_wait(&self) -> ReadWait {
+        if self.activity.serving.load(Ordering::Relaxed) {
+            ReadWait::Unbounded
+        } else if self.activity.head_begun.load(Ordering::Relaxed) {
+            ReadWait::Head
+        } else {
+            ReadWait::Idle
+        }
+    }
+
+    fn after_write<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        polled: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if polled.is_ready() {
+            self.writing.stop();
+            return polled;
+        }
+        ready!(self.writing.poll(context, self.write_wait));
+        Poll::Ready(Err(self.stalled()))
+    }
+
+    fn stalled(&self) -> io::Error {
+        self.counters.stalled.fetch_add(1, Ordering::Relaxed);
+        io::Error::from(io::ErrorKind::TimedOut)
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        if polled.is_pending() {
+            return self.poll_read_wait(context);
+        }
+        if self.read_wait == ReadWait::Idle {
+            self.reading.stop();
+        }
+        if !self.activity.serving.load(Ordering::Relaxed) {
+            self.activity.head_begun.store(true, Ordering::Relaxed);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.after_write(context, polled)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.after_write(context, polled)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.inner).poll_flush(context);
+        self.after_write(context, polled)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.inner).poll_shutdown(context);
+        self.after_write(context, polled)
+    }
+}
--- /dev/null
+++ b/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
@@ -0,0 +1,179 @@
+//! What the client says of a failed call is true: "not run" only where no byte was written.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use oatpier_types::verdict::RunVerdict;
+use oatpier_wire::client::{ClientLimits, HttpClient, SendStage};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use crate::support::{closed_address, get, listen, read_head};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn client() -> HttpClient {
+    HttpClient::new(ClientLimits::default())
+}
+
+/// Starts a task that treats each connection by `treat`.
+async fn each_connection<F, R>(treat: F) -> SocketAddr
+where
+    F: Fn(TcpStream) -> R + Send + 'static,
+    R: Future<Output = ()> + Send + 'static,
+{
+    let listener = listen().await;
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(treat(stream));
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_refused_connection_did_not_run() {
+    let address = closed_address().await;
+    let error = client().send(address, get("/")).await.err().unwrap();
+    assert_eq!(error.verdict, RunVerdict::NotRun);
+    assert_eq!(error.stage, SendStage::Connect);
+}
+
+/// The peer's VM is gone and nothing answers the connection attempt. No byte of the request was
+/// written, so the caller may go elsewhere at once.
+#[tokio::test]
+async fn a_connection_that_never_comes_did_not_run() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener: TcpListener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let short = ClientLimits {
+        connect: Duration::from_millis(30),
+        ..ClientLimits::default()
+    };
+    // Connections that nobody accepts fill the backlog; after that the system drops attempts.
+    let mut filling = Vec::new();
+    loop {
+        let connecting = TcpStream::connect(address);
+        match tokio::time::timeout(Duration::from_secs(1), connecting).await {
+            Ok(stream) => filling.push(stream),
+            Err(_) => break,
+        }
+    }
+    let error = HttpClient::new(short).send(address, get("/")).await;
+    let error = error.err().unwrap();
+    assert_eq!(error.verdict, RunVerdict::NotRun);
+    assert!(error.timed_out);
+}
+
+/// The peer reads the request and its process is killed before it answers. It may have acted on
+/// the request, so a repetition could run it twice.
+#[tokio::test]
+async fn a_close_after_the_request_may_have_run() {
+    let address = each_connection(|mut stream| async move {
+        read_head(&mut stream).await;
+    })
+    .await;
+    let error = client().send(address, get("/")).await.err().unwrap();
+    assert_eq!(error.verdict, RunVerdict::MayHaveRun);
+    assert_eq!(error.stage, SendStage::Answer);
+}
+
+/// The peer is frozen: it takes the request and says nothing. When time runs out, it may still
+/// wake up and run it.
+#[tokio::test]
+async fn a_silent_peer_may_have_run() {
+    let address = each_connection(|mut stream| async move {
+        read_head(&mut stream).await;
+        std::future::pending::<()>().await;
+    })
+    .await;
+    let wait = Duration::from_millis(300);
+    let error = client().send_within(address, get("/"), wait).await;
+    let error = error.err().unwrap();
+    assert_eq!(error.verdict, RunVerdict::MayHaveRun);
+    assert!(error.timed_out);
+}
+
+/// The answer begins and its connection breaks before the promised length has come. The short
+/// body must not pass for the whole one.
+#[tokio::test]
+async fn a_cut_answer_is_an_error() {
+    let address = each_connection(|mut stream| async move {
+        read_head(&mut stream).await;
+        let cut = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf";
+        stream.write_all(cut).await.unwrap();
+    })
+    .await;
+    let wait = Duration::from_secs(10);
+    // Over the reader's own limit, or short of the promised length.
+    for limit in [1, 100] {
+        let fetched = client().fetch(address, get("/"), wait, limit).await;
+        assert_eq!(fetched.err().unwrap().verdict, RunVerdict::MayHaveRun);
+    }
+    let response = client().send(address, get("/")).await.unwrap();
+    assert!(response.into_body().collect().await.is_err());
+}
+
+/// The peer closes each connection right after its first answer, without having said so, while
+/// the client reuses connections: each second request races with the close. Whatever wins, a
+/// request called "not run" was never seen by the peer, an answered one was seen once, and one
+/// that may have run at most once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_close_of_an_idle_connection_is_told_truly() {
+    const ROUNDS: u32 = 2_000;
+    let seen = Arc::new(AtomicU32::new(0));
+    let seen_by_peer = Arc::clone(&seen);
+    let address = each_connection(move |mut stream| {
+        let seen = Arc::clone(&seen_by_peer);
+        async move {
+            if read_head(&mut stream).await {
+                seen.fetch_add(1, Ordering::SeqCst);
+                stream.write_all(ANSWER).await.unwrap();
+            }
+        }
+    })
+    .await;
+    let client = client();
+    let mut answered = 0;
+    let mut unclear = 0;
+    for _ in 0..ROUNDS {
+        match client.send(address, get("/")).await {
+            Ok(response) => {
+                answered += 1;
+                let _ = response.into_body().collect().await;
+            }
+            Err(error) if error.verdict == RunVerdict::MayHaveRun => unclear += 1,
+            Err(error) => panic!("the peer was there all the time: {error}"),
+        }
+    }
+    let seen = seen.load(Ordering::SeqCst);
+    assert!(answered <= seen && seen <= answered + unclear);
+}
+
+#[tokio::test]
+async fn a_connection_is_reused_after_its_answer() {
+    let connections = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&connections);
+    let address = each_connection(move |mut stream| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        async move {
+            while read_head(&mut stream).await {
+                stream.write_all(ANSWER).await.unwrap();
+            }
+        }
+    })
+    .await;
+    let client = client();
+    for _ in 0..5 {
+        let response = client.send(address, get("/")).await.unwrap();
+        let body = response.into_body().collect().await.unwrap();
+        assert_eq!(body.to_bytes(), "ok");
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 1);
+    assert_eq!(client.traffic().received(), 5 * ANSWER.len() as u64);
+}
--- /dev/null
+++ b/crates/oatpier-wire/tests/testsuite/peer_calls.rs
@@ -0,0 +1,76 @@
+//! Calls between processes: messages, their errors and what they cost.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use oatpier_types::ids::{AttemptId, RequestId};
+use oatpier_types::verdict::RunVerdict;
+use oatpier_wire::attempt::{CancelAnswer, CancelAttempt};
+use oatpier_wire::client::ClientLimits;
+use oatpier_wire::peer::{PeerClient, decode_message};
+use oatpier_wire::reply::{self, Reply};
+use oatpier_wire::server::ServerLimits;
+
+use crate::support::{TestServer, closed_address};
+
+const WAIT: Duration = Duration::from_secs(10);
+
+fn answer(request: &Request<Bytes>) -> Reply {
+    match request.uri().path() {
+        "/agent/cancel" => match decode_message::<CancelAttempt>(request.body()) {
+            Ok(_) => reply::message(&CancelAnswer {
+                verdict: RunVerdict::NotRun,
+            }),
+            Err(error) => reply::text(StatusCode::BAD_REQUEST, error.to_string()),
+        },
+        "/garbled" => reply::text(StatusCode::OK, "\u{7f}"),
+        "/broken" => reply::text(StatusCode::INTERNAL_SERVER_ERROR, "it broke"),
+        _ => reply::text(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+async fn server() -> TestServer {
+    let handler = |request: Request<Bytes>, _| async move { answer(&request) };
+    TestServer::start(ServerLimits::default(), handler).await
+}
+
+#[tokio::test]
+async fn a_cancel_is_answered_and_its_bytes_are_counted() {
+    let server = server().await;
+    let peer = PeerClient::new(ClientLimits::default());
+    let cancel = CancelAttempt {
+        attempt: AttemptId(1),
+        request: RequestId(2),
+    };
+    let answer = peer.cancel_attempt(server.address, &cancel, WAIT).await;
+    assert_eq!(answer.unwrap().verdict, RunVerdict::NotRun);
+    let traffic = peer.control_traffic();
+    assert_eq!(traffic.sent(), server.counters.traffic.received());
+    assert_eq!(traffic.received(), server.counters.traffic.sent());
+    assert!(traffic.sent() > 0);
+    assert_eq!(peer.attempt_traffic().sent(), 0);
+}
+
+#[tokio::test]
+async fn each_error_says_whether_the_call_may_have_run() {
+    let server = server().await;
+    let peer = PeerClient::new(ClientLimits::default());
+    let closed = closed_address().await;
+    let cases = [
+        (closed, "/agent/cancel", RunVerdict::NotRun),
+        (server.address, "/agent/cancel", RunVerdict::NotRun),
+        (server.address, "/nowhere", RunVerdict::NotRun),
+        (server.address, "/no path", RunVerdict::NotRun),
+        (server.address, "/broken", RunVerdict::MayHaveRun),
+        (server.address, "/garbled", RunVerdict::MayHaveRun),
+    ];
+    for (address, path, verdict) in cases {
+        let error = peer
+            .call::<_, CancelAnswer>(address, path, "no such message", WAIT)
+            .await
+            .unwrap_err();
+        assert_eq!(error.verdict(), verdict, "{path}: {error}");
+        assert_eq!(error.to_string().ends_with(": it broke"), path == "/broken");
+    }
+}
