--- /dev/null
+++ b/crates/oatpierd/src/agent/attempt.rs
@@ -0,0 +1,344 @@
+//! One attempt at the agent: waits for its turn, runs at the endpoint, and tells its entry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Method, StatusCode};
+use oatpier_admission::event::{AdmissionTicket, AgentEvent};
+use oatpier_platform::work::{CallError, EndpointAnswer, EndpointCall};
+use oatpier_types::ids::AttemptId;
+use oatpier_types::request::RequestGoal;
+use oatpier_types::verdict::RunVerdict;
+use oatpier_wire::attempt::{AttemptFrame, AttemptHead, HeaderPair, to_headers};
+use oatpier_wire::sse::{EventKind, EventSplitter};
+use opentelemetry::trace::SpanKind;
+use tokio::sync::mpsc;
+
+use super::core::{AgentCore, AttemptOrder, OrderReceiver};
+use crate::observe::trace::{HopSpan, parent_of};
+
+/// How long the rest of a finished stream is read, so that its connection can be used again.
+const REST_WAIT: Duration = Duration::from_secs(1);
+
+/// An attempt that the policy has taken.
+pub struct AttemptTask {
+    core: Arc<AgentCore>,
+    head: AttemptHead,
+    body: Bytes,
+    ticket: AdmissionTicket,
+    orders: OrderReceiver,
+    frames: mpsc::Sender<AttemptFrame>,
+    entry_gone: bool,
+    cancelled: bool,
+}
+
+/// How an attempt ended at the endpoint.
+type RunEnd = Result<(), CallError>;
+
+impl AttemptTask {
+    /// The task of an attempt whose frames go to `frames`.
+    #[must_use]
+    pub fn new(
+        core: Arc<AgentCore>,
+        head: AttemptHead,
+        body: Bytes,
+        ticket: AdmissionTicket,
+        orders: OrderReceiver,
+        frames: mpsc::Sender<AttemptFrame>,
+    ) -> Self {
+        Self {
+            core,
+            head,
+            body,
+            ticket,
+            orders,
+            frames,
+            entry_gone: false,
+            cancelled: false,
+        }
+    }
+
+    fn attempt(&self) -> AttemptId {
+        self.head.spec.attempt
+    }
+
+    /// Works on the attempt to its end.
+    pub async fn run(mut self) {
+        let parent = parent_of(&self.trace_headers());
+        let queue = self
+            .core
+            .tracer
+            .start("agent.queue", SpanKind::Server, &parent);
+        queue.set("endpoint", self.core.identity.endpoint.to_string());
+        let order = self.wait_for_turn().await;
+        drop(queue);
+        match order {
+            Some(AttemptOrder::Start { priority }) => {
+                let span = self
+                    .core
+                    .tracer
+                    .start("agent.run", SpanKind::Client, &parent);
+                self.run_at_endpoint(priority, &span).await;
+            }
+            Some(AttemptOrder::Refuse { refusal }) => {
+                if let Some(pulse) = self.core.pulse() {
+                    self.tell_last(AttemptFrame::Refused { refusal, pulse })
+                        .await;
+                }
+            }
+            Some(AttemptOrder::Cancel) | None => {
+                let cause = "the attempt was given up while it waited";
+                self.tell_failed(RunVerdict::NotRun, cause.to_owned()).await;
+            }
+        }
+        self.core.forget(self.attempt());
+    }
+
+    fn trace_headers(&self) -> HeaderMap {
+        let pair = self.head.traceparent.as_ref().map(|value| HeaderPair {
+            name: crate::observe::trace::TRACEPARENT.to_owned(),
+            value: value.clone().into(),
+        });
+        to_headers(pair.as_slice())
+    }
+
+    /// Waits until the policy starts, refuses or drops the attempt. An entry that goes away
+    /// while the attempt waits gives it up.
+    async fn wait_for_turn(&mut self) -> Option<AttemptOrder> {
+        tokio::select! {
+            biased;
+            order = self.orders.recv() => order,
+            () = self.frames.closed() => {
+                self.entry_gone = true;
+                match self.core.cancel(self.attempt(), self.ticket) {
+                    RunVerdict::NotRun => None,
+                    // The start crossed the cancel.
+                    RunVerdict::MayHaveRun | RunVerdict::Ran => self.orders.recv().await,
+                }
+            }
+        }
+    }
+
+    async fn run_at_endpoint(&mut self, priority: u32, span: &HopSpan) {
+        let attempt = self.attempt();
+        let call = self.endpoint_call(priority, span);
+        let work = Arc::clone(self.core.works.of(&self.head.spec.goal));
+        let ended = match self.until_cancelled(work.run(call)).await {
+            Some(Ok(answer)) => self.relay(answer).await,
+            Some(Err(error)) => Err(error),
+            None => Err(cancelled()),
+        };
+        match ended {
+            Ok(()) => {
+                self.core.step(AgentEvent::EndpointEnded { attempt });
+                self.core.metrics.attempted(RunVerdict::Ran);
+                if let Some(pulse) = self.core.pulse() {
+                    self.tell_last(AttemptFrame::Ended { pulse }).await;
+                }
+            }
+            Err(error) => {
+                let verdict = error.verdict;
+                self.core
+                    .step(AgentEvent::EndpointFailed { attempt, verdict });
+                self.core.metrics.attempted(verdict);
+                span.set("failed", error.cause.clone());
+                self.tell_failed(verdict, error.cause).await;
+            }
+        }
+    }
+
+    fn endpoint_call(&self, priority: u32, span: &HopSpan) -> EndpointCall {
+        let mut headers = to_headers(&self.head.headers);
+        span.inject(&mut headers);
+        EndpointCall {
+            attempt: self.attempt(),
+            method: Method::from_bytes(self.head.method.as_bytes()).unwrap_or(Method::POST),
+            path: self.head.path.clone(),
+            headers,
+            body: self.body.clone(),
+            priority,
+            resume_after: self.head.spec.resume_after,
+        }
+    }
+
+    /// Whether the endpoint can cancel a call. A plain service can't: its call goes on to its
+    /// end, so that its slot is not given away while it still works.
+    fn is_engine(&self) -> bool {
+        matches!(self.head.spec.goal, RequestGoal::Model { .. })
+    }
+
+    /// Waits for the endpoint; `None` if the attempt was cancelled there meanwhile.
+    async fn until_cancelled<T>(&mut self, waiting: impl Future<Output = T>) -> Option<T> {
+        let mut waiting = std::pin::pin!(waiting);
+        if self.cancelled && self.is_engine() {
+            return None;
+        }
+        loop {
+            tokio::select! {
+                biased;
+                done = waiting.as_mut() => return Some(done),
+                Some(AttemptOrder::Cancel) = self.orders.recv(), if !self.cancelled => {
+                    self.cancelled = true;
+                    if self.is_engine() {
+                        self.core.works.engine.cancel(self.attempt()).await;
+                        return None;
+                    }
+                }
+                () = self.frames.closed(), if !self.entry_gone => {
+                    self.entry_gone = true;
+                    // Comes back as an order to cancel.
+                    self.core.cancel(self.attempt(), self.ticket);
+                }
+            }
+        }
+    }
+
+    async fn relay(&mut self, mut answer: EndpointAnswer) -> RunEnd {
+        if self.is_engine() && is_engine_refusal(answer.status) {
+            return Err(CallError {
+                verdict: RunVerdict::NotRun,
+                cause: format!("the engine answered {}", answer.status),
+            });
+        }
+        let is_events = answer
+            .headers
+            .get(CONTENT_TYPE)
+            .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+        let headers = std::mem::take(&mut answer.headers);
+        self.tell_started(answer.status, &headers).await;
+        if is_events && self.is_engine() {
+            return self.relay_events(answer).await;
+        }
+        let mut is_first = true;
+        loop {
+            match self.until_cancelled(answer.body.next()).await {
+                Some(Some(Ok(bytes))) => {
+                    self.tell_piece(bytes, 0, is_first).await;
+                    is_first = false;
+                }
+                Some(Some(Err(error))) => return Err(error),
+                Some(None) => return Ok(()),
+                None => return Err(cancelled()),
+            }
+        }
+    }
+
+    /// Relays whole events. The stream is whole only with its last event: an HTTP body may end
+    /// cleanly after an engine that gave up half-way, and the caller would take a short answer
+    /// for a whole one.
+    async fn relay_events(&mut self, mut answer: EndpointAnswer) -> RunEnd {
+        let mut splitter = EventSplitter::new();
+        let mut is_first = true;
+        loop {
+            match self.until_cancelled(answer.body.next()).await {
+                Some(Some(Ok(bytes))) => splitter.push(&bytes),
+                Some(Some(Err(error))) => return Err(error),
+                Some(None) => return Err(cut("the stream ended without its last event")),
+                None => return Err(cancelled()),
+            }
+            let (bytes, tokens) = take_events(&mut splitter)?;
+            if !bytes.is_empty() {
+                self.tell_piece(bytes, tokens, is_first).await;
+                is_first = false;
+            }
+            if splitter.is_done() {
+                tokio::spawn(tokio::time::timeout(REST_WAIT, async move {
+                    while answer.body.next().await.is_some() {}
+                }));
+                return Ok(());
+            }
+        }
+    }
+
+    async fn tell_started(&mut self, status: StatusCode, headers: &HeaderMap) {
+        let Some(pulse) = self.core.pulse() else {
+            return;
+        };
+        let headers = headers
+            .iter()
+            .filter(|(name, _)| *name != http::header::CONTENT_LENGTH)
+            .map(|(name, value)| HeaderPair {
+                name: name.as_str().to_owned(),
+                value: Bytes::copy_from_slice(value.as_bytes()),
+            })
+            .collect();
+        self.tell(AttemptFrame::Started {
+            status: status.as_u16(),
+            headers,
+            pulse,
+        })
+        .await;
+    }
+
+    async fn tell_piece(&mut self, bytes: Bytes, tokens: u32, is_first: bool) {
+        let attempt = self.attempt();
+        if is_first {
+            self.core.step(AgentEvent::EndpointFirstToken { attempt });
+        }
+        self.core
+            .step(AgentEvent::EndpointPiece { attempt, tokens });
+        self.tell(AttemptFrame::Piece { bytes, tokens }).await;
+    }
+
+    async fn tell_failed(&mut self, verdict: RunVerdict, cause: String) {
+        if let Some(pulse) = self.core.pulse() {
+            self.tell_last(AttemptFrame::Failed {
+                verdict,
+                cause,
+                pulse,
+            })
+            .await;
+        }
+    }
+
+    /// Sends the last frame, which an entry that is gone does not need.
+    async fn tell_last(&self, frame: AttemptFrame) {
+        let _ = self.frames.send(frame).await;
+    }
+
+    /// Sends a frame. While the entry reads slowly, nothing more is read from the endpoint; but
+    /// a cancel still gets through.
+    async fn tell(&mut self, frame: AttemptFrame) {
+        let frames = self.frames.clone();
+        if let Some(Err(_)) = self.until_cancelled(frames.send(frame)).await {
+            // The entry is gone; `until_cancelled` has seen to it.
+            self.entry_gone = true;
+        }
+    }
+}
+
+/// All whole events that are here, as one piece, with the tokens in it.
+fn take_events(splitter: &mut EventSplitter) -> Result<(Bytes, u32), CallError> {
+    let mut taken = BytesMut::new();
+    let mut tokens = 0;
+    while let Some(event) = splitter
+        .next_event()
+        .map_err(|error| cut(&error.to_string()))?
+    {
+        tokens += u32::from(event.kind == EventKind::Token);
+        taken.extend_from_slice(&event.bytes);
+    }
+    Ok((taken.freeze(), tokens))
+}
+
+/// Statuses by which an engine says that it did not take a request.
+fn is_engine_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+fn cut(cause: &str) -> CallError {
+    CallError {
+        verdict: RunVerdict::MayHaveRun,
+        cause: cause.to_owned(),
+    }
+}
+
+fn cancelled() -> CallError {
+    cut("the attempt was cancelled at the endpoint")
+}
--- /dev/null
+++ b/crates/oatpierd/src/agent/work.rs
@@ -0,0 +1,187 @@
+//! The work duty: takes attempts, and owns the decisions about them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::{FutureExt, stream};
+use http::{Request, StatusCode};
+use oatpier_admission::event::AgentEvent;
+use oatpier_types::request::RequestGoal;
+use oatpier_types::verdict::RunVerdict;
+use oatpier_wire::attempt::{
+    self, ATTEMPT_PATH, AttemptFrame, CANCEL_PATH, CancelAnswer, decode_request,
+};
+use oatpier_wire::peer::decode_message;
+use oatpier_wire::reply::{self, Reply};
+use oatpier_wire::server::{self, RequestHandler, ServerLimits};
+use tokio::sync::mpsc;
+
+use super::attempt::AttemptTask;
+use super::core::{AgentCore, AttemptArrival};
+use super::messages::{CancelCall, STATUS_PATH, take_ticket};
+use super::news::AgentNews;
+use crate::duty::{RingReceiver, StopPhase, StopSignal};
+
+/// Frames of an attempt that wait for its entry.
+const WAITING_FRAMES: usize = 16;
+/// How often the endpoint is asked whether it answers.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// What the work duty works on.
+pub struct WorkInputs {
+    /// The decisions and what they share.
+    pub core: Arc<AgentCore>,
+    /// Where entries connect.
+    pub listener: std::net::TcpListener,
+    /// Limits on entries.
+    pub limits: ServerLimits,
+    /// News of the other duties.
+    pub news: RingReceiver<AgentNews>,
+    /// Tells to stop.
+    pub stop: StopSignal,
+}
+
+/// Serves entries until the process drains and the last attempt is over.
+///
+/// # Panics
+///
+/// Panics if it runs on no runtime, or the runtime does not take the socket.
+pub async fn work(inputs: WorkInputs) {
+    let WorkInputs {
+        core,
+        listener,
+        limits,
+        news,
+        stop,
+    } = inputs;
+    let listener =
+        tokio::net::TcpListener::from_std(listener).expect("the runtime takes the socket");
+    let handler = Arc::new(WorkHandler {
+        core: Arc::clone(&core),
+    });
+    // The listener stays open until the last attempt is over: a refusal of a leaving agent is
+    // a word, a closed port is only silence.
+    let ended = stop.clone();
+    let closing = async move { ended.reached(StopPhase::Ended).await };
+    let serving = server::serve(listener, handler, limits, Arc::default(), closing);
+    tokio::select! {
+        () = serving => {}
+        () = take_news(&core, &news) => {}
+        () = core.run_timers() => {}
+        () = leave_when_told(&core, &stop) => {}
+        () = probe(&core) => {}
+    }
+}
+
+async fn take_news(core: &AgentCore, news: &RingReceiver<AgentNews>) {
+    while let Some(news) = news.receive().await {
+        core.take_news(news);
+    }
+    std::future::pending::<()>().await;
+}
+
+async fn leave_when_told(core: &AgentCore, stop: &StopSignal) {
+    stop.reached(StopPhase::Draining).await;
+    core.take_news(AgentNews::Leave);
+    std::future::pending::<()>().await;
+}
+
+/// Tells the policy when the endpoint begins or ceases to answer.
+async fn probe(core: &AgentCore) {
+    let mut was_up = true;
+    loop {
+        let up = core.works.engine.probe().await;
+        if up != was_up {
+            core.step(AgentEvent::EndpointUp { up });
+            spdlog::warn!("the endpoint answers: {up}");
+            was_up = up;
+        }
+        tokio::time::sleep(PROBE_PERIOD).await;
+    }
+}
+
+struct WorkHandler {
+    core: Arc<AgentCore>,
+}
+
+impl RequestHandler for WorkHandler {
+    fn handle(&self, request: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
+        let reply = match request.uri().path() {
+            ATTEMPT_PATH => take_attempt(&self.core, request.into_body()),
+            CANCEL_PATH => cancel(&self.core, request.body()),
+            STATUS_PATH => status(&self.core),
+            _ => reply::text(StatusCode::NOT_FOUND, "no such path\n"),
+        };
+        std::future::ready(reply).boxed()
+    }
+}
+
+fn take_attempt(core: &Arc<AgentCore>, body: Bytes) -> Reply {
+    let (mut head, body) = match decode_request(body) {
+        Ok(decoded) => decoded,
+        Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let ticket = take_ticket(&mut head.headers);
+    if let RequestGoal::Service { pool } = &head.spec.goal
+        && *pool != core.identity.pool
+    {
+        return reply::text(StatusCode::NOT_FOUND, "this endpoint is of another pool\n");
+    }
+    let attempt = head.spec.attempt;
+    let (frames, receiver) = mpsc::channel(WAITING_FRAMES);
+    match core.arrive(head.spec.clone(), ticket) {
+        AttemptArrival::Taken(orders) => {
+            let task = AttemptTask::new(Arc::clone(core), head, body, ticket, orders, frames);
+            // A task of its own: it outlives the entry's connection, since a call that runs must
+            // be told to the policy to its end.
+            tokio::spawn(task.run());
+        }
+        AttemptArrival::Copy { verdict } => tell_copy(core, verdict, &frames),
+        AttemptArrival::NotReady => return not_ready(),
+    }
+    let frames = stream::unfold(receiver, |mut receiver| async move {
+        let frame = receiver.recv().await?;
+        Some((frame, receiver))
+    });
+    attempt::answer(attempt, frames)
+}
+
+/// The answer while there is no configuration. It says "not run" to an entry.
+fn not_ready() -> Reply {
+    let text = "this agent has no configuration yet\n";
+    reply::text(StatusCode::SERVICE_UNAVAILABLE, text)
+}
+
+fn tell_copy(core: &AgentCore, verdict: RunVerdict, frames: &mpsc::Sender<AttemptFrame>) {
+    let Some(pulse) = core.pulse() else {
+        return;
+    };
+    let frame = AttemptFrame::Failed {
+        verdict,
+        cause: "a copy of this attempt came before".to_owned(),
+        pulse,
+    };
+    // The channel is new and has room.
+    let _ = frames.try_send(frame);
+}
+
+fn cancel(core: &AgentCore, body: &[u8]) -> Reply {
+    let call: CancelCall = match decode_message(body) {
+        Ok(call) => call,
+        Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let verdict = if call.seal_only {
+        core.seal(call.attempt(), call.ticket)
+    } else {
+        core.cancel(call.attempt(), call.ticket)
+    };
+    reply::message(&CancelAnswer { verdict })
+}
+
+fn status(core: &AgentCore) -> Reply {
+    core.status()
+        .map_or_else(not_ready, |status| reply::message(&status))
+}
--- /dev/null
+++ b/crates/oatpierd/src/commands/agent.rs
@@ -0,0 +1,36 @@
+//! `oatpierd agent`: runs an agent.
+
+use clap::{ArgMatches, Command};
+
+use super::{read_settings, start_failure};
+use crate::agent;
+use crate::cli::{self, CommandFailure};
+use crate::duty::stop_on_signal;
+use crate::observe::logs;
+use crate::settings::AgentSettings;
+
+/// The command line.
+#[must_use]
+pub fn cli() -> Command {
+    Command::new("agent")
+        .about("Runs an agent")
+        .args(cli::settings_args())
+}
+
+/// Runs the process until it is told to stop and its last request is done.
+///
+/// # Errors
+///
+/// Settings that are not accepted, or an address that can't be listened on.
+pub fn exec(matches: &ArgMatches) -> Result<(), CommandFailure> {
+    let settings: AgentSettings = read_settings(matches)?;
+    if matches.get_flag("check-settings") {
+        println!("the settings of {} are good", settings.name);
+        return Ok(());
+    }
+    logs::install(&settings.name);
+    let process = agent::start(&settings).map_err(start_failure)?;
+    stop_on_signal(&process.stop);
+    process.join();
+    Ok(())
+}
--- /dev/null
+++ b/crates/oatpierd/src/commands/mod.rs
@@ -0,0 +1,36 @@
+//! The subcommands: each module has `cli()`, its command line, and `exec()`, which runs it.
+
+pub mod agent;
+pub mod entry;
+
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use miette::Report;
+
+use crate::cli::{CommandFailure, EXIT_FAILED, EXIT_SETTINGS};
+use crate::duty::StartError;
+use crate::settings::{SettingsErrors, SettingsFailure, SettingsText};
+
+/// Reads and checks the settings file that the command line names.
+fn read_settings<T>(matches: &ArgMatches) -> Result<T, CommandFailure>
+where
+    T: for<'t> TryFrom<&'t SettingsText, Error = SettingsErrors>,
+{
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .expect("clap requires it");
+    SettingsText::read(path)
+        .and_then(|text| T::try_from(&text).map_err(SettingsFailure::Wrong))
+        .map_err(|failure| CommandFailure {
+            code: EXIT_SETTINGS,
+            report: Report::new(failure),
+        })
+}
+
+fn start_failure(error: StartError) -> CommandFailure {
+    CommandFailure {
+        code: EXIT_FAILED,
+        report: Report::new(error),
+    }
+}
--- /dev/null
+++ b/crates/oatpierd/src/entry/decisions.rs
@@ -0,0 +1,76 @@
+//! The decisions that the callers duty drives, as a trait object.
+
+use oatpier_policy::action::EntryActions;
+use oatpier_policy::entry::EntryPolicy;
+use oatpier_policy::event::{EntryEvent, RequestIntake};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::ids::RequestId;
+use oatpier_types::names::EndpointName;
+use oatpier_types::pulse::EndpointStatus;
+
+/// All that an entry decides about requests; see [`EntryPolicy`].
+pub trait EntryDecisions: Send {
+    /// Takes a configuration over.
+    fn apply_config(&mut self, config: &FleetConfig);
+    /// An agent's whole word on its endpoint came.
+    fn on_status(&mut self, status: &EndpointStatus, now: ClockTime);
+    /// The endpoint is said to leave.
+    fn mark_leaving(&mut self, endpoint: &EndpointName, now: ClockTime);
+    /// The endpoint is gone from the directory.
+    fn forget(&mut self, endpoint: &EndpointName, now: ClockTime);
+    /// A request came in.
+    fn start(&mut self, intake: RequestIntake, now: ClockTime) -> EntryActions;
+    /// Something happened to a request.
+    fn handle(&mut self, request: RequestId, event: &EntryEvent, now: ClockTime) -> EntryActions;
+    /// When the timers are to be fired next.
+    fn next_timer(&self) -> Option<ClockTime>;
+    /// Fires the timers whose time has come.
+    fn fire_timers(&mut self, now: ClockTime, fired: &mut Vec<(RequestId, EntryActions)>);
+    /// New requests are refused from now on.
+    fn begin_stop(&mut self);
+    /// Requests without a final answer.
+    fn in_flight(&self) -> usize;
+}
+
+impl EntryDecisions for EntryPolicy {
+    fn apply_config(&mut self, config: &FleetConfig) {
+        Self::apply_config(self, config);
+    }
+
+    fn on_status(&mut self, status: &EndpointStatus, now: ClockTime) {
+        Self::on_status(self, status, now);
+    }
+
+    fn mark_leaving(&mut self, endpoint: &EndpointName, now: ClockTime) {
+        Self::mark_leaving(self, endpoint, now);
+    }
+
+    fn forget(&mut self, endpoint: &EndpointName, now: ClockTime) {
+        Self::forget(self, endpoint, now);
+    }
+
+    fn start(&mut self, intake: RequestIntake, now: ClockTime) -> EntryActions {
+        Self::start(self, intake, now)
+    }
+
+    fn handle(&mut self, request: RequestId, event: &EntryEvent, now: ClockTime) -> EntryActions {
+        Self::handle(self, request, event, now)
+    }
+
+    fn next_timer(&self) -> Option<ClockTime> {
+        Self::next_timer(self)
+    }
+
+    fn fire_timers(&mut self, now: ClockTime, fired: &mut Vec<(RequestId, EntryActions)>) {
+        Self::fire_timers(self, now, fired);
+    }
+
+    fn begin_stop(&mut self) {
+        Self::begin_stop(self);
+    }
+
+    fn in_flight(&self) -> usize {
+        Self::in_flight(self)
+    }
+}
--- /dev/null
+++ b/crates/oatpierd/src/entry/errors.rs
@@ -0,0 +1,164 @@
+//! Errors as callers see them.
+//!
+//! Each error names the request, its trace and the verdict, and says when to come back, so that
+//! a caller can tell whether a repeat is safe without asking anyone.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, StatusCode};
+use oatpier_policy::outcome::{FinalAnswer, FinalCause};
+use oatpier_types::ids::RequestId;
+use oatpier_types::verdict::RunVerdict;
+use oatpier_wire::reply::{self, Reply};
+use serde::Serialize;
+
+use super::intake::IntakeError;
+
+/// The header that names a request.
+pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("oatpier-request-id");
+/// The header that says whether a request may have run.
+pub const VERDICT_HEADER: HeaderName = HeaderName::from_static("oatpier-verdict");
+
+/// Which request an answer belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestIdentity {
+    /// The request.
+    pub request: RequestId,
+    /// Its trace.
+    pub trace: u128,
+}
+
+/// What is told of a failed request.
+#[derive(Debug, Clone)]
+pub struct CallerError {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// A short word on the cause.
+    pub kind: &'static str,
+    /// What happened.
+    pub message: String,
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'e> {
+    error: ErrorFields<'e>,
+}
+
+#[derive(Serialize)]
+struct ErrorFields<'e> {
+    message: &'e str,
+    #[serde(rename = "type")]
+    kind: &'e str,
+    code: u16,
+    param: Option<&'e str>,
+    verdict: &'e str,
+    request_id: String,
+    trace_id: String,
+    retry_after_ms: Option<u64>,
+}
+
+impl CallerError {
+    /// The error of a request that could not be understood.
+    #[must_use]
+    pub fn of_intake(error: &IntakeError) -> Self {
+        let (status, kind) = match error {
+            IntakeError::Path { .. } => (StatusCode::NOT_FOUND, "not_found"),
+            IntakeError::Method { .. } => (StatusCode::METHOD_NOT_ALLOWED, "invalid_request"),
+            IntakeError::Model { .. } => (StatusCode::NOT_FOUND, "model_not_found"),
+            IntakeError::Service { .. } => (StatusCode::NOT_FOUND, "service_not_found"),
+            IntakeError::Body { .. } | IntakeError::Class { .. } | IntakeError::Key => {
+                (StatusCode::BAD_REQUEST, "invalid_request")
+            }
+            IntakeError::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, "not_ready"),
+        };
+        Self {
+            status,
+            kind,
+            message: error.to_string(),
+            verdict: RunVerdict::NotRun,
+            retry_after: (status == StatusCode::SERVICE_UNAVAILABLE)
+                .then_some(Duration::from_secs(1)),
+        }
+    }
+
+    /// The error of a request that ended without a whole answer.
+    #[must_use]
+    pub fn of_answer(answer: &FinalAnswer) -> Self {
+        Self {
+            status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY),
+            kind: answer.cause.as_str(),
+            message: message_of(answer.cause, answer.verdict),
+            verdict: answer.verdict,
+            retry_after: answer.retry_after,
+        }
+    }
+
+    /// The answer with this error.
+    #[must_use]
+    pub fn reply(&self, identity: RequestIdentity) -> Reply {
+        let mut reply = reply::whole(self.status, "application/json", self.body(identity));
+        let verdict = HeaderValue::from_static(self.verdict.as_str());
+        reply.headers_mut().insert(VERDICT_HEADER, verdict);
+        let reply = identify(reply, identity);
+        match self.retry_after {
+            Some(after) => reply::with_retry_after(reply, after),
+            None => reply,
+        }
+    }
+
+    /// The last event of a stream that can't be finished.
+    #[must_use]
+    pub fn event(&self, identity: RequestIdentity) -> Bytes {
+        let body = self.body(identity);
+        Bytes::from(format!(
+            "event: error\ndata: {}\n\n",
+            String::from_utf8_lossy(&body)
+        ))
+    }
+
+    fn body(&self, identity: RequestIdentity) -> Vec<u8> {
+        let fields = ErrorFields {
+            message: &self.message,
+            kind: self.kind,
+            code: self.status.as_u16(),
+            param: None,
+            verdict: self.verdict.as_str(),
+            request_id: identity.request.to_string(),
+            trace_id: format!("{:032x}", identity.trace),
+            retry_after_ms: self
+                .retry_after
+                .and_then(|after| u64::try_from(after.as_millis()).ok()),
+        };
+        serde_json::to_vec(&ErrorBody { error: fields }).expect("the fields are plain")
+    }
+}
+
+/// Puts the request's number on an answer.
+#[must_use]
+pub fn identify(mut reply: Reply, identity: RequestIdentity) -> Reply {
+    if let Ok(value) = HeaderValue::from_str(&identity.request.to_string()) {
+        reply.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    reply
+}
+
+fn message_of(cause: FinalCause, verdict: RunVerdict) -> String {
+    let what = match cause {
+        FinalCause::Whole => "the answer is whole",
+        FinalCause::Refused(_) => "the request was refused",
+        FinalCause::DeadlinePassed => "the request's time passed without an answer",
+        FinalCause::Incomplete => "the answer ended before it was whole",
+        FinalCause::CallerGone => "the caller went away",
+    };
+    let run = match verdict {
+        RunVerdict::NotRun => "it did not run",
+        RunVerdict::MayHaveRun => "it may have run",
+        RunVerdict::Ran => "it ran",
+    };
+    format!("{what} ({}); {run}", cause.as_str())
+}
--- /dev/null
+++ b/crates/oatpierd/src/entry/run.rs
@@ -0,0 +1,368 @@
+//! The life of one request: feeds what happens to the decisions and carries out their actions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use oatpier_policy::action::{CancelMode, EntryAction, EntryActions};
+use oatpier_policy::event::{EntryEvent, RequestIntake};
+use oatpier_policy::outcome::{FinalAnswer, FinalCause};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::AttemptId;
+use oatpier_types::names::EndpointName;
+use oatpier_types::request::AttemptSpec;
+use oatpier_wire::attempt::{AttemptHead, HeaderPair};
+use opentelemetry::trace::SpanKind;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::attempt::{AttemptRun, AttemptSignal, SignalSender, cancel};
+use super::core::{AgentContact, EntryCore};
+use super::errors::{CallerError, RequestIdentity};
+use super::intake::CallIntake;
+use super::sink::{AnswerHead, CallerSink, SinkChange, SinkState};
+use crate::agent::messages::ticket_pair;
+use crate::observe::metrics::AnswerLabels;
+use crate::observe::trace::{HopSpan, TRACEPARENT};
+
+/// Signals of attempts that wait for the request's task.
+const WAITING_SIGNALS: usize = 8;
+
+/// A request that is being worked on.
+pub struct RequestRun {
+    core: Arc<EntryCore>,
+    identity: RequestIdentity,
+    call: CallIntake,
+    sink: CallerSink,
+    span: HopSpan,
+    relay_span: Option<HopSpan>,
+    started: ClockTime,
+    /// The head of the answer, held until something of it is relayed.
+    head: Option<AnswerHead>,
+    signals: SignalSender,
+    received: mpsc::Receiver<AttemptSignal>,
+    events: mpsc::UnboundedSender<EntryEvent>,
+    own_events: mpsc::UnboundedReceiver<EntryEvent>,
+    attempts: JoinSet<()>,
+    sent: smallvec::SmallVec<[SentAttempt; 2]>,
+    caller_gone: bool,
+}
+
+/// An attempt that was sent, with the contact whose ticket it carries.
+struct SentAttempt {
+    attempt: AttemptId,
+    contact: AgentContact,
+    /// Ends when the attempt's last signal has come.
+    _span: HopSpan,
+}
+
+/// What the request's task woke up for.
+enum WakeCause {
+    Signal(AttemptSignal),
+    Event(EntryEvent),
+    Timer(EntryActions),
+}
+
+impl RequestRun {
+    /// A request whose answer goes to `sink`.
+    #[must_use]
+    pub fn new(
+        core: Arc<EntryCore>,
+        identity: RequestIdentity,
+        call: CallIntake,
+        sink: CallerSink,
+        span: HopSpan,
+    ) -> Self {
+        let (signals, received) = mpsc::channel(WAITING_SIGNALS);
+        let (events, own_events) = mpsc::unbounded_channel();
+        let started = core.clock.now();
+        Self {
+            core,
+            identity,
+            call,
+            sink,
+            span,
+            relay_span: None,
+            started,
+            head: None,
+            signals,
+            received,
+            events,
+            own_events,
+            attempts: JoinSet::new(),
+            sent: smallvec::SmallVec::new(),
+            caller_gone: false,
+        }
+    }
+
+    /// Works on the request until its caller has its final answer.
+    pub async fn run(mut self) {
+        self.core.metrics.in_flight.inc();
+        let (timers, mut fired) = mpsc::unbounded_channel();
+        let actions = {
+            let choose = self.hop("entry.choose");
+            let actions = self.core.start(self.intake(), timers);
+            choose.set("actions", i64::try_from(actions.len()).unwrap_or(i64::MAX));
+            actions
+        };
+        let mut answer = self.act(actions, &Bytes::new());
+        let answer = loop {
+            if let Some(answer) = answer {
+                break answer;
+            }
+            let wake = self.wake(&mut fired).await;
+            answer = self.step(wake);
+        };
+        self.finish(&answer).await;
+    }
+
+    fn intake(&self) -> RequestIntake {
+        RequestIntake {
+            request: self.identity.request,
+            goal: self.call.goal.clone(),
+            class: self.call.class.clone(),
+            caller: self.call.caller.clone(),
+            repeat: self.call.repeat,
+            key: self.call.key.map(short_key),
+            tokens: self.call.tokens,
+            prefixes: self.call.prefixes.clone(),
+            resumable: self.call.stream,
+        }
+    }
+
+    /// Waits for the next thing that concerns the request. While the caller takes nothing, no
+    /// more of the answer is read.
+    async fn wake(&mut self, fired: &mut mpsc::UnboundedReceiver<EntryActions>) -> WakeCause {
+        let blocked = self.sink.is_blocked();
+        let caller_gone = self.caller_gone;
+        tokio::select! {
+            biased;
+            change = self.sink.changed(), if !caller_gone => {
+                self.caller_gone = change == SinkChange::Gone;
+                WakeCause::Event(match change {
+                    SinkChange::Ready => EntryEvent::CallerReady,
+                    SinkChange::Gone => EntryEvent::CallerGone,
+                })
+            }
+            Some(actions) = fired.recv() => WakeCause::Timer(actions),
+            Some(event) = self.own_events.recv() => WakeCause::Event(event),
+            Some(signal) = self.received.recv(), if !blocked => WakeCause::Signal(signal),
+        }
+    }
+
+    fn step(&mut self, wake: WakeCause) -> Option<FinalAnswer> {
+        match wake {
+            WakeCause::Timer(actions) => self.act(actions, &Bytes::new()),
+            WakeCause::Event(event) => {
+                let actions = self.core.handle(self.identity.request, None, &event);
+                self.act(actions, &Bytes::new())
+            }
+            WakeCause::Signal(signal) => self.take_signal(signal),
+        }
+    }
+
+    fn take_signal(&mut self, signal: AttemptSignal) -> Option<FinalAnswer> {
+        if let (Some(head), None) = (signal.head, &self.relay_span) {
+            self.head = Some(head);
+        }
+        let endpoint = Some(&signal.endpoint);
+        let request = self.identity.request;
+        let actions = self.core.handle(request, endpoint, &signal.event);
+        let is_piece = matches!(signal.event, EntryEvent::Piece { .. });
+        let is_relayed = actions
+            .iter()
+            .any(|action| matches!(action, EntryAction::Relay { .. }));
+        if is_piece && !is_relayed {
+            self.core.metrics.crossed.inc();
+        }
+        if let Some(attempt) = over(&signal.event) {
+            self.sent.retain(|sent| sent.attempt != attempt);
+        }
+        self.act(actions, &signal.bytes)
+    }
+
+    /// Carries actions out, in order; `piece` is what a `Relay` relays.
+    fn act(&mut self, actions: EntryActions, piece: &Bytes) -> Option<FinalAnswer> {
+        let mut answer = None;
+        for action in actions {
+            match action {
+                EntryAction::Send { endpoint, spec } | EntryAction::Resume { endpoint, spec } => {
+                    self.send(endpoint, *spec);
+                }
+                EntryAction::Cancel {
+                    endpoint,
+                    attempt,
+                    mode,
+                } => self.cancel(&endpoint, attempt, mode),
+                EntryAction::Relay { .. } => self.relay(piece.clone()),
+                EntryAction::Claim { key } => self.claim(key),
+                EntryAction::SettleClaim { .. } => {}
+                EntryAction::Answer(last) => answer = Some(last),
+            }
+        }
+        answer
+    }
+
+    fn send(&mut self, endpoint: EndpointName, spec: AttemptSpec) {
+        let attempt = spec.attempt;
+        let Some(contact) = self.core.contact(&endpoint) else {
+            let _ = self.events.send(EntryEvent::ConnectFailed { attempt });
+            return;
+        };
+        let span = self.hop("entry.attempt");
+        span.set("endpoint", endpoint.to_string());
+        span.set("attempt", attempt.to_string());
+        let run = AttemptRun {
+            address: contact.address,
+            head: self.attempt_head(spec, contact, &span),
+            endpoint,
+            body: self.call.call.body.clone(),
+            signals: self.signals.clone(),
+        };
+        self.attempts.spawn(run.run(self.core.peers.clone()));
+        self.sent.push(SentAttempt {
+            attempt,
+            contact,
+            _span: span,
+        });
+    }
+
+    fn attempt_head(
+        &self,
+        spec: AttemptSpec,
+        contact: AgentContact,
+        span: &HopSpan,
+    ) -> AttemptHead {
+        let mut trace = HeaderMap::new();
+        span.inject(&mut trace);
+        let traceparent = trace
+            .get(TRACEPARENT)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let mut headers: Vec<_> = self.call.call.headers.iter().map(pair_of).collect();
+        headers.push(ticket_pair(contact.ticket));
+        AttemptHead {
+            spec,
+            method: self.call.call.method.as_str().to_owned(),
+            path: self.call.call.path.clone(),
+            headers,
+            key: self.call.key,
+            traceparent,
+        }
+    }
+
+    /// Cancels from a task of its own: the request may be over before the agent has answered.
+    fn cancel(&self, endpoint: &EndpointName, attempt: AttemptId, mode: CancelMode) {
+        let sent = self.sent.iter().find(|sent| sent.attempt == attempt);
+        let contact = sent
+            .map(|sent| sent.contact)
+            .or_else(|| self.core.contact(endpoint));
+        let peers = self.core.peers.clone();
+        let request = self.identity.request;
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let verdict = cancel(&peers, contact, request, attempt, mode).await;
+            let _ = events.send(EntryEvent::CancelAnswered { attempt, verdict });
+        });
+    }
+
+    fn claim(&self, _key: u64) {
+        let _ = self.events.send(EntryEvent::ClaimUnavailable);
+    }
+
+    fn relay(&mut self, piece: Bytes) {
+        if self.relay_span.is_none() {
+            self.relay_span = Some(self.hop("entry.relay"));
+            let waited = self.core.clock.now().since(self.started);
+            let class = self.call.class.as_str();
+            self.core.metrics.first_due_after(class, waited);
+        }
+        if self.sink.relay(self.head.take(), piece) == SinkState::Blocked {
+            let request = self.identity.request;
+            let event = EntryEvent::CallerBlocked;
+            let actions = self.core.handle(request, None, &event);
+            debug_assert!(actions.is_empty(), "a blocked caller only stops the clock");
+        }
+    }
+
+    async fn finish(mut self, answer: &FinalAnswer) {
+        if answer.cause == FinalCause::Whole {
+            self.sink.finish(self.head.take());
+        } else {
+            self.sink.fail(&CallerError::of_answer(answer)).await;
+        }
+        self.core.finish(self.identity.request);
+        self.core.metrics.in_flight.dec();
+        self.count(answer);
+        self.log(answer);
+        self.span.set("cause", answer.cause.as_str());
+        self.span.set("verdict", answer.verdict.as_str());
+    }
+
+    fn count(&self, answer: &FinalAnswer) {
+        let end = match answer.cause {
+            FinalCause::Whole => "whole",
+            FinalCause::Refused(cause) => {
+                self.core.metrics.refused(cause);
+                "refused"
+            }
+            FinalCause::CallerGone => "caller-gone",
+            FinalCause::DeadlinePassed | FinalCause::Incomplete => "error",
+        };
+        let labels = AnswerLabels {
+            class: self.call.class.to_string(),
+            end,
+            verdict: answer.verdict.as_str(),
+            in_time: if answer.in_time { "yes" } else { "no" },
+        };
+        self.core.metrics.answers.get_or_create(&labels).inc();
+    }
+
+    fn log(&self, answer: &FinalAnswer) {
+        let request_id = self.identity.request.to_string();
+        let trace_id = format!("{:032x}", self.identity.trace);
+        let cause = answer.cause.as_str();
+        let verdict = answer.verdict.as_str();
+        let took = self.core.clock.now().since(self.started);
+        let took_ms = millis(took);
+        if answer.cause == FinalCause::Whole {
+            spdlog::debug!("answered", kv: { request_id, trace_id, cause, verdict, took_ms });
+        } else {
+            spdlog::warn!("not answered", kv: { request_id, trace_id, cause, verdict, took_ms });
+        }
+    }
+
+    fn hop(&self, name: &'static str) -> HopSpan {
+        let kind = SpanKind::Internal;
+        self.core.tracer.start(name, kind, self.span.context())
+    }
+}
+
+/// The key as the decisions name it.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the low half of a hash is a hash"
+)]
+fn short_key(key: u128) -> u64 {
+    key as u64
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn pair_of((name, value): (&http::HeaderName, &http::HeaderValue)) -> HeaderPair {
+    HeaderPair {
+        name: name.as_str().to_owned(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+    }
+}
+
+/// The attempt that an event is the last one of.
+fn over(event: &EntryEvent) -> Option<AttemptId> {
+    match event {
+        EntryEvent::FirstFrame { .. } | EntryEvent::Piece { .. } => None,
+        event => event.attempt(),
+    }
+}
--- a/crates/oatpierd/src/main.rs
+++ b/crates/oatpierd/src/main.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The daemon binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    oatpierd::cli::main()
+}
--- /dev/null
+++ b/crates/oatpierd/src/observe/metrics.rs
@@ -0,0 +1,220 @@
+//! The metrics of a process, in the Prometheus text form.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oatpier_types::refusal::RefusalCause;
+use oatpier_types::verdict::RunVerdict;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of an answered request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    /// The class.
+    pub class: String,
+    /// How it ended: `whole`, `error`, `refused` or `caller-gone`.
+    pub end: &'static str,
+    /// The verdict.
+    pub verdict: &'static str,
+    /// Whether it was within the class's target: `yes` or `no`.
+    pub in_time: &'static str,
+}
+
+/// Labels of a refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// Why.
+    pub cause: &'static str,
+}
+
+/// Labels of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AttemptLabels {
+    /// The verdict that it ended with.
+    pub verdict: &'static str,
+}
+
+/// Labels of a class.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ClassLabels {
+    /// The class.
+    pub class: String,
+}
+
+/// Labels of a ring between two duties.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RingLabels {
+    /// The ring: sender and receiver.
+    pub ring: &'static str,
+}
+
+/// Labels of a move.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MoveLabels {
+    /// `load`, `unload` or `role`.
+    pub kind: &'static str,
+    /// What asked for it: `plan`, `repair` or `settle`.
+    pub cause: &'static str,
+}
+
+/// The counters that the duties share. Cloning shares them.
+#[derive(Debug, Clone)]
+pub struct MetricSet {
+    registry: Arc<Registry>,
+    /// Answered requests.
+    pub answers: Family<AnswerLabels, Counter>,
+    /// Refusals by cause.
+    pub refusals: Family<RefusalLabels, Counter>,
+    /// Attempts by verdict.
+    pub attempts: Family<AttemptLabels, Counter>,
+    /// Requests in flight.
+    pub in_flight: Gauge,
+    /// Time until the first thing that is due, in seconds.
+    pub first_due: Family<ClassLabels, Histogram>,
+    /// Each time that a ring was full.
+    pub ring_full: Family<RingLabels, Counter>,
+    /// Late or crossed answers that were dropped.
+    pub crossed: Counter,
+    /// The configuration's generation that is in force.
+    pub generation: Gauge,
+    /// Moves by kind and cause.
+    pub moves: Family<MoveLabels, Counter>,
+    /// Spans that were dropped since the exporter was behind.
+    pub spans_dropped: Counter,
+    /// Endpoints in an entry's directory.
+    pub endpoints_known: Gauge,
+    /// Weights that are ready at them, each endpoint's counted.
+    pub replicas_known: Gauge,
+    /// Memory that the endpoint's weights are charged with, in MiB.
+    pub charged_mib: Gauge,
+}
+
+impl Default for MetricSet {
+    fn default() -> Self {
+        let mut set = Self {
+            registry: Arc::default(),
+            answers: Family::default(),
+            refusals: Family::default(),
+            attempts: Family::default(),
+            in_flight: Gauge::default(),
+            first_due: Family::new_with_constructor(due_histogram),
+            ring_full: Family::default(),
+            crossed: Counter::default(),
+            generation: Gauge::default(),
+            moves: Family::default(),
+            spans_dropped: Counter::default(),
+            endpoints_known: Gauge::default(),
+            replicas_known: Gauge::default(),
+            charged_mib: Gauge::default(),
+        };
+        set.registry = Arc::new(set.register());
+        set
+    }
+}
+
+/// From a millisecond to about a minute.
+fn due_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 17))
+}
+
+impl MetricSet {
+    /// The text that `/metrics` serves.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+
+    /// The counter of a ring.
+    #[must_use]
+    pub fn ring(&self, ring: &'static str) -> Counter {
+        self.ring_full.get_or_create(&RingLabels { ring }).clone()
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, cause: RefusalCause) {
+        let labels = RefusalLabels {
+            cause: cause.as_str(),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// Counts an attempt that ended.
+    pub fn attempted(&self, verdict: RunVerdict) {
+        let labels = AttemptLabels {
+            verdict: verdict.as_str(),
+        };
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    /// Notes how long a request waited for the first thing that is due.
+    pub fn first_due_after(&self, class: &str, span: Duration) {
+        let labels = ClassLabels {
+            class: class.to_owned(),
+        };
+        self.first_due
+            .get_or_create(&labels)
+            .observe(span.as_secs_f64());
+    }
+
+    fn register(&self) -> Registry {
+        let mut registry = Registry::with_prefix("oatpier");
+        registry.register(
+            "answers",
+            "Requests by class, end, verdict and whether in time",
+            self.answers.clone(),
+        );
+        registry.register("refusals", "Refusals by cause", self.refusals.clone());
+        registry.register("attempts", "Attempts by verdict", self.attempts.clone());
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register(
+            "first_due_seconds",
+            "Time until the first token, or until the whole answer of a service",
+            self.first_due.clone(),
+        );
+        registry.register(
+            "ring_full",
+            "Times that a ring between two duties was full",
+            self.ring_full.clone(),
+        );
+        registry.register(
+            "crossed_answers",
+            "Late or crossed answers that were dropped",
+            self.crossed.clone(),
+        );
+        registry.register(
+            "config_generation",
+            "Generation of the configuration in force",
+            self.generation.clone(),
+        );
+        registry.register("moves", "Moves by kind and cause", self.moves.clone());
+        registry.register(
+            "spans_dropped",
+            "Spans dropped since the exporter was behind",
+            self.spans_dropped.clone(),
+        );
+        registry.register(
+            "endpoints_known",
+            "Endpoints in this entry's directory",
+            self.endpoints_known.clone(),
+        );
+        registry.register(
+            "replicas_known",
+            "Weights that are ready at the endpoints known, each endpoint's counted",
+            self.replicas_known.clone(),
+        );
+        registry.register(
+            "charged_mib",
+            "Memory that the endpoint's weights are charged with",
+            self.charged_mib.clone(),
+        );
+        registry
+    }
+}
--- /dev/null
+++ b/crates/oatpierd/src/observe/mod.rs
@@ -0,0 +1,9 @@
+//! Logs, metrics and traces, and the duty that shows them.
+
+pub mod logs;
+pub mod metrics;
+pub mod trace;
+
+mod duty;
+
+pub use duty::{ObserveInputs, observe};
--- /dev/null
+++ b/crates/oatpierd/src/settings/agent.rs
@@ -0,0 +1,76 @@
+//! The settings of `oatpierd agent`.
+
+use std::net::SocketAddr;
+
+use oatpier_types::names::{DaemonName, EndpointName, PoolName, VmName, ZoneName};
+
+use super::reader::TableReader;
+use super::{IntakeLimits, SettingsErrors, SettingsText};
+
+/// The checked settings of an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// The process's name, unique in the fleet.
+    pub name: DaemonName,
+    /// The VM that it runs on.
+    pub vm: VmName,
+    /// The VM's availability zone.
+    pub zone: ZoneName,
+    /// The endpoint beside it.
+    pub endpoint: EndpointName,
+    /// The endpoint's pool.
+    pub pool: PoolName,
+    /// Where the endpoint listens; only this agent goes there.
+    pub endpoint_address: SocketAddr,
+    /// Where entries connect.
+    pub peer_listen: SocketAddr,
+    /// Where `/metrics`, `/live` and `/ready` are.
+    pub observe_listen: SocketAddr,
+    /// The platform's key-value service.
+    pub store: SocketAddr,
+    /// The platform's list of VMs.
+    pub vm_list: SocketAddr,
+    /// Limits on what entries send.
+    pub limits: IntakeLimits,
+}
+
+impl TryFrom<&SettingsText> for AgentSettings {
+    type Error = SettingsErrors;
+
+    fn try_from(text: &SettingsText) -> Result<Self, SettingsErrors> {
+        text.parse(read)
+    }
+}
+
+fn read(reader: &mut TableReader<'_>) -> Option<AgentSettings> {
+    let name = reader.required("name");
+    let vm = reader.required("vm");
+    let zone = reader.required("zone");
+    let mut endpoint = reader.table("endpoint");
+    let endpoint_name = endpoint.required("name");
+    let pool = endpoint.required("pool");
+    let endpoint_address = endpoint.required("address");
+    reader.absorb(endpoint);
+    let mut listen = reader.table("listen");
+    let peer_listen = listen.required("peers");
+    let observe_listen = listen.required("observe");
+    reader.absorb(listen);
+    let mut platform = reader.table("platform");
+    let store = platform.required("store");
+    let vm_list = platform.required("vm_list");
+    reader.absorb(platform);
+    let limits = IntakeLimits::read(reader);
+    Some(AgentSettings {
+        name: name?,
+        vm: vm?,
+        zone: zone?,
+        endpoint: endpoint_name?,
+        pool: pool?,
+        endpoint_address: endpoint_address?,
+        peer_listen: peer_listen?,
+        observe_listen: observe_listen?,
+        store: store?,
+        vm_list: vm_list?,
+        limits,
+    })
+}
--- /dev/null
+++ b/crates/oatpierd/src/settings/reader.rs
@@ -0,0 +1,265 @@
+//! Reads a settings text into a table whose errors are all gathered.
+//!
+//! A deserializer stops at its first error; an operator who mends a file wants all of them at
+//! once. The reader therefore walks the parsed table, remembers which keys were asked for and
+//! keeps each error with its place.
+
+use std::net::{IpAddr, SocketAddr};
+use std::ops::Range;
+use std::time::Duration;
+
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use thiserror::Error;
+use toml::de::{DeTable, DeValue};
+
+/// One thing that is wrong in a settings text.
+#[derive(Debug, Clone, PartialEq, Eq, Diagnostic, Error)]
+#[error("{message}")]
+pub struct SettingsError {
+    /// What is wrong, with the offending value.
+    pub message: String,
+    /// Where.
+    #[label("here")]
+    pub place: SourceSpan,
+    /// How to mend it.
+    #[help]
+    pub mend: String,
+}
+
+/// All that is wrong in a settings text.
+#[derive(Debug, Diagnostic, Error)]
+#[error("the settings have {} error(s)", errors.len())]
+pub struct SettingsErrors {
+    /// The text.
+    #[source_code]
+    pub text: NamedSource<String>,
+    /// The errors, in the order of the text.
+    #[related]
+    pub errors: Vec<SettingsError>,
+}
+
+/// A value that can be read from a TOML string.
+pub(crate) trait TextValue: Sized {
+    /// What the value is, for an error.
+    const KIND: &'static str;
+    /// An example, for an error.
+    const EXAMPLE: &'static str;
+
+    /// Reads it; the error says why it can't be.
+    fn read(raw: &str) -> Result<Self, String>;
+}
+
+impl TextValue for SocketAddr {
+    const KIND: &'static str = "an IP address with a port";
+    const EXAMPLE: &'static str = "10.0.0.7:7000";
+
+    fn read(raw: &str) -> Result<Self, String> {
+        raw.parse()
+            .map_err(|_| "names are not resolved; use an IP number and a port".to_owned())
+    }
+}
+
+impl TextValue for IpAddr {
+    const KIND: &'static str = "an IP address";
+    const EXAMPLE: &'static str = "10.0.0.7";
+
+    fn read(raw: &str) -> Result<Self, String> {
+        raw.parse().map_err(|_| "use an IP number".to_owned())
+    }
+}
+
+impl TextValue for Duration {
+    const KIND: &'static str = "a duration";
+    const EXAMPLE: &'static str = "500ms";
+
+    fn read(raw: &str) -> Result<Self, String> {
+        humantime_serde::re::humantime::parse_duration(raw).map_err(|error| error.to_string())
+    }
+}
+
+macro_rules! name_values {
+    ($($name:ident, $example:literal;)*) => {$(
+        impl TextValue for oatpier_types::names::$name {
+            const KIND: &'static str = "a name";
+            const EXAMPLE: &'static str = $example;
+
+            fn read(raw: &str) -> Result<Self, String> {
+                Self::try_from(raw).map_err(|error| error.to_string())
+            }
+        }
+    )*};
+}
+
+name_values! {
+    DaemonName, "entry-ikeja-1";
+    VmName, "vm-ikeja-1";
+    ZoneName, "ikeja";
+    RegionName, "lagos";
+    EndpointName, "seat-llm-1";
+    PoolName, "seat-llm";
+}
+
+/// One table of a settings text, with the keys that were asked for.
+pub(crate) struct TableReader<'t> {
+    name: &'static str,
+    table: Option<&'t DeTable<'t>>,
+    place: Range<usize>,
+    asked: Vec<&'static str>,
+    errors: Vec<SettingsError>,
+}
+
+impl<'t> TableReader<'t> {
+    /// A reader of a table; `name` is empty for the outermost one.
+    pub(crate) fn new(
+        name: &'static str,
+        table: Option<&'t DeTable<'t>>,
+        place: Range<usize>,
+    ) -> Self {
+        Self {
+            name,
+            table,
+            place,
+            asked: Vec::new(),
+            errors: Vec::new(),
+        }
+    }
+
+    /// A value that must be there.
+    pub(crate) fn required<T: TextValue>(&mut self, key: &'static str) -> Option<T> {
+        let found = self.find(key);
+        if found.is_none() {
+            let message = format!("`{key}` is missing{}", self.in_table());
+            let mend = format!("add a line such as `{key} = \"{}\"`", T::EXAMPLE);
+            self.fail(self.place.clone(), message, mend);
+        }
+        found.and_then(|(place, value)| self.text(key, place, value))
+    }
+
+    /// A value with a default.
+    pub(crate) fn optional<T: TextValue>(&mut self, key: &'static str, default: T) -> T {
+        self.find(key)
+            .and_then(|(place, value)| self.text(key, place, value))
+            .unwrap_or(default)
+    }
+
+    /// A whole number with a default, within bounds.
+    pub(crate) fn number(
+        &mut self,
+        key: &'static str,
+        default: usize,
+        bounds: std::ops::RangeInclusive<usize>,
+    ) -> usize {
+        let Some((place, value)) = self.find(key) else {
+            return default;
+        };
+        let number = value
+            .as_integer()
+            .and_then(|raw| usize::from_str_radix(raw.as_str(), raw.radix()).ok());
+        match number {
+            Some(number) if bounds.contains(&number) => number,
+            _ => {
+                let message = format!("`{key}` is {}, which it can't be", shown(value));
+                let mend = format!(
+                    "use a whole number from {} to {}",
+                    bounds.start(),
+                    bounds.end()
+                );
+                self.fail(place, message, mend);
+                default
+            }
+        }
+    }
+
+    /// A table inside this one; a missing one reads as empty.
+    pub(crate) fn table(&mut self, key: &'static str) -> TableReader<'t> {
+        let Some((place, value)) = self.find(key) else {
+            return TableReader::new(key, None, self.place.clone());
+        };
+        if !value.is_table() {
+            let message = format!("`{key}` is {}, not a table", shown(value));
+            let mend = format!("begin the table with a line `[{key}]`");
+            self.fail(place.clone(), message, mend);
+        }
+        TableReader::new(key, value.as_table(), place)
+    }
+
+    /// Takes over the errors of an inner table.
+    pub(crate) fn absorb(&mut self, inner: TableReader<'t>) {
+        self.errors.extend(inner.finish());
+    }
+
+    /// All errors, those of unknown keys included.
+    pub(crate) fn finish(mut self) -> Vec<SettingsError> {
+        let unknown: Vec<_> = self
+            .table
+            .into_iter()
+            .flat_map(|table| table.keys())
+            .filter(|key| !self.asked.contains(&key.get_ref().as_ref()))
+            .map(|key| (key.span(), key.get_ref().to_string()))
+            .collect();
+        for (place, key) in unknown {
+            let message = format!("`{key}` is not a setting{}", self.in_table());
+            let mend = format!("remove it, or use one of: {}", self.asked.join(", "));
+            self.fail(place, message, mend);
+        }
+        self.errors
+    }
+
+    fn find(&mut self, key: &'static str) -> Option<(Range<usize>, &'t DeValue<'t>)> {
+        self.asked.push(key);
+        self.table?
+            .iter()
+            .find(|(found, _)| found.get_ref() == key)
+            .map(|(_, value)| (value.span(), value.get_ref()))
+    }
+
+    fn text<T: TextValue>(
+        &mut self,
+        key: &'static str,
+        place: Range<usize>,
+        value: &DeValue<'t>,
+    ) -> Option<T> {
+        let read = match value.as_str() {
+            Some(raw) => T::read(raw),
+            None => Err("it has to be a string".to_owned()),
+        };
+        match read {
+            Ok(read) => Some(read),
+            Err(cause) => {
+                let message = format!("`{key}` is {}, not {}", shown(value), T::KIND);
+                let mend = format!("{cause}; for example \"{}\"", T::EXAMPLE);
+                self.fail(place, message, mend);
+                None
+            }
+        }
+    }
+
+    fn in_table(&self) -> String {
+        if self.name.is_empty() {
+            String::new()
+        } else {
+            format!(" in `[{}]`", self.name)
+        }
+    }
+
+    fn fail(&mut self, place: Range<usize>, message: String, mend: String) {
+        self.errors.push(SettingsError {
+            message,
+            place: place.into(),
+            mend,
+        });
+    }
+}
+
+/// A value as an error shows it.
+fn shown(value: &DeValue<'_>) -> String {
+    match value {
+        DeValue::String(text) => format!("\"{text}\""),
+        DeValue::Integer(number) => number.as_str().to_owned(),
+        DeValue::Float(number) => number.as_str().to_owned(),
+        DeValue::Boolean(flag) => flag.to_string(),
+        DeValue::Datetime(time) => time.to_string(),
+        DeValue::Array(_) => "an array".to_owned(),
+        DeValue::Table(_) => "a table".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/oatpierd/tests/testsuite/support/process.rs
@@ -0,0 +1,125 @@
+//! Child processes that say on a stream where they listen.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{self, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::Value;
+
+/// How long a process may take to say where it listens.
+const START_WAIT: Duration = Duration::from_secs(20);
+
+/// How often it is looked whether a process has ended, and how many times.
+const END_PERIOD: Duration = Duration::from_millis(50);
+const END_TRIES: usize = 400;
+
+/// Lines that a process has written so far.
+pub type SharedLines = Arc<Mutex<Vec<String>>>;
+
+/// A child process. Dropping it kills it.
+pub struct TestProcess {
+    pub child: Child,
+    /// Log lines so far.
+    pub logs: SharedLines,
+    /// Lines of the standard output so far: spans, of a daemon.
+    pub spans: SharedLines,
+    log_lines: Receiver<String>,
+    span_lines: Receiver<String>,
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl TestProcess {
+    pub fn start(mut command: Command) -> Self {
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{command:?} does not start: {error}"));
+        let (spans, span_lines) = collect(child.stdout.take().unwrap());
+        let (logs, log_lines) = collect(child.stderr.take().unwrap());
+        Self {
+            child,
+            logs,
+            spans,
+            log_lines,
+            span_lines,
+        }
+    }
+
+    /// The address that a stand-in says on its standard output.
+    pub fn standin_address(&self) -> SocketAddr {
+        let line = self.span_lines.recv_timeout(START_WAIT);
+        let line: Value = serde_json::from_str(&line.expect("the stand-in starts")).unwrap();
+        line["listening"].as_str().unwrap().parse().unwrap()
+    }
+
+    /// The next address that a daemon logs.
+    pub fn daemon_address(&self) -> SocketAddr {
+        loop {
+            let line = self.log_lines.recv_timeout(START_WAIT);
+            let line = line.expect("the daemon starts");
+            let value: Value = serde_json::from_str(&line).unwrap_or_default();
+            if value["payload"] == "listening" {
+                return value["kv"]["address"].as_str().unwrap().parse().unwrap();
+            }
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill(Pid::from_raw(id), signal).unwrap();
+    }
+
+    /// Waits until the process has ended by itself.
+    pub async fn ended(&mut self) -> ExitStatus {
+        for _ in 0..END_TRIES {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            tokio::time::sleep(END_PERIOD).await;
+        }
+        panic!("the process does not end: {:?}", self.logs.lock().unwrap());
+    }
+}
+
+fn collect(stream: impl Read + Send + 'static) -> (SharedLines, Receiver<String>) {
+    let lines = SharedLines::default();
+    let (sender, receiver) = mpsc::channel();
+    let shared = Arc::clone(&lines);
+    std::thread::spawn(move || {
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            shared.lock().unwrap().push(line.clone());
+            let _ = sender.send(line);
+        }
+    });
+    (lines, receiver)
+}
+
+/// The stand-ins' binary, an example of another package of the workspace.
+pub fn standin_binary() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    let path = test
+        .parent()
+        .and_then(|deps| deps.parent())
+        .unwrap()
+        .join("examples/standin");
+    assert!(
+        path.exists(),
+        "{} is missing; build it with `cargo build --workspace --examples`",
+        path.display()
+    );
+    path
+}
