Add the policy bench, with three baselines

Cause: attainment per accelerator and moves have to be measured before any policy is tuned. Ruled out: a bench over sockets; it would measure this machine. The bench drives the daemon's own decisions on one clock, seeded.

--- /dev/null
+++ b/crates/oatpier-bench/src/fleet/agent.rs
@@ -0,0 +1,126 @@
+//! What decides about requests at an agent: oatpier's policy or a baseline, behind one trait.
+
+use indexmap::IndexMap;
+use oatpier_admission::event::{AgentAction, AgentActions, AgentEvent};
+use oatpier_admission::policy::AgentPolicy;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::engine::WeightsKey;
+use oatpier_types::ids::{AttemptId, BootId};
+use oatpier_types::pulse::AgentPulse;
+use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_types::request::RequestGoal;
+use oatpier_types::verdict::RunVerdict;
+
+/// Decides about requests at one agent.
+pub trait AgentBrain {
+    /// Takes one event and says what to do.
+    fn step(&mut self, event: AgentEvent, now: ClockTime) -> AgentActions;
+    /// When the next timer is due.
+    fn next_timer(&self) -> ClockTime;
+    /// A fresh pulse.
+    fn pulse(&mut self, now: ClockTime) -> AgentPulse;
+}
+
+impl AgentBrain for AgentPolicy {
+    fn step(&mut self, event: AgentEvent, now: ClockTime) -> AgentActions {
+        Self::step(self, event, now)
+    }
+
+    fn next_timer(&self) -> ClockTime {
+        Self::next_timer(self)
+    }
+
+    fn pulse(&mut self, now: ClockTime) -> AgentPulse {
+        Self::pulse(self, now)
+    }
+}
+
+/// A baseline agent: passes everything on to its engine, in the order in which it came.
+pub struct PlainAgent {
+    boot: BootId,
+    sequence: u64,
+    ready: Vec<WeightsKey>,
+    started: IndexMap<AttemptId, ()>,
+}
+
+impl PlainAgent {
+    /// An agent that has just started.
+    #[must_use]
+    pub fn new(boot: BootId) -> Self {
+        Self {
+            boot,
+            sequence: 0,
+            ready: Vec::new(),
+            started: IndexMap::new(),
+        }
+    }
+
+    fn arrive(&mut self, attempt: AttemptId, goal: &RequestGoal) -> AgentAction {
+        let served = match goal {
+            RequestGoal::Model { model, adapter } => self
+                .ready
+                .iter()
+                .any(|weights| weights.model == *model && weights.adapter == *adapter),
+            RequestGoal::Service { .. } => true,
+        };
+        if !served {
+            let refusal = Refusal {
+                cause: RefusalCause::WeightsMissing,
+                retry_after: None,
+            };
+            return AgentAction::Refuse { attempt, refusal };
+        }
+        self.started.insert(attempt, ());
+        AgentAction::Start {
+            attempt,
+            priority: 0,
+        }
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) -> AgentActions {
+        let cancelled = AgentAction::Cancelled {
+            attempt,
+            verdict: RunVerdict::MayHaveRun,
+        };
+        AgentActions::from_iter([AgentAction::CancelAtEndpoint { attempt }, cancelled])
+    }
+}
+
+impl AgentBrain for PlainAgent {
+    fn step(&mut self, event: AgentEvent, _now: ClockTime) -> AgentActions {
+        match event {
+            AgentEvent::Arrive { spec, .. } => {
+                AgentActions::from_iter([self.arrive(spec.attempt, &spec.goal)])
+            }
+            AgentEvent::Cancel { attempt, .. } => self.cancel(attempt),
+            AgentEvent::EndpointEnded { attempt } | AgentEvent::EndpointFailed { attempt, .. } => {
+                self.started.swap_remove(&attempt);
+                AgentActions::new()
+            }
+            AgentEvent::ReadyChanged { ready, .. } => {
+                self.ready = ready;
+                AgentActions::new()
+            }
+            _ => AgentActions::new(),
+        }
+    }
+
+    fn next_timer(&self) -> ClockTime {
+        ClockTime::NEVER
+    }
+
+    fn pulse(&mut self, _now: ClockTime) -> AgentPulse {
+        self.sequence += 1;
+        AgentPulse {
+            boot: self.boot,
+            sequence: self.sequence,
+            queued: 0,
+            running: u32::try_from(self.started.len()).unwrap_or(u32::MAX),
+            slots: u32::MAX,
+            wait: std::time::Duration::ZERO,
+            prompt_token_ns: 0,
+            step_us: 0,
+            accepting: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-bench/src/fleet/entry.rs
@@ -0,0 +1,275 @@
+//! What decides at an entry: oatpier's policy or a baseline, behind one trait.
+
+use indexmap::IndexMap;
+use oatpier_policy::action::{EntryAction, EntryActions};
+use oatpier_policy::entry::EntryPolicy;
+use oatpier_policy::event::{EntryEvent, RequestIntake};
+use oatpier_policy::outcome::{FinalAnswer, FinalCause};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::engine::{CacheEvent, LoadReport};
+use oatpier_types::ids::{AttemptId, RequestId};
+use oatpier_types::names::EndpointName;
+use oatpier_types::pulse::EndpointStatus;
+use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_types::request::{AttemptSpec, RequestGoal};
+use oatpier_types::verdict::RunVerdict;
+
+/// Actions of one request, from a timer.
+pub type FiredActions = Vec<(RequestId, EntryActions)>;
+
+/// Decides about requests at one entry.
+pub trait EntryBrain {
+    /// An agent's whole word on its endpoint came.
+    fn on_status(&mut self, status: &EndpointStatus, now: ClockTime);
+    /// An engine's lagged load report came.
+    fn on_report(&mut self, endpoint: &EndpointName, report: &LoadReport, now: ClockTime);
+    /// An engine's cache event came, late and perhaps after a gap.
+    fn on_cache_event(&mut self, endpoint: &EndpointName, event: &CacheEvent, now: ClockTime);
+    /// The endpoint has not been heard of for long.
+    fn forget(&mut self, endpoint: &EndpointName, now: ClockTime);
+    /// A request came in.
+    fn start(&mut self, intake: RequestIntake, now: ClockTime) -> EntryActions;
+    /// Something happened to a request.
+    fn handle(&mut self, request: RequestId, event: &EntryEvent, now: ClockTime) -> EntryActions;
+    /// When the next timer is due.
+    fn next_timer(&self) -> Option<ClockTime>;
+    /// Fires the timers that are due.
+    fn fire_timers(&mut self, now: ClockTime, fired: &mut FiredActions);
+}
+
+impl EntryBrain for EntryPolicy {
+    fn on_status(&mut self, status: &EndpointStatus, now: ClockTime) {
+        Self::on_status(self, status, now);
+    }
+
+    fn on_report(&mut self, endpoint: &EndpointName, report: &LoadReport, now: ClockTime) {
+        Self::on_report(self, endpoint, report, now);
+    }
+
+    fn on_cache_event(&mut self, endpoint: &EndpointName, event: &CacheEvent, now: ClockTime) {
+        Self::on_cache_event(self, endpoint, event, now);
+    }
+
+    fn forget(&mut self, endpoint: &EndpointName, now: ClockTime) {
+        Self::forget(self, endpoint, now);
+    }
+
+    fn start(&mut self, intake: RequestIntake, now: ClockTime) -> EntryActions {
+        Self::start(self, intake, now)
+    }
+
+    fn handle(&mut self, request: RequestId, event: &EntryEvent, now: ClockTime) -> EntryActions {
+        Self::handle(self, request, event, now)
+    }
+
+    fn next_timer(&self) -> Option<ClockTime> {
+        Self::next_timer(self)
+    }
+
+    fn fire_timers(&mut self, now: ClockTime, fired: &mut FiredActions) {
+        Self::fire_timers(self, now, fired);
+    }
+}
+
+/// How a baseline chooses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlainChoice {
+    /// One after the other.
+    RoundRobin,
+    /// The one with the fewest requests of this entry in flight.
+    LeastOutstanding,
+}
+
+/// How often a baseline tries elsewhere after a failure.
+const PLAIN_TRIES: u32 = 3;
+
+struct PlainRequest {
+    intake: RequestIntake,
+    endpoint: EndpointName,
+    attempt: AttemptId,
+    tries: u32,
+    relayed: u32,
+}
+
+struct PlainEndpoint {
+    status: EndpointStatus,
+    outstanding: u32,
+}
+
+/// A baseline: a usual load balancer with health checks and retries on connect errors.
+pub struct PlainEntry {
+    choice: PlainChoice,
+    seed: u128,
+    made: u128,
+    turn: usize,
+    endpoints: IndexMap<EndpointName, PlainEndpoint>,
+    requests: IndexMap<RequestId, PlainRequest>,
+}
+
+impl PlainEntry {
+    /// A baseline entry. `seed` keeps attempt ids of two entries apart.
+    #[must_use]
+    pub fn new(choice: PlainChoice, seed: u64) -> Self {
+        Self {
+            choice,
+            seed: u128::from(seed) << 64,
+            made: 0,
+            turn: 0,
+            endpoints: IndexMap::new(),
+            requests: IndexMap::new(),
+        }
+    }
+
+    fn choose(&mut self, goal: &RequestGoal) -> Option<EndpointName> {
+        let able: Vec<&EndpointName> = self
+            .endpoints
+            .iter()
+            .filter(|(_, row)| can_serve(&row.status, goal))
+            .map(|(name, _)| name)
+            .collect();
+        if able.is_empty() {
+            return None;
+        }
+        self.turn += 1;
+        let chosen = match self.choice {
+            PlainChoice::RoundRobin => able[self.turn % able.len()],
+            PlainChoice::LeastOutstanding => able
+                .into_iter()
+                .min_by_key(|name| self.endpoints[*name].outstanding)?,
+        };
+        Some(chosen.clone())
+    }
+
+    fn send(&mut self, intake: RequestIntake, tries: u32) -> EntryActions {
+        let Some(endpoint) = self.choose(&intake.goal) else {
+            return refuse();
+        };
+        self.made += 1;
+        let attempt = AttemptId(self.seed | self.made);
+        let spec = spec_of(&intake, attempt);
+        if let Some(row) = self.endpoints.get_mut(&endpoint) {
+            row.outstanding += 1;
+        }
+        let request = PlainRequest {
+            endpoint: endpoint.clone(),
+            attempt,
+            tries,
+            relayed: 0,
+            intake,
+        };
+        self.requests.insert(spec.request, request);
+        let spec = Box::new(spec);
+        EntryActions::from_iter([EntryAction::Send { endpoint, spec }])
+    }
+
+    fn release(&mut self, request: RequestId) -> Option<PlainRequest> {
+        let plain = self.requests.swap_remove(&request)?;
+        if let Some(row) = self.endpoints.get_mut(&plain.endpoint) {
+            row.outstanding = row.outstanding.saturating_sub(1);
+        }
+        Some(plain)
+    }
+
+    fn retry(&mut self, request: RequestId) -> EntryActions {
+        let Some(plain) = self.release(request) else {
+            return EntryActions::new();
+        };
+        if plain.relayed > 0 || plain.tries + 1 >= PLAIN_TRIES {
+            return answer(FinalAnswer::failed(
+                FinalCause::Incomplete,
+                RunVerdict::MayHaveRun,
+                None,
+            ));
+        }
+        self.send(plain.intake, plain.tries + 1)
+    }
+}
+
+impl EntryBrain for PlainEntry {
+    fn on_status(&mut self, status: &EndpointStatus, _now: ClockTime) {
+        let outstanding = self
+            .endpoints
+            .get(&status.endpoint)
+            .filter(|row| row.status.pulse.boot == status.pulse.boot)
+            .map_or(0, |row| row.outstanding);
+        let row = PlainEndpoint {
+            status: status.clone(),
+            outstanding,
+        };
+        self.endpoints.insert(status.endpoint.clone(), row);
+    }
+
+    fn on_report(&mut self, _endpoint: &EndpointName, _report: &LoadReport, _now: ClockTime) {}
+
+    fn on_cache_event(&mut self, _endpoint: &EndpointName, _event: &CacheEvent, _now: ClockTime) {}
+
+    fn forget(&mut self, endpoint: &EndpointName, _now: ClockTime) {
+        self.endpoints.shift_remove(endpoint);
+    }
+
+    fn start(&mut self, intake: RequestIntake, _now: ClockTime) -> EntryActions {
+        self.send(intake, 0)
+    }
+
+    fn handle(&mut self, request: RequestId, event: &EntryEvent, _now: ClockTime) -> EntryActions {
+        let Some(plain) = self.requests.get_mut(&request) else {
+            return EntryActions::new();
+        };
+        if event.attempt() != Some(plain.attempt) {
+            return EntryActions::new();
+        }
+        match event {
+            EntryEvent::Piece { attempt, tokens } => {
+                plain.relayed += tokens;
+                EntryActions::from_iter([EntryAction::Relay { attempt: *attempt }])
+            }
+            EntryEvent::Ended { .. } => {
+                self.release(request);
+                answer(FinalAnswer::whole(true, true))
+            }
+            EntryEvent::FirstFrame { .. } => EntryActions::new(),
+            _ => self.retry(request),
+        }
+    }
+
+    fn next_timer(&self) -> Option<ClockTime> {
+        None
+    }
+
+    fn fire_timers(&mut self, _now: ClockTime, _fired: &mut FiredActions) {}
+}
+
+fn can_serve(status: &EndpointStatus, goal: &RequestGoal) -> bool {
+    match goal {
+        RequestGoal::Model { model, adapter } => status
+            .ready
+            .iter()
+            .any(|weights| weights.model == *model && weights.adapter == *adapter),
+        RequestGoal::Service { pool } => status.pool == *pool,
+    }
+}
+
+fn spec_of(intake: &RequestIntake, attempt: AttemptId) -> AttemptSpec {
+    AttemptSpec {
+        attempt,
+        request: intake.request,
+        goal: intake.goal.clone(),
+        class: intake.class.clone(),
+        caller: intake.caller.clone(),
+        repeat: intake.repeat,
+        remaining: std::time::Duration::from_secs(60),
+        tokens: intake.tokens,
+        resume_after: 0,
+    }
+}
+
+fn refuse() -> EntryActions {
+    answer(FinalAnswer::refused(Refusal {
+        cause: RefusalCause::NoEndpoint,
+        retry_after: None,
+    }))
+}
+
+fn answer(answer: FinalAnswer) -> EntryActions {
+    EntryActions::from_iter([EntryAction::Answer(answer)])
+}
--- /dev/null
+++ b/crates/oatpier-bench/src/fleet/faults.rs
@@ -0,0 +1,81 @@
+//! Faults of engines.
+
+use oatpier_policy::event::EntryEvent;
+use oatpier_standin::engine::EngineFaults;
+use oatpier_types::event::FleetEvent;
+use oatpier_types::names::DaemonName;
+
+use super::world::{FleetStep, FleetWorld};
+use crate::load::scenario::FaultKind;
+
+impl FleetWorld<'_> {
+    pub(super) fn fault_begins(&mut self, fault: usize) {
+        let plan = self.faults[fault];
+        let Some(node) = self.victim(plan.victim) else {
+            return;
+        };
+        match plan.kind {
+            FaultKind::Death => self.kill(node),
+            FaultKind::Freeze => self.freeze(node, true),
+        }
+        self.queue
+            .push(plan.until, FleetStep::FaultEnds { fault, node });
+    }
+
+    pub(super) fn fault_ends(&mut self, fault: usize, node: usize) {
+        match self.faults[fault].kind {
+            FaultKind::Death => self.revive(node),
+            FaultKind::Freeze => self.freeze(node, false),
+        }
+    }
+
+    /// The live node at this rank by attempts on it.
+    fn victim(&self, rank: usize) -> Option<usize> {
+        let mut live: Vec<usize> = (0..self.nodes.len())
+            .filter(|node| self.nodes[*node].alive)
+            .collect();
+        live.sort_by_key(|node| (std::cmp::Reverse(self.nodes[*node].attempts.0.len()), *node));
+        live.get(rank).copied()
+    }
+
+    fn kill(&mut self, node: usize) {
+        let lost = self.nodes[node].engine.take_events();
+        self.callers.extend(lost);
+        let state = &mut self.nodes[node];
+        state.alive = false;
+        let gone = std::mem::take(&mut state.ready);
+        let attempts = std::mem::take(&mut state.attempts);
+        let name = DaemonName::try_from(state.place.endpoint.as_str()).expect("a valid name");
+        let event = FleetEvent::Ended {
+            name,
+            killed: true,
+            cut_off: u32::try_from(attempts.0.len()).unwrap_or(u32::MAX),
+        };
+        self.callers.log(self.now, event);
+        for (attempt, held) in attempts.0 {
+            let event = EntryEvent::Cut { attempt };
+            self.tell_entry(node, held.entry, held.spec.request, event);
+        }
+        let models: Vec<_> = gone
+            .into_iter()
+            .filter(|weights| weights.adapter.is_none())
+            .collect();
+        self.log_replicas(&models);
+    }
+
+    fn revive(&mut self, node: usize) {
+        let place = self.nodes[node].place.clone();
+        let parts = self.parts(&place, Vec::new());
+        self.nodes[node].restart(parts, &self.deployment.config);
+        self.begin_node(node);
+    }
+
+    fn freeze(&mut self, node: usize, frozen: bool) {
+        let faults = EngineFaults {
+            frozen,
+            ..EngineFaults::default()
+        };
+        self.nodes[node].engine.set_faults(self.now, faults);
+        self.arm_engine(node);
+    }
+}
--- /dev/null
+++ b/crates/oatpier-bench/src/fleet/moves.rs
@@ -0,0 +1,309 @@
+//! What happens about memory: the planner's plans and the agents' moves.
+
+use std::time::Duration;
+
+use oatpier_admission::event::{AgentEvent, LoadingWeights};
+use oatpier_placement::orders::{OrderCommand, OrderEvent, OrderOutcome};
+use oatpier_placement::planner::{EndpointView, PlannerInput};
+use oatpier_placement::record::{RecordAnswer, RecordCall, StoredRecord};
+use oatpier_placement::release::{ReleaseAnswer, ReleaseAsk};
+use oatpier_placement::steps::{PlacementStep, ReplicaCount, STEP_EVERY, StepInput};
+use oatpier_platform::engine::OrderError;
+use oatpier_types::engine::{EngineOrder, WeightsKey, WeightsState};
+use oatpier_types::event::FleetEvent;
+use oatpier_types::ids::{BootId, Generation, Revision, Term};
+use oatpier_types::names::{DaemonName, EndpointName};
+use oatpier_types::plan::PlacementPlan;
+use smallvec::SmallVec;
+
+use super::world::{FleetStep, FleetWorld};
+
+/// Time of a store call.
+const STORE_CALL: Duration = Duration::from_millis(3);
+/// Until a new plan reaches the agents.
+const PLAN_DELAY: Duration = Duration::from_millis(100);
+/// What an agent's guess is of a load's time.
+const LOAD_GUESS: Duration = Duration::from_secs(4);
+
+impl FleetWorld<'_> {
+    /// A node's agent and engine begin.
+    pub(super) fn begin_node(&mut self, node: usize) {
+        self.note_ready(node);
+        let boot = self.nodes[node].boot;
+        self.queue.push(self.now, FleetStep::Moves { node, boot });
+        self.arm_engine(node);
+    }
+
+    /// Tells the agent's decisions, and the entries, when what callers may get has changed.
+    pub(super) fn note_ready(&mut self, node: usize) {
+        let ready = self.nodes[node].servable();
+        if ready == self.nodes[node].ready && self.nodes[node].ready_sequence > 0 {
+            return;
+        }
+        let changed = self.changed_models(node, &ready);
+        let state = &mut self.nodes[node];
+        state.ready.clone_from(&ready);
+        state.ready_sequence += 1;
+        let loading = loading_of(&state.state());
+        self.agent_event(
+            node,
+            AgentEvent::ReadyChanged {
+                ready: ready.into_vec(),
+                loading,
+            },
+        );
+        self.tell_entries(node);
+        self.log_replicas(&changed);
+    }
+
+    fn changed_models(&self, node: usize, ready: &[WeightsKey]) -> Vec<WeightsKey> {
+        let before = self.nodes[node].ready.iter();
+        let gone = before.filter(|weights| !ready.contains(weights));
+        let come = ready
+            .iter()
+            .filter(|weights| !self.nodes[node].ready.contains(weights));
+        gone.chain(come)
+            .filter(|weights| weights.adapter.is_none())
+            .cloned()
+            .collect()
+    }
+
+    pub(super) fn log_replicas(&mut self, changed: &[WeightsKey]) {
+        for weights in changed {
+            let count = self
+                .nodes
+                .iter()
+                .filter(|node| node.alive && node.ready.contains(weights))
+                .count();
+            let event = FleetEvent::ReplicasReady {
+                model: weights.model.clone(),
+                count: u32::try_from(count).unwrap_or(u32::MAX),
+            };
+            self.callers.log(self.now, event);
+        }
+    }
+
+    pub(super) fn moves_tick(&mut self, node: usize, boot: BootId) {
+        if self.nodes[node].boot != boot || !self.nodes[node].alive {
+            return;
+        }
+        self.step_moves(node);
+        self.commands(node);
+        self.note_ready(node);
+        let at = self.now + STEP_EVERY;
+        self.queue.push(at, FleetStep::Moves { node, boot });
+    }
+
+    fn step_moves(&mut self, node: usize) {
+        let others = OtherReplicas::seen(self, node);
+        let state = &mut self.nodes[node];
+        let Some(plan) = state.plan.clone() else {
+            return;
+        };
+        let input = StepInput {
+            plan: &plan,
+            config: &self.deployment.config,
+            replicas: &others,
+            attempts: &state.attempts,
+        };
+        let step = state
+            .stepper
+            .next_step(input, &mut state.keeper, &mut state.releases, self.now);
+        if let Ok(PlacementStep::AskRelease { to, ask }) = step
+            && let Some(holder) = self.indices.get(&to).copied()
+        {
+            let at = self.now + self.deployment.between_zones;
+            let step = FleetStep::Ask { node: holder, ask };
+            self.queue.push(at, step);
+        }
+    }
+
+    fn commands(&mut self, node: usize) {
+        let state = &mut self.nodes[node];
+        let commands = state.keeper.commands(&self.deployment.config, self.now);
+        for command in commands {
+            match command {
+                OrderCommand::CallStore(call) => self.call_store(node, call),
+                OrderCommand::Send(order) => self.order(node, &order),
+                OrderCommand::Poll(ticket) => {
+                    let state = Box::new(self.nodes[node].engine.state());
+                    self.order_event(node, OrderEvent::Polled { ticket, state });
+                }
+            }
+        }
+        self.send_replies(node);
+    }
+
+    fn order(&mut self, node: usize, order: &EngineOrder) {
+        if self.is_measured(self.now) {
+            self.moves += 1;
+        }
+        let result = self.nodes[node].engine.order(self.now, order);
+        let outcome = match result {
+            Ok(()) => OrderOutcome::Taken,
+            Err(OrderError::Stale { highest }) => OrderOutcome::Stale { highest },
+            Err(OrderError::Refused { .. }) => OrderOutcome::Refused,
+            Err(OrderError::NotSent { .. }) => OrderOutcome::NotSent,
+            Err(OrderError::Unknown { .. }) => OrderOutcome::Unknown,
+        };
+        let number = order.number;
+        self.order_event(node, OrderEvent::Answered { number, outcome });
+        self.arm_engine(node);
+    }
+
+    fn order_event(&mut self, node: usize, event: OrderEvent) {
+        self.nodes[node]
+            .keeper
+            .on_event(event, &self.deployment.config, self.now);
+    }
+
+    fn call_store(&mut self, node: usize, call: RecordCall) {
+        let boot = self.nodes[node].boot;
+        let answer = self.store_answer(node, call);
+        let step = FleetStep::Stored { node, boot, answer };
+        self.queue.push(self.now + STORE_CALL, step);
+    }
+
+    fn store_answer(&mut self, node: usize, call: RecordCall) -> RecordAnswer {
+        let kept = &mut self.nodes[node].record;
+        match call {
+            RecordCall::Read => RecordAnswer::Found(kept.clone()),
+            RecordCall::Write { record, expected } => {
+                let current = kept.as_ref().map(|stored| stored.revision);
+                if current != expected {
+                    return RecordAnswer::Conflict;
+                }
+                let revision = Revision(current.unwrap_or_default().0 + 1);
+                *kept = Some(StoredRecord { record, revision });
+                RecordAnswer::Written(revision)
+            }
+        }
+    }
+
+    pub(super) fn stored(&mut self, node: usize, boot: BootId, answer: RecordAnswer) {
+        if self.nodes[node].boot == boot && self.nodes[node].alive {
+            self.order_event(node, OrderEvent::Record(answer));
+            self.commands(node);
+        }
+    }
+
+    pub(super) fn asked_release(&mut self, node: usize, ask: ReleaseAsk) {
+        let state = &mut self.nodes[node];
+        if !state.alive {
+            return;
+        }
+        state.releases.on_ask(ask, &mut state.keeper, self.now);
+        self.commands(node);
+    }
+
+    fn send_replies(&mut self, node: usize) {
+        let state = &mut self.nodes[node];
+        let at = self.now + self.deployment.between_zones;
+        for reply in state.releases.replies(&state.keeper, self.now) {
+            if let Some(node) = self.indices.get(&reply.to).copied() {
+                let answer = reply.answer;
+                self.queue.push(at, FleetStep::Asked { node, answer });
+            }
+        }
+    }
+
+    pub(super) fn released(&mut self, node: usize, answer: ReleaseAnswer) {
+        if self.nodes[node].alive {
+            self.nodes[node].releases.on_answer(answer, self.now);
+        }
+    }
+
+    pub(super) fn plan_tick(&mut self, every: Duration) {
+        if self.replans {
+            let plan = self.make_plan();
+            let at = self.now + PLAN_DELAY;
+            for row in &plan.endpoints {
+                if let Some(node) = self.indices.get(&row.endpoint).copied() {
+                    let row = row.clone();
+                    self.queue.push(at, FleetStep::Planned { node, row });
+                }
+            }
+            self.plan = Some(plan);
+        }
+        self.queue.push(self.now + every, FleetStep::Plan);
+    }
+
+    pub(super) fn make_plan(&mut self) -> PlacementPlan {
+        for (index, entry) in self.entries.iter_mut().enumerate() {
+            let summary = entry.demand.summary(self.now);
+            self.demand.absorb(entry_name(index), summary, self.now);
+        }
+        let demand = self.demand.total(self.now);
+        let mut endpoints: Vec<EndpointView> =
+            (0..self.nodes.len()).map(|node| self.view(node)).collect();
+        endpoints.sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
+        let input = PlannerInput {
+            config: &self.deployment.config,
+            generation: Generation(1),
+            term: Term(1),
+            demand: &demand,
+            endpoints: &endpoints,
+            previous: self.plan.as_ref(),
+        };
+        self.planner.plan(&input, self.now).plan
+    }
+
+    fn view(&mut self, node: usize) -> EndpointView {
+        let pulse = self.nodes[node].brain.pulse(self.now);
+        let state = &self.nodes[node];
+        let engine = state.state();
+        EndpointView {
+            endpoint: state.place.endpoint.clone(),
+            pool: state.place.pool.clone(),
+            zone: state.place.zone.clone(),
+            alive: state.alive,
+            leaving: false,
+            held: engine.held,
+            role: engine.role,
+            prompt_token_ns: pulse.prompt_token_ns,
+            step_us: pulse.step_us,
+        }
+    }
+}
+
+/// What an agent hears of other replicas through its registrars.
+struct OtherReplicas {
+    holders: Vec<(EndpointName, SmallVec<[WeightsKey; 8]>)>,
+}
+
+impl OtherReplicas {
+    fn seen(world: &FleetWorld<'_>, node: usize) -> Self {
+        let others = world.nodes.iter().enumerate();
+        let holders = others
+            .filter(|(index, other)| *index != node && other.alive)
+            .map(|(_, other)| (other.place.endpoint.clone(), other.ready.clone()))
+            .collect();
+        Self { holders }
+    }
+}
+
+impl ReplicaCount for OtherReplicas {
+    fn ready_elsewhere(&self, weights: &WeightsKey) -> SmallVec<[EndpointName; 4]> {
+        self.holders
+            .iter()
+            .filter(|(_, ready)| ready.contains(weights))
+            .map(|(endpoint, _)| endpoint.clone())
+            .collect()
+    }
+}
+
+fn loading_of(state: &oatpier_types::engine::EngineState) -> Vec<LoadingWeights> {
+    state
+        .held
+        .iter()
+        .filter(|held| held.state == WeightsState::Loading)
+        .map(|held| LoadingWeights {
+            weights: held.weights.clone(),
+            ready_in: LOAD_GUESS,
+        })
+        .collect()
+}
+
+fn entry_name(index: usize) -> DaemonName {
+    DaemonName::try_from(format!("entry-{index}")).expect("a valid name")
+}
--- /dev/null
+++ b/crates/oatpier-bench/src/fleet/requests.rs
@@ -0,0 +1,311 @@
+//! What happens at entries: callers' requests, and what agents say.
+
+use std::time::Duration;
+
+use oatpier_admission::event::AdmissionTicket;
+use oatpier_placement::demand::DemandKey;
+use oatpier_policy::action::{EntryAction, EntryActions};
+use oatpier_policy::event::{EntryEvent, RequestIntake};
+use oatpier_policy::outcome::{FinalAnswer, FinalCause};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::engine::{CacheEvent, LoadReport};
+use oatpier_types::ids::RequestId;
+use oatpier_types::names::{CallerName, EndpointName};
+use oatpier_types::pulse::{AgentPulse, EndpointStatus};
+use oatpier_types::request::{AttemptSpec, RequestGoal};
+use oatpier_types::verdict::Repeat;
+
+use super::caller::{AnswerSeen, CallerTry};
+use super::entry::FiredActions;
+use super::world::{FleetStep, FleetWorld, HEARTBEAT, SILENCE};
+
+/// How long a refused caller waits that got no word on when to come back.
+const IMPATIENCE: Duration = Duration::from_millis(50);
+
+impl FleetWorld<'_> {
+    pub(super) fn arrive(&mut self, arrival: usize, number: u32) {
+        let source = &self.arrivals[arrival];
+        self.requests += 1;
+        let request = RequestId(self.requests);
+        let entry = source.entry;
+        let key = DemandKey {
+            model: source.model.clone(),
+            adapter: source.adapter.clone(),
+        };
+        let intake = RequestIntake {
+            request,
+            goal: RequestGoal::Model {
+                model: source.model.clone(),
+                adapter: source.adapter.clone(),
+            },
+            class: source.class.clone(),
+            caller: caller_name(arrival),
+            repeat: Repeat::Idempotent,
+            key: None,
+            tokens: source.tokens,
+            prefixes: source.prefixes.clone(),
+            resumable: true,
+        };
+        let sent_at = self.now - self.deployment.to_callers;
+        self.callers.sent(request, arrival, number, entry, sent_at);
+        self.prefixes.insert(request, source.prefixes.clone());
+        let node = &mut self.entries[entry];
+        node.demand
+            .record(&key, intake.tokens.prompt, intake.tokens.output, self.now);
+        let actions = node.brain.start(intake, self.now);
+        self.entry_actions(entry, request, 0, actions);
+    }
+
+    pub(super) fn at_entry(&mut self, entry: usize, request: RequestId, event: &EntryEvent) {
+        let tokens = match event {
+            EntryEvent::Piece { tokens, .. } => *tokens,
+            _ => 0,
+        };
+        if let (Some(pulse), Some(attempt)) = (event.pulse(), event.attempt()) {
+            self.note_pulse(entry, attempt, *pulse);
+        }
+        let actions = self.entries[entry].brain.handle(request, event, self.now);
+        self.entry_actions(entry, request, tokens, actions);
+    }
+
+    pub(super) fn entry_timer(&mut self, entry: usize) {
+        let node = &mut self.entries[entry];
+        node.armed = ClockTime::NEVER;
+        let mut fired = FiredActions::new();
+        node.brain.fire_timers(self.now, &mut fired);
+        for (request, actions) in fired {
+            self.entry_actions(entry, request, 0, actions);
+        }
+        self.arm_entry(entry);
+    }
+
+    fn arm_entry(&mut self, entry: usize) {
+        let node = &mut self.entries[entry];
+        let Some(due) = node.brain.next_timer() else {
+            return;
+        };
+        let due = due.max(self.now);
+        if due < node.armed {
+            node.armed = due;
+            self.queue.push(due, FleetStep::EntryTimer { entry });
+        }
+    }
+
+    fn entry_actions(
+        &mut self,
+        entry: usize,
+        request: RequestId,
+        tokens: u32,
+        actions: EntryActions,
+    ) {
+        for action in actions {
+            match action {
+                EntryAction::Send { endpoint, spec } | EntryAction::Resume { endpoint, spec } => {
+                    self.send(entry, &endpoint, spec);
+                }
+                EntryAction::Cancel {
+                    endpoint,
+                    attempt,
+                    mode,
+                } => {
+                    let ticket = self.entries[entry].tickets.get(&attempt).copied().flatten();
+                    if let Some(node) = self.indices.get(&endpoint).copied() {
+                        let at = self.now + self.latency(entry, node);
+                        self.queue.push(
+                            at,
+                            FleetStep::Cancel {
+                                node,
+                                entry,
+                                request,
+                                attempt,
+                                ticket,
+                                mode,
+                            },
+                        );
+                    }
+                }
+                EntryAction::Relay { .. } => {
+                    let at = self.now + self.deployment.to_callers;
+                    self.callers.tokens(request, tokens, at);
+                }
+                EntryAction::Answer(answer) => self.answer(request, &answer),
+                EntryAction::Claim { .. } | EntryAction::SettleClaim { .. } => {}
+            }
+        }
+        self.arm_entry(entry);
+    }
+
+    fn send(&mut self, entry: usize, endpoint: &EndpointName, spec: Box<AttemptSpec>) {
+        let Some(node) = self.indices.get(endpoint).copied() else {
+            return;
+        };
+        let from = &mut self.entries[entry];
+        let ticket = from.pulses.get(endpoint).map(AdmissionTicket::of);
+        from.tickets.insert(spec.attempt, ticket);
+        let at = self.now + self.latency(entry, node);
+        self.queue.push(
+            at,
+            FleetStep::Attempt {
+                node,
+                entry,
+                spec,
+                ticket,
+            },
+        );
+    }
+
+    fn answer(&mut self, request: RequestId, answer: &FinalAnswer) {
+        self.prefixes.swap_remove(&request);
+        let seen = AnswerSeen {
+            whole: answer.cause == FinalCause::Whole,
+            verdict: answer.verdict,
+            cause: answer.cause.as_str(),
+        };
+        let at = self.now + self.deployment.to_callers;
+        let Some(target) = self.target_of(request) else {
+            return;
+        };
+        let Some(caller) = self.callers.ended(request, seen, target, at) else {
+            return;
+        };
+        if !seen.whole {
+            self.ask_again(&caller, answer.retry_after);
+        }
+    }
+
+    /// A caller in a storm comes back at once, whatever it was told.
+    fn ask_again(&mut self, caller: &CallerTry, _retry_after: Option<Duration>) {
+        if caller.number < self.scenario.caller_retries() {
+            let step = FleetStep::Arrive {
+                arrival: caller.arrival,
+                number: caller.number + 1,
+            };
+            self.queue.push(self.now + IMPATIENCE, step);
+        }
+    }
+
+    fn target_of(&self, request: RequestId) -> Option<oatpier_types::config::ClassTarget> {
+        let arrival = self.callers.arrival_of(request)?;
+        let class = &self.arrivals[arrival].class;
+        self.deployment
+            .config
+            .classes
+            .get(class)
+            .map(|class| class.target)
+    }
+
+    fn note_pulse(
+        &mut self,
+        entry: usize,
+        attempt: oatpier_types::ids::AttemptId,
+        pulse: AgentPulse,
+    ) {
+        let Some(endpoint) = self.endpoint_of(pulse.boot) else {
+            return;
+        };
+        debug_assert!(self.entries[entry].tickets.contains_key(&attempt) || pulse.sequence > 0);
+        self.keep_pulse(entry, &endpoint, pulse);
+    }
+
+    fn endpoint_of(&self, boot: oatpier_types::ids::BootId) -> Option<EndpointName> {
+        self.nodes
+            .iter()
+            .find(|node| node.boot == boot)
+            .map(|node| node.place.endpoint.clone())
+    }
+
+    fn keep_pulse(&mut self, entry: usize, endpoint: &EndpointName, pulse: AgentPulse) {
+        let pulses = &mut self.entries[entry].pulses;
+        let newer = pulses
+            .get(endpoint)
+            .is_none_or(|kept| kept.boot != pulse.boot || kept.sequence < pulse.sequence);
+        if newer {
+            pulses.insert(endpoint.clone(), pulse);
+        }
+    }
+
+    pub(super) fn status_at(&mut self, entry: usize, status: &EndpointStatus) {
+        self.keep_pulse(entry, &status.endpoint, status.pulse);
+        self.entries[entry].brain.on_status(status, self.now);
+    }
+
+    pub(super) fn reports_at(
+        &mut self,
+        entry: usize,
+        node: usize,
+        load: &LoadReport,
+        cache: &[CacheEvent],
+    ) {
+        let endpoint = self.nodes[node].place.endpoint.clone();
+        let brain = &mut self.entries[entry].brain;
+        brain.on_report(&endpoint, load, self.now);
+        for event in cache {
+            brain.on_cache_event(&endpoint, event, self.now);
+        }
+    }
+
+    /// Each live agent tells all entries of itself; what was silent for long is forgotten.
+    pub(super) fn heartbeats(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].alive {
+                self.heard.insert(node, self.now);
+                self.tell_entries(node);
+            } else {
+                self.forget_silent(node);
+            }
+        }
+        self.queue.push(self.now + HEARTBEAT, FleetStep::Heartbeats);
+    }
+
+    fn forget_silent(&mut self, node: usize) {
+        let heard = self.heard.get(&node).copied().unwrap_or(ClockTime::ZERO);
+        if self.now.since(heard) < SILENCE {
+            return;
+        }
+        let endpoint = self.nodes[node].place.endpoint.clone();
+        for entry in &mut self.entries {
+            entry.brain.forget(&endpoint, self.now);
+        }
+    }
+
+    /// Sends an agent's word to all entries.
+    pub(super) fn tell_entries(&mut self, node: usize) {
+        for entry in 0..self.entries.len() {
+            let status = self.nodes[node].status(self.now);
+            let at = self.now + self.latency(entry, node);
+            self.queue.push(at, FleetStep::Status { entry, status });
+        }
+    }
+
+    pub(super) fn read_reports(&mut self, every: Duration) {
+        for node in 0..self.nodes.len() {
+            if !self.nodes[node].alive {
+                continue;
+            }
+            let engine = &self.nodes[node].engine;
+            let load = engine.load(self.now);
+            let cache = engine.cache_events(self.now, self.nodes[node].cache_seen);
+            if let Some(last) = cache.last() {
+                self.nodes[node].cache_seen = last.sequence;
+            }
+            for entry in 0..self.entries.len() {
+                let cache = cache.clone();
+                let at = self.now + self.latency(entry, node);
+                self.queue.push(
+                    at,
+                    FleetStep::Reports {
+                        entry,
+                        node,
+                        load,
+                        cache,
+                    },
+                );
+            }
+        }
+        self.queue.push(self.now + every, FleetStep::ReadReports);
+    }
+}
+
+fn caller_name(arrival: usize) -> CallerName {
+    CallerName::try_from(format!("caller-{}", arrival % 32)).expect("a valid name")
+}
--- /dev/null
+++ b/crates/oatpier-bench/src/load/demand.rs
@@ -0,0 +1,156 @@
+//! Seeded arrivals.
+//!
+//! Models have a popularity that falls with their rank; under a burst some of them move tenfold.
+//! Arrivals are a Poisson process. Prompts of one model share prefixes, as conversations do.
+
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{AdapterName, ClassName, ModelName};
+use oatpier_types::request::{PrefixChain, TokenDemand};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::deployment::{BenchDeployment, adapter_name, model_name};
+use super::scenario::{BenchScenario, RUN_LENGTH};
+
+/// Tokens in one block of a prompt prefix.
+pub const BLOCK_TOKENS: u32 = 64;
+
+const BURST_FACTOR: f64 = 10.0;
+const BURST_LENGTH: Duration = Duration::from_secs(30);
+const BURST_MODELS: usize = 3;
+const CONVERSATIONS: u32 = 12;
+const ADAPTER_SHARE: f64 = 0.4;
+const POPULARITY_POWER: f64 = 0.9;
+
+/// One request of a caller.
+#[derive(Debug, Clone)]
+pub struct BenchArrival {
+    /// When it reaches its entry.
+    pub at: ClockTime,
+    /// The entry that the balancer picks.
+    pub entry: usize,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter on it.
+    pub adapter: Option<AdapterName>,
+    /// Its class.
+    pub class: ClassName,
+    /// Its size.
+    pub tokens: TokenDemand,
+    /// The prefixes of its prompt.
+    pub prefixes: PrefixChain,
+}
+
+/// Makes the arrivals of one run.
+pub struct DemandMaker<'a> {
+    deployment: &'a BenchDeployment,
+    scenario: BenchScenario,
+    random: ChaCha8Rng,
+    base_weights: Vec<f64>,
+}
+
+impl<'a> DemandMaker<'a> {
+    /// A maker for one run; equal seeds give equal arrivals.
+    #[must_use]
+    pub fn new(deployment: &'a BenchDeployment, scenario: BenchScenario, seed: u64) -> Self {
+        let base_weights = (1..=deployment.config.models.len())
+            .map(|rank| rank_weight(rank))
+            .collect();
+        Self {
+            deployment,
+            scenario,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            base_weights,
+        }
+    }
+
+    /// All arrivals, by time.
+    #[must_use]
+    pub fn arrivals(mut self, entries: usize) -> Vec<BenchArrival> {
+        let total: f64 = self.base_weights.iter().sum();
+        let unit = self.deployment.rate * self.scenario.demand_factor() / total;
+        let mut arrivals = Vec::new();
+        for index in 0..self.base_weights.len() {
+            self.model_arrivals(index, unit, entries, &mut arrivals);
+        }
+        arrivals.sort_by_key(|arrival| arrival.at);
+        arrivals
+    }
+
+    /// Thins a Poisson process at the model's highest rate down to its rate at each point.
+    fn model_arrivals(
+        &mut self,
+        index: usize,
+        unit: f64,
+        entries: usize,
+        arrivals: &mut Vec<BenchArrival>,
+    ) {
+        let base = self.base_weights[index] * unit;
+        let highest = base * BURST_FACTOR;
+        let mut at = 0.0;
+        loop {
+            let uniform: f64 = self.random.random();
+            at += -(1.0 - uniform).ln() / highest;
+            if at >= RUN_LENGTH.as_secs_f64() {
+                return;
+            }
+            let keep: f64 = self.random.random();
+            if keep * BURST_FACTOR < self.factor(index, at) {
+                arrivals.push(self.arrival(index, at, entries));
+            }
+        }
+    }
+
+    fn factor(&self, index: usize, at: f64) -> f64 {
+        if self.scenario != BenchScenario::Burst {
+            return 1.0;
+        }
+        let phase = (at / BURST_LENGTH.as_secs_f64()) as usize;
+        let first = 5 + phase * BURST_MODELS;
+        let bursting = (first..first + BURST_MODELS).contains(&(index % 17));
+        if bursting { BURST_FACTOR } else { 1.0 }
+    }
+
+    fn arrival(&mut self, index: usize, at: f64, entries: usize) -> BenchArrival {
+        let model = model_name(index);
+        let class = self.deployment.config.models[&model].class.clone();
+        let conversation = self.random.random_range(0..CONVERSATIONS);
+        let shared_blocks = self.random.random_range(2..10);
+        let prompt = shared_blocks * BLOCK_TOKENS + self.random.random_range(16..128);
+        BenchArrival {
+            at: ClockTime::from_start(Duration::from_secs_f64(at)),
+            entry: self.random.random_range(0..entries),
+            adapter: self.adapter(index),
+            class,
+            tokens: TokenDemand {
+                prompt,
+                output: self.random.random_range(16..160),
+            },
+            prefixes: prefix_chain(index, conversation, shared_blocks),
+            model,
+        }
+    }
+
+    fn adapter(&mut self, model: usize) -> Option<AdapterName> {
+        let models = self.base_weights.len();
+        let of_model = (self.deployment.config.adapters.len() + models - 1 - model) / models;
+        if of_model == 0 || self.random.random::<f64>() >= ADAPTER_SHARE {
+            return None;
+        }
+        let which = self.random.random_range(0..of_model);
+        Some(adapter_name(model + which * models))
+    }
+}
+
+fn rank_weight(rank: usize) -> f64 {
+    (rank as f64).powf(-POPULARITY_POWER)
+}
+
+fn prefix_chain(model: usize, conversation: u32, blocks: u32) -> PrefixChain {
+    let seed = (model as u64) << 32 | u64::from(conversation) << 8;
+    (0..blocks)
+        .map(|block| (seed | u64::from(block)).wrapping_mul(0x9E37_79B9_7F4A_7C15))
+        .collect()
+}
