Split the daemon into shared duties, entry, agent and binary

Cause: entry and agent share no state, and one package for both held up work on either. Ruled out: feature flags in one package. After: oatpier-duty, oatpier-entry, oatpier-agent; one prefix_chain in oatpier-types with the model mixed in (blocks of two models never match).

--- a/crates/oatpierd/src/agent/attempt.rs
+++ b/crates/oatpier-agent/src/attempt.rs
@@ -17,8 +17,8 @@
 use opentelemetry::trace::SpanKind;
 use tokio::sync::mpsc;
 
-use super::core::{AgentCore, AttemptOrder, OrderReceiver};
-use crate::observe::trace::{HopSpan, parent_of};
+use crate::core::{AgentCore, AttemptOrder, OrderReceiver};
+use oatpier_duty::observe::trace::{HopSpan, parent_of};
 
 /// How long the rest of a finished stream is read, so that its connection can be used again.
 const REST_WAIT: Duration = Duration::from_secs(1);
@@ -99,7 +99,7 @@
 
     fn trace_headers(&self) -> HeaderMap {
         let pair = self.head.traceparent.as_ref().map(|value| HeaderPair {
-            name: crate::observe::trace::TRACEPARENT.to_owned(),
+            name: oatpier_duty::observe::trace::TRACEPARENT.to_owned(),
             value: value.clone().into(),
         });
         to_headers(pair.as_slice())
--- a/crates/oatpierd/src/agent/core.rs
+++ b/crates/oatpier-agent/src/core.rs
@@ -19,10 +19,10 @@
 use oatpier_types::verdict::RunVerdict;
 use tokio::sync::{Notify, mpsc};
 
-use super::news::AgentNews;
-use crate::duty::{RuntimeClock, StopPhase, StopSignal};
-use crate::observe::metrics::MetricSet;
-use crate::observe::trace::HopTracer;
+use crate::news::AgentNews;
+use oatpier_duty::duty::{RuntimeClock, StopPhase, StopSignal};
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_duty::observe::trace::HopTracer;
 
 /// What the policy tells the task of one attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/oatpierd/src/agent/mod.rs
+++ b/crates/oatpier-agent/src/lib.rs
@@ -5,12 +5,11 @@
 //! | work | [`work`] | the decisions about attempts ([`oatpier_admission`]) |
 //! | orders | [`orders`] | the control side of the endpoint |
 //! | membership | [`membership`] | the configuration in force, word to the entries |
-//! | observe | [`crate::observe`] | metrics, health, export of spans |
+//! | observe | [`oatpier_duty::observe`] | metrics, health, export of spans |
 
 pub mod attempt;
 pub mod core;
 pub mod membership;
-pub mod messages;
 pub mod news;
 pub mod orders;
 pub mod work;
@@ -22,15 +21,15 @@
 use oatpier_platform::http::{EndpointKind, HttpEngine, HttpStore, HttpWork};
 use oatpier_types::ids::BootId;
 
-use self::core::{AgentCore, EndpointIdentity, EndpointWorks};
-use self::membership::MembershipInputs;
-use self::orders::OrdersInputs;
-use self::work::WorkInputs;
-use crate::duty::{DutyProcess, RingRule, RuntimeClock, StartError, bind, ring};
-use crate::observe::metrics::MetricSet;
-use crate::observe::trace::HopTracer;
-use crate::observe::{ObserveInputs, observe};
-use crate::settings::AgentSettings;
+use crate::core::{AgentCore, EndpointIdentity, EndpointWorks};
+use crate::membership::MembershipInputs;
+use crate::orders::OrdersInputs;
+use crate::work::WorkInputs;
+use oatpier_duty::duty::{DutyProcess, RingRule, RuntimeClock, StartError, bind, ring};
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_duty::observe::trace::HopTracer;
+use oatpier_duty::observe::{ObserveInputs, observe};
+use oatpier_duty::settings::AgentSettings;
 
 /// How long one call to the endpoint's control side may take.
 const CONTROL_WAIT: Duration = Duration::from_secs(2);
--- a/crates/oatpierd/src/agent/membership.rs
+++ b/crates/oatpier-agent/src/membership.rs
@@ -4,9 +4,9 @@
 
 use oatpier_platform::store::KeyStore;
 
-use super::news::AgentNews;
-use crate::duty::{RingSender, StopPhase, StopSignal};
-use crate::follow::follow_config;
+use crate::news::AgentNews;
+use oatpier_duty::duty::{RingSender, StopPhase, StopSignal};
+use oatpier_duty::follow::follow_config;
 
 /// What the membership duty works on.
 pub struct MembershipInputs {
--- a/crates/oatpierd/src/agent/orders.rs
+++ b/crates/oatpier-agent/src/orders.rs
@@ -7,8 +7,8 @@
 use oatpier_platform::engine::EngineControl;
 use oatpier_types::engine::{EngineState, WeightsState};
 
-use super::news::AgentNews;
-use crate::duty::{RingSender, StopPhase, StopSignal};
+use crate::news::AgentNews;
+use oatpier_duty::duty::{RingSender, StopPhase, StopSignal};
 
 /// How often the engine is asked what it holds.
 const STATE_PERIOD: Duration = Duration::from_millis(250);
--- a/crates/oatpierd/src/agent/work.rs
+++ b/crates/oatpier-agent/src/work.rs
@@ -19,11 +19,11 @@
 use oatpier_wire::server::{self, RequestHandler, ServerLimits};
 use tokio::sync::mpsc;
 
-use super::attempt::AttemptTask;
-use super::core::{AgentCore, AttemptArrival};
-use super::messages::{CancelCall, STATUS_PATH, take_ticket};
-use super::news::AgentNews;
-use crate::duty::{RingReceiver, StopPhase, StopSignal};
+use crate::attempt::AttemptTask;
+use crate::core::{AgentCore, AttemptArrival};
+use crate::news::AgentNews;
+use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
+use oatpier_duty::messages::{CancelCall, STATUS_PATH, take_ticket};
 
 /// Frames of an attempt that wait for its entry.
 const WAITING_FRAMES: usize = 16;
--- a/crates/oatpierd/src/entry/attempt.rs
+++ b/crates/oatpier-entry/src/attempt.rs
@@ -18,9 +18,9 @@
 use oatpier_wire::peer::PeerClient;
 use tokio::sync::mpsc;
 
-use super::core::AgentContact;
-use super::sink::AnswerHead;
-use crate::agent::messages::CancelCall;
+use crate::core::AgentContact;
+use crate::sink::AnswerHead;
+use oatpier_duty::messages::CancelCall;
 
 /// How long an agent's answer to a cancel is waited for.
 const CANCEL_WAIT: Duration = Duration::from_secs(2);
--- a/crates/oatpierd/src/entry/callers.rs
+++ b/crates/oatpier-entry/src/callers.rs
@@ -15,14 +15,14 @@
 use opentelemetry::trace::{SpanKind, TraceContextExt};
 use serde::Serialize;
 
-use super::core::EntryCore;
-use super::errors::{CallerError, RequestIdentity, identify};
-use super::intake::{CallRoute, IntakeError, understand};
-use super::news::EntryNews;
-use super::run::RequestRun;
-use super::sink::CallerSink;
-use crate::duty::{RingReceiver, StopPhase, StopSignal};
-use crate::observe::trace::parent_of;
+use crate::core::EntryCore;
+use crate::errors::{CallerError, RequestIdentity, identify};
+use crate::intake::{CallRoute, IntakeError, understand};
+use crate::news::EntryNews;
+use crate::run::RequestRun;
+use crate::sink::CallerSink;
+use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
+use oatpier_duty::observe::trace::parent_of;
 
 /// What the callers duty works on.
 pub struct CallersInputs {
--- a/crates/oatpierd/src/entry/completion.rs
+++ b/crates/oatpier-entry/src/completion.rs
@@ -1,15 +1,9 @@
 //! The body of a completion request, as far as the decisions need it.
 
-use oatpier_types::request::{PrefixChain, TokenDemand};
+use oatpier_types::prefix::BYTES_PER_TOKEN;
+use oatpier_types::request::TokenDemand;
 use serde::Deserialize;
-use xxhash_rust::xxh3::xxh3_64;
 
-/// Bytes of a prompt that count as one token in an estimate.
-const BYTES_PER_TOKEN: usize = 4;
-/// Bytes of one block of a prefix chain: 64 tokens.
-const BLOCK_BYTES: usize = 64 * BYTES_PER_TOKEN;
-/// Blocks of a prompt that the chain covers; what comes later is hardly ever shared.
-const MAX_BLOCKS: usize = 32;
 /// The output that a request is expected to have if it names no bound.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 
@@ -105,12 +99,3 @@
         }
     }
 }
-
-/// The growing prefixes of a prompt, one for each whole block.
-#[must_use]
-pub fn prefix_chain(prompt: &str) -> PrefixChain {
-    let blocks = (prompt.len() / BLOCK_BYTES).min(MAX_BLOCKS);
-    (1..=blocks)
-        .map(|count| xxh3_64(&prompt.as_bytes()[..count * BLOCK_BYTES]))
-        .collect()
-}
--- a/crates/oatpierd/src/entry/configuration.rs
+++ b/crates/oatpier-entry/src/configuration.rs
@@ -5,9 +5,9 @@
 
 use oatpier_platform::store::KeyStore;
 
-use super::news::EntryNews;
-use crate::duty::{RingSender, StopPhase, StopSignal};
-use crate::follow::follow_config;
+use crate::news::EntryNews;
+use oatpier_duty::duty::{RingSender, StopPhase, StopSignal};
+use oatpier_duty::follow::follow_config;
 
 /// What the configuration duty works on.
 pub struct ConfigurationInputs {
--- a/crates/oatpierd/src/entry/core.rs
+++ b/crates/oatpier-entry/src/core.rs
@@ -14,11 +14,11 @@
 use oatpier_wire::peer::PeerClient;
 use tokio::sync::{Notify, mpsc};
 
-use super::decisions::EntryDecisions;
-use super::news::{DirectoryNews, EntryNews};
-use crate::duty::RuntimeClock;
-use crate::observe::metrics::MetricSet;
-use crate::observe::trace::HopTracer;
+use crate::decisions::EntryDecisions;
+use crate::news::{DirectoryNews, EntryNews};
+use oatpier_duty::duty::RuntimeClock;
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_duty::observe::trace::HopTracer;
 
 /// Where timer actions of a request go.
 pub type TimerSender = mpsc::UnboundedSender<EntryActions>;
--- a/crates/oatpierd/src/entry/errors.rs
+++ b/crates/oatpier-entry/src/errors.rs
@@ -13,7 +13,7 @@
 use oatpier_wire::reply::{self, Reply};
 use serde::Serialize;
 
-use super::intake::IntakeError;
+use crate::intake::IntakeError;
 
 /// The header that names a request.
 pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("oatpier-request-id");
--- a/crates/oatpierd/src/entry/intake.rs
+++ b/crates/oatpier-entry/src/intake.rs
@@ -12,7 +12,9 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
-use super::completion::CompletionBody;
+use oatpier_types::prefix::prefix_chain;
+
+use crate::completion::CompletionBody;
 
 /// The header in which a caller names a class of work.
 pub const CLASS_HEADER: &str = "oatpier-class";
@@ -192,7 +194,7 @@
         repeat: Repeat::Idempotent,
         key: None,
         tokens: completion.demand(&prompt),
-        prefixes: super::completion::prefix_chain(&prompt),
+        prefixes: prefix_chain(&completion.model, &prompt),
         stream: completion.stream,
         call: CallParts {
             method: head.method.clone(),
--- a/crates/oatpierd/src/entry/mod.rs
+++ b/crates/oatpier-entry/src/lib.rs
@@ -5,7 +5,7 @@
 //! | callers | [`callers`] | the decisions about requests ([`oatpier_policy`]) |
 //! | peers | [`peers`] | what is known of agents and other entries |
 //! | configuration | [`configuration`] | the operators' configuration |
-//! | observe | [`crate::observe`] | metrics, health, export of spans |
+//! | observe | [`oatpier_duty::observe`] | metrics, health, export of spans |
 
 pub mod attempt;
 pub mod callers;
@@ -29,15 +29,15 @@
 use oatpier_wire::client::ClientLimits;
 use oatpier_wire::peer::PeerClient;
 
-use self::callers::CallersInputs;
-use self::configuration::ConfigurationInputs;
-use self::core::EntryCore;
-use self::peers::PeersInputs;
-use crate::duty::{DutyProcess, RingRule, RuntimeClock, StartError, bind, ring};
-use crate::observe::metrics::MetricSet;
-use crate::observe::trace::HopTracer;
-use crate::observe::{ObserveInputs, observe};
-use crate::settings::EntrySettings;
+use crate::callers::CallersInputs;
+use crate::configuration::ConfigurationInputs;
+use crate::core::EntryCore;
+use crate::peers::PeersInputs;
+use oatpier_duty::duty::{DutyProcess, RingRule, RuntimeClock, StartError, bind, ring};
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_duty::observe::trace::HopTracer;
+use oatpier_duty::observe::{ObserveInputs, observe};
+use oatpier_duty::settings::EntrySettings;
 
 /// How long one call to the platform may take.
 const PLATFORM_WAIT: Duration = Duration::from_secs(2);
--- a/crates/oatpierd/src/entry/peers.rs
+++ b/crates/oatpier-entry/src/peers.rs
@@ -11,9 +11,9 @@
 use oatpier_wire::client::ClientLimits;
 use oatpier_wire::peer::PeerClient;
 
-use super::news::{DirectoryNews, EntryNews};
-use crate::agent::messages::STATUS_PATH;
-use crate::duty::{RingSender, StopPhase, StopSignal};
+use crate::news::{DirectoryNews, EntryNews};
+use oatpier_duty::duty::{RingSender, StopPhase, StopSignal};
+use oatpier_duty::messages::STATUS_PATH;
 
 /// How often agents are asked for their status.
 const STATUS_PERIOD: Duration = Duration::from_millis(500);
--- a/crates/oatpierd/src/entry/run.rs
+++ b/crates/oatpier-entry/src/run.rs
@@ -17,14 +17,14 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-use super::attempt::{AttemptRun, AttemptSignal, SignalSender, cancel};
-use super::core::{AgentContact, EntryCore};
-use super::errors::{CallerError, RequestIdentity};
-use super::intake::CallIntake;
-use super::sink::{AnswerHead, CallerSink, SinkChange, SinkState};
-use crate::agent::messages::ticket_pair;
-use crate::observe::metrics::AnswerLabels;
-use crate::observe::trace::{HopSpan, TRACEPARENT};
+use crate::attempt::{AttemptRun, AttemptSignal, SignalSender, cancel};
+use crate::core::{AgentContact, EntryCore};
+use crate::errors::{CallerError, RequestIdentity};
+use crate::intake::CallIntake;
+use crate::sink::{AnswerHead, CallerSink, SinkChange, SinkState};
+use oatpier_duty::messages::ticket_pair;
+use oatpier_duty::observe::metrics::AnswerLabels;
+use oatpier_duty::observe::trace::{HopSpan, TRACEPARENT};
 
 /// Signals of attempts that wait for the request's task.
 const WAITING_SIGNALS: usize = 8;
--- a/crates/oatpierd/src/entry/sink.rs
+++ b/crates/oatpier-entry/src/sink.rs
@@ -11,7 +11,7 @@
 use oatpier_wire::reply::{self, BoxError, Reply};
 use tokio::sync::{mpsc, oneshot};
 
-use super::errors::{CallerError, RequestIdentity, identify};
+use crate::errors::{CallerError, RequestIdentity, identify};
 
 /// Pieces of an answer that wait for a slow caller.
 const WAITING_PIECES: usize = 16;
--- a/crates/oatpier-standin/src/answer.rs
+++ b/crates/oatpier-standin/src/answer.rs
@@ -3,20 +3,9 @@
 //! A token of an answer is a function of the prompt and the token's place, so that a test can
 //! tell from the text alone whether an answer is whole and whose it is.
 
-use oatpier_types::request::PrefixChain;
+use oatpier_types::prefix::BYTES_PER_TOKEN;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Bytes of a prompt that count as one token.
-pub const BYTES_PER_TOKEN: usize = 4;
-
-/// Tokens of one block of the prefix cache.
-pub const BLOCK_TOKENS: u32 = 64;
-
-/// Blocks of a prompt that the prefix cache looks at; what comes later is never shared.
-pub const MAX_BLOCKS: usize = 32;
-
-const BLOCK_BYTES: usize = BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
-
 /// The number that stands for a prompt in an engine.
 #[must_use]
 pub fn prompt_hash(prompt: &str) -> u64 {
@@ -35,15 +24,6 @@
     u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN).max(1)).unwrap_or(u32::MAX)
 }
 
-/// Hashes of the growing prefixes of a prompt, one for each whole block.
-#[must_use]
-pub fn prefix_chain(prompt: &str) -> PrefixChain {
-    let blocks = (prompt.len() / BLOCK_BYTES).min(MAX_BLOCKS);
-    (1..=blocks)
-        .map(|count| xxh3_64(&prompt.as_bytes()[..count * BLOCK_BYTES]))
-        .collect()
-}
-
 /// The text of one token: a word and a space.
 #[must_use]
 pub fn token_text(prompt_hash: u64, index: u32) -> String {
--- a/crates/oatpier-standin/src/engine/completion.rs
+++ b/crates/oatpier-standin/src/engine/completion.rs
@@ -8,7 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{EngineRequest, OutputKind, RunStream};
-use crate::answer::{prefix_chain, prompt_hash, prompt_tokens, token_text};
+use oatpier_types::prefix::prefix_chain;
+
+use crate::answer::{prompt_hash, prompt_tokens, token_text};
 use crate::serve::{Answer, AnswerBody, CallerIds, DropConnection, WholeRequest, json, with_body};
 
 /// Tokens of an answer whose request names no number.
@@ -107,10 +109,10 @@
             attempt: ids.attempt,
             request: ids.request,
             key: request.header("idempotency-key").map(str::to_owned),
-            target: self.model,
             prompt_hash: place.prompt_hash,
             prompt_tokens: prompt_tokens(&prompt),
-            prefix: prefix_chain(&prompt),
+            prefix: prefix_chain(&self.model, &prompt),
+            target: self.model,
             max_tokens,
             priority: number("x-priority").unwrap_or(0),
             resume_after: number("x-resume-after").unwrap_or(0),
--- a/crates/oatpier-standin/src/engine/step.rs
+++ b/crates/oatpier-standin/src/engine/step.rs
@@ -8,7 +8,8 @@
 use super::core::EngineCore;
 use super::reports::RunRecord;
 use super::run::{EngineRequest, EngineRun, OutputKind};
-use crate::answer::{BLOCK_TOKENS, key_hash};
+use crate::answer::key_hash;
+use oatpier_types::prefix::BLOCK_TOKENS;
 
 impl EngineCore {
     pub(super) fn begin_step(&mut self, now: ClockTime) {
--- a/crates/oatpier-types/src/lib.rs
+++ b/crates/oatpier-types/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`engine`]: orders to engines and what engines report.
 //! - [`operator`]: what a daemon answers an operator's command.
 //! - [`plan`]: which endpoint holds which model.
+//! - [`prefix`]: how a prompt's prefixes are named.
 //! - [`pulse`]: what an agent says of its endpoint.
 //! - [`refusal`]: why a request is refused, and when to come back.
 //! - [`event`]: the typed event log that the invariant checker reads.
@@ -25,6 +26,7 @@
 pub mod names;
 pub mod operator;
 pub mod plan;
+pub mod prefix;
 pub mod pulse;
 pub mod refusal;
 pub mod request;
--- a/crates/oatpierd/src/commands/agent.rs
+++ b/crates/oatpierd/src/commands/agent.rs
@@ -3,11 +3,10 @@
 use clap::{ArgMatches, Command};
 
 use super::{read_settings, start_failure};
-use crate::agent;
 use crate::cli::{self, CommandFailure};
-use crate::duty::stop_on_signal;
-use crate::observe::logs;
-use crate::settings::AgentSettings;
+use oatpier_duty::duty::stop_on_signal;
+use oatpier_duty::observe::logs;
+use oatpier_duty::settings::AgentSettings;
 
 /// The command line.
 #[must_use]
@@ -29,7 +28,7 @@
         return Ok(());
     }
     logs::install(&settings.name);
-    let process = agent::start(&settings).map_err(start_failure)?;
+    let process = oatpier_agent::start(&settings).map_err(start_failure)?;
     stop_on_signal(&process.stop);
     process.join();
     Ok(())
--- a/crates/oatpierd/src/commands/mod.rs
+++ b/crates/oatpierd/src/commands/mod.rs
@@ -9,8 +9,8 @@
 use miette::Report;
 
 use crate::cli::{CommandFailure, EXIT_FAILED, EXIT_SETTINGS};
-use crate::duty::StartError;
-use crate::settings::{SettingsErrors, SettingsFailure, SettingsText};
+use oatpier_duty::duty::StartError;
+use oatpier_duty::settings::{SettingsErrors, SettingsFailure, SettingsText};
 
 /// Reads and checks the settings file that the command line names.
 fn read_settings<T>(matches: &ArgMatches) -> Result<T, CommandFailure>
