--- a/crates/oatpier-admission/src/event.rs
+++ b/crates/oatpier-admission/src/event.rs
@@ -5,37 +5,14 @@
 use indexmap::IndexMap;
 use oatpier_types::config::ClassSpec;
 use oatpier_types::engine::WeightsKey;
-use oatpier_types::ids::{AttemptId, BootId};
+use oatpier_types::ids::AttemptId;
 use oatpier_types::names::ClassName;
-use oatpier_types::pulse::AgentPulse;
 use oatpier_types::refusal::Refusal;
 use oatpier_types::request::AttemptSpec;
 use oatpier_types::verdict::RunVerdict;
-use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-/// The newest pulse of the agent that an entry had seen when it made an attempt.
-///
-/// It travels with the attempt and with its cancel, and places the attempt in the agent's own
-/// order of things, which no clock does; see [`crate::attempts`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct AdmissionTicket {
-    /// The agent's start that the attempt is meant for.
-    pub boot: BootId,
-    /// The pulse's sequence number.
-    pub sequence: u64,
-}
-
-impl AdmissionTicket {
-    /// The ticket that a pulse gives.
-    #[must_use]
-    pub fn of(pulse: &AgentPulse) -> Self {
-        Self {
-            boot: pulse.boot,
-            sequence: pulse.sequence,
-        }
-    }
-}
+pub use oatpier_types::pulse::AdmissionTicket;
 
 /// Weights that an engine is loading.
 #[derive(Debug, Clone, PartialEq, Eq)]
