Lay out the package of the fault matrix

Cause: the matrix needs every decision package and the checker; the benches need not wait for it. Ruled out: keeping it with the benches; two kinds of figures, two reasons to change. Conclusion: no cell is filled yet.

--- /dev/null
+++ b/crates/oatpier-faults/benches/faults.rs
@@ -0,0 +1,3 @@
+//! `cargo fault-matrix`: prints the grid.
+
+fn main() {}
