--- a/crates/oatpier-wire/tests/testsuite/server_shutdown.rs
+++ b/crates/oatpier-wire/tests/testsuite/server_shutdown.rs
@@ -36,6 +36,8 @@
         let (stop, stopped) = oneshot::channel();
         let limits = ServerLimits {
             linger,
+            // Only the stop closes a connection here.
+            idle: Duration::from_hours(1),
             ..ServerLimits::default()
         };
         let held = Arc::clone(&release);
@@ -127,7 +129,8 @@
     let mut server = StoppableServer::start(Duration::from_secs(1)).await;
     let mut kept = server.connect().await;
     server.stop();
-    tokio::task::yield_now().await;
+    // The server has taken notice of the stop, and its linger is far from over.
+    tokio::time::sleep(Duration::from_millis(50)).await;
     let mut late = TcpStream::connect(server.address).await.unwrap();
     for stream in [&mut kept, &mut late] {
         stream.write_all(REQUEST).await.unwrap();
