--- a/crates/oatpier-membership/src/entry/mod.rs
+++ b/crates/oatpier-membership/src/entry/mod.rs
@@ -78,7 +78,8 @@
         /// The call.
         body: PeerCall<P>,
     },
-    /// Read the configuration from the store.
+    /// Read the configuration from the store. This and the next take the place of a call that is
+    /// still open, whose end must not be reported any more.
     ReadConfig,
     /// Wait for a change of it.
     WatchConfig {
--- a/crates/oatpier-membership/src/exchange/group.rs
+++ b/crates/oatpier-membership/src/exchange/group.rs
@@ -256,9 +256,17 @@
         let Some(row) = table.row(about) else {
             return;
         };
+        let incarnation = row.facts.incarnation;
+        let own = &self.own.contact.daemon;
+        let said = row.words.iter().any(|word| {
+            word.witness == *own && word.about == incarnation && word.hearing == Hearing::Silent
+        });
+        if said && !answers {
+            return;
+        }
         let word = RegistrarWord {
             daemon: about.clone(),
-            about: row.facts.incarnation,
+            about: incarnation,
             hearing: if answers {
                 Hearing::Heard
             } else {
--- a/crates/oatpier-membership/src/exchange/own.rs
+++ b/crates/oatpier-membership/src/exchange/own.rs
@@ -12,9 +12,10 @@
 use crate::members::{Hearing, MemberFacts, MemberKind, MemberPhase, MemberRow, NEEDED_WORDS};
 use crate::messages::{EntryContact, FormerBoot};
 
-/// Waits between two answers to complaints.
+/// Waits between two answers to complaints. The longest does no harm: whoever complained asks again
+/// every two seconds, and withdraws its word as soon as it is answered.
 const REFUTE_FIRST: Duration = Duration::from_secs(1);
-const REFUTE_LONGEST: Duration = Duration::from_mins(1);
+const REFUTE_LONGEST: Duration = Duration::from_mins(5);
 
 /// The entry itself, as others are to know it.
 #[derive(Debug, Clone)]
--- a/crates/oatpier-membership/src/exchange/probe.rs
+++ b/crates/oatpier-membership/src/exchange/probe.rs
@@ -49,7 +49,8 @@
         lost.is_some_and(|lost| lost.count >= LOST_IN_ROW)
     }
 
-    /// A call was lost; tells whether the peer is complained of from now on.
+    /// A call was lost; tells whether to complain of the peer: after so many lost calls, and again
+    /// after as many more, as it may have answered the complaint and still be out of reach.
     pub(super) fn lost(
         &mut self,
         peer: &DaemonName,
@@ -68,7 +69,7 @@
             RECHECK_EVERY
         };
         lost.again = now + jittered(pace, generator);
-        lost.count == LOST_IN_ROW
+        lost.count.is_multiple_of(LOST_IN_ROW)
     }
 
     /// Peers that are to be asked again now.
--- a/crates/oatpier-membership/src/members/row.rs
+++ b/crates/oatpier-membership/src/members/row.rs
@@ -137,6 +137,9 @@
         if other.facts.order() > self.facts.order() {
             self.facts = other.facts.clone();
             changed = true;
+        } else if other.facts.boot == self.facts.boot {
+            // Nobody is told of it alone: it is the floor of the process's next start.
+            self.facts.generation = self.facts.generation.max(other.facts.generation);
         }
         for word in &other.words {
             changed |= self.merge_word(word);
--- a/crates/oatpier-membership/src/members/state.rs
+++ b/crates/oatpier-membership/src/members/state.rs
@@ -48,7 +48,7 @@
                 continue;
             }
             let heard = self.heard(&self.records[index].row);
-            if heard || self.records[index].state == MemberState::Gone {
+            if heard {
                 self.records[index].witnessed = now;
             }
             let state = self.derive(&self.records[index], live, now);
--- a/crates/oatpier-membership/src/registrar/table.rs
+++ b/crates/oatpier-membership/src/registrar/table.rs
@@ -81,7 +81,10 @@
         now: ClockTime,
     ) -> (HeartbeatAnswer, Option<RegistrarWord>) {
         let known = members.row(&heartbeat.daemon).map(|row| &row.facts);
-        let former = known.and_then(|known| former_boot(known, heartbeat));
+        let mut former = known.and_then(|known| former_boot(known, heartbeat));
+        if let (Some(former), Some(agent)) = (&mut former, self.agents.get(&heartbeat.daemon)) {
+            former.generation = former.generation.max(agent.generation);
+        }
         let need_full = former.is_some() || !take_body(heartbeat, members, now);
         let word = match former {
             Some(_) => None,
--- a/crates/oatpier-membership/tests/testsuite/generation.rs
+++ b/crates/oatpier-membership/tests/testsuite/generation.rs
@@ -10,6 +10,7 @@
 use oatpier_types::ids::Generation;
 use proptest::prelude::*;
 
+use crate::support::fixed_cases;
 use crate::support::payload::TestConfig;
 
 fn value(generation: u32) -> TestConfig {
@@ -103,6 +104,8 @@
 }
 
 proptest! {
+    #![proptest_config(fixed_cases(256))]
+
     /// Whatever comes, in whatever order, what is in force only rises and is what the operators
     /// accepted under its generation.
     #[test]
--- a/crates/oatpier-membership/tests/testsuite/lease.rs
+++ b/crates/oatpier-membership/tests/testsuite/lease.rs
@@ -8,7 +8,7 @@
 use oatpier_types::ids::{BootId, Revision, Term};
 use proptest::prelude::*;
 
-use crate::support::{daemon, generator, millis, seconds};
+use crate::support::{daemon, fixed_cases, generator, millis, seconds};
 
 /// How the store treats a call.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -162,6 +162,8 @@
 }
 
 proptest! {
+    #![proptest_config(fixed_cases(256))]
+
     /// Outages, lost answers and pauses in any order: never do two planners act at one moment,
     /// and each new holder has a higher term.
     #[test]
--- a/crates/oatpier-membership/tests/testsuite/members.rs
+++ b/crates/oatpier-membership/tests/testsuite/members.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 use smallvec::SmallVec;
 
-use crate::support::{contact, daemon, pulse, status, zone};
+use crate::support::{contact, daemon, fixed_cases, pulse, status, zone};
 
 fn row(name: &str, incarnation: u64, words: &[(&str, u64, bool)]) -> MemberRow {
     let boot = BootId(1);
@@ -147,6 +147,8 @@
 }
 
 proptest! {
+    #![proptest_config(fixed_cases(256))]
+
     /// Tables that get the same rows, in any order and any number of times, are alike.
     #[test]
     fn tables_converge(
--- a/crates/oatpier-membership/tests/testsuite/summary.rs
+++ b/crates/oatpier-membership/tests/testsuite/summary.rs
@@ -61,6 +61,25 @@
     assert_eq!(book.zones_with(&key(0)).count(), 0);
 }
 
+/// A row and its successor are made within a moment. The older one goes by another entry and two
+/// slow links, whose delay no age shows. Taken for the younger, it would say that a model is
+/// reachable where it no longer is.
+#[test]
+fn an_older_row_on_a_slow_way_does_not_win() {
+    let at = |millis: u64| ClockTime::from_millis(100_000 + millis);
+    let summary = |ready: u32| ZoneSummary {
+        zone: zone("zone-1"),
+        models: rows(&[ready]).into_values().collect(),
+    };
+    let (mut here, mut other) = (SummaryBook::default(), SummaryBook::default());
+    here.merge(&summary(1), at(0));
+    here.merge(&summary(0), at(100));
+    other.merge(&summary(1), at(100));
+    let passed_on = other.all(at(150)).remove(0);
+    assert!(here.merge(&passed_on, at(250)).is_empty());
+    assert_eq!(here.zones_with(&key(0)).count(), 0);
+}
+
 #[test]
 fn hashes_show_the_parts_that_differ() {
     let mut left = TableDigest::default();
--- a/crates/oatpier-membership/tests/testsuite/support/fleet.rs
+++ b/crates/oatpier-membership/tests/testsuite/support/fleet.rs
@@ -357,6 +357,14 @@
     }
 
     pub fn run_for(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            let slice = until.since(self.now).min(Duration::from_secs(1));
+            self.run_slice(slice);
+        }
+    }
+
+    fn run_slice(&mut self, span: Duration) {
         let until = self.now + span;
         while self.queue.peek().is_some_and(|next| next.0.at <= until) {
             let Reverse(next) = self.queue.pop().expect("just seen");
--- a/crates/oatpier-membership/tests/testsuite/support/mod.rs
+++ b/crates/oatpier-membership/tests/testsuite/support/mod.rs
@@ -15,6 +15,7 @@
 use oatpier_types::ids::{BootId, Generation};
 use oatpier_types::names::{DaemonName, EndpointName, ModelName, PoolName, VersionName, ZoneName};
 use oatpier_types::pulse::{AgentPulse, EndpointStatus};
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -26,6 +27,16 @@
     ZoneName::try_from(name).expect("an availability zone name")
 }
 
+/// The same random cases in every run.
+pub fn fixed_cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 pub fn generator(seed: u64) -> ChaCha8Rng {
     ChaCha8Rng::seed_from_u64(seed)
 }
--- a/crates/oatpier-membership/tests/testsuite/support/store.rs
+++ b/crates/oatpier-membership/tests/testsuite/support/store.rs
@@ -51,6 +51,8 @@
         if let Some(stored) = newer {
             return Some(StoreReply::Value(stored.clone()));
         }
+        // A process has one call open at a time: it drops the one before.
+        self.watches.retain(|other| other.process != watch.process);
         self.watches.push(watch);
         None
     }
