--- a/crates/oatpier-admission/src/estimate.rs
+++ b/crates/oatpier-admission/src/estimate.rs
@@ -22,6 +22,10 @@
 /// An idle endpoint whose newest sample is older than this gets an attempt to learn from.
 const STALE_AFTER: Duration = Duration::from_secs(2);
 
+/// Usual gaps between two freed slots after which an endpoint is taken to have slowed down. Were
+/// ends independent, one gap in three thousand would be as long.
+const SILENT_GAPS: f64 = 8.0;
+
 /// The longest wait that is predicted.
 const LONGEST_WAIT: Duration = Duration::from_mins(10);
 
@@ -158,8 +162,9 @@
 
     /// How long an attempt behind this load waits for its slot.
     ///
-    /// While all slots are taken, the time since one was freed bounds the pace from below: an
-    /// endpoint that froze ends nothing, and its old mean would go on promising slots.
+    /// While all slots are taken, a long time since one was freed becomes the pace: an endpoint
+    /// that froze ends nothing, and its old mean would go on promising slots. Gaps of a few times
+    /// the usual one are common where answers differ in length, and say nothing.
     #[must_use]
     pub fn wait(&self, load: EndpointLoad, now: ClockTime) -> Duration {
         let before = load.ahead + load.running;
@@ -172,7 +177,12 @@
         } else {
             0.0
         };
-        let pace = (self.service.mean() / count(load.slots)).max(silence);
+        let usual = self.service.mean() / count(load.slots);
+        let pace = if silence > usual * SILENT_GAPS {
+            silence
+        } else {
+            usual
+        };
         span(pace * count(before + 1 - load.slots))
     }
 
--- a/crates/oatpier-admission/src/event.rs
+++ b/crates/oatpier-admission/src/event.rs
@@ -40,6 +40,15 @@
         /// The ticket that the attempt was sent with.
         ticket: AdmissionTicket,
     },
+    /// An entry gives an attempt up only if it has not reached the endpoint: sealed, it never
+    /// runs; one that runs goes on, as a half-done change is worse than a done one. Answered as a
+    /// cancel is.
+    Seal {
+        /// Which.
+        attempt: AttemptId,
+        /// The ticket that the attempt was sent with.
+        ticket: AdmissionTicket,
+    },
     /// The endpoint gave the first token of an answer (a plain service: its first byte).
     EndpointFirstToken {
         /// Which.
@@ -83,6 +92,12 @@
         /// All classes.
         classes: IndexMap<ClassName, ClassSpec>,
     },
+    /// The configuration in force gives the endpoint another number of slots. What runs beyond a
+    /// lower number goes on to its end.
+    SlotsChanged {
+        /// Attempts that the endpoint runs at once; 0 counts as 1.
+        slots: u32,
+    },
     /// The point that `next_timer` gave has come.
     Timer,
 }
@@ -112,7 +127,7 @@
         /// Whether the first copy may have run.
         verdict: RunVerdict,
     },
-    /// Answer a cancel.
+    /// Answer a cancel or a seal.
     Cancelled {
         /// Which.
         attempt: AttemptId,
@@ -151,9 +166,14 @@
         let slots = slots.max(1);
         Self {
             slots,
-            queue: (slots as usize * 4).clamp(32, 512),
+            queue: usual_queue(slots),
             records: 8_192,
             record_life: Duration::from_mins(1),
         }
     }
 }
+
+/// The usual bound of the queue before `slots` slots.
+pub(crate) fn usual_queue(slots: u32) -> usize {
+    (slots as usize * 4).clamp(32, 512)
+}
--- a/crates/oatpier-admission/src/policy.rs
+++ b/crates/oatpier-admission/src/policy.rs
@@ -21,7 +21,9 @@
 use crate::attempts::{ArrivalJudgement, AttemptLedger, CancelJudgement};
 use crate::drain::DrainState;
 use crate::estimate::{EndpointLoad, ServiceEstimator};
-use crate::event::{AdmissionLimits, AdmissionTicket, AgentAction, AgentActions, AgentEvent};
+use crate::event::{
+    AdmissionLimits, AdmissionTicket, AgentAction, AgentActions, AgentEvent, usual_queue,
+};
 use crate::need::{MOST_NEED, NeedTracker};
 use crate::queue::{AdmissionQueue, QueuePlacement, WaitingAttempt};
 use crate::running::RunningAttempt;
@@ -33,6 +35,15 @@
 /// Slack that raises an engine's priority number by one.
 const SLACK_PER_PRIORITY: Duration = Duration::from_millis(10);
 
+/// How far the giving up of an attempt reaches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CancelReach {
+    /// To what waits: what is at the endpoint goes on.
+    Queue,
+    /// To the endpoint.
+    Endpoint,
+}
+
 /// What the policy met that should not happen often.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct AgentCounters {
@@ -154,7 +165,14 @@
     fn take_event(&mut self, event: AgentEvent, now: ClockTime, actions: &mut AgentActions) {
         match event {
             AgentEvent::Arrive { spec, ticket } => self.arrive(spec, ticket, now, actions),
-            AgentEvent::Cancel { attempt, ticket } => self.cancel(attempt, ticket, now, actions),
+            AgentEvent::Cancel { attempt, ticket } => {
+                let reach = CancelReach::Endpoint;
+                self.cancel((attempt, ticket), reach, now, actions);
+            }
+            AgentEvent::Seal { attempt, ticket } => {
+                let reach = CancelReach::Queue;
+                self.cancel((attempt, ticket), reach, now, actions);
+            }
             AgentEvent::EndpointFirstToken { attempt } => self.first_token(attempt, now),
             AgentEvent::EndpointPiece { attempt, tokens } => self.piece(attempt, tokens, now),
             AgentEvent::EndpointEnded { attempt } => self.ended(attempt, now),
@@ -165,6 +183,7 @@
                 self.weights.replace(ready, loading, now);
             }
             AgentEvent::ClassesChanged { classes } => self.tracker.configure(classes),
+            AgentEvent::SlotsChanged { slots } => self.change_slots(slots),
             AgentEvent::Timer => {}
         }
     }
@@ -216,8 +235,8 @@
 
     fn cancel(
         &mut self,
-        attempt: AttemptId,
-        ticket: AdmissionTicket,
+        (attempt, ticket): (AttemptId, AdmissionTicket),
+        reach: CancelReach,
         now: ClockTime,
         actions: &mut AgentActions,
     ) {
@@ -226,6 +245,7 @@
                 self.queue.remove(attempt);
                 RunVerdict::NotRun
             }
+            CancelJudgement::Started if reach == CancelReach::Queue => RunVerdict::MayHaveRun,
             CancelJudgement::Started => {
                 actions.push(AgentAction::CancelAtEndpoint { attempt });
                 RunVerdict::MayHaveRun
@@ -235,6 +255,13 @@
         actions.push(AgentAction::Cancelled { attempt, verdict });
     }
 
+    fn change_slots(&mut self, slots: u32) {
+        let slots = slots.max(1);
+        self.limits.slots = slots;
+        self.limits.queue = usual_queue(slots);
+        self.queue.set_bound(self.limits.queue);
+    }
+
     fn first_token(&mut self, attempt: AttemptId, now: ClockTime) {
         let Some(running) = self.running.get_mut(&attempt) else {
             self.counters.stray_answers += 1;
--- a/crates/oatpier-admission/src/queue.rs
+++ b/crates/oatpier-admission/src/queue.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Changes the bound. What waits beyond a lower one stays until it is served or displaced.
+    pub fn set_bound(&mut self, bound: usize) {
+        self.bound = bound;
+    }
+
     /// The attempts that wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/oatpier-admission/tests/testsuite/bench.rs
+++ b/crates/oatpier-admission/tests/testsuite/bench.rs
@@ -150,6 +150,12 @@
         self.step(AgentEvent::Cancel { attempt, ticket })
     }
 
+    pub fn seal(&mut self, attempt: u128) -> AgentActions {
+        let ticket = self.ticket;
+        let attempt = AttemptId(attempt);
+        self.step(AgentEvent::Seal { attempt, ticket })
+    }
+
     pub fn end(&mut self, attempt: u128) -> AgentActions {
         let attempt = AttemptId(attempt);
         self.step(AgentEvent::EndpointEnded { attempt })
--- a/crates/oatpier-admission/tests/testsuite/main.rs
+++ b/crates/oatpier-admission/tests/testsuite/main.rs
@@ -5,5 +5,7 @@
 mod drains;
 mod order;
 mod random;
+mod seals;
+mod slots;
 mod timeliness;
 mod weights;
--- a/crates/oatpier-admission/tests/testsuite/timeliness.rs
+++ b/crates/oatpier-admission/tests/testsuite/timeliness.rs
@@ -137,3 +137,23 @@
         pulse.prompt_token_ns
     );
 }
+
+#[test]
+fn a_common_gap_is_not_taken_for_a_slow_endpoint() {
+    // Four slots, answers of 400 ms: a slot is freed each 100 ms on average, but in no order. All
+    // of them are busy for 300 ms, as happens by chance. An attempt behind two others waits for
+    // three slots, some 300 ms; by the length of the gap it would be three times as long, and it
+    // would be refused although it can be in time.
+    let mut bench = AgentBench::new(4);
+    (1..=20).for_each(|attempt| bench.learn(attempt, 400));
+    bench.ticket = bench.fresh_ticket();
+    (31..=36).for_each(|attempt| {
+        bench.arrive(spec(attempt));
+    });
+    bench.wait(300);
+    let actions = bench.arrive(within(40, 60_000));
+    assert!(actions.is_empty(), "{actions:?}");
+    let now = bench.now;
+    let wait = bench.policy.pulse(now).wait;
+    assert!(wait <= Duration::from_millis(450), "{wait:?}");
+}
--- a/crates/oatpier-agent/src/attempt.rs
+++ b/crates/oatpier-agent/src/attempt.rs
@@ -177,9 +177,9 @@
             return None;
         }
         loop {
+            // The endpoint comes last: one that always has more ready must not hide a cancel.
             tokio::select! {
                 biased;
-                done = waiting.as_mut() => return Some(done),
                 Some(AttemptOrder::Cancel) = self.orders.recv(), if !self.cancelled => {
                     self.cancelled = true;
                     if self.is_engine() {
@@ -192,6 +192,7 @@
                     // Comes back as an order to cancel.
                     self.core.cancel(self.attempt(), self.ticket);
                 }
+                done = waiting.as_mut() => return Some(done),
             }
         }
     }
@@ -303,10 +304,8 @@
     /// a cancel still gets through.
     async fn tell(&mut self, frame: AttemptFrame) {
         let frames = self.frames.clone();
-        if let Some(Err(_)) = self.until_cancelled(frames.send(frame)).await {
-            // The entry is gone; `until_cancelled` has seen to it.
-            self.entry_gone = true;
-        }
+        // An entry that has gone is seen by `until_cancelled`, which gives the attempt up.
+        self.until_cancelled(frames.send(frame)).await;
     }
 }
 
--- a/crates/oatpier-agent/src/core.rs
+++ b/crates/oatpier-agent/src/core.rs
@@ -1,25 +1,25 @@
 //! What the tasks of the work duty share: the policy, and who waits for its actions.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use oatpier_admission::event::{
-    AdmissionLimits, AdmissionTicket, AgentAction, AgentActions, AgentEvent,
+    AdmissionLimits, AdmissionTicket, AgentAction, AgentActions, AgentEvent, LoadingWeights,
 };
 use oatpier_admission::policy::AgentPolicy;
-use oatpier_platform::work::EndpointWork;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::config::{FleetConfig, PoolKind};
 use oatpier_types::engine::WeightsKey;
 use oatpier_types::ids::{AttemptId, BootId, Generation};
-use oatpier_types::names::{EndpointName, PoolName, ZoneName};
 use oatpier_types::pulse::{AgentPulse, EndpointStatus};
 use oatpier_types::refusal::Refusal;
 use oatpier_types::request::{AttemptSpec, RequestGoal};
 use oatpier_types::verdict::RunVerdict;
 use tokio::sync::{Notify, mpsc};
 
-use crate::news::AgentNews;
+use crate::drains::DrainBoard;
+use crate::endpoint::{EndpointIdentity, EndpointWorks};
+use crate::news::{AgentNews, AsksNews, WeightsNews};
 use oatpier_duty::duty::{RuntimeClock, StopPhase, StopSignal};
 use oatpier_duty::observe::metrics::MetricSet;
 use oatpier_duty::observe::trace::HopTracer;
@@ -58,51 +58,24 @@
     NotReady,
 }
 
-/// Which endpoint an agent stands beside.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EndpointIdentity {
-    /// Its name.
-    pub endpoint: EndpointName,
-    /// Its pool.
-    pub pool: PoolName,
-    /// Its availability zone.
-    pub zone: ZoneName,
-}
-
 /// The task of an attempt.
 struct TaskRow {
     orders: mpsc::UnboundedSender<AttemptOrder>,
+    goal: RequestGoal,
     started: bool,
 }
 
-/// The endpoint's working side, by what is asked of it.
-#[derive(Clone)]
-pub struct EndpointWorks {
-    /// For requests to models.
-    pub engine: Arc<dyn EndpointWork>,
-    /// For calls to a plain service.
-    pub service: Arc<dyn EndpointWork>,
-}
-
-impl EndpointWorks {
-    /// The side that takes a goal.
-    #[must_use]
-    pub fn of(&self, goal: &RequestGoal) -> &Arc<dyn EndpointWork> {
-        match goal {
-            RequestGoal::Model { .. } => &self.engine,
-            RequestGoal::Service { .. } => &self.service,
-        }
-    }
-}
-
 /// The state that the duty's tasks share. They run on one thread, so the lock is never waited
 /// for; it is held for a decision and never across an await.
 struct CoreState {
     policy: Option<AgentPolicy>,
     tasks: HashMap<AttemptId, TaskRow>,
     ready: Vec<WeightsKey>,
+    loading: Vec<LoadingWeights>,
     ready_sequence: u64,
+    drains: DrainBoard,
     generation: Generation,
+    slots: Option<u32>,
     leaving: bool,
 }
 
@@ -140,8 +113,11 @@
             policy: None,
             tasks: HashMap::new(),
             ready: Vec::new(),
+            loading: Vec::new(),
             ready_sequence: 0,
+            drains: DrainBoard::default(),
             generation: Generation(0),
+            slots: None,
             leaving: false,
         };
         Self {
@@ -165,19 +141,37 @@
     pub fn take_news(&self, news: AgentNews) {
         match news {
             AgentNews::Config { generation, config } => self.take_config(generation, &config),
-            AgentNews::Weights { ready, loading } => {
-                let mut state = self.lock();
-                if state.ready != ready {
-                    state.ready.clone_from(&ready);
-                    state.ready_sequence += 1;
-                }
-                drop(state);
-                self.step(AgentEvent::ReadyChanged { ready, loading });
-            }
+            AgentNews::Weights(news) => self.take_weights(*news),
             AgentNews::Leave => self.leave(),
         }
     }
 
+    fn take_weights(&self, news: WeightsNews) {
+        let mut state = self.lock();
+        let CoreState { drains, tasks, .. } = &mut *state;
+        let started = tasks.iter().filter(|(_, row)| row.started);
+        let started = started.map(|(attempt, row)| (*attempt, &row.goal));
+        drains.take(news.round, &news.draining, &started);
+        if state.ready != news.ready {
+            state.ready.clone_from(&news.ready);
+            state.ready_sequence += 1;
+        }
+        state.loading.clone_from(&news.loading);
+        drop(state);
+        let (ready, loading) = (news.ready, news.loading);
+        self.step(AgentEvent::ReadyChanged { ready, loading });
+    }
+
+    /// What still runs on weights that are to go; none while nothing drains.
+    #[must_use]
+    pub fn drains(&self) -> Option<AsksNews> {
+        let state = self.lock();
+        (!state.drains.is_empty()).then(|| AsksNews::Drains {
+            round: state.drains.round(),
+            counts: state.drains.counts(),
+        })
+    }
+
     /// A generation only rises: an older one that comes late changes nothing.
     fn take_config(&self, generation: Generation, config: &FleetConfig) {
         let mut state = self.lock();
@@ -190,15 +184,22 @@
         let Some(slots) = self.slots(config) else {
             return;
         };
-        if state.policy.is_none() {
-            let limits = AdmissionLimits::for_slots(slots);
-            state.policy = Some(AgentPolicy::new(self.boot, limits));
+        if state.slots != Some(slots) {
+            // Entries keep the slots with the weights. Without a new number they would keep the
+            // word of an agent that had no configuration yet, and send it nothing.
+            state.slots = Some(slots);
+            state.ready_sequence += 1;
         }
-        let (ready, leaving) = (state.ready.clone(), state.leaving);
+        let limits = AdmissionLimits::for_slots(slots);
+        state
+            .policy
+            .get_or_insert_with(|| AgentPolicy::new(self.boot, limits));
+        let (ready, loading) = (state.ready.clone(), state.loading.clone());
+        let leaving = state.leaving;
         drop(state);
+        self.step(AgentEvent::SlotsChanged { slots });
         let classes = config.classes.clone();
         self.step(AgentEvent::ClassesChanged { classes });
-        let loading = Vec::new();
         self.step(AgentEvent::ReadyChanged { ready, loading });
         if leaving {
             self.step(AgentEvent::Leave);
@@ -225,7 +226,7 @@
 
     /// An attempt came.
     pub fn arrive(&self, spec: AttemptSpec, ticket: AdmissionTicket) -> AttemptArrival {
-        let attempt = spec.attempt;
+        let (attempt, goal) = (spec.attempt, spec.goal.clone());
         let now = self.clock.now();
         let mut state = self.lock();
         let Some(policy) = state.policy.as_mut() else {
@@ -246,6 +247,7 @@
         let (orders, receiver) = mpsc::unbounded_channel();
         let row = TaskRow {
             orders,
+            goal,
             started: false,
         };
         state.tasks.insert(attempt, row);
@@ -260,26 +262,22 @@
     /// An entry seals an attempt that is late before it tries elsewhere. One that runs is not
     /// to be cut off by that.
     pub fn seal(&self, attempt: AttemptId, ticket: AdmissionTicket) -> RunVerdict {
-        let started = self
-            .lock()
-            .tasks
-            .get(&attempt)
-            .is_some_and(|row| row.started);
-        if started {
-            return RunVerdict::MayHaveRun;
-        }
-        self.cancel(attempt, ticket)
+        self.give_up(attempt, AgentEvent::Seal { attempt, ticket })
     }
 
     /// An attempt is given up; says whether it may have run.
     pub fn cancel(&self, attempt: AttemptId, ticket: AdmissionTicket) -> RunVerdict {
+        self.give_up(attempt, AgentEvent::Cancel { attempt, ticket })
+    }
+
+    fn give_up(&self, attempt: AttemptId, event: AgentEvent) -> RunVerdict {
         let now = self.clock.now();
         let mut state = self.lock();
         let Some(policy) = state.policy.as_mut() else {
             // Nothing was ever taken, but the attempt may still come: it can't be sealed yet.
             return RunVerdict::MayHaveRun;
         };
-        let actions = policy.step(AgentEvent::Cancel { attempt, ticket }, now);
+        let actions = policy.step(event, now);
         let verdict = actions.iter().find_map(|action| match action {
             AgentAction::Cancelled {
                 attempt: cancelled,
@@ -288,6 +286,10 @@
             _ => None,
         });
         self.dispatch(&mut state, actions);
+        if verdict == Some(RunVerdict::NotRun) {
+            // Its task would wait for ever: no order comes for an attempt that is sealed.
+            state.tasks.remove(&attempt);
+        }
         drop(state);
         self.timer_changed.notify_one();
         verdict.unwrap_or(RunVerdict::MayHaveRun)
@@ -297,6 +299,12 @@
     pub fn step(&self, event: AgentEvent) {
         let now = self.clock.now();
         let mut state = self.lock();
+        if let AgentEvent::EndpointEnded { attempt } | AgentEvent::EndpointFailed { attempt, .. } =
+            &event
+        {
+            // Its entry may still read; the weights are free of it.
+            state.drains.over(*attempt);
+        }
         let Some(policy) = state.policy.as_mut() else {
             return;
         };
@@ -308,7 +316,9 @@
 
     /// The task of an attempt is over.
     pub fn forget(&self, attempt: AttemptId) {
-        self.lock().tasks.remove(&attempt);
+        let mut state = self.lock();
+        state.tasks.remove(&attempt);
+        state.drains.over(attempt);
     }
 
     fn dispatch(&self, state: &mut CoreState, actions: AgentActions) {
@@ -328,8 +338,12 @@
                 }
                 AgentAction::AnswerCopy { .. } | AgentAction::Cancelled { .. } => continue,
             };
-            if let Some(row) = state.tasks.get_mut(&attempt) {
-                row.started |= matches!(order, AttemptOrder::Start { .. });
+            let CoreState { tasks, drains, .. } = &mut *state;
+            if let Some(row) = tasks.get_mut(&attempt) {
+                if matches!(order, AttemptOrder::Start { .. }) {
+                    row.started = true;
+                    drains.started(attempt, &row.goal);
+                }
                 // A task that has ended has told its end already.
                 let _ = row.orders.send(order);
             }
--- /dev/null
+++ b/crates/oatpier-agent/src/endpoint.rs
@@ -0,0 +1,38 @@
+//! The endpoint that an agent stands beside.
+
+use std::sync::Arc;
+
+use oatpier_platform::work::EndpointWork;
+use oatpier_types::names::{EndpointName, PoolName, ZoneName};
+use oatpier_types::request::RequestGoal;
+
+/// Which endpoint an agent stands beside.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointIdentity {
+    /// Its name.
+    pub endpoint: EndpointName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// The endpoint's working side, by what is asked of it.
+#[derive(Clone)]
+pub struct EndpointWorks {
+    /// For requests to models.
+    pub engine: Arc<dyn EndpointWork>,
+    /// For calls to a plain service.
+    pub service: Arc<dyn EndpointWork>,
+}
+
+impl EndpointWorks {
+    /// The side that takes a goal.
+    #[must_use]
+    pub fn of(&self, goal: &RequestGoal) -> &Arc<dyn EndpointWork> {
+        match goal {
+            RequestGoal::Model { .. } => &self.engine,
+            RequestGoal::Service { .. } => &self.service,
+        }
+    }
+}
--- a/crates/oatpier-agent/src/lib.rs
+++ b/crates/oatpier-agent/src/lib.rs
@@ -6,24 +6,32 @@
 //! | orders | [`orders`] | the control side of the endpoint |
 //! | membership | [`membership`] | the configuration in force, word to the entries |
 //! | observe | [`oatpier_duty::observe`] | metrics, health, export of spans |
+//!
+//! [`news`] lists the rings between them, with the rule of each.
 
 pub mod attempt;
 pub mod core;
+pub mod drains;
+pub mod endpoint;
 pub mod membership;
+pub mod messages;
 pub mod news;
 pub mod orders;
+pub mod peers;
 pub mod work;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use oatpier_platform::http::{EndpointKind, HttpEngine, HttpStore, HttpWork};
+use oatpier_platform::http::{EndpointKind, HttpEngine, HttpStore, HttpVmList, HttpWork};
 use oatpier_types::ids::BootId;
 
-use crate::core::{AgentCore, EndpointIdentity, EndpointWorks};
+use crate::core::AgentCore;
+use crate::endpoint::{EndpointIdentity, EndpointWorks};
 use crate::membership::MembershipInputs;
 use crate::orders::OrdersInputs;
+use crate::peers::HttpPeers;
 use crate::work::WorkInputs;
 use oatpier_duty::duty::{DutyProcess, RingRule, RuntimeClock, StartError, bind, ring};
 use oatpier_duty::observe::metrics::MetricSet;
@@ -35,9 +43,8 @@
 const CONTROL_WAIT: Duration = Duration::from_secs(2);
 /// How long one call to the key-value service may take.
 const STORE_WAIT: Duration = Duration::from_secs(2);
-/// News that wait for the work duty. The sender waits: each says something that no later one
-/// repeats.
-const NEWS_RING: usize = 64;
+/// Messages in a ring between two duties; see [`news`] for the rules.
+const RING: usize = 64;
 /// Spans that wait to be written. Further ones are dropped: a trace is worth less than a request.
 const SPAN_RING: usize = 4096;
 
@@ -48,12 +55,17 @@
 /// An address that can't be listened on.
 pub fn start(settings: &AgentSettings) -> Result<DutyProcess, StartError> {
     let peer_listener = bind(settings.peer_listen, "entries")?;
+    let address = peer_listener.local_addr().unwrap_or(settings.peer_listen);
     let observe_listener = bind(settings.observe_listen, "observers")?;
     let mut process = DutyProcess::default();
     let metrics = MetricSet::default();
     let clock = RuntimeClock::start();
     let (span_sender, spans) = ring(SPAN_RING, RingRule::Drop, metrics.ring("spans"));
-    let (news_sender, news) = ring(NEWS_RING, RingRule::Wait, metrics.ring("news"));
+    let (news_sender, news) = ring(RING, RingRule::Wait, metrics.ring("news"));
+    let (plan_sender, plan) = ring(RING, RingRule::Wait, metrics.ring("plan"));
+    let (asks_sender, asks) = ring(RING, RingRule::Drop, metrics.ring("asks"));
+    let (status_sender, status) = ring(RING, RingRule::Drop, metrics.ring("status"));
+    let (calls_sender, calls) = ring(RING, RingRule::Drop, metrics.ring("calls"));
     let tracer = HopTracer::new(&settings.name, span_sender);
     let observe_inputs = ObserveInputs {
         listener: observe_listener,
@@ -64,13 +76,14 @@
         stop: process.stop.clone(),
     };
     process.spawn("observe", || observe(observe_inputs));
+    let boot = BootId(rand::random());
     let core = Arc::new(AgentCore::new(
         identity_of(settings),
-        BootId(rand::random()),
+        boot,
         works_of(settings),
         clock,
-        metrics,
-        tracer,
+        metrics.clone(),
+        tracer.clone(),
         process.stop.clone(),
     ));
     let work_inputs = WorkInputs {
@@ -78,18 +91,43 @@
         listener: peer_listener,
         limits: settings.limits.server_limits(),
         news,
+        asks: asks_sender,
+        status: status_sender.clone(),
+        calls: calls_sender,
         stop: process.stop.clone(),
     };
     process.spawn("work", || work::work(work_inputs));
     let orders_inputs = OrdersInputs {
+        identity: identity_of(settings),
+        boot,
+        seed: rand::random(),
         control: Arc::new(HttpEngine::new(settings.endpoint_address, CONTROL_WAIT)),
+        store: Arc::new(HttpStore::new(settings.store, STORE_WAIT)),
+        peers: Arc::new(HttpPeers::default()),
+        clock,
+        metrics,
+        tracer,
         news: news_sender.clone(),
+        status: status_sender,
+        plan,
+        asks,
         stop: process.stop.clone(),
     };
     process.spawn("orders", || orders::orders(orders_inputs));
     let membership_inputs = MembershipInputs {
+        daemon: settings.name.clone(),
+        identity: identity_of(settings),
+        boot,
+        seed: rand::random(),
+        address,
         store: Arc::new(HttpStore::new(settings.store, STORE_WAIT)),
+        vms: Arc::new(HttpVmList::new(settings.vm_list, STORE_WAIT)),
+        peers: Arc::new(HttpPeers::default()),
+        clock,
         news: news_sender,
+        plan: plan_sender,
+        status,
+        calls,
         stop: process.stop.clone(),
     };
     process.spawn("membership", || membership::membership(membership_inputs));
--- /dev/null
+++ b/crates/oatpier-agent/src/membership/machine.rs
@@ -0,0 +1,381 @@
+//! The decisions of the membership duty, with the calls that are under way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::stream::FuturesUnordered;
+use oatpier_membership::agent::{AgentAction, AgentEvent, AgentMember};
+use oatpier_membership::backoff::jittered;
+use oatpier_membership::entry::CallNumber;
+use oatpier_membership::generation::{ConfigContent, HeldConfig};
+use oatpier_membership::members::MemberPhase;
+use oatpier_membership::messages::{ConfigPush, EntryContact, PeerCall};
+use oatpier_platform::vms::VmRow;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::config::record::ConfigRecord;
+use oatpier_types::engine::WeightsKey;
+use oatpier_types::names::DaemonName;
+use oatpier_types::pulse::{AgentPulse, EndpointStatus};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::fallback::{FallbackTimer, StoreView, read_store};
+use super::{MembershipInputs, is_entry, is_leaving};
+use crate::news::{AgentNews, MembershipCall, PlanNews, StatusNews};
+use crate::peers::PeerFuture;
+use oatpier_duty::duty::StopPhase;
+use oatpier_duty::messages::{FleetAnswer, FleetCall};
+use oatpier_duty::placement::{PlacementAsk, PlacementView};
+
+/// The longest time between two reads of the list of VMs. A planned stop is to be known within
+/// two seconds of the list's own word.
+const HINTS_EVERY: Duration = Duration::from_millis(1_200);
+/// The longest time between two questions about plan and replicas.
+const PLACEMENT_EVERY: Duration = Duration::from_millis(1_200);
+/// How long an answer about plan and replicas is relied on.
+const PLACEMENT_LIFE: Duration = Duration::from_secs(6);
+
+/// The end of a call.
+pub(super) enum MemberDone {
+    Call(CallNumber, Option<Box<FleetAnswer>>),
+    Placement(Option<Box<PlacementView>>),
+    Hints(Option<Vec<VmRow>>),
+    Store(Box<StoreView>),
+}
+
+/// A thing that is done again and again, one at a time.
+struct Repeat {
+    every: Duration,
+    next: ClockTime,
+    busy: bool,
+}
+
+impl Repeat {
+    fn new(every: Duration, now: ClockTime) -> Self {
+        Self {
+            every,
+            next: now,
+            busy: false,
+        }
+    }
+
+    fn wake(&self) -> ClockTime {
+        if self.busy {
+            ClockTime::NEVER
+        } else {
+            self.next
+        }
+    }
+
+    fn begin(&mut self, now: ClockTime) -> bool {
+        let due = !self.busy && now >= self.next;
+        self.busy |= due;
+        due
+    }
+
+    fn ended(&mut self, generator: &mut ChaCha8Rng, now: ClockTime) {
+        self.busy = false;
+        self.next = now + jittered(self.every, generator);
+    }
+}
+
+pub(super) struct MemberMachine {
+    daemon: DaemonName,
+    member: AgentMember<FleetConfig>,
+    generator: ChaCha8Rng,
+    pub(super) pending: FuturesUnordered<PeerFuture<MemberDone>>,
+    peers: Arc<dyn crate::peers::AgentPeers>,
+    actions: Vec<AgentAction<FleetConfig>>,
+    plan_news: Vec<PlanNews>,
+    weights: Vec<WeightsKey>,
+    hints: Repeat,
+    placement: Repeat,
+    turn: usize,
+    view_until: Option<ClockTime>,
+    fallback: FallbackTimer,
+    leaving: bool,
+    now: ClockTime,
+}
+
+impl MemberMachine {
+    pub(super) fn new(inputs: &MembershipInputs) -> Self {
+        let now = inputs.clock.now();
+        let mut generator = ChaCha8Rng::seed_from_u64(inputs.seed);
+        let own = EntryContact {
+            daemon: inputs.daemon.clone(),
+            zone: inputs.identity.zone.clone(),
+            address: inputs.address,
+        };
+        let status = empty_status(inputs);
+        let member = AgentMember::new(own, inputs.boot, Vec::new(), status, &mut generator, now);
+        Self {
+            daemon: inputs.daemon.clone(),
+            member,
+            fallback: FallbackTimer::new(&mut generator, now),
+            generator,
+            pending: FuturesUnordered::new(),
+            peers: Arc::clone(&inputs.peers),
+            actions: Vec::new(),
+            plan_news: Vec::new(),
+            weights: Vec::new(),
+            hints: Repeat::new(HINTS_EVERY, now),
+            placement: Repeat::new(PLACEMENT_EVERY, now),
+            turn: 0,
+            view_until: None,
+            leaving: false,
+            now,
+        }
+    }
+
+    pub(super) fn next_wake(&self) -> ClockTime {
+        let view = self.view_until.unwrap_or(ClockTime::NEVER);
+        [
+            self.member.next_wake(),
+            self.hints.wake(),
+            self.placement.wake(),
+            self.fallback.next_wake(),
+            view,
+        ]
+        .into_iter()
+        .min()
+        .unwrap_or(ClockTime::NEVER)
+    }
+
+    /// Does what is due, and tells the other duties.
+    pub(super) async fn act(&mut self, inputs: &MembershipInputs) {
+        self.now = inputs.clock.now();
+        if inputs.stop.phase() >= StopPhase::Draining && !self.leaving {
+            self.leaving = true;
+            self.handle(AgentEvent::Phase(MemberPhase::Leaving));
+        }
+        self.handle(AgentEvent::Tick);
+        self.begin_hints(inputs);
+        self.begin_placement(inputs);
+        self.begin_fallback(inputs);
+        self.age_view();
+        for action in std::mem::take(&mut self.actions) {
+            self.carry_out(action, inputs).await;
+        }
+        for news in std::mem::take(&mut self.plan_news) {
+            inputs.plan.send(news).await;
+        }
+    }
+
+    async fn carry_out(&mut self, action: AgentAction<FleetConfig>, inputs: &MembershipInputs) {
+        match action {
+            AgentAction::Call { call, to, body } => self.start_call(call, &to, body),
+            AgentAction::InForce(held) => tell_config(held, inputs).await,
+            AgentAction::Stop(word) if !word.withdrawn => {
+                spdlog::info!("a planned stop was asked for");
+                inputs.stop.advance(StopPhase::Draining);
+            }
+            // Said once in a silence of all entries, not again and again.
+            AgentAction::RegistrarLost(lost) if self.view_until.is_some() => {
+                spdlog::warn!(
+                    "{} does not answer; another entry takes its place",
+                    lost.daemon
+                );
+            }
+            // What has begun to drain can't be taken back: entries send it no more work.
+            AgentAction::Stop(_) | AgentAction::RegistrarLost(_) => {}
+        }
+    }
+
+    fn start_call(&mut self, call: CallNumber, to: &EntryContact, body: FleetCall) {
+        let calling = self.peers.call(to.address, body);
+        let done = calling.map(move |answer| MemberDone::Call(call, answer.map(Box::new)));
+        self.pending.push(done.boxed());
+    }
+
+    fn begin_hints(&mut self, inputs: &MembershipInputs) {
+        if self.hints.begin(self.now) {
+            let vms = Arc::clone(&inputs.vms);
+            let listing = async move { MemberDone::Hints(vms.list().await.ok()) };
+            self.pending.push(listing.boxed());
+        }
+    }
+
+    /// Asks the registrars in turn.
+    fn begin_placement(&mut self, inputs: &MembershipInputs) {
+        if !self.placement.begin(self.now) {
+            return;
+        }
+        let registrars: Vec<_> = self.member.heartbeats().registrars().collect();
+        let to = registrars.get(self.turn % registrars.len().max(1));
+        let Some(address) = to.map(|to| to.address) else {
+            self.placement.ended(&mut self.generator, self.now);
+            return;
+        };
+        self.turn += 1;
+        let ask = PlacementAsk {
+            daemon: self.daemon.clone(),
+            endpoint: inputs.identity.endpoint.clone(),
+            pool: inputs.identity.pool.clone(),
+            weights: self.weights.clone(),
+        };
+        let asking = self.peers.ask_placement(address, ask);
+        let done = asking.map(|view| MemberDone::Placement(view.map(Box::new)));
+        self.pending.push(done.boxed());
+    }
+
+    fn begin_fallback(&mut self, inputs: &MembershipInputs) {
+        if self.fallback.begin(self.now) {
+            let identity = &inputs.identity;
+            let (zone, endpoint) = (identity.zone.clone(), identity.endpoint.clone());
+            let reading = read_store(Arc::clone(&inputs.store), zone, endpoint);
+            self.pending.push(
+                reading
+                    .map(|view| MemberDone::Store(Box::new(view)))
+                    .boxed(),
+            );
+        }
+    }
+
+    /// Word on replicas that is too old is worse than none: repair would take a model that is
+    /// served for one that is not.
+    fn age_view(&mut self) {
+        if self.view_until.is_some_and(|until| self.now >= until) {
+            self.view_until = None;
+            self.plan_news.push(PlanNews::Silent);
+        }
+    }
+
+    pub(super) fn done(&mut self, done: MemberDone, inputs: &MembershipInputs) {
+        self.now = inputs.clock.now();
+        match done {
+            MemberDone::Call(call, answer) => self.end_call(call, answer),
+            MemberDone::Placement(view) => {
+                self.placement.ended(&mut self.generator, self.now);
+                if let Some(view) = view {
+                    self.fallback.heard(&mut self.generator, self.now);
+                    self.view_until = Some(self.now + PLACEMENT_LIFE);
+                    self.plan_news.push(PlanNews::View(view));
+                }
+            }
+            MemberDone::Hints(rows) => self.take_hints(rows, inputs),
+            MemberDone::Store(view) => self.take_store(*view),
+        }
+    }
+
+    fn end_call(&mut self, call: CallNumber, answer: Option<Box<FleetAnswer>>) {
+        self.handle(AgentEvent::CallEnded { call, answer });
+    }
+
+    fn take_hints(&mut self, rows: Option<Vec<VmRow>>, inputs: &MembershipInputs) {
+        self.hints.ended(&mut self.generator, self.now);
+        // The last list stays in use: it is only a hint.
+        let Some(rows) = rows else {
+            return;
+        };
+        if is_leaving(&rows, &self.daemon) {
+            inputs.stop.advance(StopPhase::Draining);
+        }
+        let known: Vec<_> = self.member.heartbeats().entries().cloned().collect();
+        let contacts = rows.into_iter().filter(is_entry).map(|row| EntryContact {
+            daemon: row.daemon,
+            zone: row.zone,
+            address: row.peer_address,
+        });
+        // An address that an entry told itself goes before the list's, which lags.
+        let is_new = |contact: &EntryContact| {
+            !known.iter().any(|known| known.daemon == contact.daemon) || self.view_until.is_none()
+        };
+        let contacts: Vec<_> = contacts.filter(is_new).collect();
+        if !contacts.is_empty() {
+            self.handle(AgentEvent::Hints(contacts));
+        }
+    }
+
+    fn take_store(&mut self, view: StoreView) {
+        self.fallback.ended(&mut self.generator, self.now);
+        let row = view.row.map(Box::new);
+        self.plan_news.extend(row.map(PlanNews::Row));
+        if let Some(record) = view.config {
+            self.offer_config(&record);
+        }
+    }
+
+    /// The store's word goes the way of an entry's: the machine takes the later one.
+    fn offer_config(&mut self, record: &ConfigRecord) {
+        let content = ConfigContent::Full {
+            generation: record.generation,
+            value: Arc::new(record.content.clone()),
+        };
+        let push = ConfigPush {
+            daemon: self.daemon.clone(),
+            generation: record.generation,
+            content,
+        };
+        let call = PeerCall::Push(Arc::new(push));
+        let (_, actions) = self.member.answer(call, self.now);
+        self.actions.extend(actions);
+    }
+
+    pub(super) fn hear_status(&mut self, status: StatusNews, inputs: &MembershipInputs) {
+        self.now = inputs.clock.now();
+        match status {
+            StatusNews::Status(status) => self.handle(AgentEvent::Status(status)),
+            StatusNews::Weights(weights) => self.weights = weights,
+        }
+    }
+
+    pub(super) fn answer(&mut self, call: MembershipCall, inputs: &MembershipInputs) {
+        self.now = inputs.clock.now();
+        let (answer, actions) = self.member.answer(call.call, self.now);
+        self.actions.extend(actions);
+        // An entry that has gone pushes again.
+        let _ = call.reply.send(answer);
+    }
+
+    /// The process has ended: starts the last heartbeats.
+    pub(super) fn say_left(&mut self) {
+        self.pending.clear();
+        self.handle(AgentEvent::Phase(MemberPhase::Left));
+        for action in std::mem::take(&mut self.actions) {
+            if let AgentAction::Call { call, to, body } = action {
+                self.start_call(call, &to, body);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: AgentEvent<FleetConfig>) {
+        let actions = self.member.handle(event, self.now);
+        self.actions.extend(actions);
+    }
+}
+
+async fn tell_config(held: HeldConfig<FleetConfig>, inputs: &MembershipInputs) {
+    let (generation, config) = (held.generation, held.value);
+    let plan = PlanNews::Config(Arc::clone(&config));
+    inputs
+        .news
+        .send(AgentNews::Config { generation, config })
+        .await;
+    inputs.plan.send(plan).await;
+}
+
+/// The status of an agent that knows nothing of its endpoint yet, and takes no work.
+fn empty_status(inputs: &MembershipInputs) -> EndpointStatus {
+    let identity = &inputs.identity;
+    EndpointStatus {
+        endpoint: identity.endpoint.clone(),
+        pool: identity.pool.clone(),
+        zone: identity.zone.clone(),
+        ready: smallvec::SmallVec::new(),
+        ready_sequence: 0,
+        generation: oatpier_types::ids::Generation(0),
+        pulse: AgentPulse {
+            boot: inputs.boot,
+            sequence: 0,
+            queued: 0,
+            running: 0,
+            slots: 0,
+            wait: Duration::ZERO,
+            prompt_token_ns: 0,
+            step_us: 0,
+            accepting: false,
+        },
+    }
+}
--- /dev/null
+++ b/crates/oatpier-agent/src/orders/io.rs
@@ -0,0 +1,132 @@
+//! Calls of the orders duty to the engine, the store and other agents.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use oatpier_placement::orders::{OrderEvent, OrderOutcome, PollTicket};
+use oatpier_placement::record::{
+    EndpointRecord, RecordAnswer, RecordCall, StoredRecord, record_key,
+};
+use oatpier_platform::engine::{EngineControl, OrderError};
+use oatpier_platform::store::{ExpectedValue, KeyStore, StoreError, StoredValue};
+use oatpier_types::engine::EngineOrder;
+use oatpier_types::names::EndpointName;
+
+use super::state::{OrdersDone, OrdersTask};
+use crate::peers::{AgentPeers, PeerFuture};
+
+/// Starts the calls that the decisions ask for.
+pub struct OrdersIo {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The engine's control side.
+    pub control: Arc<dyn EngineControl>,
+    /// The platform's key-value service.
+    pub store: Arc<dyn KeyStore>,
+    /// Other agents.
+    pub peers: Arc<dyn AgentPeers>,
+}
+
+impl OrdersIo {
+    /// The call of a task; gives what became of it.
+    #[must_use]
+    pub fn start(&self, task: OrdersTask) -> PeerFuture<OrdersDone> {
+        match task {
+            OrdersTask::Record(call) => {
+                let (store, endpoint) = (Arc::clone(&self.store), self.endpoint.clone());
+                async move {
+                    let answer = call_record(store.as_ref(), &endpoint, call).await;
+                    OrdersDone::Order(OrderEvent::Record(answer))
+                }
+                .boxed()
+            }
+            OrdersTask::Send(order) => {
+                let control = Arc::clone(&self.control);
+                async move { OrdersDone::Order(send(control.as_ref(), order).await) }.boxed()
+            }
+            OrdersTask::Poll(ticket) => {
+                let control = Arc::clone(&self.control);
+                async move { OrdersDone::Order(poll(control.as_ref(), ticket).await) }.boxed()
+            }
+            OrdersTask::AskRelease { to, ask } => {
+                let asking = self.peers.ask_release(to, ask);
+                asking.map(OrdersDone::Released).boxed()
+            }
+        }
+    }
+}
+
+async fn send(control: &dyn EngineControl, order: EngineOrder) -> OrderEvent {
+    let outcome = match control.order(&order).await {
+        Ok(()) => OrderOutcome::Taken,
+        Err(OrderError::Stale { highest }) => OrderOutcome::Stale { highest },
+        Err(OrderError::Refused { cause }) => {
+            spdlog::warn!("the engine refused an order: {cause}");
+            OrderOutcome::Refused
+        }
+        Err(OrderError::NotSent { .. }) => OrderOutcome::NotSent,
+        Err(OrderError::Unknown { .. }) => OrderOutcome::Unknown,
+    };
+    let number = order.number;
+    OrderEvent::Answered { number, outcome }
+}
+
+async fn poll(control: &dyn EngineControl, ticket: PollTicket) -> OrderEvent {
+    match control.state().await {
+        Ok(state) => OrderEvent::Polled {
+            ticket,
+            state: Box::new(state),
+        },
+        Err(_) => OrderEvent::PollFailed { ticket },
+    }
+}
+
+async fn call_record(
+    store: &dyn KeyStore,
+    endpoint: &EndpointName,
+    call: RecordCall,
+) -> RecordAnswer {
+    let key = record_key(endpoint);
+    match call {
+        RecordCall::Read => match store.get(&key).await {
+            Ok(found) => read_record(found),
+            Err(_) => RecordAnswer::Unavailable,
+        },
+        RecordCall::Write { record, expected } => {
+            let Ok(value) = serde_json::to_vec(&record) else {
+                return RecordAnswer::Unavailable;
+            };
+            let expected = expected.map_or(ExpectedValue::Absent, ExpectedValue::At);
+            let written = store.put(&key, Bytes::from(value), expected, None).await;
+            written.map_or_else(|error| answer_of(&error), RecordAnswer::Written)
+        }
+    }
+}
+
+fn read_record(found: Option<StoredValue>) -> RecordAnswer {
+    let Some(found) = found else {
+        return RecordAnswer::Found(None);
+    };
+    match serde_json::from_slice::<EndpointRecord>(&found.value) {
+        Ok(record) => RecordAnswer::Found(Some(StoredRecord {
+            record,
+            revision: found.revision,
+        })),
+        // To write over what can't be read could drop another agent's intents.
+        Err(error) => {
+            spdlog::error!("the record of the endpoint in the store can't be read: {error}");
+            RecordAnswer::Unavailable
+        }
+    }
+}
+
+fn answer_of(error: &StoreError) -> RecordAnswer {
+    match error {
+        StoreError::Conflict { .. } => RecordAnswer::Conflict,
+        StoreError::AnswerLost { .. } => RecordAnswer::AnswerLost,
+        StoreError::Unavailable { .. } | StoreError::LeaseLapsed | StoreError::TooLarge { .. } => {
+            RecordAnswer::Unavailable
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-agent/src/orders/outlook.rs
@@ -0,0 +1,81 @@
+//! The weights of the endpoint as callers may use them.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oatpier_admission::event::LoadingWeights;
+use oatpier_placement::orders::OrderKeeper;
+use oatpier_placement::steps::MoveStepper;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::engine::{WeightsKey, WeightsState};
+
+use crate::news::{DrainingWeights, WeightsNews};
+
+/// How long a load is taken to last while nothing better is known.
+const ASSUMED_LOAD: Duration = Duration::from_secs(4);
+
+/// What is ready, what soon will be, and what is to go.
+#[derive(Debug, Clone, Default)]
+pub struct WeightsOutlook {
+    loading_since: IndexMap<WeightsKey, ClockTime>,
+}
+
+impl WeightsOutlook {
+    /// Notes when loads began.
+    pub fn observe(&mut self, keeper: &OrderKeeper, now: ClockTime) {
+        let loading: Vec<WeightsKey> = loading(keeper).cloned().collect();
+        self.loading_since
+            .retain(|weights, _| loading.contains(weights));
+        for weights in loading {
+            self.loading_since.entry(weights).or_insert(now);
+        }
+    }
+
+    /// Fills in the weights. Those that an order could take away at any moment count as neither
+    /// ready nor loading: what ran on them would be cut off.
+    pub fn fill(
+        &self,
+        news: &mut WeightsNews,
+        keeper: &OrderKeeper,
+        stepper: &MoveStepper,
+        now: ClockTime,
+    ) {
+        let there = keeper.ledger().ready();
+        let there = there.filter(|weights| !keeper.may_vanish(weights, now));
+        let (ready, leaving): (Vec<_>, Vec<_>) = there
+            .cloned()
+            .partition(|weights| stepper.takes_new(weights));
+        let draining = leaving.into_iter().map(|weights| DrainingWeights {
+            preferred: is_newest(keeper, &weights),
+            weights,
+        });
+        let loading = loading(keeper).map(|weights| LoadingWeights {
+            weights: weights.clone(),
+            ready_in: self.load_left(weights, now),
+        });
+        news.ready = ready;
+        news.loading = loading.collect();
+        news.draining = draining.collect();
+    }
+
+    fn load_left(&self, weights: &WeightsKey, now: ClockTime) -> Duration {
+        let since = self.loading_since.get(weights).copied().unwrap_or(now);
+        ASSUMED_LOAD.saturating_sub(now.since(since))
+    }
+}
+
+fn loading(keeper: &OrderKeeper) -> impl Iterator<Item = &WeightsKey> {
+    let charges = keeper.ledger().charges();
+    charges
+        .filter(|(_, charge)| charge.held == Some(WeightsState::Loading))
+        .map(|(weights, _)| weights)
+}
+
+/// Whether no version of the same weights was loaded after these, as far as known: the ledger
+/// keeps the order of loads.
+fn is_newest(keeper: &OrderKeeper, weights: &WeightsKey) -> bool {
+    let is_sibling =
+        |other: &&WeightsKey| other.model == weights.model && other.adapter == weights.adapter;
+    let versions = keeper.ledger().ready().filter(is_sibling);
+    versions.last() == Some(weights)
+}
--- /dev/null
+++ b/crates/oatpier-agent/tests/testsuite/attempt.rs
@@ -0,0 +1,99 @@
+//! An attempt as its entry sees it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oatpier_agent::attempt::AttemptTask;
+use oatpier_agent::core::{AgentCore, AttemptArrival};
+use oatpier_types::ids::{AttemptId, RequestId};
+use oatpier_types::pulse::AdmissionTicket;
+use oatpier_types::request::{AttemptSpec, RequestGoal, TokenDemand};
+use oatpier_types::verdict::Repeat;
+use oatpier_wire::attempt::{AttemptFrame, AttemptHead};
+use tokio::sync::mpsc;
+
+/// One attempt as its entry holds it.
+pub struct TestAttempt {
+    core: Arc<AgentCore>,
+    pub spec: AttemptSpec,
+    pub ticket: AdmissionTicket,
+    model: String,
+}
+
+impl TestAttempt {
+    /// The attempt with a number of its own at an agent.
+    pub fn new(core: Arc<AgentCore>, number: u128, model: &str, tokens: u32) -> Self {
+        let pulse = core.pulse().unwrap();
+        let spec = AttemptSpec {
+            attempt: AttemptId(number),
+            request: RequestId(number),
+            goal: RequestGoal::Model {
+                model: model.try_into().unwrap(),
+                adapter: None,
+            },
+            class: "drafting".try_into().unwrap(),
+            caller: "amara".try_into().unwrap(),
+            repeat: Repeat::Idempotent,
+            remaining: Duration::from_secs(20),
+            tokens: TokenDemand {
+                prompt: 4,
+                output: tokens,
+            },
+            resume_after: 0,
+        };
+        Self {
+            core,
+            spec,
+            ticket: AdmissionTicket::of(&pulse),
+            model: model.to_owned(),
+        }
+    }
+
+    pub fn id(&self) -> AttemptId {
+        self.spec.attempt
+    }
+
+    /// The attempt arrives; gives its frames. None: it is a copy.
+    pub fn arrive(&self) -> Option<mpsc::Receiver<AttemptFrame>> {
+        let arrival = self.core.arrive(self.spec.clone(), self.ticket);
+        let AttemptArrival::Taken(orders) = arrival else {
+            return None;
+        };
+        let (frames, receiver) = mpsc::channel(16);
+        let body = serde_json::json!({
+            "model": self.model, "stream": true, "max_tokens": self.spec.tokens.output,
+            "messages": [{"role": "user", "content": "a table"}],
+        });
+        let head = AttemptHead {
+            spec: self.spec.clone(),
+            method: "POST".to_owned(),
+            path: "/v1/chat/completions".to_owned(),
+            headers: Vec::new(),
+            key: None,
+            traceparent: None,
+            ticket: self.ticket,
+        };
+        let body = Bytes::from(body.to_string());
+        let core = Arc::clone(&self.core);
+        let task = AttemptTask::new(core, head, body, self.ticket, orders, frames);
+        tokio::spawn(task.run());
+        Some(receiver)
+    }
+}
+
+/// The last frame of an attempt, with the tokens before it.
+pub async fn last_frame(frames: &mut mpsc::Receiver<AttemptFrame>) -> (u32, AttemptFrame) {
+    let mut sum = 0;
+    loop {
+        match frames
+            .recv()
+            .await
+            .expect("an attempt ends with a last frame")
+        {
+            AttemptFrame::Started { .. } => {}
+            AttemptFrame::Piece { tokens, .. } => sum += tokens,
+            last => return (sum, last),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-agent/tests/testsuite/fleet.rs
@@ -0,0 +1,359 @@
+//! Agents beside stand-in engines, in one paused runtime. Their calls to each other and to
+//! entries go through [`TestPeers`].
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::FutureExt;
+use oatpier_agent::core::AgentCore;
+use oatpier_agent::endpoint::EndpointWorks;
+use oatpier_agent::news::{AgentNews, AsksNews, PlanNews};
+use oatpier_agent::orders::{OrdersInputs, orders};
+use oatpier_agent::peers::{AgentPeers, PeerFuture};
+use oatpier_agent::work::WorkTeller;
+use oatpier_duty::duty::{RingReceiver, RingRule, RingSender, RuntimeClock, StopSignal, ring};
+use oatpier_duty::messages::{FleetAnswer, FleetCall};
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_duty::observe::trace::HopTracer;
+use oatpier_duty::placement::{
+    HolderContact, PlacementAsk, PlacementView, PlanRow, PlanStamp, WeightsHolders,
+};
+use oatpier_placement::release::{ReleaseAnswer, ReleaseAsk};
+use oatpier_standin::clock::StandinClock;
+use oatpier_standin::engine::{EngineOptions, LocalEngine};
+use oatpier_standin::store::LocalStore;
+use oatpier_standin::weights::{SharedWeights, WeightStore, WeightsOptions};
+use oatpier_standin::work::LocalWork;
+use oatpier_types::engine::EngineRole;
+use oatpier_types::ids::{BootId, Generation, Term};
+use oatpier_types::names::DaemonName;
+use oatpier_types::plan::EndpointPlan;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use crate::attempt::TestAttempt;
+use crate::shape::{FleetShape, MODEL_MIB, config, endpoint, identity, weights};
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+/// Calls between the agents of a test. Entries don't exist.
+#[derive(Default)]
+pub struct TestPeers {
+    asks: Mutex<HashMap<SocketAddr, RingSender<AsksNews>>>,
+}
+
+impl AgentPeers for TestPeers {
+    fn call(&self, _: SocketAddr, _: FleetCall) -> PeerFuture<Option<FleetAnswer>> {
+        std::future::ready(None).boxed()
+    }
+
+    fn ask_placement(&self, _: SocketAddr, _: PlacementAsk) -> PeerFuture<Option<PlacementView>> {
+        std::future::ready(None).boxed()
+    }
+
+    fn ask_release(&self, agent: SocketAddr, ask: ReleaseAsk) -> PeerFuture<Option<ReleaseAnswer>> {
+        let asks = self.asks.lock().unwrap().get(&agent).cloned();
+        async move {
+            let (reply, answer) = oneshot::channel();
+            asks?.offer(AsksNews::Release { ask, reply }).ok()?;
+            answer.await.ok()
+        }
+        .boxed()
+    }
+}
+
+/// One start of an agent's orders and work duties.
+pub struct TestAgent {
+    pub core: Arc<AgentCore>,
+    pub stop: StopSignal,
+    plan: RingSender<PlanNews>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for TestAgent {
+    /// A killed agent: nothing that it had under way goes on.
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+pub struct Fleet {
+    pub shape: FleetShape,
+    pub store: Arc<LocalStore>,
+    pub engines: Vec<Arc<LocalEngine>>,
+    pub agents: Vec<Option<TestAgent>>,
+    pub rows: Vec<Option<EndpointPlan>>,
+    peers: Arc<TestPeers>,
+    next_id: AtomicU64,
+    sequence: u64,
+    /// Whether an entry tells the agents of plan and replicas.
+    pub heard: bool,
+}
+
+impl Fleet {
+    /// Engines that hold `preloaded` each, with their agents.
+    pub fn start(shape: FleetShape, preloaded: &[&str]) -> Self {
+        let clock = StandinClock::start();
+        let options = WeightsOptions {
+            default_mib: MODEL_MIB,
+            ..WeightsOptions::default()
+        };
+        let shared: SharedWeights = WeightStore::shared(options);
+        let engines = (1..=shape.engines).map(|number| {
+            let options = EngineOptions {
+                memory_mib: shape.memory_mib,
+                checks_order_numbers: shape.checks_numbers,
+                preloaded: preloaded.iter().map(|model| weights(model)).collect(),
+                ..EngineOptions::named(endpoint(number))
+            };
+            LocalEngine::start(options, Arc::clone(&shared), clock)
+        });
+        let mut fleet = Self {
+            shape,
+            store: Arc::new(LocalStore::new()),
+            engines: engines.collect(),
+            agents: Vec::new(),
+            rows: vec![None; usize::from(shape.engines)],
+            peers: Arc::default(),
+            next_id: AtomicU64::new(1),
+            sequence: 0,
+            heard: true,
+        };
+        for number in 1..=shape.engines {
+            let agent = fleet.start_agent(number);
+            fleet.agents.push(Some(agent));
+        }
+        fleet
+    }
+
+    fn id(&self) -> u128 {
+        u128::from(self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
+    pub fn start_agent(&self, number: u16) -> TestAgent {
+        let engine = Arc::clone(&self.engines[usize::from(number) - 1]);
+        let (metrics, stop) = (MetricSet::default(), StopSignal::default());
+        let clock = RuntimeClock::start();
+        let boot = BootId(self.id());
+        let (spans, _) = ring(1, RingRule::Drop, metrics.ring("spans"));
+        let daemon = DaemonName::try_from(format!("agent-{number}").as_str()).unwrap();
+        let tracer = HopTracer::new(&daemon, spans);
+        let work = Arc::new(LocalWork::engine(Arc::clone(&engine)));
+        let core = Arc::new(AgentCore::new(
+            identity(number),
+            boot,
+            EndpointWorks {
+                engine: work.clone(),
+                service: work,
+            },
+            clock,
+            metrics.clone(),
+            tracer.clone(),
+            stop.clone(),
+        ));
+        let (news_sender, news) = ring(64, RingRule::Wait, metrics.ring("news"));
+        let (plan_sender, plan) = ring(64, RingRule::Wait, metrics.ring("plan"));
+        let (asks_sender, asks) = ring(64, RingRule::Drop, metrics.ring("asks"));
+        let (status, _) = ring(1, RingRule::Drop, metrics.ring("status"));
+        let config = Arc::new(config(self.shape));
+        let generation = Generation(1);
+        let news_config = Arc::clone(&config);
+        core.take_news(AgentNews::Config {
+            generation,
+            config: news_config,
+        });
+        assert!(plan_sender.offer(PlanNews::Config(config)).is_ok());
+        let mut peers = self.peers.asks.lock().unwrap();
+        peers.insert(address(number), asks_sender.clone());
+        let orders_inputs = OrdersInputs {
+            identity: identity(number),
+            boot,
+            seed: u64::from(number),
+            control: engine,
+            store: self.store.clone(),
+            peers: self.peers.clone(),
+            clock,
+            metrics,
+            tracer,
+            news: news_sender,
+            status: status.clone(),
+            plan,
+            asks,
+            stop: stop.clone(),
+        };
+        let teller = WorkTeller {
+            core: Arc::clone(&core),
+            asks: asks_sender,
+            status,
+        };
+        let work = run_work(teller, news, stop.clone());
+        TestAgent {
+            core,
+            stop,
+            plan: plan_sender,
+            tasks: vec![tokio::spawn(orders(orders_inputs)), tokio::spawn(work)],
+        }
+    }
+
+    pub fn agent(&self, number: u16) -> &TestAgent {
+        self.agents[usize::from(number) - 1].as_ref().unwrap()
+    }
+
+    pub fn engine(&self, number: u16) -> &Arc<LocalEngine> {
+        &self.engines[usize::from(number) - 1]
+    }
+
+    /// Kills an agent and starts another beside the same engine.
+    pub fn restart_agent(&mut self, number: u16) {
+        let place = usize::from(number) - 1;
+        self.agents[place] = None;
+        self.agents[place] = Some(self.start_agent(number));
+    }
+
+    /// Plans what an endpoint is to hold.
+    pub fn plan(&mut self, number: u16, models: &[&str]) {
+        self.sequence += 1;
+        self.rows[usize::from(number) - 1] = Some(EndpointPlan {
+            endpoint: endpoint(number),
+            weights: models.iter().map(|model| weights(model)).collect(),
+            role: EngineRole::Both,
+        });
+    }
+
+    /// Lets time pass, while an entry tells all agents of plan and replicas.
+    pub async fn pass(&self, span: Duration) {
+        self.watch(span, || {}).await;
+    }
+
+    /// As [`Fleet::pass`], and looks at the fleet every 20 ms.
+    pub async fn watch(&self, span: Duration, mut look: impl FnMut()) {
+        let end = tokio::time::Instant::now() + span;
+        let mut beat = 0_u32;
+        while tokio::time::Instant::now() < end {
+            if beat.is_multiple_of(25) {
+                self.tell_plan();
+            }
+            beat += 1;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            look();
+            for engine in &self.engines {
+                assert_eq!(engine.with_core(|core, _| core.overcommits()), 0);
+            }
+        }
+    }
+
+    /// Passes time until something is so.
+    pub async fn until(&self, what: &str, so: impl Fn() -> bool) {
+        for _ in 0..18_000 {
+            if so() {
+                return;
+            }
+            self.pass(Duration::from_millis(100)).await;
+        }
+        panic!("it never came about that {what}");
+    }
+
+    /// Whether an engine says that it has exactly these models ready.
+    pub fn holds(&self, number: u16, models: &[&str]) -> bool {
+        let mut names = self.engine(number).with_core(|core, _| core.served_names());
+        names.sort();
+        names == models
+    }
+
+    /// Whether an agent takes requests for exactly these models.
+    pub fn serves(&self, number: u16, models: &[&str]) -> bool {
+        let status = self.agent(number).core.status().unwrap();
+        let mut names: Vec<_> = status.ready.iter().map(|key| key.model.as_str()).collect();
+        names.sort_unstable();
+        names == models
+    }
+
+    /// As an entry tells it, or as the agents read it from the store.
+    fn tell_plan(&self) {
+        if self.heard {
+            return self.tell_views();
+        }
+        for (agent, row) in self.agents.iter().zip(&self.rows) {
+            if let (Some(agent), Some(row)) = (agent, row) {
+                let row = Box::new(self.plan_row(row.clone()));
+                let _ = agent.plan.offer(PlanNews::Row(row));
+            }
+        }
+    }
+
+    fn plan_row(&self, row: EndpointPlan) -> PlanRow {
+        let stamp = PlanStamp {
+            term: Term(1),
+            sequence: self.sequence,
+        };
+        PlanRow { stamp, row }
+    }
+
+    fn tell_views(&self) {
+        let ready: Vec<_> = self
+            .agents
+            .iter()
+            .map(|agent| agent.as_ref().and_then(|agent| agent.core.status()))
+            .collect();
+        for number in 1..=self.shape.engines {
+            let view = self.view(number, &ready);
+            if let Some(agent) = &self.agents[usize::from(number) - 1] {
+                let _ = agent.plan.offer(PlanNews::View(Box::new(view)));
+            }
+        }
+    }
+
+    fn view(
+        &self,
+        number: u16,
+        ready: &[Option<oatpier_types::pulse::EndpointStatus>],
+    ) -> PlacementView {
+        let mut view = PlacementView::default();
+        for model in self.shape.models {
+            let key = weights(model);
+            let holders = (1..=self.shape.engines).filter(|other| {
+                let status = &ready[usize::from(*other) - 1];
+                status
+                    .as_ref()
+                    .is_some_and(|status| status.ready.contains(&key))
+            });
+            let holders: Vec<u16> = holders.collect();
+            if holders.is_empty() {
+                view.unserved.push(key.clone());
+            }
+            let others = holders.into_iter().filter(|other| *other != number);
+            view.holders.push(WeightsHolders {
+                weights: key,
+                holders: others
+                    .map(|other| HolderContact {
+                        endpoint: endpoint(other),
+                        address: address(other),
+                    })
+                    .collect(),
+            });
+        }
+        let live =
+            (1..=self.shape.engines).filter(|other| ready[usize::from(*other) - 1].is_some());
+        view.live = live.map(endpoint).collect();
+        let row = self.rows[usize::from(number) - 1].clone();
+        view.plan = row.map(|row| self.plan_row(row));
+        view
+    }
+
+    /// What an entry would send for a prompt.
+    pub fn attempt(&self, number: u16, model: &str, tokens: u32) -> TestAttempt {
+        let core = Arc::clone(&self.agent(number).core);
+        TestAttempt::new(core, self.id(), model, tokens)
+    }
+}
+
+async fn run_work(teller: WorkTeller, news: RingReceiver<AgentNews>, stop: StopSignal) {
+    teller.run(&news, &stop).await;
+}
--- /dev/null
+++ b/crates/oatpier-agent/tests/testsuite/main.rs
@@ -0,0 +1,11 @@
+//! Tests of an agent's duties, on a paused clock and without sockets.
+
+mod attempt;
+mod drain;
+mod fleet;
+mod leave;
+mod membership;
+mod orders;
+mod release;
+mod requests;
+mod shape;
--- /dev/null
+++ b/crates/oatpier-agent/tests/testsuite/orders.rs
@@ -0,0 +1,191 @@
+//! Orders under faults: memory is never overcommitted, and the plan is reached in the end.
+
+use std::time::Duration;
+
+use oatpier_standin::engine::EngineFaults;
+use oatpier_standin::store::{DownMode, StoreFaults};
+
+use crate::fleet::Fleet;
+use crate::shape::FleetShape;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// One engine with room for one model beside another.
+const TIGHT: FleetShape = FleetShape {
+    engines: 1,
+    memory_mib: 2_000,
+    checks_numbers: true,
+    models: &["meals", "seats", "tables"],
+};
+
+fn loads(fleet: &Fleet) -> Vec<String> {
+    fleet.engine(1).with_core(|core, _| {
+        core.events()
+            .iter()
+            .map(|event| format!("{event:?}"))
+            .collect()
+    })
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_plan_is_carried_out_and_served() {
+    for checks_numbers in [true, false] {
+        let shape = FleetShape {
+            checks_numbers,
+            ..TIGHT
+        };
+        let mut fleet = Fleet::start(shape, &[]);
+        fleet.plan(1, &["meals", "tables"]);
+        fleet
+            .until("the plan is served", || {
+                fleet.serves(1, &["meals", "tables"])
+            })
+            .await;
+        assert!(fleet.holds(1, &["meals", "tables"]));
+    }
+}
+
+/// The plan is changed and the former weights are no longer configured to stay, while each order
+/// is lost, late, doubled or loses its answer, in turn. The engine's own record says that it was
+/// never given more than it has room for, and ends with what is planned. Engines that ignore
+/// order numbers carry a late copy out whenever it comes, so the memory of a load stays charged
+/// until no copy can come any more.
+#[tokio::test(start_paused = true)]
+async fn lost_late_and_doubled_orders_never_overcommit() {
+    let plain = EngineFaults::default();
+    let faults = [
+        EngineFaults {
+            lose_orders: 3,
+            ..plain
+        },
+        EngineFaults {
+            lose_order_answers: 3,
+            ..plain
+        },
+        EngineFaults {
+            late_orders: 2,
+            late_ms: 9_000,
+            ..plain
+        },
+        EngineFaults {
+            double_orders: 4,
+            late_ms: 20_000,
+            ..plain
+        },
+    ];
+    for (checks_numbers, faults) in [true, false]
+        .into_iter()
+        .flat_map(|c| faults.map(|f| (c, f)))
+    {
+        let shape = FleetShape {
+            engines: 2,
+            checks_numbers,
+            ..TIGHT
+        };
+        let mut fleet = Fleet::start(shape, &["seats"]);
+        fleet.plan(1, &["meals", "seats"]);
+        fleet.plan(2, &["seats"]);
+        fleet.pass(SECOND).await;
+        fleet.engine(1).set_faults(faults);
+        fleet
+            .until("both are held", || fleet.holds(1, &["meals", "seats"]))
+            .await;
+        fleet.engine(1).set_faults(faults);
+        fleet.plan(1, &["meals", "tables"]);
+        fleet
+            .until("the new plan is held", || {
+                fleet.holds(1, &["meals", "tables"])
+            })
+            .await;
+        fleet.pass(300 * SECOND).await;
+        assert!(
+            fleet.serves(1, &["meals", "tables"]),
+            "{checks_numbers} {faults:?}"
+        );
+    }
+}
+
+/// An agent dies just after it has ordered a load, and the order is late. Its successor wants
+/// other weights, for which there is room only without the former order's. Whatever the engine
+/// still does with that order, both together must never be ordered into it.
+#[tokio::test(start_paused = true)]
+async fn an_agent_restarted_during_a_load_never_overcommits() {
+    for checks_numbers in [true, false] {
+        for late_ms in [0, 400, 3_000, 30_000] {
+            let shape = FleetShape {
+                checks_numbers,
+                memory_mib: 1_500,
+                ..TIGHT
+            };
+            let mut fleet = Fleet::start(shape, &[]);
+            fleet.heard = false;
+            fleet.pass(3 * SECOND).await;
+            fleet.engine(1).set_faults(EngineFaults {
+                late_orders: u32::from(late_ms > 0),
+                late_ms,
+                ..EngineFaults::default()
+            });
+            fleet.plan(1, &["meals"]);
+            fleet.pass(Duration::from_millis(600)).await;
+            fleet.restart_agent(1);
+            fleet.plan(1, &["tables"]);
+            fleet.pass(400 * SECOND).await;
+            // The only replica of `meals` may stay in the way.
+            let held = fleet.holds(1, &["meals"]) || fleet.holds(1, &["tables"]);
+            assert!(held, "{checks_numbers} {late_ms} {:?}", loads(&fleet));
+        }
+    }
+}
+
+/// The store goes away between two moves. An engine that checks numbers needs no word of the
+/// store for its next order. For one that does not, a successor could not learn of the order, so
+/// none is given until the store is back; what is held stays and serves.
+#[tokio::test(start_paused = true)]
+async fn a_move_in_a_store_outage_waits_only_where_numbers_are_ignored() {
+    for checks_numbers in [true, false] {
+        let shape = FleetShape {
+            checks_numbers,
+            ..TIGHT
+        };
+        let mut fleet = Fleet::start(shape, &["seats"]);
+        fleet.heard = false;
+        fleet.pass(8 * SECOND).await;
+        for down in [DownMode::Refuse, DownMode::Drop] {
+            fleet.store.set_faults(StoreFaults {
+                down: Some(down),
+                ..StoreFaults::default()
+            });
+            fleet.plan(1, &["seats", "tables"]);
+            fleet.pass(30 * SECOND).await;
+            assert_eq!(fleet.holds(1, &["seats", "tables"]), checks_numbers);
+            assert!(fleet.serves(1, &["seats", "tables"]) || fleet.serves(1, &["seats"]));
+        }
+        fleet.store.set_faults(StoreFaults::default());
+        fleet
+            .until("the plan is held", || fleet.holds(1, &["seats", "tables"]))
+            .await;
+    }
+}
+
+/// An agent starts while the store is away. It gives no order, as it has no epoch, and serves
+/// what the engine holds.
+#[tokio::test(start_paused = true)]
+async fn an_agent_that_starts_in_a_store_outage_serves_what_is_there() {
+    let mut fleet = Fleet::start(TIGHT, &["seats"]);
+    fleet.heard = false;
+    fleet.store.set_faults(StoreFaults {
+        down: Some(DownMode::Drop),
+        ..StoreFaults::default()
+    });
+    fleet.restart_agent(1);
+    fleet.plan(1, &["seats", "tables"]);
+    fleet.pass(20 * SECOND).await;
+    assert!(fleet.serves(1, &["seats"]));
+    assert!(fleet.holds(1, &["seats"]));
+    fleet.store.set_faults(StoreFaults::default());
+    fleet
+        .until("the plan is served", || {
+            fleet.serves(1, &["seats", "tables"])
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/oatpier-agent/tests/testsuite/release.rs
@@ -0,0 +1,106 @@
+//! The last ready replica stays; a lost one is replaced without planner and store.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use oatpier_standin::engine::EngineFaults;
+use oatpier_standin::store::{DownMode, StoreFaults};
+
+use crate::fleet::Fleet;
+use crate::shape::FleetShape;
+
+const PAIR: FleetShape = FleetShape {
+    engines: 2,
+    memory_mib: 2_000,
+    checks_numbers: true,
+    models: &["seats"],
+};
+
+/// Two endpoints hold the same model, and a wrong plan wants it from both. Each sees the other's
+/// replica and could unload its own; then callers would find none. One may go, the other stays.
+#[tokio::test(start_paused = true)]
+async fn two_holders_that_are_both_to_unload_keep_one() {
+    for checks_numbers in [true, false] {
+        let shape = FleetShape {
+            checks_numbers,
+            ..PAIR
+        };
+        let mut fleet = Fleet::start(shape, &["seats"]);
+        fleet.pass(Duration::from_secs(5)).await;
+        fleet.plan(1, &[]);
+        fleet.plan(2, &[]);
+        let least = Cell::new(usize::MAX);
+        let look = || {
+            let ready = (1..=2).filter(|number| fleet.holds(*number, &["seats"]));
+            least.set(least.get().min(ready.count()));
+        };
+        fleet.watch(Duration::from_mins(5), look).await;
+        assert_eq!(least.get(), 1);
+    }
+}
+
+/// The only holder is told to unload, with no other replica anywhere.
+#[tokio::test(start_paused = true)]
+async fn the_only_replica_is_not_unloaded() {
+    let mut fleet = Fleet::start(PAIR, &[]);
+    fleet.plan(1, &["seats"]);
+    fleet.plan(2, &[]);
+    fleet
+        .until("it is loaded", || fleet.serves(1, &["seats"]))
+        .await;
+    fleet.plan(1, &[]);
+    let look = || assert!(fleet.holds(1, &["seats"]));
+    fleet.watch(Duration::from_mins(2), look).await;
+    assert!(fleet.serves(1, &["seats"]));
+}
+
+/// A leaving agent's replica is as good as gone. It grants no release, however ready it is.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_agent_grants_no_release() {
+    let mut fleet = Fleet::start(PAIR, &["seats"]);
+    fleet.pass(Duration::from_secs(5)).await;
+    let attempt = fleet.attempt(2, "seats", 50_000);
+    let _frames = attempt.arrive().unwrap();
+    fleet
+        .agent(2)
+        .stop
+        .advance(oatpier_duty::duty::StopPhase::Draining);
+    fleet.plan(1, &[]);
+    fleet.plan(2, &["seats"]);
+    let look = || assert!(fleet.holds(1, &["seats"]));
+    fleet.watch(Duration::from_secs(30), look).await;
+}
+
+/// The engine that alone held a model dies, with no plan and the store away. The endpoint that
+/// is left takes the model on by itself, within its own memory.
+#[tokio::test(start_paused = true)]
+async fn a_lost_model_is_taken_on_without_planner_and_store() {
+    let shape = FleetShape {
+        memory_mib: 3_000,
+        models: &["meals", "seats", "tables"],
+        ..PAIR
+    };
+    let mut fleet = Fleet::start(shape, &["seats"]);
+    let served = |model: &str| (1..=2).any(|number| serves_one(&fleet, number, model));
+    let all = || shape.models.iter().all(|model| served(model));
+    fleet.until("all models are served", all).await;
+    fleet.store.set_faults(StoreFaults {
+        down: Some(DownMode::Drop),
+        ..StoreFaults::default()
+    });
+    let dead = if serves_one(&fleet, 1, "meals") { 1 } else { 2 };
+    fleet.engine(dead).set_faults(EngineFaults {
+        down: true,
+        ..EngineFaults::default()
+    });
+    fleet.agents[usize::from(dead) - 1] = None;
+    let left = 3 - dead;
+    assert!(!serves_one(&fleet, left, "meals"));
+    let all_left = || fleet.serves(left, shape.models);
+    fleet.until("all models are served again", all_left).await;
+}
+
+fn serves_one(fleet: &Fleet, number: u16, model: &str) -> bool {
+    let status = fleet.agent(number).core.status().unwrap();
+    status.ready.iter().any(|key| key.model.as_str() == model)
+}
--- a/crates/oatpier-bench/benches/policy.rs
+++ b/crates/oatpier-bench/benches/policy.rs
@@ -2,41 +2,23 @@
 
 use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, Command};
+use clap::Arg;
 use oatpier_bench::load::deployment;
-use oatpier_bench::load::scenario::BenchScenario;
+use oatpier_bench::load::scenario::{BenchCase, BenchScenario, RunSpan};
 use oatpier_bench::policy::{self, BenchPolicy, PolicyCell, PolicyReport};
-use oatpier_bench::report;
+use oatpier_bench::report::{self, cli};
 
-fn cli() -> Command {
-    Command::new("bench-policy")
-        .about("Attainment per accelerator and moves, beside baselines")
-        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue))
-        .arg(
-            Arg::new("scenario")
-                .long("scenario")
-                .help("Run only this scenario"),
-        )
-        .arg(
-            Arg::new("deployment")
-                .long("deployment")
-                .help("Run only this deployment"),
-        )
-        .arg(
-            Arg::new("policy")
-                .long("policy")
-                .help("Run only this policy"),
-        )
-        .arg(
-            Arg::new("bench")
-                .long("bench")
-                .hide(true)
-                .action(ArgAction::SetTrue),
-        )
+fn only(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).conflicts_with("check")
 }
 
 fn main() -> ExitCode {
-    let matches = cli().get_matches();
+    let about = "Attainment per accelerator and moves, beside baselines";
+    let matches = cli::command("bench-policy", about)
+        .arg(only("scenario", "Run only this scenario"))
+        .arg(only("deployment", "Run only this deployment"))
+        .arg(only("policy", "Run only this policy"))
+        .get_matches();
     let wanted = |key: &str, name: &str| {
         matches
             .get_one::<String>(key)
@@ -51,20 +33,18 @@
                     && wanted("scenario", scenario.as_str())
                     && wanted("policy", policy.as_str())
                 {
-                    cells.push(PolicyCell {
+                    let case = BenchCase {
                         deployment,
                         scenario,
-                        policy,
-                    });
+                        span: RunSpan::WHOLE,
+                    };
+                    cells.push(PolicyCell { case, policy });
                 }
             }
         }
     }
     let runs = policy::run_cells(&cells);
-    report::print(
-        &PolicyReport { runs },
-        matches.get_flag("json"),
-        policy::table,
-    );
-    ExitCode::SUCCESS
+    let report = PolicyReport { runs };
+    report::print(&report, matches.get_flag("json"), policy::table);
+    cli::finish(&matches, "policy", &policy::figures(&report))
 }
--- a/crates/oatpier-bench/src/fleet/agent.rs
+++ b/crates/oatpier-bench/src/fleet/agent.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    fn cancel(&mut self, attempt: AttemptId) -> AgentActions {
+    fn cancel(attempt: AttemptId) -> AgentActions {
         let cancelled = AgentAction::Cancelled {
             attempt,
             verdict: RunVerdict::MayHaveRun,
@@ -92,7 +92,7 @@
             AgentEvent::Arrive { spec, .. } => {
                 AgentActions::from_iter([self.arrive(spec.attempt, &spec.goal)])
             }
-            AgentEvent::Cancel { attempt, .. } => self.cancel(attempt),
+            AgentEvent::Cancel { attempt, .. } => Self::cancel(attempt),
             AgentEvent::EndpointEnded { attempt } | AgentEvent::EndpointFailed { attempt, .. } => {
                 self.started.swap_remove(&attempt);
                 AgentActions::new()
--- a/crates/oatpier-bench/src/fleet/attempts.rs
+++ b/crates/oatpier-bench/src/fleet/attempts.rs
@@ -6,14 +6,28 @@
 use oatpier_standin::engine::{EngineOutput, OutputKind};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::engine::WeightsKey;
-use oatpier_types::event::FleetEvent;
 use oatpier_types::ids::{AttemptId, BootId, RequestId};
 use oatpier_types::refusal::{Refusal, RefusalCause};
 use oatpier_types::request::{AttemptSpec, RequestGoal};
 use oatpier_types::verdict::RunVerdict;
 
 use super::node::{NodeAttempt, engine_request};
-use super::world::{FleetStep, FleetWorld};
+use super::step::FleetStep;
+use super::world::FleetWorld;
+
+/// Tokens that an agent gathers before it passes them on, but for the first token and the last
+/// ones. A token a message would make the run four times as long and change no decision: targets
+/// are about the first token and about the mean time between tokens.
+const PIECE_TOKENS: u32 = 4;
+
+/// Where an answer comes from and goes to.
+#[derive(Debug, Clone, Copy)]
+struct AnswerRoute {
+    node: usize,
+    entry: usize,
+    request: RequestId,
+    attempt: AttemptId,
+}
 
 impl FleetWorld<'_> {
     pub(super) fn attempt(
@@ -38,6 +52,7 @@
             spec: spec.clone(),
             weights: None,
             begun: false,
+            unsent: 0,
         };
         self.nodes[node].attempts.0.insert(attempt, held);
         self.agent_event(node, AgentEvent::Arrive { spec, ticket });
@@ -93,8 +108,13 @@
         self.arm_agent(node);
     }
 
+    /// Whether a node lives, and is the one that an event was meant for.
+    pub(super) fn is_current(&self, node: usize, boot: BootId) -> bool {
+        self.nodes[node].boot == boot && self.nodes[node].alive
+    }
+
     pub(super) fn agent_timer(&mut self, node: usize, boot: BootId) {
-        if self.nodes[node].boot != boot || !self.nodes[node].alive {
+        if !self.is_current(node, boot) || self.nodes[node].armed.agent != self.now {
             return;
         }
         self.nodes[node].armed.agent = ClockTime::NEVER;
@@ -166,20 +186,9 @@
             self.tell_entry(node, held.entry, held.spec.request, event);
             return;
         }
-        self.log_run(node, &held.spec);
         self.arm_engine(node);
     }
 
-    fn log_run(&mut self, node: usize, spec: &AttemptSpec) {
-        let event = FleetEvent::RunStarted {
-            request: spec.request,
-            attempt: spec.attempt,
-            endpoint: self.nodes[node].place.endpoint.clone(),
-            key: None,
-        };
-        self.callers.log(self.now, event);
-    }
-
     fn serving(&self, node: usize, goal: &RequestGoal) -> Option<WeightsKey> {
         let RequestGoal::Model { model, adapter } = goal else {
             return None;
@@ -203,7 +212,9 @@
     }
 
     pub(super) fn engine_step(&mut self, node: usize, boot: BootId) {
-        if self.nodes[node].boot != boot || !self.nodes[node].alive {
+        if !self.is_current(node, boot) || self.nodes[node].armed.engine != self.now {
+            // A wake-up that an earlier one took the place of. Were it to arm the next one too,
+            // there would be two from here on, and more with each such step.
             return;
         }
         self.nodes[node].armed.engine = ClockTime::NEVER;
@@ -225,48 +236,67 @@
         };
         let first = !held.begun;
         held.begun = true;
-        let (entry, request) = (held.entry, held.spec.request);
+        let route = AnswerRoute {
+            node,
+            entry: held.entry,
+            request: held.spec.request,
+            attempt,
+        };
         match output.kind {
-            OutputKind::Token(_) => self.token(node, entry, request, attempt, first),
+            OutputKind::Token(_) if first => self.first_token(route),
+            OutputKind::Token(_) => {
+                held.unsent += 1;
+                if held.unsent == PIECE_TOKENS {
+                    self.flush(route);
+                }
+            }
             OutputKind::Done => {
+                self.flush(route);
                 self.nodes[node].attempts.0.swap_remove(&attempt);
                 self.agent_event(node, AgentEvent::EndpointEnded { attempt });
                 let pulse = Some(self.nodes[node].brain.pulse(self.now));
-                self.tell_entry(node, entry, request, EntryEvent::Ended { attempt, pulse });
+                self.tell(route, EntryEvent::Ended { attempt, pulse });
             }
             OutputKind::Cut => {
+                self.flush(route);
                 self.nodes[node].attempts.0.swap_remove(&attempt);
                 let verdict = RunVerdict::MayHaveRun;
                 self.agent_event(node, AgentEvent::EndpointFailed { attempt, verdict });
-                self.tell_entry(
-                    node,
-                    entry,
-                    request,
-                    EntryEvent::Failed { attempt, verdict },
-                );
+                self.tell(route, EntryEvent::Failed { attempt, verdict });
             }
         }
     }
 
-    fn token(
-        &mut self,
-        node: usize,
-        entry: usize,
-        request: RequestId,
-        attempt: AttemptId,
-        first: bool,
-    ) {
-        if first {
-            self.agent_event(node, AgentEvent::EndpointFirstToken { attempt });
-            let pulse = Some(self.nodes[node].brain.pulse(self.now));
-            let event = EntryEvent::FirstFrame { attempt, pulse };
-            self.tell_entry(node, entry, request, event);
-        } else {
-            let tokens = 1;
-            self.agent_event(node, AgentEvent::EndpointPiece { attempt, tokens });
+    fn first_token(&mut self, route: AnswerRoute) {
+        let AnswerRoute { node, attempt, .. } = route;
+        self.agent_event(node, AgentEvent::EndpointFirstToken { attempt });
+        let pulse = Some(self.nodes[node].brain.pulse(self.now));
+        self.tell(route, EntryEvent::FirstFrame { attempt, pulse });
+        self.tell(route, EntryEvent::Piece { attempt, tokens: 1 });
+    }
+
+    /// Passes on the tokens that were gathered. The agent's timer is left as it is: a piece only
+    /// refines estimates, and a timer that fires early is armed anew.
+    fn flush(&mut self, route: AnswerRoute) {
+        let AnswerRoute { node, attempt, .. } = route;
+        let Some(held) = self.nodes[node].attempts.0.get_mut(&attempt) else {
+            return;
+        };
+        let tokens = std::mem::take(&mut held.unsent);
+        if tokens == 0 {
+            return;
         }
-        let event = EntryEvent::Piece { attempt, tokens: 1 };
-        self.tell_entry(node, entry, request, event);
+        let event = AgentEvent::EndpointPiece { attempt, tokens };
+        let actions = self.nodes[node].brain.step(event, self.now);
+        if !actions.is_empty() {
+            self.agent_actions(node, actions, None);
+            self.arm_agent(node);
+        }
+        self.tell(route, EntryEvent::Piece { attempt, tokens });
+    }
+
+    fn tell(&mut self, route: AnswerRoute, event: EntryEvent) {
+        self.tell_entry(route.node, route.entry, route.request, event);
     }
 
     fn refuse(
--- a/crates/oatpier-bench/src/fleet/entry.rs
+++ b/crates/oatpier-bench/src/fleet/entry.rs
@@ -257,7 +257,7 @@
         class: intake.class.clone(),
         caller: intake.caller.clone(),
         repeat: intake.repeat,
-        remaining: std::time::Duration::from_secs(60),
+        remaining: std::time::Duration::from_mins(1),
         tokens: intake.tokens,
         resume_after: 0,
     }
--- a/crates/oatpier-bench/src/fleet/faults.rs
+++ b/crates/oatpier-bench/src/fleet/faults.rs
@@ -3,10 +3,11 @@
 use oatpier_policy::event::EntryEvent;
 use oatpier_standin::engine::EngineFaults;
 use oatpier_types::event::FleetEvent;
-use oatpier_types::names::DaemonName;
+use oatpier_types::names::{DaemonName, ModelName};
 
-use super::world::{FleetStep, FleetWorld};
-use crate::load::scenario::FaultKind;
+use super::step::FleetStep;
+use super::world::FleetWorld;
+use crate::load::scenario::{FaultKind, FaultVictim};
 
 impl FleetWorld<'_> {
     pub(super) fn fault_begins(&mut self, fault: usize) {
@@ -17,6 +18,10 @@
         match plan.kind {
             FaultKind::Death => self.kill(node),
             FaultKind::Freeze => self.freeze(node, true),
+            FaultKind::Unregistered => {
+                self.nodes[node].unregistered = true;
+                self.forget(node);
+            }
         }
         self.queue
             .push(plan.until, FleetStep::FaultEnds { fault, node });
@@ -26,11 +31,38 @@
         match self.faults[fault].kind {
             FaultKind::Death => self.revive(node),
             FaultKind::Freeze => self.freeze(node, false),
+            FaultKind::Unregistered => {
+                self.nodes[node].unregistered = false;
+                self.tell_entries(node);
+            }
         }
     }
 
+    fn victim(&self, victim: FaultVictim) -> Option<usize> {
+        match victim {
+            FaultVictim::Busiest(rank) => self.busiest(rank),
+            FaultVictim::OnlyHolder => self.only_holder(),
+            FaultVictim::Place(node) => (node < self.nodes.len()).then_some(node),
+        }
+    }
+
+    fn only_holder(&self) -> Option<usize> {
+        let models = self.deployment.config.models.keys();
+        models.into_iter().find_map(|model| {
+            let mut holders = (0..self.nodes.len()).filter(|node| self.has_ready(*node, model));
+            let first = holders.next()?;
+            holders.next().is_none().then_some(first)
+        })
+    }
+
+    fn has_ready(&self, node: usize, model: &ModelName) -> bool {
+        let mut ready = self.nodes[node].ready.iter();
+        self.nodes[node].alive
+            && ready.any(|weights| weights.adapter.is_none() && weights.model == *model)
+    }
+
     /// The live node at this rank by attempts on it.
-    fn victim(&self, rank: usize) -> Option<usize> {
+    fn busiest(&self, rank: usize) -> Option<usize> {
         let mut live: Vec<usize> = (0..self.nodes.len())
             .filter(|node| self.nodes[*node].alive)
             .collect();
--- a/crates/oatpier-bench/src/fleet/mod.rs
+++ b/crates/oatpier-bench/src/fleet/mod.rs
@@ -8,16 +8,20 @@
 //! - [`entry`], [`agent`]: decisions about requests, oatpier's or a baseline's.
 //! - [`node`]: one engine with its agent.
 //! - [`world`]: the whole fleet, and the loop.
+//! - `setup`: how it is put together; `step`: the kinds of events.
 //! - `requests`, `attempts`, `moves`, `faults`: what each event does.
-//! - [`caller`]: what the callers saw, and so the figures.
+//! - [`caller`]: what the callers saw; [`figures`]: what a run showed.
 
 pub mod agent;
 mod attempts;
 pub mod caller;
 pub mod entry;
 mod faults;
+pub mod figures;
 mod moves;
 pub mod node;
 pub mod queue;
 mod requests;
+mod setup;
+mod step;
 pub mod world;
--- a/crates/oatpier-bench/src/fleet/moves.rs
+++ b/crates/oatpier-bench/src/fleet/moves.rs
@@ -16,7 +16,8 @@
 use oatpier_types::plan::PlacementPlan;
 use smallvec::SmallVec;
 
-use super::world::{FleetStep, FleetWorld};
+use super::step::FleetStep;
+use super::world::FleetWorld;
 
 /// Time of a store call.
 const STORE_CALL: Duration = Duration::from_millis(3);
@@ -84,7 +85,7 @@
     }
 
     pub(super) fn moves_tick(&mut self, node: usize, boot: BootId) {
-        if self.nodes[node].boot != boot || !self.nodes[node].alive {
+        if !self.is_current(node, boot) {
             return;
         }
         self.step_moves(node);
@@ -136,7 +137,7 @@
 
     fn order(&mut self, node: usize, order: &EngineOrder) {
         if self.is_measured(self.now) {
-            self.moves += 1;
+            self.move_times.push(self.now);
         }
         let result = self.nodes[node].engine.order(self.now, order);
         let outcome = match result {
@@ -181,7 +182,7 @@
     }
 
     pub(super) fn stored(&mut self, node: usize, boot: BootId, answer: RecordAnswer) {
-        if self.nodes[node].boot == boot && self.nodes[node].alive {
+        if self.is_current(node, boot) {
             self.order_event(node, OrderEvent::Record(answer));
             self.commands(node);
         }
@@ -256,7 +257,7 @@
             endpoint: state.place.endpoint.clone(),
             pool: state.place.pool.clone(),
             zone: state.place.zone.clone(),
-            alive: state.alive,
+            alive: state.alive && !state.unregistered,
             leaving: false,
             held: engine.held,
             role: engine.role,
--- a/crates/oatpier-bench/src/fleet/node.rs
+++ b/crates/oatpier-bench/src/fleet/node.rs
@@ -43,6 +43,8 @@
     pub weights: Option<WeightsKey>,
     /// Whether the head of its answer went out.
     pub begun: bool,
+    /// Tokens after the first that are yet to be passed on.
+    pub unsent: u32,
 }
 
 /// The attempts at one node.
@@ -57,6 +59,8 @@
     pub boot: BootId,
     /// Whether engine and agent live.
     pub alive: bool,
+    /// Whether entries and planner lost its registration.
+    pub unregistered: bool,
     /// The agent's decisions about requests.
     pub brain: Box<dyn AgentBrain>,
     /// The engine.
@@ -124,6 +128,7 @@
             place,
             boot: parts.boot,
             alive: true,
+            unregistered: false,
             brain: parts.brain,
             engine: parts.engine,
             plan: None,
--- a/crates/oatpier-bench/src/fleet/queue.rs
+++ b/crates/oatpier-bench/src/fleet/queue.rs
@@ -5,35 +5,19 @@
 
 use oatpier_types::clock::ClockTime;
 
-struct QueuedEvent<E> {
+/// The place of an event in time. Only these small keys are sorted; events stay where they are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct QueueKey {
     at: ClockTime,
     number: u64,
-    event: E,
-}
-
-impl<E> PartialEq for QueuedEvent<E> {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl<E> Eq for QueuedEvent<E> {}
-
-impl<E> PartialOrd for QueuedEvent<E> {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl<E> Ord for QueuedEvent<E> {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.number).cmp(&(other.at, other.number))
-    }
+    place: usize,
 }
 
 /// The events that are yet to come.
 pub struct EventQueue<E> {
-    heap: BinaryHeap<Reverse<QueuedEvent<E>>>,
+    heap: BinaryHeap<Reverse<QueueKey>>,
+    events: Vec<Option<E>>,
+    free: Vec<usize>,
     made: u64,
 }
 
@@ -41,6 +25,8 @@
     fn default() -> Self {
         Self {
             heap: BinaryHeap::new(),
+            events: Vec::new(),
+            free: Vec::new(),
             made: 0,
         }
     }
@@ -50,16 +36,28 @@
     /// Adds an event.
     pub fn push(&mut self, at: ClockTime, event: E) {
         self.made += 1;
-        self.heap.push(Reverse(QueuedEvent {
+        let place = self.keep(event);
+        self.heap.push(Reverse(QueueKey {
             at,
             number: self.made,
-            event,
+            place,
         }));
     }
 
     /// Takes the next event with its time.
     pub fn pop(&mut self) -> Option<(ClockTime, E)> {
-        let Reverse(queued) = self.heap.pop()?;
-        Some((queued.at, queued.event))
+        let Reverse(key) = self.heap.pop()?;
+        let event = self.events[key.place].take()?;
+        self.free.push(key.place);
+        Some((key.at, event))
+    }
+
+    fn keep(&mut self, event: E) -> usize {
+        if let Some(place) = self.free.pop() {
+            self.events[place] = Some(event);
+            return place;
+        }
+        self.events.push(Some(event));
+        self.events.len() - 1
     }
 }
--- a/crates/oatpier-bench/src/fleet/requests.rs
+++ b/crates/oatpier-bench/src/fleet/requests.rs
@@ -17,13 +17,17 @@
 
 use super::caller::{AnswerSeen, CallerTry};
 use super::entry::FiredActions;
-use super::world::{FleetStep, FleetWorld, HEARTBEAT, SILENCE};
+use super::step::FleetStep;
+use super::world::{FleetWorld, HEARTBEAT, SILENCE};
 
 /// How long a refused caller waits that got no word on when to come back.
 const IMPATIENCE: Duration = Duration::from_millis(50);
 
 impl FleetWorld<'_> {
     pub(super) fn arrive(&mut self, arrival: usize, number: u32) {
+        if number == 0 {
+            self.queue_arrival(arrival + 1);
+        }
         let source = &self.arrivals[arrival];
         self.requests += 1;
         let request = RequestId(self.requests);
@@ -70,6 +74,9 @@
 
     pub(super) fn entry_timer(&mut self, entry: usize) {
         let node = &mut self.entries[entry];
+        if node.armed != self.now {
+            return;
+        }
         node.armed = ClockTime::NEVER;
         let mut fired = FiredActions::new();
         node.brain.fire_timers(self.now, &mut fired);
@@ -262,6 +269,10 @@
         if self.now.since(heard) < SILENCE {
             return;
         }
+        self.forget(node);
+    }
+
+    pub(super) fn forget(&mut self, node: usize) {
         let endpoint = self.nodes[node].place.endpoint.clone();
         for entry in &mut self.entries {
             entry.brain.forget(&endpoint, self.now);
@@ -270,6 +281,9 @@
 
     /// Sends an agent's word to all entries.
     pub(super) fn tell_entries(&mut self, node: usize) {
+        if self.nodes[node].unregistered {
+            return;
+        }
         for entry in 0..self.entries.len() {
             let status = self.nodes[node].status(self.now);
             let at = self.now + self.latency(entry, node);
--- a/crates/oatpier-bench/src/load/demand.rs
+++ b/crates/oatpier-bench/src/load/demand.rs
@@ -11,8 +11,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::deployment::{BenchDeployment, adapter_name, model_name};
-use super::scenario::{BenchScenario, RUN_LENGTH};
+use super::deployment::{adapter_name, model_name};
+use super::scenario::{BenchCase, BenchScenario};
+use crate::units::size_f64;
 
 /// Tokens in one block of a prompt prefix.
 pub const BLOCK_TOKENS: u32 = 64;
@@ -45,8 +46,7 @@
 
 /// Makes the arrivals of one run.
 pub struct DemandMaker<'a> {
-    deployment: &'a BenchDeployment,
-    scenario: BenchScenario,
+    case: BenchCase<'a>,
     random: ChaCha8Rng,
     base_weights: Vec<f64>,
 }
@@ -54,13 +54,12 @@
 impl<'a> DemandMaker<'a> {
     /// A maker for one run; equal seeds give equal arrivals.
     #[must_use]
-    pub fn new(deployment: &'a BenchDeployment, scenario: BenchScenario, seed: u64) -> Self {
-        let base_weights = (1..=deployment.config.models.len())
-            .map(|rank| rank_weight(rank))
+    pub fn new(case: BenchCase<'a>, seed: u64) -> Self {
+        let base_weights = (1..=case.deployment.config.models.len())
+            .map(rank_weight)
             .collect();
         Self {
-            deployment,
-            scenario,
+            case,
             random: ChaCha8Rng::seed_from_u64(seed),
             base_weights,
         }
@@ -70,7 +69,9 @@
     #[must_use]
     pub fn arrivals(mut self, entries: usize) -> Vec<BenchArrival> {
         let total: f64 = self.base_weights.iter().sum();
-        let unit = self.deployment.rate * self.scenario.demand_factor() / total;
+        let unit = self.case.deployment.rate
+            * self.case.scenario.demand_factor(self.case.deployment.full)
+            / total;
         let mut arrivals = Vec::new();
         for index in 0..self.base_weights.len() {
             self.model_arrivals(index, unit, entries, &mut arrivals);
@@ -93,7 +94,7 @@
         loop {
             let uniform: f64 = self.random.random();
             at += -(1.0 - uniform).ln() / highest;
-            if at >= RUN_LENGTH.as_secs_f64() {
+            if at >= self.case.span.length.as_secs_f64() {
                 return;
             }
             let keep: f64 = self.random.random();
@@ -104,10 +105,10 @@
     }
 
     fn factor(&self, index: usize, at: f64) -> f64 {
-        if self.scenario != BenchScenario::Burst {
+        if self.case.scenario != BenchScenario::Burst {
             return 1.0;
         }
-        let phase = (at / BURST_LENGTH.as_secs_f64()) as usize;
+        let phase = phase_of(at);
         let first = 5 + phase * BURST_MODELS;
         let bursting = (first..first + BURST_MODELS).contains(&(index % 17));
         if bursting { BURST_FACTOR } else { 1.0 }
@@ -115,7 +116,7 @@
 
     fn arrival(&mut self, index: usize, at: f64, entries: usize) -> BenchArrival {
         let model = model_name(index);
-        let class = self.deployment.config.models[&model].class.clone();
+        let class = self.case.deployment.config.models[&model].class.clone();
         let conversation = self.random.random_range(0..CONVERSATIONS);
         let shared_blocks = self.random.random_range(2..10);
         let prompt = shared_blocks * BLOCK_TOKENS + self.random.random_range(16..128);
@@ -135,7 +136,7 @@
 
     fn adapter(&mut self, model: usize) -> Option<AdapterName> {
         let models = self.base_weights.len();
-        let of_model = (self.deployment.config.adapters.len() + models - 1 - model) / models;
+        let of_model = (self.case.deployment.config.adapters.len() + models - 1 - model) / models;
         if of_model == 0 || self.random.random::<f64>() >= ADAPTER_SHARE {
             return None;
         }
@@ -144,8 +145,15 @@
     }
 }
 
-fn rank_weight(rank: usize) -> f64 {
-    (rank as f64).powf(-POPULARITY_POWER)
+/// Which of the bursts a point in time, in seconds, lies in.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn phase_of(at: f64) -> usize {
+    (at / BURST_LENGTH.as_secs_f64()) as usize
+}
+
+/// How much a model at a rank, from 1, is asked for beside the others.
+pub(crate) fn rank_weight(rank: usize) -> f64 {
+    size_f64(rank).powf(-POPULARITY_POWER)
 }
 
 fn prefix_chain(model: usize, conversation: u32, blocks: u32) -> PrefixChain {
--- a/crates/oatpier-bench/src/load/deployment.rs
+++ b/crates/oatpier-bench/src/load/deployment.rs
@@ -35,6 +35,9 @@
     pub to_callers: Duration,
     /// Requests to models in a second when steady.
     pub rate: f64,
+    /// What all endpoints together can serve, as a multiple of `rate`: at this demand the static
+    /// placement has 95 in 100 within target.
+    pub full: f64,
 }
 
 struct DeploymentShape {
@@ -70,6 +73,7 @@
         between_zones: Duration::from_micros(1_500),
         to_callers: Duration::from_millis(1),
         rate: 110.0,
+        full: 4.0,
     }
 }
 
@@ -96,6 +100,7 @@
         between_zones: Duration::from_micros(1_500),
         to_callers: Duration::from_millis(1),
         rate: 110.0,
+        full: 5.3,
     }
 }
 
@@ -118,7 +123,7 @@
     config.classes = classes();
     config.pools = pools(shape, &zones);
     config.models = (0..shape.models)
-        .map(|index| (model_name(index), model(&pool, index)))
+        .map(|index| (model_name(index), model_spec(&pool, index)))
         .collect();
     config.adapters = (0..shape.adapters)
         .map(|index| (adapter_name(index), adapter(index % shape.models)))
@@ -130,7 +135,8 @@
     config
 }
 
-fn classes() -> IndexMap<ClassName, ClassSpec> {
+/// The classes of both deployments.
+pub(crate) fn classes() -> IndexMap<ClassName, ClassSpec> {
     let stream = |first_ms, between_ms| ClassSpec {
         target: ClassTarget::Stream {
             first_token: Duration::from_millis(first_ms),
@@ -188,7 +194,8 @@
     ])
 }
 
-fn model(pool: &PoolName, index: usize) -> ModelSpec {
+/// The configuration of the model at `index`.
+pub(crate) fn model_spec(pool: &PoolName, index: usize) -> ModelSpec {
     let class = if index.is_multiple_of(3) {
         "explaining"
     } else {
@@ -230,7 +237,8 @@
     name(&format!("adapter-{index:03}"))
 }
 
-fn name<N>(raw: &str) -> N
+/// A built-in name.
+pub(crate) fn name<N>(raw: &str) -> N
 where
     N: for<'a> TryFrom<&'a str>,
     for<'a> <N as TryFrom<&'a str>>::Error: std::fmt::Debug,
--- a/crates/oatpier-bench/src/load/scenario.rs
+++ b/crates/oatpier-bench/src/load/scenario.rs
@@ -5,6 +5,8 @@
 use oatpier_types::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 
+use super::deployment::BenchDeployment;
+
 /// One scenario.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -21,24 +23,73 @@
     Lagging,
     /// Callers ask again at once, up to three times, after each refusal or error.
     RetryStorm,
-    /// Twice the demand that the fleet can serve.
+    /// As much demand as the fleet can serve: at about this rate the static placement is within
+    /// target for 95 in 100.
+    Full,
+    /// Twice that.
     Overload,
 }
 
-/// How long a scenario runs.
-pub const RUN_LENGTH: Duration = Duration::from_secs(120);
-/// How long its start is left out of the figures, while placements settle.
-pub const WARM_UP: Duration = Duration::from_secs(20);
+/// How long a run is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunSpan {
+    /// How long its start is left out of the figures, while placements settle.
+    pub warm_up: Duration,
+    /// How long callers send requests, the warm-up included.
+    pub length: Duration,
+}
+
+impl RunSpan {
+    /// Of the runs of reports.
+    pub const WHOLE: Self = Self {
+        warm_up: Duration::from_secs(20),
+        length: Duration::from_mins(2),
+    };
+
+    /// From when on requests count.
+    #[must_use]
+    pub fn counted_from(self) -> ClockTime {
+        ClockTime::from_start(self.warm_up)
+    }
+
+    /// When callers stop sending requests.
+    #[must_use]
+    pub fn ends_at(self) -> ClockTime {
+        ClockTime::from_start(self.length)
+    }
+
+    /// The time in which requests count, in seconds.
+    #[must_use]
+    pub fn counted_seconds(self) -> f64 {
+        self.length.saturating_sub(self.warm_up).as_secs_f64()
+    }
+}
+
+/// What a run is about.
+#[derive(Debug, Clone, Copy)]
+pub struct BenchCase<'a> {
+    /// The deployment.
+    pub deployment: &'a BenchDeployment,
+    /// What the demand does and what goes wrong.
+    pub scenario: BenchScenario,
+    /// How long.
+    pub span: RunSpan,
+}
+
+/// How much faster the demand moves than in the brief: an hour takes two minutes. What the planner
+/// measures in minutes is divided by this; the times of loads, steps and messages are not.
+pub const COMPRESSION: u32 = 30;
 
 impl BenchScenario {
     /// All scenarios, in the order of reports.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Steady,
         Self::Burst,
         Self::Deaths,
         Self::Freeze,
         Self::Lagging,
         Self::RetryStorm,
+        Self::Full,
         Self::Overload,
     ];
 
@@ -52,16 +103,18 @@
             Self::Freeze => "freeze",
             Self::Lagging => "lagging",
             Self::RetryStorm => "retry-storm",
+            Self::Full => "full",
             Self::Overload => "overload",
         }
     }
 
-    /// What the steady demand is multiplied by.
+    /// What the steady demand is multiplied by, where `full` is what the deployment can serve.
     #[must_use]
-    pub fn demand_factor(self) -> f64 {
+    pub fn demand_factor(self, full: f64) -> f64 {
         match self {
             Self::RetryStorm => 3.0,
-            Self::Overload => 6.0,
+            Self::Full => full,
+            Self::Overload => 2.0 * full,
             _ => 1.0,
         }
     }
@@ -92,7 +145,7 @@
             Self::Freeze => vec![FaultPlan {
                 at: ClockTime::from_millis(50_000),
                 until: ClockTime::from_millis(70_000),
-                victim: 0,
+                victim: FaultVictim::Busiest(0),
                 kind: FaultKind::Freeze,
             }],
             _ => Vec::new(),
@@ -105,7 +158,7 @@
     FaultPlan {
         at,
         until: at + Duration::from_secs(15),
-        victim: usize::try_from(index).unwrap_or(0),
+        victim: FaultVictim::Busiest(usize::try_from(index).unwrap_or(0)),
         kind: FaultKind::Death,
     }
 }
@@ -117,6 +170,19 @@
     Death,
     /// It makes no step; its agent lives.
     Freeze,
+    /// Entries and planner take it for gone, since its registration was lost; it lives.
+    Unregistered,
+}
+
+/// Whom a fault befalls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultVictim {
+    /// The live endpoint at this rank by attempts on it when the fault begins.
+    Busiest(usize),
+    /// The first live endpoint that holds the only ready replica of a model.
+    OnlyHolder,
+    /// The endpoint at this place in the configuration.
+    Place(usize),
 }
 
 /// One fault.
@@ -126,8 +192,8 @@
     pub at: ClockTime,
     /// When it ends.
     pub until: ClockTime,
-    /// Which endpoint: the one at this rank by requests in flight when the fault begins.
-    pub victim: usize,
+    /// Whom it befalls.
+    pub victim: FaultVictim,
     /// What goes wrong.
     pub kind: FaultKind,
 }
--- /dev/null
+++ b/crates/oatpier-bench/src/plots.rs
@@ -0,0 +1,231 @@
+//! Plots for the docs, drawn from runs: attainment against load, moves over time, spread of a
+//! change.
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use plotters::prelude::*;
+
+use crate::load::deployment::{BenchDeployment, ijoko};
+use crate::load::scenario::{BenchCase, BenchScenario, RunSpan};
+use crate::policy::{self, BenchPolicy, PolicyCell};
+use crate::state::spread;
+use crate::units::size_f64;
+
+const SIZE: (u32, u32) = (800, 480);
+/// Loads, as parts of what the deployment can serve.
+const LOADS: [f64; 7] = [0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0];
+const LOAD_SPAN: RunSpan = RunSpan {
+    warm_up: Duration::from_secs(10),
+    length: Duration::from_secs(40),
+};
+
+/// Why a plot was not drawn.
+#[derive(Debug)]
+pub enum PlotError {
+    /// The folder can't be made.
+    Folder(io::Error),
+    /// The plot can't be written.
+    Drawing(String),
+}
+
+impl fmt::Display for PlotError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Folder(error) => write!(formatter, "the folder can't be made: {error}"),
+            Self::Drawing(error) => write!(formatter, "the plot can't be written: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for PlotError {}
+
+/// One line of a plot.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlotLine {
+    /// Its name.
+    pub name: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// One plot.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LinePlot {
+    /// The file's name, without its ending.
+    pub file: &'static str,
+    /// The title.
+    pub title: &'static str,
+    /// What the horizontal axis is.
+    pub across: &'static str,
+    /// What the vertical axis is.
+    pub up: &'static str,
+    /// Its lines.
+    pub lines: Vec<PlotLine>,
+}
+
+/// Runs what the plots show and draws them into a folder; gives the files.
+///
+/// # Errors
+///
+/// See [`PlotError`].
+pub fn draw_all(folder: &Path) -> Result<Vec<PathBuf>, PlotError> {
+    fs::create_dir_all(folder).map_err(PlotError::Folder)?;
+    let plots = [attainment_by_load(), moves_over_time(), spread_of_change()];
+    plots.iter().map(|plot| draw(plot, folder)).collect()
+}
+
+/// Draws one plot as SVG.
+///
+/// # Errors
+///
+/// See [`PlotError`].
+pub fn draw(plot: &LinePlot, folder: &Path) -> Result<PathBuf, PlotError> {
+    let path = folder.join(format!("{}.svg", plot.file));
+    let drawn = draw_lines(plot, &path);
+    drawn.map_err(|error| PlotError::Drawing(error.to_string()))?;
+    Ok(path)
+}
+
+fn draw_lines(plot: &LinePlot, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let points = || plot.lines.iter().flat_map(|line| line.points.iter());
+    let widest = points()
+        .map(|point| point.0)
+        .fold(f64::MIN_POSITIVE, f64::max);
+    let highest = points()
+        .map(|point| point.1)
+        .fold(f64::MIN_POSITIVE, f64::max);
+    let mut chart = ChartBuilder::on(&root)
+        .caption(plot.title, ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..widest * 1.02, 0.0..highest * 1.08)?;
+    chart
+        .configure_mesh()
+        .x_desc(plot.across)
+        .y_desc(plot.up)
+        .draw()?;
+    for (index, line) in plot.lines.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let series = LineSeries::new(line.points.iter().copied(), color.stroke_width(2));
+        let legend = move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(2));
+        chart.draw_series(series)?.label(&line.name).legend(legend);
+    }
+    let labels = &mut chart.configure_series_labels();
+    labels
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
+
+/// Attainment of each policy at parts and multiples of what the deployment can serve.
+#[must_use]
+pub fn attainment_by_load() -> LinePlot {
+    let deployments = LOADS.map(|load| {
+        let whole = ijoko();
+        BenchDeployment {
+            full: whole.full * load,
+            ..whole
+        }
+    });
+    let cells: Vec<PolicyCell<'_>> = BenchPolicy::ALL
+        .iter()
+        .flat_map(|policy| {
+            deployments
+                .iter()
+                .map(|one| cell(one, BenchScenario::Full, LOAD_SPAN, *policy))
+        })
+        .collect();
+    let runs = policy::run_cells(&cells);
+    let lines = BenchPolicy::ALL.iter().zip(runs.chunks(LOADS.len()));
+    let lines = lines.map(|(policy, runs)| PlotLine {
+        name: policy.as_str().to_owned(),
+        points: LOADS
+            .into_iter()
+            .zip(runs.iter().map(|run| run.attainment))
+            .collect(),
+    });
+    LinePlot {
+        file: "attainment-by-load",
+        title: "Attainment against load (ijoko)",
+        across: "demand, as a multiple of what the fleet can serve",
+        up: "share of requests within target",
+        lines: lines.collect(),
+    }
+}
+
+/// Moves under bursts, summed up over time.
+#[must_use]
+pub fn moves_over_time() -> LinePlot {
+    let deployment = ijoko();
+    let policies = [BenchPolicy::Oatpier, BenchPolicy::LeastOutstanding];
+    let lines = policies.map(|policy| {
+        let cell = cell(&deployment, BenchScenario::Burst, RunSpan::WHOLE, policy);
+        let times = policy::run_figures(&cell).move_times;
+        let steps = times.iter().enumerate();
+        let points = steps.map(|(index, at)| {
+            let seconds = at
+                .since(oatpier_types::clock::ClockTime::ZERO)
+                .as_secs_f64();
+            (seconds, size_f64(index + 1))
+        });
+        PlotLine {
+            name: policy.as_str().to_owned(),
+            points: points.collect(),
+        }
+    });
+    LinePlot {
+        file: "moves-over-time",
+        title: "Moves under bursts (ijoko, least-outstanding over the greedy planner)",
+        across: "seconds; two minutes stand for an hour",
+        up: "moves so far",
+        lines: lines.to_vec(),
+    }
+}
+
+/// The share of processes that have a change in force, by the time since it was accepted.
+#[must_use]
+pub fn spread_of_change() -> LinePlot {
+    let rows = spread::sizes()
+        .into_iter()
+        .take(2)
+        .flat_map(|size| spread::run(&size));
+    let lines = rows.map(|row| {
+        let count = size_f64(row.times_s.len());
+        let points = row.times_s.iter().enumerate();
+        let points = points.map(|(index, seconds)| (*seconds, size_f64(index + 1) / count));
+        PlotLine {
+            name: format!("{} entries, {}", row.entries, row.network),
+            points: points.collect(),
+        }
+    });
+    LinePlot {
+        file: "spread-of-change",
+        title: "Spread of a change, a tenth of messages lost",
+        across: "seconds since it was accepted (cut off: since the heal)",
+        up: "share of processes with it in force",
+        lines: lines.collect(),
+    }
+}
+
+fn cell(
+    deployment: &BenchDeployment,
+    scenario: BenchScenario,
+    span: RunSpan,
+    policy: BenchPolicy,
+) -> PolicyCell<'_> {
+    let case = BenchCase {
+        deployment,
+        scenario,
+        span,
+    };
+    PolicyCell { case, policy }
+}
--- a/crates/oatpier-bench/src/policy.rs
+++ b/crates/oatpier-bench/src/policy.rs
@@ -13,11 +13,14 @@
 use serde::Serialize;
 
 use crate::fleet::entry::{EntryBrain, PlainChoice, PlainEntry};
-use crate::fleet::world::{FleetBrains, FleetWorld, RunFigures};
+use crate::fleet::figures::RunFigures;
+use crate::fleet::world::{FleetBrains, FleetWorld};
 use crate::load::demand::DemandMaker;
 use crate::load::deployment::BenchDeployment;
-use crate::load::scenario::{BenchScenario, RUN_LENGTH, WARM_UP};
+use crate::load::scenario::{BenchCase, BenchScenario, COMPRESSION, FaultPlan};
+use crate::report::bounds::MeasuredFigure;
 use crate::report::table::TextTable;
+use crate::units::as_f64;
 
 /// Entries of each deployment.
 const ENTRIES: usize = 3;
@@ -62,7 +65,7 @@
             .map(|index| self.entry(deployment, index))
             .collect();
         let planner: Box<dyn FleetPlanner> = match self {
-            Self::Oatpier => Box::new(PlacementPlanner::new(PlannerSettings::default())),
+            Self::Oatpier => Box::new(PlacementPlanner::new(planner_settings())),
             Self::Static => Box::new(StaticPlanner::default()),
             Self::RoundRobin | Self::LeastOutstanding => Box::new(GreedyPlanner::default()),
         };
@@ -96,6 +99,20 @@
     }
 }
 
+/// The planner's settings for demand that moves [`COMPRESSION`] times as fast. The cost of a move
+/// is in seconds and is weighed against the gain over the horizon, so it shrinks alike.
+#[must_use]
+pub fn planner_settings() -> PlannerSettings {
+    let settings = PlannerSettings::default();
+    PlannerSettings {
+        horizon: settings.horizon / COMPRESSION,
+        move_cost: settings.move_cost / f64::from(COMPRESSION),
+        dwell: settings.dwell / COMPRESSION,
+        empty_every: settings.empty_every / COMPRESSION,
+        ..settings
+    }
+}
+
 /// One run's line in the report.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct PolicyRun {
@@ -131,10 +148,8 @@
 /// One cell of the report.
 #[derive(Debug, Clone, Copy)]
 pub struct PolicyCell<'a> {
-    /// The deployment.
-    pub deployment: &'a BenchDeployment,
-    /// The scenario.
-    pub scenario: BenchScenario,
+    /// What it is about.
+    pub case: BenchCase<'a>,
     /// What serves the requests.
     pub policy: BenchPolicy,
 }
@@ -171,27 +186,38 @@
 /// Runs one cell of the report.
 #[must_use]
 pub fn run_cell(cell: &PolicyCell<'_>) -> PolicyRun {
-    let PolicyCell {
-        deployment,
-        scenario,
-        policy,
-    } = *cell;
-    let arrivals = DemandMaker::new(deployment, scenario, SEED).arrivals(ENTRIES);
-    let world = FleetWorld::new(deployment, scenario, &arrivals, policy.brains(deployment));
-    line(cell, world.run())
+    line(cell, run_figures(cell))
+}
+
+/// What one cell's run showed, in full.
+#[must_use]
+pub fn run_figures(cell: &PolicyCell<'_>) -> RunFigures {
+    let PolicyCell { case, policy } = *cell;
+    let arrivals = DemandMaker::new(case, SEED).arrivals(ENTRIES);
+    FleetWorld::new(case, &arrivals, policy.brains(case.deployment)).run()
+}
+
+/// Runs oatpier on a case with other faults than its scenario's.
+#[must_use]
+pub fn run_with_faults(case: BenchCase<'_>, faults: Vec<FaultPlan>) -> RunFigures {
+    let arrivals = DemandMaker::new(case, SEED).arrivals(ENTRIES);
+    let brains = BenchPolicy::Oatpier.brains(case.deployment);
+    FleetWorld::new(case, &arrivals, brains)
+        .with_faults(faults)
+        .run()
 }
 
 fn line(cell: &PolicyCell<'_>, figures: RunFigures) -> PolicyRun {
-    let seconds = (RUN_LENGTH - WARM_UP).as_secs_f64();
+    let case = cell.case;
     PolicyRun {
-        deployment: cell.deployment.name.to_owned(),
-        scenario: cell.scenario.as_str().to_owned(),
+        deployment: case.deployment.name.to_owned(),
+        scenario: case.scenario.as_str().to_owned(),
         policy: cell.policy.as_str().to_owned(),
         requests: figures.requests,
         attainment: as_f64(figures.delivered) / as_f64(figures.requests.max(1)),
         accelerators_used: figures.accelerators_used,
         attainment_per_accelerator: as_f64(figures.delivered)
-            / seconds
+            / case.span.counted_seconds()
             / figures.accelerators_used.max(1.0),
         moves: figures.moves,
         breaches: figures.breaches,
@@ -199,12 +225,6 @@
     }
 }
 
-/// Counts here are far below 2^52.
-#[allow(clippy::cast_precision_loss)]
-fn as_f64(count: u64) -> f64 {
-    count as f64
-}
-
 /// The report as a table.
 #[must_use]
 pub fn table(report: &PolicyReport) -> TextTable {
@@ -234,3 +254,54 @@
     }
     table
 }
+
+/// The figures that bounds may name: oatpier's own, and how they stand to the baselines.
+#[must_use]
+pub fn figures(report: &PolicyReport) -> Vec<MeasuredFigure> {
+    let own = report
+        .runs
+        .iter()
+        .filter(|run| run.policy == BenchPolicy::Oatpier.as_str());
+    let mut figures = Vec::new();
+    for run in own {
+        let name = format!("{}.{}", run.deployment, run.scenario);
+        let mut push = |what: &str, value: f64| {
+            let name = format!("{name}.{what}");
+            figures.push(MeasuredFigure { name, value });
+        };
+        push("attainment", run.attainment);
+        push("attainment_per_accelerator", run.attainment_per_accelerator);
+        push("moves", as_f64(run.moves));
+        push("breaches", as_f64(run.breaches.len() as u64));
+        push("against_best_baseline", against_best(report, run));
+        if run.scenario == BenchScenario::Overload.as_str() {
+            push("goodput_against_full", against_full(report, run));
+        }
+    }
+    figures
+}
+
+/// Attainment per accelerator over that of the best baseline in the same scenario.
+fn against_best(report: &PolicyReport, own: &PolicyRun) -> f64 {
+    let same = report.runs.iter().filter(|run| {
+        run.policy != own.policy && run.deployment == own.deployment && run.scenario == own.scenario
+    });
+    let best = same
+        .map(|run| run.attainment_per_accelerator)
+        .fold(0.0, f64::max);
+    own.attainment_per_accelerator / best
+}
+
+/// Requests within target at twice what the deployment can serve, over those at once that.
+fn against_full(report: &PolicyReport, own: &PolicyRun) -> f64 {
+    let full = report.runs.iter().find(|run| {
+        run.policy == own.policy
+            && run.deployment == own.deployment
+            && run.scenario == BenchScenario::Full.as_str()
+    });
+    full.map_or(f64::NAN, |full| goodput(own) / goodput(full))
+}
+
+fn goodput(run: &PolicyRun) -> f64 {
+    run.attainment_per_accelerator * run.accelerators_used
+}
--- a/crates/oatpier-bench/src/report/bounds.rs
+++ b/crates/oatpier-bench/src/report/bounds.rs
@@ -70,10 +70,23 @@
     /// If the committed file is malformed.
     #[must_use]
     pub fn of(bench: &str) -> Self {
-        let mut all: IndexMap<String, IndexMap<String, FigureBound>> =
-            toml::from_str(BOUNDS_TEXT).expect("bounds.toml is well-formed");
+        Self::parse(BOUNDS_TEXT, bench).expect("bounds.toml is well-formed")
+    }
+
+    /// The bounds of the bench named `bench` in a file's text.
+    ///
+    /// # Errors
+    ///
+    /// If the text is malformed.
+    pub fn parse(text: &str, bench: &str) -> Result<Self, toml::de::Error> {
+        let mut all: IndexMap<String, IndexMap<String, FigureBound>> = toml::from_str(text)?;
         let bounds = all.swap_remove(bench).unwrap_or_default();
-        Self { bounds }
+        Ok(Self { bounds })
+    }
+
+    /// The names of the bounded figures.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.bounds.keys().map(String::as_str)
     }
 
     /// What is out of bounds.
--- a/crates/oatpier-bench/src/report/mod.rs
+++ b/crates/oatpier-bench/src/report/mod.rs
@@ -1,6 +1,7 @@
 //! What the benches print: one JSON document or an aligned table, and the committed bounds.
 
 pub mod bounds;
+pub mod cli;
 pub mod table;
 
 use serde::Serialize;
--- /dev/null
+++ b/crates/oatpier-bench/src/state/day.rs
@@ -0,0 +1,276 @@
+//! Moves in a day of demand, for the product's planner, a greedy and a static one.
+//!
+//! No request is simulated here: in each step the endpoints that hold a model take as much of its
+//! demand as they have time for, so the attained share is an upper bound that leaves out queues
+//! and deadlines. In exchange the day is a whole one, with the planner's own times uncompressed.
+//! A load takes one step. `cargo bench-policy` has the shorter runs with every request.
+
+use std::f64::consts::TAU;
+use std::time::Duration;
+
+use oatpier_placement::demand::{DemandKey, DemandLedger};
+use oatpier_placement::planner::{
+    EndpointView, FleetPlanner, GreedyPlanner, PlacementPlanner, PlannerInput, PlannerSettings,
+    StaticPlanner,
+};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::PoolKind;
+use oatpier_types::engine::{EngineRole, HeldWeights, WeightsKey, WeightsState};
+use oatpier_types::ids::{Generation, Term};
+use oatpier_types::plan::PlacementPlan;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use smallvec::SmallVec;
+
+use crate::load::demand::rank_weight;
+use crate::load::deployment::{BenchDeployment, ENGINE_SLOTS, model_name};
+use crate::units::size_f64;
+
+const SEED: u64 = 7;
+const STEP: Duration = Duration::from_secs(10);
+const DAY_STEPS: u32 = 8_640;
+/// The demand of a step is handed out in so many parts, one model after the other.
+const PARTS: u32 = 20;
+/// Tokens of a request.
+const PROMPT: u32 = 400;
+const OUTPUT: u32 = 88;
+/// Time to read a prompt token, as an agent would say.
+const PROMPT_TOKEN_NS: u32 = 20_000;
+/// A model's demand is this much higher in a burst.
+const BURST_FACTOR: f64 = 10.0;
+/// Bursts of one model in a day, on average.
+const BURSTS_A_DAY: f64 = 3.0;
+/// Steps of a burst: ten to forty minutes.
+const BURST_STEPS: std::ops::Range<u32> = 60..240;
+
+/// One row of the report.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct DayRow {
+    /// The deployment.
+    pub deployment: String,
+    /// The planner.
+    pub planner: String,
+    /// An upper bound of the share of requests within target.
+    pub attainment: f64,
+    /// Accelerators that held weights, on average.
+    pub accelerators_used: f64,
+    /// The share over the accelerators.
+    pub attainment_per_accelerator: f64,
+    /// Loads and unloads.
+    pub moves: u32,
+}
+
+/// A day for each planner.
+pub(super) fn run(deployment: &BenchDeployment) -> Vec<DayRow> {
+    let planners: [Box<dyn FleetPlanner>; 3] = [
+        Box::new(PlacementPlanner::new(PlannerSettings::default())),
+        Box::new(GreedyPlanner::new()),
+        Box::new(StaticPlanner::new()),
+    ];
+    let rows = planners.map(|planner| FleetDay::new(deployment).run(planner));
+    rows.to_vec()
+}
+
+#[derive(Default)]
+struct DayTotals {
+    moves: u32,
+    endpoints: f64,
+    asked: f64,
+    served: f64,
+}
+
+struct FleetDay<'a> {
+    deployment: &'a BenchDeployment,
+    views: Vec<EndpointView>,
+    plan: Option<PlacementPlan>,
+    ledger: DemandLedger,
+    bursts: Vec<u32>,
+    weights: Vec<f64>,
+    /// What a model's demand leaves over from whole requests.
+    carried: Vec<f64>,
+    random: ChaCha8Rng,
+}
+
+impl<'a> FleetDay<'a> {
+    fn new(deployment: &'a BenchDeployment) -> Self {
+        let models = deployment.config.models.len();
+        let weights: Vec<f64> = (1..=models).map(rank_weight).collect();
+        let total: f64 = weights.iter().sum();
+        Self {
+            deployment,
+            views: views(deployment),
+            plan: None,
+            ledger: DemandLedger::new(),
+            bursts: vec![0; models],
+            weights: weights.iter().map(|weight| weight / total).collect(),
+            carried: vec![0.0; models],
+            random: ChaCha8Rng::seed_from_u64(SEED),
+        }
+    }
+
+    fn run(mut self, mut planner: Box<dyn FleetPlanner>) -> DayRow {
+        let mut totals = DayTotals::default();
+        for step in 0..DAY_STEPS {
+            let counts = self.ask(step);
+            if step > 0 {
+                self.serve(&counts, &mut totals);
+            }
+            self.step(planner.as_mut(), step, &mut totals);
+        }
+        let steps = f64::from(DAY_STEPS - 1);
+        let accelerators_used = 4.0 * totals.endpoints / steps;
+        let attainment = totals.served / totals.asked;
+        DayRow {
+            deployment: self.deployment.name.to_owned(),
+            planner: planner.name().to_owned(),
+            attainment,
+            accelerators_used,
+            attainment_per_accelerator: attainment / accelerators_used,
+            moves: totals.moves,
+        }
+    }
+
+    /// Requests of each model in one step: quiet at night, with bursts.
+    fn ask(&mut self, step: u32) -> Vec<u32> {
+        let hour = f64::from(step) / f64::from(DAY_STEPS);
+        let daytime = 0.6 - 0.4 * (hour * TAU).cos();
+        let all = self.deployment.rate * STEP.as_secs_f64() * daytime;
+        let now = ClockTime::ZERO + STEP * step;
+        (0..self.bursts.len())
+            .map(|model| self.ask_model(model, all, now))
+            .collect()
+    }
+
+    fn ask_model(&mut self, model: usize, all: f64, now: ClockTime) -> u32 {
+        let begins = BURSTS_A_DAY / f64::from(DAY_STEPS);
+        if self.bursts[model] == 0 && self.random.random_bool(begins) {
+            self.bursts[model] = self.random.random_range(BURST_STEPS);
+        }
+        let factor = if self.bursts[model] > 0 {
+            BURST_FACTOR
+        } else {
+            1.0
+        };
+        self.bursts[model] = self.bursts[model].saturating_sub(1);
+        let noise = self.random.random_range(0.8..1.2);
+        let wanted = all * self.weights[model] * factor * noise + self.carried[model];
+        let count = floor(wanted);
+        self.carried[model] = wanted - f64::from(count);
+        let key = DemandKey {
+            model: model_name(model),
+            adapter: None,
+        };
+        for _ in 0..count {
+            self.ledger.record(&key, PROMPT, OUTPUT, now);
+        }
+        count
+    }
+
+    /// What the ready replicas have time for, when each part goes to the one with most time.
+    fn serve(&self, counts: &[u32], totals: &mut DayTotals) {
+        let holders: Vec<Vec<usize>> = (0..counts.len()).map(|model| self.holders(model)).collect();
+        let capacity = capacity(self.deployment) * STEP.as_secs_f64();
+        let mut loads = vec![0.0_f64; self.views.len()];
+        for _ in 0..PARTS {
+            for (count, holders) in counts.iter().zip(&holders) {
+                let part = f64::from(*count) / f64::from(PARTS);
+                let free = holders
+                    .iter()
+                    .min_by(|a, b| loads[**a].total_cmp(&loads[**b]));
+                let Some(free) = free else {
+                    continue;
+                };
+                let room = (1.0 - loads[*free]).max(0.0) * capacity;
+                totals.served += part.min(room);
+                loads[*free] += part / capacity;
+            }
+        }
+        totals.asked += counts.iter().copied().map(f64::from).sum::<f64>();
+        let used = self.views.iter().filter(|view| !view.held.is_empty());
+        totals.endpoints += size_f64(used.count());
+    }
+
+    fn holders(&self, model: usize) -> Vec<usize> {
+        let name = model_name(model);
+        let views = self.views.iter().enumerate();
+        let holding = views.filter(|(_, view)| {
+            let mut held = view.held.iter();
+            held.any(|held| held.weights.model == name && held.weights.adapter.is_none())
+        });
+        holding.map(|(index, _)| index).collect()
+    }
+
+    fn step(&mut self, planner: &mut dyn FleetPlanner, step: u32, totals: &mut DayTotals) {
+        let now = ClockTime::ZERO + STEP * step;
+        let demand = self.ledger.summary(now);
+        let input = PlannerInput {
+            config: &self.deployment.config,
+            generation: Generation(1),
+            term: Term(1),
+            demand: &demand,
+            endpoints: &self.views,
+            previous: self.plan.as_ref(),
+        };
+        let outcome = planner.plan(&input, now);
+        if step > 0 {
+            totals.moves += outcome.loads + outcome.unloads;
+        }
+        for (view, row) in self.views.iter_mut().zip(&outcome.plan.endpoints) {
+            view.held = row.weights.iter().map(ready).collect();
+        }
+        self.plan = Some(outcome.plan);
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn floor(count: f64) -> u32 {
+    count.max(0.0) as u32
+}
+
+/// Requests that one endpoint serves in a second, as the policy bench measured it.
+fn capacity(deployment: &BenchDeployment) -> f64 {
+    deployment.rate * deployment.full / size_f64(views(deployment).len())
+}
+
+fn ready(weights: &WeightsKey) -> HeldWeights {
+    HeldWeights {
+        weights: weights.clone(),
+        state: WeightsState::Ready,
+    }
+}
+
+/// The endpoints, empty, sorted by name.
+fn views(deployment: &BenchDeployment) -> Vec<EndpointView> {
+    let pools = deployment.config.pools.iter();
+    let engines = pools.filter(|(_, pool)| matches!(pool.kind, PoolKind::Engine { .. }));
+    let mut views: Vec<EndpointView> = engines
+        .flat_map(|(name, pool)| {
+            pool.endpoints.iter().map(|(endpoint, zone)| EndpointView {
+                endpoint: endpoint.clone(),
+                pool: name.clone(),
+                zone: zone.clone(),
+                alive: true,
+                leaving: false,
+                held: SmallVec::new(),
+                role: EngineRole::Both,
+                prompt_token_ns: PROMPT_TOKEN_NS,
+                step_us: 0,
+            })
+        })
+        .collect();
+    views.sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
+    let step_us = step_us(deployment, views.len());
+    for view in &mut views {
+        view.step_us = step_us;
+    }
+    views
+}
+
+/// The time of a generation step that makes an endpoint serve just its capacity.
+fn step_us(deployment: &BenchDeployment, endpoints: usize) -> u32 {
+    let rate = deployment.rate * deployment.full / size_f64(endpoints);
+    let request_s = f64::from(ENGINE_SLOTS) / rate;
+    let reading_s = f64::from(PROMPT) * f64::from(PROMPT_TOKEN_NS) / 1e9;
+    floor((request_s - reading_s) / f64::from(OUTPUT) * 1e6)
+}
--- /dev/null
+++ b/crates/oatpier-bench/src/state/mod.rs
@@ -0,0 +1,262 @@
+//! The state bench: spread of changes, recovery, moves, lost registrars and slopes of cost.
+
+pub mod day;
+pub mod recovery;
+pub mod registrars;
+pub mod slopes;
+pub mod spread;
+
+mod support;
+
+use std::thread;
+
+use serde::Serialize;
+
+use crate::load::deployment::{BenchDeployment, all};
+use crate::report::bounds::MeasuredFigure;
+use crate::report::table::TextTable;
+use crate::units::{as_f64, size_f64};
+
+use day::DayRow;
+use recovery::RecoveryRow;
+use registrars::RegistrarRow;
+use slopes::SlopeRow;
+use spread::SpreadRow;
+
+/// The whole report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct StateReport {
+    /// How long an accepted change takes to be in force everywhere.
+    pub spread: Vec<SpreadRow>,
+    /// How long a model is out of reach when its only replica's endpoint dies.
+    pub recovery: Vec<RecoveryRow>,
+    /// A day of each planner.
+    pub moves: Vec<DayRow>,
+    /// What the death of a registrar costs.
+    pub registrars: Vec<RegistrarRow>,
+    /// What control costs a process.
+    pub slopes: Vec<SlopeRow>,
+}
+
+/// The parts of the report.
+pub const PARTS: [&str; 5] = ["spread", "recovery", "moves", "registrars", "slopes"];
+
+/// Runs the parts that `wanted` names, side by side where they don't measure this machine.
+///
+/// # Panics
+///
+/// If a run panics.
+#[must_use]
+pub fn run(wanted: impl Fn(&str) -> bool) -> StateReport {
+    let deployments = all();
+    let mut report = StateReport::default();
+    thread::scope(|scope| {
+        let spread = wanted("spread").then(|| scope.spawn(run_spread));
+        let each = &deployments;
+        let recovery =
+            wanted("recovery").then(|| scope.spawn(|| per(each, |one| vec![recovery::run(one)])));
+        let moves = wanted("moves").then(|| scope.spawn(|| per(each, day::run)));
+        let registrars = wanted("registrars").then(|| scope.spawn(|| per(each, registrars::run)));
+        let join = "no run panicked";
+        report.spread = spread
+            .map(|run| run.join().expect(join))
+            .unwrap_or_default();
+        report.recovery = recovery
+            .map(|run| run.join().expect(join))
+            .unwrap_or_default();
+        report.moves = moves.map(|run| run.join().expect(join)).unwrap_or_default();
+        report.registrars = registrars
+            .map(|run| run.join().expect(join))
+            .unwrap_or_default();
+    });
+    if wanted("slopes") {
+        report.slopes = slopes::run();
+    }
+    report
+}
+
+fn run_spread() -> Vec<SpreadRow> {
+    spread::sizes().iter().flat_map(spread::run).collect()
+}
+
+fn per<R>(deployments: &[BenchDeployment], run: impl Fn(&BenchDeployment) -> Vec<R>) -> Vec<R> {
+    deployments.iter().flat_map(run).collect()
+}
+
+/// The report as one table after the other.
+#[must_use]
+pub fn table(report: &StateReport) -> TextTable {
+    let mut table = TextTable::default();
+    push_spread(&mut table, &report.spread);
+    push_recovery(&mut table, &report.recovery);
+    push_moves(&mut table, &report.moves);
+    push_registrars(&mut table, &report.registrars);
+    push_slopes(&mut table, &report.slopes);
+    table
+}
+
+fn push_spread(table: &mut TextTable, rows: &[SpreadRow]) {
+    if rows.is_empty() {
+        return;
+    }
+    table.push(titles(&[
+        "spread: entries",
+        "agents",
+        "loss",
+        "network",
+        "p50 s",
+        "p99 s",
+        "max s",
+    ]));
+    for row in rows {
+        table.push(vec![
+            row.entries.to_string(),
+            row.agents.to_string(),
+            row.loss.to_string(),
+            row.network.clone(),
+            format!("{:.3}", row.p50_s),
+            format!("{:.3}", row.p99_s),
+            format!("{:.3}", row.max_s),
+        ]);
+    }
+}
+
+fn push_recovery(table: &mut TextTable, rows: &[RecoveryRow]) {
+    if rows.is_empty() {
+        return;
+    }
+    table.push(titles(&[
+        "recovery: deployment",
+        "models",
+        "lost",
+        "mean s",
+        "max s",
+        "silence s",
+    ]));
+    for row in rows {
+        table.push(vec![
+            row.deployment.clone(),
+            row.models.to_string(),
+            row.lost.to_string(),
+            format!("{:.2}", row.mean_s),
+            format!("{:.2}", row.max_s),
+            format!("{:.1}", row.silence_s),
+        ]);
+    }
+}
+
+fn push_moves(table: &mut TextTable, rows: &[DayRow]) {
+    if rows.is_empty() {
+        return;
+    }
+    table.push(titles(&[
+        "a day: deployment",
+        "planner",
+        "attainment",
+        "accelerators",
+        "per accelerator",
+        "moves",
+    ]));
+    for row in rows {
+        table.push(vec![
+            row.deployment.clone(),
+            row.planner.clone(),
+            format!("{:.4}", row.attainment),
+            format!("{:.1}", row.accelerators_used),
+            format!("{:.5}", row.attainment_per_accelerator),
+            row.moves.to_string(),
+        ]);
+    }
+}
+
+fn push_registrars(table: &mut TextTable, rows: &[RegistrarRow]) {
+    if rows.is_empty() {
+        return;
+    }
+    table.push(titles(&[
+        "lost registrar: deployment",
+        "rows",
+        "agents gone",
+        "longest s",
+        "attainment",
+        "moves",
+    ]));
+    for row in rows {
+        table.push(vec![
+            row.deployment.clone(),
+            row.lost_registrar.clone(),
+            row.agents_gone.to_string(),
+            format!("{:.2}", row.longest_s),
+            format!("{:.4}", row.attainment),
+            row.moves.to_string(),
+        ]);
+    }
+}
+
+fn push_slopes(table: &mut TextTable, rows: &[SlopeRow]) {
+    if rows.is_empty() {
+        return;
+    }
+    table.push(titles(&["cost: role", "resource", "per", "value", "unit"]));
+    for row in rows {
+        table.push(vec![
+            row.role.clone(),
+            row.resource.clone(),
+            row.per.clone(),
+            format!("{:.4}", row.value),
+            row.unit.clone(),
+        ]);
+    }
+}
+
+fn titles(words: &[&str]) -> Vec<String> {
+    words.iter().map(ToString::to_string).collect()
+}
+
+/// The figures that bounds may name; processor time is not among them.
+#[must_use]
+pub fn figures(report: &StateReport) -> Vec<MeasuredFigure> {
+    let spread = report.spread.iter().flat_map(|row| {
+        let name = format!("spread.{}.{}", row.entries, row.network);
+        [
+            (format!("{name}.p99_s"), row.p99_s),
+            (format!("{name}.max_s"), row.max_s),
+        ]
+    });
+    let recovery = report.recovery.iter().flat_map(|row| {
+        let name = format!("recovery.{}", row.deployment);
+        [
+            (format!("{name}.lost"), size_f64(row.lost)),
+            (format!("{name}.max_s"), row.max_s),
+        ]
+    });
+    let moves = report.moves.iter().flat_map(|row| {
+        let name = format!("moves.{}.{}", row.deployment, row.planner);
+        [
+            (format!("{name}.moves"), f64::from(row.moves)),
+            (format!("{name}.attainment"), row.attainment),
+        ]
+    });
+    let registrars = report.registrars.iter().flat_map(|row| {
+        let name = format!("registrars.{}.{}", row.deployment, row.lost_registrar);
+        [
+            (format!("{name}.moves"), as_f64(row.moves)),
+            (format!("{name}.attainment"), row.attainment),
+        ]
+    });
+    let slopes = report
+        .slopes
+        .iter()
+        .filter(|row| row.resource != "processor time");
+    let slopes = slopes.map(|row| {
+        let name = format!("slopes.{}.{}.per {}", row.role, row.resource, row.per);
+        (name, row.value)
+    });
+    let all = spread
+        .chain(recovery)
+        .chain(moves)
+        .chain(registrars)
+        .chain(slopes);
+    all.map(|(name, value)| MeasuredFigure { name, value })
+        .collect()
+}
--- /dev/null
+++ b/crates/oatpier-bench/src/state/registrars.rs
@@ -0,0 +1,117 @@
+//! What the death of a registrar costs if its agents' rows are kept, and if they are dropped.
+//!
+//! First the membership machines run: an entry dies, and another one's table tells which agents
+//! it counts as gone, and for how long. Then these endpoints go missing for as long, at the same
+//! time, in a run of the policy bench.
+
+use std::time::Duration;
+
+use oatpier_membership::members::{LostRegistrar, MemberChange, MemberState, TableLimits};
+use oatpier_types::clock::ClockTime;
+use serde::Serialize;
+
+use super::spread::{SpreadSize, run_busy, settled};
+use crate::load::deployment::BenchDeployment;
+use crate::load::scenario::{BenchCase, BenchScenario, FaultKind, FaultPlan, FaultVictim, RunSpan};
+use crate::policy;
+use crate::units::as_f64;
+
+/// When the registrar dies in the run of the policy bench.
+const DEATH_AT: ClockTime = ClockTime::from_millis(40_000);
+/// How long its loss is looked at.
+const WATCHED: Duration = Duration::from_secs(40);
+/// Engines, and so agents of engines, of both deployments.
+const AGENTS: usize = 18;
+
+/// One row of the report.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RegistrarRow {
+    /// The deployment.
+    pub deployment: String,
+    /// What is done with the agents of a registrar that died: `keep` or `drop`.
+    pub lost_registrar: String,
+    /// Agents that another entry counted as gone.
+    pub agents_gone: usize,
+    /// The longest time that one was.
+    pub longest_s: f64,
+    /// The share of requests within target.
+    pub attainment: f64,
+    /// Loads, unloads and role changes.
+    pub moves: u64,
+}
+
+pub(super) fn run(deployment: &BenchDeployment) -> Vec<RegistrarRow> {
+    let choices = [(LostRegistrar::Keep, "keep"), (LostRegistrar::Drop, "drop")];
+    let rows = choices.map(|(lost_registrar, word)| row(deployment, lost_registrar, word));
+    rows.to_vec()
+}
+
+fn row(deployment: &BenchDeployment, lost_registrar: LostRegistrar, word: &str) -> RegistrarRow {
+    let absences = absences(lost_registrar);
+    let longest = absences.iter().map(|fault| fault.until.since(fault.at));
+    let longest_s = longest.max().unwrap_or_default().as_secs_f64();
+    let case = BenchCase {
+        deployment,
+        scenario: BenchScenario::Steady,
+        span: RunSpan::WHOLE,
+    };
+    let agents_gone = absences.len();
+    let figures = policy::run_with_faults(case, absences);
+    RegistrarRow {
+        deployment: deployment.name.to_owned(),
+        lost_registrar: word.to_owned(),
+        agents_gone,
+        longest_s,
+        attainment: as_f64(figures.delivered) / as_f64(figures.requests.max(1)),
+        moves: figures.moves,
+    }
+}
+
+/// Which agents an entry counts as gone after another one died.
+fn absences(lost_registrar: LostRegistrar) -> Vec<FaultPlan> {
+    let size = SpreadSize {
+        entries: 3,
+        agents: AGENTS,
+        zones_by_region: vec![3],
+        models: 40,
+    };
+    let limits = TableLimits {
+        lost_registrar,
+        ..TableLimits::default()
+    };
+    let mut fleet = settled(&size, 0.0, limits);
+    let died = fleet.now;
+    fleet.kill(0);
+    run_busy(&mut fleet, WATCHED, &mut 2);
+    let seen = &fleet.processes[1].changes;
+    let of_agents = (0..AGENTS).filter_map(|agent| {
+        let daemon = &fleet.contact(size.entries + agent).daemon;
+        let changes = seen
+            .iter()
+            .filter(|(at, change)| *at > died && change.daemon == *daemon);
+        absence(agent, died, changes)
+    });
+    of_agents.collect()
+}
+
+fn absence<'a>(
+    agent: usize,
+    died: ClockTime,
+    changes: impl Iterator<Item = &'a (ClockTime, MemberChange)>,
+) -> Option<FaultPlan> {
+    let changes: Vec<_> = changes.collect();
+    let gone = changes
+        .iter()
+        .find(|(_, change)| change.state == MemberState::Gone)?;
+    let back = changes
+        .iter()
+        .find(|(at, change)| *at > gone.0 && change.before == MemberState::Gone);
+    let end = back.map_or(died + WATCHED, |(at, _)| *at);
+    let shift = |at: ClockTime| DEATH_AT + at.since(died);
+    Some(FaultPlan {
+        at: shift(gone.0),
+        until: shift(end),
+        victim: FaultVictim::Place(agent),
+        kind: FaultKind::Unregistered,
+    })
+}
--- /dev/null
+++ b/crates/oatpier-bench/src/state/slopes.rs
@@ -0,0 +1,143 @@
+//! What control costs a process: store calls, bytes and processor time, by what grows them.
+//!
+//! Each slope is the difference of two runs of the membership machines in which one count alone
+//! differs. Bytes are those of the message bodies and an allowance for HTTP headers, sent and
+//! received together. Processor time is of this machine, with the message loop's own share in
+//! it; it is printed and never held to a bound.
+
+use std::time::{Duration, Instant};
+
+use oatpier_membership::members::TableLimits;
+use serde::Serialize;
+
+use super::spread::{MODELS, SpreadSize, run_busy, settled};
+use crate::units::{as_f64, size_f64};
+
+/// How long is measured, with one change of the configuration in it.
+const MEASURED: Duration = Duration::from_secs(16);
+
+/// One slope.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct SlopeRow {
+    /// Whose cost: `entry`, `agent` or `fleet` (all processes together).
+    pub role: String,
+    /// What it costs.
+    pub resource: String,
+    /// What the value is for: the whole at the base size, or one more of something.
+    pub per: String,
+    /// The value.
+    pub value: f64,
+    /// Its unit.
+    pub unit: String,
+}
+
+/// What one run cost, in a second.
+#[derive(Debug, Clone, Copy)]
+struct FleetCost {
+    entry_bytes: f64,
+    agent_bytes: f64,
+    store_calls: f64,
+    /// Of one process.
+    processor_us: f64,
+}
+
+/// The size that slopes start from: a tenth of the one to design for.
+fn base() -> SpreadSize {
+    SpreadSize {
+        entries: 34,
+        agents: 350,
+        zones_by_region: vec![2; 4],
+        models: MODELS,
+    }
+}
+
+pub(super) fn run() -> Vec<SlopeRow> {
+    let start = base();
+    let first = cost(&start);
+    let mut rows = whole(&first);
+    let grown = [
+        (
+            "daemon",
+            SpreadSize {
+                entries: 68,
+                ..start.clone()
+            },
+            34.0,
+        ),
+        (
+            "endpoint",
+            SpreadSize {
+                agents: 700,
+                ..start.clone()
+            },
+            350.0,
+        ),
+        (
+            "model",
+            SpreadSize {
+                models: 2 * MODELS,
+                ..start
+            },
+            size_f64(MODELS),
+        ),
+    ];
+    for (per, size, more) in grown {
+        rows.extend(slope(per, more, first, cost(&size)));
+    }
+    rows
+}
+
+fn cost(size: &SpreadSize) -> FleetCost {
+    let mut fleet = settled(size, 0.0, TableLimits::default());
+    fleet.measure = true;
+    fleet.store.calls = 0;
+    let begun = Instant::now();
+    let half = MEASURED / 2;
+    run_busy(&mut fleet, half, &mut 2);
+    fleet.accept(1, "an endpoint or a model with another setting");
+    run_busy(&mut fleet, half, &mut 1_000);
+    let took = begun.elapsed();
+    let seconds = MEASURED.as_secs_f64();
+    let mean = |from: usize, to: usize| {
+        let bytes: u64 = fleet.processes[from..to].iter().map(|one| one.bytes).sum();
+        as_f64(bytes) / size_f64(to - from) / seconds
+    };
+    let all = fleet.processes.len();
+    FleetCost {
+        entry_bytes: mean(0, size.entries),
+        agent_bytes: mean(size.entries, all),
+        store_calls: as_f64(fleet.store.calls) / seconds,
+        processor_us: took.as_secs_f64() * 1e6 / size_f64(all) / seconds,
+    }
+}
+
+fn whole(cost: &FleetCost) -> Vec<SlopeRow> {
+    rows("34 entries, 350 endpoints, 490 models", |pick| pick(cost))
+}
+
+fn slope(per: &str, more: f64, from: FleetCost, to: FleetCost) -> Vec<SlopeRow> {
+    rows(per, |pick| (pick(&to) - pick(&from)) / more)
+}
+
+type CostPick = fn(&FleetCost) -> f64;
+
+fn rows(per: &str, value: impl Fn(CostPick) -> f64) -> Vec<SlopeRow> {
+    let parts: [(&str, &str, &str, CostPick); 4] = [
+        ("entry", "network", "bytes/s", |cost| cost.entry_bytes),
+        ("agent", "network", "bytes/s", |cost| cost.agent_bytes),
+        ("fleet", "store calls", "calls/s", |cost| cost.store_calls),
+        ("process", "processor time", "us/s", |cost| {
+            cost.processor_us
+        }),
+    ];
+    parts
+        .into_iter()
+        .map(|(role, resource, unit, pick)| SlopeRow {
+            role: role.to_owned(),
+            resource: resource.to_owned(),
+            per: per.to_owned(),
+            value: value(pick),
+            unit: unit.to_owned(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/oatpier-bench/tests/testsuite/bounds.rs
@@ -0,0 +1,88 @@
+//! The committed bounds.
+
+use oatpier_bench::load::deployment;
+use oatpier_bench::load::scenario::BenchScenario;
+use oatpier_bench::report::bounds::{BoundBook, MeasuredFigure};
+
+const PLANTED: &str = r#"
+[policy]
+"ijoko.burst.attainment" = { min = 0.95, set_by = "a test" }
+"ijoko.burst.moves" = { max = 10.0, set_by = "a test" }
+"#;
+
+fn figure(name: &str, value: f64) -> MeasuredFigure {
+    let name = name.to_owned();
+    MeasuredFigure { name, value }
+}
+
+fn findings(figures: &[MeasuredFigure]) -> Vec<String> {
+    let book = BoundBook::parse(PLANTED, "policy").expect("well-formed");
+    assert_eq!(book.enforce(figures), book.check(figures).is_empty());
+    book.check(figures)
+        .iter()
+        .map(ToString::to_string)
+        .collect()
+}
+
+#[test]
+fn figures_within_their_bounds_pass() {
+    let figures = [
+        figure("ijoko.burst.attainment", 0.95),
+        figure("ijoko.burst.moves", 10.0),
+    ];
+    assert_eq!(findings(&figures), Vec::<String>::new());
+}
+
+/// A change makes callers wait longer and weights move more often.
+/// The bench must say which figure, by how much, and what set the bound, and must fail.
+#[test]
+fn a_planted_breach_fails_and_is_named() {
+    let figures = [
+        figure("ijoko.burst.attainment", 0.9),
+        figure("ijoko.burst.moves", 11.0),
+    ];
+    assert_eq!(
+        findings(&figures),
+        [
+            "ijoko.burst.attainment is 0.9000, at least 0.95 is wanted (set by a test)",
+            "ijoko.burst.moves is 11.0000, at most 10 is allowed (set by a test)",
+        ]
+    );
+}
+
+/// A bench loses a scenario, or a figure divides by zero. Its bound must not pass for want of a
+/// number to compare.
+#[test]
+fn a_figure_that_is_missing_or_no_number_fails() {
+    let figures = [figure("ijoko.burst.attainment", f64::NAN)];
+    assert_eq!(
+        findings(&figures),
+        [
+            "ijoko.burst.attainment is NaN, at least 0.95 is wanted (set by a test)",
+            "ijoko.burst.moves was not measured, at most 10 is allowed (set by a test)",
+        ]
+    );
+}
+
+#[test]
+fn every_run_of_the_policy_bench_has_a_committed_bound() {
+    let book = BoundBook::of("policy");
+    let names: Vec<&str> = book.names().collect();
+    for deployment in deployment::all() {
+        for scenario in BenchScenario::ALL {
+            let name = format!("{}.{}.attainment", deployment.name, scenario.as_str());
+            assert!(names.contains(&name.as_str()), "{name}");
+        }
+    }
+}
+
+#[test]
+fn the_other_benches_have_committed_bounds() {
+    for (bench, figure) in [
+        ("state", "spread.340.cut.max_s"),
+        ("cost", "routing-choice.3500.allocations"),
+    ] {
+        let book = BoundBook::of(bench);
+        assert!(book.names().any(|name| name == figure), "{figure}");
+    }
+}
--- a/crates/oatpier-duty/src/lib.rs
+++ b/crates/oatpier-duty/src/lib.rs
@@ -8,11 +8,11 @@
 //! - [`duty`]: threads, stopping and bounded rings.
 //! - [`settings`]: what a process is told at its start.
 //! - [`observe`]: logs, metrics, traces, and the duty that shows them.
-//! - [`follow`]: the configuration in the platform's key-value service.
-//! - [`messages`]: the messages of an agent's interface that concern its decisions.
+//! - [`placement`]: what an agent asks entries of the plan and of other holders.
+//! - [`messages`]: the messages between daemons that more than one package needs to know.
 
 pub mod duty;
-pub mod follow;
 pub mod messages;
 pub mod observe;
+pub mod placement;
 pub mod settings;
--- a/crates/oatpier-duty/src/observe/metrics.rs
+++ b/crates/oatpier-duty/src/observe/metrics.rs
@@ -62,6 +62,22 @@
     pub cause: &'static str,
 }
 
+/// Labels of a call to the platform's key-value service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreCallLabels {
+    /// What it is for.
+    pub kind: &'static str,
+    /// `answered`, `failed`, or `held-back` if the process's share of calls was used up.
+    pub end: &'static str,
+}
+
+/// Labels of a claim on an idempotency key.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ClaimLabels {
+    /// `granted`, `denied`, `unavailable`, or `settlement-dropped`.
+    pub end: &'static str,
+}
+
 /// The counters that the duties share. Cloning shares them.
 #[derive(Debug, Clone)]
 pub struct MetricSet {
@@ -86,12 +102,18 @@
     pub moves: Family<MoveLabels, Counter>,
     /// Spans that were dropped since the exporter was behind.
     pub spans_dropped: Counter,
-    /// Endpoints in an entry's directory.
+    /// Endpoints in an entry's directory that take work.
     pub endpoints_known: Gauge,
     /// Weights that are ready at them, each endpoint's counted.
     pub replicas_known: Gauge,
     /// Memory that the endpoint's weights are charged with, in MiB.
     pub charged_mib: Gauge,
+    /// Calls to the key-value service.
+    pub store_calls: Family<StoreCallLabels, Counter>,
+    /// Claims on idempotency keys.
+    pub claims: Family<ClaimLabels, Counter>,
+    /// Statuses asked of agents that no registrar knows.
+    pub agents_asked: Counter,
 }
 
 impl Default for MetricSet {
@@ -111,6 +133,9 @@
             endpoints_known: Gauge::default(),
             replicas_known: Gauge::default(),
             charged_mib: Gauge::default(),
+            store_calls: Family::default(),
+            claims: Family::default(),
+            agents_asked: Counter::default(),
         };
         set.registry = Arc::new(set.register());
         set
@@ -164,8 +189,20 @@
             .observe(span.as_secs_f64());
     }
 
+    /// Counts a call to the key-value service.
+    pub fn store_called(&self, kind: &'static str, end: &'static str) {
+        let labels = StoreCallLabels { kind, end };
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    /// Counts a claim.
+    pub fn claimed(&self, end: &'static str) {
+        self.claims.get_or_create(&ClaimLabels { end }).inc();
+    }
+
     fn register(&self) -> Registry {
         let mut registry = Registry::with_prefix("oatpier");
+        self.register_control(&mut registry);
         registry.register(
             "answers",
             "Requests by class, end, verdict and whether in time",
@@ -202,7 +239,7 @@
         );
         registry.register(
             "endpoints_known",
-            "Endpoints in this entry's directory",
+            "Endpoints in this entry's directory that take work",
             self.endpoints_known.clone(),
         );
         registry.register(
@@ -217,4 +254,22 @@
         );
         registry
     }
+
+    fn register_control(&self, registry: &mut Registry) {
+        registry.register(
+            "store_calls",
+            "Calls to the key-value service by kind and end",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "claims",
+            "Claims on idempotency keys by end",
+            self.claims.clone(),
+        );
+        registry.register(
+            "agents_asked",
+            "Statuses asked of agents that no registrar knows",
+            self.agents_asked.clone(),
+        );
+    }
 }
--- a/crates/oatpier-duty/src/settings/entry.rs
+++ b/crates/oatpier-duty/src/settings/entry.rs
@@ -8,8 +8,9 @@
 use super::reader::TableReader;
 use super::{IntakeLimits, SettingsErrors, SettingsText};
 
-/// How long a balancer usually takes to see that an entry is not ready.
-const DEFAULT_NOTICE: Duration = Duration::from_secs(3);
+/// How long a balancer usually takes to see that an entry is not ready. With it a stopping entry
+/// takes no new work two seconds after it was told.
+const DEFAULT_NOTICE: Duration = Duration::from_millis(1500);
 
 /// The checked settings of an entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/oatpier-entry/src/attempt.rs
+++ b/crates/oatpier-entry/src/attempt.rs
@@ -12,7 +12,7 @@
 use oatpier_types::pulse::AgentPulse;
 use oatpier_types::verdict::RunVerdict;
 use oatpier_wire::attempt::{
-    AttemptFrame, AttemptHead, AttemptStream, CANCEL_PATH, CancelAnswer, CancelAttempt, to_headers,
+    AttemptFrame, AttemptHead, AttemptStream, CancelAttempt, CancelReach, to_headers,
 };
 use oatpier_wire::client::{SendError, SendStage};
 use oatpier_wire::peer::PeerClient;
@@ -20,7 +20,6 @@
 
 use crate::core::AgentContact;
 use crate::sink::AnswerHead;
-use oatpier_duty::messages::CancelCall;
 
 /// How long an agent's answer to a cancel is waited for.
 const CANCEL_WAIT: Duration = Duration::from_secs(2);
@@ -188,10 +187,16 @@
     let Some(contact) = contact else {
         return RunVerdict::MayHaveRun;
     };
-    let cancel = CancelAttempt { attempt, request };
-    let call = CancelCall::new(cancel, contact.ticket, mode);
-    let answer: Result<CancelAnswer, _> = peers
-        .call(contact.address, CANCEL_PATH, &call, CANCEL_WAIT)
-        .await;
+    let cancel = CancelAttempt {
+        attempt,
+        request,
+        ticket: contact.ticket,
+        reach: match mode {
+            CancelMode::SealOnly => CancelReach::SealOnly,
+            CancelMode::Abort => CancelReach::Abort,
+        },
+    };
+    let answer = peers.cancel_attempt(contact.address, &cancel, CANCEL_WAIT);
+    let answer = answer.await;
     answer.map_or(RunVerdict::MayHaveRun, |answer| answer.verdict)
 }
--- a/crates/oatpier-entry/src/callers.rs
+++ b/crates/oatpier-entry/src/callers.rs
@@ -14,16 +14,27 @@
 use oatpier_wire::server::{self, RequestHandler, ServerCounters, ServerLimits};
 use opentelemetry::trace::{SpanKind, TraceContextExt};
 use serde::Serialize;
+use tokio::sync::oneshot;
 
+use crate::claims::ClaimCommand;
 use crate::core::EntryCore;
 use crate::errors::{CallerError, RequestIdentity, identify};
 use crate::intake::{CallRoute, IntakeError, understand};
 use crate::news::EntryNews;
+use crate::planner::PlannerNews;
 use crate::run::RequestRun;
 use crate::sink::CallerSink;
-use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
+use oatpier_duty::duty::{RingReceiver, RingSender, StopPhase, StopSignal};
 use oatpier_duty::observe::trace::parent_of;
 
+/// How often the planner duty is told the demand.
+const DEMAND_PERIOD: Duration = Duration::from_secs(2);
+/// How long a stopping entry waits for its settlements of claims to be in the store. What is not
+/// by then stays held in the store: a repeat is told that the request may have run.
+const FLUSH_WAIT: Duration = Duration::from_secs(3);
+/// How often a stopping entry looks whether its last requests are over.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
 /// What the callers duty works on.
 pub struct CallersInputs {
     /// The decisions and what they share.
@@ -34,6 +45,8 @@
     pub limits: ServerLimits,
     /// News of the other duties.
     pub news: RingReceiver<EntryNews>,
+    /// Where the demand is told.
+    pub planner: RingSender<PlannerNews>,
     /// Tells to stop.
     pub stop: StopSignal,
     /// How long the process says that it is not ready before it takes no more requests.
@@ -51,6 +64,7 @@
         listener,
         limits,
         news,
+        planner,
         stop,
         notice,
     } = inputs;
@@ -61,9 +75,13 @@
     });
     let closing = drain_start(Arc::clone(&core), stop.clone(), notice);
     let counters = Arc::<ServerCounters>::default();
-    let serving = server::serve(listener, handler, limits, counters, closing);
+    let serving = async {
+        server::serve(listener, handler, limits, counters, closing).await;
+        finish_work(&core).await;
+    };
     tokio::select! {
         () = serving => {}
+        () = tell_demand(&core, &planner) => {}
         () = take_news(&core, &news) => {}
         () = core.run_timers() => {}
     }
@@ -78,6 +96,28 @@
     core.begin_stop();
 }
 
+/// The last callers have their answers. What is still to be done: requests whose callers went
+/// away cancel their work, and the ends of requests under keys go to the store. Ending before
+/// that would leave keys held whose requests did not run.
+async fn finish_work(core: &EntryCore) {
+    while core.in_flight() > 0 {
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+    let (reply, flushed) = oneshot::channel();
+    core.claims().send(ClaimCommand::Flush { reply }).await;
+    if tokio::time::timeout(FLUSH_WAIT, flushed).await.is_err() {
+        spdlog::warn!("some claims were not settled in the store");
+    }
+}
+
+async fn tell_demand(core: &EntryCore, planner: &RingSender<PlannerNews>) {
+    loop {
+        tokio::time::sleep(DEMAND_PERIOD).await;
+        // Counted by the ring if it is full; the next word says it all.
+        let _ = planner.offer(PlannerNews::Own(core.demand()));
+    }
+}
+
 async fn take_news(core: &EntryCore, news: &RingReceiver<EntryNews>) {
     while let Some(news) = news.receive().await {
         core.take_news(news);
--- a/crates/oatpier-entry/src/core.rs
+++ b/crates/oatpier-entry/src/core.rs
@@ -3,35 +3,52 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use oatpier_admission::event::AdmissionTicket;
+use oatpier_membership::members::PathEvidence;
+use oatpier_placement::demand::{DemandKey, DemandLedger, DemandSummary};
 use oatpier_policy::action::EntryActions;
 use oatpier_policy::event::{EntryEvent, RequestIntake};
+use oatpier_types::clock::ClockTime;
 use oatpier_types::config::FleetConfig;
 use oatpier_types::ids::{Generation, RequestId};
-use oatpier_types::names::EndpointName;
-use oatpier_types::pulse::AgentPulse;
+use oatpier_types::names::{DaemonName, EndpointName};
+use oatpier_types::operator::ExplainRequest;
+use oatpier_types::pulse::{AdmissionTicket, AgentPulse};
+use oatpier_types::request::RequestGoal;
 use oatpier_wire::peer::PeerClient;
 use tokio::sync::{Notify, mpsc};
 
+use crate::claims::ClaimCommand;
 use crate::decisions::EntryDecisions;
-use crate::news::{DirectoryNews, EntryNews};
-use oatpier_duty::duty::RuntimeClock;
+use crate::history::RequestHistory;
+use crate::news::{CallersQuestion, CallersStanding, DirectoryNews, EntryNews};
+use crate::peers::{PathNews, evidence_of};
+use oatpier_duty::duty::{RingSender, RuntimeClock};
 use oatpier_duty::observe::metrics::MetricSet;
 use oatpier_duty::observe::trace::HopTracer;
 
 /// Where timer actions of a request go.
 pub type TimerSender = mpsc::UnboundedSender<EntryActions>;
 
+/// The least time between two words to the peers duty that an agent answers.
+const ANSWERED_EVERY: Duration = Duration::from_secs(1);
+
 /// How an agent is reached.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct AgentContact {
+    /// The agent.
+    pub daemon: DaemonName,
     /// Where it listens.
     pub address: SocketAddr,
     /// The newest pulse seen, which an attempt carries.
     pub ticket: AdmissionTicket,
     /// How many weights are ready there.
     pub replicas: usize,
+    /// Whether it takes work, as it last said.
+    pub accepting: bool,
+    /// When the peers duty was last told that it answers.
+    answered: Option<ClockTime>,
 }
 
 /// The state that the duty's tasks share. They run on one thread, so the lock is never waited
@@ -42,10 +59,24 @@
     generation: Generation,
     agents: HashMap<EndpointName, AgentContact>,
     timers: HashMap<RequestId, TimerSender>,
+    demand: DemandLedger,
+    history: RequestHistory,
+}
+
+/// The ways from the callers duty to the others.
+#[derive(Clone)]
+pub struct CoreRings {
+    /// Evidence of the data path, for the peers duty. A full ring drops it: the next attempt
+    /// tells the same.
+    pub paths: RingSender<PathNews>,
+    /// Claims, for the claims duty. A full ring turns an ask back as "unavailable", which is
+    /// true; a settlement waits.
+    pub claims: RingSender<ClaimCommand>,
 }
 
 /// The callers duty's shared parts.
 pub struct EntryCore {
+    rings: CoreRings,
     state: Mutex<CoreState>,
     timer_changed: Notify,
     /// The runtime's clock.
@@ -67,6 +98,7 @@
         metrics: MetricSet,
         tracer: HopTracer,
         peers: PeerClient,
+        rings: CoreRings,
     ) -> Self {
         let state = CoreState {
             policy,
@@ -74,8 +106,11 @@
             generation: Generation(0),
             agents: HashMap::new(),
             timers: HashMap::new(),
+            demand: DemandLedger::new(),
+            history: RequestHistory::default(),
         };
         Self {
+            rings,
             state: Mutex::new(state),
             timer_changed: Notify::new(),
             clock,
@@ -98,7 +133,7 @@
     /// How an endpoint's agent is reached.
     #[must_use]
     pub fn contact(&self, endpoint: &EndpointName) -> Option<AgentContact> {
-        self.lock().agents.get(endpoint).copied()
+        self.lock().agents.get(endpoint).cloned()
     }
 
     /// Requests without a final answer.
@@ -112,9 +147,49 @@
         match news {
             EntryNews::Config { generation, config } => self.take_config(generation, config),
             EntryNews::Directory(news) => self.take_directory(news),
+            EntryNews::Question(question) => self.answer(question),
+        }
+    }
+
+    /// Answers a question; one who no longer waits gets no answer.
+    fn answer(&self, question: CallersQuestion) {
+        match question {
+            CallersQuestion::Standing { reply } => {
+                let _ = reply.send(self.standing());
+            }
+            CallersQuestion::Request { request, reply } => {
+                let _ = reply.send(self.lock().history.get(request));
+            }
         }
     }
 
+    fn standing(&self) -> CallersStanding {
+        let now = self.clock.now();
+        let state = self.lock();
+        let Some(config) = &state.config else {
+            return CallersStanding::default();
+        };
+        state.policy.standing(config, now)
+    }
+
+    /// The demand of this entry's callers.
+    #[must_use]
+    pub fn demand(&self) -> DemandSummary {
+        let now = self.clock.now();
+        self.lock().demand.summary(now)
+    }
+
+    /// Remembers what became of a request.
+    pub fn remember(&self, explained: ExplainRequest) {
+        self.lock().history.push(explained);
+    }
+
+    /// The way to the claims duty.
+    #[must_use]
+    pub fn claims(&self) -> &RingSender<ClaimCommand> {
+        &self.rings.claims
+    }
+
     /// A generation only rises: an older one that comes late changes nothing.
     fn take_config(&self, generation: Generation, config: Arc<FleetConfig>) {
         let mut state = self.lock();
@@ -132,34 +207,51 @@
         let now = self.clock.now();
         let mut state = self.lock();
         match news {
-            DirectoryNews::Status { address, status } => {
-                let ticket = AdmissionTicket::of(&status.pulse);
+            DirectoryNews::Status {
+                daemon,
+                address,
+                status,
+            } => {
                 let contact = AgentContact {
+                    daemon,
                     address,
-                    ticket,
+                    ticket: AdmissionTicket::of(&status.pulse),
                     replicas: status.ready.len(),
+                    accepting: status.pulse.accepting,
+                    answered: None,
                 };
-                state.agents.insert(status.endpoint.clone(), contact);
+                state.take_contact(&status.endpoint, contact);
                 state.policy.on_status(&status, now);
             }
+            DirectoryNews::Pulse { endpoint, pulse } => {
+                state.renew_ticket(&endpoint, &pulse);
+                state.policy.on_pulse(&endpoint, &pulse, now);
+            }
             DirectoryNews::Leaving(endpoint) => state.policy.mark_leaving(&endpoint, now),
+            DirectoryNews::Staying(endpoint) => state.policy.clear_leaving(&endpoint),
             DirectoryNews::Gone(endpoint) => {
                 state.agents.remove(&endpoint);
                 state.policy.forget(&endpoint, now);
             }
         }
-        let replicas = state.agents.values().map(|contact| contact.replicas).sum();
-        self.metrics.endpoints_known.set(shown(state.agents.len()));
-        self.metrics.replicas_known.set(shown(replicas));
+        self.show_directory(&state);
         drop(state);
         self.timer_changed.notify_one();
     }
 
+    fn show_directory(&self, state: &CoreState) {
+        let open = || state.agents.values().filter(|contact| contact.accepting);
+        let replicas = open().map(|contact| contact.replicas).sum();
+        self.metrics.endpoints_known.set(shown(open().count()));
+        self.metrics.replicas_known.set(shown(replicas));
+    }
+
     /// A request came in; actions of its timers will go to `timers`.
     pub fn start(&self, intake: RequestIntake, timers: TimerSender) -> EntryActions {
         let now = self.clock.now();
         let mut state = self.lock();
         state.timers.insert(intake.request, timers);
+        state.count_demand(&intake, now);
         let actions = state.policy.start(intake, now);
         drop(state);
         self.timer_changed.notify_one();
@@ -178,8 +270,13 @@
         if let (Some(endpoint), Some(pulse)) = (endpoint, event.pulse()) {
             state.renew_ticket(endpoint, pulse);
         }
+        let news = endpoint.and_then(|endpoint| state.path_news(endpoint, event, now));
         let actions = state.policy.handle(request, event, now);
         drop(state);
+        if let Some(news) = news {
+            // Counted by the ring if it is full.
+            let _ = self.rings.paths.offer(news);
+        }
         self.timer_changed.notify_one();
         actions
     }
@@ -230,6 +327,21 @@
 }
 
 impl CoreState {
+    /// Takes an agent's contact; a ticket that is later than the one that came stays.
+    fn take_contact(&mut self, endpoint: &EndpointName, fresh: AgentContact) {
+        let known = self.agents.get(endpoint);
+        let known = known.filter(|known| known.ticket.boot == fresh.ticket.boot);
+        let contact = match known {
+            Some(known) if known.ticket.sequence > fresh.ticket.sequence => AgentContact {
+                ticket: known.ticket,
+                accepting: known.accepting,
+                ..fresh
+            },
+            _ => fresh,
+        };
+        self.agents.insert(endpoint.clone(), contact);
+    }
+
     fn renew_ticket(&mut self, endpoint: &EndpointName, pulse: &AgentPulse) {
         let Some(contact) = self.agents.get_mut(endpoint) else {
             return;
@@ -239,6 +351,43 @@
             fresh.boot != contact.ticket.boot || fresh.sequence > contact.ticket.sequence;
         if is_newer {
             contact.ticket = fresh;
+            contact.accepting = pulse.accepting;
+        }
+    }
+
+    fn count_demand(&mut self, intake: &RequestIntake, now: ClockTime) {
+        let RequestGoal::Model { model, adapter } = &intake.goal else {
+            return;
+        };
+        let key = DemandKey {
+            model: model.clone(),
+            adapter: adapter.clone(),
+        };
+        let tokens = intake.tokens;
+        self.demand.record(&key, tokens.prompt, tokens.output, now);
+    }
+
+    /// What an event tells of whether the agent is there, if the peers duty is to know.
+    fn path_news(
+        &mut self,
+        endpoint: &EndpointName,
+        event: &EntryEvent,
+        now: ClockTime,
+    ) -> Option<PathNews> {
+        let evidence = evidence_of(event)?;
+        let contact = self.agents.get_mut(endpoint)?;
+        let is_known = evidence == PathEvidence::Answered
+            && contact
+                .answered
+                .is_some_and(|at| now.since(at) < ANSWERED_EVERY);
+        if is_known {
+            return None;
         }
+        contact.answered = (evidence == PathEvidence::Answered).then_some(now);
+        Some(PathNews {
+            daemon: contact.daemon.clone(),
+            evidence,
+            pulse: event.pulse().copied(),
+        })
     }
 }
--- a/crates/oatpier-entry/src/decisions.rs
+++ b/crates/oatpier-entry/src/decisions.rs
@@ -7,7 +7,10 @@
 use oatpier_types::config::FleetConfig;
 use oatpier_types::ids::RequestId;
 use oatpier_types::names::EndpointName;
-use oatpier_types::pulse::EndpointStatus;
+use oatpier_types::operator::AttainmentRow;
+use oatpier_types::pulse::{AgentPulse, EndpointStatus};
+
+use crate::news::CallersStanding;
 
 /// All that an entry decides about requests; see [`EntryPolicy`].
 pub trait EntryDecisions: Send {
@@ -15,8 +18,12 @@
     fn apply_config(&mut self, config: &FleetConfig);
     /// An agent's whole word on its endpoint came.
     fn on_status(&mut self, status: &EndpointStatus, now: ClockTime);
+    /// An agent's word on its queue came.
+    fn on_pulse(&mut self, endpoint: &EndpointName, pulse: &AgentPulse, now: ClockTime);
     /// The endpoint is said to leave.
     fn mark_leaving(&mut self, endpoint: &EndpointName, now: ClockTime);
+    /// The endpoint does not leave after all.
+    fn clear_leaving(&mut self, endpoint: &EndpointName);
     /// The endpoint is gone from the directory.
     fn forget(&mut self, endpoint: &EndpointName, now: ClockTime);
     /// A request came in.
@@ -31,6 +38,8 @@
     fn begin_stop(&mut self);
     /// Requests without a final answer.
     fn in_flight(&self) -> usize;
+    /// How the requests do, for operators.
+    fn standing(&self, config: &FleetConfig, now: ClockTime) -> CallersStanding;
 }
 
 impl EntryDecisions for EntryPolicy {
@@ -42,10 +51,18 @@
         Self::on_status(self, status, now);
     }
 
+    fn on_pulse(&mut self, endpoint: &EndpointName, pulse: &AgentPulse, now: ClockTime) {
+        Self::on_pulse(self, endpoint, pulse, now);
+    }
+
     fn mark_leaving(&mut self, endpoint: &EndpointName, now: ClockTime) {
         Self::mark_leaving(self, endpoint, now);
     }
 
+    fn clear_leaving(&mut self, endpoint: &EndpointName) {
+        Self::clear_leaving(self, endpoint);
+    }
+
     fn forget(&mut self, endpoint: &EndpointName, now: ClockTime) {
         Self::forget(self, endpoint, now);
     }
@@ -73,4 +90,32 @@
     fn in_flight(&self) -> usize {
         Self::in_flight(self)
     }
+
+    fn standing(&self, config: &FleetConfig, now: ClockTime) -> CallersStanding {
+        let attainment = config.classes.iter().map(|(name, spec)| {
+            let class = self.class_index(name);
+            let share = class.and_then(|class| self.ledger().share_ppm(class, now));
+            AttainmentRow {
+                class: name.clone(),
+                target: spec.attain,
+                attained: share.map(share_of_ppm),
+                requests: class.map_or(0, |class| self.ledger().totals(class).ended),
+            }
+        });
+        let ejected = self.health().ejected().iter();
+        CallersStanding {
+            attainment: attainment.collect(),
+            ejected: ejected
+                .map(|endpoint| self.table().row(*endpoint).name.clone())
+                .collect(),
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a share is at most a million parts"
+)]
+fn share_of_ppm(parts: u64) -> f64 {
+    parts as f64 / 1_000_000.0
 }
--- a/crates/oatpier-entry/src/intake.rs
+++ b/crates/oatpier-entry/src/intake.rs
@@ -5,12 +5,13 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Method};
+use oatpier_claims::message::KeyHash;
 use oatpier_types::config::{FleetConfig, PoolKind};
 use oatpier_types::names::{CallerName, ClassName, PoolName};
 use oatpier_types::request::{PrefixChain, RequestGoal, TokenDemand};
 use oatpier_types::verdict::Repeat;
 use thiserror::Error;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+use xxhash_rust::xxh3::xxh3_64;
 
 use oatpier_types::prefix::prefix_chain;
 
@@ -93,8 +94,8 @@
     pub caller: CallerName,
     /// Whether it may run more than once.
     pub repeat: Repeat,
-    /// The idempotency key, hashed.
-    pub key: Option<u128>,
+    /// The idempotency key, hashed together with the caller's name.
+    pub key: Option<KeyHash>,
     /// Its size.
     pub tokens: TokenDemand,
     /// The growing prefixes of its prompt.
@@ -174,7 +175,7 @@
         CallRoute::Completion | CallRoute::Models => completion_call(config, class, head, body)?,
     };
     intake.caller = caller_of(&head.headers, peer);
-    intake.key = key_of(&head.headers)?;
+    intake.key = key_of(&head.headers, &intake.caller)?;
     Ok(intake)
 }
 
@@ -294,7 +295,7 @@
     CallerName::try_from("unknown").expect("the name is a constant")
 }
 
-fn key_of(headers: &HeaderMap) -> Result<Option<u128>, IntakeError> {
+fn key_of(headers: &HeaderMap, caller: &CallerName) -> Result<Option<KeyHash>, IntakeError> {
     let Some(value) = headers.get(KEY_HEADER) else {
         return Ok(None);
     };
@@ -302,7 +303,8 @@
     if bytes.is_empty() || bytes.len() > MAX_KEY_BYTES {
         return Err(IntakeError::Key);
     }
-    Ok(Some(xxh3_128(bytes)))
+    let text = value.to_str().map_err(|_| IntakeError::Key)?;
+    Ok(Some(KeyHash::of(caller, text)))
 }
 
 /// All headers but those that concern one connection or oatpier itself.
--- /dev/null
+++ b/crates/oatpier-entry/src/peers/driver.rs
@@ -0,0 +1,369 @@
+//! Drives the membership machine: hands it what happens, and carries its actions out.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use oatpier_duty::duty::{RuntimeClock, StopPhase, StopSignal};
+use oatpier_duty::messages::{FleetAnswer, FleetCall};
+use oatpier_membership::entry::{CallNumber, EntryAction, EntryEvent, EntryMember};
+use oatpier_membership::exchange::ExchangeScope;
+use oatpier_membership::members::{MemberChange, MemberFacts, TableLimits, VmHint};
+use oatpier_membership::messages::{EntryContact, HeartbeatBody, NamedStop, PeerCall};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::ids::{BootId, Generation};
+use oatpier_types::names::{DaemonName, EndpointName};
+use oatpier_types::pulse::AgentPulse;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Notify;
+
+use super::PeersRings;
+use super::directory::{self, Outgoing};
+use super::stops::StopGate;
+use crate::configuration::StoreOrder;
+use crate::links::EntryLinks;
+use crate::planner::FleetPicture;
+
+/// After this long the agents and entries that live have been heard. What is not in the table
+/// before that may be missing only because this entry has just started.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// After this long it is settled even if the list of VMs names agents that were never heard.
+const SETTLE_LONGEST: Duration = Duration::from_secs(30);
+
+/// Members beyond twice the table's of whom it is known when they were heard.
+const HEARD_MARGIN: usize = 64;
+
+/// The state that the duty's tasks share. They run on one thread, so the lock is never waited
+/// for; it is held for a decision and never across an await.
+pub(super) struct DriverState {
+    pub(super) member: EntryMember<FleetConfig>,
+    pub(super) stops: StopGate,
+    /// When each member was last heard of.
+    pub(super) heard: HashMap<DaemonName, ClockTime>,
+    /// Members of which the callers duty is to be told anew. Bounded by the table.
+    pub(super) dirty: IndexSet<DaemonName>,
+    /// Queues that the callers duty is to be told; a later word replaces an earlier one.
+    pub(super) pulses: IndexMap<EndpointName, AgentPulse>,
+    /// The call to the store that the machine wants; it wants one at a time.
+    pub(super) order: Option<StoreOrder>,
+    /// The generation that the callers duty was told.
+    pub(super) told: Generation,
+    /// Agents that the list of VMs names and the table lacks; none before the list was read.
+    pub(super) unknown_agents: Option<usize>,
+    /// The entries that the claims duty was told.
+    pub(super) told_entries: Vec<EntryContact>,
+    mark: u64,
+    leaving_hints: IndexSet<DaemonName>,
+}
+
+/// Drives the membership machine.
+pub(super) struct MemberDriver {
+    state: Mutex<DriverState>,
+    /// There is something to publish, or another time to wake at.
+    changed: Notify,
+    woken: Notify,
+    stop: StopSignal,
+    pub(super) own: EntryContact,
+    pub(super) links: Arc<dyn EntryLinks>,
+    pub(super) clock: RuntimeClock,
+    started: ClockTime,
+}
+
+impl MemberDriver {
+    pub(super) fn new(
+        own: EntryContact,
+        boot: BootId,
+        links: Arc<dyn EntryLinks>,
+        clock: RuntimeClock,
+        mut generator: ChaCha8Rng,
+        stop: StopSignal,
+    ) -> Self {
+        let limits = TableLimits::default();
+        let now = clock.now();
+        let member = EntryMember::new(own.clone(), boot, Vec::new(), limits, &mut generator, now);
+        let state = DriverState {
+            member,
+            stops: StopGate::default(),
+            heard: HashMap::new(),
+            dirty: IndexSet::new(),
+            pulses: IndexMap::new(),
+            order: None,
+            told: Generation(0),
+            unknown_agents: None,
+            told_entries: Vec::new(),
+            mark: 0,
+            leaving_hints: IndexSet::new(),
+        };
+        Self {
+            state: Mutex::new(state),
+            changed: Notify::new(),
+            woken: Notify::new(),
+            stop,
+            own,
+            links,
+            clock,
+            started: now,
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, DriverState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hands an event to the machine.
+    pub(super) fn hear(self: &Arc<Self>, event: EntryEvent<FleetConfig>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let actions = state.member.handle(event, now);
+        self.carry_out(&mut state, actions, now);
+    }
+
+    /// Answers a call of another process.
+    pub(super) fn answer(self: &Arc<Self>, call: FleetCall) -> FleetAnswer {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let PeerCall::Heartbeat(heartbeat) = &call {
+            state.heard.insert(heartbeat.daemon.clone(), now);
+            state.note_pulse(&heartbeat.daemon, &heartbeat.body);
+        }
+        let (answer, actions) = state.member.answer(call, now);
+        self.carry_out(&mut state, actions, now);
+        answer
+    }
+
+    /// The whole list of planned stops was read.
+    pub(super) fn take_stops(self: &Arc<Self>, stops: Vec<NamedStop>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let DriverState {
+            stops: gate,
+            member,
+            ..
+        } = &mut *state;
+        let passed = gate.take_list(stops, member, now);
+        drop(state);
+        self.hear(EntryEvent::StopsListed(passed));
+    }
+
+    /// One planned stop was asked for or withdrawn.
+    pub(super) fn take_stop(self: &Arc<Self>, stop: NamedStop) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let DriverState {
+            stops: gate,
+            member,
+            ..
+        } = &mut *state;
+        let passed = gate.take_one(stop, member, now);
+        drop(state);
+        if let Some(stop) = passed {
+            self.hear(EntryEvent::StopChanged(stop));
+        }
+    }
+
+    /// The list of VMs was read.
+    pub(super) fn take_hints(self: &Arc<Self>, hints: Vec<VmHint>) {
+        let leaving = hints.iter().filter(|hint| hint.leaving);
+        let leaving: IndexSet<DaemonName> =
+            leaving.map(|hint| hint.contact.daemon.clone()).collect();
+        let mut state = self.lock();
+        let before = std::mem::replace(&mut state.leaving_hints, leaving);
+        let changed = before.symmetric_difference(&state.leaving_hints);
+        let changed: Vec<DaemonName> = changed.cloned().collect();
+        state.dirty.extend(changed);
+        drop(state);
+        self.hear(EntryEvent::Hints(hints));
+    }
+
+    fn carry_out(
+        self: &Arc<Self>,
+        state: &mut DriverState,
+        actions: Vec<EntryAction<FleetConfig>>,
+        now: ClockTime,
+    ) {
+        for action in actions {
+            match action {
+                EntryAction::Call { call, to, body } => {
+                    tokio::spawn(make_call(Arc::clone(self), call, to, body));
+                }
+                EntryAction::ReadConfig => state.order = Some(StoreOrder::Read),
+                EntryAction::WatchConfig { after, wait } => {
+                    state.order = Some(StoreOrder::Watch { after, wait });
+                }
+                EntryAction::InForce(held) => state.set_scope(&held.value, now),
+                EntryAction::Changed(change) => {
+                    log_change(&change);
+                    state.dirty.insert(change.daemon);
+                }
+                // A stop that is withdrawn after the process began to drain comes too late.
+                EntryAction::Stop(word) if !word.withdrawn => {
+                    self.stop.advance(StopPhase::Draining);
+                }
+                EntryAction::Stop(_) => {}
+            }
+        }
+        state.note_deltas(now);
+        self.changed.notify_one();
+        self.woken.notify_one();
+    }
+
+    /// Gives the machine its ticks for ever.
+    pub(super) async fn run_timers(self: &Arc<Self>) {
+        loop {
+            let wake = self.lock().member.next_wake();
+            tokio::select! {
+                () = tokio::time::sleep_until(self.clock.instant(wake)) => self.tick(),
+                () = self.woken.notified() => {}
+            }
+        }
+    }
+
+    fn tick(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let DriverState { stops, member, .. } = &mut *state;
+        let due = stops.due(member, now);
+        drop(state);
+        for stop in due {
+            self.hear(EntryEvent::StopChanged(stop));
+        }
+        self.hear(EntryEvent::Tick);
+    }
+
+    /// Tells the other duties what changed, for ever. What is to be told is kept by member, not
+    /// by event, so that a duty that is slow for a while gets the latest word and no backlog.
+    pub(super) async fn publish(&self, rings: &PeersRings, able: &AtomicBool) {
+        loop {
+            self.changed.notified().await;
+            loop {
+                let news = directory::take(&mut self.lock());
+                if news.is_empty() {
+                    break;
+                }
+                for outgoing in news {
+                    send(outgoing, rings, able).await;
+                }
+            }
+        }
+    }
+
+    /// Live entries and agents that are known.
+    pub(super) fn counts(&self) -> (u32, u32) {
+        let state = self.lock();
+        let table = state.member.table();
+        let entries = table.live_entries().count();
+        let agents = table.usable_agents().count();
+        let count = |count: usize| u32::try_from(count.max(1)).unwrap_or(u32::MAX);
+        (count(entries), count(agents))
+    }
+
+    /// Whether what the table lacks is likely not to be there: it has had time to fill since the
+    /// start, and knows every agent that the list of VMs names, or has waited long for that.
+    pub(super) fn is_settled(&self) -> bool {
+        let waited = self.clock.now().since(self.started);
+        let is_full = self.lock().unknown_agents == Some(0);
+        waited >= SETTLE_LONGEST || (is_full && waited >= SETTLE_TIME)
+    }
+
+    /// What the planner is to plan on; none before the table is filled. A plan that is made on a
+    /// half-empty table would have weights loaded that are there already, and unloaded from the
+    /// endpoints that were not known.
+    pub(super) fn settled_picture(&self) -> Option<FleetPicture> {
+        self.picture().filter(|_| self.is_settled())
+    }
+
+    /// What there is; none without a configuration.
+    pub(super) fn picture(&self) -> Option<FleetPicture> {
+        directory::picture(&self.lock(), &self.own.zone)
+    }
+}
+
+impl DriverState {
+    /// A full word may change nothing of the row but the queue, so its queue is told as well.
+    fn note_pulse(&mut self, daemon: &DaemonName, body: &HeartbeatBody) {
+        match body {
+            HeartbeatBody::Full(status) => {
+                self.pulses.insert(status.endpoint.clone(), status.pulse);
+            }
+            HeartbeatBody::Pulse { pulse, .. } => {
+                let view = self.member.table().get(daemon);
+                let status = view.and_then(|view| view.facts.status());
+                if let Some(endpoint) = status.map(|status| status.endpoint.clone()) {
+                    self.pulses.insert(endpoint, *pulse);
+                }
+            }
+        }
+    }
+
+    fn set_scope(&mut self, config: &FleetConfig, now: ClockTime) {
+        let endpoints = config.pools.values().map(|pool| pool.endpoints.len());
+        let scope = ExchangeScope::for_fleet(endpoints.sum());
+        let actions = self.member.handle(EntryEvent::Scope(scope), now);
+        // A scope asks for nothing at once but states that change, which `dirty` takes.
+        for action in actions {
+            if let EntryAction::Changed(change) = action {
+                self.dirty.insert(change.daemon);
+            }
+        }
+    }
+
+    /// Marks the members whose rows changed.
+    fn note_deltas(&mut self, now: ClockTime) {
+        let table = self.member.table();
+        if table.mark() == self.mark {
+            return;
+        }
+        if let Some(deltas) = table.deltas_since(self.mark) {
+            for row in deltas.rows {
+                self.heard.insert(row.facts.daemon.clone(), now);
+                self.dirty.insert(row.facts.daemon);
+            }
+        } else {
+            let all = table.members().map(|view| view.facts.daemon.clone());
+            self.dirty.extend(all);
+        }
+        self.mark = table.mark();
+        // The table forgets members that are long gone, and so does this.
+        if self.heard.len() > HEARD_MARGIN + 2 * table.members().count() {
+            self.heard.retain(|daemon, _| table.get(daemon).is_some());
+        }
+    }
+
+    /// Live entries, the own among them.
+    pub(super) fn entries(&self) -> Vec<EntryContact> {
+        let live = self.member.table().live_entries();
+        let mut entries: Vec<EntryContact> = live.map(MemberFacts::contact).collect();
+        entries.sort_by(|left, right| left.daemon.cmp(&right.daemon));
+        entries
+    }
+}
+
+fn log_change(change: &MemberChange) {
+    let daemon = &change.daemon;
+    let (before, state) = (
+        format!("{:?}", change.before),
+        format!("{:?}", change.state),
+    );
+    spdlog::info!("a member's state changed", kv: { daemon:, before, state });
+}
+
+async fn make_call(driver: Arc<MemberDriver>, call: CallNumber, to: EntryContact, body: FleetCall) {
+    let answer = driver.links.call(to.address, body).await;
+    let answer = answer.map(Box::new);
+    driver.hear(EntryEvent::CallEnded { call, answer });
+}
+
+async fn send(outgoing: Outgoing, rings: &PeersRings, able: &AtomicBool) {
+    match outgoing {
+        Outgoing::Config(news) => {
+            rings.news.send(news).await;
+            able.store(true, Ordering::Relaxed);
+        }
+        Outgoing::News(news) => rings.news.send(news).await,
+        Outgoing::Order(order) => rings.orders.send(order).await,
+        Outgoing::Claims(command) => rings.claims.send(command).await,
+    }
+}
