--- /dev/null
+++ b/crates/oatpier-entry/src/peers/handler.rs
@@ -0,0 +1,98 @@
+//! The ways in for agents, other entries and operators.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::{Method, Request, StatusCode};
+use oatpier_duty::duty::RingSender;
+use oatpier_duty::messages::{FleetCall, PEER_PATH};
+use oatpier_duty::placement::PLACEMENT_PATH;
+use oatpier_wire::peer::decode_message;
+use oatpier_wire::reply::{self, Reply};
+use oatpier_wire::server::RequestHandler;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
+
+use super::driver::MemberDriver;
+use super::{operator, placement};
+use crate::claims::ClaimCommand;
+use crate::links::{CLAIM_WAIT, SETTLE_WAIT};
+use crate::messages::{
+    CLAIM_PATH, ClaimCall, ClaimReply, DEMAND_PATH, DemandWord, GENERATIONS_PATH,
+};
+use crate::news::EntryNews;
+use crate::planner::{PlannerBoard, PlannerNews};
+use crate::store::StoreGate;
+
+/// Answers what comes to the peer listener.
+pub(super) struct PeerHandler {
+    pub(super) driver: Arc<MemberDriver>,
+    pub(super) news: RingSender<EntryNews>,
+    pub(super) planner: RingSender<PlannerNews>,
+    pub(super) claims: RingSender<ClaimCommand>,
+    pub(super) gate: Arc<StoreGate>,
+    pub(super) board: Arc<PlannerBoard>,
+}
+
+impl RequestHandler for PeerHandler {
+    fn handle(&self, request: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
+        self.answer(request).boxed()
+    }
+}
+
+impl PeerHandler {
+    async fn answer(&self, request: Request<Bytes>) -> Reply {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        match (head.method, path) {
+            (Method::POST, PEER_PATH) => respond(&body, |call: FleetCall| self.driver.answer(call)),
+            (Method::POST, PLACEMENT_PATH) => respond(&body, |ask| {
+                placement::view(&self.driver, &self.board, &ask)
+            }),
+            (Method::POST, CLAIM_PATH) => self.claim(&body).await,
+            (Method::POST, DEMAND_PATH) => respond(&body, |word| self.take_demand(word)),
+            (Method::POST, GENERATIONS_PATH) => {
+                reply::message(&operator::own_generations(&self.driver))
+            }
+            (Method::GET, path) => operator::answer(self, path).await,
+            _ => reply::text(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+
+    /// The planner hears of demand again before long: a word that does not fit is dropped.
+    fn take_demand(&self, word: DemandWord) {
+        let _ = self.planner.offer(PlannerNews::Demand(word));
+    }
+
+    async fn claim(&self, body: &[u8]) -> Reply {
+        let call: ClaimCall = match decode_message(body) {
+            Ok(call) => call,
+            Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        let is_ask = matches!(call, ClaimCall::Ask(_));
+        let (sender, receiver) = oneshot::channel();
+        let command = ClaimCommand::Remote {
+            call,
+            reply: sender,
+        };
+        if self.claims.offer(command).is_err() {
+            return reply::text(StatusCode::SERVICE_UNAVAILABLE, "too many claims\n");
+        }
+        let within = if is_ask { CLAIM_WAIT } else { SETTLE_WAIT };
+        match tokio::time::timeout(within, receiver).await {
+            Ok(Ok(answer)) => reply::message(&answer),
+            Ok(Err(_)) | Err(_) => reply::message(&ClaimReply::Pending),
+        }
+    }
+}
+
+fn respond<Q: DeserializeOwned, A: Serialize>(body: &[u8], answer: impl FnOnce(Q) -> A) -> Reply {
+    match decode_message(body) {
+        Ok(question) => reply::message(&answer(question)),
+        Err(error) => reply::text(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/oatpier-entry/src/peers/hints.rs
@@ -0,0 +1,115 @@
+//! The list of VMs: whom to turn to when nobody is known, and who may leave.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use oatpier_duty::duty::RingSender;
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_membership::members::VmHint;
+use oatpier_membership::messages::EntryContact;
+use oatpier_platform::vms::{VmDuty, VmList, VmRow, VmState};
+use oatpier_types::names::DaemonName;
+
+use super::driver::MemberDriver;
+use crate::news::{DirectoryNews, EntryNews};
+
+/// How often a short list is read.
+const LIST_PERIOD: Duration = Duration::from_millis(500);
+/// How much longer that is for each row: the list is a hint, and reading thousands of rows a
+/// second time within the second would cost more bytes than all else that an entry hears.
+const ROW_PERIOD: Duration = Duration::from_millis(8);
+/// Agents that one round asks. Only those are asked that no registrar speaks for: right after a
+/// start, or where all registrars of an agent are gone.
+const ASKED_IN_ROUND: usize = 16;
+
+/// Follows the list for ever.
+pub(super) async fn follow(
+    driver: &Arc<MemberDriver>,
+    vms: &dyn VmList,
+    news: &RingSender<EntryNews>,
+    metrics: &MetricSet,
+) {
+    let (mut first, mut period) = (0, LIST_PERIOD);
+    loop {
+        match vms.list().await {
+            Ok(rows) => {
+                let count = u32::try_from(rows.len()).unwrap_or(u32::MAX);
+                period = LIST_PERIOD + ROW_PERIOD.saturating_mul(count);
+                driver.take_hints(rows.iter().map(hint_of).collect());
+                first = ask_unknown(driver, &rows, first, news, metrics).await;
+            }
+            // The last list stays in use: it is only a hint.
+            Err(error) => spdlog::warn!("{error}"),
+        }
+        tokio::time::sleep(period).await;
+    }
+}
+
+fn hint_of(row: &VmRow) -> VmHint {
+    VmHint {
+        contact: EntryContact {
+            daemon: row.daemon.clone(),
+            zone: row.zone.clone(),
+            address: row.peer_address,
+        },
+        entry: row.duty == VmDuty::Entry,
+        leaving: row.state == VmState::Leaving,
+    }
+}
+
+/// Asks a few agents that the table lacks for their status, in turn; returns where the next round
+/// begins.
+async fn ask_unknown(
+    driver: &MemberDriver,
+    rows: &[VmRow],
+    first: usize,
+    news: &RingSender<EntryNews>,
+    metrics: &MetricSet,
+) -> usize {
+    let unknown = unknown_agents(driver, rows);
+    driver.lock().unknown_agents = Some(unknown.len());
+    if unknown.is_empty() {
+        return 0;
+    }
+    let count = unknown.len().min(ASKED_IN_ROUND);
+    let chosen = unknown.iter().cycle().skip(first % unknown.len());
+    let mut answers: FuturesUnordered<_> = chosen
+        .take(count)
+        .map(|(daemon, address)| ask(driver, daemon.clone(), *address))
+        .collect();
+    metrics.agents_asked.inc_by(count as u64);
+    while let Some(answer) = answers.next().await {
+        if let Some(status) = answer {
+            news.send(EntryNews::Directory(status)).await;
+        }
+    }
+    first + count
+}
+
+fn unknown_agents(driver: &MemberDriver, rows: &[VmRow]) -> Vec<(DaemonName, SocketAddr)> {
+    let state = driver.lock();
+    let table = state.member.table();
+    rows.iter()
+        .filter(|row| row.duty == VmDuty::Endpoint && row.state == VmState::Live)
+        .filter(|row| table.get(&row.daemon).is_none())
+        .map(|row| (row.daemon.clone(), row.peer_address))
+        .collect()
+}
+
+async fn ask(
+    driver: &MemberDriver,
+    daemon: DaemonName,
+    address: SocketAddr,
+) -> Option<DirectoryNews> {
+    let status = driver.links.ask_status(address).await?;
+    let is_known = driver.lock().member.table().get(&daemon).is_some();
+    // What the registrars say goes before, also if it came only just now.
+    (!is_known).then(|| DirectoryNews::Status {
+        daemon,
+        address,
+        status: Box::new(status),
+    })
+}
--- /dev/null
+++ b/crates/oatpier-entry/src/peers/placement.rs
@@ -0,0 +1,149 @@
+//! What agents are told of the plan, and of who else holds their weights.
+
+use std::collections::HashSet;
+
+use indexmap::IndexMap;
+use oatpier_duty::placement::{HolderContact, PlacementAsk, PlacementView, WeightsHolders};
+use oatpier_membership::members::{MemberTable, MemberView};
+use oatpier_membership::rendezvous;
+use oatpier_membership::summary::SummaryKey;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::engine::WeightsKey;
+use oatpier_types::names::{EndpointName, PoolName};
+use smallvec::SmallVec;
+
+use super::driver::{DriverState, MemberDriver};
+use crate::planner::PlannerBoard;
+
+/// Holders that are named of each version of some weights.
+const NAMED_HOLDERS: usize = 4;
+
+/// What concerns one endpoint's weights.
+pub(super) fn view(
+    driver: &MemberDriver,
+    board: &PlannerBoard,
+    ask: &PlacementAsk,
+) -> PlacementView {
+    let settled = driver.is_settled();
+    let state = driver.lock();
+    let table = state.member.table();
+    let config = state.member.in_force();
+    let unserved = match config {
+        // What an entry that has just started does not know of may well be there: agents that
+        // took it for lost would all load it again.
+        Some(held) if settled => unserved(&state, &held.value, &ask.pool),
+        _ => Vec::new(),
+    };
+    let live = if unserved.is_empty() {
+        Vec::new()
+    } else {
+        live(table, &ask.pool)
+    };
+    PlacementView {
+        plan: board.row(&ask.endpoint),
+        holders: holders(table, ask),
+        unserved,
+        live,
+    }
+}
+
+fn same_weights(left: &WeightsKey, right: &WeightsKey) -> bool {
+    left.model == right.model && left.adapter == right.adapter
+}
+
+fn ready_of<'a>(view: &MemberView<'a>) -> impl Iterator<Item = &'a WeightsKey> {
+    view.facts
+        .status()
+        .into_iter()
+        .flat_map(|status| &status.ready)
+}
+
+fn holders(table: &MemberTable, ask: &PlacementAsk) -> Vec<WeightsHolders> {
+    let mut found: IndexMap<WeightsKey, Vec<HolderContact>> = IndexMap::new();
+    for view in table.usable_agents() {
+        let Some(status) = view.facts.status() else {
+            continue;
+        };
+        if status.endpoint == ask.endpoint {
+            continue;
+        }
+        let asked = |ready: &&WeightsKey| ask.weights.iter().any(|key| same_weights(key, ready));
+        for ready in ready_of(&view).filter(asked) {
+            found.entry(ready.clone()).or_default().push(HolderContact {
+                endpoint: status.endpoint.clone(),
+                address: view.facts.address,
+            });
+        }
+    }
+    found
+        .into_iter()
+        .map(|(weights, holders)| WeightsHolders {
+            holders: few(&weights, holders),
+            weights,
+        })
+        .collect()
+}
+
+/// All that ask hear of the same few: who asks and who is asked then meet.
+fn few(weights: &WeightsKey, holders: Vec<HolderContact>) -> SmallVec<[HolderContact; 4]> {
+    let adapter = weights
+        .adapter
+        .as_ref()
+        .map_or("", |adapter| adapter.as_str());
+    let key = format!("holder/{}/{adapter}", weights.model);
+    let weight = |holder: &HolderContact| rendezvous::weight(&key, holder.endpoint.as_str());
+    let mut ranked: Vec<(u64, HolderContact)> = holders
+        .into_iter()
+        .map(|holder| (weight(&holder), holder))
+        .collect();
+    ranked.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    let named = ranked.into_iter().take(NAMED_HOLDERS);
+    named.map(|(_, holder)| holder).collect()
+}
+
+/// Configured weights of the pool of which no version is ready anywhere.
+fn unserved(state: &DriverState, config: &FleetConfig, pool: &PoolName) -> Vec<WeightsKey> {
+    let is_of_pool = |model| {
+        config
+            .models
+            .get(model)
+            .is_some_and(|spec| spec.pool == *pool)
+    };
+    let models = config.models.keys().filter(|model| is_of_pool(*model));
+    let models = models.filter_map(|model| config.model_weights(model));
+    let adapters = config
+        .adapters
+        .iter()
+        .filter(|(_, spec)| is_of_pool(&spec.model));
+    let adapters = adapters.filter_map(|(name, _)| config.adapter_weights(name));
+    let table = state.member.table();
+    let mut ready = HashSet::new();
+    for view in table.usable_agents() {
+        ready.extend(ready_of(&view).map(|key| (&key.model, &key.adapter)));
+    }
+    models
+        .chain(adapters)
+        .filter(|weights| !ready.contains(&(&weights.model, &weights.adapter)))
+        .filter(|weights| !is_in_another_zone(state, weights))
+        .collect()
+}
+
+fn is_in_another_zone(state: &DriverState, weights: &WeightsKey) -> bool {
+    let key = summary_key(weights);
+    state.member.book().zones_with(&key).next().is_some()
+}
+
+fn summary_key(weights: &WeightsKey) -> SummaryKey {
+    SummaryKey {
+        model: weights.model.clone(),
+        adapter: weights.adapter.clone(),
+    }
+}
+
+fn live(table: &MemberTable, pool: &PoolName) -> Vec<EndpointName> {
+    let statuses = table.usable_agents().filter_map(|view| view.facts.status());
+    let of_pool = statuses.filter(|status| status.pool == *pool);
+    let mut live: Vec<EndpointName> = of_pool.map(|status| status.endpoint.clone()).collect();
+    live.sort();
+    live
+}
--- /dev/null
+++ b/crates/oatpier-entry/src/planner/writing.rs
@@ -0,0 +1,230 @@
+//! The plans in the store: what is known of them, and their writes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use oatpier_duty::messages::{decode_plan, encode_plan, plan_key};
+use oatpier_membership::budget::CallKind;
+use oatpier_membership::lease::may_write;
+use oatpier_platform::store::{ExpectedValue, StoreError};
+use oatpier_types::ids::{Revision, Term};
+use oatpier_types::names::{EndpointName, ZoneName};
+use oatpier_types::plan::{EndpointPlan, PlacementPlan};
+
+use super::PlannerEnd;
+use super::picture::FleetPicture;
+use crate::store::StoreGate;
+
+/// What is under a plan's key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct StoredPlan {
+    revision: Option<Revision>,
+    plan: Option<PlacementPlan>,
+}
+
+/// How a read ended; none: the store did not answer.
+pub(super) type PlanRead = Option<StoredPlan>;
+
+/// How a write ended: what is under the key now; none if that is not known.
+pub(super) type PlanWrite = Option<StoredPlan>;
+
+/// A write to be made.
+pub(super) struct PlanOrder {
+    zone: ZoneName,
+    plan: PlacementPlan,
+    expected: Option<Revision>,
+}
+
+#[derive(Debug, Default)]
+enum PlanSlot {
+    /// Nothing is known: it has to be read.
+    #[default]
+    Unknown,
+    /// A read or a write is under way.
+    Busy,
+    /// What is there.
+    Known(StoredPlan),
+}
+
+/// What the planner knows of the plans in the store.
+///
+/// A plan is only ever made from what was read under the present lease, and written over exactly
+/// that: a late write of a former planner, or of this one, meets another revision and fails.
+#[derive(Debug, Default)]
+pub(super) struct PlanBook {
+    slots: HashMap<ZoneName, PlanSlot>,
+}
+
+impl PlanBook {
+    /// The availability zones whose plan has to be read, each given out once.
+    pub(super) fn take_unread(&mut self, zones: &[ZoneName]) -> Vec<ZoneName> {
+        let mut unread = Vec::new();
+        for zone in zones {
+            let slot = self.slots.entry(zone.clone()).or_default();
+            if matches!(slot, PlanSlot::Unknown) {
+                *slot = PlanSlot::Busy;
+                unread.push(zone.clone());
+            }
+        }
+        unread
+    }
+
+    /// Whether the plans of all these availability zones are known.
+    pub(super) fn is_known(&self, zones: &[ZoneName]) -> bool {
+        zones
+            .iter()
+            .all(|zone| matches!(self.slots.get(zone), Some(PlanSlot::Known(_))))
+    }
+
+    pub(super) fn take_read(&mut self, zone: &ZoneName, read: PlanRead) {
+        self.settle(zone, read);
+    }
+
+    /// Takes the end of a write; tells whether the plan is there.
+    pub(super) fn take_write(&mut self, zone: &ZoneName, write: PlanWrite) -> bool {
+        let is_written = write.is_some();
+        self.settle(zone, write);
+        is_written
+    }
+
+    fn settle(&mut self, zone: &ZoneName, found: Option<StoredPlan>) {
+        let slot = found.map_or(PlanSlot::Unknown, PlanSlot::Known);
+        // A book that was begun anew since then reads by itself.
+        if let Some(known) = self.slots.get_mut(zone) {
+            *known = slot;
+        }
+    }
+
+    /// The plan of the whole group, put together.
+    pub(super) fn whole(&self) -> Option<PlacementPlan> {
+        let plans = self.slots.values().filter_map(|slot| match slot {
+            PlanSlot::Known(stored) => stored.plan.as_ref(),
+            PlanSlot::Unknown | PlanSlot::Busy => None,
+        });
+        let mut whole: Option<PlacementPlan> = None;
+        for plan in plans {
+            let sum = whole.get_or_insert_default();
+            sum.term = sum.term.max(plan.term);
+            sum.sequence = sum.sequence.max(plan.sequence);
+            sum.generation = sum.generation.max(plan.generation);
+            sum.endpoints.extend(plan.endpoints.iter().cloned());
+        }
+        if let Some(whole) = &mut whole {
+            whole
+                .endpoints
+                .sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
+        }
+        whole
+    }
+
+    /// The writes that bring the store to a plan. What is there already is not written again,
+    /// but for the term: the first write under a new one shuts out the former planner.
+    pub(super) fn writes(
+        &mut self,
+        plan: &PlacementPlan,
+        picture: &FleetPicture,
+        term: Term,
+    ) -> Vec<PlanOrder> {
+        let mut rows = rows_by_zone(plan, picture);
+        let mut orders = Vec::new();
+        for (zone, slot) in &mut self.slots {
+            let PlanSlot::Known(stored) = slot else {
+                continue;
+            };
+            let endpoints = rows.remove(zone).unwrap_or_default();
+            let Some(next) = next_plan(stored, endpoints, plan, term) else {
+                continue;
+            };
+            orders.push(PlanOrder {
+                zone: zone.clone(),
+                plan: next,
+                expected: stored.revision,
+            });
+            *slot = PlanSlot::Busy;
+        }
+        orders
+    }
+}
+
+fn rows_by_zone(
+    plan: &PlacementPlan,
+    picture: &FleetPicture,
+) -> HashMap<ZoneName, Vec<EndpointPlan>> {
+    let views = picture.endpoints.iter();
+    let zones: HashMap<&EndpointName, &ZoneName> =
+        views.map(|view| (&view.endpoint, &view.zone)).collect();
+    let mut rows: HashMap<ZoneName, Vec<EndpointPlan>> = HashMap::new();
+    for row in &plan.endpoints {
+        if let Some(zone) = zones.get(&row.endpoint) {
+            rows.entry((*zone).clone()).or_default().push(row.clone());
+        }
+    }
+    rows
+}
+
+fn next_plan(
+    stored: &StoredPlan,
+    endpoints: Vec<EndpointPlan>,
+    plan: &PlacementPlan,
+    term: Term,
+) -> Option<PlacementPlan> {
+    let known = stored.plan.as_ref();
+    if known.is_some_and(|known| !may_write(term, known.term)) {
+        return None;
+    }
+    let is_same = known.is_some_and(|known| {
+        known.term == term && known.generation == plan.generation && known.endpoints == endpoints
+    });
+    (!is_same).then(|| PlacementPlan {
+        term,
+        sequence: known.map_or(1, |known| known.sequence + 1),
+        generation: plan.generation,
+        endpoints,
+    })
+}
+
+pub(super) async fn read_plan(gate: Arc<StoreGate>, zone: ZoneName) -> PlannerEnd {
+    let read = gate.get(CallKind::PlannerLease, &plan_key(&zone)).await;
+    let found = match read {
+        Ok(None) => Some(StoredPlan {
+            revision: None,
+            plan: None,
+        }),
+        // A value that is no plan is written over.
+        Ok(Some(stored)) => Some(StoredPlan {
+            revision: Some(stored.revision),
+            plan: decode_plan(&stored.value).ok(),
+        }),
+        Err(_) => None,
+    };
+    PlannerEnd::Read(zone, found)
+}
+
+pub(super) async fn write_plan(gate: Arc<StoreGate>, order: PlanOrder) -> PlannerEnd {
+    let PlanOrder {
+        zone,
+        plan,
+        expected,
+    } = order;
+    let value: Bytes = encode_plan(&plan).expect("a plan has a form in JSON");
+    let expected = expected.map_or(ExpectedValue::Absent, ExpectedValue::At);
+    let key = plan_key(&zone);
+    let written = gate
+        .put(CallKind::PlannerLease, &key, value, expected)
+        .await;
+    // After a conflict or a lost answer the plan is read again before the next one is made.
+    let found = match written {
+        Ok(revision) => Some(StoredPlan {
+            revision: Some(revision),
+            plan: Some(plan),
+        }),
+        Err(error) => {
+            if let StoreError::TooLarge { bytes } = error {
+                spdlog::error!("the plan of {zone} has {bytes} bytes: too many for the store");
+            }
+            None
+        }
+    };
+    PlannerEnd::Written(zone, found)
+}
--- /dev/null
+++ b/crates/oatpier-entry/src/store.rs
@@ -0,0 +1,209 @@
+//! Calls to the platform's key-value service, within the process's share of its rates.
+
+use std::future::Future;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use oatpier_duty::duty::RuntimeClock;
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_membership::budget::{CallKind, CallMode, StoreBudget, StoreShare};
+use oatpier_platform::store::{ExpectedValue, KeyChange, KeyStore, StoreError, StoredValue};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::Revision;
+use oatpier_types::operator::StoreRow;
+use rand_chacha::ChaCha8Rng;
+
+/// The longest that a call waits for a token of the budget.
+const LONGEST_HOLD: Duration = Duration::from_millis(250);
+
+/// The state that the duties' threads share; locked for a few instructions at a time.
+struct GateState {
+    budget: StoreBudget,
+    available: bool,
+    answered: Option<ClockTime>,
+}
+
+/// The one way of an entry's duties to the store. Each call takes a token of the process's
+/// budget; one that gets none soon fails as "unavailable", which is true: it had no effect.
+pub struct StoreGate {
+    store: Arc<dyn KeyStore>,
+    clock: RuntimeClock,
+    metrics: MetricSet,
+    state: Mutex<GateState>,
+}
+
+impl StoreGate {
+    /// A gate before a store, with the share of a fleet of one until [`Self::set_fleet`].
+    #[must_use]
+    pub fn new(
+        store: Arc<dyn KeyStore>,
+        clock: RuntimeClock,
+        metrics: MetricSet,
+        generator: ChaCha8Rng,
+    ) -> Self {
+        let rates = StoreShare::default().entry();
+        let state = GateState {
+            budget: StoreBudget::new(rates, generator, clock.now()),
+            available: false,
+            answered: None,
+        };
+        Self {
+            store,
+            clock,
+            metrics,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the share by the processes that are known.
+    pub fn set_fleet(&self, entries: u32, agents: u32) {
+        let share = StoreShare {
+            entries,
+            agents,
+            ..StoreShare::default()
+        };
+        let now = self.clock.now();
+        self.lock().budget.set_rates(share.entry(), now);
+    }
+
+    /// How the store stands, for operators.
+    #[must_use]
+    pub fn row(&self) -> StoreRow {
+        let now = self.clock.now();
+        let state = self.lock();
+        let answered = state.answered.map(|at| now.since(at).as_millis());
+        StoreRow {
+            available: state.available,
+            answered_ms: answered.and_then(|span| u64::try_from(span).ok()),
+        }
+    }
+
+    /// Reads a value.
+    ///
+    /// # Errors
+    ///
+    /// Of the store, or "unavailable" if the budget is used up.
+    pub async fn get(&self, kind: CallKind, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        let call = self.store.get(key);
+        self.run(kind, CallMode::Read, call).await
+    }
+
+    /// Reads all values under a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Of the store, or "unavailable" if the budget is used up.
+    pub async fn list(&self, kind: CallKind, prefix: &str) -> Result<Vec<StoredValue>, StoreError> {
+        let call = self.store.list(prefix);
+        self.run(kind, CallMode::Read, call).await
+    }
+
+    /// Writes a value if what is there is as expected.
+    ///
+    /// # Errors
+    ///
+    /// Of the store, or "unavailable" if the budget is used up.
+    pub async fn put(
+        &self,
+        kind: CallKind,
+        key: &str,
+        value: Bytes,
+        expected: ExpectedValue,
+    ) -> Result<Revision, StoreError> {
+        let call = self.store.put(key, value, expected, None);
+        self.run(kind, CallMode::Write, call).await
+    }
+
+    /// Removes a key, whatever is there.
+    ///
+    /// # Errors
+    ///
+    /// Of the store, or "unavailable" if the budget is used up.
+    pub async fn delete(&self, kind: CallKind, key: &str) -> Result<(), StoreError> {
+        let call = self.store.delete(key, ExpectedValue::Any);
+        self.run(kind, CallMode::Write, call).await
+    }
+
+    /// Waits for changes under a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Of the store, or "unavailable" if the budget is used up.
+    pub async fn watch(
+        &self,
+        kind: CallKind,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Vec<KeyChange>, StoreError> {
+        let call = self.store.watch(prefix, after, wait);
+        self.run(kind, CallMode::Read, call).await
+    }
+
+    async fn run<T>(
+        &self,
+        kind: CallKind,
+        mode: CallMode,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        if !self.admit(kind, mode).await {
+            self.metrics.store_called(kind_word(kind), "held-back");
+            let cause = "this process's share of calls is used up".to_owned();
+            return Err(StoreError::Unavailable { cause });
+        }
+        let answer = call.await;
+        let failed = matches!(
+            answer,
+            Err(StoreError::Unavailable { .. } | StoreError::AnswerLost { .. })
+        );
+        self.note(kind, failed);
+        answer
+    }
+
+    /// Takes a token, and waits a short while for one: a claimer that takes a partition over makes
+    /// several calls at once, and to refuse its claims for that would help nobody.
+    async fn admit(&self, kind: CallKind, mode: CallMode) -> bool {
+        let until = self.clock.now() + LONGEST_HOLD;
+        loop {
+            let taken = self.lock().budget.take(kind, mode, self.clock.now());
+            match taken {
+                Ok(()) => return true,
+                Err(at) if at <= until => {
+                    tokio::time::sleep_until(self.clock.instant(at)).await;
+                }
+                Err(_) => return false,
+            }
+        }
+    }
+
+    fn note(&self, kind: CallKind, failed: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.available = !failed;
+        if failed {
+            state.budget.store_failed();
+        } else {
+            state.budget.store_answered(now);
+            state.answered = Some(now);
+        }
+        drop(state);
+        let end = if failed { "failed" } else { "answered" };
+        self.metrics.store_called(kind_word(kind), end);
+    }
+}
+
+fn kind_word(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::ConfigWatch => "config-watch",
+        CallKind::PlannerLease => "planner-lease",
+        CallKind::PlanRead => "plan-read",
+        CallKind::EpochIntent => "epoch-intent",
+        CallKind::KeyClaim => "key-claim",
+        CallKind::StatusHistory => "status-history",
+    }
+}
--- /dev/null
+++ b/crates/oatpier-entry/tests/testsuite/planner.rs
@@ -0,0 +1,230 @@
+//! The planner's lease and the plans in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oatpier_duty::duty::{RingRule, RingSender, RuntimeClock, StopPhase, StopSignal, ring};
+use oatpier_duty::messages::{decode_plan, plan_key};
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_entry::planner::{
+    EndpointView, FleetPicture, PlanGroup, PlannerBoard, PlannerInputs, PlannerNews, planner,
+};
+use oatpier_platform::store::KeyStore;
+use oatpier_standin::store::{DownMode, LocalStore, StoreFaults};
+use oatpier_types::config::FleetConfig;
+use oatpier_types::engine::EngineRole;
+use oatpier_types::ids::{BootId, Generation, Term};
+use oatpier_types::names::ZoneName;
+use oatpier_types::plan::PlacementPlan;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+use tokio::task::JoinHandle;
+
+use crate::support::{TestLinks, contact, daemon, gate};
+
+pub const CONFIG: &str = r#"
+[weight_store]
+loads_per_second = 3.0
+full_speed_loads = 4
+[region.lagos]
+zones = ["ikeja", "lekki"]
+[class.drafting]
+first_token = "2s"
+between_tokens = "50ms"
+attain = 0.95
+[pool.seat-llm]
+kind = "engine"
+accelerators = 1
+memory_mib = 1000
+slots = 16
+checks_order_numbers = true
+[[pool.seat-llm.group]]
+zone = "ikeja"
+names = ["seat-llm-1"]
+[[pool.seat-llm.group]]
+zone = "lekki"
+names = ["seat-llm-2"]
+[model.tables]
+pool = "seat-llm"
+version = "v1"
+memory_mib = 600
+class = "drafting"
+[model.halls]
+pool = "seat-llm"
+version = "v1"
+memory_mib = 600
+class = "drafting"
+"#;
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).unwrap()
+}
+
+/// Two live endpoints, one in each availability zone, that hold nothing.
+fn picture() -> FleetPicture {
+    let config = FleetConfig::try_from(CONFIG).unwrap();
+    let pools = config.pools.iter();
+    let endpoints = pools.flat_map(|(pool, spec)| {
+        spec.endpoints.iter().map(|(endpoint, zone)| EndpointView {
+            endpoint: endpoint.clone(),
+            pool: pool.clone(),
+            zone: zone.clone(),
+            alive: true,
+            leaving: false,
+            held: SmallVec::new(),
+            role: EngineRole::Both,
+            prompt_token_ns: 0,
+            step_us: 0,
+        })
+    });
+    FleetPicture {
+        generation: Generation(1),
+        endpoints: endpoints.collect(),
+        config: Arc::new(config),
+        group: PlanGroup::Fleet,
+        entries: vec![contact(0), contact(1)],
+    }
+}
+
+struct PlanningEntry {
+    news: RingSender<PlannerNews>,
+    board: Arc<PlannerBoard>,
+    stop: StopSignal,
+    task: JoinHandle<()>,
+}
+
+impl PlanningEntry {
+    async fn start(number: u16, store: &Arc<LocalStore>) -> Self {
+        let clock = RuntimeClock::start();
+        let metrics = MetricSet::default();
+        let (news, receiver) = ring(64, RingRule::Drop, metrics.ring("planner"));
+        let (board, stop) = (Arc::<PlannerBoard>::default(), StopSignal::default());
+        let inputs = PlannerInputs {
+            own: daemon(number),
+            boot: BootId(u128::from(number) + 1),
+            gate: gate(store, clock, number.into()),
+            links: Arc::<TestLinks>::default(),
+            board: Arc::clone(&board),
+            news: receiver,
+            clock,
+            generator: ChaCha8Rng::seed_from_u64(number.into()),
+            stop: stop.clone(),
+        };
+        let task = tokio::spawn(planner(inputs));
+        news.send(PlannerNews::Fleet(Box::new(picture()))).await;
+        Self {
+            news,
+            board,
+            stop,
+            task,
+        }
+    }
+}
+
+async fn stored_plan(store: &LocalStore, name: &str) -> Option<PlacementPlan> {
+    let stored = store.get(&plan_key(&zone(name))).await.ok().flatten();
+    stored.map(|stored| decode_plan(&stored.value).unwrap())
+}
+
+async fn pass(seconds: u64) {
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+}
+
+/// Two entries could plan. One does: each availability zone's plan is in the store under its
+/// term, both models are placed, and both entries know the plans, for the agents that ask them.
+#[tokio::test(start_paused = true)]
+async fn one_entry_plans_and_all_know_the_plan() {
+    let store = Arc::new(LocalStore::new());
+    let first = PlanningEntry::start(0, &store).await;
+    let second = PlanningEntry::start(1, &store).await;
+    pass(20).await;
+    let plans = [
+        stored_plan(&store, "ikeja").await.unwrap(),
+        stored_plan(&store, "lekki").await.unwrap(),
+    ];
+    let placed = |plan: &PlacementPlan| plan.endpoints[0].weights.len();
+    assert_eq!(plans.iter().map(placed).sum::<usize>(), 2);
+    for plan in &plans {
+        assert_eq!(plan.term, Term(1));
+        for entry in [&first, &second] {
+            let row = entry.board.row(&plan.endpoints[0].endpoint).unwrap();
+            assert_eq!(row.row, plan.endpoints[0]);
+        }
+    }
+}
+
+/// The planner dies. Nobody releases its lease, so the other entry waits until it is over, and
+/// then plans under the next term. The plans are written anew under it at once: a late write of
+/// the dead one would meet another revision.
+#[tokio::test(start_paused = true)]
+async fn the_next_entry_plans_after_the_planner_died() {
+    let store = Arc::new(LocalStore::new());
+    let first = PlanningEntry::start(0, &store).await;
+    pass(10).await;
+    let before = stored_plan(&store, "ikeja").await.unwrap();
+    assert_eq!(before.term, Term(1));
+    first.task.abort();
+    let _second = PlanningEntry::start(1, &store).await;
+    pass(20).await;
+    let after = stored_plan(&store, "ikeja").await.unwrap();
+    assert_eq!(after.term, Term(2));
+    assert!(after.sequence > before.sequence);
+    assert_eq!(
+        after.endpoints, before.endpoints,
+        "no move for a new planner"
+    );
+}
+
+/// A planner that stops gives its lease back: the next one need not wait for its end.
+#[tokio::test(start_paused = true)]
+async fn a_stopping_planner_hands_over_at_once() {
+    let store = Arc::new(LocalStore::new());
+    let first = PlanningEntry::start(0, &store).await;
+    let _second = PlanningEntry::start(1, &store).await;
+    pass(10).await;
+    let before = stored_plan(&store, "ikeja").await.unwrap();
+    let second_plans = before.term;
+    first.stop.advance(StopPhase::Draining);
+    pass(5).await;
+    let after = stored_plan(&store, "ikeja").await.unwrap();
+    // Whichever of the two had the lease, there is a planner under a term that only rises.
+    assert!(after.term >= second_plans);
+    assert!(after.term <= Term(2));
+}
+
+/// The store is away for longer than the lease lasts. The planner must not plan on, since another
+/// could hold the lease; once the store is back there is a planner again, and no plan was lost.
+#[tokio::test(start_paused = true)]
+async fn an_outage_ends_planning_and_keeps_the_plan() {
+    let store = Arc::new(LocalStore::new());
+    let entry = PlanningEntry::start(0, &store).await;
+    pass(10).await;
+    let before = stored_plan(&store, "lekki").await.unwrap();
+    store.set_faults(StoreFaults {
+        down: Some(DownMode::Drop),
+        ..StoreFaults::default()
+    });
+    pass(30).await;
+    let clock = RuntimeClock::start();
+    assert_eq!(
+        entry.board.plan_age_ms(clock.now()),
+        None,
+        "it plans no more"
+    );
+    let kept = entry.board.row(&before.endpoints[0].endpoint);
+    assert_eq!(kept.unwrap().row, before.endpoints[0]);
+    store.set_faults(StoreFaults::default());
+    entry
+        .news
+        .send(PlannerNews::Fleet(Box::new(picture())))
+        .await;
+    pass(30).await;
+    let after = stored_plan(&store, "lekki").await.unwrap();
+    assert_eq!(after.endpoints, before.endpoints);
+    assert!(after.term >= before.term);
+    assert!(
+        entry.board.plan_age_ms(clock.now()).is_some(),
+        "it plans again"
+    );
+}
--- /dev/null
+++ b/crates/oatpier-entry/tests/testsuite/support.rs
@@ -0,0 +1,182 @@
+//! Entries without sockets: their duties as tasks, and calls between them through memory.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::FutureExt;
+use oatpier_claims::message::{ClaimAnswer, ClaimAsk, KeyHash, RequestFingerprint};
+use oatpier_duty::duty::{RingRule, RingSender, RuntimeClock, StopSignal, ring};
+use oatpier_duty::messages::{FleetAnswer, FleetCall};
+use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_entry::claims::{ClaimCommand, ClaimsInputs, claims};
+use oatpier_entry::links::{EntryLinks, LinkFuture};
+use oatpier_entry::messages::{ClaimCall, ClaimReply, DemandWord, GenerationRows};
+use oatpier_entry::store::StoreGate;
+use oatpier_membership::messages::EntryContact;
+use oatpier_standin::store::LocalStore;
+use oatpier_types::ids::{BootId, RequestId};
+use oatpier_types::names::{DaemonName, ZoneName};
+use oatpier_types::pulse::EndpointStatus;
+use oatpier_types::verdict::RunVerdict;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// How long another entry may take in a test.
+const CALL_WAIT: Duration = Duration::from_millis(800);
+
+pub fn daemon(number: u16) -> DaemonName {
+    DaemonName::try_from(format!("entry-{number}")).unwrap()
+}
+
+pub fn contact(number: u16) -> EntryContact {
+    EntryContact {
+        daemon: daemon(number),
+        zone: ZoneName::try_from("ikeja").unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], number)),
+    }
+}
+
+pub fn gate(store: &Arc<LocalStore>, clock: RuntimeClock, seed: u64) -> Arc<StoreGate> {
+    let generator = ChaCha8Rng::seed_from_u64(seed);
+    let metrics = MetricSet::default();
+    Arc::new(StoreGate::new(store.clone(), clock, metrics, generator))
+}
+
+/// Calls between the entries of a test; one that is dead or cut off does not answer.
+#[derive(Default)]
+pub struct TestLinks {
+    claimers: Mutex<HashMap<SocketAddr, RingSender<ClaimCommand>>>,
+}
+
+impl EntryLinks for TestLinks {
+    fn call(&self, _: SocketAddr, _: FleetCall) -> LinkFuture<FleetAnswer> {
+        std::future::ready(None).boxed()
+    }
+
+    fn claim(&self, to: SocketAddr, call: ClaimCall) -> LinkFuture<ClaimReply> {
+        let claimer = self.claimers.lock().unwrap().get(&to).cloned();
+        async move {
+            let (reply, answer) = oneshot::channel();
+            claimer?.offer(ClaimCommand::Remote { call, reply }).ok()?;
+            tokio::time::timeout(CALL_WAIT, answer).await.ok()?.ok()
+        }
+        .boxed()
+    }
+
+    fn tell_demand(&self, _: SocketAddr, _: DemandWord) -> LinkFuture<()> {
+        std::future::ready(None).boxed()
+    }
+
+    fn ask_generations(&self, _: SocketAddr) -> LinkFuture<GenerationRows> {
+        std::future::ready(None).boxed()
+    }
+
+    fn ask_status(&self, _: SocketAddr) -> LinkFuture<EndpointStatus> {
+        std::future::ready(None).boxed()
+    }
+}
+
+struct ClaimingEntry {
+    commands: RingSender<ClaimCommand>,
+    task: JoinHandle<()>,
+}
+
+/// Entries that claim keys with one store.
+pub struct ClaimFleet {
+    pub store: Arc<LocalStore>,
+    links: Arc<TestLinks>,
+    entries: Vec<ClaimingEntry>,
+}
+
+impl ClaimFleet {
+    /// Entries that know of each other.
+    pub async fn start(count: u16) -> Self {
+        let mut fleet = Self {
+            store: Arc::new(LocalStore::new()),
+            links: Arc::default(),
+            entries: Vec::new(),
+        };
+        let contacts: Vec<EntryContact> = (0..count).map(contact).collect();
+        for number in 0..count {
+            fleet.start_entry(number);
+        }
+        for entry in &fleet.entries {
+            let known = ClaimCommand::Entries(contacts.clone());
+            entry.commands.send(known).await;
+        }
+        fleet
+    }
+
+    fn start_entry(&mut self, number: u16) {
+        let clock = RuntimeClock::start();
+        let metrics = MetricSet::default();
+        let (commands, receiver) = ring(64, RingRule::Wait, metrics.ring("claims"));
+        let links: Arc<TestLinks> = Arc::clone(&self.links);
+        let inputs = ClaimsInputs {
+            own: daemon(number),
+            boot: BootId(u128::from(number) + 1),
+            gate: gate(&self.store, clock, number.into()),
+            links,
+            clock,
+            metrics,
+            commands: receiver,
+            stop: StopSignal::default(),
+        };
+        let address = contact(number).address;
+        let mut claimers = self.links.claimers.lock().unwrap();
+        claimers.insert(address, commands.clone());
+        let task = tokio::spawn(claims(inputs));
+        self.entries.push(ClaimingEntry { commands, task });
+    }
+
+    /// An entry dies: it answers nobody any more.
+    pub fn kill(&self, number: u16) {
+        self.entries[usize::from(number)].task.abort();
+        let address = contact(number).address;
+        self.links.claimers.lock().unwrap().remove(&address);
+    }
+
+    /// A request at an entry asks for a key.
+    pub async fn ask(&self, entry: u16, key: u128, request: u128) -> ClaimAnswer {
+        let ask = ClaimAsk {
+            key: KeyHash(key),
+            fingerprint: RequestFingerprint(1),
+            request: RequestId(request),
+        };
+        let (reply, answer) = oneshot::channel();
+        let command = ClaimCommand::Ask { ask, reply };
+        self.entries[usize::from(entry)]
+            .commands
+            .send(command)
+            .await;
+        answer.await.unwrap()
+    }
+
+    /// A request at an entry is over.
+    pub async fn settle(&self, entry: u16, key: u128, request: u128, verdict: RunVerdict) {
+        let command = ClaimCommand::Settle {
+            key: KeyHash(key),
+            request: RequestId(request),
+            verdict,
+        };
+        self.entries[usize::from(entry)]
+            .commands
+            .send(command)
+            .await;
+    }
+
+    /// Waits until all that an entry settled is in the store.
+    pub async fn flush(&self, entry: u16) {
+        let (reply, flushed) = oneshot::channel();
+        let command = ClaimCommand::Flush { reply };
+        self.entries[usize::from(entry)]
+            .commands
+            .send(command)
+            .await;
+        flushed.await.unwrap();
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/lease/bench.rs
@@ -0,0 +1,353 @@
+//! Planners against one store.
+
+use std::time::Duration;
+
+use oatpier_membership::lease::{
+    LeaseAction, LeaseEvent, LeaseKeeper, LeaseWrite, StoredLease, may_write,
+};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{BootId, Revision, Term};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fault::FaultKind;
+use crate::queue::EventQueue;
+use crate::request::name;
+use crate::run::{Bypass, RunOrder, RunReport};
+use crate::step::StepName;
+use crate::strike::StrikePlan;
+
+/// Entries that want to plan.
+pub const PLANNERS: usize = 3;
+/// The time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(100);
+/// The time between two plans.
+const PLAN_EVERY: Duration = Duration::from_secs(1);
+/// Faults strike the renewal and the plan from here on.
+pub const ARMED_FROM: ClockTime = ClockTime::from_millis(5_000);
+/// No fault lasts longer.
+pub const FAULTS_OVER: ClockTime = ClockTime::from_millis(30_000);
+/// The end; plans must be written anew by then.
+const LAST_MOMENT: ClockTime = ClockTime::from_millis(60_000);
+
+/// The plan in the store: who made it, and which it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StoredPlan {
+    pub term: Term,
+    pub sequence: u64,
+    pub revision: Revision,
+}
+
+/// A planner's write of a plan, from its reading on.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanWrite {
+    pub term: Term,
+    pub read: Option<StoredPlan>,
+}
+
+pub struct Planner {
+    pub keeper: LeaseKeeper,
+    pub boot: u64,
+    pub up: bool,
+    pub awake_from: ClockTime,
+    pub next_plan: ClockTime,
+    pub write: Option<PlanWrite>,
+}
+
+#[derive(Debug)]
+pub enum Happening {
+    /// A call of the lease comes to the store.
+    Lease(LeaseAction),
+    /// Its answer.
+    Answer(LeaseEvent),
+    /// The planner reads the plan, then writes it.
+    ReadPlan,
+    /// The write comes to the store.
+    WritePlan(PlanWrite),
+    /// The planner starts.
+    Start,
+}
+
+pub struct Queued {
+    pub planner: usize,
+    pub boot: u64,
+    pub what: Happening,
+}
+
+pub struct LeaseBench {
+    pub order: RunOrder,
+    pub plan: StrikePlan,
+    pub random: ChaCha8Rng,
+    pub now: ClockTime,
+    pub planners: Vec<Planner>,
+    pub queue: EventQueue<Queued>,
+    pub lease: Option<StoredLease>,
+    pub stored: StoredPlan,
+    pub last_plan_at: ClockTime,
+    pub down_until: ClockTime,
+    pub slow_until: ClockTime,
+    /// Calls of these planners don't come through; answers to them neither.
+    pub cut_to: [ClockTime; PLANNERS],
+    pub cut_from: [ClockTime; PLANNERS],
+    pub slow_planner: [ClockTime; PLANNERS],
+    pub answers_to_lose: u32,
+    pub report: RunReport,
+}
+
+impl LeaseBench {
+    pub fn new(order: &RunOrder) -> Self {
+        let mut bench = Self {
+            plan: order.plan(),
+            random: order.generator(),
+            order: order.clone(),
+            now: ClockTime::ZERO,
+            planners: Vec::new(),
+            queue: EventQueue::default(),
+            lease: None,
+            stored: StoredPlan::default(),
+            last_plan_at: ClockTime::ZERO,
+            down_until: ClockTime::ZERO,
+            slow_until: ClockTime::ZERO,
+            cut_to: [ClockTime::ZERO; PLANNERS],
+            cut_from: [ClockTime::ZERO; PLANNERS],
+            slow_planner: [ClockTime::ZERO; PLANNERS],
+            answers_to_lose: 0,
+            report: RunReport::default(),
+        };
+        bench.planners = (0..PLANNERS).map(|place| bench.planner(place, 1)).collect();
+        bench
+    }
+
+    pub fn planner(&mut self, place: usize, boot: u64) -> Planner {
+        let id = BootId(u128::from(boot) * 16 + place as u128);
+        let random = ChaCha8Rng::from_rng(&mut self.random);
+        let daemon = name(&format!("entry-{place}"));
+        Planner {
+            keeper: LeaseKeeper::new(daemon, id, random, self.now),
+            boot,
+            up: true,
+            awake_from: self.now,
+            next_plan: self.now,
+            write: None,
+        }
+    }
+
+    pub fn run(mut self) -> RunReport {
+        while self.now < LAST_MOMENT {
+            self.now = self.now + TICK;
+            while let Some((at, queued)) = self.queue.take(self.now) {
+                self.happen(at, queued);
+            }
+            for place in 0..PLANNERS {
+                self.tick(place);
+            }
+            self.watch_holders();
+        }
+        if self.last_plan_at + PLAN_EVERY * 5 < self.now {
+            let text = format!("no plan since {:?}", self.last_plan_at);
+            self.report.findings.push(text);
+        }
+        self.report.struck = self.plan.is_spent();
+        self.report
+    }
+
+    pub fn is_awake(&self, place: usize) -> bool {
+        self.planners[place].up && self.planners[place].awake_from <= self.now
+    }
+
+    fn tick(&mut self, place: usize) {
+        if !self.is_awake(place) {
+            return;
+        }
+        self.tell(place, LeaseEvent::Tick);
+        let now = self.now;
+        let planner = &mut self.planners[place];
+        let Some(term) = planner.keeper.may_act(now) else {
+            planner.write = None;
+            return;
+        };
+        if planner.write.is_none() && planner.next_plan <= now {
+            planner.next_plan = now + PLAN_EVERY;
+            planner.write = Some(PlanWrite { term, read: None });
+            self.post(place, Happening::ReadPlan, Duration::from_millis(2));
+        }
+    }
+
+    pub fn tell(&mut self, place: usize, event: LeaseEvent) {
+        let actions = self.planners[place].keeper.handle(event, self.now);
+        for action in actions {
+            match action {
+                LeaseAction::Gained(_) | LeaseAction::Lost(_) => {
+                    self.planners[place].next_plan = self.now;
+                    self.planners[place].write = None;
+                }
+                LeaseAction::Read => self.call(place, LeaseAction::Read, None),
+                LeaseAction::Write { lease, expected } => {
+                    let takes = self.lease.as_ref().is_none_or(|stored| {
+                        stored.lease.boot != lease.boot || stored.lease.holder != lease.holder
+                    });
+                    let step = if takes {
+                        StepName::LeaseTake
+                    } else {
+                        StepName::LeaseRenew
+                    };
+                    self.call(place, LeaseAction::Write { lease, expected }, Some(step));
+                }
+            }
+        }
+    }
+
+    /// A call of the lease's keeper to the store.
+    pub fn call(&mut self, place: usize, action: LeaseAction, step: Option<StepName>) {
+        let is_write = matches!(action, LeaseAction::Write { .. });
+        let faults = step.map(|step| self.pass(step, place)).unwrap_or_default();
+        let gone = self.cut_to[place] > self.now || faults.contains(&FaultKind::Lost);
+        if gone {
+            let failed = if is_write {
+                LeaseEvent::Wrote(LeaseWrite::AnswerLost)
+            } else {
+                LeaseEvent::Read(Err(()))
+            };
+            return self.post(place, Happening::Answer(failed), Duration::from_millis(500));
+        }
+        let late = faults.contains(&FaultKind::Late);
+        let takes = if late {
+            self.millis(500, 4_000)
+        } else {
+            self.takes(place)
+        };
+        if faults.contains(&FaultKind::Doubled) {
+            let again = self.millis(10, 4_000);
+            self.post_unheard(place, Happening::Lease(action.clone()), again);
+        }
+        self.post(place, Happening::Lease(action), takes);
+    }
+
+    pub fn takes(&mut self, place: usize) -> Duration {
+        if self.slow_until > self.now || self.slow_planner[place] > self.now {
+            self.millis(100, 1_200)
+        } else {
+            Duration::from_millis(2)
+        }
+    }
+
+    pub fn millis(&mut self, least: u64, most: u64) -> Duration {
+        Duration::from_millis(self.random.random_range(least..most))
+    }
+
+    pub fn post(&mut self, planner: usize, what: Happening, after: Duration) {
+        let boot = self.planners[planner].boot;
+        self.queue.put(
+            self.now + after,
+            Queued {
+                planner,
+                boot,
+                what,
+            },
+        );
+    }
+
+    /// A copy whose answer nobody waits for.
+    fn post_unheard(&mut self, planner: usize, what: Happening, after: Duration) {
+        let boot = 0;
+        self.queue.put(
+            self.now + after,
+            Queued {
+                planner,
+                boot,
+                what,
+            },
+        );
+    }
+
+    fn happen(&mut self, at: ClockTime, queued: Queued) {
+        let Queued {
+            planner,
+            boot,
+            what,
+        } = queued;
+        let place = planner;
+        if let Happening::Start = what {
+            let next = self.planners[place].boot;
+            self.planners[place] = self.planner(place, next);
+            return;
+        }
+        let at_store = matches!(what, Happening::Lease(_) | Happening::WritePlan(_));
+        if at_store {
+            return self.store_takes(place, boot, what);
+        }
+        let state = &self.planners[place];
+        if !state.up || state.boot != boot {
+            return;
+        }
+        if state.awake_from > self.now {
+            let wake = state.awake_from.max(at);
+            self.queue.put(
+                wake,
+                Queued {
+                    planner,
+                    boot,
+                    what,
+                },
+            );
+            return;
+        }
+        match what {
+            Happening::Answer(event) => self.tell(place, event),
+            Happening::ReadPlan => self.plan_read(place),
+            _ => {}
+        }
+    }
+
+    /// The planner has read the plan: it writes its own over it, if its term allows.
+    fn plan_read(&mut self, place: usize) {
+        let Some(mut write) = self.planners[place].write else {
+            return;
+        };
+        if self.down_until > self.now
+            || self.cut_to[place] > self.now
+            || self.cut_from[place] > self.now
+        {
+            self.planners[place].write = None;
+            return;
+        }
+        let allowed = may_write(write.term, self.stored.term) || self.order.omits(Bypass::Term);
+        if !allowed {
+            self.planners[place].write = None;
+            return;
+        }
+        write.read = Some(self.stored);
+        let faults = self.pass(StepName::PlanWrite, place);
+        self.planners[place].write = None;
+        if faults.contains(&FaultKind::Lost) {
+            return;
+        }
+        let late = faults.contains(&FaultKind::Late);
+        let takes = if late {
+            self.millis(500, 9_000)
+        } else {
+            self.takes(place)
+        };
+        // What a paused process was about to send goes out when it wakes.
+        let wakes = self.planners[place].awake_from.since(self.now);
+        let happening = Happening::WritePlan(write);
+        if faults.contains(&FaultKind::Doubled) {
+            let again = self.millis(10, 4_000);
+            self.post(place, Happening::WritePlan(write), takes + wakes + again);
+        }
+        if self.planners[place].up {
+            self.post(place, happening, takes + wakes);
+        }
+    }
+
+    /// At no moment may two planners act.
+    fn watch_holders(&mut self) {
+        let now = self.now;
+        let awake = (0..PLANNERS).filter(|place| self.is_awake(*place));
+        let holders = awake.filter(|place| self.planners[*place].keeper.may_act(now).is_some());
+        if holders.count() > 1 {
+            let text = format!("two planners may act at {now:?}");
+            self.report.findings.push(text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/lease/store.rs
@@ -0,0 +1,143 @@
+//! The store of the lease and of the plan, and the faults.
+
+use std::time::Duration;
+
+use oatpier_membership::lease::{LeaseAction, LeaseEvent, LeaseWrite, PlannerLease, StoredLease};
+use oatpier_types::ids::Revision;
+use rand::RngExt;
+
+use super::bench::{ARMED_FROM, FAULTS_OVER, Happening, LeaseBench, PlanWrite, StoredPlan};
+use crate::fault::FaultKind;
+use crate::run::Bypass;
+use crate::step::StepName;
+
+impl LeaseBench {
+    pub fn store_takes(&mut self, place: usize, boot: u64, what: Happening) {
+        match what {
+            Happening::Lease(action) => {
+                let answer = self.lease_answer(action);
+                let heard = self.planners[place].boot == boot;
+                if heard && let Some(answer) = answer {
+                    self.answer(place, answer);
+                }
+            }
+            Happening::WritePlan(write) => self.write_plan(place, write),
+            _ => {}
+        }
+    }
+
+    pub fn answer(&mut self, place: usize, event: LeaseEvent) {
+        let lost = self.cut_from[place] > self.now;
+        let event = match event {
+            LeaseEvent::Wrote(LeaseWrite::Written(_)) if lost || self.loses_answer() => {
+                LeaseEvent::Wrote(LeaseWrite::AnswerLost)
+            }
+            LeaseEvent::Read(_) if lost => LeaseEvent::Read(Err(())),
+            other => other,
+        };
+        self.post(place, Happening::Answer(event), Duration::from_millis(2));
+    }
+
+    pub fn loses_answer(&mut self) -> bool {
+        let loses = self.answers_to_lose > 0;
+        self.answers_to_lose = self.answers_to_lose.saturating_sub(1);
+        loses
+    }
+
+    pub fn lease_answer(&mut self, action: LeaseAction) -> Option<LeaseEvent> {
+        let down = self.down_until > self.now;
+        match action {
+            LeaseAction::Read if down => Some(LeaseEvent::Read(Err(()))),
+            LeaseAction::Read => Some(LeaseEvent::Read(Ok(self.lease.clone()))),
+            LeaseAction::Write { .. } if down => Some(LeaseEvent::Wrote(LeaseWrite::Failed)),
+            LeaseAction::Write { lease, expected } => {
+                Some(LeaseEvent::Wrote(self.write_lease(lease, expected)))
+            }
+            LeaseAction::Gained(_) | LeaseAction::Lost(_) => None,
+        }
+    }
+
+    pub fn write_lease(&mut self, lease: PlannerLease, expected: Option<Revision>) -> LeaseWrite {
+        let current = self.lease.as_ref().map(|stored| stored.revision);
+        if current != expected {
+            return LeaseWrite::Conflict;
+        }
+        let former = self.lease.as_ref().map(|stored| stored.lease.term);
+        if former.is_some_and(|former| lease.term < former) {
+            let text = format!("the term went back from {former:?} to {:?}", lease.term);
+            self.report.findings.push(text);
+        }
+        let revision = current.unwrap_or_default().next();
+        self.lease = Some(StoredLease { revision, lease });
+        LeaseWrite::Written(revision)
+    }
+
+    pub fn write_plan(&mut self, place: usize, write: PlanWrite) {
+        let Some(read) = write.read.filter(|_| self.down_until <= self.now) else {
+            return;
+        };
+        // Without the look at the term the write goes by a revision read just before it.
+        let fresh = self.order.omits(Bypass::Term) || read.revision == self.stored.revision;
+        if !fresh {
+            return;
+        }
+        if write.term < self.stored.term {
+            let text = format!(
+                "a plan of {:?} came over one of {:?}",
+                write.term, self.stored.term
+            );
+            self.report.findings.push(text);
+        }
+        self.stored = StoredPlan {
+            term: write.term,
+            sequence: self.stored.sequence + 1,
+            revision: self.stored.revision.next(),
+        };
+        self.last_plan_at = self.now;
+        self.loses_answer();
+        let _ = place;
+    }
+
+    pub fn pass(&mut self, step: StepName, place: usize) -> Vec<FaultKind> {
+        let early = self.now < ARMED_FROM && step != StepName::LeaseTake;
+        if early || self.now > FAULTS_OVER {
+            return Vec::new();
+        }
+        let faults = self.plan.pass(step).to_vec();
+        for fault in &faults {
+            self.inflict(*fault, place);
+        }
+        faults
+    }
+
+    pub fn inflict(&mut self, fault: FaultKind, place: usize) {
+        let span = self.millis(1_000, 12_000);
+        let until = self.now + span;
+        match fault {
+            FaultKind::Kill => self.end_planner(place, span),
+            FaultKind::Restart => self.end_planner(place, Duration::from_millis(200)),
+            FaultKind::Pause => self.planners[place].awake_from = until,
+            // Longer than the lease lasts: another takes it meanwhile.
+            FaultKind::LeaseLapsed => {
+                self.planners[place].awake_from = until + Duration::from_secs(8);
+            }
+            FaultKind::CutTo => self.cut_to[place] = until,
+            FaultKind::CutFrom => self.cut_from[place] = until,
+            FaultKind::CutBoth => {
+                self.cut_to[place] = until;
+                self.cut_from[place] = until;
+            }
+            FaultKind::SlowPeer => self.slow_planner[place] = until,
+            FaultKind::StoreDown => self.down_until = until,
+            FaultKind::StoreSlow => self.slow_until = until,
+            FaultKind::AnswerLost => self.answers_to_lose = self.random.random_range(1..=2),
+            _ => {}
+        }
+    }
+
+    pub fn end_planner(&mut self, place: usize, away: Duration) {
+        self.planners[place].up = false;
+        self.planners[place].boot += 1;
+        self.post(place, Happening::Start, away);
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/matrix/mod.rs
@@ -0,0 +1,53 @@
+//! The table of faults by steps, and how its cells are run.
+
+mod cell;
+mod pairs;
+mod table;
+
+pub use cell::{CellOutcome, CellPlan, MatrixCell, ScenarioKind, run_cell};
+pub use pairs::{FaultPair, fault_pairs, run_pair};
+pub use table::plan_of;
+
+use crate::fault::FaultKind;
+use crate::step::StepName;
+
+/// Threads that run cells.
+const WORKERS: usize = 3;
+
+/// Runs every cell of the grid, then the pairs of faults. The order of the cells, and what comes
+/// of each, do not depend on which thread runs it.
+#[must_use]
+pub fn run_matrix(seeds: u64) -> Vec<MatrixCell> {
+    let grid = FaultKind::ALL.into_iter().flat_map(|fault| {
+        let steps = StepName::ALL.iter();
+        steps.map(move |step| CellTask::Single(fault, *step))
+    });
+    let pairs = fault_pairs().into_iter().map(CellTask::Pair);
+    let tasks: Vec<CellTask> = grid.chain(pairs).collect();
+    let mut filled: Vec<(usize, MatrixCell)> = std::thread::scope(|scope| {
+        let tasks = &tasks;
+        let work = |worker: usize| scope.spawn(move || run_share(tasks, worker, seeds));
+        let workers: Vec<_> = (0..WORKERS).map(work).collect();
+        let shares = workers.into_iter().filter_map(|worker| worker.join().ok());
+        shares.flatten().collect()
+    });
+    filled.sort_by_key(|(place, _)| *place);
+    filled.into_iter().map(|(_, cell)| cell).collect()
+}
+
+enum CellTask {
+    Single(FaultKind, StepName),
+    Pair(FaultPair),
+}
+
+fn run_share(tasks: &[CellTask], worker: usize, seeds: u64) -> Vec<(usize, MatrixCell)> {
+    let own = tasks.iter().enumerate().skip(worker).step_by(WORKERS);
+    own.map(|(place, task)| {
+        let cell = match task {
+            CellTask::Single(fault, step) => run_cell(*fault, *step, seeds),
+            CellTask::Pair(pair) => run_pair(pair, seeds),
+        };
+        (place, cell)
+    })
+    .collect()
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/membership/judge.rs
@@ -0,0 +1,130 @@
+//! What must be so at the end, and within seconds on the way.
+
+use std::time::Duration;
+
+use oatpier_membership::members::{MemberChange, MemberState};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::event::FleetEvent;
+use oatpier_types::ids::Generation;
+
+use super::world::{ENTRIES, LATE, MemberNode, MemberWorld, PROCESSES};
+use crate::fault::FaultKind;
+
+/// How long a process that no fault touches may be without an accepted configuration.
+const SPREAD_WITHIN: Duration = Duration::from_secs(5);
+
+impl MemberWorld {
+    /// Every process is there, has the last configuration, and is known in its zone.
+    pub fn judge(&mut self) {
+        let last = self.store.stored.as_ref().map(|stored| stored.generation);
+        for index in 0..PROCESSES {
+            if self.generation(index) != last {
+                let text = format!(
+                    "process {index} is on {:?}, not {last:?}",
+                    self.generation(index)
+                );
+                self.report.findings.push(text);
+            }
+        }
+        self.judge_spread();
+        for ((entry, other), since) in std::mem::take(&mut self.gone) {
+            self.note_gone(entry, other, since);
+        }
+        for entry in 0..ENTRIES {
+            let others = (0..PROCESSES).filter(|other| other % 2 == entry % 2);
+            for other in others {
+                let state = self.state(entry, other);
+                if state != Some(MemberState::Alive) {
+                    let text = format!("entry {entry} takes process {other} for {state:?}");
+                    self.report.findings.push(text);
+                }
+            }
+        }
+    }
+
+    fn state(&self, entry: usize, other: usize) -> Option<MemberState> {
+        let Some(MemberNode::Entry(member)) = &self.processes[entry].node else {
+            return None;
+        };
+        let daemon = &self.processes[other].contact.daemon;
+        Some(member.table().get(daemon)?.state)
+    }
+
+    /// No entry may take a process of its availability zone for gone, if no fault touches either.
+    pub fn watch_gone(&mut self, entry: usize, change: &MemberChange) {
+        let other =
+            (0..PROCESSES).find(|other| self.processes[*other].contact.daemon == change.daemon);
+        let Some(other) = other.filter(|other| other % 2 == entry % 2) else {
+            return;
+        };
+        if change.state == MemberState::Gone {
+            let whole = |index: usize| {
+                let process = &self.processes[index];
+                process.node.is_some() && !process.touched
+            };
+            if whole(other) && whole(entry) {
+                self.gone.insert((entry, other), self.now);
+            }
+        } else if let Some(since) = self.gone.remove(&(entry, other)) {
+            self.note_gone(entry, other, since);
+        }
+    }
+
+    fn note_gone(&mut self, entry: usize, other: usize, since: ClockTime) {
+        let span = self.now.since(since);
+        let text = format!(
+            "entry {entry} took process {other}, which serves, for gone for {span:?} at {since:?}"
+        );
+        self.report.findings.push(text);
+    }
+
+    /// The checker counts from the end of the last fault. A process that no fault touches has no
+    /// such excuse, unless the store itself is down.
+    fn judge_spread(&mut self) {
+        let down = self
+            .order
+            .strikes
+            .iter()
+            .any(|strike| strike.fault == FaultKind::StoreDown);
+        if down {
+            return;
+        }
+        let accepted = self
+            .report
+            .log
+            .iter()
+            .filter_map(|logged| match logged.event {
+                FleetEvent::ConfigAccepted { generation } => Some((logged.at, generation)),
+                _ => None,
+            });
+        let accepted: Vec<(ClockTime, Generation)> = accepted.collect();
+        let untouched = (0..PROCESSES).filter(|index| !LATE.contains(index));
+        let untouched = untouched.filter(|index| !self.processes[*index].touched);
+        let mut late = Vec::new();
+        for index in untouched {
+            for (at, generation) in &accepted {
+                let taken = self
+                    .taken_at(index, *generation)
+                    .unwrap_or(ClockTime::NEVER);
+                if taken.since(*at) > SPREAD_WITHIN {
+                    late.push(format!(
+                        "process {index} got generation {generation} {:?} late",
+                        taken.since(*at)
+                    ));
+                }
+            }
+        }
+        self.report.findings.extend(late);
+    }
+
+    fn taken_at(&self, index: usize, wanted: Generation) -> Option<ClockTime> {
+        let own = &self.processes[index].contact.daemon;
+        let mut taken = self.report.log.iter().filter(|logged| match &logged.event {
+            FleetEvent::ConfigInForce {
+                daemon, generation, ..
+            } => daemon == own && *generation >= wanted,
+            _ => false,
+        });
+        taken.next().map(|logged| logged.at)
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/membership/world.rs
@@ -0,0 +1,369 @@
+//! The processes and what happens to them.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use oatpier_membership::agent::{AgentEvent, AgentMember};
+use oatpier_membership::entry::{CallNumber, EntryEvent, EntryMember};
+use oatpier_membership::exchange::ExchangeScope;
+use oatpier_membership::members::TableLimits;
+use oatpier_membership::messages::{EntryContact, PeerAnswer, PeerCall};
+use oatpier_membership::spread::StoreReply;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::config::FleetConfig;
+use oatpier_types::event::{FleetEvent, LoggedEvent};
+use oatpier_types::ids::{BootId, Generation};
+use oatpier_types::names::ZoneName;
+use oatpier_types::pulse::{AgentPulse, EndpointStatus};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::store::ConfigStore;
+use crate::queue::EventQueue;
+use crate::request::name;
+use crate::run::{RunOrder, RunReport};
+use crate::step::StepName;
+use crate::strike::StrikePlan;
+
+/// Entries.
+pub const ENTRIES: usize = 8;
+/// All processes.
+pub const PROCESSES: usize = 16;
+/// An entry and an agent that start late.
+pub const LATE: [usize; 2] = [ENTRIES - 1, PROCESSES - 1];
+/// An entry that dies when the faults begin, and comes back later: agents need a successor.
+const LOST_REGISTRAR: usize = 2;
+
+/// The first configuration is accepted.
+const FIRST_CHANGE: ClockTime = ClockTime::from_millis(1_000);
+/// Faults strike from here on.
+pub const ARMED_FROM: ClockTime = ClockTime::from_millis(15_000);
+/// From here on nothing is at fault.
+const FAULTS_OVER: ClockTime = ClockTime::from_millis(40_000);
+/// One more configuration is accepted, after the faults.
+const LAST_CHANGE: ClockTime = ClockTime::from_millis(55_000);
+/// The end.
+const LAST_MOMENT: ClockTime = ClockTime::from_millis(75_000);
+
+pub type Call = PeerCall<FleetConfig>;
+pub type Answer = PeerAnswer<FleetConfig>;
+
+#[derive(Debug)]
+pub enum MemberNode {
+    Entry(Box<EntryMember<FleetConfig>>),
+    Agent(Box<AgentMember<FleetConfig>>),
+}
+
+#[derive(Debug)]
+pub struct Process {
+    pub contact: EntryContact,
+    pub node: Option<MemberNode>,
+    pub boot: u64,
+    pub started: ClockTime,
+    pub wake_at: ClockTime,
+    pub paused_until: ClockTime,
+    pub slow_until: ClockTime,
+    /// A fault has struck it.
+    pub touched: bool,
+    /// Whom an agent has sent heartbeats to before the faults.
+    pub known: Vec<usize>,
+}
+
+#[derive(Debug, Clone)]
+pub enum Happening {
+    Wake,
+    Start,
+    Deliver {
+        from: usize,
+        from_boot: u64,
+        call: CallNumber,
+        body: Box<Call>,
+    },
+    End {
+        call: CallNumber,
+        answer: Option<Box<Answer>>,
+    },
+    Store(Box<StoreReply<FleetConfig>>),
+    Change,
+    KillRegistrar,
+    ListVms,
+    FaultsOver,
+}
+
+pub struct Queued {
+    pub to: usize,
+    pub boot: Option<u64>,
+    pub what: Happening,
+}
+
+pub struct MemberWorld {
+    pub order: RunOrder,
+    pub plan: StrikePlan,
+    pub random: ChaCha8Rng,
+    pub now: ClockTime,
+    pub processes: Vec<Process>,
+    pub store: ConfigStore,
+    pub queue: EventQueue<Queued>,
+    pub blocked: BTreeMap<(usize, usize), ClockTime>,
+    /// Processes that can't reach the store until then.
+    pub storeless: [ClockTime; PROCESSES],
+    /// The list of VMs is wrong until then.
+    pub wrong_list_until: ClockTime,
+    /// Which entry wrongly takes which process for gone, and since when.
+    pub gone: BTreeMap<(usize, usize), ClockTime>,
+    pub report: RunReport,
+}
+
+impl MemberWorld {
+    pub fn new(order: &RunOrder) -> Self {
+        let mut world = Self {
+            plan: order.plan(),
+            random: order.generator(),
+            order: order.clone(),
+            now: ClockTime::ZERO,
+            processes: (0..PROCESSES).map(process).collect(),
+            store: ConfigStore::default(),
+            queue: EventQueue::default(),
+            blocked: BTreeMap::new(),
+            storeless: [ClockTime::ZERO; PROCESSES],
+            wrong_list_until: ClockTime::ZERO,
+            gone: BTreeMap::new(),
+            report: RunReport::default(),
+        };
+        for index in (0..PROCESSES).filter(|index| !LATE.contains(index)) {
+            world.start(index);
+        }
+        world.plan_events();
+        world
+    }
+
+    fn plan_events(&mut self) {
+        let soon = Duration::from_millis(self.random.random_range(1..900));
+        let mut put = |at, to, what| {
+            let boot = None;
+            self.queue.put(at, Queued { to, boot, what });
+        };
+        put(FIRST_CHANGE, 0, Happening::Change);
+        put(ClockTime::ZERO, 0, Happening::ListVms);
+        if self
+            .order
+            .strikes
+            .iter()
+            .any(|strike| strike.step == StepName::Successor)
+        {
+            put(ARMED_FROM, LOST_REGISTRAR, Happening::KillRegistrar);
+        }
+        put(ARMED_FROM + soon, 0, Happening::Change);
+        put(ARMED_FROM + soon * 2, 0, Happening::Change);
+        for late in LATE {
+            put(ARMED_FROM + soon, late, Happening::Start);
+        }
+        put(FAULTS_OVER, 0, Happening::FaultsOver);
+        put(LAST_CHANGE, 0, Happening::Change);
+    }
+
+    pub fn run(mut self) -> RunReport {
+        while let Some((at, queued)) = self.queue.take(LAST_MOMENT) {
+            self.now = at;
+            self.end_watches();
+            self.happen(queued);
+        }
+        self.now = LAST_MOMENT;
+        self.note(FleetEvent::FaultsOver);
+        self.judge();
+        self.report.struck = self.plan.is_spent();
+        self.report
+    }
+
+    pub fn generation(&self, index: usize) -> Option<Generation> {
+        match self.processes[index].node.as_ref()? {
+            MemberNode::Entry(entry) => Some(entry.generation()),
+            MemberNode::Agent(agent) => Some(agent.generation()),
+        }
+    }
+
+    pub fn note(&mut self, event: FleetEvent) {
+        let at = self.now;
+        self.report.log.push(LoggedEvent { at, event });
+    }
+
+    pub fn put(&mut self, after: Duration, to: usize, boot: Option<u64>, what: Happening) {
+        self.queue.put(self.now + after, Queued { to, boot, what });
+    }
+
+    /// Starts a process with nothing kept.
+    pub fn start(&mut self, index: usize) {
+        let boot = self.processes[index].boot + 1;
+        let id = BootId(u128::from(boot) * 64 + index as u128);
+        let seeds = (0..4).filter(|seed| *seed != index);
+        let seeds: Vec<EntryContact> = seeds
+            .map(|seed| self.processes[seed].contact.clone())
+            .collect();
+        let own = self.processes[index].contact.clone();
+        let start = ClockTime::ZERO;
+        let random = &mut self.random;
+        let node = if index < ENTRIES {
+            let limits = TableLimits::default();
+            let mut entry = EntryMember::new(own, id, seeds, limits, random, start);
+            entry.handle(EntryEvent::Scope(ExchangeScope::Zone), start);
+            MemberNode::Entry(Box::new(entry))
+        } else {
+            let status = status(index, &own.zone, id);
+            MemberNode::Agent(Box::new(AgentMember::new(
+                own, id, seeds, status, random, start,
+            )))
+        };
+        let process = &mut self.processes[index];
+        process.boot = boot;
+        process.started = self.now;
+        process.node = Some(node);
+        process.wake_at = ClockTime::NEVER;
+        process.paused_until = self.now;
+        self.schedule(index);
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        process.node = None;
+        process.touched = true;
+        let name = process.contact.daemon.clone();
+        self.store.watches.retain(|watch| watch.process != index);
+        self.note(FleetEvent::Ended {
+            name,
+            killed: true,
+            cut_off: 0,
+        });
+    }
+
+    /// The process's own clock, from its start.
+    pub fn local(&self, index: usize) -> ClockTime {
+        ClockTime::from_start(self.now.since(self.processes[index].started))
+    }
+
+    pub fn schedule(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        let wake = match &process.node {
+            None => return,
+            Some(MemberNode::Entry(entry)) => entry.next_wake(),
+            Some(MemberNode::Agent(agent)) => agent.next_wake(),
+        };
+        if wake == ClockTime::NEVER {
+            return;
+        }
+        let at = process.started + Duration::from_micros(wake.as_micros());
+        let at = at.max(self.now + Duration::from_millis(1));
+        if process.wake_at <= self.now || at < process.wake_at {
+            process.wake_at = at;
+            let (to, boot) = (index, Some(process.boot));
+            let what = Happening::Wake;
+            self.queue.put(at, Queued { to, boot, what });
+        }
+    }
+
+    fn happen(&mut self, queued: Queued) {
+        let Queued { to, boot, what } = queued;
+        match what {
+            Happening::Start if self.processes[to].node.is_none() => return self.start(to),
+            Happening::Start => return,
+            Happening::Change => return self.change(to),
+            Happening::KillRegistrar => {
+                self.kill(to);
+                let away = Duration::from_millis(self.random.random_range(5_000..20_000));
+                return self.put(away, to, None, Happening::Start);
+            }
+            Happening::ListVms => return self.list_vms(),
+            Happening::FaultsOver => return self.note(FleetEvent::FaultsOver),
+            _ => {}
+        }
+        let process = &self.processes[to];
+        let other = boot.is_some_and(|boot| boot != process.boot);
+        if process.node.is_none() || other {
+            return;
+        }
+        if process.paused_until > self.now {
+            let at = process.paused_until;
+            self.queue.put(at, Queued { to, boot, what });
+            return;
+        }
+        self.take(to, what);
+    }
+
+    fn change(&mut self, to: usize) {
+        if self.store.down_until > self.now {
+            // The operator's command tries again.
+            return self.put(Duration::from_millis(500), to, None, Happening::Change);
+        }
+        let generation = self.store.change();
+        self.note(FleetEvent::ConfigAccepted { generation });
+        self.tell_watches();
+    }
+
+    pub fn tell_entry(&mut self, index: usize, event: EntryEvent<FleetConfig>) {
+        let local = self.local(index);
+        if let Some(MemberNode::Entry(entry)) = &mut self.processes[index].node {
+            let actions = entry.handle(event, local);
+            self.act_entry(index, actions);
+        }
+        self.schedule(index);
+    }
+
+    pub fn tell_agent(&mut self, index: usize, event: AgentEvent<FleetConfig>) {
+        let local = self.local(index);
+        if let Some(MemberNode::Agent(agent)) = &mut self.processes[index].node {
+            let actions = agent.handle(event, local);
+            self.act_agent(index, actions);
+        }
+        self.schedule(index);
+    }
+}
+
+fn zone(index: usize) -> ZoneName {
+    name(if index.is_multiple_of(2) {
+        "ikeja"
+    } else {
+        "lekki"
+    })
+}
+
+fn process(index: usize) -> Process {
+    let port = u16::try_from(index + 1).unwrap_or(u16::MAX);
+    let kind = if index < ENTRIES { "entry" } else { "agent" };
+    Process {
+        contact: EntryContact {
+            daemon: name(&format!("{kind}-{index}")),
+            zone: zone(index),
+            address: SocketAddr::from((Ipv4Addr::new(10, 0, 0, 1), port)),
+        },
+        node: None,
+        boot: 0,
+        started: ClockTime::ZERO,
+        wake_at: ClockTime::NEVER,
+        paused_until: ClockTime::ZERO,
+        slow_until: ClockTime::ZERO,
+        touched: false,
+        known: Vec::new(),
+    }
+}
+
+fn status(index: usize, zone: &ZoneName, boot: BootId) -> EndpointStatus {
+    EndpointStatus {
+        endpoint: name(&format!("endpoint-{index}")),
+        pool: name("seat-llm"),
+        zone: zone.clone(),
+        ready: smallvec::SmallVec::from_iter([crate::request::weights()]),
+        ready_sequence: 1,
+        generation: Generation(0),
+        pulse: AgentPulse {
+            boot,
+            sequence: 1,
+            queued: 0,
+            running: 0,
+            slots: 8,
+            wait: Duration::ZERO,
+            prompt_token_ns: 20_000,
+            step_us: 5_000,
+            accepting: true,
+        },
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/orders/inflict.rs
@@ -0,0 +1,113 @@
+//! The faults of orders and moves.
+
+use std::time::Duration;
+
+use oatpier_types::event::FleetEvent;
+use oatpier_types::ids::BootId;
+use rand::RngExt;
+
+use super::engine::OrderedEngine;
+use super::scenario::MEMORY_MIB;
+use super::world::{OrderMessage, OrderWorld};
+use crate::fault::FaultKind;
+use crate::request::name;
+use crate::step::StepName;
+
+/// What becomes of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum MessageFate {
+    #[default]
+    Kept,
+    Doubled,
+    Crossed,
+    Late,
+    Lost,
+}
+
+impl OrderWorld {
+    /// A step is passed at an endpoint: inflicts the faults that strike.
+    pub fn pass(&mut self, step: StepName, index: usize) -> MessageFate {
+        if !self.is_armed(step) {
+            return MessageFate::Kept;
+        }
+        let mut fate = MessageFate::Kept;
+        for fault in self.plan.pass(step) {
+            match fault {
+                FaultKind::Lost => fate = MessageFate::Lost,
+                FaultKind::Late => fate = MessageFate::Late,
+                FaultKind::Doubled => fate = MessageFate::Doubled,
+                FaultKind::Crossed => fate = MessageFate::Crossed,
+                other => self.inflict(other, index),
+            }
+        }
+        fate
+    }
+
+    fn inflict(&mut self, fault: FaultKind, index: usize) {
+        let span = Duration::from_millis(self.random.random_range(1_000..9_000));
+        let until = self.now + span;
+        match fault {
+            FaultKind::Kill => self.kill(index, span),
+            FaultKind::Restart => self.end_agent(index, Duration::from_millis(50)),
+            FaultKind::Pause => self.pause(index, span),
+            FaultKind::LeaseLapsed => {
+                self.pause(index, span);
+                self.start_agent(index);
+            }
+            FaultKind::CutTo => self.cut_to[index] = until,
+            FaultKind::CutFrom => self.cut_from[index] = until,
+            FaultKind::CutBoth => {
+                self.cut_to[index] = until;
+                self.cut_from[index] = until;
+            }
+            FaultKind::SlowPeer => {
+                self.slow_until[index] = until;
+                self.engines[index].slow_until = until;
+            }
+            FaultKind::StoreDown => self.store_down_until = until,
+            FaultKind::StoreSlow => self.store_slow_until = until,
+            FaultKind::AnswerLost => self.answers_to_lose = self.random.random_range(1..=2),
+            _ => {}
+        }
+    }
+
+    /// With some seeds the engine dies as well, and all that it held is gone.
+    fn kill(&mut self, index: usize, away: Duration) {
+        self.end_agent(index, away);
+        if self.random.random_bool(0.4) {
+            self.note(FleetEvent::Ended {
+                name: name(&format!("engine-{index}")),
+                killed: true,
+                cut_off: 0,
+            });
+            self.engines[index] = OrderedEngine::new(self.checks, MEMORY_MIB);
+            self.observe();
+        }
+    }
+
+    /// Its calls and orders may yet take effect.
+    fn end_agent(&mut self, index: usize, away: Duration) {
+        let Some(boot) = self.current[index].take() else {
+            return;
+        };
+        self.end_work(index);
+        // Removed at the end of the tick's loop would be later than its next command.
+        if let Some(agent) = self.agents.iter_mut().find(|agent| agent.boot == boot) {
+            agent.awake_from = oatpier_types::clock::ClockTime::NEVER;
+            agent.boot = BootId(u128::MAX - agent.boot.0);
+        }
+        self.post(OrderMessage::Start(index), away);
+    }
+
+    fn pause(&mut self, index: usize, span: Duration) {
+        let boot = self.current[index];
+        let wake = self.now + span;
+        if let Some(agent) = self
+            .agents
+            .iter_mut()
+            .find(|agent| Some(agent.boot) == boot)
+        {
+            agent.awake_from = wake;
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/request/caller.rs
@@ -0,0 +1,241 @@
+//! Callers: they send, send again what was not answered whole, and see what they get.
+
+use std::time::Duration;
+
+use oatpier_policy::outcome::{FinalAnswer, FinalCause};
+use oatpier_types::event::{AnswerEnd, FleetEvent};
+use oatpier_types::ids::RequestId;
+use oatpier_types::refusal::RefusalCause;
+use oatpier_types::verdict::{Repeat, RunVerdict};
+use rand::RngExt;
+
+use super::fleet::JobKind;
+use super::message::{CALLERS, ENTRIES, Happening, Message, NodeId};
+use super::network::{Treatment, sibling};
+use super::world::RequestWorld;
+use crate::step::StepName;
+
+/// Tries after which a caller gives up.
+const MOST_TRIES: u32 = 60;
+
+/// What a caller wants done.
+#[derive(Debug, Clone, Copy)]
+pub struct Job {
+    pub kind: JobKind,
+    pub key: u64,
+    pub tries: u32,
+    pub done: bool,
+}
+
+/// One request of a job, as its caller sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Submission {
+    pub job: usize,
+    pub entry: NodeId,
+    pub answered: bool,
+    /// Pieces that came in order.
+    pub relayed: u32,
+    /// A piece came out of order, or another's.
+    pub broken: bool,
+    pub content: Option<RequestId>,
+}
+
+impl RequestWorld {
+    pub fn plan_jobs(&mut self) {
+        let leaves = self.hits(StepName::Cancel);
+        for number in 0..9 {
+            let kind = [JobKind::Change, JobKind::Stream, JobKind::Fetch][number % 3];
+            let late = self.draw_millis(0, 60);
+            let gone = leaves && number < 3;
+            self.plan_job(kind, late, gone);
+        }
+        let is_stop = self.stop.is_some();
+        for number in 0..if is_stop { 45 } else { 0 } {
+            let kind = [JobKind::Change, JobKind::Stream, JobKind::Fetch][number % 3];
+            let late = self.draw_millis(60, 1_500);
+            self.plan_job(kind, late, false);
+        }
+    }
+
+    /// After the faults one request of each kind is served as if nothing had been.
+    pub fn plan_last_jobs(&mut self) {
+        for kind in [JobKind::Change, JobKind::Stream, JobKind::Fetch] {
+            self.plan_job(kind, Duration::from_millis(200), false);
+        }
+    }
+
+    fn plan_job(&mut self, kind: JobKind, late: Duration, leaves: bool) {
+        let place = self.jobs.len();
+        self.jobs.push(Job {
+            kind,
+            key: 1_000 + place as u64,
+            tries: 0,
+            done: false,
+        });
+        self.queue.put(self.now + late, Happening::Submit(place));
+        if leaves {
+            let gone = late + self.draw_millis(2, 60);
+            self.queue
+                .put(self.now + gone, Happening::CallerGone(place));
+        }
+    }
+
+    pub fn submit(&mut self, place: usize) {
+        let job = self.jobs[place];
+        if job.done {
+            return;
+        }
+        let preferred = (place + job.tries as usize) % ENTRIES;
+        let ready = |entry: NodeId| self.nodes[entry].up && !self.is_known_stopping(entry);
+        let Some(entry) = [preferred, sibling(preferred)]
+            .into_iter()
+            .find(|entry| ready(*entry))
+        else {
+            let later = self.now + Duration::from_millis(100);
+            self.queue.put(later, Happening::Submit(place));
+            return;
+        };
+        self.jobs[place].tries += 1;
+        if job.tries >= MOST_TRIES {
+            return;
+        }
+        let treatment = self.pass(StepName::Intake, CALLERS, entry);
+        self.submit_to(place, entry, treatment);
+        if treatment == Treatment::Double {
+            // The caller, or the balancer before the entries, sends it twice.
+            self.submit_to(place, sibling(entry), Treatment::Deliver);
+        }
+    }
+
+    fn submit_to(&mut self, place: usize, entry: NodeId, treatment: Treatment) {
+        let job = self.jobs[place];
+        let request = RequestId(1 + self.submissions.len() as u128);
+        let submission = Submission {
+            job: place,
+            entry,
+            answered: false,
+            relayed: 0,
+            broken: false,
+            content: None,
+        };
+        self.submissions.insert(request, submission);
+        let once = job.kind == JobKind::Change;
+        self.note(FleetEvent::RequestSent {
+            request,
+            repeat: if once {
+                Repeat::AtMostOnce
+            } else {
+                Repeat::Idempotent
+            },
+            key: once.then_some(job.key),
+        });
+        let message = Message::Submit(request);
+        if !self.nodes[entry].up || treatment == Treatment::Lose {
+            let after = self.draw_millis(100, 1_500);
+            return self.submit_lost(request, after);
+        }
+        let late = if treatment == Treatment::Delay {
+            self.draw_millis(50, 2_500)
+        } else {
+            Duration::from_millis(1)
+        };
+        if self
+            .blocked
+            .get(&(CALLERS, entry))
+            .is_some_and(|until| *until > self.now)
+        {
+            let after = self.draw_millis(100, 1_500);
+            return self.submit_lost(request, after);
+        }
+        self.put_directly(CALLERS, entry, message, late);
+    }
+
+    /// The request never came to its entry: the caller's connection ends.
+    pub fn submit_lost(&mut self, request: RequestId, after: Duration) {
+        let open = self.submissions.get(&request);
+        let Some(submission) = open.filter(|submission| !submission.answered) else {
+            return;
+        };
+        let place = submission.job;
+        self.answered(request, AnswerEnd::Error, RunVerdict::MayHaveRun, false);
+        self.queue.put(self.now + after, Happening::Submit(place));
+    }
+
+    pub fn caller_gone(&mut self, place: usize) {
+        self.jobs[place].done = true;
+        let open = self.submissions.iter();
+        let open = open.filter(|(_, submission)| submission.job == place && !submission.answered);
+        let open: Vec<(RequestId, NodeId)> = open
+            .map(|(request, submission)| (*request, submission.entry))
+            .collect();
+        for (request, entry) in open {
+            self.tell_request(
+                entry,
+                request,
+                &oatpier_policy::event::EntryEvent::CallerGone,
+                None,
+            );
+        }
+    }
+
+    /// A piece is relayed to the caller.
+    pub fn relayed(&mut self, request: RequestId, place: u32, content: RequestId) {
+        let Some(submission) = self.submissions.get_mut(&request) else {
+            return;
+        };
+        submission.content = Some(content);
+        if submission.relayed == place && content == request {
+            submission.relayed += 1;
+        } else {
+            submission.broken = true;
+        }
+    }
+
+    /// The entry ends the request at its caller.
+    pub fn final_answer(&mut self, request: RequestId, answer: &FinalAnswer) {
+        let Some(submission) = self.submissions.get(&request) else {
+            return;
+        };
+        let job = self.jobs[submission.job];
+        let complete = !submission.broken && submission.relayed == job.kind.pieces();
+        let end = match answer.cause {
+            FinalCause::Whole if complete => AnswerEnd::Whole,
+            FinalCause::Whole => AnswerEnd::Cut,
+            FinalCause::CallerGone => AnswerEnd::CallerGone,
+            _ => AnswerEnd::Error,
+        };
+        let told = matches!(
+            answer.cause,
+            FinalCause::Whole | FinalCause::Refused(RefusalCause::KeyUsed)
+        );
+        self.answered(request, end, answer.verdict, told);
+    }
+
+    /// The caller has the end of its answer. `settled`: it does not ask again.
+    pub fn answered(
+        &mut self,
+        request: RequestId,
+        end: AnswerEnd,
+        verdict: RunVerdict,
+        settled: bool,
+    ) {
+        let Some(submission) = self.submissions.get_mut(&request) else {
+            return;
+        };
+        submission.answered = true;
+        let (place, content) = (submission.job, submission.content);
+        self.note(FleetEvent::AnswerEnded {
+            request,
+            content_of: content,
+            end,
+            verdict,
+            in_time: false,
+        });
+        if settled {
+            self.jobs[place].done = true;
+            return;
+        }
+        let wait = Duration::from_millis(self.random.random_range(150..500));
+        self.queue.put(self.now + wait, Happening::Submit(place));
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/request/entry.rs
@@ -0,0 +1,299 @@
+//! An entry: carries out what its decisions say.
+
+use std::collections::BTreeMap;
+
+use oatpier_policy::action::{CancelMode, EntryAction, EntryActions};
+use oatpier_policy::entry::{EntryPolicy, EntrySettings};
+use oatpier_policy::event::EntryEvent;
+use oatpier_policy::outcome::{FinalAnswer, FinalCause};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::ids::{AttemptId, BootId, RequestId};
+use oatpier_types::names::EndpointName;
+use oatpier_types::pulse::{AdmissionTicket, AgentPulse};
+use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_types::request::AttemptSpec;
+use oatpier_types::verdict::Repeat;
+use std::time::Duration;
+
+use super::claims::EntryClaims;
+use super::fleet;
+use super::message::{AnswerFrame, Message, NodeId};
+use super::network::Treatment;
+use super::world::{Connection, RequestWorld};
+use crate::run::Bypass;
+use crate::step::StepName;
+
+/// One start of an entry.
+pub struct EntryNode {
+    pub policy: EntryPolicy,
+    pub claims: EntryClaims,
+    pub stopping: bool,
+    tickets: BTreeMap<NodeId, AdmissionTicket>,
+    sent: BTreeMap<AttemptId, AdmissionTicket>,
+}
+
+impl EntryNode {
+    pub fn new(node: NodeId, boot: u64) -> Self {
+        let settings = EntrySettings::default();
+        let seed = boot * 16 + node as u64;
+        let mut policy = EntryPolicy::new(settings, fleet::zone(node), seed);
+        policy.apply_config(&fleet::config());
+        Self {
+            policy,
+            claims: EntryClaims::new(node, BootId(u128::from(seed))),
+            stopping: false,
+            tickets: BTreeMap::new(),
+            sent: BTreeMap::new(),
+        }
+    }
+
+    fn note_pulse(&mut self, agent: NodeId, pulse: &AgentPulse) {
+        let ticket = AdmissionTicket::of(pulse);
+        let known = self.tickets.entry(agent).or_insert(ticket);
+        let newer = known.boot != ticket.boot || known.sequence < ticket.sequence;
+        if newer && known.boot <= ticket.boot {
+            *known = ticket;
+        }
+    }
+}
+
+/// The piece that a step of a request may relay.
+type RelayPiece = Option<(u32, RequestId)>;
+
+impl RequestWorld {
+    pub fn entry_takes(&mut self, entry: NodeId, from: NodeId, message: Message) {
+        match message {
+            Message::Submit(request) => self.start_request(entry, request),
+            Message::Frame {
+                request,
+                attempt,
+                frame,
+            } => self.take_frame(entry, from, request, attempt, frame),
+            Message::CancelAnswer {
+                request,
+                attempt,
+                verdict,
+            } => {
+                let event = EntryEvent::CancelAnswered { attempt, verdict };
+                self.tell_request(entry, request, &event, None);
+            }
+            Message::Status(status) => {
+                let node = &mut self.entries[entry];
+                let agent = fleet::agent_of(&status.endpoint);
+                node.policy.on_status(&status, self.now);
+                node.note_pulse(agent, &status.pulse);
+            }
+            Message::Leave => self.take_leave(entry),
+            other => self.claims_take(entry, from, other),
+        }
+        self.schedule_entry(entry);
+    }
+
+    pub fn wake_entry(&mut self, entry: NodeId) {
+        let mut fired = Vec::new();
+        self.entries[entry].policy.fire_timers(self.now, &mut fired);
+        for (request, actions) in fired {
+            self.act(entry, request, actions, None);
+        }
+        self.wake_claims(entry);
+        self.schedule_entry(entry);
+    }
+
+    pub fn schedule_entry(&mut self, entry: NodeId) {
+        let policy = self.entries[entry].policy.next_timer();
+        let at = policy
+            .unwrap_or(ClockTime::NEVER)
+            .min(self.entries[entry].claims.next_timer());
+        self.wake_at(entry, at);
+    }
+
+    fn start_request(&mut self, entry: NodeId, request: RequestId) {
+        let Some(submission) = self.submissions.get(&request).copied() else {
+            return;
+        };
+        if submission.answered {
+            return;
+        }
+        let job = self.jobs[submission.job];
+        let intake = fleet::intake(job.kind, request, job.key);
+        let actions = self.entries[entry].policy.start(intake, self.now);
+        self.act(entry, request, actions, None);
+    }
+
+    fn take_frame(
+        &mut self,
+        entry: NodeId,
+        from: NodeId,
+        request: RequestId,
+        attempt: AttemptId,
+        frame: AnswerFrame,
+    ) {
+        let mut attempt = attempt;
+        if self.order.omits(Bypass::AttemptMatch)
+            && let Some(live) = self.entries[entry].policy.live_attempt(request)
+        {
+            attempt = live;
+        }
+        let piece = match &frame {
+            AnswerFrame::Piece { place, content } => Some((*place, *content)),
+            _ => None,
+        };
+        let event = event_of(attempt, frame);
+        if let Some(pulse) = event.pulse() {
+            self.entries[entry].note_pulse(from, pulse);
+        }
+        self.tell_request(entry, request, &event, piece);
+    }
+
+    pub fn tell_request(
+        &mut self,
+        entry: NodeId,
+        request: RequestId,
+        event: &EntryEvent,
+        piece: RelayPiece,
+    ) {
+        let actions = self.entries[entry].policy.handle(request, event, self.now);
+        self.act(entry, request, actions, piece);
+        self.schedule_entry(entry);
+    }
+
+    fn act(&mut self, entry: NodeId, request: RequestId, actions: EntryActions, piece: RelayPiece) {
+        for action in actions {
+            if !self.nodes[entry].up {
+                return;
+            }
+            match action {
+                EntryAction::Claim { key } => self.claim(entry, request, key),
+                EntryAction::SettleClaim { key, verdict } => {
+                    self.settle(entry, request, key, verdict);
+                }
+                EntryAction::Send { endpoint, spec } | EntryAction::Resume { endpoint, spec } => {
+                    self.send_attempt(entry, &endpoint, spec);
+                }
+                EntryAction::Cancel {
+                    endpoint,
+                    attempt,
+                    mode,
+                } => self.send_cancel(entry, request, &endpoint, attempt, mode),
+                EntryAction::Relay { .. } => {
+                    if let Some((place, content)) = piece {
+                        self.relayed(request, place, content);
+                    }
+                }
+                EntryAction::Answer(answer) => self.end_request(entry, request, &answer),
+            }
+        }
+    }
+
+    fn end_request(&mut self, entry: NodeId, request: RequestId, answer: &FinalAnswer) {
+        self.final_answer(request, answer);
+        if self.entries[entry].stopping
+            && answer.cause == FinalCause::Refused(RefusalCause::Leaving)
+        {
+            self.pass(StepName::StopRefuse, entry, super::message::CALLERS);
+        }
+        if self.order.omits(Bypass::Drain) && self.entries[entry].stopping {
+            self.watch_stop();
+        }
+    }
+
+    fn send_attempt(&mut self, entry: NodeId, endpoint: &EndpointName, spec: Box<AttemptSpec>) {
+        let agent = fleet::agent_of(endpoint);
+        self.pass(StepName::Choose, entry, agent);
+        if !self.nodes[entry].up {
+            return;
+        }
+        let Some(ticket) = self.entries[entry].tickets.get(&agent).copied() else {
+            return;
+        };
+        self.entries[entry].sent.insert(spec.attempt, ticket);
+        let connection = Connection {
+            request: spec.request,
+            entry,
+            agent,
+            floor: self.now,
+            broken: false,
+        };
+        self.connections.insert(spec.attempt, connection);
+        let key = self.key_of(spec.request, spec.repeat);
+        let held = self.is_held(spec.repeat);
+        let message = Message::Attempt { spec, ticket, key };
+        if held {
+            // The cancel of a silent attempt goes past it.
+            let late = self.draw_millis(700, 2_200);
+            let treatment = self.pass(StepName::Send, entry, agent);
+            debug_assert_eq!(treatment, Treatment::Deliver);
+            self.put_directly(entry, agent, message, late);
+        } else {
+            self.send(Some(StepName::Send), entry, agent, message);
+        }
+    }
+
+    /// Runs of the cancel's faults hold some changes back, so that they are sealed.
+    fn is_held(&mut self, repeat: Repeat) -> bool {
+        let early = self.now < ClockTime::from_millis(2_500);
+        let wanted = self.hits(StepName::Cancel) && !self.hits(StepName::Send);
+        wanted && early && repeat == Repeat::AtMostOnce && self.draw_millis(0, 1) == Duration::ZERO
+    }
+
+    fn key_of(&self, request: RequestId, repeat: Repeat) -> Option<u64> {
+        let submission = self.submissions.get(&request)?;
+        (repeat == Repeat::AtMostOnce).then(|| self.jobs[submission.job].key)
+    }
+
+    fn send_cancel(
+        &mut self,
+        entry: NodeId,
+        request: RequestId,
+        endpoint: &EndpointName,
+        attempt: AttemptId,
+        mode: CancelMode,
+    ) {
+        let Some(ticket) = self.entries[entry].sent.get(&attempt).copied() else {
+            return;
+        };
+        let connection = self.connections.get(&attempt);
+        let agent = connection.map_or(fleet::agent_of(endpoint), |connection| connection.agent);
+        let message = Message::Cancel {
+            request,
+            attempt,
+            ticket,
+            seal_only: mode == CancelMode::SealOnly,
+        };
+        self.send(Some(StepName::Cancel), entry, agent, message);
+    }
+}
+
+fn event_of(attempt: AttemptId, frame: AnswerFrame) -> EntryEvent {
+    match frame {
+        AnswerFrame::Head(pulse) => EntryEvent::FirstFrame {
+            attempt,
+            pulse: Some(pulse),
+        },
+        AnswerFrame::Piece { place, .. } => EntryEvent::Piece {
+            attempt,
+            // Services answer in bytes, not tokens; theirs have one piece.
+            tokens: u32::from(place < fleet::STREAM_PIECES),
+        },
+        AnswerFrame::End(pulse) => EntryEvent::Ended {
+            attempt,
+            pulse: Some(pulse),
+        },
+        AnswerFrame::Refused(refusal, pulse) => EntryEvent::Refused {
+            attempt,
+            refusal,
+            pulse: Some(pulse),
+        },
+        AnswerFrame::Failed(verdict) => EntryEvent::Failed { attempt, verdict },
+        AnswerFrame::Cut => EntryEvent::Cut { attempt },
+        AnswerFrame::NotConnected => EntryEvent::ConnectFailed { attempt },
+    }
+}
+
+/// The refusal of a copy.
+pub fn copy_refusal() -> Refusal {
+    Refusal {
+        cause: RefusalCause::Duplicate,
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/request/inflict.rs
@@ -0,0 +1,245 @@
+//! The faults themselves.
+
+use std::time::Duration;
+
+use oatpier_types::engine::{CacheEvent, LoadReport};
+use oatpier_types::event::{AnswerEnd, FleetEvent};
+use oatpier_types::ids::RequestId;
+use oatpier_types::names::DaemonName;
+use oatpier_types::verdict::RunVerdict;
+use rand::RngExt;
+
+use super::fleet;
+use super::message::{
+    AGENTS, AnswerFrame, CALLERS, CallWord, ENTRIES, FIRST_AGENT, FIRST_ENDPOINT, Happening,
+    Message, NodeId,
+};
+use super::network::Treatment;
+use super::world::RequestWorld;
+use crate::fault::FaultKind;
+use crate::step::StepName;
+
+impl RequestWorld {
+    /// A step is passed by a message from one process to another: inflicts the faults that strike.
+    pub fn pass(&mut self, step: StepName, from: NodeId, to: NodeId) -> Treatment {
+        let mut treatment = Treatment::Deliver;
+        for fault in self.plan.pass(step) {
+            match fault {
+                FaultKind::Lost => treatment = Treatment::Lose,
+                FaultKind::Late => treatment = Treatment::Delay,
+                FaultKind::Doubled => treatment = Treatment::Double,
+                FaultKind::Crossed => treatment = Treatment::Cross,
+                other => self.inflict(other, from, to),
+            }
+        }
+        treatment
+    }
+
+    fn inflict(&mut self, fault: FaultKind, from: NodeId, to: NodeId) {
+        match fault {
+            FaultKind::Kill => {
+                let away = self.draw_millis(1_500, 4_000);
+                let victim = self.victim(from, to);
+                self.kill(victim, away);
+            }
+            FaultKind::Restart => {
+                let away = self.draw_millis(5, 100);
+                let victim = self.victim(from, to);
+                self.kill(victim, away);
+            }
+            FaultKind::Pause => {
+                let until = self.now + self.draw_millis(100, 4_000);
+                let victim = self.victim(from, to);
+                self.nodes[victim].paused_until = until;
+            }
+            FaultKind::CutTo => self.cut(from, to),
+            FaultKind::CutFrom => self.cut(to, from),
+            FaultKind::CutBoth => {
+                self.cut(from, to);
+                self.cut(to, from);
+            }
+            FaultKind::SlowPeer => {
+                let until = self.now + self.draw_millis(1_000, 4_000);
+                self.nodes[process(to, from)].slow_until = until;
+            }
+            FaultKind::StoreDown => {
+                self.store.down_until = self.now + self.draw_millis(1_000, 4_000);
+            }
+            FaultKind::StoreSlow => {
+                self.store.slow_until = self.now + self.draw_millis(1_000, 4_000);
+            }
+            FaultKind::AnswerLost => self.store.answers_to_lose = self.random.random_range(1..=2),
+            FaultKind::LeaseLapsed => self.lapse(),
+            FaultKind::VmListWrong => self.vm_list_wrong(),
+            FaultKind::ReportStale => self.stale_reports(),
+            FaultKind::CacheGap => self.cache_gap(),
+            _ => {}
+        }
+    }
+
+    /// One of the two processes; callers are none.
+    fn victim(&mut self, from: NodeId, to: NodeId) -> NodeId {
+        if self.random.random_bool(0.5) {
+            process(from, to)
+        } else {
+            process(to, from)
+        }
+    }
+
+    fn cut(&mut self, from: NodeId, to: NodeId) {
+        let until = self.now + self.draw_millis(300, 4_000);
+        self.blocked.insert((from, to), until);
+    }
+
+    /// Ends a process; another starts after a while.
+    pub fn kill(&mut self, victim: NodeId, away: Duration) {
+        if !self.nodes[victim].up {
+            return;
+        }
+        self.nodes[victim].up = false;
+        self.nodes[victim].boot += 1;
+        self.note(FleetEvent::Ended {
+            name: daemon(victim),
+            killed: true,
+            cut_off: 0,
+        });
+        self.end_connections(victim);
+        self.queue.put(self.now + away, Happening::Boot(victim));
+    }
+
+    fn end_connections(&mut self, victim: NodeId) {
+        match victim {
+            0..ENTRIES => self.entry_gone(victim),
+            FIRST_AGENT..FIRST_ENDPOINT => self.agent_gone(victim),
+            _ => self.service_up(victim, false),
+        }
+    }
+
+    fn entry_gone(&mut self, entry: NodeId) {
+        let open = self.submissions.iter();
+        let open = open.filter(|(_, submission)| submission.entry == entry && !submission.answered);
+        let open: Vec<RequestId> = open.map(|(request, _)| *request).collect();
+        for request in open {
+            self.answered(request, AnswerEnd::Error, RunVerdict::MayHaveRun, false);
+        }
+        for (attempt, agent) in self.attempts_of(|connection| connection.entry == entry) {
+            let after = self.draw_millis(1, 50);
+            self.put_directly(entry, agent, Message::EntryGone(attempt), after);
+        }
+    }
+
+    fn agent_gone(&mut self, agent: NodeId) {
+        let silent = self.random.random_bool(0.3);
+        for (attempt, _) in self.attempts_of(|connection| connection.agent == agent) {
+            // A VM that vanished closes nothing: its peers find out by time.
+            let after = if silent {
+                self.draw_millis(500, 3_000)
+            } else {
+                self.draw_millis(1, 20)
+            };
+            let connection = self.connections[&attempt];
+            let frame = AnswerFrame::Cut;
+            let request = connection.request;
+            let cut = Message::Frame {
+                request,
+                attempt,
+                frame,
+            };
+            self.put_directly(agent, connection.entry, cut, after);
+        }
+    }
+
+    fn attempts_of(
+        &mut self,
+        wanted: impl Fn(&super::world::Connection) -> bool,
+    ) -> Vec<(oatpier_types::ids::AttemptId, NodeId)> {
+        let open = self.connections.iter_mut();
+        let open = open.filter(|(_, connection)| !connection.broken && wanted(connection));
+        open.map(|(attempt, connection)| {
+            connection.broken = true;
+            (*attempt, connection.agent)
+        })
+        .collect()
+    }
+
+    /// An endpoint ends or is there again.
+    pub fn service_up(&mut self, node: NodeId, up: bool) {
+        let agent = node - AGENTS;
+        let soon = Duration::from_millis(2);
+        let running = self.services[node - FIRST_ENDPOINT].end_all();
+        for attempt in running {
+            let word = CallWord::Failed(RunVerdict::MayHaveRun);
+            self.put_directly(node, agent, Message::Word { attempt, word }, soon);
+        }
+        let word = CallWord::Up(up);
+        let attempt = oatpier_types::ids::AttemptId(0);
+        self.put_directly(node, agent, Message::Word { attempt, word }, soon);
+    }
+
+    /// The claimer stands still until the other entry has taken its place.
+    fn lapse(&mut self) {
+        let paused = self.store.claimer;
+        self.nodes[paused].paused_until = self.now + self.draw_millis(1_000, 4_000);
+        self.store.claimer = super::network::sibling(paused);
+    }
+
+    fn vm_list_wrong(&mut self) {
+        let agents = 0..AGENTS;
+        let wrong =
+            agents.filter(|agent| agent % 2 == usize::from(self.order.seed.is_multiple_of(2)));
+        for agent in wrong.collect::<Vec<_>>() {
+            let endpoint = fleet::endpoint(FIRST_AGENT + agent);
+            for entry in &mut self.entries {
+                entry.policy.mark_leaving(&endpoint, self.now);
+            }
+        }
+        let until = self.now + self.draw_millis(500, 3_000);
+        self.queue.put(until, Happening::VmListRight);
+    }
+
+    pub fn vm_list_right(&mut self) {
+        for agent in FIRST_AGENT..FIRST_AGENT + AGENTS {
+            let endpoint = fleet::endpoint(agent);
+            for entry in &mut self.entries {
+                entry.policy.clear_leaving(&endpoint);
+            }
+        }
+    }
+
+    fn stale_reports(&mut self) {
+        let report = LoadReport {
+            running: self.random.random_range(0..200),
+            waiting: self.random.random_range(0..500),
+            waiting_tokens: self.random.random_range(0..1_000_000),
+            age_ms: 600_000,
+        };
+        let endpoint = fleet::endpoint(FIRST_AGENT);
+        for entry in &mut self.entries {
+            entry.policy.on_report(&endpoint, &report, self.now);
+        }
+    }
+
+    fn cache_gap(&mut self) {
+        let endpoint = fleet::endpoint(FIRST_AGENT);
+        for sequence in [1, 2, 900] {
+            let event = CacheEvent {
+                sequence,
+                block: 7,
+                present: sequence != 2,
+            };
+            for entry in &mut self.entries {
+                entry.policy.on_cache_event(&endpoint, &event, self.now);
+            }
+        }
+    }
+}
+
+/// A node's name in the log.
+pub fn daemon(node: NodeId) -> DaemonName {
+    fleet::name(&format!("node-{node}"))
+}
+
+/// The node, or the other where it is the callers.
+fn process(node: NodeId, other: NodeId) -> NodeId {
+    if node == CALLERS { other } else { node }
+}
--- /dev/null
+++ b/crates/oatpier-faults/src/request/service.rs
@@ -0,0 +1,118 @@
+//! Endpoints: they run what they are given, and count.
+
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::event::FleetEvent;
+use oatpier_types::ids::{AttemptId, RequestId};
+use oatpier_types::request::RequestGoal;
+
+use super::fleet::{self, STREAM_PIECES};
+use super::message::{AGENTS, CallWord, FIRST_ENDPOINT, Message, NodeId};
+use super::world::RequestWorld;
+use crate::step::StepName;
+
+/// The time until the first piece.
+const FIRST_AFTER: Duration = Duration::from_millis(15);
+/// The time between two pieces.
+const PIECE_AFTER: Duration = Duration::from_millis(8);
+
+#[derive(Debug, Clone)]
+struct RunningCall {
+    attempt: AttemptId,
+    next: u32,
+    pieces: u32,
+    due: ClockTime,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceNode {
+    calls: Vec<RunningCall>,
+}
+
+impl ServiceNode {
+    /// Ends all calls at once.
+    pub fn end_all(&mut self) -> Vec<AttemptId> {
+        self.calls.drain(..).map(|call| call.attempt).collect()
+    }
+
+    /// Nobody waits for a call any more.
+    pub fn forget(&mut self, attempt: AttemptId) {
+        self.calls.retain(|call| call.attempt != attempt);
+    }
+}
+
+impl RequestWorld {
+    pub fn endpoint_takes(&mut self, node: NodeId, message: Message) {
+        match message {
+            Message::Call { spec, key } => {
+                let stream = matches!(spec.goal, RequestGoal::Model { .. });
+                let first_after = if self.stop.is_some() {
+                    FIRST_AFTER * 4
+                } else {
+                    FIRST_AFTER
+                };
+                self.run_started(node, spec.request, spec.attempt, key);
+                let call = RunningCall {
+                    attempt: spec.attempt,
+                    next: spec.resume_after,
+                    pieces: if stream { STREAM_PIECES } else { 1 },
+                    due: self.now + first_after,
+                };
+                self.services[node - FIRST_ENDPOINT].calls.push(call);
+                self.wake_at(node, self.now + first_after);
+            }
+            Message::StopCall(attempt) => {
+                let service = &mut self.services[node - FIRST_ENDPOINT];
+                if service.calls.iter().any(|call| call.attempt == attempt) {
+                    service.forget(attempt);
+                    let word = CallWord::Failed(oatpier_types::verdict::RunVerdict::MayHaveRun);
+                    self.send(None, node, node - AGENTS, Message::Word { attempt, word });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn run_started(
+        &mut self,
+        node: NodeId,
+        request: RequestId,
+        attempt: AttemptId,
+        key: Option<u64>,
+    ) {
+        let endpoint = fleet::endpoint(node - AGENTS);
+        self.note(FleetEvent::RunStarted {
+            request,
+            attempt,
+            endpoint,
+            key,
+        });
+    }
+
+    pub fn wake_service(&mut self, node: NodeId) {
+        let now = self.now;
+        let service = &mut self.services[node - FIRST_ENDPOINT];
+        let mut words = Vec::new();
+        for call in service.calls.iter_mut().filter(|call| call.due <= now) {
+            if call.next < call.pieces {
+                words.push((call.attempt, CallWord::Piece(call.next)));
+                call.next += 1;
+                call.due = now + PIECE_AFTER;
+            } else {
+                words.push((call.attempt, CallWord::End));
+                call.due = ClockTime::NEVER;
+            }
+        }
+        service.calls.retain(|call| call.due != ClockTime::NEVER);
+        let next = service.calls.iter().map(|call| call.due).min();
+        for (attempt, word) in words {
+            let message = Message::Word { attempt, word };
+            self.send(Some(StepName::Run), node, node - AGENTS, message);
+        }
+        if let Some(next) = next {
+            self.wake_at(node, next);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-faults/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the fault matrix.
+
+mod grid;
+mod planted;
--- /dev/null
+++ b/crates/oatpier-faults/tests/testsuite/planted.rs
@@ -0,0 +1,175 @@
+//! Each safeguard left out once: the same runs must then show the broken promise.
+
+use oatpier_checker::PromiseName;
+use oatpier_faults::fault::FaultKind;
+use oatpier_faults::matrix::ScenarioKind;
+use oatpier_faults::run::{Bypass, RunOrder};
+use oatpier_faults::step::StepName;
+use oatpier_faults::strike::FaultStrike;
+
+/// Runs with the safeguard, in which nothing may be found.
+const WHOLE_RUNS: u64 = 20;
+/// Runs without it at most, until its absence is seen.
+const BARE_RUNS: u64 = 300;
+
+/// What one run finds.
+fn findings(
+    scenario: ScenarioKind,
+    fault: FaultKind,
+    step: StepName,
+    bypass: Option<Bypass>,
+    seed: u64,
+) -> Vec<String> {
+    let strike = FaultStrike {
+        fault,
+        step,
+        skip: u32::try_from(seed % 6).unwrap(),
+    };
+    let order = RunOrder {
+        bypass,
+        ..RunOrder::new(vec![strike], seed)
+    };
+    scenario.run(&order).faults_found()
+}
+
+fn shows(scenario: ScenarioKind, fault: FaultKind, step: StepName, bypass: Bypass, expected: &str) {
+    for seed in 0..WHOLE_RUNS {
+        let whole = findings(scenario, fault, step, None, seed);
+        assert_eq!(
+            whole,
+            Vec::<String>::new(),
+            "seed {seed}, with the safeguard"
+        );
+    }
+    let is_seen = |seed| {
+        let bare = findings(scenario, fault, step, Some(bypass), seed);
+        bare.iter().any(|finding| finding.starts_with(expected))
+    };
+    assert!(
+        (0..BARE_RUNS).any(is_seen),
+        "{bypass:?} left out shows no `{expected}`"
+    );
+}
+
+fn breaks(
+    scenario: ScenarioKind,
+    fault: FaultKind,
+    step: StepName,
+    bypass: Bypass,
+    promise: PromiseName,
+) {
+    shows(scenario, fault, step, bypass, promise.as_str());
+}
+
+/// A caller sends its change twice, through two entries. Without the claim both entries send it
+/// to an endpoint, and the change is made twice.
+#[test]
+fn without_the_claim_a_change_runs_twice() {
+    breaks(
+        ScenarioKind::Request,
+        FaultKind::Doubled,
+        StepName::Intake,
+        Bypass::Claim,
+        PromiseName::AtMostOnce,
+    );
+}
+
+/// An attempt is held up on its way, and its entry seals it to try elsewhere. Without a record
+/// of the cancel the attempt runs when it comes at last, after the second one.
+#[test]
+fn without_the_tombstone_a_sealed_attempt_runs() {
+    breaks(
+        ScenarioKind::Request,
+        FaultKind::SlowPeer,
+        StepName::Cancel,
+        Bypass::Tombstone,
+        PromiseName::AtMostOnce,
+    );
+}
+
+/// A part of one answer comes in on another request. An entry that does not look at the attempt's
+/// id relays it to a caller who asked for something else.
+#[test]
+fn without_the_match_of_attempts_answers_cross() {
+    breaks(
+        ScenarioKind::Request,
+        FaultKind::Crossed,
+        StepName::Relay,
+        Bypass::AttemptMatch,
+        PromiseName::OwnAnswer,
+    );
+}
+
+/// The stop is asked for and the agent goes on as before: its endpoint gets work seconds later.
+#[test]
+fn without_the_leave_an_endpoint_gets_new_work() {
+    breaks(
+        ScenarioKind::Request,
+        FaultKind::Doubled,
+        StepName::StopTold,
+        Bypass::Leave,
+        PromiseName::Leaving,
+    );
+}
+
+/// A process that exits as soon as it is told cuts off what it has.
+#[test]
+fn without_the_drain_a_stop_cuts_requests_off() {
+    breaks(
+        ScenarioKind::Request,
+        FaultKind::Late,
+        StepName::StopTold,
+        Bypass::Drain,
+        PromiseName::GracefulStop,
+    );
+}
+
+/// An unload gets no answer and is taken as never sent. The weights are wanted again, and the
+/// other replica goes; then the unload comes, and the model is out of reach.
+#[test]
+fn without_the_charge_of_unknown_orders_a_late_one_does_harm() {
+    breaks(
+        ScenarioKind::Orders,
+        FaultKind::Late,
+        StepName::MoveUnload,
+        Bypass::UnknownOrders,
+        PromiseName::Reachability,
+    );
+}
+
+/// Two agents each see the other's replica and both unload theirs.
+#[test]
+fn without_the_release_the_last_replica_goes() {
+    breaks(
+        ScenarioKind::Orders,
+        FaultKind::Late,
+        StepName::MoveRelease,
+        Bypass::Release,
+        PromiseName::Reachability,
+    );
+}
+
+/// A process takes over a configuration that comes late, and goes back with it.
+#[test]
+fn without_the_generation_a_configuration_reverts() {
+    breaks(
+        ScenarioKind::Membership,
+        FaultKind::Late,
+        StepName::ConfigSpread,
+        Bypass::Generation,
+        PromiseName::Configuration,
+    );
+}
+
+/// A planner is paused between its decision and its write, another takes the lease and plans,
+/// and the first one's plan comes over the later one.
+#[test]
+fn without_the_term_a_paused_planner_writes_over_its_successor() {
+    shows(
+        ScenarioKind::Lease,
+        FaultKind::LeaseLapsed,
+        StepName::PlanWrite,
+        Bypass::Term,
+        "a plan of Term",
+    );
+}
--- a/crates/oatpier-policy/src/action.rs
+++ b/crates/oatpier-policy/src/action.rs
@@ -30,7 +30,8 @@
         key: u64,
     },
     /// Note at the key's claim how the request ended: `NotRun` frees the key, also where the
-    /// claim's own outcome is unknown; `Ran` and `MayHaveRun` keep it used.
+    /// claim's own outcome is unknown; `Ran` and `MayHaveRun` keep it used. Comes a second time,
+    /// after the final answer, when a seal is answered late: the later one holds.
     SettleClaim {
         /// The key, hashed.
         key: u64,
@@ -66,6 +67,7 @@
         /// Whose piece.
         attempt: AttemptId,
     },
-    /// End the request at its caller. Exactly one for each request, and the last of its actions.
+    /// End the request at its caller. Exactly one for each request, and the last of its actions,
+    /// but for a `SettleClaim` that a seal brings which is answered later.
     Answer(FinalAnswer),
 }
--- a/crates/oatpier-policy/src/entry/core.rs
+++ b/crates/oatpier-policy/src/entry/core.rs
@@ -23,35 +23,33 @@
     pub health: HealthTracker,
     pub prefix: PrefixIndex,
     pub retry: RetryBudget,
-    ejected_percent: u32,
 }
 
 impl EntryCore {
     pub(super) fn new(settings: &EntrySettings, own_zone: ZoneName, seed: u64) -> Self {
+        let ejected_percent = settings.health.ejected_percent;
         Self {
-            table: EndpointTable::new(settings.table, own_zone),
+            table: EndpointTable::with_ejected(settings.table, own_zone, ejected_percent),
             router: RequestRouter::new(settings.router, seed),
             health: HealthTracker::new(settings.health),
             prefix: PrefixIndex::new(settings.prefix),
             retry: RetryBudget::new(settings.retry),
-            ejected_percent: settings.health.ejected_percent,
         }
     }
 
-    /// Replicas that left or were unloaded may have raised the ejected share of those that are
-    /// left above the bound: as many ejected ones come back.
+    /// Replicas that left or were unloaded may have made too few those that are left beside an
+    /// ejected one: it takes work again, for all of its goals.
     pub(super) fn keep_share(&mut self, now: ClockTime) {
-        let percent = self.ejected_percent;
-        while let Some(endpoint) = self.first_excess(percent) {
+        while let Some(endpoint) = self.first_spared() {
             self.reinstate(endpoint, now);
         }
     }
 
-    fn first_excess(&self, percent: u32) -> Option<EndpointIndex> {
+    fn first_spared(&self) -> Option<EndpointIndex> {
         let ejected = self.health.ejected().iter().copied();
         ejected
             .into_iter()
-            .find(|endpoint| !self.table.may_eject(*endpoint, percent))
+            .find(|endpoint| !self.table.is_ejected(*endpoint))
     }
 
     fn reinstate(&mut self, endpoint: EndpointIndex, now: ClockTime) {
@@ -63,7 +61,7 @@
         match change {
             HealthChange::Reinstate => self.reinstate(endpoint, now),
             HealthChange::Eject(fault) => {
-                if self.table.may_eject(endpoint, self.ejected_percent) {
+                if self.table.may_eject(endpoint) {
                     self.health.eject(endpoint, fault, now);
                     self.table.set_ejected(endpoint, true);
                 }
--- a/crates/oatpier-policy/src/entry/mod.rs
+++ b/crates/oatpier-policy/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod classes;
 mod core;
 mod counts;
+mod seals;
 pub mod settings;
 mod timers;
 
@@ -30,6 +31,7 @@
 
 use self::classes::KnownWork;
 use self::core::EntryCore;
+use self::seals::SealBook;
 use self::timers::TimerQueue;
 
 pub use counts::EntryCounts;
@@ -58,6 +60,7 @@
     /// Never iterated: its order differs between runs.
     requests: HashMap<RequestId, OpenRequest>,
     timers: TimerQueue,
+    seals: SealBook,
     counts: EntryCounts,
     stopping: bool,
 }
@@ -74,6 +77,7 @@
             ledger: AttainmentLedger::new(settings.attainment),
             requests: HashMap::new(),
             timers: TimerQueue::default(),
+            seals: SealBook::default(),
             counts: EntryCounts::default(),
             stopping: false,
             settings,
@@ -121,18 +125,23 @@
     }
 
     /// The endpoint or its VM is said to leave: no new work goes there until it starts anew, or
-    /// [`Self::clear_leaving`]. Requests in flight there go on.
+    /// [`Self::clear_leaving`]. Requests in flight there go on. One that is not known yet is
+    /// marked when its first status comes.
     pub fn mark_leaving(&mut self, endpoint: &EndpointName, now: ClockTime) {
-        if let Some(index) = self.core.table.find(endpoint) {
-            self.core.table.mark_leaving(index);
-            self.core.keep_share(now);
+        match self.core.table.find(endpoint) {
+            Some(index) => {
+                self.core.table.mark_leaving(index);
+                self.core.keep_share(now);
+            }
+            None => self.core.table.expect_leaving(endpoint),
         }
     }
 
     /// The endpoint does not leave after all.
     pub fn clear_leaving(&mut self, endpoint: &EndpointName) {
-        if let Some(index) = self.core.table.find(endpoint) {
-            self.core.table.clear_leaving(index);
+        match self.core.table.find(endpoint) {
+            Some(index) => self.core.table.clear_leaving(index),
+            None => self.core.table.unexpect_leaving(endpoint),
         }
     }
 
@@ -155,6 +164,7 @@
             Err(refusal) => return self.refuse(&intake, refusal, now),
         };
         let request = intake.request;
+        self.core.retry.note_started(frame.class);
         let mut machine = RequestMachine::new(self.settings.machine, intake, frame, now);
         let actions = machine.start(&mut self.core, now);
         let armed = ClockTime::NEVER;
@@ -163,7 +173,8 @@
         actions
     }
 
-    /// Something happened to a request. Events of finished requests are dropped and counted.
+    /// Something happened to a request. Events of finished requests are dropped and counted, but
+    /// for the answer to a seal of a claimed change: it settles the claim anew.
     pub fn handle(
         &mut self,
         request: RequestId,
@@ -171,8 +182,7 @@
         now: ClockTime,
     ) -> EntryActions {
         let Some(open) = self.requests.get_mut(&request) else {
-            self.counts.dropped += 1;
-            return EntryActions::new();
+            return self.handle_late(request, event);
         };
         if let Some((endpoint, pulse)) = live_pulse(&open.machine, event) {
             self.core.table.on_pulse(endpoint, pulse, now);
@@ -276,6 +286,17 @@
         &self.counts
     }
 
+    fn handle_late(&mut self, request: RequestId, event: &EntryEvent) -> EntryActions {
+        let settled = match event {
+            EntryEvent::CancelAnswered { attempt, verdict } => {
+                self.seals.answered(request, *attempt, *verdict)
+            }
+            _ => None,
+        };
+        self.counts.dropped += u64::from(settled.is_none());
+        settled.into_iter().collect()
+    }
+
     fn admit(&mut self, intake: &RequestIntake, now: ClockTime) -> Result<RequestFrame, Refusal> {
         if self.stopping {
             return Err(self.refusal(RefusalCause::Leaving));
@@ -343,10 +364,14 @@
             self.requests.insert(request, open);
             return;
         };
+        if let Some(seal) = machine.open_seal() {
+            self.seals.keep(request, seal, now);
+        }
         let caller = &machine.intake().caller;
         self.limiter.release(caller, now.since(machine.arrived()));
         self.counts.attempts += u64::from(machine.attempts());
         self.counts.dropped += u64::from(machine.dropped());
+        self.core.retry.note_ended(machine.class());
         if answer.cause == FinalCause::Whole {
             self.core.retry.note_success(machine.class());
         }
--- a/crates/oatpier-policy/src/machine/again.rs
+++ b/crates/oatpier-policy/src/machine/again.rs
@@ -113,11 +113,12 @@
     /// time left before it is called silent.
     fn silence_of(&self, choice: &RouteChoice, turn: &EventTurn<'_>) -> Duration {
         let expected = turn.context.silence_after(choice.predicted);
-        if choice.informed {
-            return expected;
+        let remaining = self.remaining(turn.now);
+        if !choice.informed {
+            return expected.max(remaining * self.settings.uninformed_percent / 100);
         }
-        let share = self.remaining(turn.now) * self.settings.uninformed_percent / 100;
-        expected.max(share)
+        let latest = remaining * self.settings.silent_percent / 100;
+        expected.min(latest.max(choice.predicted * 3 / 2))
     }
 
     fn spec(&self, attempt: AttemptId, now: ClockTime) -> AttemptSpec {
--- a/crates/oatpier-policy/src/machine/finish.rs
+++ b/crates/oatpier-policy/src/machine/finish.rs
@@ -8,7 +8,7 @@
 use oatpier_types::verdict::{Repeat, RunVerdict};
 
 use super::attempt::{LiveAttempt, SealState};
-use super::{EventTurn, RequestMachine, RequestStep};
+use super::{EventTurn, OpenSeal, RequestMachine, RequestStep};
 use crate::action::{CancelMode, EntryAction};
 use crate::outcome::{FinalAnswer, FinalCause};
 
@@ -31,6 +31,7 @@
         let verdict = self.verdict();
         if let Some(live) = self.live {
             self.cancel_last(live, turn);
+            self.open_seal = self.seal_left_open(&live);
             self.drop_live(live, turn);
         }
         let useful = cause != FinalCause::CallerGone && self.may_come_back(verdict);
@@ -91,6 +92,18 @@
         }
     }
 
+    /// The seal of a claimed change whose answer may yet say that nothing ran. An earlier attempt
+    /// that may have run, or an answer that has begun, leaves no doubt to settle.
+    fn seal_left_open(&self, live: &LiveAttempt) -> Option<OpenSeal> {
+        let key = self.key_to_claim().filter(|_| self.claimed)?;
+        let settled = live.framed || live.seal == SealState::Refused;
+        let in_doubt = self.settled == RunVerdict::NotRun && !settled;
+        in_doubt.then_some(OpenSeal {
+            key,
+            attempt: live.attempt,
+        })
+    }
+
     /// What an agent said goes before "no endpoint is left to try".
     fn telling_refusal(&self, refusal: Refusal) -> Refusal {
         let general = matches!(
--- a/crates/oatpier-policy/src/machine/mod.rs
+++ b/crates/oatpier-policy/src/machine/mod.rs
@@ -77,9 +77,19 @@
     relayed_tokens: u32,
     blocked_since: Option<ClockTime>,
     last_refusal: Option<Refusal>,
+    open_seal: Option<OpenSeal>,
     dropped: u32,
 }
 
+/// A seal that was asked for a claimed change, and not answered when the request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenSeal {
+    /// The claimed key, hashed.
+    pub key: u64,
+    /// The attempt.
+    pub attempt: AttemptId,
+}
+
 /// One event's handling: what surrounds it, and the actions that come of it.
 struct EventTurn<'a> {
     context: &'a mut dyn AttemptContext,
@@ -115,6 +125,7 @@
             relayed_tokens: 0,
             blocked_since: None,
             last_refusal: None,
+            open_seal: None,
             dropped: 0,
         }
     }
@@ -172,6 +183,12 @@
         self.dropped
     }
 
+    /// After its end: the seal whose answer may yet free its key.
+    #[must_use]
+    pub fn open_seal(&self) -> Option<OpenSeal> {
+        self.open_seal
+    }
+
     /// The request.
     #[must_use]
     pub fn intake(&self) -> &RequestIntake {
--- a/crates/oatpier-policy/src/machine/settings.rs
+++ b/crates/oatpier-policy/src/machine/settings.rs
@@ -15,6 +15,10 @@
     /// The share of the time left that an endpoint of unknown speed gets before it is called
     /// silent, in percent.
     pub uninformed_percent: u32,
+    /// The share of the time left after which an endpoint is called silent at the latest, in
+    /// percent: what is called silent later leaves no time to go elsewhere. An attempt that was
+    /// predicted to take longer gets its prediction and half of that again.
+    pub silent_percent: u32,
     /// Steps of the class's target between tokens after which a stream counts as stalled.
     pub stall_steps: u32,
     /// No stream counts as stalled before this.
@@ -37,6 +41,7 @@
             attempts: 4,
             give_up_percent: 100,
             uninformed_percent: 40,
+            silent_percent: 70,
             stall_steps: 20,
             stall_floor: Duration::from_secs(1),
             cancel_wait: Duration::from_millis(250),
--- a/crates/oatpier-policy/src/router.rs
+++ b/crates/oatpier-policy/src/router.rs
@@ -32,7 +32,8 @@
     /// left, in percent.
     pub own_percent: u32,
     /// A request is refused where even the best prediction is above this share of the time left,
-    /// in percent. Above 100, since predictions err and the agent judges again.
+    /// in percent. Far above 100: predictions err, and the agent, which judges again, knows better
+    /// and refuses for the price of a round trip.
     pub refuse_percent: u32,
     /// When to come back where no endpoint can serve.
     #[serde(with = "humantime_serde")]
@@ -44,8 +45,8 @@
         Self {
             own_sample: 4,
             other_sample: 2,
-            own_percent: 50,
-            refuse_percent: 150,
+            own_percent: 20,
+            refuse_percent: 250,
             retry_after: Duration::from_secs(1),
         }
     }
--- a/crates/oatpier-policy/src/table/mod.rs
+++ b/crates/oatpier-policy/src/table/mod.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::health::HealthSettings;
 use crate::index::{EndpointIndex, GoalIndex, ZoneIndex};
 use crate::units::micros;
 
@@ -59,6 +60,9 @@
     }
 }
 
+/// The most endpoints that are remembered as leaving before anything else is known of them.
+const MOST_EXPECTED: usize = 1_024;
+
 /// The zone that the entry itself is in.
 const OWN_ZONE: ZoneIndex = ZoneIndex(0);
 
@@ -72,13 +76,24 @@
     rows: Vec<EndpointRow>,
     goals: IndexSet<RequestGoal>,
     lists: Vec<CandidateList>,
+    /// Endpoints that are said to leave before anything else is known of them.
+    leaving: IndexSet<EndpointName>,
+    ejected_percent: u32,
     stale_dropped: u64,
 }
 
 impl EndpointTable {
-    /// An empty table of an entry in `own_zone`.
+    /// An empty table of an entry in `own_zone`. No more than the usual share of a goal's replicas
+    /// is ever ejected.
     #[must_use]
     pub fn new(settings: TableSettings, own_zone: ZoneName) -> Self {
+        let usual = HealthSettings::default().ejected_percent;
+        Self::with_ejected(settings, own_zone, usual)
+    }
+
+    /// The same, with the largest share of a goal's replicas that may be ejected, in percent.
+    #[must_use]
+    pub fn with_ejected(settings: TableSettings, own_zone: ZoneName, ejected_percent: u32) -> Self {
         let own_trip = micros(settings.zone_trip);
         Self {
             settings,
@@ -87,6 +102,8 @@
             rows: Vec::new(),
             goals: IndexSet::new(),
             lists: Vec::new(),
+            leaving: IndexSet::new(),
+            ejected_percent,
             stale_dropped: 0,
         }
     }
@@ -131,6 +148,9 @@
             });
         }
         self.take_pulse(index, &status.pulse, now);
+        if self.leaving.swap_remove(&status.endpoint) {
+            self.mark_leaving(index);
+        }
         index
     }
 
@@ -157,6 +177,20 @@
         self.relist(index, |row| row.leaving = false);
     }
 
+    /// An endpoint that is not known yet is said to leave: it is marked when it becomes known. The
+    /// list of VMs and an agent's status come by different ways, the mark perhaps first. Without
+    /// this the mark would be lost, and the endpoint get new work until its next refusal.
+    pub fn expect_leaving(&mut self, name: &EndpointName) {
+        if self.leaving.len() < MOST_EXPECTED {
+            self.leaving.insert(name.clone());
+        }
+    }
+
+    /// An endpoint that is not known yet does not leave after all.
+    pub fn unexpect_leaving(&mut self, name: &EndpointName) {
+        self.leaving.swap_remove(name);
+    }
+
     /// The agent said that it takes no new work: none goes there until a newer pulse says else.
     pub fn close(&mut self, index: EndpointIndex) {
         self.relist(index, EndpointRow::close);
@@ -172,22 +206,24 @@
         self.relist(index, |row| row.goals.retain(|other| *other != goal));
     }
 
-    /// Ejects or reinstates an endpoint.
+    /// Ejects an endpoint from those of its goals that have other replicas enough, or reinstates
+    /// it.
     pub fn set_ejected(&mut self, index: EndpointIndex, ejected: bool) {
-        self.relist(index, |row| row.ejected = ejected);
+        self.relist(index, |row| row.faulty = ejected);
     }
 
-    /// Whether the endpoint's ejection would leave at most `percent` of each of its goals'
-    /// replicas ejected. Beyond that share the fault is more likely here or in what is asked of
-    /// them, and ejecting more would only pile all load on the rest.
+    /// Whether any of the endpoint's goals has other replicas enough to eject it.
     #[must_use]
-    pub fn may_eject(&self, index: EndpointIndex, percent: u32) -> bool {
-        self.rows[index.place()].goals.iter().all(|goal| {
-            let list = &self.lists[goal.place()];
-            let others = list.ejected().iter().filter(|other| **other != index);
-            let ejected = others.count() as u64 + 1;
-            ejected * 100 <= u64::from(list.members()) * u64::from(percent)
-        })
+    pub fn may_eject(&self, index: EndpointIndex) -> bool {
+        let mut lists = self.lists_of(index);
+        lists.any(CandidateList::has_room)
+    }
+
+    /// Whether the endpoint is ejected from any of its goals.
+    #[must_use]
+    pub fn is_ejected(&self, index: EndpointIndex) -> bool {
+        let mut lists = self.lists_of(index);
+        lists.any(|list| list.ejected().contains(&index))
     }
 
     /// An attempt was sent to the endpoint; `tokens` of its prompt are to be read.
@@ -321,8 +357,9 @@
             .chain([service])
             .map(|goal| GoalIndex::of_place(self.goals.insert_full(goal).0))
             .collect();
+        let percent = self.ejected_percent;
         self.lists
-            .resize_with(self.goals.len(), CandidateList::default);
+            .resize_with(self.goals.len(), || CandidateList::new(percent));
         goals.sort_unstable();
         goals.dedup();
         goals
@@ -336,6 +373,11 @@
         value
     }
 
+    fn lists_of(&self, index: EndpointIndex) -> impl Iterator<Item = &CandidateList> {
+        let goals = self.rows[index.place()].goals.iter();
+        goals.map(|goal| &self.lists[goal.place()])
+    }
+
     fn each_list(
         &mut self,
         index: EndpointIndex,
--- a/crates/oatpier-policy/src/table/row.rs
+++ b/crates/oatpier-policy/src/table/row.rs
@@ -50,7 +50,7 @@
     pub(super) goals: SmallVec<[GoalIndex; 8]>,
     pub(super) ready_sequence: Option<u64>,
     pub(super) leaving: bool,
-    pub(super) ejected: bool,
+    pub(super) faulty: bool,
     pub(super) gone: bool,
     boot: Option<BootId>,
     former: SmallVec<[FormerBoot; FORMER_BOUND]>,
@@ -73,7 +73,7 @@
             goals: SmallVec::new(),
             ready_sequence: None,
             leaving: false,
-            ejected: false,
+            faulty: false,
             gone: false,
             boot: None,
             former: SmallVec::new(),
@@ -114,9 +114,9 @@
 
     pub(super) fn listing(&self) -> ListingState {
         let accepting = self.pulse.is_some_and(|pulse| pulse.accepting);
-        match (self.leaving || self.gone, self.ejected, accepting) {
+        match (self.leaving || self.gone, self.faulty, accepting) {
             (true, _, _) => ListingState::Absent,
-            (false, true, _) => ListingState::Ejected,
+            (false, true, accepting) => ListingState::Faulty { accepting },
             (false, false, true) => ListingState::Open,
             (false, false, false) => ListingState::Closed,
         }
--- a/crates/oatpier-policy/tests/testsuite/claims.rs
+++ b/crates/oatpier-policy/tests/testsuite/claims.rs
@@ -1,13 +1,16 @@
 //! Idempotency keys of at-most-once requests.
 
-use oatpier_policy::action::EntryAction;
+use oatpier_policy::action::{EntryAction, EntryActions};
+use oatpier_policy::entry::EntryPolicy;
 use oatpier_policy::event::{EntryEvent, RequestIntake};
 use oatpier_policy::outcome::FinalCause;
 use oatpier_types::ids::RequestId;
 use oatpier_types::refusal::RefusalCause;
 use oatpier_types::verdict::RunVerdict;
 
-use crate::support::{answer, at, begin, change, fetch, fire, policy, refused, sent, sent_attempt};
+use crate::support::{
+    answer, at, begin, change, fetch, fire, first_frame, policy, refused, sent, sent_attempt,
+};
 
 const REQUEST: RequestId = RequestId(1);
 
@@ -99,3 +102,44 @@
     let again = policy.handle(REQUEST, &EntryEvent::ClaimGranted, at(2));
     assert!(again.is_empty());
 }
+
+/// A change hears nothing until its deadline; its caller is told "may have run" and the key stays
+/// used. The seal's answer comes after that: nothing ran, nor will. Were it dropped, the caller
+/// could never submit the change under this key.
+#[test]
+fn a_seal_answered_after_the_end_frees_the_key() {
+    let mut policy = policy(0, 3, 1);
+    let (attempt, _) = begin(&mut policy, change(1));
+    let actions = end_at_deadline(&mut policy);
+    assert!(actions.contains(&settle(RunVerdict::MayHaveRun)));
+    let verdict = RunVerdict::NotRun;
+    let late = EntryEvent::CancelAnswered { attempt, verdict };
+    let freed = policy.handle(REQUEST, &late, at(2_100));
+    assert_eq!(freed.as_slice(), [settle(verdict)]);
+    assert!(policy.handle(REQUEST, &late, at(2_101)).is_empty());
+}
+
+/// The same, but something of the change's answer had come: it ran at least in part, and whatever
+/// a late word of its agent says, the key must not be free for a second run.
+#[test]
+fn a_change_that_showed_signs_keeps_its_key() {
+    let mut policy = policy(0, 3, 1);
+    let (attempt, _) = begin(&mut policy, change(1));
+    policy.handle(REQUEST, &first_frame(attempt), at(10));
+    end_at_deadline(&mut policy);
+    let verdict = RunVerdict::NotRun;
+    let late = EntryEvent::CancelAnswered { attempt, verdict };
+    assert!(policy.handle(REQUEST, &late, at(2_100)).is_empty());
+}
+
+fn settle(verdict: RunVerdict) -> EntryAction {
+    EntryAction::SettleClaim { key: 7, verdict }
+}
+
+/// Fires timers through the silence and the deadline of a change.
+fn end_at_deadline(policy: &mut EntryPolicy) -> EntryActions {
+    [1_000, 1_500, 2_000]
+        .into_iter()
+        .flat_map(|millis| fire(policy, at(millis)))
+        .collect()
+}
--- a/crates/oatpier-policy/tests/testsuite/health.rs
+++ b/crates/oatpier-policy/tests/testsuite/health.rs
@@ -3,14 +3,16 @@
 use std::time::Duration;
 
 use oatpier_policy::entry::EntryPolicy;
-use oatpier_policy::event::EntryEvent;
+use oatpier_policy::event::{EntryEvent, RequestIntake};
 use oatpier_policy::health::EndpointFault;
 use oatpier_policy::index::EndpointIndex;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::ids::RequestId;
 use oatpier_types::names::EndpointName;
 
-use crate::support::{at, draft, first_frame, name, policy, sent};
+use crate::support::{
+    ZONES, at, draft, first_frame, model_goal, name, policy, sent, status, weights,
+};
 
 /// Sends `count` requests from `from` on and lets the attempts at endpoints that are `bad` fail.
 fn run_requests(
@@ -173,3 +175,57 @@
         Duration::from_millis(200)
     );
 }
+
+/// An engine freezes that is the only replica of one model and one of two of another. Were it kept
+/// because of the former, the requests for the latter would go on waiting for it, although the
+/// other replica has room.
+#[test]
+fn a_model_with_other_replicas_does_without_a_frozen_endpoint() {
+    let mut policy = policy(2, 0, 4);
+    let both = [weights("hall", None), weights("seat", None)];
+    let mut row = status("engine-0", "seat-llm", ZONES[0], &both);
+    row.ready_sequence = 2;
+    policy.on_status(&row, at(0));
+    run_requests(&mut policy, 0, 40, at(0), |name| {
+        name.as_str() == "engine-0"
+    });
+    for number in 100..140 {
+        let actions = policy.start(draft(number), at(1));
+        let (endpoint, _) = sent(&actions).expect("an attempt");
+        assert_eq!(endpoint.as_str(), "engine-1");
+    }
+    let only = RequestIntake {
+        goal: model_goal("hall"),
+        ..draft(200)
+    };
+    assert!(
+        sent(&policy.start(only, at(1))).is_some(),
+        "the only replica is still tried"
+    );
+}
+
+/// First frames took long against their predictions for a while, so the expected quantile is far
+/// beyond the target. An engine freezes. Were its attempts awaited by that quantile, they would
+/// end at their deadlines; called silent while there is time, they are answered elsewhere.
+#[test]
+fn silence_leaves_time_to_go_elsewhere() {
+    let mut policy = policy(3, 0, 4);
+    for number in 0..1_100 {
+        let actions = policy.start(draft(number), at(0));
+        let attempt = sent(&actions).expect("an attempt").1.attempt;
+        policy.handle(RequestId(number), &first_frame(attempt), at(300));
+        policy.handle(RequestId(number), &crate::support::ended(attempt), at(300));
+    }
+    for place in 0..3 {
+        let engine = name(&format!("engine-{place}"));
+        policy.on_pulse(&engine, &crate::support::pulse(1, 2, 0), at(399));
+    }
+    let actions = policy.start(draft(2_000), at(400));
+    assert!(sent(&actions).is_some());
+    let mut fired = Vec::new();
+    while let Some(due) = policy.next_timer().filter(|due| *due < at(400 + 320)) {
+        policy.fire_timers(due, &mut fired);
+    }
+    let resent = fired.iter().any(|(_, actions)| sent(actions).is_some());
+    assert!(resent, "{fired:?}");
+}
--- a/crates/oatpier-policy/tests/testsuite/limits.rs
+++ b/crates/oatpier-policy/tests/testsuite/limits.rs
@@ -100,6 +100,7 @@
     let mut budget = RetryBudget::new(RetrySettings {
         percent: 20,
         burst: 3,
+        ..RetrySettings::default()
     });
     let class = ClassIndex(0);
     let taken = (0..10).filter(|_| budget.take(class)).count();
@@ -128,3 +129,50 @@
     }
     assert!(attempts <= 500 + 20, "{attempts}");
 }
+
+/// Streams spread over four engines, and one of the engines dies. All of its streams could go on
+/// at the others, but a fixed burst of repeats ends after twenty: the rest end in an error.
+#[test]
+fn the_streams_of_a_dead_engine_all_go_on() {
+    let mut policy = policy_with(EntrySettings::default(), 4, 0, 1);
+    let mut streams = Vec::new();
+    for number in 0..200 {
+        let actions = policy.start(draft(number), at(0));
+        let (endpoint, spec) = sent(&actions).expect("an attempt is sent");
+        streams.push((RequestId(number), spec.attempt, endpoint));
+    }
+    for (request, attempt, _) in &streams {
+        let attempt = *attempt;
+        policy.handle(*request, &EntryEvent::Piece { attempt, tokens: 4 }, at(20));
+    }
+    let dead = streams[0].2.clone();
+    let cut: Vec<_> = streams.iter().filter(|stream| stream.2 == dead).collect();
+    assert!(cut.len() > 20, "{}", cut.len());
+    for (request, attempt, _) in cut {
+        let attempt = *attempt;
+        let actions = policy.handle(*request, &EntryEvent::Cut { attempt }, at(30));
+        assert!(sent(&actions).is_some(), "{:?}", answer(&actions));
+    }
+}
+
+/// Many requests are in flight when every endpoint begins to cut every answer, and it goes on.
+/// Each is repeated once at most, together: with their bound in flight all could otherwise be sent
+/// four times, at the moment with least room.
+#[test]
+fn a_fault_of_all_repeats_what_is_in_flight_once() {
+    let mut policy = policy_with(EntrySettings::default(), 12, 0, 1);
+    let mut live = Vec::new();
+    for number in 0..500 {
+        let actions = policy.start(draft(number), at(0));
+        live.push((RequestId(number), sent(&actions).expect("sent").1.attempt));
+    }
+    let mut repeats = 0_u32;
+    while let Some((request, attempt)) = live.pop() {
+        let actions = policy.handle(request, &EntryEvent::Cut { attempt }, at(1));
+        if let Some((_, spec)) = sent(&actions) {
+            repeats += 1;
+            live.push((request, spec.attempt));
+        }
+    }
+    assert!(repeats <= 500, "{repeats}");
+}
--- a/crates/oatpier-policy/tests/testsuite/table.rs
+++ b/crates/oatpier-policy/tests/testsuite/table.rs
@@ -7,7 +7,7 @@
 use oatpier_types::engine::LoadReport;
 use oatpier_types::request::RequestGoal;
 
-use crate::support::{ZONES, at, model_goal, name, pulse, status, weights};
+use crate::support::{ZONES, at, model_goal, name, policy, pulse, status, weights};
 
 const SIZE: AttemptSize = AttemptSize {
     tokens_to_read: 0,
@@ -150,3 +150,22 @@
     table.on_pulse(index, &pulse(1, 3, 0), at(50));
     assert_eq!(predicted(&table, at(50)), idle);
 }
+
+/// The list of VMs says that an endpoint leaves, before the agent's first status reaches this
+/// entry, through registrars. Were the mark lost, the entry would send it new work.
+#[test]
+fn a_leaving_mark_holds_for_an_endpoint_not_known_yet() {
+    let mut policy = policy(2, 0, 1);
+    let leaving = name("engine-9");
+    policy.mark_leaving(&leaving, at(0));
+    let row = status("engine-9", "seat-llm", ZONES[0], &[weights("seat", None)]);
+    policy.on_status(&row, at(1));
+    assert_eq!(open_count(policy.table(), &model_goal("seat")), 2);
+    policy.clear_leaving(&leaving);
+    assert_eq!(open_count(policy.table(), &model_goal("seat")), 3);
+    policy.mark_leaving(&name("engine-8"), at(2));
+    policy.clear_leaving(&name("engine-8"));
+    let row = status("engine-8", "seat-llm", ZONES[0], &[weights("seat", None)]);
+    policy.on_status(&row, at(3));
+    assert_eq!(open_count(policy.table(), &model_goal("seat")), 4);
+}
--- a/crates/oatpier-types/src/pulse.rs
+++ b/crates/oatpier-types/src/pulse.rs
@@ -50,3 +50,26 @@
     /// Its queue.
     pub pulse: AgentPulse,
 }
+
+/// The newest pulse of the agent that an entry had seen when it made an attempt.
+///
+/// It travels with the attempt and with its cancel, and places the attempt in the agent's own
+/// order of things, which no clock does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct AdmissionTicket {
+    /// The agent's start that the attempt is meant for.
+    pub boot: BootId,
+    /// The pulse's sequence number.
+    pub sequence: u64,
+}
+
+impl AdmissionTicket {
+    /// The ticket that a pulse gives.
+    #[must_use]
+    pub fn of(pulse: &AgentPulse) -> Self {
+        Self {
+            boot: pulse.boot,
+            sequence: pulse.sequence,
+        }
+    }
+}
--- a/crates/oatpier-types/src/refusal.rs
+++ b/crates/oatpier-types/src/refusal.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Why an entry or an agent does not run a request. Always with the verdict "not run".
+/// Why an entry or an agent does not run a request. With the verdict "not run", but for
+/// [`RefusalCause::Duplicate`] and [`RefusalCause::KeyUsed`]: what came before may have run, and the
+/// verdict on it travels beside the cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusalCause {
@@ -20,7 +22,7 @@
     EndpointDown,
     /// This attempt was given up before it came.
     GivenUp,
-    /// This attempt is here already.
+    /// This attempt is here already. The verdict on its first copy travels beside this cause.
     Duplicate,
     /// No endpoint is known that could run it.
     NoEndpoint,
--- a/crates/oatpier-wire/src/attempt.rs
+++ b/crates/oatpier-wire/src/attempt.rs
@@ -11,7 +11,7 @@
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, StatusCode};
 use oatpier_types::ids::{AttemptId, RequestId};
-use oatpier_types::pulse::AgentPulse;
+use oatpier_types::pulse::{AdmissionTicket, AgentPulse};
 use oatpier_types::refusal::Refusal;
 use oatpier_types::request::AttemptSpec;
 use oatpier_types::verdict::RunVerdict;
@@ -86,6 +86,8 @@
 pub struct AttemptHead {
     /// What is to be run.
     pub spec: AttemptSpec,
+    /// The newest pulse of the agent that the entry had seen.
+    pub ticket: AdmissionTicket,
     /// The HTTP method towards the endpoint.
     pub method: String,
     /// The path and query towards the endpoint.
@@ -179,6 +181,19 @@
     pub attempt: AttemptId,
     /// Its request.
     pub request: RequestId,
+    /// The ticket that the attempt was sent with.
+    pub ticket: AdmissionTicket,
+    /// How far the cancel goes.
+    pub reach: CancelReach,
+}
+
+/// How far a cancel goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CancelReach {
+    /// An attempt that has not reached the endpoint never will; one that has is left running.
+    SealOnly,
+    /// An attempt that has reached the endpoint is cancelled there.
+    Abort,
 }
 
 /// What became of a cancelled attempt.
--- a/crates/oatpier-wire/tests/testsuite/peer_calls.rs
+++ b/crates/oatpier-wire/tests/testsuite/peer_calls.rs
@@ -6,13 +6,13 @@
 use http::{Request, StatusCode};
 use oatpier_types::ids::{AttemptId, RequestId};
 use oatpier_types::verdict::RunVerdict;
-use oatpier_wire::attempt::{CancelAnswer, CancelAttempt};
+use oatpier_wire::attempt::{CancelAnswer, CancelAttempt, CancelReach};
 use oatpier_wire::client::ClientLimits;
 use oatpier_wire::peer::{PeerClient, decode_message};
 use oatpier_wire::reply::{self, Reply};
 use oatpier_wire::server::ServerLimits;
 
-use crate::support::{TestServer, closed_address};
+use crate::support::{TestServer, closed_address, head};
 
 const WAIT: Duration = Duration::from_secs(10);
 
@@ -42,6 +42,8 @@
     let cancel = CancelAttempt {
         attempt: AttemptId(1),
         request: RequestId(2),
+        ticket: head(1).ticket,
+        reach: CancelReach::SealOnly,
     };
     let answer = peer.cancel_attempt(server.address, &cancel, WAIT).await;
     assert_eq!(answer.unwrap().verdict, RunVerdict::NotRun);
--- a/crates/oatpier-wire/tests/testsuite/support.rs
+++ b/crates/oatpier-wire/tests/testsuite/support.rs
@@ -9,7 +9,7 @@
 use http::Request;
 use oatpier_types::ids::{AttemptId, BootId, RequestId};
 use oatpier_types::names::{CallerName, ClassName, PoolName};
-use oatpier_types::pulse::AgentPulse;
+use oatpier_types::pulse::{AdmissionTicket, AgentPulse};
 use oatpier_types::request::{AttemptSpec, RequestGoal, TokenDemand};
 use oatpier_types::verdict::Repeat;
 use oatpier_wire::attempt::{AttemptHead, HeaderPair};
@@ -124,6 +124,10 @@
             tokens: TokenDemand::default(),
             resume_after: 0,
         },
+        ticket: AdmissionTicket {
+            boot: BootId(7),
+            sequence: 3,
+        },
         method: "POST".to_owned(),
         path: "/plans?hall=3".to_owned(),
         headers: vec![HeaderPair {
--- a/crates/oatpierd/src/cli.rs
+++ b/crates/oatpierd/src/cli.rs
@@ -9,9 +9,16 @@
 
 /// The exit code for settings that are not accepted.
 pub const EXIT_SETTINGS: u8 = 2;
-/// The exit code for a process that could not start or go on.
+/// The exit code for a process that could not start.
 pub const EXIT_FAILED: u8 = 1;
 
+/// What `--help` says of exit codes.
+pub(crate) const EXIT_CODES: &str = "\
+Exit codes:
+  0  stopped as asked, or the settings are good
+  1  could not start: an address can't be listened on
+  2  wrong command line or settings";
+
 /// Runs the command line of this process.
 #[must_use]
 pub fn main() -> ExitCode {
@@ -43,10 +50,7 @@
         .arg_required_else_help(true)
         .subcommand(commands::entry::cli())
         .subcommand(commands::agent::cli())
-        .after_help(
-            "Exit codes: 0 stopped as asked, or the settings are good; 1 could not start or go \
-             on; 2 wrong command line or settings.",
-        )
+        .after_help(EXIT_CODES)
 }
 
 /// Runs a parsed command line.
@@ -68,12 +72,12 @@
         Arg::new("settings")
             .long("settings")
             .value_name("FILE")
-            .help("The process's settings, in TOML")
+            .help("The process's settings, in TOML; read once, at the start")
             .required(true)
             .value_parser(value_parser!(PathBuf)),
         Arg::new("check-settings")
             .long("check-settings")
-            .help("Check the settings, say what is wrong, and stop")
+            .help("Check the settings, name every error with its place and mend, and stop")
             .action(ArgAction::SetTrue),
     ]
 }
--- a/crates/oatpierd/src/commands/agent.rs
+++ b/crates/oatpierd/src/commands/agent.rs
@@ -8,11 +8,23 @@
 use oatpier_duty::observe::logs;
 use oatpier_duty::settings::AgentSettings;
 
+/// What `--help` says.
+const LONG_ABOUT: &str = "\
+Runs an agent: the only way to the one endpoint beside it, an engine or a plain service.
+
+Entries connect to `listen.peers`. Metrics and health are at `listen.observe`: /metrics, /live and
+/ready. Log lines go to the standard error, spans to the standard output, as JSON lines.
+
+SIGTERM and SIGINT start a planned stop: new work is refused and goes to other endpoints, and the
+process ends when the last call at its endpoint is over.";
+
 /// The command line.
 #[must_use]
 pub fn cli() -> Command {
     Command::new("agent")
-        .about("Runs an agent")
+        .about("Run an agent")
+        .long_about(LONG_ABOUT)
+        .after_help(cli::EXIT_CODES)
         .args(cli::settings_args())
 }
 
--- a/crates/oatpierd/src/commands/entry.rs
+++ b/crates/oatpierd/src/commands/entry.rs
@@ -8,11 +8,25 @@
 use oatpier_duty::observe::logs;
 use oatpier_duty::settings::EntrySettings;
 
+/// What `--help` says.
+const LONG_ABOUT: &str = "\
+Runs an entry: takes callers' requests, chooses an endpoint for each, and answers for the
+outcome.
+
+Callers use /v1/chat/completions, /v1/completions, /v1/models and /services/NAME/... at
+`listen.callers`. Metrics and health are at `listen.observe`: /metrics, /live and /ready. Log
+lines go to the standard error, spans to the standard output, as JSON lines.
+
+SIGTERM and SIGINT start a planned stop: /ready says 503 for `stop_notice`, then new requests are
+refused, and the process ends when the last answer is whole.";
+
 /// The command line.
 #[must_use]
 pub fn cli() -> Command {
     Command::new("entry")
-        .about("Runs an entry")
+        .about("Run an entry")
+        .long_about(LONG_ABOUT)
+        .after_help(cli::EXIT_CODES)
         .args(cli::settings_args())
 }
 
--- /dev/null
+++ b/crates/oatpierd/tests/testsuite/callers.rs
@@ -0,0 +1,87 @@
+//! Callers that are slow, or go away.
+
+use std::os::fd::AsFd;
+
+use nix::sys::socket::{setsockopt, sockopt};
+
+use crate::support::calls::CallerLog;
+use crate::support::fleet::{Fleet, FleetOptions, FleetSize, eventually};
+use crate::support::http::StreamEnd;
+use crate::support::raw::RawCaller;
+
+const SIZE: FleetSize = FleetSize {
+    entries: 1,
+    engines: 1,
+    services: 0,
+};
+/// More tokens than an engine makes in any time that a test waits.
+const ENDLESS: u32 = 10_000_000;
+/// The receive buffer of a slow caller, in bytes.
+const SMALL_BUFFER: usize = 4096;
+
+fn endless_chat() -> String {
+    let body = format!(
+        "{{\"model\": \"tables\", \"stream\": true, \"max_tokens\": {ENDLESS}, \
+         \"messages\": [{{\"role\": \"user\", \"content\": \"endless\"}}]}}"
+    );
+    let length = body.len();
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Some callers ask for answers without end and read nothing of them. Other callers get their
+/// whole answers all the while. Once nothing more fits between entry and slow caller for the
+/// limit's time, the entry gives it up and the engine's slot is free: else a few such callers
+/// would hold all slots.
+#[tokio::test]
+async fn callers_that_do_not_read_hold_up_nobody_and_are_given_up() {
+    let fleet = Fleet::start(FleetOptions {
+        entry_limits: "write_time = \"500ms\"",
+        engine_flags: &["--step-us", "500", "--step-request-us", "0"],
+        ..SIZE.into()
+    })
+    .await;
+    let entry = fleet.entries[0].serve;
+    let slow: Vec<_> = (0..4)
+        .map(|_| {
+            let mut caller = RawCaller::connect(entry);
+            setsockopt(&caller.stream.as_fd(), sockopt::RcvBuf, &SMALL_BUFFER).unwrap();
+            caller.write(&endless_chat());
+            caller
+        })
+        .collect();
+    eventually("the slow callers' requests run", async || {
+        fleet.engine_runs().await.len() >= slow.len()
+    })
+    .await;
+    let log = CallerLog::default();
+    let calls = (0..20).map(|number| {
+        let (log, prompt) = (&log, format!("quick {number}"));
+        async move { log.chat(entry, &prompt, 20).await }
+    });
+    for view in futures::future::join_all(calls).await {
+        assert_eq!(view, Some(StreamEnd::Whole));
+    }
+    fleet.wait_until_idle().await;
+    assert_eq!(log.breaches(&fleet).await, []);
+    drop(slow);
+}
+
+/// A caller goes away in the middle of an answer without end. Nobody waits for the rest, so the
+/// entry cancels the attempt, the agent cancels at the engine, and the engine's slot is free.
+#[tokio::test]
+async fn a_caller_that_goes_away_is_cancelled_at_the_engine() {
+    let fleet = Fleet::start(SIZE).await;
+    let mut caller = RawCaller::connect(fleet.entries[0].serve);
+    caller.write(&endless_chat());
+    assert!(caller.read_some().starts_with("HTTP/1.1 200 "));
+    drop(caller);
+    fleet.wait_until_idle().await;
+    assert_eq!(fleet.engine_runs().await.len(), 1);
+    eventually("the entry has nothing in flight", async || {
+        let text = fleet.metrics(&fleet.entries[0]).await;
+        text.lines().any(|line| line == "oatpier_in_flight 0")
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/oatpierd/tests/testsuite/limits.rs
@@ -0,0 +1,110 @@
+//! Limits on what callers send.
+
+use crate::support::fleet::{Fleet, FleetOptions, FleetSize, eventually};
+use crate::support::http::{StreamEnd, chat};
+use crate::support::raw::RawCaller;
+
+const SIZE: FleetSize = FleetSize {
+    entries: 1,
+    engines: 1,
+    services: 0,
+};
+
+async fn fleet(entry_limits: &'static str) -> Fleet {
+    Fleet::start(FleetOptions {
+        entry_limits,
+        ..SIZE.into()
+    })
+    .await
+}
+
+/// Another caller gets its whole answer, whatever the first one did.
+async fn expect_service(fleet: &Fleet) {
+    let answer = chat(&fleet.client, fleet.entries[0].serve, "tables", "next", 5).await;
+    assert_eq!(answer.unwrap().stream_end("next", 5), StreamEnd::Whole);
+}
+
+/// A caller sends a head without end. The entry reads no more of it than the limit and answers
+/// 431, so that the caller knows and the entry's memory doesn't grow with what callers send.
+#[tokio::test]
+async fn a_head_over_the_limit_is_answered_431() {
+    let fleet = fleet("header_bytes = 8192").await;
+    let mut caller = RawCaller::connect(fleet.entries[0].serve);
+    let filling = "x".repeat(16 * 1024);
+    caller.write(&format!(
+        "GET /v1/models HTTP/1.1\r\nhost: entry\r\nfilling: {filling}\r\n\r\n"
+    ));
+    let answer = caller.read_to_close();
+    assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+    expect_service(&fleet).await;
+}
+
+/// A caller says, or shows, that its body is larger than the limit. It is told 413 before
+/// anything ran, and no engine hears of it.
+#[tokio::test]
+async fn a_body_over_the_limit_is_answered_413_and_does_not_run() {
+    let fleet = fleet("body_bytes = 4096").await;
+    let before = fleet.engine_runs().await.len();
+    let prompt = "x".repeat(8192);
+    let body = format!("{{\"model\": \"tables\", \"prompt\": \"{prompt}\"}}");
+    let path = "/v1/completions";
+    let mut told = RawCaller::connect(fleet.entries[0].serve);
+    told.write(&format!(
+        "POST {path} HTTP/1.1\r\nhost: entry\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    ));
+    let mut shown = RawCaller::connect(fleet.entries[0].serve);
+    shown.write(&format!(
+        "POST {path} HTTP/1.1\r\nhost: entry\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n",
+        body.len()
+    ));
+    for caller in [&mut told, &mut shown] {
+        let answer = caller.read_to_close();
+        assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    }
+    assert_eq!(fleet.engine_runs().await.len(), before);
+    expect_service(&fleet).await;
+}
+
+/// A caller sends half a head and then nothing: its connection is closed, since no request is
+/// there that could be answered. One that sends a head and half a body is told 408.
+#[tokio::test]
+async fn slow_heads_are_closed_and_slow_bodies_answered_408() {
+    let fleet = fleet("header_time = \"300ms\"\nbody_time = \"300ms\"").await;
+    let entry = fleet.entries[0].serve;
+    let mut slow_head = RawCaller::connect(entry);
+    slow_head.write("POST /v1/completions HTTP/1.1\r\nhost: en");
+    let mut slow_body = RawCaller::connect(entry);
+    slow_body
+        .write("POST /v1/completions HTTP/1.1\r\nhost: entry\r\ncontent-length: 100\r\n\r\n{\"mod");
+    expect_service(&fleet).await;
+    let answer = slow_head.read_to_close();
+    assert!(!answer.contains("200 OK"), "{answer}");
+    let answer = slow_body.read_to_close();
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    expect_service(&fleet).await;
+}
+
+/// Callers hold all connections that the entry takes. The next one is told 503 and when to come
+/// back, not left waiting; when a connection is given back, it is served.
+#[tokio::test]
+async fn connections_over_the_limit_are_answered_503_until_there_is_room() {
+    let fleet = fleet("connections = 8").await;
+    let entry = fleet.entries[0].serve;
+    let request = "GET /v1/models HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n";
+    let held: Vec<_> = (0..8).map(|_| RawCaller::connect(entry)).collect();
+    let ask = || {
+        let mut caller = RawCaller::connect(entry);
+        caller.write(request);
+        caller.read_to_close()
+    };
+    let answer = ask();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("retry-after: "), "{answer}");
+    drop(held);
+    eventually("a caller is served again", async || {
+        ask().starts_with("HTTP/1.1 200 ")
+    })
+    .await;
+    expect_service(&fleet).await;
+}
--- a/crates/oatpierd/tests/testsuite/support/mod.rs
+++ b/crates/oatpierd/tests/testsuite/support/mod.rs
@@ -1,5 +1,8 @@
 //! A small fleet of separate processes.
 
+pub mod calls;
+pub mod config;
 pub mod fleet;
 pub mod http;
 pub mod process;
+pub mod raw;
