--- a/crates/oatpier-agent/tests/testsuite/requests.rs
+++ b/crates/oatpier-agent/tests/testsuite/requests.rs
@@ -186,8 +186,12 @@
             config: Arc::new(config_with_slots(ONE, slots)),
         });
     };
+    let sequence = || fleet.agent(1).core.status().unwrap().ready_sequence;
+    let before = sequence();
     change(2, 3);
     assert_eq!(running(&fleet), 3);
+    // Entries keep the slots with the rest of the status, until it has another number.
+    assert!(sequence() > before);
     change(3, 1);
     // An older generation that comes late changes nothing.
     change(2, 9);
