--- a/crates/oatpier-duty/src/settings/entry.rs
+++ b/crates/oatpier-duty/src/settings/entry.rs
@@ -11,6 +11,8 @@
 /// How long a balancer usually takes to see that an entry is not ready. With it a stopping entry
 /// takes no new work two seconds after it was told.
 const DEFAULT_NOTICE: Duration = Duration::from_millis(1500);
+/// What a healthy VM's scheduling and network may cost without being a sign of anything.
+const DEFAULT_SILENCE_FLOOR: Duration = Duration::from_millis(60);
 
 /// The checked settings of an entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +38,9 @@
     /// How long a stopping entry says that it is not ready before it takes no more requests:
     /// at least as long as the balancer takes to see it.
     pub notice: Duration,
+    /// An endpoint's silence is never called late before this. To be longer where VMs are known
+    /// to be held up: else endpoints are taken for frozen that are not.
+    pub silence_floor: Duration,
     /// Limits on callers.
     pub limits: IntakeLimits,
 }
@@ -63,6 +68,7 @@
     let vm_list = platform.required("vm_list");
     reader.absorb(platform);
     let notice = reader.optional("stop_notice", DEFAULT_NOTICE);
+    let silence_floor = reader.optional("silence_floor", DEFAULT_SILENCE_FLOOR);
     let limits = IntakeLimits::read(reader);
     Some(EntrySettings {
         name: name?,
@@ -75,6 +81,7 @@
         store: store?,
         vm_list: vm_list?,
         notice,
+        silence_floor,
         limits,
     })
 }
--- a/crates/oatpier-entry/src/lib.rs
+++ b/crates/oatpier-entry/src/lib.rs
@@ -185,11 +185,9 @@
     tracer: HopTracer,
     rings: CoreRings,
 ) -> EntryCore {
-    let policy = EntryPolicy::new(
-        oatpier_policy::entry::EntrySettings::default(),
-        settings.zone.clone(),
-        rand::random(),
-    );
+    let mut decisions = oatpier_policy::entry::EntrySettings::default();
+    decisions.health.silence_floor = settings.silence_floor;
+    let policy = EntryPolicy::new(decisions, settings.zone.clone(), rand::random());
     EntryCore::new(
         Box::new(policy),
         parts.clock,
--- a/crates/oatpier-policy/src/entry/counts.rs
+++ b/crates/oatpier-policy/src/entry/counts.rs
@@ -1,6 +1,7 @@
 //! What an entry counts about requests, for metrics.
 
 use indexmap::IndexMap;
+use oatpier_types::refusal::RefusalCause;
 
 use crate::outcome::{FinalAnswer, FinalCause};
 
@@ -28,3 +29,15 @@
         *self.causes.entry(answer.cause).or_insert(0) += 1;
     }
 }
+
+/// A request that its caller gave up, or that could not be served by any fleet, says nothing of
+/// how well its class is served.
+pub(super) fn counts_for_target(cause: FinalCause) -> bool {
+    !matches!(
+        cause,
+        FinalCause::CallerGone
+            | FinalCause::Refused(
+                RefusalCause::KeyUsed | RefusalCause::Unknown | RefusalCause::Invalid
+            )
+    )
+}
--- a/crates/oatpier-policy/src/entry/mod.rs
+++ b/crates/oatpier-policy/src/entry/mod.rs
@@ -28,9 +28,11 @@
 use crate::prefix::PrefixIndex;
 use crate::retry::RetryBudget;
 use crate::table::EndpointTable;
+use crate::units::parts_per_million;
 
 use self::classes::KnownWork;
 use self::core::EntryCore;
+use self::counts::counts_for_target;
 use self::seals::SealBook;
 use self::timers::TimerQueue;
 
@@ -386,18 +388,6 @@
     }
 }
 
-/// A request that its caller gave up, or that could not be served by any fleet, says nothing of
-/// how well its class is served.
-fn counts_for_target(cause: FinalCause) -> bool {
-    !matches!(
-        cause,
-        FinalCause::CallerGone
-            | FinalCause::Refused(
-                RefusalCause::KeyUsed | RefusalCause::Unknown | RefusalCause::Invalid
-            )
-    )
-}
-
 /// The pulse of an event of the live attempt, and the endpoint that it is of.
 fn live_pulse<'a>(
     machine: &RequestMachine,
@@ -407,13 +397,3 @@
     let endpoint = machine.endpoint().filter(|_| is_live)?;
     event.pulse().map(|pulse| (endpoint, pulse))
 }
-
-/// A share as parts of a million; shares are between 0 and 1.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a share is clamped to between 0 and 1"
-)]
-fn parts_per_million(share: f64) -> u64 {
-    (share.clamp(0.0, 1.0) * 1_000_000.0).round() as u64
-}
--- a/crates/oatpier-policy/src/units.rs
+++ b/crates/oatpier-policy/src/units.rs
@@ -13,3 +13,13 @@
     }
     value.saturating_mul(numerator) / denominator
 }
+
+/// A share as parts of a million; shares are between 0 and 1.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a share is clamped to between 0 and 1"
+)]
+pub(crate) fn parts_per_million(share: f64) -> u64 {
+    (share.clamp(0.0, 1.0) * 1_000_000.0).round() as u64
+}
--- a/crates/oatpier-policy/tests/testsuite/health.rs
+++ b/crates/oatpier-policy/tests/testsuite/health.rs
@@ -211,21 +211,32 @@
 fn silence_leaves_time_to_go_elsewhere() {
     let mut policy = policy(3, 0, 4);
     for number in 0..1_100 {
-        let actions = policy.start(draft(number), at(0));
+        let came = hear_all(&mut policy, number);
+        let request = RequestId(u128::from(number));
+        let actions = policy.start(draft(request.0), came);
         let attempt = sent(&actions).expect("an attempt").1.attempt;
-        policy.handle(RequestId(number), &first_frame(attempt), at(300));
-        policy.handle(RequestId(number), &crate::support::ended(attempt), at(300));
+        let answered = came + Duration::from_millis(300);
+        policy.handle(request, &first_frame(attempt), answered);
+        policy.handle(request, &crate::support::ended(attempt), answered);
     }
-    for place in 0..3 {
-        let engine = name(&format!("engine-{place}"));
-        policy.on_pulse(&engine, &crate::support::pulse(1, 2, 0), at(399));
-    }
-    let actions = policy.start(draft(2_000), at(400));
+    let came = hear_all(&mut policy, 2_000);
+    let actions = policy.start(draft(2_000), came);
     assert!(sent(&actions).is_some());
     let mut fired = Vec::new();
-    while let Some(due) = policy.next_timer().filter(|due| *due < at(400 + 320)) {
+    let in_time = came + Duration::from_millis(250);
+    while let Some(due) = policy.next_timer().filter(|due| *due < in_time) {
         policy.fire_timers(due, &mut fired);
     }
     let resent = fired.iter().any(|(_, actions)| sent(actions).is_some());
     assert!(resent, "{fired:?}");
 }
+
+/// All three engines say that they are idle; gives when.
+fn hear_all(policy: &mut EntryPolicy, number: u64) -> ClockTime {
+    let now = at(number * 400);
+    for place in 0..3 {
+        let engine = name(&format!("engine-{place}"));
+        policy.on_pulse(&engine, &crate::support::pulse(1, 2 + number, 0), now);
+    }
+    now
+}
