--- a/crates/oatpier-bench/benches/state.rs
+++ b/crates/oatpier-bench/benches/state.rs
@@ -11,7 +11,8 @@
     let part = Arg::new("part")
         .long("part")
         .help("Run only this part")
-        .value_parser(state::PARTS);
+        .value_parser(state::PARTS)
+        .conflicts_with("check");
     let matches = cli::command("bench-state", about).arg(part).get_matches();
     let only = matches.get_one::<String>("part");
     let states = state::run(|part| only.is_none_or(|only| only == part));
--- a/crates/oatpier-bench/tests/testsuite/main.rs
+++ b/crates/oatpier-bench/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod bounds;
 mod policy;
+mod state;
 mod support;
