--- a/crates/oatpier-faults/src/matrix/pairs.rs
+++ b/crates/oatpier-faults/src/matrix/pairs.rs
@@ -20,8 +20,8 @@
 #[must_use]
 pub fn fault_pairs() -> Vec<FaultPair> {
     use FaultKind::{
-        AnswerLost, CutBoth, CutFrom, Doubled, Kill, Late, LeaseLapsed, Lost, Pause, Restart,
-        StoreDown, StoreSlow,
+        AnswerLost, CutBoth, CutFrom, CutTo, Doubled, Kill, Late, LeaseLapsed, Lost, Pause,
+        Restart, StoreDown, StoreSlow,
     };
     use StepName::{
         Cancel, Claim, ConfigSpread, ConfigWatch, Delta, Heartbeat, Intake, LeaseRenew, MoveDrain,
@@ -64,6 +64,9 @@
     ];
     let members = [
         ((Kill, Heartbeat), (CutBoth, Delta)),
+        ((CutTo, Heartbeat), (CutTo, Delta)),
+        ((CutBoth, Heartbeat), (CutBoth, Delta)),
+        ((Kill, Delta), (CutTo, Heartbeat)),
         ((StoreDown, ConfigWatch), (Restart, StartConfig)),
         ((Lost, ConfigSpread), (Kill, ConfigSpread)),
         ((CutBoth, ConfigSpread), (StoreDown, ConfigWatch)),
--- a/crates/oatpier-faults/src/membership/inflict.rs
+++ b/crates/oatpier-faults/src/membership/inflict.rs
@@ -63,10 +63,7 @@
             }
             FaultKind::CutTo => self.cut(from, to, span),
             FaultKind::CutFrom => self.cut(to, from, span),
-            FaultKind::CutBoth => {
-                self.cut(from, to, span);
-                self.cut(to, from, span);
-            }
+            FaultKind::CutBoth => self.cut_both(from, to, span),
             FaultKind::SlowPeer => {
                 self.processes[to].slow_until = until;
                 self.processes[to].touched = true;
@@ -99,22 +96,36 @@
         }
     }
 
-    /// Half of the cuts are of the one link, half of all that the process sends or gets.
+    /// Half of the cuts are of the one link, half of all that comes to the process.
     fn cut(&mut self, from: usize, to: usize, span: Duration) {
+        let whole = self.random.random_bool(0.5);
+        self.touch_cut(from, to, whole, span);
         let until = self.now + span;
-        self.processes[from].touched = true;
-        self.processes[to].touched = true;
-        self.put(span, to, None, Happening::FaultsOver);
-        if from == to {
-            self.storeless[from] = until;
-            return;
+        for other in (0..PROCESSES).filter(|other| whole || *other == from) {
+            self.blocked.insert((other, to), until);
         }
+    }
+
+    /// Half are of the one link, half of all that comes to the process and goes from it.
+    fn cut_both(&mut self, from: usize, to: usize, span: Duration) {
         let whole = self.random.random_bool(0.5);
+        self.touch_cut(from, to, whole, span);
+        let until = self.now + span;
         for other in (0..PROCESSES).filter(|other| whole || *other == from) {
             self.blocked.insert((other, to), until);
+            self.blocked.insert((to, other), until);
         }
     }
 
+    fn touch_cut(&mut self, from: usize, to: usize, whole: bool, span: Duration) {
+        self.processes[to].touched = true;
+        self.processes[from].touched |= !whole;
+        if whole || from == to {
+            self.storeless[to] = self.now + span;
+        }
+        self.put(span, to, None, Happening::FaultsOver);
+    }
+
     /// The list of VMs is read again and again. A wrong one calls some leaving, and names few.
     pub fn list_vms(&mut self) {
         let wrong = self.wrong_list_until > self.now;
--- a/crates/oatpier-faults/src/request/network.rs
+++ b/crates/oatpier-faults/src/request/network.rs
@@ -225,18 +225,18 @@
             Message::Call { spec, .. } => {
                 self.call_failed(from, spec.attempt, RunVerdict::NotRun, soon);
             }
-            other => self.undeliverable(from, to, other),
+            other => self.undeliverable(from, to, &other),
         }
     }
 
     /// The process that it was sent to is gone.
-    pub fn undeliverable(&mut self, from: NodeId, to: NodeId, message: Message) {
+    pub fn undeliverable(&mut self, from: NodeId, to: NodeId, message: &Message) {
         let is_word = matches!(
             message,
             Message::Frame { .. } | Message::CancelAnswer { .. } | Message::Word { .. }
         );
         if !is_word {
-            self.lose(from, to, &message);
+            self.lose(from, to, message);
         }
     }
 
--- a/crates/oatpier-faults/src/request/world.rs
+++ b/crates/oatpier-faults/src/request/world.rs
@@ -220,7 +220,7 @@
     fn arrive(&mut self, from: NodeId, to: NodeId, boot: u64, message: Message) {
         let state = self.nodes[to];
         if !state.up || state.boot != boot {
-            self.undeliverable(from, to, message);
+            self.undeliverable(from, to, &message);
             return;
         }
         if state.paused_until > self.now {
--- a/crates/oatpier-faults/tests/testsuite/grid.rs
+++ b/crates/oatpier-faults/tests/testsuite/grid.rs
@@ -6,6 +6,7 @@
 use oatpier_faults::run::RunOrder;
 use oatpier_faults::step::StepName;
 use oatpier_faults::strike::FaultStrike;
+use oatpier_types::event::{AnswerEnd, FleetEvent};
 
 const SCENARIOS: [ScenarioKind; 5] = [
     ScenarioKind::Request,
@@ -63,6 +64,20 @@
     }
 }
 
+/// Without a fault every request is answered whole, at the first try.
+#[test]
+fn requests_without_a_fault_are_answered_whole() {
+    for seed in 0..8 {
+        let report = ScenarioKind::Request.run(&RunOrder::new(Vec::new(), seed));
+        let ends = report.log.iter().filter_map(|logged| match logged.event {
+            FleetEvent::AnswerEnded { end, .. } => Some(end),
+            _ => None,
+        });
+        let ends: Vec<AnswerEnd> = ends.collect();
+        assert_eq!(ends, vec![AnswerEnd::Whole; 12], "seed {seed}");
+    }
+}
+
 #[test]
 fn a_seed_gives_the_same_run_each_time() {
     let strikes = [
