Look at the queue only when something about it may have changed

Ruled out: an index by last start; it depends on estimates that move, and a timer covers lateness already.

--- a/crates/oatpier-admission/src/policy.rs
+++ b/crates/oatpier-admission/src/policy.rs
@@ -98,8 +98,14 @@
     /// Takes one event and says what to do.
     pub fn step(&mut self, event: AgentEvent, now: ClockTime) -> AgentActions {
         let mut actions = AgentActions::new();
+        // A further piece frees no slot and changes nothing for what waits. Without this, each
+        // generated token would cost a look at the whole queue.
+        let is_piece = matches!(event, AgentEvent::EndpointPiece { .. });
         self.ledger.expire(now);
         self.take_event(event, now, &mut actions);
+        if is_piece {
+            return actions;
+        }
         self.stale = self.estimator.is_stale(self.running.len(), now);
         self.refuse_hopeless(now, &mut actions);
         self.fill_slots(now, &mut actions);
