Plan by concurrency and use fewer accelerators under bursts and deaths

Cause: prompts were counted on top of the steps that contain them; one frozen engine's step time raised the mean of its pool; remembered peaks added up to nearly twice the demand; spare replicas with adapters were never evicted, so relief took empty endpoints; adapters counted as whole moves, so no endpoint was worth emptying, and one that stood still kept others from it; an endpoint that died loaded its whole old row again.

Seen failing without the safeguard: an_endpoint_that_comes_back_empty_ loads_nothing_again (row kept: loaded again) and one_frozen_engine_brings_ no_replicas (mean in place of the median: replicas added).

--- a/crates/oatpier-placement/src/demand.rs
+++ b/crates/oatpier-placement/src/demand.rs
@@ -11,14 +11,30 @@
 use oatpier_types::names::{AdapterName, DaemonName, ModelName};
 use serde::{Deserialize, Serialize};
 
-/// The short window.
-const SHORT_WINDOW: Duration = Duration::from_secs(15);
-/// The long window.
-const LONG_WINDOW: Duration = Duration::from_mins(5);
-/// How long a peak is remembered.
-const PEAK_WINDOW: Duration = Duration::from_mins(10);
-/// The share of a remembered peak that is planned for.
-const PEAK_SHARE: f64 = 0.7;
+/// How demand is averaged and how long it is remembered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DemandSettings {
+    /// The short window: how fast a burst is seen.
+    pub short_window: Duration,
+    /// The long window: what is usual.
+    pub long_window: Duration,
+    /// How long a peak is remembered.
+    pub peak_window: Duration,
+    /// The share of a remembered peak that is planned for.
+    pub peak_share: f64,
+}
+
+impl Default for DemandSettings {
+    fn default() -> Self {
+        Self {
+            short_window: Duration::from_secs(8),
+            long_window: Duration::from_mins(1),
+            peak_window: Duration::from_mins(10),
+            peak_share: 0.45,
+        }
+    }
+}
+
 /// An entry's summary that is older than this no longer counts: the entry is gone.
 const SUMMARY_AGE: Duration = Duration::from_mins(1);
 /// Rows with a lower rate, in requests a second, are left out of a summary.
@@ -106,34 +122,37 @@
 }
 
 impl RateWindows {
-    fn advance(&mut self, now: ClockTime) {
-        let span = now.since(self.at).as_secs_f64();
+    fn advance(&mut self, settings: &DemandSettings, now: ClockTime) {
+        let span = now.since(self.at);
         self.at = self.at.max(now);
-        self.short = self
-            .short
-            .scaled((-span / SHORT_WINDOW.as_secs_f64()).exp());
-        self.long = self.long.scaled((-span / LONG_WINDOW.as_secs_f64()).exp());
-        self.peak = self.peak.scaled((-span / PEAK_WINDOW.as_secs_f64()).exp());
+        self.short = self.short.scaled(decay(span, settings.short_window));
+        self.long = self.long.scaled(decay(span, settings.long_window));
+        self.peak = self.peak.scaled(decay(span, settings.peak_window));
     }
 
-    fn add(&mut self, amount: DemandRate) {
-        let short = amount.scaled(1.0 / SHORT_WINDOW.as_secs_f64());
-        let long = amount.scaled(1.0 / LONG_WINDOW.as_secs_f64());
+    fn add(&mut self, settings: &DemandSettings, amount: DemandRate) {
+        let short = amount.scaled(1.0 / settings.short_window.as_secs_f64());
+        let long = amount.scaled(1.0 / settings.long_window.as_secs_f64());
         self.short = self.short.plus(short);
         self.long = self.long.plus(long);
         self.peak = self.peak.at_least(self.short);
     }
 
-    fn planned(&self) -> DemandRate {
+    fn planned(&self, settings: &DemandSettings) -> DemandRate {
         self.long
             .at_least(self.short)
-            .at_least(self.peak.scaled(PEAK_SHARE))
+            .at_least(self.peak.scaled(settings.peak_share))
     }
 }
 
+fn decay(span: Duration, window: Duration) -> f64 {
+    (-span.as_secs_f64() / window.as_secs_f64()).exp()
+}
+
 /// Counts the demand that one entry sees.
 #[derive(Debug, Clone, Default)]
 pub struct DemandLedger {
+    settings: DemandSettings,
     windows: IndexMap<DemandKey, RateWindows>,
 }
 
@@ -144,6 +163,15 @@
         Self::default()
     }
 
+    /// A ledger without demand that averages by other windows.
+    #[must_use]
+    pub fn with_settings(settings: DemandSettings) -> Self {
+        Self {
+            settings,
+            windows: IndexMap::new(),
+        }
+    }
+
     /// Counts one request with its tokens.
     pub fn record(&mut self, key: &DemandKey, prompt: u32, output: u32, now: ClockTime) {
         let amount = DemandRate {
@@ -159,8 +187,8 @@
             self.windows.insert(key.clone(), fresh);
         }
         if let Some(windows) = self.windows.get_mut(key) {
-            windows.advance(now);
-            windows.add(amount);
+            windows.advance(&self.settings, now);
+            windows.add(&self.settings, amount);
         }
     }
 
@@ -168,16 +196,16 @@
     #[must_use]
     pub fn summary(&mut self, now: ClockTime) -> DemandSummary {
         for windows in self.windows.values_mut() {
-            windows.advance(now);
+            windows.advance(&self.settings, now);
         }
         self.windows
-            .retain(|_, windows| windows.planned().requests >= LEAST_RATE);
+            .retain(|_, windows| windows.planned(&self.settings).requests >= LEAST_RATE);
         let mut rows: Vec<DemandRow> = self
             .windows
             .iter()
             .map(|(key, windows)| DemandRow {
                 key: key.clone(),
-                rate: windows.planned(),
+                rate: windows.planned(&self.settings),
             })
             .collect();
         rows.sort_by(|left, right| left.key.cmp(&right.key));
--- a/crates/oatpier-placement/src/planner/baselines.rs
+++ b/crates/oatpier-placement/src/planner/baselines.rs
@@ -78,11 +78,22 @@
 /// Follows demand at once: as many replicas as it asks for now, no more and no fewer.
 ///
 /// No hysteresis, no horizon, no budget of moves.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct GreedyPlanner {
     settings: PlannerSettings,
 }
 
+impl Default for GreedyPlanner {
+    /// Its high load is its own, so that the product's settings don't move what it is compared with.
+    fn default() -> Self {
+        let settings = PlannerSettings {
+            high_load: 0.6,
+            ..PlannerSettings::default()
+        };
+        Self { settings }
+    }
+}
+
 impl GreedyPlanner {
     /// A greedy planner.
     #[must_use]
--- a/crates/oatpier-placement/src/planner/board.rs
+++ b/crates/oatpier-placement/src/planner/board.rs
@@ -161,6 +161,23 @@
         self.slots[slot].used_mib -= self.items[item].size_mib;
     }
 
+    /// What moving an item costs as a part of moving a model: loads cost by size, and an adapter
+    /// is a small part of its base.
+    pub(super) fn move_part(&self, item: usize) -> f64 {
+        let base = self.items[item].base.map(|base| self.items[base].size_mib);
+        base.map_or(1.0, |base| {
+            size(self.items[item].size_mib) / size(base.max(1))
+        })
+    }
+
+    /// Whether an endpoint holds an item, in whatever version and state.
+    pub(super) fn is_held(&self, item: usize, view: &EndpointView) -> bool {
+        let wanted = &self.items[item].weights;
+        view.held.iter().any(|held| {
+            held.weights.model == wanted.model && held.weights.adapter == wanted.adapter
+        })
+    }
+
     /// Holders that take new work.
     pub(super) fn usable_holders(&self, item: usize) -> impl Iterator<Item = usize> + '_ {
         self.items[item]
@@ -205,6 +222,17 @@
         self.slots[slot].load <= limit + f64::EPSILON
     }
 
+    /// Whether the other holders of an item have time for what a slot does of it. They need not
+    /// take equal parts: requests go to the holder that is first free.
+    pub(super) fn is_calm_without(&self, item: usize, slot: usize, limit: f64) -> bool {
+        let slack: f64 = self
+            .usable_holders(item)
+            .filter(|other| *other != slot)
+            .map(|other| (limit - self.slots[other].load).max(0.0))
+            .sum();
+        self.share_with(item, 0).min(self.slots[slot].load) <= slack
+    }
+
     /// The load that one more replica of an item would bring to a slot.
     pub(super) fn share_with(&self, item: usize, more: usize) -> f64 {
         let holders = self.usable_holders(item).count() + more;
@@ -344,6 +372,14 @@
     }
 }
 
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "sizes in MiB are far below 2^52"
+)]
+fn size(mib: u64) -> f64 {
+    mib as f64
+}
+
 /// The row of an endpoint in a sorted plan. Mostly it stands where the endpoint's view does.
 pub(super) fn row_of<'a>(
     rows: &'a [EndpointPlan],
--- a/crates/oatpier-placement/src/planner/emptying.rs
+++ b/crates/oatpier-placement/src/planner/emptying.rs
@@ -51,7 +51,9 @@
         let coming = left
             .iter()
             .all(|item| self.board.usable_holders(*item).any(|other| other != slot));
-        !left.is_empty() && coming
+        // Demand may have come meanwhile to what is left: then another endpoint is tried.
+        let patient = self.now.since(self.planner.emptied_at) < self.settings().empty_every * 4;
+        !left.is_empty() && coming && patient
     }
 
     fn may_leave(&self, item: usize, slot: usize) -> bool {
@@ -59,21 +61,17 @@
         enough && self.board.is_spare(item, slot) && self.leaves_calm(item, slot)
     }
 
-    /// A model in use keeps two replicas; well below the rate that gave it the second, so that
-    /// this does not go to and fro.
+    /// A model in use keeps two replicas.
     fn least_holders(&self, item: usize) -> usize {
-        let paired = self.board.items[item].requests >= self.settings().pair_rate / 2.0;
+        let paired = self.board.items[item].requests >= self.settings().pair_rate;
         if paired { 2 } else { 1 }
     }
 
     fn leaves_calm(&self, item: usize, slot: usize) -> bool {
-        let holders = self.board.usable_holders(item).count();
-        let others = u32::try_from(holders.saturating_sub(1)).unwrap_or(u32::MAX);
-        let more = self.board.share_with(item, 0) / f64::from(others.max(1));
-        self.board
-            .usable_holders(item)
-            .filter(|other| *other != slot)
-            .all(|other| self.load(other) + more < self.settings().high_load)
+        // Between the two, so that noise does not fill an endpoint again that was just emptied.
+        let settings = self.settings();
+        let limit = f64::midpoint(settings.low_load, settings.high_load);
+        self.board.is_calm_without(item, slot, limit)
     }
 
     fn choose_quiet(&mut self) {
@@ -150,11 +148,17 @@
     fn start_emptying(&mut self, slot: usize) -> bool {
         let singles = self.singles(slot);
         let loads = u32::try_from(singles.len()).unwrap_or(u32::MAX);
-        let moves = self.board.slots[slot].items.len() + singles.len();
-        let moves = f64::from(u32::try_from(moves).unwrap_or(u32::MAX));
+        let held = &self.board.slots[slot].items;
+        let moves = held.iter().chain(&singles);
+        let moves = moves.map(|item| self.board.move_part(*item)).sum();
         if self.allowance == 0 || !self.pays(EMPTY_WORTH, slot, moves) {
             return false;
         }
+        let held = self.board.slots[slot].items.clone();
+        let mut spare = held.iter().filter(|item| !singles.contains(item));
+        if !spare.all(|item| self.leaves_calm(*item, slot)) {
+            return false;
+        }
         let wish = SlotWish {
             limit: self.settings().low_load,
             over_limit: false,
--- a/crates/oatpier-placement/src/planner/figures.rs
+++ b/crates/oatpier-placement/src/planner/figures.rs
@@ -29,11 +29,13 @@
     input.demand.rate_of(&key)
 }
 
-/// The share of one endpoint's time: prompts are read one after the other, and each generated
-/// token takes one place for one step.
+/// The share of one endpoint's places that is taken on average: the rate times the time that a
+/// request keeps its place, by Little's law. Both times are measured while other requests run, so
+/// what these cost each other is in them already.
 pub(super) fn load_of(rate: DemandRate, figures: PoolFigures) -> f64 {
-    let generating = rate.output_tokens * figures.step_s / f64::from(figures.slots.max(1));
-    generating + rate.prompt_tokens * figures.prompt_s
+    let generating = rate.output_tokens * figures.step_s;
+    let reading = rate.prompt_tokens * figures.prompt_s;
+    (generating + reading) / f64::from(figures.slots.max(1))
 }
 
 pub(super) fn pool_figures(input: &PlannerInput<'_>) -> Vec<PoolFigures> {
@@ -53,8 +55,8 @@
         PoolKind::Service { .. } => (0, 1),
     };
     let views = || input.endpoints.iter().filter(|view| view.pool == *name);
-    let step_us = mean(views().map(|view| view.step_us)).unwrap_or(USUAL_STEP_US);
-    let prompt_ns = mean(views().map(|view| view.prompt_token_ns)).unwrap_or(USUAL_PROMPT_NS);
+    let step_us = median(views().map(|view| view.step_us)).unwrap_or(USUAL_STEP_US);
+    let prompt_ns = median(views().map(|view| view.prompt_token_ns)).unwrap_or(USUAL_PROMPT_NS);
     PoolFigures {
         memory_mib,
         slots,
@@ -63,11 +65,10 @@
     }
 }
 
-/// The mean of the figures that are known.
-fn mean(figures: impl Iterator<Item = u32>) -> Option<f64> {
-    let known = figures.filter(|figure| *figure > 0);
-    let (sum, count) = known.fold((0.0, 0.0), |(sum, count), figure| {
-        (sum + f64::from(figure), count + 1.0)
-    });
-    (count > 0.0).then(|| sum / count)
+/// The median of the figures that are known: one endpoint that was frozen tells of steps of
+/// seconds, and would have the whole pool taken for overloaded.
+fn median(figures: impl Iterator<Item = u32>) -> Option<f64> {
+    let mut known: Vec<u32> = figures.filter(|figure| *figure > 0).collect();
+    known.sort_unstable();
+    known.get(known.len() / 2).copied().map(f64::from)
 }
--- a/crates/oatpier-placement/src/planner/mod.rs
+++ b/crates/oatpier-placement/src/planner/mod.rs
@@ -121,7 +121,11 @@
     /// The load that a model without demand is assumed to bring, so that not all quiet models
     /// are packed on one endpoint.
     pub assumed_load: f64,
-    /// From this rate on, in requests a second, a model has two replicas where memory allows.
+    /// From this rate on, in requests a second, a model gets a second replica in memory that is
+    /// free on endpoints in use.
+    pub fill_rate: f64,
+    /// From this rate on, in requests a second, a model keeps two replicas when an endpoint is
+    /// emptied.
     pub pair_rate: f64,
     /// Over which time a move has to pay.
     pub horizon: Duration,
@@ -139,9 +143,10 @@
 impl Default for PlannerSettings {
     fn default() -> Self {
         Self {
-            high_load: 0.6,
-            low_load: 0.35,
+            high_load: 0.85,
+            low_load: 0.5,
             assumed_load: 0.02,
+            fill_rate: 2.5,
             pair_rate: 5.0,
             horizon: Duration::from_mins(5),
             move_cost: 120.0,
--- a/crates/oatpier-placement/src/planner/placement.rs
+++ b/crates/oatpier-placement/src/planner/placement.rs
@@ -5,7 +5,8 @@
 //! 1. weights without a live replica are placed, with spare replicas evicted where needed;
 //! 2. endpoints above the high load are relieved by one more replica of what loads them most,
 //!    where that gains more over the horizon than it costs;
-//! 3. models in use get a second replica in another availability zone, where memory in use allows;
+//! 3. models in use get a second replica, in another availability zone if one has room, where
+//!    memory is free on endpoints in use;
 //! 4. a quiet endpoint is emptied, one at a time: what only it holds is loaded elsewhere first.
 //!
 //! A replica leaves the plan only while another is ready, and only when all that remain stay
@@ -35,6 +36,8 @@
     added: IndexMap<(EndpointName, WeightsKey), ClockTime>,
     pub(super) emptying: Vec<EndpointName>,
     pub(super) emptied_at: ClockTime,
+    /// Endpoints that were not alive in the last step.
+    away: HashSet<EndpointName>,
     load_tokens: f64,
     stepped_at: Option<ClockTime>,
 }
@@ -48,6 +51,7 @@
             added: IndexMap::new(),
             emptying: Vec::new(),
             emptied_at: ClockTime::ZERO,
+            away: HashSet::new(),
             load_tokens: 0.0,
             stepped_at: None,
         }
@@ -57,6 +61,26 @@
         &self.settings
     }
 
+    /// An endpoint that died comes back empty. What it held was placed elsewhere meanwhile: loading
+    /// it again would be a move without need. One that was only out of sight still holds its
+    /// weights, and its row stays.
+    fn keep_moved(&mut self, board: &mut FleetBoard, input: &PlannerInput<'_>) {
+        let back = |slot: usize| {
+            board.slots[slot].alive && self.away.contains(&input.endpoints[slot].endpoint)
+        };
+        let returned: Vec<usize> = (0..board.slots.len()).filter(|slot| back(*slot)).collect();
+        for slot in returned {
+            for item in board.slots[slot].items.clone() {
+                let empty = !board.is_held(item, &input.endpoints[slot]);
+                if empty && board.slots[slot].items.contains(&item) && board.is_spare(item, slot) {
+                    board.remove(item, slot);
+                }
+            }
+        }
+        let away = input.endpoints.iter().filter(|view| !view.alive);
+        self.away = away.map(|view| view.endpoint.clone()).collect();
+    }
+
     /// Loads that may be added in this step, beyond those that reachability needs.
     fn allowance(&mut self, store: WeightStoreSpec, open: u32, now: ClockTime) -> u32 {
         let at_once = store.full_speed_loads.max(1) * self.settings.open_loads.max(1);
@@ -85,6 +109,7 @@
     fn plan(&mut self, input: &PlannerInput<'_>, now: ClockTime) -> PlanOutcome {
         let mut board = FleetBoard::new(input, &self.settings);
         board.start_from(input);
+        self.keep_moved(&mut board, input);
         let open = open_loads(&board);
         let allowance = self.allowance(input.config.weight_store, open, now);
         let dwell = self.settings.dwell;
@@ -293,13 +318,12 @@
         let wish = SlotWish {
             limit,
             over_limit: false,
-            empty: true,
+            empty: false,
             new_zone: false,
             spare_mib: 0,
             except: None,
         };
-        let target = self.board.seek_slot(item, wish);
-        let Some(target) = target.or_else(|| self.make_room(item, limit)) else {
+        let Some(target) = self.relief_slot(item, wish) else {
             stuck.insert(item);
             return false;
         };
@@ -315,32 +339,52 @@
         share * places * settings.horizon.as_secs_f64() > settings.move_cost * moves
     }
 
+    /// Memory that is free on endpoints in use, then memory of replicas that are no longer needed,
+    /// and only then an endpoint more.
+    fn relief_slot(&mut self, item: usize, wish: SlotWish) -> Option<usize> {
+        let used = self.board.seek_slot(item, wish);
+        let used = used.or_else(|| self.make_room(item, wish.limit));
+        let empty = SlotWish {
+            empty: true,
+            ..wish
+        };
+        used.or_else(|| self.board.seek_slot(item, empty))
+    }
+
     /// Takes spare replicas away that the others can do without.
     fn make_room(&mut self, item: usize, limit: f64) -> Option<usize> {
-        let settings = self.settings();
+        let high = self.settings().high_load;
+        let added = &self.planner.added;
         let may_go = |board: &FleetBoard, held: usize, slot: usize| {
-            let before = board.share_with(held, 0);
-            let holders = f64::from(u32::try_from(board.usable_holders(held).count()).unwrap_or(1));
-            let after = before * holders / (holders - 1.0).max(1.0);
-            board
-                .usable_holders(held)
-                .filter(|other| *other != slot)
-                .all(|other| board.slots[other].load + after - before < settings.high_load)
+            let key = (
+                board.slots[slot].endpoint.clone(),
+                board.items[held].weights.clone(),
+            );
+            let adapters = board.items[held].adapters.iter();
+            let mut leaving = adapters
+                .filter(|adapter| board.slots[slot].items.contains(adapter))
+                .chain([&held]);
+            !added.contains_key(&key)
+                && leaving.all(|item| board.is_calm_without(*item, slot, high))
         };
         self.board.evict_for(item, limit, &may_go)
     }
 
     fn pair(&mut self) {
         let settings = self.settings();
-        let single: Vec<usize> = (0..self.board.items.len())
-            .filter(|item| self.board.items[*item].requests >= settings.pair_rate)
+        let mut single: Vec<usize> = (0..self.board.items.len())
+            .filter(|item| self.board.items[*item].requests >= settings.fill_rate)
             .filter(|item| self.board.usable_holders(*item).count() == 1)
             .collect();
+        single.sort_by(|left, right| {
+            let loads = (self.board.items[*left].load, self.board.items[*right].load);
+            loads.1.total_cmp(&loads.0).then(left.cmp(right))
+        });
         let wish = SlotWish {
             limit: settings.high_load,
             over_limit: false,
             empty: false,
-            new_zone: true,
+            new_zone: false,
             spare_mib: 0,
             except: None,
         };
@@ -348,7 +392,12 @@
             if self.allowance == 0 {
                 return;
             }
-            if let Some(slot) = self.board.seek_slot(item, wish) {
+            let other_zone = SlotWish {
+                new_zone: true,
+                ..wish
+            };
+            let slot = self.board.seek_slot(item, other_zone);
+            if let Some(slot) = slot.or_else(|| self.board.seek_slot(item, wish)) {
                 self.allowance -= 1;
                 self.add(item, slot);
             }
--- a/crates/oatpier-placement/src/planner/seek.rs
+++ b/crates/oatpier-placement/src/planner/seek.rs
@@ -32,7 +32,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct SlotScore {
     over: bool,
-    /// The base model is missing, the zone is taken, the slot is empty: in this order.
+    /// The base model is missing, the slot is empty, the zone is taken: in this order. An
+    /// accelerator more costs attainment per accelerator all the time, a zone less only in a loss.
     faults: [bool; 3],
     load: u32,
     tie: usize,
@@ -110,7 +111,7 @@
             .is_some_and(|base| !place.items.contains(&base));
         SlotScore {
             over: load > wish.limit,
-            faults: [base_missing, zone_taken, place.items.is_empty()],
+            faults: [base_missing, place.items.is_empty(), zone_taken],
             load: load_step(load),
             tie: (slot + item * 7_919) % self.slots.len(),
         }
@@ -160,16 +161,22 @@
         if free >= needed {
             return Some(Vec::new());
         }
-        // Base models with adapters here would take them along: they stay.
+        // Base models take their adapters along.
         let mut spare: Vec<usize> = place
             .items
             .iter()
             .copied()
             .filter(|held| Some(*held) != self.items[item].base)
-            .filter(|held| !self.has_adapter_at(*held, slot))
             .filter(|held| self.is_spare(*held, slot) && may_go(self, *held, slot))
             .collect();
-        spare.sort_by(|left, right| self.by_size(*right, *left));
+        spare.sort_by(|left, right| {
+            let adapters = (
+                self.has_adapter_at(*left, slot),
+                self.has_adapter_at(*right, slot),
+            );
+            let order = adapters.0.cmp(&adapters.1);
+            order.then(self.by_size(*right, *left))
+        });
         let mut victims = Vec::new();
         for held in spare {
             free += self.items[held].size_mib;
--- a/crates/oatpier-placement/tests/testsuite/planner.rs
+++ b/crates/oatpier-placement/tests/testsuite/planner.rs
@@ -194,6 +194,40 @@
     assert_eq!(fleet.plan.as_ref().unwrap().endpoints[lost], row);
 }
 
+/// An endpoint dies and comes back empty. Its model was loaded elsewhere meanwhile; a row that
+/// still names it would have it loaded twice.
+#[test]
+fn an_endpoint_that_comes_back_empty_loads_nothing_again() {
+    let mut fleet = Fleet::new(fleet(3, 100, &[("a", 60), ("b", 60)]));
+    let mut planner = planner();
+    fleet.step(&mut planner);
+    let lost = fleet.holders(&base("a", "v1"))[0];
+    fleet.views[lost].alive = false;
+    fleet.views[lost].held.clear();
+    fleet.step(&mut planner);
+    fleet.views[lost].alive = true;
+    let outcome = fleet.step(&mut planner);
+    let holders = fleet.holders(&base("a", "v1"));
+    assert!(holders.len() == 1 && holders[0] != lost, "{holders:?}");
+    assert_eq!((outcome.loads, outcome.endpoints_used), (0, 2));
+}
+
+/// One engine of nine froze: its steps took seconds. The others are not overloaded by that.
+#[test]
+fn one_frozen_engine_brings_no_replicas() {
+    let mut fleet = Fleet::new(fleet(9, 100, &[("a", 40), ("b", 40)]));
+    let mut planner = planner();
+    fleet.ask(&[("a", 5.0)]);
+    for view in &mut fleet.views {
+        view.step_us = 5_000;
+    }
+    fleet.steps(&mut planner, 30);
+    let before = fleet.plan.clone();
+    fleet.views[4].step_us = 4_000_000;
+    fleet.steps(&mut planner, 3);
+    assert_eq!(fleet.plan, before);
+}
+
 /// Memory is full and a model has no place, as a lost endpoint had it. An extra replica goes.
 #[test]
 fn extra_replicas_make_room_for_reachability() {
