Compress the memory of demand peaks with the bench's hour

Ruled out: compressing the windows that see a burst; they need a number of requests, which the bench does not raise.

--- a/crates/oatpier-bench/src/fleet/setup.rs
+++ b/crates/oatpier-bench/src/fleet/setup.rs
@@ -19,6 +19,7 @@
 use crate::load::deployment::{
     ADAPTER_MEMORY_MIB, BenchDeployment, ENGINE_SLOTS, MODEL_MEMORY_MIB,
 };
+use crate::policy::demand_settings;
 
 impl FleetWorld<'_> {
     pub(super) fn add_entries(&mut self, brains: Vec<Box<dyn EntryBrain>>) {
@@ -30,7 +31,7 @@
                 brain,
                 zone: zones[index % zones.len()].clone(),
                 armed: ClockTime::NEVER,
-                demand: DemandLedger::new(),
+                demand: DemandLedger::with_settings(demand_settings()),
                 pulses: IndexMap::new(),
                 tickets: IndexMap::new(),
             })
