--- a/crates/oatpier-bench/src/fleet/setup.rs
+++ b/crates/oatpier-bench/src/fleet/setup.rs
@@ -19,7 +19,6 @@
 use crate::load::deployment::{
     ADAPTER_MEMORY_MIB, BenchDeployment, ENGINE_SLOTS, MODEL_MEMORY_MIB,
 };
-use crate::policy::demand_settings;
 
 impl FleetWorld<'_> {
     pub(super) fn add_entries(&mut self, brains: Vec<Box<dyn EntryBrain>>) {
@@ -31,7 +30,7 @@
                 brain,
                 zone: zones[index % zones.len()].clone(),
                 armed: ClockTime::NEVER,
-                demand: DemandLedger::with_settings(demand_settings()),
+                demand: DemandLedger::new(),
                 pulses: IndexMap::new(),
                 tickets: IndexMap::new(),
             })
--- a/crates/oatpier-bench/src/policy.rs
+++ b/crates/oatpier-bench/src/policy.rs
@@ -6,7 +6,6 @@
 use std::thread;
 
 use indexmap::IndexMap;
-use oatpier_placement::demand::DemandSettings;
 use oatpier_placement::planner::{
     FleetPlanner, GreedyPlanner, PlacementPlanner, PlannerSettings, StaticPlanner,
 };
@@ -100,17 +99,6 @@
     }
 }
 
-/// The demand ledger's settings for demand that moves [`COMPRESSION`] times as fast. The windows
-/// that see a burst stay as they are: they need a number of requests, and those are not more.
-#[must_use]
-pub fn demand_settings() -> DemandSettings {
-    let settings = DemandSettings::default();
-    DemandSettings {
-        peak_window: settings.peak_window / COMPRESSION,
-        ..settings
-    }
-}
-
 /// The planner's settings for demand that moves [`COMPRESSION`] times as fast. The cost of a move
 /// is in seconds and is weighed against the gain over the horizon, so it shrinks alike.
 #[must_use]
