Free a key whose change turned out not to have run; hold replicas under a new planner

A keyed change without an answer ends as "may have run" at its deadline, while a cancel of it may still be under way. The request's task dropped its events with the final answer, so a late "not run" freed nothing, and the claimer refused a release after the request's own "may have run": the caller could not submit the change under its key for the whole retention. And a planner that has just taken the lease knows no demand, so it emptied endpoints that its predecessor had filled.

What changes. - Entry: after the final answer of a request with a key, the task waits for the cancels that are under way (each has its time limit) and passes CancelAnswered to the decisions; a SettleClaim that comes back goes to the claims duty, which says it until it is recorded. - Claims: a release frees a key whose own request ended as "may have run". Only the request that has the claim can release it; one that ran stays used. Recorded says which word it is for (field `verdict`), and the end of a finish that was in a write is not told as recorded while the release after it is not written: the entry would stop saying the release. - Entry: the list of open settlements keeps the later word; "may have run" does not replace a sure one, since words that waited for a full ring can come in another order. - Agent: reads the head's ticket and CancelAttempt; ticket_pair, take_ticket and CancelCall are gone, and no ticket header is sent any more. - Planner duty: for a minute after the lease was gained (the long window of demand) an endpoint that would lose weights keeps its former row, or what it has ready if there is none, unless something would then be ready nowhere. Not after a change of generation, and not for endpoints that are gone or leave.

Keeping the release in the claimer by request id alone: a late one would free another request's key. Not planning at all for a minute: a model that is ready nowhere would wait. Waiting for the member table: the picture is passed on only once it is settled already.

Tests, each seen failing without its safeguard: release_after_the_own_may_have_run_frees_the_key, finish_in_flight_does_not_record_the_release_after_it, late_release_frees_no_other_requests_key (before the change of the claimer); a_new_planner_empties_nothing_at_once (without the hold); a_seal_that_is_answered_after_the_final_answer_frees_the_key (without the wait: the settlement never came and the test hung; it has a time limit on the paused clock since then).

--- a/crates/oatpier-agent/src/attempt.rs
+++ b/crates/oatpier-agent/src/attempt.rs
@@ -7,7 +7,7 @@
 use futures::StreamExt;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Method, StatusCode};
-use oatpier_admission::event::{AdmissionTicket, AgentEvent};
+use oatpier_admission::event::AgentEvent;
 use oatpier_platform::work::{CallError, EndpointAnswer, EndpointCall};
 use oatpier_types::ids::AttemptId;
 use oatpier_types::request::RequestGoal;
@@ -28,7 +28,6 @@
     core: Arc<AgentCore>,
     head: AttemptHead,
     body: Bytes,
-    ticket: AdmissionTicket,
     orders: OrderReceiver,
     frames: mpsc::Sender<AttemptFrame>,
     entry_gone: bool,
@@ -45,7 +44,6 @@
         core: Arc<AgentCore>,
         head: AttemptHead,
         body: Bytes,
-        ticket: AdmissionTicket,
         orders: OrderReceiver,
         frames: mpsc::Sender<AttemptFrame>,
     ) -> Self {
@@ -53,7 +51,6 @@
             core,
             head,
             body,
-            ticket,
             orders,
             frames,
             entry_gone: false,
@@ -113,7 +110,7 @@
             order = self.orders.recv() => order,
             () = self.frames.closed() => {
                 self.entry_gone = true;
-                match self.core.cancel(self.attempt(), self.ticket) {
+                match self.core.cancel(self.attempt(), self.head.ticket) {
                     RunVerdict::NotRun => None,
                     // The start crossed the cancel.
                     RunVerdict::MayHaveRun | RunVerdict::Ran => self.orders.recv().await,
@@ -190,7 +187,7 @@
                 () = self.frames.closed(), if !self.entry_gone => {
                     self.entry_gone = true;
                     // Comes back as an order to cancel.
-                    self.core.cancel(self.attempt(), self.ticket);
+                    self.core.cancel(self.attempt(), self.head.ticket);
                 }
                 done = waiting.as_mut() => return Some(done),
             }
--- a/crates/oatpier-agent/src/work.rs
+++ b/crates/oatpier-agent/src/work.rs
@@ -12,7 +12,8 @@
 use oatpier_types::request::RequestGoal;
 use oatpier_types::verdict::RunVerdict;
 use oatpier_wire::attempt::{
-    self, ATTEMPT_PATH, AttemptFrame, CANCEL_PATH, CancelAnswer, decode_request,
+    self, ATTEMPT_PATH, AttemptFrame, CANCEL_PATH, CancelAnswer, CancelAttempt, CancelReach,
+    decode_request,
 };
 use oatpier_wire::frame::FrameError;
 use oatpier_wire::peer::decode_message;
@@ -26,7 +27,7 @@
 use crate::messages::RELEASE_PATH;
 use crate::news::{AgentNews, AsksNews, MembershipCall, StatusNews};
 use oatpier_duty::duty::{RingReceiver, RingSender, StopPhase, StopSignal};
-use oatpier_duty::messages::{CancelCall, PEER_PATH, STATUS_PATH, take_ticket};
+use oatpier_duty::messages::{PEER_PATH, STATUS_PATH};
 
 /// Frames of an attempt that wait for its entry.
 const WAITING_FRAMES: usize = 16;
@@ -246,11 +247,10 @@
 }
 
 fn take_attempt(core: &Arc<AgentCore>, body: Bytes) -> Reply {
-    let (mut head, body) = match decode_request(body) {
+    let (head, body) = match decode_request(body) {
         Ok(decoded) => decoded,
         Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
     };
-    let ticket = take_ticket(&mut head.headers);
     if let RequestGoal::Service { pool } = &head.spec.goal
         && *pool != core.identity.pool
     {
@@ -258,9 +258,9 @@
     }
     let attempt = head.spec.attempt;
     let (frames, receiver) = mpsc::channel(WAITING_FRAMES);
-    match core.arrive(head.spec.clone(), ticket) {
+    match core.arrive(head.spec.clone(), head.ticket) {
         AttemptArrival::Taken(orders) => {
-            let task = AttemptTask::new(Arc::clone(core), head, body, ticket, orders, frames);
+            let task = AttemptTask::new(Arc::clone(core), head, body, orders, frames);
             // A task of its own: it outlives the entry's connection, since a call that runs must
             // be told to the policy to its end.
             tokio::spawn(task.run());
@@ -295,14 +295,13 @@
 }
 
 fn cancel(core: &AgentCore, body: &[u8]) -> Reply {
-    let call: CancelCall = match decode_message(body) {
+    let call: CancelAttempt = match decode_message(body) {
         Ok(call) => call,
         Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
     };
-    let verdict = if call.seal_only {
-        core.seal(call.attempt(), call.ticket)
-    } else {
-        core.cancel(call.attempt(), call.ticket)
+    let verdict = match call.reach {
+        CancelReach::SealOnly => core.seal(call.attempt, call.ticket),
+        CancelReach::Abort => core.cancel(call.attempt, call.ticket),
     };
     reply::message(&CancelAnswer { verdict })
 }
--- a/crates/oatpier-agent/tests/testsuite/attempt.rs
+++ b/crates/oatpier-agent/tests/testsuite/attempt.rs
@@ -76,7 +76,7 @@
         };
         let body = Bytes::from(body.to_string());
         let core = Arc::clone(&self.core);
-        let task = AttemptTask::new(core, head, body, self.ticket, orders, frames);
+        let task = AttemptTask::new(core, head, body, orders, frames);
         tokio::spawn(task.run());
         Some(receiver)
     }
--- a/crates/oatpier-claims/src/event.rs
+++ b/crates/oatpier-claims/src/event.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use oatpier_types::ids::{RequestId, Revision};
+use oatpier_types::verdict::RunVerdict;
 use smallvec::SmallVec;
 
 use crate::message::{ClaimAnswer, ClaimAsk, ClaimFinish, ClaimRelease, KeyHash};
@@ -127,6 +128,8 @@
         key: KeyHash,
         /// The request.
         request: RequestId,
+        /// Which word on it: [`RunVerdict::NotRun`] is a release, the others are finishes.
+        verdict: RunVerdict,
     },
 }
 
--- a/crates/oatpier-claims/src/log/outcome.rs
+++ b/crates/oatpier-claims/src/log/outcome.rs
@@ -39,23 +39,25 @@
         self.table.give_up(request);
         let phase = self.table.get_own(key, request).map(|entry| entry.phase);
         let recorded = match phase {
-            Some(KeyPhase::Held) => {
-                self.release_held(release, now);
+            // Its end was not known, and now it is: it never ran. Only its own entry can say so,
+            // and only of the claim that is still its own.
+            Some(KeyPhase::Held | KeyPhase::Finished { ran: false }) => {
+                self.release_taken(release, now);
                 false
             }
             Some(KeyPhase::Pending { .. }) => self.abandon(key, request),
-            // It ran, or may have: a release of it is not true and changes nothing.
-            Some(KeyPhase::Finished { .. }) => true,
+            // It ran: a release of it is not true and changes nothing.
+            Some(KeyPhase::Finished { ran: true }) => true,
             None => !self.is_unwritten(release),
         };
         if recorded {
-            actions.push(ClaimAction::Recorded { key, request });
+            actions.push(recorded_word(release, RunVerdict::NotRun));
         }
     }
 
-    /// Frees a held key at once; the record goes with a later write. A claim of the key that
+    /// Frees a taken key at once; the record goes with a later write. A claim of the key that
     /// comes meanwhile is written after it.
-    pub(super) fn release_held(&mut self, release: ClaimRelease, now: ClockTime) {
+    pub(super) fn release_taken(&mut self, release: ClaimRelease, now: ClockTime) {
         if let Some(entry) = self.table.remove(release.key, release.request) {
             let claim = entry.position;
             self.intents.push(LogIntent::Release { claim, release });
@@ -66,15 +68,19 @@
     fn finished(&mut self, finish: ClaimFinish, now: ClockTime, actions: &mut ClaimActions) {
         let ClaimFinish { key, request, .. } = finish;
         let ran = finish.verdict == RunVerdict::Ran;
+        let word = recorded_word(ClaimRelease { key, request }, finish.verdict);
         let Some(entry) = self.table.get_own(key, request) else {
-            actions.push(ClaimAction::Recorded { key, request });
+            // A late copy of "may have run" that comes after the release must not be taken for it.
+            if !self.is_unwritten(ClaimRelease { key, request }) {
+                actions.push(word);
+            }
             return;
         };
         match entry.phase {
             KeyPhase::Pending { .. } => return,
             KeyPhase::Finished { ran: known } if known || !ran => {
                 if !self.is_finish_unwritten(finish) {
-                    actions.push(ClaimAction::Recorded { key, request });
+                    actions.push(word);
                 }
                 return;
             }
@@ -86,7 +92,7 @@
         self.lazy_since.get_or_insert(now);
     }
 
-    fn is_unwritten(&self, release: ClaimRelease) -> bool {
+    pub(super) fn is_unwritten(&self, release: ClaimRelease) -> bool {
         self.unwritten().any(|intent| {
             matches!(intent, LogIntent::Release { release: other, .. } if *other == release)
         })
@@ -103,3 +109,12 @@
         self.intents.iter().chain(self.flying_batch())
     }
 }
+
+fn recorded_word(of: ClaimRelease, verdict: RunVerdict) -> ClaimAction {
+    let ClaimRelease { key, request } = of;
+    ClaimAction::Recorded {
+        key,
+        request,
+        verdict,
+    }
+}
--- a/crates/oatpier-claims/src/log/writing.rs
+++ b/crates/oatpier-claims/src/log/writing.rs
@@ -130,12 +130,23 @@
         now: ClockTime,
         actions: &mut ClaimActions,
     ) {
-        let (key, request) = match intent {
+        let (key, request, verdict) = match intent {
             LogIntent::Claim(ask) => return self.claim_written(ask, position, now, actions),
-            LogIntent::Release { release, .. } => (release.key, release.request),
-            LogIntent::Finish { finish, .. } => (finish.key, finish.request),
+            LogIntent::Release { release, .. } => {
+                (release.key, release.request, RunVerdict::NotRun)
+            }
+            LogIntent::Finish { finish, .. } => (finish.key, finish.request, finish.verdict),
         };
-        actions.push(ClaimAction::Recorded { key, request });
+        // "May have run" was followed by a release. Its entry says the last word until it is
+        // recorded, so the end of the first one must not be taken for it.
+        if self.is_unwritten(ClaimRelease { key, request }) {
+            return;
+        }
+        actions.push(ClaimAction::Recorded {
+            key,
+            request,
+            verdict,
+        });
     }
 
     fn claim_written(
@@ -149,7 +160,7 @@
         if self.table.hold(key, position) {
             self.answer(AskId { key, request }, ClaimAnswer::Granted, actions);
         } else {
-            self.release_held(ClaimRelease { key, request }, now);
+            self.release_taken(ClaimRelease { key, request }, now);
         }
     }
 
--- a/crates/oatpier-claims/src/message.rs
+++ b/crates/oatpier-claims/src/message.rs
@@ -127,7 +127,8 @@
     }
 }
 
-/// An entry gives a claim back: the request has not run and never will.
+/// An entry gives a claim back: the request has not run and never will. May come after the
+/// request's own "may have run", whose answer came late; it frees no other request's claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRelease {
     /// The key.
--- a/crates/oatpier-claims/tests/testsuite/takeovers.rs
+++ b/crates/oatpier-claims/tests/testsuite/takeovers.rs
@@ -127,6 +127,92 @@
     assert_eq!(fleet.answer(released_again), Some(&ClaimAnswer::Granted));
 }
 
+#[test]
+fn release_after_the_own_may_have_run_frees_the_key() {
+    // A request ends at its deadline as "may have run", and its key stays used. Then its agent
+    // says that it never ran and never will: its entry releases the key, before or after the
+    // first word is in the store. The caller's next try may run, also after a take-over.
+    for waits in [Duration::ZERO, SOON, Duration::from_secs(2)] {
+        let mut fleet = ClaimFleet::new(2, ClaimSettings::default());
+        let first = fleet.ask(0, key(1));
+        fleet.run(0, SOON);
+        fleet.finish(0, first, RunVerdict::MayHaveRun);
+        fleet.run(0, waits);
+        fleet.recorded.clear();
+        fleet.release(0, first);
+        assert!(!fleet.recorded.contains(&first), "{waits:?}");
+        fleet.run(0, Duration::from_secs(2));
+        assert!(fleet.recorded.contains(&first), "{waits:?}");
+        fleet.restart(0);
+        let second = fleet.ask(1, key(1));
+        fleet.run(1, SOON);
+        assert_eq!(
+            fleet.answer(second),
+            Some(&ClaimAnswer::Granted),
+            "{waits:?}"
+        );
+    }
+}
+
+#[test]
+fn finish_in_flight_does_not_record_the_release_after_it() {
+    // The word "may have run" is in a write whose answer is under way when the release comes. Its
+    // entry must not take that write's end for the release's: it would say it no more, and a
+    // claimer that dies now would leave the key used.
+    let mut fleet = ClaimFleet::new(1, ClaimSettings::default());
+    let first = fleet.ask(0, key(1));
+    fleet.run(0, SOON);
+    fleet.finish(0, first, RunVerdict::MayHaveRun);
+    fleet.advance(Duration::from_secs(2));
+    fleet.step(0, ClaimEvent::Timer);
+    let write = fleet.unseen(Some(0))[0];
+    fleet.release(0, first);
+    fleet.finish(0, first, RunVerdict::MayHaveRun);
+    fleet.take_effect(write);
+    fleet.deliver(write);
+    assert!(!fleet.recorded.contains(&first));
+    fleet.run(0, Duration::from_secs(2));
+    assert!(fleet.recorded.contains(&first));
+}
+
+fn is_finished_or_held(answer: Option<&ClaimAnswer>) -> bool {
+    matches!(
+        answer,
+        Some(ClaimAnswer::Denied(
+            ClaimDenial::Finished { .. } | ClaimDenial::Held { .. }
+        ))
+    )
+}
+
+#[test]
+fn late_release_frees_no_other_requests_key() {
+    // The release is said twice, and the second comes after the next request has the key, running
+    // or over. It must free nothing; nor does a release of a request that ran.
+    let mut fleet = ClaimFleet::new(1, ClaimSettings::default());
+    let first = fleet.ask(0, key(1));
+    fleet.run(0, SOON);
+    fleet.finish(0, first, RunVerdict::MayHaveRun);
+    fleet.release(0, first);
+    let second = fleet.ask(0, key(1));
+    fleet.run(0, SOON);
+    assert_eq!(fleet.answer(second), Some(&ClaimAnswer::Granted));
+    let steps = [None, Some(RunVerdict::MayHaveRun), Some(RunVerdict::Ran)];
+    for verdict in steps {
+        if let Some(verdict) = verdict {
+            fleet.finish(0, second, verdict);
+        }
+        fleet.release(0, first);
+        fleet.finish(0, first, RunVerdict::MayHaveRun);
+        let third = fleet.ask(0, key(1));
+        fleet.run(0, SOON);
+        assert!(is_finished_or_held(fleet.answer(third)), "{verdict:?}");
+    }
+    fleet.release(0, second);
+    let fourth = fleet.ask(0, key(1));
+    fleet.run(0, SOON);
+    assert!(is_finished_or_held(fleet.answer(fourth)));
+}
+
 #[test]
 fn late_ask_of_a_released_request_claims_nothing() {
     // An entry gives a request up and releases its key, and a copy of its ask comes after that.
--- a/crates/oatpier-entry/src/claims/claimer.rs
+++ b/crates/oatpier-entry/src/claims/claimer.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 
 use super::OpenAsk;
+use super::outbox::Settlement;
 use super::storing::StoreCall;
 use crate::messages::ClaimReply;
 
@@ -46,12 +47,7 @@
         answer: ClaimAnswer,
     },
     /// A settlement is in the store.
-    Recorded {
-        /// The key.
-        key: KeyHash,
-        /// The request.
-        request: RequestId,
-    },
+    Recorded(Settlement),
 }
 
 type WaitKey = (KeyHash, RequestId);
@@ -124,11 +120,19 @@
                     request,
                     answer,
                 } => self.answer((key, request), &answer, &mut outputs),
-                ClaimAction::Recorded { key, request } => {
+                ClaimAction::Recorded {
+                    key,
+                    request,
+                    verdict,
+                } => {
                     for waiter in self.settles.remove(&(key, request)).unwrap_or_default() {
                         let _ = waiter.send(ClaimReply::Recorded);
                     }
-                    outputs.push(ClaimerOutput::Recorded { key, request });
+                    outputs.push(ClaimerOutput::Recorded(Settlement {
+                        key,
+                        request,
+                        verdict,
+                    }));
                 }
                 store => outputs.extend(StoreCall::of(store).map(ClaimerOutput::Store)),
             }
--- a/crates/oatpier-entry/src/claims/mod.rs
+++ b/crates/oatpier-entry/src/claims/mod.rs
@@ -296,7 +296,7 @@
                     self.calls.push(call.boxed());
                 }
                 ClaimerOutput::Answered { open, answer } => self.answered(open, answer),
-                ClaimerOutput::Recorded { key, request } => self.outbox.recorded(key, request),
+                ClaimerOutput::Recorded(settlement) => self.outbox.recorded(settlement),
             }
         }
     }
@@ -322,7 +322,7 @@
             ClaimEnd::Settled {
                 settlement,
                 recorded,
-            } if recorded => self.outbox.recorded(settlement.key, settlement.request),
+            } if recorded => self.outbox.recorded(settlement),
             // It is said again later.
             ClaimEnd::Settled { .. } => {}
         }
--- a/crates/oatpier-entry/src/claims/outbox.rs
+++ b/crates/oatpier-entry/src/claims/outbox.rs
@@ -62,19 +62,35 @@
 }
 
 impl Outbox {
-    /// Takes a settlement; false if there is no room.
+    /// Takes a settlement; false if there is no room. It takes the place of an earlier one of the
+    /// same request, but "may have run" says nothing that is not known from a sure one: words
+    /// that waited for the ring can come in another order.
     pub(super) fn push(&mut self, settlement: Settlement, now: ClockTime) -> bool {
-        if self.open.len() >= KEPT_SETTLEMENTS {
+        let key = (settlement.key, settlement.request);
+        let known = self.open.get(&key).map(|(known, _)| known.verdict);
+        if settlement.verdict == RunVerdict::MayHaveRun
+            && known.is_some_and(|verdict| verdict != RunVerdict::MayHaveRun)
+        {
+            return true;
+        }
+        if known.is_none() && self.open.len() >= KEPT_SETTLEMENTS {
             return false;
         }
-        let key = (settlement.key, settlement.request);
         self.open.insert(key, (settlement, now));
         true
     }
 
-    /// The settlement is in the store.
-    pub(super) fn recorded(&mut self, key: KeyHash, request: RequestId) {
-        self.open.swap_remove(&(key, request));
+    /// The settlement is in the store. A later one of the same request stays: the end of a call
+    /// with "may have run" must not stop the release that came after it.
+    pub(super) fn recorded(&mut self, settlement: Settlement) {
+        let key = (settlement.key, settlement.request);
+        if self
+            .open
+            .get(&key)
+            .is_some_and(|(open, _)| *open == settlement)
+        {
+            self.open.swap_remove(&key);
+        }
     }
 
     /// All are to be said again at once.
--- a/crates/oatpier-entry/src/planner/mod.rs
+++ b/crates/oatpier-entry/src/planner/mod.rs
@@ -6,6 +6,7 @@
 
 mod board;
 mod follow;
+mod hold;
 mod picture;
 mod writing;
 
@@ -39,6 +40,7 @@
 use writing::{PlanBook, PlanRead, PlanWrite};
 
 pub use board::{PlanShelf, PlannerBoard};
+pub use hold::hold_replicas;
 pub use oatpier_placement::planner::EndpointView;
 pub use picture::{FleetPicture, PlanGroup};
 
@@ -46,6 +48,8 @@
 const PLAN_PERIOD: Duration = Duration::from_secs(2);
 /// How often an entry tells its demand to those that may plan.
 const DEMAND_PERIOD: Duration = Duration::from_secs(5);
+/// How long a new planner drops no replicas: the long window of demand.
+const HOLD_REPLICAS: Duration = Duration::from_mins(1);
 
 /// News for the planner duty.
 #[derive(Debug)]
@@ -121,6 +125,7 @@
         next_plan: clock.now(),
         next_word: clock.now(),
         released: false,
+        gained: ClockTime::ZERO,
         calls: FuturesUnordered::new(),
     };
     tokio::select! {
@@ -152,6 +157,7 @@
     next_plan: ClockTime,
     next_word: ClockTime,
     released: bool,
+    gained: ClockTime,
     calls: FuturesUnordered<BoxFuture<'static, PlannerEnd>>,
 }
 
@@ -253,6 +259,7 @@
                     spdlog::info!("this entry plans", kv: { term: = term.0 });
                     self.book = PlanBook::default();
                     self.next_plan = now;
+                    self.gained = now;
                 }
                 LeaseAction::Lost(term) => {
                     spdlog::info!("this entry plans no longer", kv: { term: = term.0 });
@@ -313,7 +320,7 @@
     fn plan(&mut self, picture: &FleetPicture, term: Term, now: ClockTime) {
         let demand = self.demand.total(now);
         let previous = self.book.whole();
-        let outcome = self.planner.plan(
+        let mut outcome = self.planner.plan(
             &PlannerInput {
                 config: &picture.config,
                 generation: picture.generation,
@@ -324,6 +331,9 @@
             },
             now,
         );
+        if now.since(self.gained) < HOLD_REPLICAS {
+            hold_replicas(&mut outcome.plan, picture, previous.as_ref());
+        }
         for note in &outcome.notes {
             spdlog::warn!("the plan: {note:?}");
         }
--- a/crates/oatpier-entry/src/run.rs
+++ b/crates/oatpier-entry/src/run.rs
@@ -1,6 +1,7 @@
 //! The life of one request: feeds what happens to the decisions and carries out their actions.
 
 mod claiming;
+mod late;
 mod report;
 
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 use tokio::task::JoinSet;
 
 use self::claiming::short_key;
+use self::late::LateWords;
 use self::report::end_of;
 use crate::attempt::{AttemptRun, AttemptSignal, SignalSender, cancel};
 use crate::core::{AgentContact, EntryCore};
@@ -27,7 +29,6 @@
 use crate::history::StepLog;
 use crate::intake::CallIntake;
 use crate::sink::{AnswerHead, CallerSink, SinkChange, SinkState};
-use oatpier_duty::messages::ticket_pair;
 use oatpier_duty::observe::trace::{HopSpan, TRACEPARENT};
 
 /// Signals of attempts that wait for the request's task.
@@ -102,7 +103,8 @@
         }
     }
 
-    /// Works on the request until its caller has its final answer.
+    /// Works on the request until its caller has its final answer, and no cancel of it is under
+    /// way that could yet free its key.
     pub async fn run(mut self) {
         self.core.metrics.in_flight.inc();
         let (timers, mut fired) = mpsc::unbounded_channel();
@@ -120,7 +122,9 @@
             let wake = self.wake(&mut fired).await;
             answer = self.step(wake);
         };
-        self.finish(&answer).await;
+        if let Some(late) = self.finish(&answer).await {
+            late.run().await;
+        }
     }
 
     fn intake(&self) -> RequestIntake {
@@ -248,14 +252,12 @@
             .get(TRACEPARENT)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
-        let mut headers: Vec<_> = self.call.call.headers.iter().map(pair_of).collect();
-        headers.push(ticket_pair(contact.ticket));
         AttemptHead {
             spec,
             ticket: contact.ticket,
             method: self.call.call.method.as_str().to_owned(),
             path: self.call.call.path.clone(),
-            headers,
+            headers: self.call.call.headers.iter().map(pair_of).collect(),
             key: self.call.key.map(|key| key.0),
             traceparent,
         }
@@ -291,7 +293,7 @@
         }
     }
 
-    async fn finish(mut self, answer: &FinalAnswer) {
+    async fn finish(mut self, answer: &FinalAnswer) -> Option<LateWords> {
         if answer.cause == FinalCause::Whole {
             self.sink.finish(self.head.take());
         } else {
@@ -304,6 +306,12 @@
         self.log(answer);
         self.span.set("cause", answer.cause.as_str());
         self.span.set("verdict", answer.verdict.as_str());
+        Some(LateWords {
+            core: Arc::clone(&self.core),
+            request: self.identity.request,
+            key: self.call.key?,
+            events: self.own_events,
+        })
     }
 
     fn hop(&self, name: &'static str) -> HopSpan {
--- a/crates/oatpier-entry/src/run/claiming.rs
+++ b/crates/oatpier-entry/src/run/claiming.rs
@@ -4,6 +4,7 @@
 
 use oatpier_claims::message::{ClaimAnswer, ClaimAsk, KeyHash, RequestFingerprint};
 use oatpier_policy::event::EntryEvent;
+use oatpier_types::ids::RequestId;
 use oatpier_types::verdict::RunVerdict;
 use tokio::sync::oneshot;
 
@@ -42,15 +43,20 @@
         let Some(key) = self.call.key else {
             return;
         };
-        let command = ClaimCommand::Settle {
-            key,
-            request: self.identity.request,
-            verdict,
-        };
-        if let Err(command) = self.core.claims().offer(command) {
-            let core = Arc::clone(&self.core);
-            tokio::spawn(async move { core.claims().send(command).await });
-        }
+        settle(&self.core, key, self.identity.request, verdict);
+    }
+}
+
+/// Passes the settlement of a request's claim to the claims duty.
+pub(super) fn settle(core: &Arc<EntryCore>, key: KeyHash, request: RequestId, verdict: RunVerdict) {
+    let command = ClaimCommand::Settle {
+        key,
+        request,
+        verdict,
+    };
+    if let Err(command) = core.claims().offer(command) {
+        let core = Arc::clone(core);
+        tokio::spawn(async move { core.claims().send(command).await });
     }
 }
 
--- a/crates/oatpier-entry/tests/testsuite/claims.rs
+++ b/crates/oatpier-entry/tests/testsuite/claims.rs
@@ -9,6 +9,8 @@
 
 /// Enough keys for each of the two entries to be the claimer of some.
 const KEYS: u128 = 16;
+/// Makes the second word on a key come at another point of the first one's write.
+const SETTLE_STEP: std::time::Duration = std::time::Duration::from_millis(250);
 
 fn held_by(request: u128) -> ClaimAnswer {
     ClaimAnswer::Denied(ClaimDenial::Held {
@@ -155,3 +157,23 @@
         assert_eq!(answer, ClaimAnswer::Granted, "key {key}");
     }
 }
+
+/// A change ends as "may have run", and its seal is answered "not run" a moment later, before or
+/// after the first word is in the store. The last word holds, whoever of the two entries is the
+/// claimer, and the key is free for the caller's next try.
+#[tokio::test(start_paused = true)]
+async fn a_key_is_freed_after_its_own_may_have_run() {
+    let fleet = ClaimFleet::start(2).await;
+    for key in 0..KEYS {
+        assert_eq!(fleet.ask(0, key, 100 + key).await, ClaimAnswer::Granted);
+        fleet
+            .settle(0, key, 100 + key, RunVerdict::MayHaveRun)
+            .await;
+        tokio::time::sleep(SETTLE_STEP * u32::try_from(key).unwrap()).await;
+        fleet.settle(0, key, 100 + key, RunVerdict::NotRun).await;
+    }
+    fleet.flush(0).await;
+    for key in 0..KEYS {
+        assert_eq!(fleet.ask(1, key, 200 + key).await, ClaimAnswer::Granted);
+    }
+}
--- /dev/null
+++ b/crates/oatpier-entry/tests/testsuite/hold.rs
@@ -0,0 +1,150 @@
+//! A new planner leaves replicas as they are until it knows the demand.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oatpier_duty::messages::{encode_plan, plan_key};
+use oatpier_entry::planner::{FleetPicture, hold_replicas};
+use oatpier_platform::store::{ExpectedValue, KeyStore};
+use oatpier_standin::store::LocalStore;
+use oatpier_types::engine::{EngineRole, HeldWeights, WeightsKey, WeightsState};
+use oatpier_types::ids::{Generation, Term};
+use oatpier_types::plan::{EndpointPlan, PlacementPlan};
+
+use crate::planner::{CONFIG, PlanningEntry, pass, picture_of, stored_plan};
+
+fn picture() -> FleetPicture {
+    picture_of(&CONFIG.replace("memory_mib = 1000", "memory_mib = 2000"))
+}
+
+fn weights(picture: &FleetPicture, names: &[&str]) -> Vec<WeightsKey> {
+    let of = |name: &&str| {
+        let model = picture
+            .config
+            .models
+            .keys()
+            .find(|key| key.as_str() == *name);
+        picture.config.model_weights(model.unwrap()).unwrap()
+    };
+    names.iter().map(of).collect()
+}
+
+/// A plan with a row for each endpoint of the picture.
+fn plan(picture: &FleetPicture, rows: &[&[&str]]) -> PlacementPlan {
+    let rows = picture.endpoints.iter().zip(rows);
+    PlacementPlan {
+        term: Term(1),
+        sequence: 1,
+        generation: picture.generation,
+        endpoints: rows
+            .map(|(view, names)| EndpointPlan {
+                endpoint: view.endpoint.clone(),
+                weights: weights(picture, names).into(),
+                role: EngineRole::Both,
+            })
+            .collect(),
+    }
+}
+
+fn held(
+    picture: &FleetPicture,
+    next: &[&[&str]],
+    previous: Option<&PlacementPlan>,
+) -> PlacementPlan {
+    let mut next = plan(picture, next);
+    hold_replicas(&mut next, picture, previous);
+    next
+}
+
+#[test]
+fn rows_that_lose_replicas_stay_and_those_that_gain_pass() {
+    let picture = picture();
+    let before = plan(&picture, &[&["tables", "halls"], &["tables"]]);
+    let next = held(
+        &picture,
+        &[&["tables"], &["tables", "halls"]],
+        Some(&before),
+    );
+    let wanted = plan(&picture, &[&["tables", "halls"], &["tables", "halls"]]);
+    assert_eq!(next, wanted);
+}
+
+#[test]
+fn weights_that_would_be_ready_nowhere_pass_in_place_of_others() {
+    let picture = picture();
+    let before = plan(&picture, &[&["tables"], &["tables"]]);
+    let next = held(&picture, &[&["halls"], &["tables"]], Some(&before));
+    assert_eq!(next, plan(&picture, &[&["halls"], &["tables"]]));
+}
+
+#[test]
+fn endpoints_without_a_former_row_keep_what_is_ready() {
+    let mut picture = picture();
+    for view in &mut picture.endpoints {
+        let of = |weights| HeldWeights {
+            weights,
+            state: WeightsState::Ready,
+        };
+        let all = ["tables", "halls"];
+        let keys = picture
+            .config
+            .models
+            .keys()
+            .filter(|key| all.contains(&key.as_str()));
+        let keys = keys.filter_map(|key| picture.config.model_weights(key));
+        view.held = keys.map(of).collect();
+    }
+    let next = held(&picture, &[&["tables"], &["halls"]], None);
+    assert!(next.endpoints.iter().all(|row| row.weights.len() == 2));
+}
+
+#[test]
+fn leaving_endpoints_and_other_generations_are_not_held() {
+    let mut picture = picture();
+    let mut before = plan(&picture, &[&["tables", "halls"], &["tables", "halls"]]);
+    let rows: [&[&str]; 2] = [&["tables"], &["halls"]];
+    picture.endpoints[0].leaving = true;
+    let next = held(&picture, &rows, Some(&before));
+    assert_eq!(next, plan(&picture, &[&["tables"], &["tables", "halls"]]));
+    picture.endpoints[0].leaving = false;
+    before.generation = Generation(0);
+    assert_eq!(held(&picture, &rows, Some(&before)), plan(&picture, &rows));
+}
+
+/// An entry that has run for a while takes the lease after the planner died. It knows no demand
+/// yet, so all endpoints look quiet to it. What the former planner had loaded for the callers
+/// stays until it has seen a whole window of demand.
+#[tokio::test(start_paused = true)]
+async fn a_new_planner_empties_nothing_at_once() {
+    let mut picture = picture();
+    let both: &[&str] = &["tables", "halls"];
+    let before = plan(&picture, &[both, both]);
+    for (view, row) in picture.endpoints.iter_mut().zip(&before.endpoints) {
+        let keys = row.weights.iter().cloned();
+        let ready = keys.map(|weights| HeldWeights {
+            weights,
+            state: WeightsState::Ready,
+        });
+        view.held = ready.collect();
+    }
+    let store = Arc::new(LocalStore::new());
+    for (view, row) in picture.endpoints.iter().zip(&before.endpoints) {
+        let one = PlacementPlan {
+            endpoints: vec![row.clone()],
+            ..before.clone()
+        };
+        let value: Bytes = encode_plan(&one).unwrap();
+        let key = plan_key(&view.zone);
+        let put = store.put(&key, value, ExpectedValue::Absent, None).await;
+        put.unwrap();
+    }
+    let _entry = PlanningEntry::start_after(0, &store, picture, Duration::from_hours(1)).await;
+    pass(45).await;
+    let mut counts = Vec::new();
+    for name in ["ikeja", "lekki"] {
+        let plan = stored_plan(&store, name).await.unwrap();
+        counts.push(plan.endpoints[0].weights.len());
+    }
+    assert_eq!(counts, [2, 2]);
+}
--- a/crates/oatpier-entry/tests/testsuite/main.rs
+++ b/crates/oatpier-entry/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 
 mod claims;
 mod configuration;
+mod hold;
+mod late;
 mod planner;
 mod stops;
 mod support;
--- a/crates/oatpier-entry/tests/testsuite/planner.rs
+++ b/crates/oatpier-entry/tests/testsuite/planner.rs
@@ -63,7 +63,12 @@
 
 /// Two live endpoints, one in each availability zone, that hold nothing.
 fn picture() -> FleetPicture {
-    let config = FleetConfig::try_from(CONFIG).unwrap();
+    picture_of(CONFIG)
+}
+
+/// All endpoints of a configuration, live and empty.
+pub fn picture_of(config: &str) -> FleetPicture {
+    let config = FleetConfig::try_from(config).unwrap();
     let pools = config.pools.iter();
     let endpoints = pools.flat_map(|(pool, spec)| {
         spec.endpoints.iter().map(|(endpoint, zone)| EndpointView {
@@ -87,7 +92,7 @@
     }
 }
 
-struct PlanningEntry {
+pub struct PlanningEntry {
     news: RingSender<PlannerNews>,
     board: Arc<PlannerBoard>,
     stop: StopSignal,
@@ -96,6 +101,16 @@
 
 impl PlanningEntry {
     async fn start(number: u16, store: &Arc<LocalStore>) -> Self {
+        Self::start_after(number, store, picture(), Duration::ZERO).await
+    }
+
+    /// An entry that sees the fleet some time after its start.
+    pub async fn start_after(
+        number: u16,
+        store: &Arc<LocalStore>,
+        picture: FleetPicture,
+        waits: Duration,
+    ) -> Self {
         let clock = RuntimeClock::start();
         let metrics = MetricSet::default();
         let (news, receiver) = ring(64, RingRule::Drop, metrics.ring("planner"));
@@ -112,7 +127,8 @@
             stop: stop.clone(),
         };
         let task = tokio::spawn(planner(inputs));
-        news.send(PlannerNews::Fleet(Box::new(picture()))).await;
+        tokio::time::sleep(waits).await;
+        news.send(PlannerNews::Fleet(Box::new(picture))).await;
         Self {
             news,
             board,
@@ -122,12 +138,12 @@
     }
 }
 
-async fn stored_plan(store: &LocalStore, name: &str) -> Option<PlacementPlan> {
+pub async fn stored_plan(store: &LocalStore, name: &str) -> Option<PlacementPlan> {
     let stored = store.get(&plan_key(&zone(name))).await.ok().flatten();
     stored.map(|stored| decode_plan(&stored.value).unwrap())
 }
 
-async fn pass(seconds: u64) {
+pub async fn pass(seconds: u64) {
     tokio::time::sleep(Duration::from_secs(seconds)).await;
 }
 
