End with an error when a duty panicked

Cause: DutyProcess::join swallowed a panic, so a daemon that lost a duty ended with 0, as after a planned stop, and a supervisor would not start it again. Found by reading. Ruled out: aborting at the panic; the other duties drain first.

--- a/crates/oatpier-duty/src/duty/mod.rs
+++ b/crates/oatpier-duty/src/duty/mod.rs
@@ -6,6 +6,6 @@
 mod stop;
 
 pub use clock::RuntimeClock;
-pub use process::{DutyProcess, StartError, bind};
+pub use process::{DutyPanic, DutyProcess, StartError, bind};
 pub use ring::{RingReceiver, RingRule, RingSender, ring};
 pub use stop::{StopPhase, StopSignal, stop_on_signal};
--- a/crates/oatpier-duty/src/duty/process.rs
+++ b/crates/oatpier-duty/src/duty/process.rs
@@ -78,15 +78,29 @@
     }
 
     /// Waits for all duties to end.
-    pub fn join(self) {
-        for thread in self.threads {
-            // A panic was logged where it happened, and the others were told to end.
-            let _ = thread.join();
-        }
+    ///
+    /// # Errors
+    ///
+    /// [`DutyPanic`] if one of them panicked: a process that lost a duty must not look like one
+    /// that was stopped by plan.
+    pub fn join(self) -> Result<(), DutyPanic> {
+        // The panic itself was logged where it happened, and the others were told to end.
+        let ends: Vec<_> = self.threads.into_iter().map(JoinHandle::join).collect();
         spdlog::default_logger().flush();
+        if ends.iter().all(Result::is_ok) {
+            Ok(())
+        } else {
+            Err(DutyPanic)
+        }
     }
 }
 
+/// A duty panicked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error, Diagnostic)]
+#[error("a duty panicked, and the process ended")]
+#[diagnostic(help("the log has the panic; the process can be started again"))]
+pub struct DutyPanic;
+
 /// Ends the whole process if its thread panics.
 struct PanicGuard(StopSignal);
 
--- /dev/null
+++ b/crates/oatpier-duty/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of what the duties share.
+
+mod process;
--- a/crates/oatpier-entry/tests/testsuite/whole.rs
+++ b/crates/oatpier-entry/tests/testsuite/whole.rs
@@ -118,7 +118,8 @@
     }
     let process = entry.process;
     process.stop.advance(StopPhase::Draining);
-    tokio::task::spawn_blocking(|| process.join())
+    let ended = tokio::task::spawn_blocking(|| process.join())
         .await
         .unwrap();
+    assert_eq!(ended, Ok(()));
 }
--- a/crates/oatpierd/examples/quickstart/fleet.rs
+++ b/crates/oatpierd/examples/quickstart/fleet.rs
@@ -139,7 +139,7 @@
         let process = self.process;
         process.stop.advance(StopPhase::Draining);
         std::thread::spawn(move || {
-            process.join();
+            process.join().expect("no duty panics");
             let _ = ended.send(());
         });
         end.recv_timeout(STOP_WAIT)
--- a/crates/oatpierd/src/commands/entry.rs
+++ b/crates/oatpierd/src/commands/entry.rs
@@ -2,7 +2,7 @@
 
 use clap::{ArgMatches, Command};
 
-use super::{read_settings, start_failure};
+use super::{duty_failure, read_settings, start_failure};
 use crate::cli::{self, CommandFailure};
 use oatpier_duty::duty::stop_on_signal;
 use oatpier_duty::observe::logs;
@@ -44,6 +44,5 @@
     logs::install(&settings.name);
     let process = oatpier_entry::start(&settings).map_err(start_failure)?;
     stop_on_signal(&process.stop);
-    process.join();
-    Ok(())
+    process.join().map_err(duty_failure)
 }
--- a/crates/oatpierd/src/commands/mod.rs
+++ b/crates/oatpierd/src/commands/mod.rs
@@ -9,7 +9,7 @@
 use miette::Report;
 
 use crate::cli::{CommandFailure, EXIT_FAILED, EXIT_SETTINGS};
-use oatpier_duty::duty::StartError;
+use oatpier_duty::duty::{DutyPanic, StartError};
 use oatpier_duty::settings::{SettingsErrors, SettingsFailure, SettingsText};
 
 /// Reads and checks the settings file that the command line names.
@@ -34,3 +34,10 @@
         report: Report::new(error),
     }
 }
+
+fn duty_failure(error: DutyPanic) -> CommandFailure {
+    CommandFailure {
+        code: EXIT_FAILED,
+        report: Report::new(error),
+    }
+}
--- a/crates/oatpierd/tests/testsuite/support/fleet.rs
+++ b/crates/oatpierd/tests/testsuite/support/fleet.rs
@@ -263,13 +263,13 @@
                 let text = self.metrics(entry).await;
                 text.lines().any(|line| line == known) && text.lines().any(|line| line == ready)
             };
-            if !comes_about(knows_all).await {
-                panic!(
-                    "{} does not know all: {}",
-                    entry.name,
-                    self.told(entry).await
-                );
-            }
+            let knows = comes_about(knows_all).await;
+            let told = if knows {
+                String::new()
+            } else {
+                self.told(entry).await
+            };
+            assert!(knows, "{} does not know all: {told}", entry.name);
         }
     }
 
