--- a/crates/oatpierd/tests/testsuite/support/fleet.rs
+++ b/crates/oatpierd/tests/testsuite/support/fleet.rs
@@ -263,13 +263,13 @@
                 let text = self.metrics(entry).await;
                 text.lines().any(|line| line == known) && text.lines().any(|line| line == ready)
             };
-            let knows = comes_about(knows_all).await;
-            let told = if knows {
+            let informed = comes_about(knows_all).await;
+            let told = if informed {
                 String::new()
             } else {
                 self.told(entry).await
             };
-            assert!(knows, "{} does not know all: {told}", entry.name);
+            assert!(informed, "{} does not know all: {told}", entry.name);
         }
     }
 
