--- a/crates/oatpier-agent/src/membership/mod.rs
+++ b/crates/oatpier-agent/src/membership/mod.rs
@@ -1,6 +1,7 @@
 //! The membership duty: the configuration in force, and word to the entries.
 //!
-//! It runs [`AgentMember`]: heartbeats to two entries, the configuration from their answers.
+//! It runs [`oatpier_membership::agent::AgentMember`]: heartbeats to two entries, the configuration
+//! from their answers.
 //! The list of VMs only hints where entries are, and whether this VM is about to be stopped. The
 //! store is read while no entry answers; see [`fallback`].
 
