Read the platform's addresses in one place

Cause: the settings of entries and agents each read the table [platform] by the same lines. Ruled out: one type for the common head of both; their required keys differ, and errors would come in another order. Conclusion: behaviour as before.

--- a/crates/oatpier-duty/src/settings/agent.rs
+++ b/crates/oatpier-duty/src/settings/agent.rs
@@ -4,6 +4,7 @@
 
 use oatpier_types::names::{DaemonName, EndpointName, PoolName, VmName, ZoneName};
 
+use super::platform::PlatformAddresses;
 use super::reader::TableReader;
 use super::{IntakeLimits, SettingsErrors, SettingsText};
 
@@ -55,11 +56,9 @@
     let peer_listen = listen.required("peers");
     let observe_listen = listen.required("observe");
     reader.absorb(listen);
-    let mut platform = reader.table("platform");
-    let store = platform.required("store");
-    let vm_list = platform.required("vm_list");
-    reader.absorb(platform);
+    let platform = PlatformAddresses::read(reader);
     let limits = IntakeLimits::read(reader);
+    let platform = platform?;
     Some(AgentSettings {
         name: name?,
         vm: vm?,
@@ -69,8 +68,8 @@
         endpoint_address: endpoint_address?,
         peer_listen: peer_listen?,
         observe_listen: observe_listen?,
-        store: store?,
-        vm_list: vm_list?,
+        store: platform.store,
+        vm_list: platform.vm_list,
         limits,
     })
 }
--- a/crates/oatpier-duty/src/settings/entry.rs
+++ b/crates/oatpier-duty/src/settings/entry.rs
@@ -5,6 +5,7 @@
 
 use oatpier_types::names::{DaemonName, RegionName, VmName, ZoneName};
 
+use super::platform::PlatformAddresses;
 use super::reader::TableReader;
 use super::{IntakeLimits, SettingsErrors, SettingsText};
 
@@ -63,13 +64,11 @@
     let peer_listen = listen.required("peers");
     let observe_listen = listen.required("observe");
     reader.absorb(listen);
-    let mut platform = reader.table("platform");
-    let store = platform.required("store");
-    let vm_list = platform.required("vm_list");
-    reader.absorb(platform);
+    let platform = PlatformAddresses::read(reader);
     let notice = reader.optional("stop_notice", DEFAULT_NOTICE);
     let silence_floor = reader.optional("silence_floor", DEFAULT_SILENCE_FLOOR);
     let limits = IntakeLimits::read(reader);
+    let platform = platform?;
     Some(EntrySettings {
         name: name?,
         vm: vm?,
@@ -78,8 +77,8 @@
         caller_listen: caller_listen?,
         peer_listen: peer_listen?,
         observe_listen: observe_listen?,
-        store: store?,
-        vm_list: vm_list?,
+        store: platform.store,
+        vm_list: platform.vm_list,
         notice,
         silence_floor,
         limits,
--- a/crates/oatpier-duty/src/settings/mod.rs
+++ b/crates/oatpier-duty/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod entry;
 mod limits;
+mod platform;
 mod reader;
 
 use std::path::Path;
