--- a/crates/oatpier-agent/src/attempt.rs
+++ b/crates/oatpier-agent/src/attempt.rs
@@ -8,7 +8,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Method, StatusCode};
 use oatpier_admission::event::AgentEvent;
-use oatpier_platform::work::{CallError, EndpointAnswer, EndpointCall};
+use oatpier_ports::work::{CallError, EndpointAnswer, EndpointCall};
 use oatpier_types::ids::AttemptId;
 use oatpier_types::request::RequestGoal;
 use oatpier_types::verdict::RunVerdict;
--- a/crates/oatpier-agent/src/endpoint.rs
+++ b/crates/oatpier-agent/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use oatpier_platform::work::EndpointWork;
+use oatpier_ports::work::EndpointWork;
 use oatpier_types::names::{EndpointName, PoolName, ZoneName};
 use oatpier_types::request::RequestGoal;
 
--- a/crates/oatpier-agent/src/lib.rs
+++ b/crates/oatpier-agent/src/lib.rs
@@ -24,7 +24,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use oatpier_platform::http::{EndpointKind, HttpEngine, HttpStore, HttpVmList, HttpWork};
+use oatpier_ports::http::{EndpointKind, HttpEngine, HttpStore, HttpVmList, HttpWork};
 use oatpier_types::ids::BootId;
 
 use crate::core::AgentCore;
--- a/crates/oatpier-agent/src/membership/fallback.rs
+++ b/crates/oatpier-agent/src/membership/fallback.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oatpier_membership::backoff::{RetryBackoff, jittered};
-use oatpier_platform::store::KeyStore;
+use oatpier_ports::store::KeyStore;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::config::record::{CONFIG_KEY, ConfigRecord};
 use oatpier_types::names::{EndpointName, ZoneName};
--- a/crates/oatpier-agent/src/membership/machine.rs
+++ b/crates/oatpier-agent/src/membership/machine.rs
@@ -11,7 +11,7 @@
 use oatpier_membership::generation::{ConfigContent, HeldConfig};
 use oatpier_membership::members::MemberPhase;
 use oatpier_membership::messages::{ConfigPush, EntryContact, PeerCall};
-use oatpier_platform::vms::VmRow;
+use oatpier_ports::vms::VmRow;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::config::FleetConfig;
 use oatpier_types::config::record::ConfigRecord;
--- a/crates/oatpier-agent/src/membership/mod.rs
+++ b/crates/oatpier-agent/src/membership/mod.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use oatpier_platform::store::KeyStore;
-use oatpier_platform::vms::{VmDuty, VmList, VmRow, VmState};
+use oatpier_ports::store::KeyStore;
+use oatpier_ports::vms::{VmDuty, VmList, VmRow, VmState};
 use oatpier_types::ids::BootId;
 use oatpier_types::names::DaemonName;
 
--- a/crates/oatpier-agent/src/orders/io.rs
+++ b/crates/oatpier-agent/src/orders/io.rs
@@ -8,8 +8,8 @@
 use oatpier_placement::record::{
     EndpointRecord, RecordAnswer, RecordCall, StoredRecord, record_key,
 };
-use oatpier_platform::engine::{EngineControl, OrderError};
-use oatpier_platform::store::{ExpectedValue, KeyStore, StoreError, StoredValue};
+use oatpier_ports::engine::{EngineControl, OrderError};
+use oatpier_ports::store::{ExpectedValue, KeyStore, StoreError, StoredValue};
 use oatpier_types::engine::EngineOrder;
 use oatpier_types::names::EndpointName;
 
--- a/crates/oatpier-agent/src/orders/mod.rs
+++ b/crates/oatpier-agent/src/orders/mod.rs
@@ -17,8 +17,8 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use oatpier_platform::engine::EngineControl;
-use oatpier_platform::store::KeyStore;
+use oatpier_ports::engine::EngineControl;
+use oatpier_ports::store::KeyStore;
 use oatpier_types::engine::WeightsKey;
 use oatpier_types::ids::BootId;
 
--- a/crates/oatpier-bench/src/fleet/moves.rs
+++ b/crates/oatpier-bench/src/fleet/moves.rs
@@ -8,7 +8,7 @@
 use oatpier_placement::record::{RecordAnswer, RecordCall, StoredRecord};
 use oatpier_placement::release::{ReleaseAnswer, ReleaseAsk};
 use oatpier_placement::steps::{PlacementStep, ReplicaCount, STEP_EVERY, StepInput};
-use oatpier_platform::engine::OrderError;
+use oatpier_ports::engine::OrderError;
 use oatpier_types::engine::{EngineOrder, WeightsKey, WeightsState};
 use oatpier_types::event::FleetEvent;
 use oatpier_types::ids::{BootId, Generation, Revision, Term};
--- a/crates/oatpier-entry/src/claims/storing.rs
+++ b/crates/oatpier-entry/src/claims/storing.rs
@@ -6,7 +6,7 @@
 use oatpier_claims::event::{CallNumber, ClaimAction, ExpectedSegment, SegmentValue, StoreAnswer};
 use oatpier_claims::partition::PartitionId;
 use oatpier_membership::budget::CallKind;
-use oatpier_platform::store::{ExpectedValue, StoreError, StoredValue};
+use oatpier_ports::store::{ExpectedValue, StoreError, StoredValue};
 
 use super::ClaimEnd;
 use crate::store::StoreGate;
--- a/crates/oatpier-entry/src/configuration.rs
+++ b/crates/oatpier-entry/src/configuration.rs
@@ -13,7 +13,7 @@
 use oatpier_membership::messages::NamedStop;
 use oatpier_membership::spread::{StoreReply, StoredConfig};
 use oatpier_membership::stops::{STOP_PREFIX, StopWord};
-use oatpier_platform::store::{KeyChange, StoreError, StoredValue};
+use oatpier_ports::store::{KeyChange, StoreError, StoredValue};
 use oatpier_types::config::FleetConfig;
 use oatpier_types::config::record::{CONFIG_KEY, ConfigRecord};
 use oatpier_types::ids::Revision;
--- a/crates/oatpier-entry/src/lib.rs
+++ b/crates/oatpier-entry/src/lib.rs
@@ -34,8 +34,8 @@
 use std::time::Duration;
 
 use oatpier_membership::messages::EntryContact;
-use oatpier_platform::http::{HttpStore, HttpVmList};
 use oatpier_policy::entry::EntryPolicy;
+use oatpier_ports::http::{HttpStore, HttpVmList};
 use oatpier_types::ids::BootId;
 use oatpier_wire::client::ClientLimits;
 use oatpier_wire::peer::PeerClient;
--- a/crates/oatpier-entry/src/peers/hints.rs
+++ b/crates/oatpier-entry/src/peers/hints.rs
@@ -10,7 +10,7 @@
 use oatpier_duty::observe::metrics::MetricSet;
 use oatpier_membership::members::VmHint;
 use oatpier_membership::messages::EntryContact;
-use oatpier_platform::vms::{VmDuty, VmList, VmRow, VmState};
+use oatpier_ports::vms::{VmDuty, VmList, VmRow, VmState};
 use oatpier_types::names::DaemonName;
 
 use super::driver::MemberDriver;
--- a/crates/oatpier-entry/src/planner/follow.rs
+++ b/crates/oatpier-entry/src/planner/follow.rs
@@ -4,7 +4,7 @@
 
 use oatpier_duty::messages::{PLAN_PREFIX, decode_plan, plan_key};
 use oatpier_membership::budget::CallKind;
-use oatpier_platform::store::KeyChange;
+use oatpier_ports::store::KeyChange;
 use oatpier_types::ids::Revision;
 use oatpier_types::names::ZoneName;
 use tokio::sync::watch;
--- a/crates/oatpier-entry/src/planner/mod.rs
+++ b/crates/oatpier-entry/src/planner/mod.rs
@@ -25,7 +25,7 @@
 use oatpier_membership::rendezvous;
 use oatpier_placement::demand::{DemandBook, DemandSummary};
 use oatpier_placement::planner::{FleetPlanner, PlacementPlanner, PlannerInput, PlannerSettings};
-use oatpier_platform::store::{ExpectedValue, StoreError};
+use oatpier_ports::store::{ExpectedValue, StoreError};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::ids::{BootId, Revision, Term};
 use oatpier_types::names::{DaemonName, ZoneName};
--- a/crates/oatpier-entry/src/planner/writing.rs
+++ b/crates/oatpier-entry/src/planner/writing.rs
@@ -7,7 +7,7 @@
 use oatpier_duty::messages::{decode_plan, encode_plan, plan_key};
 use oatpier_membership::budget::CallKind;
 use oatpier_membership::lease::may_write;
-use oatpier_platform::store::{ExpectedValue, StoreError};
+use oatpier_ports::store::{ExpectedValue, StoreError};
 use oatpier_types::ids::{Revision, Term};
 use oatpier_types::names::{EndpointName, ZoneName};
 use oatpier_types::plan::{EndpointPlan, PlacementPlan};
--- a/crates/oatpier-entry/src/store.rs
+++ b/crates/oatpier-entry/src/store.rs
@@ -8,7 +8,7 @@
 use oatpier_duty::duty::RuntimeClock;
 use oatpier_duty::observe::metrics::MetricSet;
 use oatpier_membership::budget::{CallKind, CallMode, StoreBudget, StoreShare};
-use oatpier_platform::store::{ExpectedValue, KeyChange, KeyStore, StoreError, StoredValue};
+use oatpier_ports::store::{ExpectedValue, KeyChange, KeyStore, StoreError, StoredValue};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::ids::Revision;
 use oatpier_types::operator::StoreRow;
--- a/crates/oatpier-entry/tests/testsuite/configuration.rs
+++ b/crates/oatpier-entry/tests/testsuite/configuration.rs
@@ -8,7 +8,7 @@
 use oatpier_duty::observe::metrics::MetricSet;
 use oatpier_entry::configuration::{ConfigurationInputs, StoreNews, StoreOrder, configuration};
 use oatpier_membership::spread::StoreReply;
-use oatpier_platform::store::{ExpectedValue, KeyStore};
+use oatpier_ports::store::{ExpectedValue, KeyStore};
 use oatpier_standin::store::{DownMode, LocalStore, StoreFaults};
 use oatpier_types::config::record::{CONFIG_KEY, ConfigRecord};
 use oatpier_types::ids::{Generation, Revision};
--- a/crates/oatpier-entry/tests/testsuite/hold.rs
+++ b/crates/oatpier-entry/tests/testsuite/hold.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use oatpier_duty::messages::{encode_plan, plan_key};
 use oatpier_entry::planner::{FleetPicture, hold_replicas};
-use oatpier_platform::store::{ExpectedValue, KeyStore};
+use oatpier_ports::store::{ExpectedValue, KeyStore};
 use oatpier_standin::store::LocalStore;
 use oatpier_types::engine::{EngineRole, HeldWeights, WeightsKey, WeightsState};
 use oatpier_types::ids::{Generation, Term};
--- a/crates/oatpier-entry/tests/testsuite/planner.rs
+++ b/crates/oatpier-entry/tests/testsuite/planner.rs
@@ -9,7 +9,7 @@
 use oatpier_entry::planner::{
     EndpointView, FleetPicture, PlanGroup, PlannerBoard, PlannerInputs, PlannerNews, planner,
 };
-use oatpier_platform::store::KeyStore;
+use oatpier_ports::store::KeyStore;
 use oatpier_standin::store::{DownMode, LocalStore, StoreFaults};
 use oatpier_types::config::FleetConfig;
 use oatpier_types::engine::EngineRole;
--- a/crates/oatpier-entry/tests/testsuite/whole.rs
+++ b/crates/oatpier-entry/tests/testsuite/whole.rs
@@ -7,7 +7,7 @@
 use http::{Request, StatusCode};
 use oatpier_duty::duty::{DutyProcess, StopPhase};
 use oatpier_duty::settings::{EntrySettings, SettingsText};
-use oatpier_platform::store::{ExpectedValue, KeyStore};
+use oatpier_ports::store::{ExpectedValue, KeyStore};
 use oatpier_standin::serve::Running;
 use oatpier_standin::store::{LocalStore, start_store};
 use oatpier_standin::vms::{LocalVms, start_vms};
--- /dev/null
+++ b/crates/oatpier-gateway/src/exchange.rs
@@ -0,0 +1,70 @@
+//! Datagrams between gateways and sidecars.
+
+use std::io;
+use std::net::SocketAddr;
+
+use oatpier_serving::message::InnerMessage;
+use tokio::net::UdpSocket;
+
+/// The largest datagram that is read: far above a pulse of an engine with many adapters, and a
+/// report of demand for five hundred models.
+const DATAGRAM_BYTES: usize = 32 << 10;
+
+/// Where messages go out. They may be lost on the way: whoever sends them repeats them.
+pub trait MessageOutlet: Send + Sync {
+    /// Sends a message, without waiting.
+    fn send(&self, to: SocketAddr, message: &InnerMessage);
+}
+
+/// The socket on which a process hears gateways and sidecars.
+#[derive(Debug)]
+pub struct InnerSocket {
+    socket: UdpSocket,
+}
+
+impl InnerSocket {
+    /// Takes a bound socket over.
+    ///
+    /// # Errors
+    ///
+    /// The runtime does not take the socket.
+    pub fn new(socket: std::net::UdpSocket) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        Ok(Self {
+            socket: UdpSocket::from_std(socket)?,
+        })
+    }
+
+    /// The next message that can be read. What can't be is of another version or of a stranger,
+    /// and is skipped.
+    pub async fn receive(&self) -> (SocketAddr, InnerMessage) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let received = self.socket.recv_from(&mut buffer).await;
+            let Ok((length, from)) = received else {
+                // An earlier datagram was turned away by its receiver. This one may be fine.
+                continue;
+            };
+            match rmp_serde::from_slice(&buffer[..length]) {
+                Ok(message) => return (from, message),
+                Err(error) => {
+                    spdlog::debug!("a datagram was skipped", kv: { from:, error: = error.to_string() });
+                }
+            }
+        }
+    }
+}
+
+impl MessageOutlet for InnerSocket {
+    fn send(&self, to: SocketAddr, message: &InnerMessage) {
+        let bytes = match rmp_serde::to_vec(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                spdlog::error!("a message can't be encoded", kv: { error: = error.to_string() });
+                return;
+            }
+        };
+        // A full buffer or an unreachable receiver: the message is repeated anyway.
+        let _ = self.socket.try_send_to(&bytes, to);
+    }
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/answers.rs
@@ -0,0 +1,92 @@
+//! Answers of the gateway's own: refusals and failures.
+//!
+//! 503 and 429 promise that the request did not run; a request that may have run gets 502 or 504.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use oatpier_platform::headers;
+use oatpier_types::refusal::Refusal;
+use oatpier_wire::reply::{self, Reply};
+
+/// Why a request gets an answer of the gateway's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnAnswer {
+    /// It was refused and did not run.
+    Refused(Refusal),
+    /// The gateway has no configuration yet.
+    NoConfiguration,
+    /// No route takes it.
+    NoRoute,
+    /// Its headers can't be used.
+    Malformed,
+    /// Its body is over the limit.
+    TooLarge,
+    /// Its time passed before it was sent.
+    ExpiredUnsent,
+    /// Its time passed, and it may have run.
+    ExpiredSent,
+    /// It was sent, and its answer was lost or spoilt.
+    Broken,
+}
+
+/// When to come back to a gateway that has no configuration yet.
+const UNCONFIGURED_RETURN: Duration = Duration::from_millis(600);
+
+impl OwnAnswer {
+    /// The status.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Refused(_) | Self::NoConfiguration | Self::ExpiredUnsent => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::ExpiredSent => StatusCode::GATEWAY_TIMEOUT,
+            Self::Broken => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// The word that logs and metrics use.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused(refusal) => refusal.cause.as_str(),
+            Self::NoConfiguration => "no-configuration",
+            Self::NoRoute => "no-route",
+            Self::Malformed => "malformed",
+            Self::TooLarge => "too-large",
+            Self::ExpiredUnsent => "expired-unsent",
+            Self::ExpiredSent => "expired-sent",
+            Self::Broken => "broken",
+        }
+    }
+
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::Refused(refusal) => refusal.retry_after,
+            Self::NoConfiguration => Some(UNCONFIGURED_RETURN),
+            _ => None,
+        }
+    }
+
+    /// The answer to the request `id`.
+    #[must_use]
+    pub fn reply(self, id: &str) -> Reply {
+        self.explained(id, self.as_str())
+    }
+
+    /// The answer to the request `id`, with an explanation for whoever reads it.
+    #[must_use]
+    pub fn explained(self, id: &str, text: &str) -> Reply {
+        let mut reply = reply::text(self.status(), format!("{text}\n"));
+        let headers = reply.headers_mut();
+        headers::mark_answer(headers, id);
+        if let Some(after) = self.retry_after() {
+            headers::set_retry_after(headers, after);
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -0,0 +1,317 @@
+//! One attempt at one endpoint.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use oatpier_platform::headers::{self, AnswerHead, AnswerKind, SendTerms};
+use oatpier_serving::directory::EndpointOutcome;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::EndpointName;
+use oatpier_types::verdict::RunVerdict;
+use oatpier_wire::client::{AnswerBody, SendError, SendStage};
+
+use super::core::{GatewayCore, PlacedSend, RequestPlan};
+
+/// The largest whole answer, in bytes. Larger ones would have to be relayed before their end is
+/// known; the services answer a few kilobytes.
+const WHOLE_ANSWER_BYTES: usize = 8 << 20;
+
+/// What a caller sent.
+#[derive(Debug, Clone)]
+pub struct CallerMessage {
+    /// Method, path and headers.
+    pub head: Arc<Parts>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// An attempt whose head is here and good: its body follows.
+pub struct OpenAnswer {
+    /// The head.
+    pub status: StatusCode,
+    /// Its headers, for the caller.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: AnswerBody,
+    /// Accounts for the end.
+    pub guard: AttemptGuard,
+}
+
+/// Why an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No connection came about.
+    Unreachable,
+    /// A connection was there, and no byte was written to it.
+    Unsent,
+    /// The endpoint says that it did not run the request.
+    Refused,
+    /// Another endpoint has the address, and did not run the request.
+    Replaced,
+    /// The endpoint lacks the weights, and did not run the request.
+    WeightsMissing,
+    /// The answer, or its connection, broke off.
+    Cut,
+    /// The answer is not the endpoint's whole and own one to this request.
+    Spoilt,
+    /// Nothing came for too long.
+    Silent,
+    /// The endpoint failed, and another one may do better.
+    ServerError,
+}
+
+impl AttemptFailure {
+    /// Whether the request may have run.
+    #[must_use]
+    pub fn verdict(self) -> RunVerdict {
+        match self {
+            Self::Unreachable
+            | Self::Unsent
+            | Self::Refused
+            | Self::Replaced
+            | Self::WeightsMissing => RunVerdict::NotRun,
+            Self::Cut | Self::Spoilt | Self::Silent | Self::ServerError => RunVerdict::MayHaveRun,
+        }
+    }
+
+    /// Whether any byte of the request reached the endpoint.
+    #[must_use]
+    pub fn has_reached(self) -> bool {
+        !matches!(self, Self::Unreachable | Self::Unsent)
+    }
+
+    /// Whether the second send that follows was taken from the allowance already.
+    #[must_use]
+    pub fn is_paid(self) -> bool {
+        matches!(self, Self::Silent | Self::ServerError)
+    }
+
+    /// The word that logs and metrics use.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Unsent => "unsent",
+            Self::Refused => "refused",
+            Self::Replaced => "replaced",
+            Self::WeightsMissing => "weights-missing",
+            Self::Cut => "cut",
+            Self::Spoilt => "spoilt",
+            Self::Silent => "silent",
+            Self::ServerError => "server-error",
+        }
+    }
+}
+
+/// Accounts for an attempt exactly once, also when its task is dropped since the caller left.
+pub struct AttemptGuard {
+    core: Arc<GatewayCore>,
+    plan: Arc<RequestPlan>,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    sent_at: ClockTime,
+    outcome: EndpointOutcome,
+}
+
+impl AttemptGuard {
+    /// An attempt that begins now.
+    #[must_use]
+    pub fn begin(
+        core: &Arc<GatewayCore>,
+        plan: &Arc<RequestPlan>,
+        endpoint: &EndpointName,
+    ) -> Self {
+        core.note_sent(plan, endpoint);
+        Self {
+            core: Arc::clone(core),
+            plan: Arc::clone(plan),
+            endpoint: endpoint.clone(),
+            sent_at: core.clock.now(),
+            outcome: EndpointOutcome::Abandoned,
+        }
+    }
+
+    /// When it was sent.
+    #[must_use]
+    pub fn sent_at(&self) -> ClockTime {
+        self.sent_at
+    }
+
+    /// The first piece of the answer is here.
+    pub fn note_first(&self) {
+        let now = self.core.clock.now();
+        self.core
+            .note_first(&self.endpoint, now.since(self.sent_at));
+        let route = self.plan.route.name.as_str();
+        self.core
+            .metrics
+            .first_after(route, now.since(self.plan.arrived));
+    }
+
+    /// The answer came to its end.
+    pub fn finish_whole(mut self) {
+        let held = self.core.clock.now().since(self.sent_at);
+        self.outcome = EndpointOutcome::Whole { held };
+    }
+
+    /// It ended otherwise.
+    pub fn finish(mut self, outcome: EndpointOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.core.note_end(&self.plan, &self.endpoint, self.outcome);
+    }
+}
+
+/// Sends a request to an endpoint and waits for the head of its answer.
+///
+/// # Errors
+///
+/// Says whether the request may have run.
+pub async fn send(
+    core: &Arc<GatewayCore>,
+    plan: &Arc<RequestPlan>,
+    message: &CallerMessage,
+    placed: &PlacedSend,
+    after_event: Option<&str>,
+) -> Result<OpenAnswer, AttemptFailure> {
+    let endpoint = &placed.choice.endpoint;
+    let left = plan.deadline.since(core.clock.now());
+    let terms = SendTerms {
+        instance: endpoint,
+        left,
+        rank: placed.is_engine.then(|| rank_of(plan)),
+        after_event,
+    };
+    let request = outgoing(message, terms);
+    let guard = AttemptGuard::begin(core, plan, endpoint);
+    match core.client.send(placed.address, request).await {
+        Ok(answer) => judge_head(core, plan, answer, guard),
+        Err(error) => Err(fail_send(&error, guard)),
+    }
+}
+
+fn outgoing(message: &CallerMessage, terms: SendTerms<'_>) -> Request<Bytes> {
+    let mut request = Request::new(message.body.clone());
+    *request.method_mut() = message.head.method.clone();
+    *request.uri_mut() = message
+        .head
+        .uri
+        .path_and_query()
+        .and_then(|path| path.as_str().parse().ok())
+        .unwrap_or_default();
+    *request.headers_mut() = headers::outgoing(&message.head.headers, terms);
+    request
+}
+
+/// The least and the greatest rank that engines are given; the others are left for what is more
+/// or less urgent than any class.
+const FIRST_RANK: u8 = 1;
+const LAST_RANK: u8 = 8;
+
+/// A class whose first piece may take longer than this goes after those of its priority that are
+/// awaited.
+const PATIENT_TARGET: Duration = Duration::from_millis(600);
+
+/// An engine's rank for a request: by the class's priority, and within it by how long the caller
+/// can wait.
+fn rank_of(plan: &RequestPlan) -> u8 {
+    let patient = u8::from(plan.route.target > PATIENT_TARGET);
+    let rank = FIRST_RANK + plan.route.priority.saturating_mul(2) + patient;
+    rank.min(LAST_RANK)
+}
+
+fn fail_send(error: &SendError, guard: AttemptGuard) -> AttemptFailure {
+    let (failure, outcome) = match error.stage {
+        SendStage::Connect => (AttemptFailure::Unreachable, EndpointOutcome::Unreachable),
+        SendStage::Queue => (AttemptFailure::Unsent, EndpointOutcome::Abandoned),
+        SendStage::Answer => (AttemptFailure::Cut, EndpointOutcome::Broken),
+    };
+    guard.finish(outcome);
+    failure
+}
+
+/// Judges the head of an answer: whether it is this request's, whole in form, and what it says.
+fn judge_head(
+    core: &Arc<GatewayCore>,
+    plan: &RequestPlan,
+    answer: Response<AnswerBody>,
+    guard: AttemptGuard,
+) -> Result<OpenAnswer, AttemptFailure> {
+    let (parts, body) = answer.into_parts();
+    let head = headers::decode_answer(parts.status.as_u16(), &parts.headers, &plan.request.id);
+    if let Some(load) = head.load {
+        core.note_load(&guard.endpoint, load);
+    }
+    match head.kind {
+        AnswerKind::NotRun => Err(refused_by_endpoint(core, parts.status, &head, guard)),
+        AnswerKind::Spoilt => {
+            guard.finish(EndpointOutcome::Broken);
+            Err(AttemptFailure::Spoilt)
+        }
+        AnswerKind::Own => Ok(OpenAnswer {
+            status: parts.status,
+            headers: headers::returned(&parts.headers),
+            body,
+            guard,
+        }),
+    }
+}
+
+fn refused_by_endpoint(
+    core: &GatewayCore,
+    status: StatusCode,
+    head: &AnswerHead,
+    guard: AttemptGuard,
+) -> AttemptFailure {
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        guard.finish(EndpointOutcome::Refused);
+        return AttemptFailure::Refused;
+    }
+    let other = head
+        .instance
+        .as_ref()
+        .is_some_and(|name| *name != guard.endpoint);
+    if other {
+        core.note_replaced(&guard.endpoint);
+        guard.finish(EndpointOutcome::Abandoned);
+        return AttemptFailure::Replaced;
+    }
+    guard.finish(EndpointOutcome::Abandoned);
+    AttemptFailure::WeightsMissing
+}
+
+/// Reads a whole answer to its end.
+///
+/// # Errors
+///
+/// It was cut: the request has run.
+pub async fn collect(answer: OpenAnswer) -> Result<Response<Bytes>, AttemptFailure> {
+    let OpenAnswer {
+        status,
+        headers,
+        body,
+        guard,
+    } = answer;
+    guard.note_first();
+    let Ok(collected) = Limited::new(body, WHOLE_ANSWER_BYTES).collect().await else {
+        guard.finish(EndpointOutcome::Broken);
+        return Err(AttemptFailure::Cut);
+    };
+    if status.is_server_error() {
+        guard.finish(EndpointOutcome::ServerError);
+    } else {
+        guard.finish_whole();
+    }
+    let mut response = Response::new(collected.to_bytes());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok(response)
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -0,0 +1,454 @@
+//! What all requests of a gateway share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use oatpier_duty::duty::RuntimeClock;
+use oatpier_serving::admission::AdmissionJudge;
+use oatpier_serving::budget::RetryAllowance;
+use oatpier_serving::call::{CallerRequest, WeightsKey};
+use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict, EndpointChoice};
+use oatpier_serving::demand::DemandBook;
+use oatpier_serving::directory::{EndpointDirectory, EndpointOutcome, EndpointRecord};
+use oatpier_serving::engine::EndpointLoad;
+use oatpier_serving::message::{AdapterWish, EnginePulse, InnerMessage};
+use oatpier_serving::peers::PeerBook;
+use oatpier_serving::planner::LoadPlanner;
+use oatpier_serving::site::{RouteRule, SiteConfig};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{DaemonName, EndpointName, PoolName, ZoneName};
+use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_wire::client::{ClientLimits, HttpClient};
+use rand::RngExt;
+use tokio::sync::Notify;
+
+use crate::decisions::{DecisionLine, DecisionLog, LineWeight};
+use crate::exchange::MessageOutlet;
+use crate::metrics::ServingMetrics;
+use crate::reload::SettingsFeed;
+
+/// How long a connection to an endpoint may take. Endpoints are a few milliseconds away; one that
+/// is dark answers nothing at all.
+const CONNECT_WAIT: Duration = Duration::from_millis(400);
+
+/// Unused connections to endpoints are closed before the endpoint would do it: a request that
+/// crosses its close may have run.
+const IDLE_CONNECTION: Duration = Duration::from_millis(2_500);
+
+/// Unused connections that are kept for each endpoint.
+const IDLE_PER_ENDPOINT: usize = 24;
+
+/// A request waits for weights at most for this share of the time that it has left; beyond, the
+/// caller does better to come back.
+const WEIGHTS_WAIT_SHARE: f64 = 0.4;
+
+/// While no engine is loading the model yet, a request waits so long for the planner to act.
+const PLANNER_WAIT: Duration = Duration::from_millis(400);
+
+/// When to come back where a model has to be loaded: about one load.
+const MODEL_RETURN: Duration = Duration::from_millis(900);
+
+/// When to come back where no endpoint is there, or none is known yet.
+const ABSENT_RETURN: Duration = Duration::from_millis(500);
+
+/// What a core is made of, beside the settings.
+pub struct CoreInputs {
+    /// The runtime's clock.
+    pub clock: RuntimeClock,
+    /// The process's metrics.
+    pub metrics: ServingMetrics,
+    /// Where decisions are logged.
+    pub log: DecisionLog,
+    /// Whether the process can serve.
+    pub able: Arc<AtomicBool>,
+}
+
+/// The state that all tasks share. They run on one thread, so the lock is never waited for; it is
+/// held for a decision and never across an await.
+pub(super) struct CoreState {
+    pub(super) config: Option<Arc<SiteConfig>>,
+    pub(super) directory: EndpointDirectory,
+    pub(super) demand: DemandBook,
+    pub(super) allowance: RetryAllowance,
+    pub(super) peers: PeerBook,
+    pub(super) planner: LoadPlanner,
+    pub(super) judge: AdmissionJudge,
+    pub(super) store_read_at: Option<ClockTime>,
+    /// Whether demand that can't be served came since the last report to peers.
+    pub(super) urgent: bool,
+}
+
+/// The shared parts of a gateway.
+pub struct GatewayCore {
+    state: Mutex<CoreState>,
+    /// Tells waiting requests that weights or endpoints have changed.
+    pub(super) changed: Notify,
+    /// Tells the exchanges that demand can't be served.
+    pub(super) pressed: Notify,
+    pub(super) zone: ZoneName,
+    pub(super) inner_port: u16,
+    /// The settings in force.
+    pub(super) settings: SettingsFeed,
+    /// Where this gateway hears peers and sidecars.
+    pub(super) own_address: SocketAddr,
+    pub(super) name: DaemonName,
+    pub(super) outlet: Arc<dyn MessageOutlet>,
+    /// The runtime's clock.
+    pub clock: RuntimeClock,
+    /// The process's metrics.
+    pub metrics: ServingMetrics,
+    /// Where decisions are logged.
+    pub log: DecisionLog,
+    /// Calls endpoints.
+    pub client: HttpClient,
+    able: Arc<AtomicBool>,
+}
+
+/// A request on its way to an endpoint.
+#[derive(Debug)]
+pub struct RequestPlan {
+    /// Its route.
+    pub route: Arc<RouteRule>,
+    /// The service that it goes to.
+    pub service: PoolName,
+    /// What it asks for.
+    pub request: CallerRequest,
+    /// When it came in.
+    pub arrived: ClockTime,
+    /// When it gets its final answer at the latest.
+    pub deadline: ClockTime,
+}
+
+/// What is to be done with a request now.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Placement {
+    /// Send it there.
+    Send(PlacedSend),
+    /// Ask again when something has changed, at the latest after this long.
+    Wait(Duration),
+    /// Refuse it.
+    Refuse(Refusal),
+}
+
+/// Where a request is sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacedSend {
+    /// The choice, with its prediction.
+    pub choice: EndpointChoice,
+    /// Where the endpoint listens.
+    pub address: SocketAddr,
+    /// How old the word on its load was, in milliseconds; none without a pulse.
+    pub is_engine: bool,
+}
+
+/// How soon a request that waits for an adapter asks again, and repeats its wish: a load takes 5 to
+/// 10 ms, and a lost datagram should cost little more.
+const ADAPTER_RETRY: Duration = Duration::from_millis(25);
+
+/// How soon a request that waits for a model asks again if nothing is heard.
+const MODEL_RETRY: Duration = Duration::from_millis(100);
+
+impl GatewayCore {
+    /// The shared parts of a gateway without knowledge yet.
+    #[must_use]
+    pub fn new(feed: SettingsFeed, inputs: CoreInputs, outlet: Arc<dyn MessageOutlet>) -> Self {
+        let settings = Arc::clone(&feed.borrow());
+        let bounds = settings.bounds;
+        let state = CoreState {
+            config: None,
+            directory: EndpointDirectory::default(),
+            demand: DemandBook::default(),
+            allowance: RetryAllowance::new(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window,
+            ),
+            peers: PeerBook::new(settings.inner_address()),
+            planner: LoadPlanner::default(),
+            judge: AdmissionJudge::new(rand::random()),
+            store_read_at: None,
+            urgent: false,
+        };
+        Self {
+            state: Mutex::new(state),
+            changed: Notify::new(),
+            pressed: Notify::new(),
+            zone: settings.zone.clone(),
+            inner_port: settings.inner_port,
+            own_address: settings.inner_address(),
+            name: settings.name.clone(),
+            settings: feed,
+            outlet,
+            clock: inputs.clock,
+            metrics: inputs.metrics,
+            log: inputs.log,
+            client: HttpClient::new(ClientLimits {
+                connect: CONNECT_WAIT,
+                idle: IDLE_CONNECTION,
+                idle_per_address: IDLE_PER_ENDPOINT,
+            }),
+            able: inputs.able,
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, CoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<SiteConfig>> {
+        self.lock().config.clone()
+    }
+
+    /// Takes what the store said. A version never gives way to an older one.
+    pub fn take_records(&self, config: Option<Arc<SiteConfig>>, endpoints: Vec<EndpointRecord>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.store_read_at = Some(now);
+        if let Some(config) = config {
+            self.take_config(&mut state, config);
+        }
+        let count = endpoints.len();
+        let changes = state.directory.apply_registry(endpoints, now);
+        let is_able = state.config.is_some();
+        drop(state);
+        self.metrics.endpoints.set(shown(count));
+        for change in &changes {
+            let line = DecisionLine::new(LineWeight::Notable, "directory");
+            self.log.write(line.with("change", format!("{change:?}")));
+        }
+        self.able.store(is_able, Ordering::Relaxed);
+        if !changes.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn take_config(&self, state: &mut CoreState, config: Arc<SiteConfig>) {
+        let known = state.config.as_ref().map_or(0, |known| known.version);
+        let newer = state.config.is_none() || config.version > known;
+        let outcome = if newer { "in force" } else { "older, left out" };
+        let line = DecisionLine::new(LineWeight::Notable, "configuration")
+            .with("version", config.version)
+            .with("known", known)
+            .with("routes", config.routes.len())
+            .with("outcome", outcome);
+        self.log.write(line);
+        if newer {
+            let version = i64::try_from(config.version).unwrap_or(i64::MAX);
+            self.metrics.config_version.set(version);
+            state.config = Some(config);
+        }
+    }
+
+    /// The store could not be read.
+    pub fn note_store_failure(&self) {
+        let now = self.clock.now();
+        self.lock().directory.note_store_failure(now);
+    }
+
+    /// Takes a sidecar's pulse.
+    pub fn take_pulse(&self, pulse: EnginePulse) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.peers.note_named(&pulse.gateways, now);
+        let changed = state.directory.take_pulse(pulse, now);
+        drop(state);
+        if changed {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// A request came in.
+    pub fn note_arrival(&self, plan: &RequestPlan) {
+        let mut state = self.lock();
+        state.allowance.note_request(&plan.service, plan.arrived);
+        if let Some(weights) = &plan.request.weights {
+            state.demand.note_asked(weights, plan.arrived);
+        }
+    }
+
+    /// The service that a request of the route goes to, by the services' shares.
+    #[must_use]
+    pub fn pick_service(&self, route: &RouteRule) -> PoolName {
+        let total: u32 = route.targets.iter().map(|target| target.weight).sum();
+        let mut draw = rand::rng().random_range(0..total.max(1));
+        for target in &route.targets {
+            if draw < target.weight {
+                return target.service.clone();
+            }
+            draw -= target.weight;
+        }
+        route.targets[0].service.clone()
+    }
+
+    /// What is to be done with a request now. `waited` says since when it waits for weights.
+    pub fn place(&self, plan: &RequestPlan, excluded: &[EndpointName]) -> Placement {
+        let now = self.clock.now();
+        let left = plan.deadline.since(now);
+        let mut state = self.lock();
+        let engine = state.config.as_ref().and_then(|config| {
+            let service = config.service(&plan.service)?;
+            service.engine.as_ref().map(|rule| rule.adapter_slots)
+        });
+        let query = ChoiceQuery {
+            service: &plan.service,
+            request: &plan.request,
+            zone: &self.zone,
+            excluded,
+        };
+        match choice::choose(&state.directory, &query, now) {
+            ChoiceVerdict::Endpoint(choice) => {
+                if let Err(refusal) = state.judge.admit(&choice, &plan.route, left) {
+                    self.note_unserved(&mut state, plan, now);
+                    return Placement::Refuse(refusal);
+                }
+                self.place_at(&mut state, plan, choice, engine, now)
+            }
+            ChoiceVerdict::NoModel { loading } => {
+                self.note_unserved(&mut state, plan, now);
+                place_without_model(&mut state, plan, loading, now)
+            }
+            ChoiceVerdict::NoEndpoint => {
+                let refusal = state.judge.refusal(RefusalCause::NoEndpoint, ABSENT_RETURN);
+                Placement::Refuse(refusal)
+            }
+        }
+    }
+
+    fn place_at(
+        &self,
+        state: &mut CoreState,
+        plan: &RequestPlan,
+        choice: EndpointChoice,
+        engine: Option<usize>,
+        now: ClockTime,
+    ) -> Placement {
+        let Some(row) = state.directory.row(&choice.endpoint) else {
+            return Placement::Wait(MODEL_RETRY);
+        };
+        let address = row.record.address;
+        if choice.needs_adapter {
+            let sidecar = SocketAddr::new(address.ip(), self.inner_port);
+            self.wish(plan.request.weights.as_ref(), sidecar, engine.unwrap_or(0));
+            return Placement::Wait(ADAPTER_RETRY);
+        }
+        state.directory.note_probe(&choice.endpoint, now);
+        Placement::Send(PlacedSend {
+            choice,
+            address,
+            is_engine: engine.is_some(),
+        })
+    }
+
+    fn wish(&self, weights: Option<&WeightsKey>, sidecar: SocketAddr, slots: usize) {
+        if let Some(key) = weights.and_then(WeightsKey::adapter_key) {
+            let wish = AdapterWish {
+                key,
+                slots: u32::try_from(slots).unwrap_or(u32::MAX),
+            };
+            self.outlet
+                .send(sidecar, &InnerMessage::AdapterWanted(wish));
+        }
+    }
+
+    fn note_unserved(&self, state: &mut CoreState, plan: &RequestPlan, now: ClockTime) {
+        if let Some(weights) = &plan.request.weights {
+            state.demand.note_unserved(&weights.model, now);
+            if !state.urgent {
+                state.urgent = true;
+                self.pressed.notify_one();
+            }
+        }
+    }
+
+    /// A request goes to an endpoint.
+    pub fn note_sent(&self, plan: &RequestPlan, endpoint: &EndpointName) {
+        let now = self.clock.now();
+        let chain = choice::prefix_chain(&plan.request);
+        let mut state = self.lock();
+        let weights = plan.request.weights.as_ref();
+        state.directory.note_sent(endpoint, weights);
+        state.directory.note_prompt(endpoint, &chain, now);
+        if let Some(weights) = weights {
+            state.demand.note_sent(&weights.model, now);
+        }
+    }
+
+    /// A request is over at an endpoint.
+    pub fn note_end(&self, plan: &RequestPlan, endpoint: &EndpointName, outcome: EndpointOutcome) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let weights = plan.request.weights.as_ref();
+        state.directory.note_end(endpoint, weights, outcome, now);
+        if let Some(weights) = weights {
+            state.demand.note_ended(&weights.model, now);
+        }
+    }
+
+    /// The first piece of an answer came.
+    pub fn note_first(&self, endpoint: &EndpointName, took: Duration) {
+        let now = self.clock.now();
+        self.lock().directory.note_first(endpoint, took, now);
+    }
+
+    /// An answer told how busy its endpoint is.
+    pub fn note_load(&self, endpoint: &EndpointName, load: EndpointLoad) {
+        self.lock().directory.take_load(endpoint, load);
+    }
+
+    /// Nothing came from an endpoint since `since`.
+    pub fn note_silence(&self, endpoint: &EndpointName, since: ClockTime) {
+        let now = self.clock.now();
+        self.lock().directory.note_silence(endpoint, since, now);
+    }
+
+    /// Another instance answered at an endpoint's address.
+    pub fn note_replaced(&self, endpoint: &EndpointName) {
+        self.lock().directory.note_replaced(endpoint);
+    }
+
+    /// Whether a second send may be made.
+    pub fn take_retry(&self, service: &PoolName) -> bool {
+        let now = self.clock.now();
+        self.lock().allowance.take(service, now)
+    }
+
+    /// A refusal with a spread time to return.
+    pub fn refusal(&self, cause: RefusalCause, after: Duration) -> Refusal {
+        self.lock().judge.refusal(cause, after)
+    }
+}
+
+/// A request whose model nobody holds waits while there is a good chance that it is loaded in
+/// time, and is told to come back otherwise.
+fn place_without_model(
+    state: &mut CoreState,
+    plan: &RequestPlan,
+    loading: bool,
+    now: ClockTime,
+) -> Placement {
+    let waited = now.since(plan.arrived);
+    let most = plan
+        .deadline
+        .since(plan.arrived)
+        .mul_f64(WEIGHTS_WAIT_SHARE);
+    let patience = if loading {
+        most
+    } else {
+        most.min(PLANNER_WAIT)
+    };
+    if waited < patience {
+        return Placement::Wait(MODEL_RETRY.min(patience.saturating_sub(waited)));
+    }
+    let refusal = state
+        .judge
+        .refusal(RefusalCause::WeightsMissing, MODEL_RETURN);
+    Placement::Refuse(refusal)
+}
+
+fn shown(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -0,0 +1,256 @@
+//! What gateways and sidecars tell each other, and the planner's rounds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
+use oatpier_serving::message::{GatewayGreeting, InnerMessage, MessageNumber, PeerReport};
+use oatpier_serving::planner::{LoadReason, PlannedLoad};
+use oatpier_serving::site::{EngineRule, SiteConfig};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{EndpointName, PoolName};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::core::GatewayCore;
+use crate::decisions::{DecisionLine, LineWeight};
+use crate::exchange::InnerSocket;
+use crate::records::StoreNews;
+
+/// From one greeting of a sidecar to the next. A sidecar forgets a gateway after three.
+const GREETING_EVERY: Duration = Duration::from_millis(500);
+
+/// From one report to peers to the next.
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+
+/// Demand that can't be served is reported this soon, so that requests which come together are told
+/// of together.
+const PRESSED_PAUSE: Duration = Duration::from_millis(10);
+
+/// From one round of the planner to the next.
+const PLAN_EVERY: Duration = Duration::from_millis(150);
+
+/// Exchanges messages until the process ends.
+pub async fn run(
+    core: Arc<GatewayCore>,
+    socket: &InnerSocket,
+    news: RingReceiver<StoreNews>,
+    stop: &StopSignal,
+) {
+    let reporter = PeerReporter::new(&core, stop);
+    tokio::join!(
+        hear(&core, socket),
+        take_news(&core, &news),
+        greet(&core),
+        report(&reporter),
+        plan(&core, stop),
+    );
+}
+
+async fn hear(core: &GatewayCore, socket: &InnerSocket) {
+    loop {
+        let (from, message) = socket.receive().await;
+        match message {
+            InnerMessage::Pulse(pulse) => core.take_pulse(*pulse),
+            InnerMessage::Peer(report) => {
+                let pressing = report.demand.iter().any(|demand| demand.unserved > 0.0);
+                let now = core.clock.now();
+                core.lock().peers.take_report(from, *report, now);
+                if pressing {
+                    core.pressed.notify_one();
+                }
+            }
+            // For sidecars.
+            InnerMessage::Greeting(_)
+            | InnerMessage::AdapterWanted(_)
+            | InnerMessage::Advice(_) => {}
+        }
+    }
+}
+
+async fn take_news(core: &GatewayCore, news: &RingReceiver<StoreNews>) {
+    while let Some(news) = news.receive().await {
+        match news {
+            StoreNews::Read { config, endpoints } => core.take_records(config, endpoints),
+            StoreNews::Failed => core.note_store_failure(),
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+async fn greet(core: &GatewayCore) {
+    let mut ticks = interval(GREETING_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for (sidecar, greeting) in greetings(core) {
+            core.outlet.send(sidecar, &InnerMessage::Greeting(greeting));
+        }
+    }
+}
+
+/// The greetings that are due, one for each engine's sidecar.
+fn greetings(core: &GatewayCore) -> Vec<(SocketAddr, GatewayGreeting)> {
+    let mut state = core.lock();
+    let Some(config) = state.config.clone() else {
+        return Vec::new();
+    };
+    let mut greetings = Vec::new();
+    for (service, rule) in engine_services(&config) {
+        let engines: Vec<(EndpointName, SocketAddr)> = state
+            .directory
+            .service(service)
+            .map(|row| (row.record.name.clone(), row.record.address))
+            .collect();
+        let count = u32::try_from(engines.len()).unwrap_or(u32::MAX);
+        let loads = loads_per_window(core, rule);
+        for (name, address) in engines {
+            let greeting = GatewayGreeting {
+                used: state.directory.take_used(&name),
+                engines: count,
+                loads_per_window: loads,
+                adapter_slots: u32::try_from(rule.adapter_slots).unwrap_or(u32::MAX),
+            };
+            let sidecar = SocketAddr::new(address.ip(), core.inner_port);
+            greetings.push((sidecar, greeting));
+        }
+    }
+    greetings
+}
+
+fn engine_services(config: &SiteConfig) -> impl Iterator<Item = (&PoolName, &EngineRule)> {
+    let services = config.services.iter();
+    services.filter_map(|service| Some((&service.name, service.engine.as_ref()?)))
+}
+
+/// The share of the weight store's bound that sidecars divide among themselves. The rest covers
+/// loads whose answers were lost, and engines that not all sidecars have heard of yet.
+const LOAD_SHARE: f64 = 0.9;
+
+/// Loads that all engines may begin in one window.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a positive product far below the type's bound"
+)]
+fn loads_per_window(core: &GatewayCore, rule: &EngineRule) -> u32 {
+    let bounds = core.settings.borrow().bounds;
+    let loads = rule.loads_per_s * bounds.load_window.as_secs_f64() * bounds.load_margin;
+    (loads * LOAD_SHARE).floor().max(1.0) as u32
+}
+
+/// Reports demand to peers.
+struct PeerReporter<'a> {
+    core: &'a GatewayCore,
+    stop: &'a StopSignal,
+    boot: u64,
+}
+
+impl<'a> PeerReporter<'a> {
+    fn new(core: &'a GatewayCore, stop: &'a StopSignal) -> Self {
+        Self {
+            core,
+            stop,
+            boot: rand::random(),
+        }
+    }
+
+    fn send(&self, number: u64) {
+        let now = self.core.clock.now();
+        let mut state = self.core.lock();
+        let demand = state.demand.summary(now);
+        state.urgent = false;
+        let peers = state.peers.addresses(now);
+        let count = state.peers.count(now);
+        let bounds = self.core.settings.borrow().bounds;
+        state
+            .allowance
+            .set_bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
+        state.allowance.share_among(count);
+        drop(state);
+        self.core
+            .metrics
+            .gateways
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+        let report = InnerMessage::Peer(Box::new(PeerReport {
+            number: MessageNumber {
+                boot: self.boot,
+                number,
+            },
+            name: self.core.name.clone(),
+            zone: self.core.zone.clone(),
+            leaving: self.stop.phase() != StopPhase::Serving,
+            demand,
+        }));
+        for peer in peers {
+            self.core.outlet.send(peer, &report);
+        }
+    }
+}
+
+async fn report(reporter: &PeerReporter<'_>) {
+    for number in 1.. {
+        reporter.send(number);
+        tokio::select! {
+            () = sleep(REPORT_EVERY) => {}
+            () = reporter.core.pressed.notified() => sleep(PRESSED_PAUSE).await,
+        }
+    }
+}
+
+async fn plan(core: &GatewayCore, stop: &StopSignal) {
+    let mut ticks = interval(PLAN_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if stop.phase() != StopPhase::Serving {
+            continue;
+        }
+        for (sidecar, planned) in plan_round(core) {
+            log_plan(core, &planned);
+            core.outlet
+                .send(sidecar, &InnerMessage::Advice(planned.advice));
+        }
+    }
+}
+
+/// The loads to advise now, if this gateway plans.
+fn plan_round(core: &GatewayCore) -> Vec<(SocketAddr, PlannedLoad)> {
+    let now: ClockTime = core.clock.now();
+    let mut state = core.lock();
+    if state.peers.planner(now) != core.own_address {
+        return Vec::new();
+    }
+    let Some(config) = state.config.clone() else {
+        return Vec::new();
+    };
+    let own = state.demand.summary(now);
+    let demand = state.peers.total(&own, now);
+    let state = &mut *state;
+    let mut planned = Vec::new();
+    for (service, rule) in engine_services(&config) {
+        let rows = state.directory.service(service);
+        for load in state.planner.plan(rule, rows, &demand, now) {
+            if let Some(row) = state.directory.row(&load.endpoint) {
+                let sidecar = SocketAddr::new(row.record.address.ip(), core.inner_port);
+                planned.push((sidecar, load));
+            }
+        }
+    }
+    planned
+}
+
+fn log_plan(core: &GatewayCore, planned: &PlannedLoad) {
+    let reason = match planned.reason {
+        LoadReason::Unreachable => "unreachable",
+        LoadReason::Busy => "busy",
+    };
+    let unload = planned.advice.unload.iter().map(ToString::to_string);
+    let line = DecisionLine::new(LineWeight::Notable, "load advised")
+        .with("endpoint", planned.endpoint.as_str())
+        .with("model", planned.advice.load.as_str())
+        .with("unload", unload.collect::<Vec<_>>())
+        .with("reason", reason);
+    core.log.write(line);
+    core.metrics.advised(reason);
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -0,0 +1,420 @@
+//! One request, from its head to its final answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::header::HOST;
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use oatpier_platform::headers::{self, HeaderError};
+use oatpier_serving::site::{RouteKind, RouteRule, SiteConfig};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::EndpointName;
+use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_types::verdict::{Repeat, RunVerdict};
+use oatpier_wire::reply::Reply;
+use oatpier_wire::server::RequestHandler;
+use smallvec::SmallVec;
+use tokio::time::{sleep_until, timeout_at};
+
+use super::answers::OwnAnswer;
+use super::attempt::{self, AttemptFailure, CallerMessage};
+use super::core::{GatewayCore, PlacedSend, Placement, RequestPlan};
+use super::relay;
+use crate::decisions::{DecisionLine, LineWeight};
+
+/// The least silence after which an idempotent request is sent elsewhere.
+const SILENCE_LEAST: Duration = Duration::from_millis(120);
+
+/// A request is silent when its answer takes this many times as long as predicted.
+const SILENCE_FACTOR: u32 = 5;
+
+/// The share of a class's target after which silence is acted upon at the latest.
+const SILENCE_TARGET_FACTOR: f64 = 1.5;
+
+/// When to come back after an endpoint refused and the request may go nowhere else.
+const REFUSED_RETURN: Duration = Duration::from_millis(80);
+
+/// Takes callers' requests.
+pub struct GatewayHandler {
+    core: Arc<GatewayCore>,
+}
+
+impl GatewayHandler {
+    /// A handler over shared parts.
+    #[must_use]
+    pub fn new(core: Arc<GatewayCore>) -> Self {
+        Self { core }
+    }
+}
+
+impl RequestHandler for GatewayHandler {
+    fn handle(&self, request: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
+        let core = Arc::clone(&self.core);
+        async move {
+            core.metrics.in_flight.inc();
+            let reply = answer(&core, request).await;
+            core.metrics.in_flight.dec();
+            reply
+        }
+        .boxed()
+    }
+}
+
+async fn answer(core: &Arc<GatewayCore>, request: Request<Bytes>) -> Reply {
+    let arrived = core.clock.now();
+    let (head, body) = request.into_parts();
+    let Some(config) = core.config() else {
+        return unplanned(core, &head, OwnAnswer::NoConfiguration);
+    };
+    let Some(route) = find_route(&config, &head) else {
+        return unplanned(core, &head, OwnAnswer::NoRoute);
+    };
+    if body.len() > config.limits.body_bytes {
+        return unplanned(core, &head, OwnAnswer::TooLarge);
+    }
+    let plan = match plan(core, route, &head, arrived) {
+        Ok(plan) => Arc::new(plan),
+        Err(error) => {
+            core.metrics.answered("", OwnAnswer::Malformed.as_str());
+            return OwnAnswer::Malformed.explained("", &error.to_string());
+        }
+    };
+    core.note_arrival(&plan);
+    let message = CallerMessage {
+        head: Arc::new(head),
+        body,
+    };
+    let mut run = RequestRun::new(core, plan, message);
+    run.serve().await
+}
+
+fn find_route(config: &SiteConfig, head: &Parts) -> Option<Arc<RouteRule>> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    config.route(host, head.uri.path()).cloned()
+}
+
+fn unplanned(core: &GatewayCore, head: &Parts, own: OwnAnswer) -> Reply {
+    let id = headers::decode_request(&head.headers).map_or(String::new(), |call| call.id);
+    let line = DecisionLine::new(LineWeight::Notable, "answer")
+        .with("request", id.as_str())
+        .with("outcome", own.as_str())
+        .with("path", head.uri.path());
+    core.log.write(line);
+    core.metrics.answered("", own.as_str());
+    own.reply(&id)
+}
+
+fn plan(
+    core: &GatewayCore,
+    route: Arc<RouteRule>,
+    head: &Parts,
+    arrived: ClockTime,
+) -> Result<RequestPlan, HeaderError> {
+    let request = headers::decode_request(&head.headers)?;
+    let service = core.pick_service(&route);
+    let patience = request.patience.unwrap_or(route.timeout);
+    Ok(RequestPlan {
+        deadline: arrived + patience.min(route.timeout),
+        route,
+        service,
+        request,
+        arrived,
+    })
+}
+
+/// A request that is being served.
+#[derive(Clone)]
+pub(super) struct RequestRun {
+    pub(super) core: Arc<GatewayCore>,
+    pub(super) plan: Arc<RequestPlan>,
+    pub(super) message: CallerMessage,
+    /// Endpoints that a byte of it reached.
+    reached: SmallVec<[EndpointName; 2]>,
+    /// Endpoints that it does not go to again.
+    excluded: SmallVec<[EndpointName; 2]>,
+    /// The verdict on all attempts that have ended.
+    settled: RunVerdict,
+    /// Whether an attempt is under way.
+    sending: bool,
+}
+
+/// What became of a request.
+enum RunEnd {
+    Answered(Reply),
+    Own(OwnAnswer),
+}
+
+impl RequestRun {
+    fn new(core: &Arc<GatewayCore>, plan: Arc<RequestPlan>, message: CallerMessage) -> Self {
+        Self {
+            core: Arc::clone(core),
+            plan,
+            message,
+            reached: SmallVec::new(),
+            excluded: SmallVec::new(),
+            settled: RunVerdict::NotRun,
+            sending: false,
+        }
+    }
+
+    async fn serve(&mut self) -> Reply {
+        let deadline = self.core.clock.instant(self.plan.deadline);
+        let end = match timeout_at(deadline, self.attempts()).await {
+            Ok(end) => end,
+            Err(_) if self.verdict() == RunVerdict::NotRun => RunEnd::Own(OwnAnswer::ExpiredUnsent),
+            Err(_) => RunEnd::Own(OwnAnswer::ExpiredSent),
+        };
+        match end {
+            RunEnd::Answered(reply) => reply,
+            RunEnd::Own(own) => {
+                self.log_own(own);
+                own.reply(&self.plan.request.id)
+            }
+        }
+    }
+
+    /// Whether the request may have run, as far as known.
+    fn verdict(&self) -> RunVerdict {
+        if self.sending {
+            self.settled.and(RunVerdict::MayHaveRun)
+        } else {
+            self.settled
+        }
+    }
+
+    async fn attempts(&mut self) -> RunEnd {
+        loop {
+            let placed = match self.placement().await {
+                Ok(placed) => placed,
+                Err(own) => return RunEnd::Own(own),
+            };
+            self.sending = true;
+            let failure = match self.attempt(&placed).await {
+                Ok(reply) => return RunEnd::Answered(reply),
+                Err(failure) => failure,
+            };
+            self.log_failure(&placed, failure);
+            if let Some(own) = self.after(&placed.choice.endpoint, failure) {
+                return RunEnd::Own(own);
+            }
+        }
+    }
+
+    /// Waits until the request can be sent.
+    pub(super) async fn placement(&self) -> Result<PlacedSend, OwnAnswer> {
+        loop {
+            let changed = self.core.changed.notified();
+            match self.core.place(&self.plan, &self.excluded) {
+                Placement::Send(placed) => return Ok(placed),
+                Placement::Refuse(refusal) => return Err(self.refused(refusal)),
+                Placement::Wait(most) => {
+                    let at = self.core.clock.instant(self.core.clock.now() + most);
+                    tokio::select! {
+                        () = changed => {}
+                        () = sleep_until(at) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// A refusal promises that the request did not run, so it is given only where that is known.
+    fn refused(&self, refusal: Refusal) -> OwnAnswer {
+        if self.settled == RunVerdict::NotRun {
+            OwnAnswer::Refused(refusal)
+        } else {
+            OwnAnswer::Broken
+        }
+    }
+
+    async fn attempt(&self, placed: &PlacedSend) -> Result<Reply, AttemptFailure> {
+        let sending = attempt::send(&self.core, &self.plan, &self.message, placed, None);
+        let answer = match self.silence_at(placed) {
+            Some(at) => self.or_silence(sending, placed, at).await?,
+            None => sending.await?,
+        };
+        if self.plan.route.kind.is_stream() && answer.status.is_success() {
+            return relay::relay(self, answer).await;
+        }
+        let whole = attempt::collect(answer).await?;
+        self.check_whole(whole)
+    }
+
+    /// When an idempotent request is called silent; others wait for their answer.
+    fn silence_at(&self, placed: &PlacedSend) -> Option<ClockTime> {
+        if !self.plan.route.kind.is_idempotent() || self.sends_left() < 2 {
+            return None;
+        }
+        let predicted = placed.choice.predicted * SILENCE_FACTOR;
+        let latest = self.plan.route.target.mul_f64(SILENCE_TARGET_FACTOR);
+        let silence = predicted.min(latest).max(placed.choice.predicted * 2);
+        Some(self.core.clock.now() + silence.max(SILENCE_LEAST))
+    }
+
+    /// Waits for an answer's head. When the endpoint is silent and a second send is allowed, the
+    /// attempt is given up; otherwise its answer is waited for.
+    async fn or_silence<T>(
+        &self,
+        sending: impl Future<Output = Result<T, AttemptFailure>>,
+        placed: &PlacedSend,
+        at: ClockTime,
+    ) -> Result<T, AttemptFailure> {
+        let sent_at = self.core.clock.now();
+        let mut sending = std::pin::pin!(sending);
+        tokio::select! {
+            biased;
+            answer = sending.as_mut() => return answer,
+            () = sleep_until(self.core.clock.instant(at)) => {}
+        }
+        self.core.note_silence(&placed.choice.endpoint, sent_at);
+        if self.may_move_from(&placed.choice.endpoint) {
+            return Err(AttemptFailure::Silent);
+        }
+        sending.await
+    }
+
+    /// Whether the request can be sent to another endpoint at once; takes the second send from the
+    /// allowance if so.
+    pub(super) fn may_move_from(&self, endpoint: &EndpointName) -> bool {
+        let mut excluded = self.excluded.clone();
+        excluded.push(endpoint.clone());
+        let elsewhere = self.core.place(&self.plan, &excluded);
+        matches!(elsewhere, Placement::Send(_)) && self.core.take_retry(&self.plan.service)
+    }
+
+    fn check_whole(&self, whole: Response<Bytes>) -> Result<Reply, AttemptFailure> {
+        let status = whole.status();
+        let again = status.is_server_error()
+            && self.plan.route.kind == RouteKind::Safe
+            && self.sends_left() >= 2;
+        if again && self.core.take_retry(&self.plan.service) {
+            return Err(AttemptFailure::ServerError);
+        }
+        self.log_answered(status);
+        Ok(whole.map(|body| {
+            Full::new(body)
+                .map_err(|never| match never {})
+                .boxed_unsync()
+        }))
+    }
+
+    /// Endpoints that the request may still be sent to, the present one included.
+    pub(super) fn sends_left(&self) -> u32 {
+        let sent = u32::try_from(self.reached.len()).unwrap_or(u32::MAX);
+        self.plan.route.max_attempts.saturating_sub(sent)
+    }
+
+    /// What follows from a failed attempt: a final answer, or another attempt.
+    pub(super) fn after(
+        &mut self,
+        endpoint: &EndpointName,
+        failure: AttemptFailure,
+    ) -> Option<OwnAnswer> {
+        self.core.metrics.attempted(failure.as_str());
+        self.sending = false;
+        self.settled = self.settled.and(failure.verdict());
+        self.excluded.push(endpoint.clone());
+        if failure.has_reached() {
+            self.reached.push(endpoint.clone());
+        }
+        if !self.settled.may_repeat(self.repeat()) {
+            return Some(OwnAnswer::Broken);
+        }
+        let unpaid = failure.has_reached() && !failure.is_paid();
+        if self.sends_left() == 0 || (unpaid && !self.core.take_retry(&self.plan.service)) {
+            return Some(self.refused_after(failure));
+        }
+        None
+    }
+
+    fn repeat(&self) -> Repeat {
+        if self.plan.route.kind.is_idempotent() {
+            Repeat::Idempotent
+        } else {
+            Repeat::AtMostOnce
+        }
+    }
+
+    fn refused_after(&self, failure: AttemptFailure) -> OwnAnswer {
+        let cause = match failure {
+            AttemptFailure::WeightsMissing => RefusalCause::WeightsMissing,
+            AttemptFailure::Refused => RefusalCause::QueueFull,
+            _ => RefusalCause::EndpointDown,
+        };
+        self.refused(self.core.refusal(cause, REFUSED_RETURN))
+    }
+
+    fn log_failure(&self, placed: &PlacedSend, failure: AttemptFailure) {
+        let line = DecisionLine::new(LineWeight::Notable, "attempt failed")
+            .with("request", self.plan.request.id.as_str())
+            .with("endpoint", placed.choice.endpoint.as_str())
+            .with("cause", failure.as_str())
+            .with("verdict", failure.verdict().as_str())
+            .with("predicted_ms", millis(placed.choice.predicted))
+            .with("queue_ms", millis(placed.choice.queue));
+        self.core.log.write(line);
+    }
+
+    /// Logs an answer that an endpoint gave.
+    pub(super) fn log_answered(&self, status: StatusCode) {
+        let (outcome, weight) = if status.is_success() {
+            ("answered", LineWeight::Calm)
+        } else {
+            ("endpoint-error", LineWeight::Notable)
+        };
+        let line = self.answer_line(weight, outcome);
+        self.core.log.write(line.with("status", status.as_u16()));
+        self.core
+            .metrics
+            .answered(self.plan.route.name.as_str(), outcome);
+    }
+
+    /// Logs an answer of the gateway's own.
+    fn log_own(&self, own: OwnAnswer) {
+        let now = self.core.clock.now();
+        let store_read_at = self.core.lock().store_read_at;
+        let line = self
+            .answer_line(LineWeight::Notable, own.as_str())
+            .with("status", own.status().as_u16())
+            .with("verdict", self.verdict().as_str())
+            .with(
+                "store_age_ms",
+                store_read_at.map(|at| millis(now.since(at))),
+            );
+        self.core.log.write(line);
+        self.core
+            .metrics
+            .answered(self.plan.route.name.as_str(), own.as_str());
+    }
+
+    fn answer_line(&self, weight: LineWeight, outcome: &'static str) -> DecisionLine {
+        let plan = &self.plan;
+        let waited = self.core.clock.now().since(plan.arrived);
+        DecisionLine::new(weight, "answer")
+            .with("request", plan.request.id.as_str())
+            .with("route", plan.route.name.as_str())
+            .with("outcome", outcome)
+            .with(
+                "weights",
+                plan.request.weights.as_ref().map(ToString::to_string),
+            )
+            .with("sent_to", names(&self.excluded))
+            .with("waited_ms", millis(waited))
+    }
+}
+
+fn names(endpoints: &[EndpointName]) -> Vec<String> {
+    endpoints.iter().map(ToString::to_string).collect()
+}
+
+/// Milliseconds with one decimal, for a log line.
+fn millis(span: Duration) -> f64 {
+    (span.as_secs_f64() * 1e4).round() / 10.0
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -0,0 +1,164 @@
+//! A gateway: takes callers' requests, sends them straight to endpoints, answers for the outcome.
+//!
+//! - [`core`]: what all requests share: configuration, directory, demand, budget.
+//! - [`handler`]: one request, from its head to its final answer.
+//! - [`attempt`]: one attempt at one endpoint.
+//! - [`relay`]: an answer that goes back as a stream of events.
+//! - [`answers`]: answers of the gateway's own.
+//! - [`exchanges`]: what gateways and sidecars tell each other, and the planner's rounds.
+
+pub mod answers;
+pub mod attempt;
+pub mod core;
+pub mod exchanges;
+pub mod handler;
+pub mod relay;
+
+use std::net::{TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use oatpier_duty::duty::{
+    DutyProcess, RingReceiver, RingRule, RuntimeClock, StartError, StopPhase, StopSignal, bind,
+    ring,
+};
+use oatpier_serving::node::NodeSettings;
+use oatpier_wire::server::{self, ServerLimits};
+use tokio::sync::watch;
+
+use crate::decisions::{DecisionLog, write_lines};
+use crate::exchange::{InnerSocket, MessageOutlet};
+use crate::metrics::ServingMetrics;
+use crate::observe::{ObserveInputs, observe};
+use crate::records::{RecordsInputs, StoreNews, records};
+use crate::reload::{ReloadInputs, SettingsFeed, SettingsSource, reload};
+
+use self::core::{CoreInputs, GatewayCore};
+use self::handler::GatewayHandler;
+
+/// News of the store that wait to be taken; a full ring makes the reader wait.
+const NEWS_RING: usize = 4;
+
+/// From SIGTERM to closing the listener. The platform asks once a second and stops sending
+/// connections after two misses; a connection that was sent just before must still be answered.
+const DRAIN_NOTICE: Duration = Duration::from_millis(3_200);
+
+/// The largest head before a configuration says otherwise, in bytes.
+const HEAD_BYTES: usize = 16 << 10;
+
+/// What the callers duty works on.
+struct CallersInputs {
+    settings: SettingsFeed,
+    listener: TcpListener,
+    socket: UdpSocket,
+    core: CoreInputs,
+    news: RingReceiver<StoreNews>,
+    stop: StopSignal,
+}
+
+/// Starts a gateway's duties.
+///
+/// # Errors
+///
+/// An address that can't be listened on.
+pub fn start(
+    settings: &NodeSettings,
+    source: Box<dyn SettingsSource>,
+) -> Result<DutyProcess, StartError> {
+    let callers = settings.callers.unwrap_or(settings.inner_address());
+    let listener = bind(callers, "callers")?;
+    let metrics_listener = bind(settings.metrics, "metrics")?;
+    let readiness_listener = settings
+        .readiness
+        .map(|address| bind(address, "readiness"))
+        .transpose()?;
+    let inner = settings.inner_address();
+    let socket = UdpSocket::bind(inner).map_err(|cause| StartError::Listen {
+        address: inner,
+        purpose: "gateways and sidecars",
+        cause,
+    })?;
+    let mut process = DutyProcess::default();
+    let metrics = ServingMetrics::default();
+    let (log, lines) = DecisionLog::new(settings.name.as_str(), &metrics);
+    let (news_sender, news) = ring(NEWS_RING, RingRule::Wait, metrics.ring_full.clone());
+    let core = CoreInputs {
+        clock: RuntimeClock::start(),
+        metrics: metrics.clone(),
+        log,
+        able: Arc::default(),
+    };
+    let (settings_feed, feed) = watch::channel(Arc::new(settings.clone()));
+    let reload_inputs = ReloadInputs {
+        source,
+        settings: settings_feed,
+        stop: process.stop.clone(),
+    };
+    process.spawn("reload", || reload(reload_inputs));
+    let observe_inputs = ObserveInputs {
+        metrics_listener,
+        readiness_listener,
+        metrics: metrics.clone(),
+        able: Arc::clone(&core.able),
+        stop: process.stop.clone(),
+    };
+    process.spawn("observe", || observe(observe_inputs));
+    let records_inputs = RecordsInputs {
+        settings: feed.clone(),
+        news: news_sender,
+        metrics,
+        stop: process.stop.clone(),
+    };
+    process.spawn("records", || records(records_inputs));
+    let stop = process.stop.clone();
+    process.spawn("logs", || write_lines(lines, stop));
+    let callers_inputs = CallersInputs {
+        settings: feed,
+        listener,
+        socket,
+        core,
+        news,
+        stop: process.stop.clone(),
+    };
+    process.spawn("callers", || callers_duty(callers_inputs));
+    Ok(process)
+}
+
+/// Serves callers until the last request is answered after a stop.
+async fn callers_duty(inputs: CallersInputs) {
+    let stop = inputs.stop.clone();
+    let socket = match InnerSocket::new(inputs.socket) {
+        Ok(socket) => Arc::new(socket),
+        Err(error) => {
+            spdlog::critical!("the runtime takes no socket", kv: { error: = error.to_string() });
+            stop.advance(StopPhase::Ended);
+            return;
+        }
+    };
+    let outlet: Arc<dyn MessageOutlet> = Arc::clone(&socket) as Arc<dyn MessageOutlet>;
+    let core = Arc::new(GatewayCore::new(inputs.settings, inputs.core, outlet));
+    let serving = serve_callers(inputs.listener, Arc::clone(&core), &stop);
+    tokio::select! {
+        () = serving => {}
+        () = exchanges::run(Arc::clone(&core), &socket, inputs.news, &stop) => {}
+    }
+    stop.advance(StopPhase::Ended);
+}
+
+async fn serve_callers(listener: TcpListener, core: Arc<GatewayCore>, stop: &StopSignal) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            spdlog::critical!("the runtime takes no listener", kv: { error: = error.to_string() });
+            return;
+        }
+    };
+    let limits = ServerLimits {
+        head_bytes: HEAD_BYTES,
+        linger: DRAIN_NOTICE,
+        ..ServerLimits::default()
+    };
+    let handler = Arc::new(GatewayHandler::new(core));
+    let draining = stop.reached(StopPhase::Draining);
+    server::serve(listener, handler, limits, Arc::default(), draining).await;
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -0,0 +1,22 @@
+//! The duties of gateways and sidecars.
+//!
+//! | process | duty | module | does |
+//! | --- | --- | --- | --- |
+//! | gateway | callers | [`gateway`] | takes requests, sends them to endpoints, answers; hears pulses and peers, plans loads |
+//! | gateway | records | [`records`] | reads configuration and registry from the store |
+//! | sidecar | engine | [`sidecar`] | reads its engine's report, gives it orders, sends pulses |
+//! | both | reload | [`reload`] | takes changes of the settings file over |
+//! | both | logs | [`decisions`] | writes decision lines, never blocking the others |
+//! | both | observe | [`observe`] | metrics and readiness |
+//!
+//! Decisions are in `oatpier-serving`, names and formats of the users' platform in `platform/`.
+
+pub mod decisions;
+pub mod errors;
+pub mod exchange;
+pub mod gateway;
+pub mod metrics;
+pub mod observe;
+pub mod records;
+pub mod reload;
+pub mod sidecar;
--- /dev/null
+++ b/crates/oatpier-gateway/src/records.rs
@@ -0,0 +1,164 @@
+//! The records duty: reads configuration and registry from the store, over and over.
+//!
+//! One call reads both. There is no watch: one would return at each heartbeat of each endpoint, and
+//! one that fell silent would leave the gateway with an old configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oatpier_duty::duty::{RingSender, StopPhase, StopSignal};
+use oatpier_platform::config;
+use oatpier_platform::store::{StoreClient, StoreSnapshot};
+use oatpier_serving::directory::EndpointRecord;
+use oatpier_serving::node::NodeSettings;
+use oatpier_serving::site::SiteConfig;
+use tokio::time::{Instant, sleep_until};
+
+use crate::errors::error_chain;
+use crate::metrics::ServingMetrics;
+use crate::reload::SettingsFeed;
+
+/// The share of the shorter of the two bounds (configuration, draining) between two reads. A
+/// change is then seen within half of its bound, and once more if one read fails.
+const READ_SHARE: f64 = 0.45;
+
+/// The share of the time between reads that one read may take.
+const WAIT_SHARE: f64 = 0.8;
+
+/// After a failed read the next one comes this much sooner, so that a gateway without a
+/// configuration gets one soon after the store is back. At most one more call a period.
+const FAILED_SHARE: f64 = 0.5;
+
+/// What the store said.
+#[derive(Debug)]
+pub enum StoreNews {
+    /// It was read.
+    Read {
+        /// The configuration, if it has changed since the last read.
+        config: Option<Arc<SiteConfig>>,
+        /// All endpoints that are registered.
+        endpoints: Vec<EndpointRecord>,
+    },
+    /// It could not be read.
+    Failed,
+}
+
+/// What the duty works on.
+pub struct RecordsInputs {
+    /// Where the store is, and how soon changes must be seen.
+    pub settings: SettingsFeed,
+    /// Where news goes.
+    pub news: RingSender<StoreNews>,
+    /// Counts calls.
+    pub metrics: ServingMetrics,
+    /// Tells to stop.
+    pub stop: StopSignal,
+}
+
+/// Reads the store until the process ends.
+pub async fn records(inputs: RecordsInputs) {
+    let stop = inputs.stop.clone();
+    tokio::select! {
+        () = read_for_ever(inputs) => {}
+        () = stop.reached(StopPhase::Ended) => {}
+    }
+}
+
+async fn read_for_ever(inputs: RecordsInputs) {
+    let mut settings = Arc::clone(&inputs.settings.borrow());
+    let mut client = store_client(&settings);
+    let mut reader = RecordsReader::new(inputs.metrics);
+    loop {
+        let present = Arc::clone(&inputs.settings.borrow());
+        if present != settings {
+            client = store_client(&present);
+            settings = present;
+        }
+        let period = read_period(&settings);
+        let begun = Instant::now();
+        let read = client.read().await;
+        let is_good = read.is_ok();
+        let news = match read {
+            Ok(snapshot) => reader.take(snapshot),
+            Err(error) => {
+                reader.note_failure(&error);
+                StoreNews::Failed
+            }
+        };
+        inputs.news.send(news).await;
+        let pause = if is_good {
+            period
+        } else {
+            period.mul_f64(FAILED_SHARE)
+        };
+        sleep_until(begun + pause.max(Duration::from_millis(50))).await;
+    }
+}
+
+/// From one read to the next.
+fn read_period(settings: &NodeSettings) -> Duration {
+    let bounds = &settings.bounds;
+    bounds.config.min(bounds.drain).mul_f64(READ_SHARE)
+}
+
+fn store_client(settings: &NodeSettings) -> StoreClient {
+    let wait = read_period(settings).mul_f64(WAIT_SHARE);
+    StoreClient::new(settings.store, wait)
+}
+
+/// Turns snapshots into news, and logs what changes about the store.
+struct RecordsReader {
+    metrics: ServingMetrics,
+    config: Option<Bytes>,
+    reachable: Option<bool>,
+}
+
+impl RecordsReader {
+    fn new(metrics: ServingMetrics) -> Self {
+        Self {
+            metrics,
+            config: None,
+            reachable: None,
+        }
+    }
+
+    fn take(&mut self, snapshot: StoreSnapshot) -> StoreNews {
+        self.metrics.store_read("answered");
+        if self.reachable != Some(true) {
+            spdlog::info!("the store is read", kv: { endpoints: = snapshot.endpoints.len() });
+        }
+        self.reachable = Some(true);
+        for reason in &snapshot.unreadable {
+            spdlog::warn!("an entry of the store can't be used", kv: { reason: });
+        }
+        StoreNews::Read {
+            config: snapshot.config.and_then(|value| self.changed(value)),
+            endpoints: snapshot.endpoints,
+        }
+    }
+
+    /// A configuration that can't be used is refused, and the one in force stays.
+    fn changed(&mut self, value: Bytes) -> Option<Arc<SiteConfig>> {
+        if self.config.as_ref() == Some(&value) {
+            return None;
+        }
+        let decoded = config::decode(&value);
+        self.config = Some(value);
+        match decoded {
+            Ok(config) => Some(Arc::new(config)),
+            Err(error) => {
+                spdlog::error!("the configuration was refused", kv: { reason: = error_chain(&error) });
+                None
+            }
+        }
+    }
+
+    fn note_failure(&mut self, error: &dyn std::error::Error) {
+        self.metrics.store_read("failed");
+        if self.reachable != Some(false) {
+            spdlog::warn!("the store can't be read", kv: { reason: = error_chain(error) });
+        }
+        self.reachable = Some(false);
+    }
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -0,0 +1,273 @@
+//! A sidecar: the only process that gives its engine orders.
+//!
+//! - [`engine_link`]: calls to the engine.
+//! - [`pulses`]: what gateways are told, and when.
+//!
+//! One loop reads the engine's report, hears gateways, gives the orders that
+//! [`oatpier_serving::residency`] decides, and sends pulses.
+
+pub mod engine_link;
+pub mod pulses;
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use oatpier_duty::duty::{DutyProcess, RuntimeClock, StartError, StopPhase, StopSignal, bind};
+use oatpier_serving::engine::{EngineOrder, OrderAnswer};
+use oatpier_serving::message::InnerMessage;
+use oatpier_serving::node::NodeSettings;
+use oatpier_serving::residency::{EngineResidency, LoadPace, NumberedOrder};
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::decisions::{DecisionLine, DecisionLog, LineWeight, write_lines};
+use crate::exchange::InnerSocket;
+use crate::metrics::ServingMetrics;
+use crate::observe::{ObserveInputs, observe};
+use crate::reload::{ReloadInputs, SettingsSource, reload};
+
+use self::engine_link::EngineLink;
+use self::pulses::PulseSender;
+
+/// From one reading of the engine's report to the next. The report is free on its own VM; gateways
+/// place requests by it, so it should be fresher than the time to a first token.
+const REPORT_EVERY: Duration = Duration::from_millis(60);
+
+/// Orders that are given in a row before the loop hears gateways again.
+const ORDERS_IN_A_ROW: usize = 8;
+
+/// After an order without an answer, the next one waits this long: the engine is in trouble, and
+/// the order may still come through.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(300);
+
+/// Loads that the weight store bears before a gateway has said how many; one a window for each
+/// engine is far below any rate.
+const UNKNOWN_PACE: LoadPace = LoadPace {
+    loads: 1,
+    engines: 64,
+    window: Duration::from_secs(5),
+};
+
+/// Starts a sidecar's duties.
+///
+/// # Errors
+///
+/// An address that can't be listened on.
+pub fn start(
+    settings: &NodeSettings,
+    source: Box<dyn SettingsSource>,
+) -> Result<DutyProcess, StartError> {
+    let metrics_listener = bind(settings.metrics, "metrics")?;
+    let inner = settings.inner_address();
+    let socket = UdpSocket::bind(inner).map_err(|cause| StartError::Listen {
+        address: inner,
+        purpose: "gateways",
+        cause,
+    })?;
+    let mut process = DutyProcess::default();
+    let metrics = ServingMetrics::default();
+    let (log, lines) = DecisionLog::new(settings.name.as_str(), &metrics);
+    let (settings_feed, _) = watch::channel(Arc::new(settings.clone()));
+    let reload_inputs = ReloadInputs {
+        source,
+        settings: settings_feed,
+        stop: process.stop.clone(),
+    };
+    process.spawn("reload", || reload(reload_inputs));
+    let observe_inputs = ObserveInputs {
+        metrics_listener,
+        readiness_listener: None,
+        metrics: metrics.clone(),
+        able: Arc::new(AtomicBool::new(true)),
+        stop: process.stop.clone(),
+    };
+    process.spawn("observe", || observe(observe_inputs));
+    let stop = process.stop.clone();
+    process.spawn("logs", || write_lines(lines, stop));
+    let inputs = EngineInputs {
+        settings: settings.clone(),
+        socket,
+        metrics,
+        log,
+        stop: process.stop.clone(),
+    };
+    process.spawn("engine", || engine_duty(inputs));
+    Ok(process)
+}
+
+/// What the engine duty works on.
+struct EngineInputs {
+    settings: NodeSettings,
+    socket: UdpSocket,
+    metrics: ServingMetrics,
+    log: DecisionLog,
+    stop: StopSignal,
+}
+
+/// Runs the engine's orders and pulses until the process is told to stop. An order that is under way
+/// goes on at the engine by itself, so there is nothing to drain.
+async fn engine_duty(inputs: EngineInputs) {
+    let stop = inputs.stop.clone();
+    let address = inputs.settings.engine;
+    let socket = InnerSocket::new(inputs.socket);
+    let (Some(address), Ok(socket)) = (address, socket) else {
+        spdlog::critical!("the settings name no engine, or the runtime takes no socket");
+        stop.advance(StopPhase::Ended);
+        return;
+    };
+    let clock = RuntimeClock::start();
+    let pace = LoadPace {
+        window: inputs.settings.bounds.load_window,
+        ..UNKNOWN_PACE
+    };
+    let mut sidecar = EngineSidecar {
+        residency: EngineResidency::new(pace, inputs.settings.first_start, clock.now()),
+        link: EngineLink::new(address, inputs.settings.name.clone()),
+        pulses: PulseSender::new(address),
+        socket,
+        clock,
+        metrics: inputs.metrics,
+        log: inputs.log,
+        paused_until: Instant::now(),
+    };
+    tokio::select! {
+        () = sidecar.run() => {}
+        () = stop.reached(StopPhase::Draining) => {}
+    }
+    stop.advance(StopPhase::Ended);
+}
+
+/// The loop around one engine.
+struct EngineSidecar {
+    residency: EngineResidency,
+    link: EngineLink,
+    pulses: PulseSender,
+    socket: InnerSocket,
+    clock: RuntimeClock,
+    metrics: ServingMetrics,
+    log: DecisionLog,
+    paused_until: Instant,
+}
+
+impl EngineSidecar {
+    async fn run(&mut self) {
+        let mut ticks = interval(REPORT_EVERY);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                (from, message) = self.socket.receive() => self.hear(from, message),
+                _ = ticks.tick() => self.refresh().await,
+            }
+            self.give_orders().await;
+            let now = self.clock.now();
+            self.pulses.send_due(&self.socket, &self.residency, now);
+        }
+    }
+
+    fn hear(&mut self, from: SocketAddr, message: InnerMessage) {
+        let now = self.clock.now();
+        match message {
+            InnerMessage::Greeting(greeting) => {
+                self.pulses.note_gateway(from, now);
+                self.residency.take_greeting(&greeting, now);
+            }
+            InnerMessage::AdapterWanted(wish) => {
+                self.pulses.note_gateway(from, now);
+                self.residency.take_wish(wish, now);
+            }
+            InnerMessage::Advice(advice) => {
+                let line = DecisionLine::new(LineWeight::Notable, "advice heard")
+                    .with("model", advice.load.as_str())
+                    .with("from", from.to_string());
+                self.log.write(line);
+                self.residency.take_advice(advice, now);
+            }
+            // For gateways.
+            InnerMessage::Pulse(_) | InnerMessage::Peer(_) => {}
+        }
+    }
+
+    /// Reads the engine's report. An engine that does not answer, or a new one, is not known.
+    async fn refresh(&mut self) {
+        let known = self.link.instance().cloned();
+        match self.link.report().await {
+            Ok(report) => {
+                if known.is_some() && self.link.instance() != known.as_ref() {
+                    self.note_engine("engine restarted");
+                    self.residency.forget_engine();
+                }
+                if !self.pulses.set_answers(true) {
+                    self.note_engine("engine answers");
+                }
+                self.residency.take_report(report);
+            }
+            Err(cause) => {
+                if self.pulses.set_answers(false) {
+                    let line = DecisionLine::new(LineWeight::Notable, "engine lost");
+                    self.log.write(line.with("cause", cause));
+                }
+                self.residency.forget_engine();
+            }
+        }
+    }
+
+    fn note_engine(&self, decision: &'static str) {
+        let instance = self.link.instance().map(ToString::to_string);
+        let line = DecisionLine::new(LineWeight::Notable, decision);
+        self.log.write(line.with("instance", instance));
+    }
+
+    async fn give_orders(&mut self) {
+        for _ in 0..ORDERS_IN_A_ROW {
+            if Instant::now() < self.paused_until {
+                return;
+            }
+            if self.residency.report().is_none() {
+                self.refresh().await;
+            }
+            let Some(order) = self.residency.next_order(self.clock.now()) else {
+                return;
+            };
+            self.give(&order).await;
+        }
+    }
+
+    async fn give(&mut self, order: &NumberedOrder) {
+        let answer = self.link.order(order).await;
+        if answer == OrderAnswer::Unknown {
+            self.paused_until = Instant::now() + UNANSWERED_PAUSE;
+        }
+        self.residency.note_answer(order, answer, self.clock.now());
+        self.log_order(order, answer);
+    }
+
+    fn log_order(&self, order: &NumberedOrder, answer: OrderAnswer) {
+        let (operation, weights) = match &order.order {
+            EngineOrder::LoadModel(model) => ("load model", model.to_string()),
+            EngineOrder::UnloadModel(model) => ("unload model", model.to_string()),
+            EngineOrder::LoadAdapter(key) => {
+                ("load adapter", format!("{}/{}", key.model, key.adapter))
+            }
+            EngineOrder::UnloadAdapter(key) => {
+                ("unload adapter", format!("{}/{}", key.model, key.adapter))
+            }
+        };
+        let outcome = match answer {
+            OrderAnswer::Taken => "taken",
+            OrderAnswer::Holds => "holds",
+            OrderAnswer::Conflict => "conflict",
+            OrderAnswer::Rejected => "rejected",
+            OrderAnswer::Unknown => "unanswered",
+        };
+        let line = DecisionLine::new(LineWeight::Notable, "order")
+            .with("operation", operation)
+            .with("weights", weights)
+            .with("expect", order.expect)
+            .with("outcome", outcome);
+        self.log.write(line);
+        self.metrics.ordered(outcome);
+    }
+}
--- /dev/null
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -0,0 +1,140 @@
+//! What gateways are told of an engine, and when.
+//!
+//! A change of what the engine holds goes out at once, since requests wait for it; a change of its
+//! load soon; and what has not changed now and then, so that a lost pulse is made good.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oatpier_serving::engine::{EndpointLoad, EngineReport};
+use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber};
+use oatpier_serving::residency::EngineResidency;
+use oatpier_types::clock::ClockTime;
+
+use crate::exchange::MessageOutlet;
+
+/// A gateway that has not greeted for this long is told no more: three greetings.
+const GATEWAY_LIFE: Duration = Duration::from_millis(1_600);
+
+/// The time between two pulses while only the load changes.
+const LOAD_EVERY: Duration = Duration::from_millis(120);
+
+/// The time between two pulses while nothing changes.
+const CALM_EVERY: Duration = Duration::from_millis(400);
+
+/// Sends pulses.
+#[derive(Debug)]
+pub struct PulseSender {
+    engine: SocketAddr,
+    number: MessageNumber,
+    answers: bool,
+    gateways: HashMap<SocketAddr, ClockTime>,
+    last: Option<EnginePulse>,
+    last_at: ClockTime,
+}
+
+impl PulseSender {
+    /// A sender for the engine at an address.
+    #[must_use]
+    pub fn new(engine: SocketAddr) -> Self {
+        Self {
+            engine,
+            number: MessageNumber {
+                boot: rand::random(),
+                number: 0,
+            },
+            answers: false,
+            gateways: HashMap::new(),
+            last: None,
+            last_at: ClockTime::ZERO,
+        }
+    }
+
+    /// Whether the engine answers; gives back what was known before.
+    pub fn set_answers(&mut self, answers: bool) -> bool {
+        std::mem::replace(&mut self.answers, answers)
+    }
+
+    /// A gateway greeted. A new one is told at once.
+    pub fn note_gateway(&mut self, gateway: SocketAddr, now: ClockTime) {
+        if self.gateways.insert(gateway, now).is_none() {
+            self.last = None;
+        }
+    }
+
+    /// Sends a pulse to all gateways if one is due.
+    pub fn send_due(
+        &mut self,
+        outlet: &dyn MessageOutlet,
+        residency: &EngineResidency,
+        now: ClockTime,
+    ) {
+        self.gateways
+            .retain(|_, greeted| now.since(*greeted) < GATEWAY_LIFE);
+        // Without a report there is only something to say when the engine is lost.
+        let report = residency.report().cloned();
+        if report.is_none() && self.answers {
+            return;
+        }
+        let mut pulse = self.pulse(&report.unwrap_or_default(), residency, now);
+        if !self.is_due(&pulse, now) {
+            return;
+        }
+        self.number.number += 1;
+        pulse.number = self.number;
+        self.last = Some(pulse.clone());
+        self.last_at = now;
+        let message = InnerMessage::Pulse(Box::new(pulse));
+        for gateway in self.gateways.keys() {
+            outlet.send(*gateway, &message);
+        }
+    }
+
+    fn is_due(&self, pulse: &EnginePulse, now: ClockTime) -> bool {
+        let Some(last) = &self.last else {
+            return true;
+        };
+        let age = now.since(self.last_at);
+        let same_load = EnginePulse {
+            number: last.number,
+            load: last.load,
+            memory_used: last.memory_used,
+            load_wait_ms: last.load_wait_ms,
+            ..pulse.clone()
+        };
+        let load_changed = last.load != pulse.load || last.memory_used != pulse.memory_used;
+        same_load != *last || age >= CALM_EVERY || (load_changed && age >= LOAD_EVERY)
+    }
+
+    fn pulse(
+        &self,
+        report: &EngineReport,
+        residency: &EngineResidency,
+        now: ClockTime,
+    ) -> EnginePulse {
+        let wait_ms = residency.store_load_wait(now).as_millis();
+        let mut gateways: Vec<SocketAddr> = self.gateways.keys().copied().collect();
+        gateways.sort_unstable();
+        EnginePulse {
+            number: self.number,
+            engine: self.engine,
+            answers: self.answers,
+            load: EndpointLoad {
+                running: report.load.running,
+                waiting: report.load.waiting,
+            },
+            memory_used: report.memory_used,
+            memory_total: report.memory_total,
+            models: residency.offered(),
+            retiring: residency.retiring().to_vec(),
+            loading: residency.loading().cloned(),
+            coming: report.coming.clone(),
+            adapter_room: residency.adapter_room(now),
+            copies: report.copies.clone(),
+            draining: report.draining,
+            load_wait_ms: u32::try_from(wait_ms).unwrap_or(u32::MAX),
+            gateways,
+        }
+    }
+}
--- a/crates/oatpier-platform/tests/testsuite/endpoint_work.rs
+++ b/crates/oatpier-ports/tests/testsuite/endpoint_work.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use futures::TryStreamExt;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use oatpier_platform::http::{EndpointKind, HttpWork};
-use oatpier_platform::work::{CallError, EndpointCall, EndpointWork};
+use oatpier_ports::http::{EndpointKind, HttpWork};
+use oatpier_ports::work::{CallError, EndpointCall, EndpointWork};
 use oatpier_types::ids::AttemptId;
 use oatpier_types::verdict::RunVerdict;
 
--- a/crates/oatpier-platform/tests/testsuite/engine_orders.rs
+++ b/crates/oatpier-ports/tests/testsuite/engine_orders.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oatpier_platform::engine::{EngineControl, OrderError};
-use oatpier_platform::http::HttpEngine;
+use oatpier_ports::engine::{EngineControl, OrderError};
+use oatpier_ports::http::HttpEngine;
 use oatpier_types::engine::{EngineOrder, EngineRole, OrderAction};
 use oatpier_types::ids::{Epoch, OrderNumber};
 
--- a/crates/oatpier-platform/tests/testsuite/store_calls.rs
+++ b/crates/oatpier-ports/tests/testsuite/store_calls.rs
@@ -4,10 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use oatpier_platform::http::HttpStore;
-use oatpier_platform::store::{
-    ExpectedValue, KeyChange, KeyStore, LeaseId, StoreError, StoredValue,
-};
+use oatpier_ports::http::HttpStore;
+use oatpier_ports::store::{ExpectedValue, KeyChange, KeyStore, LeaseId, StoreError, StoredValue};
 use oatpier_types::ids::Revision;
 
 use crate::support::{FixedServer, LONG, closed_address, raw_server, silent_server};
--- a/crates/oatpier-platform/tests/testsuite/vm_list.rs
+++ b/crates/oatpier-ports/tests/testsuite/vm_list.rs
@@ -1,7 +1,7 @@
 //! The list of VMs.
 
-use oatpier_platform::http::HttpVmList;
-use oatpier_platform::vms::{VmDuty, VmList, VmState};
+use oatpier_ports::http::HttpVmList;
+use oatpier_ports::vms::{VmDuty, VmList, VmState};
 
 use crate::support::{FixedServer, LONG, closed_address};
 
--- /dev/null
+++ b/crates/oatpier-serving/src/choice.rs
@@ -0,0 +1,233 @@
+//! Which endpoint gets a request.
+//!
+//! Every candidate gets a predicted time to the first piece of the answer, and a cost that adds
+//! what the prediction leaves out: another availability zone, an adapter that is not there yet,
+//! failures seen lately. The lowest cost wins.
+
+use std::time::Duration;
+
+use oatpier_policy::prefix::PrefixHolder;
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{EndpointName, PoolName, ZoneName};
+use smallvec::SmallVec;
+
+use crate::call::{CallerRequest, PromptPart, WeightsKey};
+use crate::directory::{AdapterState, EndpointDirectory, EndpointRow, PART_UNITS};
+
+/// The price of sending a request to another availability zone, in milliseconds of waiting: the
+/// way there and back (about 3 ms), and bytes between zones, which are charged for.
+const OTHER_ZONE_MS: f64 = 8.0;
+
+/// The price of an adapter that is being loaded, in milliseconds.
+const ADAPTER_COMING_MS: f64 = 8.0;
+
+/// The price of an adapter that has to be loaded where there is room: a load of 5 to 10 ms, the way
+/// to the sidecar, and the adapter that may have to go.
+const ADAPTER_LOAD_MS: f64 = 25.0;
+
+/// The same where all places are in use: a place is free when some request's stream has ended.
+const ADAPTER_FULL_MS: f64 = 400.0;
+
+/// The price of an endpoint all of whose requests fail. Beside it a queue of a second is better.
+const FAILING_MS: f64 = 1_500.0;
+
+/// The price of an endpoint that was ejected: only where nothing else holds the model.
+const EJECTED_MS: f64 = 5_000.0;
+
+/// The price of a full batch beside an empty one, in milliseconds. Steps get slower as the batch
+/// grows, so requests are spread before slots run out.
+const CROWD_MS: f64 = 40.0;
+
+/// Prompt tokens that an engine reads in a millisecond, by the engines' data sheets.
+const READ_TOKENS_PER_MS: f64 = 38.0;
+
+/// The share of an engine's memory above which new requests would drive running ones out.
+const MEMORY_BOUND: f64 = 0.93;
+
+/// What the choice depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoiceQuery<'a> {
+    /// The service.
+    pub service: &'a PoolName,
+    /// The request.
+    pub request: &'a CallerRequest,
+    /// The gateway's availability zone.
+    pub zone: &'a ZoneName,
+    /// Endpoints that had the request already.
+    pub excluded: &'a [EndpointName],
+}
+
+/// An endpoint for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointChoice {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// How long until the first piece of the answer.
+    pub predicted: Duration,
+    /// Of that, how long until a slot is free.
+    pub queue: Duration,
+    /// Whether its adapter has to be loaded first.
+    pub needs_adapter: bool,
+}
+
+/// Where a request can go.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ChoiceVerdict {
+    /// To this endpoint.
+    Endpoint(EndpointChoice),
+    /// Nowhere yet: the model is being loaded, or has to be.
+    NoModel {
+        /// Whether an engine is loading it.
+        loading: bool,
+    },
+    /// No endpoint of the service is there, or all of them had it already.
+    NoEndpoint,
+}
+
+/// Chooses an endpoint.
+#[must_use]
+pub fn choose(
+    directory: &EndpointDirectory,
+    query: &ChoiceQuery<'_>,
+    now: ClockTime,
+) -> ChoiceVerdict {
+    let chain = prefix_chain(query.request);
+    let holders = directory.prefixes().holders(&chain, now);
+    let mut best: Option<(f64, EndpointChoice)> = None;
+    let mut seen = SeenEndpoints::default();
+    for row in directory.service(query.service) {
+        if !row.is_open(now) || query.excluded.contains(&row.record.name) {
+            continue;
+        }
+        seen.open = true;
+        if !has_model(row, query.request.weights.as_ref(), now) {
+            seen.note_missing(row, query.request.weights.as_ref(), now);
+            continue;
+        }
+        let scored = score(directory, row, query, &holders, now);
+        if best.as_ref().is_none_or(|(cost, _)| scored.0 < *cost) {
+            best = Some(scored);
+        }
+    }
+    match best {
+        Some((_, choice)) => ChoiceVerdict::Endpoint(choice),
+        None if seen.open => ChoiceVerdict::NoModel {
+            loading: seen.loading,
+        },
+        None => ChoiceVerdict::NoEndpoint,
+    }
+}
+
+/// What was seen of endpoints that can't serve.
+#[derive(Debug, Default)]
+struct SeenEndpoints {
+    open: bool,
+    loading: bool,
+}
+
+impl SeenEndpoints {
+    fn note_missing(&mut self, row: &EndpointRow, weights: Option<&WeightsKey>, now: ClockTime) {
+        self.loading |= weights.is_some_and(|weights| row.is_loading(&weights.model, now));
+    }
+}
+
+fn has_model(row: &EndpointRow, weights: Option<&WeightsKey>, now: ClockTime) -> bool {
+    weights.is_none_or(|weights| row.holds(&weights.model, now))
+}
+
+fn score(
+    directory: &EndpointDirectory,
+    row: &EndpointRow,
+    query: &ChoiceQuery<'_>,
+    holders: &[PrefixHolder],
+    now: ClockTime,
+) -> (f64, EndpointChoice) {
+    let slots = f64::from(row.record.slots.max(1));
+    let present = f64::from(row.present());
+    let crowd = (present / slots).min(1.0);
+    let queue_ms = queue_ms(row, query.request, now);
+    let saved_ms = saved_tokens(row, &query.request.parts, holders) / READ_TOKENS_PER_MS;
+    let first_ms = (row.first.mean_ms() - saved_ms).max(1.0);
+    let adapter = adapter_ms(row, query, now);
+    let mut cost = queue_ms + first_ms + adapter + crowd * CROWD_MS;
+    cost += row.failure_share(now).powi(2) * FAILING_MS;
+    cost += row.record.cold.as_secs_f64().min(1.0) * CROWD_MS;
+    if row.record.zone != *query.zone {
+        cost += OTHER_ZONE_MS;
+    }
+    if directory.fault(row, now).is_some() {
+        cost += EJECTED_MS;
+    }
+    let choice = EndpointChoice {
+        endpoint: row.record.name.clone(),
+        predicted: Duration::from_secs_f64((queue_ms + first_ms + adapter) / 1e3),
+        queue: Duration::from_secs_f64(queue_ms / 1e3),
+        needs_adapter: adapter > 0.0,
+    };
+    (cost, choice)
+}
+
+/// How long until a slot and memory are free: each end of a request frees one, and ends come
+/// evenly over the time that requests hold a slot.
+fn queue_ms(row: &EndpointRow, request: &CallerRequest, now: ClockTime) -> f64 {
+    let slots = f64::from(row.record.slots.max(1));
+    let ahead = f64::from(row.present()) + 1.0 - slots;
+    let over_memory = row.memory_share(request.memory_tokens(), now) - MEMORY_BOUND;
+    let wanted_slots = ahead.max(over_memory * slots).max(0.0);
+    wanted_slots * row.hold.mean_ms() / slots
+}
+
+fn adapter_ms(row: &EndpointRow, query: &ChoiceQuery<'_>, now: ClockTime) -> f64 {
+    let Some(weights) = &query.request.weights else {
+        return 0.0;
+    };
+    let Some(adapter) = &weights.adapter else {
+        return 0.0;
+    };
+    match row.adapter(&weights.model, adapter, now) {
+        AdapterState::Ready => 0.0,
+        AdapterState::Coming => ADAPTER_COMING_MS,
+        AdapterState::Absent if row.adapter_room(now) > 0 => ADAPTER_LOAD_MS,
+        AdapterState::Absent => ADAPTER_FULL_MS,
+    }
+}
+
+/// Prompt tokens that the endpoint need not read again.
+fn saved_tokens(row: &EndpointRow, parts: &[PromptPart], holders: &[PrefixHolder]) -> f64 {
+    let holder = holders.iter().find(|holder| holder.endpoint == row.index);
+    let Some(holder) = holder else {
+        return 0.0;
+    };
+    let depth = (holder.tokens + PART_UNITS / 2) / PART_UNITS;
+    let kept = parts.iter().take(depth as usize);
+    f64::from(kept.map(|part| part.tokens).sum::<u32>())
+}
+
+/// Hashes of a prompt's growing prefixes. Parts are kept for one model and adapter only, so these
+/// are the chain's start.
+#[must_use]
+pub fn prefix_chain(request: &CallerRequest) -> SmallVec<[u64; 8]> {
+    let mut state = weights_hash(request.weights.as_ref());
+    let mut chain = SmallVec::new();
+    for part in &request.parts {
+        state = mix(state, part.id);
+        chain.push(state);
+    }
+    chain
+}
+
+fn weights_hash(weights: Option<&WeightsKey>) -> u64 {
+    let Some(weights) = weights else {
+        return 0;
+    };
+    let adapter = weights.adapter.as_ref().map_or("", |name| name.as_str());
+    let bytes = weights.model.as_str().bytes().chain([b'/']);
+    let bytes = bytes.chain(adapter.bytes());
+    bytes.fold(0, |state, byte| mix(state, u64::from(byte)))
+}
+
+/// One round of a multiplicative hash; only equality matters here, within one process.
+fn mix(state: u64, value: u64) -> u64 {
+    let mixed = (state ^ value).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    mixed ^ (mixed >> 29)
+}
--- /dev/null
+++ b/crates/oatpier-serving/src/demand.rs
@@ -0,0 +1,124 @@
+//! How much a gateway's callers ask for each model.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{AdapterName, ModelName};
+
+use crate::call::WeightsKey;
+use crate::message::ModelDemand;
+
+/// How fast old demand is forgotten. Demand moves to other models within 4 to 6 s.
+const DEMAND_LIFE: Duration = Duration::from_millis(1_500);
+
+/// A model that nobody asked for during this long is no longer reported.
+const REPORT_LIFE: Duration = Duration::from_mins(2);
+
+/// An adapter that was asked for within this time is likely to be asked for again soon: a stream or
+/// two.
+const ADAPTER_LIFE: Duration = Duration::from_secs(2);
+
+/// The demand for one model.
+#[derive(Debug, Clone)]
+struct DemandRow {
+    running: u32,
+    running_mean: f64,
+    unserved_rate: f64,
+    at: ClockTime,
+    asked_at: ClockTime,
+    adapters: HashMap<AdapterName, ClockTime>,
+}
+
+impl DemandRow {
+    fn new(now: ClockTime) -> Self {
+        Self {
+            running: 0,
+            running_mean: 0.0,
+            unserved_rate: 0.0,
+            at: now,
+            asked_at: now,
+            adapters: HashMap::new(),
+        }
+    }
+
+    /// Moves the means on to `now`.
+    fn advance(&mut self, now: ClockTime) {
+        let age = now.since(self.at).as_secs_f64() / DEMAND_LIFE.as_secs_f64();
+        let kept = (-age).exp();
+        self.running_mean = self.running_mean * kept + f64::from(self.running) * (1.0 - kept);
+        self.unserved_rate *= kept;
+        self.adapters
+            .retain(|_, asked| now.since(*asked) < ADAPTER_LIFE);
+        self.at = now;
+    }
+}
+
+/// The demand for all models.
+#[derive(Debug, Default)]
+pub struct DemandBook {
+    rows: HashMap<ModelName, DemandRow>,
+}
+
+impl DemandBook {
+    /// A request came in.
+    pub fn note_asked(&mut self, weights: &WeightsKey, now: ClockTime) {
+        let row = self.row(&weights.model, now);
+        row.asked_at = now;
+        if let Some(adapter) = &weights.adapter {
+            row.adapters.insert(adapter.clone(), now);
+        }
+    }
+
+    /// A request for the model was sent to an endpoint.
+    pub fn note_sent(&mut self, model: &ModelName, now: ClockTime) {
+        self.row(model, now).running += 1;
+    }
+
+    /// A request for the model is over at its endpoint.
+    pub fn note_ended(&mut self, model: &ModelName, now: ClockTime) {
+        let row = self.row(model, now);
+        row.running = row.running.saturating_sub(1);
+    }
+
+    /// A request for the model could not be served: it waits for the weights, or was turned away.
+    pub fn note_unserved(&mut self, model: &ModelName, now: ClockTime) {
+        self.row(model, now).unserved_rate += 1.0 / DEMAND_LIFE.as_secs_f64();
+    }
+
+    /// The demand for all models that were asked for lately.
+    pub fn summary(&mut self, now: ClockTime) -> Vec<ModelDemand> {
+        self.rows.retain(|_, row| {
+            row.advance(now);
+            row.running > 0 || now.since(row.asked_at) < REPORT_LIFE
+        });
+        let mut summary: Vec<ModelDemand> = self
+            .rows
+            .iter()
+            .map(|(model, row)| demand_of(model, row, now))
+            .collect();
+        summary.sort_by(|one, other| one.model.cmp(&other.model));
+        summary
+    }
+
+    fn row(&mut self, model: &ModelName, now: ClockTime) -> &mut DemandRow {
+        let row = self
+            .rows
+            .entry(model.clone())
+            .or_insert_with(|| DemandRow::new(now));
+        row.advance(now);
+        row
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "rates need no more digits")]
+fn demand_of(model: &ModelName, row: &DemandRow, now: ClockTime) -> ModelDemand {
+    let idle_ms = now.since(row.asked_at).as_millis();
+    ModelDemand {
+        model: model.clone(),
+        running: row.running_mean as f32,
+        unserved: row.unserved_rate as f32,
+        adapters: u32::try_from(row.adapters.len()).unwrap_or(u32::MAX),
+        idle_ms: u32::try_from(idle_ms).unwrap_or(u32::MAX),
+    }
+}
--- /dev/null
+++ b/crates/oatpier-serving/src/directory.rs
@@ -0,0 +1,588 @@
+//! The endpoints that a gateway knows, from the registry, pulses and its own requests.
+//!
+//! The registry says who is there, seconds late; a sidecar's pulse says what its engine holds and
+//! does, a fraction of a second late; answers say how busy an endpoint was a moment ago. The newest
+//! word on each point counts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oatpier_policy::index::EndpointIndex;
+use oatpier_policy::prefix::{PrefixIndex, PrefixSettings};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{AdapterName, EndpointName, ModelName, PoolName, ZoneName};
+
+use crate::call::WeightsKey;
+use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
+use crate::health::{
+    AttemptEvidence, EndpointFault, FailureShare, HealthChange, HealthSettings, HealthTracker,
+    PaceEstimate,
+};
+use crate::message::EnginePulse;
+
+/// How long after the store has come back an entry that is missing from the registry may still
+/// be written again by its endpoint. The platform promises about two seconds.
+pub const REGISTRY_SETTLE: Duration = Duration::from_millis(2_200);
+
+/// A pulse older than this no longer says what the engine holds; the registry does. Six periods
+/// of an idle sidecar.
+pub const PULSE_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Blocks in the prefix index count parts of prompts, which differ in length; a unit this large
+/// keeps its rounding small.
+pub(crate) const PART_UNITS: u32 = 1_000;
+
+/// Prompts whose parts are remembered; at some four parts each about sixteen thousand prompts,
+/// in 1.5 MB.
+const REMEMBERED_PARTS: usize = 1 << 16;
+
+/// The time to the first piece that is assumed of an endpoint before it has answered, in
+/// milliseconds: a short prompt at a calm engine.
+const FIRST_GUESS_MS: f64 = 30.0;
+
+/// The time that a request is assumed to hold a slot before any has ended, in milliseconds: a few
+/// hundred tokens at a calm engine.
+const HOLD_GUESS_MS: f64 = 700.0;
+
+/// As [`HOLD_GUESS_MS`] for a plain service.
+const SERVICE_HOLD_GUESS_MS: f64 = 30.0;
+
+/// An endpoint as the registry lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointRecord {
+    /// Its present start: a restarted endpoint has another name.
+    pub name: EndpointName,
+    /// What it serves.
+    pub service: PoolName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it is.
+    pub zone: ZoneName,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+    /// What it held at its last heartbeat; empty for a plain service.
+    pub models: Vec<HeldModel>,
+    /// What it could load by itself at its last heartbeat.
+    pub copies: LocalCopies,
+}
+
+/// What is known of an endpoint's load since its last word on it.
+#[derive(Debug, Clone, Copy, Default)]
+struct LoadView {
+    reported: EndpointLoad,
+    sent_since: u32,
+    ended_since: u32,
+}
+
+impl LoadView {
+    fn renew(&mut self, load: EndpointLoad) {
+        *self = Self {
+            reported: load,
+            ..Self::default()
+        };
+    }
+
+    fn present(&self) -> u32 {
+        let reported = self.reported.running + self.reported.waiting;
+        (reported + self.sent_since).saturating_sub(self.ended_since)
+    }
+}
+
+/// A sidecar's last pulse.
+#[derive(Debug, Clone)]
+struct KeptPulse {
+    pulse: EnginePulse,
+    at: ClockTime,
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct EndpointRow {
+    /// Its registry entry.
+    pub record: EndpointRecord,
+    /// Its place in health and prefix tables.
+    pub index: EndpointIndex,
+    /// This gateway's requests there.
+    pub own: u32,
+    /// Time to the first piece.
+    pub first: PaceEstimate,
+    /// Time that a request holds a slot.
+    pub hold: PaceEstimate,
+    load: LoadView,
+    pulse: Option<KeptPulse>,
+    failures: FailureShare,
+    /// This gateway's requests there, by adapter; 0 for one that was used since the last greeting.
+    adapters: HashMap<AdapterKey, u32>,
+    gone: bool,
+}
+
+impl EndpointRow {
+    fn new(record: EndpointRecord, index: EndpointIndex) -> Self {
+        let is_engine = !record.models.is_empty();
+        let hold = if is_engine {
+            HOLD_GUESS_MS
+        } else {
+            SERVICE_HOLD_GUESS_MS
+        };
+        Self {
+            record,
+            index,
+            own: 0,
+            first: PaceEstimate::starting_at(FIRST_GUESS_MS),
+            hold: PaceEstimate::starting_at(hold),
+            load: LoadView::default(),
+            pulse: None,
+            failures: FailureShare::default(),
+            adapters: HashMap::new(),
+            gone: false,
+        }
+    }
+
+    /// The last pulse, unless it is too old to say anything.
+    #[must_use]
+    pub fn pulse(&self, now: ClockTime) -> Option<&EnginePulse> {
+        let kept = self.pulse.as_ref()?;
+        (now.since(kept.at) <= PULSE_LIFE).then_some(&kept.pulse)
+    }
+
+    /// Whether it may get new requests.
+    #[must_use]
+    pub fn is_open(&self, now: ClockTime) -> bool {
+        let leaving = self.record.draining || self.gone;
+        !leaving && !self.pulse(now).is_some_and(|pulse| pulse.draining)
+    }
+
+    /// What it holds, by the newest word.
+    #[must_use]
+    pub fn models(&self, now: ClockTime) -> &[HeldModel] {
+        match self.pulse(now) {
+            Some(pulse) => &pulse.models,
+            None => &self.record.models,
+        }
+    }
+
+    /// Whether a model is there and stays.
+    #[must_use]
+    pub fn holds(&self, model: &ModelName, now: ClockTime) -> bool {
+        let retiring = self
+            .pulse(now)
+            .is_some_and(|pulse| pulse.retiring.contains(model));
+        !retiring && self.models(now).iter().any(|held| held.model == *model)
+    }
+
+    /// Whether a model is being loaded there.
+    #[must_use]
+    pub fn is_loading(&self, model: &ModelName, now: ClockTime) -> bool {
+        self.pulse(now)
+            .is_some_and(|pulse| pulse.loading.as_ref() == Some(model))
+    }
+
+    /// How far an adapter is.
+    #[must_use]
+    pub fn adapter(
+        &self,
+        model: &ModelName,
+        adapter: &AdapterName,
+        now: ClockTime,
+    ) -> AdapterState {
+        let held = self.models(now).iter().find(|held| held.model == *model);
+        if held.is_some_and(|held| held.adapters.contains(adapter)) {
+            return AdapterState::Ready;
+        }
+        let coming = self.pulse(now).is_some_and(|pulse| {
+            let is_it = |key: &AdapterKey| key.model == *model && key.adapter == *adapter;
+            pulse.coming.iter().any(is_it)
+        });
+        if coming {
+            AdapterState::Coming
+        } else {
+            AdapterState::Absent
+        }
+    }
+
+    /// Whether the weights of a request are ready.
+    #[must_use]
+    pub fn is_ready_for(&self, weights: &WeightsKey, now: ClockTime) -> bool {
+        let adapter_ready = weights.adapter.as_ref().is_none_or(|adapter| {
+            self.adapter(&weights.model, adapter, now) == AdapterState::Ready
+        });
+        adapter_ready && self.holds(&weights.model, now)
+    }
+
+    /// Adapters that could be loaded without waiting for requests that use others.
+    #[must_use]
+    pub fn adapter_room(&self, now: ClockTime) -> u32 {
+        self.pulse(now).map_or(0, |pulse| pulse.adapter_room)
+    }
+
+    /// Requests there, as far as known.
+    #[must_use]
+    pub fn present(&self) -> u32 {
+        self.load.present().max(self.own)
+    }
+
+    /// Requests that waited there at its last word.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.load.reported.waiting
+    }
+
+    /// The share of its memory that requests take, from 0 to 1; 0 if it is not known.
+    #[must_use]
+    pub fn memory_share(&self, more: u64, now: ClockTime) -> f64 {
+        let Some(pulse) = self.pulse(now).filter(|pulse| pulse.memory_total > 0) else {
+            return 0.0;
+        };
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "token counts are far below 2^52"
+        )]
+        let share = (pulse.memory_used + more) as f64 / pulse.memory_total as f64;
+        share
+    }
+
+    /// The share of its requests that failed lately.
+    #[must_use]
+    pub fn failure_share(&self, now: ClockTime) -> f64 {
+        self.failures.at(now)
+    }
+}
+
+/// How far an adapter is at an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdapterState {
+    /// Requests may use it.
+    Ready,
+    /// It is on its way.
+    Coming,
+    /// It has to be loaded.
+    Absent,
+}
+
+/// How a request ended at an endpoint, for the directory.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum EndpointOutcome {
+    /// A whole answer, held for this long.
+    Whole {
+        /// From sending to the end.
+        held: Duration,
+    },
+    /// The endpoint's own error: most of the blame is the request's.
+    ServerError,
+    /// The endpoint refused it without running it.
+    Refused,
+    /// No connection came about.
+    Unreachable,
+    /// The answer was cut, spoilt or never came.
+    Broken,
+    /// The caller left, or the gateway gave up for reasons of its own.
+    Abandoned,
+}
+
+/// The blame of an endpoint for its own error: some classes of requests fail by themselves.
+const ERROR_BLAME: f64 = 0.3;
+/// The blame for a refusal: it may be full for a moment.
+const REFUSAL_BLAME: f64 = 0.4;
+
+/// What changed in the set of endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// An endpoint is there.
+    Appeared(EndpointName),
+    /// An endpoint is gone.
+    Gone(EndpointName),
+    /// An endpoint began to drain.
+    Draining(EndpointName),
+}
+
+/// All endpoints.
+#[derive(Debug)]
+pub struct EndpointDirectory {
+    rows: HashMap<EndpointName, EndpointRow>,
+    by_address: HashMap<SocketAddr, EndpointName>,
+    by_service: HashMap<PoolName, Vec<EndpointName>>,
+    next_index: u32,
+    health: HealthTracker,
+    prefixes: PrefixIndex,
+    store_failed_at: Option<ClockTime>,
+    read: bool,
+}
+
+impl Default for EndpointDirectory {
+    fn default() -> Self {
+        Self {
+            rows: HashMap::new(),
+            by_address: HashMap::new(),
+            by_service: HashMap::new(),
+            next_index: 0,
+            health: HealthTracker::new(HealthSettings {
+                longest_backoff: Duration::from_secs(4),
+                ..HealthSettings::default()
+            }),
+            prefixes: PrefixIndex::new(PrefixSettings {
+                blocks: REMEMBERED_PARTS,
+                block_tokens: PART_UNITS,
+                ..PrefixSettings::default()
+            }),
+            store_failed_at: None,
+            read: false,
+        }
+    }
+}
+
+impl EndpointDirectory {
+    /// Whether the registry was ever read.
+    #[must_use]
+    pub fn is_read(&self) -> bool {
+        self.read
+    }
+
+    /// The store could not be read: entries that are missing soon after its return may come back.
+    pub fn note_store_failure(&mut self, now: ClockTime) {
+        self.store_failed_at = Some(now);
+    }
+
+    /// Takes the whole registry over.
+    pub fn apply_registry(
+        &mut self,
+        records: Vec<EndpointRecord>,
+        now: ClockTime,
+    ) -> Vec<DirectoryChange> {
+        let mut changes = Vec::new();
+        self.read = true;
+        let listed: Vec<EndpointName> = records.iter().map(|record| record.name.clone()).collect();
+        for record in records {
+            self.take_record(record, &mut changes);
+        }
+        if !self.is_settling(now) {
+            self.drop_missing(&listed, &mut changes);
+        }
+        if !changes.is_empty() {
+            self.rebuild();
+        }
+        changes
+    }
+
+    /// For a moment after the store was away, entries that lapsed meanwhile are being written
+    /// again: taking them for gone at once would refuse requests that could be served.
+    fn is_settling(&self, now: ClockTime) -> bool {
+        self.store_failed_at
+            .is_some_and(|at| now.since(at) < REGISTRY_SETTLE)
+    }
+
+    fn take_record(&mut self, record: EndpointRecord, changes: &mut Vec<DirectoryChange>) {
+        let name = record.name.clone();
+        let Some(row) = self.rows.get_mut(&name) else {
+            let index = EndpointIndex(self.next_index);
+            self.next_index += 1;
+            self.rows
+                .insert(name.clone(), EndpointRow::new(record, index));
+            changes.push(DirectoryChange::Appeared(name));
+            return;
+        };
+        if record.draining && !row.record.draining {
+            changes.push(DirectoryChange::Draining(name));
+        }
+        row.record = record;
+    }
+
+    fn drop_missing(&mut self, listed: &[EndpointName], changes: &mut Vec<DirectoryChange>) {
+        let missing: Vec<EndpointName> = self
+            .rows
+            .keys()
+            .filter(|name| !listed.contains(name))
+            .cloned()
+            .collect();
+        for name in missing {
+            self.rows.remove(&name);
+            changes.push(DirectoryChange::Gone(name));
+        }
+    }
+
+    fn rebuild(&mut self) {
+        self.by_address.clear();
+        self.by_service.clear();
+        let mut names: Vec<&EndpointName> = self.rows.keys().collect();
+        names.sort();
+        for name in names {
+            let record = &self.rows[name].record;
+            self.by_address.insert(record.address, name.clone());
+            let service = self.by_service.entry(record.service.clone()).or_default();
+            service.push(name.clone());
+        }
+    }
+
+    /// Takes a sidecar's pulse over; says whether it changed what the engine holds.
+    pub fn take_pulse(&mut self, pulse: EnginePulse, now: ClockTime) -> bool {
+        let Some(row) = self
+            .by_address
+            .get(&pulse.engine)
+            .and_then(|name| self.rows.get_mut(name))
+        else {
+            return false;
+        };
+        let kept = row.pulse.as_ref();
+        if kept.is_some_and(|kept| !pulse.number.supersedes(kept.pulse.number)) {
+            return false;
+        }
+        let changed = kept.is_none_or(|kept| {
+            kept.pulse.models != pulse.models
+                || kept.pulse.retiring != pulse.retiring
+                || kept.pulse.draining != pulse.draining
+        });
+        row.load.renew(pulse.load);
+        row.pulse = Some(KeptPulse { pulse, at: now });
+        changed
+    }
+
+    /// An answer told how busy its endpoint is.
+    pub fn take_load(&mut self, name: &EndpointName, load: EndpointLoad) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.load.renew(load);
+        }
+    }
+
+    /// Another endpoint answered at the address: this one is gone.
+    pub fn note_replaced(&mut self, name: &EndpointName) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.gone = true;
+        }
+    }
+
+    /// A request was sent.
+    pub fn note_sent(&mut self, name: &EndpointName, weights: Option<&WeightsKey>) {
+        let Some(row) = self.rows.get_mut(name) else {
+            return;
+        };
+        row.own += 1;
+        row.load.sent_since += 1;
+        if let Some(key) = weights.and_then(WeightsKey::adapter_key) {
+            *row.adapters.entry(key).or_default() += 1;
+        }
+    }
+
+    /// The prompt's parts will be kept at the endpoint.
+    pub fn note_prompt(&mut self, name: &EndpointName, chain: &[u64], now: ClockTime) {
+        if let Some(row) = self.rows.get(name) {
+            self.prefixes.learn(row.index, chain, now);
+        }
+    }
+
+    /// The first piece of an answer came.
+    pub fn note_first(&mut self, name: &EndpointName, took: Duration, now: ClockTime) {
+        let Some(row) = self.rows.get_mut(name) else {
+            return;
+        };
+        let predicted = Duration::from_secs_f64(row.first.mean_ms() / 1e3);
+        row.first.note(took);
+        let index = row.index;
+        self.judge(index, AttemptEvidence::FirstFrame { took, predicted }, now);
+    }
+
+    /// Nothing came from the endpoint since `since`.
+    pub fn note_silence(&mut self, name: &EndpointName, since: ClockTime, now: ClockTime) {
+        if let Some(row) = self.rows.get(name) {
+            self.judge(row.index, AttemptEvidence::Silent { since }, now);
+        }
+    }
+
+    /// A request is over at its endpoint.
+    pub fn note_end(
+        &mut self,
+        name: &EndpointName,
+        weights: Option<&WeightsKey>,
+        outcome: EndpointOutcome,
+        now: ClockTime,
+    ) {
+        let Some(row) = self.rows.get_mut(name) else {
+            return;
+        };
+        row.own = row.own.saturating_sub(1);
+        row.load.ended_since += 1;
+        let key = weights.and_then(WeightsKey::adapter_key);
+        if let Some(requests) = key.and_then(|key| row.adapters.get_mut(&key)) {
+            *requests = requests.saturating_sub(1);
+        }
+        let index = row.index;
+        match outcome {
+            EndpointOutcome::Whole { held } => {
+                row.hold.note(held);
+                row.failures.note(0.0, now);
+                self.judge(index, AttemptEvidence::Ended, now);
+            }
+            EndpointOutcome::ServerError => row.failures.note(ERROR_BLAME, now),
+            EndpointOutcome::Refused => row.failures.note(REFUSAL_BLAME, now),
+            EndpointOutcome::Unreachable => {
+                row.failures.note(1.0, now);
+                self.judge(index, AttemptEvidence::ConnectFailed, now);
+            }
+            EndpointOutcome::Broken => {
+                row.failures.note(1.0, now);
+                self.judge(index, AttemptEvidence::Cut, now);
+            }
+            EndpointOutcome::Abandoned => {}
+        }
+    }
+
+    fn judge(&mut self, index: EndpointIndex, evidence: AttemptEvidence, now: ClockTime) {
+        match self.health.note(index, evidence, now) {
+            Some(HealthChange::Eject(fault)) => self.health.eject(index, fault, now),
+            Some(HealthChange::Reinstate) => self.health.reinstate(index, now),
+            None => {}
+        }
+    }
+
+    /// What is wrong with an endpoint, unless it is time to try it again.
+    #[must_use]
+    pub fn fault(&self, row: &EndpointRow, now: ClockTime) -> Option<EndpointFault> {
+        let fault = self.health.fault(row.index)?;
+        (!self.health.probe_due(row.index, now)).then_some(fault)
+    }
+
+    /// Notes that an ejected endpoint gets a request to see whether it works again.
+    pub fn note_probe(&mut self, name: &EndpointName, now: ClockTime) {
+        if let Some(row) = self.rows.get(name)
+            && self.health.fault(row.index).is_some()
+        {
+            self.health.start_probe(row.index, now);
+        }
+    }
+
+    /// An endpoint by its name.
+    #[must_use]
+    pub fn row(&self, name: &EndpointName) -> Option<&EndpointRow> {
+        self.rows.get(name)
+    }
+
+    /// The endpoints of a service, in a fixed order.
+    pub fn service(&self, service: &PoolName) -> impl Iterator<Item = &EndpointRow> {
+        let names = self.by_service.get(service);
+        names.into_iter().flatten().map(|name| &self.rows[name])
+    }
+
+    /// All endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &EndpointRow> {
+        self.rows.values()
+    }
+
+    /// Who keeps how many leading parts of a prompt.
+    #[must_use]
+    pub fn prefixes(&self) -> &PrefixIndex {
+        &self.prefixes
+    }
+
+    /// The adapters that this gateway uses at an endpoint, or used since it was last asked.
+    pub fn take_used(&mut self, name: &EndpointName) -> Vec<AdapterKey> {
+        let Some(row) = self.rows.get_mut(name) else {
+            return Vec::new();
+        };
+        let used = row.adapters.keys().cloned().collect();
+        row.adapters.retain(|_, requests| *requests > 0);
+        used
+    }
+}
--- /dev/null
+++ b/crates/oatpier-serving/src/lib.rs
@@ -0,0 +1,41 @@
+//! Decisions of gateways and sidecars, as plain state machines.
+//!
+//! A gateway takes callers' requests and sends them straight to endpoints; a sidecar runs beside
+//! an engine and is the only process that gives it orders. Everything here goes from an event and
+//! the time to a decision, without I/O, clocks or `async`; what is random comes from a seeded
+//! generator.
+//!
+//! What is known:
+//! - [`node`]: what a process is told about itself.
+//! - [`site`]: the operator's configuration: routes, services, models.
+//! - [`call`]: a caller's request, decoded.
+//! - [`engine`]: what an engine reports, and orders to it.
+//! - [`message`]: what gateways and sidecars tell each other.
+//! - [`directory`]: the endpoints, from the registry, pulses and answers.
+//!
+//! What is decided at a gateway:
+//! - [`choice`]: which endpoint gets a request, and whether it would be in time.
+//! - [`health`]: which endpoints are to be avoided, on evidence of the data path.
+//! - [`admission`]: when a request that can't be in time is refused, and when it should return.
+//! - [`budget`]: how many requests may be sent a second time.
+//! - [`demand`]: how much each model is asked for.
+//! - [`planner`]: which engine should load which model next.
+//! - [`peers`]: which gateways there are, and which of them plans.
+//!
+//! What is decided at a sidecar:
+//! - [`residency`]: which order its engine gets next, within memory, slots and the shared pace.
+
+pub mod admission;
+pub mod budget;
+pub mod call;
+pub mod choice;
+pub mod demand;
+pub mod directory;
+pub mod engine;
+pub mod health;
+pub mod message;
+pub mod node;
+pub mod peers;
+pub mod planner;
+pub mod residency;
+pub mod site;
--- /dev/null
+++ b/crates/oatpier-serving/src/message.rs
@@ -0,0 +1,153 @@
+//! What gateways and sidecars tell each other, in datagrams.
+//!
+//! Every message stands for itself and is repeated, so that a lost, doubled or late one does no
+//! harm: receivers keep the one with the highest number of its sender's incarnation.
+
+use std::net::SocketAddr;
+
+use oatpier_types::names::{DaemonName, ModelName, ZoneName};
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum InnerMessage {
+    /// A sidecar about its engine.
+    Pulse(Box<EnginePulse>),
+    /// A gateway asks a sidecar for pulses, and says what it uses there.
+    Greeting(GatewayGreeting),
+    /// A gateway needs an adapter at a sidecar's engine.
+    AdapterWanted(AdapterWish),
+    /// A gateway to its peers.
+    Peer(Box<PeerReport>),
+    /// The planner to a sidecar.
+    Advice(LoadAdvice),
+}
+
+/// The order of messages of one sender: later incarnations and numbers are newer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct MessageNumber {
+    /// Drawn at each start. Not ordered in time: a change means a new incarnation.
+    pub boot: u64,
+    /// Rises with each message of an incarnation.
+    pub number: u64,
+}
+
+impl MessageNumber {
+    /// Whether a message supersedes the last one that was kept.
+    #[must_use]
+    pub fn supersedes(self, kept: Self) -> bool {
+        self.boot != kept.boot || self.number > kept.number
+    }
+}
+
+/// A sidecar's account of its engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EnginePulse {
+    /// Its place among the sidecar's pulses.
+    pub number: MessageNumber,
+    /// Where the engine is.
+    pub engine: SocketAddr,
+    /// Whether the engine answers its sidecar.
+    pub answers: bool,
+    /// The engine's load.
+    pub load: EndpointLoad,
+    /// Memory in use, in tokens.
+    pub memory_used: u64,
+    /// Memory in all, in tokens.
+    pub memory_total: u64,
+    /// What it holds and keeps.
+    pub models: Vec<HeldModel>,
+    /// Models that it is about to unload: to get no new requests.
+    pub retiring: Vec<ModelName>,
+    /// The model that it is loading.
+    pub loading: Option<ModelName>,
+    /// Adapters on their way.
+    pub coming: Vec<AdapterKey>,
+    /// Adapters that could be loaded without waiting for requests that use others.
+    pub adapter_room: u32,
+    /// What it can load again by itself.
+    pub copies: LocalCopies,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// How long until it may load from the weight store, in milliseconds.
+    pub load_wait_ms: u32,
+    /// Where the gateways that greet this sidecar are.
+    pub gateways: Vec<SocketAddr>,
+}
+
+/// A gateway's greeting to a sidecar.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayGreeting {
+    /// Adapters that this gateway's requests use there, or used since its last greeting.
+    pub used: Vec<AdapterKey>,
+    /// Engines that the registry lists: the shared load rate is divided by it.
+    pub engines: u32,
+    /// Loads from the weight store that all engines may begin in one window.
+    pub loads_per_window: u32,
+    /// Adapters that an engine has room for.
+    pub adapter_slots: u32,
+}
+
+/// A gateway waits for an adapter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdapterWish {
+    /// The adapter.
+    pub key: AdapterKey,
+    /// Adapters that an engine has room for.
+    pub slots: u32,
+}
+
+/// A gateway's report to its peers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerReport {
+    /// Its place among the gateway's reports.
+    pub number: MessageNumber,
+    /// The gateway.
+    pub name: DaemonName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether it is on its way out, and should not plan.
+    pub leaving: bool,
+    /// What its callers ask for.
+    pub demand: Vec<ModelDemand>,
+}
+
+/// How much a gateway's callers ask for a model.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ModelDemand {
+    /// The model.
+    pub model: ModelName,
+    /// Requests of it that are at engines, on average.
+    pub running: f32,
+    /// Requests of it that wait for it to be loaded, or were turned away for want of room, a
+    /// second.
+    pub unserved: f32,
+    /// Adapters of it that were asked for lately.
+    pub adapters: u32,
+    /// How long ago it was asked for last, in milliseconds.
+    pub idle_ms: u32,
+}
+
+/// The planner's advice to a sidecar. The sidecar checks memory and pace by itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadAdvice {
+    /// The model to load.
+    pub load: ModelName,
+    /// Models to unload before, if they are still there.
+    pub unload: Vec<ModelName>,
+    /// The sizes of the model and of everything that the engine holds, in MB.
+    pub sizes: Vec<ModelSize>,
+    /// Memory for models, in MB.
+    pub room_mb: f64,
+}
+
+/// The size of a model's weights.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ModelSize {
+    /// The model.
+    pub model: ModelName,
+    /// Its size, in MB.
+    pub size_mb: f64,
+}
--- /dev/null
+++ b/crates/oatpier-serving/src/peers.rs
@@ -0,0 +1,120 @@
+//! Which gateways there are, and which of them plans.
+//!
+//! A gateway counts as there while it was heard of within [`PEER_LIFE`]. The one with the lowest
+//! address plans. While gateways disagree, two may plan: sidecars keep every promise by
+//! themselves, so this costs a few loads at most.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::ModelName;
+
+use crate::message::{ModelDemand, PeerReport};
+
+/// A gateway that was not heard of for this long is gone, stopped or cut off: four reports.
+pub const PEER_LIFE: Duration = Duration::from_secs(1);
+
+/// An address that greeted a sidecar is told reports for this long after it was last named.
+const ADDRESS_LIFE: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Clone)]
+struct KeptReport {
+    report: PeerReport,
+    at: ClockTime,
+}
+
+/// The other gateways.
+#[derive(Debug)]
+pub struct PeerBook {
+    own: SocketAddr,
+    named: HashMap<SocketAddr, ClockTime>,
+    reports: HashMap<SocketAddr, KeptReport>,
+}
+
+/// The demand of all gateways for one model.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TotalDemand {
+    /// Requests at engines, on average.
+    pub running: f64,
+    /// Requests that can't be served, a second.
+    pub unserved: f64,
+    /// Adapters that were asked for lately, at the gateway that saw most of them: gateways see much
+    /// the same ones.
+    pub adapters: f64,
+    /// The time since it was asked for last; none if never.
+    pub idle: Option<Duration>,
+}
+
+impl PeerBook {
+    /// No peers yet.
+    #[must_use]
+    pub fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            named: HashMap::new(),
+            reports: HashMap::new(),
+        }
+    }
+
+    /// A sidecar named gateways that greet it.
+    pub fn note_named(&mut self, gateways: &[SocketAddr], now: ClockTime) {
+        for address in gateways.iter().filter(|address| **address != self.own) {
+            self.named.insert(*address, now);
+        }
+    }
+
+    /// A peer reported. An older report than the one that is kept changes nothing.
+    pub fn take_report(&mut self, from: SocketAddr, report: PeerReport, now: ClockTime) {
+        let kept = self.reports.get(&from).map(|kept| kept.report.number);
+        if kept.is_none_or(|kept| report.number.supersedes(kept)) {
+            self.reports.insert(from, KeptReport { report, at: now });
+            self.named.insert(from, now);
+        }
+    }
+
+    /// Where reports go.
+    pub fn addresses(&mut self, now: ClockTime) -> Vec<SocketAddr> {
+        self.named
+            .retain(|_, named_at| now.since(*named_at) < ADDRESS_LIFE);
+        self.reports
+            .retain(|_, kept| now.since(kept.at) < ADDRESS_LIFE);
+        self.named.keys().copied().collect()
+    }
+
+    /// How many gateways there are, this one included.
+    #[must_use]
+    pub fn count(&self, now: ClockTime) -> usize {
+        1 + self.live(now).count()
+    }
+
+    /// The gateway that plans.
+    #[must_use]
+    pub fn planner(&self, now: ClockTime) -> SocketAddr {
+        let peers = self.live(now).filter(|(_, kept)| !kept.report.leaving);
+        peers.map(|(address, _)| *address).fold(self.own, Ord::min)
+    }
+
+    /// The demand of all gateways, this one's own included.
+    #[must_use]
+    pub fn total(&self, own: &[ModelDemand], now: ClockTime) -> HashMap<ModelName, TotalDemand> {
+        let mut total: HashMap<ModelName, TotalDemand> = HashMap::new();
+        let reported = self.live(now).flat_map(|(_, kept)| &kept.report.demand);
+        for demand in own.iter().chain(reported) {
+            let sum = total.entry(demand.model.clone()).or_default();
+            let idle = Duration::from_millis(u64::from(demand.idle_ms));
+            sum.running += f64::from(demand.running);
+            sum.unserved += f64::from(demand.unserved);
+            sum.adapters = sum.adapters.max(f64::from(demand.adapters));
+            sum.idle = Some(sum.idle.map_or(idle, |known| known.min(idle)));
+        }
+        total
+    }
+
+    fn live(&self, now: ClockTime) -> impl Iterator<Item = (&SocketAddr, &KeptReport)> {
+        self.reports
+            .iter()
+            .filter(move |(_, kept)| now.since(kept.at) < PEER_LIFE)
+    }
+}
--- /dev/null
+++ b/crates/oatpier-serving/src/planner.rs
@@ -0,0 +1,428 @@
+//! Which engine should load which model next.
+//!
+//! Demand moves between models within seconds, and a load takes from half a second to four. Each
+//! round looks for the most urgent gap: a model that is asked for and that nobody holds, then a
+//! model whose holders are much busier than another engine would be with it. It answers with one
+//! load at a time and engine, the victims included; the sidecar there checks memory and pace.
+//!
+//! The last holder of a model is a victim only where nobody has asked for the model for long, or
+//! where a model that is asked for has no holder at all: every model stays reachable, and one that
+//! was dropped comes back when it is asked for.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{EndpointName, ModelName};
+
+use crate::directory::EndpointRow;
+use crate::message::{LoadAdvice, ModelSize};
+use crate::peers::TotalDemand;
+use crate::site::EngineRule;
+
+/// How long advice is waited for before the engine gets other advice: a datagram, a notice to
+/// gateways, and an order.
+const ADVICE_LIFE: Duration = Duration::from_millis(700);
+
+/// How long a request holds a slot, for turning refusals a second into slots. Between the means of
+/// long and short streams.
+const HOLD_S: f64 = 0.7;
+
+/// How much of an adapter's place counts as load: places that are all taken cost less than slots
+/// that are, since an adapter that rests gives way within milliseconds.
+const ADAPTER_WEIGHT: f64 = 0.6;
+
+/// How much busier than its new holder an engine must be, as a share of its slots, before a
+/// model gets another replica. Below, the load costs more than the balance gains.
+const REPLICA_GAIN: f64 = 0.18;
+
+/// The share of its slots above which an engine's models get replicas.
+const BUSY_SHARE: f64 = 0.35;
+
+/// What a load from the weight store weighs against one from the engine's own copies, in shares
+/// of an engine's slots.
+const STORE_LOAD_PRICE: f64 = 0.15;
+
+/// What dropping the last holder of a model weighs, in shares of an engine's slots: a model that
+/// was asked for lately, one that was asked for long ago, and one that nobody ever asked for.
+const LAST_RECENT_PRICE: f64 = 0.6;
+const LAST_OLD_PRICE: f64 = 0.2;
+const LAST_UNASKED_PRICE: f64 = 0.05;
+
+/// A model that was asked for within this time is likely to be asked for again.
+const RECENT: Duration = Duration::from_secs(10);
+
+/// Loads from the weight store that may be advised at once, as seconds of its rate.
+const BURST_S: f64 = 1.2;
+
+/// Advice that an engine was given.
+#[derive(Debug, Clone)]
+struct GivenAdvice {
+    model: ModelName,
+    at: ClockTime,
+}
+
+/// Advice for one engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlannedLoad {
+    /// The engine.
+    pub endpoint: EndpointName,
+    /// The advice.
+    pub advice: LoadAdvice,
+    /// Why.
+    pub reason: LoadReason,
+}
+
+/// Why a load is advised.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadReason {
+    /// The model is asked for, and nobody holds it.
+    Unreachable,
+    /// The model's holders are too busy.
+    Busy,
+}
+
+/// Plans loads; remembers what was advised and not yet seen.
+#[derive(Debug, Default)]
+pub struct LoadPlanner {
+    given: HashMap<EndpointName, GivenAdvice>,
+    tokens: f64,
+    at: ClockTime,
+}
+
+/// One engine during a round.
+#[derive(Debug)]
+struct EngineView<'a> {
+    row: &'a EndpointRow,
+    held: Vec<&'a ModelName>,
+    /// The share of its slots, or of its places for adapters, that its models' demand takes.
+    load: f64,
+    free: bool,
+}
+
+/// One model during a round.
+#[derive(Debug, Clone, Copy, Default)]
+struct ModelView {
+    holders: f64,
+    /// Engines that its demand would fill: by slots, or by places for adapters.
+    want: f64,
+    idle: Option<Duration>,
+    unserved: f64,
+}
+
+impl ModelView {
+    fn share(&self) -> f64 {
+        self.want / self.holders.max(1.0)
+    }
+}
+
+/// What a round works on.
+struct PlanRound<'a> {
+    rule: &'a EngineRule,
+    engines: Vec<EngineView<'a>>,
+    models: HashMap<&'a ModelName, ModelView>,
+    slots: f64,
+    now: ClockTime,
+}
+
+/// A possible load.
+struct LoadOption {
+    engine: usize,
+    unload: Vec<ModelName>,
+    price: f64,
+    from_store: bool,
+}
+
+impl LoadPlanner {
+    /// Plans the next loads of one service's engines.
+    pub fn plan<'a>(
+        &mut self,
+        rule: &'a EngineRule,
+        rows: impl Iterator<Item = &'a EndpointRow>,
+        demand: &HashMap<ModelName, TotalDemand>,
+        now: ClockTime,
+    ) -> Vec<PlannedLoad> {
+        self.refill(rule, now);
+        self.given
+            .retain(|_, given| now.since(given.at) < ADVICE_LIFE);
+        let mut round = self.round(rule, rows, demand, now);
+        let mut planned = Vec::new();
+        for model in round.unreachable() {
+            self.advise(&mut round, &model, LoadReason::Unreachable, &mut planned);
+        }
+        for model in round.busiest() {
+            self.advise(&mut round, &model, LoadReason::Busy, &mut planned);
+        }
+        planned
+    }
+
+    fn refill(&mut self, rule: &EngineRule, now: ClockTime) {
+        let gained = now.since(self.at).as_secs_f64() * rule.loads_per_s;
+        self.tokens = (self.tokens + gained).min((rule.loads_per_s * BURST_S).max(1.0));
+        self.at = now;
+    }
+
+    fn round<'a>(
+        &self,
+        rule: &'a EngineRule,
+        rows: impl Iterator<Item = &'a EndpointRow>,
+        demand: &HashMap<ModelName, TotalDemand>,
+        now: ClockTime,
+    ) -> PlanRound<'a> {
+        let engines: Vec<EngineView<'a>> = rows
+            .filter(|row| row.is_open(now))
+            .map(|row| self.engine_view(row, now))
+            .collect();
+        let slots = engines.first().map_or(1, |view| view.row.record.slots);
+        let mut round = PlanRound {
+            rule,
+            engines,
+            models: HashMap::new(),
+            slots: f64::from(slots.max(1)),
+            now,
+        };
+        round.count_models(demand, &self.given);
+        round.spread_load();
+        round
+    }
+
+    fn engine_view<'a>(&self, row: &'a EndpointRow, now: ClockTime) -> EngineView<'a> {
+        let held = row.models(now).iter().map(|held| &held.model);
+        let held = held.filter(|model| row.holds(model, now)).collect();
+        let is_idle = |pulse: &crate::message::EnginePulse| {
+            pulse.answers && pulse.loading.is_none() && pulse.retiring.is_empty()
+        };
+        let free = row.pulse(now).is_some_and(is_idle);
+        EngineView {
+            row,
+            held,
+            load: 0.0,
+            free: free && !self.given.contains_key(&row.record.name),
+        }
+    }
+
+    fn advise(
+        &mut self,
+        round: &mut PlanRound<'_>,
+        model: &ModelName,
+        reason: LoadReason,
+        planned: &mut Vec<PlannedLoad>,
+    ) {
+        let Some(option) = round.best_option(model, reason, self.tokens >= 1.0) else {
+            return;
+        };
+        if option.from_store {
+            self.tokens -= 1.0;
+        }
+        let load = round.advice(&option, model, reason);
+        self.given.insert(
+            load.endpoint.clone(),
+            GivenAdvice {
+                model: model.clone(),
+                at: round.now,
+            },
+        );
+        round.engines[option.engine].free = false;
+        planned.push(load);
+    }
+}
+
+impl PlanRound<'_> {
+    fn count_models(
+        &mut self,
+        demand: &HashMap<ModelName, TotalDemand>,
+        given: &HashMap<EndpointName, GivenAdvice>,
+    ) {
+        for rule in &self.rule.models {
+            let total = demand.get(&rule.name).copied().unwrap_or_default();
+            let holders = self.holders(&rule.name, given);
+            let by_slots = (total.running + total.unserved * HOLD_S) / self.slots;
+            let places = f64::from(u32::try_from(self.rule.adapter_slots).unwrap_or(u32::MAX));
+            let by_adapters = total.adapters * ADAPTER_WEIGHT / places.max(1.0);
+            let view = ModelView {
+                holders,
+                want: by_slots.max(by_adapters),
+                idle: total.idle,
+                unserved: total.unserved,
+            };
+            self.models.insert(&rule.name, view);
+        }
+    }
+
+    /// Engines that hold the model, are loading it, or were advised to.
+    fn holders(&self, model: &ModelName, given: &HashMap<EndpointName, GivenAdvice>) -> f64 {
+        let counts = |view: &&EngineView<'_>| {
+            let advised = given.get(&view.row.record.name);
+            view.held.contains(&model)
+                || view.row.is_loading(model, self.now)
+                || advised.is_some_and(|advice| advice.model == *model)
+        };
+        let holders = self.engines.iter().filter(counts).count();
+        f64::from(u32::try_from(holders).unwrap_or(u32::MAX))
+    }
+
+    fn spread_load(&mut self) {
+        for view in &mut self.engines {
+            let shares = view.held.iter().filter_map(|model| self.models.get(*model));
+            view.load = shares.map(ModelView::share).sum();
+        }
+    }
+
+    /// Models that are asked for and that nobody holds, the most wanted first.
+    fn unreachable(&self) -> Vec<ModelName> {
+        let mut missing: Vec<(&ModelName, f64)> = self
+            .models
+            .iter()
+            .filter(|(_, view)| view.holders < 1.0 && view.unserved > 0.05)
+            .map(|(model, view)| (*model, view.unserved))
+            .collect();
+        missing.sort_by(|one, other| other.1.total_cmp(&one.1).then(one.0.cmp(other.0)));
+        missing
+            .into_iter()
+            .map(|(model, _)| model.clone())
+            .collect()
+    }
+
+    /// Models of the busiest engines, those that bring them most load first.
+    fn busiest(&self) -> Vec<ModelName> {
+        let busy = self.engines.iter().filter(|view| view.load > BUSY_SHARE);
+        let mut models: Vec<(&ModelName, f64)> = busy
+            .flat_map(|view| view.held.iter().map(|model| (*model, view.load)))
+            .map(|(model, load)| (model, load.min(self.models[model].share() * 2.0)))
+            .collect();
+        models.sort_by(|one, other| other.1.total_cmp(&one.1).then(one.0.cmp(other.0)));
+        let mut names: Vec<ModelName> =
+            models.into_iter().map(|(model, _)| model.clone()).collect();
+        names.dedup();
+        names.truncate(4);
+        names
+    }
+
+    fn best_option(
+        &self,
+        model: &ModelName,
+        reason: LoadReason,
+        store_open: bool,
+    ) -> Option<LoadOption> {
+        let options =
+            (0..self.engines.len()).filter_map(|engine| self.option(engine, model, reason));
+        let options = options.filter(|option| store_open || !option.from_store);
+        let best = options.min_by(|one, other| one.price.total_cmp(&other.price))?;
+        match reason {
+            LoadReason::Unreachable => Some(best),
+            LoadReason::Busy => self.is_worth_it(&best, model).then_some(best),
+        }
+    }
+
+    /// Whether the busiest holder would be relieved by more than the new one is loaded.
+    fn is_worth_it(&self, option: &LoadOption, model: &ModelName) -> bool {
+        let busiest = self
+            .engines
+            .iter()
+            .filter(|view| view.held.contains(&model))
+            .map(|view| view.load)
+            .fold(0.0, f64::max);
+        let share = self.new_share(model);
+        busiest - (option.price + share) > REPLICA_GAIN
+    }
+
+    /// The share of an engine's slots that the model takes there with one more replica.
+    fn new_share(&self, model: &ModelName) -> f64 {
+        let view = self.models[model];
+        view.want / (view.holders + 1.0)
+    }
+
+    fn option(&self, engine: usize, model: &ModelName, reason: LoadReason) -> Option<LoadOption> {
+        let view = &self.engines[engine];
+        if !view.free || view.held.contains(&model) {
+            return None;
+        }
+        let pulse = view.row.pulse(self.now)?;
+        let from_store = !pulse.copies.has(model);
+        if from_store && pulse.load_wait_ms > 0 {
+            return None;
+        }
+        let (unload, victims_price) = self.victims(view, model, reason)?;
+        let store_price = if from_store { STORE_LOAD_PRICE } else { 0.0 };
+        Some(LoadOption {
+            engine,
+            unload,
+            price: view.load + victims_price + store_price,
+            from_store,
+        })
+    }
+
+    /// The cheapest models that make room, and what losing them weighs.
+    fn victims(
+        &self,
+        view: &EngineView<'_>,
+        model: &ModelName,
+        reason: LoadReason,
+    ) -> Option<(Vec<ModelName>, f64)> {
+        let room = self.rule.model_room_mb();
+        let needed = self.rule.model(model)?.size_mb;
+        let mut used: f64 = view.held.iter().map(|held| self.size(held)).sum();
+        let mut candidates: Vec<(&ModelName, f64)> = view
+            .held
+            .iter()
+            .map(|held| (*held, self.loss(held)))
+            .collect();
+        candidates.sort_by(|one, other| one.1.total_cmp(&other.1));
+        let mut unload = Vec::new();
+        let mut price = 0.0;
+        for (victim, loss) in candidates {
+            if used + needed <= room {
+                break;
+            }
+            if reason == LoadReason::Busy && loss >= LAST_RECENT_PRICE {
+                return None;
+            }
+            used -= self.size(victim);
+            price += loss;
+            unload.push(victim.clone());
+        }
+        (used + needed <= room).then_some((unload, price))
+    }
+
+    fn size(&self, model: &ModelName) -> f64 {
+        // A model that the configuration no longer names takes all room: it is never kept beside
+        // another one by a wrong guess.
+        let rule = self.rule.model(model);
+        rule.map_or(self.rule.weights_mb, |rule| rule.size_mb)
+    }
+
+    /// What losing a model at one engine weighs, in shares of an engine's slots.
+    fn loss(&self, model: &ModelName) -> f64 {
+        let Some(view) = self.models.get(model) else {
+            return 0.0;
+        };
+        let spread = view.share();
+        if view.holders > 1.0 {
+            return spread / (view.holders - 1.0);
+        }
+        match view.idle {
+            Some(idle) if idle < RECENT => LAST_RECENT_PRICE + spread,
+            Some(_) => LAST_OLD_PRICE,
+            None => LAST_UNASKED_PRICE,
+        }
+    }
+
+    fn advice(&self, option: &LoadOption, model: &ModelName, reason: LoadReason) -> PlannedLoad {
+        let view = &self.engines[option.engine];
+        let held = view.row.models(self.now).iter().map(|held| &held.model);
+        let sizes = held.chain([model]).map(|model| ModelSize {
+            model: model.clone(),
+            size_mb: self.size(model),
+        });
+        PlannedLoad {
+            endpoint: view.row.record.name.clone(),
+            advice: LoadAdvice {
+                load: model.clone(),
+                unload: option.unload.clone(),
+                sizes: sizes.collect(),
+                room_mb: self.rule.model_room_mb(),
+            },
+            reason,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oatpier-serving/src/residency.rs
@@ -0,0 +1,417 @@
+//! Which order an engine gets next.
+//!
+//! A sidecar is the only process that orders its engine about, so what it keeps here holds however
+//! the fleet is cut: weights never exceed the engine's memory, adapters never its slots, and loads
+//! from the weight store never the sidecar's part of the shared rate. Gateways only wish.
+//!
+//! Every order names the sequence that the engine must be at. An order whose answer was lost may be
+//! carried out seconds later; by then either it was given again under the same sequence, and only
+//! one of the two is taken, or another order has moved the sequence on, and the late one is void.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::ModelName;
+use smallvec::SmallVec;
+
+use crate::engine::{AdapterKey, EngineOrder, EngineReport, HeldModel, OrderAnswer};
+use crate::message::{AdapterWish, GatewayGreeting, LoadAdvice};
+
+/// From telling gateways that a model is going to the order that unloads it: pulses reach them
+/// within a few milliseconds, and requests that were sent before are at the engine by then.
+const RETIRE_NOTICE: Duration = Duration::from_millis(30);
+
+/// Advice that could not be carried out for this long is dropped: demand has moved on. Unloading
+/// waits for the engine's requests, up to their deadlines.
+const ADVICE_LIFE: Duration = Duration::from_secs(12);
+
+/// A wish for an adapter that is this old is dropped; who still waits repeats it.
+const WISH_LIFE: Duration = Duration::from_millis(300);
+
+/// An adapter that was used within this time counts as in use: longer than from one greeting of a
+/// gateway, which names those in use, to the next.
+const ADAPTER_REST: Duration = Duration::from_millis(600);
+
+/// An adapter whose unloading waits for its requests is offered again if the engine has not dropped
+/// it after this long: the order was lost.
+const UNLOAD_LIFE: Duration = Duration::from_secs(4);
+
+/// Adapters that an engine may have on their way at the same time, by its interface.
+const ADAPTERS_COMING: usize = 4;
+
+/// The pace of loads from the weight store that one sidecar keeps to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadPace {
+    /// Loads that all engines may begin within [`LoadPace::window`].
+    pub loads: u32,
+    /// Engines among which they are divided.
+    pub engines: u32,
+    /// The window.
+    pub window: Duration,
+}
+
+impl LoadPace {
+    /// The time from one load of this engine to its next one, so that all engines together keep
+    /// the rate without asking each other.
+    #[must_use]
+    pub fn spacing(&self) -> Duration {
+        let each = f64::from(self.loads) / f64::from(self.engines.max(1));
+        if each >= 1.0 {
+            self.window / u32::max(self.loads / self.engines.max(1), 1)
+        } else {
+            self.window.div_f64(each.max(0.01))
+        }
+    }
+}
+
+/// An order, and the sequence that the engine must be at.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NumberedOrder {
+    /// What to do.
+    pub order: EngineOrder,
+    /// Orders that the engine must have accepted before.
+    pub expect: u64,
+}
+
+#[derive(Debug)]
+struct KeptAdvice {
+    advice: LoadAdvice,
+    at: ClockTime,
+}
+
+#[derive(Debug, Clone)]
+struct KeptWish {
+    key: AdapterKey,
+    at: ClockTime,
+}
+
+/// The decisions about one engine.
+#[derive(Debug)]
+pub struct EngineResidency {
+    pace: LoadPace,
+    report: Option<EngineReport>,
+    advice: Option<KeptAdvice>,
+    retiring: SmallVec<[ModelName; 2]>,
+    retiring_since: ClockTime,
+    loading: Option<ModelName>,
+    wishes: VecDeque<KeptWish>,
+    used: HashMap<AdapterKey, ClockTime>,
+    /// Adapters that the engine was told to unload, and since when.
+    unloading: Vec<KeptWish>,
+    slots: usize,
+    next_store_load: ClockTime,
+    /// A load from the weight store whose answer was lost: given again before anything else.
+    unsettled: Option<NumberedOrder>,
+}
+
+impl EngineResidency {
+    /// Decisions that begin now. A process that was restarted does not know when its predecessor
+    /// loaded last, so it waits a whole spacing; `first_start` says that there was none.
+    #[must_use]
+    pub fn new(pace: LoadPace, first_start: bool, now: ClockTime) -> Self {
+        let wait = if first_start {
+            Duration::ZERO
+        } else {
+            pace.spacing()
+        };
+        Self {
+            pace,
+            report: None,
+            advice: None,
+            retiring: SmallVec::new(),
+            retiring_since: now,
+            loading: None,
+            wishes: VecDeque::new(),
+            used: HashMap::new(),
+            unloading: Vec::new(),
+            slots: 0,
+            next_store_load: now + wait,
+            unsettled: None,
+        }
+    }
+
+    /// The engine reported.
+    pub fn take_report(&mut self, report: EngineReport) {
+        let settled = self
+            .unsettled
+            .as_ref()
+            .is_some_and(|order| order.expect != report.sequence);
+        if settled {
+            self.unsettled = None;
+        }
+        let holds = |model: &ModelName| report.models.iter().any(|held| held.model == *model);
+        if !report.busy || self.loading.as_ref().is_some_and(holds) {
+            self.loading = None;
+        }
+        self.retiring.retain(|model| holds(model));
+        self.unloading
+            .retain(|kept| held_adapters(&report).any(|key| key == kept.key));
+        if self
+            .advice
+            .as_ref()
+            .is_some_and(|kept| holds(&kept.advice.load))
+        {
+            self.advice = None;
+            self.retiring.clear();
+        }
+        self.report = Some(report);
+    }
+
+    /// The engine does not answer, or was restarted: nothing is known of it.
+    pub fn forget_engine(&mut self) {
+        self.report = None;
+        self.loading = None;
+        self.unsettled = None;
+        self.unloading.clear();
+        self.retiring.clear();
+    }
+
+    /// The last report.
+    #[must_use]
+    pub fn report(&self) -> Option<&EngineReport> {
+        self.report.as_ref()
+    }
+
+    /// A gateway greeted.
+    pub fn take_greeting(&mut self, greeting: &GatewayGreeting, now: ClockTime) {
+        if greeting.engines > 0 {
+            self.pace.engines = greeting.engines;
+            self.pace.loads = greeting.loads_per_window;
+        }
+        self.slots = greeting.adapter_slots as usize;
+        for key in &greeting.used {
+            self.used.insert(key.clone(), now);
+        }
+    }
+
+    /// A gateway waits for an adapter.
+    pub fn take_wish(&mut self, wish: AdapterWish, now: ClockTime) {
+        self.slots = wish.slots as usize;
+        self.used.insert(wish.key.clone(), now);
+        match self.wishes.iter_mut().find(|kept| kept.key == wish.key) {
+            Some(kept) => kept.at = now,
+            None => self.wishes.push_back(KeptWish {
+                key: wish.key,
+                at: now,
+            }),
+        }
+    }
+
+    /// The planner advises a load. Advice that is being carried out is finished first.
+    pub fn take_advice(&mut self, advice: LoadAdvice, now: ClockTime) {
+        if self.advice.is_none() && self.loading.is_none() {
+            self.retiring_since = now;
+            self.retiring = advice.unload.iter().cloned().collect();
+            self.advice = Some(KeptAdvice { advice, at: now });
+        }
+    }
+
+    /// Models that are about to be unloaded.
+    #[must_use]
+    pub fn retiring(&self) -> &[ModelName] {
+        &self.retiring
+    }
+
+    /// The model that is being loaded, or will be next.
+    #[must_use]
+    pub fn loading(&self) -> Option<&ModelName> {
+        let advised = self.advice.as_ref().map(|kept| &kept.advice.load);
+        self.loading.as_ref().or(advised)
+    }
+
+    /// How long until it may load from the weight store.
+    #[must_use]
+    pub fn store_load_wait(&self, now: ClockTime) -> Duration {
+        self.next_store_load.since(now)
+    }
+
+    /// The next order, if there is one to give.
+    pub fn next_order(&mut self, now: ClockTime) -> Option<NumberedOrder> {
+        let expect = self.report.as_ref()?.sequence;
+        if let Some(unsettled) = &self.unsettled {
+            return Some(unsettled.clone());
+        }
+        let order = self.adapter_order(now).or_else(|| self.model_order(now))?;
+        Some(NumberedOrder { order, expect })
+    }
+
+    /// An order was answered, or its answer was lost.
+    pub fn note_answer(&mut self, numbered: &NumberedOrder, answer: OrderAnswer, now: ClockTime) {
+        match &numbered.order {
+            EngineOrder::LoadModel(model) => self.note_load(model.clone(), numbered, answer, now),
+            EngineOrder::UnloadAdapter(key) if answer == OrderAnswer::Taken => {
+                self.unloading.push(KeptWish {
+                    key: key.clone(),
+                    at: now,
+                });
+            }
+            _ => {}
+        }
+        // What the engine holds, and its sequence, may have moved: the next order needs a new
+        // report.
+        self.report = None;
+    }
+
+    fn note_load(
+        &mut self,
+        model: ModelName,
+        numbered: &NumberedOrder,
+        answer: OrderAnswer,
+        now: ClockTime,
+    ) {
+        match answer {
+            OrderAnswer::Taken => {
+                self.unsettled = None;
+                self.charge_load(&model, now);
+                self.loading = Some(model);
+            }
+            OrderAnswer::Unknown => {
+                self.charge_load(&model, now);
+                self.unsettled = Some(numbered.clone());
+            }
+            OrderAnswer::Holds | OrderAnswer::Rejected => {
+                self.unsettled = None;
+                self.advice = None;
+            }
+            OrderAnswer::Conflict => {}
+        }
+    }
+
+    fn charge_load(&mut self, model: &ModelName, now: ClockTime) {
+        let local = self
+            .report
+            .as_ref()
+            .is_some_and(|report| report.copies.has(model));
+        if !local {
+            self.next_store_load = now + self.pace.spacing();
+        }
+    }
+
+    fn adapter_order(&mut self, now: ClockTime) -> Option<EngineOrder> {
+        let report = self.report.as_ref()?;
+        self.unloading
+            .retain(|kept| now.since(kept.at) < UNLOAD_LIFE);
+        self.wishes
+            .retain(|wish| now.since(wish.at) < WISH_LIFE && is_needed(report, &wish.key));
+        let wish = self.wishes.front()?;
+        if report.coming.len() >= ADAPTERS_COMING {
+            return None;
+        }
+        if places_taken(report) < self.slots {
+            return Some(EngineOrder::LoadAdapter(wish.key.clone()));
+        }
+        // Each unloading makes room for one wish; more would throw out what is in use.
+        if self.unloading.len() >= self.wishes.len() {
+            return None;
+        }
+        let victim = self.idlest_adapter(report)?;
+        Some(EngineOrder::UnloadAdapter(victim))
+    }
+
+    /// The adapter that was used least lately. If all of them are in use, the engine drops it once
+    /// its requests are over.
+    fn idlest_adapter(&self, report: &EngineReport) -> Option<AdapterKey> {
+        held_adapters(report)
+            .filter(|key| !self.is_unloading(key))
+            .min_by_key(|key| self.used_at(key))
+    }
+
+    fn used_at(&self, key: &AdapterKey) -> ClockTime {
+        self.used.get(key).copied().unwrap_or(ClockTime::ZERO)
+    }
+
+    fn is_unloading(&self, key: &AdapterKey) -> bool {
+        self.unloading.iter().any(|kept| kept.key == *key)
+    }
+
+    /// What gateways may send requests for: an adapter that is being unloaded refuses them.
+    #[must_use]
+    pub fn offered(&self) -> Vec<HeldModel> {
+        let mut models = match &self.report {
+            Some(report) => report.models.clone(),
+            None => Vec::new(),
+        };
+        for kept in &self.unloading {
+            for held in models
+                .iter_mut()
+                .filter(|held| held.model == kept.key.model)
+            {
+                held.adapters.retain(|adapter| *adapter != kept.key.adapter);
+            }
+        }
+        models
+    }
+
+    /// Adapters that could be loaded without waiting for requests that use others.
+    #[must_use]
+    pub fn adapter_room(&self, now: ClockTime) -> u32 {
+        let Some(report) = &self.report else {
+            return 0;
+        };
+        let free = self.slots.saturating_sub(places_taken(report));
+        let idle = held_adapters(report)
+            .filter(|key| !self.is_unloading(key) && now.since(self.used_at(key)) >= ADAPTER_REST)
+            .count();
+        let wished = self.wishes.len().saturating_sub(self.unloading.len());
+        u32::try_from((free + idle).saturating_sub(wished)).unwrap_or(u32::MAX)
+    }
+
+    fn model_order(&mut self, now: ClockTime) -> Option<EngineOrder> {
+        let report = self.report.as_ref()?;
+        let kept = self.advice.as_ref()?;
+        if report.busy || self.loading.is_some() {
+            return None;
+        }
+        if now.since(kept.at) > ADVICE_LIFE || !can_fit(report, &kept.advice) {
+            self.advice = None;
+            self.retiring.clear();
+            return None;
+        }
+        let from_store = !report.copies.has(&kept.advice.load);
+        if from_store && self.next_store_load > now {
+            return None;
+        }
+        let is_held = |model: &&ModelName| report.models.iter().any(|held| held.model == **model);
+        if let Some(victim) = kept.advice.unload.iter().find(is_held) {
+            let told = now.since(self.retiring_since) >= RETIRE_NOTICE;
+            return told.then(|| EngineOrder::UnloadModel(victim.clone()));
+        }
+        Some(EngineOrder::LoadModel(kept.advice.load.clone()))
+    }
+}
+
+/// Places for adapters that are taken.
+fn places_taken(report: &EngineReport) -> usize {
+    let held: usize = report.models.iter().map(|held| held.adapters.len()).sum();
+    held + report.coming.len()
+}
+
+fn held_adapters(report: &EngineReport) -> impl Iterator<Item = AdapterKey> {
+    report.models.iter().flat_map(|held| {
+        held.adapters.iter().map(|adapter| AdapterKey {
+            model: held.model.clone(),
+            adapter: adapter.clone(),
+        })
+    })
+}
+
+/// Whether a wish still needs an order: its model is there, and the adapter neither there nor
+/// coming.
+fn is_needed(report: &EngineReport, key: &AdapterKey) -> bool {
+    let held = report.models.iter().find(|held| held.model == key.model);
+    held.is_some_and(|held| !held.adapters.contains(&key.adapter)) && !report.coming.contains(key)
+}
+
+/// Whether the engine's memory holds everything once the advice is carried out. A held model whose
+/// size is not told could be of any size: an engine that is ordered to hold too much crashes.
+fn can_fit(report: &EngineReport, advice: &LoadAdvice) -> bool {
+    let size_of = |model: &ModelName| {
+        let row = advice.sizes.iter().find(|row| row.model == *model);
+        row.map(|row| row.size_mb)
+    };
+    let stays = |model: &&ModelName| !advice.unload.contains(*model);
+    let kept = report.models.iter().map(|held| &held.model).filter(stays);
+    let sizes: Option<f64> = kept.chain([&advice.load]).map(size_of).sum();
+    sizes.is_some_and(|sum| sum <= advice.room_mb)
+}
--- a/crates/oatpier-standin/src/engine/core.rs
+++ b/crates/oatpier-standin/src/engine/core.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use oatpier_platform::engine::OrderError;
+use oatpier_ports::engine::OrderError;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::engine::{
     CacheEvent, EngineOrder, EngineRole, EngineState, LoadReport, OrderAction, WeightsKey,
--- a/crates/oatpier-standin/src/engine/http.rs
+++ b/crates/oatpier-standin/src/engine/http.rs
@@ -6,7 +6,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http::{Response, StatusCode};
-use oatpier_platform::engine::OrderError;
+use oatpier_ports::engine::OrderError;
 use oatpier_types::engine::EngineOrder;
 use oatpier_types::ids::{AttemptId, OrderNumber};
 use serde::Serialize;
--- a/crates/oatpier-standin/src/engine/local.rs
+++ b/crates/oatpier-standin/src/engine/local.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use oatpier_platform::engine::{EngineControl, OrderError, ReportError};
+use oatpier_ports::engine::{EngineControl, OrderError, ReportError};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::engine::{CacheEvent, EngineOrder, EngineState, LoadReport};
 use oatpier_types::ids::AttemptId;
--- a/crates/oatpier-standin/src/lib.rs
+++ b/crates/oatpier-standin/src/lib.rs
@@ -1,7 +1,7 @@
 //! Small stand-ins of the platform, for tests and the quickstart only.
 //!
 //! Each stand-in has three layers: a plain core that takes the time as an argument, an in-process
-//! form on the runtime's clock that implements the trait of `oatpier-platform` (a test that pauses
+//! form on the runtime's clock that implements the trait of `oatpier-ports` (a test that pauses
 //! the clock uses this one), and an HTTP server around the in-process form. Faults are switched on
 //! in the in-process form or by `POST /standin/faults`, so that all ways in meet the same faults.
 //!
--- a/crates/oatpier-standin/src/store/core.rs
+++ b/crates/oatpier-standin/src/store/core.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use oatpier_platform::store::{ExpectedValue, KeyChange, LeaseId, StoreError, StoredValue};
+use oatpier_ports::store::{ExpectedValue, KeyChange, LeaseId, StoreError, StoredValue};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::ids::Revision;
 
--- a/crates/oatpier-standin/src/store/http.rs
+++ b/crates/oatpier-standin/src/store/http.rs
@@ -10,7 +10,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http::{HeaderValue, Response, StatusCode};
-use oatpier_platform::store::{ExpectedValue, KeyStore, LeaseId, StoreError};
+use oatpier_ports::store::{ExpectedValue, KeyStore, LeaseId, StoreError};
 use oatpier_types::ids::Revision;
 use serde::Serialize;
 
--- a/crates/oatpier-standin/src/store/local.rs
+++ b/crates/oatpier-standin/src/store/local.rs
@@ -6,9 +6,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use oatpier_platform::store::{
-    ExpectedValue, KeyChange, KeyStore, LeaseId, StoreError, StoredValue,
-};
+use oatpier_ports::store::{ExpectedValue, KeyChange, KeyStore, LeaseId, StoreError, StoredValue};
 use oatpier_types::ids::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
--- a/crates/oatpier-standin/src/vms.rs
+++ b/crates/oatpier-standin/src/vms.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http::StatusCode;
-use oatpier_platform::vms::{VmList, VmListError, VmRow};
+use oatpier_ports::vms::{VmList, VmListError, VmRow};
 use oatpier_types::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 
--- a/crates/oatpier-standin/src/work.rs
+++ b/crates/oatpier-standin/src/work.rs
@@ -6,7 +6,7 @@
 use futures::{FutureExt, StreamExt};
 use http::{HeaderValue, StatusCode};
 use http_body_util::BodyExt;
-use oatpier_platform::work::{CallError, EndpointAnswer, EndpointCall, EndpointWork};
+use oatpier_ports::work::{CallError, EndpointAnswer, EndpointCall, EndpointWork};
 use oatpier_types::ids::AttemptId;
 use oatpier_types::verdict::RunVerdict;
 
--- a/crates/oatpier-standin/tests/testsuite/engine_http.rs
+++ b/crates/oatpier-standin/tests/testsuite/engine_http.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use oatpier_platform::engine::{EngineControl, OrderError};
-use oatpier_platform::http::{EndpointKind, HttpEngine, HttpWork};
-use oatpier_platform::work::EndpointWork;
+use oatpier_ports::engine::{EngineControl, OrderError};
+use oatpier_ports::http::{EndpointKind, HttpEngine, HttpWork};
+use oatpier_ports::work::EndpointWork;
 use oatpier_standin::answer::answer_text;
 use oatpier_standin::clock::StandinClock;
 use oatpier_standin::engine::{EngineFaults, EngineOptions, LocalEngine, start_engine};
--- a/crates/oatpier-standin/tests/testsuite/orders.rs
+++ b/crates/oatpier-standin/tests/testsuite/orders.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oatpier_platform::engine::OrderError;
+use oatpier_ports::engine::OrderError;
 use oatpier_standin::engine::{
     EngineFaults, EngineOptions, EngineRequest, OutputKind, SubmitError,
 };
--- a/crates/oatpier-standin/tests/testsuite/service.rs
+++ b/crates/oatpier-standin/tests/testsuite/service.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use oatpier_platform::http::{EndpointKind, HttpWork};
-use oatpier_platform::work::EndpointWork;
+use oatpier_ports::http::{EndpointKind, HttpWork};
+use oatpier_ports::work::EndpointWork;
 use oatpier_standin::clock::StandinClock;
 use oatpier_standin::service::{LocalService, ServiceCall, ServiceFaults, start_service};
 use oatpier_standin::work::LocalWork;
--- a/crates/oatpier-standin/tests/testsuite/store.rs
+++ b/crates/oatpier-standin/tests/testsuite/store.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use oatpier_platform::http::HttpStore;
-use oatpier_platform::store::{ExpectedValue, KeyStore, StoreError};
+use oatpier_ports::http::HttpStore;
+use oatpier_ports::store::{ExpectedValue, KeyStore, StoreError};
 use oatpier_standin::store::{DownMode, LocalStore, StoreFaults, start_store};
 use oatpier_types::ids::Revision;
 use tokio::time::{Instant, sleep};
--- a/crates/oatpier-standin/tests/testsuite/vms.rs
+++ b/crates/oatpier-standin/tests/testsuite/vms.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use oatpier_platform::http::HttpVmList;
-use oatpier_platform::vms::{VmDuty, VmList, VmRow, VmState};
+use oatpier_ports::http::HttpVmList;
+use oatpier_ports::vms::{VmDuty, VmList, VmRow, VmState};
 use oatpier_standin::vms::{LocalVms, VmsFaults, start_vms};
 use oatpier_types::names::{DaemonName, VmName, ZoneName};
 
--- a/crates/oatpier/src/context.rs
+++ b/crates/oatpier/src/context.rs
@@ -5,8 +5,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use oatpier_platform::http::HttpStore;
-use oatpier_platform::store::KeyStore;
+use oatpier_ports::http::HttpStore;
+use oatpier_ports::store::KeyStore;
 use serde::Serialize;
 use tokio::runtime::{Builder, Runtime};
 
--- a/crates/oatpier/src/error.rs
+++ b/crates/oatpier/src/error.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use miette::Diagnostic;
-use oatpier_platform::store::StoreError;
+use oatpier_ports::store::StoreError;
 use oatpier_types::config::fault::ConfigErrors;
 use oatpier_types::config::reach::ReachReport;
 use oatpier_types::config::record::merge::MergeError;
--- a/crates/oatpier/src/ops/apply.rs
+++ b/crates/oatpier/src/ops/apply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use oatpier_platform::store::{KeyStore, StoreError};
+use oatpier_ports::store::{KeyStore, StoreError};
 use oatpier_types::config::FleetConfig;
 use oatpier_types::config::record::merge::{ChangeProposal, MergeStep};
 use oatpier_types::config::record::{CONFIG_KEY, ConfigRecord};
--- a/crates/oatpier/src/ops/record_store.rs
+++ b/crates/oatpier/src/ops/record_store.rs
@@ -1,6 +1,6 @@
 //! Reading the configuration record from the store.
 
-use oatpier_platform::store::{ExpectedValue, KeyStore, StoreError};
+use oatpier_ports::store::{ExpectedValue, KeyStore, StoreError};
 use oatpier_types::config::record::{CONFIG_KEY, ConfigRecord, RecordError};
 use thiserror::Error;
 
--- a/crates/oatpier/src/ops/stops.rs
+++ b/crates/oatpier/src/ops/stops.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use oatpier_membership::stops::STOP_PREFIX;
-use oatpier_platform::store::{ExpectedValue, KeyStore, StoreError};
+use oatpier_ports::store::{ExpectedValue, KeyStore, StoreError};
 use oatpier_types::config::FleetConfig;
 use oatpier_types::config::fault::nearest_name;
 use oatpier_types::config::reach::check_reach;
--- a/crates/oatpier/tests/testsuite/apply.rs
+++ b/crates/oatpier/tests/testsuite/apply.rs
@@ -6,7 +6,7 @@
 use oatpier::error::{CommandError, EXIT_CLASH, EXIT_UNCERTAIN, EXIT_UNREACHED};
 use oatpier::ops::apply::{ChangeRequest, apply_change};
 use oatpier::ops::record_store::read_record;
-use oatpier_platform::store::KeyStore;
+use oatpier_ports::store::KeyStore;
 use oatpier_standin::store::{DownMode, LocalStore, StoreFaults};
 use oatpier_types::config::FleetConfig;
 use oatpier_types::config::record::ConfigRecord;
--- a/crates/oatpierd/examples/quickstart/fleet.rs
+++ b/crates/oatpierd/examples/quickstart/fleet.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use oatpier_platform::http::HttpStore;
-use oatpier_platform::store::{ExpectedValue, KeyStore};
-use oatpier_platform::vms::{VmDuty, VmRow, VmState};
+use oatpier_ports::http::HttpStore;
+use oatpier_ports::store::{ExpectedValue, KeyStore};
+use oatpier_ports::vms::{VmDuty, VmRow, VmState};
 use oatpier_standin::clock::StandinClock;
 use oatpier_standin::engine::{EngineOptions, LocalEngine, start_engine};
 use oatpier_standin::serve::Running;
--- a/crates/oatpierd/src/cli.rs
+++ b/crates/oatpierd/src/cli.rs
@@ -50,6 +50,8 @@
         .arg_required_else_help(true)
         .subcommand(commands::entry::cli())
         .subcommand(commands::agent::cli())
+        .subcommand(commands::gateway::cli())
+        .subcommand(commands::sidecar::cli())
         .after_help(EXIT_CODES)
 }
 
@@ -62,6 +64,8 @@
     match matches.subcommand() {
         Some(("entry", matches)) => commands::entry::exec(matches),
         Some(("agent", matches)) => commands::agent::exec(matches),
+        Some(("gateway", matches)) => commands::gateway::exec(matches),
+        Some(("sidecar", matches)) => commands::sidecar::exec(matches),
         _ => unreachable!("clap requires one of the subcommands"),
     }
 }
--- a/crates/oatpierd/src/commands/mod.rs
+++ b/crates/oatpierd/src/commands/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod agent;
 pub mod entry;
+pub mod gateway;
+pub mod node;
+pub mod sidecar;
 
 use std::path::PathBuf;
 
