Give adapters places by exact use, and plan for places as for slots

A sidecar told its engine to unload adapters in use; the engine then takes no other order until their requests are over, and every further order was refused. Requests waited for adapters past their callers' patience (2 s for streams).

What: gateways name the adapters that their requests use; only idle ones are unloaded, others yield first. Waiting for weights ends before the caller's patience. The planner counts places for adapters beside slots.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -13,10 +13,11 @@
 use oatpier_serving::demand::DemandBook;
 use oatpier_serving::directory::{EndpointDirectory, EndpointOutcome, EndpointRecord};
 use oatpier_serving::engine::EndpointLoad;
-use oatpier_serving::message::{AdapterWish, EnginePulse, InnerMessage};
+use oatpier_serving::message::{AdapterWish, EnginePulse, GatewayGreeting, InnerMessage};
+use oatpier_serving::node::NodeBounds;
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
-use oatpier_serving::site::{RouteRule, SiteConfig};
+use oatpier_serving::site::{EngineRule, RouteKind, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{DaemonName, EndpointName, PoolName, ZoneName};
 use oatpier_types::refusal::{Refusal, RefusalCause};
@@ -44,12 +45,21 @@
 /// caller does better to come back.
 const WEIGHTS_WAIT_SHARE: f64 = 0.4;
 
+/// Callers of streams leave when nothing came for the longest of: two seconds, four times the target
+/// of the first piece, and eight times the longest pause that is in time.
+const PATIENCE_LEAST: Duration = Duration::from_secs(2);
+const PATIENCE_TARGETS: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
 /// While no engine is loading the model yet, a request waits so long for the planner to act.
 const PLANNER_WAIT: Duration = Duration::from_millis(400);
 
 /// When to come back where a model has to be loaded: about one load.
 const MODEL_RETURN: Duration = Duration::from_millis(900);
 
+/// When to come back where an adapter found no place in time: places are free when streams end.
+const ADAPTER_RETURN: Duration = Duration::from_millis(300);
+
 /// When to come back where no endpoint is there, or none is known yet.
 const ABSENT_RETURN: Duration = Duration::from_millis(500);
 
@@ -121,6 +131,23 @@
     pub deadline: ClockTime,
 }
 
+impl RequestPlan {
+    /// How long its caller waits for the first piece of the answer.
+    fn first_patience(&self) -> Duration {
+        let whole = self.deadline.since(self.arrived);
+        let RouteKind::Stream { pause, .. } = self.route.kind else {
+            return whole;
+        };
+        let first = (pause * PATIENCE_PAUSES).max(self.route.target * PATIENCE_TARGETS);
+        whole.min(first.max(PATIENCE_LEAST))
+    }
+
+    /// How long it waits for weights at the most.
+    fn weights_patience(&self) -> Duration {
+        self.first_patience().mul_f64(WEIGHTS_WAIT_SHARE)
+    }
+}
+
 /// What is to be done with a request now.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Placement {
@@ -287,7 +314,7 @@
     /// What is to be done with a request now. `waited` says since when it waits for weights.
     pub fn place(&self, plan: &RequestPlan, excluded: &[EndpointName]) -> Placement {
         let now = self.clock.now();
-        let left = plan.deadline.since(now);
+        let left = (plan.arrived + plan.first_patience()).since(now);
         let mut state = self.lock();
         let engine = state.config.as_ref().and_then(|config| {
             let service = config.service(&plan.service)?;
@@ -331,6 +358,13 @@
         };
         let address = row.record.address;
         if choice.needs_adapter {
+            if now.since(plan.arrived) > plan.weights_patience() {
+                self.note_unserved(state, plan, now);
+                let refusal = state
+                    .judge
+                    .refusal(RefusalCause::WeightsMissing, ADAPTER_RETURN);
+                return Placement::Refuse(refusal);
+            }
             let sidecar = SocketAddr::new(address.ip(), self.inner_port);
             self.wish(plan.request.weights.as_ref(), sidecar, engine.unwrap_or(0));
             return Placement::Wait(ADAPTER_RETRY);
@@ -382,10 +416,35 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let weights = plan.request.weights.as_ref();
-        state.directory.note_end(endpoint, weights, outcome, now);
+        let makes_room = state.directory.note_end(endpoint, weights, outcome, now);
         if let Some(weights) = weights {
             state.demand.note_ended(&weights.model, now);
         }
+        let greeting = makes_room.then(|| self.greeting(&mut state, &plan.service, endpoint));
+        drop(state);
+        if let Some((sidecar, greeting)) = greeting.flatten() {
+            self.outlet.send(sidecar, &InnerMessage::Greeting(greeting));
+        }
+    }
+
+    /// The greeting of one engine's sidecar, and where it goes.
+    pub(super) fn greeting(
+        &self,
+        state: &mut CoreState,
+        service: &PoolName,
+        endpoint: &EndpointName,
+    ) -> Option<(SocketAddr, GatewayGreeting)> {
+        let config = state.config.clone()?;
+        let rule = config.service(service)?.engine.as_ref()?;
+        let address = state.directory.row(endpoint)?.record.address;
+        let engines = state.directory.service(service).count();
+        let greeting = GatewayGreeting {
+            used: state.directory.take_used(endpoint),
+            engines: u32::try_from(engines).unwrap_or(u32::MAX),
+            loads_per_window: loads_per_window(&self.settings.borrow().bounds, rule),
+            adapter_slots: u32::try_from(rule.adapter_slots).unwrap_or(u32::MAX),
+        };
+        Some((SocketAddr::new(address.ip(), self.inner_port), greeting))
     }
 
     /// The first piece of an answer came.
@@ -431,10 +490,7 @@
     now: ClockTime,
 ) -> Placement {
     let waited = now.since(plan.arrived);
-    let most = plan
-        .deadline
-        .since(plan.arrived)
-        .mul_f64(WEIGHTS_WAIT_SHARE);
+    let most = plan.weights_patience();
     let patience = if loading {
         most
     } else {
@@ -449,6 +505,21 @@
     Placement::Refuse(refusal)
 }
 
+/// The share of the weight store's bound that sidecars divide among themselves. The rest covers
+/// loads whose answers were lost, and engines that not all sidecars have heard of yet.
+const LOAD_SHARE: f64 = 0.9;
+
+/// Loads that all engines may begin in one window.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a positive product far below the type's bound"
+)]
+fn loads_per_window(bounds: &NodeBounds, rule: &EngineRule) -> u32 {
+    let loads = rule.loads_per_s * bounds.load_window.as_secs_f64() * bounds.load_margin;
+    (loads * LOAD_SHARE).floor().max(1.0) as u32
+}
+
 fn shown(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -96,23 +96,11 @@
         return Vec::new();
     };
     let mut greetings = Vec::new();
-    for (service, rule) in engine_services(&config) {
-        let engines: Vec<(EndpointName, SocketAddr)> = state
-            .directory
-            .service(service)
-            .map(|row| (row.record.name.clone(), row.record.address))
-            .collect();
-        let count = u32::try_from(engines.len()).unwrap_or(u32::MAX);
-        let loads = loads_per_window(core, rule);
-        for (name, address) in engines {
-            let greeting = GatewayGreeting {
-                used: state.directory.take_used(&name),
-                engines: count,
-                loads_per_window: loads,
-                adapter_slots: u32::try_from(rule.adapter_slots).unwrap_or(u32::MAX),
-            };
-            let sidecar = SocketAddr::new(address.ip(), core.inner_port);
-            greetings.push((sidecar, greeting));
+    for (service, _) in engine_services(&config) {
+        let rows = state.directory.service(service);
+        let engines: Vec<EndpointName> = rows.map(|row| row.record.name.clone()).collect();
+        for engine in engines {
+            greetings.extend(core.greeting(&mut state, service, &engine));
         }
     }
     greetings
@@ -123,22 +111,6 @@
     services.filter_map(|service| Some((&service.name, service.engine.as_ref()?)))
 }
 
-/// The share of the weight store's bound that sidecars divide among themselves. The rest covers
-/// loads whose answers were lost, and engines that not all sidecars have heard of yet.
-const LOAD_SHARE: f64 = 0.9;
-
-/// Loads that all engines may begin in one window.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a positive product far below the type's bound"
-)]
-fn loads_per_window(core: &GatewayCore, rule: &EngineRule) -> u32 {
-    let bounds = core.settings.borrow().bounds;
-    let loads = rule.loads_per_s * bounds.load_window.as_secs_f64() * bounds.load_margin;
-    (loads * LOAD_SHARE).floor().max(1.0) as u32
-}
-
 /// Reports demand to peers.
 struct PeerReporter<'a> {
     core: &'a GatewayCore,
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -42,6 +42,9 @@
 /// the order may still come through.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(300);
 
+/// After an order that crossed another one, the next one waits this long.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Loads that the weight store bears before a gateway has said how many; one a window for each
 /// engine is far below any rate.
 const UNKNOWN_PACE: LoadPace = LoadPace {
@@ -172,7 +175,7 @@
         match message {
             InnerMessage::Greeting(greeting) => {
                 self.pulses.note_gateway(from, now);
-                self.residency.take_greeting(&greeting, now);
+                self.residency.take_greeting(from, &greeting, now);
             }
             InnerMessage::AdapterWanted(wish) => {
                 self.pulses.note_gateway(from, now);
@@ -237,8 +240,10 @@
 
     async fn give(&mut self, order: &NumberedOrder) {
         let answer = self.link.order(order).await;
-        if answer == OrderAnswer::Unknown {
-            self.paused_until = Instant::now() + UNANSWERED_PAUSE;
+        match answer {
+            OrderAnswer::Unknown => self.paused_until = Instant::now() + UNANSWERED_PAUSE,
+            OrderAnswer::Conflict => self.paused_until = Instant::now() + CONFLICT_PAUSE,
+            OrderAnswer::Taken | OrderAnswer::Holds | OrderAnswer::Rejected => {}
         }
         self.residency.note_answer(order, answer, self.clock.now());
         self.log_order(order, answer);
--- a/crates/oatpier-serving/src/directory.rs
+++ b/crates/oatpier-serving/src/directory.rs
@@ -19,7 +19,7 @@
     AttemptEvidence, EndpointFault, FailureShare, HealthChange, HealthSettings, HealthTracker,
     PaceEstimate,
 };
-use crate::message::EnginePulse;
+use crate::message::{AdapterUse, EnginePulse};
 
 /// How long after the store has come back an entry that is missing from the registry may still
 /// be written again by its endpoint. The platform promises about two seconds.
@@ -491,23 +491,27 @@
         }
     }
 
-    /// A request is over at its endpoint.
+    /// A request is over at its endpoint. Says whether its adapter is now free to make room where
+    /// there was none.
     pub fn note_end(
         &mut self,
         name: &EndpointName,
         weights: Option<&WeightsKey>,
         outcome: EndpointOutcome,
         now: ClockTime,
-    ) {
+    ) -> bool {
         let Some(row) = self.rows.get_mut(name) else {
-            return;
+            return false;
         };
         row.own = row.own.saturating_sub(1);
         row.load.ended_since += 1;
         let key = weights.and_then(WeightsKey::adapter_key);
-        if let Some(requests) = key.and_then(|key| row.adapters.get_mut(&key)) {
+        let requests = key.and_then(|key| row.adapters.get_mut(&key));
+        let freed = requests.is_some_and(|requests| {
             *requests = requests.saturating_sub(1);
-        }
+            *requests == 0
+        });
+        let makes_room = freed && row.adapter_room(now) == 0;
         let index = row.index;
         match outcome {
             EndpointOutcome::Whole { held } => {
@@ -527,6 +531,7 @@
             }
             EndpointOutcome::Abandoned => {}
         }
+        makes_room
     }
 
     fn judge(&mut self, index: EndpointIndex, evidence: AttemptEvidence, now: ClockTime) {
@@ -577,11 +582,15 @@
     }
 
     /// The adapters that this gateway uses at an endpoint, or used since it was last asked.
-    pub fn take_used(&mut self, name: &EndpointName) -> Vec<AdapterKey> {
+    pub fn take_used(&mut self, name: &EndpointName) -> Vec<AdapterUse> {
         let Some(row) = self.rows.get_mut(name) else {
             return Vec::new();
         };
-        let used = row.adapters.keys().cloned().collect();
+        let used = row.adapters.iter().map(|(key, requests)| AdapterUse {
+            key: key.clone(),
+            requests: *requests,
+        });
+        let used = used.collect();
         row.adapters.retain(|_, requests| *requests > 0);
         used
     }
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -81,7 +81,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayGreeting {
     /// Adapters that this gateway's requests use there, or used since its last greeting.
-    pub used: Vec<AdapterKey>,
+    pub used: Vec<AdapterUse>,
     /// Engines that the registry lists: the shared load rate is divided by it.
     pub engines: u32,
     /// Loads from the weight store that all engines may begin in one window.
@@ -90,6 +90,15 @@
     pub adapter_slots: u32,
 }
 
+/// A gateway's use of an adapter at one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdapterUse {
+    /// The adapter.
+    pub key: AdapterKey,
+    /// Requests that use it now.
+    pub requests: u32,
+}
+
 /// A gateway waits for an adapter.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterWish {
--- a/crates/oatpier-serving/src/planner.rs
+++ b/crates/oatpier-serving/src/planner.rs
@@ -28,9 +28,13 @@
 /// long and short streams.
 const HOLD_S: f64 = 0.7;
 
-/// How much of an adapter's place counts as load: places that are all taken cost less than slots
-/// that are, since an adapter that rests gives way within milliseconds.
-const ADAPTER_WEIGHT: f64 = 0.6;
+/// How much of a place for an adapter counts as load: places that are all in use cost less than slots
+/// that are, since one is free as soon as the streams of one adapter have ended.
+const ADAPTER_WEIGHT: f64 = 0.7;
+
+/// A model that takes less than this share of an engine gets no further replica: another model there
+/// is the cause of the load.
+const LEAST_SHARE: f64 = 0.1;
 
 /// How much busier than its new holder an engine must be, as a share of its slots, before a
 /// model gets another replica. Below, the load costs more than the balance gains.
@@ -95,24 +99,62 @@
 struct EngineView<'a> {
     row: &'a EndpointRow,
     held: Vec<&'a ModelName>,
-    /// The share of its slots, or of its places for adapters, that its models' demand takes.
-    load: f64,
+    /// What its models' demand takes of it.
+    load: EngineShare,
     free: bool,
 }
 
+/// A part of an engine, as its requests take slots and its adapters take places.
+#[derive(Debug, Clone, Copy, Default)]
+struct EngineShare {
+    slots: f64,
+    places: f64,
+}
+
+impl EngineShare {
+    fn divided(self, holders: f64) -> Self {
+        Self {
+            slots: self.slots / holders,
+            places: self.places / holders,
+        }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            slots: self.slots + other.slots,
+            places: self.places + other.places,
+        }
+    }
+
+    /// The load by whichever is scarcer.
+    fn load(self) -> f64 {
+        self.slots.max(self.places * ADAPTER_WEIGHT)
+    }
+
+    /// What of it counts towards the load of an engine with `whole` on it.
+    fn part_of(self, whole: Self) -> f64 {
+        if whole.slots >= whole.places * ADAPTER_WEIGHT {
+            self.slots
+        } else {
+            self.places * ADAPTER_WEIGHT
+        }
+    }
+}
+
 /// One model during a round.
 #[derive(Debug, Clone, Copy, Default)]
 struct ModelView {
     holders: f64,
-    /// Engines that its demand would fill: by slots, or by places for adapters.
-    want: f64,
+    /// Engines that its demand would fill.
+    want: EngineShare,
     idle: Option<Duration>,
     unserved: f64,
 }
 
 impl ModelView {
-    fn share(&self) -> f64 {
-        self.want / self.holders.max(1.0)
+    /// What it takes of each of its holders.
+    fn share(&self) -> EngineShare {
+        self.want.divided(self.holders.max(1.0))
     }
 }
 
@@ -196,7 +238,7 @@
         EngineView {
             row,
             held,
-            load: 0.0,
+            load: EngineShare::default(),
             free: free && !self.given.contains_key(&row.record.name),
         }
     }
@@ -236,12 +278,14 @@
         for rule in &self.rule.models {
             let total = demand.get(&rule.name).copied().unwrap_or_default();
             let holders = self.holders(&rule.name, given);
-            let by_slots = (total.running + total.unserved * HOLD_S) / self.slots;
+            let requests = total.running + total.unserved * HOLD_S;
             let places = f64::from(u32::try_from(self.rule.adapter_slots).unwrap_or(u32::MAX));
-            let by_adapters = total.adapters * ADAPTER_WEIGHT / places.max(1.0);
             let view = ModelView {
                 holders,
-                want: by_slots.max(by_adapters),
+                want: EngineShare {
+                    slots: requests / self.slots,
+                    places: adapters_in_use(total.adapters, requests) / places.max(1.0),
+                },
                 idle: total.idle,
                 unserved: total.unserved,
             };
@@ -264,7 +308,8 @@
     fn spread_load(&mut self) {
         for view in &mut self.engines {
             let shares = view.held.iter().filter_map(|model| self.models.get(*model));
-            view.load = shares.map(ModelView::share).sum();
+            let shares = shares.map(ModelView::share);
+            view.load = shares.fold(EngineShare::default(), EngineShare::plus);
         }
     }
 
@@ -285,10 +330,16 @@
 
     /// Models of the busiest engines, those that bring them most load first.
     fn busiest(&self) -> Vec<ModelName> {
-        let busy = self.engines.iter().filter(|view| view.load > BUSY_SHARE);
+        let busy = self
+            .engines
+            .iter()
+            .filter(|view| view.load.load() > BUSY_SHARE);
         let mut models: Vec<(&ModelName, f64)> = busy
             .flat_map(|view| view.held.iter().map(|model| (*model, view.load)))
-            .map(|(model, load)| (model, load.min(self.models[model].share() * 2.0)))
+            .filter_map(|(model, load)| {
+                Some((model, self.models.get(model)?.share().part_of(load)))
+            })
+            .filter(|(_, part)| *part >= LEAST_SHARE)
             .collect();
         models.sort_by(|one, other| other.1.total_cmp(&one.1).then(one.0.cmp(other.0)));
         let mut names: Vec<ModelName> =
@@ -320,18 +371,15 @@
             .engines
             .iter()
             .filter(|view| view.held.contains(&model))
-            .map(|view| view.load)
+            .map(|view| view.load.load())
             .fold(0.0, f64::max);
-        let share = self.new_share(model);
+        let share = self
+            .models
+            .get(model)
+            .map_or(0.0, |view| view.want.divided(view.holders + 1.0).load());
         busiest - (option.price + share) > REPLICA_GAIN
     }
 
-    /// The share of an engine's slots that the model takes there with one more replica.
-    fn new_share(&self, model: &ModelName) -> f64 {
-        let view = self.models[model];
-        view.want / (view.holders + 1.0)
-    }
-
     fn option(&self, engine: usize, model: &ModelName, reason: LoadReason) -> Option<LoadOption> {
         let view = &self.engines[engine];
         if !view.free || view.held.contains(&model) {
@@ -347,7 +395,7 @@
         Some(LoadOption {
             engine,
             unload,
-            price: view.load + victims_price + store_price,
+            price: view.load.load() + victims_price + store_price,
             from_store,
         })
     }
@@ -396,7 +444,7 @@
         let Some(view) = self.models.get(model) else {
             return 0.0;
         };
-        let spread = view.share();
+        let spread = view.share().load();
         if view.holders > 1.0 {
             return spread / (view.holders - 1.0);
         }
@@ -426,3 +474,11 @@
         }
     }
 }
+
+/// How many of `adapters` are in use at the same time by `requests` that are spread over them evenly.
+fn adapters_in_use(adapters: f64, requests: f64) -> f64 {
+    if adapters < 1.0 {
+        return 0.0;
+    }
+    adapters * (1.0 - (-requests / adapters).exp())
+}
--- a/crates/oatpier-serving/src/residency.rs
+++ b/crates/oatpier-serving/src/residency.rs
@@ -9,6 +9,7 @@
 //! one of the two is taken, or another order has moved the sequence on, and the late one is void.
 
 use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
@@ -29,13 +30,16 @@
 /// A wish for an adapter that is this old is dropped; who still waits repeats it.
 const WISH_LIFE: Duration = Duration::from_millis(300);
 
-/// An adapter that was used within this time counts as in use: longer than from one greeting of a
-/// gateway, which names those in use, to the next.
-const ADAPTER_REST: Duration = Duration::from_millis(600);
+/// An adapter counts as in use for this long after a gateway last named it: a request may be on its
+/// way to it.
+const ADAPTER_REST: Duration = Duration::from_millis(40);
 
-/// An adapter whose unloading waits for its requests is offered again if the engine has not dropped
-/// it after this long: the order was lost.
-const UNLOAD_LIFE: Duration = Duration::from_secs(4);
+/// What a gateway said it uses counts for this long, three greetings: one that is gone uses nothing.
+const USE_LIFE: Duration = Duration::from_millis(1_600);
+
+/// An adapter that was to make room is offered again after this long: its requests take longer than
+/// whoever wished for the room waits.
+const YIELD_LIFE: Duration = Duration::from_secs(4);
 
 /// Adapters that an engine may have on their way at the same time, by its interface.
 const ADAPTERS_COMING: usize = 4;
@@ -86,6 +90,13 @@
     at: ClockTime,
 }
 
+/// The adapters that one gateway's requests use.
+#[derive(Debug)]
+struct GatewayUse {
+    keys: Vec<AdapterKey>,
+    at: ClockTime,
+}
+
 /// The decisions about one engine.
 #[derive(Debug)]
 pub struct EngineResidency {
@@ -97,8 +108,11 @@
     loading: Option<ModelName>,
     wishes: VecDeque<KeptWish>,
     used: HashMap<AdapterKey, ClockTime>,
-    /// Adapters that the engine was told to unload, and since when.
-    unloading: Vec<KeptWish>,
+    /// Adapters that each gateway's requests use, as it last said.
+    in_use: HashMap<SocketAddr, GatewayUse>,
+    /// Adapters that get no new requests, so that they can be unloaded once theirs are over. An
+    /// engine that is told to unload one in use takes no other order until those are over.
+    yielding: Vec<KeptWish>,
     slots: usize,
     next_store_load: ClockTime,
     /// A load from the weight store whose answer was lost: given again before anything else.
@@ -124,7 +138,8 @@
             loading: None,
             wishes: VecDeque::new(),
             used: HashMap::new(),
-            unloading: Vec::new(),
+            in_use: HashMap::new(),
+            yielding: Vec::new(),
             slots: 0,
             next_store_load: now + wait,
             unsettled: None,
@@ -145,7 +160,7 @@
             self.loading = None;
         }
         self.retiring.retain(|model| holds(model));
-        self.unloading
+        self.yielding
             .retain(|kept| held_adapters(&report).any(|key| key == kept.key));
         if self
             .advice
@@ -163,7 +178,7 @@
         self.report = None;
         self.loading = None;
         self.unsettled = None;
-        self.unloading.clear();
+        self.yielding.clear();
         self.retiring.clear();
     }
 
@@ -174,15 +189,23 @@
     }
 
     /// A gateway greeted.
-    pub fn take_greeting(&mut self, greeting: &GatewayGreeting, now: ClockTime) {
+    pub fn take_greeting(&mut self, from: SocketAddr, greeting: &GatewayGreeting, now: ClockTime) {
         if greeting.engines > 0 {
             self.pace.engines = greeting.engines;
             self.pace.loads = greeting.loads_per_window;
         }
         self.slots = greeting.adapter_slots as usize;
-        for key in &greeting.used {
-            self.used.insert(key.clone(), now);
+        for used in &greeting.used {
+            self.used.insert(used.key.clone(), now);
         }
+        let busy = greeting.used.iter().filter(|used| used.requests > 0);
+        let gateway = GatewayUse {
+            keys: busy.map(|used| used.key.clone()).collect(),
+            at: now,
+        };
+        self.in_use.insert(from, gateway);
+        self.in_use
+            .retain(|_, gateway| now.since(gateway.at) < USE_LIFE);
     }
 
     /// A gateway waits for an adapter.
@@ -228,7 +251,12 @@
 
     /// The next order, if there is one to give.
     pub fn next_order(&mut self, now: ClockTime) -> Option<NumberedOrder> {
-        let expect = self.report.as_ref()?.sequence;
+        let report = self.report.as_ref()?;
+        // While an order is carried out the engine takes no other.
+        if report.busy {
+            return None;
+        }
+        let expect = report.sequence;
         if let Some(unsettled) = &self.unsettled {
             return Some(unsettled.clone());
         }
@@ -238,15 +266,8 @@
 
     /// An order was answered, or its answer was lost.
     pub fn note_answer(&mut self, numbered: &NumberedOrder, answer: OrderAnswer, now: ClockTime) {
-        match &numbered.order {
-            EngineOrder::LoadModel(model) => self.note_load(model.clone(), numbered, answer, now),
-            EngineOrder::UnloadAdapter(key) if answer == OrderAnswer::Taken => {
-                self.unloading.push(KeptWish {
-                    key: key.clone(),
-                    at: now,
-                });
-            }
-            _ => {}
+        if let EngineOrder::LoadModel(model) = &numbered.order {
+            self.note_load(model.clone(), numbered, answer, now);
         }
         // What the engine holds, and its sequence, may have moved: the next order needs a new
         // report.
@@ -290,8 +311,7 @@
 
     fn adapter_order(&mut self, now: ClockTime) -> Option<EngineOrder> {
         let report = self.report.as_ref()?;
-        self.unloading
-            .retain(|kept| now.since(kept.at) < UNLOAD_LIFE);
+        self.yielding.retain(|kept| now.since(kept.at) < YIELD_LIFE);
         self.wishes
             .retain(|wish| now.since(wish.at) < WISH_LIFE && is_needed(report, &wish.key));
         let wish = self.wishes.front()?;
@@ -301,38 +321,44 @@
         if places_taken(report) < self.slots {
             return Some(EngineOrder::LoadAdapter(wish.key.clone()));
         }
-        // Each unloading makes room for one wish; more would throw out what is in use.
-        if self.unloading.len() >= self.wishes.len() {
-            return None;
+        let idle = held_adapters(report).filter(|key| self.is_idle(key, now));
+        if let Some(idlest) = idle.min_by_key(|key| self.used_at(key)) {
+            return Some(EngineOrder::UnloadAdapter(idlest));
+        }
+        // Each one that yields makes room for one wish; more would throw out what is in use.
+        if self.yielding.len() < self.wishes.len() {
+            let next = held_adapters(report)
+                .filter(|key| !self.is_yielding(key))
+                .min_by_key(|key| self.used_at(key))?;
+            self.yielding.push(KeptWish { key: next, at: now });
         }
-        let victim = self.idlest_adapter(report)?;
-        Some(EngineOrder::UnloadAdapter(victim))
+        None
     }
 
-    /// The adapter that was used least lately. If all of them are in use, the engine drops it once
-    /// its requests are over.
-    fn idlest_adapter(&self, report: &EngineReport) -> Option<AdapterKey> {
-        held_adapters(report)
-            .filter(|key| !self.is_unloading(key))
-            .min_by_key(|key| self.used_at(key))
+    fn is_idle(&self, key: &AdapterKey, now: ClockTime) -> bool {
+        let in_use = self
+            .in_use
+            .values()
+            .any(|gateway| gateway.keys.contains(key));
+        !in_use && now.since(self.used_at(key)) >= ADAPTER_REST
     }
 
     fn used_at(&self, key: &AdapterKey) -> ClockTime {
         self.used.get(key).copied().unwrap_or(ClockTime::ZERO)
     }
 
-    fn is_unloading(&self, key: &AdapterKey) -> bool {
-        self.unloading.iter().any(|kept| kept.key == *key)
+    fn is_yielding(&self, key: &AdapterKey) -> bool {
+        self.yielding.iter().any(|kept| kept.key == *key)
     }
 
-    /// What gateways may send requests for: an adapter that is being unloaded refuses them.
+    /// What gateways may send requests for.
     #[must_use]
     pub fn offered(&self) -> Vec<HeldModel> {
         let mut models = match &self.report {
             Some(report) => report.models.clone(),
             None => Vec::new(),
         };
-        for kept in &self.unloading {
+        for kept in &self.yielding {
             for held in models
                 .iter_mut()
                 .filter(|held| held.model == kept.key.model)
@@ -351,16 +377,15 @@
         };
         let free = self.slots.saturating_sub(places_taken(report));
         let idle = held_adapters(report)
-            .filter(|key| !self.is_unloading(key) && now.since(self.used_at(key)) >= ADAPTER_REST)
+            .filter(|key| self.is_idle(key, now))
             .count();
-        let wished = self.wishes.len().saturating_sub(self.unloading.len());
-        u32::try_from((free + idle).saturating_sub(wished)).unwrap_or(u32::MAX)
+        u32::try_from((free + idle).saturating_sub(self.wishes.len())).unwrap_or(u32::MAX)
     }
 
     fn model_order(&mut self, now: ClockTime) -> Option<EngineOrder> {
         let report = self.report.as_ref()?;
         let kept = self.advice.as_ref()?;
-        if report.busy || self.loading.is_some() {
+        if self.loading.is_some() {
             return None;
         }
         if now.since(kept.at) > ADVICE_LIFE || !can_fit(report, &kept.advice) {
