Give slots by rank, and let requests wait at the gateway

What: no ranks at engines; the gateway gives slots by class and lets a request wait for one while it can be in time; times to return grow with the share of refusals; requests are refused from 2.6 s after SIGTERM on.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt at one endpoint.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::request::Parts;
@@ -187,7 +186,6 @@
     let terms = SendTerms {
         instance: endpoint,
         left,
-        rank: placed.is_engine.then(|| rank_of(plan)),
         after_event,
     };
     let request = outgoing(message, terms);
@@ -211,23 +209,6 @@
     request
 }
 
-/// The least and the greatest rank that engines are given; the others are left for what is more
-/// or less urgent than any class.
-const FIRST_RANK: u8 = 1;
-const LAST_RANK: u8 = 8;
-
-/// A class whose first piece may take longer than this goes after those of its priority that are
-/// awaited.
-const PATIENT_TARGET: Duration = Duration::from_millis(600);
-
-/// An engine's rank for a request: by the class's priority, and within it by how long the caller
-/// can wait.
-fn rank_of(plan: &RequestPlan) -> u8 {
-    let patient = u8::from(plan.route.target > PATIENT_TARGET);
-    let rank = FIRST_RANK + plan.route.priority.saturating_mul(2) + patient;
-    rank.min(LAST_RANK)
-}
-
 fn fail_send(error: &SendError, guard: AttemptGuard) -> AttemptFailure {
     let (failure, outcome) = match error.stage {
         SendStage::Connect => (AttemptFailure::Unreachable, EndpointOutcome::Unreachable),
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use oatpier_duty::duty::RuntimeClock;
-use oatpier_serving::admission::AdmissionJudge;
+use oatpier_serving::admission::{AdmissionJudge, AdmissionVerdict};
 use oatpier_serving::budget::RetryAllowance;
 use oatpier_serving::call::{CallerRequest, WeightsKey};
 use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict, EndpointChoice};
@@ -114,6 +114,7 @@
     /// Calls endpoints.
     pub client: HttpClient,
     able: Arc<AtomicBool>,
+    closed: AtomicBool,
 }
 
 /// A request on its way to an endpoint.
@@ -129,6 +130,8 @@
     pub arrived: ClockTime,
     /// When it gets its final answer at the latest.
     pub deadline: ClockTime,
+    /// Whether it was counted as demand that could not be served at once.
+    pub unserved: AtomicBool,
 }
 
 impl RequestPlan {
@@ -166,8 +169,6 @@
     pub choice: EndpointChoice,
     /// Where the endpoint listens.
     pub address: SocketAddr,
-    /// How old the word on its load was, in milliseconds; none without a pulse.
-    pub is_engine: bool,
 }
 
 /// How soon a request that waits for an adapter asks again, and repeats its wish: a load takes 5 to
@@ -217,6 +218,7 @@
                 idle_per_address: IDLE_PER_ENDPOINT,
             }),
             able: inputs.able,
+            closed: AtomicBool::new(false),
         }
     }
 
@@ -224,6 +226,17 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// New requests are refused from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether new requests are refused.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn config(&self) -> Option<Arc<SiteConfig>> {
@@ -314,7 +327,6 @@
     /// What is to be done with a request now. `waited` says since when it waits for weights.
     pub fn place(&self, plan: &RequestPlan, excluded: &[EndpointName]) -> Placement {
         let now = self.clock.now();
-        let left = (plan.arrived + plan.first_patience()).since(now);
         let mut state = self.lock();
         let engine = state.config.as_ref().and_then(|config| {
             let service = config.service(&plan.service)?;
@@ -328,11 +340,15 @@
         };
         match choice::choose(&state.directory, &query, now) {
             ChoiceVerdict::Endpoint(choice) => {
-                if let Err(refusal) = state.judge.admit(&choice, &plan.route, left) {
+                let verdict = state.judge.judge(&choice, &plan.route, plan.arrived, now);
+                if verdict != AdmissionVerdict::Send {
                     self.note_unserved(&mut state, plan, now);
-                    return Placement::Refuse(refusal);
                 }
-                self.place_at(&mut state, plan, choice, engine, now)
+                match verdict {
+                    AdmissionVerdict::Send => self.place_at(&mut state, plan, choice, engine, now),
+                    AdmissionVerdict::Wait(most) => Placement::Wait(most),
+                    AdmissionVerdict::Refuse(refusal) => Placement::Refuse(refusal),
+                }
             }
             ChoiceVerdict::NoModel { loading } => {
                 self.note_unserved(&mut state, plan, now);
@@ -370,11 +386,7 @@
             return Placement::Wait(ADAPTER_RETRY);
         }
         state.directory.note_probe(&choice.endpoint, now);
-        Placement::Send(PlacedSend {
-            choice,
-            address,
-            is_engine: engine.is_some(),
-        })
+        Placement::Send(PlacedSend { choice, address })
     }
 
     fn wish(&self, weights: Option<&WeightsKey>, sidecar: SocketAddr, slots: usize) {
@@ -388,7 +400,11 @@
         }
     }
 
+    /// Counts a request once, however often it looks again.
     fn note_unserved(&self, state: &mut CoreState, plan: &RequestPlan, now: ClockTime) {
+        if plan.unserved.swap(true, Ordering::Relaxed) {
+            return;
+        }
         if let Some(weights) = &plan.request.weights {
             state.demand.note_unserved(&weights.model, now);
             if !state.urgent {
@@ -507,7 +523,10 @@
 
 /// The share of the weight store's bound that sidecars divide among themselves. The rest covers
 /// loads whose answers were lost, and engines that not all sidecars have heard of yet.
-const LOAD_SHARE: f64 = 0.9;
+const LOAD_SHARE: f64 = 0.93;
+
+/// Loads that the weight store lets a window go over its rate, beside the margin.
+const LOAD_ALLOWANCE: f64 = 3.0;
 
 /// Loads that all engines may begin in one window.
 #[expect(
@@ -517,7 +536,7 @@
 )]
 fn loads_per_window(bounds: &NodeBounds, rule: &EngineRule) -> u32 {
     let loads = rule.loads_per_s * bounds.load_window.as_secs_f64() * bounds.load_margin;
-    (loads * LOAD_SHARE).floor().max(1.0) as u32
+    ((loads + LOAD_ALLOWANCE) * LOAD_SHARE).floor().max(1.0) as u32
 }
 
 fn shown(count: usize) -> i64 {
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
+use oatpier_serving::directory::EndpointRow;
 use oatpier_serving::message::{GatewayGreeting, InnerMessage, MessageNumber, PeerReport};
 use oatpier_serving::planner::{LoadReason, PlannedLoad};
 use oatpier_serving::site::{EngineRule, SiteConfig};
@@ -30,6 +31,9 @@
 /// From one round of the planner to the next.
 const PLAN_EVERY: Duration = Duration::from_millis(150);
 
+/// Rounds of the planner between two pictures of the engines in the log: three seconds.
+const PICTURE_ROUNDS: u64 = 20;
+
 /// Exchanges messages until the process ends.
 pub async fn run(
     core: Arc<GatewayCore>,
@@ -171,6 +175,7 @@
 }
 
 async fn plan(core: &GatewayCore, stop: &StopSignal) {
+    let mut rounds: u64 = 0;
     let mut ticks = interval(PLAN_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -178,6 +183,10 @@
         if stop.phase() != StopPhase::Serving {
             continue;
         }
+        rounds += 1;
+        if rounds.is_multiple_of(PICTURE_ROUNDS) {
+            log_picture(core);
+        }
         for (sidecar, planned) in plan_round(core) {
             log_plan(core, &planned);
             core.outlet
@@ -212,6 +221,40 @@
     planned
 }
 
+/// Logs what the planner sees of each engine, for whoever asks later why a model was where it was.
+fn log_picture(core: &GatewayCore) {
+    let now = core.clock.now();
+    let state = core.lock();
+    if state.peers.planner(now) != core.own_address {
+        return;
+    }
+    let rows = state
+        .directory
+        .all()
+        .filter(|row| !row.models(now).is_empty());
+    let lines: Vec<DecisionLine> = rows.map(|row| picture_line(row, now)).collect();
+    drop(state);
+    for line in lines {
+        core.log.write(line);
+    }
+}
+
+fn picture_line(row: &EndpointRow, now: ClockTime) -> DecisionLine {
+    let models = row.models(now).iter().map(|held| {
+        let adapters = held.adapters.len();
+        format!("{}+{adapters}", held.model)
+    });
+    DecisionLine::new(LineWeight::Calm, "engine seen")
+        .with("endpoint", row.record.name.as_str())
+        .with("requests", row.present())
+        .with("waiting", row.waiting())
+        .with("hold_ms", row.hold.mean_ms().round())
+        .with("first_ms", row.first.mean_ms().round())
+        .with("memory", (row.memory_share(0, now) * 100.0).round())
+        .with("failures", (row.failure_share(now) * 100.0).round())
+        .with("models", models.collect::<Vec<_>>())
+}
+
 fn log_plan(core: &GatewayCore, planned: &PlannedLoad) {
     let reason = match planned.reason {
         LoadReason::Unreachable => "unreachable",
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -69,6 +70,10 @@
 async fn answer(core: &Arc<GatewayCore>, request: Request<Bytes>) -> Reply {
     let arrived = core.clock.now();
     let (head, body) = request.into_parts();
+    if core.is_closed() {
+        let refusal = core.refusal(RefusalCause::Leaving, Duration::ZERO);
+        return unplanned(core, &head, OwnAnswer::Refused(refusal));
+    }
     let Some(config) = core.config() else {
         return unplanned(core, &head, OwnAnswer::NoConfiguration);
     };
@@ -126,6 +131,7 @@
         service,
         request,
         arrived,
+        unserved: AtomicBool::new(false),
     })
 }
 
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 use oatpier_serving::node::NodeSettings;
 use oatpier_wire::server::{self, ServerLimits};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::decisions::{DecisionLog, write_lines};
 use crate::exchange::{InnerSocket, MessageOutlet};
@@ -43,6 +44,10 @@
 /// connections after two misses; a connection that was sent just before must still be answered.
 const DRAIN_NOTICE: Duration = Duration::from_millis(3_200);
 
+/// From SIGTERM to refusing what comes on connections that are still open. By then the platform has
+/// taken the process out; a stream that began later might not end before SIGKILL.
+const DRAIN_SERVING: Duration = Duration::from_millis(2_600);
+
 /// The largest head before a configuration says otherwise, in bytes.
 const HEAD_BYTES: usize = 16 << 10;
 
@@ -140,11 +145,20 @@
     let serving = serve_callers(inputs.listener, Arc::clone(&core), &stop);
     tokio::select! {
         () = serving => {}
+        () = close_after_notice(&core, &stop) => {}
         () = exchanges::run(Arc::clone(&core), &socket, inputs.news, &stop) => {}
     }
     stop.advance(StopPhase::Ended);
 }
 
+/// Has new requests refused once a planned stop is well under way.
+async fn close_after_notice(core: &GatewayCore, stop: &StopSignal) {
+    stop.reached(StopPhase::Draining).await;
+    sleep(DRAIN_SERVING).await;
+    core.close();
+    std::future::pending::<()>().await;
+}
+
 async fn serve_callers(listener: TcpListener, core: Arc<GatewayCore>, stop: &StopSignal) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -1,34 +1,74 @@
-//! When a request that can't be in time is refused, and when it should return.
+//! Who goes on to an endpoint, who waits at the gateway, and who is refused.
 //!
-//! A request that waits behind a queue longer than its target makes everything behind it late as
-//! well. It is refused at once instead, with the time after which there should be room. The times
-//! are spread, so that refused callers do not come back together.
+//! A batch that is full makes every request behind it late, and a long stream in it holds its slot
+//! many times longer than a short one. So classes get slots by rank: the most urgent ones up to the
+//! last slot, the others leave some free. What finds no slot waits at the gateway, where it holds up
+//! nobody, for as long as it can still be in time, and is refused after that with a time to return.
+//! These times grow with the share of requests that are refused, and are spread, so that callers come
+//! back when there is room and not together.
 
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use oatpier_types::clock::ClockTime;
 use oatpier_types::refusal::{Refusal, RefusalCause};
 
 use crate::choice::EndpointChoice;
 use crate::site::RouteRule;
 
-/// The share of a class's target that may be spent in a queue; the rest is reading the prompt.
-const QUEUE_SHARE: f64 = 0.8;
+/// The share of a class's target that may be spent waiting for a slot; the rest is the way to the
+/// endpoint, reading the prompt, and the error of the prediction.
+const WAIT_SHARE: f64 = 0.6;
+
+/// The share of an engine's slots that each rank below the first leaves free.
+const RANK_RESERVE: f64 = 0.08;
+
+/// The most that any rank leaves free: no class is starved.
+const MOST_RESERVE: f64 = 0.25;
+
+/// The share of the slots by which the first rank may go over them: its requests are short, and an
+/// engine has the next one at hand when a slot is free.
+const FIRST_RANK_EXTRA: f64 = 0.06;
+
+/// A class whose first piece may take longer than this can wait, and goes a rank after others of its
+/// priority.
+const PATIENT_TARGET: Duration = Duration::from_millis(600);
+
+/// How soon a request that waits for a slot looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
 
 /// The least and the most that a refused caller is told to wait. Below, it would come back
 /// before anything has changed; above, most callers have given up.
 const RETURN_LEAST: Duration = Duration::from_millis(60);
-const RETURN_MOST: Duration = Duration::from_millis(1_500);
+const RETURN_MOST: Duration = Duration::from_millis(2_500);
+
+/// What a refusal for want of room adds to the time to return, where all requests are refused.
+const RETURN_PRESSED: Duration = Duration::from_millis(1_800);
 
 /// Refused callers come back up to this share later than told at the least.
 const RETURN_SPREAD: f64 = 0.6;
 
+/// The weight of one more request in the share of refused ones: about the last forty count.
+const PRESSURE_WEIGHT: f64 = 0.025;
+
+/// What is to be done with a request that has an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionVerdict {
+    /// It goes there.
+    Send,
+    /// It waits at the gateway and looks again after this long.
+    Wait(Duration),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
 /// Judges requests; holds the generator that spreads returns.
 #[derive(Debug)]
 pub struct AdmissionJudge {
     generator: ChaCha8Rng,
+    pressure: f64,
 }
 
 impl AdmissionJudge {
@@ -37,26 +77,30 @@
     pub fn new(seed: u64) -> Self {
         Self {
             generator: ChaCha8Rng::seed_from_u64(seed),
+            pressure: 0.0,
         }
     }
 
-    /// Whether a request may go to the chosen endpoint.
-    ///
-    /// # Errors
-    ///
-    /// A refusal where it would wait too long there.
-    pub fn admit(
+    /// What is to be done with a request that came in at `arrived`.
+    pub fn judge(
         &mut self,
         choice: &EndpointChoice,
         route: &RouteRule,
-        left: Duration,
-    ) -> Result<(), Refusal> {
-        let bound = route.target.mul_f64(QUEUE_SHARE).min(left);
-        if choice.queue <= bound {
-            return Ok(());
+        arrived: ClockTime,
+        now: ClockTime,
+    ) -> AdmissionVerdict {
+        if has_slot(choice, route) {
+            self.pressure -= self.pressure * PRESSURE_WEIGHT;
+            return AdmissionVerdict::Send;
+        }
+        let latest = route.target.mul_f64(WAIT_SHARE);
+        let waited = now.since(arrived);
+        if waited + choice.queue / 2 < latest {
+            return AdmissionVerdict::Wait(LOOK_AGAIN);
         }
-        let over = choice.queue.saturating_sub(bound);
-        Err(self.refusal(RefusalCause::TooLate, over))
+        self.pressure += (1.0 - self.pressure) * PRESSURE_WEIGHT;
+        let after = choice.queue + RETURN_PRESSED.mul_f64(self.pressure);
+        AdmissionVerdict::Refuse(self.refusal(RefusalCause::TooLate, after))
     }
 
     /// A refusal with a time to return, spread.
@@ -69,3 +113,24 @@
         }
     }
 }
+
+/// Whether a class may take one more slot at the chosen endpoint.
+fn has_slot(choice: &EndpointChoice, route: &RouteRule) -> bool {
+    if !choice.batches {
+        return choice.queue <= route.target.mul_f64(WAIT_SHARE);
+    }
+    if choice.memory_full {
+        return false;
+    }
+    let rank = rank_of(route);
+    let share = if rank == 0 {
+        1.0 + FIRST_RANK_EXTRA
+    } else {
+        1.0 - (RANK_RESERVE * f64::from(rank)).min(MOST_RESERVE)
+    };
+    choice.occupancy < share
+}
+
+fn rank_of(route: &RouteRule) -> u8 {
+    route.priority + u8::from(route.target > PATIENT_TARGET)
+}
--- a/crates/oatpier-serving/src/choice.rs
+++ b/crates/oatpier-serving/src/choice.rs
@@ -68,6 +68,12 @@
     pub queue: Duration,
     /// Whether its adapter has to be loaded first.
     pub needs_adapter: bool,
+    /// The share of its slots that are taken, above 1 where requests wait.
+    pub occupancy: f64,
+    /// Whether its memory has no room for the request.
+    pub memory_full: bool,
+    /// Whether it is an engine, which serves all its requests in one batch.
+    pub batches: bool,
 }
 
 /// Where a request can go.
@@ -163,6 +169,9 @@
         predicted: Duration::from_secs_f64((queue_ms + first_ms + adapter) / 1e3),
         queue: Duration::from_secs_f64(queue_ms / 1e3),
         needs_adapter: adapter > 0.0,
+        occupancy: present / slots,
+        memory_full: row.memory_share(query.request.memory_tokens(), now) > MEMORY_BOUND,
+        batches: query.request.weights.is_some(),
     };
     (cost, choice)
 }
