Count engines that are loading a model as its holders

Cause: while a load is under way (up to 4 s) the planner counted its engine as a holder, but not in what a further replica relieves; with three holders of which two were loading, a model that would fill five engines got no fourth.

Ruled out by the planner's own log (now with want, holders and rate): the rate of the weight store, the pace of single engines, memory.

--- a/crates/oatpier-serving/src/planner.rs
+++ b/crates/oatpier-serving/src/planner.rs
@@ -98,12 +98,18 @@
 }
 
 /// A load that is wanted and that no engine can take now.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct BlockedLoad {
     /// The model.
     pub model: ModelName,
     /// Why it is wanted.
     pub reason: LoadReason,
+    /// Engines that its demand would fill.
+    pub want: f64,
+    /// Engines that hold it.
+    pub holders: f64,
+    /// Whether the weight store's rate is used up for the moment.
+    pub rate_spent: bool,
     /// Engines that are busy with another load, or not heard of.
     pub busy: u32,
     /// Engines that must wait for their part of the weight store's rate.
@@ -135,7 +141,10 @@
 #[derive(Debug)]
 struct EngineView<'a> {
     row: &'a EndpointRow,
+    /// Models that are there and stay.
     held: Vec<&'a ModelName>,
+    /// The model that is being loaded, or was advised: it takes its share soon.
+    coming: Option<ModelName>,
     /// What its models' demand takes of it.
     load: EngineShare,
     free: bool,
@@ -195,6 +204,13 @@
     }
 }
 
+impl EngineView<'_> {
+    /// Whether it holds a model, or soon will.
+    fn serves(&self, model: &ModelName) -> bool {
+        self.held.contains(&model) || self.coming.as_ref() == Some(model)
+    }
+}
+
 /// What a round works on.
 struct PlanRound<'a> {
     rule: &'a EngineRule,
@@ -263,7 +279,7 @@
             slots: f64::from(slots.max(1)),
             now,
         };
-        round.count_models(demand, &self.given);
+        round.count_models(demand);
         round.spread_load();
         round
     }
@@ -275,9 +291,12 @@
             pulse.answers && pulse.loading.is_none() && pulse.retiring.is_empty()
         };
         let free = row.pulse(now).is_some_and(is_idle);
+        let loading = row.pulse(now).and_then(|pulse| pulse.loading.clone());
+        let advised = self.given.get(&row.record.name);
         EngineView {
             row,
             held,
+            coming: loading.or_else(|| advised.map(|given| given.model.clone())),
             load: EngineShare::default(),
             free: free && !self.given.contains_key(&row.record.name),
         }
@@ -291,7 +310,9 @@
         outcome: &mut PlanOutcome,
     ) {
         let Some(option) = round.best_option(model, reason, self.tokens >= 1.0) else {
-            outcome.blocked.push(round.blocked(model, reason));
+            let mut blocked = round.blocked(model, reason);
+            blocked.rate_spent = self.tokens < 1.0;
+            outcome.blocked.push(blocked);
             return;
         };
         if option.from_store {
@@ -311,14 +332,10 @@
 }
 
 impl PlanRound<'_> {
-    fn count_models(
-        &mut self,
-        demand: &HashMap<ModelName, TotalDemand>,
-        given: &HashMap<EndpointName, GivenAdvice>,
-    ) {
+    fn count_models(&mut self, demand: &HashMap<ModelName, TotalDemand>) {
         for rule in &self.rule.models {
             let total = demand.get(&rule.name).copied().unwrap_or_default();
-            let holders = self.holders(&rule.name, given);
+            let holders = self.holders(&rule.name);
             let requests = total.running + total.unserved * HOLD_S;
             let places = f64::from(u32::try_from(self.rule.adapter_slots).unwrap_or(u32::MAX));
             let view = ModelView {
@@ -335,20 +352,19 @@
     }
 
     /// Engines that hold the model, are loading it, or were advised to.
-    fn holders(&self, model: &ModelName, given: &HashMap<EndpointName, GivenAdvice>) -> f64 {
-        let counts = |view: &&EngineView<'_>| {
-            let advised = given.get(&view.row.record.name);
-            view.held.contains(&model)
-                || view.row.is_loading(model, self.now)
-                || advised.is_some_and(|advice| advice.model == *model)
-        };
-        let holders = self.engines.iter().filter(counts).count();
+    fn holders(&self, model: &ModelName) -> f64 {
+        let holders = self
+            .engines
+            .iter()
+            .filter(|view| view.serves(model))
+            .count();
         f64::from(u32::try_from(holders).unwrap_or(u32::MAX))
     }
 
     fn spread_load(&mut self) {
         for view in &mut self.engines {
-            let shares = view.held.iter().filter_map(|model| self.models.get(*model));
+            let served = view.held.iter().copied().chain(&view.coming);
+            let shares = served.filter_map(|model| self.models.get(model));
             let shares = shares.map(ModelView::share);
             view.load = shares.fold(EngineShare::default(), EngineShare::plus);
         }
@@ -408,9 +424,13 @@
 
     /// Why no engine takes a load.
     fn blocked(&self, model: &ModelName, reason: LoadReason) -> BlockedLoad {
+        let view = self.models.get(model);
         let mut blocked = BlockedLoad {
             model: model.clone(),
             reason,
+            want: view.map_or(0.0, |view| view.want.load()),
+            holders: view.map_or(0.0, |view| view.holders),
+            rate_spent: false,
             busy: 0,
             paced: 0,
             full: 0,
@@ -446,10 +466,7 @@
         };
         let present = view.share().load();
         let shared = view.want.divided(view.holders + 1.0).load();
-        let holders = self
-            .engines
-            .iter()
-            .filter(|view| view.held.contains(&model));
+        let holders = self.engines.iter().filter(|view| view.serves(model));
         let relief: f64 = holders
             .map(|view| view.load.load())
             .map(|load| load.powi(2) - (load - (present - shared)).max(0.0).powi(2))
