Adopt restarted engines by their sidecars' word, and refill them from their own copies

Cause: after a loss of power the registry lists the engines' old names for a second; 96 requests were refused since another instance answered (421), and 340 since engines were empty.

What: where the sidecar at an address speaks for the same service, the instance that answered takes its predecessor's place at once. Engines with room load what they have copies of, models without a holder first.

Ruled out: waiting for the registry (its heartbeat is 1.2 s).

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -77,16 +77,20 @@
         }
     }
 
-    /// Whether any byte of the request reached the endpoint.
+    /// Whether any byte of the request reached the endpoint that it was sent to.
     #[must_use]
     pub fn has_reached(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::Unsent)
+        !matches!(self, Self::Unreachable | Self::Unsent | Self::Replaced)
     }
 
-    /// Whether the second send that follows was taken from the allowance already.
+    /// Whether the second send that follows needs nothing of the allowance: it was taken already, or
+    /// no endpoint got the first.
     #[must_use]
     pub fn is_paid(self) -> bool {
-        matches!(self, Self::Silent | Self::ServerError)
+        matches!(
+            self,
+            Self::Silent | Self::ServerError | Self::Unreachable | Self::Unsent
+        )
     }
 
     /// The word that logs and metrics use.
@@ -261,7 +265,7 @@
         .as_ref()
         .is_some_and(|name| *name != guard.endpoint);
     if other {
-        core.note_replaced(&guard.endpoint);
+        core.note_replaced(&guard.endpoint, head.instance.as_ref());
         guard.finish(EndpointOutcome::Abandoned);
         return AttemptFailure::Replaced;
     }
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -481,8 +481,10 @@
     }
 
     /// Another instance answered at an endpoint's address.
-    pub fn note_replaced(&self, endpoint: &EndpointName) {
-        self.lock().directory.note_replaced(endpoint);
+    pub fn note_replaced(&self, endpoint: &EndpointName, successor: Option<&EndpointName>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.directory.note_replaced(endpoint, successor, now);
     }
 
     /// Whether a second send may be made.
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -333,8 +333,8 @@
         if !self.settled.may_repeat(self.repeat()) {
             return Some(OwnAnswer::Broken);
         }
-        let unpaid = failure.has_reached() && !failure.is_paid();
-        if self.sends_left() == 0 || (unpaid && !self.core.take_retry(&self.plan.service)) {
+        let paid = failure.is_paid() || self.core.take_retry(&self.plan.service);
+        if self.sends_left() == 0 || !paid {
             return Some(self.refused_after(failure));
         }
         None
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -128,7 +128,7 @@
     let mut sidecar = EngineSidecar {
         residency: EngineResidency::new(pace, inputs.settings.first_start, clock.now()),
         link: EngineLink::new(address, inputs.settings.name.clone()),
-        pulses: PulseSender::new(address),
+        pulses: PulseSender::new(address, inputs.settings.service.clone()),
         socket,
         clock,
         metrics: inputs.metrics,
--- a/crates/oatpier-gateway/src/sidecar/pulses.rs
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -11,6 +11,7 @@
 use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber};
 use oatpier_serving::residency::EngineResidency;
 use oatpier_types::clock::ClockTime;
+use oatpier_types::names::PoolName;
 
 use crate::exchange::MessageOutlet;
 
@@ -27,6 +28,7 @@
 #[derive(Debug)]
 pub struct PulseSender {
     engine: SocketAddr,
+    service: Option<PoolName>,
     number: MessageNumber,
     answers: bool,
     gateways: HashMap<SocketAddr, ClockTime>,
@@ -35,11 +37,12 @@
 }
 
 impl PulseSender {
-    /// A sender for the engine at an address.
+    /// A sender for the engine of a service at an address.
     #[must_use]
-    pub fn new(engine: SocketAddr) -> Self {
+    pub fn new(engine: SocketAddr, service: Option<PoolName>) -> Self {
         Self {
             engine,
+            service,
             number: MessageNumber {
                 boot: rand::random(),
                 number: 0,
@@ -119,6 +122,7 @@
         EnginePulse {
             number: self.number,
             engine: self.engine,
+            service: self.service.clone(),
             answers: self.answers,
             load: EndpointLoad {
                 running: report.load.running,
--- a/crates/oatpier-serving/src/directory.rs
+++ b/crates/oatpier-serving/src/directory.rs
@@ -119,6 +119,8 @@
     /// This gateway's requests there, by adapter; 0 for one that was used since the last greeting.
     adapters: HashMap<AdapterKey, u32>,
     gone: bool,
+    /// When it took its predecessor's place, before the registry listed it.
+    adopted_at: Option<ClockTime>,
 }
 
 impl EndpointRow {
@@ -140,6 +142,7 @@
             failures: FailureShare::default(),
             adapters: HashMap::new(),
             gone: false,
+            adopted_at: None,
         }
     }
 
@@ -150,6 +153,13 @@
         (now.since(kept.at) <= PULSE_LIFE).then_some(&kept.pulse)
     }
 
+    /// Whether it was taken for its predecessor's successor lately, so that the registry may not list
+    /// it yet.
+    fn is_adopted(&self, now: ClockTime) -> bool {
+        self.adopted_at
+            .is_some_and(|at| now.since(at) < REGISTRY_SETTLE)
+    }
+
     /// Whether it may get new requests.
     #[must_use]
     pub fn is_open(&self, now: ClockTime) -> bool {
@@ -357,10 +367,12 @@
         self.read = true;
         let listed: Vec<EndpointName> = records.iter().map(|record| record.name.clone()).collect();
         for record in records {
-            self.take_record(record, &mut changes);
+            if !self.is_superseded(&record, now) {
+                self.take_record(record, &mut changes);
+            }
         }
         if !self.is_settling(now) {
-            self.drop_missing(&listed, &mut changes);
+            self.drop_missing(&listed, now, &mut changes);
         }
         if !changes.is_empty() {
             self.rebuild();
@@ -375,6 +387,15 @@
             .is_some_and(|at| now.since(at) < REGISTRY_SETTLE)
     }
 
+    /// The registry may still list an endpoint whose successor has answered at its address.
+    fn is_superseded(&self, record: &EndpointRecord, now: ClockTime) -> bool {
+        let present = self
+            .by_address
+            .get(&record.address)
+            .and_then(|name| self.rows.get(name));
+        present.is_some_and(|row| row.record.name != record.name && row.is_adopted(now))
+    }
+
     fn take_record(&mut self, record: EndpointRecord, changes: &mut Vec<DirectoryChange>) {
         let name = record.name.clone();
         let Some(row) = self.rows.get_mut(&name) else {
@@ -391,12 +412,17 @@
         row.record = record;
     }
 
-    fn drop_missing(&mut self, listed: &[EndpointName], changes: &mut Vec<DirectoryChange>) {
+    fn drop_missing(
+        &mut self,
+        listed: &[EndpointName],
+        now: ClockTime,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
         let missing: Vec<EndpointName> = self
             .rows
-            .keys()
-            .filter(|name| !listed.contains(name))
-            .cloned()
+            .iter()
+            .filter(|(name, row)| !listed.contains(name) && !row.is_adopted(now))
+            .map(|(name, _)| name.clone())
             .collect();
         for name in missing {
             self.rows.remove(&name);
@@ -448,9 +474,44 @@
     }
 
     /// Another endpoint answered at the address: this one is gone.
-    pub fn note_replaced(&mut self, name: &EndpointName) {
-        if let Some(row) = self.rows.get_mut(name) {
-            row.gone = true;
+    ///
+    /// An engine that was restarted is known by its sidecar long before the registry lists it. If
+    /// the sidecar at the address speaks for the same service, the new engine takes the old one's
+    /// place at once; otherwise the address may belong to another service by now.
+    pub fn note_replaced(
+        &mut self,
+        name: &EndpointName,
+        successor: Option<&EndpointName>,
+        now: ClockTime,
+    ) {
+        let Some(row) = self.rows.get_mut(name) else {
+            return;
+        };
+        row.gone = true;
+        let vouched = row.pulse(now).is_some_and(|pulse| {
+            pulse.answers && pulse.service.as_ref() == Some(&row.record.service)
+        });
+        let Some(successor) = successor.filter(|_| vouched) else {
+            return;
+        };
+        if self.rows.contains_key(successor) {
+            return;
+        }
+        if let Some(old) = self.rows.remove(name) {
+            let row = self.adopt(old, successor.clone(), now);
+            self.rows.insert(successor.clone(), row);
+            self.rebuild();
+        }
+    }
+
+    fn adopt(&mut self, old: EndpointRow, name: EndpointName, now: ClockTime) -> EndpointRow {
+        let index = EndpointIndex(self.next_index);
+        self.next_index += 1;
+        let record = EndpointRecord { name, ..old.record };
+        EndpointRow {
+            pulse: old.pulse,
+            adopted_at: Some(now),
+            ..EndpointRow::new(record, index)
         }
     }
 
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use oatpier_types::names::{DaemonName, ModelName, ZoneName};
+use oatpier_types::names::{DaemonName, ModelName, PoolName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
@@ -49,6 +49,8 @@
     pub number: MessageNumber,
     /// Where the engine is.
     pub engine: SocketAddr,
+    /// The engine's service.
+    pub service: Option<PoolName>,
     /// Whether the engine answers its sidecar.
     pub answers: bool,
     /// The engine's load.
--- a/crates/oatpier-serving/src/node.rs
+++ b/crates/oatpier-serving/src/node.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use oatpier_types::names::{DaemonName, ZoneName};
+use oatpier_types::names::{DaemonName, PoolName, ZoneName};
 
 /// The checked settings of a gateway or a sidecar.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,6 +26,8 @@
     pub engine: Option<SocketAddr>,
     /// The platform's key-value store.
     pub store: SocketAddr,
+    /// The service of that engine.
+    pub service: Option<PoolName>,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
     /// The bounds that the platform sets.
--- a/crates/oatpier-serving/src/planner.rs
+++ b/crates/oatpier-serving/src/planner.rs
@@ -84,6 +84,8 @@
     Unreachable,
     /// The model's holders are too busy.
     Busy,
+    /// An engine has room, and nobody holds the model, or the engine holds nothing after a restart.
+    Room,
 }
 
 impl LoadReason {
@@ -93,6 +95,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::Busy => "busy",
+            Self::Room => "room",
         }
     }
 }
@@ -251,9 +254,38 @@
         for model in round.busiest() {
             self.advise(&mut round, &model, LoadReason::Busy, &mut outcome);
         }
+        for engine in 0..round.engines.len() {
+            self.fill(&mut round, engine, &mut outcome);
+        }
         outcome
     }
 
+    /// Loads into free room what an engine has copies of. After a restart engines are empty, and
+    /// waiting for requests that can't be served would cost each model its first ones.
+    fn fill(&mut self, round: &mut PlanRound<'_>, engine: usize, outcome: &mut PlanOutcome) {
+        let Some(model) = round.best_fill(engine) else {
+            return;
+        };
+        let Some(option) = round.option(engine, &model, LoadReason::Room) else {
+            return;
+        };
+        if option.from_store || !option.unload.is_empty() {
+            return;
+        }
+        let now = round.now;
+        let load = round.advice(&option, &model, LoadReason::Room);
+        self.given.insert(
+            load.endpoint.clone(),
+            GivenAdvice {
+                model: model.clone(),
+                at: now,
+            },
+        );
+        round.engines[engine].free = false;
+        round.engines[engine].coming = Some(model);
+        outcome.planned.push(load);
+    }
+
     fn refill(&mut self, rule: &EngineRule, now: ClockTime) {
         let gained = now.since(self.at).as_secs_f64() * rule.loads_per_s;
         self.tokens = (self.tokens + gained).min((rule.loads_per_s * BURST_S).max(1.0));
@@ -406,6 +438,35 @@
         names
     }
 
+    /// The model that an engine with room should hold: one that nobody holds, or, where the engine
+    /// holds nothing, one that many engines have copies of beside those that hold it. A model that
+    /// had many replicas was much asked for.
+    fn best_fill(&self, engine: usize) -> Option<ModelName> {
+        let view = &self.engines[engine];
+        let copies = &view.row.pulse(self.now)?.copies;
+        let local = copies.in_memory.iter().chain(&copies.on_disk);
+        let local = local.filter(|model| !view.held.contains(model));
+        let worth = |model: &ModelName| {
+            let holders = self.holders(model);
+            if holders >= 1.0 && !view.held.is_empty() {
+                return 0.0;
+            }
+            self.copies(model) / (holders + 1.0).powi(2)
+        };
+        let best = local.max_by(|one, other| worth(one).total_cmp(&worth(other)))?;
+        (worth(best) > 0.0).then(|| best.clone())
+    }
+
+    /// Engines that have a copy of the model.
+    fn copies(&self, model: &ModelName) -> f64 {
+        let pulses = self
+            .engines
+            .iter()
+            .filter_map(|view| view.row.pulse(self.now));
+        let copies = pulses.filter(|pulse| pulse.copies.has(model)).count();
+        f64::from(u32::try_from(copies).unwrap_or(u32::MAX))
+    }
+
     fn best_option(
         &self,
         model: &ModelName,
@@ -417,7 +478,7 @@
         let options = options.filter(|option| store_open || !option.from_store);
         let best = options.min_by(|one, other| one.price.total_cmp(&other.price))?;
         match reason {
-            LoadReason::Unreachable => Some(best),
+            LoadReason::Unreachable | LoadReason::Room => Some(best),
             LoadReason::Busy => self.is_worth_it(&best, model).then_some(best),
         }
     }
@@ -519,7 +580,7 @@
             if used + needed <= room {
                 break;
             }
-            if reason == LoadReason::Busy && loss >= LAST_RECENT_PRICE {
+            if reason != LoadReason::Unreachable && loss >= LAST_RECENT_PRICE {
                 return None;
             }
             used -= self.size(victim);
