Greet endpoints as soon as they appear

Cause: after a restart of all machines sidecars were first greeted by the next tick, up to 0.5 s later, and nothing could be loaded until then.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -95,6 +95,8 @@
     state: Mutex<CoreState>,
     /// Tells waiting requests that weights or endpoints have changed.
     pub(super) changed: Notify,
+    /// Tells the exchanges that endpoints have appeared.
+    pub(super) appeared: Notify,
     /// Tells the exchanges that demand can't be served.
     pub(super) pressed: Notify,
     pub(super) zone: ZoneName,
@@ -202,6 +204,7 @@
         Self {
             state: Mutex::new(state),
             changed: Notify::new(),
+            appeared: Notify::new(),
             pressed: Notify::new(),
             zone: settings.zone.clone(),
             inner_port: settings.inner_port,
@@ -262,6 +265,7 @@
         }
         self.able.store(is_able, Ordering::Relaxed);
         if !changes.is_empty() {
+            self.appeared.notify_one();
             self.changed.notify_waiters();
         }
     }
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -89,7 +89,12 @@
     let mut ticks = interval(GREETING_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        // An endpoint that has just appeared is greeted at once: until its sidecar answers, nothing
+        // can be loaded there.
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = core.appeared.notified() => {}
+        }
         for (sidecar, greeting) in greetings(core) {
             core.outlet.send(sidecar, &InnerMessage::Greeting(greeting));
         }
