Test the decisions of gateways and sidecars, and keep the rate with more engines than loads

Cause: a property test of the weight store's shared rate failed: with fewer loads a window than engines, all engines could begin one at once after the start.

Ruled out: longer spacing (the first loads coincide), random starts (no bound).

Before: the property fails at 4 engines and 1 load; after: holds in 128 cases.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -457,10 +457,18 @@
         let config = state.config.clone()?;
         let rule = config.service(service)?.engine.as_ref()?;
         let address = state.directory.row(endpoint)?.record.address;
-        let engines = state.directory.service(service).count();
+        let mut engines: u32 = 0;
+        let mut place = 0;
+        for row in state.directory.service(service) {
+            if row.record.name == *endpoint {
+                place = engines;
+            }
+            engines += 1;
+        }
         let greeting = GatewayGreeting {
             used: state.directory.take_used(endpoint),
-            engines: u32::try_from(engines).unwrap_or(u32::MAX),
+            engines,
+            place,
             loads_per_window: loads_per_window(&self.settings.borrow().bounds, rule),
             adapter_slots: u32::try_from(rule.adapter_slots).unwrap_or(u32::MAX),
         };
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -50,6 +50,7 @@
 const UNKNOWN_PACE: LoadPace = LoadPace {
     loads: 1,
     engines: 64,
+    place: u32::MAX,
     window: Duration::from_secs(5),
 };
 
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -86,6 +86,8 @@
     pub used: Vec<AdapterUse>,
     /// Engines that the registry lists: the shared load rate is divided by it.
     pub engines: u32,
+    /// The engine's place among them, from 0.
+    pub place: u32,
     /// Loads from the weight store that all engines may begin in one window.
     pub loads_per_window: u32,
     /// Adapters that an engine has room for.
--- a/crates/oatpier-serving/src/residency.rs
+++ b/crates/oatpier-serving/src/residency.rs
@@ -51,22 +51,30 @@
     pub loads: u32,
     /// Engines among which they are divided.
     pub engines: u32,
+    /// This engine's place among them, from 0. Where there are fewer loads than engines, only the
+    /// first ones may load from the weight store: any other division would need agreement on time.
+    pub place: u32,
     /// The window.
     pub window: Duration,
 }
 
 impl LoadPace {
     /// The time from one load of this engine to its next one, so that all engines together keep
-    /// the rate without asking each other.
+    /// the rate without asking each other; none if it may not load from the store.
     #[must_use]
-    pub fn spacing(&self) -> Duration {
-        let each = f64::from(self.loads) / f64::from(self.engines.max(1));
-        if each >= 1.0 {
-            self.window / u32::max(self.loads / self.engines.max(1), 1)
+    pub fn spacing(&self) -> Option<Duration> {
+        let each = self.loads / self.engines.max(1);
+        if each >= 1 {
+            Some(self.window / each)
         } else {
-            self.window.div_f64(each.max(0.01))
+            (self.place < self.loads).then_some(self.window)
         }
     }
+
+    /// The time to wait where nothing is known of earlier loads.
+    fn longest_spacing(&self) -> Duration {
+        self.window
+    }
 }
 
 /// An order, and the sequence that the engine must be at.
@@ -127,7 +135,7 @@
         let wait = if first_start {
             Duration::ZERO
         } else {
-            pace.spacing()
+            pace.longest_spacing()
         };
         Self {
             pace,
@@ -193,6 +201,7 @@
         if greeting.engines > 0 {
             self.pace.engines = greeting.engines;
             self.pace.loads = greeting.loads_per_window;
+            self.pace.place = greeting.place;
         }
         self.slots = greeting.adapter_slots as usize;
         for used in &greeting.used {
@@ -246,7 +255,10 @@
     /// How long until it may load from the weight store.
     #[must_use]
     pub fn store_load_wait(&self, now: ClockTime) -> Duration {
-        self.next_store_load.since(now)
+        match self.pace.spacing() {
+            Some(_) => self.next_store_load.since(now),
+            None => Duration::MAX,
+        }
     }
 
     /// The next order, if there is one to give.
@@ -305,7 +317,8 @@
             .as_ref()
             .is_some_and(|report| report.copies.has(model));
         if !local {
-            self.next_store_load = now + self.pace.spacing();
+            let spacing = self.pace.spacing();
+            self.next_store_load = now + spacing.unwrap_or(self.pace.longest_spacing());
         }
     }
 
@@ -394,7 +407,7 @@
             return None;
         }
         let from_store = !report.copies.has(&kept.advice.load);
-        if from_store && self.next_store_load > now {
+        if from_store && !self.store_load_wait(now).is_zero() {
             return None;
         }
         let is_held = |model: &&ModelName| report.models.iter().any(|held| held.model == **model);
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/admission.rs
@@ -0,0 +1,101 @@
+//! Who goes on, who waits and who is refused.
+//!
+//! The load: bursts of two to four times the usual requests for seconds, of classes whose first piece
+//! is due within 250 ms beside patient ones.
+
+use std::time::Duration;
+
+use oatpier_serving::admission::{AdmissionJudge, AdmissionVerdict};
+use oatpier_serving::choice::EndpointChoice;
+use oatpier_types::refusal::RefusalCause;
+
+use crate::support::{at, endpoint, millis, route};
+
+fn choice(occupancy: f64, queue: Duration) -> EndpointChoice {
+    EndpointChoice {
+        endpoint: endpoint("e1"),
+        predicted: queue + millis(30),
+        queue,
+        needs_adapter: false,
+        occupancy,
+        memory_full: false,
+        batches: true,
+    }
+}
+
+fn refused_after(judge: &mut AdmissionJudge) -> Duration {
+    let full = choice(1.5, millis(600));
+    match judge.judge(&full, &route(250, 1), at(0), at(0)) {
+        AdmissionVerdict::Refuse(refusal) => {
+            assert_eq!(refusal.cause, RefusalCause::TooLate);
+            refusal.retry_after.unwrap()
+        }
+        other => panic!("it was not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn a_free_slot_is_taken_at_once() {
+    let mut judge = AdmissionJudge::new(1);
+    let verdict = judge.judge(&choice(0.9, Duration::ZERO), &route(250, 1), at(0), at(0));
+    assert_eq!(verdict, AdmissionVerdict::Send);
+}
+
+/// A full engine would make the request late and everything behind it as well. It waits at the
+/// gateway while it can still be in time, and is refused at once when it can't.
+#[test]
+fn a_request_waits_while_it_can_be_in_time_and_is_refused_after() {
+    let mut judge = AdmissionJudge::new(1);
+    let full = choice(1.0, millis(60));
+    let urgent = route(250, 1);
+    assert!(matches!(
+        judge.judge(&full, &urgent, at(0), at(0)),
+        AdmissionVerdict::Wait(_)
+    ));
+    assert!(matches!(
+        judge.judge(&full, &urgent, at(0), at(170)),
+        AdmissionVerdict::Refuse(_)
+    ));
+    let patient = route(3_000, 1);
+    assert!(matches!(
+        judge.judge(&full, &patient, at(0), at(1_500)),
+        AdmissionVerdict::Wait(_)
+    ));
+}
+
+#[test]
+fn the_most_urgent_class_may_go_slightly_over_the_slots() {
+    let mut judge = AdmissionJudge::new(1);
+    let full = choice(1.0, millis(60));
+    assert_eq!(
+        judge.judge(&full, &route(250, 0), at(0), at(0)),
+        AdmissionVerdict::Send
+    );
+    let over = choice(1.2, millis(200));
+    assert_ne!(
+        judge.judge(&over, &route(250, 0), at(0), at(0)),
+        AdmissionVerdict::Send
+    );
+}
+
+/// Callers that are all told the same time come back together, and find the same queue.
+#[test]
+fn times_to_return_differ_and_grow_with_the_share_of_refusals() {
+    let mut judge = AdmissionJudge::new(1);
+    let first: Vec<Duration> = (0..5).map(|_| refused_after(&mut judge)).collect();
+    assert!(first.windows(2).all(|pair| pair[0] != pair[1]));
+    for _ in 0..200 {
+        refused_after(&mut judge);
+    }
+    let later = refused_after(&mut judge);
+    assert!(later > first[0] * 2, "{later:?} against {:?}", first[0]);
+}
+
+#[test]
+fn an_engine_without_memory_gets_no_request() {
+    let mut judge = AdmissionJudge::new(1);
+    let mut full = choice(0.2, millis(100));
+    full.memory_full = true;
+    let verdict = judge.judge(&full, &route(250, 0), at(0), at(0));
+    assert_ne!(verdict, AdmissionVerdict::Send);
+}
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/choice.rs
@@ -0,0 +1,168 @@
+//! Which endpoint gets a request.
+
+use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict};
+use oatpier_serving::directory::{EndpointDirectory, EndpointOutcome};
+use oatpier_types::names::EndpointName;
+
+use crate::support::{
+    SLOTS, adapter, at, directory, endpoint, held, pulse, record, request, service, zone,
+};
+
+fn choose(
+    directory: &EndpointDirectory,
+    weights: &str,
+    excluded: &[EndpointName],
+) -> ChoiceVerdict {
+    let query = ChoiceQuery {
+        service: &service(),
+        request: &request(weights),
+        zone: &zone("near"),
+        excluded,
+    };
+    choice::choose(directory, &query, at(100))
+}
+
+fn chosen(directory: &EndpointDirectory, weights: &str) -> String {
+    match choose(directory, weights, &[]) {
+        ChoiceVerdict::Endpoint(choice) => choice.endpoint.to_string(),
+        other => panic!("no endpoint was chosen: {other:?}"),
+    }
+}
+
+#[test]
+fn the_less_busy_holder_of_the_model_is_taken() {
+    let directory = directory(&[(&["m1"], 8), (&["m1"], 2), (&["m2"], 0)], at(0));
+    assert_eq!(chosen(&directory, "m1"), "e2");
+}
+
+#[test]
+fn a_model_that_nobody_holds_is_told_from_a_service_without_endpoints() {
+    let directory = directory(&[(&["m2"], 0)], at(0));
+    assert_eq!(
+        choose(&directory, "m1", &[]),
+        ChoiceVerdict::NoModel { loading: false }
+    );
+    assert_eq!(
+        choose(&EndpointDirectory::default(), "m1", &[]),
+        ChoiceVerdict::NoEndpoint
+    );
+}
+
+#[test]
+fn a_model_that_is_being_loaded_is_told() {
+    let mut directory = directory(&[(&["m2"], 0)], at(0));
+    let mut loading = pulse(1, &["m2"], 0);
+    loading.number.number = 2;
+    loading.loading = Some(crate::support::model("m1"));
+    directory.take_pulse(loading, at(10));
+    assert_eq!(
+        choose(&directory, "m1", &[]),
+        ChoiceVerdict::NoModel { loading: true }
+    );
+}
+
+/// The caller sees no refusal: a model that its engine is about to unload gets no new requests,
+/// since the engine would refuse them while it waits for the running ones.
+#[test]
+fn a_model_that_retires_gets_no_new_requests() {
+    let mut directory = directory(&[(&["m1"], 0), (&["m1"], 5)], at(0));
+    let mut retiring = pulse(1, &["m1"], 0);
+    retiring.number.number = 2;
+    retiring.retiring = vec![crate::support::model("m1")];
+    directory.take_pulse(retiring, at(10));
+    assert_eq!(chosen(&directory, "m1"), "e2");
+}
+
+#[test]
+fn an_endpoint_that_had_the_request_is_left_out() {
+    let directory = directory(&[(&["m1"], 0), (&["m1"], 5)], at(0));
+    let verdict = choose(&directory, "m1", &[endpoint("e1")]);
+    assert!(
+        matches!(verdict, ChoiceVerdict::Endpoint(choice) if choice.endpoint == endpoint("e2"))
+    );
+}
+
+#[test]
+fn a_ready_adapter_goes_before_a_free_place_for_it() {
+    let mut directory = directory(&[(&["m1"], 1), (&["m1"], 2)], at(0));
+    let mut ready = pulse(2, &[], 2);
+    ready.number.number = 2;
+    ready.models = vec![held("m1", &["a1"])];
+    directory.take_pulse(ready, at(10));
+    assert_eq!(chosen(&directory, "m1/a1"), "e2");
+}
+
+/// All places of the first engine are in use by streams. The caller would wait for one of them to
+/// end; the other engine is busier and has a place at once.
+#[test]
+fn an_engine_with_a_place_for_the_adapter_goes_before_one_without() {
+    let mut directory = directory(&[(&["m1"], 1), (&["m1"], 6)], at(0));
+    let mut full = pulse(1, &["m1"], 1);
+    full.number.number = 2;
+    full.adapter_room = 0;
+    directory.take_pulse(full, at(10));
+    assert_eq!(chosen(&directory, "m1/a1"), "e2");
+}
+
+#[test]
+fn the_own_availability_zone_is_taken_while_it_is_not_much_busier() {
+    let mut far = record(2, &["m1"]);
+    far.zone = zone("far");
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![record(1, &["m1"]), far], at(0));
+    directory.take_pulse(pulse(1, &["m1"], 1), at(0));
+    directory.take_pulse(pulse(2, &["m1"], 0), at(0));
+    assert_eq!(chosen(&directory, "m1"), "e1");
+    let mut busy = pulse(1, &["m1"], SLOTS);
+    busy.number.number = 2;
+    directory.take_pulse(busy, at(10));
+    assert_eq!(chosen(&directory, "m1"), "e2");
+}
+
+#[test]
+fn an_engine_that_keeps_the_prompt_is_taken_among_equals() {
+    let mut directory = directory(&[(&["m1"], 2), (&["m1"], 2)], at(0));
+    let chain = choice::prefix_chain(&request("m1"));
+    directory.note_prompt(&endpoint("e2"), &chain, at(50));
+    assert_eq!(chosen(&directory, "m1"), "e2");
+}
+
+/// Callers get errors from an engine whose health check is good: it fails a part of its requests
+/// and answers the others, so that nothing fails in a row. It gets fewer requests by its share of
+/// failures, and gets some again once it was left alone for a while.
+#[test]
+fn an_engine_that_fails_a_part_of_its_requests_is_avoided_for_a_while() {
+    let mut directory = directory(&[(&["m1"], 0), (&["m1"], 4)], at(0));
+    for number in 0..12_u64 {
+        let outcome = if number % 2 == 0 {
+            EndpointOutcome::Broken
+        } else {
+            EndpointOutcome::Whole {
+                held: crate::support::millis(300),
+            }
+        };
+        directory.note_sent(&endpoint("e1"), None);
+        directory.note_end(&endpoint("e1"), None, outcome, at(number));
+    }
+    assert_eq!(chosen(&directory, "m1"), "e2");
+    let share = directory.row(&endpoint("e1")).unwrap();
+    assert!(share.failure_share(at(100)) > 0.25);
+    assert!(share.failure_share(at(10_000)) < 0.02);
+}
+
+#[test]
+fn an_adapter_that_is_used_is_named_until_its_requests_are_over() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    let weights = request("m1/a1").weights.unwrap();
+    let name = endpoint("e1");
+    directory.note_sent(&name, Some(&weights));
+    let used = directory.take_used(&name);
+    assert_eq!(used.len(), 1);
+    assert_eq!(
+        (used[0].key.clone(), used[0].requests),
+        (adapter("m1", "a1"), 1)
+    );
+    directory.note_end(&name, Some(&weights), EndpointOutcome::Abandoned, at(10));
+    assert_eq!(directory.take_used(&name)[0].requests, 0);
+    assert!(directory.take_used(&name).is_empty());
+}
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -0,0 +1,99 @@
+//! What is believed of endpoints.
+
+use oatpier_serving::directory::{DirectoryChange, EndpointDirectory};
+use oatpier_serving::engine::EndpointLoad;
+
+use crate::support::{at, directory, endpoint, model, pulse, record};
+
+#[test]
+fn an_entry_that_is_missing_while_the_store_answers_is_gone() {
+    let mut directory = directory(&[(&["m1"], 0), (&["m1"], 0)], at(0));
+    let changes = directory.apply_registry(vec![record(1, &["m1"])], at(900));
+    assert_eq!(changes, vec![DirectoryChange::Gone(endpoint("e2"))]);
+}
+
+/// Entries lapse while the store is down, and their endpoints write them again within two seconds
+/// of its return. A caller would be refused for want of endpoints that all live: so for that long
+/// a missing entry stays, and after that it is gone.
+#[test]
+fn entries_that_lapsed_with_the_store_get_time_to_come_back() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    directory.note_store_failure(at(1_000));
+    assert!(directory.apply_registry(Vec::new(), at(1_500)).is_empty());
+    assert!(directory.row(&endpoint("e1")).is_some());
+    let changes = directory.apply_registry(Vec::new(), at(4_000));
+    assert_eq!(changes, vec![DirectoryChange::Gone(endpoint("e1"))]);
+}
+
+#[test]
+fn a_draining_endpoint_gets_no_new_requests_by_either_word() {
+    let mut directory = directory(&[(&["m1"], 0), (&["m1"], 0)], at(0));
+    let mut leaving = record(1, &["m1"]);
+    leaving.draining = true;
+    directory.apply_registry(vec![leaving, record(2, &["m1"])], at(10));
+    let mut told = pulse(2, &["m1"], 0);
+    told.number.number = 2;
+    told.draining = true;
+    directory.take_pulse(told, at(20));
+    assert!(!directory.row(&endpoint("e1")).unwrap().is_open(at(30)));
+    assert!(!directory.row(&endpoint("e2")).unwrap().is_open(at(30)));
+}
+
+#[test]
+fn an_old_pulse_says_nothing_of_what_is_held() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![record(1, &["m1"])], at(0));
+    directory.take_pulse(pulse(1, &["m2"], 0), at(0));
+    let row = directory.row(&endpoint("e1")).unwrap();
+    assert!(row.holds(&model("m2"), at(100)));
+    assert!(row.holds(&model("m1"), at(5_000)));
+}
+
+#[test]
+fn a_doubled_or_crossed_pulse_changes_nothing() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    assert!(!directory.take_pulse(pulse(1, &["m2"], 9), at(10)));
+    let row = directory.row(&endpoint("e1")).unwrap();
+    assert_eq!(row.present(), 0);
+}
+
+/// The caller sees no refusal after a restart of engines. The registry lists their old names for a
+/// heartbeat more, and every request that names the old one is turned away by the new one. Where
+/// the sidecar at the address speaks for the same service, the new one is taken at once, and the old
+/// entry does not bring the old name back.
+#[test]
+fn a_restarted_engine_takes_its_predecessors_place() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    directory.note_replaced(&endpoint("e1"), Some(&endpoint("e1b")), at(100));
+    assert!(directory.row(&endpoint("e1")).is_none());
+    assert!(directory.row(&endpoint("e1b")).unwrap().is_open(at(100)));
+    directory.apply_registry(vec![record(1, &["m1"])], at(200));
+    assert!(directory.row(&endpoint("e1")).is_none());
+    assert!(directory.row(&endpoint("e1b")).is_some());
+}
+
+/// The address of an endpoint that is gone may belong to another service by now. Without a sidecar
+/// that speaks for the service, its requests must not go to whoever answers there.
+#[test]
+fn a_stranger_at_the_address_is_not_taken_for_a_restart() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![record(1, &["m1"])], at(0));
+    directory.note_replaced(&endpoint("e1"), Some(&endpoint("other")), at(100));
+    assert!(directory.row(&endpoint("other")).is_none());
+    assert!(!directory.row(&endpoint("e1")).unwrap().is_open(at(100)));
+}
+
+#[test]
+fn own_requests_count_until_the_endpoint_tells_its_load() {
+    let mut directory = directory(&[(&["m1"], 2)], at(0));
+    let name = endpoint("e1");
+    directory.note_sent(&name, None);
+    directory.note_sent(&name, None);
+    assert_eq!(directory.row(&name).unwrap().present(), 4);
+    let load = EndpointLoad {
+        running: 3,
+        waiting: 0,
+    };
+    directory.take_load(&name, load);
+    assert_eq!(directory.row(&name).unwrap().present(), 3);
+}
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -0,0 +1,13 @@
+//! Tests of the decisions of gateways and sidecars.
+
+mod admission;
+mod budget;
+mod choice;
+mod demand;
+mod directory;
+mod messages;
+mod peers;
+mod planner;
+mod residency;
+mod site;
+mod support;
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/peers.rs
@@ -0,0 +1,72 @@
+//! Which gateways there are, and which of them plans.
+
+use std::net::SocketAddr;
+
+use oatpier_serving::message::{MessageNumber, ModelDemand, PeerReport};
+use oatpier_serving::peers::PeerBook;
+use oatpier_types::names::DaemonName;
+
+use crate::support::{address, at, model, zone};
+
+fn report(number: u64, leaving: bool, running: f32) -> PeerReport {
+    PeerReport {
+        number: MessageNumber { boot: 1, number },
+        name: DaemonName::try_from("g").unwrap(),
+        zone: zone("near"),
+        leaving,
+        demand: vec![ModelDemand {
+            model: model("m1"),
+            running,
+            unserved: 0.0,
+            adapters: 0,
+            idle_ms: 10,
+        }],
+    }
+}
+
+fn book(own: u8, others: &[u8]) -> PeerBook {
+    let mut book = PeerBook::new(address(own));
+    for other in others {
+        book.take_report(address(*other), report(1, false, 2.0), at(0));
+    }
+    book
+}
+
+#[test]
+fn the_lowest_address_plans_while_it_is_heard_of() {
+    let book = book(2, &[1, 3]);
+    assert_eq!(book.planner(at(500)), address(1));
+    assert_eq!(book.planner(at(1_500)), address(2));
+}
+
+/// A gateway on its way out must not plan: its last advice would be followed by nobody's.
+#[test]
+fn a_gateway_that_leaves_does_not_plan() {
+    let mut book = book(2, &[1]);
+    book.take_report(address(1), report(2, true, 0.0), at(100));
+    assert_eq!(book.planner(at(200)), address(2));
+}
+
+#[test]
+fn demand_is_summed_over_those_heard_of() {
+    let book = book(2, &[1, 3]);
+    assert!((book.total(&[], at(100))[&model("m1")].running - 4.0).abs() < 1e-6);
+    assert!(book.total(&[], at(5_000)).is_empty());
+}
+
+#[test]
+fn a_late_report_changes_nothing() {
+    let mut book = book(2, &[]);
+    book.take_report(address(1), report(5, false, 1.0), at(0));
+    book.take_report(address(1), report(4, false, 9.0), at(10));
+    assert!((book.total(&[], at(20))[&model("m1")].running - 1.0).abs() < 1e-6);
+}
+
+#[test]
+fn a_gateway_that_a_sidecar_names_is_told_reports_for_a_while() {
+    let mut book = book(2, &[]);
+    let named: [SocketAddr; 2] = [address(1), address(2)];
+    book.note_named(&named, at(0));
+    assert_eq!(book.addresses(at(1_000)), vec![address(1)]);
+    assert!(book.addresses(at(10_000)).is_empty());
+}
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/planner.rs
@@ -0,0 +1,174 @@
+//! Which engine should load which model.
+//!
+//! The load: demand moves between models within 4 to 6 s, rare models are asked for at once, and
+//! engines come back empty.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use oatpier_serving::directory::EndpointDirectory;
+use oatpier_serving::engine::LocalCopies;
+use oatpier_serving::peers::TotalDemand;
+use oatpier_serving::planner::{LoadPlanner, LoadReason, PlanOutcome};
+use oatpier_types::names::ModelName;
+
+use crate::support::{at, directory, engine_rule, model, pulse, record, service};
+
+type Demand = HashMap<ModelName, TotalDemand>;
+
+fn demand(rows: &[(&str, f64, f64)]) -> Demand {
+    let total = |running, unserved| TotalDemand {
+        running,
+        unserved,
+        adapters: 0.0,
+        idle: Some(Duration::from_millis(100)),
+    };
+    rows.iter()
+        .map(|(name, running, unserved)| (model(name), total(*running, *unserved)))
+        .collect()
+}
+
+fn plan(directory: &EndpointDirectory, names: &[&str], demand: &Demand) -> PlanOutcome {
+    let rule = engine_rule(names);
+    let mut planner = LoadPlanner::default();
+    // The rate of the weight store fills up with time.
+    planner.plan(
+        &rule,
+        directory.service(&service()),
+        &Demand::new(),
+        at(900),
+    );
+    planner.plan(&rule, directory.service(&service()), demand, at(1_000))
+}
+
+fn loads(outcome: &PlanOutcome) -> Vec<(String, String, LoadReason)> {
+    let row = |load: &oatpier_serving::planner::PlannedLoad| {
+        (
+            load.endpoint.to_string(),
+            load.advice.load.to_string(),
+            load.reason,
+        )
+    };
+    outcome.planned.iter().map(row).collect()
+}
+
+/// A model that nobody holds is asked for. Its callers wait or are refused until it is loaded; the
+/// idle engine loads it, not the busy one.
+#[test]
+fn a_model_that_is_asked_for_gets_a_holder_on_the_idlest_engine() {
+    let directory = directory(&[(&["m1"], 9), (&["m2"], 0)], at(900));
+    let demand = demand(&[("m1", 9.0, 0.0), ("m3", 0.0, 2.0)]);
+    let outcome = plan(&directory, &["m1", "m2", "m3"], &demand);
+    assert_eq!(
+        loads(&outcome),
+        vec![("e2".to_owned(), "m3".to_owned(), LoadReason::Unreachable)]
+    );
+    assert!(outcome.planned[0].advice.unload.is_empty());
+}
+
+#[test]
+fn room_is_made_by_a_replica_and_never_by_the_last_holder_of_a_model_in_demand() {
+    let engines: [(&[&str], u32); 2] = [(&["m1", "m2"], 0), (&["m1", "m3"], 0)];
+    let directory = directory(&engines, at(900));
+    let demand = demand(&[
+        ("m1", 1.0, 0.0),
+        ("m2", 1.0, 0.0),
+        ("m3", 1.0, 0.0),
+        ("m4", 0.0, 2.0),
+    ]);
+    let outcome = plan(&directory, &["m1", "m2", "m3", "m4"], &demand);
+    assert_eq!(outcome.planned.len(), 1);
+    assert_eq!(outcome.planned[0].advice.unload, vec![model("m1")]);
+}
+
+/// Callers of a busy model are refused while other engines idle: one more replica takes a part of
+/// its requests.
+#[test]
+fn a_busy_model_gets_a_replica_where_others_idle() {
+    let directory = directory(&[(&["m1"], 10), (&["m2"], 0), (&["m3"], 0)], at(900));
+    let outcome = plan(
+        &directory,
+        &["m1", "m2", "m3"],
+        &demand(&[("m1", 10.0, 5.0)]),
+    );
+    assert!(loads(&outcome).iter().all(|(_, name, _)| name == "m1"));
+    assert!(!outcome.planned.is_empty());
+}
+
+#[test]
+fn a_calm_fleet_is_left_alone() {
+    let directory = directory(&[(&["m1"], 2), (&["m2"], 1)], at(900));
+    let outcome = plan(
+        &directory,
+        &["m1", "m2"],
+        &demand(&[("m1", 2.0, 0.0), ("m2", 1.0, 0.0)]),
+    );
+    assert!(outcome.planned.is_empty());
+}
+
+/// All engines were restarted and are empty, and so is the memory of all gateways. What had many
+/// replicas has many copies on the engines' disks, and comes back first and oftenest.
+#[test]
+fn empty_engines_are_refilled_from_their_own_copies() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry((1..=3).map(|number| record(number, &[])).collect(), at(900));
+    for number in 1..=3 {
+        let mut empty = pulse(number, &[], 0);
+        let mut on_disk = vec![model("popular")];
+        if number == 3 {
+            on_disk.push(model("rare"));
+        }
+        empty.copies = LocalCopies {
+            in_memory: Vec::new(),
+            on_disk,
+        };
+        directory.take_pulse(empty, at(900));
+    }
+    let rule = engine_rule(&["popular", "rare"]);
+    let mut planner = LoadPlanner::default();
+    let outcome = planner.plan(
+        &rule,
+        directory.service(&service()),
+        &Demand::new(),
+        at(1_000),
+    );
+    let names: Vec<String> = loads(&outcome)
+        .into_iter()
+        .map(|(_, name, _)| name)
+        .collect();
+    assert_eq!(names, vec!["popular", "popular", "rare"]);
+    assert!(
+        outcome
+            .planned
+            .iter()
+            .all(|load| load.reason == LoadReason::Room)
+    );
+}
+
+#[test]
+fn an_engine_that_must_wait_for_its_part_of_the_rate_is_not_advised() {
+    let mut directory = directory(&[(&["m1"], 0)], at(900));
+    let mut paced = pulse(1, &["m1"], 0);
+    paced.number.number = 2;
+    paced.load_wait_ms = 2_000;
+    directory.take_pulse(paced, at(950));
+    let outcome = plan(&directory, &["m1", "m2"], &demand(&[("m2", 0.0, 3.0)]));
+    assert!(outcome.planned.is_empty());
+    assert_eq!(outcome.blocked[0].paced, 1);
+}
+
+/// The advice names the size of everything that the engine holds, so that its sidecar can check
+/// the sum by itself.
+#[test]
+fn advice_names_every_size() {
+    let directory = directory(&[(&["m1"], 0)], at(900));
+    let outcome = plan(&directory, &["m1", "m2"], &demand(&[("m2", 0.0, 3.0)]));
+    let advice = &outcome.planned[0].advice;
+    let sizes: Vec<String> = advice
+        .sizes
+        .iter()
+        .map(|row| row.model.to_string())
+        .collect();
+    assert_eq!(sizes, vec!["m1", "m2"]);
+    assert!((advice.room_mb - 196.0).abs() < 1e-9);
+}
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/residency.rs
@@ -0,0 +1,313 @@
+//! Which order an engine gets next.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oatpier_serving::engine::{EngineOrder, EngineReport, LocalCopies, OrderAnswer};
+use oatpier_serving::message::{AdapterUse, AdapterWish, GatewayGreeting, LoadAdvice, ModelSize};
+use oatpier_serving::residency::{EngineResidency, LoadPace};
+use proptest::prelude::*;
+
+use crate::support::{adapter, address, at, fixed_cases, held, model};
+
+const PACE: LoadPace = LoadPace {
+    loads: 4,
+    engines: 4,
+    place: 0,
+    window: Duration::from_secs(5),
+};
+
+fn residency() -> EngineResidency {
+    EngineResidency::new(PACE, true, at(0))
+}
+
+fn report(sequence: u64, models: &[&str]) -> EngineReport {
+    EngineReport {
+        sequence,
+        models: models.iter().map(|name| held(name, &[])).collect(),
+        ..EngineReport::default()
+    }
+}
+
+fn advice(load: &str, unload: &[&str], held_models: &[&str]) -> LoadAdvice {
+    let sizes = held_models.iter().chain([&load]).map(|name| ModelSize {
+        model: model(name),
+        size_mb: 90.0,
+    });
+    LoadAdvice {
+        load: model(load),
+        unload: unload.iter().map(|name| model(name)).collect(),
+        sizes: sizes.collect(),
+        room_mb: 196.0,
+    }
+}
+
+fn greeting(used: &[(&str, u32)]) -> GatewayGreeting {
+    let used = used.iter().map(|(name, requests)| AdapterUse {
+        key: adapter("m1", name),
+        requests: *requests,
+    });
+    GatewayGreeting {
+        used: used.collect(),
+        engines: 4,
+        place: 0,
+        loads_per_window: 4,
+        adapter_slots: 2,
+    }
+}
+
+fn wish(name: &str) -> AdapterWish {
+    AdapterWish {
+        key: adapter("m1", name),
+        slots: 2,
+    }
+}
+
+fn gateway() -> SocketAddr {
+    address(99)
+}
+
+#[test]
+fn a_load_that_fits_is_ordered_under_the_present_sequence() {
+    let mut residency = residency();
+    residency.take_report(report(7, &["m1"]));
+    residency.take_advice(advice("m2", &[], &["m1"]), at(0));
+    let order = residency.next_order(at(0)).unwrap();
+    assert_eq!(order.order, EngineOrder::LoadModel(model("m2")));
+    assert_eq!(order.expect, 7);
+}
+
+/// An engine that is ordered to hold more than its memory crashes with all its requests. The sum is
+/// checked here, whatever the planner believed when it gave the advice.
+#[test]
+fn a_load_that_does_not_fit_is_refused() {
+    let mut residency = residency();
+    residency.take_report(report(1, &["m1", "m2"]));
+    residency.take_advice(advice("m3", &[], &["m1", "m2"]), at(0));
+    assert_eq!(residency.next_order(at(0)), None);
+}
+
+#[test]
+fn a_held_model_of_unknown_size_takes_all_room() {
+    let mut residency = residency();
+    residency.take_report(report(1, &["stranger"]));
+    residency.take_advice(advice("m2", &[], &[]), at(0));
+    assert_eq!(residency.next_order(at(0)), None);
+}
+
+/// Requests that are on their way to a model when its unloading is ordered are refused by the
+/// engine. Gateways are told first, and the order follows a moment later.
+#[test]
+fn gateways_are_told_before_a_model_is_unloaded() {
+    let mut residency = residency();
+    residency.take_report(report(1, &["m1", "m2"]));
+    residency.take_advice(advice("m3", &["m1"], &["m1", "m2"]), at(0));
+    assert_eq!(residency.retiring(), [model("m1")]);
+    assert_eq!(residency.next_order(at(0)), None);
+    let order = residency.next_order(at(50)).unwrap();
+    assert_eq!(order.order, EngineOrder::UnloadModel(model("m1")));
+}
+
+/// The answer to a load is lost; the engine may begin it at once, seconds later, or never. The same
+/// order under the same sequence is given again before any other, so that only one of the two can
+/// be taken.
+#[test]
+fn a_load_without_an_answer_is_given_again_before_anything_else() {
+    let mut residency = residency();
+    residency.take_report(report(1, &["m1"]));
+    residency.take_advice(advice("m2", &[], &["m1"]), at(0));
+    let order = residency.next_order(at(0)).unwrap();
+    residency.note_answer(&order, OrderAnswer::Unknown, at(10));
+    residency.take_report(report(1, &["m1"]));
+    residency.take_wish(wish("a1"), at(20));
+    assert_eq!(residency.next_order(at(20)), Some(order));
+    residency.take_report(report(2, &["m1"]));
+    assert!(matches!(
+        residency.next_order(at(30)).unwrap().order,
+        EngineOrder::LoadAdapter(_)
+    ));
+}
+
+#[test]
+fn a_restarted_sidecar_waits_a_whole_spacing_before_it_loads_from_the_store() {
+    let mut residency = EngineResidency::new(PACE, false, at(0));
+    residency.take_report(report(1, &[]));
+    residency.take_advice(advice("m1", &[], &[]), at(0));
+    assert_eq!(residency.next_order(at(4_000)), None);
+    assert!(residency.next_order(at(5_000)).is_some());
+}
+
+#[test]
+fn a_load_from_the_engines_own_copies_waits_for_nothing() {
+    let mut residency = EngineResidency::new(PACE, false, at(0));
+    let mut own = report(1, &[]);
+    own.copies = LocalCopies {
+        in_memory: Vec::new(),
+        on_disk: vec![model("m1")],
+    };
+    residency.take_report(own);
+    residency.take_advice(advice("m1", &[], &[]), at(0));
+    assert!(residency.next_order(at(0)).is_some());
+}
+
+#[test]
+fn an_adapter_that_is_not_used_makes_room() {
+    let mut residency = residency();
+    let mut full = report(1, &[]);
+    full.models = vec![held("m1", &["a1", "a2"])];
+    residency.take_report(full);
+    residency.take_greeting(gateway(), &greeting(&[("a1", 1), ("a2", 0)]), at(0));
+    residency.take_wish(wish("a3"), at(100));
+    let order = residency.next_order(at(100)).unwrap();
+    assert_eq!(order.order, EngineOrder::UnloadAdapter(adapter("m1", "a2")));
+}
+
+/// An engine that is told to unload an adapter in use takes no other order until its streams are
+/// over, so that nothing else can be loaded for seconds. Such an adapter only stops being offered;
+/// it is unloaded once gateways say that nothing uses it.
+#[test]
+fn an_adapter_in_use_yields_before_it_is_unloaded() {
+    let mut residency = residency();
+    let mut full = report(1, &[]);
+    full.models = vec![held("m1", &["a1", "a2"])];
+    residency.take_report(full);
+    residency.take_greeting(gateway(), &greeting(&[("a1", 1), ("a2", 3)]), at(0));
+    residency.take_wish(wish("a3"), at(100));
+    assert_eq!(residency.next_order(at(100)), None);
+    assert_eq!(residency.offered()[0].adapters.len(), 1);
+    residency.take_greeting(gateway(), &greeting(&[("a2", 3)]), at(150));
+    residency.take_wish(wish("a3"), at(200));
+    let order = residency.next_order(at(200)).unwrap();
+    assert_eq!(order.order, EngineOrder::UnloadAdapter(adapter("m1", "a1")));
+}
+
+#[test]
+fn a_busy_engine_gets_no_order() {
+    let mut residency = residency();
+    let mut busy = report(1, &["m1"]);
+    busy.busy = true;
+    residency.take_report(busy);
+    residency.take_advice(advice("m2", &[], &["m1"]), at(0));
+    assert_eq!(residency.next_order(at(0)), None);
+}
+
+#[test]
+fn a_wish_that_nobody_repeats_is_dropped() {
+    let mut residency = residency();
+    residency.take_report(report(1, &["m1"]));
+    residency.take_greeting(gateway(), &greeting(&[]), at(0));
+    residency.take_wish(wish("a1"), at(0));
+    assert_eq!(residency.next_order(at(1_000)), None);
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(128))]
+
+    /// The weight store bounds the loads that begin in any window over all engines. No sidecar asks
+    /// another one, so the sum must hold when every one of them wants to load all the time, also
+    /// while sidecars are killed and started again.
+    #[test]
+    fn all_sidecars_together_keep_the_rate_of_the_weight_store(
+        engines in 1_u32..40,
+        loads in 1_u32..40,
+        restarts in prop::collection::vec((0_u64..20_000, 0_usize..40), 0..20),
+    ) {
+        let pace_of = |place| LoadPace { loads, engines, place, window: Duration::from_secs(5) };
+        let count = engines as usize;
+        let mut sidecars: Vec<EngineResidency> =
+            (0..engines).map(|place| EngineResidency::new(pace_of(place), true, at(0))).collect();
+        let mut begun = Vec::new();
+        for now in (0..20_000).step_by(100) {
+            for (when, which) in &restarts {
+                if (now..now + 100).contains(when) && *which < count {
+                    let place = u32::try_from(*which).unwrap();
+                    sidecars[*which] = EngineResidency::new(pace_of(place), false, at(now));
+                }
+            }
+            for sidecar in &mut sidecars {
+                sidecar.take_report(report(now, &[]));
+                sidecar.take_advice(advice("m1", &[], &[]), at(now));
+                if let Some(order) = sidecar.next_order(at(now)) {
+                    begun.push(now);
+                    sidecar.note_answer(&order, OrderAnswer::Taken, at(now));
+                    sidecar.take_report(report(now + 1, &["m1"]));
+                }
+            }
+        }
+        for end in &begun {
+            let within = begun.iter().filter(|time| **time <= *end && **time + 5_000 > *end);
+            prop_assert!(within.count() <= loads.max(1) as usize);
+        }
+    }
+
+    /// Whatever is advised in whatever order, the weights that an engine is told to hold never
+    /// exceed its memory.
+    #[test]
+    fn memory_is_never_overcommitted(
+        steps in prop::collection::vec((0_usize..6, 0_usize..6, any::<bool>()), 1..60),
+    ) {
+        let names = ["m0", "m1", "m2", "m3", "m4", "m5"];
+        let pace = LoadPace { loads: 1_000, engines: 1, place: 0, window: Duration::from_millis(1) };
+        let mut residency = EngineResidency::new(pace, true, at(0));
+        let mut held_models: Vec<&str> = Vec::new();
+        let mut now = 0;
+        for (sequence, (load, unload, stale)) in (0_u64..).zip(steps) {
+            now += 100;
+            let known: Vec<&str> = if stale { Vec::new() } else { held_models.clone() };
+            residency.take_report(report(sequence, &held_models));
+            residency.take_advice(advice(names[load], &[names[unload]], &known), at(now));
+            now += 100;
+            let Some(order) = residency.next_order(at(now)) else { continue };
+            match &order.order {
+                EngineOrder::LoadModel(name) => held_models.push(names[load_index(name.as_str())]),
+                EngineOrder::UnloadModel(name) => held_models.retain(|held| *held != name.as_str()),
+                _ => {}
+            }
+            residency.note_answer(&order, OrderAnswer::Taken, at(now));
+            prop_assert!(held_models.len() <= 2, "{held_models:?}");
+        }
+    }
+}
+
+fn load_index(name: &str) -> usize {
+    name[1..].parse().unwrap()
+}
+
+#[test]
+fn the_pace_divides_the_rate() {
+    let pace = LoadPace {
+        loads: 18,
+        engines: 18,
+        place: 17,
+        window: Duration::from_secs(5),
+    };
+    assert_eq!(pace.spacing(), Some(Duration::from_secs(5)));
+    let few = LoadPace { engines: 6, ..pace };
+    assert_eq!(few.spacing(), Some(Duration::from_secs(5) / 3));
+    let many = LoadPace {
+        engines: 36,
+        ..pace
+    };
+    assert_eq!(many.spacing(), Some(Duration::from_secs(5)));
+    let last = LoadPace { place: 18, ..many };
+    assert_eq!(last.spacing(), None);
+}
+
+/// Four engines share one load in a window. All of them had a load at hand when they started, and
+/// each kept to its own part only after its first one.
+#[test]
+fn engines_beyond_the_rate_do_not_begin_together() {
+    let begun = (0..4).filter(|place| {
+        let pace = LoadPace {
+            loads: 1,
+            engines: 4,
+            place: *place,
+            window: Duration::from_secs(5),
+        };
+        let mut sidecar = EngineResidency::new(pace, true, at(0));
+        sidecar.take_report(report(0, &[]));
+        sidecar.take_advice(advice("m1", &[], &[]), at(0));
+        sidecar.next_order(at(0)).is_some()
+    });
+    assert_eq!(begun.count(), 1);
+}
