Tell the story of a request, a model or an endpoint from log files

What: `oatpier logs request|model|endpoint NAME [FILE...]`; decision lines carry the wall clock, the endpoint and the age of the word on its load. Tests of gateways against scripted endpoints: at most once, crossed, cut, unsigned and truncated answers, resumption, restarts, adapters, refusals.

--- a/crates/oatpier-gateway/src/decisions.rs
+++ b/crates/oatpier-gateway/src/decisions.rs
@@ -6,7 +6,7 @@
 
 use std::io::Write;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use oatpier_duty::duty::{RingReceiver, RingRule, RingSender, StopPhase, StopSignal, ring};
 use serde_json::{Map, Value};
@@ -146,12 +146,21 @@
             "at_ms".to_owned(),
             Value::from((at_ms * 10.0).round() / 10.0),
         );
+        fields.insert("time_ms".to_owned(), Value::from(wall_clock_ms()));
         fields.insert("process".to_owned(), Value::from(&*self.process));
         // A full ring counts the line by itself.
         let _ = self.lines.offer(Value::Object(fields).to_string());
     }
 }
 
+/// The VM's time of day, for reading the lines of several processes together. It may jump; `at_ms`
+/// counts from the process's start and does not.
+fn wall_clock_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |since| since.as_millis());
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 /// Whether a line has a place in its second.
 enum LinePlace {
     Taken { left_out: u64 },
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -171,6 +171,8 @@
     pub choice: EndpointChoice,
     /// Where the endpoint listens.
     pub address: SocketAddr,
+    /// How old the last word of the endpoint's sidecar was; none without one.
+    pub load_age: Option<Duration>,
 }
 
 /// How soon a request that waits for an adapter asks again, and repeats its wish: a load takes 5 to
@@ -377,6 +379,7 @@
             return Placement::Wait(MODEL_RETRY);
         };
         let address = row.record.address;
+        let load_age = row.pulse_age(now);
         if choice.needs_adapter {
             if now.since(plan.arrived) > plan.weights_patience() {
                 self.note_unserved(state, plan, now);
@@ -390,7 +393,11 @@
             return Placement::Wait(ADAPTER_RETRY);
         }
         state.directory.note_probe(&choice.endpoint, now);
-        Placement::Send(PlacedSend { choice, address })
+        Placement::Send(PlacedSend {
+            choice,
+            address,
+            load_age,
+        })
     }
 
     fn wish(&self, weights: Option<&WeightsKey>, sidecar: SocketAddr, slots: usize) {
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -149,6 +149,8 @@
     settled: RunVerdict,
     /// Whether an attempt is under way.
     sending: bool,
+    /// The endpoint of the last attempt.
+    endpoint: Option<EndpointName>,
 }
 
 /// What became of a request.
@@ -167,6 +169,7 @@
             excluded: SmallVec::new(),
             settled: RunVerdict::NotRun,
             sending: false,
+            endpoint: None,
         }
     }
 
@@ -202,6 +205,7 @@
                 Err(own) => return RunEnd::Own(own),
             };
             self.sending = true;
+            self.endpoint = Some(placed.choice.endpoint.clone());
             let failure = match self.attempt(&placed).await {
                 Ok(reply) => return RunEnd::Answered(reply),
                 Err(failure) => failure,
@@ -364,7 +368,8 @@
             .with("cause", failure.as_str())
             .with("verdict", failure.verdict().as_str())
             .with("predicted_ms", millis(placed.choice.predicted))
-            .with("queue_ms", millis(placed.choice.queue));
+            .with("queue_ms", millis(placed.choice.queue))
+            .with("load_age_ms", placed.load_age.map(millis));
         self.core.log.write(line);
     }
 
@@ -411,7 +416,8 @@
                 "weights",
                 plan.request.weights.as_ref().map(ToString::to_string),
             )
-            .with("sent_to", names(&self.excluded))
+            .with("endpoint", self.endpoint.as_ref().map(ToString::to_string))
+            .with("failed_at", names(&self.excluded))
             .with("waited_ms", millis(waited))
     }
 }
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -136,7 +136,7 @@
     }
 
     fn register(&self) -> Registry {
-        let mut registry = Registry::with_prefix("oatpier");
+        let mut registry = Registry::with_prefix("oatpier_serving");
         registry.register(
             "requests",
             "Requests by route and outcome",
--- /dev/null
+++ b/crates/oatpier-gateway/tests/testsuite/forwarding.rs
@@ -0,0 +1,67 @@
+//! What goes on to an endpoint, and what comes back.
+
+use http::StatusCode;
+use oatpier_serving::site::RouteKind;
+
+use crate::support::{EndpointStep, ID, ScriptedEndpoint, TestGateway, own_answer, request};
+
+#[tokio::test]
+async fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
+    let answer = EndpointStep::Answer(own_answer("200 OK", "world"));
+    let endpoint = ScriptedEndpoint::start(vec![answer]).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    let answer = gateway.send(request(&[("x-other", "kept")])).await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(answer.headers()["x-oatpier-response-stamp"], "s1");
+    assert_eq!(&answer.body()[..], b"world");
+    let sent = &endpoint.requests()[0];
+    assert!(sent.starts_with("POST /draft/7?x=1 HTTP/1.1\r\n"), "{sent}");
+    assert!(sent.contains("host: a.example\r\n") && sent.contains("x-other: kept\r\n"));
+    assert!(sent.contains(&format!("x-oatpier-request-id: {ID}\r\n")));
+    assert!(sent.contains("x-oatpier-expect-instance: i-1\r\n"));
+    assert!(sent.ends_with("\r\n\r\nhello"), "{sent}");
+}
+
+/// A caller sends headers that place or prefer requests. The endpoint must see only the gateway's.
+#[tokio::test]
+async fn forged_headers_never_reach_an_endpoint() {
+    let answer = EndpointStep::Answer(own_answer("200 OK", ""));
+    let endpoint = ScriptedEndpoint::start(vec![answer]).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    let forged = [
+        ("x-oatpier-hold", "h1"),
+        ("kv-from", "10.0.0.1:1/2"),
+        ("x-oatpier-expect-instance", "i-9"),
+        ("x-oatpier-request-priority", "0"),
+    ];
+    gateway.send(request(&forged)).await;
+    let sent = &endpoint.requests()[0];
+    assert!(!sent.contains("x-oatpier-hold") && !sent.contains("kv-from"));
+    assert!(!sent.contains("i-9") && !sent.contains("x-oatpier-request-priority"));
+}
+
+#[tokio::test]
+async fn the_endpoint_is_told_the_shorter_of_patience_and_timeout() {
+    let answer = EndpointStep::Answer(own_answer("200 OK", ""));
+    let endpoint = ScriptedEndpoint::start(vec![answer]).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    gateway
+        .send(request(&[("x-oatpier-deadline-ms", "3000")]))
+        .await;
+    let sent = &endpoint.requests()[0];
+    let left = sent
+        .lines()
+        .find_map(|line| line.strip_prefix("x-oatpier-deadline-ms: "))
+        .unwrap();
+    assert!(left.trim().parse::<u32>().unwrap() <= 3_000);
+}
+
+#[tokio::test]
+async fn an_endpoints_own_error_is_returned_as_it_is() {
+    let answer = EndpointStep::Answer(own_answer("503 Service Unavailable", "own"));
+    let endpoint = ScriptedEndpoint::start(vec![answer]).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    let answer = gateway.send(request(&[])).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.headers()["x-oatpier-response-stamp"], "s1");
+}
--- /dev/null
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the duties of gateways: requests against scripted endpoints on loopback connections.
+
+mod failures;
+mod forwarding;
+mod observing;
+mod refusals;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -0,0 +1,58 @@
+//! What engineers see: decision lines and metrics.
+
+use oatpier_gateway::decisions::{DecisionLine, DecisionLog, LineWeight};
+use oatpier_gateway::metrics::ServingMetrics;
+use oatpier_serving::site::RouteKind;
+
+use crate::support::{EndpointStep, ScriptedEndpoint, TestGateway, own_answer, request};
+
+#[tokio::test(start_paused = true)]
+async fn failures_are_logged_when_good_ends_no_longer_are() {
+    let metrics = ServingMetrics::default();
+    let (log, lines) = DecisionLog::new("gateway", &metrics);
+    for _ in 0..60 {
+        log.write(DecisionLine::new(LineWeight::Calm, "answer"));
+    }
+    log.write(DecisionLine::new(LineWeight::Notable, "answer").with("request", "r1"));
+    let written: Vec<String> = std::iter::from_fn(|| lines.poll()).collect();
+    assert_eq!(written.len(), 41);
+    assert!(written[40].contains("\"request\":\"r1\""));
+    assert_eq!(metrics.lines_left_out.get(), 20);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_left_out_is_told_in_the_next_second() {
+    let metrics = ServingMetrics::default();
+    let (log, lines) = DecisionLog::new("gateway", &metrics);
+    for _ in 0..45 {
+        log.write(DecisionLine::new(LineWeight::Calm, "answer"));
+    }
+    tokio::time::advance(std::time::Duration::from_secs(1)).await;
+    log.write(DecisionLine::new(LineWeight::Calm, "answer"));
+    let written: Vec<String> = std::iter::from_fn(|| lines.poll()).collect();
+    let told = written.iter().find(|line| line.contains("lines left out"));
+    assert!(told.unwrap().contains("\"lines\":5"));
+}
+
+/// docs/OPERATIONS.md sends engineers to these names.
+#[tokio::test]
+async fn every_metric_that_the_operators_page_names_is_served() {
+    let answer = EndpointStep::Answer(own_answer("200 OK", ""));
+    let endpoint = ScriptedEndpoint::start(vec![answer]).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    gateway.send(request(&[])).await;
+    gateway.core.metrics.store_read("answered");
+    gateway.core.metrics.ordered("taken");
+    gateway.core.metrics.advised("busy");
+    gateway.core.metrics.attempted("cut");
+    let text = gateway.core.metrics.encode();
+    let page = include_str!("../../../../docs/OPERATIONS.md");
+    let named: Vec<&str> = page
+        .split(['`', '{', ' '])
+        .filter(|word| word.starts_with("oatpier_serving_"))
+        .collect();
+    assert!(named.len() >= 8, "the page names {named:?}");
+    for name in named {
+        assert!(text.contains(name), "{name} is not served");
+    }
+}
--- /dev/null
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -0,0 +1,345 @@
+//! A gateway's handler before endpoints that answer by script.
+
+use std::collections::VecDeque;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Collected};
+use oatpier_duty::duty::RuntimeClock;
+use oatpier_gateway::decisions::DecisionLog;
+use oatpier_gateway::exchange::MessageOutlet;
+use oatpier_gateway::gateway::core::{CoreInputs, GatewayCore};
+use oatpier_gateway::gateway::handler::GatewayHandler;
+use oatpier_gateway::metrics::ServingMetrics;
+use oatpier_serving::directory::EndpointRecord;
+use oatpier_serving::engine::{EndpointLoad, HeldModel, LocalCopies};
+use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber};
+use oatpier_serving::node::{NodeBounds, NodeSettings};
+use oatpier_serving::site::{
+    CallerLimits, EngineRule, ModelRule, RouteKind, RouteRule, ServiceRule, SiteConfig,
+    WeightedService,
+};
+use oatpier_types::names::{ClassName, DaemonName, EndpointName, ModelName, PoolName, ZoneName};
+use oatpier_wire::server::RequestHandler;
+use smallvec::smallvec;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+pub const ID: &str = "9c41d07be2a35f68";
+
+/// What an endpoint does with one request.
+#[derive(Debug, Clone)]
+pub enum EndpointStep {
+    /// It answers with these bytes, and keeps the connection.
+    Answer(String),
+    /// It answers with these bytes, and closes the connection.
+    AnswerAndClose(String),
+    /// It closes the connection without an answer.
+    Close,
+    /// It never answers.
+    Silence,
+}
+
+/// An endpoint that takes one step for each request, in order.
+pub struct ScriptedEndpoint {
+    pub address: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl ScriptedEndpoint {
+    pub async fn start(steps: Vec<EndpointStep>) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let steps = Arc::new(Mutex::new(VecDeque::from(steps)));
+        let seen = Arc::clone(&requests);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, Arc::clone(&steps), Arc::clone(&seen)));
+            }
+        });
+        Self { address, requests }
+    }
+
+    /// The requests that came, head and body.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    steps: Arc<Mutex<VecDeque<EndpointStep>>>,
+    seen: Arc<Mutex<Vec<String>>>,
+) {
+    while let Some(request) = read_request(&mut stream).await {
+        seen.lock().unwrap().push(request);
+        let step = steps.lock().unwrap().pop_front();
+        match step {
+            Some(EndpointStep::Answer(bytes)) => stream.write_all(bytes.as_bytes()).await.unwrap(),
+            Some(EndpointStep::AnswerAndClose(bytes)) => {
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                return;
+            }
+            Some(EndpointStep::Silence) => std::future::pending().await,
+            Some(EndpointStep::Close) | None => return,
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = text
+                .lines()
+                .find_map(|line| line.strip_prefix("content-length: "))
+                .map_or(0, |length| length.trim().parse::<usize>().unwrap());
+            if bytes.len() >= end + 4 + length {
+                return Some(text);
+            }
+        }
+        let mut piece = [0; 4096];
+        let read = stream.read(&mut piece).await.ok()?;
+        if read == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&piece[..read]);
+    }
+}
+
+/// An endpoint's own answer to the request of the tests.
+pub fn own_answer(status: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nx-oatpier-request-id: {ID}\r\nx-oatpier-response-stamp: s1\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// An endpoint's word that it did not run the request.
+pub fn not_run(status: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nx-oatpier-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
+/// The head and first events of a stream, each event a chunk.
+pub fn stream_start(events: &[&str]) -> String {
+    let mut text = format!(
+        "HTTP/1.1 200 OK\r\nx-oatpier-request-id: {ID}\r\nx-oatpier-response-stamp: s1\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    for event in events {
+        text += &chunk(event);
+    }
+    text
+}
+
+pub fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
+/// The end of a chunked answer.
+pub const STREAM_END: &str = "0\r\n\r\n";
+
+/// Messages that the gateway sent to sidecars.
+#[derive(Debug, Default)]
+pub struct KeptOutlet {
+    sent: Mutex<Vec<(SocketAddr, InnerMessage)>>,
+}
+
+impl KeptOutlet {
+    pub fn sent(&self) -> Vec<(SocketAddr, InnerMessage)> {
+        self.sent.lock().unwrap().clone()
+    }
+}
+
+impl MessageOutlet for KeptOutlet {
+    fn send(&self, to: SocketAddr, message: &InnerMessage) {
+        self.sent.lock().unwrap().push((to, message.clone()));
+    }
+}
+
+/// A gateway before some endpoints.
+pub struct TestGateway {
+    pub core: Arc<GatewayCore>,
+    pub outlet: Arc<KeptOutlet>,
+    handler: GatewayHandler,
+}
+
+impl TestGateway {
+    /// A gateway that knows nothing.
+    pub fn unconfigured() -> Self {
+        let outlet = Arc::new(KeptOutlet::default());
+        let metrics = ServingMetrics::default();
+        let (log, _) = DecisionLog::new("gateway", &metrics);
+        let inputs = CoreInputs {
+            clock: RuntimeClock::start(),
+            metrics,
+            log,
+            able: Arc::default(),
+        };
+        let (_, feed) = watch::channel(Arc::new(settings()));
+        let kept: Arc<dyn MessageOutlet> = outlet.clone();
+        let core = Arc::new(GatewayCore::new(feed, inputs, kept));
+        Self {
+            handler: GatewayHandler::new(Arc::clone(&core)),
+            core,
+            outlet,
+        }
+    }
+
+    /// A gateway with one route of a kind, before plain endpoints.
+    pub fn before(kind: RouteKind, max_attempts: u32, endpoints: &[&ScriptedEndpoint]) -> Self {
+        let gateway = Self::unconfigured();
+        let records = (1..)
+            .zip(endpoints)
+            .map(|(number, endpoint)| record(number, endpoint.address));
+        let config = config(vec![route(kind, max_attempts)]);
+        gateway
+            .core
+            .take_records(Some(Arc::new(config)), records.collect());
+        gateway
+    }
+
+    pub async fn send(&self, request: Request<Bytes>) -> Response<Bytes> {
+        let reply = self.reply(request).await;
+        let (parts, body) = reply.into_parts();
+        let body = body.collect().await.map(Collected::to_bytes);
+        Response::from_parts(parts, body.expect("the answer is whole"))
+    }
+
+    pub async fn reply(&self, request: Request<Bytes>) -> oatpier_wire::reply::Reply {
+        let caller = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+        self.handler.handle(request, caller).await
+    }
+}
+
+pub fn request(rows: &[(&'static str, &'static str)]) -> Request<Bytes> {
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri("/draft/7?x=1")
+        .header("host", "a.example")
+        .header("x-oatpier-request-id", ID);
+    for (name, value) in rows {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Bytes::from_static(b"hello")).unwrap()
+}
+
+pub fn route(kind: RouteKind, max_attempts: u32) -> RouteRule {
+    RouteRule {
+        name: ClassName::try_from("draft").unwrap(),
+        host: Arc::from("a.example"),
+        path_prefix: Arc::from("/draft/"),
+        kind,
+        timeout: Duration::from_secs(20),
+        target: Duration::from_secs(5),
+        priority: 0,
+        targets: smallvec![WeightedService {
+            service: service(),
+            weight: 1,
+        }],
+        max_attempts,
+    }
+}
+
+pub fn config(routes: Vec<RouteRule>) -> SiteConfig {
+    SiteConfig {
+        version: 1,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        services: vec![ServiceRule {
+            name: service(),
+            max_connections: 100,
+            engine: Some(EngineRule {
+                weights_mb: 200.0,
+                memory_tokens: 100_000,
+                adapter_slots: 4,
+                loads_per_s: 4.0,
+                models: vec![ModelRule {
+                    name: ModelName::try_from("m1").unwrap(),
+                    size_mb: 90.0,
+                    load: Duration::from_secs(2),
+                    load_from_disk: Duration::from_millis(500),
+                    load_from_memory: Duration::from_millis(400),
+                    adapter_mb: 1.0,
+                }],
+            }),
+        }],
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_000,
+            head_wait: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        },
+    }
+}
+
+pub fn service() -> PoolName {
+    PoolName::try_from("llm").unwrap()
+}
+
+pub fn record(number: u8, address: SocketAddr) -> EndpointRecord {
+    EndpointRecord {
+        name: EndpointName::try_from(format!("i-{number}").as_str()).unwrap(),
+        service: service(),
+        address,
+        zone: ZoneName::try_from("near").unwrap(),
+        slots: 10,
+        draining: false,
+        cold: Duration::ZERO,
+        models: Vec::new(),
+        copies: LocalCopies::default(),
+    }
+}
+
+pub fn pulse(number: u64, engine: SocketAddr, models: Vec<HeldModel>) -> EnginePulse {
+    EnginePulse {
+        number: MessageNumber { boot: 1, number },
+        engine,
+        service: Some(service()),
+        answers: true,
+        load: EndpointLoad::default(),
+        memory_used: 0,
+        memory_total: 100_000,
+        models,
+        retiring: Vec::new(),
+        loading: None,
+        coming: Vec::new(),
+        adapter_room: 2,
+        copies: LocalCopies::default(),
+        draining: false,
+        load_wait_ms: 0,
+        gateways: Vec::new(),
+    }
+}
+
+fn settings() -> NodeSettings {
+    NodeSettings {
+        name: DaemonName::try_from("gateway").unwrap(),
+        ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        zone: ZoneName::try_from("near").unwrap(),
+        inner_port: 7380,
+        metrics: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        callers: None,
+        readiness: None,
+        engine: None,
+        service: None,
+        first_start: true,
+        store: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        bounds: NodeBounds {
+            config: Duration::from_secs(2),
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_slack: 56.0,
+            retry_window: Duration::from_secs(10),
+            load_window: Duration::from_secs(5),
+            load_margin: 1.1,
+        },
+    }
+}
--- a/crates/oatpier-serving/src/directory.rs
+++ b/crates/oatpier-serving/src/directory.rs
@@ -153,6 +153,13 @@
         (now.since(kept.at) <= PULSE_LIFE).then_some(&kept.pulse)
     }
 
+    /// How old the last pulse is, if it still counts.
+    #[must_use]
+    pub fn pulse_age(&self, now: ClockTime) -> Option<Duration> {
+        let age = now.since(self.pulse.as_ref()?.at);
+        (age <= PULSE_LIFE).then_some(age)
+    }
+
     /// Whether it was taken for its predecessor's successor lately, so that the registry may not list
     /// it yet.
     fn is_adopted(&self, now: ClockTime) -> bool {
--- a/crates/oatpier/src/commands/mod.rs
+++ b/crates/oatpier/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod completions;
 pub mod config;
 pub mod explain;
+pub mod logs;
 pub mod status;
 pub mod stop;
 
@@ -22,6 +23,7 @@
         stop::cli(),
         status::cli(),
         explain::cli(),
+        logs::cli(),
         completions::cli(),
     ]
 }
@@ -37,6 +39,7 @@
         Some(("stop", matches)) => stop::exec(context, matches),
         Some(("status", _)) => status::exec(context),
         Some(("explain", matches)) => explain::exec(context, matches),
+        Some(("logs", matches)) => logs::exec(context, matches),
         Some(("completions", matches)) => completions::exec(matches),
         _ => unreachable!("clap requires one of the subcommands"),
     }
--- a/crates/oatpier/src/ops/mod.rs
+++ b/crates/oatpier/src/ops/mod.rs
@@ -3,6 +3,7 @@
 pub mod apply;
 pub mod entries;
 pub mod files;
+pub mod log_story;
 pub mod reach_text;
 pub mod record_store;
 pub mod stamp;
--- a/crates/oatpier/tests/testsuite/main.rs
+++ b/crates/oatpier/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod config_commands;
 mod entry_commands;
 mod fixture;
+mod log_story;
 mod settings;
 mod stop_commands;
