--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -161,7 +161,25 @@
     /// Ask again when something has changed, at the latest after this long.
     Wait(Duration),
     /// Refuse it.
-    Refuse(Refusal),
+    Refuse(PlacementRefusal),
+}
+
+/// Why a request has no place.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacementRefusal {
+    /// The refusal.
+    pub refusal: Refusal,
+    /// The best endpoint for it, if there is one: it is too busy.
+    pub best: Option<EndpointChoice>,
+}
+
+impl PlacementRefusal {
+    fn without_endpoint(refusal: Refusal) -> Placement {
+        Placement::Refuse(Self {
+            refusal,
+            best: None,
+        })
+    }
 }
 
 /// Where a request is sent.
@@ -261,6 +279,7 @@
         let is_able = state.config.is_some();
         drop(state);
         self.metrics.endpoints.set(shown(count));
+        self.metrics.store_age_ms.set(0);
         for change in &changes {
             let line = DecisionLine::new(LineWeight::Notable, "directory");
             self.log.write(line.with("change", format!("{change:?}")));
@@ -353,7 +372,10 @@
                 match verdict {
                     AdmissionVerdict::Send => self.place_at(&mut state, plan, choice, engine, now),
                     AdmissionVerdict::Wait(most) => Placement::Wait(most),
-                    AdmissionVerdict::Refuse(refusal) => Placement::Refuse(refusal),
+                    AdmissionVerdict::Refuse(refusal) => Placement::Refuse(PlacementRefusal {
+                        refusal,
+                        best: Some(choice),
+                    }),
                 }
             }
             ChoiceVerdict::NoModel { loading } => {
@@ -362,7 +384,7 @@
             }
             ChoiceVerdict::NoEndpoint => {
                 let refusal = state.judge.refusal(RefusalCause::NoEndpoint, ABSENT_RETURN);
-                Placement::Refuse(refusal)
+                PlacementRefusal::without_endpoint(refusal)
             }
         }
     }
@@ -386,7 +408,10 @@
                 let refusal = state
                     .judge
                     .refusal(RefusalCause::WeightsMissing, ADAPTER_RETURN);
-                return Placement::Refuse(refusal);
+                return Placement::Refuse(PlacementRefusal {
+                    refusal,
+                    best: Some(choice),
+                });
             }
             let sidecar = SocketAddr::new(address.ip(), self.inner_port);
             self.wish(plan.request.weights.as_ref(), sidecar, engine.unwrap_or(0));
@@ -539,7 +564,7 @@
     let refusal = state
         .judge
         .refusal(RefusalCause::WeightsMissing, MODEL_RETURN);
-    Placement::Refuse(refusal)
+    PlacementRefusal::without_endpoint(refusal)
 }
 
 /// The share of the weight store's bound that sidecars divide among themselves. The rest covers
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -146,12 +146,16 @@
         state.urgent = false;
         let peers = state.peers.addresses(now);
         let count = state.peers.count(now);
+        let read_at = state.store_read_at.unwrap_or_default();
+        let store_age = now.since(read_at).as_millis();
         let bounds = self.core.settings.borrow().bounds;
         state
             .allowance
             .set_bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
         state.allowance.share_among(count);
         drop(state);
+        let store_age = i64::try_from(store_age).unwrap_or(i64::MAX);
+        self.core.metrics.store_age_ms.set(store_age);
         self.core
             .metrics
             .gateways
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -13,6 +13,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use oatpier_platform::headers::{self, HeaderError};
+use oatpier_serving::choice::EndpointChoice;
 use oatpier_serving::site::{RouteKind, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
@@ -151,6 +152,8 @@
     sending: bool,
     /// The endpoint of the last attempt.
     endpoint: Option<EndpointName>,
+    /// The endpoint that was best and too busy, where the request was refused.
+    too_busy: Option<EndpointChoice>,
 }
 
 /// What became of a request.
@@ -170,6 +173,7 @@
             settled: RunVerdict::NotRun,
             sending: false,
             endpoint: None,
+            too_busy: None,
         }
     }
 
@@ -218,12 +222,15 @@
     }
 
     /// Waits until the request can be sent.
-    pub(super) async fn placement(&self) -> Result<PlacedSend, OwnAnswer> {
+    pub(super) async fn placement(&mut self) -> Result<PlacedSend, OwnAnswer> {
         loop {
             let changed = self.core.changed.notified();
             match self.core.place(&self.plan, &self.excluded) {
                 Placement::Send(placed) => return Ok(placed),
-                Placement::Refuse(refusal) => return Err(self.refused(refusal)),
+                Placement::Refuse(refused) => {
+                    self.too_busy = refused.best;
+                    return Err(self.refused(refused.refusal));
+                }
                 Placement::Wait(most) => {
                     let at = self.core.clock.instant(self.core.clock.now() + most);
                     tokio::select! {
@@ -391,8 +398,15 @@
     fn log_own(&self, own: OwnAnswer) {
         let now = self.core.clock.now();
         let store_read_at = self.core.lock().store_read_at;
+        let best = self.too_busy.as_ref();
         let line = self
             .answer_line(LineWeight::Notable, own.as_str())
+            .with("best", best.map(|choice| choice.endpoint.to_string()))
+            .with(
+                "best_taken",
+                best.map(|choice| hundredths(choice.occupancy)),
+            )
+            .with("best_queue_ms", best.map(|choice| millis(choice.queue)))
             .with("status", own.status().as_u16())
             .with("verdict", self.verdict().as_str())
             .with(
@@ -426,6 +440,11 @@
     endpoints.iter().map(ToString::to_string).collect()
 }
 
+/// A share with two decimals, for a log line.
+fn hundredths(share: f64) -> f64 {
+    (share * 100.0).round() / 100.0
+}
+
 /// Milliseconds with one decimal, for a log line.
 fn millis(span: Duration) -> f64 {
     (span.as_secs_f64() * 1e4).round() / 10.0
