Cost gateways less with many engines and many gateways

What: reports of demand go to the gateways that plan or follow, the others hear a sign of life; sidecars send short load pulses, rarer with more gateways; waiting requests look again on a timer of their own instead of at every change; log lines are written together; a gateway that runs 0.3 s behind its timers refuses at once, and the next try reaches another one.

Ruled out: the store's reads (0.7 a second each), the choice of an endpoint.

--- a/crates/oatpier-gateway/src/decisions.rs
+++ b/crates/oatpier-gateway/src/decisions.rs
@@ -170,21 +170,29 @@
 /// Writes lines to standard output until the process ends.
 pub async fn write_lines(lines: RingReceiver<String>, stop: StopSignal) {
     let writing = async {
-        while let Some(line) = lines.receive().await {
-            print_line(&line);
+        while let Some(first) = lines.receive().await {
+            print_lines(first, &lines);
         }
     };
     tokio::select! {
         () = writing => {}
         () = stop.reached(StopPhase::Ended) => {}
     }
-    while let Some(line) = lines.poll() {
-        print_line(&line);
+    if let Some(first) = lines.poll() {
+        print_lines(first, &lines);
     }
 }
 
-/// Nobody may be reading any more; the process goes on without its log then.
-fn print_line(line: &str) {
+/// Writes a line and those that wait behind it at once. Nobody may be reading any more; the process
+/// goes on without its log then.
+fn print_lines(first: String, lines: &RingReceiver<String>) {
+    let mut text = first;
+    text.push('\n');
+    while let Some(line) = lines.poll() {
+        text.push_str(&line);
+        text.push('\n');
+    }
     let mut output = std::io::stdout().lock();
-    let _ = writeln!(output, "{line}");
+    let _ = output.write_all(text.as_bytes());
+    let _ = output.flush();
 }
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -13,7 +13,9 @@
 use oatpier_serving::demand::DemandBook;
 use oatpier_serving::directory::{EndpointDirectory, EndpointOutcome, EndpointRecord};
 use oatpier_serving::engine::EndpointLoad;
-use oatpier_serving::message::{AdapterWish, EnginePulse, GatewayGreeting, InnerMessage};
+use oatpier_serving::message::{
+    AdapterWish, EnginePulse, GatewayGreeting, InnerMessage, LoadPulse,
+};
 use oatpier_serving::node::NodeBounds;
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
@@ -117,6 +119,7 @@
     pub client: HttpClient,
     able: Arc<AtomicBool>,
     closed: AtomicBool,
+    behind: AtomicBool,
 }
 
 /// A request on its way to an endpoint.
@@ -160,6 +163,8 @@
     Send(PlacedSend),
     /// Ask again when something has changed, at the latest after this long.
     Wait(Duration),
+    /// Ask again after this long: what it waits for changes with every request.
+    Pause(Duration),
     /// Refuse it.
     Refuse(PlacementRefusal),
 }
@@ -242,6 +247,7 @@
             }),
             able: inputs.able,
             closed: AtomicBool::new(false),
+            behind: AtomicBool::new(false),
         }
     }
 
@@ -249,6 +255,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes whether this process runs far behind its timers.
+    pub fn set_behind(&self, behind: bool) {
+        if self.behind.swap(behind, Ordering::Relaxed) != behind {
+            let line = DecisionLine::new(LineWeight::Notable, "processor");
+            self.log.write(line.with("behind", behind));
+        }
+    }
+
+    /// Whether this process runs far behind its timers: what it took now would be late.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.behind.load(Ordering::Relaxed)
+    }
+
     /// New requests are refused from now on.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
@@ -326,6 +346,12 @@
         }
     }
 
+    /// Takes a sidecar's word on its engine's load.
+    pub fn take_load_pulse(&self, load: &LoadPulse) {
+        let now = self.clock.now();
+        self.lock().directory.take_load_pulse(load, now);
+    }
+
     /// A request came in.
     pub fn note_arrival(&self, plan: &RequestPlan) {
         let mut state = self.lock();
@@ -371,7 +397,7 @@
                 }
                 match verdict {
                     AdmissionVerdict::Send => self.place_at(&mut state, plan, choice, engine, now),
-                    AdmissionVerdict::Wait(most) => Placement::Wait(most),
+                    AdmissionVerdict::Wait(most) => Placement::Pause(most),
                     AdmissionVerdict::Refuse(refusal) => Placement::Refuse(PlacementRefusal {
                         refusal,
                         best: Some(choice),
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -6,7 +6,9 @@
 
 use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
 use oatpier_serving::directory::EndpointRow;
-use oatpier_serving::message::{GatewayGreeting, InnerMessage, MessageNumber, PeerReport};
+use oatpier_serving::message::{
+    GatewayGreeting, InnerMessage, MessageNumber, ModelDemand, PeerReport,
+};
 use oatpier_serving::planner::{BlockedLoad, PlannedLoad};
 use oatpier_serving::site::{EngineRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
@@ -24,6 +26,9 @@
 /// From one report to peers to the next.
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 
+/// Reports of demand for each report to the gateways that do not need it: 0.75 s.
+const RARE_REPORTS: u64 = 3;
+
 /// Demand that can't be served is reported this soon, so that requests which come together are told
 /// of together.
 const PRESSED_PAUSE: Duration = Duration::from_millis(10);
@@ -59,6 +64,7 @@
         let (from, message) = socket.receive().await;
         match message {
             InnerMessage::Pulse(pulse) => core.take_pulse(*pulse),
+            InnerMessage::Load(load) => core.take_load_pulse(&load),
             InnerMessage::Peer(report) => {
                 let pressing = report.demand.iter().any(|demand| demand.unserved > 0.0);
                 let now = core.clock.now();
@@ -160,6 +166,13 @@
             .metrics
             .gateways
             .set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.tell(&peers.readers, number, demand);
+        if number.is_multiple_of(RARE_REPORTS) {
+            self.tell(&peers.others, number, Vec::new());
+        }
+    }
+
+    fn tell(&self, peers: &[SocketAddr], number: u64, demand: Vec<ModelDemand>) {
         let report = InnerMessage::Peer(Box::new(PeerReport {
             number: MessageNumber {
                 boot: self.boot,
@@ -171,7 +184,7 @@
             demand,
         }));
         for peer in peers {
-            self.core.outlet.send(peer, &report);
+            self.core.outlet.send(*peer, &report);
         }
     }
 }
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -42,6 +42,9 @@
 /// When to come back after an endpoint refused and the request may go nowhere else.
 const REFUSED_RETURN: Duration = Duration::from_millis(80);
 
+/// When to come back to a gateway that is behind; the next try reaches another one.
+const BEHIND_RETURN: Duration = Duration::from_millis(60);
+
 /// Takes callers' requests.
 pub struct GatewayHandler {
     core: Arc<GatewayCore>,
@@ -71,6 +74,10 @@
 async fn answer(core: &Arc<GatewayCore>, request: Request<Bytes>) -> Reply {
     let arrived = core.clock.now();
     let (head, body) = request.into_parts();
+    if core.is_behind() {
+        let refusal = core.refusal(RefusalCause::QueueFull, BEHIND_RETURN);
+        return unplanned(core, &head, OwnAnswer::Refused(refusal));
+    }
     if core.is_closed() {
         let refusal = core.refusal(RefusalCause::Leaving, Duration::ZERO);
         return unplanned(core, &head, OwnAnswer::Refused(refusal));
@@ -231,6 +238,7 @@
                     self.too_busy = refused.best;
                     return Err(self.refused(refused.refusal));
                 }
+                Placement::Pause(span) => tokio::time::sleep(span).await,
                 Placement::Wait(most) => {
                     let at = self.core.clock.instant(self.core.clock.now() + most);
                     tokio::select! {
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -25,7 +25,7 @@
 use oatpier_serving::node::NodeSettings;
 use oatpier_wire::server::{self, ServerLimits};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::decisions::{DecisionLog, write_lines};
 use crate::exchange::{InnerSocket, MessageOutlet};
@@ -146,6 +146,7 @@
     tokio::select! {
         () = serving => {}
         () = close_after_notice(&core, &stop) => {}
+        () = watch_pace(&core) => {}
         () = exchanges::run(Arc::clone(&core), &socket, inputs.news, &stop) => {}
     }
     stop.advance(StopPhase::Ended);
@@ -159,6 +160,22 @@
     std::future::pending::<()>().await;
 }
 
+/// From one look at the process's own pace to the next.
+const PACE_EVERY: Duration = Duration::from_millis(100);
+
+/// A timer that fires this much late says that the process has more to do than its processor does.
+/// Requests that it took would pass their callers' patience unseen, and reach endpoints after that.
+const PACE_LATE: Duration = Duration::from_millis(300);
+
+/// Looks whether timers fire in time.
+async fn watch_pace(core: &GatewayCore) {
+    loop {
+        let due = Instant::now() + PACE_EVERY;
+        sleep_until(due).await;
+        core.set_behind(due.elapsed() > PACE_LATE);
+    }
+}
+
 async fn serve_callers(listener: TcpListener, core: Arc<GatewayCore>, stop: &StopSignal) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -190,7 +190,7 @@
                 self.residency.take_advice(advice, now);
             }
             // For gateways.
-            InnerMessage::Pulse(_) | InnerMessage::Peer(_) => {}
+            InnerMessage::Pulse(_) | InnerMessage::Load(_) | InnerMessage::Peer(_) => {}
         }
     }
 
--- a/crates/oatpier-gateway/src/sidecar/pulses.rs
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use oatpier_serving::engine::{EndpointLoad, EngineReport};
-use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber};
+use oatpier_serving::message::{EnginePulse, InnerMessage, LoadPulse, MessageNumber};
 use oatpier_serving::residency::EngineResidency;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::PoolName;
@@ -18,11 +18,23 @@
 /// A gateway that has not greeted for this long is told no more: three greetings.
 const GATEWAY_LIFE: Duration = Duration::from_millis(1_600);
 
-/// The time between two pulses while only the load changes.
-const LOAD_EVERY: Duration = Duration::from_millis(120);
+/// The least time between two pulses while only the load changes.
+const LOAD_EVERY: Duration = Duration::from_millis(100);
 
-/// The time between two pulses while nothing changes.
-const CALM_EVERY: Duration = Duration::from_millis(400);
+/// The same for each gateway that is told: the more there are, the less of the load each one brings, and
+/// the more each pulse costs.
+const LOAD_EVERY_EACH: Duration = Duration::from_millis(12);
+
+/// The time between two whole pulses while nothing changes.
+const WHOLE_EVERY: Duration = Duration::from_millis(800);
+
+/// What gateways are to be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PulseDue {
+    Nothing,
+    Load,
+    Whole,
+}
 
 /// Sends pulses.
 #[derive(Debug)]
@@ -33,7 +45,8 @@
     answers: bool,
     gateways: HashMap<SocketAddr, ClockTime>,
     last: Option<EnginePulse>,
-    last_at: ClockTime,
+    whole_at: ClockTime,
+    load_at: ClockTime,
 }
 
 impl PulseSender {
@@ -50,7 +63,8 @@
             answers: false,
             gateways: HashMap::new(),
             last: None,
-            last_at: ClockTime::ZERO,
+            whole_at: ClockTime::ZERO,
+            load_at: ClockTime::ZERO,
         }
     }
 
@@ -80,25 +94,49 @@
         if report.is_none() && self.answers {
             return;
         }
-        let mut pulse = self.pulse(&report.unwrap_or_default(), residency, now);
-        if !self.is_due(&pulse, now) {
-            return;
+        let pulse = self.pulse(&report.unwrap_or_default(), residency, now);
+        match self.due(&pulse, now) {
+            PulseDue::Nothing => {}
+            PulseDue::Load => self.send_load(outlet, &pulse, now),
+            PulseDue::Whole => self.send_whole(outlet, pulse, now),
         }
+    }
+
+    fn send_whole(&mut self, outlet: &dyn MessageOutlet, mut pulse: EnginePulse, now: ClockTime) {
         self.number.number += 1;
         pulse.number = self.number;
         self.last = Some(pulse.clone());
-        self.last_at = now;
+        self.whole_at = now;
+        self.load_at = now;
         let message = InnerMessage::Pulse(Box::new(pulse));
         for gateway in self.gateways.keys() {
             outlet.send(*gateway, &message);
         }
     }
 
-    fn is_due(&self, pulse: &EnginePulse, now: ClockTime) -> bool {
+    fn send_load(&mut self, outlet: &dyn MessageOutlet, pulse: &EnginePulse, now: ClockTime) {
+        self.number.number += 1;
+        self.load_at = now;
+        if let Some(last) = &mut self.last {
+            last.load = pulse.load;
+            last.memory_used = pulse.memory_used;
+        }
+        let message = InnerMessage::Load(LoadPulse {
+            number: self.number,
+            engine: self.engine,
+            load: pulse.load,
+            memory_used: pulse.memory_used,
+            load_wait_ms: pulse.load_wait_ms,
+        });
+        for gateway in self.gateways.keys() {
+            outlet.send(*gateway, &message);
+        }
+    }
+
+    fn due(&self, pulse: &EnginePulse, now: ClockTime) -> PulseDue {
         let Some(last) = &self.last else {
-            return true;
+            return PulseDue::Whole;
         };
-        let age = now.since(self.last_at);
         let same_load = EnginePulse {
             number: last.number,
             load: last.load,
@@ -106,8 +144,17 @@
             load_wait_ms: last.load_wait_ms,
             ..pulse.clone()
         };
+        if same_load != *last || now.since(self.whole_at) >= WHOLE_EVERY {
+            return PulseDue::Whole;
+        }
         let load_changed = last.load != pulse.load || last.memory_used != pulse.memory_used;
-        same_load != *last || age >= CALM_EVERY || (load_changed && age >= LOAD_EVERY)
+        let gateways = u32::try_from(self.gateways.len()).unwrap_or(u32::MAX);
+        let load_every = (LOAD_EVERY_EACH * gateways).max(LOAD_EVERY);
+        if load_changed && now.since(self.load_at) >= load_every {
+            PulseDue::Load
+        } else {
+            PulseDue::Nothing
+        }
     }
 
     fn pulse(
--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -31,7 +31,7 @@
 const PATIENT_TARGET: Duration = Duration::from_millis(600);
 
 /// How soon a request that waits for a slot looks again.
-const LOOK_AGAIN: Duration = Duration::from_millis(15);
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
 /// The least and the most that a refused caller is told to wait. Below, it would come back
 /// before anything has changed; above, most callers have given up.
--- a/crates/oatpier-serving/src/directory.rs
+++ b/crates/oatpier-serving/src/directory.rs
@@ -19,7 +19,7 @@
     AttemptEvidence, EndpointFault, FailureShare, HealthChange, HealthSettings, HealthTracker,
     PaceEstimate,
 };
-use crate::message::{AdapterUse, EnginePulse};
+use crate::message::{AdapterUse, EnginePulse, LoadPulse};
 
 /// How long after the store has come back an entry that is missing from the registry may still
 /// be written again by its endpoint. The platform promises about two seconds.
@@ -473,6 +473,31 @@
         changed
     }
 
+    /// Takes a sidecar's word on its engine's load over. Without a whole pulse of the same
+    /// incarnation before, it says too little.
+    pub fn take_load_pulse(&mut self, load: &LoadPulse, now: ClockTime) {
+        let row = self
+            .by_address
+            .get(&load.engine)
+            .and_then(|name| self.rows.get_mut(name));
+        let Some(row) = row else {
+            return;
+        };
+        let Some(kept) = &mut row.pulse else {
+            return;
+        };
+        let known = kept.pulse.number;
+        if known.boot != load.number.boot || !load.number.supersedes(known) {
+            return;
+        }
+        kept.pulse.number = load.number;
+        kept.pulse.load = load.load;
+        kept.pulse.memory_used = load.memory_used;
+        kept.pulse.load_wait_ms = load.load_wait_ms;
+        kept.at = now;
+        row.load.renew(load.load);
+    }
+
     /// An answer told how busy its endpoint is.
     pub fn take_load(&mut self, name: &EndpointName, load: EndpointLoad) {
         if let Some(row) = self.rows.get_mut(name) {
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -15,6 +15,8 @@
 pub enum InnerMessage {
     /// A sidecar about its engine.
     Pulse(Box<EnginePulse>),
+    /// A sidecar about its engine's load, where nothing else has changed.
+    Load(LoadPulse),
     /// A gateway asks a sidecar for pulses, and says what it uses there.
     Greeting(GatewayGreeting),
     /// A gateway needs an adapter at a sidecar's engine.
@@ -79,6 +81,22 @@
     pub gateways: Vec<SocketAddr>,
 }
 
+/// A sidecar's account of its engine's load. A tenth of a whole pulse: with many gateways before many
+/// engines, whole ones at this pace took a fifth of a thin gateway's processor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadPulse {
+    /// Its place among the sidecar's pulses of both kinds.
+    pub number: MessageNumber,
+    /// Where the engine is.
+    pub engine: SocketAddr,
+    /// The engine's load.
+    pub load: EndpointLoad,
+    /// Memory in use, in tokens.
+    pub memory_used: u64,
+    /// How long until it may load from the weight store, in milliseconds.
+    pub load_wait_ms: u32,
+}
+
 /// A gateway's greeting to a sidecar.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayGreeting {
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -13,8 +13,14 @@
 
 use crate::message::{ModelDemand, PeerReport};
 
-/// A gateway that was not heard of for this long is gone, stopped or cut off: four reports.
-pub const PEER_LIFE: Duration = Duration::from_secs(1);
+/// A gateway that was not heard of for this long is gone, stopped or cut off: three of the rarer
+/// reports.
+pub const PEER_LIFE: Duration = Duration::from_millis(2_400);
+
+/// Gateways that are told the demand: the one that plans, and those that follow if it is gone. The
+/// others are only told that this one is there; telling all of them everything would cost bytes and
+/// processor time with the square of their number.
+const DEMAND_READERS: usize = 2;
 
 /// An address that greeted a sidecar is told reports for this long after it was last named.
 const ADDRESS_LIFE: Duration = Duration::from_secs(5);
@@ -33,6 +39,15 @@
     reports: HashMap<SocketAddr, KeptReport>,
 }
 
+/// Where reports go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportAddresses {
+    /// Gateways that plan, or follow the one that does.
+    pub readers: Vec<SocketAddr>,
+    /// The others.
+    pub others: Vec<SocketAddr>,
+}
+
 /// The demand of all gateways for one model.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TotalDemand {
@@ -74,13 +89,29 @@
         }
     }
 
-    /// Where reports go.
-    pub fn addresses(&mut self, now: ClockTime) -> Vec<SocketAddr> {
+    /// Where reports go: the gateways that need the demand, and the others.
+    pub fn addresses(&mut self, now: ClockTime) -> ReportAddresses {
         self.named
             .retain(|_, named_at| now.since(*named_at) < ADDRESS_LIFE);
         self.reports
             .retain(|_, kept| now.since(kept.at) < ADDRESS_LIFE);
-        self.named.keys().copied().collect()
+        let mut all: Vec<SocketAddr> = self.named.keys().copied().collect();
+        all.sort_unstable();
+        let heard = |address: &SocketAddr| {
+            let kept = self.reports.get(address);
+            kept.is_none_or(|kept| now.since(kept.at) < PEER_LIFE)
+        };
+        let readers: Vec<SocketAddr> = all
+            .iter()
+            .copied()
+            .filter(heard)
+            .take(DEMAND_READERS)
+            .collect();
+        all.retain(|address| !readers.contains(address));
+        ReportAddresses {
+            readers,
+            others: all,
+        }
     }
 
     /// How many gateways there are, this one included.
--- a/crates/oatpier-serving/tests/testsuite/peers.rs
+++ b/crates/oatpier-serving/tests/testsuite/peers.rs
@@ -36,7 +36,7 @@
 fn the_lowest_address_plans_while_it_is_heard_of() {
     let book = book(2, &[1, 3]);
     assert_eq!(book.planner(at(500)), address(1));
-    assert_eq!(book.planner(at(1_500)), address(2));
+    assert_eq!(book.planner(at(3_000)), address(2));
 }
 
 /// A gateway on its way out must not plan: its last advice would be followed by nobody's.
@@ -67,6 +67,19 @@
     let mut book = book(2, &[]);
     let named: [SocketAddr; 2] = [address(1), address(2)];
     book.note_named(&named, at(0));
-    assert_eq!(book.addresses(at(1_000)), vec![address(1)]);
-    assert!(book.addresses(at(10_000)).is_empty());
+    assert_eq!(book.addresses(at(1_000)).readers, vec![address(1)]);
+    assert!(book.addresses(at(10_000)).readers.is_empty());
+}
+
+/// With many gateways, telling each of them the whole demand would cost with the square of their
+/// number. Only those that plan, or follow the one that does, are told; one that went silent is not
+/// among them.
+#[test]
+fn only_the_first_gateways_heard_of_are_told_the_demand() {
+    let mut book = book(9, &[1, 2, 3, 4, 5]);
+    book.take_report(address(2), report(2, false, 0.0), at(2_600));
+    book.take_report(address(4), report(2, false, 0.0), at(2_600));
+    let told = book.addresses(at(3_000));
+    assert_eq!(told.readers, vec![address(2), address(4)]);
+    assert_eq!(told.others.len(), 3);
 }
