Take an event whose end comes in two pieces for whole

Ruled out: the change of the configuration beside it, the gateway's stop.

Before: the test an_event_whose_end_comes_in_two_pieces_is_whole fails; after: passes.

--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -43,6 +43,8 @@
     last_event: Option<String>,
     /// Whether the last piece ended with an event.
     at_event_end: bool,
+    /// The last bytes that went on unchanged.
+    tail: Vec<u8>,
     stall: Duration,
     first: Option<Bytes>,
 }
@@ -80,6 +82,7 @@
         splitter: resumable.then(EventSplitter::new),
         last_event: None,
         at_event_end: true,
+        tail: Vec::new(),
         stall: (pause * STALL_PAUSES).max(STALL_LEAST),
         first: None,
     };
@@ -196,7 +199,7 @@
     /// What of a piece goes to the caller now.
     fn take(&mut self, data: Bytes) -> Option<Bytes> {
         let Some(splitter) = &mut self.splitter else {
-            self.at_event_end = data.ends_with(EVENT_END);
+            self.note_raw(&data);
             return (!data.is_empty()).then_some(data);
         };
         splitter.push(&data);
@@ -212,6 +215,14 @@
         (!whole.is_empty()).then(|| whole.freeze())
     }
 
+    /// Notes whether the stream is at the end of an event, which may come in two pieces.
+    fn note_raw(&mut self, data: &[u8]) {
+        self.tail.extend_from_slice(data);
+        let excess = self.tail.len().saturating_sub(EVENT_END.len());
+        self.tail.drain(..excess);
+        self.at_event_end = self.tail == EVENT_END;
+    }
+
     fn finish(&mut self) {
         if let Some(guard) = self.guard.take() {
             guard.finish_whole();
--- a/crates/oatpier-gateway/tests/testsuite/streams.rs
+++ b/crates/oatpier-gateway/tests/testsuite/streams.rs
@@ -34,6 +34,17 @@
     assert_eq!(&answer.body()[..], (event(1) + &event(2)).as_bytes());
 }
 
+/// The empty line that ends the last event comes in two pieces. The stream is whole, and its caller
+/// must not lose it for that.
+#[tokio::test]
+async fn an_event_whose_end_comes_in_two_pieces_is_whole() {
+    let stream = stream_start(&["id: 1\ndata: 1\n", "\n"]) + STREAM_END;
+    let engine = ScriptedEndpoint::start(vec![EndpointStep::Answer(stream)]).await;
+    let gateway = TestGateway::before(PLAIN, 1, &[&engine]);
+    let answer = gateway.send(request(&[])).await;
+    assert_eq!(&answer.body()[..], event(1).as_bytes());
+}
+
 /// The engine dies in the middle of the third event. The caller gets the two whole ones, and the
 /// rest from another engine that goes on after the second: nothing twice, nothing missing.
 #[tokio::test]
