--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -388,6 +388,24 @@
         self.core.log.write(line);
     }
 
+    /// Logs a stream that broke off after its first piece.
+    pub(super) fn log_cut(&self, endpoint: &EndpointName, failure: AttemptFailure, resumed: bool) {
+        let outcome = if resumed {
+            "resumed"
+        } else {
+            "cut at the caller"
+        };
+        let waited = self.core.clock.now().since(self.plan.arrived);
+        let line = DecisionLine::new(LineWeight::Notable, "stream broke off")
+            .with("request", self.plan.request.id.as_str())
+            .with("endpoint", endpoint.as_str())
+            .with("cause", failure.as_str())
+            .with("outcome", outcome)
+            .with("waited_ms", millis(waited));
+        self.core.log.write(line);
+        self.core.metrics.attempted(failure.as_str());
+    }
+
     /// Logs an answer that an endpoint gave.
     pub(super) fn log_answered(&self, status: StatusCode) {
         let (outcome, weight) = if status.is_success() {
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -128,7 +128,10 @@
                     return None;
                 }
                 StreamStep::Expired => {
-                    self.guard = None;
+                    if let Some(guard) = self.guard.take() {
+                        self.run
+                            .log_cut(&guard.endpoint, AttemptFailure::Silent, false);
+                    }
                     return Some(Err("the stream's time is over".into()));
                 }
                 StreamStep::Failed(failure) => failure,
@@ -137,7 +140,10 @@
             let endpoint = self.guard.as_ref().map(|guard| guard.endpoint.clone());
             self.finish_broken();
             let endpoint = endpoint?;
-            if self.resume(failure, endpoint).await.is_none() {
+            let cut_at = endpoint.clone();
+            let resumed = self.resume(failure, endpoint).await.is_some();
+            self.run.log_cut(&cut_at, failure, resumed);
+            if !resumed {
                 return Some(Err(failure.as_str().into()));
             }
         }
