Split the directory, the planner and the core by job, and share what stood twice

What: directory and planner become a table and its rows, a plan and its rounds; the placement of a request gets a module; the observe handler of the product's own daemons serves gateways and sidecars as well; both commands run through one function.

--- a/crates/oatpier-duty/src/observe/duty.rs
+++ b/crates/oatpier-duty/src/observe/duty.rs
@@ -57,7 +57,7 @@
     let listener =
         tokio::net::TcpListener::from_std(listener).expect("the runtime takes the socket");
     let handler = Arc::new(ObserveHandler {
-        metrics,
+        metrics: Box::new(metrics),
         able,
         stop: stop.clone(),
     });
@@ -107,10 +107,26 @@
     output.write_all(b"\n")
 }
 
-struct ObserveHandler {
-    metrics: MetricSet,
-    able: Arc<AtomicBool>,
-    stop: StopSignal,
+/// Metrics as text.
+pub trait MetricsText: Send + Sync {
+    /// The Prometheus text form.
+    fn encode(&self) -> String;
+}
+
+impl MetricsText for MetricSet {
+    fn encode(&self) -> String {
+        MetricSet::encode(self)
+    }
+}
+
+/// Answers `/metrics`, `/live` and `/ready`.
+pub struct ObserveHandler {
+    /// The metrics to show.
+    pub metrics: Box<dyn MetricsText>,
+    /// Whether the process can serve, as far as it knows itself.
+    pub able: Arc<AtomicBool>,
+    /// Whether the process is on its way out.
+    pub stop: StopSignal,
 }
 
 impl RequestHandler for ObserveHandler {
--- a/crates/oatpier-duty/src/observe/mod.rs
+++ b/crates/oatpier-duty/src/observe/mod.rs
@@ -6,4 +6,4 @@
 
 mod duty;
 
-pub use duty::{ObserveInputs, observe};
+pub use duty::{MetricsText, ObserveHandler, ObserveInputs, observe};
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -13,7 +13,8 @@
 use oatpier_types::verdict::RunVerdict;
 use oatpier_wire::client::{AnswerBody, SendError, SendStage};
 
-use super::core::{GatewayCore, PlacedSend, RequestPlan};
+use super::core::GatewayCore;
+use super::placement::{PlacedSend, RequestPlan};
 
 /// The largest whole answer, in bytes. Larger ones would have to be relayed before their end is
 /// known; the services answer a few kilobytes.
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -8,7 +8,7 @@
 use oatpier_duty::duty::RuntimeClock;
 use oatpier_serving::admission::{AdmissionJudge, AdmissionVerdict};
 use oatpier_serving::budget::RetryAllowance;
-use oatpier_serving::call::{CallerRequest, WeightsKey};
+use oatpier_serving::call::WeightsKey;
 use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict, EndpointChoice};
 use oatpier_serving::demand::DemandBook;
 use oatpier_serving::directory::{EndpointDirectory, EndpointOutcome, EndpointRecord};
@@ -19,7 +19,7 @@
 use oatpier_serving::node::NodeBounds;
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
-use oatpier_serving::site::{EngineRule, RouteKind, RouteRule, SiteConfig};
+use oatpier_serving::site::{EngineRule, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{DaemonName, EndpointName, PoolName, ZoneName};
 use oatpier_types::refusal::{Refusal, RefusalCause};
@@ -27,6 +27,7 @@
 use rand::RngExt;
 use tokio::sync::Notify;
 
+use super::placement::{PlacedSend, Placement, PlacementRefusal, RequestPlan};
 use crate::decisions::{DecisionLine, DecisionLog, LineWeight};
 use crate::exchange::MessageOutlet;
 use crate::metrics::ServingMetrics;
@@ -43,16 +44,6 @@
 /// Unused connections that are kept for each endpoint.
 const IDLE_PER_ENDPOINT: usize = 24;
 
-/// A request waits for weights at most for this share of the time that it has left; beyond, the
-/// caller does better to come back.
-const WEIGHTS_WAIT_SHARE: f64 = 0.4;
-
-/// Callers of streams leave when nothing came for the longest of: two seconds, four times the target
-/// of the first piece, and eight times the longest pause that is in time.
-const PATIENCE_LEAST: Duration = Duration::from_secs(2);
-const PATIENCE_TARGETS: u32 = 4;
-const PATIENCE_PAUSES: u32 = 8;
-
 /// While no engine is loading the model yet, a request waits so long for the planner to act.
 const PLANNER_WAIT: Duration = Duration::from_millis(400);
 
@@ -122,82 +113,6 @@
     behind: AtomicBool,
 }
 
-/// A request on its way to an endpoint.
-#[derive(Debug)]
-pub struct RequestPlan {
-    /// Its route.
-    pub route: Arc<RouteRule>,
-    /// The service that it goes to.
-    pub service: PoolName,
-    /// What it asks for.
-    pub request: CallerRequest,
-    /// When it came in.
-    pub arrived: ClockTime,
-    /// When it gets its final answer at the latest.
-    pub deadline: ClockTime,
-    /// Whether it was counted as demand that could not be served at once.
-    pub unserved: AtomicBool,
-}
-
-impl RequestPlan {
-    /// How long its caller waits for the first piece of the answer.
-    fn first_patience(&self) -> Duration {
-        let whole = self.deadline.since(self.arrived);
-        let RouteKind::Stream { pause, .. } = self.route.kind else {
-            return whole;
-        };
-        let first = (pause * PATIENCE_PAUSES).max(self.route.target * PATIENCE_TARGETS);
-        whole.min(first.max(PATIENCE_LEAST))
-    }
-
-    /// How long it waits for weights at the most.
-    fn weights_patience(&self) -> Duration {
-        self.first_patience().mul_f64(WEIGHTS_WAIT_SHARE)
-    }
-}
-
-/// What is to be done with a request now.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Placement {
-    /// Send it there.
-    Send(PlacedSend),
-    /// Ask again when something has changed, at the latest after this long.
-    Wait(Duration),
-    /// Ask again after this long: what it waits for changes with every request.
-    Pause(Duration),
-    /// Refuse it.
-    Refuse(PlacementRefusal),
-}
-
-/// Why a request has no place.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PlacementRefusal {
-    /// The refusal.
-    pub refusal: Refusal,
-    /// The best endpoint for it, if there is one: it is too busy.
-    pub best: Option<EndpointChoice>,
-}
-
-impl PlacementRefusal {
-    fn without_endpoint(refusal: Refusal) -> Placement {
-        Placement::Refuse(Self {
-            refusal,
-            best: None,
-        })
-    }
-}
-
-/// Where a request is sent.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PlacedSend {
-    /// The choice, with its prediction.
-    pub choice: EndpointChoice,
-    /// Where the endpoint listens.
-    pub address: SocketAddr,
-    /// How old the last word of the endpoint's sidecar was; none without one.
-    pub load_age: Option<Duration>,
-}
-
 /// How soon a request that waits for an adapter asks again, and repeats its wish: a load takes 5 to
 /// 10 ms, and a lost datagram should cost little more.
 const ADAPTER_RETRY: Duration = Duration::from_millis(25);
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -26,7 +26,8 @@
 
 use super::answers::OwnAnswer;
 use super::attempt::{self, AttemptFailure, CallerMessage};
-use super::core::{GatewayCore, PlacedSend, Placement, RequestPlan};
+use super::core::GatewayCore;
+use super::placement::{PlacedSend, Placement, RequestPlan};
 use super::relay;
 use crate::decisions::{DecisionLine, LineWeight};
 
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`core`]: what all requests share: configuration, directory, demand, budget.
 //! - [`handler`]: one request, from its head to its final answer.
+//! - [`placement`]: a request on its way, and what is to be done with it.
 //! - [`attempt`]: one attempt at one endpoint.
 //! - [`relay`]: an answer that goes back as a stream of events.
 //! - [`answers`]: answers of the gateway's own.
@@ -12,6 +13,7 @@
 pub mod core;
 pub mod exchanges;
 pub mod handler;
+pub mod placement;
 pub mod relay;
 
 use std::net::{TcpListener, UdpSocket};
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -0,0 +1,99 @@
+//! A request on its way to an endpoint, and what is to be done with it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use oatpier_serving::call::CallerRequest;
+use oatpier_serving::choice::EndpointChoice;
+use oatpier_serving::site::{RouteKind, RouteRule};
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::PoolName;
+use oatpier_types::refusal::Refusal;
+
+/// A request waits for weights at most for this share of the time that it has left; beyond, the
+/// caller does better to come back.
+const WEIGHTS_WAIT_SHARE: f64 = 0.4;
+
+/// Callers of streams leave when nothing came for the longest of: two seconds, four times the target
+/// of the first piece, and eight times the longest pause that is in time.
+const PATIENCE_LEAST: Duration = Duration::from_secs(2);
+const PATIENCE_TARGETS: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
+/// A request on its way to an endpoint.
+#[derive(Debug)]
+pub struct RequestPlan {
+    /// Its route.
+    pub route: Arc<RouteRule>,
+    /// The service that it goes to.
+    pub service: PoolName,
+    /// What it asks for.
+    pub request: CallerRequest,
+    /// When it came in.
+    pub arrived: ClockTime,
+    /// When it gets its final answer at the latest.
+    pub deadline: ClockTime,
+    /// Whether it was counted as demand that could not be served at once.
+    pub unserved: AtomicBool,
+}
+
+impl RequestPlan {
+    /// How long its caller waits for the first piece of the answer.
+    fn first_patience(&self) -> Duration {
+        let whole = self.deadline.since(self.arrived);
+        let RouteKind::Stream { pause, .. } = self.route.kind else {
+            return whole;
+        };
+        let first = (pause * PATIENCE_PAUSES).max(self.route.target * PATIENCE_TARGETS);
+        whole.min(first.max(PATIENCE_LEAST))
+    }
+
+    /// How long it waits for weights at the most.
+    pub(super) fn weights_patience(&self) -> Duration {
+        self.first_patience().mul_f64(WEIGHTS_WAIT_SHARE)
+    }
+}
+
+/// What is to be done with a request now.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Placement {
+    /// Send it there.
+    Send(PlacedSend),
+    /// Ask again when something has changed, at the latest after this long.
+    Wait(Duration),
+    /// Ask again after this long: what it waits for changes with every request.
+    Pause(Duration),
+    /// Refuse it.
+    Refuse(PlacementRefusal),
+}
+
+/// Why a request has no place.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacementRefusal {
+    /// The refusal.
+    pub refusal: Refusal,
+    /// The best endpoint for it, if there is one: it is too busy.
+    pub best: Option<EndpointChoice>,
+}
+
+impl PlacementRefusal {
+    pub(super) fn without_endpoint(refusal: Refusal) -> Placement {
+        Placement::Refuse(Self {
+            refusal,
+            best: None,
+        })
+    }
+}
+
+/// Where a request is sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacedSend {
+    /// The choice, with its prediction.
+    pub choice: EndpointChoice,
+    /// Where the endpoint listens.
+    pub address: SocketAddr,
+    /// How old the last word of the endpoint's sidecar was; none without one.
+    pub load_age: Option<Duration>,
+}
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -21,8 +21,8 @@
 use tokio::time::timeout_at;
 
 use super::attempt::{self, AttemptFailure, AttemptGuard, OpenAnswer};
-use super::core::PlacedSend;
 use super::handler::RequestRun;
+use super::placement::PlacedSend;
 
 /// A stream that may be resumed is given up after this many of the longest pauses that are in time.
 const STALL_PAUSES: u32 = 4;
--- a/crates/oatpier-gateway/src/observe.rs
+++ b/crates/oatpier-gateway/src/observe.rs
@@ -1,26 +1,14 @@
 //! Metrics, and whether a gateway takes callers.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 
-use bytes::Bytes;
-use futures::FutureExt;
-use futures::future::BoxFuture;
-use http::{Method, Request, StatusCode};
 use oatpier_duty::duty::{StopPhase, StopSignal};
-use oatpier_platform::readiness::READINESS_PATH;
-use oatpier_wire::reply::{self, Reply};
-use oatpier_wire::server::{self, RequestHandler, ServerLimits};
+use oatpier_duty::observe::{MetricsText, ObserveHandler};
+use oatpier_wire::server::{self, ServerLimits};
 
 use crate::metrics::ServingMetrics;
 
-/// The content type of the Prometheus text form.
-const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-
-/// Where metrics are.
-const METRICS_PATH: &str = "/metrics";
-
 /// Connections at once; more are answered 503.
 const OBSERVE_CONNECTIONS: usize = 32;
 
@@ -41,7 +29,7 @@
 /// Serves metrics and readiness until the process ends.
 pub async fn observe(inputs: ObserveInputs) {
     let handler = Arc::new(ObserveHandler {
-        metrics: inputs.metrics,
+        metrics: Box::new(inputs.metrics),
         able: inputs.able,
         stop: inputs.stop.clone(),
     });
@@ -79,37 +67,8 @@
     .await;
 }
 
-struct ObserveHandler {
-    metrics: ServingMetrics,
-    able: Arc<AtomicBool>,
-    stop: StopSignal,
-}
-
-impl RequestHandler for ObserveHandler {
-    fn handle(&self, request: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
-        std::future::ready(self.answer(&request)).boxed()
-    }
-}
-
-impl ObserveHandler {
-    fn answer(&self, request: &Request<Bytes>) -> Reply {
-        if request.method() != Method::GET {
-            return reply::text(StatusCode::METHOD_NOT_ALLOWED, "use GET\n");
-        }
-        match request.uri().path() {
-            METRICS_PATH => reply::whole(StatusCode::OK, METRICS_TYPE, self.metrics.encode()),
-            READINESS_PATH => self.ready(),
-            _ => reply::text(StatusCode::NOT_FOUND, "use /metrics or /ready\n"),
-        }
-    }
-
-    fn ready(&self) -> Reply {
-        if self.stop.phase() != StopPhase::Serving {
-            return reply::text(StatusCode::SERVICE_UNAVAILABLE, "draining\n");
-        }
-        if !self.able.load(Ordering::Relaxed) {
-            return reply::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
-        }
-        reply::text(StatusCode::OK, "ready\n")
+impl MetricsText for ServingMetrics {
+    fn encode(&self) -> String {
+        ServingMetrics::encode(self)
     }
 }
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -235,7 +235,7 @@
     RouteRule {
         name: ClassName::try_from("draft").unwrap(),
         host: Arc::from("a.example"),
-        path_prefix: Arc::from("/draft/"),
+        prefix: Arc::from("/draft/"),
         kind,
         timeout: Duration::from_secs(20),
         target: Duration::from_secs(5),
--- a/crates/oatpier-serving/src/directory.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -4,6 +4,8 @@
 //! does, a fraction of a second late; answers say how busy an endpoint was a moment ago. The newest
 //! word on each point counts.
 
+mod row;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,24 +13,20 @@
 use oatpier_policy::index::EndpointIndex;
 use oatpier_policy::prefix::{PrefixIndex, PrefixSettings};
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::{AdapterName, EndpointName, ModelName, PoolName, ZoneName};
+use oatpier_types::names::{EndpointName, PoolName};
 
 use crate::call::WeightsKey;
-use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
-use crate::health::{
-    AttemptEvidence, EndpointFault, FailureShare, HealthChange, HealthSettings, HealthTracker,
-    PaceEstimate,
-};
+use crate::engine::EndpointLoad;
+use crate::health::{AttemptEvidence, EndpointFault, HealthChange, HealthSettings, HealthTracker};
 use crate::message::{AdapterUse, EnginePulse, LoadPulse};
 
+use row::KeptPulse;
+pub use row::{AdapterState, EndpointRecord, EndpointRow, PULSE_LIFE};
+
 /// How long after the store has come back an entry that is missing from the registry may still
 /// be written again by its endpoint. The platform promises about two seconds.
 pub const REGISTRY_SETTLE: Duration = Duration::from_millis(2_200);
 
-/// A pulse older than this no longer says what the engine holds; the registry does. Six periods
-/// of an idle sidecar.
-pub const PULSE_LIFE: Duration = Duration::from_millis(1_500);
-
 /// Blocks in the prefix index count parts of prompts, which differ in length; a unit this large
 /// keeps its rounding small.
 pub(crate) const PART_UNITS: u32 = 1_000;
@@ -37,250 +35,6 @@
 /// in 1.5 MB.
 const REMEMBERED_PARTS: usize = 1 << 16;
 
-/// The time to the first piece that is assumed of an endpoint before it has answered, in
-/// milliseconds: a short prompt at a calm engine.
-const FIRST_GUESS_MS: f64 = 30.0;
-
-/// The time that a request is assumed to hold a slot before any has ended, in milliseconds: a few
-/// hundred tokens at a calm engine.
-const HOLD_GUESS_MS: f64 = 700.0;
-
-/// As [`HOLD_GUESS_MS`] for a plain service.
-const SERVICE_HOLD_GUESS_MS: f64 = 30.0;
-
-/// An endpoint as the registry lists it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EndpointRecord {
-    /// Its present start: a restarted endpoint has another name.
-    pub name: EndpointName,
-    /// What it serves.
-    pub service: PoolName,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Where it is.
-    pub zone: ZoneName,
-    /// Requests that it runs at the same time.
-    pub slots: u32,
-    /// Whether it takes no new work.
-    pub draining: bool,
-    /// How much longer it is slow after its start.
-    pub cold: Duration,
-    /// What it held at its last heartbeat; empty for a plain service.
-    pub models: Vec<HeldModel>,
-    /// What it could load by itself at its last heartbeat.
-    pub copies: LocalCopies,
-}
-
-/// What is known of an endpoint's load since its last word on it.
-#[derive(Debug, Clone, Copy, Default)]
-struct LoadView {
-    reported: EndpointLoad,
-    sent_since: u32,
-    ended_since: u32,
-}
-
-impl LoadView {
-    fn renew(&mut self, load: EndpointLoad) {
-        *self = Self {
-            reported: load,
-            ..Self::default()
-        };
-    }
-
-    fn present(&self) -> u32 {
-        let reported = self.reported.running + self.reported.waiting;
-        (reported + self.sent_since).saturating_sub(self.ended_since)
-    }
-}
-
-/// A sidecar's last pulse.
-#[derive(Debug, Clone)]
-struct KeptPulse {
-    pulse: EnginePulse,
-    at: ClockTime,
-}
-
-/// One endpoint.
-#[derive(Debug)]
-pub struct EndpointRow {
-    /// Its registry entry.
-    pub record: EndpointRecord,
-    /// Its place in health and prefix tables.
-    pub index: EndpointIndex,
-    /// This gateway's requests there.
-    pub own: u32,
-    /// Time to the first piece.
-    pub first: PaceEstimate,
-    /// Time that a request holds a slot.
-    pub hold: PaceEstimate,
-    load: LoadView,
-    pulse: Option<KeptPulse>,
-    failures: FailureShare,
-    /// This gateway's requests there, by adapter; 0 for one that was used since the last greeting.
-    adapters: HashMap<AdapterKey, u32>,
-    gone: bool,
-    /// When it took its predecessor's place, before the registry listed it.
-    adopted_at: Option<ClockTime>,
-}
-
-impl EndpointRow {
-    fn new(record: EndpointRecord, index: EndpointIndex) -> Self {
-        let is_engine = !record.models.is_empty();
-        let hold = if is_engine {
-            HOLD_GUESS_MS
-        } else {
-            SERVICE_HOLD_GUESS_MS
-        };
-        Self {
-            record,
-            index,
-            own: 0,
-            first: PaceEstimate::starting_at(FIRST_GUESS_MS),
-            hold: PaceEstimate::starting_at(hold),
-            load: LoadView::default(),
-            pulse: None,
-            failures: FailureShare::default(),
-            adapters: HashMap::new(),
-            gone: false,
-            adopted_at: None,
-        }
-    }
-
-    /// The last pulse, unless it is too old to say anything.
-    #[must_use]
-    pub fn pulse(&self, now: ClockTime) -> Option<&EnginePulse> {
-        let kept = self.pulse.as_ref()?;
-        (now.since(kept.at) <= PULSE_LIFE).then_some(&kept.pulse)
-    }
-
-    /// How old the last pulse is, if it still counts.
-    #[must_use]
-    pub fn pulse_age(&self, now: ClockTime) -> Option<Duration> {
-        let age = now.since(self.pulse.as_ref()?.at);
-        (age <= PULSE_LIFE).then_some(age)
-    }
-
-    /// Whether it was taken for its predecessor's successor lately, so that the registry may not list
-    /// it yet.
-    fn is_adopted(&self, now: ClockTime) -> bool {
-        self.adopted_at
-            .is_some_and(|at| now.since(at) < REGISTRY_SETTLE)
-    }
-
-    /// Whether it may get new requests.
-    #[must_use]
-    pub fn is_open(&self, now: ClockTime) -> bool {
-        let leaving = self.record.draining || self.gone;
-        !leaving && !self.pulse(now).is_some_and(|pulse| pulse.draining)
-    }
-
-    /// What it holds, by the newest word.
-    #[must_use]
-    pub fn models(&self, now: ClockTime) -> &[HeldModel] {
-        match self.pulse(now) {
-            Some(pulse) => &pulse.models,
-            None => &self.record.models,
-        }
-    }
-
-    /// Whether a model is there and stays.
-    #[must_use]
-    pub fn holds(&self, model: &ModelName, now: ClockTime) -> bool {
-        let retiring = self
-            .pulse(now)
-            .is_some_and(|pulse| pulse.retiring.contains(model));
-        !retiring && self.models(now).iter().any(|held| held.model == *model)
-    }
-
-    /// Whether a model is being loaded there.
-    #[must_use]
-    pub fn is_loading(&self, model: &ModelName, now: ClockTime) -> bool {
-        self.pulse(now)
-            .is_some_and(|pulse| pulse.loading.as_ref() == Some(model))
-    }
-
-    /// How far an adapter is.
-    #[must_use]
-    pub fn adapter(
-        &self,
-        model: &ModelName,
-        adapter: &AdapterName,
-        now: ClockTime,
-    ) -> AdapterState {
-        let held = self.models(now).iter().find(|held| held.model == *model);
-        if held.is_some_and(|held| held.adapters.contains(adapter)) {
-            return AdapterState::Ready;
-        }
-        let coming = self.pulse(now).is_some_and(|pulse| {
-            let is_it = |key: &AdapterKey| key.model == *model && key.adapter == *adapter;
-            pulse.coming.iter().any(is_it)
-        });
-        if coming {
-            AdapterState::Coming
-        } else {
-            AdapterState::Absent
-        }
-    }
-
-    /// Whether the weights of a request are ready.
-    #[must_use]
-    pub fn is_ready_for(&self, weights: &WeightsKey, now: ClockTime) -> bool {
-        let adapter_ready = weights.adapter.as_ref().is_none_or(|adapter| {
-            self.adapter(&weights.model, adapter, now) == AdapterState::Ready
-        });
-        adapter_ready && self.holds(&weights.model, now)
-    }
-
-    /// Adapters that could be loaded without waiting for requests that use others.
-    #[must_use]
-    pub fn adapter_room(&self, now: ClockTime) -> u32 {
-        self.pulse(now).map_or(0, |pulse| pulse.adapter_room)
-    }
-
-    /// Requests there, as far as known.
-    #[must_use]
-    pub fn present(&self) -> u32 {
-        self.load.present().max(self.own)
-    }
-
-    /// Requests that waited there at its last word.
-    #[must_use]
-    pub fn waiting(&self) -> u32 {
-        self.load.reported.waiting
-    }
-
-    /// The share of its memory that requests take, from 0 to 1; 0 if it is not known.
-    #[must_use]
-    pub fn memory_share(&self, more: u64, now: ClockTime) -> f64 {
-        let Some(pulse) = self.pulse(now).filter(|pulse| pulse.memory_total > 0) else {
-            return 0.0;
-        };
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "token counts are far below 2^52"
-        )]
-        let share = (pulse.memory_used + more) as f64 / pulse.memory_total as f64;
-        share
-    }
-
-    /// The share of its requests that failed lately.
-    #[must_use]
-    pub fn failure_share(&self, now: ClockTime) -> f64 {
-        self.failures.at(now)
-    }
-}
-
-/// How far an adapter is at an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AdapterState {
-    /// Requests may use it.
-    Ready,
-    /// It is on its way.
-    Coming,
-    /// It has to be loaded.
-    Absent,
-}
-
 /// How a request ended at an endpoint, for the directory.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum EndpointOutcome {
--- /dev/null
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -0,0 +1,242 @@
+//! Which engine should load which model next.
+//!
+//! Demand moves between models within seconds, and a load takes from half a second to four. Each
+//! round looks for the most urgent gap: a model that is asked for and that nobody holds, then a
+//! model whose holders are much busier than another engine would be with it. It answers with one
+//! load at a time and engine, the victims included; the sidecar there checks memory and pace.
+//!
+//! The last holder of a model is a victim only where nobody has asked for the model for long, or
+//! where a model that is asked for has no holder at all: every model stays reachable, and one that
+//! was dropped comes back when it is asked for.
+
+mod round;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+use oatpier_types::names::{EndpointName, ModelName};
+
+use crate::directory::EndpointRow;
+use crate::message::LoadAdvice;
+use crate::peers::TotalDemand;
+use crate::site::EngineRule;
+
+use round::{EngineShare, EngineView, PlanRound};
+
+/// How long advice is waited for before the engine gets other advice: a datagram, a notice to
+/// gateways, and an order.
+const ADVICE_LIFE: Duration = Duration::from_millis(700);
+
+/// Loads from the weight store that may be advised at once, as seconds of its rate.
+const BURST_S: f64 = 1.2;
+
+/// Advice that an engine was given.
+#[derive(Debug, Clone)]
+struct GivenAdvice {
+    model: ModelName,
+    at: ClockTime,
+}
+
+/// Advice for one engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlannedLoad {
+    /// The engine.
+    pub endpoint: EndpointName,
+    /// The advice.
+    pub advice: LoadAdvice,
+    /// Why.
+    pub reason: LoadReason,
+}
+
+/// Why a load is advised.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadReason {
+    /// The model is asked for, and nobody holds it.
+    Unreachable,
+    /// The model's holders are too busy.
+    Busy,
+    /// An engine has room, and nobody holds the model, or the engine holds nothing after a restart.
+    Room,
+}
+
+impl LoadReason {
+    /// The word that logs and metrics use.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Busy => "busy",
+            Self::Room => "room",
+        }
+    }
+}
+
+/// A load that is wanted and that no engine can take now.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BlockedLoad {
+    /// The model.
+    pub model: ModelName,
+    /// Why it is wanted.
+    pub reason: LoadReason,
+    /// Engines that its demand would fill.
+    pub want: f64,
+    /// Engines that hold it.
+    pub holders: f64,
+    /// Whether the weight store's rate is used up for the moment.
+    pub rate_spent: bool,
+    /// Engines that are busy with another load, or not heard of.
+    pub busy: u32,
+    /// Engines that must wait for their part of the weight store's rate.
+    pub paced: u32,
+    /// Engines where too much would have to go.
+    pub full: u32,
+    /// Engines that could take it, but where it would gain too little.
+    pub idle: u32,
+}
+
+/// What a round came to.
+#[derive(Debug, Default)]
+pub struct PlanOutcome {
+    /// Loads to advise.
+    pub planned: Vec<PlannedLoad>,
+    /// Loads that are wanted and not possible.
+    pub blocked: Vec<BlockedLoad>,
+}
+
+/// Plans loads; remembers what was advised and not yet seen.
+#[derive(Debug, Default)]
+pub struct LoadPlanner {
+    given: HashMap<EndpointName, GivenAdvice>,
+    tokens: f64,
+    at: ClockTime,
+}
+
+impl LoadPlanner {
+    /// Plans the next loads of one service's engines.
+    pub fn plan<'a>(
+        &mut self,
+        rule: &'a EngineRule,
+        rows: impl Iterator<Item = &'a EndpointRow>,
+        demand: &HashMap<ModelName, TotalDemand>,
+        now: ClockTime,
+    ) -> PlanOutcome {
+        self.refill(rule, now);
+        self.given
+            .retain(|_, given| now.since(given.at) < ADVICE_LIFE);
+        let mut round = self.round(rule, rows, demand, now);
+        let mut outcome = PlanOutcome::default();
+        for model in round.unreachable() {
+            self.advise(&mut round, &model, LoadReason::Unreachable, &mut outcome);
+        }
+        for model in round.busiest() {
+            self.advise(&mut round, &model, LoadReason::Busy, &mut outcome);
+        }
+        for engine in 0..round.engines.len() {
+            self.fill(&mut round, engine, &mut outcome);
+        }
+        outcome
+    }
+
+    /// Loads into free room what an engine has copies of. After a restart engines are empty, and
+    /// waiting for requests that can't be served would cost each model its first ones.
+    fn fill(&mut self, round: &mut PlanRound<'_>, engine: usize, outcome: &mut PlanOutcome) {
+        let Some(model) = round.best_fill(engine) else {
+            return;
+        };
+        let Some(option) = round.option(engine, &model, LoadReason::Room) else {
+            return;
+        };
+        if option.from_store || !option.unload.is_empty() {
+            return;
+        }
+        let now = round.now;
+        let load = round.advice(&option, &model, LoadReason::Room);
+        self.given.insert(
+            load.endpoint.clone(),
+            GivenAdvice {
+                model: model.clone(),
+                at: now,
+            },
+        );
+        round.engines[engine].free = false;
+        round.engines[engine].coming = Some(model);
+        outcome.planned.push(load);
+    }
+
+    fn refill(&mut self, rule: &EngineRule, now: ClockTime) {
+        let gained = now.since(self.at).as_secs_f64() * rule.loads_per_s;
+        self.tokens = (self.tokens + gained).min((rule.loads_per_s * BURST_S).max(1.0));
+        self.at = now;
+    }
+
+    fn round<'a>(
+        &self,
+        rule: &'a EngineRule,
+        rows: impl Iterator<Item = &'a EndpointRow>,
+        demand: &HashMap<ModelName, TotalDemand>,
+        now: ClockTime,
+    ) -> PlanRound<'a> {
+        let engines: Vec<EngineView<'a>> = rows
+            .filter(|row| row.is_open(now))
+            .map(|row| self.engine_view(row, now))
+            .collect();
+        let slots = engines.first().map_or(1, |view| view.row.record.slots);
+        let mut round = PlanRound {
+            rule,
+            engines,
+            models: HashMap::new(),
+            slots: f64::from(slots.max(1)),
+            now,
+        };
+        round.count_models(demand);
+        round.spread_load();
+        round
+    }
+
+    fn engine_view<'a>(&self, row: &'a EndpointRow, now: ClockTime) -> EngineView<'a> {
+        let held = row.models(now).iter().map(|held| &held.model);
+        let held = held.filter(|model| row.holds(model, now)).collect();
+        let is_idle = |pulse: &crate::message::EnginePulse| {
+            pulse.answers && pulse.loading.is_none() && pulse.retiring.is_empty()
+        };
+        let free = row.pulse(now).is_some_and(is_idle);
+        let loading = row.pulse(now).and_then(|pulse| pulse.loading.clone());
+        let advised = self.given.get(&row.record.name);
+        EngineView {
+            row,
+            held,
+            coming: loading.or_else(|| advised.map(|given| given.model.clone())),
+            load: EngineShare::default(),
+            free: free && !self.given.contains_key(&row.record.name),
+        }
+    }
+
+    fn advise(
+        &mut self,
+        round: &mut PlanRound<'_>,
+        model: &ModelName,
+        reason: LoadReason,
+        outcome: &mut PlanOutcome,
+    ) {
+        let Some(option) = round.best_option(model, reason, self.tokens >= 1.0) else {
+            let mut blocked = round.blocked(model, reason);
+            blocked.rate_spent = self.tokens < 1.0;
+            outcome.blocked.push(blocked);
+            return;
+        };
+        if option.from_store {
+            self.tokens -= 1.0;
+        }
+        let load = round.advice(&option, model, reason);
+        self.given.insert(
+            load.endpoint.clone(),
+            GivenAdvice {
+                model: model.clone(),
+                at: round.now,
+            },
+        );
+        round.engines[option.engine].free = false;
+        outcome.planned.push(load);
+    }
+}
--- a/crates/oatpier-serving/src/planner.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -1,33 +1,25 @@
-//! Which engine should load which model next.
-//!
-//! Demand moves between models within seconds, and a load takes from half a second to four. Each
-//! round looks for the most urgent gap: a model that is asked for and that nobody holds, then a
-//! model whose holders are much busier than another engine would be with it. It answers with one
-//! load at a time and engine, the victims included; the sidecar there checks memory and pace.
-//!
-//! The last holder of a model is a victim only where nobody has asked for the model for long, or
-//! where a model that is asked for has no holder at all: every model stays reachable, and one that
-//! was dropped comes back when it is asked for.
+//! One round of the planner: engines and models as they stand, and what a load would gain and cost.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::{EndpointName, ModelName};
+use oatpier_types::names::ModelName;
 
+use super::{BlockedLoad, LoadReason, PlannedLoad};
 use crate::directory::EndpointRow;
 use crate::message::{LoadAdvice, ModelSize};
 use crate::peers::TotalDemand;
 use crate::site::EngineRule;
 
-/// How long advice is waited for before the engine gets other advice: a datagram, a notice to
-/// gateways, and an order.
-const ADVICE_LIFE: Duration = Duration::from_millis(700);
-
 /// How long a request holds a slot, for turning refusals a second into slots. Between the means of
 /// long and short streams.
 const HOLD_S: f64 = 0.7;
 
+/// What a replica must gain, beyond its costs, in squared shares of an engine. The only holder of a
+/// model that takes 0.6 of it gains 0.18 by a second one.
+const REPLICA_GAIN: f64 = 0.08;
+
 /// How much of a place for an adapter counts as load: places that are all in use cost less than slots
 /// that are, since one is free as soon as the streams of one adapter have ended.
 const ADAPTER_WEIGHT: f64 = 0.7;
@@ -36,10 +28,6 @@
 /// is the cause of the load.
 const LEAST_SHARE: f64 = 0.1;
 
-/// What a replica must gain, beyond its costs, in squared shares of an engine. The only holder of a
-/// model that takes 0.6 of it gains 0.18 by a second one.
-const REPLICA_GAIN: f64 = 0.08;
-
 /// The share of its slots above which an engine's models get replicas.
 const BUSY_SHARE: f64 = 0.35;
 
@@ -47,115 +35,31 @@
 /// of an engine's slots.
 const STORE_LOAD_PRICE: f64 = 0.05;
 
+/// A model that was asked for within this time is likely to be asked for again.
+const RECENT: Duration = Duration::from_secs(10);
+
 /// What dropping the last holder of a model weighs, in shares of an engine's slots: a model that
 /// was asked for lately, one that was asked for long ago, and one that nobody ever asked for.
 const LAST_RECENT_PRICE: f64 = 0.6;
 const LAST_OLD_PRICE: f64 = 0.2;
 const LAST_UNASKED_PRICE: f64 = 0.05;
 
-/// A model that was asked for within this time is likely to be asked for again.
-const RECENT: Duration = Duration::from_secs(10);
-
-/// Loads from the weight store that may be advised at once, as seconds of its rate.
-const BURST_S: f64 = 1.2;
-
-/// Advice that an engine was given.
-#[derive(Debug, Clone)]
-struct GivenAdvice {
-    model: ModelName,
-    at: ClockTime,
-}
-
-/// Advice for one engine.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PlannedLoad {
-    /// The engine.
-    pub endpoint: EndpointName,
-    /// The advice.
-    pub advice: LoadAdvice,
-    /// Why.
-    pub reason: LoadReason,
-}
-
-/// Why a load is advised.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LoadReason {
-    /// The model is asked for, and nobody holds it.
-    Unreachable,
-    /// The model's holders are too busy.
-    Busy,
-    /// An engine has room, and nobody holds the model, or the engine holds nothing after a restart.
-    Room,
-}
-
-impl LoadReason {
-    /// The word that logs and metrics use.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Unreachable => "unreachable",
-            Self::Busy => "busy",
-            Self::Room => "room",
-        }
-    }
-}
-
-/// A load that is wanted and that no engine can take now.
-#[derive(Debug, Clone, PartialEq)]
-pub struct BlockedLoad {
-    /// The model.
-    pub model: ModelName,
-    /// Why it is wanted.
-    pub reason: LoadReason,
-    /// Engines that its demand would fill.
-    pub want: f64,
-    /// Engines that hold it.
-    pub holders: f64,
-    /// Whether the weight store's rate is used up for the moment.
-    pub rate_spent: bool,
-    /// Engines that are busy with another load, or not heard of.
-    pub busy: u32,
-    /// Engines that must wait for their part of the weight store's rate.
-    pub paced: u32,
-    /// Engines where too much would have to go.
-    pub full: u32,
-    /// Engines that could take it, but where it would gain too little.
-    pub idle: u32,
-}
-
-/// What a round came to.
-#[derive(Debug, Default)]
-pub struct PlanOutcome {
-    /// Loads to advise.
-    pub planned: Vec<PlannedLoad>,
-    /// Loads that are wanted and not possible.
-    pub blocked: Vec<BlockedLoad>,
-}
-
-/// Plans loads; remembers what was advised and not yet seen.
-#[derive(Debug, Default)]
-pub struct LoadPlanner {
-    given: HashMap<EndpointName, GivenAdvice>,
-    tokens: f64,
-    at: ClockTime,
-}
-
 /// One engine during a round.
 #[derive(Debug)]
-struct EngineView<'a> {
-    row: &'a EndpointRow,
+pub(super) struct EngineView<'a> {
+    pub(super) row: &'a EndpointRow,
     /// Models that are there and stay.
-    held: Vec<&'a ModelName>,
+    pub(super) held: Vec<&'a ModelName>,
     /// The model that is being loaded, or was advised: it takes its share soon.
-    coming: Option<ModelName>,
+    pub(super) coming: Option<ModelName>,
     /// What its models' demand takes of it.
-    load: EngineShare,
-    free: bool,
+    pub(super) load: EngineShare,
+    pub(super) free: bool,
 }
 
 /// A part of an engine, as its requests take slots and its adapters take places.
 #[derive(Debug, Clone, Copy, Default)]
-struct EngineShare {
+pub(super) struct EngineShare {
     slots: f64,
     places: f64,
 }
@@ -192,7 +96,7 @@
 
 /// One model during a round.
 #[derive(Debug, Clone, Copy, Default)]
-struct ModelView {
+pub(super) struct ModelView {
     holders: f64,
     /// Engines that its demand would fill.
     want: EngineShare,
@@ -215,156 +119,27 @@
 }
 
 /// What a round works on.
-struct PlanRound<'a> {
-    rule: &'a EngineRule,
-    engines: Vec<EngineView<'a>>,
-    models: HashMap<&'a ModelName, ModelView>,
-    slots: f64,
-    now: ClockTime,
+pub(super) struct PlanRound<'a> {
+    pub(super) rule: &'a EngineRule,
+    pub(super) engines: Vec<EngineView<'a>>,
+    pub(super) models: HashMap<&'a ModelName, ModelView>,
+    pub(super) slots: f64,
+    pub(super) now: ClockTime,
 }
 
 /// A possible load.
-struct LoadOption {
-    engine: usize,
-    unload: Vec<ModelName>,
+pub(super) struct LoadOption {
+    pub(super) engine: usize,
+    pub(super) unload: Vec<ModelName>,
     /// What the load and the models that go weigh.
     costs: f64,
     /// The costs, and the load of the engine.
     price: f64,
-    from_store: bool,
-}
-
-impl LoadPlanner {
-    /// Plans the next loads of one service's engines.
-    pub fn plan<'a>(
-        &mut self,
-        rule: &'a EngineRule,
-        rows: impl Iterator<Item = &'a EndpointRow>,
-        demand: &HashMap<ModelName, TotalDemand>,
-        now: ClockTime,
-    ) -> PlanOutcome {
-        self.refill(rule, now);
-        self.given
-            .retain(|_, given| now.since(given.at) < ADVICE_LIFE);
-        let mut round = self.round(rule, rows, demand, now);
-        let mut outcome = PlanOutcome::default();
-        for model in round.unreachable() {
-            self.advise(&mut round, &model, LoadReason::Unreachable, &mut outcome);
-        }
-        for model in round.busiest() {
-            self.advise(&mut round, &model, LoadReason::Busy, &mut outcome);
-        }
-        for engine in 0..round.engines.len() {
-            self.fill(&mut round, engine, &mut outcome);
-        }
-        outcome
-    }
-
-    /// Loads into free room what an engine has copies of. After a restart engines are empty, and
-    /// waiting for requests that can't be served would cost each model its first ones.
-    fn fill(&mut self, round: &mut PlanRound<'_>, engine: usize, outcome: &mut PlanOutcome) {
-        let Some(model) = round.best_fill(engine) else {
-            return;
-        };
-        let Some(option) = round.option(engine, &model, LoadReason::Room) else {
-            return;
-        };
-        if option.from_store || !option.unload.is_empty() {
-            return;
-        }
-        let now = round.now;
-        let load = round.advice(&option, &model, LoadReason::Room);
-        self.given.insert(
-            load.endpoint.clone(),
-            GivenAdvice {
-                model: model.clone(),
-                at: now,
-            },
-        );
-        round.engines[engine].free = false;
-        round.engines[engine].coming = Some(model);
-        outcome.planned.push(load);
-    }
-
-    fn refill(&mut self, rule: &EngineRule, now: ClockTime) {
-        let gained = now.since(self.at).as_secs_f64() * rule.loads_per_s;
-        self.tokens = (self.tokens + gained).min((rule.loads_per_s * BURST_S).max(1.0));
-        self.at = now;
-    }
-
-    fn round<'a>(
-        &self,
-        rule: &'a EngineRule,
-        rows: impl Iterator<Item = &'a EndpointRow>,
-        demand: &HashMap<ModelName, TotalDemand>,
-        now: ClockTime,
-    ) -> PlanRound<'a> {
-        let engines: Vec<EngineView<'a>> = rows
-            .filter(|row| row.is_open(now))
-            .map(|row| self.engine_view(row, now))
-            .collect();
-        let slots = engines.first().map_or(1, |view| view.row.record.slots);
-        let mut round = PlanRound {
-            rule,
-            engines,
-            models: HashMap::new(),
-            slots: f64::from(slots.max(1)),
-            now,
-        };
-        round.count_models(demand);
-        round.spread_load();
-        round
-    }
-
-    fn engine_view<'a>(&self, row: &'a EndpointRow, now: ClockTime) -> EngineView<'a> {
-        let held = row.models(now).iter().map(|held| &held.model);
-        let held = held.filter(|model| row.holds(model, now)).collect();
-        let is_idle = |pulse: &crate::message::EnginePulse| {
-            pulse.answers && pulse.loading.is_none() && pulse.retiring.is_empty()
-        };
-        let free = row.pulse(now).is_some_and(is_idle);
-        let loading = row.pulse(now).and_then(|pulse| pulse.loading.clone());
-        let advised = self.given.get(&row.record.name);
-        EngineView {
-            row,
-            held,
-            coming: loading.or_else(|| advised.map(|given| given.model.clone())),
-            load: EngineShare::default(),
-            free: free && !self.given.contains_key(&row.record.name),
-        }
-    }
-
-    fn advise(
-        &mut self,
-        round: &mut PlanRound<'_>,
-        model: &ModelName,
-        reason: LoadReason,
-        outcome: &mut PlanOutcome,
-    ) {
-        let Some(option) = round.best_option(model, reason, self.tokens >= 1.0) else {
-            let mut blocked = round.blocked(model, reason);
-            blocked.rate_spent = self.tokens < 1.0;
-            outcome.blocked.push(blocked);
-            return;
-        };
-        if option.from_store {
-            self.tokens -= 1.0;
-        }
-        let load = round.advice(&option, model, reason);
-        self.given.insert(
-            load.endpoint.clone(),
-            GivenAdvice {
-                model: model.clone(),
-                at: round.now,
-            },
-        );
-        round.engines[option.engine].free = false;
-        outcome.planned.push(load);
-    }
+    pub(super) from_store: bool,
 }
 
 impl PlanRound<'_> {
-    fn count_models(&mut self, demand: &HashMap<ModelName, TotalDemand>) {
+    pub(super) fn count_models(&mut self, demand: &HashMap<ModelName, TotalDemand>) {
         for rule in &self.rule.models {
             let total = demand.get(&rule.name).copied().unwrap_or_default();
             let holders = self.holders(&rule.name);
@@ -393,7 +168,7 @@
         f64::from(u32::try_from(holders).unwrap_or(u32::MAX))
     }
 
-    fn spread_load(&mut self) {
+    pub(super) fn spread_load(&mut self) {
         for view in &mut self.engines {
             let served = view.held.iter().copied().chain(&view.coming);
             let shares = served.filter_map(|model| self.models.get(model));
@@ -403,7 +178,7 @@
     }
 
     /// Models that are asked for and that nobody holds, the most wanted first.
-    fn unreachable(&self) -> Vec<ModelName> {
+    pub(super) fn unreachable(&self) -> Vec<ModelName> {
         let mut missing: Vec<(&ModelName, f64)> = self
             .models
             .iter()
@@ -418,7 +193,7 @@
     }
 
     /// Models of the busiest engines, those that bring them most load first.
-    fn busiest(&self) -> Vec<ModelName> {
+    pub(super) fn busiest(&self) -> Vec<ModelName> {
         let busy = self
             .engines
             .iter()
@@ -441,7 +216,7 @@
     /// The model that an engine with room should hold: one that nobody holds, or, where the engine
     /// holds nothing, one that many engines have copies of beside those that hold it. A model that
     /// had many replicas was much asked for.
-    fn best_fill(&self, engine: usize) -> Option<ModelName> {
+    pub(super) fn best_fill(&self, engine: usize) -> Option<ModelName> {
         let view = &self.engines[engine];
         let copies = &view.row.pulse(self.now)?.copies;
         let local = copies.in_memory.iter().chain(&copies.on_disk);
@@ -467,7 +242,7 @@
         f64::from(u32::try_from(copies).unwrap_or(u32::MAX))
     }
 
-    fn best_option(
+    pub(super) fn best_option(
         &self,
         model: &ModelName,
         reason: LoadReason,
@@ -484,7 +259,7 @@
     }
 
     /// Why no engine takes a load.
-    fn blocked(&self, model: &ModelName, reason: LoadReason) -> BlockedLoad {
+    pub(super) fn blocked(&self, model: &ModelName, reason: LoadReason) -> BlockedLoad {
         let view = self.models.get(model);
         let mut blocked = BlockedLoad {
             model: model.clone(),
@@ -537,7 +312,12 @@
         relief - added - option.costs > REPLICA_GAIN
     }
 
-    fn option(&self, engine: usize, model: &ModelName, reason: LoadReason) -> Option<LoadOption> {
+    pub(super) fn option(
+        &self,
+        engine: usize,
+        model: &ModelName,
+        reason: LoadReason,
+    ) -> Option<LoadOption> {
         let view = &self.engines[engine];
         if !view.free || view.held.contains(&model) {
             return None;
@@ -613,7 +393,12 @@
         }
     }
 
-    fn advice(&self, option: &LoadOption, model: &ModelName, reason: LoadReason) -> PlannedLoad {
+    pub(super) fn advice(
+        &self,
+        option: &LoadOption,
+        model: &ModelName,
+        reason: LoadReason,
+    ) -> PlannedLoad {
         let view = &self.engines[option.engine];
         let held = view.row.models(self.now).iter().map(|held| &held.model);
         let sizes = held.chain([model]).map(|model| ModelSize {
--- a/crates/oatpier-serving/src/site.rs
+++ b/crates/oatpier-serving/src/site.rs
@@ -27,7 +27,7 @@
     /// The host that callers name.
     pub host: Arc<str>,
     /// The start of the paths, with a slash at both ends.
-    pub path_prefix: Arc<str>,
+    pub prefix: Arc<str>,
     /// What may be repeated.
     pub kind: RouteKind,
     /// The longest time that a request may be kept waiting.
@@ -170,8 +170,8 @@
         self.routes
             .iter()
             .filter(|route| route.host.eq_ignore_ascii_case(host))
-            .filter(|route| path.starts_with(&*route.path_prefix))
-            .max_by_key(|route| route.path_prefix.len())
+            .filter(|route| path.starts_with(&*route.prefix))
+            .max_by_key(|route| route.prefix.len())
     }
 
     /// A service by its name.
--- a/crates/oatpier-serving/tests/testsuite/site.rs
+++ b/crates/oatpier-serving/tests/testsuite/site.rs
@@ -11,7 +11,7 @@
     let routes = prefixes.iter().map(|(host, prefix)| {
         Arc::new(RouteRule {
             host: Arc::from(*host),
-            path_prefix: Arc::from(*prefix),
+            prefix: Arc::from(*prefix),
             ..route(250, 0)
         })
     });
@@ -30,7 +30,7 @@
 
 fn found(config: &SiteConfig, host: &str, path: &str) -> Option<String> {
     let route = config.route(host, path)?;
-    Some(route.path_prefix.to_string())
+    Some(route.prefix.to_string())
 }
 
 #[test]
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -131,7 +131,7 @@
     RouteRule {
         name: ClassName::try_from("draft").unwrap(),
         host: Arc::from("a.example"),
-        path_prefix: Arc::from("/draft/"),
+        prefix: Arc::from("/draft/"),
         kind: RouteKind::Stream {
             resumable: false,
             pause: millis(150),
--- a/crates/oatpierd/src/commands/gateway.rs
+++ b/crates/oatpierd/src/commands/gateway.rs
@@ -1,11 +1,8 @@
 //! `oatpierd gateway`: runs a gateway.
 
 use clap::{ArgMatches, Command};
-use oatpier_duty::duty::stop_on_signal;
-use oatpier_duty::observe::logs;
 
-use super::node::{node_args, read_node, settings_source};
-use super::{duty_failure, start_failure};
+use super::node::{node_args, run_node};
 use crate::cli::{self, CommandFailure};
 
 /// What `--help` says.
@@ -35,12 +32,5 @@
 ///
 /// Settings that are not accepted, or an address that can't be listened on.
 pub fn exec(matches: &ArgMatches) -> Result<(), CommandFailure> {
-    let Some(settings) = read_node(matches)? else {
-        return Ok(());
-    };
-    logs::install(&settings.name);
-    let process = oatpier_gateway::gateway::start(&settings, settings_source(matches))
-        .map_err(start_failure)?;
-    stop_on_signal(&process.stop);
-    process.join().map_err(duty_failure)
+    run_node(matches, oatpier_gateway::gateway::start)
 }
--- a/crates/oatpierd/src/commands/node.rs
+++ b/crates/oatpierd/src/commands/node.rs
@@ -4,11 +4,14 @@
 
 use clap::{Arg, ArgAction, ArgMatches, value_parser};
 use miette::Report;
+use oatpier_duty::duty::{DutyProcess, StartError, stop_on_signal};
+use oatpier_duty::observe::logs;
 use oatpier_gateway::errors::error_chain;
 use oatpier_gateway::reload::SettingsSource;
 use oatpier_platform::settings;
 use oatpier_serving::node::NodeSettings;
 
+use super::{duty_failure, start_failure};
 use crate::cli::{CommandFailure, EXIT_SETTINGS};
 
 /// The arguments of both commands.
@@ -26,23 +29,23 @@
     ]
 }
 
-/// Reads and checks the settings. None if they were only to be checked.
-pub(crate) fn read_node(matches: &ArgMatches) -> Result<Option<NodeSettings>, CommandFailure> {
-    let path = matches.get_one::<PathBuf>("settings");
-    let settings =
-        settings::read(path.map(PathBuf::as_path)).map_err(|failure| CommandFailure {
-            code: EXIT_SETTINGS,
-            report: Report::new(failure),
-        })?;
+/// How a process's duties are started.
+type StartNode = fn(&NodeSettings, Box<dyn SettingsSource>) -> Result<DutyProcess, StartError>;
+
+/// Runs a process until it is told to stop, unless its settings were only to be checked.
+pub(crate) fn run_node(matches: &ArgMatches, start: StartNode) -> Result<(), CommandFailure> {
+    let path = matches.get_one::<PathBuf>("settings").cloned();
+    let settings = settings::read(path.as_deref()).map_err(|failure| CommandFailure {
+        code: EXIT_SETTINGS,
+        report: Report::new(failure),
+    })?;
     if matches.get_flag("check-settings") {
         println!("the settings of {} are good", settings.name);
-        return Ok(None);
+        return Ok(());
     }
-    Ok(Some(settings))
-}
-
-/// Reads the settings once more, for a process that runs.
-pub(crate) fn settings_source(matches: &ArgMatches) -> Box<dyn SettingsSource> {
-    let path = matches.get_one::<PathBuf>("settings").cloned();
-    Box::new(move || settings::read(path.as_deref()).map_err(|failure| error_chain(&failure)))
+    logs::install(&settings.name);
+    let source = move || settings::read(path.as_deref()).map_err(|failure| error_chain(&failure));
+    let process = start(&settings, Box::new(source)).map_err(start_failure)?;
+    stop_on_signal(&process.stop);
+    process.join().map_err(duty_failure)
 }
