--- a/crates/oatpier-duty/src/duty/stop.rs
+++ b/crates/oatpier-duty/src/duty/stop.rs
@@ -75,6 +75,7 @@
         _ = interrupt.recv() => {}
         () = stop.reached(StopPhase::Draining) => {}
     }
+    spdlog::info!("a stop was asked for");
     stop.advance(StopPhase::Draining);
     stop.reached(StopPhase::Ended).await;
 }
--- a/crates/oatpier-duty/src/observe/logs.rs
+++ b/crates/oatpier-duty/src/observe/logs.rs
@@ -1,6 +1,8 @@
-//! JSON-line logs on the standard error stream.
+//! JSON-line logs on one of the standard streams.
 //!
-//! Standard output carries the exported spans; a reader splits the two without parsing.
+//! Entries and agents export spans on the standard output, so their log lines go to the standard
+//! error, and a reader splits the two without parsing. Gateways and sidecars write all their lines to
+//! the standard output.
 
 use std::sync::Arc;
 
@@ -9,17 +11,30 @@
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{StdStream, StdStreamSink};
 
-/// Makes JSON lines the form of all logs of this process, under its name.
+/// Makes JSON lines on the standard error the form of all logs of this process, under its name.
 ///
 /// # Panics
 ///
-/// Panics if the standard error stream can't be used.
+/// Panics if the stream can't be used.
 pub fn install(name: &DaemonName) {
+    install_on(StdStream::Stderr, name);
+}
+
+/// As [`install`], on the standard output.
+///
+/// # Panics
+///
+/// Panics if the stream can't be used.
+pub fn install_on_output(name: &DaemonName) {
+    install_on(StdStream::Stdout, name);
+}
+
+fn install_on(stream: StdStream, name: &DaemonName) {
     let sink = StdStreamSink::builder()
-        .std_stream(StdStream::Stderr)
+        .std_stream(stream)
         .formatter(JsonFormatter::new())
         .build_arc()
-        .expect("the standard error stream can be used");
+        .expect("the standard stream can be used");
     let logger = Logger::builder()
         .name(name.as_str().replace(['.', ':', '/'], "-"))
         .sink(sink)
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -290,7 +290,7 @@
         route.targets[0].service.clone()
     }
 
-    /// What is to be done with a request now. `waited` says since when it waits for weights.
+    /// What is to be done with a request now.
     pub fn place(&self, plan: &RequestPlan, excluded: &[EndpointName]) -> Placement {
         let now = self.clock.now();
         let mut state = self.lock();
--- a/crates/oatpierd/src/commands/gateway.rs
+++ b/crates/oatpierd/src/commands/gateway.rs
@@ -11,7 +11,7 @@
 outcome.
 
 Settings come from the platform's settings file. Metrics are at the last port of the range in it.
-Decisions go to the standard output as JSON lines, other log lines to the standard error.
+All log lines go to the standard output as JSON lines.
 
 SIGTERM starts a planned stop: the process is no longer ready, tells callers to close their
 connections, and ends when the last answer is whole.";
--- a/crates/oatpierd/src/commands/node.rs
+++ b/crates/oatpierd/src/commands/node.rs
@@ -43,9 +43,13 @@
         println!("the settings of {} are good", settings.name);
         return Ok(());
     }
-    logs::install(&settings.name);
+    logs::install_on_output(&settings.name);
     let source = move || settings::read(path.as_deref()).map_err(|failure| error_chain(&failure));
     let process = start(&settings, Box::new(source)).map_err(start_failure)?;
+    spdlog::info!("started", kv: { zone: = settings.zone.as_str() });
     stop_on_signal(&process.stop);
-    process.join().map_err(duty_failure)
+    let ended = process.join().map_err(duty_failure);
+    spdlog::info!("stopped", kv: { whole: = ended.is_ok() });
+    spdlog::default_logger().flush();
+    ended
 }
--- a/crates/oatpierd/src/commands/sidecar.rs
+++ b/crates/oatpierd/src/commands/sidecar.rs
@@ -11,7 +11,7 @@
 engine holds.
 
 Settings come from the platform's settings file. Metrics are at the last port of the range in it.
-Decisions go to the standard output as JSON lines, other log lines to the standard error.
+All log lines go to the standard output as JSON lines.
 
 SIGTERM ends it at once: the engine carries out what it was ordered by itself.";
 
