--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -113,6 +113,19 @@
     behind: AtomicBool,
 }
 
+/// A greeting, and where it goes.
+pub(super) struct SidecarGreeting {
+    sidecar: SocketAddr,
+    greeting: GatewayGreeting,
+}
+
+impl SidecarGreeting {
+    pub(super) fn send(self, core: &GatewayCore) {
+        let message = InnerMessage::Greeting(self.greeting);
+        core.outlet.send(self.sidecar, &message);
+    }
+}
+
 /// How soon a request that waits for an adapter asks again, and repeats its wish: a load takes 5 to
 /// 10 ms, and a lost datagram should cost little more.
 const ADAPTER_RETRY: Duration = Duration::from_millis(25);
@@ -415,8 +428,8 @@
         }
         let greeting = makes_room.then(|| self.greeting(&mut state, &plan.service, endpoint));
         drop(state);
-        if let Some((sidecar, greeting)) = greeting.flatten() {
-            self.outlet.send(sidecar, &InnerMessage::Greeting(greeting));
+        if let Some(due) = greeting.flatten() {
+            due.send(self);
         }
     }
 
@@ -426,7 +439,7 @@
         state: &mut CoreState,
         service: &PoolName,
         endpoint: &EndpointName,
-    ) -> Option<(SocketAddr, GatewayGreeting)> {
+    ) -> Option<SidecarGreeting> {
         let config = state.config.clone()?;
         let rule = config.service(service)?.engine.as_ref()?;
         let address = state.directory.row(endpoint)?.record.address;
@@ -445,7 +458,10 @@
             loads_per_window: loads_per_window(&self.settings.borrow().bounds, rule),
             adapter_slots: u32::try_from(rule.adapter_slots).unwrap_or(u32::MAX),
         };
-        Some((SocketAddr::new(address.ip(), self.inner_port), greeting))
+        Some(SidecarGreeting {
+            sidecar: SocketAddr::new(address.ip(), self.inner_port),
+            greeting,
+        })
     }
 
     /// The first piece of an answer came.
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -6,16 +6,14 @@
 
 use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
 use oatpier_serving::directory::EndpointRow;
-use oatpier_serving::message::{
-    GatewayGreeting, InnerMessage, MessageNumber, ModelDemand, PeerReport,
-};
+use oatpier_serving::message::{InnerMessage, MessageNumber, ModelDemand, PeerReport};
 use oatpier_serving::planner::{BlockedLoad, PlannedLoad};
 use oatpier_serving::site::{EngineRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{EndpointName, PoolName};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::core::GatewayCore;
+use super::core::{GatewayCore, SidecarGreeting};
 use crate::decisions::{DecisionLine, LineWeight};
 use crate::exchange::InnerSocket;
 use crate::records::StoreNews;
@@ -101,14 +99,14 @@
             _ = ticks.tick() => {}
             () = core.appeared.notified() => {}
         }
-        for (sidecar, greeting) in greetings(core) {
-            core.outlet.send(sidecar, &InnerMessage::Greeting(greeting));
+        for due in greetings(core) {
+            due.send(core);
         }
     }
 }
 
 /// The greetings that are due, one for each engine's sidecar.
-fn greetings(core: &GatewayCore) -> Vec<(SocketAddr, GatewayGreeting)> {
+fn greetings(core: &GatewayCore) -> Vec<SidecarGreeting> {
     let mut state = core.lock();
     let Some(config) = state.config.clone() else {
         return Vec::new();
@@ -212,45 +210,60 @@
         if rounds.is_multiple_of(PICTURE_ROUNDS) {
             log_picture(core);
         }
-        let (planned, blocked) = plan_round(core);
-        for (sidecar, planned) in planned {
-            log_plan(core, &planned);
-            core.outlet
-                .send(sidecar, &InnerMessage::Advice(planned.advice));
+        let round = plan_round(core);
+        for load in round.loads {
+            log_plan(core, &load.planned);
+            let advice = InnerMessage::Advice(load.planned.advice);
+            core.outlet.send(load.sidecar, &advice);
         }
         if rounds.is_multiple_of(BLOCKED_ROUNDS) {
-            log_blocked(core, &blocked);
+            log_blocked(core, &round.blocked);
         }
     }
 }
 
+/// A load, and the sidecar that is advised.
+struct AdvisedLoad {
+    sidecar: SocketAddr,
+    planned: PlannedLoad,
+}
+
+/// What a round of the planner came to.
+#[derive(Default)]
+struct PlannedRound {
+    loads: Vec<AdvisedLoad>,
+    blocked: Vec<BlockedLoad>,
+}
+
 /// The loads to advise now, if this gateway plans.
-fn plan_round(core: &GatewayCore) -> (Vec<(SocketAddr, PlannedLoad)>, Vec<BlockedLoad>) {
+fn plan_round(core: &GatewayCore) -> PlannedRound {
     let now: ClockTime = core.clock.now();
     let mut state = core.lock();
     if state.peers.planner(now) != core.own_address {
-        return Default::default();
+        return PlannedRound::default();
     }
     let Some(config) = state.config.clone() else {
-        return Default::default();
+        return PlannedRound::default();
     };
     let own = state.demand.summary(now);
     let demand = state.peers.total(&own, now);
     let state = &mut *state;
-    let mut planned = Vec::new();
-    let mut blocked = Vec::new();
+    let mut round = PlannedRound::default();
     for (service, rule) in engine_services(&config) {
         let rows = state.directory.service(service);
         let outcome = state.planner.plan(rule, rows, &demand, now);
-        blocked.extend(outcome.blocked);
+        round.blocked.extend(outcome.blocked);
         for load in outcome.planned {
             if let Some(row) = state.directory.row(&load.endpoint) {
                 let sidecar = SocketAddr::new(row.record.address.ip(), core.inner_port);
-                planned.push((sidecar, load));
+                round.loads.push(AdvisedLoad {
+                    sidecar,
+                    planned: load,
+                });
             }
         }
     }
-    (planned, blocked)
+    round
 }
 
 fn log_blocked(core: &GatewayCore, blocked: &[BlockedLoad]) {
