Do not answer a peer's report of demand with one's own

Cause: reading the change: a report with demand that can't be served made its readers report at once, and those each other, a hundred times a second while anything was refused.

Ruled out: that the planner needs it (it looks every 150 ms by itself).

--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -64,12 +64,8 @@
             InnerMessage::Pulse(pulse) => core.take_pulse(*pulse),
             InnerMessage::Load(load) => core.take_load_pulse(&load),
             InnerMessage::Peer(report) => {
-                let pressing = report.demand.iter().any(|demand| demand.unserved > 0.0);
                 let now = core.clock.now();
                 core.lock().peers.take_report(from, *report, now);
-                if pressing {
-                    core.pressed.notify_one();
-                }
             }
             // For sidecars.
             InnerMessage::Greeting(_)
