--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -81,7 +81,6 @@
     health: HealthTracker,
     prefixes: PrefixIndex,
     store_failed_at: Option<ClockTime>,
-    read: bool,
 }
 
 impl Default for EndpointDirectory {
@@ -101,18 +100,11 @@
                 ..PrefixSettings::default()
             }),
             store_failed_at: None,
-            read: false,
         }
     }
 }
 
 impl EndpointDirectory {
-    /// Whether the registry was ever read.
-    #[must_use]
-    pub fn is_read(&self) -> bool {
-        self.read
-    }
-
     /// The store could not be read: entries that are missing soon after its return may come back.
     pub fn note_store_failure(&mut self, now: ClockTime) {
         self.store_failed_at = Some(now);
@@ -125,7 +117,6 @@
         now: ClockTime,
     ) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
-        self.read = true;
         let listed: Vec<EndpointName> = records.iter().map(|record| record.name.clone()).collect();
         for record in records {
             if !self.is_superseded(&record, now) {
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -9,7 +9,6 @@
 use oatpier_types::names::{AdapterName, EndpointName, ModelName, PoolName, ZoneName};
 
 use super::REGISTRY_SETTLE;
-use crate::call::WeightsKey;
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
 use crate::health::{FailureShare, PaceEstimate};
 use crate::message::EnginePulse;
@@ -203,15 +202,6 @@
         }
     }
 
-    /// Whether the weights of a request are ready.
-    #[must_use]
-    pub fn is_ready_for(&self, weights: &WeightsKey, now: ClockTime) -> bool {
-        let adapter_ready = weights.adapter.as_ref().is_none_or(|adapter| {
-            self.adapter(&weights.model, adapter, now) == AdapterState::Ready
-        });
-        adapter_ready && self.holds(&weights.model, now)
-    }
-
     /// Adapters that could be loaded without waiting for requests that use others.
     #[must_use]
     pub fn adapter_room(&self, now: ClockTime) -> u32 {
