--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -15,6 +15,7 @@
 use oatpier_serving::directory::EndpointOutcome;
 use oatpier_serving::site::RouteKind;
 use oatpier_types::clock::ClockTime;
+use oatpier_types::names::EndpointName;
 use oatpier_wire::client::AnswerBody;
 use oatpier_wire::reply::{BoxError, Reply};
 use oatpier_wire::sse::EventSplitter;
@@ -137,12 +138,10 @@
                 StreamStep::Failed(failure) => failure,
                 StreamStep::Stalled => AttemptFailure::Silent,
             };
-            let endpoint = self.guard.as_ref().map(|guard| guard.endpoint.clone());
+            let endpoint = self.guard.as_ref()?.endpoint.clone();
             self.finish_broken();
-            let endpoint = endpoint?;
-            let cut_at = endpoint.clone();
-            let resumed = self.resume(failure, endpoint).await.is_some();
-            self.run.log_cut(&cut_at, failure, resumed);
+            let resumed = self.resume(failure, &endpoint).await.is_some();
+            self.run.log_cut(&endpoint, failure, resumed);
             if !resumed {
                 return Some(Err(failure.as_str().into()));
             }
@@ -242,14 +241,10 @@
     }
 
     /// Takes the stream up at another endpoint, after the last event that the caller has.
-    async fn resume(
-        &mut self,
-        failure: AttemptFailure,
-        endpoint: oatpier_types::names::EndpointName,
-    ) -> Option<()> {
+    async fn resume(&mut self, failure: AttemptFailure, endpoint: &EndpointName) -> Option<()> {
         self.splitter.as_ref()?;
         let mut failure = failure;
-        let mut endpoint = endpoint;
+        let mut endpoint = endpoint.clone();
         loop {
             if self.run.after(&endpoint, failure).is_some() {
                 return None;
