Discard requests that were given up, where their endpoint is frozen

A VM with its engine was frozen for 6.8 s; requests on kept connections were on their way, their callers left, the gateway closed the connections in order, and the bytes arrived at the thaw. Ruled out: a gateway that was behind (its log shows no pause), connections being opened (bounded by 400 ms). Change: connections to endpoints are reset when they are closed, which discards what was not received. Test: client_verdicts::a_request_that_is_given_up_is_discarded (failed before).

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -172,6 +172,7 @@
                 connect: CONNECT_WAIT,
                 idle: IDLE_CONNECTION,
                 idle_per_address: IDLE_PER_ENDPOINT,
+                discard_on_close: true,
             }),
             able: inputs.able,
             closed: AtomicBool::new(false),
--- a/crates/oatpier-wire/src/client.rs
+++ b/crates/oatpier-wire/src/client.rs
@@ -43,6 +43,11 @@
     pub idle: Duration,
     /// The most unused connections kept for an address.
     pub idle_per_address: usize,
+    /// Whether closing a connection discards what the peer has not received yet. A request that was
+    /// given up may still be on its way to a peer that is frozen or cut off; after an orderly close it
+    /// would arrive seconds later, when nobody waits for it any more. Connections that are closed
+    /// unused have nothing on their way.
+    pub discard_on_close: bool,
 }
 
 impl Default for ClientLimits {
@@ -51,6 +56,7 @@
             connect: Duration::from_millis(500),
             idle: Duration::from_secs(20),
             idle_per_address: 32,
+            discard_on_close: false,
         }
     }
 }
@@ -259,6 +265,9 @@
             .map_err(|error| refused(&error))?;
         // Small messages must not wait for the acknowledgement of earlier ones.
         stream.set_nodelay(true).map_err(|error| refused(&error))?;
+        if self.limits.discard_on_close {
+            stream.set_zero_linger().map_err(|error| refused(&error))?;
+        }
         let stream = MeteredStream::new(stream, Arc::clone(&self.traffic));
         let (connection, driver) = http1::handshake(TokioIo::new(stream))
             .await
--- a/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
+++ b/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
@@ -177,3 +177,33 @@
     assert_eq!(connections.load(Ordering::SeqCst), 1);
     assert_eq!(client.traffic().received(), 5 * ANSWER.len() as u64);
 }
+
+/// A caller leaves while its request is on the way to a peer that is frozen. The peer must not find the
+/// request when it wakes up: closing the connection in order would still deliver it, seconds late. The
+/// peer's connection is reset, which discards what it has not received.
+#[tokio::test]
+async fn a_request_that_is_given_up_is_discarded() {
+    let (seen, mut resets) = tokio::sync::mpsc::unbounded_channel();
+    let address = each_connection(move |mut stream| {
+        let seen = seen.clone();
+        async move {
+            read_head(&mut stream).await;
+            loop {
+                if let Some(error) = stream.take_error().unwrap() {
+                    let _ = seen.send(error);
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    })
+    .await;
+    let client = HttpClient::new(ClientLimits {
+        discard_on_close: true,
+        ..ClientLimits::default()
+    });
+    let given_up = client.send_within(address, get("/"), Duration::from_millis(100));
+    assert!(given_up.await.is_err());
+    let reset = tokio::time::timeout(Duration::from_secs(20), resets.recv()).await;
+    assert!(reset.expect("the connection is reset").is_some());
+}
