--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -442,7 +442,8 @@
         endpoint: &EndpointName,
     ) -> Option<SidecarGreeting> {
         let config = state.config.clone()?;
-        let rule = config.service(service)?.engine.as_ref()?;
+        let service_rule = config.service(service)?;
+        let rule = service_rule.engine.as_ref()?;
         let address = state.directory.row(endpoint)?.record.address;
         let mut engines: u32 = 0;
         let mut place = 0;
@@ -458,6 +459,7 @@
             place,
             loads_per_window: loads_per_window(&self.settings.borrow().bounds, rule),
             adapter_slots: u32::try_from(rule.adapter_slots).unwrap_or(u32::MAX),
+            health_path: Arc::clone(&service_rule.health_path),
         };
         Some(SidecarGreeting {
             sidecar: SocketAddr::new(address.ip(), self.inner_port),
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -262,10 +262,7 @@
 
     async fn attempt(&self, placed: &PlacedSend) -> Result<Reply, AttemptFailure> {
         let sending = attempt::send(&self.core, &self.plan, &self.message, placed, None);
-        let answer = match self.silence_at(placed) {
-            Some(at) => self.or_silence(sending, placed, at).await?,
-            None => sending.await?,
-        };
+        let answer = self.or_silence(sending, placed).await?;
         if self.plan.route.kind.is_stream() && answer.status.is_success() {
             return relay::relay(self, answer).await;
         }
@@ -273,34 +270,33 @@
         self.check_whole(whole)
     }
 
-    /// When an idempotent request is called silent; others wait for their answer.
-    fn silence_at(&self, placed: &PlacedSend) -> Option<ClockTime> {
-        if !self.plan.route.kind.is_idempotent() || self.sends_left() < 2 {
-            return None;
-        }
+    /// When an attempt is called silent.
+    fn silence_after(&self, placed: &PlacedSend) -> Duration {
         let predicted = placed.choice.predicted * SILENCE_FACTOR;
         let latest = self.plan.route.target.mul_f64(SILENCE_TARGET_FACTOR);
         let silence = predicted.min(latest).max(placed.choice.predicted * 2);
-        Some(self.core.clock.now() + silence.max(SILENCE_LEAST))
+        silence.max(SILENCE_LEAST)
     }
 
-    /// Waits for an answer's head. When the endpoint is silent and a second send is allowed, the
-    /// attempt is given up; otherwise its answer is waited for.
+    /// Waits for an answer's head. Silence always counts against the endpoint: a frozen one takes
+    /// requests and brings nothing, and those that come after should go elsewhere, also where this one
+    /// can't. The attempt is given up only where a second send is allowed.
     async fn or_silence<T>(
         &self,
         sending: impl Future<Output = Result<T, AttemptFailure>>,
         placed: &PlacedSend,
-        at: ClockTime,
     ) -> Result<T, AttemptFailure> {
         let sent_at = self.core.clock.now();
+        let silent_at = sent_at + self.silence_after(placed);
         let mut sending = std::pin::pin!(sending);
         tokio::select! {
             biased;
             answer = sending.as_mut() => return answer,
-            () = sleep_until(self.core.clock.instant(at)) => {}
+            () = sleep_until(self.core.clock.instant(silent_at)) => {}
         }
         self.core.note_silence(&placed.choice.endpoint, sent_at);
-        if self.may_move_from(&placed.choice.endpoint) {
+        let may_repeat = self.plan.route.kind.is_idempotent() && self.sends_left() >= 2;
+        if may_repeat && self.may_move_from(&placed.choice.endpoint) {
             return Err(AttemptFailure::Silent);
         }
         sending.await
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -30,6 +30,17 @@
 /// configuration gets one soon after the store is back. At most one more call a period.
 const FAILED_SHARE: f64 = 0.5;
 
+/// From one read to the next while there is no configuration yet: until then every request is refused.
+const COLD_EVERY: Duration = Duration::from_millis(250);
+
+/// How long a read may take while there is no configuration yet, the first time and by how much longer
+/// each time after, up to the usual time. A store that was silent answers new calls some milliseconds
+/// after its return and old ones never; one that is slow must get its time as well.
+const COLD_WAIT: Duration = Duration::from_millis(300);
+
+/// Reads without a configuration after which the wait begins anew.
+const COLD_ROUND: u32 = 4;
+
 /// What the store said.
 #[derive(Debug)]
 pub enum StoreNews {
@@ -77,7 +88,7 @@
         }
         let period = read_period(&settings);
         let begun = Instant::now();
-        let read = client.read().await;
+        let read = client.read(reader.wait(period)).await;
         let is_good = read.is_ok();
         let news = match read {
             Ok(snapshot) => reader.take(snapshot),
@@ -87,10 +98,10 @@
             }
         };
         inputs.news.send(news).await;
-        let pause = if is_good {
-            period
-        } else {
-            period.mul_f64(FAILED_SHARE)
+        let pause = match (is_good, reader.is_cold()) {
+            (true, _) => period,
+            (false, false) => period.mul_f64(FAILED_SHARE),
+            (false, true) => COLD_EVERY,
         };
         sleep_until(begun + pause.max(Duration::from_millis(50))).await;
     }
@@ -103,8 +114,7 @@
 }
 
 fn store_client(settings: &NodeSettings) -> StoreClient {
-    let wait = read_period(settings).mul_f64(WAIT_SHARE);
-    StoreClient::new(settings.store, wait)
+    StoreClient::new(settings.store)
 }
 
 /// Turns snapshots into news, and logs what changes about the store.
@@ -112,6 +122,8 @@
     metrics: ServingMetrics,
     config: Option<Bytes>,
     reachable: Option<bool>,
+    /// Reads in a row that failed.
+    failures: u32,
 }
 
 impl RecordsReader {
@@ -120,6 +132,22 @@
             metrics,
             config: None,
             reachable: None,
+            failures: 0,
+        }
+    }
+
+    /// Whether no configuration was read yet.
+    fn is_cold(&self) -> bool {
+        self.config.is_none()
+    }
+
+    /// How long the next read may take.
+    fn wait(&self, period: Duration) -> Duration {
+        let usual = period.mul_f64(WAIT_SHARE);
+        if self.is_cold() {
+            usual.min(COLD_WAIT * (1 + self.failures % COLD_ROUND))
+        } else {
+            usual
         }
     }
 
@@ -129,6 +157,7 @@
             spdlog::info!("the store is read", kv: { endpoints: = snapshot.endpoints.len() });
         }
         self.reachable = Some(true);
+        self.failures = 0;
         for reason in &snapshot.unreadable {
             spdlog::warn!("an entry of the store can't be used", kv: { reason: });
         }
@@ -160,5 +189,6 @@
             spdlog::warn!("the store can't be read", kv: { reason: = error_chain(error) });
         }
         self.reachable = Some(false);
+        self.failures = self.failures.wrapping_add(1);
     }
 }
--- a/crates/oatpier-gateway/src/sidecar/engine_link.rs
+++ b/crates/oatpier-gateway/src/sidecar/engine_link.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// The instance that answered last, if it told.
+    /// The engine's instance, if it was asked.
     #[must_use]
     pub fn instance(&self) -> Option<&EndpointName> {
         self.instance.as_ref()
@@ -69,12 +69,32 @@
         if answer.status() != StatusCode::OK {
             return Err(format!("the engine answered {}", answer.status()));
         }
-        if let Some(instance) = engine::instance_of(&answer) {
-            self.instance = Some(instance);
-        }
         engine::decode_report(answer.body()).map_err(|error| error.to_string())
     }
 
+    /// Asks the engine which instance it is. It tells with every health check, also where it is not
+    /// healthy, and nowhere else that is open to a sidecar.
+    ///
+    /// # Errors
+    ///
+    /// It did not answer, or did not tell.
+    pub async fn identify(&mut self, health_path: &str) -> Result<(), String> {
+        let request = engine::health_request(health_path).map_err(|error| error.to_string())?;
+        let answer = self
+            .client
+            .fetch(self.address, request, REPORT_WAIT, ANSWER_BYTES)
+            .await
+            .map_err(|error| error.to_string())?;
+        let instance = engine::instance_of(&answer);
+        self.instance = Some(instance.ok_or_else(|| format!("{} named none", answer.status()))?);
+        Ok(())
+    }
+
+    /// The engine may have been restarted.
+    pub fn forget_instance(&mut self) {
+        self.instance = None;
+    }
+
     /// Gives an order.
     pub async fn order(&mut self, order: &NumberedOrder) -> OrderAnswer {
         let request = engine::order_request(order, &self.holder, self.instance.as_ref());
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -45,6 +45,9 @@
 /// After an order that crossed another one, the next one waits this long.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How often an engine that does not tell its instance is asked. Each time counts as a health check.
+const IDENTIFY_EVERY: Duration = Duration::from_secs(1);
+
 /// Loads that the weight store bears before a gateway has said how many; one a window for each
 /// engine is far below any rate.
 const UNKNOWN_PACE: LoadPace = LoadPace {
@@ -135,6 +138,8 @@
         metrics: inputs.metrics,
         log: inputs.log,
         paused_until: Instant::now(),
+        health_path: None,
+        identify_at: Instant::now(),
     };
     tokio::select! {
         () = sidecar.run() => {}
@@ -153,6 +158,10 @@
     metrics: ServingMetrics,
     log: DecisionLog,
     paused_until: Instant,
+    /// Where the engine says which instance it is, once a gateway has told.
+    health_path: Option<Arc<str>>,
+    /// When it may be asked for that again.
+    identify_at: Instant,
 }
 
 impl EngineSidecar {
@@ -176,6 +185,7 @@
         match message {
             InnerMessage::Greeting(greeting) => {
                 self.pulses.note_gateway(from, now);
+                self.health_path = Some(Arc::clone(&greeting.health_path));
                 self.residency.take_greeting(from, &greeting, now);
             }
             InnerMessage::AdapterWanted(wish) => {
@@ -196,24 +206,50 @@
 
     /// Reads the engine's report. An engine that does not answer, or a new one, is not known.
     async fn refresh(&mut self) {
-        let known = self.link.instance().cloned();
         match self.link.report().await {
             Ok(report) => {
-                if known.is_some() && self.link.instance() != known.as_ref() {
+                if self.residency.is_restarted(&report) {
                     self.note_engine("engine restarted");
-                    self.residency.forget_engine();
+                    self.forget_engine();
                 }
                 if !self.pulses.set_answers(true) {
                     self.note_engine("engine answers");
                 }
                 self.residency.take_report(report);
+                self.identify().await;
             }
             Err(cause) => {
                 if self.pulses.set_answers(false) {
                     let line = DecisionLine::new(LineWeight::Notable, "engine lost");
                     self.log.write(line.with("cause", cause));
                 }
-                self.residency.forget_engine();
+                self.forget_engine();
+            }
+        }
+    }
+
+    fn forget_engine(&mut self) {
+        self.residency.forget_engine();
+        self.link.forget_instance();
+        self.pulses.set_instance(None);
+    }
+
+    /// Asks the engine which instance it is, unless that is known. Gateways that start together, or a
+    /// registry that still lists the last instance, would otherwise send a request each there in vain.
+    async fn identify(&mut self) {
+        let due = self.link.instance().is_none() && Instant::now() >= self.identify_at;
+        let Some(path) = self.health_path.clone().filter(|_| due) else {
+            return;
+        };
+        self.identify_at = Instant::now() + IDENTIFY_EVERY;
+        match self.link.identify(&path).await {
+            Ok(()) => {
+                self.note_engine("engine named");
+                self.pulses.set_instance(self.link.instance());
+            }
+            Err(cause) => {
+                let line = DecisionLine::new(LineWeight::Notable, "engine not named");
+                self.log.write(line.with("cause", cause));
             }
         }
     }
@@ -244,7 +280,12 @@
         match answer {
             OrderAnswer::Unknown => self.paused_until = Instant::now() + UNANSWERED_PAUSE,
             OrderAnswer::Conflict => self.paused_until = Instant::now() + CONFLICT_PAUSE,
-            OrderAnswer::Taken | OrderAnswer::Holds | OrderAnswer::Rejected => {}
+            // Another instance turns away an order that was meant for its predecessor.
+            OrderAnswer::Rejected => {
+                self.link.forget_instance();
+                self.paused_until = Instant::now() + CONFLICT_PAUSE;
+            }
+            OrderAnswer::Taken | OrderAnswer::Holds => {}
         }
         self.residency.note_answer(order, answer, self.clock.now());
         self.log_order(order, answer);
--- a/crates/oatpier-gateway/src/sidecar/pulses.rs
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -11,7 +11,7 @@
 use oatpier_serving::message::{EnginePulse, InnerMessage, LoadPulse, MessageNumber};
 use oatpier_serving::residency::EngineResidency;
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::PoolName;
+use oatpier_types::names::{EndpointName, PoolName};
 
 use crate::exchange::MessageOutlet;
 
@@ -41,6 +41,7 @@
 pub struct PulseSender {
     engine: SocketAddr,
     service: Option<PoolName>,
+    instance: Option<EndpointName>,
     number: MessageNumber,
     answers: bool,
     gateways: HashMap<SocketAddr, ClockTime>,
@@ -56,6 +57,7 @@
         Self {
             engine,
             service,
+            instance: None,
             number: MessageNumber {
                 boot: rand::random(),
                 number: 0,
@@ -80,6 +82,13 @@
         }
     }
 
+    /// Which instance the engine is, as far as known.
+    pub fn set_instance(&mut self, instance: Option<&EndpointName>) {
+        if self.instance.as_ref() != instance {
+            self.instance = instance.cloned();
+        }
+    }
+
     /// Sends a pulse to all gateways if one is due.
     pub fn send_due(
         &mut self,
@@ -170,6 +179,7 @@
             number: self.number,
             engine: self.engine,
             service: self.service.clone(),
+            instance: self.instance.clone(),
             answers: self.answers,
             load: EndpointLoad {
                 running: report.load.running,
--- a/crates/oatpier-gateway/tests/testsuite/failures.rs
+++ b/crates/oatpier-gateway/tests/testsuite/failures.rs
@@ -149,3 +149,22 @@
         .await;
     assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
 }
+
+/// An endpoint is frozen: it takes requests and brings nothing. Those that may not be sent twice wait
+/// for it until their time is over; later ones go to the other endpoint, which is sound.
+#[tokio::test]
+async fn a_silent_endpoint_loses_later_requests_of_every_kind() {
+    let frozen = ScriptedEndpoint::start(vec![EndpointStep::Silence; 20]).await;
+    let sound = ScriptedEndpoint::start(vec![whole(); 20]).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&frozen, &sound]);
+    let mut waiting = Vec::new();
+    while frozen.requests().len() < 2 {
+        let sending = Box::pin(gateway.send(request(&[])));
+        let patience = std::time::Duration::from_millis(400);
+        waiting.push(tokio::time::timeout(patience, sending).await);
+    }
+    for _ in 0..5 {
+        assert_eq!(gateway.send(request(&[])).await.status(), StatusCode::OK);
+    }
+    assert_eq!(frozen.requests().len(), 2);
+}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -253,6 +253,7 @@
         version: 1,
         routes: routes.into_iter().map(Arc::new).collect(),
         services: vec![ServiceRule {
+            health_path: Arc::from("/health"),
             name: service(),
             max_connections: 100,
             engine: Some(EngineRule {
@@ -302,6 +303,7 @@
         number: MessageNumber { boot: 1, number },
         engine,
         service: Some(service()),
+        instance: None,
         answers: true,
         load: EndpointLoad::default(),
         memory_used: 0,
--- a/crates/oatpier-serving/src/choice.rs
+++ b/crates/oatpier-serving/src/choice.rs
@@ -34,6 +34,11 @@
 /// The price of an endpoint that was ejected: only where nothing else holds the model.
 const EJECTED_MS: f64 = 5_000.0;
 
+/// The price of an engine whose sidecar is overdue, in milliseconds: its VM may be frozen or cut off, and
+/// then whatever is sent there is lost. More than a queue that is still in time costs, so that requests
+/// go there only where nothing else is left; a sidecar that was merely restarted is back in a second.
+const OVERDUE_MS: f64 = 300.0;
+
 /// The price of a full batch beside an empty one, in milliseconds. Steps get slower as the batch
 /// grows, so requests are spread before slots run out.
 const CROWD_MS: f64 = 40.0;
@@ -161,6 +166,9 @@
     if row.record.zone != *query.zone {
         cost += OTHER_ZONE_MS;
     }
+    if row.is_overdue(now) {
+        cost += OVERDUE_MS;
+    }
     if directory.fault(row, now).is_some() {
         cost += EJECTED_MS;
     }
--- a/crates/oatpier-serving/src/demand.rs
+++ b/crates/oatpier-serving/src/demand.rs
@@ -12,6 +12,12 @@
 /// How fast old demand is forgotten. Demand moves to other models within 4 to 6 s.
 const DEMAND_LIFE: Duration = Duration::from_millis(1_500);
 
+/// How fast the rates of requests are forgotten from whose difference a rise is seen. Demand that moves
+/// to another model rises for 4 to 6 s and a load takes up to 4 s: the fast one must not be older than a
+/// round or two of the planner, and the slow one must still remember the time before the rise.
+pub(crate) const FAST_LIFE: Duration = Duration::from_millis(800);
+pub(crate) const SLOW_LIFE: Duration = Duration::from_millis(2_400);
+
 /// A model that nobody asked for during this long is no longer reported.
 const REPORT_LIFE: Duration = Duration::from_mins(2);
 
@@ -19,12 +25,36 @@
 /// two.
 const ADAPTER_LIFE: Duration = Duration::from_secs(2);
 
+/// What is left of a mean after `age`, where it is forgotten within about `life`.
+fn kept_share(age: Duration, life: Duration) -> f64 {
+    (-age.as_secs_f64() / life.as_secs_f64()).exp()
+}
+
+/// Events a second, the newest ones counting most.
+#[derive(Debug, Clone, Copy, Default)]
+struct DecayingRate {
+    per_s: f64,
+}
+
+impl DecayingRate {
+    fn fade(&mut self, age: Duration, life: Duration) {
+        self.per_s *= kept_share(age, life);
+    }
+
+    fn count(&mut self, life: Duration) {
+        self.per_s += 1.0 / life.as_secs_f64();
+    }
+}
+
 /// The demand for one model.
 #[derive(Debug, Clone)]
 struct DemandRow {
     running: u32,
     running_mean: f64,
-    unserved_rate: f64,
+    sent: DecayingRate,
+    unserved: DecayingRate,
+    asked_fast: DecayingRate,
+    asked_slow: DecayingRate,
     at: ClockTime,
     asked_at: ClockTime,
     adapters: HashMap<AdapterName, ClockTime>,
@@ -35,7 +65,10 @@
         Self {
             running: 0,
             running_mean: 0.0,
-            unserved_rate: 0.0,
+            sent: DecayingRate::default(),
+            unserved: DecayingRate::default(),
+            asked_fast: DecayingRate::default(),
+            asked_slow: DecayingRate::default(),
             at: now,
             asked_at: now,
             adapters: HashMap::new(),
@@ -44,10 +77,13 @@
 
     /// Moves the means on to `now`.
     fn advance(&mut self, now: ClockTime) {
-        let age = now.since(self.at).as_secs_f64() / DEMAND_LIFE.as_secs_f64();
-        let kept = (-age).exp();
+        let age = now.since(self.at);
+        let kept = kept_share(age, DEMAND_LIFE);
         self.running_mean = self.running_mean * kept + f64::from(self.running) * (1.0 - kept);
-        self.unserved_rate *= kept;
+        self.sent.fade(age, DEMAND_LIFE);
+        self.unserved.fade(age, DEMAND_LIFE);
+        self.asked_fast.fade(age, FAST_LIFE);
+        self.asked_slow.fade(age, SLOW_LIFE);
         self.adapters
             .retain(|_, asked| now.since(*asked) < ADAPTER_LIFE);
         self.at = now;
@@ -65,6 +101,8 @@
     pub fn note_asked(&mut self, weights: &WeightsKey, now: ClockTime) {
         let row = self.row(&weights.model, now);
         row.asked_at = now;
+        row.asked_fast.count(FAST_LIFE);
+        row.asked_slow.count(SLOW_LIFE);
         if let Some(adapter) = &weights.adapter {
             row.adapters.insert(adapter.clone(), now);
         }
@@ -72,7 +110,9 @@
 
     /// A request for the model was sent to an endpoint.
     pub fn note_sent(&mut self, model: &ModelName, now: ClockTime) {
-        self.row(model, now).running += 1;
+        let row = self.row(model, now);
+        row.running += 1;
+        row.sent.count(DEMAND_LIFE);
     }
 
     /// A request for the model is over at its endpoint.
@@ -83,7 +123,7 @@
 
     /// A request for the model could not be served: it waits for the weights, or was turned away.
     pub fn note_unserved(&mut self, model: &ModelName, now: ClockTime) {
-        self.row(model, now).unserved_rate += 1.0 / DEMAND_LIFE.as_secs_f64();
+        self.row(model, now).unserved.count(DEMAND_LIFE);
     }
 
     /// The demand for all models that were asked for lately.
@@ -117,7 +157,10 @@
     ModelDemand {
         model: model.clone(),
         running: row.running_mean as f32,
-        unserved: row.unserved_rate as f32,
+        sent: row.sent.per_s as f32,
+        unserved: row.unserved.per_s as f32,
+        asked_fast: row.asked_fast.per_s as f32,
+        asked_slow: row.asked_slow.per_s as f32,
         adapters: u32::try_from(row.adapters.len()).unwrap_or(u32::MAX),
         idle_ms: u32::try_from(idle_ms).unwrap_or(u32::MAX),
     }
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -188,8 +188,15 @@
         let mut names: Vec<&EndpointName> = self.rows.keys().collect();
         names.sort();
         for name in names {
-            let record = &self.rows[name].record;
-            self.by_address.insert(record.address, name.clone());
+            let row = &self.rows[name];
+            let record = &row.record;
+            // The registry lists a restarted endpoint beside its predecessor for a few heartbeats. What
+            // its sidecar says is about the later one.
+            let known = self.by_address.get(&record.address);
+            let known = known.and_then(|name| self.rows.get(name));
+            if known.is_none_or(|known| known.gone || known.index.0 < row.index.0) {
+                self.by_address.insert(record.address, name.clone());
+            }
             let service = self.by_service.entry(record.service.clone()).or_default();
             service.push(name.clone());
         }
@@ -197,6 +204,19 @@
 
     /// Takes a sidecar's pulse over; says whether it changed what the engine holds.
     pub fn take_pulse(&mut self, pulse: EnginePulse, now: ClockTime) -> bool {
+        let known = self.by_address.get(&pulse.engine);
+        let replaced = pulse.instance.clone().zip(known.cloned());
+        let changed = self.keep_pulse(pulse, now);
+        if let Some((instance, known)) = replaced
+            && instance != known
+        {
+            self.note_replaced(&known, Some(&instance), now);
+            return true;
+        }
+        changed
+    }
+
+    fn keep_pulse(&mut self, pulse: EnginePulse, now: ClockTime) -> bool {
         let Some(row) = self
             .by_address
             .get(&pulse.engine)
@@ -272,6 +292,7 @@
             return;
         };
         if self.rows.contains_key(successor) {
+            self.hand_pulse_over(name, successor);
             return;
         }
         if let Some(old) = self.rows.remove(name) {
@@ -281,6 +302,16 @@
         }
     }
 
+    /// What a sidecar said under its engine's last name is true of the present one.
+    fn hand_pulse_over(&mut self, name: &EndpointName, successor: &EndpointName) {
+        let pulse = self.rows.get_mut(name).and_then(|row| row.pulse.take());
+        if let Some(row) = self.rows.get_mut(successor) {
+            row.gone = false;
+            row.pulse = pulse.or(row.pulse.take());
+        }
+        self.rebuild();
+    }
+
     fn adopt(&mut self, old: EndpointRow, name: EndpointName, now: ClockTime) -> EndpointRow {
         let index = EndpointIndex(self.next_index);
         self.next_index += 1;
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -17,6 +17,10 @@
 /// of an idle sidecar.
 pub const PULSE_LIFE: Duration = Duration::from_millis(1_500);
 
+/// A sidecar that was heard and then not for this long is overdue: it tells something at least every
+/// 0.8 s, and every tenth of a second while its engine works.
+const PULSE_DUE: Duration = Duration::from_secs(1);
+
 /// The time to the first piece that is assumed of an endpoint before it has answered, in
 /// milliseconds: a short prompt at a calm engine.
 const FIRST_GUESS_MS: f64 = 30.0;
@@ -140,6 +144,14 @@
         (age <= PULSE_LIFE).then_some(age)
     }
 
+    /// Whether its sidecar was heard and has fallen silent.
+    #[must_use]
+    pub fn is_overdue(&self, now: ClockTime) -> bool {
+        self.pulse
+            .as_ref()
+            .is_some_and(|kept| now.since(kept.at) > PULSE_DUE)
+    }
+
     /// Whether it was taken for its predecessor's successor lately, so that the registry may not list
     /// it yet.
     pub(super) fn is_adopted(&self, now: ClockTime) -> bool {
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -4,8 +4,9 @@
 //! harm: receivers keep the one with the highest number of its sender's incarnation.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use oatpier_types::names::{DaemonName, ModelName, PoolName, ZoneName};
+use oatpier_types::names::{DaemonName, EndpointName, ModelName, PoolName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
@@ -53,6 +54,8 @@
     pub engine: SocketAddr,
     /// The engine's service.
     pub service: Option<PoolName>,
+    /// The engine's present instance, once its sidecar has asked for it.
+    pub instance: Option<EndpointName>,
     /// Whether the engine answers its sidecar.
     pub answers: bool,
     /// The engine's load.
@@ -110,6 +113,8 @@
     pub loads_per_window: u32,
     /// Adapters that an engine has room for.
     pub adapter_slots: u32,
+    /// Where the engine says which instance it is.
+    pub health_path: Arc<str>,
 }
 
 /// A gateway's use of an adapter at one engine.
@@ -152,9 +157,15 @@
     pub model: ModelName,
     /// Requests of it that are at engines, on average.
     pub running: f32,
+    /// Requests of it that were sent to engines, a second, averaged like `running`.
+    pub sent: f32,
     /// Requests of it that wait for it to be loaded, or were turned away for want of room, a
     /// second.
     pub unserved: f32,
+    /// Requests of it that came in, a second, over the last second or so.
+    pub asked_fast: f32,
+    /// The same over the last few seconds.
+    pub asked_slow: f32,
     /// Adapters of it that were asked for lately.
     pub adapters: u32,
     /// How long ago it was asked for last, in milliseconds.
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -53,8 +53,14 @@
 pub struct TotalDemand {
     /// Requests at engines, on average.
     pub running: f64,
+    /// Requests sent to engines, a second, averaged like `running`.
+    pub sent: f64,
     /// Requests that can't be served, a second.
     pub unserved: f64,
+    /// Requests that came in, a second, over the last second or so.
+    pub asked_fast: f64,
+    /// The same over the last few seconds.
+    pub asked_slow: f64,
     /// Adapters that were asked for lately, at the gateway that saw most of them: gateways see much
     /// the same ones.
     pub adapters: f64,
@@ -136,7 +142,10 @@
             let sum = total.entry(demand.model.clone()).or_default();
             let idle = Duration::from_millis(u64::from(demand.idle_ms));
             sum.running += f64::from(demand.running);
+            sum.sent += f64::from(demand.sent);
             sum.unserved += f64::from(demand.unserved);
+            sum.asked_fast += f64::from(demand.asked_fast);
+            sum.asked_slow += f64::from(demand.asked_slow);
             sum.adapters = sum.adapters.max(f64::from(demand.adapters));
             sum.idle = Some(sum.idle.map_or(idle, |known| known.min(idle)));
         }
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -9,6 +9,7 @@
 //! where a model that is asked for has no holder at all: every model stays reachable, and one that
 //! was dropped comes back when it is asked for.
 
+pub mod forecast;
 mod round;
 
 use std::collections::HashMap;
@@ -29,7 +30,7 @@
 const ADVICE_LIFE: Duration = Duration::from_millis(700);
 
 /// Loads from the weight store that may be advised at once, as seconds of its rate.
-const BURST_S: f64 = 1.2;
+const BURST_S: f64 = 3.0;
 
 /// Advice that an engine was given.
 #[derive(Debug, Clone)]
@@ -159,8 +160,7 @@
                 at: now,
             },
         );
-        round.engines[engine].free = false;
-        round.engines[engine].coming = Some(model);
+        round.note_advised(&option, &model);
         outcome.planned.push(load);
     }
 
@@ -236,7 +236,7 @@
                 at: round.now,
             },
         );
-        round.engines[option.engine].free = false;
+        round.note_advised(&option, model);
         outcome.planned.push(load);
     }
 }
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -1,21 +1,17 @@
 //! One round of the planner: engines and models as they stand, and what a load would gain and cost.
 
-use std::collections::HashMap;
-use std::time::Duration;
-
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::ModelName;
+use std::collections::HashMap;
+use std::time::Duration;
 
+use super::forecast::{self, HoldTimes};
 use super::{BlockedLoad, LoadReason, PlannedLoad};
 use crate::directory::EndpointRow;
 use crate::message::{LoadAdvice, ModelSize};
 use crate::peers::TotalDemand;
 use crate::site::EngineRule;
 
-/// How long a request holds a slot, for turning refusals a second into slots. Between the means of
-/// long and short streams.
-const HOLD_S: f64 = 0.7;
-
 /// What a replica must gain, beyond its costs, in squared shares of an engine. The only holder of a
 /// model that takes 0.6 of it gains 0.18 by a second one.
 const REPLICA_GAIN: f64 = 0.08;
@@ -31,18 +27,38 @@
 /// The share of its slots above which an engine's models get replicas.
 const BUSY_SHARE: f64 = 0.35;
 
-/// What a load from the weight store weighs against one from the engine's own copies, in shares
-/// of an engine's slots.
+/// What waiting for a load from the weight store weighs against one from the engine's own copies, in
+/// squared shares of an engine: 1 to 4 s beside half a second.
 const STORE_LOAD_PRICE: f64 = 0.05;
 
+/// The same where callers already wait for the model and are refused when it does not come in time.
+const STORE_WAIT_PRICE: f64 = 0.3;
+
+/// What waiting for a victim's streams weighs, for each share of the engine that they take: until they
+/// are over, nothing can be loaded there.
+const DRAIN_PRICE: f64 = 0.25;
+
+/// What dropping the last holder of a model weighs, in squared shares of an engine: the next request
+/// for it is late. An engine that is asked for 1.3 of what it can do turns away some ten requests a
+/// second, 0.7 in these units.
+const LAST_PRICE: f64 = 0.1;
+
+/// The same for each second that the model takes to be loaded again: callers wait for so long, and an
+/// engine can load nothing else meanwhile. Without it, where loads take 3 s, half of all engines were
+/// loading rare models in turn, and twice as many requests found no holder.
+const LAST_LOAD_PRICE_PER_S: f64 = 0.12;
+
+/// Requests a second for a model that weigh as much as that an engine is taken.
+const LAST_RATE: f64 = 4.0;
+
 /// A model that was asked for within this time is likely to be asked for again.
 const RECENT: Duration = Duration::from_secs(10);
 
-/// What dropping the last holder of a model weighs, in shares of an engine's slots: a model that
-/// was asked for lately, one that was asked for long ago, and one that nobody ever asked for.
-const LAST_RECENT_PRICE: f64 = 0.6;
-const LAST_OLD_PRICE: f64 = 0.2;
-const LAST_UNASKED_PRICE: f64 = 0.05;
+/// How likely one is that was not.
+const OLD_CHANCE: f64 = 0.33;
+
+/// What dropping the last holder weighs where nobody ever asked for the model.
+const LAST_UNASKED_PRICE: f64 = 0.03;
 
 /// One engine during a round.
 #[derive(Debug)]
@@ -79,6 +95,17 @@
         }
     }
 
+    fn minus(self, other: Self) -> Self {
+        Self {
+            slots: (self.slots - other.slots).max(0.0),
+            places: (self.places - other.places).max(0.0),
+        }
+    }
+
+    fn squared(self) -> f64 {
+        self.load().powi(2)
+    }
+
     /// The load by whichever is scarcer.
     fn load(self) -> f64 {
         self.slots.max(self.places * ADAPTER_WEIGHT)
@@ -100,6 +127,9 @@
     holders: f64,
     /// Engines that its demand would fill.
     want: EngineShare,
+    /// Requests a second.
+    asked: f64,
+    /// The time since it was asked for last; none if never.
     idle: Option<Duration>,
     unserved: f64,
 }
@@ -107,7 +137,12 @@
 impl ModelView {
     /// What it takes of each of its holders.
     fn share(&self) -> EngineShare {
-        self.want.divided(self.holders.max(1.0))
+        self.share_among(self.holders)
+    }
+
+    /// What it would take of each of so many holders.
+    fn share_among(&self, holders: f64) -> EngineShare {
+        self.want.divided(holders.max(1.0))
     }
 }
 
@@ -131,19 +166,18 @@
 pub(super) struct LoadOption {
     pub(super) engine: usize,
     pub(super) unload: Vec<ModelName>,
-    /// What the load and the models that go weigh.
-    costs: f64,
-    /// The costs, and the load of the engine.
-    price: f64,
+    /// By how much the load relieves the fleet, less what it costs, in squared shares of an engine.
+    gain: f64,
     pub(super) from_store: bool,
 }
 
 impl PlanRound<'_> {
     pub(super) fn count_models(&mut self, demand: &HashMap<ModelName, TotalDemand>) {
+        let holds = HoldTimes::of_fleet(demand);
         for rule in &self.rule.models {
             let total = demand.get(&rule.name).copied().unwrap_or_default();
             let holders = self.holders(&rule.name);
-            let requests = total.running + total.unserved * HOLD_S;
+            let requests = forecast::slots_wanted(&total, holds, rule.load);
             let places = f64::from(u32::try_from(self.rule.adapter_slots).unwrap_or(u32::MAX));
             let view = ModelView {
                 holders,
@@ -151,6 +185,7 @@
                     slots: requests / self.slots,
                     places: adapters_in_use(total.adapters, requests) / places.max(1.0),
                 },
+                asked: total.asked_fast.max(total.asked_slow),
                 idle: total.idle,
                 unserved: total.unserved,
             };
@@ -168,6 +203,23 @@
         f64::from(u32::try_from(holders).unwrap_or(u32::MAX))
     }
 
+    /// Counts a load that has just been advised, so that the next one of this round sees what it changes.
+    pub(super) fn note_advised(&mut self, option: &LoadOption, model: &ModelName) {
+        let view = &mut self.engines[option.engine];
+        view.free = false;
+        view.coming = Some(model.clone());
+        view.held.retain(|held| !option.unload.contains(*held));
+        for victim in &option.unload {
+            if let Some(lost) = self.models.get_mut(victim) {
+                lost.holders -= 1.0;
+            }
+        }
+        if let Some(wanted) = self.models.get_mut(model) {
+            wanted.holders += 1.0;
+        }
+        self.spread_load();
+    }
+
     pub(super) fn spread_load(&mut self) {
         for view in &mut self.engines {
             let served = view.held.iter().copied().chain(&view.coming);
@@ -251,10 +303,10 @@
         let options =
             (0..self.engines.len()).filter_map(|engine| self.option(engine, model, reason));
         let options = options.filter(|option| store_open || !option.from_store);
-        let best = options.min_by(|one, other| one.price.total_cmp(&other.price))?;
+        let best = options.max_by(|one, other| one.gain.total_cmp(&other.gain))?;
         match reason {
             LoadReason::Unreachable | LoadReason::Room => Some(best),
-            LoadReason::Busy => self.is_worth_it(&best, model).then_some(best),
+            LoadReason::Busy => (best.gain > REPLICA_GAIN).then_some(best),
         }
     }
 
@@ -284,7 +336,7 @@
                 blocked.busy += 1;
             } else if paced {
                 blocked.paced += 1;
-            } else if self.victims(view, model, reason).is_none() {
+            } else if self.victims(view, model).is_none() {
                 blocked.full += 1;
             } else {
                 blocked.idle += 1;
@@ -293,25 +345,6 @@
         blocked
     }
 
-    /// Whether one more replica there relieves its present holders by more than it costs. Waiting
-    /// grows faster than load, so load counts by its square: taking a little from a full engine is
-    /// worth more than what the same adds to an idle one.
-    fn is_worth_it(&self, option: &LoadOption, model: &ModelName) -> bool {
-        let Some(view) = self.models.get(model) else {
-            return false;
-        };
-        let present = view.share().load();
-        let shared = view.want.divided(view.holders + 1.0).load();
-        let holders = self.engines.iter().filter(|view| view.serves(model));
-        let relief: f64 = holders
-            .map(|view| view.load.load())
-            .map(|load| load.powi(2) - (load - (present - shared)).max(0.0).powi(2))
-            .sum();
-        let load = self.engines[option.engine].load.load();
-        let added = (load + shared).powi(2) - load.powi(2);
-        relief - added - option.costs > REPLICA_GAIN
-    }
-
     pub(super) fn option(
         &self,
         engine: usize,
@@ -327,72 +360,128 @@
         if from_store && pulse.load_wait_ms > 0 {
             return None;
         }
-        let (unload, victims_price) = self.victims(view, model, reason)?;
-        let store_price = if from_store { STORE_LOAD_PRICE } else { 0.0 };
+        let unload = self.victims(view, model)?;
+        let store_price = match (from_store, reason) {
+            (false, _) => 0.0,
+            (true, LoadReason::Unreachable) => STORE_WAIT_PRICE,
+            (true, _) => STORE_LOAD_PRICE,
+        };
         Some(LoadOption {
             engine,
+            gain: self.gain(view, model, &unload) - store_price,
             unload,
-            costs: victims_price + store_price,
-            price: view.load.load() + victims_price + store_price,
             from_store,
         })
     }
 
-    /// The cheapest models that make room, and what losing them weighs.
-    fn victims(
-        &self,
-        view: &EngineView<'_>,
-        model: &ModelName,
-        reason: LoadReason,
-    ) -> Option<(Vec<ModelName>, f64)> {
+    /// The cheapest models that make room; none if there is no room however many go.
+    fn victims(&self, view: &EngineView<'_>, model: &ModelName) -> Option<Vec<ModelName>> {
         let room = self.rule.model_room_mb();
         let needed = self.rule.model(model)?.size_mb;
         let mut used: f64 = view.held.iter().map(|held| self.size(held)).sum();
         let mut candidates: Vec<(&ModelName, f64)> = view
             .held
             .iter()
-            .map(|held| (*held, self.loss(held)))
+            .map(|held| (*held, self.loss(view, held)))
             .collect();
         candidates.sort_by(|one, other| one.1.total_cmp(&other.1));
         let mut unload = Vec::new();
-        let mut price = 0.0;
-        for (victim, loss) in candidates {
+        for (victim, _) in candidates {
             if used + needed <= room {
                 break;
             }
-            if reason != LoadReason::Unreachable && loss >= LAST_RECENT_PRICE {
-                return None;
-            }
             used -= self.size(victim);
-            price += loss;
             unload.push(victim.clone());
         }
-        (used + needed <= room).then_some((unload, price))
+        (used + needed <= room).then_some(unload)
     }
 
-    fn size(&self, model: &ModelName) -> f64 {
-        // A model that the configuration no longer names takes all room: it is never kept beside
-        // another one by a wrong guess.
-        let rule = self.rule.model(model);
-        rule.map_or(self.rule.weights_mb, |rule| rule.size_mb)
+    /// By how much a load relieves the fleet, less what the models that go weigh. Waiting grows faster
+    /// than load, so load counts by its square: taking a little from a full engine is worth more than
+    /// what the same adds to an idle one.
+    fn gain(&self, view: &EngineView<'_>, model: &ModelName, unload: &[ModelName]) -> f64 {
+        let Some(wanted) = self.models.get(model) else {
+            return 0.0;
+        };
+        let present = wanted.share();
+        let shared = wanted.share_among(wanted.holders + 1.0);
+        let relief: f64 = self
+            .other_holders(view, model)
+            .map(|holder| holder.load.squared() - holder.load.minus(present).plus(shared).squared())
+            .sum();
+        let leaving = unload
+            .iter()
+            .filter_map(|victim| self.models.get(victim))
+            .map(ModelView::share)
+            .fold(EngineShare::default(), EngineShare::plus);
+        let after = view.load.minus(leaving).plus(shared);
+        let added = after.squared() - view.load.squared();
+        let losses: f64 = unload.iter().map(|victim| self.loss(view, victim)).sum();
+        relief - added - losses - leaving.load() * DRAIN_PRICE
     }
 
-    /// What losing a model at one engine weighs, in shares of an engine's slots.
-    fn loss(&self, model: &ModelName) -> f64 {
-        let Some(view) = self.models.get(model) else {
+    /// What losing a model at an engine weighs: what its other holders get on top, or, where there is no
+    /// other one, the requests that wait until it is loaded again.
+    fn loss(&self, view: &EngineView<'_>, model: &ModelName) -> f64 {
+        let Some(lost) = self.models.get(model) else {
             return 0.0;
         };
-        let spread = view.share().load();
-        if view.holders > 1.0 {
-            return spread / (view.holders - 1.0);
+        if lost.holders > 1.0 {
+            let present = lost.share();
+            let shared = lost.share_among(lost.holders - 1.0);
+            let others = self.other_holders(view, model);
+            return others
+                .map(|holder| {
+                    holder.load.minus(present).plus(shared).squared() - holder.load.squared()
+                })
+                .sum();
         }
-        match view.idle {
-            Some(idle) if idle < RECENT => LAST_RECENT_PRICE + spread,
-            Some(_) => LAST_OLD_PRICE,
-            None => LAST_UNASKED_PRICE,
+        let chance = match lost.idle {
+            None => return LAST_UNASKED_PRICE,
+            Some(idle) if idle < RECENT => 1.0,
+            Some(_) => OLD_CHANCE,
+        };
+        let reload_s = self.reload_time(view, model).as_secs_f64();
+        let waiting = 1.0 + lost.asked / LAST_RATE;
+        let price = LAST_PRICE + LAST_LOAD_PRICE_PER_S * reload_s * waiting;
+        price * chance + lost.share().squared()
+    }
+
+    /// How long a model takes to be loaded after an engine has dropped it. That engine has a copy, but
+    /// loads something else first.
+    fn reload_time(&self, view: &EngineView<'_>, model: &ModelName) -> Duration {
+        let Some(rule) = self.rule.model(model) else {
+            return Duration::ZERO;
+        };
+        let copied = self.engines.iter().any(|other| {
+            let pulse = other.row.pulse(self.now);
+            other.row.index != view.row.index && pulse.is_some_and(|pulse| pulse.copies.has(model))
+        });
+        if copied {
+            rule.load_from_disk
+        } else {
+            rule.load
         }
     }
 
+    fn other_holders(
+        &self,
+        view: &EngineView<'_>,
+        model: &ModelName,
+    ) -> impl Iterator<Item = &EngineView<'_>> {
+        let own = view.row.index;
+        self.engines
+            .iter()
+            .filter(move |holder| holder.row.index != own && holder.serves(model))
+    }
+
+    fn size(&self, model: &ModelName) -> f64 {
+        // A model that the configuration no longer names takes all room: it is never kept beside
+        // another one by a wrong guess.
+        let rule = self.rule.model(model);
+        rule.map_or(self.rule.weights_mb, |rule| rule.size_mb)
+    }
+
     pub(super) fn advice(
         &self,
         option: &LoadOption,
--- a/crates/oatpier-serving/src/residency.rs
+++ b/crates/oatpier-serving/src/residency.rs
@@ -110,6 +110,8 @@
 pub struct EngineResidency {
     pace: LoadPace,
     report: Option<EngineReport>,
+    /// Orders that the engine had accepted at its last report.
+    sequence: u64,
     advice: Option<KeptAdvice>,
     retiring: SmallVec<[ModelName; 2]>,
     retiring_since: ClockTime,
@@ -140,6 +142,7 @@
         Self {
             pace,
             report: None,
+            sequence: 0,
             advice: None,
             retiring: SmallVec::new(),
             retiring_since: now,
@@ -154,8 +157,16 @@
         }
     }
 
+    /// Whether a report comes from a later start of the engine than the one before: the number of orders
+    /// that it has accepted begins anew.
+    #[must_use]
+    pub fn is_restarted(&self, report: &EngineReport) -> bool {
+        report.sequence < self.sequence
+    }
+
     /// The engine reported.
     pub fn take_report(&mut self, report: EngineReport) {
+        self.sequence = report.sequence;
         let settled = self
             .unsettled
             .as_ref()
@@ -184,6 +195,7 @@
     /// The engine does not answer, or was restarted: nothing is known of it.
     pub fn forget_engine(&mut self) {
         self.report = None;
+        self.sequence = 0;
         self.loading = None;
         self.unsettled = None;
         self.yielding.clear();
@@ -278,8 +290,13 @@
 
     /// An order was answered, or its answer was lost.
     pub fn note_answer(&mut self, numbered: &NumberedOrder, answer: OrderAnswer, now: ClockTime) {
-        if let EngineOrder::LoadModel(model) = &numbered.order {
-            self.note_load(model.clone(), numbered, answer, now);
+        match &numbered.order {
+            EngineOrder::LoadModel(model) => self.note_load(model.clone(), numbered, answer, now),
+            // The engine will not take it the next time either; what was advised can't be done.
+            EngineOrder::UnloadModel(_) if answer == OrderAnswer::Rejected => self.drop_advice(),
+            EngineOrder::UnloadModel(_)
+            | EngineOrder::LoadAdapter(_)
+            | EngineOrder::UnloadAdapter(_) => {}
         }
         // What the engine holds, and its sequence, may have moved: the next order needs a new
         // report.
@@ -305,12 +322,17 @@
             }
             OrderAnswer::Holds | OrderAnswer::Rejected => {
                 self.unsettled = None;
-                self.advice = None;
+                self.drop_advice();
             }
             OrderAnswer::Conflict => {}
         }
     }
 
+    fn drop_advice(&mut self) {
+        self.advice = None;
+        self.retiring.clear();
+    }
+
     fn charge_load(&mut self, model: &ModelName, now: ClockTime) {
         let local = self
             .report
@@ -402,8 +424,7 @@
             return None;
         }
         if now.since(kept.at) > ADVICE_LIFE || !can_fit(report, &kept.advice) {
-            self.advice = None;
-            self.retiring.clear();
+            self.drop_advice();
             return None;
         }
         let from_store = !report.copies.has(&kept.advice.load);
--- a/crates/oatpier-serving/src/site.rs
+++ b/crates/oatpier-serving/src/site.rs
@@ -93,6 +93,8 @@
 pub struct ServiceRule {
     /// Its name.
     pub name: PoolName,
+    /// Where an endpoint says whether it is healthy, and which instance it is.
+    pub health_path: Arc<str>,
     /// The most connections of all callers to one endpoint.
     pub max_connections: usize,
     /// What its engines may hold; none for a plain service.
--- a/crates/oatpier-serving/tests/testsuite/choice.rs
+++ b/crates/oatpier-serving/tests/testsuite/choice.rs
@@ -166,3 +166,23 @@
     assert_eq!(directory.take_used(&name)[0].requests, 0);
     assert!(directory.take_used(&name).is_empty());
 }
+
+/// A VM is frozen with its engine and its sidecar. Requests that go there are lost, and the engine's last
+/// known load is low. Its sidecar is overdue, so the other holder is taken though it is busier.
+#[test]
+fn an_engine_whose_sidecar_fell_silent_is_avoided() {
+    let mut directory = directory(&[(&["m1"], 0), (&["m1"], 6)], at(0));
+    let mut heard = pulse(2, &["m1"], 6);
+    heard.number.number = 2;
+    directory.take_pulse(heard, at(1_100));
+    let query = ChoiceQuery {
+        service: &service(),
+        request: &request("m1"),
+        zone: &zone("near"),
+        excluded: &[],
+    };
+    let ChoiceVerdict::Endpoint(choice) = choice::choose(&directory, &query, at(1_200)) else {
+        panic!("an endpoint is there");
+    };
+    assert_eq!(choice.endpoint, endpoint("e2"));
+}
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -97,3 +97,58 @@
     directory.take_load(&name, load);
     assert_eq!(directory.row(&name).unwrap().present(), 3);
 }
+
+/// All engines and gateways were restarted. The registry still lists the old engines, and every gateway
+/// would send each of them a request in vain before it knew better. The sidecar has asked its engine
+/// for its name and tells it to all of them.
+#[test]
+fn a_sidecar_names_its_restarted_engine() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![record(1, &["m1"])], at(0));
+    let mut named = pulse(1, &["m1"], 0);
+    named.instance = Some(endpoint("e1b"));
+    assert!(directory.take_pulse(named, at(10)));
+    assert!(directory.row(&endpoint("e1")).is_none());
+    assert!(
+        directory
+            .row(&endpoint("e1b"))
+            .unwrap()
+            .holds(&model("m1"), at(20))
+    );
+}
+
+/// The registry lists a restarted engine beside its predecessor until the old entry lapses. What the
+/// sidecar at their address says is about the present one; taken for the other one's, it would leave
+/// the present one without loads and adapters for seconds.
+#[test]
+fn a_pulse_belongs_to_the_later_of_two_endpoints_at_an_address() {
+    let mut later = record(1, &[]);
+    later.name = endpoint("a-later-name");
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    directory.apply_registry(vec![record(1, &["m1"]), later], at(10));
+    let mut told = pulse(1, &["m2"], 0);
+    told.number.number = 2;
+    directory.take_pulse(told, at(20));
+    let row = directory.row(&endpoint("a-later-name")).unwrap();
+    assert!(row.holds(&model("m2"), at(30)));
+}
+
+/// As above, where the old endpoint is found out only when the sidecar names its engine.
+#[test]
+fn what_was_told_under_the_old_name_is_true_of_the_present_endpoint() {
+    let mut old = record(1, &["m1"]);
+    old.name = endpoint("z-old");
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![record(1, &[])], at(0));
+    directory.apply_registry(vec![record(1, &[]), old], at(5));
+    let mut named = pulse(1, &["m2"], 0);
+    named.instance = Some(endpoint("e1"));
+    directory.take_pulse(named, at(10));
+    assert!(!directory.row(&endpoint("z-old")).unwrap().is_open(at(20)));
+    assert!(
+        directory
+            .row(&endpoint("e1"))
+            .unwrap()
+            .holds(&model("m2"), at(20))
+    );
+}
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/forecast.rs
@@ -0,0 +1,89 @@
+//! How many slots each model's requests will take.
+//!
+//! The load: demand leaves one model and rises at another over some seconds, while a load takes as
+//! long.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use oatpier_serving::demand::DemandBook;
+use oatpier_serving::peers::{PeerBook, TotalDemand};
+use oatpier_serving::planner::forecast::{HoldTimes, slots_wanted};
+use oatpier_types::names::ModelName;
+
+use crate::support::{address, at, model, request};
+
+/// What a gateway knows after requests whose rate rises by `per_s2` a second each second.
+fn after_rise(per_s2: u64, seconds: u64) -> HashMap<ModelName, TotalDemand> {
+    let mut book = DemandBook::default();
+    let weights = request("m1").weights.unwrap();
+    for second in 0..seconds {
+        let rate = per_s2 * (second + 1);
+        for number in 0..rate {
+            book.note_asked(&weights, at(second * 1_000 + number * 1_000 / rate));
+        }
+    }
+    let now = at(seconds * 1_000);
+    PeerBook::new(address(1)).total(&book.summary(now), now)
+}
+
+fn wanted(total: &HashMap<ModelName, TotalDemand>, lead_s: u64) -> f64 {
+    let holds = HoldTimes::of_fleet(total);
+    slots_wanted(&total[&model("m1")], holds, Duration::from_secs(lead_s))
+}
+
+/// Callers of a model that rises would be refused until a load that begins after the rise is done.
+/// The forecast is ahead of the present rate, and further ahead for a longer load.
+#[test]
+fn a_rise_is_continued_over_the_time_of_a_load() {
+    let total = after_rise(10, 4);
+    let present = total[&model("m1")].asked_fast * 0.9;
+    assert!(wanted(&total, 0) > present);
+    assert!(wanted(&total, 2) > 1.3 * present);
+}
+
+#[test]
+fn steady_demand_is_not_taken_for_a_rise() {
+    let mut book = DemandBook::default();
+    let weights = request("m1").weights.unwrap();
+    for number in 0..1_200 {
+        book.note_asked(&weights, at(number * 10));
+    }
+    let now = at(12_000);
+    let total = PeerBook::new(address(1)).total(&book.summary(now), now);
+    let slots = wanted(&total, 3);
+    assert!((80.0..110.0).contains(&slots), "{slots}");
+}
+
+/// Requests at full engines can't be more than their slots; the rate at which callers ask can.
+#[test]
+fn demand_beyond_the_slots_is_seen_by_its_rate() {
+    let total = TotalDemand {
+        running: 10.0,
+        sent: 10.0,
+        unserved: 30.0,
+        asked_fast: 40.0,
+        asked_slow: 40.0,
+        adapters: 0.0,
+        idle: Some(Duration::ZERO),
+    };
+    let all = HashMap::from([(model("m1"), total)]);
+    assert!(wanted(&all, 1) > 35.0);
+}
+
+#[test]
+fn a_model_whose_requests_take_longer_wants_more_slots_at_the_same_rate() {
+    let row = |running: f64| TotalDemand {
+        running,
+        sent: 20.0,
+        unserved: 0.0,
+        asked_fast: 20.0,
+        asked_slow: 20.0,
+        adapters: 0.0,
+        idle: Some(Duration::ZERO),
+    };
+    let all = HashMap::from([(model("short"), row(4.0)), (model("long"), row(40.0))]);
+    let holds = HoldTimes::of_fleet(&all);
+    let slots = |name: &str| slots_wanted(&all[&model(name)], holds, Duration::ZERO);
+    assert!(slots("long") > 4.0 * slots("short"));
+}
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod demand;
 mod directory;
+mod forecast;
 mod messages;
 mod peers;
 mod planner;
--- a/crates/oatpier-serving/tests/testsuite/peers.rs
+++ b/crates/oatpier-serving/tests/testsuite/peers.rs
@@ -17,7 +17,10 @@
         demand: vec![ModelDemand {
             model: model("m1"),
             running,
+            sent: 0.0,
             unserved: 0.0,
+            asked_fast: 0.0,
+            asked_slow: 0.0,
             adapters: 0,
             idle_ms: 10,
         }],
--- a/crates/oatpier-serving/tests/testsuite/planner.rs
+++ b/crates/oatpier-serving/tests/testsuite/planner.rs
@@ -19,7 +19,10 @@
 fn demand(rows: &[(&str, f64, f64)]) -> Demand {
     let total = |running, unserved| TotalDemand {
         running,
+        sent: running,
         unserved,
+        asked_fast: running + unserved,
+        asked_slow: running + unserved,
         adapters: 0.0,
         idle: Some(Duration::from_millis(100)),
     };
@@ -172,3 +175,60 @@
     assert_eq!(sizes, vec!["m1", "m2"]);
     assert!((advice.room_mb - 196.0).abs() < 1e-9);
 }
+
+/// Several models lose their holders at once while another one is in great demand. Taking one of its few
+/// replicas to bring a rare model back would turn many callers away for one; the rare model goes where
+/// a rare one leaves.
+#[test]
+fn a_rare_model_does_not_take_the_place_of_one_in_great_demand() {
+    let engines: [(&[&str], u32); 3] = [
+        (&["hot", "rare1"], 10),
+        (&["hot", "rare2"], 10),
+        (&["rare3", "rare4"], 0),
+    ];
+    let directory = directory(&engines, at(900));
+    let outcome = plan(
+        &directory,
+        &["hot", "rare1", "rare2", "rare3", "rare4", "rare5"],
+        &demand(&[
+            ("hot", 20.0, 10.0),
+            ("rare1", 0.1, 0.0),
+            ("rare2", 0.1, 0.0),
+            ("rare3", 0.1, 0.0),
+            ("rare4", 0.1, 0.0),
+            ("rare5", 0.0, 1.0),
+        ]),
+    );
+    let rare = outcome
+        .planned
+        .iter()
+        .find(|load| load.advice.load == model("rare5"));
+    let unload = &rare.unwrap().advice.unload;
+    assert!(!unload.contains(&model("hot")), "{unload:?}");
+}
+
+/// The holders of a model turn callers away while another engine only keeps models that are asked for
+/// now and then. One of those goes, also as the last holder: its next caller waits half a second, and
+/// every second many callers of the other one are served.
+#[test]
+fn a_model_in_great_demand_gets_a_replica_in_the_place_of_a_rare_one() {
+    let engines: [(&[&str], u32); 3] = [
+        (&["hot", "rare1"], 10),
+        (&["hot", "rare2"], 10),
+        (&["rare3", "rare4"], 0),
+    ];
+    let directory = directory(&engines, at(900));
+    let outcome = plan(
+        &directory,
+        &["hot", "rare1", "rare2", "rare3", "rare4"],
+        &demand(&[
+            ("hot", 20.0, 10.0),
+            ("rare1", 0.1, 0.0),
+            ("rare2", 0.1, 0.0),
+            ("rare3", 0.1, 0.0),
+            ("rare4", 0.1, 0.0),
+        ]),
+    );
+    let row = ("e3".to_owned(), "hot".to_owned(), LoadReason::Busy);
+    assert_eq!(loads(&outcome), vec![row]);
+}
--- a/crates/oatpier-serving/tests/testsuite/residency.rs
+++ b/crates/oatpier-serving/tests/testsuite/residency.rs
@@ -53,6 +53,7 @@
         place: 0,
         loads_per_window: 4,
         adapter_slots: 2,
+        health_path: std::sync::Arc::from("/health"),
     }
 }
 
@@ -311,3 +312,27 @@
     });
     assert_eq!(begun.count(), 1);
 }
+
+/// The engine rejects the unloading that was to make room. Given again at every report it would be
+/// rejected again, and meanwhile the model gets no requests and other advice is not heard.
+#[test]
+fn advice_whose_unloading_is_rejected_is_dropped() {
+    let mut residency = residency();
+    residency.take_report(report(1, &["m1", "m2"]));
+    residency.take_advice(advice("m3", &["m1"], &["m1", "m2"]), at(0));
+    let order = residency.next_order(at(50)).unwrap();
+    residency.note_answer(&order, OrderAnswer::Rejected, at(50));
+    residency.take_report(report(1, &["m1", "m2"]));
+    assert_eq!(residency.next_order(at(120)), None);
+    assert!(residency.retiring().is_empty());
+}
+
+#[test]
+fn a_report_with_fewer_orders_comes_from_a_later_start() {
+    let mut residency = residency();
+    residency.take_report(report(5, &["m1"]));
+    assert!(residency.is_restarted(&report(0, &[])));
+    assert!(!residency.is_restarted(&report(6, &["m1"])));
+    residency.forget_engine();
+    assert!(!residency.is_restarted(&report(0, &[])));
+}
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -80,6 +80,7 @@
         number: MessageNumber { boot: 1, number: 1 },
         engine: address(number),
         service: Some(service()),
+        instance: None,
         answers: true,
         load: EndpointLoad {
             running,
