A fault soak of gateways and sidecars as separate processes

Cause: the gateway path had no test that runs the real processes; sidecars were tested by no process at all. Eleven promises are checked from what callers and endpoints saw; each check is shown to find a planted breach. Not covered: clocks that jump, since nothing on this path reads the time of day but log lines.

--- /dev/null
+++ b/crates/oatpier-soak/src/run.rs
@@ -0,0 +1,415 @@
+//! One soak, from start to verdict.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use futures::future::join_all;
+use oatpier_wire::server::{self, RequestHandler, ServerLimits};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::check::{self, LoadBound, SoakBreach};
+use crate::fleet::{ProcessKind, SoakProcess};
+use crate::ledger::{CallEnd, CallKind, LedgerRow, SeenEvent, SoakLedger};
+use crate::plan::{self, FaultStep, SoakFault, SoakSize};
+use crate::proxy::{FaultLink, LinkMode};
+use crate::standin::caller::{self, SoakCaller};
+use crate::standin::endpoint::{EndpointFaults, EndpointKind, EndpointStandin};
+use crate::standin::settings::{self, ENGINES, LOADS_PER_S, PLAIN, ProcessSettings};
+use crate::standin::store::{StoreMode, StoreStandin};
+
+/// Models; a few more than fit at the same time.
+const MODELS: usize = 9;
+
+/// How long the fleet has to serve a first request, and to serve everything after the last fault.
+const START_WAIT: Duration = Duration::from_secs(30);
+const RECOVERY_WAIT: Duration = Duration::from_secs(40);
+
+/// The window over which loads are bounded, and what may come on top of the rate, by the settings that
+/// processes get.
+const LOAD_WINDOW_S: f64 = 5.0;
+const LOAD_MARGIN: f64 = 1.1;
+const LOAD_ALLOWANCE: f64 = 3.0;
+
+/// What a soak does.
+#[derive(Debug, Clone)]
+pub struct SoakSettings {
+    /// The daemon's program.
+    pub daemon: PathBuf,
+    /// Draws everything.
+    pub seed: u64,
+    /// How long requests are sent while faults strike.
+    pub length: Duration,
+    /// How many there are of each.
+    pub size: SoakSize,
+}
+
+/// What a soak came to.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// Promises that were broken.
+    pub breaches: Vec<SoakBreach>,
+    /// All that was seen.
+    pub rows: Vec<LedgerRow>,
+    /// Faults that struck.
+    pub steps: Vec<FaultStep>,
+    /// Settings and logs of the processes; kept if a promise was broken.
+    pub folder: tempfile::TempDir,
+}
+
+impl SoakReport {
+    /// Calls that ended with an answer whose status `wanted` takes.
+    #[must_use]
+    pub fn answered(&self, wanted: impl Fn(u16) -> bool) -> usize {
+        let is_wanted = |row: &&LedgerRow| {
+            matches!(&row.event, SeenEvent::Ended { end: CallEnd::Whole { status, .. }, .. }
+                if wanted(*status))
+        };
+        self.rows.iter().filter(is_wanted).count()
+    }
+}
+
+/// Runs a soak.
+///
+/// # Errors
+///
+/// Addresses that can't be listened on, or files that can't be written.
+pub async fn run(soak: &SoakSettings) -> std::io::Result<SoakReport> {
+    let folder = tempfile::Builder::new().prefix("oatpier-soak").tempdir()?;
+    let fleet = SoakFleet::start(soak, folder.path()).await?;
+    fleet.await_service(START_WAIT).await;
+    let steps = plan::plan(soak.seed, soak.size, soak.length);
+    let (stop, stopped) = watch::channel(false);
+    let callers = (0..soak.size.callers).map(|number| {
+        let seed = soak.seed.wrapping_mul(1_000).wrapping_add(number as u64);
+        let caller = SoakCaller::new(
+            number,
+            seed,
+            fleet.callers_at.clone(),
+            fleet.models.clone(),
+            fleet.ledger.clone(),
+        );
+        tokio::spawn(caller.run(stopped.clone()))
+    });
+    let callers: Vec<_> = callers.collect();
+    let begun = Instant::now();
+    join_all(steps.iter().map(|step| strike(&fleet, step, begun))).await;
+    sleep_until(begun + soak.length).await;
+    stop.send_replace(true);
+    join_all(callers).await;
+    fleet.await_service(RECOVERY_WAIT).await;
+    let rows = fleet.ledger.rows();
+    let breaches = check::check(&rows, load_bound());
+    Ok(SoakReport {
+        breaches,
+        rows,
+        steps,
+        folder,
+    })
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a small positive number"
+)]
+fn load_bound() -> LoadBound {
+    LoadBound {
+        loads: (LOADS_PER_S * LOAD_WINDOW_S * LOAD_MARGIN + LOAD_ALLOWANCE) as usize,
+        window: Duration::from_secs_f64(LOAD_WINDOW_S),
+    }
+}
+
+/// Everything that runs.
+struct SoakFleet {
+    ledger: SoakLedger,
+    models: Vec<String>,
+    store: StoreStandin,
+    store_links: Vec<FaultLink>,
+    links: Vec<FaultLink>,
+    endpoints: Vec<EndpointStandin>,
+    gateways: Vec<SoakProcess>,
+    sidecars: Vec<SoakProcess>,
+    callers_at: Vec<SocketAddr>,
+    version: AtomicU64,
+    probes: AtomicU64,
+}
+
+/// Addresses of one soak: a block of the loopback network for itself.
+struct AddressBlock {
+    second: u8,
+    third: u8,
+    port: u16,
+}
+
+impl AddressBlock {
+    /// Drawn from the system's randomness: soaks that run at the same time must not meet.
+    fn draw() -> Self {
+        let mut random = ChaCha8Rng::from_rng(&mut rand::rng());
+        Self {
+            second: random.random_range(1..255),
+            third: random.random_range(1..255),
+            port: random.random_range(20_000..30_000),
+        }
+    }
+
+    fn ip(&self, number: usize) -> IpAddr {
+        let last = u8::try_from(number + 1).unwrap_or(u8::MAX);
+        IpAddr::V4(Ipv4Addr::new(127, self.second, self.third, last))
+    }
+
+    fn address(&self, number: usize, offset: u16) -> SocketAddr {
+        SocketAddr::new(self.ip(number), self.port + offset)
+    }
+}
+
+/// Ports beside the first one of a block. The first sixteen are the range between processes.
+const FRONT: u16 = 20;
+const READINESS: u16 = 21;
+const ENDPOINT: u16 = 22;
+const LINK: u16 = 23;
+const STORE: u16 = 24;
+const STORE_LINK: u16 = 25;
+
+/// The VM of the store.
+const STORE_VM: usize = 250;
+
+impl SoakFleet {
+    async fn start(soak: &SoakSettings, folder: &Path) -> std::io::Result<Self> {
+        let block = AddressBlock::draw();
+        let ledger = SoakLedger::default();
+        let models: Vec<String> = (0..MODELS).map(|number| format!("model{number}")).collect();
+        let store = StoreStandin::default();
+        store.configure(&settings::config(2, &models));
+        let listener = TcpListener::bind(block.address(STORE_VM, STORE)).await?;
+        let handler: Arc<dyn RequestHandler> = Arc::new(store.clone());
+        tokio::spawn(server::serve(
+            listener,
+            handler,
+            ServerLimits::default(),
+            Arc::default(),
+            std::future::pending(),
+        ));
+        let mut fleet = Self {
+            ledger,
+            models,
+            store,
+            store_links: Vec::new(),
+            links: Vec::new(),
+            endpoints: Vec::new(),
+            gateways: Vec::new(),
+            sidecars: Vec::new(),
+            callers_at: Vec::new(),
+            version: AtomicU64::new(2),
+            probes: AtomicU64::new(0),
+        };
+        for number in 0..soak.size.endpoints() {
+            fleet.start_endpoint(soak, &block, number, folder).await?;
+        }
+        for number in 0..soak.size.gateways {
+            fleet.start_gateway(soak, &block, number, folder).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn start_endpoint(
+        &mut self,
+        soak: &SoakSettings,
+        block: &AddressBlock,
+        number: usize,
+        folder: &Path,
+    ) -> std::io::Result<()> {
+        let is_engine = number < soak.size.engines;
+        let first = number % MODELS;
+        let held = [first, (first + 1) % MODELS].map(|place| self.models[place].clone());
+        let kind = EndpointKind {
+            listen: block.address(number, ENDPOINT),
+            address: block.address(number, LINK),
+            service: if is_engine { ENGINES } else { PLAIN },
+            zone: zone(number),
+            models: if is_engine { held.to_vec() } else { Vec::new() },
+            copies: if is_engine { held.to_vec() } else { Vec::new() },
+        };
+        let address = kind.address;
+        self.links
+            .push(FaultLink::start(address, kind.listen).await?);
+        let endpoint = EndpointStandin::start(kind, self.store.clone(), self.ledger.clone())?;
+        self.endpoints.push(endpoint);
+        if is_engine {
+            let settings = ProcessSettings {
+                name: format!("sidecar-{number}"),
+                ip: block.ip(number),
+                zone: zone(number),
+                inner_port: block.port,
+                callers: None,
+                engine: Some(address),
+                store: block.address(STORE_VM, STORE),
+                first_start: true,
+            };
+            let sidecar = self.process(soak, "sidecar", settings, folder);
+            self.sidecars.push(sidecar);
+        }
+        Ok(())
+    }
+
+    async fn start_gateway(
+        &mut self,
+        soak: &SoakSettings,
+        block: &AddressBlock,
+        number: usize,
+        folder: &Path,
+    ) -> std::io::Result<()> {
+        let vm = soak.size.endpoints() + number;
+        let store_link = block.address(vm, STORE_LINK);
+        let store = block.address(STORE_VM, STORE);
+        self.store_links
+            .push(FaultLink::start(store_link, store).await?);
+        let front = block.address(vm, FRONT);
+        let settings = ProcessSettings {
+            name: format!("gateway-{number}"),
+            ip: block.ip(vm),
+            zone: zone(number),
+            inner_port: block.port,
+            callers: Some((front, block.address(vm, READINESS))),
+            engine: None,
+            store: store_link,
+            first_start: true,
+        };
+        let gateway = self.process(soak, "gateway", settings, folder);
+        self.gateways.push(gateway);
+        self.callers_at.push(front);
+        Ok(())
+    }
+
+    fn process(
+        &self,
+        soak: &SoakSettings,
+        role: &'static str,
+        settings: ProcessSettings,
+        folder: &Path,
+    ) -> SoakProcess {
+        let kind = ProcessKind {
+            daemon: soak.daemon.clone(),
+            role,
+            settings,
+            folder: folder.to_owned(),
+        };
+        SoakProcess::start(kind, self.ledger.clone())
+    }
+
+    /// Waits until every gateway serves every kind of request and the fleet every model, and writes
+    /// down what is not served in time.
+    async fn await_service(&self, most: Duration) {
+        let by_gateway = self.callers_at.iter().flat_map(|gateway| {
+            [CallKind::Safe, CallKind::Unsafe, CallKind::Stream].map(|kind| (*gateway, kind, 0))
+        });
+        let by_model = (0..MODELS).map(|model| {
+            let gateway = self.callers_at[model % self.callers_at.len()];
+            (gateway, CallKind::ResumableStream, model)
+        });
+        let probes = by_gateway.chain(by_model);
+        let until = Instant::now() + most;
+        join_all(probes.map(|(gateway, kind, model)| self.probe(gateway, kind, model, until)))
+            .await;
+    }
+
+    async fn probe(&self, gateway: SocketAddr, kind: CallKind, model: usize, until: Instant) {
+        let client = caller::new_client();
+        while Instant::now() < until {
+            let number = self.probes.fetch_add(1, Ordering::Relaxed);
+            let id = format!("ffff{number:08x}");
+            let call = caller::call(&id, kind, &self.models[model], None);
+            let end = caller::send(&client, gateway, &call, None, &self.ledger).await;
+            if matches!(end, CallEnd::Whole { status: 200, .. }) {
+                return;
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+        let what = format!("{kind:?} of {} at {gateway}", self.models[model]);
+        self.ledger.note(SeenEvent::Unserved { what });
+    }
+
+    fn note_standin(&self, done: std::io::Result<()>) {
+        if let Err(error) = done {
+            let what = format!("a stand-in did not come back: {error}");
+            self.ledger.note(SeenEvent::Unserved { what });
+        }
+    }
+}
+
+fn zone(number: usize) -> &'static str {
+    ["north", "south"][number % 2]
+}
+
+/// Lets one fault strike when it is due, and ends it.
+async fn strike(fleet: &SoakFleet, step: &FaultStep, begun: Instant) {
+    sleep_until(begun + step.at).await;
+    match &step.fault {
+        SoakFault::KillGateway(number) => fleet.gateways[*number].kill(),
+        SoakFault::KillSidecar(number) => fleet.sidecars[*number].kill(),
+        SoakFault::KillAll => {
+            let all = fleet.gateways.iter().chain(&fleet.sidecars);
+            all.for_each(SoakProcess::kill);
+        }
+        SoakFault::StopGateway(number) => fleet.gateways[*number].stop().await,
+        SoakFault::ReloadGateway(number) => fleet.gateways[*number].reload(),
+        SoakFault::PauseGateway(number) => fleet.gateways[*number].pause(step.lasts).await,
+        SoakFault::PauseSidecar(number) => fleet.sidecars[*number].pause(step.lasts).await,
+        SoakFault::Link(number, mode) => hold(&fleet.links[*number], *mode, step.lasts).await,
+        SoakFault::StoreLink(number, mode) => {
+            hold(&fleet.store_links[*number], *mode, step.lasts).await;
+        }
+        SoakFault::Store(mode) => {
+            fleet.store.set_mode(*mode);
+            sleep(step.lasts).await;
+            fleet.store.set_mode(StoreMode::Up);
+        }
+        SoakFault::Crash(number) => fleet.note_standin(fleet.endpoints[*number].crash().await),
+        SoakFault::Drain(number) => fleet.note_standin(fleet.endpoints[*number].drain().await),
+        SoakFault::LoseAnswers(number) => {
+            let faults = EndpointFaults {
+                lost: 0.3,
+                ..EndpointFaults::default()
+            };
+            hold_faults(&fleet.endpoints[*number], faults, step.lasts).await;
+        }
+        SoakFault::Garble(number) => {
+            let faults = EndpointFaults {
+                garbled: 0.3,
+                ..EndpointFaults::default()
+            };
+            hold_faults(&fleet.endpoints[*number], faults, step.lasts).await;
+        }
+        SoakFault::LateOrders(number) => {
+            let faults = EndpointFaults {
+                late_orders: 0.5,
+                ..EndpointFaults::default()
+            };
+            hold_faults(&fleet.endpoints[*number], faults, step.lasts).await;
+        }
+        SoakFault::Configure => {
+            let version = fleet.version.fetch_add(1, Ordering::Relaxed) + 1;
+            fleet
+                .store
+                .configure(&settings::config(version, &fleet.models));
+        }
+    }
+}
+
+async fn hold(link: &FaultLink, mode: LinkMode, span: Duration) {
+    link.set(mode);
+    sleep(span).await;
+    link.set(LinkMode::Open);
+}
+
+async fn hold_faults(endpoint: &EndpointStandin, faults: EndpointFaults, span: Duration) {
+    endpoint.set_faults(faults);
+    sleep(span).await;
+    endpoint.set_faults(EndpointFaults::default());
+}
--- /dev/null
+++ b/crates/oatpier-soak/src/standin/caller.rs
@@ -0,0 +1,192 @@
+//! Callers: each sends one request after the other, over connections that it keeps.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Collected};
+use oatpier_wire::client::{ClientLimits, HttpClient};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::{sleep, timeout};
+
+use super::settings::{ENGINES, HOST, PLAIN, TIMEOUT_MS};
+use crate::ledger::{CallEnd, CallKind, SeenEvent, SentCall, SoakLedger};
+
+/// A caller that has no answer this long after the route's time calls the request hung. A gateway that
+/// is paused answers after the pause.
+const HUNG_AFTER: Duration = Duration::from_millis(TIMEOUT_MS + 12_000);
+
+/// The longest pause between two requests of a caller.
+const PAUSE_MS: u64 = 40;
+
+/// A caller.
+#[derive(Debug)]
+pub struct SoakCaller {
+    number: usize,
+    sent: u64,
+    random: ChaCha8Rng,
+    gateways: Vec<SocketAddr>,
+    models: Vec<String>,
+    ledger: SoakLedger,
+}
+
+impl SoakCaller {
+    /// A caller of all gateways.
+    #[must_use]
+    pub fn new(
+        number: usize,
+        seed: u64,
+        gateways: Vec<SocketAddr>,
+        models: Vec<String>,
+        ledger: SoakLedger,
+    ) -> Self {
+        Self {
+            number,
+            sent: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            gateways,
+            models,
+            ledger,
+        }
+    }
+
+    /// Sends requests until it is dropped or told to stop; a request that was begun is ended.
+    pub async fn run(mut self, stop: tokio::sync::watch::Receiver<bool>) {
+        let client = new_client();
+        while !*stop.borrow() {
+            let call = self.draw();
+            let gateway = self.gateways[self.random.random_range(0..self.gateways.len())];
+            let leaves = self.random.random_bool(0.05).then(|| {
+                let after = self.random.random_range(1..200);
+                Duration::from_millis(after)
+            });
+            send(&client, gateway, &call, leaves, &self.ledger).await;
+            let pause = self.random.random_range(0..PAUSE_MS);
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    fn draw(&mut self) -> SentCall {
+        self.sent += 1;
+        let id = format!("{:04x}{:08x}", self.number, self.sent);
+        let kind = match self.random.random_range(0..6) {
+            0 => CallKind::Safe,
+            1 | 2 => CallKind::Unsafe,
+            3 | 4 => CallKind::Stream,
+            _ => CallKind::ResumableStream,
+        };
+        // Two models get most of the requests.
+        let place = self
+            .random
+            .random_range(0..self.models.len())
+            .min(self.random.random_range(0..self.models.len()));
+        let adapter = self
+            .random
+            .random_bool(0.3)
+            .then(|| self.random.random_range(1..5));
+        call(&id, kind, &self.models[place], adapter)
+    }
+}
+
+/// A request of a kind.
+#[must_use]
+pub fn call(id: &str, kind: CallKind, model: &str, adapter: Option<u32>) -> SentCall {
+    let (method, prefix, service) = match kind {
+        CallKind::Safe => ("GET", "/safe/", PLAIN),
+        CallKind::Unsafe => ("POST", "/unsafe/", PLAIN),
+        CallKind::Stream => ("POST", "/stream/", ENGINES),
+        CallKind::ResumableStream => ("POST", "/stream-resume/", ENGINES),
+    };
+    let weights = match adapter {
+        Some(adapter) => format!("{model}/a{adapter}"),
+        None => model.to_owned(),
+    };
+    SentCall {
+        id: id.to_owned(),
+        kind,
+        service,
+        target: format!("{method} {prefix}{id}?x=1"),
+        body: if method == "GET" {
+            String::new()
+        } else {
+            format!("body of {id}")
+        },
+        model: (service == ENGINES).then_some(weights),
+    }
+}
+
+/// A client with connections of its own.
+#[must_use]
+pub fn new_client() -> HttpClient {
+    HttpClient::new(ClientLimits {
+        connect: Duration::from_secs(1),
+        idle: Duration::from_secs(10),
+        idle_per_address: 2,
+        discard_on_close: false,
+    })
+}
+
+/// Sends a request and writes down how it ended. A caller that leaves drops its connection.
+pub async fn send(
+    client: &HttpClient,
+    gateway: SocketAddr,
+    call: &SentCall,
+    leaves: Option<Duration>,
+    ledger: &SoakLedger,
+) -> CallEnd {
+    ledger.note(SeenEvent::Sent(call.clone()));
+    let answered = answer(client, gateway, call);
+    let end = match leaves {
+        Some(after) => timeout(after, answered).await.unwrap_or(CallEnd::Left),
+        None => timeout(HUNG_AFTER, answered).await.unwrap_or(CallEnd::Hung),
+    };
+    ledger.note(SeenEvent::Ended {
+        id: call.id.clone(),
+        end: end.clone(),
+    });
+    end
+}
+
+async fn answer(client: &HttpClient, gateway: SocketAddr, call: &SentCall) -> CallEnd {
+    let Some(request) = request(call) else {
+        return CallEnd::Cut;
+    };
+    let Ok(answer) = client.send(gateway, request).await else {
+        return CallEnd::Cut;
+    };
+    let (parts, body) = answer.into_parts();
+    let stamp = parts.headers.get("x-oatpier-response-stamp");
+    let stamp = stamp
+        .and_then(|stamp| stamp.to_str().ok())
+        .map(str::to_owned);
+    match body.collect().await.map(Collected::to_bytes) {
+        Ok(body) => CallEnd::Whole {
+            status: parts.status.as_u16(),
+            stamp,
+            body: String::from_utf8_lossy(&body).into_owned(),
+        },
+        Err(_) => CallEnd::Cut,
+    }
+}
+
+fn request(call: &SentCall) -> Option<Request<Bytes>> {
+    let (method, target) = call.target.split_once(' ')?;
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(target)
+        .header("host", HOST)
+        .header("x-oatpier-request-id", &call.id)
+        .header("x-oatpier-deadline-ms", TIMEOUT_MS.to_string())
+        // What only the system may set: it must not get through.
+        .header("x-oatpier-hold", "h1")
+        .header("kv-from", "10.0.0.1:1/x");
+    if let Some(model) = &call.model {
+        builder = builder
+            .header("x-oatpier-model", model)
+            .header("x-oatpier-token-usage", "200,40")
+            .header("x-oatpier-prompt-prefix", "5c1e:150,9a0b:50");
+    }
+    builder.body(Bytes::from(call.body.clone())).ok()
+}
--- /dev/null
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -0,0 +1,486 @@
+//! An endpoint: an engine or one of a plain service.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use futures::stream;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use oatpier_wire::reply::{self, BoxError, Reply};
+use oatpier_wire::server::{self, RequestHandler, ServerLimits};
+use rand::RngExt;
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use super::answers;
+use super::store::StoreStandin;
+use super::weights::{EngineWeights, OrderOutcome};
+use crate::ledger::{BegunRun, SeenEvent, SoakLedger};
+
+/// Requests at the same time.
+const SLOTS: u32 = 8;
+
+/// How long a request of a plain service runs, and the time between events of a stream.
+const WORK: Duration = Duration::from_millis(15);
+const EVENT_EVERY: Duration = Duration::from_millis(12);
+
+/// How often an endpoint writes its entry.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(400);
+
+/// How long an endpoint that leaves goes on serving after its report.
+const LINGER: Duration = Duration::from_millis(1_200);
+
+/// How long a crashed endpoint is away.
+const AWAY: Duration = Duration::from_millis(400);
+
+/// Headers that callers must not get through. The system sets an expected instance by itself.
+const FORGED: [&str; 6] = [
+    "x-oatpier-hold",
+    "x-oatpier-pin-ms",
+    "x-oatpier-kv-backup",
+    "kv-from",
+    "x-oatpier-expect-version",
+    "x-oatpier-not-executed",
+];
+
+/// What goes wrong at an endpoint, as shares of its requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct EndpointFaults {
+    /// Requests that run and whose answers are lost.
+    pub lost: f64,
+    /// Answers that are cut or belong to nobody.
+    pub garbled: f64,
+    /// Orders that are left unanswered and carried out late.
+    pub late_orders: f64,
+}
+
+/// What an endpoint is.
+#[derive(Debug, Clone)]
+pub struct EndpointKind {
+    /// Where it listens, behind its link.
+    pub listen: SocketAddr,
+    /// Where it is registered: its link.
+    pub address: SocketAddr,
+    /// Its service.
+    pub service: &'static str,
+    /// Its availability zone.
+    pub zone: &'static str,
+    /// Models that it starts with; none for a plain service.
+    pub models: Vec<String>,
+    /// Models that it has copies of.
+    pub copies: Vec<String>,
+}
+
+#[derive(Debug)]
+struct EndpointState {
+    instance: String,
+    weights: EngineWeights,
+    running: u32,
+    draining: bool,
+    faults: EndpointFaults,
+}
+
+/// An endpoint. Cloning shares it.
+#[derive(Debug, Clone)]
+pub struct EndpointStandin {
+    kind: Arc<EndpointKind>,
+    state: Arc<Mutex<EndpointState>>,
+    store: StoreStandin,
+    ledger: SoakLedger,
+    serving: Arc<Mutex<Option<JoinHandle<()>>>>,
+    /// Held while it goes and comes back: faults overlap.
+    turn: Arc<tokio::sync::Mutex<()>>,
+}
+
+impl EndpointStandin {
+    /// An endpoint that serves from now on.
+    ///
+    /// # Errors
+    ///
+    /// Its address can't be listened on.
+    pub fn start(
+        kind: EndpointKind,
+        store: StoreStandin,
+        ledger: SoakLedger,
+    ) -> std::io::Result<Self> {
+        let state = EndpointState {
+            instance: new_instance(),
+            weights: EngineWeights::starting_with(&kind.models, &kind.copies),
+            running: 0,
+            draining: false,
+            faults: EndpointFaults::default(),
+        };
+        let endpoint = Self {
+            kind: Arc::new(kind),
+            state: Arc::new(Mutex::new(state)),
+            store,
+            ledger,
+            serving: Arc::default(),
+            turn: Arc::default(),
+        };
+        endpoint.serve()?;
+        tokio::spawn(endpoint.clone().write_entries());
+        Ok(endpoint)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EndpointState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self) -> std::io::Result<()> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.kind.listen)?;
+        let listener: TcpListener = socket.listen(1_024)?;
+        let handler: Arc<dyn RequestHandler> = Arc::new(self.clone());
+        let serving = tokio::spawn(server::serve(
+            listener,
+            handler,
+            ServerLimits::default(),
+            Arc::default(),
+            std::future::pending(),
+        ));
+        let mut kept = self.serving.lock().unwrap_or_else(PoisonError::into_inner);
+        *kept = Some(serving);
+        Ok(())
+    }
+
+    fn stop_serving(&self) {
+        let mut kept = self.serving.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(serving) = kept.take() {
+            serving.abort();
+        }
+    }
+
+    async fn write_entries(self) {
+        loop {
+            let is_up = self
+                .serving
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .is_some();
+            if is_up {
+                let (name, entry) = self.entry();
+                self.store.register(&name, Some(&entry));
+            }
+            sleep(HEARTBEAT_EVERY).await;
+        }
+    }
+
+    fn entry(&self) -> (String, Value) {
+        let mut state = self.lock();
+        let models = state.weights.models();
+        let entry = json!({
+            "service": self.kind.service, "address": self.kind.address, "zone": self.kind.zone,
+            "version": "v1", "slots": SLOTS, "cold_ms": 0, "seq": 1, "models": models,
+            "state": if state.draining { "draining" } else { "ready" },
+        });
+        (state.instance.clone(), entry)
+    }
+
+    /// Sets what goes wrong.
+    pub fn set_faults(&self, faults: EndpointFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Whether it has models at all.
+    #[must_use]
+    pub fn is_engine(&self) -> bool {
+        !self.kind.copies.is_empty()
+    }
+
+    /// Loses all connections and comes back as another instance, empty, a moment later.
+    ///
+    /// # Errors
+    ///
+    /// Its address can't be listened on again.
+    pub async fn crash(&self) -> std::io::Result<()> {
+        let _turn = self.turn.lock().await;
+        self.restart().await
+    }
+
+    async fn restart(&self) -> std::io::Result<()> {
+        self.stop_serving();
+        sleep(AWAY).await;
+        {
+            let mut state = self.lock();
+            state.instance = new_instance();
+            state.weights = state.weights.after_crash();
+            state.running = 0;
+            state.draining = false;
+        }
+        self.serve()
+    }
+
+    /// Reports that it leaves, goes on for a while, and comes back as another instance.
+    ///
+    /// # Errors
+    ///
+    /// Its address can't be listened on again.
+    pub async fn drain(&self) -> std::io::Result<()> {
+        let _turn = self.turn.lock().await;
+        self.lock().draining = true;
+        let (name, entry) = self.entry();
+        self.store.register(&name, Some(&entry));
+        sleep(LINGER).await;
+        self.store.register(&name, None);
+        self.restart().await
+    }
+
+    async fn answer(&self, request: Request<Bytes>) -> Reply {
+        match request.uri().path() {
+            "/report" => self.report(),
+            "/health" => self.health(),
+            "/order" => self.order(&request).await,
+            _ => self.run(request).await,
+        }
+    }
+
+    fn report(&self) -> Reply {
+        let mut state = self.lock();
+        let running = state.running;
+        let mut report = state.weights.report(running);
+        if state.draining {
+            report["state"] = json!("draining");
+        }
+        reply::whole(StatusCode::OK, "application/json", report.to_string())
+    }
+
+    fn health(&self) -> Reply {
+        let mut answer = reply::text(StatusCode::OK, "");
+        set(
+            answer.headers_mut(),
+            "x-oatpier-instance-id",
+            &self.lock().instance,
+        );
+        answer
+    }
+
+    async fn order(&self, request: &Request<Bytes>) -> Reply {
+        let Ok(order) = serde_json::from_slice::<Value>(request.body()) else {
+            return reply::text(StatusCode::BAD_REQUEST, "");
+        };
+        if let Some(other) = self.other_instance(request.headers()) {
+            return other;
+        }
+        let late = self.lock().faults.late_orders;
+        if rand::rng().random_bool(late) {
+            tokio::spawn(self.clone().carry_out_late(order));
+            std::future::pending::<()>().await;
+            return reply::text(StatusCode::INTERNAL_SERVER_ERROR, "");
+        }
+        reply::text(self.carry_out(&order), "")
+    }
+
+    async fn carry_out_late(self, order: Value) {
+        let instance = self.lock().instance.clone();
+        let late = rand::rng().random_range(500..3_000);
+        sleep(Duration::from_millis(late)).await;
+        // A restart loses what was not carried out.
+        if self.lock().instance == instance {
+            self.carry_out(&order);
+        }
+    }
+
+    fn carry_out(&self, order: &Value) -> StatusCode {
+        let mut state = self.lock();
+        let instance = state.instance.clone();
+        match state.weights.order(order) {
+            OrderOutcome::Taken { from_store } => {
+                if from_store {
+                    self.ledger.note(SeenEvent::StoreLoad { instance });
+                }
+                StatusCode::ACCEPTED
+            }
+            OrderOutcome::Holds => StatusCode::OK,
+            OrderOutcome::Conflict => StatusCode::CONFLICT,
+            OrderOutcome::Rejected => StatusCode::MISDIRECTED_REQUEST,
+            OrderOutcome::Overfull(what) => {
+                self.ledger.note(SeenEvent::Overfull { instance, what });
+                StatusCode::BAD_REQUEST
+            }
+        }
+    }
+
+    /// The answer to a call that is meant for another instance.
+    fn other_instance(&self, headers: &HeaderMap) -> Option<Reply> {
+        let expected = text(headers, "x-oatpier-expect-instance")?;
+        let instance = self.lock().instance.clone();
+        if expected == instance {
+            return None;
+        }
+        let mut answer = not_run(StatusCode::MISDIRECTED_REQUEST);
+        set(answer.headers_mut(), "x-oatpier-instance-id", &instance);
+        Some(answer)
+    }
+
+    async fn run(&self, request: Request<Bytes>) -> Reply {
+        if let Some(other) = self.other_instance(request.headers()) {
+            return other;
+        }
+        let Some(id) = text(request.headers(), "x-oatpier-request-id") else {
+            return not_run(StatusCode::BAD_REQUEST);
+        };
+        let slot = match self.take_slot(&request) {
+            Ok(slot) => slot,
+            Err(status) => return not_run(status),
+        };
+        let run = begun(&id, &slot, self.kind.service, &request);
+        self.ledger.note(SeenEvent::Begun(run));
+        let faults = self.lock().faults;
+        if rand::rng().random_bool(faults.lost) {
+            sleep(WORK).await;
+            return cut_answer(&id, &slot);
+        }
+        let garbled = rand::rng().random_bool(faults.garbled);
+        if request.uri().path().contains("stream") {
+            let after = text(request.headers(), "last-event-id");
+            let after = after.and_then(|id| id.parse().ok()).unwrap_or(0);
+            return stream_answer(&id, slot, after, garbled);
+        }
+        sleep(WORK).await;
+        if garbled {
+            return cut_answer(&id, &slot);
+        }
+        let mut answer = reply::text(StatusCode::OK, answers::whole(&id));
+        sign(answer.headers_mut(), &id, &slot.instance);
+        answer
+    }
+
+    fn take_slot(&self, request: &Request<Bytes>) -> Result<RunSlot, StatusCode> {
+        let weights = text(request.headers(), "x-oatpier-model");
+        let mut state = self.lock();
+        if state.running >= SLOTS {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if let Some(weights) = &weights
+            && !state.weights.begin_use(weights)
+        {
+            return Err(StatusCode::MISDIRECTED_REQUEST);
+        }
+        state.running += 1;
+        Ok(RunSlot {
+            endpoint: self.clone(),
+            instance: state.instance.clone(),
+            weights,
+        })
+    }
+}
+
+impl RequestHandler for EndpointStandin {
+    fn handle(&self, request: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
+        self.answer(request).boxed()
+    }
+}
+
+/// A slot that a run holds until it is over or its caller is gone.
+struct RunSlot {
+    endpoint: EndpointStandin,
+    instance: String,
+    weights: Option<String>,
+}
+
+impl Drop for RunSlot {
+    fn drop(&mut self) {
+        let mut state = self.endpoint.lock();
+        if state.instance != self.instance {
+            return;
+        }
+        state.running = state.running.saturating_sub(1);
+        if let Some(weights) = &self.weights {
+            state.weights.end_use(weights);
+        }
+    }
+}
+
+fn begun(id: &str, slot: &RunSlot, service: &'static str, request: &Request<Bytes>) -> BegunRun {
+    let headers = request.headers();
+    let forged = FORGED.iter().filter(|name| headers.contains_key(**name));
+    BegunRun {
+        id: id.to_owned(),
+        instance: slot.instance.clone(),
+        service,
+        target: format!("{} {}", request.method(), request.uri()),
+        body: String::from_utf8_lossy(request.body()).into_owned(),
+        model: slot.weights.clone(),
+        forged: forged.map(|name| (*name).to_owned()).collect(),
+    }
+}
+
+/// An answer that breaks off in the middle of its body.
+fn cut_answer(id: &str, slot: &RunSlot) -> Reply {
+    let half = answers::whole(id);
+    let half = Bytes::from(half[..half.len() / 2].to_owned());
+    let pieces = [Ok(Frame::data(half)), Err(BoxError::from("cut"))];
+    let mut answer = body_of(stream::iter(pieces));
+    sign(answer.headers_mut(), id, &slot.instance);
+    answer
+}
+
+fn stream_answer(id: &str, slot: RunSlot, after: u32, garbled: bool) -> Reply {
+    let instance = slot.instance.clone();
+    let cut_after = if garbled { after + 4 } else { u32::MAX };
+    let owned = id.to_owned();
+    let due = Instant::now();
+    let pieces = stream::unfold((after + 1, slot), move |(number, slot)| {
+        let id = owned.clone();
+        async move {
+            if number > answers::EVENTS {
+                return None;
+            }
+            let ahead = EVENT_EVERY * (number - after);
+            tokio::time::sleep_until(due + ahead).await;
+            if number > cut_after {
+                return Some((Err(BoxError::from("cut")), (u32::MAX, slot)));
+            }
+            let event = Bytes::from(answers::event(&id, number));
+            Some((Ok(Frame::data(event)), (number + 1, slot)))
+        }
+    });
+    let mut answer = body_of(pieces);
+    set(answer.headers_mut(), "content-type", "text/event-stream");
+    sign(answer.headers_mut(), id, &instance);
+    answer
+}
+
+fn body_of(
+    pieces: impl futures::Stream<Item = Result<Frame<Bytes>, BoxError>> + Send + 'static,
+) -> Reply {
+    Response::new(BodyExt::boxed_unsync(StreamBody::new(pieces)))
+}
+
+fn not_run(status: StatusCode) -> Reply {
+    let mut answer = reply::text(status, "");
+    set(answer.headers_mut(), "x-oatpier-not-executed", "1");
+    answer
+}
+
+fn sign(headers: &mut HeaderMap, id: &str, instance: &str) {
+    set(headers, "x-oatpier-request-id", id);
+    set(
+        headers,
+        "x-oatpier-response-stamp",
+        &answers::stamp(id, instance),
+    );
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+fn new_instance() -> String {
+    format!("i-{:010x}", rand::rng().random::<u32>())
+}
--- /dev/null
+++ b/crates/oatpier-soak/tests/testsuite/check.rs
@@ -0,0 +1,206 @@
+//! Each check finds its breach, and a good day has none.
+
+use std::time::Duration;
+
+use oatpier_soak::check::{LoadBound, SoakPromise, check};
+use oatpier_soak::ledger::{BegunRun, CallEnd, CallKind, LedgerRow, SeenEvent, SentCall};
+use oatpier_soak::standin::{answers, caller};
+
+const LOADS: LoadBound = LoadBound {
+    loads: 2,
+    window: Duration::from_secs(5),
+};
+
+fn sent(kind: CallKind) -> SentCall {
+    caller::call("c1", kind, "m1", None)
+}
+
+fn run_of(call: &SentCall, instance: &str) -> BegunRun {
+    BegunRun {
+        id: call.id.clone(),
+        instance: instance.to_owned(),
+        service: call.service,
+        target: call.target.clone(),
+        body: call.body.clone(),
+        model: call.model.clone(),
+        forged: Vec::new(),
+    }
+}
+
+fn whole(status: u16, stamp: Option<&str>, body: &str) -> CallEnd {
+    CallEnd::Whole {
+        status,
+        stamp: stamp.map(str::to_owned),
+        body: body.to_owned(),
+    }
+}
+
+fn good_end(call: &SentCall) -> CallEnd {
+    let body = if call.kind.is_stream() {
+        answers::stream(&call.id)
+    } else {
+        answers::whole(&call.id)
+    };
+    whole(200, Some(&answers::stamp(&call.id, "i-1")), &body)
+}
+
+/// The promises that a request with these runs and this end breaks.
+fn broken(call: &SentCall, runs: &[BegunRun], end: Option<CallEnd>) -> Vec<SoakPromise> {
+    let mut events = vec![SeenEvent::Sent(call.clone())];
+    events.extend(runs.iter().cloned().map(SeenEvent::Begun));
+    let id = call.id.clone();
+    events.extend(end.map(|end| SeenEvent::Ended { id, end }));
+    broken_by(events)
+}
+
+fn broken_by(events: Vec<SeenEvent>) -> Vec<SoakPromise> {
+    let rows = events
+        .into_iter()
+        .enumerate()
+        .map(|(number, event)| LedgerRow {
+            at: Duration::from_millis(number as u64 * 100),
+            event,
+        });
+    let rows: Vec<LedgerRow> = rows.collect();
+    let breaches = check(&rows, LOADS);
+    breaches.into_iter().map(|breach| breach.promise).collect()
+}
+
+#[test]
+fn good_answers_break_nothing() {
+    for kind in [
+        CallKind::Safe,
+        CallKind::Unsafe,
+        CallKind::Stream,
+        CallKind::ResumableStream,
+    ] {
+        let call = sent(kind);
+        let runs = [run_of(&call, "i-1")];
+        assert!(broken(&call, &runs, Some(good_end(&call))).is_empty());
+        assert!(broken(&call, &runs, Some(CallEnd::Cut)).is_empty());
+        assert!(broken(&call, &[], Some(whole(503, None, "later"))).is_empty());
+    }
+}
+
+#[test]
+fn a_second_run_is_found_where_one_is_allowed() {
+    let runs = |call: &SentCall| [run_of(call, "i-1"), run_of(call, "i-2")];
+    let once = sent(CallKind::Unsafe);
+    let end = Some(good_end(&once));
+    assert_eq!(broken(&once, &runs(&once), end), [SoakPromise::Once]);
+    let often = sent(CallKind::ResumableStream);
+    let end = Some(good_end(&often));
+    assert!(broken(&often, &runs(&often), end).is_empty());
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_found() {
+    let call = sent(CallKind::Stream);
+    let runs = [run_of(&call, "i-1")];
+    for status in [408, 421, 429, 503] {
+        let end = Some(whole(status, None, ""));
+        assert_eq!(broken(&call, &runs, end), [SoakPromise::TrueRefusal]);
+    }
+}
+
+#[test]
+fn an_answer_of_another_endpoint_or_request_is_found() {
+    let call = sent(CallKind::Safe);
+    let runs = [run_of(&call, "i-1")];
+    let body = answers::whole("c1");
+    let strange = [
+        whole(200, None, &body),
+        whole(200, Some(&answers::stamp("c1", "i-2")), &body),
+        whole(
+            200,
+            Some(&answers::stamp("c1", "i-1")),
+            &answers::whole("c2"),
+        ),
+        whole(200, Some(&answers::stamp("c1", "i-1")), &body[..10]),
+    ];
+    for end in strange {
+        assert_eq!(broken(&call, &runs, Some(end)), [SoakPromise::OwnAnswer]);
+    }
+}
+
+#[test]
+fn a_stream_with_a_gap_a_repeat_or_no_end_is_found() {
+    let call = sent(CallKind::ResumableStream);
+    let runs = [run_of(&call, "i-1")];
+    let events: Vec<String> = (1..=answers::EVENTS)
+        .map(|number| answers::event("c1", number))
+        .collect();
+    let gap = [&events[..3], &events[4..]].concat().concat();
+    let repeat = [&events[..4], &events[3..]].concat().concat();
+    let short = events[..5].concat();
+    for body in [gap, repeat, short] {
+        let end = whole(200, Some(&answers::stamp("c1", "i-1")), &body);
+        assert_eq!(broken(&call, &runs, Some(end)), [SoakPromise::WholeStream]);
+    }
+}
+
+#[test]
+fn what_nobody_asked_for_is_found() {
+    let call = sent(CallKind::Unsafe);
+    let mut other_body = run_of(&call, "i-1");
+    other_body.body = "other".to_owned();
+    let mut forged = run_of(&call, "i-1");
+    forged.forged = vec!["kv-from".to_owned()];
+    for run in [other_body, forged] {
+        let end = Some(good_end(&call));
+        assert_eq!(broken(&call, &[run], end), [SoakPromise::OnlyAsked]);
+    }
+    let stray = SeenEvent::Begun(run_of(&call, "i-1"));
+    assert_eq!(broken_by(vec![stray]), [SoakPromise::OnlyAsked]);
+}
+
+#[test]
+fn a_run_at_another_service_is_found() {
+    let call = sent(CallKind::Unsafe);
+    let mut run = run_of(&call, "i-1");
+    run.service = "elsewhere";
+    let end = Some(good_end(&call));
+    assert_eq!(broken(&call, &[run], end), [SoakPromise::RightService]);
+}
+
+#[test]
+fn a_request_without_an_end_is_found() {
+    let call = sent(CallKind::Safe);
+    assert_eq!(broken(&call, &[], None), [SoakPromise::Ends]);
+    assert_eq!(broken(&call, &[], Some(CallEnd::Hung)), [SoakPromise::Ends]);
+}
+
+#[test]
+fn too_many_loads_in_a_window_are_found() {
+    let load = || SeenEvent::StoreLoad {
+        instance: "i-1".to_owned(),
+    };
+    assert!(broken_by(vec![load(), load()]).is_empty());
+    assert_eq!(
+        broken_by(vec![load(), load(), load()]),
+        [SoakPromise::LoadRate]
+    );
+}
+
+#[test]
+fn overfull_engines_exits_and_what_does_not_recover_are_found() {
+    let overfull = SeenEvent::Overfull {
+        instance: "i-1".to_owned(),
+        what: "m3".to_owned(),
+    };
+    let exit = SeenEvent::Exit {
+        process: "gateway-0".to_owned(),
+        status: "exit status: 101".to_owned(),
+    };
+    let unserved = SeenEvent::Unserved {
+        what: "m1".to_owned(),
+    };
+    assert_eq!(
+        broken_by(vec![overfull, exit, unserved]),
+        [
+            SoakPromise::Memory,
+            SoakPromise::StaysUp,
+            SoakPromise::Recovers
+        ]
+    );
+}
--- /dev/null
+++ b/crates/oatpier-soak/tests/testsuite/proxy.rs
@@ -0,0 +1,58 @@
+//! Links do what they are told.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use oatpier_soak::proxy::{FaultLink, LinkMode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// A link before a peer that sends back what it gets, and a connection through it.
+async fn link() -> (FaultLink, TcpStream) {
+    let peer = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let target = peer.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = peer.accept().await {
+            tokio::spawn(async move {
+                let (mut read, mut write) = stream.split();
+                tokio::io::copy(&mut read, &mut write).await
+            });
+        }
+    });
+    // The port is free again once this is dropped.
+    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let listen = free.local_addr().unwrap();
+    drop(free);
+    let link = FaultLink::start(listen, target).await.unwrap();
+    (link, TcpStream::connect(listen).await.unwrap())
+}
+
+async fn echoed(stream: &mut TcpStream) -> std::io::Result<u8> {
+    stream.write_all(b"a").await?;
+    stream.read_u8().await
+}
+
+#[tokio::test]
+async fn an_open_link_passes_bytes_on() {
+    let (_link, mut stream) = link().await;
+    assert_eq!(echoed(&mut stream).await.unwrap(), b'a');
+}
+
+#[tokio::test]
+async fn a_silent_link_holds_bytes_and_passes_them_on_later() {
+    let (link, mut stream) = link().await;
+    link.set(LinkMode::Silent);
+    let wait = Duration::from_millis(100);
+    assert!(timeout(wait, echoed(&mut stream)).await.is_err());
+    link.set(LinkMode::Open);
+    assert_eq!(stream.read_u8().await.unwrap(), b'a');
+}
+
+#[tokio::test]
+async fn a_link_that_is_reset_breaks_open_connections() {
+    let (link, mut stream) = link().await;
+    assert_eq!(echoed(&mut stream).await.unwrap(), b'a');
+    link.set(LinkMode::Reset);
+    assert!(stream.read_u8().await.is_err());
+}
--- a/crates/oatpierd/tests/testsuite/main.rs
+++ b/crates/oatpierd/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod path;
 mod pause;
 mod settings;
+mod soak;
 mod start;
 mod stop;
 mod store;
--- /dev/null
+++ b/crates/oatpierd/tests/testsuite/soak.rs
@@ -0,0 +1,42 @@
+//! Short soaks of gateways and sidecars as processes, with seeds that stay.
+//!
+//! What strikes when follows from the seed; what it meets does not, since processes run at their own pace.
+//! A verdict depends on promises alone, never on how many requests were served or how fast.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use oatpier_soak::plan::SoakSize;
+use oatpier_soak::run::{self, SoakSettings};
+
+fn soak(seed: u64) {
+    let settings = SoakSettings {
+        daemon: PathBuf::from(env!("CARGO_BIN_EXE_oatpierd")),
+        seed,
+        length: Duration::from_secs(4),
+        size: SoakSize {
+            gateways: 2,
+            engines: 4,
+            services: 2,
+            callers: 8,
+        },
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let report = runtime.block_on(run::run(&settings)).unwrap();
+    let breaches: Vec<String> = report.breaches.iter().map(ToString::to_string).collect();
+    assert!(breaches.is_empty(), "{breaches:#?}\n{:#?}", report.steps);
+    assert!(report.answered(|status| status == 200) > 0);
+}
+
+#[test]
+fn promises_hold_while_faults_strike() {
+    soak(1);
+}
+
+#[test]
+fn promises_hold_while_other_faults_strike() {
+    soak(3);
+}
