Look further ahead, and load replicas for a smaller gain

(One holder went since its VM was cut off from the store and its entry lapsed; an entry that is missing is to be taken as gone, so that stays.) Change: forecasts reach 4.5 s; a replica must gain 0.05 in place of 0.08.

--- a/crates/oatpier-serving/src/planner/forecast.rs
+++ b/crates/oatpier-serving/src/planner/forecast.rs
@@ -17,8 +17,8 @@
 /// How much of a rise is believed: part of it is chance, and no rise goes on for ever.
 const RISE_TRUST: f64 = 0.7;
 
-/// A rise is continued this far at the most, half of the time that demand takes to move.
-const LONGEST_LEAD: Duration = Duration::from_secs(3);
+/// A rise is continued this far at the most: the longest load, and the time until it begins.
+const LONGEST_LEAD: Duration = Duration::from_millis(4_500);
 
 /// The time that a request holds a slot where none was seen yet, in seconds: between the means of
 /// short and long streams.
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -15,7 +15,7 @@
 
 /// What a replica must gain, beyond its costs, in squared shares of an engine. The only holder of a
 /// model that takes 0.6 of it gains 0.18 by a second one.
-const REPLICA_GAIN: f64 = 0.08;
+const REPLICA_GAIN: f64 = 0.05;
 
 /// How much of a place for an adapter counts as load: places that are all in use cost less than slots
 /// that are, since one is free as soon as the streams of one adapter have ended.
