--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -68,6 +68,14 @@
     pub(super) urgent: bool,
 }
 
+impl CoreState {
+    /// Whether this gateway plans.
+    pub(super) fn is_planner(&self, now: ClockTime) -> bool {
+        let heard = self.directory.engines_heard(now);
+        self.peers.is_planner(heard, now)
+    }
+}
+
 /// The shared parts of a gateway.
 pub struct GatewayCore {
     state: Mutex<CoreState>,
@@ -81,8 +89,6 @@
     pub(super) inner_port: u16,
     /// The settings in force.
     pub(super) settings: SettingsFeed,
-    /// Where this gateway hears peers and sidecars.
-    pub(super) own_address: SocketAddr,
     pub(super) name: DaemonName,
     pub(super) outlet: Arc<dyn MessageOutlet>,
     /// The runtime's clock.
@@ -139,7 +145,6 @@
             pressed: Notify::new(),
             zone: settings.zone.clone(),
             inner_port: settings.inner_port,
-            own_address: settings.inner_address(),
             name: settings.name.clone(),
             settings: feed,
             outlet,
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -260,8 +260,7 @@
 fn plan_round(core: &GatewayCore) -> PlannedRound {
     let now: ClockTime = core.clock.now();
     let mut state = core.lock();
-    let heard = state.directory.engines_heard(now);
-    if state.peers.planner(heard, now) != core.own_address {
+    if !state.is_planner(now) {
         return PlannedRound::default();
     }
     let Some(config) = state.config.clone() else {
@@ -308,8 +307,7 @@
 fn log_picture(core: &GatewayCore) {
     let now = core.clock.now();
     let state = core.lock();
-    let heard = state.directory.engines_heard(now);
-    if state.peers.planner(heard, now) != core.own_address {
+    if !state.is_planner(now) {
         return;
     }
     let rows = state
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -28,15 +28,12 @@
 };
 use oatpier_serving::node::NodeSettings;
 use oatpier_wire::server::{self, ServerLimits};
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::decisions::{DecisionLog, write_lines};
 use crate::exchange::{InnerSocket, MessageOutlet};
-use crate::metrics::ServingMetrics;
-use crate::observe::{ObserveInputs, observe};
+use crate::frame::{FrameInputs, ProcessFrame};
 use crate::records::{RecordsInputs, StoreNews, records};
-use crate::reload::{ReloadInputs, SettingsFeed, SettingsSource, reload};
+use crate::reload::{SettingsFeed, SettingsSource};
 
 use self::core::{CoreInputs, GatewayCore};
 use self::handler::GatewayHandler;
@@ -87,50 +84,41 @@
         purpose: "gateways and sidecars",
         cause,
     })?;
-    let mut process = DutyProcess::default();
-    let metrics = ServingMetrics::default();
-    let (log, lines) = DecisionLog::new(settings.name.as_str(), &metrics);
-    let (news_sender, news) = ring(NEWS_RING, RingRule::Wait, metrics.ring_full.clone());
-    let core = CoreInputs {
-        clock: RuntimeClock::start(),
-        metrics: metrics.clone(),
-        log,
-        able: Arc::default(),
-    };
-    let (settings_feed, feed) = watch::channel(Arc::new(settings.clone()));
-    let reload_inputs = ReloadInputs {
+    let able = Arc::default();
+    let frame_inputs = FrameInputs {
         source,
-        settings: settings_feed,
-        stop: process.stop.clone(),
-    };
-    process.spawn("reload", || reload(reload_inputs));
-    let observe_inputs = ObserveInputs {
         metrics_listener,
         readiness_listener,
-        metrics: metrics.clone(),
-        able: Arc::clone(&core.able),
-        stop: process.stop.clone(),
+        able: Arc::clone(&able),
+    };
+    let mut frame = ProcessFrame::start(settings, frame_inputs);
+    let stop = frame.process.stop.clone();
+    let (news_sender, news) = ring(NEWS_RING, RingRule::Wait, frame.metrics.ring_full.clone());
+    let core = CoreInputs {
+        clock: RuntimeClock::start(),
+        metrics: frame.metrics.clone(),
+        log: frame.log,
+        able,
     };
-    process.spawn("observe", || observe(observe_inputs));
     let records_inputs = RecordsInputs {
-        settings: feed.clone(),
+        settings: frame.settings.clone(),
         news: news_sender,
-        metrics,
-        stop: process.stop.clone(),
+        metrics: frame.metrics,
+        stop: stop.clone(),
     };
-    process.spawn("records", || records(records_inputs));
-    let stop = process.stop.clone();
-    process.spawn("logs", || write_lines(lines, stop));
+    frame.process.spawn("records", || records(records_inputs));
     let callers_inputs = CallersInputs {
-        settings: feed,
+        settings: frame.settings,
         listener,
         socket,
         core,
         news,
-        stop: process.stop.clone(),
+        stop,
     };
-    process.spawn("callers", || callers_duty(callers_inputs));
-    Ok(process)
+    frame
+        .process
+        .spawn("callers", || callers_duty(callers_inputs));
+    Ok(frame.process)
 }
 
 /// Serves callers until the last request is answered after a stop.
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -9,11 +9,12 @@
 //! | both | logs | [`decisions`] | writes decision lines, never blocking the others |
 //! | both | observe | [`observe`] | metrics and readiness |
 //!
-//! Decisions are in `oatpier-serving`, names and formats of the users' platform in `platform/`.
+//! [`frame`] starts the duties of both. Decisions are in `oatpier-serving`, names and formats of the users' platform in `platform/`.
 
 pub mod decisions;
 pub mod errors;
 pub mod exchange;
+pub mod frame;
 pub mod gateway;
 pub mod metrics;
 pub mod observe;
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -78,12 +78,12 @@
 
 async fn read_for_ever(inputs: RecordsInputs) {
     let mut settings = Arc::clone(&inputs.settings.borrow());
-    let mut client = store_client(&settings);
+    let mut client = StoreClient::new(settings.store);
     let mut reader = RecordsReader::new(inputs.metrics);
     loop {
         let present = Arc::clone(&inputs.settings.borrow());
         if present != settings {
-            client = store_client(&present);
+            client = StoreClient::new(present.store);
             settings = present;
         }
         let period = read_period(&settings);
@@ -113,10 +113,6 @@
     bounds.config.min(bounds.drain).mul_f64(READ_SHARE)
 }
 
-fn store_client(settings: &NodeSettings) -> StoreClient {
-    StoreClient::new(settings.store)
-}
-
 /// Turns snapshots into news, and logs what changes about the store.
 struct RecordsReader {
     metrics: ServingMetrics,
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -19,14 +19,13 @@
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::residency::{EngineResidency, LoadPace, NumberedOrder};
-use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::decisions::{DecisionLine, DecisionLog, LineWeight, write_lines};
+use crate::decisions::{DecisionLine, DecisionLog, LineWeight};
 use crate::exchange::InnerSocket;
+use crate::frame::{FrameInputs, ProcessFrame};
 use crate::metrics::ServingMetrics;
-use crate::observe::{ObserveInputs, observe};
-use crate::reload::{ReloadInputs, SettingsFeed, SettingsSource, reload};
+use crate::reload::{SettingsFeed, SettingsSource};
 
 use self::engine_link::EngineLink;
 use self::pulses::PulseSender;
@@ -73,35 +72,22 @@
         purpose: "gateways",
         cause,
     })?;
-    let mut process = DutyProcess::default();
-    let metrics = ServingMetrics::default();
-    let (log, lines) = DecisionLog::new(settings.name.as_str(), &metrics);
-    let (settings_feed, feed) = watch::channel(Arc::new(settings.clone()));
-    let reload_inputs = ReloadInputs {
+    let frame_inputs = FrameInputs {
         source,
-        settings: settings_feed,
-        stop: process.stop.clone(),
-    };
-    process.spawn("reload", || reload(reload_inputs));
-    let observe_inputs = ObserveInputs {
         metrics_listener,
         readiness_listener: None,
-        metrics: metrics.clone(),
         able: Arc::new(AtomicBool::new(true)),
-        stop: process.stop.clone(),
     };
-    process.spawn("observe", || observe(observe_inputs));
-    let stop = process.stop.clone();
-    process.spawn("logs", || write_lines(lines, stop));
+    let mut frame = ProcessFrame::start(settings, frame_inputs);
     let inputs = EngineInputs {
-        settings: feed,
+        settings: frame.settings,
         socket,
-        metrics,
-        log,
-        stop: process.stop.clone(),
+        metrics: frame.metrics,
+        log: frame.log,
+        stop: frame.process.stop.clone(),
     };
-    process.spawn("engine", || engine_duty(inputs));
-    Ok(process)
+    frame.process.spawn("engine", || engine_duty(inputs));
+    Ok(frame.process)
 }
 
 /// What the engine duty works on.
--- a/crates/oatpier-gateway/src/sidecar/pulses.rs
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -92,9 +92,7 @@
 
     /// Which instance the engine is, as far as known.
     pub fn set_instance(&mut self, instance: Option<&EndpointName>) {
-        if self.instance.as_ref() != instance {
-            self.instance = instance.cloned();
-        }
+        self.instance = instance.cloned();
     }
 
     /// Sends a pulse to all gateways if one is due.
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -144,6 +144,12 @@
         able.map(|(address, _)| *address).min().unwrap_or(self.own)
     }
 
+    /// Whether this gateway plans, which hears so many engines.
+    #[must_use]
+    pub fn is_planner(&self, own_heard: u32, now: ClockTime) -> bool {
+        self.planner(own_heard, now) == self.own
+    }
+
     /// The demand of all gateways, this one's own included.
     #[must_use]
     pub fn total(&self, own: &[ModelDemand], now: ClockTime) -> HashMap<ModelName, TotalDemand> {
--- a/crates/oatpier-serving/src/planner/gain.rs
+++ b/crates/oatpier-serving/src/planner/gain.rs
@@ -55,6 +55,14 @@
     pub(super) from_store: bool,
 }
 
+/// Models that make room for a load.
+#[derive(Default)]
+pub(super) struct LoadVictims {
+    models: Vec<ModelName>,
+    /// What losing them weighs.
+    loss: f64,
+}
+
 impl PlanRound<'_> {
     pub(super) fn option(
         &self,
@@ -71,7 +79,7 @@
         if from_store && pulse.load_wait_ms > 0 {
             return None;
         }
-        let unload = self.victims(view, model)?;
+        let victims = self.victims(view, model)?;
         let store_price = match (from_store, reason) {
             (false, _) => 0.0,
             (true, LoadReason::Unreachable) => STORE_WAIT_PRICE,
@@ -79,18 +87,14 @@
         };
         Some(LoadOption {
             engine,
-            gain: self.gain(view, model, &unload) - store_price,
-            unload,
+            gain: self.gain(view, model, &victims) - store_price,
+            unload: victims.models,
             from_store,
         })
     }
 
     /// The cheapest models that make room; none if there is no room however many go.
-    pub(super) fn victims(
-        &self,
-        view: &EngineView<'_>,
-        model: &ModelName,
-    ) -> Option<Vec<ModelName>> {
+    pub(super) fn victims(&self, view: &EngineView<'_>, model: &ModelName) -> Option<LoadVictims> {
         let room = self.rule.model_room_mb();
         let needed = self.rule.model(model)?.size_mb;
         let mut used: f64 = view.held.iter().map(|held| self.size(held)).sum();
@@ -100,21 +104,22 @@
             .map(|held| (*held, self.loss(view, held)))
             .collect();
         candidates.sort_by(|one, other| one.1.total_cmp(&other.1));
-        let mut unload = Vec::new();
-        for (victim, _) in candidates {
+        let mut victims = LoadVictims::default();
+        for (victim, loss) in candidates {
             if used + needed <= room {
                 break;
             }
             used -= self.size(victim);
-            unload.push(victim.clone());
+            victims.models.push(victim.clone());
+            victims.loss += loss;
         }
-        (used + needed <= room).then_some(unload)
+        (used + needed <= room).then_some(victims)
     }
 
     /// By how much a load relieves the fleet, less what the models that go weigh. Waiting grows faster
     /// than load, so load counts by its square: taking a little from a full engine is worth more than
     /// what the same adds to an idle one.
-    fn gain(&self, view: &EngineView<'_>, model: &ModelName, unload: &[ModelName]) -> f64 {
+    fn gain(&self, view: &EngineView<'_>, model: &ModelName, victims: &LoadVictims) -> f64 {
         let Some(wanted) = self.models.get(model) else {
             return 0.0;
         };
@@ -124,15 +129,15 @@
             .other_holders(view, wanted)
             .map(|holder| holder.load.squared() - holder.load.minus(present).plus(shared).squared())
             .sum();
-        let leaving = unload
+        let leaving = victims
+            .models
             .iter()
             .filter_map(|victim| self.models.get(victim))
             .map(ModelView::share)
             .fold(EngineShare::default(), EngineShare::plus);
         let after = view.load.minus(leaving).plus(shared);
         let added = after.squared() - view.load.squared();
-        let losses: f64 = unload.iter().map(|victim| self.loss(view, victim)).sum();
-        relief - added - losses
+        relief - added - victims.loss
     }
 
     /// What losing a model at an engine weighs: the time until its streams are over, and what its other
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -5,9 +5,9 @@
 //! model whose holders are much busier than another engine would be with it. It answers with one
 //! load at a time and engine, the victims included; the sidecar there checks memory and pace.
 //!
-//! The last holder of a model is a victim only where nobody has asked for the model for long, or
-//! where a model that is asked for has no holder at all: every model stays reachable, and one that
-//! was dropped comes back when it is asked for.
+//! The last holder of a model may be a victim too, where what it makes room for relieves the fleet by more
+//! than the next requests for the model lose while it is loaded again. Every model stays reachable: one
+//! that was dropped comes back when it is asked for.
 
 pub mod forecast;
 mod gain;
@@ -24,6 +24,7 @@
 use crate::peers::TotalDemand;
 use crate::site::EngineRule;
 
+use gain::LoadOption;
 use round::{EngineShare, EngineView, PlanRound};
 
 /// How long advice is waited for before the engine gets other advice: a datagram, a notice to
@@ -152,17 +153,7 @@
         if option.from_store || !option.unload.is_empty() {
             return;
         }
-        let now = round.now;
-        let load = round.advice(&option, &model, LoadReason::Room);
-        self.given.insert(
-            load.endpoint.clone(),
-            GivenAdvice {
-                model: model.clone(),
-                at: now,
-            },
-        );
-        round.note_advised(&option, &model);
-        outcome.planned.push(load);
+        self.give(round, &option, &model, LoadReason::Room, outcome);
     }
 
     fn refill(&mut self, rule: &EngineRule, now: ClockTime) {
@@ -229,7 +220,18 @@
         if option.from_store {
             self.tokens -= 1.0;
         }
-        let load = round.advice(&option, model, reason);
+        self.give(round, &option, model, reason, outcome);
+    }
+
+    fn give(
+        &mut self,
+        round: &mut PlanRound<'_>,
+        option: &LoadOption,
+        model: &ModelName,
+        reason: LoadReason,
+        outcome: &mut PlanOutcome,
+    ) {
+        let load = round.advice(option, model, reason);
         self.given.insert(
             load.endpoint.clone(),
             GivenAdvice {
@@ -237,7 +239,7 @@
                 at: round.now,
             },
         );
-        round.note_advised(&option, model);
+        round.note_advised(option, model);
         outcome.planned.push(load);
     }
 }
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -1,10 +1,11 @@
-//! One round of the planner: engines and models as they stand, and what a load would gain and cost.
+//! One round of the planner: engines and models as they stand, and which loads they call for.
+
+use std::collections::HashMap;
+use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::ModelName;
 use smallvec::SmallVec;
-use std::collections::HashMap;
-use std::time::Duration;
 
 use super::forecast::{self, HoldTimes};
 use super::gain::LoadOption;
@@ -98,12 +99,12 @@
     /// Engines that have a copy of it.
     pub(super) copies: u32,
     /// Engines that its demand would fill.
-    pub(super) want: EngineShare,
+    want: EngineShare,
     /// Requests a second.
     pub(super) asked: f64,
     /// The time since it was asked for last; none if never.
     pub(super) idle: Option<Duration>,
-    pub(super) unserved: f64,
+    unserved: f64,
 }
 
 impl ModelView {
@@ -124,7 +125,7 @@
 
 impl EngineView<'_> {
     /// Whether it holds a model, or soon will.
-    pub(super) fn serves(&self, model: &ModelName) -> bool {
+    fn serves(&self, model: &ModelName) -> bool {
         self.held.contains(&model) || self.coming.as_ref() == Some(model)
     }
 }
--- a/crates/oatpier-soak/src/proxy.rs
+++ b/crates/oatpier-soak/src/proxy.rs
@@ -63,17 +63,14 @@
     };
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
+    let requests = copy(near_read, far_write, mode.clone(), false);
+    let answers = copy(far_read, near_write, mode.clone(), true);
     tokio::select! {
-        () = both(copy(near_read, far_write, mode.clone(), false),
-                  copy(far_read, near_write, mode.clone(), true)) => {}
+        _ = futures::future::join(requests, answers) => {}
         () = reset(mode) => {}
     }
 }
 
-async fn both(one: impl Future<Output = ()>, other: impl Future<Output = ()>) {
-    futures::join!(one, other);
-}
-
 async fn reset(mut mode: watch::Receiver<LinkMode>) {
     // An error says that the link is gone, which resets as well.
     let _ = mode.wait_for(|mode| *mode == LinkMode::Reset).await;
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -190,12 +190,6 @@
         self.lock().faults = faults;
     }
 
-    /// Whether it has models at all.
-    #[must_use]
-    pub fn is_engine(&self) -> bool {
-        !self.kind.copies.is_empty()
-    }
-
     /// Loses all connections and comes back as another instance, empty, a moment later.
     ///
     /// # Errors
