Refuse what waits in a gateway that is being stopped

Cause: a caller's connection was closed without an answer when the gateway's grace ended. After SIGTERM the gateway refuses what comes in after 2.6 s, but requests that already waited for a model went on waiting, up to 6.4 s for patient classes, and the process was killed under them.

Before: tests for each kind of wait (model, adapter, slot) fail: the requests wait out their time. After: each is refused as not run within a tenth of a second of the close, which itself comes no later than half of the grace.

--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -230,9 +230,17 @@
     }
 
     /// Waits until the request can be sent.
+    ///
+    /// A gateway that is being stopped ends what still waits: kept until the process is killed, its caller
+    /// would see a closed connection, and could not tell whether the request ran. Each wait below is a
+    /// tenth of a second at most, so this is seen long before the end.
     pub(super) async fn placement(&mut self) -> Result<PlacedSend, OwnAnswer> {
         loop {
             let changed = self.core.changed.notified();
+            if self.core.is_closed() {
+                let refusal = self.core.refusal(RefusalCause::Leaving, Duration::ZERO);
+                return Err(self.refused(refusal));
+            }
             match self.core.place(&self.plan, &self.excluded) {
                 Placement::Send(placed) => return Ok(placed),
                 Placement::Refuse(refused) => {
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -45,10 +45,14 @@
 /// connections after two misses; a connection that was sent just before must still be answered.
 const DRAIN_NOTICE: Duration = Duration::from_millis(3_200);
 
-/// From SIGTERM to refusing what comes on connections that are still open. By then the platform has
-/// taken the process out; a stream that began later might not end before SIGKILL.
+/// From SIGTERM to refusing what comes on connections that are still open, and what still waits for an
+/// endpoint. By then the platform has taken the process out; a stream that began later might not end before
+/// SIGKILL.
 const DRAIN_SERVING: Duration = Duration::from_millis(2_600);
 
+/// The part of the time until SIGKILL after which that is done at the latest, where there is little time.
+const DRAIN_PART: u32 = 2;
+
 /// The largest head before a configuration says otherwise, in bytes.
 const HEAD_BYTES: usize = 16 << 10;
 
@@ -147,7 +151,8 @@
 /// Has new requests refused once a planned stop is well under way.
 async fn close_after_notice(core: &GatewayCore, stop: &StopSignal) {
     stop.reached(StopPhase::Draining).await;
-    sleep(DRAIN_SERVING).await;
+    let grace = core.settings.borrow().bounds.grace;
+    sleep(DRAIN_SERVING.min(grace / DRAIN_PART)).await;
     core.close();
     std::future::pending::<()>().await;
 }
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod observing;
 mod pulses;
 mod refusals;
+mod stops;
 mod streams;
 mod support;
