--- a/crates/oatpier-gateway/src/exchange.rs
+++ b/crates/oatpier-gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Datagrams between gateways and sidecars.
 
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 
@@ -11,7 +12,7 @@
 const DATAGRAM_BYTES: usize = 32 << 10;
 
 /// Where messages go out. They may be lost on the way: whoever sends them repeats them.
-pub trait MessageOutlet: Send + Sync {
+pub trait MessageOutlet: fmt::Debug + Send + Sync {
     /// Sends a message, without waiting.
     fn send(&self, to: SocketAddr, message: &InnerMessage);
 }
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -8,12 +8,14 @@
 use http_body_util::{BodyExt, Limited};
 use oatpier_platform::headers::{self, AnswerHead, AnswerKind, SendTerms};
 use oatpier_serving::directory::EndpointOutcome;
+use oatpier_serving::reading::SentPrompt;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
 use oatpier_types::verdict::RunVerdict;
 use oatpier_wire::client::{AnswerBody, SendError, SendStage};
 
 use super::core::GatewayCore;
+use super::permits::HeldPermit;
 use super::placement::{PlacedSend, RequestPlan};
 
 /// The largest whole answer, in bytes. Larger ones would have to be relayed before their end is
@@ -118,6 +120,9 @@
     /// The endpoint.
     pub endpoint: EndpointName,
     sent_at: ClockTime,
+    /// The prompt, until the endpoint has read it.
+    unread: Option<SentPrompt>,
+    permit: Option<HeldPermit>,
     outcome: EndpointOutcome,
 }
 
@@ -128,13 +133,16 @@
         core: &Arc<GatewayCore>,
         plan: &Arc<RequestPlan>,
         endpoint: &EndpointName,
+        permit: Option<HeldPermit>,
     ) -> Self {
-        core.note_sent(plan, endpoint);
+        let prompt = core.note_sent(plan, endpoint);
         Self {
             core: Arc::clone(core),
             plan: Arc::clone(plan),
             endpoint: endpoint.clone(),
             sent_at: core.clock.now(),
+            unread: plan.request.weights.is_some().then_some(prompt),
+            permit,
             outcome: EndpointOutcome::Abandoned,
         }
     }
@@ -146,16 +154,26 @@
     }
 
     /// The first piece of the answer is here.
-    pub fn note_first(&self) {
+    pub fn note_first(&mut self) {
         let now = self.core.clock.now();
+        let prompt = self.unread.unwrap_or_default();
+        let took = now.since(self.sent_at);
         self.core
-            .note_first(&self.endpoint, now.since(self.sent_at));
+            .note_first(&self.plan, &self.endpoint, &prompt, took);
+        self.settle_prompt();
         let route = self.plan.route.name.as_str();
         self.core
             .metrics
             .first_after(route, now.since(self.plan.arrived));
     }
 
+    fn settle_prompt(&mut self) {
+        if let Some(prompt) = self.unread.take() {
+            self.core.note_read(&self.endpoint, &prompt);
+        }
+        self.permit = None;
+    }
+
     /// The answer came to its end.
     pub fn finish_whole(mut self) {
         let held = self.core.clock.now().since(self.sent_at);
@@ -170,6 +188,7 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        self.settle_prompt();
         self.core.note_end(&self.plan, &self.endpoint, self.outcome);
     }
 }
@@ -183,18 +202,18 @@
     core: &Arc<GatewayCore>,
     plan: &Arc<RequestPlan>,
     message: &CallerMessage,
-    placed: &PlacedSend,
+    placed: &mut PlacedSend,
     after_event: Option<&str>,
 ) -> Result<OpenAnswer, AttemptFailure> {
-    let endpoint = &placed.choice.endpoint;
+    let endpoint = placed.choice.endpoint.clone();
     let left = plan.deadline.since(core.clock.now());
     let terms = SendTerms {
-        instance: endpoint,
+        instance: &endpoint,
         left,
         after_event,
     };
     let request = outgoing(message, terms);
-    let guard = AttemptGuard::begin(core, plan, endpoint);
+    let guard = AttemptGuard::begin(core, plan, &endpoint, placed.permit.take());
     match core.client.send(placed.address, request).await {
         Ok(answer) => judge_head(core, plan, answer, guard),
         Err(error) => Err(fail_send(&error, guard)),
@@ -284,7 +303,7 @@
         status,
         headers,
         body,
-        guard,
+        mut guard,
     } = answer;
     guard.note_first();
     let Ok(collected) = Limited::new(body, WHOLE_ANSWER_BYTES).collect().await else {
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -16,6 +16,7 @@
 use oatpier_serving::node::NodeBounds;
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
+use oatpier_serving::reading::SentPrompt;
 use oatpier_serving::site::{EngineRule, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{DaemonName, EndpointName, PoolName, ZoneName};
@@ -24,6 +25,7 @@
 use rand::RngExt;
 use tokio::sync::Notify;
 
+use super::permits::PermitBook;
 use super::placement::RequestPlan;
 use crate::decisions::{DecisionLine, DecisionLog, LineWeight};
 use crate::exchange::MessageOutlet;
@@ -97,6 +99,8 @@
     pub metrics: ServingMetrics,
     /// Where decisions are logged.
     pub log: DecisionLog,
+    /// Permits that are waited for.
+    pub(super) permits: PermitBook,
     /// Calls endpoints.
     pub client: HttpClient,
     able: Arc<AtomicBool>,
@@ -151,6 +155,7 @@
             clock: inputs.clock,
             metrics: inputs.metrics,
             log: inputs.log,
+            permits: PermitBook::default(),
             client: HttpClient::new(ClientLimits {
                 connect: CONNECT_WAIT,
                 idle: IDLE_CONNECTION,
@@ -302,16 +307,25 @@
     }
 
     /// A request goes to an endpoint.
-    pub fn note_sent(&self, plan: &RequestPlan, endpoint: &EndpointName) {
+    pub fn note_sent(&self, plan: &RequestPlan, endpoint: &EndpointName) -> SentPrompt {
         let now = self.clock.now();
         let chain = choice::prefix_chain(&plan.request);
         let mut state = self.lock();
         let weights = plan.request.weights.as_ref();
         state.directory.note_sent(endpoint, weights);
+        let Some(weights) = weights else {
+            return SentPrompt::default();
+        };
+        let unread = choice::unread_at(&state.directory, endpoint, &plan.request, now);
         state.directory.note_prompt(endpoint, &chain, now);
-        if let Some(weights) = weights {
-            state.demand.note_sent(&weights.model, now);
-        }
+        let prompt = state.directory.note_reading(endpoint, weights, unread);
+        state.demand.note_sent(&weights.model, prompt.own_ms, now);
+        prompt
+    }
+
+    /// An endpoint has read a request's prompt, or will not.
+    pub fn note_read(&self, endpoint: &EndpointName, prompt: &SentPrompt) {
+        self.lock().directory.note_read(endpoint, prompt);
     }
 
     /// A request is over at an endpoint.
@@ -364,9 +378,19 @@
     }
 
     /// The first piece of an answer came.
-    pub fn note_first(&self, endpoint: &EndpointName, took: Duration) {
+    pub fn note_first(
+        &self,
+        plan: &RequestPlan,
+        endpoint: &EndpointName,
+        prompt: &SentPrompt,
+        took: Duration,
+    ) {
         let now = self.clock.now();
-        self.lock().directory.note_first(endpoint, took, now);
+        let weights = plan.request.weights.as_ref();
+        let mut state = self.lock();
+        state
+            .directory
+            .note_first(endpoint, weights, prompt, took, now);
     }
 
     /// An answer told how busy its endpoint is.
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -7,7 +7,7 @@
 use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
 use oatpier_serving::directory::EndpointRow;
 use oatpier_serving::message::{InnerMessage, MessageNumber, PeerReport};
-use oatpier_serving::planner::{BlockedLoad, PlannedLoad};
+use oatpier_serving::planner::{BlockedLoad, FleetDemand, PlannedLoad};
 use oatpier_serving::site::{EngineRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{EndpointName, PoolName};
@@ -76,10 +76,13 @@
                 let now = core.clock.now();
                 core.lock().peers.take_report(from, *report, now);
             }
+            InnerMessage::Permit(grant) => core.take_permit(grant),
             // For sidecars.
             InnerMessage::Greeting(_)
             | InnerMessage::AdapterWanted(_)
-            | InnerMessage::Advice(_) => {}
+            | InnerMessage::Advice(_)
+            | InnerMessage::PermitAsk(_)
+            | InnerMessage::PermitDone(_) => {}
         }
     }
 }
@@ -159,6 +162,7 @@
         let mut state = self.core.lock();
         let demand = state.demand.summary(now);
         state.urgent = false;
+        let uses = state.directory.model_uses();
         let peers = state.peers.addresses(now);
         let engines_heard = state.directory.engines_heard(now);
         let count = state.peers.count(now);
@@ -186,10 +190,12 @@
             leaving: self.stop.phase() != StopPhase::Serving,
             engines_heard,
             demand,
+            uses,
         };
         if number.is_multiple_of(RARE_REPORTS) {
             let short = PeerReport {
                 demand: Vec::new(),
+                uses: Vec::new(),
                 ..report.clone()
             };
             self.tell(&peers.others, short);
@@ -267,12 +273,17 @@
         return PlannedRound::default();
     };
     let own = state.demand.summary(now);
-    let demand = state.peers.total(&own, now);
+    let models = state.peers.total(&own, now);
+    let uses = state.peers.uses(&state.directory.model_uses(), now);
+    let demand = FleetDemand {
+        models: &models,
+        uses: &uses,
+    };
     let state = &mut *state;
     let mut round = PlannedRound::default();
     for (service, rule) in engine_services(&config) {
         let rows = state.directory.service(service);
-        let outcome = state.planner.plan(rule, rows, &demand, now);
+        let outcome = state.planner.plan(rule, rows, demand, now);
         round.blocked.extend(outcome.blocked);
         for load in outcome.planned {
             if let Some(row) = state.directory.row(&load.endpoint) {
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -27,6 +27,8 @@
 use super::answers::OwnAnswer;
 use super::attempt::{self, AttemptFailure, CallerMessage};
 use super::core::GatewayCore;
+use super::pauses::StreamPause;
+use super::permits::{self, PermitVerdict};
 use super::placement::{PlacedSend, Placement, RequestPlan};
 use super::relay;
 use crate::decisions::{DecisionLine, LineWeight};
@@ -212,13 +214,13 @@
 
     async fn attempts(&mut self) -> RunEnd {
         loop {
-            let placed = match self.placement().await {
+            let mut placed = match self.placement().await {
                 Ok(placed) => placed,
                 Err(own) => return RunEnd::Own(own),
             };
             self.sending = true;
             self.endpoint = Some(placed.choice.endpoint.clone());
-            let failure = match self.attempt(&placed).await {
+            let failure = match self.attempt(&mut placed).await {
                 Ok(reply) => return RunEnd::Answered(reply),
                 Err(failure) => failure,
             };
@@ -242,7 +244,22 @@
                 return Err(self.refused(refusal));
             }
             match self.core.place(&self.plan, &self.excluded) {
-                Placement::Send(placed) => return Ok(placed),
+                Placement::Send(placed) => {
+                    match permits::permit(&self.core, &self.plan, &placed).await {
+                        PermitVerdict::Free => return Ok(placed),
+                        PermitVerdict::Given(permit) => {
+                            return Ok(PlacedSend {
+                                permit: Some(permit),
+                                ..placed
+                            });
+                        }
+                        PermitVerdict::Withdrawn => {}
+                    }
+                    if let Some(refusal) = self.core.give_up_wait(&self.plan) {
+                        self.too_busy = Some(placed.choice);
+                        return Err(self.refused(refusal));
+                    }
+                }
                 Placement::Refuse(refused) => {
                     self.too_busy = refused.best;
                     return Err(self.refused(refused.refusal));
@@ -268,9 +285,10 @@
         }
     }
 
-    async fn attempt(&self, placed: &PlacedSend) -> Result<Reply, AttemptFailure> {
+    async fn attempt(&self, placed: &mut PlacedSend) -> Result<Reply, AttemptFailure> {
+        let choice = placed.choice.clone();
         let sending = attempt::send(&self.core, &self.plan, &self.message, placed, None);
-        let answer = self.or_silence(sending, placed).await?;
+        let answer = self.or_silence(sending, &choice).await?;
         if self.plan.route.kind.is_stream() && answer.status.is_success() {
             return relay::relay(self, answer).await;
         }
@@ -279,10 +297,10 @@
     }
 
     /// When an attempt is called silent.
-    fn silence_after(&self, placed: &PlacedSend) -> Duration {
-        let predicted = placed.choice.predicted * SILENCE_FACTOR;
+    fn silence_after(&self, choice: &EndpointChoice) -> Duration {
+        let predicted = choice.predicted * SILENCE_FACTOR;
         let latest = self.plan.route.target.mul_f64(SILENCE_TARGET_FACTOR);
-        let silence = predicted.min(latest).max(placed.choice.predicted * 2);
+        let silence = predicted.min(latest).max(choice.predicted * 2);
         silence.max(SILENCE_LEAST)
     }
 
@@ -292,19 +310,19 @@
     async fn or_silence<T>(
         &self,
         sending: impl Future<Output = Result<T, AttemptFailure>>,
-        placed: &PlacedSend,
+        choice: &EndpointChoice,
     ) -> Result<T, AttemptFailure> {
         let sent_at = self.core.clock.now();
-        let silent_at = sent_at + self.silence_after(placed);
+        let silent_at = sent_at + self.silence_after(choice);
         let mut sending = std::pin::pin!(sending);
         tokio::select! {
             biased;
             answer = sending.as_mut() => return answer,
             () = sleep_until(self.core.clock.instant(silent_at)) => {}
         }
-        self.core.note_silence(&placed.choice.endpoint, sent_at);
+        self.core.note_silence(&choice.endpoint, sent_at);
         let may_repeat = self.plan.route.kind.is_idempotent() && self.sends_left() >= 2;
-        if may_repeat && self.may_move_from(&placed.choice.endpoint) {
+        if may_repeat && self.may_move_from(&choice.endpoint) {
             return Err(AttemptFailure::Silent);
         }
         sending.await
@@ -411,6 +429,37 @@
         self.core.metrics.attempted(failure.as_str());
     }
 
+    /// Logs why a whole stream was late, if it was.
+    pub(super) fn log_lateness(
+        &self,
+        endpoint: &EndpointName,
+        first_after: Duration,
+        pause: Option<StreamPause>,
+    ) {
+        let is_late = first_after > self.plan.route.target;
+        let cause = match (is_late, pause.is_some()) {
+            (false, false) => return,
+            (true, false) => "start",
+            (false, true) => "pause",
+            (true, true) => "start and pause",
+        };
+        let line = DecisionLine::new(LineWeight::Notable, "stream late")
+            .with("request", self.plan.request.id.as_str())
+            .with("route", self.plan.route.name.as_str())
+            .with("endpoint", endpoint.as_str())
+            .with("cause", cause)
+            .with("first_ms", millis(first_after))
+            .with("pause_ms", pause.map(|pause| millis(pause.length)))
+            .with("after_pieces", pause.map(|pause| pause.after_pieces))
+            .with("requests_there", pause.map(|pause| pause.engine.requests))
+            .with("waiting_there", pause.map(|pause| pause.engine.waiting))
+            .with(
+                "reading_ms",
+                pause.map(|pause| pause.engine.reading_ms.round()),
+            );
+        self.core.log.write(line);
+    }
+
     /// Logs an answer that an endpoint gave.
     pub(super) fn log_answered(&self, status: StatusCode) {
         let (outcome, weight) = if status.is_success() {
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -5,6 +5,8 @@
 //! - [`placement`]: a request on its way, and what is to be done with it.
 //! - `placing`: where a request goes now.
 //! - [`attempt`]: one attempt at one endpoint.
+//! - [`permits`]: asking sidecars for permits to send their engines prompts.
+//! - [`pauses`]: what made a stream late.
 //! - [`relay`]: an answer that goes back as a stream of events.
 //! - [`answers`]: answers of the gateway's own.
 //! - [`exchanges`]: what gateways and sidecars tell each other, and the planner's rounds.
@@ -14,6 +16,8 @@
 pub mod core;
 pub mod exchanges;
 pub mod handler;
+pub mod pauses;
+pub mod permits;
 pub mod placement;
 mod placing;
 pub mod relay;
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -0,0 +1,187 @@
+//! Asking sidecars for permits to send their engines prompts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use oatpier_serving::admission;
+use oatpier_serving::message::{InnerMessage, PermitAsk, PermitGrant};
+use oatpier_serving::site::RouteKind;
+use oatpier_types::names::EndpointName;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::core::GatewayCore;
+use super::placement::{PlacedSend, RequestPlan};
+use crate::exchange::MessageOutlet;
+
+/// An ask is repeated this often: a lost datagram should cost no more than a prompt takes to be read.
+const ASK_EVERY: Duration = Duration::from_millis(30);
+
+/// What came of an ask.
+#[derive(Debug)]
+pub enum PermitVerdict {
+    /// The prompt may be sent.
+    Given(HeldPermit),
+    /// None is needed, or there is nobody to give one.
+    Free,
+    /// The endpoint can no longer take the request, or the wait took too long: it is placed anew.
+    Withdrawn,
+}
+
+/// A permit; given back when it is dropped.
+#[derive(Debug)]
+pub struct HeldPermit {
+    outlet: Arc<dyn MessageOutlet>,
+    sidecar: SocketAddr,
+    id: u64,
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        let done = InnerMessage::PermitDone(PermitGrant { id: self.id });
+        self.outlet.send(self.sidecar, &done);
+    }
+}
+
+/// Asks that wait for an answer.
+#[derive(Debug, Default)]
+pub struct PermitBook {
+    asks: Mutex<HashMap<u64, oneshot::Sender<()>>>,
+}
+
+impl PermitBook {
+    /// A sidecar gave a permit.
+    fn take_grant(&self, grant: PermitGrant) {
+        if let Some(waiting) = self.lock().remove(&grant.id) {
+            // The request may have been given up at this moment.
+            let _ = waiting.send(());
+        }
+    }
+
+    fn open(&self, id: u64) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.lock().insert(id, sender);
+        receiver
+    }
+
+    fn close(&self, id: u64) {
+        self.lock().remove(&id);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<()>>> {
+        self.asks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An ask that is being waited for; withdrawn when its request is dropped.
+struct OpenAsk {
+    core: Arc<GatewayCore>,
+    endpoint: EndpointName,
+    sidecar: SocketAddr,
+    ask: PermitAsk,
+}
+
+impl OpenAsk {
+    fn begin(core: &Arc<GatewayCore>, placed: &PlacedSend, ask: PermitAsk) -> Self {
+        let endpoint = placed.choice.endpoint.clone();
+        core.lock().directory.note_asked(&endpoint, ask.reading());
+        Self {
+            core: Arc::clone(core),
+            endpoint,
+            sidecar: SocketAddr::new(placed.address.ip(), core.inner_port),
+            ask,
+        }
+    }
+
+    fn held(&self) -> HeldPermit {
+        HeldPermit {
+            outlet: Arc::clone(&self.core.outlet),
+            sidecar: self.sidecar,
+            id: self.ask.id,
+        }
+    }
+
+    fn send(&self, plan: &RequestPlan) {
+        let ask = PermitAsk {
+            due_in_ms: due_in_ms(&self.core, plan),
+            ..self.ask
+        };
+        self.core
+            .outlet
+            .send(self.sidecar, &InnerMessage::PermitAsk(ask));
+    }
+}
+
+impl Drop for OpenAsk {
+    fn drop(&mut self) {
+        self.core.permits.close(self.ask.id);
+        let mut state = self.core.lock();
+        state
+            .directory
+            .note_permitted(&self.endpoint, self.ask.reading());
+    }
+}
+
+/// How long a request may wait and be in time, in milliseconds.
+fn due_in_ms(core: &GatewayCore, plan: &RequestPlan) -> u32 {
+    let waited = core.clock.now().since(plan.arrived);
+    let left = admission::latest_wait(&plan.route).saturating_sub(waited);
+    u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Waits for a permit to send a prompt to an engine. Plain services read no prompts, and an engine whose
+/// sidecar is not heard gives no permits.
+pub(super) async fn permit(
+    core: &Arc<GatewayCore>,
+    plan: &RequestPlan,
+    placed: &PlacedSend,
+) -> PermitVerdict {
+    let RouteKind::Stream { pause, .. } = plan.route.kind else {
+        return PermitVerdict::Free;
+    };
+    if placed.load_age.is_none() || placed.choice.own_reading.is_zero() {
+        return PermitVerdict::Free;
+    }
+    let ask = PermitAsk {
+        id: rand::random(),
+        reading_us: u32::try_from(placed.choice.own_reading.as_micros()).unwrap_or(u32::MAX),
+        pause_ms: u32::try_from(pause.as_millis()).unwrap_or(u32::MAX),
+        due_in_ms: 0,
+    };
+    let mut answer = core.permits.open(ask.id);
+    let open = OpenAsk::begin(core, placed, ask);
+    loop {
+        open.send(plan);
+        if timeout(ASK_EVERY, &mut answer).await.is_ok() {
+            return PermitVerdict::Given(open.held());
+        }
+        if !core.still_takes(plan, &open.endpoint) {
+            return PermitVerdict::Withdrawn;
+        }
+    }
+}
+
+impl GatewayCore {
+    /// Takes a sidecar's permit.
+    pub fn take_permit(&self, grant: PermitGrant) {
+        self.permits.take_grant(grant);
+    }
+
+    /// Whether an endpoint can still take a request that waits for a permit there.
+    fn still_takes(&self, plan: &RequestPlan, endpoint: &EndpointName) -> bool {
+        let now = self.clock.now();
+        let most = admission::longest_wait(&plan.route, plan.first_patience());
+        if self.is_closed() || now.since(plan.arrived) > most {
+            return false;
+        }
+        let state = self.lock();
+        let Some(row) = state.directory.row(endpoint) else {
+            return false;
+        };
+        let weights = plan.request.weights.as_ref();
+        let holds = weights.is_none_or(|weights| row.holds(&weights.model, now));
+        holds && row.is_open(now) && !row.is_overdue(now)
+    }
+}
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use super::permits::HeldPermit;
 use oatpier_serving::call::CallerRequest;
 use oatpier_serving::choice::EndpointChoice;
 use oatpier_serving::site::{RouteKind, RouteRule};
@@ -16,6 +17,10 @@
 /// caller does better to come back.
 const WEIGHTS_WAIT_SHARE: f64 = 0.4;
 
+/// A request waits for a model at most for this share of its caller's patience: the rest is the way to the
+/// engine and the reading of its prompt, behind others that waited for the same model.
+const MODEL_WAIT_SHARE: f64 = 0.75;
+
 /// Callers of streams leave when nothing came for the longest of: two seconds, four times the target
 /// of the first piece, and eight times the longest pause that is in time.
 const PATIENCE_LEAST: Duration = Duration::from_secs(2);
@@ -41,7 +46,7 @@
 
 impl RequestPlan {
     /// How long its caller waits for the first piece of the answer.
-    fn first_patience(&self) -> Duration {
+    pub(super) fn first_patience(&self) -> Duration {
         let whole = self.deadline.since(self.arrived);
         let RouteKind::Stream { pause, .. } = self.route.kind else {
             return whole;
@@ -50,6 +55,11 @@
         whole.min(first.max(PATIENCE_LEAST))
     }
 
+    /// How long it waits for its model at the most.
+    pub(super) fn model_patience(&self) -> Duration {
+        self.first_patience().mul_f64(MODEL_WAIT_SHARE)
+    }
+
     /// How long it waits for weights at the most.
     pub(super) fn weights_patience(&self) -> Duration {
         self.first_patience().mul_f64(WEIGHTS_WAIT_SHARE)
@@ -57,7 +67,7 @@
 }
 
 /// What is to be done with a request now.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Placement {
     /// Send it there.
     Send(PlacedSend),
@@ -88,7 +98,7 @@
 }
 
 /// Where a request is sent.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub struct PlacedSend {
     /// The choice, with its prediction.
     pub choice: EndpointChoice,
@@ -96,4 +106,6 @@
     pub address: SocketAddr,
     /// How old the last word of the endpoint's sidecar was; none without one.
     pub load_age: Option<Duration>,
+    /// The permit to send it its prompt, if one is needed.
+    pub permit: Option<HeldPermit>,
 }
--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oatpier_serving::admission::AdmissionVerdict;
+use oatpier_serving::admission::{self, AdmissionQuery, AdmissionVerdict};
 use oatpier_serving::call::WeightsKey;
 use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict, EndpointChoice};
 use oatpier_serving::message::{AdapterWish, InnerMessage};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
-use oatpier_types::refusal::RefusalCause;
+use oatpier_types::refusal::{Refusal, RefusalCause};
 
 use super::core::{CoreState, GatewayCore};
 use super::placement::{PlacedSend, Placement, PlacementRefusal, RequestPlan};
@@ -17,7 +17,7 @@
 /// While no engine is loading the model yet, a request waits so long for the planner to act.
 const PLANNER_WAIT: Duration = Duration::from_millis(400);
 
-/// When to come back where a model has to be loaded: about one load.
+/// When to come back where a model has to be loaded of which the configuration says nothing.
 const MODEL_RETURN: Duration = Duration::from_millis(900);
 
 /// When to come back where an adapter found no place in time: places are free when streams end.
@@ -38,24 +38,34 @@
     pub fn place(&self, plan: &RequestPlan, excluded: &[EndpointName]) -> Placement {
         let now = self.clock.now();
         let mut state = self.lock();
-        let engine = state.config.as_ref().and_then(|config| {
-            let service = config.service(&plan.service)?;
-            service.engine.as_ref().map(|rule| rule.adapter_slots)
-        });
+        let config = state.config.clone();
+        let service = config
+            .as_ref()
+            .and_then(|config| config.service(&plan.service));
+        let engine = service.and_then(|service| service.engine.as_ref());
         let query = ChoiceQuery {
             service: &plan.service,
             request: &plan.request,
             zone: &self.zone,
             excluded,
+            engine,
         };
         match choice::choose(&state.directory, &query, now) {
             ChoiceVerdict::Endpoint(choice) => {
-                let verdict = state.judge.judge(&choice, &plan.route, plan.arrived, now);
+                let verdict = state.judge.judge(&AdmissionQuery {
+                    choice: &choice,
+                    route: &plan.route,
+                    waited: now.since(plan.arrived),
+                    patience: plan.first_patience(),
+                });
                 if verdict != AdmissionVerdict::Send {
                     self.note_unserved(&mut state, plan, now);
                 }
                 match verdict {
-                    AdmissionVerdict::Send => self.place_at(&mut state, plan, choice, engine, now),
+                    AdmissionVerdict::Send => {
+                        let slots = engine.map_or(0, |rule| rule.adapter_slots);
+                        self.place_at(&mut state, plan, choice, slots, now)
+                    }
                     AdmissionVerdict::Wait(most) => Placement::Pause(most),
                     AdmissionVerdict::Refuse(refusal) => Placement::Refuse(PlacementRefusal {
                         refusal,
@@ -63,9 +73,12 @@
                     }),
                 }
             }
-            ChoiceVerdict::NoModel { loading } => {
+            ChoiceVerdict::NoModel { ready_in } => {
                 self.note_unserved(&mut state, plan, now);
-                place_without_model(&mut state, plan, loading, now)
+                let rule =
+                    engine.and_then(|rule| rule.model(&plan.request.weights.as_ref()?.model));
+                let load = rule.map_or(MODEL_RETURN, |rule| rule.load);
+                place_without_model(&mut state, plan, ready_in, load, now)
             }
             ChoiceVerdict::NoEndpoint => {
                 let refusal = state.judge.refusal(RefusalCause::NoEndpoint, ABSENT_RETURN);
@@ -74,12 +87,20 @@
         }
     }
 
+    /// The refusal of a request that has waited as long as it may.
+    pub(super) fn give_up_wait(&self, plan: &RequestPlan) -> Option<Refusal> {
+        let waited = self.clock.now().since(plan.arrived);
+        let most = admission::longest_wait(&plan.route, plan.first_patience());
+        let mut state = self.lock();
+        (waited > most).then(|| state.judge.too_late(Duration::ZERO))
+    }
+
     fn place_at(
         &self,
         state: &mut CoreState,
         plan: &RequestPlan,
         choice: EndpointChoice,
-        engine: Option<usize>,
+        adapter_slots: usize,
         now: ClockTime,
     ) -> Placement {
         let Some(row) = state.directory.row(&choice.endpoint) else {
@@ -99,7 +120,7 @@
                 });
             }
             let sidecar = SocketAddr::new(address.ip(), self.inner_port);
-            self.wish(plan.request.weights.as_ref(), sidecar, engine.unwrap_or(0));
+            self.wish(plan.request.weights.as_ref(), sidecar, adapter_slots);
             return Placement::Wait(ADAPTER_RETRY);
         }
         state.directory.note_probe(&choice.endpoint, now);
@@ -107,6 +128,7 @@
             choice,
             address,
             load_age,
+            permit: None,
         })
     }
 
@@ -122,26 +144,25 @@
     }
 }
 
-/// A request whose model nobody holds waits while there is a good chance that it is loaded in
-/// time, and is told to come back otherwise.
+/// A request whose model nobody holds waits if it will be there before its caller leaves, and is told at once
+/// to come back when it should be there otherwise.
 fn place_without_model(
     state: &mut CoreState,
     plan: &RequestPlan,
-    loading: bool,
+    ready_in: Option<Duration>,
+    load: Duration,
     now: ClockTime,
 ) -> Placement {
     let waited = now.since(plan.arrived);
-    let most = plan.weights_patience();
-    let patience = if loading {
-        most
-    } else {
-        most.min(PLANNER_WAIT)
+    let most = plan.model_patience();
+    let is_in_time = match ready_in {
+        Some(ready_in) => waited + ready_in < most,
+        None => waited < PLANNER_WAIT.min(most),
     };
-    if waited < patience {
-        return Placement::Wait(MODEL_RETRY.min(patience.saturating_sub(waited)));
+    if is_in_time {
+        return Placement::Wait(MODEL_RETRY);
     }
-    let refusal = state
-        .judge
-        .refusal(RefusalCause::WeightsMissing, MODEL_RETURN);
+    let after = ready_in.unwrap_or(load);
+    let refusal = state.judge.refusal(RefusalCause::WeightsMissing, after);
     PlacementRefusal::without_endpoint(refusal)
 }
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -23,6 +23,7 @@
 
 use super::attempt::{self, AttemptFailure, AttemptGuard, OpenAnswer};
 use super::handler::RequestRun;
+use super::pauses::PauseWatch;
 use super::placement::PlacedSend;
 
 /// A stream that may be resumed is given up after this many of the longest pauses that are in time.
@@ -48,6 +49,8 @@
     tail: Vec<u8>,
     stall: Duration,
     first: Option<Bytes>,
+    first_after: Duration,
+    pauses: PauseWatch,
 }
 
 /// What came next of a stream.
@@ -86,6 +89,8 @@
         tail: Vec::new(),
         stall: (pause * STALL_PAUSES).max(STALL_LEAST),
         first: None,
+        first_after: Duration::ZERO,
+        pauses: PauseWatch::begin(&run.plan.route, run.core.clock.now()),
     };
     match relay.step_or_move().await {
         StreamStep::Piece(piece) => relay.first = Some(piece),
@@ -96,9 +101,12 @@
         }
         StreamStep::Stalled | StreamStep::Expired => return Err(AttemptFailure::Silent),
     }
-    if let Some(guard) = &relay.guard {
+    if let Some(guard) = &mut relay.guard {
         guard.note_first();
     }
+    let now = run.core.clock.now();
+    relay.first_after = now.since(run.plan.arrived);
+    relay.pauses = PauseWatch::begin(&run.plan.route, now);
     run.log_answered(status);
     let pieces = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
@@ -123,7 +131,10 @@
         self.guard.as_ref()?;
         loop {
             let failure = match self.step_or_move().await {
-                StreamStep::Piece(piece) => return Some(Ok(piece)),
+                StreamStep::Piece(piece) => {
+                    self.note_piece();
+                    return Some(Ok(piece));
+                }
                 StreamStep::End => {
                     self.finish();
                     return None;
@@ -228,8 +239,18 @@
         self.at_event_end = self.tail == EVENT_END;
     }
 
+    fn note_piece(&mut self) {
+        if let Some(guard) = &self.guard {
+            let now = self.run.core.clock.now();
+            self.pauses.note_piece(&self.run.core, &guard.endpoint, now);
+        }
+    }
+
     fn finish(&mut self) {
         if let Some(guard) = self.guard.take() {
+            let pause = self.pauses.late_by();
+            self.run
+                .log_lateness(&guard.endpoint, self.first_after, pause);
             guard.finish_whole();
         }
     }
@@ -250,11 +271,11 @@
                 return None;
             }
             let deadline = self.run.core.clock.instant(self.run.plan.deadline);
-            let placed = timeout_at(deadline, self.run.placement())
+            let mut placed = timeout_at(deadline, self.run.placement())
                 .await
                 .ok()?
                 .ok()?;
-            match self.send_on(&placed).await {
+            match self.send_on(&mut placed).await {
                 Ok(()) => return Some(()),
                 Err(next) => {
                     failure = next;
@@ -264,7 +285,7 @@
         }
     }
 
-    async fn send_on(&mut self, placed: &PlacedSend) -> Result<(), AttemptFailure> {
+    async fn send_on(&mut self, placed: &mut PlacedSend) -> Result<(), AttemptFailure> {
         let run = &self.run;
         let after_event = self.last_event.as_deref();
         let sending = attempt::send(&run.core, &run.plan, &run.message, placed, after_event);
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use oatpier_duty::duty::{RingSender, StopPhase, StopSignal};
 use oatpier_platform::config;
-use oatpier_platform::store::{StoreClient, StoreSnapshot};
+use oatpier_platform::store::{StoreClient, StoreSnapshot, UnreadableEntry};
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::site::SiteConfig;
@@ -120,6 +120,23 @@
     reachable: Option<bool>,
     /// Reads in a row that failed.
     failures: u32,
+    unreadable: UnreadableEntries,
+}
+
+/// Entries of the store that can't be read. They are read anew about once a second, and would fill the log.
+#[derive(Debug, Default)]
+pub struct UnreadableEntries {
+    known: Vec<UnreadableEntry>,
+}
+
+impl UnreadableEntries {
+    /// Takes what the last read found; gives back those that have appeared or changed.
+    pub fn renew(&mut self, found: Vec<UnreadableEntry>) -> Vec<UnreadableEntry> {
+        let is_new = |entry: &&UnreadableEntry| !self.known.contains(entry);
+        let fresh = found.iter().filter(is_new).cloned().collect();
+        self.known = found;
+        fresh
+    }
 }
 
 impl RecordsReader {
@@ -129,6 +146,7 @@
             config: None,
             reachable: None,
             failures: 0,
+            unreadable: UnreadableEntries::default(),
         }
     }
 
@@ -154,8 +172,9 @@
         }
         self.reachable = Some(true);
         self.failures = 0;
-        for reason in &snapshot.unreadable {
-            spdlog::warn!("an entry of the store can't be used", kv: { reason: });
+        for entry in self.unreadable.renew(snapshot.unreadable) {
+            let (key, reason) = (entry.key.as_str(), entry.reason.as_str());
+            spdlog::warn!("an entry of the store can't be used", kv: { key:, reason: });
         }
         StoreNews::Read {
             config: snapshot.config.and_then(|value| self.changed(value)),
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -18,11 +18,12 @@
 use oatpier_serving::engine::{EngineOrder, OrderAnswer};
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::node::NodeSettings;
+use oatpier_serving::permits::PermitDesk;
 use oatpier_serving::residency::{EngineResidency, LoadPace, NumberedOrder};
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 use crate::decisions::{DecisionLine, DecisionLog, LineWeight};
-use crate::exchange::InnerSocket;
+use crate::exchange::{InnerSocket, MessageOutlet};
 use crate::frame::{FrameInputs, ProcessFrame};
 use crate::metrics::ServingMetrics;
 use crate::reload::{SettingsFeed, SettingsSource};
@@ -118,6 +119,7 @@
     };
     let mut sidecar = EngineSidecar {
         residency: EngineResidency::new(pace, settings.first_start, clock.now()),
+        permits: PermitDesk::default(),
         link: EngineLink::new(address, settings.name.clone()),
         pulses: PulseSender::new(address, settings.service.clone()),
         socket,
@@ -139,6 +141,7 @@
 /// The loop around one engine.
 struct EngineSidecar {
     residency: EngineResidency,
+    permits: PermitDesk,
     link: EngineLink,
     pulses: PulseSender,
     socket: InnerSocket,
@@ -159,17 +162,39 @@
         let mut ticks = interval(REPORT_EVERY);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            let permit_at = self.next_permit();
             tokio::select! {
                 biased;
                 (from, message) = self.socket.receive() => self.hear(from, message),
+                () = permit_at => self.give_permits(),
                 _ = ticks.tick() => self.refresh().await,
             }
             self.give_orders().await;
             let now = self.clock.now();
+            self.pulses.set_permit_wait(self.permits.waiting());
             self.pulses.send_due(&self.socket, &self.residency, now);
         }
     }
 
+    /// Returns when a permit may be given that could not be given before.
+    fn next_permit(&self) -> impl Future<Output = ()> + use<> {
+        let at = self.permits.next_at();
+        let at = at.map(|at| self.clock.instant(at));
+        async move {
+            match at {
+                Some(at) => sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    fn give_permits(&mut self) {
+        for due in self.permits.due(self.clock.now()) {
+            let message = InnerMessage::Permit(due.grant);
+            MessageOutlet::send(&self.socket, due.to, &message);
+        }
+    }
+
     fn hear(&mut self, from: SocketAddr, message: InnerMessage) {
         let now = self.clock.now();
         match message {
@@ -189,8 +214,19 @@
                 self.log.write(line);
                 self.residency.take_advice(advice, now);
             }
+            InnerMessage::PermitAsk(ask) => {
+                self.permits.take_ask(from, ask, now);
+                self.give_permits();
+            }
+            InnerMessage::PermitDone(permit) => {
+                self.permits.take_back(permit.id);
+                self.give_permits();
+            }
             // For gateways.
-            InnerMessage::Pulse(_) | InnerMessage::Load(_) | InnerMessage::Peer(_) => {}
+            InnerMessage::Pulse(_)
+            | InnerMessage::Load(_)
+            | InnerMessage::Peer(_)
+            | InnerMessage::Permit(_) => {}
         }
     }
 
@@ -221,7 +257,7 @@
     }
 
     fn forget_engine(&mut self) {
-        self.residency.forget_engine();
+        self.residency.forget_engine(self.clock.now());
         self.link.forget_instance();
         self.pulses.set_instance(None);
     }
--- a/crates/oatpier-gateway/src/sidecar/pulses.rs
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -49,6 +49,7 @@
     instance: Option<EndpointName>,
     number: MessageNumber,
     answers: bool,
+    permit_wait_ms: u32,
     gateways: HashMap<SocketAddr, ClockTime>,
     /// Where the next whole pulse goes on naming gateways.
     next_named: usize,
@@ -70,6 +71,7 @@
                 number: 0,
             },
             answers: false,
+            permit_wait_ms: 0,
             gateways: HashMap::new(),
             next_named: rand::random_range(0..NAMED_GATEWAYS * NAMED_GATEWAYS),
             last: None,
@@ -83,6 +85,11 @@
         std::mem::replace(&mut self.answers, answers)
     }
 
+    /// The time to read the prompts that wait for permits.
+    pub fn set_permit_wait(&mut self, waiting: Duration) {
+        self.permit_wait_ms = u32::try_from(waiting.as_millis()).unwrap_or(u32::MAX);
+    }
+
     /// A gateway greeted. A new one is told at once.
     pub fn note_gateway(&mut self, gateway: SocketAddr, now: ClockTime) {
         if self.gateways.insert(gateway, now).is_none() {
@@ -136,6 +143,7 @@
         if let Some(last) = &mut self.last {
             last.load = pulse.load;
             last.memory_used = pulse.memory_used;
+            last.permit_wait_ms = pulse.permit_wait_ms;
         }
         let message = InnerMessage::Load(LoadPulse {
             number: self.number,
@@ -143,6 +151,7 @@
             load: pulse.load,
             memory_used: pulse.memory_used,
             load_wait_ms: pulse.load_wait_ms,
+            permit_wait_ms: pulse.permit_wait_ms,
         });
         for gateway in self.gateways.keys() {
             outlet.send(*gateway, &message);
@@ -158,12 +167,15 @@
             load: last.load,
             memory_used: last.memory_used,
             load_wait_ms: last.load_wait_ms,
+            permit_wait_ms: last.permit_wait_ms,
             ..pulse.clone()
         };
         if same_load != *last || now.since(self.whole_at) >= WHOLE_EVERY {
             return PulseDue::Whole;
         }
-        let load_changed = last.load != pulse.load || last.memory_used != pulse.memory_used;
+        let load_changed = last.load != pulse.load
+            || last.memory_used != pulse.memory_used
+            || last.permit_wait_ms != pulse.permit_wait_ms;
         let gateways = u32::try_from(self.gateways.len()).unwrap_or(u32::MAX);
         let load_every = (LOAD_EVERY_EACH * gateways).max(LOAD_EVERY);
         if load_changed && now.since(self.load_at) >= load_every {
@@ -185,6 +197,7 @@
             engine: self.engine,
             service: self.service.clone(),
             instance: self.instance.clone(),
+            start: report.start,
             answers: self.answers,
             load: EndpointLoad {
                 running: report.load.running,
@@ -200,6 +213,7 @@
             copies: report.copies.clone(),
             draining: report.draining,
             load_wait_ms: u32::try_from(wait_ms).unwrap_or(u32::MAX),
+            permit_wait_ms: self.permit_wait_ms,
             gateways: Vec::new(),
         }
     }
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -3,7 +3,9 @@
 mod failures;
 mod forwarding;
 mod observing;
+mod permits;
 mod pulses;
+mod records;
 mod refusals;
 mod stops;
 mod streams;
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -287,6 +287,7 @@
 pub fn record(number: u8, address: SocketAddr) -> EndpointRecord {
     EndpointRecord {
         name: EndpointName::try_from(format!("i-{number}").as_str()).unwrap(),
+        start: None,
         service: service(),
         address,
         zone: ZoneName::try_from("near").unwrap(),
@@ -304,6 +305,7 @@
         engine,
         service: Some(service()),
         instance: None,
+        start: None,
         answers: true,
         load: EndpointLoad::default(),
         memory_used: 0,
@@ -316,6 +318,7 @@
         copies: LocalCopies::default(),
         draining: false,
         load_wait_ms: 0,
+        permit_wait_ms: 0,
         gateways: Vec::new(),
     }
 }
--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -11,7 +11,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use oatpier_types::clock::ClockTime;
 use oatpier_types::refusal::{Refusal, RefusalCause};
 
 use crate::choice::EndpointChoice;
@@ -27,6 +26,13 @@
 /// fell from step to step.
 const URGENT_EXTRA: f64 = 0.06;
 
+/// The share of a caller's patience for the first piece that it may wait for a slot, once it can no longer be
+/// in time. The rest is for reading its prompt; who is refused then has the time to come back once.
+const LATE_SHARE: f64 = 0.6;
+
+/// The share of an engine's slots that is kept from requests which can only be late.
+const LATE_RESERVE: f64 = 0.06;
+
 /// A class whose first piece may take longer than this is not urgent.
 const PATIENT_TARGET: Duration = Duration::from_millis(600);
 
@@ -36,7 +42,7 @@
 /// The least and the most that a refused caller is told to wait. Below, it would come back
 /// before anything has changed; above, most callers have given up.
 const RETURN_LEAST: Duration = Duration::from_millis(60);
-const RETURN_MOST: Duration = Duration::from_millis(2_500);
+const RETURN_MOST: Duration = Duration::from_secs(5);
 
 /// What a refusal for want of room adds to the time to return, where all requests are refused.
 const RETURN_PRESSED: Duration = Duration::from_millis(1_800);
@@ -47,6 +53,43 @@
 /// The weight of one more request in the share of refused ones: about the last forty count.
 const PRESSURE_WEIGHT: f64 = 0.025;
 
+/// How long a request of a route may wait at the gateway and be in time.
+#[must_use]
+pub fn latest_wait(route: &RouteRule) -> Duration {
+    route.target.mul_f64(WAIT_SHARE)
+}
+
+/// How long a request may wait at the gateway at all, whose caller waits so long for the first piece.
+#[must_use]
+pub fn longest_wait(route: &RouteRule, patience: Duration) -> Duration {
+    latest_wait(route).max(patience.mul_f64(LATE_SHARE))
+}
+
+/// A request that asks for a slot.
+#[derive(Debug, Clone, Copy)]
+pub struct AdmissionQuery<'a> {
+    /// The endpoint for it.
+    pub choice: &'a EndpointChoice,
+    /// Its route.
+    pub route: &'a RouteRule,
+    /// How long it has been here.
+    pub waited: Duration,
+    /// How long its caller waits for the first piece of the answer, from when it came.
+    pub patience: Duration,
+}
+
+impl AdmissionQuery<'_> {
+    /// Until when it may wait and be in time.
+    fn latest(&self) -> Duration {
+        latest_wait(self.route)
+    }
+
+    /// Whether its first piece can only be late.
+    fn is_late(&self) -> bool {
+        self.waited >= self.latest()
+    }
+}
+
 /// What is to be done with a request that has an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionVerdict {
@@ -75,26 +118,25 @@
         }
     }
 
-    /// What is to be done with a request that came in at `arrived`.
-    pub fn judge(
-        &mut self,
-        choice: &EndpointChoice,
-        route: &RouteRule,
-        arrived: ClockTime,
-        now: ClockTime,
-    ) -> AdmissionVerdict {
-        if has_slot(choice, route) {
+    /// What is to be done with a request.
+    pub fn judge(&mut self, query: &AdmissionQuery<'_>) -> AdmissionVerdict {
+        let choice = query.choice;
+        if has_slot(query) {
             self.pressure -= self.pressure * PRESSURE_WEIGHT;
             return AdmissionVerdict::Send;
         }
-        let latest = route.target.mul_f64(WAIT_SHARE);
-        let waited = now.since(arrived);
-        if waited + choice.queue / 2 < latest {
+        let most = longest_wait(query.route, query.patience);
+        if query.waited + choice.queue / 2 < most {
             return AdmissionVerdict::Wait(LOOK_AGAIN);
         }
+        AdmissionVerdict::Refuse(self.too_late(choice.queue))
+    }
+
+    /// A refusal for want of room, where a queue of this length is left.
+    pub fn too_late(&mut self, queue: Duration) -> Refusal {
         self.pressure += (1.0 - self.pressure) * PRESSURE_WEIGHT;
-        let after = choice.queue + RETURN_PRESSED.mul_f64(self.pressure);
-        AdmissionVerdict::Refuse(self.refusal(RefusalCause::TooLate, after))
+        let after = queue + RETURN_PRESSED.mul_f64(self.pressure);
+        self.refusal(RefusalCause::TooLate, after)
     }
 
     /// A refusal with a time to return, spread.
@@ -108,8 +150,9 @@
     }
 }
 
-/// Whether a class may take one more slot at the chosen endpoint.
-fn has_slot(choice: &EndpointChoice, route: &RouteRule) -> bool {
+/// Whether a request may take one more slot at the chosen endpoint.
+fn has_slot(query: &AdmissionQuery<'_>) -> bool {
+    let (choice, route) = (query.choice, query.route);
     if !choice.batches {
         return choice.queue <= route.target.mul_f64(WAIT_SHARE);
     }
@@ -117,6 +160,10 @@
         return false;
     }
     let urgent = route.priority == 0 && route.target <= PATIENT_TARGET;
-    let extra = if urgent { URGENT_EXTRA } else { 0.0 };
-    choice.occupancy < 1.0 + extra
+    let most = match (query.is_late(), urgent) {
+        (true, _) => 1.0 - LATE_RESERVE,
+        (false, true) => 1.0 + URGENT_EXTRA,
+        (false, false) => 1.0,
+    };
+    choice.occupancy < most
 }
--- a/crates/oatpier-serving/src/choice.rs
+++ b/crates/oatpier-serving/src/choice.rs
@@ -13,6 +13,7 @@
 
 use crate::call::{CallerRequest, PromptPart, WeightsKey};
 use crate::directory::{AdapterState, EndpointDirectory, EndpointRow, PART_UNITS};
+use crate::site::EngineRule;
 
 /// The price of sending a request to another availability zone, in milliseconds of waiting: the
 /// way there and back (about 3 ms), and bytes between zones, which are charged for.
@@ -44,9 +45,6 @@
 /// grows, so requests are spread before slots run out.
 const CROWD_MS: f64 = 40.0;
 
-/// Prompt tokens that an engine reads in a millisecond, by the engines' data sheets.
-const READ_TOKENS_PER_MS: f64 = 38.0;
-
 /// The share of an engine's memory above which new requests would drive running ones out.
 const MEMORY_BOUND: f64 = 0.93;
 
@@ -61,6 +59,8 @@
     pub zone: &'a ZoneName,
     /// Endpoints that had the request already.
     pub excluded: &'a [EndpointName],
+    /// What the service's engines may hold; none for a plain service.
+    pub engine: Option<&'a EngineRule>,
 }
 
 /// An endpoint for a request.
@@ -80,6 +80,10 @@
     pub memory_full: bool,
     /// Whether it is an engine, which serves all its requests in one batch.
     pub batches: bool,
+    /// How long it takes to read the request's prompt.
+    pub own_reading: Duration,
+    /// How long it takes to read the prompts that this gateway sent there before.
+    pub reading_ahead: Duration,
 }
 
 /// Where a request can go.
@@ -89,8 +93,8 @@
     Endpoint(EndpointChoice),
     /// Nowhere yet: the model is being loaded, or has to be.
     NoModel {
-        /// Whether an engine is loading it.
-        loading: bool,
+        /// When it will be there, if an engine loads it or is about to.
+        ready_in: Option<Duration>,
     },
     /// No endpoint of the service is there, or all of them had it already.
     NoEndpoint,
@@ -113,7 +117,7 @@
         }
         seen.open = true;
         if !has_model(row, query.request.weights.as_ref(), now) {
-            seen.note_missing(row, query.request.weights.as_ref(), now);
+            seen.note_missing(row, query, now);
             continue;
         }
         let scored = score(directory, row, query, &holders, now);
@@ -124,7 +128,7 @@
     match best {
         Some((_, choice)) => ChoiceVerdict::Endpoint(choice),
         None if seen.open => ChoiceVerdict::NoModel {
-            loading: seen.loading,
+            ready_in: seen.ready_in,
         },
         None => ChoiceVerdict::NoEndpoint,
     }
@@ -134,12 +138,19 @@
 #[derive(Debug, Default)]
 struct SeenEndpoints {
     open: bool,
-    loading: bool,
+    ready_in: Option<Duration>,
 }
 
 impl SeenEndpoints {
-    fn note_missing(&mut self, row: &EndpointRow, weights: Option<&WeightsKey>, now: ClockTime) {
-        self.loading |= weights.is_some_and(|weights| row.is_loading(&weights.model, now));
+    fn note_missing(&mut self, row: &EndpointRow, query: &ChoiceQuery<'_>, now: ClockTime) {
+        let Some((weights, rule)) = query.request.weights.as_ref().zip(query.engine) else {
+            return;
+        };
+        let Some(ready_in) = row.ready_in(&weights.model, rule, now) else {
+            return;
+        };
+        let known = self.ready_in.unwrap_or(ready_in);
+        self.ready_in = Some(known.min(ready_in));
     }
 }
 
@@ -158,8 +169,10 @@
     let present = f64::from(row.present());
     let crowd = (present / slots).min(1.0);
     let queue_ms = queue_ms(row, query.request, now);
-    let saved_ms = saved_tokens(row, &query.request.parts, holders) / READ_TOKENS_PER_MS;
-    let first_ms = (row.first.mean_ms() - saved_ms).max(1.0);
+    let unread = unread_tokens(row, query.request, holders);
+    let own_ms = reading_ms(directory, query.request, unread);
+    let ahead_ms = row.reading_ahead_ms(now);
+    let first_ms = row.first.mean_ms() + ahead_ms + own_ms;
     let adapter = adapter_ms(row, query, now);
     let mut cost = queue_ms + first_ms + adapter + crowd * CROWD_MS;
     cost += row.failure_share(now).powi(2) * FAILING_MS;
@@ -181,6 +194,8 @@
         occupancy: present / slots,
         memory_full: row.memory_share(query.request.memory_tokens(), now) > MEMORY_BOUND,
         batches: query.request.weights.is_some(),
+        own_reading: Duration::from_secs_f64(own_ms / 1e3),
+        reading_ahead: Duration::from_secs_f64(ahead_ms / 1e3),
     };
     (cost, choice)
 }
@@ -213,6 +228,32 @@
     }
 }
 
+fn reading_ms(directory: &EndpointDirectory, request: &CallerRequest, tokens: f64) -> f64 {
+    let weights = request.weights.as_ref();
+    weights.map_or(0.0, |weights| {
+        directory.paces().reading_ms(&weights.model, tokens)
+    })
+}
+
+/// Prompt tokens that an endpoint has to read for a request, as far as is known of what it keeps.
+#[must_use]
+pub fn unread_at(
+    directory: &EndpointDirectory,
+    endpoint: &EndpointName,
+    request: &CallerRequest,
+    now: ClockTime,
+) -> f64 {
+    let chain = prefix_chain(request);
+    let holders = directory.prefixes().holders(&chain, now);
+    let row = directory.row(endpoint);
+    row.map_or(0.0, |row| unread_tokens(row, request, &holders))
+}
+
+fn unread_tokens(row: &EndpointRow, request: &CallerRequest, holders: &[PrefixHolder]) -> f64 {
+    let saved = saved_tokens(row, &request.parts, holders);
+    (f64::from(request.prompt_tokens) - saved).max(0.0)
+}
+
 /// Prompt tokens that the endpoint need not read again.
 fn saved_tokens(row: &EndpointRow, parts: &[PromptPart], holders: &[PrefixHolder]) -> f64 {
     let holder = holders.iter().find(|holder| holder.endpoint == row.index);
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -18,7 +18,8 @@
 use crate::call::WeightsKey;
 use crate::engine::EndpointLoad;
 use crate::health::{AttemptEvidence, EndpointFault, HealthChange, HealthSettings, HealthTracker};
-use crate::message::{AdapterUse, EnginePulse, LoadPulse};
+use crate::message::{AdapterUse, EnginePulse, LoadPulse, ModelUse};
+use crate::reading::{ReadingPaces, SentPrompt};
 
 use row::KeptPulse;
 pub use row::{AdapterState, EndpointRecord, EndpointRow, PULSE_LIFE};
@@ -67,6 +68,8 @@
     Appeared(EndpointName),
     /// An endpoint is gone.
     Gone(EndpointName),
+    /// An endpoint started again under its name.
+    Restarted(EndpointName),
     /// An endpoint began to drain.
     Draining(EndpointName),
 }
@@ -80,6 +83,7 @@
     next_index: u32,
     health: HealthTracker,
     prefixes: PrefixIndex,
+    paces: ReadingPaces,
     store_failed_at: Option<ClockTime>,
 }
 
@@ -99,6 +103,7 @@
                 block_tokens: PART_UNITS,
                 ..PrefixSettings::default()
             }),
+            paces: ReadingPaces::default(),
             store_failed_at: None,
         }
     }
@@ -120,7 +125,7 @@
         let listed: Vec<EndpointName> = records.iter().map(|record| record.name.clone()).collect();
         for record in records {
             if !self.is_superseded(&record, now) {
-                self.take_record(record, &mut changes);
+                self.take_record(record, now, &mut changes);
             }
         }
         if !self.is_settling(now) {
@@ -148,7 +153,12 @@
         present.is_some_and(|row| row.record.name != record.name && row.is_adopted(now))
     }
 
-    fn take_record(&mut self, record: EndpointRecord, changes: &mut Vec<DirectoryChange>) {
+    fn take_record(
+        &mut self,
+        record: EndpointRecord,
+        now: ClockTime,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
         let name = record.name.clone();
         let Some(row) = self.rows.get_mut(&name) else {
             let index = EndpointIndex(self.next_index);
@@ -158,10 +168,23 @@
             changes.push(DirectoryChange::Appeared(name));
             return;
         };
+        if row.is_other_start(record.start) {
+            // A sidecar reads its engine's report on the same VM several times a second; the registry lists a
+            // start until its endpoint's next heartbeat.
+            if row.pulse(now).is_some_and(|pulse| pulse.start.is_some()) {
+                return;
+            }
+            let index = EndpointIndex(self.next_index);
+            self.next_index += 1;
+            row.restart(record, index);
+            changes.push(DirectoryChange::Restarted(name));
+            return;
+        }
         if record.draining && !row.record.draining {
             changes.push(DirectoryChange::Draining(name));
         }
-        row.record = record;
+        let start = record.start.or(row.record.start);
+        row.record = EndpointRecord { start, ..record };
     }
 
     fn drop_missing(
@@ -228,6 +251,18 @@
         if kept.is_some_and(|kept| !pulse.number.supersedes(kept.pulse.number)) {
             return false;
         }
+        let is_restarted = row.is_other_start(pulse.start);
+        if is_restarted {
+            let record = EndpointRecord {
+                start: pulse.start,
+                draining: false,
+                ..row.record.clone()
+            };
+            row.restart(record, EndpointIndex(self.next_index));
+            self.next_index += 1;
+        }
+        row.record.start = pulse.start.or(row.record.start);
+        let kept = row.pulse.as_ref();
         let changed = kept.is_none_or(|kept| {
             kept.pulse.models != pulse.models
                 || kept.pulse.retiring != pulse.retiring
@@ -235,6 +270,7 @@
         });
         row.load.renew(pulse.load);
         row.pulse = Some(KeptPulse { pulse, at: now });
+        row.note_coming(now);
         changed
     }
 
@@ -259,6 +295,7 @@
         kept.pulse.load = load.load;
         kept.pulse.memory_used = load.memory_used;
         kept.pulse.load_wait_ms = load.load_wait_ms;
+        kept.pulse.permit_wait_ms = load.permit_wait_ms;
         kept.at = now;
         row.load.renew(load.load);
     }
@@ -330,11 +367,62 @@
         };
         row.own += 1;
         row.load.sent_since += 1;
+        if let Some(weights) = weights {
+            *row.models.entry(weights.model.clone()).or_default() += 1;
+        }
         if let Some(key) = weights.and_then(WeightsKey::adapter_key) {
             *row.adapters.entry(key).or_default() += 1;
         }
     }
 
+    /// An engine begins to read a prompt, of which it does not keep `tokens`.
+    pub fn note_reading(
+        &mut self,
+        name: &EndpointName,
+        weights: &WeightsKey,
+        tokens: f64,
+    ) -> SentPrompt {
+        let own_ms = self.paces.reading_ms(&weights.model, tokens);
+        let Some(row) = self.rows.get_mut(name) else {
+            return SentPrompt::default();
+        };
+        let sent = SentPrompt {
+            tokens,
+            own_ms,
+            ahead_ms: row.reading.ms(),
+            alone: row.reading.is_idle(),
+        };
+        row.reading.add(own_ms);
+        sent
+    }
+
+    /// A request waits for a permit to send an engine its prompt, which takes so long to read.
+    pub fn note_asked(&mut self, name: &EndpointName, reading: Duration) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.reading.add(reading.as_secs_f64() * 1e3);
+        }
+    }
+
+    /// A request no longer waits for a permit.
+    pub fn note_permitted(&mut self, name: &EndpointName, reading: Duration) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.reading.remove(reading.as_secs_f64() * 1e3);
+        }
+    }
+
+    /// An engine has read a prompt, or will not.
+    pub fn note_read(&mut self, name: &EndpointName, prompt: &SentPrompt) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.reading.remove(prompt.own_ms);
+        }
+    }
+
+    /// How long engines take to read prompts.
+    #[must_use]
+    pub fn paces(&self) -> &ReadingPaces {
+        &self.paces
+    }
+
     /// The prompt's parts will be kept at the endpoint.
     pub fn note_prompt(&mut self, name: &EndpointName, chain: &[u64], now: ClockTime) {
         if let Some(row) = self.rows.get(name) {
@@ -342,13 +430,24 @@
         }
     }
 
-    /// The first piece of an answer came.
-    pub fn note_first(&mut self, name: &EndpointName, took: Duration, now: ClockTime) {
+    /// The first piece of an answer came, after the engine had read the prompt.
+    pub fn note_first(
+        &mut self,
+        name: &EndpointName,
+        weights: Option<&WeightsKey>,
+        prompt: &SentPrompt,
+        took: Duration,
+        now: ClockTime,
+    ) {
+        let reading = Duration::from_secs_f64((prompt.ahead_ms + prompt.own_ms) / 1e3);
+        if let Some(weights) = weights.filter(|_| prompt.alone) {
+            self.paces.note(&weights.model, prompt.tokens, took);
+        }
         let Some(row) = self.rows.get_mut(name) else {
             return;
         };
-        let predicted = Duration::from_secs_f64(row.first.mean_ms() / 1e3);
-        row.first.note(took);
+        let predicted = Duration::from_secs_f64(row.first.mean_ms() / 1e3) + reading;
+        row.first.note(took.saturating_sub(reading));
         let index = row.index;
         self.judge(index, AttemptEvidence::FirstFrame { took, predicted }, now);
     }
@@ -374,6 +473,9 @@
         };
         row.own = row.own.saturating_sub(1);
         row.load.ended_since += 1;
+        if let Some(weights) = weights {
+            row.release_model(&weights.model);
+        }
         let key = weights.and_then(WeightsKey::adapter_key);
         let requests = key.and_then(|key| row.adapters.get_mut(&key));
         let freed = requests.is_some_and(|requests| {
@@ -457,6 +559,21 @@
         &self.prefixes
     }
 
+    /// The models that this gateway's requests use, engine by engine.
+    #[must_use]
+    pub fn model_uses(&self) -> Vec<ModelUse> {
+        let rows = self.rows.values();
+        let uses = rows.flat_map(|row| {
+            let engine = row.record.address;
+            row.models.iter().map(move |(model, requests)| ModelUse {
+                engine,
+                model: model.clone(),
+                requests: *requests,
+            })
+        });
+        uses.collect()
+    }
+
     /// The adapters that this gateway uses at an endpoint, or used since it was last asked.
     pub fn take_used(&mut self, name: &EndpointName) -> Vec<AdapterUse> {
         let Some(row) = self.rows.get_mut(name) else {
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -9,9 +9,11 @@
 use oatpier_types::names::{AdapterName, EndpointName, ModelName, PoolName, ZoneName};
 
 use super::REGISTRY_SETTLE;
-use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
+use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 use crate::health::{FailureShare, PaceEstimate};
 use crate::message::EnginePulse;
+use crate::reading::ReadingLoad;
+use crate::site::EngineRule;
 
 /// A pulse older than this no longer says what the engine holds; the registry does. Six periods
 /// of an idle sidecar.
@@ -21,9 +23,16 @@
 /// 0.8 s, and every tenth of a second while its engine works.
 const PULSE_DUE: Duration = Duration::from_secs(1);
 
+/// How much longer a load takes that should be done: nobody tells how far it is.
+const READY_LEAST: Duration = Duration::from_millis(200);
+
+/// How much longer a load takes whose engine waits for the streams of another model to end. They end one
+/// by one; a stream takes one to a few seconds.
+const DRAIN_GUESS: Duration = Duration::from_secs(1);
+
 /// The time to the first piece that is assumed of an endpoint before it has answered, in
-/// milliseconds: a short prompt at a calm engine.
-const FIRST_GUESS_MS: f64 = 30.0;
+/// milliseconds, the reading of the prompt not counted: a step of a calm engine and the way there.
+const FIRST_GUESS_MS: f64 = 15.0;
 
 /// The time that a request is assumed to hold a slot before any has ended, in milliseconds: a few
 /// hundred tokens at a calm engine.
@@ -35,8 +44,10 @@
 /// An endpoint as the registry lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointRecord {
-    /// Its present start: a restarted endpoint has another name.
+    /// Its name; one that starts again may keep it.
     pub name: EndpointName,
+    /// Which start this entry is of, if it tells.
+    pub start: Option<StartTime>,
     /// What it serves.
     pub service: PoolName,
     /// Where it listens.
@@ -84,6 +95,13 @@
     pub(super) at: ClockTime,
 }
 
+/// A model that an engine loads or is about to.
+#[derive(Debug, Clone)]
+pub(super) struct ComingModel {
+    model: ModelName,
+    since: ClockTime,
+}
+
 /// One endpoint.
 #[derive(Debug)]
 pub struct EndpointRow {
@@ -93,8 +111,10 @@
     pub index: EndpointIndex,
     /// This gateway's requests there.
     pub own: u32,
-    /// Time to the first piece.
+    /// Time to the first piece, beyond the reading of prompts.
     pub first: PaceEstimate,
+    /// This gateway's prompts that are being read there.
+    pub reading: ReadingLoad,
     /// Time that a request holds a slot.
     pub hold: PaceEstimate,
     pub(super) load: LoadView,
@@ -102,6 +122,10 @@
     pub(super) failures: FailureShare,
     /// This gateway's requests there, by adapter; 0 for one that was used since the last greeting.
     pub(super) adapters: HashMap<AdapterKey, u32>,
+    /// This gateway's requests there, by model.
+    pub(super) models: HashMap<ModelName, u32>,
+    /// The model that is coming, by its sidecar, and since when.
+    pub(super) coming: Option<ComingModel>,
     pub(super) gone: bool,
     /// When it took its predecessor's place, before the registry listed it.
     pub(super) adopted_at: Option<ClockTime>,
@@ -120,16 +144,41 @@
             index,
             own: 0,
             first: PaceEstimate::starting_at(FIRST_GUESS_MS),
+            reading: ReadingLoad::default(),
             hold: PaceEstimate::starting_at(hold),
             load: LoadView::default(),
             pulse: None,
             failures: FailureShare::default(),
             adapters: HashMap::new(),
+            models: HashMap::new(),
+            coming: None,
             gone: false,
             adopted_at: None,
         }
     }
 
+    /// What is known of a start that ended is not true of the next one under the same name.
+    pub(super) fn restart(&mut self, record: EndpointRecord, index: EndpointIndex) {
+        *self = Self::new(record, index);
+    }
+
+    /// Whether a word on this endpoint is of another start than the one that is known.
+    pub(super) fn is_other_start(&self, start: Option<StartTime>) -> bool {
+        let known = self.record.start;
+        known.is_some() && start.is_some() && known != start
+    }
+
+    /// A request for a model is over.
+    pub(super) fn release_model(&mut self, model: &ModelName) {
+        let Some(requests) = self.models.get_mut(model) else {
+            return;
+        };
+        *requests = requests.saturating_sub(1);
+        if *requests == 0 {
+            self.models.remove(model);
+        }
+    }
+
     /// The last pulse, unless it is too old to say anything.
     #[must_use]
     pub fn pulse(&self, now: ClockTime) -> Option<&EnginePulse> {
@@ -144,6 +193,13 @@
         (age <= PULSE_LIFE).then_some(age)
     }
 
+    /// The time to read what was sent there or waits for a permit, in milliseconds, as far as known.
+    #[must_use]
+    pub fn reading_ahead_ms(&self, now: ClockTime) -> f64 {
+        let told = self.pulse(now).map_or(0, |pulse| pulse.permit_wait_ms);
+        self.reading.ms().max(f64::from(told))
+    }
+
     /// Whether its sidecar was heard and has fallen silent.
     #[must_use]
     pub fn is_overdue(&self, now: ClockTime) -> bool {
@@ -184,11 +240,40 @@
         !retiring && self.models(now).iter().any(|held| held.model == *model)
     }
 
-    /// Whether a model is being loaded there.
+    /// When a model will be there, if it is being loaded or is about to be.
     #[must_use]
-    pub fn is_loading(&self, model: &ModelName, now: ClockTime) -> bool {
-        self.pulse(now)
-            .is_some_and(|pulse| pulse.loading.as_ref() == Some(model))
+    pub fn ready_in(
+        &self,
+        model: &ModelName,
+        rule: &EngineRule,
+        now: ClockTime,
+    ) -> Option<Duration> {
+        let pulse = self.pulse(now)?;
+        let coming = self.coming.as_ref()?;
+        if coming.model != *model {
+            return None;
+        }
+        let load = rule.model(model)?.load_with(&pulse.copies);
+        if pulse.retiring.is_empty() {
+            Some(
+                load.saturating_sub(now.since(coming.since))
+                    .max(READY_LEAST),
+            )
+        } else {
+            Some(load + DRAIN_GUESS)
+        }
+    }
+
+    /// Notes what the last pulse says of a model that is coming.
+    pub(super) fn note_coming(&mut self, now: ClockTime) {
+        let loading = self.pulse(now).and_then(|pulse| pulse.loading.clone());
+        let draining = self
+            .pulse(now)
+            .is_some_and(|pulse| !pulse.retiring.is_empty());
+        let known = self.coming.take();
+        let known = known.filter(|known| !draining && loading.as_ref() == Some(&known.model));
+        let fresh = || loading.map(|model| ComingModel { model, since: now });
+        self.coming = known.or_else(fresh);
     }
 
     /// Whether it loads a model or is about to, which the unloading of others comes before.
--- a/crates/oatpier-serving/src/engine.rs
+++ b/crates/oatpier-serving/src/engine.rs
@@ -40,6 +40,14 @@
     pub adapter: AdapterName,
 }
 
+/// Which start of an endpoint is meant, by the time of day at which it began, in Unix milliseconds.
+///
+/// An endpoint may start again under its name; it then holds nothing and knows nothing of before. Two
+/// starts are told apart by being different, not by which is later: clocks step, and the later
+/// start may say the earlier time. Which one is present follows from who said it last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StartTime(pub u64);
+
 /// How busy an endpoint is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EndpointLoad {
@@ -52,6 +60,8 @@
 /// An engine's own account of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct EngineReport {
+    /// Which start of the engine this is, if it tells.
+    pub start: Option<StartTime>,
     /// Whether an order is being carried out.
     pub busy: bool,
     /// Orders accepted since its start.
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -15,6 +15,7 @@
 //!
 //! What is decided at a gateway:
 //! - [`choice`]: which endpoint gets a request, and whether it would be in time.
+//! - [`reading`]: how long engines take to read prompts.
 //! - [`health`]: which endpoints are to be avoided, on evidence of the data path.
 //! - [`admission`]: when a request that can't be in time is refused, and when it should return.
 //! - [`budget`]: how many requests may be sent a second time.
@@ -23,6 +24,7 @@
 //! - [`peers`]: which gateways there are, and which of them plans.
 //!
 //! What is decided at a sidecar:
+//! - [`permits`]: when its engine may be sent the next prompt.
 //! - [`residency`]: which order its engine gets next, within memory, slots and the shared pace.
 
 pub mod admission;
@@ -36,6 +38,8 @@
 pub mod message;
 pub mod node;
 pub mod peers;
+pub mod permits;
 pub mod planner;
+pub mod reading;
 pub mod residency;
 pub mod site;
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -5,11 +5,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use oatpier_types::names::{DaemonName, EndpointName, ModelName, PoolName, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
+use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,6 +27,12 @@
     Peer(Box<PeerReport>),
     /// The planner to a sidecar.
     Advice(LoadAdvice),
+    /// A gateway asks a sidecar for a permit to send its engine a prompt.
+    PermitAsk(PermitAsk),
+    /// A sidecar gives a permit.
+    Permit(PermitGrant),
+    /// A gateway gives a permit back: the prompt was read, or will not be.
+    PermitDone(PermitGrant),
 }
 
 /// The order of messages of one sender: later incarnations and numbers are newer.
@@ -56,6 +63,8 @@
     pub service: Option<PoolName>,
     /// The engine's present instance, once its sidecar has asked for it.
     pub instance: Option<EndpointName>,
+    /// The engine's present start, if it tells.
+    pub start: Option<StartTime>,
     /// Whether the engine answers its sidecar.
     pub answers: bool,
     /// The engine's load.
@@ -80,6 +89,8 @@
     pub draining: bool,
     /// How long until it may load from the weight store, in milliseconds.
     pub load_wait_ms: u32,
+    /// The time to read the prompts that wait for permits, in milliseconds.
+    pub permit_wait_ms: u32,
     /// Where some of the gateways that greet this sidecar are, others each time.
     pub gateways: Vec<SocketAddr>,
 }
@@ -98,6 +109,8 @@
     pub memory_used: u64,
     /// How long until it may load from the weight store, in milliseconds.
     pub load_wait_ms: u32,
+    /// The time to read the prompts that wait for permits, in milliseconds.
+    pub permit_wait_ms: u32,
 }
 
 /// A gateway's greeting to a sidecar.
@@ -126,6 +139,46 @@
     pub requests: u32,
 }
 
+/// A gateway asks for a permit; it repeats the ask until it has one or gives up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitAsk {
+    /// Tells asks apart; drawn at random.
+    pub id: u64,
+    /// The time that the engine takes to read the prompt, in microseconds.
+    pub reading_us: u32,
+    /// The longest pause of the request's stream that is in time, in milliseconds.
+    pub pause_ms: u32,
+    /// How long until the prompt has to be sent to be in time, in milliseconds; 0 where it can only be late.
+    pub due_in_ms: u32,
+}
+
+impl PermitAsk {
+    /// The time that the engine takes to read the prompt.
+    #[must_use]
+    pub fn reading(&self) -> Duration {
+        Duration::from_micros(u64::from(self.reading_us))
+    }
+
+    /// The longest pause that is in time.
+    #[must_use]
+    pub fn pause(&self) -> Duration {
+        Duration::from_millis(u64::from(self.pause_ms))
+    }
+
+    /// How long until the prompt has to be sent.
+    #[must_use]
+    pub fn due_in(&self) -> Duration {
+        Duration::from_millis(u64::from(self.due_in_ms))
+    }
+}
+
+/// A permit to send an engine a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitGrant {
+    /// The ask that it answers.
+    pub id: u64,
+}
+
 /// A gateway waits for an adapter.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterWish {
@@ -150,6 +203,19 @@
     pub engines_heard: u32,
     /// What its callers ask for.
     pub demand: Vec<ModelDemand>,
+    /// The models that its requests use, engine by engine.
+    pub uses: Vec<ModelUse>,
+}
+
+/// A gateway's requests for one model at one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelUse {
+    /// Where the engine is.
+    pub engine: SocketAddr,
+    /// The model.
+    pub model: ModelName,
+    /// Requests that use it now.
+    pub requests: u32,
 }
 
 /// How much a gateway's callers ask for a model.
@@ -168,6 +234,9 @@
     pub asked_fast: f32,
     /// The same over the last few seconds.
     pub asked_slow: f32,
+    /// The time that an engine takes to read the prompt of one of its requests, in milliseconds, on average;
+    /// 0 while it is not known.
+    pub reading_ms: f32,
     /// Adapters of it that were asked for lately.
     pub adapters: u32,
     /// How long ago it was asked for last, in milliseconds.
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -11,7 +11,7 @@
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::ModelName;
 
-use crate::message::{ModelDemand, PeerReport};
+use crate::message::{ModelDemand, ModelUse, PeerReport};
 
 /// A gateway that was not heard of for this long is gone, stopped or cut off: three of the rarer
 /// reports.
@@ -65,6 +65,9 @@
     pub asked_fast: f64,
     /// The same over the last few seconds.
     pub asked_slow: f64,
+    /// The time that engines take to read the prompts that come in, in milliseconds a second: the requests
+    /// of the last second or so, each by the mean of its gateway.
+    pub reading_ms: f64,
     /// Adapters that were asked for lately, at the gateway that saw most of them: gateways see much
     /// the same ones.
     pub adapters: f64,
@@ -72,6 +75,30 @@
     pub idle: Option<Duration>,
 }
 
+/// The requests of all gateways at engines.
+#[derive(Debug, Clone, Default)]
+pub struct FleetUses {
+    engines: HashMap<SocketAddr, HashMap<ModelName, u32>>,
+}
+
+impl FleetUses {
+    /// Counts one gateway's requests in.
+    pub fn add(&mut self, used: &ModelUse) {
+        let models = self.engines.entry(used.engine).or_default();
+        *models.entry(used.model.clone()).or_default() += used.requests;
+    }
+
+    /// Requests that use a model at an engine.
+    #[must_use]
+    pub fn requests(&self, engine: SocketAddr, model: &ModelName) -> u32 {
+        let models = self.engines.get(&engine);
+        models
+            .and_then(|models| models.get(model))
+            .copied()
+            .unwrap_or(0)
+    }
+}
+
 impl PeerBook {
     /// No peers yet.
     #[must_use]
@@ -163,12 +190,22 @@
             sum.unserved += f64::from(demand.unserved);
             sum.asked_fast += f64::from(demand.asked_fast);
             sum.asked_slow += f64::from(demand.asked_slow);
+            sum.reading_ms += f64::from(demand.asked_fast) * f64::from(demand.reading_ms);
             sum.adapters = sum.adapters.max(f64::from(demand.adapters));
             sum.idle = Some(sum.idle.map_or(idle, |known| known.min(idle)));
         }
         total
     }
 
+    /// The requests of all gateways at engines, this one's own included.
+    #[must_use]
+    pub fn uses(&self, own: &[ModelUse], now: ClockTime) -> FleetUses {
+        let mut uses = FleetUses::default();
+        let reported = self.live(now).flat_map(|(_, kept)| &kept.report.uses);
+        own.iter().chain(reported).for_each(|used| uses.add(used));
+        uses
+    }
+
     fn live(&self, now: ClockTime) -> impl Iterator<Item = (&SocketAddr, &KeptReport)> {
         self.reports
             .iter()
--- a/crates/oatpier-serving/src/planner/gain.rs
+++ b/crates/oatpier-serving/src/planner/gain.rs
@@ -21,15 +21,10 @@
 /// else, adapters included, and who waits for that is late.
 const ENGINE_TIME_PRICE_PER_S: f64 = 0.12;
 
-/// How long an engine waits for the streams of a model that it unloads. Half of them took over 2 s and a
-/// quarter over 3.8 s while victims were chosen without regard to it, and for so long the engine took no
-/// order for an adapter either.
-const DRAIN_S: f64 = 2.5;
-
 /// What dropping the last holder of a model weighs, in squared shares of an engine: the next request
 /// for it is late. An engine that is asked for 1.3 of what it can do turns away some ten requests a
 /// second, 0.7 in these units.
-const LAST_PRICE: f64 = 0.1;
+const LAST_PRICE: f64 = 0.5;
 
 /// The rate of requests for a model, a second, at which those that wait while it is loaded weigh as much as
 /// the engine's time: at four a second about as many are late as one engine turns away in that time.
@@ -127,7 +122,7 @@
         let shared = wanted.share_among(wanted.holders() + 1.0);
         let relief: f64 = self
             .other_holders(view, wanted)
-            .map(|holder| holder.load.squared() - holder.load.minus(present).plus(shared).squared())
+            .map(|holder| holder.load.weight() - holder.load.minus(present).plus(shared).weight())
             .sum();
         let leaving = victims
             .models
@@ -136,7 +131,7 @@
             .map(ModelView::share)
             .fold(EngineShare::default(), EngineShare::plus);
         let after = view.load.minus(leaving).plus(shared);
-        let added = after.squared() - view.load.squared();
+        let added = after.weight() - view.load.weight();
         relief - added - victims.loss
     }
 
@@ -146,10 +141,9 @@
         let Some(lost) = self.models.get(model) else {
             return 0.0;
         };
-        let streams = lost.share().slots * self.slots;
-        let chance_of_streams = 1.0 - (-streams).exp();
-        let drain = ENGINE_TIME_PRICE_PER_S * DRAIN_S * chance_of_streams;
-        drain + self.absence(view, model, lost)
+        let streams = self.uses.requests(view.row.record.address, model);
+        let drain_s = lost.hold_s * longest_of(streams);
+        ENGINE_TIME_PRICE_PER_S * drain_s + self.absence(view, model, lost)
     }
 
     /// What it weighs that a model is no longer there.
@@ -160,7 +154,7 @@
             let others = self.other_holders(view, lost);
             return others
                 .map(|holder| {
-                    holder.load.minus(present).plus(shared).squared() - holder.load.squared()
+                    holder.load.minus(present).plus(shared).weight() - holder.load.weight()
                 })
                 .sum();
         }
@@ -172,7 +166,7 @@
         let reload_s = self.reload_time(view, model).as_secs_f64();
         let waiting = 1.0 + lost.asked / LAST_RATE;
         let price = LAST_PRICE + ENGINE_TIME_PRICE_PER_S * reload_s * waiting;
-        price * chance + lost.share().squared()
+        price * chance + lost.share().weight()
     }
 
     /// How long a model takes to be loaded after an engine has dropped it. That engine has a copy, but
@@ -201,3 +195,9 @@
         holders.filter(move |holder| holder.row.index != own)
     }
 }
+
+/// How long the longest of so many streams goes on, in hold times: their ends come at random, so the first
+/// one takes a part of a hold time and the last ones take whole ones.
+fn longest_of(streams: u32) -> f64 {
+    (1..=streams).map(|left| 1.0 / f64::from(left)).sum()
+}
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::directory::EndpointRow;
 use crate::message::LoadAdvice;
-use crate::peers::TotalDemand;
+use crate::peers::{FleetUses, TotalDemand};
 use crate::site::EngineRule;
 
 use gain::LoadOption;
@@ -31,6 +31,10 @@
 /// gateways, and an order.
 const ADVICE_LIFE: Duration = Duration::from_millis(700);
 
+/// An engine that waits this long for the streams of what it unloads may go on waiting: a stream can take
+/// as long as its caller's deadline. The model that it is to load is then sought at others.
+const DRAIN_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Loads from the weight store that may be advised at once, as seconds of its rate.
 const BURST_S: f64 = 3.0;
 
@@ -107,10 +111,23 @@
     pub blocked: Vec<BlockedLoad>,
 }
 
+/// What the gateways' callers ask for and use.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetDemand<'a> {
+    /// The demand for each model.
+    pub models: &'a HashMap<ModelName, TotalDemand>,
+    /// Requests at engines.
+    pub uses: &'a FleetUses,
+}
+
 /// Plans loads; remembers what was advised and not yet seen.
 #[derive(Debug, Default)]
 pub struct LoadPlanner {
     given: HashMap<EndpointName, GivenAdvice>,
+    /// Engines that wait for streams to end before they unload, and since when.
+    draining: HashMap<EndpointName, ClockTime>,
+    /// Models that are asked for and that nobody holds or loads, and since when.
+    missing: HashMap<ModelName, ClockTime>,
     tokens: f64,
     at: ClockTime,
 }
@@ -121,19 +138,19 @@
         &mut self,
         rule: &'a EngineRule,
         rows: impl Iterator<Item = &'a EndpointRow>,
-        demand: &HashMap<ModelName, TotalDemand>,
+        demand: FleetDemand<'a>,
         now: ClockTime,
     ) -> PlanOutcome {
         self.refill(rule, now);
         self.given
             .retain(|_, given| now.since(given.at) < ADVICE_LIFE);
-        let mut round = self.round(rule, rows, demand, now);
+        let engines: Vec<&EndpointRow> = rows.filter(|row| row.is_open(now)).collect();
+        self.note_draining(&engines, now);
+        let mut round = self.round(rule, &engines, demand, now);
+        self.note_missing(&round);
         let mut outcome = PlanOutcome::default();
-        for model in round.unreachable() {
-            self.advise(&mut round, &model, LoadReason::Unreachable, &mut outcome);
-        }
-        for model in round.busiest() {
-            self.advise(&mut round, &model, LoadReason::Busy, &mut outcome);
+        for wanted in round.wanted(&self.missing) {
+            self.advise(&mut round, &wanted.model, wanted.reason, &mut outcome);
         }
         for engine in 0..round.engines.len() {
             self.fill(&mut round, engine, &mut outcome);
@@ -156,6 +173,30 @@
         self.give(round, &option, &model, LoadReason::Room, outcome);
     }
 
+    fn note_draining(&mut self, rows: &[&EndpointRow], now: ClockTime) {
+        let drains = |row: &&&EndpointRow| {
+            let pulse = row.pulse(now);
+            pulse.is_some_and(|pulse| !pulse.retiring.is_empty())
+        };
+        let draining = rows.iter().filter(drains).map(|row| &row.record.name);
+        let since = |name: &EndpointName| self.draining.get(name).copied().unwrap_or(now);
+        self.draining = draining.map(|name| (name.clone(), since(name))).collect();
+    }
+
+    fn note_missing(&mut self, round: &PlanRound<'_>) {
+        let since = |model: &ModelName| self.missing.get(model).copied().unwrap_or(round.now);
+        let missing = round
+            .unreachable()
+            .map(|model| (model.clone(), since(model)));
+        self.missing = missing.collect();
+    }
+
+    /// Whether an engine has waited for streams for so long that nobody should count on its load.
+    fn is_stuck(&self, name: &EndpointName, now: ClockTime) -> bool {
+        let since = self.draining.get(name);
+        since.is_some_and(|since| now.since(*since) > DRAIN_PATIENCE)
+    }
+
     fn refill(&mut self, rule: &EngineRule, now: ClockTime) {
         let gained = now.since(self.at).as_secs_f64() * rule.loads_per_s;
         self.tokens = (self.tokens + gained).min((rule.loads_per_s * BURST_S).max(1.0));
@@ -165,23 +206,22 @@
     fn round<'a>(
         &self,
         rule: &'a EngineRule,
-        rows: impl Iterator<Item = &'a EndpointRow>,
-        demand: &HashMap<ModelName, TotalDemand>,
+        rows: &[&'a EndpointRow],
+        demand: FleetDemand<'a>,
         now: ClockTime,
     ) -> PlanRound<'a> {
-        let engines: Vec<EngineView<'a>> = rows
-            .filter(|row| row.is_open(now))
-            .map(|row| self.engine_view(row, now))
-            .collect();
+        let engines: Vec<EngineView<'a>> =
+            rows.iter().map(|row| self.engine_view(row, now)).collect();
         let slots = engines.first().map_or(1, |view| view.row.record.slots);
         let mut round = PlanRound {
             rule,
             engines,
             models: HashMap::new(),
+            uses: demand.uses,
             slots: f64::from(slots.max(1)),
             now,
         };
-        round.count_models(demand);
+        round.count_models(demand.models);
         round.spread_load();
         round
     }
@@ -195,10 +235,11 @@
         let free = row.pulse(now).is_some_and(is_idle);
         let loading = row.pulse(now).and_then(|pulse| pulse.loading.clone());
         let advised = self.given.get(&row.record.name);
+        let coming = loading.or_else(|| advised.map(|given| given.model.clone()));
         EngineView {
             row,
             held,
-            coming: loading.or_else(|| advised.map(|given| given.model.clone())),
+            coming: coming.filter(|_| !self.is_stuck(&row.record.name, now)),
             load: EngineShare::default(),
             free: free && !self.given.contains_key(&row.record.name),
         }
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -12,17 +12,29 @@
 use super::{BlockedLoad, LoadReason, PlannedLoad};
 use crate::directory::EndpointRow;
 use crate::message::{LoadAdvice, ModelSize};
-use crate::peers::TotalDemand;
+use crate::peers::{FleetUses, TotalDemand};
 use crate::site::EngineRule;
 
 /// What a replica must gain, beyond its costs, in squared shares of an engine. The only holder of a
 /// model that takes 0.6 of it gains 0.18 by a second one.
 const REPLICA_GAIN: f64 = 0.05;
 
+/// What one request a second for a model weighs that nobody holds. An engine that is asked for 1.3 of what
+/// it can do turns away some ten a second, 0.07 for each; these are all turned away, and not one in four.
+const MISSING_PRICE: f64 = 0.2;
+
+/// What each second weighs for which a model that is asked for has been missing. Its callers are few, but
+/// wait for it: after some two seconds it goes before replicas that bring little.
+const WAITING_PRICE_PER_S: f64 = 0.2;
+
 /// How much of a place for an adapter counts as load: places that are all in use cost less than slots
 /// that are, since one is free as soon as the streams of one adapter have ended.
 const ADAPTER_WEIGHT: f64 = 0.7;
 
+/// The share of an engine's time that the reading of prompts may take before its streams are late: the rest
+/// goes to their steps, and prompts come in clumps.
+const READING_FULL: f64 = 0.6;
+
 /// A model that takes less than this share of an engine gets no further replica: another model there
 /// is the cause of the load.
 const LEAST_SHARE: f64 = 0.1;
@@ -43,10 +55,11 @@
     pub(super) free: bool,
 }
 
-/// A part of an engine, as its requests take slots and its adapters take places.
+/// A part of an engine, as its requests take slots, their prompts take time and its adapters take places.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct EngineShare {
     pub(super) slots: f64,
+    reading: f64,
     places: f64,
 }
 
@@ -54,6 +67,7 @@
     fn divided(self, holders: f64) -> Self {
         Self {
             slots: self.slots / holders,
+            reading: self.reading / holders,
             places: self.places / holders,
         }
     }
@@ -61,6 +75,7 @@
     pub(super) fn plus(self, other: Self) -> Self {
         Self {
             slots: self.slots + other.slots,
+            reading: self.reading + other.reading,
             places: self.places + other.places,
         }
     }
@@ -68,25 +83,39 @@
     pub(super) fn minus(self, other: Self) -> Self {
         Self {
             slots: (self.slots - other.slots).max(0.0),
+            reading: (self.reading - other.reading).max(0.0),
             places: (self.places - other.places).max(0.0),
         }
     }
 
-    pub(super) fn squared(self) -> f64 {
-        self.load().powi(2)
+    /// What the load weighs: it grows like the waiting, and where the engine can't do it all, like what is
+    /// left undone.
+    pub(super) fn weight(self) -> f64 {
+        let load = self.load();
+        if load <= 1.0 {
+            load.powi(2)
+        } else {
+            2.0 * load - 1.0
+        }
     }
 
-    /// The load by whichever is scarcer.
+    /// The load by whichever is scarcest.
     pub(super) fn load(self) -> f64 {
-        self.slots.max(self.places * ADAPTER_WEIGHT)
+        self.work().max(self.places * ADAPTER_WEIGHT)
+    }
+
+    fn work(self) -> f64 {
+        self.slots.max(self.reading)
     }
 
     /// What of it counts towards the load of an engine with `whole` on it.
     fn part_of(self, whole: Self) -> f64 {
-        if whole.slots >= whole.places * ADAPTER_WEIGHT {
-            self.slots
-        } else {
+        if whole.work() < whole.places * ADAPTER_WEIGHT {
             self.places * ADAPTER_WEIGHT
+        } else if whole.reading > whole.slots {
+            self.reading
+        } else {
+            self.slots
         }
     }
 }
@@ -105,6 +134,8 @@
     /// The time since it was asked for last; none if never.
     pub(super) idle: Option<Duration>,
     unserved: f64,
+    /// How long a request holds a slot, in seconds.
+    pub(super) hold_s: f64,
 }
 
 impl ModelView {
@@ -130,11 +161,21 @@
     }
 }
 
+/// A load that is called for.
+#[derive(Debug)]
+pub(super) struct WantedLoad {
+    pub(super) model: ModelName,
+    pub(super) reason: LoadReason,
+    /// What it gains, in engines' loads as [`EngineShare::weight`] counts them.
+    worth: f64,
+}
+
 /// What a round works on.
 pub(super) struct PlanRound<'a> {
     pub(super) rule: &'a EngineRule,
     pub(super) engines: Vec<EngineView<'a>>,
     pub(super) models: HashMap<&'a ModelName, ModelView>,
+    pub(super) uses: &'a FleetUses,
     pub(super) slots: f64,
     pub(super) now: ClockTime,
 }
@@ -151,11 +192,13 @@
                 copies: self.copies(&rule.name),
                 want: EngineShare {
                     slots: requests / self.slots,
+                    reading: forecast::reading_wanted(&total, rule.load) / READING_FULL,
                     places: adapters_in_use(total.adapters, requests) / places.max(1.0),
                 },
                 asked: total.asked_fast.max(total.asked_slow),
                 idle: total.idle,
                 unserved: total.unserved,
+                hold_s: holds.of_model(&total),
             };
             self.models.insert(&rule.name, view);
         }
@@ -193,19 +236,48 @@
         }
     }
 
-    /// Models that are asked for and that nobody holds, the most wanted first.
-    pub(super) fn unreachable(&self) -> Vec<ModelName> {
-        let mut missing: Vec<(&ModelName, f64)> = self
+    /// Models that are asked for and that nobody holds.
+    pub(super) fn unreachable(&self) -> impl Iterator<Item = &ModelName> {
+        let missing = self
             .models
             .iter()
-            .filter(|(_, view)| view.served_by.is_empty() && view.unserved > 0.05)
-            .map(|(model, view)| (*model, view.unserved))
-            .collect();
-        missing.sort_by(|one, other| other.1.total_cmp(&one.1).then(one.0.cmp(other.0)));
-        missing
-            .into_iter()
-            .map(|(model, _)| model.clone())
-            .collect()
+            .filter(|(_, view)| view.served_by.is_empty() && view.unserved > 0.05);
+        missing.map(|(model, _)| *model)
+    }
+
+    /// The loads that are called for, what gains most first: each takes an engine for seconds and one of
+    /// the weight store's loads, so the order says who gets them.
+    pub(super) fn wanted(&self, missing: &HashMap<ModelName, ClockTime>) -> Vec<WantedLoad> {
+        let unreachable = self.unreachable().map(|model| WantedLoad {
+            model: model.clone(),
+            reason: LoadReason::Unreachable,
+            worth: self.worth_of_missing(model, missing),
+        });
+        let busy = self.busiest().into_iter().map(|model| WantedLoad {
+            worth: self.worth_of_replica(&model),
+            model,
+            reason: LoadReason::Busy,
+        });
+        let mut wanted: Vec<WantedLoad> = unreachable.chain(busy).collect();
+        wanted.sort_by(|one, other| {
+            let by_worth = other.worth.total_cmp(&one.worth);
+            by_worth.then(one.model.cmp(&other.model))
+        });
+        wanted
+    }
+
+    fn worth_of_missing(&self, model: &ModelName, missing: &HashMap<ModelName, ClockTime>) -> f64 {
+        let rate = self
+            .models
+            .get(model)
+            .map_or(0.0, |view| view.unserved.max(view.asked));
+        let since = missing.get(model).copied().unwrap_or(self.now);
+        rate * MISSING_PRICE + self.now.since(since).as_secs_f64() * WAITING_PRICE_PER_S
+    }
+
+    fn worth_of_replica(&self, model: &ModelName) -> f64 {
+        let best = self.best_option(model, LoadReason::Busy, true);
+        best.map_or(0.0, |option| option.gain)
     }
 
     /// Models of the busiest engines, those that bring them most load first.
--- a/crates/oatpier-serving/src/residency.rs
+++ b/crates/oatpier-serving/src/residency.rs
@@ -16,7 +16,7 @@
 use oatpier_types::names::ModelName;
 use smallvec::SmallVec;
 
-use crate::engine::{AdapterKey, EngineOrder, EngineReport, HeldModel, OrderAnswer};
+use crate::engine::{AdapterKey, EngineOrder, EngineReport, HeldModel, OrderAnswer, StartTime};
 use crate::message::{AdapterWish, GatewayGreeting, LoadAdvice};
 
 /// From telling gateways that a model is going to the order that unloads it: pulses reach them
@@ -41,6 +41,10 @@
 /// whoever wished for the room waits.
 const YIELD_LIFE: Duration = Duration::from_secs(4);
 
+/// An order whose answer was lost is carried out within this time, or never: the longest delay that engines
+/// are known for, and a second more.
+const STRAY_LIFE: Duration = Duration::from_secs(13);
+
 /// Adapters that an engine may have on their way at the same time, by its interface.
 const ADAPTERS_COMING: usize = 4;
 
@@ -105,6 +109,18 @@
     at: ClockTime,
 }
 
+/// A load whose answer was lost before the engine started again under its name. Orders name the engine and
+/// the sequence that it must be at, and the next start gets to that sequence again: the load would come
+/// beside whatever it holds by then, and an engine that is ordered to hold too much crashes. Room is kept
+/// for it until it can no longer come.
+#[derive(Debug)]
+struct StrayLoad {
+    model: ModelName,
+    size_mb: f64,
+    expect: u64,
+    until: ClockTime,
+}
+
 /// The decisions about one engine.
 #[derive(Debug)]
 pub struct EngineResidency {
@@ -127,6 +143,10 @@
     next_store_load: ClockTime,
     /// A load from the weight store whose answer was lost: given again before anything else.
     unsettled: Option<NumberedOrder>,
+    /// A load that an earlier start of the engine was ordered, and that this one may still carry out.
+    stray: Option<StrayLoad>,
+    /// The start of the engine that reported last.
+    start: Option<StartTime>,
 }
 
 impl EngineResidency {
@@ -154,6 +174,8 @@
             slots: 0,
             next_store_load: now + wait,
             unsettled: None,
+            stray: None,
+            start: None,
         }
     }
 
@@ -162,16 +184,18 @@
         self.pace.window = window;
     }
 
-    /// Whether a report comes from a later start of the engine than the one before: the number of orders
-    /// that it has accepted begins anew.
+    /// Whether a report comes from another start of the engine than the one before: it tells another one,
+    /// or the number of orders that it has accepted begins anew.
     #[must_use]
     pub fn is_restarted(&self, report: &EngineReport) -> bool {
-        report.sequence < self.sequence
+        let other = self.start.is_some() && report.start.is_some() && report.start != self.start;
+        other || report.sequence < self.sequence
     }
 
     /// The engine reported.
     pub fn take_report(&mut self, report: EngineReport) {
         self.sequence = report.sequence;
+        self.start = report.start.or(self.start);
         let settled = self
             .unsettled
             .as_ref()
@@ -198,11 +222,15 @@
     }
 
     /// The engine does not answer, or was restarted: nothing is known of it.
-    pub fn forget_engine(&mut self) {
+    pub fn forget_engine(&mut self, now: ClockTime) {
         self.report = None;
         self.sequence = 0;
+        self.start = None;
         self.loading = None;
-        self.unsettled = None;
+        self.stray = self
+            .unsettled
+            .take()
+            .and_then(|order| self.stray(order, now));
         self.yielding.clear();
         self.retiring.clear();
     }
@@ -333,6 +361,34 @@
         }
     }
 
+    /// What a load becomes whose engine is gone before it was answered.
+    fn stray(&self, order: NumberedOrder, now: ClockTime) -> Option<StrayLoad> {
+        let EngineOrder::LoadModel(model) = order.order else {
+            return None;
+        };
+        let advised = self.advice.as_ref();
+        let sizes = advised.map_or(&[][..], |kept| &kept.advice.sizes);
+        let size = sizes.iter().find(|row| row.model == model);
+        Some(StrayLoad {
+            // A size that is no longer known could be any: nothing fits beside it.
+            size_mb: size.map_or(f64::INFINITY, |row| row.size_mb),
+            model,
+            expect: order.expect,
+            until: now + STRAY_LIFE,
+        })
+    }
+
+    /// Memory that has to stay free for a stray load, in MB.
+    fn stray_mb(&self, report: &EngineReport, advice: &LoadAdvice, now: ClockTime) -> f64 {
+        let counts = |stray: &&StrayLoad| {
+            stray.until > now && stray.expect >= report.sequence && stray.model != advice.load
+        };
+        self.stray
+            .as_ref()
+            .filter(counts)
+            .map_or(0.0, |stray| stray.size_mb)
+    }
+
     fn drop_advice(&mut self) {
         self.advice = None;
         self.retiring.clear();
@@ -428,7 +484,8 @@
         if self.loading.is_some() {
             return None;
         }
-        if now.since(kept.at) > ADVICE_LIFE || !can_fit(report, &kept.advice) {
+        let kept_free = self.stray_mb(report, &kept.advice, now);
+        if now.since(kept.at) > ADVICE_LIFE || !can_fit(report, &kept.advice, kept_free) {
             self.drop_advice();
             return None;
         }
@@ -469,7 +526,7 @@
 
 /// Whether the engine's memory holds everything once the advice is carried out. A held model whose
 /// size is not told could be of any size: an engine that is ordered to hold too much crashes.
-fn can_fit(report: &EngineReport, advice: &LoadAdvice) -> bool {
+fn can_fit(report: &EngineReport, advice: &LoadAdvice, kept_free_mb: f64) -> bool {
     let size_of = |model: &ModelName| {
         let row = advice.sizes.iter().find(|row| row.model == *model);
         row.map(|row| row.size_mb)
@@ -477,5 +534,5 @@
     let stays = |model: &&ModelName| !advice.unload.contains(*model);
     let kept = report.models.iter().map(|held| &held.model).filter(stays);
     let sizes: Option<f64> = kept.chain([&advice.load]).map(size_of).sum();
-    sizes.is_some_and(|sum| sum <= advice.room_mb)
+    sizes.is_some_and(|sum| sum + kept_free_mb <= advice.room_mb)
 }
--- a/crates/oatpier-serving/src/site.rs
+++ b/crates/oatpier-serving/src/site.rs
@@ -6,6 +6,8 @@
 use oatpier_types::names::{ClassName, ModelName, PoolName};
 use smallvec::SmallVec;
 
+use crate::engine::LocalCopies;
+
 /// One version of the configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SiteConfig {
@@ -151,6 +153,20 @@
     pub adapter_mb: f64,
 }
 
+impl ModelRule {
+    /// How long a load takes where the engine has these copies.
+    #[must_use]
+    pub fn load_with(&self, copies: &LocalCopies) -> Duration {
+        if copies.in_memory.contains(&self.name) {
+            self.load_from_memory
+        } else if copies.on_disk.contains(&self.name) {
+            self.load_from_disk
+        } else {
+            self.load
+        }
+    }
+}
+
 /// Bounds on what callers send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
--- a/crates/oatpier-serving/tests/testsuite/admission.rs
+++ b/crates/oatpier-serving/tests/testsuite/admission.rs
@@ -5,11 +5,13 @@
 
 use std::time::Duration;
 
-use oatpier_serving::admission::{AdmissionJudge, AdmissionVerdict};
+use oatpier_serving::admission::{AdmissionJudge, AdmissionQuery, AdmissionVerdict};
 use oatpier_serving::choice::EndpointChoice;
 use oatpier_types::refusal::RefusalCause;
 
-use crate::support::{at, endpoint, millis, route};
+use oatpier_serving::site::RouteRule;
+
+use crate::support::{endpoint, millis, route};
 
 fn choice(occupancy: f64, queue: Duration) -> EndpointChoice {
     EndpointChoice {
@@ -20,12 +22,29 @@
         occupancy,
         memory_full: false,
         batches: true,
+        own_reading: Duration::ZERO,
+        reading_ahead: Duration::ZERO,
     }
 }
 
+/// Judges a request that has been here for so long, and whose caller waits for two seconds.
+fn judged(
+    judge: &mut AdmissionJudge,
+    choice: &EndpointChoice,
+    route: &RouteRule,
+    waited_ms: u64,
+) -> AdmissionVerdict {
+    judge.judge(&AdmissionQuery {
+        choice,
+        route,
+        waited: millis(waited_ms),
+        patience: millis(2_000),
+    })
+}
+
 fn refused_after(judge: &mut AdmissionJudge) -> Duration {
     let full = choice(1.5, millis(600));
-    match judge.judge(&full, &route(250, 1), at(0), at(0)) {
+    match judged(judge, &full, &route(250, 1), 1_200) {
         AdmissionVerdict::Refuse(refusal) => {
             assert_eq!(refusal.cause, RefusalCause::TooLate);
             refusal.retry_after.unwrap()
@@ -37,28 +56,33 @@
 #[test]
 fn a_free_slot_is_taken_at_once() {
     let mut judge = AdmissionJudge::new(1);
-    let verdict = judge.judge(&choice(0.9, Duration::ZERO), &route(250, 1), at(0), at(0));
+    let verdict = judged(&mut judge, &choice(0.9, Duration::ZERO), &route(250, 1), 0);
     assert_eq!(verdict, AdmissionVerdict::Send);
 }
 
 /// A full engine would make the request late and everything behind it as well. It waits at the
-/// gateway while it can still be in time, and is refused at once when it can't.
+/// gateway while it can still be in time, then while its caller does, and is refused early enough for the
+/// caller to come back.
 #[test]
-fn a_request_waits_while_it_can_be_in_time_and_is_refused_after() {
+fn a_request_waits_while_its_caller_does_and_is_refused_after() {
     let mut judge = AdmissionJudge::new(1);
     let full = choice(1.0, millis(60));
     let urgent = route(250, 1);
     assert!(matches!(
-        judge.judge(&full, &urgent, at(0), at(0)),
+        judged(&mut judge, &full, &urgent, 0),
+        AdmissionVerdict::Wait(_)
+    ));
+    assert!(matches!(
+        judged(&mut judge, &full, &urgent, 170),
         AdmissionVerdict::Wait(_)
     ));
     assert!(matches!(
-        judge.judge(&full, &urgent, at(0), at(170)),
+        judged(&mut judge, &full, &urgent, 1_200),
         AdmissionVerdict::Refuse(_)
     ));
     let patient = route(3_000, 1);
     assert!(matches!(
-        judge.judge(&full, &patient, at(0), at(1_500)),
+        judged(&mut judge, &full, &patient, 1_500),
         AdmissionVerdict::Wait(_)
     ));
 }
@@ -68,12 +92,12 @@
     let mut judge = AdmissionJudge::new(1);
     let full = choice(1.0, millis(60));
     assert_eq!(
-        judge.judge(&full, &route(250, 0), at(0), at(0)),
+        judged(&mut judge, &full, &route(250, 0), 0),
         AdmissionVerdict::Send
     );
     let over = choice(1.2, millis(200));
     assert_ne!(
-        judge.judge(&over, &route(250, 0), at(0), at(0)),
+        judged(&mut judge, &over, &route(250, 0), 0),
         AdmissionVerdict::Send
     );
 }
@@ -96,6 +120,27 @@
     let mut judge = AdmissionJudge::new(1);
     let mut full = choice(0.2, millis(100));
     full.memory_full = true;
-    let verdict = judge.judge(&full, &route(250, 0), at(0), at(0));
+    let verdict = judged(&mut judge, &full, &route(250, 0), 0);
     assert_ne!(verdict, AdmissionVerdict::Send);
 }
+
+/// Under overload some requests can only be late. They are served from what is left: the last slots go to
+/// requests that can still be in time.
+#[test]
+fn a_late_request_leaves_the_last_slots_to_those_in_time() {
+    let mut judge = AdmissionJudge::new(1);
+    let nearly_full = choice(0.97, Duration::ZERO);
+    let route = route(250, 1);
+    assert_eq!(
+        judged(&mut judge, &nearly_full, &route, 0),
+        AdmissionVerdict::Send
+    );
+    assert!(matches!(
+        judged(&mut judge, &nearly_full, &route, 400),
+        AdmissionVerdict::Wait(_)
+    ));
+    assert_eq!(
+        judged(&mut judge, &choice(0.9, Duration::ZERO), &route, 400),
+        AdmissionVerdict::Send
+    );
+}
--- a/crates/oatpier-serving/tests/testsuite/choice.rs
+++ b/crates/oatpier-serving/tests/testsuite/choice.rs
@@ -5,7 +5,8 @@
 use oatpier_types::names::EndpointName;
 
 use crate::support::{
-    SLOTS, adapter, at, directory, endpoint, held, pulse, record, request, service, zone,
+    SLOTS, adapter, at, directory, endpoint, engine_rule, held, millis, pulse, record, request,
+    service, zone,
 };
 
 fn choose(
@@ -18,6 +19,7 @@
         request: &request(weights),
         zone: &zone("near"),
         excluded,
+        engine: Some(&engine_rule(&["m1", "m2"])),
     };
     choice::choose(directory, &query, at(100))
 }
@@ -40,7 +42,7 @@
     let directory = directory(&[(&["m2"], 0)], at(0));
     assert_eq!(
         choose(&directory, "m1", &[]),
-        ChoiceVerdict::NoModel { loading: false }
+        ChoiceVerdict::NoModel { ready_in: None }
     );
     assert_eq!(
         choose(&EndpointDirectory::default(), "m1", &[]),
@@ -48,8 +50,10 @@
     );
 }
 
+/// Callers of a model that is being loaded are told when to come back, or wait. Its engine began 90 ms ago
+/// with a load of two seconds.
 #[test]
-fn a_model_that_is_being_loaded_is_told() {
+fn a_model_that_is_being_loaded_is_told_with_its_time() {
     let mut directory = directory(&[(&["m2"], 0)], at(0));
     let mut loading = pulse(1, &["m2"], 0);
     loading.number.number = 2;
@@ -57,10 +61,43 @@
     directory.take_pulse(loading, at(10));
     assert_eq!(
         choose(&directory, "m1", &[]),
-        ChoiceVerdict::NoModel { loading: true }
+        ChoiceVerdict::NoModel {
+            ready_in: Some(millis(1_910))
+        }
     );
 }
 
+/// The engine waits for the streams of another model to end before it loads: nobody knows how long, and
+/// the load has not begun.
+#[test]
+fn a_load_that_waits_for_streams_takes_its_whole_time_and_more() {
+    let mut directory = directory(&[(&["m2"], 3)], at(0));
+    let mut draining = pulse(1, &["m2"], 3);
+    draining.number.number = 2;
+    draining.loading = Some(crate::support::model("m1"));
+    draining.retiring = vec![crate::support::model("m2")];
+    directory.take_pulse(draining, at(10));
+    let ChoiceVerdict::NoModel {
+        ready_in: Some(ready_in),
+    } = choose(&directory, "m1", &[])
+    else {
+        panic!("the load is known");
+    };
+    assert!(ready_in > millis(2_000));
+}
+
+/// One engine has prompts before it that take 300 ms to read, the other one none. Their batches are alike;
+/// the prompt goes where it is read at once.
+#[test]
+fn an_engine_that_has_little_to_read_goes_before_one_that_has_much() {
+    let mut directory = directory(&[(&["m1"], 3), (&["m1"], 3)], at(0));
+    directory.note_asked(&endpoint("e1"), millis(300));
+    assert_eq!(chosen(&directory, "m1"), "e2");
+    directory.note_permitted(&endpoint("e1"), millis(300));
+    directory.note_asked(&endpoint("e2"), millis(300));
+    assert_eq!(chosen(&directory, "m1"), "e1");
+}
+
 /// The caller sees no refusal: a model that its engine is about to unload gets no new requests,
 /// since the engine would refuse them while it waits for the running ones.
 #[test]
@@ -122,11 +159,22 @@
 #[test]
 fn an_engine_that_keeps_the_prompt_is_taken_among_equals() {
     let mut directory = directory(&[(&["m1"], 2), (&["m1"], 2)], at(0));
+    learn_reading(&mut directory, "e1");
     let chain = choice::prefix_chain(&request("m1"));
     directory.note_prompt(&endpoint("e2"), &chain, at(50));
     assert_eq!(chosen(&directory, "m1"), "e2");
 }
 
+/// Lets an engine read some prompts, a token in a twentieth of a millisecond.
+fn learn_reading(directory: &mut EndpointDirectory, name: &str) {
+    let weights = request("m1").weights.unwrap();
+    for _ in 0..20 {
+        let prompt = directory.note_reading(&endpoint(name), &weights, 400.0);
+        directory.note_first(&endpoint(name), Some(&weights), &prompt, millis(20), at(10));
+        directory.note_read(&endpoint(name), &prompt);
+    }
+}
+
 /// Callers get errors from an engine whose health check is good: it fails a part of its requests
 /// and answers the others, so that nothing fails in a row. It gets fewer requests by its share of
 /// failures, and gets some again once it was left alone for a while.
@@ -180,6 +228,7 @@
         request: &request("m1"),
         zone: &zone("near"),
         excluded: &[],
+        engine: None,
     };
     let ChoiceVerdict::Endpoint(choice) = choice::choose(&directory, &query, at(1_200)) else {
         panic!("an endpoint is there");
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -1,9 +1,12 @@
 //! What is believed of endpoints.
 
+use oatpier_serving::choice;
 use oatpier_serving::directory::{DirectoryChange, EndpointDirectory};
-use oatpier_serving::engine::EndpointLoad;
+use oatpier_serving::engine::{EndpointLoad, StartTime};
+use oatpier_serving::message::EnginePulse;
+use oatpier_serving::reading::SentPrompt;
 
-use crate::support::{at, directory, endpoint, model, pulse, record};
+use crate::support::{at, directory, endpoint, millis, model, pulse, record, request};
 
 #[test]
 fn an_entry_that_is_missing_while_the_store_answers_is_gone() {
@@ -152,3 +155,85 @@
             .holds(&model("m2"), at(20))
     );
 }
+
+/// A pulse of an engine's start, the number of its sidecar's words so far.
+fn pulse_of(start: u64, number: u64, models: &[&str]) -> EnginePulse {
+    let mut told = pulse(1, models, 0);
+    told.number.number = number;
+    told.start = Some(StartTime(start));
+    told
+}
+
+/// An engine crashes and starts again under its name between two heartbeats: the registry lists it all the
+/// while. Requests for what its last start held would be turned away; prompts that it kept are read anew.
+#[test]
+fn an_engine_that_starts_again_under_its_name_holds_and_keeps_nothing() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    let name = endpoint("e1");
+    directory.take_pulse(pulse_of(1_000, 2, &["m1"]), at(10));
+    let chain = choice::prefix_chain(&request("m1"));
+    directory.note_prompt(&name, &chain, at(20));
+    assert_eq!(directory.prefixes().holders(&chain, at(30)).len(), 1);
+    assert!(directory.take_pulse(pulse_of(2_000, 3, &[]), at(100)));
+    let row = directory.row(&name).unwrap();
+    assert!(!row.holds(&model("m1"), at(110)));
+    let holders = directory.prefixes().holders(&chain, at(110));
+    assert!(holders.iter().all(|holder| holder.endpoint != row.index));
+}
+
+/// The registry still lists the last start with all that it held, after the sidecar has told of the next
+/// one. The later word on the start is the sidecar's.
+#[test]
+fn an_old_entry_does_not_bring_an_ended_start_back() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    directory.take_pulse(pulse_of(2_000, 2, &[]), at(10));
+    let mut old = record(1, &["m1"]);
+    old.start = Some(StartTime(1_000));
+    old.draining = true;
+    directory.apply_registry(vec![old], at(50));
+    let row = directory.row(&endpoint("e1")).unwrap();
+    assert!(!row.holds(&model("m1"), at(60)));
+    assert!(row.is_open(at(60)));
+}
+
+/// The engine's clock was set back before it started again, so that the later start seems the earlier one.
+/// It is taken all the same: starts are told apart, not compared.
+#[test]
+fn a_later_start_may_say_an_earlier_time() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    directory.take_pulse(pulse_of(2_000, 2, &["m1"]), at(10));
+    directory.take_pulse(pulse_of(1_500, 3, &[]), at(100));
+    assert!(
+        !directory
+            .row(&endpoint("e1"))
+            .unwrap()
+            .holds(&model("m1"), at(110))
+    );
+    // A word of the start before crosses it on the way, and is older.
+    directory.take_pulse(pulse_of(2_000, 2, &["m1"]), at(120));
+    assert!(
+        !directory
+            .row(&endpoint("e1"))
+            .unwrap()
+            .holds(&model("m1"), at(130))
+    );
+}
+
+/// No sidecar is heard, so the registry is the last word: a plain service starts again under its name, and
+/// what was learned of its last start (here: that it is slow) is forgotten.
+#[test]
+fn without_a_sidecar_the_registry_tells_of_the_next_start() {
+    let mut directory = EndpointDirectory::default();
+    let mut first = record(1, &[]);
+    first.start = Some(StartTime(1_000));
+    directory.apply_registry(vec![first.clone()], at(0));
+    let name = endpoint("e1");
+    for _ in 0..50 {
+        directory.note_first(&name, None, &SentPrompt::default(), millis(900), at(10));
+    }
+    let mut next = first;
+    next.start = Some(StartTime(9_000));
+    let changes = directory.apply_registry(vec![next], at(900));
+    assert_eq!(changes, vec![DirectoryChange::Restarted(name.clone())]);
+    assert!(directory.row(&name).unwrap().first.mean_ms() < 100.0);
+}
--- a/crates/oatpier-serving/tests/testsuite/planner.rs
+++ b/crates/oatpier-serving/tests/testsuite/planner.rs
@@ -8,11 +8,12 @@
 
 use oatpier_serving::directory::EndpointDirectory;
 use oatpier_serving::engine::LocalCopies;
-use oatpier_serving::peers::TotalDemand;
-use oatpier_serving::planner::{LoadPlanner, LoadReason, PlanOutcome};
+use oatpier_serving::message::ModelUse;
+use oatpier_serving::peers::{FleetUses, TotalDemand};
+use oatpier_serving::planner::{FleetDemand, LoadPlanner, LoadReason, PlanOutcome};
 use oatpier_types::names::ModelName;
 
-use crate::support::{at, directory, engine_rule, model, pulse, record, service};
+use crate::support::{address, at, directory, engine_rule, model, pulse, record, service};
 
 /// Two engines that are full with a model in great demand, and one with models that are rarely asked for.
 const HOT_BESIDE_RARE: [(&[&str], u32); 3] = [
@@ -30,6 +31,8 @@
         unserved,
         asked_fast: running + unserved,
         asked_slow: running + unserved,
+
+        reading_ms: 0.0,
         adapters: 0.0,
         idle: Some(Duration::from_millis(100)),
     };
@@ -39,18 +42,41 @@
 }
 
 fn plan(directory: &EndpointDirectory, names: &[&str], demand: &Demand) -> PlanOutcome {
+    plan_beside(directory, names, demand, &FleetUses::default())
+}
+
+/// Plans where engines are used like this.
+fn plan_beside(
+    directory: &EndpointDirectory,
+    names: &[&str],
+    demand: &Demand,
+    uses: &FleetUses,
+) -> PlanOutcome {
     let rule = engine_rule(names);
     let mut planner = LoadPlanner::default();
     // The rate of the weight store fills up with time.
-    planner.plan(
-        &rule,
-        directory.service(&service()),
-        &Demand::new(),
-        at(900),
-    );
+    let nothing = Demand::new();
+    let idle = FleetDemand {
+        models: &nothing,
+        uses,
+    };
+    planner.plan(&rule, directory.service(&service()), idle, at(900));
+    let demand = FleetDemand {
+        models: demand,
+        uses,
+    };
     planner.plan(&rule, directory.service(&service()), demand, at(1_000))
 }
 
+/// Requests for a model at the engine of a number.
+fn used(number: u8, name: &str, requests: u32) -> ModelUse {
+    ModelUse {
+        engine: address(number),
+        model: model(name),
+        requests,
+    }
+}
+
 fn loads(outcome: &PlanOutcome) -> Vec<(String, String, LoadReason)> {
     let row = |load: &oatpier_serving::planner::PlannedLoad| {
         (
@@ -139,7 +165,10 @@
     let outcome = planner.plan(
         &rule,
         directory.service(&service()),
-        &Demand::new(),
+        FleetDemand {
+            models: &Demand::new(),
+            uses: &FleetUses::default(),
+        },
         at(1_000),
     );
     let names: Vec<String> = loads(&outcome)
@@ -240,11 +269,66 @@
         (&["hot"], 10),
     ];
     let directory = directory(&engines, at(900));
-    let outcome = plan(
+    let mut uses = FleetUses::default();
+    uses.add(&used(1, "used", 2));
+    uses.add(&used(2, "used", 2));
+    let outcome = plan_beside(
         &directory,
         &["calm", "used", "hot"],
         &demand(&[("calm", 0.0, 0.0), ("used", 4.0, 0.0), ("hot", 10.0, 10.0)]),
+        &uses,
     );
     assert_eq!(outcome.planned[0].advice.load, model("hot"));
     assert_eq!(outcome.planned[0].advice.unload, vec![model("calm")]);
 }
+
+/// The engines have many slots and read prompts slowly: a few requests a second fill the whole time of the
+/// only holder, while most of its slots are free. All its streams are late; a replica takes half of the
+/// prompts.
+#[test]
+fn an_engine_that_reads_all_the_time_is_busy_with_few_requests() {
+    let directory = directory(&[(&["m1"], 2), (&["m2"], 0)], at(900));
+    let mut demand = demand(&[("m1", 2.0, 0.0)]);
+    assert!(plan(&directory, &["m1", "m2"], &demand).planned.is_empty());
+    // Ten requests a second of 60 ms each.
+    let total = demand.get_mut(&model("m1")).unwrap();
+    total.asked_fast = 10.0;
+    total.asked_slow = 10.0;
+    total.reading_ms = 600.0;
+    let outcome = plan(&directory, &["m1", "m2"], &demand);
+    let row = ("e2".to_owned(), "m1".to_owned(), LoadReason::Busy);
+    assert_eq!(loads(&outcome), vec![row]);
+}
+
+/// A model's callers are refused while the engine that is to load it waits for a stream of what it unloads,
+/// which may take as long as its caller's deadline. After a moment the model is sought at another engine.
+#[test]
+fn a_load_that_waits_for_streams_for_long_is_given_to_another_engine_as_well() {
+    let mut directory = directory(&[(&["m1", "m2"], 1), (&["m4", "m5"], 0)], at(0));
+    let rule = engine_rule(&["m1", "m2", "m3", "m4", "m5"]);
+    let demand = demand(&[("m3", 0.0, 4.0)]);
+    let uses = FleetUses::default();
+    let fleet = FleetDemand {
+        models: &demand,
+        uses: &uses,
+    };
+    let mut planner = LoadPlanner::default();
+    for round in 1..30 {
+        let now = round * 100;
+        let mut draining = pulse(1, &["m1", "m2"], 1);
+        draining.number.number = round + 1;
+        draining.retiring = vec![model("m1")];
+        draining.loading = Some(model("m3"));
+        directory.take_pulse(draining, at(now));
+        let mut calm = pulse(2, &["m4", "m5"], 0);
+        calm.number.number = round + 1;
+        directory.take_pulse(calm, at(now));
+        let outcome = planner.plan(&rule, directory.service(&service()), fleet, at(now));
+        if !outcome.planned.is_empty() {
+            assert!(now > 1_500, "advised after {now} ms");
+            assert_eq!(outcome.planned[0].endpoint.as_str(), "e2");
+            return;
+        }
+    }
+    panic!("nobody else was advised");
+}
--- a/crates/oatpier-serving/tests/testsuite/residency.rs
+++ b/crates/oatpier-serving/tests/testsuite/residency.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oatpier_serving::engine::{EngineOrder, EngineReport, LocalCopies, OrderAnswer};
+use oatpier_serving::engine::{EngineOrder, EngineReport, LocalCopies, OrderAnswer, StartTime};
 use oatpier_serving::message::{AdapterUse, AdapterWish, GatewayGreeting, LoadAdvice, ModelSize};
 use oatpier_serving::residency::{EngineResidency, LoadPace};
 use proptest::prelude::*;
@@ -333,7 +333,7 @@
     residency.take_report(report(5, &["m1"]));
     assert!(residency.is_restarted(&report(0, &[])));
     assert!(!residency.is_restarted(&report(6, &["m1"])));
-    residency.forget_engine();
+    residency.forget_engine(at(0));
     assert!(!residency.is_restarted(&report(0, &[])));
 }
 
@@ -349,3 +349,44 @@
     residency.note_answer(&order, OrderAnswer::Taken, at(0));
     assert_eq!(residency.store_load_wait(at(0)), Duration::from_secs(20));
 }
+
+fn report_of(start: u64, sequence: u64, models: &[&str]) -> EngineReport {
+    EngineReport {
+        start: Some(StartTime(start)),
+        ..report(sequence, models)
+    }
+}
+
+/// An engine starts again under its name, and has taken as many orders as before when it reports next: only
+/// the time of its start tells.
+#[test]
+fn a_report_of_another_start_comes_from_a_restarted_engine() {
+    let mut residency = residency();
+    residency.take_report(report_of(1_000, 2, &["m1"]));
+    assert!(residency.is_restarted(&report_of(2_000, 2, &[])));
+    assert!(residency.is_restarted(&report_of(500, 4, &[])));
+    assert!(!residency.is_restarted(&report_of(1_000, 3, &["m1"])));
+    assert!(!residency.is_restarted(&report(3, &["m1"])));
+}
+
+/// The answer to a load is lost, and the engine starts again under its name. The lost order names that
+/// engine, and may be carried out when the new start is at its sequence. Beside two other models it would
+/// be too much, and the engine would crash: room is kept until it can't come any more.
+#[test]
+fn room_is_kept_for_a_load_that_an_ended_start_was_ordered() {
+    let mut residency = residency();
+    residency.take_report(report(1, &["m1"]));
+    residency.take_advice(advice("m2", &[], &["m1"]), at(0));
+    let lost = residency.next_order(at(0)).unwrap();
+    residency.note_answer(&lost, OrderAnswer::Unknown, at(0));
+    residency.forget_engine(at(100));
+    residency.take_report(report(0, &[]));
+    residency.take_advice(advice("m3", &[], &[]), at(5_100));
+    let first = residency.next_order(at(5_100)).unwrap();
+    residency.note_answer(&first, OrderAnswer::Taken, at(5_100));
+    residency.take_report(report(1, &["m3"]));
+    residency.take_advice(advice("m4", &[], &["m3"]), at(10_200));
+    assert_eq!(residency.next_order(at(10_200)), None);
+    residency.take_advice(advice("m4", &[], &["m3"]), at(14_000));
+    assert!(residency.next_order(at(14_000)).is_some());
+}
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -64,6 +64,7 @@
 pub fn record(number: u8, models: &[&str]) -> EndpointRecord {
     EndpointRecord {
         name: endpoint(&format!("e{number}")),
+        start: None,
         service: service(),
         address: address(number),
         zone: zone("near"),
@@ -81,6 +82,7 @@
         engine: address(number),
         service: Some(service()),
         instance: None,
+        start: None,
         answers: true,
         load: EndpointLoad {
             running,
@@ -96,6 +98,7 @@
         copies: LocalCopies::default(),
         draining: false,
         load_wait_ms: 0,
+        permit_wait_ms: 0,
         gateways: Vec::new(),
     }
 }
