Read prompts one after the other until it is known how long they take

Ruled out: remembering estimates at sidecars or peers, which are restarted at the same moment; a figure to start from, which would be some data sheet's.

--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -133,6 +133,10 @@
 
 /// Waits for a permit to send a prompt to an engine. Plain services read no prompts, and an engine whose
 /// sidecar is not heard gives no permits.
+///
+/// A gateway that has just started does not know how long prompts take. Its prompts are asked for as if each
+/// took a whole pause, so that they are read one after the other until it knows: after a loss of all
+/// processes the first seconds are the busiest.
 pub(super) async fn permit(
     core: &Arc<GatewayCore>,
     plan: &RequestPlan,
@@ -141,12 +145,16 @@
     let RouteKind::Stream { pause, .. } = plan.route.kind else {
         return PermitVerdict::Free;
     };
-    if placed.load_age.is_none() || placed.choice.own_reading.is_zero() {
+    if placed.load_age.is_none() {
         return PermitVerdict::Free;
     }
+    let reading = match placed.choice.own_reading {
+        Duration::ZERO => pause,
+        known => known,
+    };
     let ask = PermitAsk {
         id: rand::random(),
-        reading_us: u32::try_from(placed.choice.own_reading.as_micros()).unwrap_or(u32::MAX),
+        reading_us: u32::try_from(reading.as_micros()).unwrap_or(u32::MAX),
         pause_ms: u32::try_from(pause.as_millis()).unwrap_or(u32::MAX),
         due_in_ms: 0,
     };
--- a/crates/oatpier-gateway/tests/testsuite/permits.rs
+++ b/crates/oatpier-gateway/tests/testsuite/permits.rs
@@ -123,3 +123,23 @@
     assert_eq!(answer.status(), StatusCode::OK);
     assert!(asks(&gateway).is_empty());
 }
+
+/// All processes were killed, and callers come back together. The gateway does not know how long prompts take;
+/// sent at once they would hold up each other and every stream. Each is asked for as if it took a whole
+/// pause, so that the sidecar lets them be read one after the other.
+#[tokio::test]
+async fn a_gateway_that_has_just_started_asks_for_one_prompt_after_the_other() {
+    let engine = ScriptedEndpoint::start(answers(1)).await;
+    let gateway = TestGateway::before(STREAM, 1, &[&engine]);
+    hear(&gateway, &engine, 1);
+    let sending = gateway.send(prompt());
+    let granting = async {
+        while asks(&gateway).is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        grant_last(&gateway);
+    };
+    let (answer, ()) = tokio::join!(sending, granting);
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(asks(&gateway)[0].reading_us, 300_000);
+}
