--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -155,6 +155,11 @@
 }
 
 impl EngineView<'_> {
+    /// Models that it holds, or soon will.
+    fn served(&self) -> impl Iterator<Item = &ModelName> {
+        self.held.iter().copied().chain(&self.coming)
+    }
+
     /// Whether it holds a model, or soon will.
     fn serves(&self, model: &ModelName) -> bool {
         self.held.contains(&model) || self.coming.as_ref() == Some(model)
@@ -229,8 +234,7 @@
 
     pub(super) fn spread_load(&mut self) {
         for view in &mut self.engines {
-            let served = view.held.iter().copied().chain(&view.coming);
-            let shares = served.filter_map(|model| self.models.get(model));
+            let shares = view.served().filter_map(|model| self.models.get(model));
             let shares = shares.map(ModelView::share);
             view.load = shares.fold(EngineShare::default(), EngineShare::plus);
         }
@@ -287,7 +291,7 @@
             .iter()
             .filter(|view| view.load.load() > BUSY_SHARE);
         let mut models: Vec<(&ModelName, f64)> = busy
-            .flat_map(|view| view.held.iter().map(|model| (*model, view.load)))
+            .flat_map(|view| view.served().map(|model| (model, view.load)))
             .filter_map(|(model, load)| {
                 Some((model, self.models.get(model)?.share().part_of(load)))
             })
--- a/crates/oatpier-serving/tests/testsuite/planner.rs
+++ b/crates/oatpier-serving/tests/testsuite/planner.rs
@@ -332,3 +332,22 @@
     }
     panic!("nobody else was advised");
 }
+
+/// A model that nobody held is asked for twenty times a second, more than one engine can do. While its first
+/// holder loads it, the next one is advised: a load takes seconds, and one after the other they would come
+/// when demand has moved on.
+#[test]
+fn a_model_in_great_demand_gets_its_replicas_while_the_first_one_is_loaded() {
+    let mut directory = directory(&[(&["m2"], 0), (&["m3"], 0)], at(900));
+    let mut loading = pulse(1, &["m2"], 0);
+    loading.number.number = 2;
+    loading.loading = Some(model("m1"));
+    directory.take_pulse(loading, at(950));
+    let outcome = plan(
+        &directory,
+        &["m1", "m2", "m3"],
+        &demand(&[("m1", 0.0, 20.0)]),
+    );
+    let row = ("e2".to_owned(), "m1".to_owned(), LoadReason::Busy);
+    assert_eq!(loads(&outcome), vec![row]);
+}
