Split the directory, the sidecar's residency and the gateway's handler

What becomes of requests at endpoints, adapters and the pace of loads, and the log lines of a request have modules of their own now.

--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -10,7 +10,7 @@
 use futures::future::BoxFuture;
 use http::header::HOST;
 use http::request::Parts;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use oatpier_platform::headers::{self, HeaderError};
 use oatpier_serving::choice::EndpointChoice;
@@ -27,7 +27,6 @@
 use super::answers::OwnAnswer;
 use super::attempt::{self, AttemptFailure, CallerMessage};
 use super::core::GatewayCore;
-use super::pauses::StreamPause;
 use super::permits::{self, PermitVerdict};
 use super::placement::{PlacedSend, Placement, RequestPlan};
 use super::relay;
@@ -155,15 +154,15 @@
     /// Endpoints that a byte of it reached.
     reached: SmallVec<[EndpointName; 2]>,
     /// Endpoints that it does not go to again.
-    excluded: SmallVec<[EndpointName; 2]>,
+    pub(super) excluded: SmallVec<[EndpointName; 2]>,
     /// The verdict on all attempts that have ended.
     settled: RunVerdict,
     /// Whether an attempt is under way.
     sending: bool,
     /// The endpoint of the last attempt.
-    endpoint: Option<EndpointName>,
+    pub(super) endpoint: Option<EndpointName>,
     /// The endpoint that was best and too busy, where the request was refused.
-    too_busy: Option<EndpointChoice>,
+    pub(super) too_busy: Option<EndpointChoice>,
 }
 
 /// What became of a request.
@@ -204,7 +203,7 @@
     }
 
     /// Whether the request may have run, as far as known.
-    fn verdict(&self) -> RunVerdict {
+    pub(super) fn verdict(&self) -> RunVerdict {
         if self.sending {
             self.settled.and(RunVerdict::MayHaveRun)
         } else {
@@ -398,134 +397,4 @@
         };
         self.refused(self.core.refusal(cause, REFUSED_RETURN))
     }
-
-    fn log_failure(&self, placed: &PlacedSend, failure: AttemptFailure) {
-        let line = DecisionLine::new(LineWeight::Notable, "attempt failed")
-            .with("request", self.plan.request.id.as_str())
-            .with("endpoint", placed.choice.endpoint.as_str())
-            .with("cause", failure.as_str())
-            .with("verdict", failure.verdict().as_str())
-            .with("predicted_ms", millis(placed.choice.predicted))
-            .with("queue_ms", millis(placed.choice.queue))
-            .with("load_age_ms", placed.load_age.map(millis));
-        self.core.log.write(line);
-    }
-
-    /// Logs a stream that broke off after its first piece.
-    pub(super) fn log_cut(&self, endpoint: &EndpointName, failure: AttemptFailure, resumed: bool) {
-        let outcome = if resumed {
-            "resumed"
-        } else {
-            "cut at the caller"
-        };
-        let waited = self.core.clock.now().since(self.plan.arrived);
-        let line = DecisionLine::new(LineWeight::Notable, "stream broke off")
-            .with("request", self.plan.request.id.as_str())
-            .with("endpoint", endpoint.as_str())
-            .with("cause", failure.as_str())
-            .with("outcome", outcome)
-            .with("waited_ms", millis(waited));
-        self.core.log.write(line);
-        self.core.metrics.attempted(failure.as_str());
-    }
-
-    /// Logs why a whole stream was late, if it was.
-    pub(super) fn log_lateness(
-        &self,
-        endpoint: &EndpointName,
-        first_after: Duration,
-        pause: Option<StreamPause>,
-    ) {
-        let is_late = first_after > self.plan.route.target;
-        let cause = match (is_late, pause.is_some()) {
-            (false, false) => return,
-            (true, false) => "start",
-            (false, true) => "pause",
-            (true, true) => "start and pause",
-        };
-        let line = DecisionLine::new(LineWeight::Notable, "stream late")
-            .with("request", self.plan.request.id.as_str())
-            .with("route", self.plan.route.name.as_str())
-            .with("endpoint", endpoint.as_str())
-            .with("cause", cause)
-            .with("first_ms", millis(first_after))
-            .with("pause_ms", pause.map(|pause| millis(pause.length)))
-            .with("after_pieces", pause.map(|pause| pause.after_pieces))
-            .with("requests_there", pause.map(|pause| pause.engine.requests))
-            .with("waiting_there", pause.map(|pause| pause.engine.waiting))
-            .with(
-                "reading_ms",
-                pause.map(|pause| pause.engine.reading_ms.round()),
-            );
-        self.core.log.write(line);
-    }
-
-    /// Logs an answer that an endpoint gave.
-    pub(super) fn log_answered(&self, status: StatusCode) {
-        let (outcome, weight) = if status.is_success() {
-            ("answered", LineWeight::Calm)
-        } else {
-            ("endpoint-error", LineWeight::Notable)
-        };
-        let line = self.answer_line(weight, outcome);
-        self.core.log.write(line.with("status", status.as_u16()));
-        self.core
-            .metrics
-            .answered(self.plan.route.name.as_str(), outcome);
-    }
-
-    /// Logs an answer of the gateway's own.
-    fn log_own(&self, own: OwnAnswer) {
-        let now = self.core.clock.now();
-        let store_read_at = self.core.lock().store_read_at;
-        let best = self.too_busy.as_ref();
-        let line = self
-            .answer_line(LineWeight::Notable, own.as_str())
-            .with("best", best.map(|choice| choice.endpoint.to_string()))
-            .with(
-                "best_taken",
-                best.map(|choice| hundredths(choice.occupancy)),
-            )
-            .with("best_queue_ms", best.map(|choice| millis(choice.queue)))
-            .with("status", own.status().as_u16())
-            .with("verdict", self.verdict().as_str())
-            .with(
-                "store_age_ms",
-                store_read_at.map(|at| millis(now.since(at))),
-            );
-        self.core.log.write(line);
-        self.core
-            .metrics
-            .answered(self.plan.route.name.as_str(), own.as_str());
-    }
-
-    fn answer_line(&self, weight: LineWeight, outcome: &'static str) -> DecisionLine {
-        let plan = &self.plan;
-        let waited = self.core.clock.now().since(plan.arrived);
-        DecisionLine::new(weight, "answer")
-            .with("request", plan.request.id.as_str())
-            .with("route", plan.route.name.as_str())
-            .with("outcome", outcome)
-            .with(
-                "weights",
-                plan.request.weights.as_ref().map(ToString::to_string),
-            )
-            .with("endpoint", self.endpoint.as_ref().map(ToString::to_string))
-            .with("failed_at", names(&self.excluded))
-            .with("waited_ms", millis(waited))
-    }
-}
-
-fn names(endpoints: &[EndpointName]) -> Vec<String> {
-    endpoints.iter().map(ToString::to_string).collect()
-}
-
-/// A share with two decimals, for a log line.
-fn hundredths(share: f64) -> f64 {
-    (share * 100.0).round() / 100.0
-}
-
-/// Milliseconds with one decimal, for a log line.
-fn millis(span: Duration) -> f64 {
-    (span.as_secs_f64() * 1e4).round() / 10.0
 }
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! - [`pauses`]: what made a stream late.
 //! - [`relay`]: an answer that goes back as a stream of events.
 //! - [`answers`]: answers of the gateway's own.
+//! - `run_log`: what is logged of a request.
 //! - [`exchanges`]: what gateways and sidecars tell each other, and the planner's rounds.
 
 pub mod answers;
@@ -21,6 +22,7 @@
 pub mod placement;
 mod placing;
 pub mod relay;
+mod run_log;
 
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
--- a/crates/oatpier-serving/src/residency.rs
+++ b/crates/oatpier-serving/src/residency/mod.rs
@@ -8,6 +8,9 @@
 //! carried out seconds later; by then either it was given again under the same sequence, and only
 //! one of the two is taken, or another order has moved the sequence on, and the late one is void.
 
+mod adapters;
+mod pace;
+
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,9 +19,12 @@
 use oatpier_types::names::ModelName;
 use smallvec::SmallVec;
 
-use crate::engine::{AdapterKey, EngineOrder, EngineReport, HeldModel, OrderAnswer, StartTime};
+use crate::engine::{AdapterKey, EngineOrder, EngineReport, OrderAnswer, StartTime};
 use crate::message::{AdapterWish, GatewayGreeting, LoadAdvice};
 
+use adapters::held_adapters;
+pub use pace::LoadPace;
+
 /// From telling gateways that a model is going to the order that unloads it: pulses reach them
 /// within a few milliseconds, and requests that were sent before are at the engine by then.
 const RETIRE_NOTICE: Duration = Duration::from_millis(30);
@@ -27,60 +33,13 @@
 /// waits for the engine's requests, up to their deadlines.
 const ADVICE_LIFE: Duration = Duration::from_secs(12);
 
-/// A wish for an adapter that is this old is dropped; who still waits repeats it.
-const WISH_LIFE: Duration = Duration::from_millis(300);
-
-/// An adapter counts as in use for this long after a gateway last named it: a request may be on its
-/// way to it.
-const ADAPTER_REST: Duration = Duration::from_millis(40);
-
 /// What a gateway said it uses counts for this long, three greetings: one that is gone uses nothing.
 const USE_LIFE: Duration = Duration::from_millis(1_600);
 
-/// An adapter that was to make room is offered again after this long: its requests take longer than
-/// whoever wished for the room waits.
-const YIELD_LIFE: Duration = Duration::from_secs(4);
-
 /// An order whose answer was lost is carried out within this time, or never: the longest delay that engines
 /// are known for, and a second more.
 const STRAY_LIFE: Duration = Duration::from_secs(13);
 
-/// Adapters that an engine may have on their way at the same time, by its interface.
-const ADAPTERS_COMING: usize = 4;
-
-/// The pace of loads from the weight store that one sidecar keeps to.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LoadPace {
-    /// Loads that all engines may begin within [`LoadPace::window`].
-    pub loads: u32,
-    /// Engines among which they are divided.
-    pub engines: u32,
-    /// This engine's place among them, from 0. Where there are fewer loads than engines, only the
-    /// first ones may load from the weight store: any other division would need agreement on time.
-    pub place: u32,
-    /// The window.
-    pub window: Duration,
-}
-
-impl LoadPace {
-    /// The time from one load of this engine to its next one, so that all engines together keep
-    /// the rate without asking each other; none if it may not load from the store.
-    #[must_use]
-    pub fn spacing(&self) -> Option<Duration> {
-        let each = self.loads / self.engines.max(1);
-        if each >= 1 {
-            Some(self.window / each)
-        } else {
-            (self.place < self.loads).then_some(self.window)
-        }
-    }
-
-    /// The time to wait where nothing is known of earlier loads.
-    fn longest_spacing(&self) -> Duration {
-        self.window
-    }
-}
-
 /// An order, and the sequence that the engine must be at.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NumberedOrder {
@@ -405,79 +364,6 @@
         }
     }
 
-    fn adapter_order(&mut self, now: ClockTime) -> Option<EngineOrder> {
-        let report = self.report.as_ref()?;
-        self.yielding.retain(|kept| now.since(kept.at) < YIELD_LIFE);
-        self.wishes
-            .retain(|wish| now.since(wish.at) < WISH_LIFE && is_needed(report, &wish.key));
-        let wish = self.wishes.front()?;
-        if report.coming.len() >= ADAPTERS_COMING {
-            return None;
-        }
-        if places_taken(report) < self.slots {
-            return Some(EngineOrder::LoadAdapter(wish.key.clone()));
-        }
-        let idle = held_adapters(report).filter(|key| self.is_idle(key, now));
-        if let Some(idlest) = idle.min_by_key(|key| self.used_at(key)) {
-            return Some(EngineOrder::UnloadAdapter(idlest));
-        }
-        // Each one that yields makes room for one wish; more would throw out what is in use.
-        if self.yielding.len() < self.wishes.len() {
-            let next = held_adapters(report)
-                .filter(|key| !self.is_yielding(key))
-                .min_by_key(|key| self.used_at(key))?;
-            self.yielding.push(KeptWish { key: next, at: now });
-        }
-        None
-    }
-
-    fn is_idle(&self, key: &AdapterKey, now: ClockTime) -> bool {
-        let in_use = self
-            .in_use
-            .values()
-            .any(|gateway| gateway.keys.contains(key));
-        !in_use && now.since(self.used_at(key)) >= ADAPTER_REST
-    }
-
-    fn used_at(&self, key: &AdapterKey) -> ClockTime {
-        self.used.get(key).copied().unwrap_or(ClockTime::ZERO)
-    }
-
-    fn is_yielding(&self, key: &AdapterKey) -> bool {
-        self.yielding.iter().any(|kept| kept.key == *key)
-    }
-
-    /// What gateways may send requests for.
-    #[must_use]
-    pub fn offered(&self) -> Vec<HeldModel> {
-        let mut models = match &self.report {
-            Some(report) => report.models.clone(),
-            None => Vec::new(),
-        };
-        for kept in &self.yielding {
-            for held in models
-                .iter_mut()
-                .filter(|held| held.model == kept.key.model)
-            {
-                held.adapters.retain(|adapter| *adapter != kept.key.adapter);
-            }
-        }
-        models
-    }
-
-    /// Adapters that could be loaded without waiting for requests that use others.
-    #[must_use]
-    pub fn adapter_room(&self, now: ClockTime) -> u32 {
-        let Some(report) = &self.report else {
-            return 0;
-        };
-        let free = self.slots.saturating_sub(places_taken(report));
-        let idle = held_adapters(report)
-            .filter(|key| self.is_idle(key, now))
-            .count();
-        u32::try_from((free + idle).saturating_sub(self.wishes.len())).unwrap_or(u32::MAX)
-    }
-
     fn model_order(&mut self, now: ClockTime) -> Option<EngineOrder> {
         let report = self.report.as_ref()?;
         let kept = self.advice.as_ref()?;
@@ -502,28 +388,6 @@
     }
 }
 
-/// Places for adapters that are taken.
-fn places_taken(report: &EngineReport) -> usize {
-    let held: usize = report.models.iter().map(|held| held.adapters.len()).sum();
-    held + report.coming.len()
-}
-
-fn held_adapters(report: &EngineReport) -> impl Iterator<Item = AdapterKey> {
-    report.models.iter().flat_map(|held| {
-        held.adapters.iter().map(|adapter| AdapterKey {
-            model: held.model.clone(),
-            adapter: adapter.clone(),
-        })
-    })
-}
-
-/// Whether a wish still needs an order: its model is there, and the adapter neither there nor
-/// coming.
-fn is_needed(report: &EngineReport, key: &AdapterKey) -> bool {
-    let held = report.models.iter().find(|held| held.model == key.model);
-    held.is_some_and(|held| !held.adapters.contains(&key.adapter)) && !report.coming.contains(key)
-}
-
 /// Whether the engine's memory holds everything once the advice is carried out. A held model whose
 /// size is not told could be of any size: an engine that is ordered to hold too much crashes.
 fn can_fit(report: &EngineReport, advice: &LoadAdvice, kept_free_mb: f64) -> bool {
