Count what becomes of a request for the start that it was sent to

Cause: where an engine starts again under its name, streams that its last start cut were counted for the new one: its failure share rose to nearly one and it was avoided for seconds; prompts of the last start freed reading time that the new one was using.

Test: what_a_last_start_broke_off_is_not_blamed_on_the_next_one.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -120,8 +120,9 @@
     /// The endpoint.
     pub endpoint: EndpointName,
     sent_at: ClockTime,
-    /// The prompt, until the endpoint has read it.
-    unread: Option<SentPrompt>,
+    sent: SentPrompt,
+    /// Whether the endpoint has yet to read the prompt.
+    is_unread: bool,
     permit: Option<HeldPermit>,
     outcome: EndpointOutcome,
 }
@@ -135,13 +136,14 @@
         endpoint: &EndpointName,
         permit: Option<HeldPermit>,
     ) -> Self {
-        let prompt = core.note_sent(plan, endpoint);
+        let sent = core.note_sent(plan, endpoint);
         Self {
             core: Arc::clone(core),
             plan: Arc::clone(plan),
             endpoint: endpoint.clone(),
             sent_at: core.clock.now(),
-            unread: plan.request.weights.is_some().then_some(prompt),
+            sent,
+            is_unread: plan.request.weights.is_some(),
             permit,
             outcome: EndpointOutcome::Abandoned,
         }
@@ -156,10 +158,9 @@
     /// The first piece of the answer is here.
     pub fn note_first(&mut self) {
         let now = self.core.clock.now();
-        let prompt = self.unread.unwrap_or_default();
         let took = now.since(self.sent_at);
         self.core
-            .note_first(&self.plan, &self.endpoint, &prompt, took);
+            .note_first(&self.plan, &self.endpoint, &self.sent, took);
         self.settle_prompt();
         let route = self.plan.route.name.as_str();
         self.core
@@ -168,8 +169,8 @@
     }
 
     fn settle_prompt(&mut self) {
-        if let Some(prompt) = self.unread.take() {
-            self.core.note_read(&self.endpoint, &prompt);
+        if std::mem::take(&mut self.is_unread) {
+            self.core.note_read(&self.endpoint, &self.sent);
         }
         self.permit = None;
     }
@@ -189,7 +190,8 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.settle_prompt();
-        self.core.note_end(&self.plan, &self.endpoint, self.outcome);
+        self.core
+            .note_end(&self.plan, &self.endpoint, &self.sent, self.outcome);
     }
 }
 
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -314,7 +314,7 @@
         let weights = plan.request.weights.as_ref();
         state.directory.note_sent(endpoint, weights);
         let Some(weights) = weights else {
-            return SentPrompt::default();
+            return state.directory.sent_without_prompt(endpoint);
         };
         let unread = choice::unread_at(&state.directory, endpoint, &plan.request, now);
         state.directory.note_prompt(endpoint, &chain, now);
@@ -329,11 +329,18 @@
     }
 
     /// A request is over at an endpoint.
-    pub fn note_end(&self, plan: &RequestPlan, endpoint: &EndpointName, outcome: EndpointOutcome) {
+    pub fn note_end(
+        &self,
+        plan: &RequestPlan,
+        endpoint: &EndpointName,
+        sent: &SentPrompt,
+        outcome: EndpointOutcome,
+    ) {
         let now = self.clock.now();
         let mut state = self.lock();
         let weights = plan.request.weights.as_ref();
-        let makes_room = state.directory.note_end(endpoint, weights, outcome, now);
+        let is_present = state.directory.is_present_start(endpoint, sent);
+        let makes_room = is_present && state.directory.note_end(endpoint, weights, outcome, now);
         if let Some(weights) = weights {
             state.demand.note_ended(&weights.model, now);
         }
--- a/crates/oatpier-serving/src/directory/requests.rs
+++ b/crates/oatpier-serving/src/directory/requests.rs
@@ -52,6 +52,24 @@
         }
     }
 
+    /// Whether what was sent went to the start of the endpoint that is known now. What becomes of it says
+    /// nothing of a later one: an engine that has just started again would be avoided for the streams that
+    /// its last start cut.
+    #[must_use]
+    pub fn is_present_start(&self, name: &EndpointName, sent: &SentPrompt) -> bool {
+        let row = self.rows.get(name);
+        row.is_some_and(|row| sent.start.is_none_or(|start| start == row.index))
+    }
+
+    /// What was sent to an endpoint that reads no prompts.
+    #[must_use]
+    pub fn sent_without_prompt(&self, name: &EndpointName) -> SentPrompt {
+        SentPrompt {
+            start: self.rows.get(name).map(|row| row.index),
+            ..SentPrompt::default()
+        }
+    }
+
     /// An engine begins to read a prompt, of which it does not keep `tokens`.
     pub fn note_reading(
         &mut self,
@@ -68,6 +86,7 @@
             own_ms,
             ahead_ms: row.reading.ms(),
             alone: row.reading.is_idle(),
+            start: Some(row.index),
         };
         row.reading.add(own_ms);
         sent
@@ -89,6 +108,9 @@
 
     /// An engine has read a prompt, or will not.
     pub fn note_read(&mut self, name: &EndpointName, prompt: &SentPrompt) {
+        if !self.is_present_start(name, prompt) {
+            return;
+        }
         if let Some(row) = self.rows.get_mut(name) {
             row.reading.remove(prompt.own_ms);
         }
@@ -116,6 +138,9 @@
         took: Duration,
         now: ClockTime,
     ) {
+        if !self.is_present_start(name, prompt) {
+            return;
+        }
         let reading = Duration::from_secs_f64((prompt.ahead_ms + prompt.own_ms) / 1e3);
         if let Some(weights) = weights.filter(|_| prompt.alone) {
             self.paces.note(&weights.model, prompt.tokens, took);
--- a/crates/oatpier-serving/src/reading.rs
+++ b/crates/oatpier-serving/src/reading.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use oatpier_policy::index::EndpointIndex;
 use oatpier_types::names::ModelName;
 
 /// Shorter prompts say little about the pace: the way to the engine and its step weigh as much.
@@ -134,4 +135,6 @@
     pub ahead_ms: f64,
     /// Whether nothing else of this gateway was being read.
     pub alone: bool,
+    /// The start of the endpoint that it was sent to, as its place in the tables tells it.
+    pub start: Option<EndpointIndex>,
 }
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -237,3 +237,22 @@
     assert_eq!(changes, vec![DirectoryChange::Restarted(name.clone())]);
     assert!(directory.row(&name).unwrap().first.mean_ms() < 100.0);
 }
+
+/// The streams of an engine break off as it crashes, and it starts again under its name before the gateway
+/// has counted them. They say nothing of the new start.
+#[test]
+fn what_a_last_start_broke_off_is_not_blamed_on_the_next_one() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    let name = endpoint("e1");
+    directory.take_pulse(pulse_of(1_000, 2, &["m1"]), at(10));
+    let weights = request("m1").weights.unwrap();
+    let sent = directory.note_reading(&name, &weights, 400.0);
+    assert!(directory.is_present_start(&name, &sent));
+    directory.take_pulse(pulse_of(2_000, 3, &["m1"]), at(100));
+    assert!(!directory.is_present_start(&name, &sent));
+    let next = directory.note_reading(&name, &weights, 400.0);
+    directory.note_read(&name, &sent);
+    assert!(!directory.row(&name).unwrap().reading.is_idle());
+    directory.note_read(&name, &next);
+    assert!(directory.row(&name).unwrap().reading.is_idle());
+}
