Tell callers of a missing model the time of the nearest load

Ruled out: waiting instead of refusing where no load is under way; a request that nobody can serve must not be held (the test of that stands).

--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -17,7 +17,7 @@
 /// While no engine is loading the model yet, a request waits so long for the planner to act.
 const PLANNER_WAIT: Duration = Duration::from_millis(400);
 
-/// When to come back where a model has to be loaded of which the configuration says nothing.
+/// When to come back where a model has to be loaded and no engine is heard that could.
 const MODEL_RETURN: Duration = Duration::from_millis(900);
 
 /// When to come back where an adapter found no place in time: places are free when streams end.
@@ -73,12 +73,10 @@
                     }),
                 }
             }
-            ChoiceVerdict::NoModel { ready_in } => {
+            ChoiceVerdict::NoModel { ready_in, load } => {
                 self.note_unserved(&mut state, plan, now);
-                let rule =
-                    engine.and_then(|rule| rule.model(&plan.request.weights.as_ref()?.model));
-                let load = rule.map_or(MODEL_RETURN, |rule| rule.load);
-                place_without_model(&mut state, plan, ready_in, load, now)
+                let coming = ComingModel { ready_in, load };
+                place_without_model(&mut state, plan, coming, now)
             }
             ChoiceVerdict::NoEndpoint => {
                 let refusal = state.judge.refusal(RefusalCause::NoEndpoint, ABSENT_RETURN);
@@ -144,25 +142,43 @@
     }
 }
 
+/// What is known of a model that nobody holds.
+#[derive(Debug, Clone, Copy)]
+struct ComingModel {
+    /// When it will be there, if an engine loads it or is about to.
+    ready_in: Option<Duration>,
+    /// How long a load takes at best, if any engine is heard.
+    load: Option<Duration>,
+}
+
+impl ComingModel {
+    /// When the model will be there as far as can be told. No load is under way where none is known, and the
+    /// planner advises one within a moment if an engine is free.
+    fn expected(self) -> Duration {
+        let planned = || self.load.map(|load| load + PLANNER_WAIT);
+        self.ready_in.or_else(planned).unwrap_or(MODEL_RETURN)
+    }
+}
+
 /// A request whose model nobody holds waits if it will be there before its caller leaves, and is told at once
 /// to come back when it should be there otherwise.
 fn place_without_model(
     state: &mut CoreState,
     plan: &RequestPlan,
-    ready_in: Option<Duration>,
-    load: Duration,
+    coming: ComingModel,
     now: ClockTime,
 ) -> Placement {
     let waited = now.since(plan.arrived);
     let most = plan.model_patience();
-    let is_in_time = match ready_in {
+    let is_in_time = match coming.ready_in {
         Some(ready_in) => waited + ready_in < most,
         None => waited < PLANNER_WAIT.min(most),
     };
     if is_in_time {
         return Placement::Wait(MODEL_RETRY);
     }
-    let after = ready_in.unwrap_or(load);
-    let refusal = state.judge.refusal(RefusalCause::WeightsMissing, after);
+    let refusal = state
+        .judge
+        .refusal(RefusalCause::WeightsMissing, coming.expected());
     PlacementRefusal::without_endpoint(refusal)
 }
--- a/crates/oatpier-serving/src/choice.rs
+++ b/crates/oatpier-serving/src/choice.rs
@@ -95,6 +95,8 @@
     NoModel {
         /// When it will be there, if an engine loads it or is about to.
         ready_in: Option<Duration>,
+        /// How long a load takes at the engine that has it nearest, if any engine is heard.
+        load: Option<Duration>,
     },
     /// No endpoint of the service is there, or all of them had it already.
     NoEndpoint,
@@ -129,6 +131,7 @@
         Some((_, choice)) => ChoiceVerdict::Endpoint(choice),
         None if seen.open => ChoiceVerdict::NoModel {
             ready_in: seen.ready_in,
+            load: seen.load,
         },
         None => ChoiceVerdict::NoEndpoint,
     }
@@ -139,6 +142,7 @@
 struct SeenEndpoints {
     open: bool,
     ready_in: Option<Duration>,
+    load: Option<Duration>,
 }
 
 impl SeenEndpoints {
@@ -146,14 +150,16 @@
         let Some((weights, rule)) = query.request.weights.as_ref().zip(query.engine) else {
             return;
         };
-        let Some(ready_in) = row.ready_in(&weights.model, rule, now) else {
-            return;
-        };
-        let known = self.ready_in.unwrap_or(ready_in);
-        self.ready_in = Some(known.min(ready_in));
+        let ready_in = row.ready_in(&weights.model, rule, now);
+        self.ready_in = earlier(self.ready_in, ready_in);
+        self.load = earlier(self.load, row.load_time(&weights.model, rule, now));
     }
 }
 
+fn earlier(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
+    one.into_iter().chain(other).min()
+}
+
 fn has_model(row: &EndpointRow, weights: Option<&WeightsKey>, now: ClockTime) -> bool {
     weights.is_none_or(|weights| row.holds(&weights.model, now))
 }
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -240,6 +240,18 @@
         !retiring && self.models(now).iter().any(|held| held.model == *model)
     }
 
+    /// How long a load of a model takes there, by what it has copies of.
+    #[must_use]
+    pub fn load_time(
+        &self,
+        model: &ModelName,
+        rule: &EngineRule,
+        now: ClockTime,
+    ) -> Option<Duration> {
+        let pulse = self.pulse(now)?;
+        Some(rule.model(model)?.load_with(&pulse.copies))
+    }
+
     /// When a model will be there, if it is being loaded or is about to be.
     #[must_use]
     pub fn ready_in(
@@ -253,7 +265,7 @@
         if coming.model != *model {
             return None;
         }
-        let load = rule.model(model)?.load_with(&pulse.copies);
+        let load = self.load_time(model, rule, now)?;
         if pulse.retiring.is_empty() {
             Some(
                 load.saturating_sub(now.since(coming.since))
--- a/crates/oatpier-serving/tests/testsuite/choice.rs
+++ b/crates/oatpier-serving/tests/testsuite/choice.rs
@@ -42,7 +42,10 @@
     let directory = directory(&[(&["m2"], 0)], at(0));
     assert_eq!(
         choose(&directory, "m1", &[]),
-        ChoiceVerdict::NoModel { ready_in: None }
+        ChoiceVerdict::NoModel {
+            ready_in: None,
+            load: Some(millis(2_000)),
+        }
     );
     assert_eq!(
         choose(&EndpointDirectory::default(), "m1", &[]),
@@ -62,7 +65,8 @@
     assert_eq!(
         choose(&directory, "m1", &[]),
         ChoiceVerdict::NoModel {
-            ready_in: Some(millis(1_910))
+            ready_in: Some(millis(1_910)),
+            load: Some(millis(2_000)),
         }
     );
 }
@@ -79,6 +83,7 @@
     directory.take_pulse(draining, at(10));
     let ChoiceVerdict::NoModel {
         ready_in: Some(ready_in),
+        ..
     } = choose(&directory, "m1", &[])
     else {
         panic!("the load is known");
@@ -248,3 +253,21 @@
     assert_eq!(chosen(&directory, "m1/a1"), "e2");
     assert_eq!(chosen(&directory, "m1"), "e1");
 }
+
+/// All engines were restarted and hold nothing; one of them has the model on its disk. Callers are told of
+/// half a second and not of a load from the weight store.
+#[test]
+fn a_load_is_told_by_the_engine_that_has_the_model_nearest() {
+    let mut directory = directory(&[(&[], 0), (&[], 0)], at(0));
+    let mut restarted = pulse(2, &[], 0);
+    restarted.number.number = 2;
+    restarted.copies.on_disk = vec![crate::support::model("m1")];
+    directory.take_pulse(restarted, at(10));
+    assert_eq!(
+        choose(&directory, "m1", &[]),
+        ChoiceVerdict::NoModel {
+            ready_in: None,
+            load: Some(millis(500)),
+        }
+    );
+}
