--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -318,9 +318,8 @@
         };
         let unread = choice::unread_at(&state.directory, endpoint, &plan.request, now);
         state.directory.note_prompt(endpoint, &chain, now);
-        let prompt = state.directory.note_reading(endpoint, weights, unread);
-        state.demand.note_sent(&weights.model, prompt.own_ms, now);
-        prompt
+        state.demand.note_sent(&weights.model, now);
+        state.directory.note_reading(endpoint, weights, unread)
     }
 
     /// An endpoint has read a request's prompt, or will not.
--- a/crates/oatpier-serving/src/demand.rs
+++ b/crates/oatpier-serving/src/demand.rs
@@ -18,9 +18,6 @@
 pub(crate) const FAST_LIFE: Duration = Duration::from_millis(800);
 pub(crate) const SLOW_LIFE: Duration = Duration::from_millis(2_400);
 
-/// The weight of one more prompt in the mean time to read one: about the last twenty count.
-const READING_WEIGHT: f64 = 0.05;
-
 /// A model that nobody asked for during this long is no longer reported.
 const REPORT_LIFE: Duration = Duration::from_mins(2);
 
@@ -58,7 +55,6 @@
     unserved: DecayingRate,
     asked_fast: DecayingRate,
     asked_slow: DecayingRate,
-    reading_ms: f64,
     at: ClockTime,
     asked_at: ClockTime,
     adapters: HashMap<AdapterName, ClockTime>,
@@ -73,7 +69,6 @@
             unserved: DecayingRate::default(),
             asked_fast: DecayingRate::default(),
             asked_slow: DecayingRate::default(),
-            reading_ms: 0.0,
             at: now,
             asked_at: now,
             adapters: HashMap::new(),
@@ -113,12 +108,11 @@
         }
     }
 
-    /// A request for the model was sent to an endpoint, which takes so many milliseconds to read its prompt.
-    pub fn note_sent(&mut self, model: &ModelName, reading_ms: f64, now: ClockTime) {
+    /// A request for the model was sent to an endpoint.
+    pub fn note_sent(&mut self, model: &ModelName, now: ClockTime) {
         let row = self.row(model, now);
         row.running += 1;
         row.sent.count(DEMAND_LIFE);
-        row.reading_ms += (reading_ms - row.reading_ms) * READING_WEIGHT;
     }
 
     /// A request for the model is over at its endpoint.
@@ -167,7 +161,6 @@
         unserved: row.unserved.per_s as f32,
         asked_fast: row.asked_fast.per_s as f32,
         asked_slow: row.asked_slow.per_s as f32,
-        reading_ms: row.reading_ms as f32,
         adapters: u32::try_from(row.adapters.len()).unwrap_or(u32::MAX),
         idle_ms: u32::try_from(idle_ms).unwrap_or(u32::MAX),
     }
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -31,7 +31,7 @@
     PermitAsk(PermitAsk),
     /// A sidecar gives a permit.
     Permit(PermitGrant),
-    /// A gateway gives a permit back: the prompt was read, or will not be.
+    /// A gateway gives a permit back, or withdraws its ask: the prompt was read, or will not be.
     PermitDone(PermitGrant),
 }
 
@@ -234,9 +234,6 @@
     pub asked_fast: f32,
     /// The same over the last few seconds.
     pub asked_slow: f32,
-    /// The time that an engine takes to read the prompt of one of its requests, in milliseconds, on average;
-    /// 0 while it is not known.
-    pub reading_ms: f32,
     /// Adapters of it that were asked for lately.
     pub adapters: u32,
     /// How long ago it was asked for last, in milliseconds.
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -65,9 +65,6 @@
     pub asked_fast: f64,
     /// The same over the last few seconds.
     pub asked_slow: f64,
-    /// The time that engines take to read the prompts that come in, in milliseconds a second: the requests
-    /// of the last second or so, each by the mean of its gateway.
-    pub reading_ms: f64,
     /// Adapters that were asked for lately, at the gateway that saw most of them: gateways see much
     /// the same ones.
     pub adapters: f64,
@@ -190,7 +187,6 @@
             sum.unserved += f64::from(demand.unserved);
             sum.asked_fast += f64::from(demand.asked_fast);
             sum.asked_slow += f64::from(demand.asked_slow);
-            sum.reading_ms += f64::from(demand.asked_fast) * f64::from(demand.reading_ms);
             sum.adapters = sum.adapters.max(f64::from(demand.adapters));
             sum.idle = Some(sum.idle.map_or(idle, |known| known.min(idle)));
         }
--- a/crates/oatpier-serving/src/planner/forecast.rs
+++ b/crates/oatpier-serving/src/planner/forecast.rs
@@ -60,16 +60,6 @@
         .max(rate_after(total, lead) * holds.of_model(total))
 }
 
-/// Engines that will be at work on nothing but the model's prompts after `lead`.
-#[must_use]
-pub fn reading_wanted(total: &TotalDemand, lead: Duration) -> f64 {
-    if total.asked_fast <= 0.0 {
-        return 0.0;
-    }
-    let each_ms = total.reading_ms / total.asked_fast;
-    rate_after(total, lead) * each_ms / 1e3
-}
-
 /// The rate at which requests of a model will come in after `lead`, a second.
 fn rate_after(total: &TotalDemand, lead: Duration) -> f64 {
     // A mean that forgets within T follows a steady rise T late, so the difference of two such means
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -31,11 +31,6 @@
 /// that are, since one is free as soon as the streams of one adapter have ended.
 const ADAPTER_WEIGHT: f64 = 0.7;
 
-/// The share of an engine's time that the reading of prompts may take before its streams are late: the rest
-/// goes to their steps, and prompts come in clumps. A guess between a half, where clumps begin to matter,
-/// and the 0.85 at which permits in a row leave no time between prompts.
-const READING_FULL: f64 = 0.6;
-
 /// A model that takes less than this share of an engine gets no further replica: another model there
 /// is the cause of the load.
 const LEAST_SHARE: f64 = 0.1;
@@ -56,11 +51,10 @@
     pub(super) free: bool,
 }
 
-/// A part of an engine, as its requests take slots, their prompts take time and its adapters take places.
+/// A part of an engine, as its requests take slots and its adapters take places.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct EngineShare {
     pub(super) slots: f64,
-    reading: f64,
     places: f64,
 }
 
@@ -68,7 +62,6 @@
     fn divided(self, holders: f64) -> Self {
         Self {
             slots: self.slots / holders,
-            reading: self.reading / holders,
             places: self.places / holders,
         }
     }
@@ -76,7 +69,6 @@
     pub(super) fn plus(self, other: Self) -> Self {
         Self {
             slots: self.slots + other.slots,
-            reading: self.reading + other.reading,
             places: self.places + other.places,
         }
     }
@@ -84,7 +76,6 @@
     pub(super) fn minus(self, other: Self) -> Self {
         Self {
             slots: (self.slots - other.slots).max(0.0),
-            reading: (self.reading - other.reading).max(0.0),
             places: (self.places - other.places).max(0.0),
         }
     }
@@ -100,23 +91,17 @@
         }
     }
 
-    /// The load by whichever is scarcest.
+    /// The load by whichever is scarcer.
     pub(super) fn load(self) -> f64 {
-        self.work().max(self.places * ADAPTER_WEIGHT)
-    }
-
-    fn work(self) -> f64 {
-        self.slots.max(self.reading)
+        self.slots.max(self.places * ADAPTER_WEIGHT)
     }
 
     /// What of it counts towards the load of an engine with `whole` on it.
     fn part_of(self, whole: Self) -> f64 {
-        if whole.work() < whole.places * ADAPTER_WEIGHT {
-            self.places * ADAPTER_WEIGHT
-        } else if whole.reading > whole.slots {
-            self.reading
-        } else {
+        if whole.slots >= whole.places * ADAPTER_WEIGHT {
             self.slots
+        } else {
+            self.places * ADAPTER_WEIGHT
         }
     }
 }
@@ -198,7 +183,6 @@
                 copies: self.copies(&rule.name),
                 want: EngineShare {
                     slots: requests / self.slots,
-                    reading: forecast::reading_wanted(&total, rule.load) / READING_FULL,
                     places: adapters_in_use(total.adapters, requests) / places.max(1.0),
                 },
                 asked: total.asked_fast.max(total.asked_slow),
