Withdraw an ask whose request is given up

Cause: a caller that leaves while its prompt waits for a permit could be given one all the same; nobody gave it back, and the engine read nothing for it until it lapsed 0.4 s later. Found by reading. Tests first: the next ask in the queue waited, and no withdrawal was sent.

--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -75,31 +75,32 @@
     }
 }
 
-/// An ask that is being waited for; withdrawn when its request is dropped.
+/// An ask that is being waited for.
 struct OpenAsk {
     core: Arc<GatewayCore>,
     endpoint: EndpointName,
     sidecar: SocketAddr,
     ask: PermitAsk,
+    /// What becomes the permit. Dropped with the ask it withdraws it: a permit that is given to a request whose
+    /// caller has left would keep the engine from reading until it lapses.
+    permit: Option<HeldPermit>,
 }
 
 impl OpenAsk {
     fn begin(core: &Arc<GatewayCore>, placed: &PlacedSend, ask: PermitAsk) -> Self {
         let endpoint = placed.choice.endpoint.clone();
+        let sidecar = SocketAddr::new(placed.address.ip(), core.inner_port);
         core.lock().directory.note_asked(&endpoint, ask.reading());
         Self {
             core: Arc::clone(core),
             endpoint,
-            sidecar: SocketAddr::new(placed.address.ip(), core.inner_port),
+            sidecar,
             ask,
-        }
-    }
-
-    fn held(&self) -> HeldPermit {
-        HeldPermit {
-            outlet: Arc::clone(&self.core.outlet),
-            sidecar: self.sidecar,
-            id: self.ask.id,
+            permit: Some(HeldPermit {
+                outlet: Arc::clone(&core.outlet),
+                sidecar,
+                id: ask.id,
+            }),
         }
     }
 
@@ -159,11 +160,12 @@
         due_in_ms: 0,
     };
     let mut answer = core.permits.open(ask.id);
-    let open = OpenAsk::begin(core, placed, ask);
+    let mut open = OpenAsk::begin(core, placed, ask);
     loop {
         open.send(plan);
-        if timeout(ASK_EVERY, &mut answer).await.is_ok() {
-            return PermitVerdict::Given(open.held());
+        let is_given = timeout(ASK_EVERY, &mut answer).await.is_ok();
+        if let Some(permit) = open.permit.take_if(|_| is_given) {
+            return PermitVerdict::Given(permit);
         }
         if !core.still_takes(plan, &open.endpoint) {
             return PermitVerdict::Withdrawn;
--- a/crates/oatpier-gateway/tests/testsuite/permits.rs
+++ b/crates/oatpier-gateway/tests/testsuite/permits.rs
@@ -143,3 +143,21 @@
     assert_eq!(answer.status(), StatusCode::OK);
     assert_eq!(asks(&gateway)[0].reading_us, 300_000);
 }
+
+/// A caller leaves while its prompt waits for a permit. The ask is withdrawn at once, so that the next
+/// prompt need not wait until a permit for nobody lapses.
+#[tokio::test]
+async fn an_ask_is_withdrawn_when_its_caller_leaves() {
+    let engine = ScriptedEndpoint::start(answers(1)).await;
+    let gateway = TestGateway::before(STREAM, 1, &[&engine]);
+    hear(&gateway, &engine, 1);
+    tokio::select! {
+        _ = gateway.send(prompt()) => panic!("nobody gave a permit"),
+        () = sleep(Duration::from_millis(20)) => {}
+    }
+    let done = InnerMessage::PermitDone(PermitGrant {
+        id: asks(&gateway)[0].id,
+    });
+    assert!(gateway.outlet.sent().iter().any(|row| row.1 == done));
+    assert!(engine.requests().is_empty());
+}
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -103,9 +103,10 @@
         due
     }
 
-    /// A gateway gives a permit back.
+    /// A gateway gives a permit back, or withdraws an ask.
     pub fn take_back(&mut self, id: u64) {
         self.given.retain(|given| given.id != id);
+        self.asks.retain(|kept| kept.ask.id != id);
     }
 
     /// When a permit may be given next that is not given back, while asks wait.
--- a/crates/oatpier-serving/tests/testsuite/permits.rs
+++ b/crates/oatpier-serving/tests/testsuite/permits.rs
@@ -115,6 +115,18 @@
     assert_eq!(desk.waiting(), Duration::ZERO);
 }
 
+/// A caller leaves while its request waits. Its ask is withdrawn, and the one behind it goes at once.
+#[test]
+fn an_ask_that_is_withdrawn_holds_nobody_up() {
+    let mut desk = PermitDesk::default();
+    take(&mut desk, ask(1, 90, 500), at(0));
+    desk.take_ask(gateway(), ask(2, 90, 300), at(10));
+    desk.take_ask(gateway(), ask(3, 90, 500), at(10));
+    desk.take_back(2);
+    desk.take_back(1);
+    assert_eq!(given(&desk.due(at(50))), vec![3]);
+}
+
 proptest! {
     #![proptest_config(fixed_cases(64))]
 
