Remove two prices of the planner that were worth nothing

Both mended what counting reading time had done: with it gone they are in the way or idle.

Conclusion: squared shares and 0.1 as before; no test described either.

--- a/crates/oatpier-serving/src/planner/gain.rs
+++ b/crates/oatpier-serving/src/planner/gain.rs
@@ -1,7 +1,7 @@
 //! What a load would gain, and what the models that make room for it weigh.
 //!
 //! Everything is counted in squared shares of an engine: the sum over all engines of the square of their
-//! load, which grows like the waiting there; beyond a whole engine load counts by what is left undone.
+//! load, which grows like the waiting there.
 
 use std::time::Duration;
 
@@ -22,11 +22,9 @@
 const ENGINE_TIME_PRICE_PER_S: f64 = 0.12;
 
 /// What dropping the last holder of a model weighs, in squared shares of an engine: the next request
-/// for it is late, and it comes back by another load that takes an engine's time and one of the weight
-/// store's loads, at the cost of one more model. With 0.1 engines were loading rare models all the time
-/// (mean worth of the heaviest site 0.503, with 0.5 0.521); with 1.0 models in great demand got no
-/// replicas (0.484).
-const LAST_PRICE: f64 = 0.5;
+/// for it is late. An engine that is asked for 1.3 of what it can do turns away some ten requests a
+/// second, 0.7 in these units.
+const LAST_PRICE: f64 = 0.1;
 
 /// The rate of requests for a model, a second, at which those that wait while it is loaded weigh as much as
 /// the engine's time: at four a second about as many are late as one engine turns away in that time.
@@ -124,7 +122,7 @@
         let shared = wanted.share_among(wanted.holders() + 1.0);
         let relief: f64 = self
             .other_holders(view, wanted)
-            .map(|holder| holder.load.weight() - holder.load.minus(present).plus(shared).weight())
+            .map(|holder| holder.load.squared() - holder.load.minus(present).plus(shared).squared())
             .sum();
         let leaving = victims
             .models
@@ -133,7 +131,7 @@
             .map(ModelView::share)
             .fold(EngineShare::default(), EngineShare::plus);
         let after = view.load.minus(leaving).plus(shared);
-        let added = after.weight() - view.load.weight();
+        let added = after.squared() - view.load.squared();
         relief - added - victims.loss
     }
 
@@ -156,7 +154,7 @@
             let others = self.other_holders(view, lost);
             return others
                 .map(|holder| {
-                    holder.load.minus(present).plus(shared).weight() - holder.load.weight()
+                    holder.load.minus(present).plus(shared).squared() - holder.load.squared()
                 })
                 .sum();
         }
@@ -168,7 +166,7 @@
         let reload_s = self.reload_time(view, model).as_secs_f64();
         let waiting = 1.0 + lost.asked / LAST_RATE;
         let price = LAST_PRICE + ENGINE_TIME_PRICE_PER_S * reload_s * waiting;
-        price * chance + lost.share().weight()
+        price * chance + lost.share().squared()
     }
 
     /// How long a model takes to be loaded after an engine has dropped it. That engine has a copy, but
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -80,15 +80,8 @@
         }
     }
 
-    /// What the load weighs: it grows like the waiting, and where the engine can't do it all, like what is
-    /// left undone.
-    pub(super) fn weight(self) -> f64 {
-        let load = self.load();
-        if load <= 1.0 {
-            load.powi(2)
-        } else {
-            2.0 * load - 1.0
-        }
+    pub(super) fn squared(self) -> f64 {
+        self.load().powi(2)
     }
 
     /// The load by whichever is scarcer.
@@ -157,7 +150,7 @@
 pub(super) struct WantedLoad {
     pub(super) model: ModelName,
     pub(super) reason: LoadReason,
-    /// What it gains, in engines' loads as [`EngineShare::weight`] counts them.
+    /// What it gains, in engines' loads as [`EngineShare::squared`] counts them.
     worth: f64,
 }
 
