--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -31,10 +31,6 @@
 /// gateways, and an order.
 const ADVICE_LIFE: Duration = Duration::from_millis(700);
 
-/// An engine that waits this long for the streams of what it unloads may go on waiting: a stream can take
-/// as long as its caller's deadline. The model that it is to load is then sought at others.
-const DRAIN_PATIENCE: Duration = Duration::from_millis(1_500);
-
 /// Loads from the weight store that may be advised at once, as seconds of its rate.
 const BURST_S: f64 = 3.0;
 
@@ -124,8 +120,6 @@
 #[derive(Debug, Default)]
 pub struct LoadPlanner {
     given: HashMap<EndpointName, GivenAdvice>,
-    /// Engines that wait for streams to end before they unload, and since when.
-    draining: HashMap<EndpointName, ClockTime>,
     /// Models that are asked for and that nobody holds or loads, and since when.
     missing: HashMap<ModelName, ClockTime>,
     tokens: f64,
@@ -144,9 +138,7 @@
         self.refill(rule, now);
         self.given
             .retain(|_, given| now.since(given.at) < ADVICE_LIFE);
-        let engines: Vec<&EndpointRow> = rows.filter(|row| row.is_open(now)).collect();
-        self.note_draining(&engines, now);
-        let mut round = self.round(rule, &engines, demand, now);
+        let mut round = self.round(rule, rows, demand, now);
         self.note_missing(&round);
         let mut outcome = PlanOutcome::default();
         for wanted in round.wanted(&self.missing) {
@@ -173,16 +165,6 @@
         self.give(round, &option, &model, LoadReason::Room, outcome);
     }
 
-    fn note_draining(&mut self, rows: &[&EndpointRow], now: ClockTime) {
-        let drains = |row: &&&EndpointRow| {
-            let pulse = row.pulse(now);
-            pulse.is_some_and(|pulse| !pulse.retiring.is_empty())
-        };
-        let draining = rows.iter().filter(drains).map(|row| &row.record.name);
-        let since = |name: &EndpointName| self.draining.get(name).copied().unwrap_or(now);
-        self.draining = draining.map(|name| (name.clone(), since(name))).collect();
-    }
-
     fn note_missing(&mut self, round: &PlanRound<'_>) {
         let since = |model: &ModelName| self.missing.get(model).copied().unwrap_or(round.now);
         let missing = round
@@ -191,12 +173,6 @@
         self.missing = missing.collect();
     }
 
-    /// Whether an engine has waited for streams for so long that nobody should count on its load.
-    fn is_stuck(&self, name: &EndpointName, now: ClockTime) -> bool {
-        let since = self.draining.get(name);
-        since.is_some_and(|since| now.since(*since) > DRAIN_PATIENCE)
-    }
-
     fn refill(&mut self, rule: &EngineRule, now: ClockTime) {
         let gained = now.since(self.at).as_secs_f64() * rule.loads_per_s;
         self.tokens = (self.tokens + gained).min((rule.loads_per_s * BURST_S).max(1.0));
@@ -206,12 +182,14 @@
     fn round<'a>(
         &self,
         rule: &'a EngineRule,
-        rows: &[&'a EndpointRow],
+        rows: impl Iterator<Item = &'a EndpointRow>,
         demand: FleetDemand<'a>,
         now: ClockTime,
     ) -> PlanRound<'a> {
-        let engines: Vec<EngineView<'a>> =
-            rows.iter().map(|row| self.engine_view(row, now)).collect();
+        let engines: Vec<EngineView<'a>> = rows
+            .filter(|row| row.is_open(now))
+            .map(|row| self.engine_view(row, now))
+            .collect();
         let slots = engines.first().map_or(1, |view| view.row.record.slots);
         let mut round = PlanRound {
             rule,
@@ -235,11 +213,10 @@
         let free = row.pulse(now).is_some_and(is_idle);
         let loading = row.pulse(now).and_then(|pulse| pulse.loading.clone());
         let advised = self.given.get(&row.record.name);
-        let coming = loading.or_else(|| advised.map(|given| given.model.clone()));
         EngineView {
             row,
             held,
-            coming: coming.filter(|_| !self.is_stuck(&row.record.name, now)),
+            coming: loading.or_else(|| advised.map(|given| given.model.clone())),
             load: EngineShare::default(),
             free: free && !self.given.contains_key(&row.record.name),
         }
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -134,11 +134,6 @@
 }
 
 impl EngineView<'_> {
-    /// Models that it holds, or soon will.
-    fn served(&self) -> impl Iterator<Item = &ModelName> {
-        self.held.iter().copied().chain(&self.coming)
-    }
-
     /// Whether it holds a model, or soon will.
     fn serves(&self, model: &ModelName) -> bool {
         self.held.contains(&model) || self.coming.as_ref() == Some(model)
@@ -212,7 +207,8 @@
 
     pub(super) fn spread_load(&mut self) {
         for view in &mut self.engines {
-            let shares = view.served().filter_map(|model| self.models.get(model));
+            let served = view.held.iter().copied().chain(&view.coming);
+            let shares = served.filter_map(|model| self.models.get(model));
             let shares = shares.map(ModelView::share);
             view.load = shares.fold(EngineShare::default(), EngineShare::plus);
         }
@@ -269,7 +265,7 @@
             .iter()
             .filter(|view| view.load.load() > BUSY_SHARE);
         let mut models: Vec<(&ModelName, f64)> = busy
-            .flat_map(|view| view.served().map(|model| (model, view.load)))
+            .flat_map(|view| view.held.iter().map(|model| (*model, view.load)))
             .filter_map(|(model, load)| {
                 Some((model, self.models.get(model)?.share().part_of(load)))
             })
