Say what the planner's order is, and name the wait for adapters

Cause: a last read. The planner's page still told the order of before, and the wait for weights is only for adapters since models have one of their own. Comments and a private name changed, no behaviour.

--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -13,9 +13,9 @@
 use oatpier_types::names::PoolName;
 use oatpier_types::refusal::Refusal;
 
-/// A request waits for weights at most for this share of the time that it has left; beyond, the
+/// A request waits for an adapter at most for this share of the time that it has left; beyond, the
 /// caller does better to come back.
-const WEIGHTS_WAIT_SHARE: f64 = 0.4;
+const ADAPTER_WAIT_SHARE: f64 = 0.4;
 
 /// A request waits for a model at most for this share of its caller's patience: the rest is the way to the
 /// engine and the reading of its prompt, behind others that waited for the same model.
@@ -60,9 +60,9 @@
         self.first_patience().mul_f64(MODEL_WAIT_SHARE)
     }
 
-    /// How long it waits for weights at the most.
-    pub(super) fn weights_patience(&self) -> Duration {
-        self.first_patience().mul_f64(WEIGHTS_WAIT_SHARE)
+    /// How long it waits for its adapter at the most.
+    pub(super) fn adapter_patience(&self) -> Duration {
+        self.first_patience().mul_f64(ADAPTER_WAIT_SHARE)
     }
 }
 
--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -107,7 +107,7 @@
         let address = row.record.address;
         let load_age = row.pulse_age(now);
         if choice.needs_adapter {
-            if now.since(plan.arrived) > plan.weights_patience() {
+            if now.since(plan.arrived) > plan.adapter_patience() {
                 self.note_unserved(state, plan, now);
                 let refusal = state
                     .judge
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -1,8 +1,8 @@
 //! Which engine should load which model next.
 //!
 //! Demand moves between models within seconds, and a load takes from half a second to four. Each
-//! round looks for the most urgent gap: a model that is asked for and that nobody holds, then a
-//! model whose holders are much busier than another engine would be with it. It answers with one
+//! round looks for gaps: models that are asked for and that nobody holds, and models whose holders are
+//! much busier than another engine would be with them. What gains most goes first. It answers with one
 //! load at a time and engine, the victims included; the sidecar there checks memory and pace.
 //!
 //! The last holder of a model may be a victim too, where what it makes room for relieves the fleet by more
