Mend what a last read of the change found, behaviour as it was

Cause: the change had written some things again or at the wrong depth. Places in the tables were drawn in four spots by hand (IndexSource). How long a request may wait was spelled out at three (RequestPlan::has_waited_out, AdmissionQuery::latest). Whether an end belongs to the present start was asked in the gateway for one kind of word and in the directory for the others: the directory asks for all. The wait for a permit is a function of its own, and one type's methods stand in one block.

Ruled out: taking the prompt's unread tokens from the choice in place of a second look when it is sent: a request may wait seconds in between, and what an engine keeps has changed by then, so that would be another decision.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -338,8 +338,9 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let weights = plan.request.weights.as_ref();
-        let is_present = state.directory.is_present_start(endpoint, sent);
-        let makes_room = is_present && state.directory.note_end(endpoint, weights, outcome, now);
+        let makes_room = state
+            .directory
+            .note_end(endpoint, weights, sent, outcome, now);
         if let Some(weights) = weights {
             state.demand.note_ended(&weights.model, now);
         }
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -236,27 +236,17 @@
     /// would see a closed connection, and could not tell whether the request ran. Each wait below is a
     /// tenth of a second at most, so this is seen long before the end.
     pub(super) async fn placement(&mut self) -> Result<PlacedSend, OwnAnswer> {
+        let core = Arc::clone(&self.core);
         loop {
-            let changed = self.core.changed.notified();
-            if self.core.is_closed() {
-                let refusal = self.core.refusal(RefusalCause::Leaving, Duration::ZERO);
+            let changed = core.changed.notified();
+            if core.is_closed() {
+                let refusal = core.refusal(RefusalCause::Leaving, Duration::ZERO);
                 return Err(self.refused(refusal));
             }
-            match self.core.place(&self.plan, &self.excluded) {
+            match core.place(&self.plan, &self.excluded) {
                 Placement::Send(placed) => {
-                    match permits::permit(&self.core, &self.plan, &placed).await {
-                        PermitVerdict::Free => return Ok(placed),
-                        PermitVerdict::Given(permit) => {
-                            return Ok(PlacedSend {
-                                permit: Some(permit),
-                                ..placed
-                            });
-                        }
-                        PermitVerdict::Withdrawn => {}
-                    }
-                    if let Some(refusal) = self.core.give_up_wait(&self.plan) {
-                        self.too_busy = Some(placed.choice);
-                        return Err(self.refused(refusal));
+                    if let Some(permitted) = self.permitted(placed).await? {
+                        return Ok(permitted);
                     }
                 }
                 Placement::Refuse(refused) => {
@@ -275,6 +265,25 @@
         }
     }
 
+    /// Waits until the endpoint may be sent the prompt; none if the request has to be placed anew.
+    async fn permitted(&mut self, placed: PlacedSend) -> Result<Option<PlacedSend>, OwnAnswer> {
+        match permits::permit(&self.core, &self.plan, &placed).await {
+            PermitVerdict::Free => return Ok(Some(placed)),
+            PermitVerdict::Given(permit) => {
+                return Ok(Some(PlacedSend {
+                    permit: Some(permit),
+                    ..placed
+                }));
+            }
+            PermitVerdict::Withdrawn => {}
+        }
+        let Some(refusal) = self.core.give_up_wait(&self.plan) else {
+            return Ok(None);
+        };
+        self.too_busy = Some(placed.choice);
+        Err(self.refused(refusal))
+    }
+
     /// A refusal promises that the request did not run, so it is given only where that is known.
     fn refused(&self, refusal: Refusal) -> OwnAnswer {
         if self.settled == RunVerdict::NotRun {
--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -182,8 +182,7 @@
     /// Whether an endpoint can still take a request that waits for a permit there.
     fn still_takes(&self, plan: &RequestPlan, endpoint: &EndpointName) -> bool {
         let now = self.clock.now();
-        let most = admission::longest_wait(&plan.route, plan.first_patience());
-        if self.is_closed() || now.since(plan.arrived) > most {
+        if self.is_closed() || plan.has_waited_out(now) {
             return false;
         }
         let state = self.lock();
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::permits::HeldPermit;
+use oatpier_serving::admission;
 use oatpier_serving::call::CallerRequest;
 use oatpier_serving::choice::EndpointChoice;
 use oatpier_serving::site::{RouteKind, RouteRule};
@@ -55,6 +56,12 @@
         whole.min(first.max(PATIENCE_LEAST))
     }
 
+    /// Whether it has waited as long as it may for an endpoint that can take it.
+    pub(super) fn has_waited_out(&self, now: ClockTime) -> bool {
+        let most = admission::longest_wait(&self.route, self.first_patience());
+        now.since(self.arrived) > most
+    }
+
     /// How long it waits for its model at the most.
     pub(super) fn model_patience(&self) -> Duration {
         self.first_patience().mul_f64(MODEL_WAIT_SHARE)
--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oatpier_serving::admission::{self, AdmissionQuery, AdmissionVerdict};
+use oatpier_serving::admission::{AdmissionQuery, AdmissionVerdict};
 use oatpier_serving::call::WeightsKey;
 use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict, EndpointChoice};
 use oatpier_serving::message::{AdapterWish, InnerMessage};
@@ -87,10 +87,8 @@
 
     /// The refusal of a request that has waited as long as it may.
     pub(super) fn give_up_wait(&self, plan: &RequestPlan) -> Option<Refusal> {
-        let waited = self.clock.now().since(plan.arrived);
-        let most = admission::longest_wait(&plan.route, plan.first_patience());
-        let mut state = self.lock();
-        (waited > most).then(|| state.judge.too_late(Duration::ZERO))
+        let is_over = plan.has_waited_out(self.clock.now());
+        is_over.then(|| self.lock().judge.too_late(Duration::ZERO))
     }
 
     fn place_at(
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -12,7 +12,6 @@
 //! [`frame`] starts the duties of both. Decisions are in `oatpier-serving`, names and formats of the users' platform in `platform/`.
 
 pub mod decisions;
-pub mod errors;
 pub mod exchange;
 pub mod frame;
 pub mod gateway;
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -13,9 +13,9 @@
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::site::SiteConfig;
+use oatpier_types::errors::error_chain;
 use tokio::time::{Instant, sleep_until};
 
-use crate::errors::error_chain;
 use crate::metrics::ServingMetrics;
 use crate::reload::SettingsFeed;
 
--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -42,7 +42,8 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
 /// The least and the most that a refused caller is told to wait. Below, it would come back
-/// before anything has changed; above, most callers have given up.
+/// before anything has changed; above, most callers have given up. A load from the weight store takes up to
+/// four seconds, and its callers should not come back before it is done.
 const RETURN_LEAST: Duration = Duration::from_millis(60);
 const RETURN_MOST: Duration = Duration::from_secs(5);
 
@@ -156,7 +157,7 @@
 fn has_slot(query: &AdmissionQuery<'_>) -> bool {
     let (choice, route) = (query.choice, query.route);
     if !choice.batches {
-        return choice.queue <= route.target.mul_f64(WAIT_SHARE);
+        return choice.queue <= query.latest();
     }
     if choice.memory_full {
         return false;
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -50,13 +50,27 @@
     Draining(EndpointName),
 }
 
+/// Gives each start of an endpoint a place of its own in health and prefix tables.
+#[derive(Debug, Default)]
+struct IndexSource {
+    next: u32,
+}
+
+impl IndexSource {
+    fn draw(&mut self) -> EndpointIndex {
+        let index = EndpointIndex(self.next);
+        self.next += 1;
+        index
+    }
+}
+
 /// All endpoints.
 #[derive(Debug)]
 pub struct EndpointDirectory {
     rows: HashMap<EndpointName, EndpointRow>,
     by_address: HashMap<SocketAddr, EndpointName>,
     by_service: HashMap<PoolName, Vec<EndpointName>>,
-    next_index: u32,
+    indices: IndexSource,
     health: HealthTracker,
     prefixes: PrefixIndex,
     paces: ReadingPaces,
@@ -69,7 +83,7 @@
             rows: HashMap::new(),
             by_address: HashMap::new(),
             by_service: HashMap::new(),
-            next_index: 0,
+            indices: IndexSource::default(),
             health: HealthTracker::new(HealthSettings {
                 longest_backoff: Duration::from_secs(4),
                 ..HealthSettings::default()
@@ -137,8 +151,7 @@
     ) {
         let name = record.name.clone();
         let Some(row) = self.rows.get_mut(&name) else {
-            let index = EndpointIndex(self.next_index);
-            self.next_index += 1;
+            let index = self.indices.draw();
             self.rows
                 .insert(name.clone(), EndpointRow::new(record, index));
             changes.push(DirectoryChange::Appeared(name));
@@ -150,8 +163,7 @@
             if row.pulse(now).is_some_and(|pulse| pulse.start.is_some()) {
                 return;
             }
-            let index = EndpointIndex(self.next_index);
-            self.next_index += 1;
+            let index = self.indices.draw();
             row.restart(record, index);
             changes.push(DirectoryChange::Restarted(name));
             return;
@@ -227,15 +239,13 @@
         if kept.is_some_and(|kept| !pulse.number.supersedes(kept.pulse.number)) {
             return false;
         }
-        let is_restarted = row.is_other_start(pulse.start);
-        if is_restarted {
+        if row.is_other_start(pulse.start) {
             let record = EndpointRecord {
                 start: pulse.start,
                 draining: false,
                 ..row.record.clone()
             };
-            row.restart(record, EndpointIndex(self.next_index));
-            self.next_index += 1;
+            row.restart(record, self.indices.draw());
         }
         row.record.start = pulse.start.or(row.record.start);
         let kept = row.pulse.as_ref();
@@ -326,8 +336,7 @@
     }
 
     fn adopt(&mut self, old: EndpointRow, name: EndpointName, now: ClockTime) -> EndpointRow {
-        let index = EndpointIndex(self.next_index);
-        self.next_index += 1;
+        let index = self.indices.draw();
         let record = EndpointRecord { name, ..old.record };
         EndpointRow {
             pulse: old.pulse,
--- a/crates/oatpier-serving/src/directory/requests.rs
+++ b/crates/oatpier-serving/src/directory/requests.rs
@@ -167,9 +167,13 @@
         &mut self,
         name: &EndpointName,
         weights: Option<&WeightsKey>,
+        sent: &SentPrompt,
         outcome: EndpointOutcome,
         now: ClockTime,
     ) -> bool {
+        if !self.is_present_start(name, sent) {
+            return false;
+        }
         let Some(row) = self.rows.get_mut(name) else {
             return false;
         };
--- a/crates/oatpier-serving/src/reading.rs
+++ b/crates/oatpier-serving/src/reading.rs
@@ -47,6 +47,10 @@
         };
         self.times = self.times.saturating_add(1);
     }
+
+    fn is_known(&self) -> bool {
+        self.times >= LEAST_TIMES
+    }
 }
 
 /// The paces of all models.
@@ -83,12 +87,6 @@
     }
 }
 
-impl ReadingPace {
-    fn is_known(&self) -> bool {
-        self.times >= LEAST_TIMES
-    }
-}
-
 /// What one gateway has sent to an engine to read.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ReadingLoad {
--- a/crates/oatpier-serving/tests/testsuite/choice.rs
+++ b/crates/oatpier-serving/tests/testsuite/choice.rs
@@ -2,6 +2,7 @@
 
 use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict};
 use oatpier_serving::directory::{EndpointDirectory, EndpointOutcome};
+use oatpier_serving::reading::SentPrompt;
 use oatpier_types::names::EndpointName;
 
 use crate::support::{
@@ -195,7 +196,13 @@
             }
         };
         directory.note_sent(&endpoint("e1"), None);
-        directory.note_end(&endpoint("e1"), None, outcome, at(number));
+        directory.note_end(
+            &endpoint("e1"),
+            None,
+            &SentPrompt::default(),
+            outcome,
+            at(number),
+        );
     }
     assert_eq!(chosen(&directory, "m1"), "e2");
     let share = directory.row(&endpoint("e1")).unwrap();
@@ -215,7 +222,13 @@
         (used[0].key.clone(), used[0].requests),
         (adapter("m1", "a1"), 1)
     );
-    directory.note_end(&name, Some(&weights), EndpointOutcome::Abandoned, at(10));
+    directory.note_end(
+        &name,
+        Some(&weights),
+        &SentPrompt::default(),
+        EndpointOutcome::Abandoned,
+        at(10),
+    );
     assert_eq!(directory.take_used(&name)[0].requests, 0);
     assert!(directory.take_used(&name).is_empty());
 }
--- a/crates/oatpier-types/src/lib.rs
+++ b/crates/oatpier-types/src/lib.rs
@@ -16,11 +16,13 @@
 //! - [`prefix`]: how a prompt's prefixes are named.
 //! - [`pulse`]: what an agent says of its endpoint.
 //! - [`refusal`]: why a request is refused, and when to come back.
+//! - [`errors`]: errors as log lines show them.
 //! - [`event`]: the typed event log that the invariant checker reads.
 
 pub mod clock;
 pub mod config;
 pub mod engine;
+pub mod errors;
 pub mod event;
 pub mod ids;
 pub mod names;
--- a/crates/oatpierd/src/commands/node.rs
+++ b/crates/oatpierd/src/commands/node.rs
@@ -6,10 +6,10 @@
 use miette::Report;
 use oatpier_duty::duty::{DutyProcess, StartError, stop_on_signal};
 use oatpier_duty::observe::logs;
-use oatpier_gateway::errors::error_chain;
 use oatpier_gateway::reload::SettingsSource;
 use oatpier_platform::settings;
 use oatpier_serving::node::NodeSettings;
+use oatpier_types::errors::error_chain;
 
 use super::{duty_failure, start_failure};
 use crate::cli::{CommandFailure, EXIT_SETTINGS};
