Do not give an adopted engine its predecessor's start

Where an answer names a new instance before its sidecar does, the instance takes the old row over, the old start with it. The sidecar's next pulse tells another start, so the row was taken for one that had started once more, lost the mark that the registry may not list it yet, and was dropped at the next read: its callers were refused for up to a heartbeat.

Ruled out: the usual order, in which the sidecar tells the start first.

Test first: an_adopted_engine_stays_when_its_sidecar_tells_its_start fails without the change and passes with it.

--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -337,7 +337,13 @@
 
     fn adopt(&mut self, old: EndpointRow, name: EndpointName, now: ClockTime) -> EndpointRow {
         let index = self.indices.draw();
-        let record = EndpointRecord { name, ..old.record };
+        // Its predecessor's start is not its own: with it, the sidecar's next word would seem to be of one start
+        // more, and the engine would be dropped while the registry does not list it.
+        let record = EndpointRecord {
+            name,
+            start: None,
+            ..old.record
+        };
         EndpointRow {
             pulse: old.pulse,
             adopted_at: Some(now),
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -256,3 +256,18 @@
     directory.note_read(&name, &next);
     assert!(directory.row(&name).unwrap().reading.is_idle());
 }
+
+/// An answer tells that another instance has the address, before its sidecar names it: it takes its
+/// predecessor's place. The sidecar's next word is of its start, which is not the predecessor's. The instance
+/// must not be taken for one that has started once more: the registry does not list it yet, and it would
+/// be dropped and its callers refused until it does.
+#[test]
+fn an_adopted_engine_stays_when_its_sidecar_tells_its_start() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    directory.take_pulse(pulse_of(1_000, 2, &["m1"]), at(10));
+    directory.note_replaced(&endpoint("e1"), Some(&endpoint("e9")), at(100));
+    directory.take_pulse(pulse_of(2_000, 3, &["m1"]), at(150));
+    directory.apply_registry(vec![record(1, &["m1"])], at(200));
+    let row = directory.row(&endpoint("e9")).expect("it is still there");
+    assert!(row.holds(&model("m1"), at(210)));
+}
