--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -12,11 +12,12 @@
 use oatpier_serving::demand::DemandBook;
 use oatpier_serving::directory::{EndpointDirectory, EndpointOutcome, EndpointRecord};
 use oatpier_serving::engine::EndpointLoad;
-use oatpier_serving::message::{EnginePulse, GatewayGreeting, InnerMessage, LoadPulse};
+use oatpier_serving::message::{EnginePulse, EngineWord, GatewayGreeting, InnerMessage};
 use oatpier_serving::node::NodeBounds;
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
 use oatpier_serving::reading::SentPrompt;
+use oatpier_serving::relays::RelayQueue;
 use oatpier_serving::site::{EngineRule, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{DaemonName, EndpointName, PoolName, ZoneName};
@@ -63,6 +64,8 @@
     pub(super) demand: DemandBook,
     pub(super) allowance: RetryAllowance,
     pub(super) peers: PeerBook,
+    /// What sidecars told this gateway as a relay of its zone.
+    pub(super) relayed: RelayQueue,
     pub(super) planner: LoadPlanner,
     pub(super) judge: AdmissionJudge,
     pub(super) store_read_at: Option<ClockTime>,
@@ -70,14 +73,6 @@
     pub(super) urgent: bool,
 }
 
-impl CoreState {
-    /// Whether this gateway plans.
-    pub(super) fn is_planner(&self, now: ClockTime) -> bool {
-        let heard = self.directory.engines_heard(now);
-        self.peers.is_planner(heard, now)
-    }
-}
-
 /// The shared parts of a gateway.
 pub struct GatewayCore {
     state: Mutex<CoreState>,
@@ -136,7 +131,8 @@
                 bounds.retry_slack,
                 bounds.retry_window,
             ),
-            peers: PeerBook::new(settings.inner_address()),
+            peers: PeerBook::new(settings.inner_address(), settings.processor),
+            relayed: RelayQueue::default(),
             planner: LoadPlanner::default(),
             judge: AdmissionJudge::new(rand::random()),
             store_read_at: None,
@@ -253,22 +249,42 @@
 
     /// Takes a sidecar's pulse.
     pub fn take_pulse(&self, pulse: EnginePulse) {
+        self.take_word(EngineWord::Pulse(Box::new(pulse)));
+    }
+
+    /// Takes what a sidecar told this gateway as a relay of its zone.
+    pub fn take_spread(&self, word: EngineWord) {
+        self.lock().relayed.take(word.clone());
+        self.take_word(word);
+    }
+
+    /// Takes what a relay passed on.
+    pub fn take_relayed(&self, words: Vec<EngineWord>) {
+        for word in words {
+            self.lock().relayed.note_passed_on(&word);
+            self.take_word(word);
+        }
+    }
+
+    fn take_word(&self, word: EngineWord) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.peers.note_named(&pulse.gateways, now);
-        let changed = state.directory.take_pulse(pulse, now);
+        let changed = match word {
+            EngineWord::Pulse(pulse) => {
+                state.peers.note_named(&pulse.gateways, now);
+                state.directory.take_pulse(*pulse, now)
+            }
+            EngineWord::Load(load) => {
+                state.directory.take_load_pulse(&load, now);
+                false
+            }
+        };
         drop(state);
         if changed {
             self.changed.notify_waiters();
         }
     }
 
-    /// Takes a sidecar's word on its engine's load.
-    pub fn take_load_pulse(&self, load: &LoadPulse) {
-        let now = self.clock.now();
-        self.lock().directory.take_load_pulse(load, now);
-    }
-
     /// A request came in.
     pub fn note_arrival(&self, plan: &RequestPlan) {
         let mut state = self.lock();
@@ -361,7 +377,10 @@
         let config = state.config.clone()?;
         let service_rule = config.service(service)?;
         let rule = service_rule.engine.as_ref()?;
-        let address = state.directory.row(endpoint)?.record.address;
+        let row = state.directory.row(endpoint)?;
+        let address = row.record.address;
+        let is_heard = row.pulse(self.clock.now()).is_some();
+        let settings = Arc::clone(&self.settings.borrow());
         let mut engines: u32 = 0;
         let mut place = 0;
         for row in state.directory.service(service) {
@@ -371,10 +390,13 @@
             engines += 1;
         }
         let greeting = GatewayGreeting {
+            zone: self.zone.clone(),
+            processor: settings.processor,
+            is_heard,
             used: state.directory.take_used(endpoint),
             engines,
             place,
-            loads_per_window: loads_per_window(&self.settings.borrow().bounds, rule),
+            loads_per_window: loads_per_window(&settings.bounds, rule),
             adapter_slots: u32::try_from(rule.adapter_slots).unwrap_or(u32::MAX),
             health_path: Arc::clone(&service_rule.health_path),
         };
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -7,13 +7,14 @@
 use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
 use oatpier_serving::directory::EndpointRow;
 use oatpier_serving::message::{InnerMessage, MessageNumber, PeerReport};
+use oatpier_serving::peers::PeerStanding;
 use oatpier_serving::planner::{BlockedLoad, FleetDemand, PlannedLoad};
 use oatpier_serving::site::{EngineRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{EndpointName, PoolName};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::core::{GatewayCore, SidecarGreeting};
+use super::core::{CoreState, GatewayCore, SidecarGreeting};
 use crate::decisions::{DecisionLine, LineWeight};
 use crate::exchange::InnerSocket;
 use crate::records::StoreNews;
@@ -22,19 +23,32 @@
 /// that come up a moment later than gateways are heard this soon.
 const UNHEARD_EVERY: Duration = Duration::from_millis(125);
 
-/// Greetings of unheard sidecars for each greeting of all, every half a second. A sidecar forgets a gateway
-/// after three of these.
+/// Greetings of unheard sidecars for each greeting of those whose engines this gateway uses adapters of,
+/// every half a second. A sidecar takes an adapter for unused after three of these.
 const UNHEARD_GREETINGS: u64 = 4;
 
+/// The same for each greeting of all, every two seconds: it only says that this gateway is still there, and
+/// their number is that of gateways times engines.
+const ALL_GREETINGS: u64 = 16;
+
+/// From one passing on of what sidecars told to the next. A relay hears some twenty engines in its turn, so
+/// what it passes on within this fits a packet or two.
+const RELAY_EVERY: Duration = Duration::from_millis(40);
+
 /// From one report to peers to the next.
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 
-/// Reports of demand for each report to the gateways that do not need it: 0.75 s.
-const RARE_REPORTS: u64 = 3;
+/// Reports of demand for each report to the gateways that do not need it: 0.75 s. They need it to pass on
+/// what sidecars tell, and to see when the one that plans is gone.
+const RARE_REPORTS: u32 = 3;
+
+/// The same for gateways of other zones, from one that neither plans nor would follow: 2.25 s. They only
+/// count it.
+const FAR_REPORTS: u32 = 9;
 
 /// Demand that can't be served is reported this soon, so that requests which come together are told
-/// of together.
-const PRESSED_PAUSE: Duration = Duration::from_millis(10);
+/// of together. Short beside half a second, the least that a load takes.
+const PRESSED_PAUSE: Duration = Duration::from_millis(40);
 
 /// From one round of the planner to the next while nothing changes.
 const PLAN_EVERY: Duration = Duration::from_millis(150);
@@ -61,7 +75,8 @@
         hear(&core, socket),
         take_news(&core, &news),
         greet(&core),
-        report(&reporter),
+        pass_on(&core),
+        report(reporter),
         plan(&core, stop),
     );
 }
@@ -71,7 +86,8 @@
         let (from, message) = socket.receive().await;
         match message {
             InnerMessage::Pulse(pulse) => core.take_pulse(*pulse),
-            InnerMessage::Load(load) => core.take_load_pulse(&load),
+            InnerMessage::Spread(word) => core.take_spread(word),
+            InnerMessage::Relayed(words) => core.take_relayed(words),
             InnerMessage::Peer(report) => {
                 let now = core.clock.now();
                 core.lock().peers.take_report(from, *report, now);
@@ -97,6 +113,33 @@
     std::future::pending::<()>().await;
 }
 
+/// Which sidecars a round of greetings is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum GreetingRound {
+    /// Those that are not heard.
+    Unheard,
+    /// Those whose engines this gateway uses adapters of, too.
+    Used,
+    /// All.
+    All,
+}
+
+impl GreetingRound {
+    fn of_tick(number: u64) -> Self {
+        if number.is_multiple_of(ALL_GREETINGS) {
+            Self::All
+        } else if number.is_multiple_of(UNHEARD_GREETINGS) {
+            Self::Used
+        } else {
+            Self::Unheard
+        }
+    }
+
+    fn includes(self, row: &EndpointRow, now: ClockTime) -> bool {
+        self == Self::All || row.pulse(now).is_none() || (self == Self::Used && row.uses_adapters())
+    }
+}
+
 async fn greet(core: &GatewayCore) {
     let mut ticks = interval(UNHEARD_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -104,21 +147,21 @@
     loop {
         // An endpoint that has just appeared is greeted at once: until its sidecar answers, nothing
         // can be loaded there.
-        let everyone = tokio::select! {
+        let round = tokio::select! {
             _ = ticks.tick() => {
                 number += 1;
-                number.is_multiple_of(UNHEARD_GREETINGS)
+                GreetingRound::of_tick(number)
             }
-            () = core.appeared.notified() => true,
+            () = core.appeared.notified() => GreetingRound::Unheard,
         };
-        for due in greetings(core, everyone) {
+        for due in greetings(core, round) {
             due.send(core);
         }
     }
 }
 
-/// The greetings that are due, one for each engine's sidecar, or for each that is not heard.
-fn greetings(core: &GatewayCore, everyone: bool) -> Vec<SidecarGreeting> {
+/// The greetings that are due.
+fn greetings(core: &GatewayCore, round: GreetingRound) -> Vec<SidecarGreeting> {
     let now = core.clock.now();
     let mut state = core.lock();
     let Some(config) = state.config.clone() else {
@@ -127,7 +170,7 @@
     let mut greetings = Vec::new();
     for (service, _) in engine_services(&config) {
         let rows = state.directory.service(service);
-        let due = rows.filter(|row| everyone || row.pulse(now).is_none());
+        let due = rows.filter(|row| round.includes(row, now));
         let engines: Vec<EndpointName> = due.map(|row| row.record.name.clone()).collect();
         for engine in engines {
             greetings.extend(core.greeting(&mut state, service, &engine));
@@ -136,6 +179,26 @@
     greetings
 }
 
+/// Passes on to the gateways of the same zone what sidecars told this one.
+async fn pass_on(core: &GatewayCore) {
+    let mut ticks = interval(RELAY_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = core.clock.now();
+        let mut state = core.lock();
+        let datagrams = state.relayed.drain();
+        let peers: Vec<SocketAddr> = state.peers.in_zone(&core.zone, now).collect();
+        drop(state);
+        for words in datagrams {
+            let message = InnerMessage::Relayed(words);
+            for peer in &peers {
+                core.outlet.send(*peer, &message);
+            }
+        }
+    }
+}
+
 fn engine_services(config: &SiteConfig) -> impl Iterator<Item = (&PoolName, &EngineRule)> {
     let services = config.services.iter();
     services.filter_map(|service| Some((&service.name, service.engine.as_ref()?)))
@@ -145,7 +208,8 @@
 struct PeerReporter<'a> {
     core: &'a GatewayCore,
     stop: &'a StopSignal,
-    boot: u64,
+    /// The last report's place among all.
+    number: MessageNumber,
 }
 
 impl<'a> PeerReporter<'a> {
@@ -153,54 +217,93 @@
         Self {
             core,
             stop,
-            boot: rand::random(),
+            number: MessageNumber {
+                boot: rand::random(),
+                number: 0,
+            },
         }
     }
 
-    fn send(&self, number: u64) {
+    /// Reports everything; `number` counts these reports.
+    fn send_whole(&mut self, number: u32) {
         let now = self.core.clock.now();
         let mut state = self.core.lock();
         let demand = state.demand.summary(now);
         state.urgent = false;
         let uses = state.directory.model_uses();
-        let peers = state.peers.addresses(now);
+        let peers = state.peers.addresses(&self.core.zone, now);
+        let is_reader = state.peers.is_reader(now);
+        self.note_standing(&mut state, now);
+        let own = state.peers.own();
+        drop(state);
+        let whole = PeerReport {
+            demand,
+            uses,
+            ..self.report(own, 1)
+        };
+        self.tell(&peers.readers, whole);
+        if number.is_multiple_of(RARE_REPORTS) {
+            let report = self.report(own, RARE_REPORTS);
+            self.tell(&peers.near, report);
+        }
+        let far = if is_reader { RARE_REPORTS } else { FAR_REPORTS };
+        if number.is_multiple_of(far) {
+            let report = self.report(own, far);
+            self.tell(&peers.far, report);
+        }
+    }
+
+    /// Reports the demand that can't be served to those who can do something about it.
+    fn send_pressed(&mut self) {
+        let now = self.core.clock.now();
+        let mut state = self.core.lock();
+        state.urgent = false;
+        let demand = state.demand.pressed_summary(now);
+        let peers = state.peers.addresses(&self.core.zone, now);
+        let own = state.peers.own();
+        drop(state);
+        let partial = PeerReport {
+            is_partial: true,
+            demand,
+            ..self.report(own, 1)
+        };
+        self.tell(&peers.readers, partial);
+    }
+
+    /// Notes what this gateway's own state says of its share and its fitness to plan.
+    fn note_standing(&self, state: &mut CoreState, now: ClockTime) {
         let engines_heard = state.directory.engines_heard(now);
+        state.peers.note_own(engines_heard, self.core.is_behind());
         let count = state.peers.count(now);
-        let read_at = state.store_read_at.unwrap_or_default();
-        let store_age = now.since(read_at).as_millis();
         let bounds = self.core.settings.borrow().bounds;
         state
             .allowance
             .set_bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
         state.allowance.share_among(count);
-        drop(state);
-        let store_age = i64::try_from(store_age).unwrap_or(i64::MAX);
+        let store_age = now.since(state.store_read_at.unwrap_or_default());
+        let store_age = i64::try_from(store_age.as_millis()).unwrap_or(i64::MAX);
         self.core.metrics.store_age_ms.set(store_age);
-        self.core
-            .metrics
-            .gateways
-            .set(i64::try_from(count).unwrap_or(i64::MAX));
-        let report = PeerReport {
-            number: MessageNumber {
-                boot: self.boot,
-                number,
-            },
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.core.metrics.gateways.set(count);
+    }
+
+    /// A report without demand to gateways that get one with each `reports`th.
+    fn report(&mut self, own: PeerStanding, reports: u32) -> PeerReport {
+        self.number.number += 1;
+        let every_ms = REPORT_EVERY.as_millis();
+        PeerReport {
+            number: self.number,
             name: self.core.name.clone(),
             zone: self.core.zone.clone(),
+            every_ms: u32::try_from(every_ms).unwrap_or(u32::MAX) * reports,
+            processor: own.processor,
+            is_behind: own.is_behind,
             leaving: self.stop.phase() != StopPhase::Serving,
-            engines_heard,
-            demand,
-            uses,
-        };
-        if number.is_multiple_of(RARE_REPORTS) {
-            let short = PeerReport {
-                demand: Vec::new(),
-                uses: Vec::new(),
-                ..report.clone()
-            };
-            self.tell(&peers.others, short);
+            engines_heard: own.engines_heard,
+            is_partial: false,
+            demand: Vec::new(),
+            uses: Vec::new(),
         }
-        self.tell(&peers.readers, report);
     }
 
     fn tell(&self, peers: &[SocketAddr], report: PeerReport) {
@@ -211,12 +314,20 @@
     }
 }
 
-async fn report(reporter: &PeerReporter<'_>) {
-    for number in 1.. {
-        reporter.send(number);
+async fn report(mut reporter: PeerReporter<'_>) {
+    let mut ticks = interval(REPORT_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut number: u32 = 0;
+    loop {
         tokio::select! {
-            () = sleep(REPORT_EVERY) => {}
-            () = reporter.core.pressed.notified() => sleep(PRESSED_PAUSE).await,
+            _ = ticks.tick() => {
+                number = number.wrapping_add(1);
+                reporter.send_whole(number);
+            }
+            () = reporter.core.pressed.notified() => {
+                sleep(PRESSED_PAUSE).await;
+                reporter.send_pressed();
+            }
         }
     }
 }
@@ -266,7 +377,7 @@
 fn plan_round(core: &GatewayCore) -> PlannedRound {
     let now: ClockTime = core.clock.now();
     let mut state = core.lock();
-    if !state.is_planner(now) {
+    if !state.peers.is_planner(now) {
         return PlannedRound::default();
     }
     let Some(config) = state.config.clone() else {
@@ -318,7 +429,7 @@
 fn log_picture(core: &GatewayCore) {
     let now = core.clock.now();
     let state = core.lock();
-    if !state.is_planner(now) {
+    if !state.peers.is_planner(now) {
         return;
     }
     let rows = state
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -199,12 +199,12 @@
         let now = self.clock.now();
         match message {
             InnerMessage::Greeting(greeting) => {
-                self.pulses.note_gateway(from, now);
+                self.pulses.take_greeting(from, &greeting, now);
                 self.health_path = Some(Arc::clone(&greeting.health_path));
                 self.residency.take_greeting(from, &greeting, now);
             }
             InnerMessage::AdapterWanted(wish) => {
-                self.pulses.note_gateway(from, now);
+                self.pulses.note_asker(from, now);
                 self.residency.take_wish(wish, now);
             }
             InnerMessage::Advice(advice) => {
@@ -224,7 +224,8 @@
             }
             // For gateways.
             InnerMessage::Pulse(_)
-            | InnerMessage::Load(_)
+            | InnerMessage::Spread(_)
+            | InnerMessage::Relayed(_)
             | InnerMessage::Peer(_)
             | InnerMessage::Permit(_) => {}
         }
--- a/crates/oatpier-gateway/src/sidecar/pulses.rs
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -1,30 +1,37 @@
 //! What gateways are told of an engine, and when.
 //!
-//! A change of what the engine holds goes out at once, since requests wait for it; a change of its
-//! load soon; and what has not changed now and then, so that a lost pulse is made good.
+//! Words go to two relays in each availability zone, which pass them on; see
+//! [`oatpier_serving::relays`]. What makes a gateway send elsewhere goes out at once, and a change of load
+//! soon. What only makes a place a little better, an adapter more, is told at once to the gateways that have
+//! just asked for one, since their requests wait for it, and to the others with the next whole pulse. What
+//! has not changed is told now and then, so that a lost pulse is made good.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oatpier_serving::engine::{EndpointLoad, EngineReport};
-use oatpier_serving::message::{EnginePulse, InnerMessage, LoadPulse, MessageNumber};
-use oatpier_serving::residency::EngineResidency;
+use oatpier_serving::engine::{AdapterKey, EndpointLoad, EngineReport};
+use oatpier_serving::message::{
+    EnginePulse, EngineWord, GatewayGreeting, InnerMessage, LoadPulse, MessageNumber,
+};
+use oatpier_serving::relays::{self, RelayCandidate};
+use oatpier_serving::residency::{EngineResidency, held_adapters};
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::{EndpointName, PoolName};
+use oatpier_types::names::{EndpointName, ModelName, PoolName, ZoneName};
 
 use crate::exchange::MessageOutlet;
 
-/// A gateway that has not greeted for this long is told no more: three greetings.
-const GATEWAY_LIFE: Duration = Duration::from_millis(1_600);
+/// A gateway that has not greeted for this long is no relay any more and is named to nobody: two greetings
+/// and a half.
+const GATEWAY_LIFE: Duration = Duration::from_secs(5);
+
+/// A gateway is told of changes directly for this long after it asked for an adapter, or greeted as one that
+/// hears nothing: it repeats both several times within it.
+const ASKER_LIFE: Duration = Duration::from_millis(400);
 
 /// The least time between two pulses while only the load changes.
 const LOAD_EVERY: Duration = Duration::from_millis(100);
 
-/// The same for each gateway that is told: the more there are, the less of the load each one brings, and
-/// the more each pulse costs.
-const LOAD_EVERY_EACH: Duration = Duration::from_millis(12);
-
 /// The time between two whole pulses while nothing changes.
 const WHOLE_EVERY: Duration = Duration::from_millis(800);
 
@@ -41,6 +48,14 @@
     Whole,
 }
 
+/// A gateway that greets.
+#[derive(Debug)]
+struct GreetedGateway {
+    zone: ZoneName,
+    processor: u32,
+    at: ClockTime,
+}
+
 /// Sends pulses.
 #[derive(Debug)]
 pub struct PulseSender {
@@ -50,7 +65,11 @@
     number: MessageNumber,
     answers: bool,
     permit_wait_ms: u32,
-    gateways: HashMap<SocketAddr, ClockTime>,
+    gateways: HashMap<SocketAddr, GreetedGateway>,
+    /// Gateways that wait for something here, and since when.
+    askers: HashMap<SocketAddr, ClockTime>,
+    /// What the askers were told last.
+    asked_last: Option<EnginePulse>,
     /// Where the next whole pulse goes on naming gateways.
     next_named: usize,
     last: Option<EnginePulse>,
@@ -73,6 +92,8 @@
             answers: false,
             permit_wait_ms: 0,
             gateways: HashMap::new(),
+            askers: HashMap::new(),
+            asked_last: None,
             next_named: rand::random_range(0..NAMED_GATEWAYS * NAMED_GATEWAYS),
             last: None,
             whole_at: ClockTime::ZERO,
@@ -90,10 +111,23 @@
         self.permit_wait_ms = u32::try_from(waiting.as_millis()).unwrap_or(u32::MAX);
     }
 
-    /// A gateway greeted. A new one is told at once.
-    pub fn note_gateway(&mut self, gateway: SocketAddr, now: ClockTime) {
-        if self.gateways.insert(gateway, now).is_none() {
-            self.last = None;
+    /// A gateway greeted. One that hears nothing of this engine is told directly, until relays reach it.
+    pub fn take_greeting(&mut self, from: SocketAddr, greeting: &GatewayGreeting, now: ClockTime) {
+        let gateway = GreetedGateway {
+            zone: greeting.zone.clone(),
+            processor: greeting.processor,
+            at: now,
+        };
+        self.gateways.insert(from, gateway);
+        if !greeting.is_heard {
+            self.note_asker(from, now);
+        }
+    }
+
+    /// A gateway waits for an adapter here.
+    pub fn note_asker(&mut self, gateway: SocketAddr, now: ClockTime) {
+        if self.askers.insert(gateway, now).is_none() {
+            self.asked_last = None;
         }
     }
 
@@ -102,7 +136,7 @@
         self.instance = instance.cloned();
     }
 
-    /// Sends a pulse to all gateways if one is due.
+    /// Sends what is due.
     pub fn send_due(
         &mut self,
         outlet: &dyn MessageOutlet,
@@ -110,13 +144,16 @@
         now: ClockTime,
     ) {
         self.gateways
-            .retain(|_, greeted| now.since(*greeted) < GATEWAY_LIFE);
+            .retain(|_, greeted| now.since(greeted.at) < GATEWAY_LIFE);
+        self.askers
+            .retain(|_, asked_at| now.since(*asked_at) < ASKER_LIFE);
         // Without a report there is only something to say when the engine is lost.
         let report = residency.report().cloned();
         if report.is_none() && self.answers {
             return;
         }
         let pulse = self.pulse(&report.unwrap_or_default(), residency, now);
+        self.tell_askers(outlet, &pulse);
         match self.due(&pulse, now) {
             PulseDue::Nothing => {}
             PulseDue::Load => self.send_load(outlet, &pulse, now),
@@ -124,61 +161,84 @@
         }
     }
 
+    fn tell_askers(&mut self, outlet: &dyn MessageOutlet, pulse: &EnginePulse) {
+        if self.askers.is_empty() {
+            return;
+        }
+        let known = self.asked_last.as_ref();
+        if known.is_some_and(|known| with_load_of(pulse, known) == *known) {
+            return;
+        }
+        let pulse = EnginePulse {
+            number: self.next_number(),
+            ..pulse.clone()
+        };
+        self.asked_last = Some(pulse.clone());
+        let message = InnerMessage::Pulse(Box::new(pulse));
+        for asker in self.askers.keys() {
+            outlet.send(*asker, &message);
+        }
+    }
+
     fn send_whole(&mut self, outlet: &dyn MessageOutlet, mut pulse: EnginePulse, now: ClockTime) {
-        self.number.number += 1;
-        pulse.number = self.number;
+        pulse.number = self.next_number();
         self.last = Some(pulse.clone());
         pulse.gateways = self.named_gateways();
         self.whole_at = now;
         self.load_at = now;
-        let message = InnerMessage::Pulse(Box::new(pulse));
-        for gateway in self.gateways.keys() {
-            outlet.send(*gateway, &message);
-        }
+        self.tell_relays(outlet, EngineWord::Pulse(Box::new(pulse)));
     }
 
     fn send_load(&mut self, outlet: &dyn MessageOutlet, pulse: &EnginePulse, now: ClockTime) {
-        self.number.number += 1;
+        let number = self.next_number();
         self.load_at = now;
         if let Some(last) = &mut self.last {
             last.load = pulse.load;
             last.memory_used = pulse.memory_used;
             last.permit_wait_ms = pulse.permit_wait_ms;
         }
-        let message = InnerMessage::Load(LoadPulse {
-            number: self.number,
+        let load = LoadPulse {
+            number,
             engine: self.engine,
             load: pulse.load,
             memory_used: pulse.memory_used,
             load_wait_ms: pulse.load_wait_ms,
             permit_wait_ms: pulse.permit_wait_ms,
-        });
-        for gateway in self.gateways.keys() {
-            outlet.send(*gateway, &message);
+        };
+        self.tell_relays(outlet, EngineWord::Load(load));
+    }
+
+    fn tell_relays(&self, outlet: &dyn MessageOutlet, word: EngineWord) {
+        let candidates = self
+            .gateways
+            .iter()
+            .map(|(address, gateway)| RelayCandidate {
+                zone: &gateway.zone,
+                address: *address,
+                processor: gateway.processor,
+            });
+        let message = InnerMessage::Spread(word);
+        for relay in relays::draw(self.engine, candidates) {
+            outlet.send(relay, &message);
         }
     }
 
+    fn next_number(&mut self) -> MessageNumber {
+        self.number.number += 1;
+        self.number
+    }
+
     fn due(&self, pulse: &EnginePulse, now: ClockTime) -> PulseDue {
         let Some(last) = &self.last else {
             return PulseDue::Whole;
         };
-        let same_load = EnginePulse {
-            number: last.number,
-            load: last.load,
-            memory_used: last.memory_used,
-            load_wait_ms: last.load_wait_ms,
-            permit_wait_ms: last.permit_wait_ms,
-            ..pulse.clone()
-        };
-        if same_load != *last || now.since(self.whole_at) >= WHOLE_EVERY {
+        if is_urgent(last, pulse) || now.since(self.whole_at) >= WHOLE_EVERY {
             return PulseDue::Whole;
         }
         let load_changed = last.load != pulse.load
             || last.memory_used != pulse.memory_used
             || last.permit_wait_ms != pulse.permit_wait_ms;
-        let gateways = u32::try_from(self.gateways.len()).unwrap_or(u32::MAX);
-        let load_every = (LOAD_EVERY_EACH * gateways).max(LOAD_EVERY);
-        if load_changed && now.since(self.load_at) >= load_every {
+        if load_changed && now.since(self.load_at) >= LOAD_EVERY {
             PulseDue::Load
         } else {
             PulseDue::Nothing
@@ -229,3 +289,44 @@
         all
     }
 }
+
+/// A pulse with another one's load, to see whether they differ in anything else.
+fn with_load_of(pulse: &EnginePulse, other: &EnginePulse) -> EnginePulse {
+    EnginePulse {
+        number: other.number,
+        load: other.load,
+        memory_used: other.memory_used,
+        load_wait_ms: other.load_wait_ms,
+        permit_wait_ms: other.permit_wait_ms,
+        ..pulse.clone()
+    }
+}
+
+/// Whether a change must reach all gateways at once: they would send what the engine can no longer take, or
+/// refuse what it can. An adapter more is neither; one less is the first.
+fn is_urgent(last: &EnginePulse, pulse: &EnginePulse) -> bool {
+    let changed = EnginePulse {
+        models: last.models.clone(),
+        coming: last.coming.clone(),
+        adapter_room: last.adapter_room,
+        copies: last.copies.clone(),
+        ..with_load_of(pulse, last)
+    };
+    changed != *last || holds_other_models(last, pulse) || lacks_adapter(last, pulse)
+}
+
+fn holds_other_models(last: &EnginePulse, pulse: &EnginePulse) -> bool {
+    let models = |pulse: &EnginePulse| -> Vec<ModelName> {
+        let held = pulse.models.iter();
+        held.map(|held| held.model.clone()).collect()
+    };
+    models(last) != models(pulse)
+}
+
+fn lacks_adapter(last: &EnginePulse, pulse: &EnginePulse) -> bool {
+    let has = |key: &AdapterKey| {
+        let held = pulse.models.iter().find(|held| held.model == key.model);
+        held.is_some_and(|held| held.adapters.contains(&key.adapter))
+    };
+    !held_adapters(&last.models).all(|key| has(&key))
+}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -328,6 +328,7 @@
         name: DaemonName::try_from("gateway").unwrap(),
         ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
         zone: ZoneName::try_from("near").unwrap(),
+        processor: 200,
         inner_port: 7380,
         metrics: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         callers: None,
--- a/crates/oatpier-serving/src/demand.rs
+++ b/crates/oatpier-serving/src/demand.rs
@@ -1,6 +1,6 @@
 //! How much a gateway's callers ask for each model.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
@@ -18,8 +18,9 @@
 pub(crate) const FAST_LIFE: Duration = Duration::from_millis(800);
 pub(crate) const SLOW_LIFE: Duration = Duration::from_millis(2_400);
 
-/// A model that nobody asked for during this long is no longer reported.
-const REPORT_LIFE: Duration = Duration::from_mins(2);
+/// A model that nobody asked for during this long is no longer reported: of its rates a thirtieth is left.
+/// Each gateway is asked for a few dozen of hundreds of models within it.
+const REPORT_LIFE: Duration = Duration::from_secs(8);
 
 /// An adapter that was asked for within this time is likely to be asked for again soon: a stream or
 /// two.
@@ -94,6 +95,8 @@
 #[derive(Debug, Default)]
 pub struct DemandBook {
     rows: HashMap<ModelName, DemandRow>,
+    /// Models with requests that could not be served since the last summary of any kind.
+    pressed: HashSet<ModelName>,
 }
 
 impl DemandBook {
@@ -124,10 +127,23 @@
     /// A request for the model could not be served: it waits for the weights, or was turned away.
     pub fn note_unserved(&mut self, model: &ModelName, now: ClockTime) {
         self.row(model, now).unserved.count(DEMAND_LIFE);
+        self.pressed.insert(model.clone());
+    }
+
+    /// The demand for the models whose requests could not be served since the last summary of any kind.
+    pub fn pressed_summary(&mut self, now: ClockTime) -> Vec<ModelDemand> {
+        let pressed = std::mem::take(&mut self.pressed);
+        let rows = pressed.into_iter().filter_map(|model| {
+            let row = self.rows.get_mut(&model)?;
+            row.advance(now);
+            Some(demand_of(&model, row, now))
+        });
+        rows.collect()
     }
 
     /// The demand for all models that were asked for lately.
     pub fn summary(&mut self, now: ClockTime) -> Vec<ModelDemand> {
+        self.pressed.clear();
         self.rows.retain(|_, row| {
             row.advance(now);
             row.running > 0 || now.since(row.asked_at) < REPORT_LIFE
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -22,7 +22,6 @@
 use crate::reading::ReadingPaces;
 
 pub use requests::EndpointOutcome;
-use row::KeptPulse;
 pub use row::{AdapterState, EndpointRecord, EndpointRow, PULSE_LIFE};
 
 /// How long after the store has come back an entry that is missing from the registry may still
@@ -254,9 +253,7 @@
                 || kept.pulse.retiring != pulse.retiring
                 || kept.pulse.draining != pulse.draining
         });
-        row.load.renew(pulse.load);
-        row.pulse = Some(KeptPulse { pulse, at: now });
-        row.note_coming(now);
+        row.keep(pulse, now);
         changed
     }
 
@@ -273,17 +270,10 @@
         let Some(kept) = &mut row.pulse else {
             return;
         };
-        let known = kept.pulse.number;
-        if known.boot != load.number.boot || !load.number.supersedes(known) {
-            return;
+        if kept.take_load(load) {
+            kept.at = now;
+            row.load.renew(load.load);
         }
-        kept.pulse.number = load.number;
-        kept.pulse.load = load.load;
-        kept.pulse.memory_used = load.memory_used;
-        kept.pulse.load_wait_ms = load.load_wait_ms;
-        kept.pulse.permit_wait_ms = load.permit_wait_ms;
-        kept.at = now;
-        row.load.renew(load.load);
     }
 
     /// An answer told how busy its endpoint is.
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -11,7 +11,7 @@
 use super::REGISTRY_SETTLE;
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 use crate::health::{FailureShare, PaceEstimate};
-use crate::message::EnginePulse;
+use crate::message::{EnginePulse, LoadPulse, MessageNumber};
 use crate::reading::ReadingLoad;
 use crate::site::EngineRule;
 
@@ -92,9 +92,39 @@
 #[derive(Debug, Clone)]
 pub(super) struct KeptPulse {
     pub(super) pulse: EnginePulse,
+    /// The word that the load in the pulse is from.
+    pub(super) load_number: MessageNumber,
     pub(super) at: ClockTime,
 }
 
+impl KeptPulse {
+    /// Takes a word on the load over, unless a newer one is known.
+    pub(super) fn take_load(&mut self, load: &LoadPulse) -> bool {
+        let known = self.load_number;
+        if known.boot != load.number.boot || !load.number.supersedes(known) {
+            return false;
+        }
+        self.load_number = load.number;
+        self.pulse.load = load.load;
+        self.pulse.memory_used = load.memory_used;
+        self.pulse.load_wait_ms = load.load_wait_ms;
+        self.pulse.permit_wait_ms = load.permit_wait_ms;
+        true
+    }
+
+    /// The word on the load that this one holds.
+    pub(super) fn load(&self) -> LoadPulse {
+        LoadPulse {
+            number: self.load_number,
+            engine: self.pulse.engine,
+            load: self.pulse.load,
+            memory_used: self.pulse.memory_used,
+            load_wait_ms: self.pulse.load_wait_ms,
+            permit_wait_ms: self.pulse.permit_wait_ms,
+        }
+    }
+}
+
 /// A model that an engine loads or is about to.
 #[derive(Debug, Clone)]
 pub(super) struct ComingModel {
@@ -157,6 +187,12 @@
         }
     }
 
+    /// Whether this gateway's requests use adapters there, or did since its last greeting.
+    #[must_use]
+    pub fn uses_adapters(&self) -> bool {
+        !self.adapters.is_empty()
+    }
+
     /// What is known of a start that ended is not true of the next one under the same name.
     pub(super) fn restart(&mut self, record: EndpointRecord, index: EndpointIndex) {
         *self = Self::new(record, index);
@@ -276,6 +312,22 @@
         }
     }
 
+    /// Keeps a pulse. Pulses and words on the load come by different relays, so a newer word on the load may
+    /// be here already.
+    pub(super) fn keep(&mut self, pulse: EnginePulse, now: ClockTime) {
+        let newer = self.pulse.as_ref().map(KeptPulse::load);
+        let mut kept = KeptPulse {
+            load_number: pulse.number,
+            pulse,
+            at: now,
+        };
+        if !newer.is_some_and(|load| kept.take_load(&load)) {
+            self.load.renew(kept.pulse.load);
+        }
+        self.pulse = Some(kept);
+        self.note_coming(now);
+    }
+
     /// Notes what the last pulse says of a model that is coming.
     pub(super) fn note_coming(&mut self, now: ClockTime) {
         let loading = self.pulse(now).and_then(|pulse| pulse.loading.clone());
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -15,10 +15,12 @@
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum InnerMessage {
-    /// A sidecar about its engine.
+    /// A sidecar about its engine, to a gateway that asked for something there.
     Pulse(Box<EnginePulse>),
-    /// A sidecar about its engine's load, where nothing else has changed.
-    Load(LoadPulse),
+    /// A sidecar about its engine, to a relay: for the receiver and its availability zone.
+    Spread(EngineWord),
+    /// A relay to the other gateways of its availability zone.
+    Relayed(Vec<EngineWord>),
     /// A gateway asks a sidecar for pulses, and says what it uses there.
     Greeting(GatewayGreeting),
     /// A gateway needs an adapter at a sidecar's engine.
@@ -35,6 +37,35 @@
     PermitDone(PermitGrant),
 }
 
+/// What a sidecar says of its engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum EngineWord {
+    /// All that it knows.
+    Pulse(Box<EnginePulse>),
+    /// The engine's load, where nothing else has changed.
+    Load(LoadPulse),
+}
+
+impl EngineWord {
+    /// Where the engine is.
+    #[must_use]
+    pub fn engine(&self) -> SocketAddr {
+        match self {
+            Self::Pulse(pulse) => pulse.engine,
+            Self::Load(load) => load.engine,
+        }
+    }
+
+    /// Its place among the sidecar's words.
+    #[must_use]
+    pub fn number(&self) -> MessageNumber {
+        match self {
+            Self::Pulse(pulse) => pulse.number,
+            Self::Load(load) => load.number,
+        }
+    }
+}
+
 /// The order of messages of one sender: later incarnations and numbers are newer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct MessageNumber {
@@ -116,6 +147,12 @@
 /// A gateway's greeting to a sidecar.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayGreeting {
+    /// The gateway's availability zone.
+    pub zone: ZoneName,
+    /// The gateway's processor, in thousandths of a core.
+    pub processor: u32,
+    /// Whether the gateway hears of the engine, from the sidecar or from a relay.
+    pub is_heard: bool,
     /// Adapters that this gateway's requests use there, or used since its last greeting.
     pub used: Vec<AdapterUse>,
     /// Engines that the registry lists: the shared load rate is divided by it.
@@ -197,11 +234,20 @@
     pub name: DaemonName,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// From one of its reports to the next to the same reader, in milliseconds.
+    pub every_ms: u32,
+    /// Its processor, in thousandths of a core.
+    pub processor: u32,
+    /// Whether its timers fire far too late: it has more to do than its processor does.
+    pub is_behind: bool,
     /// Whether it is on its way out, and should not plan.
     pub leaving: bool,
     /// Engines whose sidecars it hears.
     pub engines_heard: u32,
-    /// What its callers ask for.
+    /// Whether `demand` holds only the models whose requests could not be served since the last report. The
+    /// others, and `uses`, stay as they were told last.
+    pub is_partial: bool,
+    /// What its callers ask for. A model that is left out of a whole report is not asked for at present.
     pub demand: Vec<ModelDemand>,
     /// The models that its requests use, engine by engine.
     pub uses: Vec<ModelUse>,
--- a/crates/oatpier-serving/src/node.rs
+++ b/crates/oatpier-serving/src/node.rs
@@ -14,6 +14,8 @@
     pub ip: IpAddr,
     /// Its VM's availability zone.
     pub zone: ZoneName,
+    /// The part of a core that the process may use, in thousandths.
+    pub processor: u32,
     /// The port on which gateways and sidecars hear each other, the same on every VM.
     pub inner_port: u16,
     /// Where metrics are served.
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -1,23 +1,26 @@
 //! Which gateways there are, and which of them plans.
 //!
-//! A gateway counts as there while it was heard of within [`PEER_LIFE`]. The one with the lowest
-//! address plans. While gateways disagree, two may plan: sidecars keep every promise by
-//! themselves, so this costs a few loads at most.
+//! A gateway counts as there until three of its reports in a row are missing. Of those that keep up with
+//! their work, the one with the largest processor plans. While gateways disagree, two may plan: sidecars
+//! keep every promise by themselves, so this costs a few loads at most.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::ModelName;
+use oatpier_types::names::{ModelName, ZoneName};
 
 use crate::message::{ModelDemand, ModelUse, PeerReport};
 
-/// A gateway that was not heard of for this long is gone, stopped or cut off: three of the rarer
-/// reports.
-pub const PEER_LIFE: Duration = Duration::from_millis(2_400);
+/// Reports of a gateway that may be lost in a row before it counts as gone, stopped or cut off.
+const LOST_REPORTS: u32 = 3;
 
-/// Gateways that are told the demand: the one that plans, and those that follow if it is gone. The
+/// How much later than due a report may come: a round of the sender's timers on a busy VM.
+const REPORT_SLACK: Duration = Duration::from_millis(150);
+
+/// Gateways that are told the demand: the one that plans, and the one that follows if it is gone. The
 /// others are only told that this one is there; telling all of them everything would cost bytes and
 /// processor time with the square of their number.
 const DEMAND_READERS: usize = 2;
@@ -29,18 +32,79 @@
 /// An address that greeted a sidecar is told reports for this long after it was last named.
 const ADDRESS_LIFE: Duration = Duration::from_secs(5);
 
+/// A model that was asked for this long ago is as good as never asked for.
+const ASKED_LIFE: Duration = Duration::from_mins(2);
+
 #[derive(Debug, Clone)]
 struct KeptReport {
     report: PeerReport,
     at: ClockTime,
 }
 
+impl KeptReport {
+    /// Whether its sender still counts as there.
+    fn is_live(&self, now: ClockTime) -> bool {
+        let every = Duration::from_millis(u64::from(self.report.every_ms));
+        now.since(self.at) < every * LOST_REPORTS + REPORT_SLACK
+    }
+
+    /// A partial report renews the models that it names, and its sender's word on itself.
+    fn merge(&mut self, partial: PeerReport, now: ClockTime) {
+        let known = std::mem::take(&mut self.report.demand);
+        let is_renewed =
+            |row: &ModelDemand| partial.demand.iter().any(|new| new.model == row.model);
+        let mut demand: Vec<ModelDemand> =
+            known.into_iter().filter(|row| !is_renewed(row)).collect();
+        demand.extend(partial.demand);
+        let uses = std::mem::take(&mut self.report.uses);
+        self.report = PeerReport {
+            demand,
+            uses,
+            every_ms: self.report.every_ms,
+            ..partial
+        };
+        self.at = now;
+    }
+}
+
 /// The other gateways.
 #[derive(Debug)]
 pub struct PeerBook {
-    own: SocketAddr,
+    own: PeerStanding,
     named: HashMap<SocketAddr, ClockTime>,
     reports: HashMap<SocketAddr, KeptReport>,
+    /// When each model was asked for last, by any gateway that reported it.
+    asked: HashMap<ModelName, ClockTime>,
+}
+
+/// How fit a gateway is for planning.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerStanding {
+    /// Where it hears.
+    pub address: SocketAddr,
+    /// Its processor, in thousandths of a core.
+    pub processor: u32,
+    /// Whether it has more to do than its processor does.
+    pub is_behind: bool,
+    /// Engines that it hears of.
+    pub engines_heard: u32,
+}
+
+impl PeerStanding {
+    fn of(address: SocketAddr, report: &PeerReport) -> Self {
+        Self {
+            address,
+            processor: report.processor,
+            is_behind: report.is_behind,
+            engines_heard: report.engines_heard,
+        }
+    }
+
+    /// The least plans. A round of planning takes a fifth of a second on the thinnest VMs and a few
+    /// milliseconds on the others, and every gateway's demand arrives there.
+    fn order(&self) -> (bool, Reverse<u32>, SocketAddr) {
+        (self.is_behind, Reverse(self.processor), self.address)
+    }
 }
 
 /// Where reports go.
@@ -48,8 +112,10 @@
 pub struct ReportAddresses {
     /// Gateways that plan, or follow the one that does.
     pub readers: Vec<SocketAddr>,
+    /// The others of the same availability zone, and those that were not heard of yet.
+    pub near: Vec<SocketAddr>,
     /// The others.
-    pub others: Vec<SocketAddr>,
+    pub far: Vec<SocketAddr>,
 }
 
 /// The demand of all gateways for one model.
@@ -72,6 +138,22 @@
     pub idle: Option<Duration>,
 }
 
+impl TotalDemand {
+    fn add(&mut self, demand: &ModelDemand) {
+        self.running += f64::from(demand.running);
+        self.sent += f64::from(demand.sent);
+        self.unserved += f64::from(demand.unserved);
+        self.asked_fast += f64::from(demand.asked_fast);
+        self.asked_slow += f64::from(demand.asked_slow);
+        self.adapters = self.adapters.max(f64::from(demand.adapters));
+        self.note_idle(Duration::from_millis(u64::from(demand.idle_ms)));
+    }
+
+    fn note_idle(&mut self, idle: Duration) {
+        self.idle = Some(self.idle.map_or(idle, |known| known.min(idle)));
+    }
+}
+
 /// The requests of all gateways at engines.
 #[derive(Debug, Clone, Default)]
 pub struct FleetUses {
@@ -99,17 +181,36 @@
 impl PeerBook {
     /// No peers yet.
     #[must_use]
-    pub fn new(own: SocketAddr) -> Self {
+    pub fn new(own: SocketAddr, processor: u32) -> Self {
         Self {
-            own,
+            own: PeerStanding {
+                address: own,
+                processor,
+                is_behind: false,
+                engines_heard: 0,
+            },
             named: HashMap::new(),
             reports: HashMap::new(),
+            asked: HashMap::new(),
         }
     }
 
+    /// How this gateway stands itself.
+    pub fn note_own(&mut self, engines_heard: u32, is_behind: bool) {
+        self.own.engines_heard = engines_heard;
+        self.own.is_behind = is_behind;
+    }
+
+    /// How this gateway stands itself, as it was noted last.
+    #[must_use]
+    pub fn own(&self) -> PeerStanding {
+        self.own
+    }
+
     /// A sidecar named gateways that greet it.
     pub fn note_named(&mut self, gateways: &[SocketAddr], now: ClockTime) {
-        for address in gateways.iter().filter(|address| **address != self.own) {
+        let own = self.own.address;
+        for address in gateways.iter().filter(|address| **address != own) {
             self.named.insert(*address, now);
         }
     }
@@ -117,61 +218,112 @@
     /// A peer reported. An older report than the one that is kept changes nothing.
     pub fn take_report(&mut self, from: SocketAddr, report: PeerReport, now: ClockTime) {
         let kept = self.reports.get(&from).map(|kept| kept.report.number);
-        if kept.is_none_or(|kept| report.number.supersedes(kept)) {
-            self.reports.insert(from, KeptReport { report, at: now });
-            self.named.insert(from, now);
+        if !kept.is_none_or(|kept| report.number.supersedes(kept)) {
+            return;
+        }
+        self.named.insert(from, now);
+        self.note_asked(&report.demand, now);
+        match self.reports.get_mut(&from) {
+            Some(kept) if report.is_partial && kept.report.number.boot == report.number.boot => {
+                kept.merge(report, now);
+            }
+            _ => {
+                self.reports.insert(from, KeptReport { report, at: now });
+            }
+        }
+    }
+
+    /// Remembers when models were asked for: gateways report them only while they are.
+    fn note_asked(&mut self, demand: &[ModelDemand], now: ClockTime) {
+        self.asked.retain(|_, asked| now.since(*asked) < ASKED_LIFE);
+        for row in demand {
+            let at = now - Duration::from_millis(u64::from(row.idle_ms));
+            let asked = self.asked.entry(row.model.clone()).or_insert(at);
+            *asked = at.max(*asked);
         }
     }
 
     /// Where reports go: the gateways that need the demand, and the others.
-    pub fn addresses(&mut self, now: ClockTime) -> ReportAddresses {
+    pub fn addresses(&mut self, zone: &ZoneName, now: ClockTime) -> ReportAddresses {
         self.named
             .retain(|_, named_at| now.since(*named_at) < ADDRESS_LIFE);
         self.reports
-            .retain(|_, kept| now.since(kept.at) < ADDRESS_LIFE);
-        let mut all: Vec<SocketAddr> = self.named.keys().copied().collect();
-        all.sort_unstable();
-        let heard = |address: &SocketAddr| {
+            .retain(|_, kept| kept.is_live(now) || now.since(kept.at) < ADDRESS_LIFE);
+        let readers = self.readers(now);
+        let others = self.named.keys().copied();
+        let others = others.filter(|address| !readers.contains(address));
+        let is_far = |address: &SocketAddr| {
             let kept = self.reports.get(address);
-            kept.is_none_or(|kept| now.since(kept.at) < PEER_LIFE)
+            kept.is_some_and(|kept| kept.report.zone != *zone)
         };
-        let readers: Vec<SocketAddr> = all
-            .iter()
-            .copied()
-            .filter(heard)
-            .take(DEMAND_READERS)
+        let (mut far, mut near): (Vec<SocketAddr>, Vec<SocketAddr>) = others.partition(is_far);
+        near.sort_unstable();
+        far.sort_unstable();
+        ReportAddresses { readers, near, far }
+    }
+
+    /// The gateways that are told the demand, this one left out.
+    fn readers(&self, now: ClockTime) -> Vec<SocketAddr> {
+        let mut heard: Vec<PeerStanding> = self
+            .live(now)
+            .filter(|(_, kept)| !kept.report.leaving)
+            .map(|(address, kept)| PeerStanding::of(*address, &kept.report))
             .collect();
-        all.retain(|address| !readers.contains(address));
-        ReportAddresses {
-            readers,
-            others: all,
-        }
+        heard.sort_by_key(PeerStanding::order);
+        let heard = heard.iter().map(|standing| standing.address);
+        heard.take(DEMAND_READERS).collect()
+    }
+
+    /// Whether this gateway plans, or follows the one that does, so that the others must know soon when it is
+    /// gone.
+    #[must_use]
+    pub fn is_reader(&self, now: ClockTime) -> bool {
+        let before = self.live(now).filter(|(address, kept)| {
+            let peer = PeerStanding::of(**address, &kept.report);
+            !kept.report.leaving && peer.order() < self.own.order()
+        });
+        before.count() < DEMAND_READERS
     }
 
-    /// How many gateways there are, this one included.
+    /// The live gateways of an availability zone, this one left out.
+    pub fn in_zone<'a>(
+        &'a self,
+        zone: &'a ZoneName,
+        now: ClockTime,
+    ) -> impl Iterator<Item = SocketAddr> + 'a {
+        let live = self.live(now).filter(|(_, kept)| kept.report.zone == *zone);
+        live.map(|(address, _)| *address)
+    }
+
+    /// How many gateways there are, this one included. Those that a sidecar named count before they are
+    /// heard of: what is shared by their number must not be taken twice by those that have just started.
     #[must_use]
     pub fn count(&self, now: ClockTime) -> usize {
-        1 + self.live(now).count()
+        let is_named = |named_at: &&ClockTime| now.since(**named_at) < ADDRESS_LIFE;
+        let named = self.named.values().filter(is_named).count();
+        1 + named.max(self.live(now).count())
     }
 
-    /// The gateway that plans: the one with the lowest address among those that hear most of the engines
-    /// that anybody hears. One that has just started, or is cut off from sidecars, takes engines for busy
-    /// that wait for advice; for as long as it planned, nothing would be loaded.
+    /// The gateway that plans: the fittest of those that hear most of the engines that anybody hears. One
+    /// that has just started, or is cut off from sidecars, takes engines for busy that wait for advice; for
+    /// as long as it planned, nothing would be loaded.
     #[must_use]
-    pub fn planner(&self, own_heard: u32, now: ClockTime) -> SocketAddr {
+    pub fn planner(&self, now: ClockTime) -> SocketAddr {
         let peers = self.live(now).filter(|(_, kept)| !kept.report.leaving);
-        let peers = peers.map(|(address, kept)| (*address, kept.report.engines_heard));
-        let all: Vec<(SocketAddr, u32)> = peers.chain([(self.own, own_heard)]).collect();
-        let most = all.iter().map(|(_, heard)| *heard).max().unwrap_or(0);
+        let peers = peers.map(|(address, kept)| PeerStanding::of(*address, &kept.report));
+        let all: Vec<PeerStanding> = peers.chain([self.own]).collect();
+        let heard = all.iter().map(|standing| standing.engines_heard);
+        let most = heard.max().unwrap_or(0);
         let least = most - most / MISSED_PART;
-        let able = all.iter().filter(|(_, heard)| *heard >= least);
-        able.map(|(address, _)| *address).min().unwrap_or(self.own)
+        let able = all.iter().filter(|peer| peer.engines_heard >= least);
+        let fittest = able.min_by_key(|standing| standing.order());
+        fittest.map_or(self.own.address, |standing| standing.address)
     }
 
-    /// Whether this gateway plans, which hears so many engines.
+    /// Whether this gateway plans.
     #[must_use]
-    pub fn is_planner(&self, own_heard: u32, now: ClockTime) -> bool {
-        self.planner(own_heard, now) == self.own
+    pub fn is_planner(&self, now: ClockTime) -> bool {
+        self.planner(now) == self.own.address
     }
 
     /// The demand of all gateways, this one's own included.
@@ -181,14 +333,11 @@
         let reported = self.live(now).flat_map(|(_, kept)| &kept.report.demand);
         for demand in own.iter().chain(reported) {
             let sum = total.entry(demand.model.clone()).or_default();
-            let idle = Duration::from_millis(u64::from(demand.idle_ms));
-            sum.running += f64::from(demand.running);
-            sum.sent += f64::from(demand.sent);
-            sum.unserved += f64::from(demand.unserved);
-            sum.asked_fast += f64::from(demand.asked_fast);
-            sum.asked_slow += f64::from(demand.asked_slow);
-            sum.adapters = sum.adapters.max(f64::from(demand.adapters));
-            sum.idle = Some(sum.idle.map_or(idle, |known| known.min(idle)));
+            sum.add(demand);
+        }
+        for (model, asked) in &self.asked {
+            let sum = total.entry(model.clone()).or_default();
+            sum.note_idle(now.since(*asked));
         }
         total
     }
@@ -205,6 +354,6 @@
     fn live(&self, now: ClockTime) -> impl Iterator<Item = (&SocketAddr, &KeptReport)> {
         self.reports
             .iter()
-            .filter(move |(_, kept)| now.since(kept.at) < PEER_LIFE)
+            .filter(move |(_, kept)| kept.is_live(now))
     }
 }
--- a/crates/oatpier-serving/src/residency/adapters.rs
+++ b/crates/oatpier-serving/src/residency/adapters.rs
@@ -35,13 +35,13 @@
         if places_taken(report) < self.slots {
             return Some(EngineOrder::LoadAdapter(wish.key.clone()));
         }
-        let idle = held_adapters(report).filter(|key| self.is_idle(key, now));
+        let idle = held_adapters(&report.models).filter(|key| self.is_idle(key, now));
         if let Some(idlest) = idle.min_by_key(|key| self.used_at(key)) {
             return Some(EngineOrder::UnloadAdapter(idlest));
         }
         // Each one that yields makes room for one wish; more would throw out what is in use.
         if self.yielding.len() < self.wishes.len() {
-            let next = held_adapters(report)
+            let next = held_adapters(&report.models)
                 .filter(|key| !self.is_yielding(key))
                 .min_by_key(|key| self.used_at(key))?;
             self.yielding.push(KeptWish { key: next, at: now });
@@ -90,7 +90,7 @@
             return 0;
         };
         let free = self.slots.saturating_sub(places_taken(report));
-        let idle = held_adapters(report)
+        let idle = held_adapters(&report.models)
             .filter(|key| self.is_idle(key, now))
             .count();
         u32::try_from((free + idle).saturating_sub(self.wishes.len())).unwrap_or(u32::MAX)
@@ -103,8 +103,9 @@
     held + report.coming.len()
 }
 
-pub(super) fn held_adapters(report: &EngineReport) -> impl Iterator<Item = AdapterKey> {
-    report.models.iter().flat_map(|held| {
+/// The adapters of these models.
+pub fn held_adapters(models: &[HeldModel]) -> impl Iterator<Item = AdapterKey> {
+    models.iter().flat_map(|held| {
         held.adapters.iter().map(|adapter| AdapterKey {
             model: held.model.clone(),
             adapter: adapter.clone(),
--- a/crates/oatpier-serving/src/residency/mod.rs
+++ b/crates/oatpier-serving/src/residency/mod.rs
@@ -22,7 +22,7 @@
 use crate::engine::{AdapterKey, EngineOrder, EngineReport, OrderAnswer, StartTime};
 use crate::message::{AdapterWish, GatewayGreeting, LoadAdvice};
 
-use adapters::held_adapters;
+pub use adapters::held_adapters;
 pub use pace::LoadPace;
 
 /// From telling gateways that a model is going to the order that unloads it: pulses reach them
@@ -168,7 +168,7 @@
         }
         self.retiring.retain(|model| holds(model));
         self.yielding
-            .retain(|kept| held_adapters(&report).any(|key| key == kept.key));
+            .retain(|kept| held_adapters(&report.models).any(|key| key == kept.key));
         if self
             .advice
             .as_ref()
--- a/crates/oatpier-serving/tests/testsuite/demand.rs
+++ b/crates/oatpier-serving/tests/testsuite/demand.rs
@@ -18,7 +18,7 @@
     for _ in 0..10 {
         book.note_ended(&model("m1"), at(6_000));
     }
-    assert!(book.summary(at(20_000))[0].running < 0.1);
+    assert!(book.summary(at(20_000)).is_empty());
 }
 
 #[test]
@@ -26,7 +26,8 @@
     let mut book = DemandBook::default();
     book.note_unserved(&model("m1"), at(0));
     assert!(book.summary(at(1))[0].unserved > 0.5);
-    assert!(book.summary(at(10_000))[0].unserved < 0.01);
+    assert!(book.summary(at(7_500))[0].unserved < 0.01);
+    assert!(book.summary(at(10_000)).is_empty());
 }
 
 #[test]
@@ -37,3 +38,19 @@
     assert_eq!(book.summary(at(1_600))[0].adapters, 2);
     assert_eq!(book.summary(at(3_000))[0].adapters, 1);
 }
+
+/// Requests of one model can't be served. It is told once and at once; the next word on it is that of the
+/// whole summary, or of its next request in vain.
+#[test]
+fn a_model_that_is_pressed_is_told_once() {
+    let mut book = DemandBook::default();
+    book.note_asked(&request("m2").weights.unwrap(), at(0));
+    book.note_unserved(&model("m1"), at(0));
+    let pressed = book.pressed_summary(at(10));
+    assert_eq!(pressed.len(), 1);
+    assert_eq!(pressed[0].model, model("m1"));
+    assert!(book.pressed_summary(at(20)).is_empty());
+    book.note_unserved(&model("m1"), at(30));
+    assert_eq!(book.summary(at(40)).len(), 2);
+    assert!(book.pressed_summary(at(50)).is_empty());
+}
--- a/crates/oatpier-serving/tests/testsuite/forecast.rs
+++ b/crates/oatpier-serving/tests/testsuite/forecast.rs
@@ -24,7 +24,7 @@
         }
     }
     let now = at(seconds * 1_000);
-    PeerBook::new(address(1)).total(&book.summary(now), now)
+    PeerBook::new(address(1), 100).total(&book.summary(now), now)
 }
 
 fn wanted(total: &HashMap<ModelName, TotalDemand>, lead_s: u64) -> f64 {
@@ -50,7 +50,7 @@
         book.note_asked(&weights, at(number * 10));
     }
     let now = at(12_000);
-    let total = PeerBook::new(address(1)).total(&book.summary(now), now);
+    let total = PeerBook::new(address(1), 100).total(&book.summary(now), now);
     let slots = wanted(&total, 3);
     assert!((80.0..110.0).contains(&slots), "{slots}");
 }
--- a/crates/oatpier-serving/tests/testsuite/residency.rs
+++ b/crates/oatpier-serving/tests/testsuite/residency.rs
@@ -8,7 +8,7 @@
 use oatpier_serving::residency::{EngineResidency, LoadPace};
 use proptest::prelude::*;
 
-use crate::support::{adapter, address, at, fixed_cases, held, model};
+use crate::support::{adapter, address, at, fixed_cases, held, model, zone};
 
 const PACE: LoadPace = LoadPace {
     loads: 4,
@@ -48,6 +48,9 @@
         requests: *requests,
     });
     GatewayGreeting {
+        zone: zone("near"),
+        processor: 100,
+        is_heard: true,
         used: used.collect(),
         engines: 4,
         place: 0,
