Give slots by permits, share reads of the store, learn the reading pace over all models

Each of 68 gateways sends an engine a request every few seconds and can't know whether a slot is free; prompts of models that a gateway had hardly seen were read one after the other for the first seconds; each gateway read the whole store each 1.6 s. Now: the permit that a sidecar gives also stands for a slot, by its engine's own report and what it gave since; a request without one waits there, in the order in which it would be late. Reading paces are pooled over models until each is known. Who has read the store tells its zone a digest, and who knows the same does not read. Ruled out: more load pulses alone (a slot that is free is still seen by many).

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use oatpier_duty::duty::RuntimeClock;
+use oatpier_duty::duty::{RingSender, RuntimeClock};
 use oatpier_serving::admission::AdmissionJudge;
 use oatpier_serving::budget::RetryAllowance;
 use oatpier_serving::choice;
@@ -17,6 +17,7 @@
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
 use oatpier_serving::reading::SentPrompt;
+use oatpier_serving::reads::{DigestNews, StoreDigest};
 use oatpier_serving::relays::RelayQueue;
 use oatpier_serving::site::{EngineRule, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
@@ -54,6 +55,8 @@
     pub log: DecisionLog,
     /// Whether the process can serve.
     pub able: Arc<AtomicBool>,
+    /// Where the duty that reads the store hears what other gateways saw there.
+    pub digests: RingSender<DigestNews>,
 }
 
 /// The state that all tasks share. They run on one thread, so the lock is never waited for; it is
@@ -69,6 +72,8 @@
     pub(super) planner: LoadPlanner,
     pub(super) judge: AdmissionJudge,
     pub(super) store_read_at: Option<ClockTime>,
+    /// What this gateway knows of the store, as of its own last read.
+    digest: Option<StoreDigest>,
     /// Whether demand that can't be served came since the last report to peers.
     pub(super) urgent: bool,
 }
@@ -99,6 +104,7 @@
     /// Calls endpoints.
     pub client: HttpClient,
     able: Arc<AtomicBool>,
+    digests: RingSender<DigestNews>,
     closed: AtomicBool,
     behind: AtomicBool,
 }
@@ -136,6 +142,7 @@
             planner: LoadPlanner::default(),
             judge: AdmissionJudge::new(rand::random()),
             store_read_at: None,
+            digest: None,
             urgent: false,
         };
         Self {
@@ -159,6 +166,7 @@
                 discard_on_close: true,
             }),
             able: inputs.able,
+            digests: inputs.digests,
             closed: AtomicBool::new(false),
             behind: AtomicBool::new(false),
         }
@@ -241,6 +249,33 @@
         }
     }
 
+    /// The store was read and holds this: other gateways of the zone are told, so that they need not read.
+    pub fn tell_digest(&self, digest: StoreDigest) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.digest = Some(digest);
+        let peers: Vec<SocketAddr> = state.peers.in_zone(&self.zone, now).collect();
+        drop(state);
+        let message = InnerMessage::StoreSeen(digest);
+        for peer in peers {
+            self.outlet.send(peer, &message);
+        }
+    }
+
+    /// Another gateway of the zone has read the store.
+    pub fn take_digest(&self, digest: StoreDigest) {
+        let mut state = self.lock();
+        let news = if state.digest == Some(digest) {
+            state.store_read_at = Some(self.clock.now());
+            DigestNews::Same
+        } else {
+            DigestNews::Other
+        };
+        drop(state);
+        // A full ring counts what it drops. The store is then read when that is due, as without the word.
+        let _ = self.digests.offer(news);
+    }
+
     /// The store could not be read.
     pub fn note_store_failure(&self) {
         let now = self.clock.now();
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -93,6 +93,7 @@
                 core.lock().peers.take_report(from, *report, now);
             }
             InnerMessage::Permit(grant) => core.take_permit(grant),
+            InnerMessage::StoreSeen(digest) => core.take_digest(digest),
             // For sidecars.
             InnerMessage::Greeting(_)
             | InnerMessage::AdapterWanted(_)
@@ -106,7 +107,14 @@
 async fn take_news(core: &GatewayCore, news: &RingReceiver<StoreNews>) {
     while let Some(news) = news.receive().await {
         match news {
-            StoreNews::Read { config, endpoints } => core.take_records(config, endpoints),
+            StoreNews::Read {
+                config,
+                endpoints,
+                digest,
+            } => {
+                core.take_records(config, endpoints);
+                core.tell_digest(digest);
+            }
             StoreNews::Failed => core.note_store_failure(),
         }
     }
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -47,6 +47,10 @@
 /// News of the store that wait to be taken; a full ring makes the reader wait.
 const NEWS_RING: usize = 4;
 
+/// Digests of other gateways that wait for the duty that reads the store. What finds the ring full is dropped:
+/// the store is then read when that is due.
+const DIGEST_RING: usize = 8;
+
 /// From SIGTERM to closing the listener. The platform asks once a second and stops sending
 /// connections after two misses; a connection that was sent just before must still be answered.
 const DRAIN_NOTICE: Duration = Duration::from_millis(3_200);
@@ -104,15 +108,19 @@
     let mut frame = ProcessFrame::start(settings, frame_inputs);
     let stop = frame.process.stop.clone();
     let (news_sender, news) = ring(NEWS_RING, RingRule::Wait, frame.metrics.ring_full.clone());
+    let (digest_sender, digests) =
+        ring(DIGEST_RING, RingRule::Drop, frame.metrics.ring_full.clone());
     let core = CoreInputs {
         clock: RuntimeClock::start(),
         metrics: frame.metrics.clone(),
         log: frame.log,
         able,
+        digests: digest_sender,
     };
     let records_inputs = RecordsInputs {
         settings: frame.settings.clone(),
         news: news_sender,
+        digests,
         metrics: frame.metrics,
         stop: stop.clone(),
     };
--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -158,6 +158,8 @@
         reading_us: u32::try_from(reading.as_micros()).unwrap_or(u32::MAX),
         pause_ms: u32::try_from(pause.as_millis()).unwrap_or(u32::MAX),
         due_in_ms: 0,
+        slots: placed.slots,
+        is_urgent: admission::is_urgent(&plan.route),
     };
     let mut answer = core.permits.open(ask.id);
     let mut open = OpenAsk::begin(core, placed, ask);
@@ -167,7 +169,7 @@
         if let Some(permit) = open.permit.take_if(|_| is_given) {
             return PermitVerdict::Given(permit);
         }
-        if !core.still_takes(plan, &open.endpoint) {
+        if !core.still_takes(plan, &open.endpoint) || core.has_better(plan, &open.endpoint) {
             return PermitVerdict::Withdrawn;
         }
     }
@@ -179,6 +181,13 @@
         self.permits.take_grant(grant);
     }
 
+    /// Whether a request that waits for a permit at an engine that is full would find a free slot at another
+    /// one: replicas come while it waits.
+    fn has_better(&self, plan: &RequestPlan, endpoint: &EndpointName) -> bool {
+        let choice = self.best_choice(plan);
+        choice.is_some_and(|choice| choice.endpoint != *endpoint && choice.occupancy < 1.0)
+    }
+
     /// Whether an endpoint can still take a request that waits for a permit there.
     fn still_takes(&self, plan: &RequestPlan, endpoint: &EndpointName) -> bool {
         let now = self.clock.now();
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -111,6 +111,8 @@
     pub choice: EndpointChoice,
     /// Where the endpoint listens.
     pub address: SocketAddr,
+    /// Requests that the endpoint runs at the same time.
+    pub slots: u32,
     /// How old the last word of the endpoint's sidecar was; none without one.
     pub load_age: Option<Duration>,
     /// The permit to send it its prompt, if one is needed.
--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -7,6 +7,7 @@
 use oatpier_serving::call::WeightsKey;
 use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict, EndpointChoice};
 use oatpier_serving::message::{AdapterWish, InnerMessage};
+use oatpier_serving::site::{EngineRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
 use oatpier_types::refusal::{Refusal, RefusalCause};
@@ -39,18 +40,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let config = state.config.clone();
-        let service = config
-            .as_ref()
-            .and_then(|config| config.service(&plan.service));
-        let engine = service.and_then(|service| service.engine.as_ref());
-        let query = ChoiceQuery {
-            service: &plan.service,
-            request: &plan.request,
-            zone: &self.zone,
-            excluded,
-            engine,
-        };
-        match choice::choose(&state.directory, &query, now) {
+        let engine = engine_of(config.as_deref(), plan);
+        match self.choose(&state, plan, excluded, engine, now) {
             ChoiceVerdict::Endpoint(choice) => {
                 let verdict = state.judge.judge(&AdmissionQuery {
                     choice: &choice,
@@ -61,11 +52,16 @@
                 if verdict != AdmissionVerdict::Send {
                     self.note_unserved(&mut state, plan, now);
                 }
+                let queues = queues_at_engine(&state, plan, &choice, now);
                 match verdict {
                     AdmissionVerdict::Send => {
                         let slots = engine.map_or(0, |rule| rule.adapter_slots);
                         self.place_at(&mut state, plan, choice, slots, now)
                     }
+                    AdmissionVerdict::Wait(_) if queues => {
+                        let slots = engine.map_or(0, |rule| rule.adapter_slots);
+                        self.place_at(&mut state, plan, choice, slots, now)
+                    }
                     AdmissionVerdict::Wait(most) => Placement::Pause(most),
                     AdmissionVerdict::Refuse(refusal) => Placement::Refuse(PlacementRefusal {
                         refusal,
@@ -85,6 +81,35 @@
         }
     }
 
+    /// The endpoint that would serve the request best now, whatever waits there.
+    pub(super) fn best_choice(&self, plan: &RequestPlan) -> Option<EndpointChoice> {
+        let state = self.lock();
+        let config = state.config.clone();
+        let engine = engine_of(config.as_deref(), plan);
+        match self.choose(&state, plan, &[], engine, self.clock.now()) {
+            ChoiceVerdict::Endpoint(choice) => Some(choice),
+            ChoiceVerdict::NoModel { .. } | ChoiceVerdict::NoEndpoint => None,
+        }
+    }
+
+    fn choose(
+        &self,
+        state: &CoreState,
+        plan: &RequestPlan,
+        excluded: &[EndpointName],
+        engine: Option<&EngineRule>,
+        now: ClockTime,
+    ) -> ChoiceVerdict {
+        let query = ChoiceQuery {
+            service: &plan.service,
+            request: &plan.request,
+            zone: &self.zone,
+            excluded,
+            engine,
+        };
+        choice::choose(&state.directory, &query, now)
+    }
+
     /// The refusal of a request that has waited as long as it may.
     pub(super) fn give_up_wait(&self, plan: &RequestPlan) -> Option<Refusal> {
         let is_over = plan.has_waited_out(self.clock.now());
@@ -103,6 +128,7 @@
             return Placement::Wait(MODEL_RETRY);
         };
         let address = row.record.address;
+        let slots = row.record.slots;
         let load_age = row.pulse_age(now);
         if choice.needs_adapter {
             if now.since(plan.arrived) > plan.adapter_patience() {
@@ -123,6 +149,7 @@
         Placement::Send(PlacedSend {
             choice,
             address,
+            slots,
             load_age,
             permit: None,
         })
@@ -140,6 +167,25 @@
     }
 }
 
+/// What the engines of the request's service may hold; none for a plain service.
+fn engine_of<'a>(config: Option<&'a SiteConfig>, plan: &RequestPlan) -> Option<&'a EngineRule> {
+    config?.service(&plan.service)?.engine.as_ref()
+}
+
+/// Whether a request that finds no slot waits for its permit at the sidecar of the engine. The sidecar knows
+/// when a slot is free and gives it to whoever would be late first; a request that waits at its gateway looks
+/// at what the gateway heard last, and so do those of all other gateways, at the same slot.
+fn queues_at_engine(
+    state: &CoreState,
+    plan: &RequestPlan,
+    choice: &EndpointChoice,
+    now: ClockTime,
+) -> bool {
+    let row = state.directory.row(&choice.endpoint);
+    let is_heard = row.is_some_and(|row| row.pulse(now).is_some());
+    plan.route.kind.is_stream() && choice.batches && !choice.memory_full && is_heard
+}
+
 /// What is known of a model that nobody holds.
 #[derive(Debug, Clone, Copy)]
 struct ComingModel {
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -1,4 +1,5 @@
-//! The records duty: reads configuration and registry from the store, over and over.
+//! The records duty: reads configuration and registry from the store, over and over, unless another gateway
+//! of the same zone has just seen that nothing changed; see [`oatpier_serving::reads`].
 //!
 //! One call reads both. There is no watch: one would return at each heartbeat of each endpoint, and
 //! one that fell silent would leave the gateway with an old configuration.
@@ -7,14 +8,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use oatpier_duty::duty::{RingSender, StopPhase, StopSignal};
+use oatpier_duty::duty::{RingReceiver, RingSender, RuntimeClock, StopPhase, StopSignal};
 use oatpier_platform::config;
 use oatpier_platform::store::{StoreClient, StoreSnapshot, UnreadableEntry};
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::node::NodeSettings;
+use oatpier_serving::reads::{DigestNews, ReadSchedule, StoreDigest};
 use oatpier_serving::site::SiteConfig;
 use oatpier_types::errors::error_chain;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::sleep_until;
 
 use crate::metrics::ServingMetrics;
 use crate::reload::SettingsFeed;
@@ -50,6 +52,8 @@
         config: Option<Arc<SiteConfig>>,
         /// All endpoints that are registered.
         endpoints: Vec<EndpointRecord>,
+        /// What it all comes to.
+        digest: StoreDigest,
     },
     /// It could not be read.
     Failed,
@@ -61,6 +65,8 @@
     pub settings: SettingsFeed,
     /// Where news goes.
     pub news: RingSender<StoreNews>,
+    /// What digests of other gateways say.
+    pub digests: RingReceiver<DigestNews>,
     /// Counts calls.
     pub metrics: ServingMetrics,
     /// Tells to stop.
@@ -80,30 +86,56 @@
     let mut settings = Arc::clone(&inputs.settings.borrow());
     let mut client = StoreClient::new(settings.store);
     let mut reader = RecordsReader::new(inputs.metrics);
+    let clock = RuntimeClock::start();
+    let mut schedule = ReadSchedule::new(rand::random());
     loop {
+        await_read(
+            &mut schedule,
+            &inputs.digests,
+            read_period(&settings),
+            clock,
+        )
+        .await;
         let present = Arc::clone(&inputs.settings.borrow());
         if present != settings {
             client = StoreClient::new(present.store);
             settings = present;
         }
         let period = read_period(&settings);
-        let begun = Instant::now();
+        let begun = clock.now();
         let read = client.read(reader.wait(period)).await;
-        let is_good = read.is_ok();
         let news = match read {
-            Ok(snapshot) => reader.take(snapshot),
+            Ok(snapshot) => {
+                schedule.note_read(begun, period);
+                reader.take(snapshot)
+            }
             Err(error) => {
                 reader.note_failure(&error);
+                schedule.note_failure(begun + reader.pause_after_failure(period));
                 StoreNews::Failed
             }
         };
         inputs.news.send(news).await;
-        let pause = match (is_good, reader.is_cold()) {
-            (true, _) => period,
-            (false, false) => period.mul_f64(FAILED_SHARE),
-            (false, true) => COLD_EVERY,
-        };
-        sleep_until(begun + pause.max(Duration::from_millis(50))).await;
+    }
+}
+
+/// Returns when the store is to be read.
+async fn await_read(
+    schedule: &mut ReadSchedule,
+    digests: &RingReceiver<DigestNews>,
+    period: Duration,
+    clock: RuntimeClock,
+) {
+    loop {
+        let due = clock.instant(schedule.next_at());
+        tokio::select! {
+            () = sleep_until(due) => return,
+            news = digests.receive() => match news {
+                Some(news) => schedule.take_news(news, period, clock.now()),
+                // The process ends.
+                None => return sleep_until(due).await,
+            }
+        }
     }
 }
 
@@ -165,7 +197,17 @@
         }
     }
 
+    /// From the beginning of a read that failed to the next one.
+    fn pause_after_failure(&self, period: Duration) -> Duration {
+        if self.is_cold() {
+            COLD_EVERY
+        } else {
+            period.mul_f64(FAILED_SHARE)
+        }
+    }
+
     fn take(&mut self, snapshot: StoreSnapshot) -> StoreNews {
+        let digest = StoreDigest::of(snapshot.config_revision, &snapshot.endpoints);
         self.metrics.store_read("answered");
         if self.reachable != Some(true) {
             spdlog::info!("the store is read", kv: { endpoints: = snapshot.endpoints.len() });
@@ -179,6 +221,7 @@
         StoreNews::Read {
             config: snapshot.config.and_then(|value| self.changed(value)),
             endpoints: snapshot.endpoints,
+            digest,
         }
     }
 
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -171,7 +171,7 @@
             }
             self.give_orders().await;
             let now = self.clock.now();
-            self.pulses.set_permit_wait(self.permits.waiting());
+            self.pulses.set_waiting(&self.permits);
             self.pulses.send_due(&self.socket, &self.residency, now);
         }
     }
@@ -227,6 +227,7 @@
             | InnerMessage::Spread(_)
             | InnerMessage::Relayed(_)
             | InnerMessage::Peer(_)
+            | InnerMessage::StoreSeen(_)
             | InnerMessage::Permit(_) => {}
         }
     }
@@ -244,7 +245,9 @@
                 if !self.pulses.set_answers(true) {
                     self.note_engine("engine answers");
                 }
+                self.permits.note_load(report.load, self.clock.now());
                 self.residency.take_report(report);
+                self.give_permits();
                 self.identify().await;
             }
             Err(cause) => {
@@ -258,6 +261,7 @@
     }
 
     fn forget_engine(&mut self) {
+        self.permits.forget_load();
         self.residency.forget_engine(self.clock.now());
         self.link.forget_instance();
         self.pulses.set_instance(None);
--- a/crates/oatpier-gateway/src/sidecar/pulses.rs
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -14,6 +14,7 @@
 use oatpier_serving::message::{
     EnginePulse, EngineWord, GatewayGreeting, InnerMessage, LoadPulse, MessageNumber,
 };
+use oatpier_serving::permits::PermitDesk;
 use oatpier_serving::relays::{self, RelayCandidate};
 use oatpier_serving::residency::{EngineResidency, held_adapters};
 use oatpier_types::clock::ClockTime;
@@ -65,6 +66,7 @@
     number: MessageNumber,
     answers: bool,
     permit_wait_ms: u32,
+    permits_waiting: u32,
     gateways: HashMap<SocketAddr, GreetedGateway>,
     /// Gateways that wait for something here, and since when.
     askers: HashMap<SocketAddr, ClockTime>,
@@ -91,6 +93,7 @@
             },
             answers: false,
             permit_wait_ms: 0,
+            permits_waiting: 0,
             gateways: HashMap::new(),
             askers: HashMap::new(),
             asked_last: None,
@@ -106,9 +109,10 @@
         std::mem::replace(&mut self.answers, answers)
     }
 
-    /// The time to read the prompts that wait for permits.
-    pub fn set_permit_wait(&mut self, waiting: Duration) {
-        self.permit_wait_ms = u32::try_from(waiting.as_millis()).unwrap_or(u32::MAX);
+    /// What waits for permits.
+    pub fn set_waiting(&mut self, desk: &PermitDesk) {
+        self.permit_wait_ms = u32::try_from(desk.waiting().as_millis()).unwrap_or(u32::MAX);
+        self.permits_waiting = desk.waiting_requests();
     }
 
     /// A gateway greeted. One that hears nothing of this engine is told directly, until relays reach it.
@@ -261,7 +265,7 @@
             answers: self.answers,
             load: EndpointLoad {
                 running: report.load.running,
-                waiting: report.load.waiting,
+                waiting: report.load.waiting + self.permits_waiting,
             },
             memory_used: report.memory_used,
             memory_total: report.memory_total,
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Collected};
-use oatpier_duty::duty::RuntimeClock;
+use oatpier_duty::duty::{RingRule, RuntimeClock, ring};
 use oatpier_gateway::decisions::DecisionLog;
 use oatpier_gateway::exchange::MessageOutlet;
 use oatpier_gateway::gateway::core::{CoreInputs, GatewayCore};
@@ -177,11 +177,13 @@
         let outlet = Arc::new(KeptOutlet::default());
         let metrics = ServingMetrics::default();
         let (log, _) = DecisionLog::new("gateway", &metrics);
+        let full = metrics.ring_full.clone();
         let inputs = CoreInputs {
             clock: RuntimeClock::start(),
             metrics,
             log,
             able: Arc::default(),
+            digests: ring(8, RingRule::Drop, full).0,
         };
         let (_, feed) = watch::channel(Arc::new(settings()));
         let kept: Arc<dyn MessageOutlet> = outlet.clone();
--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -162,11 +162,21 @@
     if choice.memory_full {
         return false;
     }
-    let urgent = route.priority == 0 && route.target <= PATIENT_TARGET;
-    let most = match (query.is_late(), urgent) {
+    choice.occupancy < slots_share(query.is_late(), is_urgent(route))
+}
+
+/// Whether a class is of the most urgent ones, which may go over an engine's slots by a few.
+#[must_use]
+pub fn is_urgent(route: &RouteRule) -> bool {
+    route.priority == 0 && route.target <= PATIENT_TARGET
+}
+
+/// The share of an engine's slots below which a request may take one more.
+#[must_use]
+pub fn slots_share(is_late: bool, is_urgent: bool) -> f64 {
+    match (is_late, is_urgent) {
         (true, _) => 1.0 - LATE_RESERVE,
         (false, true) => 1.0 + URGENT_EXTRA,
         (false, false) => 1.0,
-    };
-    choice.occupancy < most
+    }
 }
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`call`]: a caller's request, decoded.
 //! - [`engine`]: what an engine reports, and orders to it.
 //! - [`message`]: what gateways and sidecars tell each other.
+//! - [`reads`]: when the store is read, and what spares a read.
 //! - [`relays`]: which gateways hear a sidecar, and what they pass on to the others of their zone.
 //! - [`directory`]: the endpoints, from the registry, pulses and answers.
 //!
@@ -42,6 +43,7 @@
 pub mod permits;
 pub mod planner;
 pub mod reading;
+pub mod reads;
 pub mod relays;
 pub mod residency;
 pub mod site;
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
+use crate::reads::StoreDigest;
 
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -27,6 +28,8 @@
     AdapterWanted(AdapterWish),
     /// A gateway to its peers.
     Peer(Box<PeerReport>),
+    /// A gateway that has read the store, to those of its availability zone.
+    StoreSeen(StoreDigest),
     /// The planner to a sidecar.
     Advice(LoadAdvice),
     /// A gateway asks a sidecar for a permit to send its engine a prompt.
@@ -187,6 +190,10 @@
     pub pause_ms: u32,
     /// How long until the prompt has to be sent to be in time, in milliseconds; 0 where it can only be late.
     pub due_in_ms: u32,
+    /// Requests that the engine runs at the same time.
+    pub slots: u32,
+    /// Whether the request is of the most urgent classes, which may go over the slots by a few.
+    pub is_urgent: bool,
 }
 
 impl PermitAsk {
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -1,12 +1,16 @@
-//! When an engine may be sent the next prompt.
+//! When an engine may be sent the next request.
 //!
 //! The load: an engine reads prompts between the steps of the streams that it serves, as much as is there,
 //! and gateways that don't know of each other send theirs in clumps. Three or four prompts that are read in a
 //! row make every stream there pause for longer than is in time, at an engine that is at work for less than
-//! half of the time. So the sidecar beside the engine gives permits, and takes them back when the prompt was
-//! read: what the engine has before it is so little that the steps between two pieces of a stream fit
-//! into the longest pause that is in time. What has to wait does so before it is sent, in the order in which
-//! it would be late; what can only be late goes when nothing else waits.
+//! half of the time. And with 68 gateways, each of which sends an engine a request every few seconds, nobody
+//! but the engine's own sidecar knows whether a slot is free: each free one is seen by many gateways, and all
+//! but one of the requests that they send wait at the engine, behind whatever is long there.
+//!
+//! So the sidecar beside the engine gives permits. One says that a slot is free, and that what the engine has
+//! to read before it is so little that the steps between two pieces of a stream fit into the longest pause
+//! that is in time; it is given back when the prompt was read. What has to wait does so before it is sent, in
+//! the order in which it would be late; what can only be late goes when nothing else waits.
 //!
 //! A permit is a matter of speed only: a gateway that hears nothing sends without one.
 
@@ -16,6 +20,8 @@
 
 use oatpier_types::clock::ClockTime;
 
+use crate::admission;
+use crate::engine::EndpointLoad;
 use crate::message::{PermitAsk, PermitGrant};
 
 /// The share of the longest pause that is in time for which an engine may have prompts before it. A stream's
@@ -32,6 +38,10 @@
 /// Gateways repeat theirs three times within it.
 const ASK_LIFE: Duration = Duration::from_millis(100);
 
+/// From giving a permit until its request shows in the engine's report: the way to the gateway and to the
+/// engine, and a new connection. Counted twice for a moment, a request costs a slot that long.
+const ARRIVAL: Duration = Duration::from_millis(8);
+
 /// An ask that waits.
 #[derive(Debug)]
 struct KeptAsk {
@@ -68,9 +78,26 @@
     given: VecDeque<GivenPermit>,
     /// The shortest of the longest pauses that are in time, among those that asked last.
     pause: Option<Duration>,
+    /// Requests at the engine at its last report; none while it is not known.
+    reported: Option<u32>,
+    /// When permits were given whose requests the last report may not show yet.
+    unseen: VecDeque<ClockTime>,
 }
 
 impl PermitDesk {
+    /// The engine reported its load. Requests that had their permit a moment ago are not in it yet.
+    pub fn note_load(&mut self, load: EndpointLoad, now: ClockTime) {
+        self.reported = Some(load.running + load.waiting);
+        self.unseen
+            .retain(|given_at| now.since(*given_at) < ARRIVAL);
+    }
+
+    /// Nothing is known of the engine's load: permits are given by what it has to read alone.
+    pub fn forget_load(&mut self) {
+        self.reported = None;
+        self.unseen.clear();
+    }
+
     /// A gateway asks for a permit, or repeats an ask.
     pub fn take_ask(&mut self, from: SocketAddr, ask: PermitAsk, now: ClockTime) {
         self.pause = Some(
@@ -121,6 +148,12 @@
         Some(oldest.at + PERMIT_LIFE)
     }
 
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting_requests(&self) -> u32 {
+        u32::try_from(self.asks.len()).unwrap_or(u32::MAX)
+    }
+
     /// The time to read everything that waits, in milliseconds.
     #[must_use]
     pub fn waiting(&self) -> Duration {
@@ -144,7 +177,18 @@
         }
         let asks = self.asks.iter().enumerate();
         let (place, kept) = asks.min_by_key(|(_, kept)| kept.order(now))?;
-        self.has_time(kept.ask.reading()).then_some(place)
+        let has_room = self.has_slot(&kept.ask, kept.is_late(now));
+        (has_room && self.has_time(kept.ask.reading())).then_some(place)
+    }
+
+    /// Whether a slot is free for a request, by the engine's last report and the permits since then.
+    fn has_slot(&self, ask: &PermitAsk, is_late: bool) -> bool {
+        let Some(reported) = self.reported else {
+            return true;
+        };
+        let unseen = u32::try_from(self.unseen.len()).unwrap_or(u32::MAX);
+        let taken = f64::from(reported.saturating_add(unseen));
+        taken < f64::from(ask.slots) * admission::slots_share(is_late, ask.is_urgent)
     }
 
     /// Whether the engine can read a prompt without stretching the pauses of its streams too far. One that
@@ -166,14 +210,20 @@
             at: now,
             reading: ask.reading(),
         });
+        self.unseen.push_back(now);
     }
 }
 
 impl KeptAsk {
+    /// Whether its request can only be late.
+    fn is_late(&self, now: ClockTime) -> bool {
+        self.due_at <= now
+    }
+
     /// Requests that can be in time go first, the one first that would be late first; the others follow in
     /// the order in which they came.
     fn order(&self, now: ClockTime) -> (bool, ClockTime) {
-        let is_late = self.due_at <= now;
+        let is_late = self.is_late(now);
         (is_late, if is_late { self.came_at } else { self.due_at })
     }
 }
--- a/crates/oatpier-serving/src/reading.rs
+++ b/crates/oatpier-serving/src/reading.rs
@@ -57,6 +57,9 @@
 #[derive(Debug, Default)]
 pub struct ReadingPaces {
     models: HashMap<ModelName, ReadingPace>,
+    /// The pace over all models. A gateway before many engines is asked for each of many models every few
+    /// seconds: by itself each model would be known after half a minute, all together after half a second.
+    any: Option<ReadingPace>,
 }
 
 impl ReadingPaces {
@@ -70,10 +73,11 @@
         let first = ReadingPace { token_ms, times: 0 };
         let pace = self.models.entry(model.clone()).or_insert(first);
         pace.note(token_ms);
+        self.any.get_or_insert(first).note(token_ms);
     }
 
     /// The time to read so many tokens, in milliseconds. A model that was hardly seen yet is read like the
-    /// slowest one that was; zero before any was seen.
+    /// slowest one that was, or like all of them together before one is known; zero before any was seen.
     #[must_use]
     pub fn reading_ms(&self, model: &ModelName, tokens: f64) -> f64 {
         let known = self.models.get(model).filter(|pace| pace.is_known());
@@ -82,7 +86,8 @@
     }
 
     fn slowest(&self) -> f64 {
-        let known = self.models.values().filter(|pace| pace.is_known());
+        let all = self.models.values().chain(&self.any);
+        let known = all.filter(|pace| pace.is_known());
         known.map(|pace| pace.token_ms).fold(0.0, f64::max)
     }
 }
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod permits;
 mod planner;
 mod reading;
+mod reads;
 mod relays;
 mod residency;
 mod site;
--- a/crates/oatpier-serving/tests/testsuite/permits.rs
+++ b/crates/oatpier-serving/tests/testsuite/permits.rs
@@ -1,11 +1,13 @@
-//! When an engine may be sent the next prompt.
+//! When an engine may be sent the next request.
 //!
 //! The load: four gateways send an engine prompts of 20 to 200 ms, in clumps, for more than half of its
-//! time; its streams may pause for 300 ms, and a piece takes three steps.
+//! time; its streams may pause for 300 ms, and a piece takes three steps. And sixty gateways, each of which
+//! sends an engine of twelve slots a request every few seconds, while ten are asked for in a second.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oatpier_serving::engine::EndpointLoad;
 use oatpier_serving::message::PermitAsk;
 use oatpier_serving::permits::{DueGrant, PermitDesk};
 use oatpier_types::clock::ClockTime;
@@ -13,15 +15,23 @@
 
 use crate::support::{address, at, fixed_cases};
 
+const SLOTS: u32 = 12;
+
 fn ask(id: u64, reading_ms: u32, due_in_ms: u32) -> PermitAsk {
     PermitAsk {
         id,
         reading_us: reading_ms * 1_000,
         pause_ms: 300,
         due_in_ms,
+        slots: SLOTS,
+        is_urgent: false,
     }
 }
 
+fn load(running: u32, waiting: u32) -> EndpointLoad {
+    EndpointLoad { running, waiting }
+}
+
 fn gateway() -> SocketAddr {
     address(1)
 }
@@ -127,6 +137,62 @@
     assert_eq!(given(&desk.due(at(50))), vec![3]);
 }
 
+/// One slot is free, and three gateways that don't know of each other send a request there. Sent at once, two
+/// would wait at the engine behind whatever is long. One gets its permit; the next one when the engine has
+/// reported that a request ended.
+#[test]
+fn one_free_slot_is_given_once() {
+    let mut desk = PermitDesk::default();
+    desk.note_load(load(11, 0), at(0));
+    assert_eq!(take(&mut desk, ask(1, 1, 500), at(1)), vec![1]);
+    assert!(take(&mut desk, ask(2, 1, 300), at(2)).is_empty());
+    assert!(take(&mut desk, ask(3, 1, 200), at(3)).is_empty());
+    desk.take_back(1);
+    assert!(desk.due(at(30)).is_empty());
+    desk.note_load(load(12, 0), at(60));
+    desk.take_ask(gateway(), ask(2, 1, 270), at(60));
+    desk.take_ask(gateway(), ask(3, 1, 170), at(60));
+    assert!(desk.due(at(60)).is_empty());
+    desk.note_load(load(11, 0), at(120));
+    assert_eq!(given(&desk.due(at(120))), vec![3]);
+}
+
+/// A request that had its permit a moment before the engine reported is on its way there, and not in the
+/// report. Its slot is not given again.
+#[test]
+fn a_request_on_its_way_takes_a_slot_before_the_engine_reports_it() {
+    let mut desk = PermitDesk::default();
+    desk.note_load(load(11, 0), at(0));
+    assert_eq!(take(&mut desk, ask(1, 1, 500), at(57)), vec![1]);
+    desk.note_load(load(11, 0), at(60));
+    assert!(take(&mut desk, ask(2, 1, 500), at(61)).is_empty());
+}
+
+#[test]
+fn urgent_requests_go_over_the_slots_by_one_and_late_ones_leave_one_free() {
+    let mut desk = PermitDesk::default();
+    desk.note_load(load(12, 0), at(0));
+    assert!(take(&mut desk, ask(1, 1, 500), at(1)).is_empty());
+    let urgent = PermitAsk {
+        is_urgent: true,
+        ..ask(2, 1, 100)
+    };
+    assert_eq!(take(&mut desk, urgent, at(2)), vec![2]);
+    let mut desk = PermitDesk::default();
+    desk.note_load(load(12, 1), at(0));
+    assert!(take(&mut desk, ask(3, 1, 0), at(1)).is_empty());
+}
+
+/// The engine does not answer its sidecar, which knows nothing of its slots. Requests go by what there is to
+/// read, as without slots: they find out by themselves whether the engine is well.
+#[test]
+fn permits_are_given_without_slots_while_the_engine_is_not_known() {
+    let mut desk = PermitDesk::default();
+    desk.note_load(load(12, 5), at(0));
+    desk.forget_load();
+    assert_eq!(take(&mut desk, ask(1, 1, 500), at(1)), vec![1]);
+}
+
 proptest! {
     #![proptest_config(fixed_cases(64))]
 
--- a/crates/oatpier-serving/tests/testsuite/reading.rs
+++ b/crates/oatpier-serving/tests/testsuite/reading.rs
@@ -47,6 +47,19 @@
     assert!((45.0..60.0).contains(&recovered), "{recovered}");
 }
 
+/// The load: a gateway before 93 engines that hold 171 models, each of which its callers ask for every few
+/// seconds. Five prompts of five models tell it enough not to have prompts read one after the other.
+#[test]
+fn prompts_of_different_models_make_the_pace_known_together() {
+    let mut paces = ReadingPaces::default();
+    for name in ["m1", "m2", "m3", "m4", "m5"] {
+        assert!(paces.reading_ms(&model("m6"), 1_000.0).abs() < 1e-9);
+        paces.note(&model(name), 1_000.0, millis(50));
+    }
+    let learned = paces.reading_ms(&model("m6"), 1_000.0);
+    assert!((45.0..55.0).contains(&learned), "{learned}");
+}
+
 proptest! {
     #![proptest_config(fixed_cases(64))]
 
