Let missing models take turns, and engines lend their part of the weight store's rate

Two thirds of all engines were at a load at any time, so copies elsewhere, by which the loss of a last holder was priced, could not be used. And 16 to 24 engines were always free and could load nothing: 93 engines share 69 loads a window in fixed parts. Now: a model that nobody holds takes a last holder's place only from models that are asked for half as often, by a rate over ten seconds, or after its callers have waited for the time of a load; copies count by the chance that an engine with one is free; an engine whose part is spent asks one whose part is not, which charges itself first. Ruled out: a price of absence in place of rates (a model in some demand then waited for one in hardly any).

--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -99,7 +99,9 @@
             | InnerMessage::AdapterWanted(_)
             | InnerMessage::Advice(_)
             | InnerMessage::PermitAsk(_)
-            | InnerMessage::PermitDone(_) => {}
+            | InnerMessage::PermitDone(_)
+            | InnerMessage::RightAsk(_)
+            | InnerMessage::Right(_) => {}
         }
     }
 }
@@ -404,7 +406,10 @@
         let rows = state.directory.service(service);
         let outcome = state.planner.plan(rule, rows, demand, now);
         round.blocked.extend(outcome.blocked);
-        for load in outcome.planned {
+        for mut load in outcome.planned {
+            for lender in &mut load.advice.lenders {
+                lender.set_port(core.inner_port);
+            }
             if let Some(row) = state.directory.row(&load.endpoint) {
                 let sidecar = SocketAddr::new(row.record.address.ip(), core.inner_port);
                 round.loads.push(AdvisedLoad {
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -214,6 +214,17 @@
                 self.log.write(line);
                 self.residency.take_advice(advice, now);
             }
+            InnerMessage::RightAsk(right) => {
+                let is_lent = self.residency.lend(now);
+                let line = DecisionLine::new(LineWeight::Notable, "right asked")
+                    .with("from", from.to_string())
+                    .with("outcome", if is_lent { "lent" } else { "kept" });
+                self.log.write(line);
+                if is_lent {
+                    MessageOutlet::send(&self.socket, from, &InnerMessage::Right(right));
+                }
+            }
+            InnerMessage::Right(right) => self.residency.take_right(right),
             InnerMessage::PermitAsk(ask) => {
                 self.permits.take_ask(from, ask, now);
                 self.give_permits();
@@ -302,12 +313,24 @@
                 self.refresh().await;
             }
             let Some(order) = self.residency.next_order(self.clock.now()) else {
+                self.ask_for_right();
                 return;
             };
             self.give(&order).await;
         }
     }
 
+    /// Asks another engine's sidecar for its right to load, where that is all that is missing.
+    fn ask_for_right(&mut self) {
+        let question = self
+            .residency
+            .ask_for_right(rand::random(), self.clock.now());
+        if let Some(question) = question {
+            let message = InnerMessage::RightAsk(question.right);
+            MessageOutlet::send(&self.socket, question.lender, &message);
+        }
+    }
+
     async fn give(&mut self, order: &NumberedOrder) {
         let answer = self.link.order(order).await;
         match answer {
--- a/crates/oatpier-serving/src/demand.rs
+++ b/crates/oatpier-serving/src/demand.rs
@@ -18,6 +18,10 @@
 pub(crate) const FAST_LIFE: Duration = Duration::from_millis(800);
 pub(crate) const SLOW_LIFE: Duration = Duration::from_millis(2_400);
 
+/// How fast the rate is forgotten by which rare models are compared. They are asked for every few seconds: by
+/// a shorter one, whichever was asked for last would seem to be asked for most.
+const LONG_LIFE: Duration = Duration::from_secs(6);
+
 /// A model that nobody asked for during this long is no longer reported: of its rates a thirtieth is left.
 /// Each gateway is asked for a few dozen of hundreds of models within it.
 const REPORT_LIFE: Duration = Duration::from_secs(8);
@@ -56,6 +60,7 @@
     unserved: DecayingRate,
     asked_fast: DecayingRate,
     asked_slow: DecayingRate,
+    asked_long: DecayingRate,
     at: ClockTime,
     asked_at: ClockTime,
     adapters: HashMap<AdapterName, ClockTime>,
@@ -70,6 +75,7 @@
             unserved: DecayingRate::default(),
             asked_fast: DecayingRate::default(),
             asked_slow: DecayingRate::default(),
+            asked_long: DecayingRate::default(),
             at: now,
             asked_at: now,
             adapters: HashMap::new(),
@@ -85,6 +91,7 @@
         self.unserved.fade(age, DEMAND_LIFE);
         self.asked_fast.fade(age, FAST_LIFE);
         self.asked_slow.fade(age, SLOW_LIFE);
+        self.asked_long.fade(age, LONG_LIFE);
         self.adapters
             .retain(|_, asked| now.since(*asked) < ADAPTER_LIFE);
         self.at = now;
@@ -106,6 +113,7 @@
         row.asked_at = now;
         row.asked_fast.count(FAST_LIFE);
         row.asked_slow.count(SLOW_LIFE);
+        row.asked_long.count(LONG_LIFE);
         if let Some(adapter) = &weights.adapter {
             row.adapters.insert(adapter.clone(), now);
         }
@@ -177,6 +185,7 @@
         unserved: row.unserved.per_s as f32,
         asked_fast: row.asked_fast.per_s as f32,
         asked_slow: row.asked_slow.per_s as f32,
+        asked_long: row.asked_long.per_s as f32,
         adapters: u32::try_from(row.adapters.len()).unwrap_or(u32::MAX),
         idle_ms: u32::try_from(idle_ms).unwrap_or(u32::MAX),
     }
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -32,6 +32,10 @@
     StoreSeen(StoreDigest),
     /// The planner to a sidecar.
     Advice(LoadAdvice),
+    /// A sidecar asks another one for its right to load from the weight store.
+    RightAsk(LoadRight),
+    /// A sidecar lends another one that right.
+    Right(LoadRight),
     /// A gateway asks a sidecar for a permit to send its engine a prompt.
     PermitAsk(PermitAsk),
     /// A sidecar gives a permit.
@@ -287,6 +291,8 @@
     pub asked_fast: f32,
     /// The same over the last few seconds.
     pub asked_slow: f32,
+    /// The same over the last ten seconds or so.
+    pub asked_long: f32,
     /// Adapters of it that were asked for lately.
     pub adapters: u32,
     /// How long ago it was asked for last, in milliseconds.
@@ -304,6 +310,15 @@
     pub sizes: Vec<ModelSize>,
     /// Memory for models, in MB.
     pub room_mb: f64,
+    /// Sidecars that may lend their right to load from the weight store, where this one's is spent.
+    pub lenders: Vec<SocketAddr>,
+}
+
+/// An engine's right to begin one load from the weight store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadRight {
+    /// Tells questions for rights apart; drawn at random.
+    pub id: u64,
 }
 
 /// The size of a model's weights.
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -131,6 +131,8 @@
     pub asked_fast: f64,
     /// The same over the last few seconds.
     pub asked_slow: f64,
+    /// The same over the last ten seconds or so.
+    pub asked_long: f64,
     /// Adapters that were asked for lately, at the gateway that saw most of them: gateways see much
     /// the same ones.
     pub adapters: f64,
@@ -145,6 +147,7 @@
         self.unserved += f64::from(demand.unserved);
         self.asked_fast += f64::from(demand.asked_fast);
         self.asked_slow += f64::from(demand.asked_slow);
+        self.asked_long += f64::from(demand.asked_long);
         self.adapters = self.adapters.max(f64::from(demand.adapters));
         self.note_idle(Duration::from_millis(u64::from(demand.idle_ms)));
     }
--- a/crates/oatpier-serving/src/planner/gain.rs
+++ b/crates/oatpier-serving/src/planner/gain.rs
@@ -48,6 +48,10 @@
     /// By how much the load relieves the fleet, less what it costs, in squared shares of an engine.
     pub(super) gain: f64,
     pub(super) from_store: bool,
+    /// Whether the engine's own right to load from the weight store is spent.
+    pub(super) needs_right: bool,
+    /// Requests a second for the models that go and that nobody else holds.
+    pub(super) absent_rate: f64,
 }
 
 /// Models that make room for a load.
@@ -56,6 +60,8 @@
     models: Vec<ModelName>,
     /// What losing them weighs.
     loss: f64,
+    /// Requests a second for those of them that nobody else holds.
+    absent_rate: f64,
 }
 
 impl PlanRound<'_> {
@@ -71,7 +77,8 @@
         }
         let pulse = view.row.pulse(self.now)?;
         let from_store = !pulse.copies.has(model);
-        if from_store && pulse.load_wait_ms > 0 {
+        let needs_right = from_store && pulse.load_wait_ms > 0;
+        if needs_right && self.lenders.is_empty() {
             return None;
         }
         let victims = self.victims(view, model)?;
@@ -85,6 +92,8 @@
             gain: self.gain(view, model, &victims) - store_price,
             unload: victims.models,
             from_store,
+            needs_right,
+            absent_rate: victims.absent_rate,
         })
     }
 
@@ -107,6 +116,7 @@
             used -= self.size(victim);
             victims.models.push(victim.clone());
             victims.loss += loss;
+            victims.absent_rate += self.absent_rate(victim);
         }
         (used + needed <= room).then_some(victims)
     }
@@ -146,6 +156,13 @@
         ENGINE_TIME_PRICE_PER_S * drain_s + self.absence(view, model, lost)
     }
 
+    /// Requests a second for a model, if dropping one holder leaves it without any.
+    fn absent_rate(&self, model: &ModelName) -> f64 {
+        let lost = self.models.get(model);
+        let lost = lost.filter(|lost| lost.served_by.len() <= 1);
+        lost.map_or(0.0, |lost| lost.asked_long)
+    }
+
     /// What it weighs that a model is no longer there.
     fn absence(&self, view: &EngineView<'_>, model: &ModelName, lost: &ModelView) -> f64 {
         if lost.served_by.len() > 1 {
@@ -170,7 +187,8 @@
     }
 
     /// How long a model takes to be loaded after an engine has dropped it. That engine has a copy, but
-    /// loads something else first.
+    /// loads something else first. Others that have one can load it soon if one of them is not busy itself:
+    /// where loads take five seconds and two in three engines are at one, most copies are of no use.
     fn reload_time(&self, view: &EngineView<'_>, model: &ModelName) -> Duration {
         let Some(rule) = self.rule.model(model) else {
             return Duration::ZERO;
@@ -178,11 +196,10 @@
         let own = view.row.pulse(self.now);
         let own_copies = u32::from(own.is_some_and(|pulse| pulse.copies.has(model)));
         let copies = self.models.get(model).map_or(0, |known| known.copies);
-        if copies > own_copies {
-            rule.load_from_disk
-        } else {
-            rule.load
-        }
+        let others = copies.saturating_sub(own_copies);
+        let others = i32::try_from(others).unwrap_or(i32::MAX);
+        let all_busy = self.busy_share.powi(others);
+        rule.load_from_disk.mul_f64(1.0 - all_busy) + rule.load.mul_f64(all_busy)
     }
 
     fn other_holders(
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -14,6 +14,7 @@
 mod round;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
@@ -25,12 +26,16 @@
 use crate::site::EngineRule;
 
 use gain::LoadOption;
-use round::{EngineShare, EngineView, PlanRound};
+use round::{EngineShare, EngineView, PlanRound, WantedLoad};
 
 /// How long advice is waited for before the engine gets other advice: a datagram, a notice to
 /// gateways, and an order.
 const ADVICE_LIFE: Duration = Duration::from_millis(700);
 
+/// An engine that was named as a lender is not named again for this long: the right is asked for when the
+/// borrower's streams have ended, and a lender that was named twice lends once.
+const LENDER_LIFE: Duration = Duration::from_secs(2);
+
 /// Loads from the weight store that may be advised at once, as seconds of its rate.
 const BURST_S: f64 = 3.0;
 
@@ -120,6 +125,8 @@
 #[derive(Debug, Default)]
 pub struct LoadPlanner {
     given: HashMap<EndpointName, GivenAdvice>,
+    /// Engines that were named as lenders, and when.
+    named: HashMap<SocketAddr, ClockTime>,
     /// Models that are asked for and that nobody holds or loads, and since when.
     missing: HashMap<ModelName, ClockTime>,
     tokens: f64,
@@ -138,11 +145,13 @@
         self.refill(rule, now);
         self.given
             .retain(|_, given| now.since(given.at) < ADVICE_LIFE);
+        self.named
+            .retain(|_, named_at| now.since(*named_at) < LENDER_LIFE);
         let mut round = self.round(rule, rows, demand, now);
         self.note_missing(&round);
         let mut outcome = PlanOutcome::default();
         for wanted in round.wanted(&self.missing) {
-            self.advise(&mut round, &wanted.model, wanted.reason, &mut outcome);
+            self.advise(&mut round, &wanted, &mut outcome);
         }
         for engine in 0..round.engines.len() {
             self.fill(&mut round, engine, &mut outcome);
@@ -193,9 +202,11 @@
         let slots = engines.first().map_or(1, |view| view.row.record.slots);
         let mut round = PlanRound {
             rule,
-            engines,
             models: HashMap::new(),
             uses: demand.uses,
+            lenders: self.lenders(&engines, now),
+            busy_share: busy_share(&engines),
+            engines,
             slots: f64::from(slots.max(1)),
             now,
         };
@@ -204,6 +215,19 @@
         round
     }
 
+    /// Engines that may lend their right to load from the weight store.
+    fn lenders(&self, engines: &[EngineView<'_>], now: ClockTime) -> Vec<usize> {
+        let has_right = |view: &EngineView<'_>| {
+            let pulse = view.row.pulse(now);
+            pulse.is_some_and(|pulse| pulse.answers && pulse.load_wait_ms == 0)
+        };
+        let places = engines.iter().enumerate();
+        let able = places.filter(|(_, view)| {
+            has_right(view) && !self.named.contains_key(&view.row.record.address)
+        });
+        able.map(|(place, _)| place).collect()
+    }
+
     fn engine_view<'a>(&self, row: &'a EndpointRow, now: ClockTime) -> EngineView<'a> {
         let held = row.models(now).iter().map(|held| &held.model);
         let held = held.filter(|model| row.holds(model, now)).collect();
@@ -225,11 +249,11 @@
     fn advise(
         &mut self,
         round: &mut PlanRound<'_>,
-        model: &ModelName,
-        reason: LoadReason,
+        wanted: &WantedLoad,
         outcome: &mut PlanOutcome,
     ) {
-        let Some(option) = round.best_option(model, reason, self.tokens >= 1.0) else {
+        let (model, reason) = (&wanted.model, wanted.reason);
+        let Some(option) = round.best_option(wanted, self.tokens >= 1.0) else {
             let mut blocked = round.blocked(model, reason);
             blocked.rate_spent = self.tokens < 1.0;
             outcome.blocked.push(blocked);
@@ -250,6 +274,9 @@
         outcome: &mut PlanOutcome,
     ) {
         let load = round.advice(option, model, reason);
+        let lenders = load.advice.lenders.iter();
+        self.named
+            .extend(lenders.map(|lender| (*lender, round.now)));
         self.given.insert(
             load.endpoint.clone(),
             GivenAdvice {
@@ -261,3 +288,10 @@
         outcome.planned.push(load);
     }
 }
+
+/// The share of engines that can't be told to load anything now.
+fn busy_share(engines: &[EngineView<'_>]) -> f64 {
+    let count = |number: usize| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+    let busy = engines.iter().filter(|view| !view.free).count();
+    count(busy) / count(engines.len().max(1))
+}
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -1,6 +1,7 @@
 //! One round of the planner: engines and models as they stand, and which loads they call for.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
@@ -27,6 +28,20 @@
 /// wait for it: after some two seconds it goes before replicas that bring little.
 const WAITING_PRICE_PER_S: f64 = 0.2;
 
+/// A model that nobody holds takes the place of the last holder of one that is asked for at most this part as
+/// often. With equal ones, the one that goes would be the next one's turn at once: where more models are
+/// in demand than there are places free, of two loads one only put a model in another's place, a median of
+/// 0.8 s after its own was taken, and each takes an engine five seconds.
+const TURN_SHARE: f64 = 0.5;
+
+/// With each second that such a model is missing it counts as asked for by so much more a second: one that is
+/// asked for every other second takes another such one's place after five, the longest time of a load.
+const TURN_RATE_PER_S: f64 = 0.05;
+
+/// Engines that one advice names as lenders. By the time at which the right is needed, seconds later where
+/// streams have to end first, some have used their own.
+const LENDERS_EACH: usize = 3;
+
 /// How much of a place for an adapter counts as load: places that are all in use cost less than slots
 /// that are, since one is free as soon as the streams of one adapter have ended.
 const ADAPTER_WEIGHT: f64 = 0.7;
@@ -110,6 +125,8 @@
     want: EngineShare,
     /// Requests a second.
     pub(super) asked: f64,
+    /// The same over the last ten seconds or so.
+    pub(super) asked_long: f64,
     /// The time since it was asked for last; none if never.
     pub(super) idle: Option<Duration>,
     unserved: f64,
@@ -147,6 +164,8 @@
     pub(super) reason: LoadReason,
     /// What it gains, in engines' loads as [`EngineShare::squared`] counts them.
     worth: f64,
+    /// The rate of requests, a second, up to which other models may lose their last holder for it.
+    turn_rate: f64,
 }
 
 /// What a round works on.
@@ -155,6 +174,11 @@
     pub(super) engines: Vec<EngineView<'a>>,
     pub(super) models: HashMap<&'a ModelName, ModelView>,
     pub(super) uses: &'a FleetUses,
+    /// Engines whose right to load from the weight store is not spent, and that were not named as lenders
+    /// lately: their places in the round.
+    pub(super) lenders: Vec<usize>,
+    /// The share of engines that can't be told to load anything now.
+    pub(super) busy_share: f64,
     pub(super) slots: f64,
     pub(super) now: ClockTime,
 }
@@ -174,6 +198,7 @@
                     places: adapters_in_use(total.adapters, requests) / places.max(1.0),
                 },
                 asked: total.asked_fast.max(total.asked_slow),
+                asked_long: total.asked_long,
                 idle: total.idle,
                 unserved: total.unserved,
                 hold_s: holds.of_model(&total),
@@ -226,16 +251,13 @@
     /// The loads that are called for, what gains most first: each takes an engine for seconds and one of
     /// the weight store's loads, so the order says who gets them.
     pub(super) fn wanted(&self, missing: &HashMap<ModelName, ClockTime>) -> Vec<WantedLoad> {
-        let unreachable = self.unreachable().map(|model| WantedLoad {
-            model: model.clone(),
-            reason: LoadReason::Unreachable,
-            worth: self.worth_of_missing(model, missing),
-        });
-        let busy = self.busiest().into_iter().map(|model| WantedLoad {
-            worth: self.worth_of_replica(&model),
-            model,
-            reason: LoadReason::Busy,
-        });
+        let unreachable = self
+            .unreachable()
+            .map(|model| self.wanted_missing(model, missing));
+        let busy = self
+            .busiest()
+            .into_iter()
+            .map(|model| self.wanted_replica(model));
         let mut wanted: Vec<WantedLoad> = unreachable.chain(busy).collect();
         wanted.sort_by(|one, other| {
             let by_worth = other.worth.total_cmp(&one.worth);
@@ -244,18 +266,34 @@
         wanted
     }
 
-    fn worth_of_missing(&self, model: &ModelName, missing: &HashMap<ModelName, ClockTime>) -> f64 {
-        let rate = self
-            .models
-            .get(model)
-            .map_or(0.0, |view| view.unserved.max(view.asked));
+    fn wanted_missing(
+        &self,
+        model: &ModelName,
+        missing: &HashMap<ModelName, ClockTime>,
+    ) -> WantedLoad {
+        let known = self.models.get(model);
+        let rate = known.map_or(0.0, |view| view.unserved.max(view.asked));
+        let long_rate = known.map_or(0.0, |view| view.asked_long);
         let since = missing.get(model).copied().unwrap_or(self.now);
-        rate * MISSING_PRICE + self.now.since(since).as_secs_f64() * WAITING_PRICE_PER_S
+        let waited_s = self.now.since(since).as_secs_f64();
+        WantedLoad {
+            model: model.clone(),
+            reason: LoadReason::Unreachable,
+            worth: rate * MISSING_PRICE + waited_s * WAITING_PRICE_PER_S,
+            turn_rate: long_rate * TURN_SHARE + waited_s * TURN_RATE_PER_S,
+        }
     }
 
-    fn worth_of_replica(&self, model: &ModelName) -> f64 {
-        let best = self.best_option(model, LoadReason::Busy, true);
-        best.map_or(0.0, |option| option.gain)
+    fn wanted_replica(&self, model: ModelName) -> WantedLoad {
+        let mut wanted = WantedLoad {
+            model,
+            reason: LoadReason::Busy,
+            worth: 0.0,
+            turn_rate: f64::INFINITY,
+        };
+        let best = self.best_option(&wanted, true);
+        wanted.worth = best.map_or(0.0, |option| option.gain);
+        wanted
     }
 
     /// Models of the busiest engines, those that bring them most load first.
@@ -309,17 +347,15 @@
         u32::try_from(copies).unwrap_or(u32::MAX)
     }
 
-    pub(super) fn best_option(
-        &self,
-        model: &ModelName,
-        reason: LoadReason,
-        store_open: bool,
-    ) -> Option<LoadOption> {
-        let options =
-            (0..self.engines.len()).filter_map(|engine| self.option(engine, model, reason));
-        let options = options.filter(|option| store_open || !option.from_store);
-        let best = options.max_by(|one, other| one.gain.total_cmp(&other.gain))?;
-        match reason {
+    /// The engine where a load gains most, if it gains enough and takes no place from callers who lose more.
+    pub(super) fn best_option(&self, wanted: &WantedLoad, store_open: bool) -> Option<LoadOption> {
+        let options = (0..self.engines.len())
+            .filter_map(|engine| self.option(engine, &wanted.model, wanted.reason));
+        let best = options
+            .filter(|option| store_open || !option.from_store)
+            .filter(|option| option.absent_rate <= wanted.turn_rate)
+            .max_by(|one, other| one.gain.total_cmp(&other.gain))?;
+        match wanted.reason {
             LoadReason::Unreachable | LoadReason::Room => Some(best),
             LoadReason::Busy => (best.gain > REPLICA_GAIN).then_some(best),
         }
@@ -345,8 +381,8 @@
             .filter(|view| !view.held.contains(&model));
         for view in others {
             let pulse = view.row.pulse(self.now);
-            let paced =
-                pulse.is_some_and(|pulse| pulse.load_wait_ms > 0 && !pulse.copies.has(model));
+            let paced = self.lenders.is_empty()
+                && pulse.is_some_and(|pulse| pulse.load_wait_ms > 0 && !pulse.copies.has(model));
             if !view.free {
                 blocked.busy += 1;
             } else if paced {
@@ -367,12 +403,29 @@
         rule.map_or(self.rule.weights_mb, |rule| rule.size_mb)
     }
 
+    /// Takes a few engines off the lenders for one advice. Those that are at a load go first: the others may
+    /// need their right themselves.
+    fn take_lenders(&mut self) -> Vec<SocketAddr> {
+        let engines = &self.engines;
+        self.lenders
+            .sort_by_key(|place| (!engines[*place].free, *place));
+        let kept = self.lenders.len().saturating_sub(LENDERS_EACH);
+        let taken = self.lenders.split_off(kept);
+        let rows = taken.iter().map(|place| engines[*place].row);
+        rows.map(|row| row.record.address).collect()
+    }
+
     pub(super) fn advice(
-        &self,
+        &mut self,
         option: &LoadOption,
         model: &ModelName,
         reason: LoadReason,
     ) -> PlannedLoad {
+        let lenders = if option.needs_right {
+            self.take_lenders()
+        } else {
+            Vec::new()
+        };
         let view = &self.engines[option.engine];
         let held = view.row.models(self.now).iter().map(|held| &held.model);
         let sizes = held.chain([model]).map(|model| ModelSize {
@@ -386,6 +439,7 @@
                 unload: option.unload.clone(),
                 sizes: sizes.collect(),
                 room_mb: self.rule.model_room_mb(),
+                lenders,
             },
             reason,
         }
--- a/crates/oatpier-serving/src/residency/mod.rs
+++ b/crates/oatpier-serving/src/residency/mod.rs
@@ -10,6 +10,7 @@
 
 mod adapters;
 mod pace;
+mod rights;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
 
 pub use adapters::held_adapters;
 pub use pace::LoadPace;
+use rights::AskedRight;
+pub use rights::RightQuestion;
 
 /// From telling gateways that a model is going to the order that unloads it: pulses reach them
 /// within a few milliseconds, and requests that were sent before are at the engine by then.
@@ -100,6 +103,10 @@
     yielding: Vec<KeptWish>,
     slots: usize,
     next_store_load: ClockTime,
+    /// The right to load from the weight store that another engine was asked for last.
+    asked: Option<AskedRight>,
+    /// The place among the advised lenders of the one that is asked next.
+    next_lender: usize,
     /// A load from the weight store whose answer was lost: given again before anything else.
     unsettled: Option<NumberedOrder>,
     /// A load that an earlier start of the engine was ordered, and that this one may still carry out.
@@ -110,13 +117,13 @@
 
 impl EngineResidency {
     /// Decisions that begin now. A process that was restarted does not know when its predecessor
-    /// loaded last, so it waits a whole spacing; `first_start` says that there was none.
+    /// loaded or lent its right last, so it waits a whole spacing; `first_start` says that there was none.
     #[must_use]
     pub fn new(pace: LoadPace, first_start: bool, now: ClockTime) -> Self {
         let wait = if first_start {
             Duration::ZERO
         } else {
-            pace.longest_spacing()
+            pace.longest_spacing() + rights::RIGHT_LIFE
         };
         Self {
             pace,
@@ -132,6 +139,8 @@
             yielding: Vec::new(),
             slots: 0,
             next_store_load: now + wait,
+            asked: None,
+            next_lender: 0,
             unsettled: None,
             stray: None,
             start: None,
@@ -359,8 +368,7 @@
             .as_ref()
             .is_some_and(|report| report.copies.has(model));
         if !local {
-            let spacing = self.pace.spacing();
-            self.next_store_load = now + spacing.unwrap_or(self.pace.longest_spacing());
+            self.spend_right(now);
         }
     }
 
@@ -376,7 +384,8 @@
             return None;
         }
         let from_store = !report.copies.has(&kept.advice.load);
-        if from_store && !self.store_load_wait(now).is_zero() {
+        let may_load = !from_store || self.may_load_from_store(now);
+        if !may_load && kept.advice.lenders.is_empty() {
             return None;
         }
         let is_held = |model: &&ModelName| report.models.iter().any(|held| held.model == **model);
@@ -384,7 +393,7 @@
             let told = now.since(self.retiring_since) >= RETIRE_NOTICE;
             return told.then(|| EngineOrder::UnloadModel(victim.clone()));
         }
-        Some(EngineOrder::LoadModel(kept.advice.load.clone()))
+        may_load.then(|| EngineOrder::LoadModel(kept.advice.load.clone()))
     }
 }
 
--- a/crates/oatpier-serving/tests/testsuite/demand.rs
+++ b/crates/oatpier-serving/tests/testsuite/demand.rs
@@ -54,3 +54,21 @@
     assert_eq!(book.summary(at(40)).len(), 2);
     assert!(book.pressed_summary(at(50)).is_empty());
 }
+
+/// Two models are asked for every other second, and one of them was asked for a moment ago. By the long rate
+/// neither is in greater demand, and neither takes the other's place.
+#[test]
+fn the_long_rate_does_not_favour_who_was_asked_for_last() {
+    let mut book = DemandBook::default();
+    for second in 0..20 {
+        let name = if second % 2 == 0 { "m1" } else { "m2" };
+        book.note_asked(&request(name).weights.unwrap(), at(second * 1_000));
+    }
+    let summary = book.summary(at(19_010));
+    let (first, second) = (summary[0].asked_long, summary[1].asked_long);
+    assert!(
+        (0.7..1.4).contains(&(second / first)),
+        "{first} and {second}"
+    );
+    assert!(summary[1].asked_fast > 2.0 * summary[0].asked_fast);
+}
--- a/crates/oatpier-serving/tests/testsuite/forecast.rs
+++ b/crates/oatpier-serving/tests/testsuite/forecast.rs
@@ -64,6 +64,7 @@
         unserved: 30.0,
         asked_fast: 40.0,
         asked_slow: 40.0,
+        asked_long: 40.0,
 
         adapters: 0.0,
         idle: Some(Duration::ZERO),
@@ -80,6 +81,7 @@
         unserved: 0.0,
         asked_fast: 20.0,
         asked_slow: 20.0,
+        asked_long: 20.0,
 
         adapters: 0.0,
         idle: Some(Duration::ZERO),
--- a/crates/oatpier-serving/tests/testsuite/peers.rs
+++ b/crates/oatpier-serving/tests/testsuite/peers.rs
@@ -29,6 +29,7 @@
             unserved: 0.0,
             asked_fast: 0.0,
             asked_slow: 0.0,
+            asked_long: 0.0,
             adapters: 0,
             idle_ms: 10,
         }],
--- a/crates/oatpier-serving/tests/testsuite/planner.rs
+++ b/crates/oatpier-serving/tests/testsuite/planner.rs
@@ -31,7 +31,7 @@
         unserved,
         asked_fast: running + unserved,
         asked_slow: running + unserved,
-
+        asked_long: running + unserved,
         adapters: 0.0,
         idle: Some(Duration::from_millis(100)),
     };
@@ -280,3 +280,52 @@
     assert_eq!(outcome.planned[0].advice.load, model("hot"));
     assert_eq!(outcome.planned[0].advice.unload, vec![model("calm")]);
 }
+
+/// Eight rare models are in demand, each asked for every other second, and there are places for six. Two
+/// can't be served at any time. If each took the place of another one at once, all engines would only load, and
+/// the callers of all eight would wait; so the two wait for a turn, and each then has it for seconds.
+#[test]
+fn models_that_are_asked_for_alike_take_turns_of_seconds() {
+    let names = ["r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8"];
+    let engines: [(&[&str], u32); 3] = [(&["r1", "r2"], 1), (&["r3", "r4"], 1), (&["r5", "r6"], 1)];
+    let rows: Vec<(&str, f64, f64)> = names
+        .iter()
+        .map(|name| {
+            if *name > "r6" {
+                (*name, 0.0, 0.5)
+            } else {
+                (*name, 0.5, 0.0)
+            }
+        })
+        .collect();
+    let demand = demand(&rows);
+    let uses = FleetUses::default();
+    let demand = FleetDemand {
+        models: &demand,
+        uses: &uses,
+    };
+    let rule = engine_rule(&names);
+    let mut planner = LoadPlanner::default();
+    let mut rounds = (900..15_000).step_by(150).filter(|now| {
+        let heard = directory(&engines, at(*now));
+        let outcome = planner.plan(&rule, heard.service(&service()), demand, at(*now));
+        !outcome.planned.is_empty()
+    });
+    let first = rounds.next().expect("the missing models get their turn");
+    assert!((3_000..9_000).contains(&first), "after {first} ms");
+}
+
+/// Fresh engines join a fleet in which every part of the weight store's rate is given away. They are told to
+/// load all the same, and whose right they may borrow: left alone they would stay empty while others are full.
+#[test]
+fn an_engine_without_a_part_of_the_rate_is_told_whose_it_may_borrow() {
+    let mut directory = directory(&[(&["m1"], 10), (&[], 0)], at(900));
+    let mut fresh = pulse(2, &[], 0);
+    fresh.number.number = 2;
+    fresh.load_wait_ms = u32::MAX;
+    directory.take_pulse(fresh, at(900));
+    let outcome = plan(&directory, &["m1"], &demand(&[("m1", 12.0, 8.0)]));
+    assert_eq!(outcome.planned.len(), 1);
+    assert_eq!(outcome.planned[0].endpoint, crate::support::endpoint("e2"));
+    assert_eq!(outcome.planned[0].advice.lenders, vec![address(1)]);
+}
