Pass on what changed in the store, not only a digest of it

Now: the word of who has read carries the endpoints that changed since its last read, with digests of before and after; who knew what was there before takes them over, checked by the digest. A change of the configuration is not carried and is read. Ruled out: reading at once on another's digest (a storm at each change).

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -17,7 +17,7 @@
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
 use oatpier_serving::reading::SentPrompt;
-use oatpier_serving::reads::{DigestNews, StoreDigest};
+use oatpier_serving::reads::StoreWord;
 use oatpier_serving::relays::RelayQueue;
 use oatpier_serving::site::{EngineRule, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
@@ -56,7 +56,7 @@
     /// Whether the process can serve.
     pub able: Arc<AtomicBool>,
     /// Where the duty that reads the store hears what other gateways saw there.
-    pub digests: RingSender<DigestNews>,
+    pub words: RingSender<StoreWord>,
 }
 
 /// The state that all tasks share. They run on one thread, so the lock is never waited for; it is
@@ -72,8 +72,6 @@
     pub(super) planner: LoadPlanner,
     pub(super) judge: AdmissionJudge,
     pub(super) store_read_at: Option<ClockTime>,
-    /// What this gateway knows of the store, as of its own last read.
-    digest: Option<StoreDigest>,
     /// Whether demand that can't be served came since the last report to peers.
     pub(super) urgent: bool,
 }
@@ -104,7 +102,7 @@
     /// Calls endpoints.
     pub client: HttpClient,
     able: Arc<AtomicBool>,
-    digests: RingSender<DigestNews>,
+    words: RingSender<StoreWord>,
     closed: AtomicBool,
     behind: AtomicBool,
 }
@@ -142,7 +140,6 @@
             planner: LoadPlanner::default(),
             judge: AdmissionJudge::new(rand::random()),
             store_read_at: None,
-            digest: None,
             urgent: false,
         };
         Self {
@@ -166,7 +163,7 @@
                 discard_on_close: true,
             }),
             able: inputs.able,
-            digests: inputs.digests,
+            words: inputs.words,
             closed: AtomicBool::new(false),
             behind: AtomicBool::new(false),
         }
@@ -249,31 +246,25 @@
         }
     }
 
-    /// The store was read and holds this: other gateways of the zone are told, so that they need not read.
-    pub fn tell_digest(&self, digest: StoreDigest) {
+    /// Tells the other gateways of the zone what was seen in the store, so that they need not read.
+    pub fn tell_word(&self, word: StoreWord) {
         let now = self.clock.now();
-        let mut state = self.lock();
-        state.digest = Some(digest);
-        let peers: Vec<SocketAddr> = state.peers.in_zone(&self.zone, now).collect();
-        drop(state);
-        let message = InnerMessage::StoreSeen(digest);
+        let peers: Vec<SocketAddr> = self.lock().peers.in_zone(&self.zone, now).collect();
+        let message = InnerMessage::StoreSeen(Box::new(word));
         for peer in peers {
             self.outlet.send(peer, &message);
         }
     }
 
     /// Another gateway of the zone has read the store.
-    pub fn take_digest(&self, digest: StoreDigest) {
-        let mut state = self.lock();
-        let news = if state.digest == Some(digest) {
-            state.store_read_at = Some(self.clock.now());
-            DigestNews::Same
-        } else {
-            DigestNews::Other
-        };
-        drop(state);
+    pub fn take_store_word(&self, word: StoreWord) {
         // A full ring counts what it drops. The store is then read when that is due, as without the word.
-        let _ = self.digests.offer(news);
+        let _ = self.words.offer(word);
+    }
+
+    /// The store holds what is known.
+    pub fn note_store_same(&self) {
+        self.lock().store_read_at = Some(self.clock.now());
     }
 
     /// The store could not be read.
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -93,7 +93,7 @@
                 core.lock().peers.take_report(from, *report, now);
             }
             InnerMessage::Permit(grant) => core.take_permit(grant),
-            InnerMessage::StoreSeen(digest) => core.take_digest(digest),
+            InnerMessage::StoreSeen(word) => core.take_store_word(*word),
             // For sidecars.
             InnerMessage::Greeting(_)
             | InnerMessage::AdapterWanted(_)
@@ -112,11 +112,13 @@
             StoreNews::Read {
                 config,
                 endpoints,
-                digest,
+                word,
             } => {
                 core.take_records(config, endpoints);
-                core.tell_digest(digest);
+                core.tell_word(word);
             }
+            StoreNews::Told { endpoints } => core.take_records(None, endpoints),
+            StoreNews::Same => core.note_store_same(),
             StoreNews::Failed => core.note_store_failure(),
         }
     }
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -47,9 +47,9 @@
 /// News of the store that wait to be taken; a full ring makes the reader wait.
 const NEWS_RING: usize = 4;
 
-/// Digests of other gateways that wait for the duty that reads the store. What finds the ring full is dropped:
+/// What other gateways saw in the store, waiting for the duty that reads it. What finds the ring full is dropped:
 /// the store is then read when that is due.
-const DIGEST_RING: usize = 8;
+const WORD_RING: usize = 8;
 
 /// From SIGTERM to closing the listener. The platform asks once a second and stops sending
 /// connections after two misses; a connection that was sent just before must still be answered.
@@ -108,19 +108,18 @@
     let mut frame = ProcessFrame::start(settings, frame_inputs);
     let stop = frame.process.stop.clone();
     let (news_sender, news) = ring(NEWS_RING, RingRule::Wait, frame.metrics.ring_full.clone());
-    let (digest_sender, digests) =
-        ring(DIGEST_RING, RingRule::Drop, frame.metrics.ring_full.clone());
+    let (word_sender, words) = ring(WORD_RING, RingRule::Drop, frame.metrics.ring_full.clone());
     let core = CoreInputs {
         clock: RuntimeClock::start(),
         metrics: frame.metrics.clone(),
         log: frame.log,
         able,
-        digests: digest_sender,
+        words: word_sender,
     };
     let records_inputs = RecordsInputs {
         settings: frame.settings.clone(),
         news: news_sender,
-        digests,
+        words,
         metrics: frame.metrics,
         stop: stop.clone(),
     };
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -13,7 +13,7 @@
 use oatpier_platform::store::{StoreClient, StoreSnapshot, UnreadableEntry};
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::node::NodeSettings;
-use oatpier_serving::reads::{DigestNews, ReadSchedule, StoreDigest};
+use oatpier_serving::reads::{ReadSchedule, StoreView, StoreWord, WordOutcome};
 use oatpier_serving::site::SiteConfig;
 use oatpier_types::errors::error_chain;
 use tokio::time::sleep_until;
@@ -52,8 +52,15 @@
         config: Option<Arc<SiteConfig>>,
         /// All endpoints that are registered.
         endpoints: Vec<EndpointRecord>,
-        /// What it all comes to.
-        digest: StoreDigest,
+        /// What others are told of it.
+        word: StoreWord,
+    },
+    /// Another gateway of the zone has read it, and nothing has changed.
+    Same,
+    /// Another gateway of the zone has read it, and endpoints have changed.
+    Told {
+        /// All endpoints that are registered.
+        endpoints: Vec<EndpointRecord>,
     },
     /// It could not be read.
     Failed,
@@ -65,8 +72,8 @@
     pub settings: SettingsFeed,
     /// Where news goes.
     pub news: RingSender<StoreNews>,
-    /// What digests of other gateways say.
-    pub digests: RingReceiver<DigestNews>,
+    /// What other gateways saw there.
+    pub words: RingReceiver<StoreWord>,
     /// Counts calls.
     pub metrics: ServingMetrics,
     /// Tells to stop.
@@ -89,52 +96,48 @@
     let clock = RuntimeClock::start();
     let mut schedule = ReadSchedule::new(rand::random());
     loop {
-        await_read(
-            &mut schedule,
-            &inputs.digests,
-            read_period(&settings),
-            clock,
-        )
-        .await;
+        let due = clock.instant(schedule.next_at());
+        let word = tokio::select! {
+            () = sleep_until(due) => None,
+            word = inputs.words.receive() => word,
+        };
         let present = Arc::clone(&inputs.settings.borrow());
         if present != settings {
             client = StoreClient::new(present.store);
             settings = present;
         }
         let period = read_period(&settings);
-        let begun = clock.now();
-        let read = client.read(reader.wait(period)).await;
-        let news = match read {
-            Ok(snapshot) => {
-                schedule.note_read(begun, period);
-                reader.take(snapshot)
-            }
-            Err(error) => {
-                reader.note_failure(&error);
-                schedule.note_failure(begun + reader.pause_after_failure(period));
-                StoreNews::Failed
-            }
+        let news = match word {
+            Some(word) => reader.take_word(&word),
+            None => Some(read_once(&client, &mut reader, &mut schedule, period, clock).await),
+        };
+        let Some(news) = news else {
+            continue;
         };
+        if matches!(news, StoreNews::Same | StoreNews::Told { .. }) {
+            schedule.note_told(period, clock.now());
+        }
         inputs.news.send(news).await;
     }
 }
 
-/// Returns when the store is to be read.
-async fn await_read(
+async fn read_once(
+    client: &StoreClient,
+    reader: &mut RecordsReader,
     schedule: &mut ReadSchedule,
-    digests: &RingReceiver<DigestNews>,
     period: Duration,
     clock: RuntimeClock,
-) {
-    loop {
-        let due = clock.instant(schedule.next_at());
-        tokio::select! {
-            () = sleep_until(due) => return,
-            news = digests.receive() => match news {
-                Some(news) => schedule.take_news(news, period, clock.now()),
-                // The process ends.
-                None => return sleep_until(due).await,
-            }
+) -> StoreNews {
+    let begun = clock.now();
+    match client.read(reader.wait(period)).await {
+        Ok(snapshot) => {
+            schedule.note_read(begun, period);
+            reader.take(snapshot)
+        }
+        Err(error) => {
+            reader.note_failure(&error);
+            schedule.note_failure(begun + reader.pause_after_failure(period));
+            StoreNews::Failed
         }
     }
 }
@@ -149,6 +152,8 @@
 struct RecordsReader {
     metrics: ServingMetrics,
     config: Option<Bytes>,
+    /// What is known of the store.
+    view: Option<StoreView>,
     reachable: Option<bool>,
     /// Reads in a row that failed.
     failures: u32,
@@ -176,6 +181,7 @@
         Self {
             metrics,
             config: None,
+            view: None,
             reachable: None,
             failures: 0,
             unreadable: UnreadableEntries::default(),
@@ -207,7 +213,6 @@
     }
 
     fn take(&mut self, snapshot: StoreSnapshot) -> StoreNews {
-        let digest = StoreDigest::of(snapshot.config_revision, &snapshot.endpoints);
         self.metrics.store_read("answered");
         if self.reachable != Some(true) {
             spdlog::info!("the store is read", kv: { endpoints: = snapshot.endpoints.len() });
@@ -218,10 +223,26 @@
             let (key, reason) = (entry.key.as_str(), entry.reason.as_str());
             spdlog::warn!("an entry of the store can't be used", kv: { key:, reason: });
         }
+        let view = StoreView::new(snapshot.config_revision, snapshot.endpoints);
+        let word = view.word_since(self.view.as_ref());
+        let endpoints = view.endpoints().to_vec();
+        self.view = Some(view);
         StoreNews::Read {
             config: snapshot.config.and_then(|value| self.changed(value)),
-            endpoints: snapshot.endpoints,
-            digest,
+            endpoints,
+            word,
+        }
+    }
+
+    /// Takes what another gateway saw; none if that says nothing here.
+    fn take_word(&mut self, word: &StoreWord) -> Option<StoreNews> {
+        let view = self.view.as_mut()?;
+        match view.take_word(word) {
+            WordOutcome::Same => Some(StoreNews::Same),
+            WordOutcome::Patched => Some(StoreNews::Told {
+                endpoints: view.endpoints().to_vec(),
+            }),
+            WordOutcome::Unknown => None,
         }
     }
 
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -7,6 +7,7 @@
 use oatpier_policy::index::EndpointIndex;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{AdapterName, EndpointName, ModelName, PoolName, ZoneName};
+use serde::{Deserialize, Serialize};
 
 use super::REGISTRY_SETTLE;
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
@@ -42,7 +43,7 @@
 const SERVICE_HOLD_GUESS_MS: f64 = 30.0;
 
 /// An endpoint as the registry lists it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Its name; one that starts again may keep it.
     pub name: EndpointName,
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
-use crate::reads::StoreDigest;
+use crate::reads::StoreWord;
 
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -29,7 +29,7 @@
     /// A gateway to its peers.
     Peer(Box<PeerReport>),
     /// A gateway that has read the store, to those of its availability zone.
-    StoreSeen(StoreDigest),
+    StoreSeen(Box<StoreWord>),
     /// The planner to a sidecar.
     Advice(LoadAdvice),
     /// A sidecar asks another one for its right to load from the weight store.
--- a/crates/oatpier-serving/src/reads.rs
+++ b/crates/oatpier-serving/src/reads.rs
@@ -2,14 +2,16 @@
 //!
 //! The load: 68 gateways that each read configuration and registry every 1.8 s made nearly 40 calls a
 //! second, all of which said the same, and the thinnest of them spent a twentieth of their processor on
-//! decoding it. So who has read tells the gateways of its availability zone a digest of what it saw. Who
-//! knows the same need not read; who knows something else reads at once. Nobody is elected: whoever is
-//! due first reads, and when it is gone the next one is due a moment later. A bound on how late a change is
-//! seen holds for each gateway by itself, whatever it hears.
+//! decoding it. So who has read tells the gateways of its availability zone what has changed since its last
+//! read, with digests of what was there before and after. Who knows the one takes the change over, who knows the
+//! other knows it already, and neither need read; anybody else reads when that is due, as without a word.
+//! Nobody is elected: whoever is due first reads, and when it is gone the next one is due a moment later. A
+//! bound on how late a change is seen holds for each gateway by itself, whatever it hears.
 
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
+use oatpier_types::names::EndpointName;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -38,29 +40,118 @@
         let mut hasher = Xxh3::new();
         hasher.update(&config_revision.to_le_bytes());
         for record in sorted {
-            let start = record.start.map(|start| start.0);
-            let row = format!(
-                "{}|{start:?}|{}|{}|{}|{}|{};",
-                record.name,
-                record.service,
-                record.address,
-                record.zone,
-                record.slots,
-                record.draining,
-            );
-            hasher.update(row.as_bytes());
+            hasher.update(digest_row(record).as_bytes());
         }
         Self(hasher.digest())
     }
 }
 
-/// What another gateway's digest says to this one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DigestNews {
-    /// The store holds what is known here.
+/// What of an endpoint goes into the digest.
+fn digest_row(record: &EndpointRecord) -> String {
+    let start = record.start.map(|start| start.0);
+    format!(
+        "{}|{start:?}|{}|{}|{}|{}|{};",
+        record.name, record.service, record.address, record.zone, record.slots, record.draining,
+    )
+}
+
+/// Changes of the registry that one word carries; a word is one packet. After more, as when a fleet starts, each
+/// gateway reads by itself.
+const MOST_CHANGES: usize = 6;
+
+/// What a gateway has seen change in the store between two reads.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StoreWord {
+    /// What was there before.
+    pub before: StoreDigest,
+    /// What is there now.
+    pub now: StoreDigest,
+    /// Endpoints that have appeared or changed. Empty where there were too many.
+    pub changed: Vec<EndpointRecord>,
+    /// Endpoints that are no longer listed.
+    pub removed: Vec<EndpointName>,
+}
+
+/// What a gateway knows of the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreView {
+    config_revision: u64,
+    endpoints: Vec<EndpointRecord>,
+    digest: StoreDigest,
+}
+
+/// What a word of another gateway comes to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WordOutcome {
+    /// The store holds what was known.
     Same,
-    /// The store holds something else.
-    Other,
+    /// The store holds something else, which is now known.
+    Patched,
+    /// The word is about a store that was not known here: it says nothing.
+    Unknown,
+}
+
+impl StoreView {
+    /// What a read brought.
+    #[must_use]
+    pub fn new(config_revision: u64, endpoints: Vec<EndpointRecord>) -> Self {
+        Self {
+            digest: StoreDigest::of(config_revision, &endpoints),
+            config_revision,
+            endpoints,
+        }
+    }
+
+    /// The endpoints that are registered.
+    #[must_use]
+    pub fn endpoints(&self) -> &[EndpointRecord] {
+        &self.endpoints
+    }
+
+    /// What to tell others after a read, whose last one brought `before`.
+    #[must_use]
+    pub fn word_since(&self, before: Option<&Self>) -> StoreWord {
+        let known = |name: &EndpointName| {
+            let mut rows = before.into_iter().flat_map(|view| &view.endpoints);
+            rows.find(|row| row.name == *name)
+        };
+        let is_new = |row: &&EndpointRecord| {
+            known(&row.name).is_none_or(|old| digest_row(old) != digest_row(row))
+        };
+        let changed: Vec<EndpointRecord> = self.endpoints.iter().filter(is_new).cloned().collect();
+        let old = before.into_iter().flat_map(|view| &view.endpoints);
+        let is_gone = |name: &EndpointName| self.endpoints.iter().all(|row| row.name != *name);
+        let removed = old.map(|row| row.name.clone()).filter(is_gone).collect();
+        let fits = changed.len() <= MOST_CHANGES;
+        StoreWord {
+            before: before.map_or(self.digest, |view| view.digest),
+            now: self.digest,
+            changed: if fits { changed } else { Vec::new() },
+            removed,
+        }
+    }
+
+    /// Takes another gateway's word over. What it comes to is checked by its digest: a word that leaves something
+    /// out, as a change of the configuration, is of no use.
+    pub fn take_word(&mut self, word: &StoreWord) -> WordOutcome {
+        if word.now == self.digest {
+            return WordOutcome::Same;
+        }
+        if word.before != self.digest {
+            return WordOutcome::Unknown;
+        }
+        let is_replaced = |row: &EndpointRecord| {
+            word.removed.contains(&row.name) || word.changed.iter().any(|new| new.name == row.name)
+        };
+        let kept = self.endpoints.iter().filter(|row| !is_replaced(row));
+        let endpoints = kept.chain(&word.changed).cloned().collect();
+        let patched = Self::new(self.config_revision, endpoints);
+        if patched.digest != word.now {
+            return WordOutcome::Unknown;
+        }
+        *self = patched;
+        WordOutcome::Patched
+    }
 }
 
 /// When the store is read next.
@@ -99,15 +190,11 @@
         self.next_at = at;
     }
 
-    /// Another gateway has read the store.
-    pub fn take_news(&mut self, news: DigestNews, period: Duration, now: ClockTime) {
-        match news {
-            DigestNews::Other => self.next_at = self.next_at.min(now),
-            DigestNews::Same if self.spared < MOST_SPARED => {
-                self.spared += 1;
-                self.next_at = now + self.pause(period);
-            }
-            DigestNews::Same => {}
+    /// Another gateway has read the store, and what it saw is known here.
+    pub fn note_told(&mut self, period: Duration, now: ClockTime) {
+        if self.spared < MOST_SPARED {
+            self.spared += 1;
+            self.next_at = now + self.pause(period);
         }
     }
 
