Test what gateways hear through relays

Cause: the relays' pieces were tested one by one. Now a fleet of three zones with a dead relay in each and half of all datagrams lost for a while knows what engines hold one period after the losses end (128 drawn cases), a gateway that hears of an engine through relays alone serves by it, and a request without a slot waits at the sidecar. No change of behaviour.

--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod pulses;
 mod records;
 mod refusals;
+mod relayed;
 mod stops;
 mod streams;
 mod support;
--- a/crates/oatpier-serving/tests/testsuite/relays.rs
+++ b/crates/oatpier-serving/tests/testsuite/relays.rs
@@ -137,9 +137,107 @@
     assert_eq!(row.present(), 7);
 }
 
+/// Three zones of four gateways before some engines, each gateway with what it knows of them.
+struct RelayFleet {
+    zones: Vec<ZoneName>,
+    queues: Vec<RelayQueue>,
+    known: Vec<EndpointDirectory>,
+    dead: Vec<usize>,
+}
+
+const FLEET_GATEWAYS: usize = 12;
+const FLEET_ENGINES: u8 = 5;
+
+impl RelayFleet {
+    fn new(dead: Vec<usize>) -> Self {
+        let mut known: Vec<EndpointDirectory> = Vec::new();
+        known.resize_with(FLEET_GATEWAYS, EndpointDirectory::default);
+        for directory in &mut known {
+            let records = (1..=FLEET_ENGINES).map(|number| record(number, &["m0"]));
+            directory.apply_registry(records.collect(), at(0));
+        }
+        let mut queues = Vec::new();
+        queues.resize_with(FLEET_GATEWAYS, RelayQueue::default);
+        Self {
+            zones: ["a", "b", "c"].map(zone).to_vec(),
+            queues,
+            known,
+            dead,
+        }
+    }
+
+    fn place(relay: SocketAddr) -> usize {
+        match relay {
+            SocketAddr::V4(relay) => usize::from(relay.ip().octets()[3]),
+            SocketAddr::V6(_) => panic!("an address of the test is no IPv4 address"),
+        }
+    }
+
+    /// One period: each sidecar tells its relays, and these pass on. `loses` says which datagrams are lost.
+    fn period(&mut self, number: u64, holds: &str, mut loses: impl FnMut() -> bool) {
+        let now = number * 100;
+        for engine in 1..=FLEET_ENGINES {
+            let candidates = (0..FLEET_GATEWAYS).map(|place| RelayCandidate {
+                zone: &self.zones[place % 3],
+                address: gateway(u8::try_from(place).unwrap()),
+                processor: 100,
+            });
+            let relays = draw(address(engine), candidates);
+            let mut told = pulse(engine, &[holds], 1);
+            told.number.number = number;
+            let word = EngineWord::Pulse(Box::new(told));
+            for relay in relays.into_iter().map(Self::place) {
+                if !self.dead.contains(&relay) && !loses() {
+                    hear(&mut self.known[relay], &word, now);
+                    self.queues[relay].take(word.clone());
+                }
+            }
+        }
+        for relay in 0..FLEET_GATEWAYS {
+            for words in self.queues[relay].drain() {
+                for other in (relay % 3..FLEET_GATEWAYS).step_by(3) {
+                    if other == relay || self.dead.contains(&other) || loses() {
+                        continue;
+                    }
+                    for word in &words {
+                        self.queues[other].note_passed_on(word);
+                        hear(&mut self.known[other], word, now + 40);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gateways that live and don't know what every engine holds.
+    fn behind(&self, holds: &str, now: u64) -> usize {
+        let knows = |directory: &EndpointDirectory| {
+            directory.all().all(|row| row.holds(&model(holds), at(now)))
+        };
+        let live = (0..FLEET_GATEWAYS).filter(|place| !self.dead.contains(place));
+        live.filter(|place| !knows(&self.known[*place])).count()
+    }
+}
+
 proptest! {
     #![proptest_config(fixed_cases(128))]
 
+    /// One gateway of each zone is dead and still counts as a relay, and half of all datagrams are lost for a
+    /// while. One period after the losses end everybody knows what every engine holds.
+    #[test]
+    fn a_fleet_knows_within_a_period_with_dead_relays_and_after_losses(
+        dead in (0_usize..4, 0_usize..4, 0_usize..4),
+        losses in prop::collection::vec(any::<bool>(), 200),
+    ) {
+        let dead = vec![dead.0 * 3, dead.1 * 3 + 1, dead.2 * 3 + 2];
+        let mut fleet = RelayFleet::new(dead);
+        let mut draws = losses.iter().cycle();
+        for number in 1..6 {
+            fleet.period(number, "m1", || draws.next().copied().unwrap_or(false));
+        }
+        fleet.period(6, "m2", || false);
+        prop_assert_eq!(fleet.behind("m2", 650), 0);
+    }
+
     /// A sidecar tells more than goes through: words are lost, doubled and crossed on both ways. Once two
     /// periods bring a whole pulse and a load through, in whatever order, the gateway knows what the
     /// sidecar said last.
