--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -14,5 +14,6 @@
 mod reads;
 mod relays;
 mod residency;
+mod rights;
 mod site;
 mod support;
--- a/crates/oatpier-serving/tests/testsuite/residency.rs
+++ b/crates/oatpier-serving/tests/testsuite/residency.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use oatpier_serving::engine::{EngineOrder, EngineReport, LocalCopies, OrderAnswer, StartTime};
-use oatpier_serving::message::{
-    AdapterUse, AdapterWish, GatewayGreeting, LoadAdvice, LoadRight, ModelSize,
-};
+use oatpier_serving::message::{AdapterUse, AdapterWish, GatewayGreeting, LoadAdvice, ModelSize};
 use oatpier_serving::residency::{EngineResidency, LoadPace};
 use proptest::prelude::*;
 
@@ -23,7 +21,7 @@
     EngineResidency::new(PACE, true, at(0))
 }
 
-fn report(sequence: u64, models: &[&str]) -> EngineReport {
+pub fn report(sequence: u64, models: &[&str]) -> EngineReport {
     EngineReport {
         sequence,
         models: models.iter().map(|name| held(name, &[])).collect(),
@@ -31,7 +29,7 @@
     }
 }
 
-fn advice(load: &str, unload: &[&str], held_models: &[&str]) -> LoadAdvice {
+pub fn advice(load: &str, unload: &[&str], held_models: &[&str]) -> LoadAdvice {
     let sizes = held_models.iter().chain([&load]).map(|name| ModelSize {
         model: model(name),
         size_mb: 90.0,
@@ -209,65 +207,6 @@
     assert_eq!(residency.next_order(at(1_000)), None);
 }
 
-/// An engine has just joined a fleet of more engines than loads in a window: it has no part of the rate. Its
-/// callers wait while another engine's part lies unused. It borrows that one's, once, and the other one waits
-/// as long as if it had loaded itself.
-#[test]
-fn an_engine_without_a_part_of_the_rate_borrows_one() {
-    let pace = |place| LoadPace {
-        loads: 1,
-        engines: 2,
-        place,
-        window: Duration::from_secs(5),
-    };
-    let mut lender = EngineResidency::new(pace(0), true, at(0));
-    let mut borrower = EngineResidency::new(pace(1), true, at(0));
-    lender.take_report(report(0, &[]));
-    borrower.take_report(report(0, &[]));
-    let mut advised = advice("m1", &[], &[]);
-    advised.lenders = vec![address(1)];
-    borrower.take_advice(advised, at(0));
-    assert_eq!(borrower.next_order(at(0)), None);
-    let question = borrower.ask_for_right(7, at(0)).unwrap();
-    assert_eq!(question.lender, address(1));
-    assert!(lender.lend(at(2)));
-    assert!(!lender.lend(at(3)), "a right is lent once");
-    assert!(!lender.store_load_wait(at(5_000)).is_zero());
-    borrower.take_right(question.right);
-    let order = borrower.next_order(at(4)).unwrap();
-    assert_eq!(order.order, EngineOrder::LoadModel(model("m1")));
-    borrower.note_answer(&order, OrderAnswer::Taken, at(4));
-    borrower.take_report(report(1, &["m1"]));
-    let mut advised = advice("m2", &[], &["m1"]);
-    advised.lenders = vec![address(1)];
-    borrower.take_advice(advised, at(10));
-    assert_eq!(
-        borrower.next_order(at(10)),
-        None,
-        "a lent right is used once"
-    );
-}
-
-/// The lender's yes comes late: the borrower was frozen meanwhile. By then the lender may have its right again,
-/// and two loads would begin where one may.
-#[test]
-fn a_right_that_comes_too_late_is_not_used() {
-    let pace = LoadPace {
-        loads: 1,
-        engines: 2,
-        place: 1,
-        window: Duration::from_secs(5),
-    };
-    let mut borrower = EngineResidency::new(pace, true, at(0));
-    borrower.take_report(report(0, &[]));
-    let mut advised = advice("m1", &[], &[]);
-    advised.lenders = vec![address(1)];
-    borrower.take_advice(advised, at(0));
-    let question = borrower.ask_for_right(7, at(0)).unwrap();
-    borrower.take_right(question.right);
-    assert_eq!(borrower.next_order(at(400)), None);
-}
-
 proptest! {
     #![proptest_config(fixed_cases(128))]
 
@@ -308,59 +247,6 @@
         }
     }
 
-    /// As above, with engines that lend each other their parts: questions and answers are lost or come late,
-    /// and lenders and borrowers are killed in between.
-    #[test]
-    fn lent_rights_keep_the_rate_of_the_weight_store(
-        engines in 2_u32..30,
-        loads in 1_u32..30,
-        restarts in prop::collection::vec((0_u64..20_000, 0_usize..30), 0..20),
-        words in prop::collection::vec((any::<bool>(), 0_u64..500, 0_usize..30), 40),
-    ) {
-        let pace_of = |place| LoadPace { loads, engines, place, window: Duration::from_secs(5) };
-        let count = engines as usize;
-        let mut sidecars: Vec<EngineResidency> =
-            (0..engines).map(|place| EngineResidency::new(pace_of(place), true, at(0))).collect();
-        let mut begun = Vec::new();
-        let mut answers: Vec<(u64, usize, LoadRight)> = Vec::new();
-        let mut word = 0;
-        for now in (0..20_000).step_by(20) {
-            for (when, which) in &restarts {
-                if (now..now + 20).contains(when) && *which < count {
-                    let place = u32::try_from(*which).unwrap();
-                    sidecars[*which] = EngineResidency::new(pace_of(place), false, at(now));
-                }
-            }
-            for (_, to, right) in answers.extract_if(.., |(due, _, _)| *due <= now) {
-                sidecars[to].take_right(right);
-            }
-            for place in 0..count {
-                let wants = (now / 1_000 + place as u64).is_multiple_of(3);
-                sidecars[place].take_report(report(now, &[]));
-                if wants {
-                    let mut advised = advice("m1", &[], &[]);
-                    advised.lenders = vec![address(1)];
-                    sidecars[place].take_advice(advised, at(now));
-                }
-                if let Some(order) = sidecars[place].next_order(at(now)) {
-                    begun.push(now);
-                    sidecars[place].note_answer(&order, OrderAnswer::Taken, at(now));
-                    sidecars[place].take_report(report(now + 1, &["m1"]));
-                } else if let Some(question) = sidecars[place].ask_for_right(now, at(now)) {
-                    word += 1;
-                    let (is_lost, delay, lender) = words[word % words.len()];
-                    if !is_lost && sidecars[lender % count].lend(at(now)) {
-                        answers.push((now + delay, place, question.right));
-                    }
-                }
-            }
-        }
-        for end in &begun {
-            let within = begun.iter().filter(|time| **time <= *end && **time + 5_000 > *end);
-            prop_assert!(within.count() <= loads.max(1) as usize);
-        }
-    }
-
     /// Whatever is advised in whatever order, the weights that an engine is told to hold never
     /// exceed its memory.
     #[test]
