--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -54,19 +54,15 @@
                 }
                 let queues = queues_at_engine(&state, plan, &choice, now);
                 match verdict {
-                    AdmissionVerdict::Send => {
-                        let slots = engine.map_or(0, |rule| rule.adapter_slots);
-                        self.place_at(&mut state, plan, choice, slots, now)
-                    }
-                    AdmissionVerdict::Wait(_) if queues => {
-                        let slots = engine.map_or(0, |rule| rule.adapter_slots);
-                        self.place_at(&mut state, plan, choice, slots, now)
-                    }
-                    AdmissionVerdict::Wait(most) => Placement::Pause(most),
                     AdmissionVerdict::Refuse(refusal) => Placement::Refuse(PlacementRefusal {
                         refusal,
                         best: Some(choice),
                     }),
+                    AdmissionVerdict::Wait(most) if !queues => Placement::Pause(most),
+                    AdmissionVerdict::Send | AdmissionVerdict::Wait(_) => {
+                        let slots = engine.map_or(0, |rule| rule.adapter_slots);
+                        self.place_at(&mut state, plan, choice, slots, now)
+                    }
                 }
             }
             ChoiceVerdict::NoModel { ready_in, load } => {
