--- a/crates/oatpier-serving/src/planner/gain.rs
+++ b/crates/oatpier-serving/src/planner/gain.rs
@@ -11,8 +11,9 @@
 use super::round::{EngineShare, EngineView, ModelView, PlanRound};
 
 /// What a load from the weight store weighs, in squared shares of an engine: the others wait for their part of its
-/// rate. Little, since demand that rises needs replicas before its holders are full: priced by the time that such a
-/// load takes an engine, replicas came too late (mean worth of one day of the largest fleet 0.66 beside 0.68).
+/// rate. Little, since demand that rises needs replicas before its holders are full. Priced by the time that such
+/// a load takes an engine, one day of the largest fleet was worth 0.66 beside 0.68: one play each, and plays of the
+/// same code differ by 0.02.
 const STORE_LOAD_PRICE: f64 = 0.05;
 
 /// The same where callers already wait for the model and are refused when it does not come in time.
