--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -10,10 +10,12 @@
 use futures::future::BoxFuture;
 use http::header::HOST;
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use oatpier_platform::headers::{self, HeaderError};
 use oatpier_serving::choice::EndpointChoice;
+use oatpier_serving::fingerprint::{RequestContent, RequestFingerprint};
 use oatpier_serving::site::{RouteKind, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
@@ -93,7 +95,11 @@
     if body.len() > config.limits.body_bytes {
         return unplanned(core, &head, OwnAnswer::TooLarge);
     }
-    let plan = match plan(core, route, &head, arrived) {
+    let message = CallerMessage {
+        head: Arc::new(head),
+        body,
+    };
+    let plan = match plan(core, route, &message, arrived) {
         Ok(plan) => Arc::new(plan),
         Err(error) => {
             core.metrics.answered("", OwnAnswer::Malformed.as_str());
@@ -101,18 +107,28 @@
         }
     };
     core.note_arrival(&plan);
-    let message = CallerMessage {
-        head: Arc::new(head),
-        body,
-    };
     let mut run = RequestRun::new(core, plan, message);
     run.serve().await
 }
 
 fn find_route(config: &SiteConfig, head: &Parts) -> Option<Arc<RouteRule>> {
+    config.route(host_of(head), head.uri.path()).cloned()
+}
+
+fn host_of(head: &Parts) -> &str {
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    config.route(host, head.uri.path()).cloned()
+    host.or_else(|| head.uri.host()).unwrap_or_default()
+}
+
+fn fingerprint(message: &CallerMessage) -> RequestFingerprint {
+    let head = &message.head;
+    let path = head.uri.path_and_query();
+    RequestFingerprint::of(&RequestContent {
+        method: head.method.as_str(),
+        host: host_of(head),
+        path: path.map_or_else(|| head.uri.path(), PathAndQuery::as_str),
+        body: &message.body,
+    })
 }
 
 fn unplanned(core: &GatewayCore, head: &Parts, own: OwnAnswer) -> Reply {
@@ -129,10 +145,10 @@
 fn plan(
     core: &GatewayCore,
     route: Arc<RouteRule>,
-    head: &Parts,
+    message: &CallerMessage,
     arrived: ClockTime,
 ) -> Result<RequestPlan, HeaderError> {
-    let request = headers::decode_request(&head.headers)?;
+    let request = headers::decode_request(&message.head.headers)?;
     let service = core.pick_service(&route);
     let patience = request.patience.unwrap_or(route.timeout);
     Ok(RequestPlan {
@@ -140,6 +156,7 @@
         route,
         service,
         request,
+        fingerprint: fingerprint(message),
         arrived,
         unserved: AtomicBool::new(false),
     })
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -5,15 +5,17 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use super::permits::HeldPermit;
 use oatpier_serving::admission;
 use oatpier_serving::call::CallerRequest;
 use oatpier_serving::choice::EndpointChoice;
+use oatpier_serving::fingerprint::RequestFingerprint;
 use oatpier_serving::site::{RouteKind, RouteRule};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::PoolName;
 use oatpier_types::refusal::Refusal;
 
+use super::permits::HeldPermit;
+
 /// A request waits for an adapter at most for this share of the time that it has left; beyond, the
 /// caller does better to come back.
 const ADAPTER_WAIT_SHARE: f64 = 0.4;
@@ -37,6 +39,8 @@
     pub service: PoolName,
     /// What it asks for.
     pub request: CallerRequest,
+    /// What tells it from other requests, whichever id it comes with.
+    pub fingerprint: RequestFingerprint,
     /// When it came in.
     pub arrived: ClockTime,
     /// When it gets its final answer at the latest.
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -17,6 +17,7 @@
     pub(super) fn log_failure(&self, placed: &PlacedSend, failure: AttemptFailure) {
         let line = DecisionLine::new(LineWeight::Notable, "attempt failed")
             .with("request", self.plan.request.id.as_str())
+            .with("fingerprint", self.plan.fingerprint.short())
             .with("endpoint", placed.choice.endpoint.as_str())
             .with("cause", failure.as_str())
             .with("verdict", failure.verdict().as_str())
@@ -36,6 +37,7 @@
         let waited = self.core.clock.now().since(self.plan.arrived);
         let line = DecisionLine::new(LineWeight::Notable, "stream broke off")
             .with("request", self.plan.request.id.as_str())
+            .with("fingerprint", self.plan.fingerprint.short())
             .with("endpoint", endpoint.as_str())
             .with("cause", failure.as_str())
             .with("outcome", outcome)
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`node`]: what a process is told about itself.
 //! - [`site`]: the operator's configuration: routes, services, models.
 //! - [`call`]: a caller's request, decoded.
+//! - [`fingerprint`]: which requests are the same.
 //! - [`engine`]: what an engine reports, and orders to it.
 //! - [`message`]: what gateways and sidecars tell each other.
 //! - [`reads`]: when the store is read, and what spares a read.
@@ -36,6 +37,7 @@
 pub mod demand;
 pub mod directory;
 pub mod engine;
+pub mod fingerprint;
 pub mod health;
 pub mod message;
 pub mod node;
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod demand;
 mod directory;
+mod fingerprint;
 mod forecast;
 mod messages;
 mod peers;
