Test, failing: a request that ends endpoints is sent on at each return

A gateway holds a cut attempt against the endpoint and keeps nothing of the request. Ruled out: second sends: the route of the test allows one endpoint, and each return still reaches one. Before: 12 of 12 returns reach an endpoint and end it; six are allowed (three ends, three sends after them).

--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the duties of gateways: requests against scripted endpoints on loopback connections.
 
+mod crashes;
 mod exchange;
 mod failures;
 mod forwarding;
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -91,7 +91,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
