Hold the ends of endpoints against the requests that they ran

Cause: an attempt that was cut counted against its endpoint and was forgotten with its request. A request that ends each engine that runs it comes back under a new id at any gateway, and each return went to an engine that was sound. What is done: a cut attempt is watched until it is known whether its endpoint ended (its sidecar, the registry, a refused connection, another instance at its address). An end counts against all requests that it cut. The gateway that saw it tells all others at once and writes it to the store, which repeats it to those that were cut off, are new or have lost everything. Three ends without a whole answer bar a request; a whole answer anywhere clears it. Runs and cuts that are open count as ends to come, so one request at the same moment does not take more. Ruled out: bars by id or headers (they change); cuts without evidence of an end (a spoilt answer or a reset link would bar bystanders); leases on the entries (they may run out while the store is away, and the next three engines end).

--- a/crates/oatpier-gateway/src/gateway/accounts.rs
+++ b/crates/oatpier-gateway/src/gateway/accounts.rs
@@ -43,6 +43,7 @@
         let chain = choice::prefix_chain(&plan.request);
         let mut state = self.lock();
         let weights = plan.request.weights.as_ref();
+        state.crashes.begin(plan.fingerprint);
         state.directory.note_sent(endpoint, weights);
         let Some(weights) = weights else {
             return state.directory.sent_without_prompt(endpoint);
@@ -80,6 +81,7 @@
         if let Some(due) = greeting.flatten() {
             due.send(self);
         }
+        self.note_suspect_end(plan, endpoint, sent, outcome);
     }
 
     /// The first piece of an answer came.
@@ -114,5 +116,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.directory.note_replaced(endpoint, successor, now);
+        drop(state);
+        self.settle_cuts();
     }
 }
--- a/crates/oatpier-gateway/src/gateway/answers.rs
+++ b/crates/oatpier-gateway/src/gateway/answers.rs
@@ -28,8 +28,20 @@
     ExpiredSent,
     /// It was sent, and its answer was lost or spoilt.
     Broken,
+    /// It did not run, and may not until its runs elsewhere have turned out: it was at endpoints that ended.
+    Held,
+    /// It did not run, and does not run any more: it ends the endpoints that run it.
+    Barred,
 }
 
+/// When to come back with a request that is held. Whether an endpoint ended is known within half a second, as a
+/// rule, from its sidecar.
+const HELD_RETURN: Duration = Duration::from_millis(500);
+
+/// What the caller of a barred request reads.
+const BARRED_TEXT: &str =
+    "barred: this request was not run; the endpoints that ran it before ended with it";
+
 /// When to come back to a gateway that has no configuration yet.
 const UNCONFIGURED_RETURN: Duration = Duration::from_millis(600);
 
@@ -38,9 +50,12 @@
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
-            Self::Refused(_) | Self::NoConfiguration | Self::ExpiredUnsent => {
+            Self::Refused(_) | Self::NoConfiguration | Self::ExpiredUnsent | Self::Held => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
+            // Final: 503, 502 and 504 ask callers and the proxies on their way to try again, and a 4xx would say
+            // that the request is not a proper one.
+            Self::Barred => StatusCode::INTERNAL_SERVER_ERROR,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -61,6 +76,8 @@
             Self::ExpiredUnsent => "expired-unsent",
             Self::ExpiredSent => "expired-sent",
             Self::Broken => "broken",
+            Self::Held => "held",
+            Self::Barred => "barred",
         }
     }
 
@@ -68,6 +85,7 @@
         match self {
             Self::Refused(refusal) => refusal.retry_after,
             Self::NoConfiguration => Some(UNCONFIGURED_RETURN),
+            Self::Held => Some(HELD_RETURN),
             _ => None,
         }
     }
@@ -75,7 +93,11 @@
     /// The answer to the request `id`.
     #[must_use]
     pub fn reply(self, id: &str) -> Reply {
-        self.explained(id, self.as_str())
+        let text = match self {
+            Self::Barred => BARRED_TEXT,
+            other => other.as_str(),
+        };
+        self.explained(id, text)
     }
 
     /// The answer to the request `id`, with an explanation for whoever reads it.
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -237,7 +237,13 @@
 
 fn fail_send(error: &SendError, guard: AttemptGuard) -> AttemptFailure {
     let (failure, outcome) = match error.stage {
-        SendStage::Connect => (AttemptFailure::Unreachable, EndpointOutcome::Unreachable),
+        SendStage::Connect if error.timed_out => {
+            (AttemptFailure::Unreachable, EndpointOutcome::Unreachable)
+        }
+        SendStage::Connect => (
+            AttemptFailure::Unreachable,
+            EndpointOutcome::ConnectionRefused,
+        ),
         SendStage::Queue => (AttemptFailure::Unsent, EndpointOutcome::Abandoned),
         SendStage::Answer => (AttemptFailure::Cut, EndpointOutcome::Broken),
     };
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -8,6 +8,9 @@
 use oatpier_duty::duty::{RingSender, RuntimeClock};
 use oatpier_serving::admission::AdmissionJudge;
 use oatpier_serving::budget::RetryAllowance;
+use oatpier_serving::crashes::book::CrashBook;
+use oatpier_serving::crashes::changes::CrashChange;
+use oatpier_serving::crashes::cuts::CutWatch;
 use oatpier_serving::demand::DemandBook;
 use oatpier_serving::directory::{EndpointDirectory, EndpointRecord};
 use oatpier_serving::message::{EnginePulse, EngineWord, InnerMessage};
@@ -52,6 +55,8 @@
     pub able: Arc<AtomicBool>,
     /// Where the duty that reads the store hears what other gateways saw there.
     pub words: RingSender<StoreWord>,
+    /// Where the duty that writes crashes hears what is to be written.
+    pub crash_changes: RingSender<CrashChange>,
 }
 
 /// The state that all tasks share. They run on one thread, so the lock is never waited for; it is
@@ -61,6 +66,10 @@
     pub(super) directory: EndpointDirectory,
     pub(super) demand: DemandBook,
     pub(super) allowance: RetryAllowance,
+    /// Requests that were at endpoints that ended.
+    pub(super) crashes: CrashBook,
+    /// Attempts that were cut off, until it is known whether their endpoint ended.
+    pub(super) cuts: CutWatch,
     pub(super) peers: PeerBook,
     /// What sidecars told this gateway as a relay of its zone.
     pub(super) relayed: RelayQueue,
@@ -98,6 +107,7 @@
     pub client: HttpClient,
     able: Arc<AtomicBool>,
     words: RingSender<StoreWord>,
+    pub(super) crash_changes: RingSender<CrashChange>,
     closed: AtomicBool,
     behind: AtomicBool,
 }
@@ -117,6 +127,8 @@
                 bounds.retry_slack,
                 bounds.retry_window,
             ),
+            crashes: CrashBook::default(),
+            cuts: CutWatch::default(),
             peers: PeerBook::new(settings.inner_address(), settings.processor),
             relayed: RelayQueue::default(),
             planner: LoadPlanner::default(),
@@ -146,6 +158,7 @@
             }),
             able: inputs.able,
             words: inputs.words,
+            crash_changes: inputs.crash_changes,
             closed: AtomicBool::new(false),
             behind: AtomicBool::new(false),
         }
@@ -204,6 +217,7 @@
             let line = DecisionLine::new(LineWeight::Notable, "directory");
             self.log.write(line.with("change", format!("{change:?}")));
         }
+        self.settle_cuts();
         self.able.store(is_able, Ordering::Relaxed);
         if !changes.is_empty() {
             self.appeared.notify_one();
@@ -288,6 +302,7 @@
             }
         };
         drop(state);
+        self.settle_cuts();
         if changed {
             self.changed.notify_waiters();
         }
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -50,6 +50,8 @@
             }
             InnerMessage::Permit(grant) => core.take_permit(grant),
             InnerMessage::StoreSeen(word) => core.take_store_word(*word),
+            InnerMessage::CrashesSeen(records) => core.take_crashes(&records),
+            InnerMessage::CrashesCleared(requests) => core.take_cleared(&requests),
             // For sidecars.
             InnerMessage::Greeting(_)
             | InnerMessage::AdapterWanted(_)
@@ -68,8 +70,11 @@
             StoreNews::Read {
                 config,
                 endpoints,
+                crashes,
                 word,
             } => {
+                // Before the first configuration makes this gateway serve.
+                core.take_stored_crashes(&crashes);
                 core.take_records(config, endpoints);
                 core.tell_word(word);
             }
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -15,6 +15,7 @@
 use http_body_util::{BodyExt, Full};
 use oatpier_platform::headers::{self, HeaderError};
 use oatpier_serving::choice::EndpointChoice;
+use oatpier_serving::crashes::book::SuspectVerdict;
 use oatpier_serving::fingerprint::{RequestContent, RequestFingerprint};
 use oatpier_serving::site::{RouteKind, RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
@@ -260,9 +261,11 @@
                 let refusal = core.refusal(RefusalCause::Leaving, Duration::ZERO);
                 return Err(self.refused(refusal));
             }
+            self.check_suspect()?;
             match core.place(&self.plan, &self.excluded) {
                 Placement::Send(placed) => {
                     if let Some(permitted) = self.permitted(placed).await? {
+                        self.check_suspect()?;
                         return Ok(permitted);
                     }
                 }
@@ -282,6 +285,17 @@
         }
     }
 
+    /// Refuses a request that ends the endpoints that run it. Looked at before each send and while it waits: the
+    /// verdict may come from another gateway meanwhile.
+    fn check_suspect(&self) -> Result<(), OwnAnswer> {
+        let own = match self.core.judge_suspect(&self.plan) {
+            SuspectVerdict::Clear => return Ok(()),
+            SuspectVerdict::Held => OwnAnswer::Held,
+            SuspectVerdict::Barred => OwnAnswer::Barred,
+        };
+        Err(self.if_not_run(own))
+    }
+
     /// Waits until the endpoint may be sent the prompt; none if the request has to be placed anew.
     async fn permitted(&mut self, placed: PlacedSend) -> Result<Option<PlacedSend>, OwnAnswer> {
         match permits::permit(&self.core, &self.plan, &placed).await {
@@ -303,8 +317,12 @@
 
     /// A refusal promises that the request did not run, so it is given only where that is known.
     fn refused(&self, refusal: Refusal) -> OwnAnswer {
+        self.if_not_run(OwnAnswer::Refused(refusal))
+    }
+
+    fn if_not_run(&self, own: OwnAnswer) -> OwnAnswer {
         if self.settled == RunVerdict::NotRun {
-            OwnAnswer::Refused(refusal)
+            own
         } else {
             OwnAnswer::Broken
         }
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! - [`answers`]: answers of the gateway's own.
 //! - `run_log`: what is logged of a request.
 //! - `accounts`: what becomes of requests.
+//! - `crashes`: requests that end the endpoints that run them.
 //! - `greetings`: greeting sidecars.
 //! - [`exchanges`]: what gateways and sidecars tell each other.
 //! - `reports`: what gateways report to each other.
@@ -20,6 +21,7 @@
 pub mod answers;
 pub mod attempt;
 pub mod core;
+mod crashes;
 pub mod exchanges;
 mod greetings;
 pub mod handler;
@@ -44,6 +46,7 @@
 use oatpier_wire::server::{self, ServerLimits};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::crash_writer::{CrashWriterInputs, write_crashes};
 use crate::exchange::{InnerSocket, MessageOutlet};
 use crate::frame::{FrameInputs, ProcessFrame};
 use crate::records::{RecordsInputs, StoreNews, records};
@@ -68,6 +71,10 @@
 /// SIGKILL.
 const DRAIN_SERVING: Duration = Duration::from_millis(2_600);
 
+/// Crashes that wait for the duty that writes them. Engines that end together leave some hundred; what finds the
+/// ring full is known to the gateways that were told.
+const CRASH_RING: usize = 512;
+
 /// The part of the time until SIGKILL after which that is done at the latest, where there is little time.
 const DRAIN_PART: u32 = 2;
 
@@ -117,13 +124,25 @@
     let stop = frame.process.stop.clone();
     let (news_sender, news) = ring(NEWS_RING, RingRule::Wait, frame.metrics.ring_full.clone());
     let (word_sender, words) = ring(WORD_RING, RingRule::Drop, frame.metrics.ring_full.clone());
+    let (crash_sender, crash_changes) =
+        ring(CRASH_RING, RingRule::Drop, frame.metrics.ring_full.clone());
     let core = CoreInputs {
         clock: RuntimeClock::start(),
         metrics: frame.metrics.clone(),
         log: frame.log,
         able,
         words: word_sender,
+        crash_changes: crash_sender,
     };
+    let writer_inputs = CrashWriterInputs {
+        settings: frame.settings.clone(),
+        changes: crash_changes,
+        metrics: frame.metrics.clone(),
+        stop: stop.clone(),
+    };
+    frame
+        .process
+        .spawn("crashes", || write_crashes(writer_inputs));
     let records_inputs = RecordsInputs {
         settings: frame.settings.clone(),
         news: news_sender,
--- a/crates/oatpier-gateway/src/gateway/planning.rs
+++ b/crates/oatpier-gateway/src/gateway/planning.rs
@@ -43,6 +43,7 @@
         rounds += 1;
         if rounds.is_multiple_of(PICTURE_ROUNDS) {
             log_picture(core);
+            core.expire_suspects();
         }
         let round = plan_round(core);
         for load in round.loads {
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- | --- | --- |
 //! | gateway | callers | [`gateway`] | takes requests, sends them to endpoints, answers; hears pulses and peers, plans loads |
 //! | gateway | records | [`records`] | reads configuration and registry from the store |
+//! | gateway | crashes | [`crash_writer`] | writes to the store which requests were at endpoints that ended |
 //! | sidecar | engine | [`sidecar`] | reads its engine's report, gives it orders, sends pulses |
 //! | both | reload | [`reload`] | takes changes of the settings file over |
 //! | both | logs | [`decisions`] | writes decision lines, never blocking the others |
@@ -11,6 +12,7 @@
 //!
 //! [`frame`] starts the duties of both. Decisions are in `oatpier-serving`, names and formats of the users' platform in `platform/`.
 
+pub mod crash_writer;
 pub mod decisions;
 pub mod exchange;
 pub mod frame;
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -54,6 +54,7 @@
     attempts: Family<CauseLabels, Counter>,
     first_seconds: Family<RouteLabels, Histogram>,
     store_reads: Family<CauseLabels, Counter>,
+    store_writes: Family<CauseLabels, Counter>,
     orders: Family<CauseLabels, Counter>,
     advice: Family<CauseLabels, Counter>,
     messages: Family<MessageLabels, Counter>,
@@ -68,6 +69,8 @@
     pub gateways: Gauge,
     /// Milliseconds since the store was last read.
     pub store_age_ms: Gauge,
+    suspects: Gauge,
+    barred: Gauge,
     /// Each time that a ring was full.
     pub ring_full: Counter,
     /// Decision lines that were left out.
@@ -82,6 +85,7 @@
             attempts: Family::default(),
             first_seconds: Family::new_with_constructor(first_histogram),
             store_reads: Family::default(),
+            store_writes: Family::default(),
             orders: Family::default(),
             advice: Family::default(),
             messages: Family::default(),
@@ -91,6 +95,8 @@
             in_flight: Gauge::default(),
             gateways: Gauge::default(),
             store_age_ms: Gauge::default(),
+            suspects: Gauge::default(),
+            barred: Gauge::default(),
             ring_full: Counter::default(),
             lines_left_out: Counter::default(),
         };
@@ -142,6 +148,20 @@
         self.store_reads.get_or_create(&CauseLabels { cause }).inc();
     }
 
+    /// Counts a write to the store.
+    pub fn store_written(&self, cause: &'static str) {
+        self.store_writes
+            .get_or_create(&CauseLabels { cause })
+            .inc();
+    }
+
+    /// Notes how many requests are suspect, and how many of them are barred.
+    pub fn note_suspects(&self, suspects: usize, barred: usize) {
+        self.suspects
+            .set(i64::try_from(suspects).unwrap_or(i64::MAX));
+        self.barred.set(i64::try_from(barred).unwrap_or(i64::MAX));
+    }
+
     /// Counts an order to an engine, by its answer.
     pub fn ordered(&self, cause: &'static str) {
         self.orders.get_or_create(&CauseLabels { cause }).inc();
@@ -182,6 +202,21 @@
             "Reads of the store by end",
             self.store_reads.clone(),
         );
+        registry.register(
+            "store_writes",
+            "Writes to the store by end",
+            self.store_writes.clone(),
+        );
+        registry.register(
+            "suspect_requests",
+            "Requests that were at endpoints that ended, and have not run whole since",
+            self.suspects.clone(),
+        );
+        registry.register(
+            "barred_requests",
+            "Of these, requests that are not sent to endpoints any more",
+            self.barred.clone(),
+        );
         registry.register(
             "orders",
             "Orders to the engine by answer",
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -11,6 +11,7 @@
 use oatpier_duty::duty::{RingReceiver, RingSender, RuntimeClock, StopPhase, StopSignal};
 use oatpier_platform::config;
 use oatpier_platform::store::{StoreClient, StoreSnapshot, UnreadableEntry};
+use oatpier_serving::crashes::CrashRecord;
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::reads::{ReadSchedule, StoreView, StoreWord, WordOutcome};
@@ -52,6 +53,8 @@
         config: Option<Arc<SiteConfig>>,
         /// All endpoints that are registered.
         endpoints: Vec<EndpointRecord>,
+        /// Requests that were at endpoints that ended.
+        crashes: Vec<CrashRecord>,
         /// What others are told of it.
         word: StoreWord,
     },
@@ -223,13 +226,15 @@
             let (key, reason) = (entry.key.as_str(), entry.reason.as_str());
             spdlog::warn!("an entry of the store can't be used", kv: { key:, reason: });
         }
-        let view = StoreView::new(snapshot.config_revision, snapshot.endpoints);
+        let view = StoreView::new(snapshot.config_revision, snapshot.endpoints)
+            .with_crashes(&snapshot.crashes);
         let word = view.word_since(self.view.as_ref());
         let endpoints = view.endpoints().to_vec();
         self.view = Some(view);
         StoreNews::Read {
             config: snapshot.config.and_then(|value| self.changed(value)),
             endpoints,
+            crashes: snapshot.crashes,
             word,
         }
     }
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Collected};
-use oatpier_duty::duty::{RingRule, RuntimeClock, ring};
+use oatpier_duty::duty::{RingReceiver, RingRule, RuntimeClock, ring};
 use oatpier_gateway::decisions::DecisionLog;
 use oatpier_gateway::exchange::MessageOutlet;
 use oatpier_gateway::gateway::core::{CoreInputs, GatewayCore};
 use oatpier_gateway::gateway::handler::GatewayHandler;
 use oatpier_gateway::metrics::ServingMetrics;
+use oatpier_serving::crashes::changes::CrashChange;
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::engine::{EndpointLoad, HeldModel, LocalCopies};
 use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber};
@@ -27,7 +28,8 @@
 use smallvec::smallvec;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
 
 pub const ID: &str = "9c41d07be2a35f68";
 
@@ -48,6 +50,7 @@
 pub struct ScriptedEndpoint {
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
+    ended: Arc<Notify>,
 }
 
 impl ScriptedEndpoint {
@@ -57,12 +60,30 @@
         let requests = Arc::new(Mutex::new(Vec::new()));
         let steps = Arc::new(Mutex::new(VecDeque::from(steps)));
         let seen = Arc::clone(&requests);
+        let ended = Arc::new(Notify::new());
+        let ending = Arc::clone(&ended);
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&steps), Arc::clone(&seen)));
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        connections.spawn(serve(stream, Arc::clone(&steps), Arc::clone(&seen)));
+                    }
+                    () = ending.notified() => return,
+                }
             }
         });
-        Self { address, requests }
+        Self {
+            address,
+            requests,
+            ended,
+        }
+    }
+
+    /// Ends it with all its connections.
+    pub fn end(&self) {
+        self.ended.notify_one();
     }
 
     /// The requests that came, head and body.
@@ -168,6 +189,8 @@
 pub struct TestGateway {
     pub core: Arc<GatewayCore>,
     pub outlet: Arc<KeptOutlet>,
+    /// What it has to write on crashes.
+    pub written: RingReceiver<CrashChange>,
     handler: GatewayHandler,
 }
 
@@ -178,12 +201,14 @@
         let metrics = ServingMetrics::default();
         let (log, _) = DecisionLog::new("gateway", &metrics);
         let full = metrics.ring_full.clone();
+        let (crash_changes, written) = ring(64, RingRule::Drop, full.clone());
         let inputs = CoreInputs {
             clock: RuntimeClock::start(),
             metrics,
             log,
             able: Arc::default(),
             words: ring(8, RingRule::Drop, full).0,
+            crash_changes,
         };
         let (_, feed) = watch::channel(Arc::new(settings()));
         let kept: Arc<dyn MessageOutlet> = outlet.clone();
@@ -192,6 +217,7 @@
             handler: GatewayHandler::new(Arc::clone(&core)),
             core,
             outlet,
+            written,
         }
     }
 
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -4,6 +4,7 @@
 //! does, a fraction of a second late; answers say how busy an endpoint was a moment ago. The newest
 //! word on each point counts.
 
+mod fate;
 mod requests;
 mod row;
 
--- a/crates/oatpier-serving/src/directory/requests.rs
+++ b/crates/oatpier-serving/src/directory/requests.rs
@@ -23,8 +23,10 @@
     ServerError,
     /// The endpoint refused it without running it.
     Refused,
-    /// No connection came about.
+    /// No connection came about in time.
     Unreachable,
+    /// Nothing listens at its address.
+    ConnectionRefused,
     /// The answer was cut, spoilt or never came.
     Broken,
     /// The caller left, or the gateway gave up for reasons of its own.
@@ -192,13 +194,17 @@
         let index = row.index;
         match outcome {
             EndpointOutcome::Whole { held } => {
+                row.served_at = row.served_at.max(Some(now - held));
                 row.hold.note(held);
                 row.failures.note(0.0, now);
                 self.judge(index, AttemptEvidence::Ended, now);
             }
             EndpointOutcome::ServerError => row.failures.note(ERROR_BLAME, now),
             EndpointOutcome::Refused => row.failures.note(REFUSAL_BLAME, now),
-            EndpointOutcome::Unreachable => {
+            EndpointOutcome::Unreachable | EndpointOutcome::ConnectionRefused => {
+                if outcome == EndpointOutcome::ConnectionRefused {
+                    row.refused_at = Some(now);
+                }
                 row.failures.note(1.0, now);
                 self.judge(index, AttemptEvidence::ConnectFailed, now);
             }
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -97,6 +97,8 @@
     /// The word that the load in the pulse is from.
     pub(super) load_number: MessageNumber,
     pub(super) at: ClockTime,
+    /// When the last whole pulse came; a word on the load alone does not say whether the engine answers.
+    pub(super) whole_at: ClockTime,
 }
 
 impl KeptPulse {
@@ -163,6 +165,10 @@
     pub(super) gone: bool,
     /// When it took its predecessor's place, before the registry listed it.
     pub(super) adopted_at: Option<ClockTime>,
+    /// When its address last refused a connection: nothing listens there.
+    pub(super) refused_at: Option<ClockTime>,
+    /// When the last request was sent that it answered whole.
+    pub(super) served_at: Option<ClockTime>,
 }
 
 impl EndpointRow {
@@ -188,6 +194,8 @@
             coming: None,
             gone: false,
             adopted_at: None,
+            refused_at: None,
+            served_at: None,
         }
     }
 
@@ -324,6 +332,7 @@
             load_number: pulse.number,
             pulse,
             at: now,
+            whole_at: now,
         };
         if !newer.is_some_and(|load| kept.take_load(&load)) {
             self.load.renew(kept.pulse.load);
--- a/crates/oatpier-serving/src/fingerprint.rs
+++ b/crates/oatpier-serving/src/fingerprint.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use thiserror::Error;
 
 /// Bytes of a fingerprint. A caller who wants another's request to be taken for his own would have to find a
 /// second request for a given fingerprint, at 2^128 tries.
@@ -15,6 +16,15 @@
 /// Hexadecimal digits of a fingerprint that a log line gives.
 const SHORT_DIGITS: usize = 12;
 
+/// Why a text is not a fingerprint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
+#[error("`{text}` is no fingerprint; use {} hexadecimal digits", FINGERPRINT_BYTES * 2)]
+pub struct FingerprintError {
+    /// What was given.
+    pub text: String,
+}
+
 /// What makes a request the same as another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestContent<'a> {
@@ -58,6 +68,26 @@
     }
 }
 
+impl TryFrom<&str> for RequestFingerprint {
+    type Error = FingerprintError;
+
+    fn try_from(text: &str) -> Result<Self, FingerprintError> {
+        let error = || FingerprintError {
+            text: text.to_owned(),
+        };
+        let is_hex = text.len() == FINGERPRINT_BYTES * 2 && text.is_ascii();
+        if !is_hex {
+            return Err(error());
+        }
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        for (place, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[place * 2..place * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| error())?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`health`]: which endpoints are to be avoided, on evidence of the data path.
 //! - [`admission`]: when a request that can't be in time is refused, and when it should return.
 //! - [`budget`]: how many requests may be sent a second time.
+//! - [`crashes`]: which requests end the endpoints that run them, and are not sent any more.
 //! - [`demand`]: how much each model is asked for.
 //! - [`planner`]: which engine should load which model next.
 //! - [`peers`]: which gateways there are, and which of them plans.
@@ -34,6 +35,7 @@
 pub mod budget;
 pub mod call;
 pub mod choice;
+pub mod crashes;
 pub mod demand;
 pub mod directory;
 pub mod engine;
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -10,7 +10,9 @@
 use oatpier_types::names::{DaemonName, EndpointName, ModelName, PoolName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::crashes::CrashRecord;
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
+use crate::fingerprint::RequestFingerprint;
 use crate::reads::StoreWord;
 
 /// One datagram.
@@ -31,6 +33,10 @@
     Peer(Box<PeerReport>),
     /// A gateway that has read the store, to those of its availability zone.
     StoreSeen(Box<StoreWord>),
+    /// A gateway saw endpoints end under requests, to all gateways. The store repeats it.
+    CrashesSeen(Vec<CrashRecord>),
+    /// A gateway answered suspect requests whole, to all gateways. The store repeats it.
+    CrashesCleared(Vec<RequestFingerprint>),
     /// The planner to a sidecar.
     Advice(LoadAdvice),
     /// A sidecar asks another one for its right to load from the weight store.
@@ -58,6 +64,8 @@
             Self::AdapterWanted(_) => "adapter-wanted",
             Self::Peer(_) => "peer",
             Self::StoreSeen(_) => "store-seen",
+            Self::CrashesSeen(_) => "crashes-seen",
+            Self::CrashesCleared(_) => "crashes-cleared",
             Self::Advice(_) => "advice",
             Self::RightAsk(_) => "right-ask",
             Self::Right(_) => "right",
--- a/crates/oatpier-serving/src/reads.rs
+++ b/crates/oatpier-serving/src/reads.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::crashes::CrashRecord;
 use crate::directory::EndpointRecord;
 
 /// The least share of a period between two reads. Each gateway draws its own between this and the whole, so
@@ -45,6 +46,28 @@
         }
         Self(hasher.digest())
     }
+
+    /// The digest with what lies there on crashes.
+    #[must_use]
+    fn with(self, crashes: CrashDigest) -> Self {
+        Self(self.0 ^ crashes.0)
+    }
+}
+
+/// A digest of what lies in the store on crashes, 0 for nothing. Words between gateways do not carry it: who knows
+/// another one reads by itself, which costs each gateway a read or two after an endpoint's end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct CrashDigest(u64);
+
+impl CrashDigest {
+    fn of(crashes: &[CrashRecord]) -> Self {
+        let digest = |crash: &CrashRecord| {
+            let mut hasher = Xxh3::new();
+            hasher.update(format!("{}/{};", crash.fingerprint, crash.site).as_bytes());
+            hasher.digest()
+        };
+        Self(crashes.iter().fold(0, |sum, crash| sum ^ digest(crash)))
+    }
 }
 
 /// What of an endpoint goes into the digest.
@@ -79,6 +102,7 @@
 pub struct StoreView {
     config_revision: u64,
     endpoints: Vec<EndpointRecord>,
+    crashes: CrashDigest,
     digest: StoreDigest,
 }
 
@@ -101,6 +125,22 @@
             digest: StoreDigest::of(config_revision, &endpoints),
             config_revision,
             endpoints,
+            crashes: CrashDigest::default(),
+        }
+    }
+
+    /// The same with what the read brought on crashes.
+    #[must_use]
+    pub fn with_crashes(self, crashes: &[CrashRecord]) -> Self {
+        self.with_crash_digest(CrashDigest::of(crashes))
+    }
+
+    fn with_crash_digest(self, crashes: CrashDigest) -> Self {
+        let digest = StoreDigest::of(self.config_revision, &self.endpoints);
+        Self {
+            digest: digest.with(crashes),
+            crashes,
+            ..self
         }
     }
 
@@ -147,7 +187,7 @@
         };
         let kept = self.endpoints.iter().filter(|row| !is_replaced(row));
         let endpoints = kept.chain(&word.changed).cloned().collect();
-        let patched = Self::new(self.config_revision, endpoints);
+        let patched = Self::new(self.config_revision, endpoints).with_crash_digest(self.crashes);
         if patched.digest != word.now {
             return WordOutcome::Unknown;
         }
