Tests of crashes: the book's rules, and a fleet with losses, outages and restarts

Cause: the mend landed with the tests of the handler; its parts had none of their own. What: 12 tests of the book, the watch on cuts and the queue of changes; 512 fleets of 2 to 12 gateways in which two of five datagrams and three of ten answers of the store are lost, the store goes away and gateways are restarted: no more than three sends by calm gateways later than three seconds after the third end.

--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -3,6 +3,8 @@
 mod admission;
 mod budget;
 mod choice;
+mod crash_fleet;
+mod crashes;
 mod demand;
 mod directory;
 mod fingerprint;
