--- a/crates/oatpier-gateway/src/gateway/crashes.rs
+++ b/crates/oatpier-gateway/src/gateway/crashes.rs
@@ -70,9 +70,12 @@
             return;
         }
         for record in &found {
-            self.note_crash(&mut state.crashes, record, "seen", now);
+            if let Some(standing) = state.crashes.note_crash(record, now) {
+                self.log_crash(record, &standing, "seen");
+            }
             self.offer_change(CrashChange::Put(record.clone()));
         }
+        self.count_suspects(&state.crashes, now);
         let peers = known_peers(&mut state, self, now);
         drop(state);
         for records in found.chunks(CRASHES_PER_MESSAGE) {
@@ -85,8 +88,13 @@
         let now = self.clock.now();
         let mut state = self.lock();
         for record in records {
-            self.note_crash(&mut state.crashes, record, "told", now);
+            let standing = state.crashes.note_crash(record, now);
+            // The gateway that saw it has logged each suspicion; each of the others would log it once more.
+            if let Some(standing) = standing.filter(|standing| standing.is_barred) {
+                self.log_crash(record, &standing, "told");
+            }
         }
+        self.count_suspects(&state.crashes, now);
     }
 
     /// The store lists these crashes, and no others.
@@ -157,20 +165,6 @@
         self.tell(&peers, &InnerMessage::CrashesCleared(vec![*fingerprint]));
     }
 
-    fn note_crash(
-        &self,
-        book: &mut CrashBook,
-        record: &CrashRecord,
-        source: &'static str,
-        now: ClockTime,
-    ) {
-        let Some(standing) = book.note_crash(record, now) else {
-            return;
-        };
-        self.log_crash(record, &standing, source);
-        self.count_suspects(book, now);
-    }
-
     fn log_crash(&self, record: &CrashRecord, standing: &SuspectStanding, source: &'static str) {
         let decision = if standing.is_barred {
             "request barred"
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -218,7 +218,8 @@
     fn take(&mut self, snapshot: StoreSnapshot) -> StoreNews {
         self.metrics.store_read("answered");
         if self.reachable != Some(true) {
-            spdlog::info!("the store is read", kv: { endpoints: = snapshot.endpoints.len() });
+            let (endpoints, crashes) = (snapshot.endpoints.len(), snapshot.crashes.len());
+            spdlog::info!("the store is read", kv: { endpoints:, crashes: });
         }
         self.reachable = Some(true);
         self.failures = 0;
