Soak: a request that ends the endpoints that run it, at all gateways

What: each soak has one such request from its first third on, of a kind drawn by a generator of its own, so that the other faults of a seed stay as they were; its caller comes back at each gateway in turn under new ids. The check counts what endpoints see after the third end and three calm seconds, by gateways that no fault excuses; the store's stand-in takes changes. Two tests of the check plant a breach and an excuse.

--- a/crates/oatpier-soak/src/check.rs
+++ b/crates/oatpier-soak/src/check/mod.rs
@@ -1,5 +1,7 @@
 //! What must hold of what was seen.
 
+mod crashes;
+
 use std::collections::HashMap;
 use std::fmt;
 use std::time::Duration;
@@ -32,6 +34,8 @@
     StaysUp,
     /// Once faults are over everything is served again.
     Recovers,
+    /// A request that ends the endpoints that run it is soon not sent any more.
+    CrashesBounded,
 }
 
 /// A promise that was broken.
@@ -93,10 +97,13 @@
             SeenEvent::Unserved { what } => {
                 breach(&mut breaches, SoakPromise::Recovers, what.clone());
             }
-            SeenEvent::StoreLoad { .. } => {}
+            SeenEvent::StoreLoad { .. }
+            | SeenEvent::Crashed { .. }
+            | SeenEvent::Disturbed { .. } => {}
         }
     }
     check_loads(rows, loads, &mut breaches);
+    crashes::check_crashes(rows, &mut breaches);
     for (id, story) in &stories {
         check_story(id, story, &mut breaches);
     }
--- a/crates/oatpier-soak/src/ledger.rs
+++ b/crates/oatpier-soak/src/ledger.rs
@@ -88,6 +88,17 @@
     Hung,
 }
 
+/// What a fault struck, where that excuses a gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DisturbedPlace {
+    /// The store, and so all gateways.
+    Store,
+    /// All gateways.
+    AllGateways,
+    /// One gateway, or its way to the store.
+    Gateway(usize),
+}
+
 /// One thing that was seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SeenEvent {
@@ -114,6 +125,18 @@
         /// What it held, and what came.
         what: String,
     },
+    /// An endpoint ended under a request.
+    Crashed {
+        /// Method, path and query of the request.
+        target: String,
+    },
+    /// A fault of a gateway or the store is over.
+    Disturbed {
+        /// Whose.
+        place: DisturbedPlace,
+        /// When it began.
+        since: Duration,
+    },
     /// A process ended that nobody had told to.
     Exit {
         /// The process's name.
@@ -154,9 +177,15 @@
 }
 
 impl SoakLedger {
+    /// The time since the soak's start.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Writes an event down.
     pub fn note(&self, event: SeenEvent) {
-        let at = self.started.elapsed();
+        let at = self.now();
         let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
         rows.push(LedgerRow { at, event });
     }
--- a/crates/oatpier-soak/src/plan.rs
+++ b/crates/oatpier-soak/src/plan.rs
@@ -5,6 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::ledger::CallKind;
 use crate::proxy::LinkMode;
 use crate::standin::store::StoreMode;
 
@@ -43,6 +44,8 @@
     LateOrders(usize),
     /// A new version of the configuration.
     Configure,
+    /// A caller comes back again and again, at any gateway, with a request that ends the endpoints that run it.
+    CrashingRequest(CallKind),
 }
 
 /// A fault, when it strikes and for how long.
@@ -92,6 +95,8 @@
     loop {
         at += Duration::from_millis(random.random_range(50..2 * FAULT_EVERY_MS));
         if at >= length {
+            steps.push(crashing_request(seed, length));
+            steps.sort_by_key(|step| step.at);
             return steps;
         }
         steps.push(FaultStep {
@@ -102,6 +107,24 @@
     }
 }
 
+/// The request that ends endpoints, from the first third of a soak to its end. It has a generator of its own: the
+/// other faults of a seed stay as they were drawn before there was one.
+fn crashing_request(seed: u64, length: Duration) -> FaultStep {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    let kinds = [
+        CallKind::Stream,
+        CallKind::Unsafe,
+        CallKind::ResumableStream,
+        CallKind::Safe,
+    ];
+    let at = length.mul_f64(random.random_range(0.05..0.33));
+    FaultStep {
+        at,
+        lasts: length.saturating_sub(at),
+        fault: SoakFault::CrashingRequest(kinds[random.random_range(0..kinds.len())]),
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, size: SoakSize) -> SoakFault {
     let gateway = random.random_range(0..size.gateways);
     let engine = random.random_range(0..size.engines);
--- a/crates/oatpier-soak/src/run.rs
+++ b/crates/oatpier-soak/src/run.rs
@@ -12,11 +12,12 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::check::{self, LoadBound, SoakBreach};
 use crate::fleet::{ProcessKind, SoakProcess};
-use crate::ledger::{CallEnd, CallKind, LedgerRow, SeenEvent, SoakLedger};
+use crate::ledger::{CallEnd, CallKind, DisturbedPlace, LedgerRow, SeenEvent, SoakLedger};
 use crate::plan::{self, FaultStep, SoakFault, SoakSize};
 use crate::proxy::{FaultLink, LinkMode};
 use crate::standin::caller::{self, SoakCaller};
@@ -31,6 +32,9 @@
 const START_WAIT: Duration = Duration::from_secs(30);
 const RECOVERY_WAIT: Duration = Duration::from_secs(40);
 
+/// From one return of a request that ends endpoints to the next.
+const RETURN_EVERY: Duration = Duration::from_millis(230);
+
 /// The window over which loads are bounded, and what may come on top of the rate, by the settings that
 /// processes get.
 const LOAD_WINDOW_S: f64 = 5.0;
@@ -350,6 +354,27 @@
 /// Lets one fault strike when it is due, and ends it.
 async fn strike(fleet: &SoakFleet, step: &FaultStep, begun: Instant) {
     sleep_until(begun + step.at).await;
+    let since = fleet.ledger.now();
+    inflict(fleet, step).await;
+    if let Some(place) = disturbed(&step.fault) {
+        fleet.ledger.note(SeenEvent::Disturbed { place, since });
+    }
+}
+
+/// Whom a fault excuses.
+fn disturbed(fault: &SoakFault) -> Option<DisturbedPlace> {
+    match fault {
+        SoakFault::KillGateway(number)
+        | SoakFault::StopGateway(number)
+        | SoakFault::PauseGateway(number)
+        | SoakFault::StoreLink(number, _) => Some(DisturbedPlace::Gateway(*number)),
+        SoakFault::KillAll => Some(DisturbedPlace::AllGateways),
+        SoakFault::Store(_) => Some(DisturbedPlace::Store),
+        _ => None,
+    }
+}
+
+async fn inflict(fleet: &SoakFleet, step: &FaultStep) {
     match &step.fault {
         SoakFault::KillGateway(number) => fleet.gateways[*number].kill(),
         SoakFault::KillSidecar(number) => fleet.sidecars[*number].kill(),
@@ -399,7 +424,28 @@
                 .store
                 .configure(&settings::config(version, &fleet.models));
         }
+        SoakFault::CrashingRequest(kind) => come_back(fleet, *kind, step.lasts).await,
+    }
+}
+
+/// Sends one request under ever new ids to each gateway in turn, without waiting for answers.
+async fn come_back(fleet: &SoakFleet, kind: CallKind, span: Duration) {
+    let until = Instant::now() + span;
+    let mut sent = JoinSet::new();
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let place = usize::try_from(number).unwrap_or_default() % fleet.callers_at.len();
+        let gateway = fleet.callers_at[place];
+        let call = caller::crashing_call(kind, place, number, &fleet.models[0]);
+        let ledger = fleet.ledger.clone();
+        sent.spawn(async move {
+            caller::send(&caller::new_client(), gateway, &call, None, &ledger).await;
+        });
+        sleep(RETURN_EVERY).await;
     }
+    while sent.join_next().await.is_some() {}
 }
 
 async fn hold(link: &FaultLink, mode: LinkMode, span: Duration) {
--- a/crates/oatpier-soak/src/standin/caller.rs
+++ b/crates/oatpier-soak/src/standin/caller.rs
@@ -117,6 +117,32 @@
     }
 }
 
+/// The start of the paths of requests that end the endpoints that run them.
+pub const CRASHING: &str = "/crash";
+
+/// The start of the ids of such requests; the gateway follows.
+const CRASHING_ID: &str = "dead";
+
+/// A request that ends the endpoints that run it, as it comes for the `number`th time, at a gateway. Only its id
+/// changes.
+#[must_use]
+pub fn crashing_call(kind: CallKind, gateway: usize, number: u64, model: &str) -> SentCall {
+    let plain = call("", kind, model, None);
+    let id = format!("{CRASHING_ID}{gateway:04x}{number:08x}");
+    SentCall {
+        id,
+        target: plain.target.replacen("/?", &format!("{CRASHING}?"), 1),
+        ..plain
+    }
+}
+
+/// The gateway that a request was sent to that ends endpoints; none for any other request.
+#[must_use]
+pub fn gateway_of(id: &str) -> Option<usize> {
+    let rest = id.strip_prefix(CRASHING_ID)?;
+    usize::from_str_radix(rest.get(..4)?, 16).ok()
+}
+
 /// A client with connections of its own.
 #[must_use]
 pub fn new_client() -> HttpClient {
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::answers;
+use super::caller::CRASHING;
 use super::store::StoreStandin;
 use super::weights::{EngineWeights, OrderOutcome};
 use crate::ledger::{BegunRun, SeenEvent, SoakLedger};
@@ -200,6 +201,24 @@
         self.restart().await
     }
 
+    /// Ends under a request, unless it goes already.
+    fn crash_under(&self, request: &Request<Bytes>) -> bool {
+        let Ok(turn) = Arc::clone(&self.turn).try_lock_owned() else {
+            return false;
+        };
+        let target = format!("{} {}", request.method(), request.uri());
+        self.ledger.note(SeenEvent::Crashed { target });
+        let endpoint = self.clone();
+        tokio::spawn(async move {
+            if let Err(error) = endpoint.restart().await {
+                let what = format!("a stand-in did not come back: {error}");
+                endpoint.ledger.note(SeenEvent::Unserved { what });
+            }
+            drop(turn);
+        });
+        true
+    }
+
     async fn restart(&self) -> std::io::Result<()> {
         self.stop_serving();
         sleep(AWAY).await;
@@ -328,6 +347,10 @@
         };
         let run = begun(&id, &slot, self.kind.service, &request);
         self.ledger.note(SeenEvent::Begun(run));
+        let is_crashing = request.uri().path().ends_with(CRASHING);
+        if is_crashing && self.crash_under(&request) {
+            return std::future::pending().await;
+        }
         let faults = self.lock().faults;
         if rand::rng().random_bool(faults.lost) {
             sleep(WORK).await;
--- a/crates/oatpier-soak/src/standin/store.rs
+++ b/crates/oatpier-soak/src/standin/store.rs
@@ -1,4 +1,4 @@
-//! The platform's store, as far as oatpier calls it: reads of configuration and registry.
+//! The platform's store, as far as oatpier calls it: reads of everything, and changes without a condition.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use oatpier_wire::reply::{self, Reply};
 use oatpier_wire::server::RequestHandler;
 use serde_json::{Value, json};
@@ -47,6 +47,8 @@
     revision: u64,
     config: Option<(String, u64)>,
     entries: BTreeMap<String, StoreEntry>,
+    /// What oatpier wrote: values in base64, and the revisions of their last change.
+    written: BTreeMap<String, (Value, u64)>,
 }
 
 /// The store. Cloning shares it.
@@ -62,6 +64,7 @@
             revision: 0,
             config: None,
             entries: BTreeMap::new(),
+            written: BTreeMap::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -118,11 +121,33 @@
             let value = STANDARD.encode(&entry.value);
             json!({"key": format!("servers/{name}"), "value": value, "revision": entry.revision})
         });
-        let items: Vec<Value> = config.chain(entries).collect();
+        let written = state.written.iter().map(
+            |(key, (value, revision))| json!({"key": key, "value": value, "revision": revision}),
+        );
+        let items: Vec<Value> = config.chain(entries).chain(written).collect();
         json!({"items": items, "truncated": false, "store_revision": state.revision})
     }
 
-    async fn answer(&self) -> Reply {
+    fn change(&self, body: &[u8]) -> Reply {
+        let Ok(change) = serde_json::from_slice::<Value>(body) else {
+            return reply::text(StatusCode::BAD_REQUEST, "");
+        };
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        let rows = |name: &str| change[name].as_array().cloned().unwrap_or_default();
+        for put in rows("puts") {
+            let key = put["key"].as_str().unwrap_or_default().to_owned();
+            state.written.insert(key, (put["value"].clone(), revision));
+        }
+        for key in rows("remove") {
+            state.written.remove(key.as_str().unwrap_or_default());
+        }
+        let answer = json!({"revision": revision});
+        reply::whole(StatusCode::OK, "application/json", answer.to_string())
+    }
+
+    async fn answer(&self, request: Request<Bytes>) -> Reply {
         let mode = self.lock().mode;
         match mode {
             StoreMode::Up => {}
@@ -131,12 +156,15 @@
             StoreMode::Slow(late) => tokio::time::sleep(late).await,
             StoreMode::Broken => return reply::text(StatusCode::OK, "{\"items\": [{\"key\""),
         }
+        if request.method() == Method::POST {
+            return self.change(request.body());
+        }
         reply::whole(StatusCode::OK, "application/json", self.items().to_string())
     }
 }
 
 impl RequestHandler for StoreStandin {
-    fn handle(&self, _: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
-        self.answer().boxed()
+    fn handle(&self, request: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
+        self.answer(request).boxed()
     }
 }
--- a/crates/oatpier-soak/tests/testsuite/check.rs
+++ b/crates/oatpier-soak/tests/testsuite/check.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use oatpier_soak::check::{LoadBound, SoakPromise, check};
-use oatpier_soak::ledger::{BegunRun, CallEnd, CallKind, LedgerRow, SeenEvent, SentCall};
+use oatpier_soak::ledger::{
+    BegunRun, CallEnd, CallKind, DisturbedPlace, LedgerRow, SeenEvent, SentCall,
+};
 use oatpier_soak::standin::{answers, caller};
 
 const LOADS: LoadBound = LoadBound {
@@ -204,3 +206,58 @@
         ]
     );
 }
+
+/// What is seen of a request that ends an endpoint each second, at one gateway; `disturbed` is a fault of 0.1 s
+/// just before the last sends.
+fn sent_on(ends: usize, sends_after: usize, disturbed: Option<DisturbedPlace>) -> Vec<SoakPromise> {
+    let row = |millis: u64, event| LedgerRow {
+        at: Duration::from_millis(millis),
+        event,
+    };
+    let mut rows = Vec::new();
+    let mut number = 0;
+    let mut reach = |rows: &mut Vec<LedgerRow>, at: u64| {
+        let call = caller::crashing_call(CallKind::Stream, 1, number, "m1");
+        number += 1;
+        rows.push(row(at, SeenEvent::Sent(call.clone())));
+        rows.push(row(at, SeenEvent::Begun(run_of(&call, "i-1"))));
+        let end = whole(502, None, "");
+        rows.push(row(at, SeenEvent::Ended { id: call.id, end }));
+        call.target
+    };
+    for end in 0..ends as u64 {
+        let target = reach(&mut rows, end * 1_000);
+        rows.push(row(end * 1_000, SeenEvent::Crashed { target }));
+    }
+    if let Some(place) = disturbed {
+        let since = Duration::from_millis(9_800);
+        rows.push(row(9_900, SeenEvent::Disturbed { place, since }));
+    }
+    for sent in 0..sends_after as u64 {
+        reach(&mut rows, 10_000 + sent * 100);
+    }
+    let breaches = check(&rows, LOADS);
+    breaches.into_iter().map(|breach| breach.promise).collect()
+}
+
+#[test]
+fn a_request_that_is_sent_on_after_its_third_end_is_found() {
+    assert!(sent_on(2, 9, None).is_empty());
+    assert!(sent_on(3, 3, None).is_empty());
+    assert_eq!(sent_on(3, 4, None), [SoakPromise::CrashesBounded]);
+}
+
+/// A gateway that was paused or cut off from the store until a moment ago may not know of the request yet.
+#[test]
+fn only_sends_by_gateways_that_are_well_count() {
+    let excused = [
+        DisturbedPlace::Store,
+        DisturbedPlace::AllGateways,
+        DisturbedPlace::Gateway(1),
+    ];
+    for place in excused {
+        assert!(sent_on(3, 4, Some(place)).is_empty());
+    }
+    let other = Some(DisturbedPlace::Gateway(2));
+    assert_eq!(sent_on(3, 4, other), [SoakPromise::CrashesBounded]);
+}
