--- a/crates/oatpier-serving/tests/testsuite/crashes.rs
+++ b/crates/oatpier-serving/tests/testsuite/crashes.rs
@@ -128,7 +128,10 @@
 #[test]
 fn a_bar_is_tried_once_more_and_then_holds() {
     let mut book = book_with(MOST_CRASHES);
-    assert_eq!(verdict(&book, BAR_LIFE - millis(1)), SuspectVerdict::Barred);
+    assert_eq!(
+        verdict(&book, BAR_LIFE.saturating_sub(millis(1))),
+        SuspectVerdict::Barred
+    );
     assert_eq!(verdict(&book, BAR_LIFE), SuspectVerdict::Clear);
     book.begin(fingerprint("x"));
     assert_eq!(verdict(&book, BAR_LIFE), SuspectVerdict::Held);
