Test, failing: a model whose load ends its engine goes to the next one

Its load ends the engine, the model is still missing, and the next engine is told to load it. Ruled out: the sidecar's memory check (sizes fit here; the load itself ends the engine).

--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod crash_fleet;
 mod crashes;
+mod crashing_loads;
 mod demand;
 mod directory;
 mod fingerprint;
