Loads that end their engines wait, each time twice as long

Cause: the planner held nothing against a model whose load ends its engine, so the model was still missing and the next engine was told to load it, with all that ran there. Ruled out: giving the model up (every model stays reachable); counting engines that leave (they end by themselves). Also: a suspicion lasts an hour, so that a request that returns each quarter of an hour is not new each time.

--- a/crates/oatpier-serving/src/crashes/book.rs
+++ b/crates/oatpier-serving/src/crashes/book.rs
@@ -14,9 +14,9 @@
 /// each further return costs an endpoint and all that it runs.
 pub const MOST_CRASHES: usize = 3;
 
-/// How long a request that is not barred stays under suspicion after its last crash. A caller who comes back does
-/// so within seconds to minutes.
-pub const SUSPECT_LIFE: Duration = Duration::from_mins(10);
+/// How long a request that is not barred stays under suspicion after its last crash. Callers come back within
+/// seconds to minutes; one that is sent every quarter of an hour must not count as new each time.
+pub const SUSPECT_LIFE: Duration = Duration::from_hours(1);
 
 /// How long a request is barred before it may run once more. A wrong verdict then ends with its first whole answer.
 /// A right one costs one endpoint more, and holds until an operator lifts it.
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod forecast;
 mod gain;
+mod load_watch;
 mod round;
 mod wanted;
 
@@ -27,6 +28,7 @@
 use crate::site::EngineRule;
 
 use gain::LoadOption;
+use load_watch::LoadWatch;
 use round::{EngineShare, EngineView, PlanRound};
 use wanted::WantedLoad;
 
@@ -95,6 +97,8 @@
     pub holders: f64,
     /// Whether the weight store's rate is used up for the moment.
     pub rate_spent: bool,
+    /// Whether its loads wait, since they ended the engines that carried them out.
+    pub rests: bool,
     /// Engines that are busy with another load, or not heard of.
     pub busy: u32,
     /// Engines that must wait for their part of the weight store's rate.
@@ -131,6 +135,8 @@
     named: HashMap<SocketAddr, ClockTime>,
     /// Models that are asked for and that nobody holds or loads, and since when.
     missing: HashMap<ModelName, ClockTime>,
+    /// Which models' loads end the engines that carry them out.
+    watch: LoadWatch,
     tokens: f64,
     at: ClockTime,
 }
@@ -149,10 +155,18 @@
             .retain(|_, given| now.since(given.at) < ADVICE_LIFE);
         self.named
             .retain(|_, named_at| now.since(*named_at) < LENDER_LIFE);
-        let mut round = self.round(rule, rows, demand, now);
+        let rows: Vec<&EndpointRow> = rows.collect();
+        self.watch.look(&rows, now);
+        let mut round = self.round(rule, rows.into_iter(), demand, now);
         self.note_missing(&round);
         let mut outcome = PlanOutcome::default();
         for wanted in round.wanted(&self.missing) {
+            if self.watch.rests(&wanted.model, now) {
+                let mut blocked = round.blocked(&wanted.model, wanted.reason);
+                blocked.rests = true;
+                outcome.blocked.push(blocked);
+                continue;
+            }
             self.advise(&mut round, &wanted, &mut outcome);
         }
         for engine in 0..round.engines.len() {
@@ -167,6 +181,9 @@
         let Some(model) = round.best_fill(engine) else {
             return;
         };
+        if self.watch.rests(&model, round.now) {
+            return;
+        }
         let Some(option) = round.option(engine, &model, LoadReason::Room) else {
             return;
         };
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -247,6 +247,7 @@
             want: view.map_or(0.0, |view| view.want.load()),
             holders: view.map_or(0.0, ModelView::holders),
             rate_spent: false,
+            rests: false,
             busy: 0,
             paced: 0,
             full: 0,
--- a/crates/oatpier-serving/tests/testsuite/crashing_loads.rs
+++ b/crates/oatpier-serving/tests/testsuite/crashing_loads.rs
@@ -35,6 +35,8 @@
     directory: EndpointDirectory,
     planner: LoadPlanner,
     words: u64,
+    /// Whether engines report that they leave before they end.
+    leaves: bool,
     advised: HashMap<ModelName, Vec<u64>>,
 }
 
@@ -45,6 +47,7 @@
             directory: EndpointDirectory::default(),
             planner: LoadPlanner::default(),
             words: 0,
+            leaves: false,
             advised: HashMap::new(),
         }
     }
@@ -117,6 +120,7 @@
         let number = |place: usize| u8::try_from(place).unwrap();
         let records = up.iter().map(|place| EndpointRecord {
             name: endpoint(&self.name(*place)),
+            draining: self.leaves && self.engines[*place].loading == Some(model("bad")),
             ..record(number(*place), &["base"])
         });
         let records = records.collect();
@@ -162,3 +166,13 @@
     let is_held = |engine: &FragileEngine| engine.held.contains(&model("bad"));
     assert!(fleet.engines.iter().any(is_held));
 }
+
+/// Engines that are taken away in the middle of a load end by themselves. The model that they were to load is loaded
+/// elsewhere without delay.
+#[test]
+fn engines_that_leave_in_a_load_hold_nothing_against_the_model() {
+    let mut fleet = LoadingFleet::new();
+    fleet.leaves = true;
+    fleet.play(20, u64::MAX);
+    assert!(fleet.loads("bad").len() > 6);
+}
