--- a/crates/oatpier-gateway/src/gateway/crashes.rs
+++ b/crates/oatpier-gateway/src/gateway/crashes.rs
@@ -76,7 +76,7 @@
             self.offer_change(CrashChange::Put(record.clone()));
         }
         self.count_suspects(&state.crashes, now);
-        let peers = known_peers(&mut state, self, now);
+        let peers: Vec<SocketAddr> = state.peers.known(now).collect();
         drop(state);
         for records in found.chunks(CRASHES_PER_MESSAGE) {
             self.tell(&peers, &InnerMessage::CrashesSeen(records.to_vec()));
@@ -161,7 +161,7 @@
             self.offer_change(CrashChange::Remove(record));
         }
         self.count_suspects(&state.crashes, now);
-        let peers = known_peers(state, self, now);
+        let peers: Vec<SocketAddr> = state.peers.known(now).collect();
         self.tell(&peers, &InnerMessage::CrashesCleared(vec![*fingerprint]));
     }
 
@@ -222,10 +222,3 @@
         seen_ms: wall_clock_ms(),
     });
 }
-
-/// All gateways that are known.
-fn known_peers(state: &mut CoreState, core: &GatewayCore, now: ClockTime) -> Vec<SocketAddr> {
-    let addresses = state.peers.addresses(&core.zone, now);
-    let groups = [addresses.readers, addresses.near, addresses.far];
-    groups.into_iter().flatten().collect()
-}
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -246,6 +246,13 @@
         }
     }
 
+    /// All other gateways that were heard or named lately.
+    pub fn known(&self, now: ClockTime) -> impl Iterator<Item = SocketAddr> + '_ {
+        let named = self.named.iter();
+        let known = named.filter(move |(_, named_at)| now.since(**named_at) < ADDRESS_LIFE);
+        known.map(|(address, _)| *address)
+    }
+
     /// Where reports go: the gateways that need the demand, and the others.
     pub fn addresses(&mut self, zone: &ZoneName, now: ClockTime) -> ReportAddresses {
         self.named
--- a/crates/oatpier-serving/src/reads.rs
+++ b/crates/oatpier-serving/src/reads.rs
@@ -8,6 +8,7 @@
 //! Nobody is elected: whoever is due first reads, and when it is gone the next one is due a moment later. A
 //! bound on how late a change is seen holds for each gateway by itself, whatever it hears.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
@@ -153,17 +154,15 @@
     /// What to tell others after a read, whose last one brought `before`.
     #[must_use]
     pub fn word_since(&self, before: Option<&Self>) -> StoreWord {
-        let known = |name: &EndpointName| {
-            let mut rows = before.into_iter().flat_map(|view| &view.endpoints);
-            rows.find(|row| row.name == *name)
-        };
+        let known = by_name(before.map_or(&[], Self::endpoints));
+        let present = by_name(&self.endpoints);
         let is_new = |row: &&EndpointRecord| {
-            known(&row.name).is_none_or(|old| digest_row(old) != digest_row(row))
+            let old = known.get(&row.name);
+            old.is_none_or(|old| digest_row(old) != digest_row(row))
         };
         let changed: Vec<EndpointRecord> = self.endpoints.iter().filter(is_new).cloned().collect();
-        let old = before.into_iter().flat_map(|view| &view.endpoints);
-        let is_gone = |name: &EndpointName| self.endpoints.iter().all(|row| row.name != *name);
-        let removed = old.map(|row| row.name.clone()).filter(is_gone).collect();
+        let gone = known.keys().filter(|name| !present.contains_key(*name));
+        let removed = gone.map(|name| (*name).clone()).collect();
         let fits = changed.len() <= MOST_CHANGES;
         StoreWord {
             before: before.map_or(self.digest, |view| view.digest),
@@ -196,6 +195,10 @@
     }
 }
 
+fn by_name(endpoints: &[EndpointRecord]) -> HashMap<&EndpointName, &EndpointRecord> {
+    endpoints.iter().map(|row| (&row.name, row)).collect()
+}
+
 /// When the store is read next.
 #[derive(Debug)]
 pub struct ReadSchedule {
