--- a/crates/oatpier-serving/src/crashes/book.rs
+++ b/crates/oatpier-serving/src/crashes/book.rs
@@ -223,7 +223,7 @@
         suspect.map_or_else(Vec::new, |suspect| suspect.records(*fingerprint))
     }
 
-    /// Drops suspicions that are old, and gives back those of them that lie in the store. Barred requests stay.
+    /// Drops suspicions that are old, and gives back what they held. Barred requests stay.
     pub fn expire(&mut self, now: ClockTime) -> Vec<CrashRecord> {
         let is_old = |suspect: &Suspect| {
             suspect.crashes.len() < MOST_CRASHES && now.since(suspect.seen_at) >= SUSPECT_LIFE
@@ -249,17 +249,17 @@
         for suspect in self.suspects.values() {
             *counts.entry(&suspect.origin.host).or_default() += 1;
         }
-        let Some(host) = counts
+        let most = counts
             .into_iter()
-            .max_by_key(|(host, count)| (*count, *host))
-        else {
+            .max_by_key(|(host, count)| (*count, *host));
+        let Some((host, _)) = most else {
             return;
         };
         let least = self
             .suspects
             .iter()
             .filter(|(fingerprint, suspect)| {
-                &*suspect.origin.host == host.0 && *fingerprint != newest
+                &*suspect.origin.host == host && *fingerprint != newest
             })
             .min_by_key(|(fingerprint, suspect)| (suspect.certainty(), **fingerprint))
             .map(|(fingerprint, _)| *fingerprint);
@@ -286,10 +286,4 @@
     pub fn take_pushed_out(&mut self) -> Vec<CrashRecord> {
         std::mem::take(&mut self.pushed_out)
     }
-
-    /// Whether anything is known against a request.
-    #[must_use]
-    pub fn is_suspect(&self, fingerprint: &RequestFingerprint) -> bool {
-        self.suspects.contains_key(fingerprint)
-    }
 }
