Logs: a fingerprint in the answers of a gateway's own, and its story

Cause: from a caller's complaint (500, barred) an operator had no way to the engines that ended under the request. What: answers of a gateway's own name the fingerprint; oatpier logs fingerprint tells all returns and crashes of it. After: the tests of oatpier and oatpier-gateway pass.

--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -98,6 +98,7 @@
         let best = self.too_busy.as_ref();
         let line = self
             .answer_line(LineWeight::Notable, own.as_str())
+            .with("fingerprint", self.plan.fingerprint.short())
             .with("best", best.map(|choice| choice.endpoint.to_string()))
             .with(
                 "best_taken",
--- a/crates/oatpier/src/commands/logs/mod.rs
+++ b/crates/oatpier/src/commands/logs/mod.rs
@@ -17,7 +17,7 @@
 #[must_use]
 pub fn cli() -> Command {
     Command::new("logs")
-        .about("Tell the story of a request, a model or an endpoint from log files")
+        .about("Tell the story of a request, a model, an endpoint or a fingerprint from log files")
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(subject(
@@ -31,6 +31,11 @@
             "NAME",
             "The endpoint's name in the registry",
         ))
+        .subcommand(subject(
+            "fingerprint",
+            "FINGERPRINT",
+            "The fingerprint of requests with one content, as `oatpier crashes list` gives it",
+        ))
 }
 
 fn subject(name: &'static str, value: &'static str, help: &'static str) -> Command {
@@ -59,6 +64,7 @@
     let (subject, kind) = match kind {
         "request" => (StorySubject::Request(name), "request in the logs"),
         "model" => (StorySubject::Model(name), "model in the logs"),
+        "fingerprint" => (StorySubject::Fingerprint(name), "fingerprint in the logs"),
         _ => (StorySubject::Endpoint(name), "endpoint in the logs"),
     };
     let story = read(matches, subject)?;
--- a/crates/oatpier/src/ops/log_story.rs
+++ b/crates/oatpier/src/ops/log_story.rs
@@ -1,4 +1,4 @@
-//! The story of one request, model or endpoint, out of the decision lines of gateways and sidecars.
+//! The story of one request, model, endpoint or content of requests, out of the decision lines of gateways and sidecars.
 //!
 //! Lines are JSON objects with a `decision`; whatever stands before the object on its line (a
 //! collector's time or host) and whatever is no such object is skipped. The story is in the order of
@@ -18,6 +18,8 @@
     Model(&'a str),
     /// An endpoint, by its present name.
     Endpoint(&'a str),
+    /// All requests of one content, by its fingerprint or the start of it.
+    Fingerprint(&'a str),
 }
 
 /// One decision.
@@ -87,6 +89,9 @@
                 };
                 named("endpoint") || named("failed_at") || named("instance") || named("change")
             }
+            // Lines on attempts give the start of a fingerprint, those on crashes the whole of it.
+            Self::Fingerprint(wanted) => text("fingerprint")
+                .is_some_and(|own| own.starts_with(wanted) || wanted.starts_with(own)),
         }
     }
 }
--- a/crates/oatpier/tests/testsuite/log_story.rs
+++ b/crates/oatpier/tests/testsuite/log_story.rs
@@ -8,6 +8,9 @@
 {"decision":"answer","request":"r1","outcome":"broken","failed_at":["i-1"],"time_ms":21,"process":"gateway-1"}
 {"decision":"load advised","model":"m1","endpoint":"i-2","time_ms":10,"process":"gateway-2"}
 {"decision":"directory","change":"Gone(\"i-1\")","time_ms":40,"process":"gateway-2"}
+{"decision":"request suspected","fingerprint":"00112233445566778899aabbccddeeff","endpoint":"i-3","time_ms":50,"process":"gateway-1"}
+{"decision":"answer","request":"r5","outcome":"barred","fingerprint":"001122334455","time_ms":60,"process":"gateway-1"}
+{"decision":"answer","request":"r6","outcome":"broken","fingerprint":"ff1122334455","time_ms":61,"process":"gateway-1"}
 {"decision":"answer","request":"r1
 "#;
 
@@ -42,6 +45,16 @@
     );
 }
 
+#[test]
+fn a_fingerprints_story_has_its_returns_and_its_crashes() {
+    for wanted in ["00112233445566778899aabbccddeeff", "001122334455"] {
+        assert_eq!(
+            decisions(StorySubject::Fingerprint(wanted)),
+            ["request suspected", "answer"]
+        );
+    }
+}
+
 #[test]
 fn a_line_keeps_its_process_and_details() {
     let story = read_story(LOG.as_bytes(), StorySubject::Request("r2")).unwrap();
