--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -42,6 +42,7 @@
     let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
     gateway.send(request(&[])).await;
     gateway.core.metrics.store_read("answered");
+    gateway.core.metrics.store_written("answered");
     gateway.core.metrics.ordered("taken");
     gateway.core.metrics.advised("busy");
     gateway.core.metrics.exchanged("pulse", "sent", 400);
