--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use futures::stream;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use oatpier_wire::reply::{self, BoxError, Reply};
@@ -19,7 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
-use super::answers;
+use super::answers::{self, not_run, set, sign, text};
 use super::caller::CRASHING;
 use super::store::StoreStandin;
 use super::weights::{EngineWeights, OrderOutcome};
@@ -473,31 +473,6 @@
     Response::new(BodyExt::boxed_unsync(StreamBody::new(pieces)))
 }
 
-fn not_run(status: StatusCode) -> Reply {
-    let mut answer = reply::text(status, "");
-    set(answer.headers_mut(), "x-oatpier-not-executed", "1");
-    answer
-}
-
-fn sign(headers: &mut HeaderMap, id: &str, instance: &str) {
-    set(headers, "x-oatpier-request-id", id);
-    set(
-        headers,
-        "x-oatpier-response-stamp",
-        &answers::stamp(id, instance),
-    );
-}
-
-fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
-    }
-}
-
-fn text(headers: &HeaderMap, name: &str) -> Option<String> {
-    Some(headers.get(name)?.to_str().ok()?.to_owned())
-}
-
 fn new_instance() -> String {
     format!("i-{:010x}", rand::rng().random::<u32>())
 }
