--- a/crates/oatpier-gateway/src/gateway/answers.rs
+++ b/crates/oatpier-gateway/src/gateway/answers.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use http::StatusCode;
+use http::header::WWW_AUTHENTICATE;
+use http::{HeaderValue, StatusCode};
 use oatpier_platform::headers;
 use oatpier_types::refusal::Refusal;
 use oatpier_wire::reply::{self, Reply};
@@ -18,6 +19,16 @@
     NoConfiguration,
     /// No route takes it.
     NoRoute,
+    /// It brings no key, where one is needed.
+    NoKey,
+    /// No workspace holds its key.
+    UnknownKey,
+    /// Its workspace has used up its limit; with a time to return.
+    OverLimit(Duration),
+    /// It is not known here what its workspace has left; with a time to return.
+    LimitUnknown(Duration),
+    /// What it names is not known here, and may have been added since the store was last read.
+    Outdated,
     /// Its headers can't be used.
     Malformed,
     /// Its body is over the limit.
@@ -42,6 +53,9 @@
 const BARRED_TEXT: &str =
     "barred: this request was not run; the endpoints that ran it before ended with it";
 
+/// When to come back with a request that names what is not known here; the next try reaches another gateway.
+const OUTDATED_RETURN: Duration = Duration::from_millis(100);
+
 /// When to come back to a gateway that has no configuration yet.
 const UNCONFIGURED_RETURN: Duration = Duration::from_millis(600);
 
@@ -50,9 +64,14 @@
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
-            Self::Refused(_) | Self::NoConfiguration | Self::ExpiredUnsent | Self::Held => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Refused(_)
+            | Self::NoConfiguration
+            | Self::Outdated
+            | Self::LimitUnknown(_)
+            | Self::ExpiredUnsent
+            | Self::Held => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             // Final: 503, 502 and 504 ask callers and the proxies on their way to try again, and a 4xx would say
             // that the request is not a proper one.
             Self::Barred => StatusCode::INTERNAL_SERVER_ERROR,
@@ -71,6 +90,11 @@
             Self::Refused(refusal) => refusal.cause.as_str(),
             Self::NoConfiguration => "no-configuration",
             Self::NoRoute => "no-route",
+            Self::NoKey => "no-key",
+            Self::UnknownKey => "unknown-key",
+            Self::OverLimit(_) => "over-limit",
+            Self::LimitUnknown(_) => "limit-unknown",
+            Self::Outdated => "outdated",
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
             Self::ExpiredUnsent => "expired-unsent",
@@ -85,6 +109,8 @@
         match self {
             Self::Refused(refusal) => refusal.retry_after,
             Self::NoConfiguration => Some(UNCONFIGURED_RETURN),
+            Self::OverLimit(after) | Self::LimitUnknown(after) => Some(after),
+            Self::Outdated => Some(OUTDATED_RETURN),
             Self::Held => Some(HELD_RETURN),
             _ => None,
         }
@@ -106,6 +132,9 @@
         let mut reply = reply::text(self.status(), format!("{text}\n"));
         let headers = reply.headers_mut();
         headers::mark_answer(headers, id);
+        if self.status() == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if let Some(after) = self.retry_after() {
             headers::set_retry_after(headers, after);
         }
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -213,6 +213,8 @@
         instance: &endpoint,
         left,
         after_event,
+        workspace: plan.identity.name(),
+        keeps_key: plan.identity.keeps_key(),
     };
     let request = outgoing(message, terms);
     let guard = AttemptGuard::begin(core, plan, &endpoint, placed.permit.take());
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -1,5 +1,6 @@
 //! What all requests of a gateway share.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,20 +17,27 @@
 use oatpier_serving::message::{EnginePulse, EngineWord, InnerMessage};
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
+use oatpier_serving::quota::grants::GrantBook;
+use oatpier_serving::quota::holder::PartHolder;
+use oatpier_serving::quota::tenure::{PartTenure, StoreEra, TenureIdentity};
 use oatpier_serving::reads::StoreWord;
 use oatpier_serving::relays::RelayQueue;
 use oatpier_serving::site::{RouteRule, SiteConfig};
+use oatpier_serving::workspace::WorkspaceTable;
+use oatpier_serving::workspace::quota::QuotaRule;
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::{DaemonName, PoolName, ZoneName};
+use oatpier_types::names::{DaemonName, PoolName, WorkspaceName, ZoneName};
 use oatpier_types::refusal::{Refusal, RefusalCause};
 use oatpier_wire::client::{ClientLimits, HttpClient};
 use rand::RngExt;
 use tokio::sync::Notify;
 
 use super::permits::PermitBook;
+use super::quota::QuotaAsks;
 use crate::decisions::{DecisionLine, DecisionLog, LineWeight};
 use crate::exchange::MessageOutlet;
 use crate::metrics::ServingMetrics;
+use crate::parts_writer::DueClaim;
 use crate::reload::SettingsFeed;
 
 /// How long a connection to an endpoint may take. Endpoints are a few milliseconds away; one that
@@ -57,6 +65,8 @@
     pub words: RingSender<StoreWord>,
     /// Where the duty that writes crashes hears what is to be written.
     pub crash_changes: RingSender<CrashChange>,
+    /// Where the duty that claims parts of limits hears which are due.
+    pub claims: RingSender<DueClaim>,
 }
 
 /// The state that all tasks share. They run on one thread, so the lock is never waited for; it is
@@ -71,11 +81,21 @@
     /// Attempts that were cut off, until it is known whether their endpoint ended.
     pub(super) cuts: CutWatch,
     pub(super) peers: PeerBook,
+    /// The workspaces with limits.
+    pub(super) limits: HashMap<WorkspaceName, QuotaRule>,
+    /// Who holds which part of the limits.
+    pub(super) tenure: PartTenure,
+    /// What the parts give that this gateway holds.
+    pub(super) holder: PartHolder,
+    /// What this gateway was given.
+    pub(super) grants: GrantBook,
     /// What sidecars told this gateway as a relay of its zone.
     pub(super) relayed: RelayQueue,
     pub(super) planner: LoadPlanner,
     pub(super) judge: AdmissionJudge,
     pub(super) store_read_at: Option<ClockTime>,
+    /// Which copy of the store was read last.
+    pub(super) store_era: Option<StoreEra>,
     /// Whether demand that can't be served came since the last report to peers.
     pub(super) urgent: bool,
 }
@@ -103,6 +123,9 @@
     pub log: DecisionLog,
     /// Permits that are waited for.
     pub(super) permits: PermitBook,
+    /// Units of limits that are waited for.
+    pub(super) quota_asks: QuotaAsks,
+    pub(super) claims: RingSender<DueClaim>,
     /// Calls endpoints.
     pub client: HttpClient,
     able: Arc<AtomicBool>,
@@ -130,6 +153,15 @@
             crashes: CrashBook::default(),
             cuts: CutWatch::default(),
             peers: PeerBook::new(settings.inner_address(), settings.processor),
+            limits: HashMap::new(),
+            tenure: PartTenure::new(TenureIdentity {
+                address: settings.inner_address(),
+                boot: rand::random(),
+                first_start: settings.first_start,
+            }),
+            holder: PartHolder::default(),
+            grants: GrantBook::default(),
+            store_era: None,
             relayed: RelayQueue::default(),
             planner: LoadPlanner::default(),
             judge: AdmissionJudge::new(rand::random()),
@@ -150,6 +182,8 @@
             metrics: inputs.metrics,
             log: inputs.log,
             permits: PermitBook::default(),
+            quota_asks: QuotaAsks::default(),
+            claims: inputs.claims,
             client: HttpClient::new(ClientLimits {
                 connect: CONNECT_WAIT,
                 idle: IDLE_CONNECTION,
@@ -199,6 +233,14 @@
         self.lock().config.clone()
     }
 
+    /// Whether a configuration that is in force everywhere would be known here.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        let bound = self.settings.borrow().bounds.config;
+        let read_at = self.lock().store_read_at;
+        read_at.is_some_and(|at| self.clock.now().since(at) <= bound)
+    }
+
     /// Takes what the store said. A version never gives way to an older one.
     pub fn take_records(&self, config: Option<Arc<SiteConfig>>, endpoints: Vec<EndpointRecord>) {
         let now = self.clock.now();
@@ -238,10 +280,33 @@
         if newer {
             let version = i64::try_from(config.version).unwrap_or(i64::MAX);
             self.metrics.config_version.set(version);
+            state.limits = limits_of(&config);
+            let CoreState {
+                limits,
+                holder,
+                grants,
+                ..
+            } = &mut *state;
+            holder.retain(|workspace| limits.contains_key(workspace));
+            grants.retain(|workspace| limits.contains_key(workspace));
             state.config = Some(config);
         }
     }
 
+    /// Notes which copy of the store was read; says whether it is an older one than before, come back.
+    pub fn note_era(&self, era: StoreEra) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let known = state.store_era.replace(era);
+        let has_returned = known.is_some_and(|known| known != era);
+        if has_returned {
+            state.directory.note_store_return(now);
+            let line = DecisionLine::new(LineWeight::Notable, "store came back from an older copy");
+            self.log.write(line.with("era", era));
+        }
+        has_returned
+    }
+
     /// Tells the other gateways of the zone what was seen in the store, so that they need not read.
     pub fn tell_word(&self, word: StoreWord) {
         let now = self.clock.now();
@@ -334,6 +399,12 @@
     }
 }
 
+fn limits_of(config: &SiteConfig) -> HashMap<WorkspaceName, QuotaRule> {
+    let rules = config.workspaces.iter().flat_map(WorkspaceTable::rules);
+    let limited = rules.filter_map(|rule| Some((rule.name.clone(), rule.quota?)));
+    limited.collect()
+}
+
 fn shown(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/oatpier-gateway/src/gateway/crashes.rs
+++ b/crates/oatpier-gateway/src/gateway/crashes.rs
@@ -97,12 +97,19 @@
         self.count_suspects(&state.crashes, now);
     }
 
-    /// The store lists these crashes, and no others.
-    pub fn take_stored_crashes(&self, records: &[CrashRecord]) {
+    /// The store lists these crashes, and no others; `has_returned` if it came back from an older copy.
+    pub fn take_stored_crashes(&self, records: &[CrashRecord], has_returned: bool) {
         let now = self.clock.now();
         let mut state = self.lock();
         let barred_before = state.crashes.barred(now);
-        state.crashes.take_stored(records, now);
+        if has_returned {
+            let lost = state.crashes.take_returned(records, now);
+            for record in lost {
+                self.offer_change(CrashChange::Put(record));
+            }
+        } else {
+            state.crashes.take_stored(records, now);
+        }
         let barred = state.crashes.barred(now);
         if barred != barred_before {
             let line = DecisionLine::new(LineWeight::Notable, "crashes read")
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oatpier_duty::duty::{RingReceiver, StopSignal};
+use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
 use oatpier_serving::message::InnerMessage;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -13,17 +13,22 @@
 use super::planning::plan;
 use super::reports::{PeerReporter, report};
 use crate::exchange::InnerSocket;
+use crate::parts_writer::ClaimResult;
 use crate::records::StoreNews;
 
 /// From one passing on of what sidecars told to the next. A relay hears some twenty engines in its turn, so
 /// what it passes on within this fits a packet or two.
 const RELAY_EVERY: Duration = Duration::from_millis(40);
 
+/// From one look at the parts of limits to the next; renewals are seconds apart.
+const TEND_EVERY: Duration = Duration::from_millis(200);
+
 /// Exchanges messages until the process ends.
 pub async fn run(
     core: Arc<GatewayCore>,
     socket: &InnerSocket,
     news: RingReceiver<StoreNews>,
+    claims: RingReceiver<ClaimResult>,
     stop: &StopSignal,
 ) {
     let reporter = PeerReporter::new(&core, stop);
@@ -34,6 +39,7 @@
         pass_on(&core),
         report(reporter),
         plan(&core, stop),
+        tend_parts(&core, &claims, stop),
     );
 }
 
@@ -49,6 +55,8 @@
                 core.lock().peers.take_report(from, *report, now);
             }
             InnerMessage::Permit(grant) => core.take_permit(grant),
+            InnerMessage::QuotaAsk(ask) => core.take_quota_ask(from, &ask),
+            InnerMessage::QuotaAnswer(answer) => core.take_quota_answer(answer),
             InnerMessage::StoreSeen(word) => core.take_store_word(*word),
             InnerMessage::CrashesSeen(records) => core.take_crashes(&records),
             InnerMessage::CrashesCleared(requests) => core.take_cleared(&requests),
@@ -71,10 +79,14 @@
                 config,
                 endpoints,
                 crashes,
+                parts,
+                era,
                 word,
             } => {
+                let has_returned = core.note_era(era);
                 // Before the first configuration makes this gateway serve.
-                core.take_stored_crashes(&crashes);
+                core.take_stored_crashes(&crashes, has_returned);
+                core.take_parts(&parts, era);
                 core.take_records(config, endpoints);
                 core.tell_word(word);
             }
@@ -105,3 +117,19 @@
         }
     }
 }
+
+/// Claims and renews parts of the workspaces' limits; gives them back when a stop begins.
+async fn tend_parts(core: &GatewayCore, claims: &RingReceiver<ClaimResult>, stop: &StopSignal) {
+    let mut ticks = interval(TEND_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => core.tend_parts(stop.phase() != StopPhase::Serving),
+            result = claims.receive() => match result {
+                Some(result) => core.take_claim(result),
+                None => break,
+            },
+        }
+    }
+    std::future::pending::<()>().await;
+}
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -30,8 +30,10 @@
 use super::answers::OwnAnswer;
 use super::attempt::{self, AttemptFailure, CallerMessage};
 use super::core::GatewayCore;
+use super::identity::CallerIdentity;
 use super::permits::{self, PermitVerdict};
 use super::placement::{PlacedSend, Placement, RequestPlan};
+use super::quota::{self, ChargeCell};
 use super::relay;
 use crate::decisions::{DecisionLine, LineWeight};
 
@@ -91,7 +93,11 @@
         return unplanned(core, &head, OwnAnswer::NoConfiguration);
     };
     let Some(route) = find_route(&config, &head) else {
-        return unplanned(core, &head, OwnAnswer::NoRoute);
+        return unplanned(core, &head, core.unless_outdated(OwnAnswer::NoRoute));
+    };
+    let identity = match core.identify(&config, &route, &head.headers) {
+        Ok(identity) => identity,
+        Err(own) => return unplanned(core, &head, own),
     };
     if body.len() > config.limits.body_bytes {
         return unplanned(core, &head, OwnAnswer::TooLarge);
@@ -100,18 +106,36 @@
         head: Arc::new(head),
         body,
     };
-    let plan = match plan(core, route, &message, arrived) {
-        Ok(plan) => Arc::new(plan),
+    let mut plan = match plan(core, route, identity, &message, arrived) {
+        Ok(plan) => plan,
         Err(error) => {
             core.metrics.answered("", OwnAnswer::Malformed.as_str());
             return OwnAnswer::Malformed.explained("", &error.to_string());
         }
     };
+    if let Err(own) = charge(core, &mut plan).await {
+        return unplanned(core, &message.head, own);
+    }
+    let plan = Arc::new(plan);
     core.note_arrival(&plan);
     let mut run = RequestRun::new(core, plan, message);
     run.serve().await
 }
 
+/// Charges a request's workspace, where that has a limit.
+async fn charge(core: &Arc<GatewayCore>, plan: &mut RequestPlan) -> Result<(), OwnAnswer> {
+    let Some(workspace) = plan.identity.workspace() else {
+        return Ok(());
+    };
+    let Some(rule) = core.limit_of(workspace) else {
+        return Ok(());
+    };
+    let units = rule.cost(&plan.request);
+    let charge = quota::charge(core, workspace, units).await?;
+    plan.charge = ChargeCell::new(Some(charge));
+    Ok(())
+}
+
 fn find_route(config: &SiteConfig, head: &Parts) -> Option<Arc<RouteRule>> {
     config.route(host_of(head), head.uri.path()).cloned()
 }
@@ -146,6 +170,7 @@
 fn plan(
     core: &GatewayCore,
     route: Arc<RouteRule>,
+    identity: CallerIdentity,
     message: &CallerMessage,
     arrived: ClockTime,
 ) -> Result<RequestPlan, HeaderError> {
@@ -155,10 +180,12 @@
     Ok(RequestPlan {
         deadline: arrived + patience.min(route.timeout),
         route,
+        identity,
         service,
         request,
         fingerprint: fingerprint(message),
         arrived,
+        charge: ChargeCell::default(),
         unserved: AtomicBool::new(false),
     })
 }
@@ -236,6 +263,7 @@
                 Err(own) => return RunEnd::Own(own),
             };
             self.sending = true;
+            self.plan.charge.set_spent(true);
             self.endpoint = Some(placed.choice.endpoint.clone());
             let failure = match self.attempt(&mut placed).await {
                 Ok(reply) => return RunEnd::Answered(reply),
@@ -261,11 +289,13 @@
                 let refusal = core.refusal(RefusalCause::Leaving, Duration::ZERO);
                 return Err(self.refused(refusal));
             }
+            self.check_identity()?;
             self.check_suspect()?;
             match core.place(&self.plan, &self.excluded) {
                 Placement::Send(placed) => {
                     if let Some(permitted) = self.permitted(placed).await? {
                         self.check_suspect()?;
+                        self.renew_charge().await?;
                         return Ok(permitted);
                     }
                 }
@@ -296,6 +326,20 @@
         Err(self.if_not_run(own))
     }
 
+    /// Charges a request anew that waited for longer than its charge counts.
+    async fn renew_charge(&self) -> Result<(), OwnAnswer> {
+        let renewed = quota::renew_charge(&self.core, &self.plan.charge).await;
+        renewed.map_err(|own| self.if_not_run(own))
+    }
+
+    /// Refuses a request whose key was taken away while it waited.
+    fn check_identity(&self) -> Result<(), OwnAnswer> {
+        if self.core.still_holds(&self.plan.identity, &self.plan.route) {
+            return Ok(());
+        }
+        Err(self.if_not_run(OwnAnswer::UnknownKey))
+    }
+
     /// Waits until the endpoint may be sent the prompt; none if the request has to be placed anew.
     async fn permitted(&mut self, placed: PlacedSend) -> Result<Option<PlacedSend>, OwnAnswer> {
         match permits::permit(&self.core, &self.plan, &placed).await {
@@ -411,6 +455,9 @@
         self.core.metrics.attempted(failure.as_str());
         self.sending = false;
         self.settled = self.settled.and(failure.verdict());
+        self.plan
+            .charge
+            .set_spent(self.settled != RunVerdict::NotRun);
         self.excluded.push(endpoint.clone());
         if failure.has_reached() {
             self.reached.push(endpoint.clone());
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -12,6 +12,8 @@
 //! - `run_log`: what is logged of a request.
 //! - `accounts`: what becomes of requests.
 //! - `crashes`: requests that end the endpoints that run them.
+//! - [`identity`]: whose request it is.
+//! - [`quota`]: units of workspaces' limits.
 //! - `greetings`: greeting sidecars.
 //! - [`exchanges`]: what gateways and sidecars tell each other.
 //! - `reports`: what gateways report to each other.
@@ -25,11 +27,13 @@
 pub mod exchanges;
 mod greetings;
 pub mod handler;
+pub mod identity;
 pub mod pauses;
 pub mod permits;
 pub mod placement;
 mod placing;
 mod planning;
+pub mod quota;
 pub mod relay;
 mod reports;
 mod run_log;
@@ -49,6 +53,7 @@
 use crate::crash_writer::{CrashWriterInputs, write_crashes};
 use crate::exchange::{InnerSocket, MessageOutlet};
 use crate::frame::{FrameInputs, ProcessFrame};
+use crate::parts_writer::{ClaimResult, PartsWriterInputs, write_parts};
 use crate::records::{RecordsInputs, StoreNews, records};
 use crate::reload::{SettingsFeed, SettingsSource};
 
@@ -75,6 +80,9 @@
 /// ring full is known to the gateways that were told.
 const CRASH_RING: usize = 512;
 
+/// Claims of parts of limits on their way to the store, and their results on the way back. There are a few parts.
+const CLAIM_RING: usize = 8;
+
 /// The part of the time until SIGKILL after which that is done at the latest, where there is little time.
 const DRAIN_PART: u32 = 2;
 
@@ -88,6 +96,7 @@
     socket: UdpSocket,
     core: CoreInputs,
     news: RingReceiver<StoreNews>,
+    claims: RingReceiver<ClaimResult>,
     stop: StopSignal,
 }
 
@@ -126,7 +135,11 @@
     let (word_sender, words) = ring(WORD_RING, RingRule::Drop, frame.metrics.ring_full.clone());
     let (crash_sender, crash_changes) =
         ring(CRASH_RING, RingRule::Drop, frame.metrics.ring_full.clone());
+    let (claim_sender, due_claims) =
+        ring(CLAIM_RING, RingRule::Drop, frame.metrics.ring_full.clone());
+    let (result_sender, claims) = ring(CLAIM_RING, RingRule::Wait, frame.metrics.ring_full.clone());
     let core = CoreInputs {
+        claims: claim_sender,
         clock: RuntimeClock::start(),
         metrics: frame.metrics.clone(),
         log: frame.log,
@@ -143,6 +156,14 @@
     frame
         .process
         .spawn("crashes", || write_crashes(writer_inputs));
+    let parts_inputs = PartsWriterInputs {
+        settings: frame.settings.clone(),
+        claims: due_claims,
+        results: result_sender,
+        metrics: frame.metrics.clone(),
+        stop: stop.clone(),
+    };
+    frame.process.spawn("parts", || write_parts(parts_inputs));
     let records_inputs = RecordsInputs {
         settings: frame.settings.clone(),
         news: news_sender,
@@ -157,6 +178,7 @@
         socket,
         core,
         news,
+        claims,
         stop,
     };
     frame
@@ -183,7 +205,7 @@
         () = serving => {}
         () = close_after_notice(&core, &stop) => {}
         () = watch_pace(&core) => {}
-        () = exchanges::run(Arc::clone(&core), &socket, inputs.news, &stop) => {}
+        () = exchanges::run(Arc::clone(&core), &socket, inputs.news, inputs.claims, &stop) => {}
     }
     stop.advance(StopPhase::Ended);
 }
--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -159,8 +159,8 @@
         pause_ms: u32::try_from(pause.as_millis()).unwrap_or(u32::MAX),
         due_in_ms: 0,
         slots: placed.slots,
-        is_urgent: admission::is_urgent(&plan.route),
-        priority: plan.route.priority,
+        is_urgent: admission::is_urgent(&plan.route, plan.priority()),
+        priority: plan.priority(),
     };
     let mut answer = core.permits.open(ask.id);
     let mut open = OpenAsk::begin(core, placed, ask);
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -14,7 +14,9 @@
 use oatpier_types::names::PoolName;
 use oatpier_types::refusal::Refusal;
 
+use super::identity::CallerIdentity;
 use super::permits::HeldPermit;
+use super::quota::ChargeCell;
 
 /// A request waits for an adapter at most for this share of the time that it has left; beyond, the
 /// caller does better to come back.
@@ -35,6 +37,8 @@
 pub struct RequestPlan {
     /// Its route.
     pub route: Arc<RouteRule>,
+    /// Whose it is.
+    pub identity: CallerIdentity,
     /// The service that it goes to.
     pub service: PoolName,
     /// What it asks for.
@@ -45,11 +49,18 @@
     pub arrived: ClockTime,
     /// When it gets its final answer at the latest.
     pub deadline: ClockTime,
+    /// What its workspace was charged for it.
+    pub charge: ChargeCell,
     /// Whether it was counted as demand that could not be served at once.
     pub unserved: AtomicBool,
 }
 
 impl RequestPlan {
+    /// Its rank, 0 first.
+    pub(super) fn priority(&self) -> u8 {
+        self.identity.priority(&self.route)
+    }
+
     /// How long its caller waits for the first piece of the answer.
     pub(super) fn first_patience(&self) -> Duration {
         let whole = self.deadline.since(self.arrived);
--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -46,6 +46,7 @@
                 let verdict = state.judge.judge(&AdmissionQuery {
                     choice: &choice,
                     route: &plan.route,
+                    priority: plan.priority(),
                     waited: now.since(plan.arrived),
                     patience: plan.first_patience(),
                 });
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! | gateway | callers | [`gateway`] | takes requests, sends them to endpoints, answers; hears pulses and peers, plans loads |
 //! | gateway | records | [`records`] | reads configuration and registry from the store |
 //! | gateway | crashes | [`crash_writer`] | writes to the store which requests were at endpoints that ended |
+//! | gateway | parts | [`parts_writer`] | claims and renews parts of workspaces' limits in the store |
 //! | sidecar | engine | [`sidecar`] | reads its engine's report, gives it orders, sends pulses |
 //! | both | reload | [`reload`] | takes changes of the settings file over |
 //! | both | logs | [`decisions`] | writes decision lines, never blocking the others |
@@ -19,6 +20,7 @@
 pub mod gateway;
 pub mod metrics;
 pub mod observe;
+pub mod parts_writer;
 pub mod records;
 pub mod reload;
 pub mod sidecar;
--- a/crates/oatpier-gateway/src/records.rs
+++ b/crates/oatpier-gateway/src/records.rs
@@ -14,7 +14,10 @@
 use oatpier_serving::crashes::CrashRecord;
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::node::NodeSettings;
-use oatpier_serving::reads::{ReadSchedule, StoreView, StoreWord, WordOutcome};
+use oatpier_serving::quota::tenure::{PartEntry, StoreEra};
+use oatpier_serving::reads::{
+    OwnEntries, ReadSchedule, StoreView, StoreWord, WordOutcome, config_mark,
+};
 use oatpier_serving::site::SiteConfig;
 use oatpier_types::errors::error_chain;
 use tokio::time::sleep_until;
@@ -55,6 +58,10 @@
         endpoints: Vec<EndpointRecord>,
         /// Requests that were at endpoints that ended.
         crashes: Vec<CrashRecord>,
+        /// Who holds the parts of limits.
+        parts: Vec<PartEntry>,
+        /// Which copy of the store was read.
+        era: StoreEra,
         /// What others are told of it.
         word: StoreWord,
     },
@@ -227,8 +234,13 @@
             let (key, reason) = (entry.key.as_str(), entry.reason.as_str());
             spdlog::warn!("an entry of the store can't be used", kv: { key:, reason: });
         }
-        let view = StoreView::new(snapshot.config_revision, snapshot.endpoints)
-            .with_crashes(&snapshot.crashes);
+        let own = OwnEntries {
+            crashes: &snapshot.crashes,
+            parts: &snapshot.parts,
+            era: snapshot.era,
+        };
+        let mark = snapshot.config.as_deref().map_or(0, config_mark);
+        let view = StoreView::new(mark, snapshot.endpoints).with_own(&own);
         let word = view.word_since(self.view.as_ref());
         let endpoints = view.endpoints().to_vec();
         self.view = Some(view);
@@ -236,6 +248,8 @@
             config: snapshot.config.and_then(|value| self.changed(value)),
             endpoints,
             crashes: snapshot.crashes,
+            parts: snapshot.parts,
+            era: snapshot.era,
             word,
         }
     }
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -239,6 +239,8 @@
             | InnerMessage::Relayed(_)
             | InnerMessage::Peer(_)
             | InnerMessage::StoreSeen(_)
+            | InnerMessage::QuotaAsk(_)
+            | InnerMessage::QuotaAnswer(_)
             | InnerMessage::CrashesSeen(_)
             | InnerMessage::CrashesCleared(_)
             | InnerMessage::Permit(_) => {}
--- a/crates/oatpier-gateway/tests/testsuite/crashes.rs
+++ b/crates/oatpier-gateway/tests/testsuite/crashes.rs
@@ -175,7 +175,7 @@
     let told = FragileFleet::start().await;
     told.gateway.core.take_crashes(&crashes);
     let started = FragileFleet::start().await;
-    started.gateway.core.take_stored_crashes(&crashes);
+    started.gateway.core.take_stored_crashes(&crashes, false);
     for mut fleet in [told, started] {
         let answer = fleet.send(crashing_request("b1")).await;
         assert_eq!(answer.status(), StatusCode::INTERNAL_SERVER_ERROR);
@@ -189,8 +189,8 @@
 async fn a_request_that_the_store_no_longer_lists_is_sent_again() {
     let mut fleet = barring_fleet().await;
     let crashes = told_crashes(&fleet.gateway);
-    fleet.gateway.core.take_stored_crashes(&crashes);
-    fleet.gateway.core.take_stored_crashes(&[]);
+    fleet.gateway.core.take_stored_crashes(&crashes, false);
+    fleet.gateway.core.take_stored_crashes(&[], false);
     fleet.send(crashing_request("a4")).await;
     assert_eq!(fleet.reached, ENDS_ALLOWED + 1);
 }
@@ -211,7 +211,7 @@
     for crash in &mut crashes {
         crash.fingerprint = bystander;
     }
-    fleet.gateway.core.take_stored_crashes(&crashes);
+    fleet.gateway.core.take_stored_crashes(&crashes, false);
     assert_eq!(fleet.send(request(&[])).await.status(), StatusCode::OK);
     let removed: Vec<CrashChange> = std::iter::from_fn(|| fleet.gateway.written.poll()).collect();
     let expected: Vec<CrashChange> = crashes.into_iter().map(CrashChange::Remove).collect();
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -19,6 +19,7 @@
 use oatpier_serving::engine::{EndpointLoad, HeldModel, LocalCopies};
 use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber};
 use oatpier_serving::node::{NodeBounds, NodeSettings};
+use oatpier_serving::quota::bounds::QuotaBounds;
 use oatpier_serving::site::{
     CallerLimits, EngineRule, ModelRule, RouteKind, RouteRule, ServiceRule, SiteConfig,
     WeightedService,
@@ -209,6 +210,7 @@
             able: Arc::default(),
             words: ring(8, RingRule::Drop, full).0,
             crash_changes,
+            claims: ring(8, RingRule::Drop, ServingMetrics::default().ring_full).0,
         };
         let (_, feed) = watch::channel(Arc::new(settings()));
         let kept: Arc<dyn MessageOutlet> = outlet.clone();
@@ -273,6 +275,7 @@
             weight: 1,
         }],
         max_attempts,
+        is_public: false,
     }
 }
 
@@ -305,6 +308,7 @@
             head_wait: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         },
+        workspaces: None,
     }
 }
 
@@ -375,6 +379,11 @@
             retry_window: Duration::from_secs(10),
             load_window: Duration::from_secs(5),
             load_margin: 1.1,
+            quota: QuotaBounds {
+                window: Duration::from_secs(8),
+                overage: 0.1,
+                slack: 7_500.0,
+            },
         },
     }
 }
--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -75,6 +75,8 @@
     pub choice: &'a EndpointChoice,
     /// Its route.
     pub route: &'a RouteRule,
+    /// Its rank, 0 first.
+    pub priority: u8,
     /// How long it has been here.
     pub waited: Duration,
     /// How long its caller waits for the first piece of the answer, from when it came.
@@ -144,13 +146,18 @@
 
     /// A refusal with a time to return, spread.
     pub fn refusal(&mut self, cause: RefusalCause, after: Duration) -> Refusal {
-        let after = after.clamp(RETURN_LEAST, RETURN_MOST);
-        let spread = 1.0 + RETURN_SPREAD * self.generator.random::<f64>();
         Refusal {
             cause,
-            retry_after: Some(after.mul_f64(spread)),
+            retry_after: Some(self.spread(after)),
         }
     }
+
+    /// A time to return, spread.
+    pub fn spread(&mut self, after: Duration) -> Duration {
+        let after = after.clamp(RETURN_LEAST, RETURN_MOST);
+        let spread = 1.0 + RETURN_SPREAD * self.generator.random::<f64>();
+        after.mul_f64(spread)
+    }
 }
 
 /// Whether a request may take one more slot at the chosen endpoint.
@@ -162,13 +169,14 @@
     if choice.memory_full {
         return false;
     }
-    choice.occupancy < slots_share(query.is_late(), is_urgent(route))
+    choice.occupancy < slots_share(query.is_late(), is_urgent(route, query.priority))
 }
 
-/// Whether a class is of the most urgent ones, which may go over an engine's slots by a few.
+/// Whether requests of this rank on a route are of the most urgent ones, which may go over an engine's slots by a
+/// few.
 #[must_use]
-pub fn is_urgent(route: &RouteRule) -> bool {
-    route.priority == 0 && route.target <= PATIENT_TARGET
+pub fn is_urgent(route: &RouteRule, priority: u8) -> bool {
+    priority == 0 && route.target <= PATIENT_TARGET
 }
 
 /// The share of an engine's slots below which a request may take one more.
--- a/crates/oatpier-serving/src/crashes/book.rs
+++ b/crates/oatpier-serving/src/crashes/book.rs
@@ -217,6 +217,34 @@
         });
     }
 
+    /// The store came back from an older copy and lists these. What it listed before and does not any more may have
+    /// been lost and not lifted: it still holds here, and is given back to be written again.
+    ///
+    /// Taken for lifted, bars would end at all gateways at once, and the fleet would be open to the requests that
+    /// end its endpoints. A request that was really lifted a moment before is barred again until it is lifted anew.
+    pub fn take_returned(&mut self, listed: &[CrashRecord], now: ClockTime) -> Vec<CrashRecord> {
+        let mut lost = Vec::new();
+        for (fingerprint, suspect) in &mut self.suspects {
+            let is_lost = |crash: &&mut KnownCrash| {
+                let is_listed = listed
+                    .iter()
+                    .any(|record| record.fingerprint == *fingerprint && record.site == crash.site);
+                crash.is_stored && !is_listed
+            };
+            for crash in suspect.crashes.iter_mut().filter(is_lost) {
+                crash.is_stored = false;
+                lost.push(CrashRecord {
+                    fingerprint: *fingerprint,
+                    origin: suspect.origin.clone(),
+                    site: crash.site.clone(),
+                    seen_ms: crash.seen_ms,
+                });
+            }
+        }
+        self.take_stored(listed, now);
+        lost
+    }
+
     /// A request was answered whole, which clears it. Gives back what was known against it.
     pub fn clear(&mut self, fingerprint: &RequestFingerprint) -> Vec<CrashRecord> {
         let suspect = self.suspects.remove(fingerprint);
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -4,6 +4,7 @@
 //! does, a fraction of a second late; answers say how busy an endpoint was a moment ago. The newest
 //! word on each point counts.
 
+mod departures;
 mod fate;
 mod requests;
 mod row;
@@ -22,6 +23,7 @@
 use crate::message::{AdapterUse, EnginePulse, LoadPulse, ModelUse};
 use crate::reading::ReadingPaces;
 
+use departures::Departures;
 pub use requests::EndpointOutcome;
 pub use row::{AdapterState, EndpointRecord, EndpointRow, PULSE_LIFE};
 
@@ -75,6 +77,7 @@
     prefixes: PrefixIndex,
     paces: ReadingPaces,
     store_failed_at: Option<ClockTime>,
+    departures: Departures,
 }
 
 impl Default for EndpointDirectory {
@@ -95,6 +98,7 @@
             }),
             paces: ReadingPaces::default(),
             store_failed_at: None,
+            departures: Departures::default(),
         }
     }
 }
@@ -105,6 +109,13 @@
         self.store_failed_at = Some(now);
     }
 
+    /// The store came back from a copy that is some seconds old. Entries that were written since are missing until
+    /// their endpoints write them again, and entries that were gone are back.
+    pub fn note_store_return(&mut self, now: ClockTime) {
+        self.store_failed_at = Some(now);
+        self.departures.note_store_return(now);
+    }
+
     /// Takes the whole registry over.
     pub fn apply_registry(
         &mut self,
@@ -114,7 +125,8 @@
         let mut changes = Vec::new();
         let listed: Vec<EndpointName> = records.iter().map(|record| record.name.clone()).collect();
         for record in records {
-            if !self.is_superseded(&record, now) {
+            let is_stale = self.is_superseded(&record, now) || self.departures.hold(&record, now);
+            if !is_stale {
                 self.take_record(record, now, &mut changes);
             }
         }
@@ -172,7 +184,13 @@
             changes.push(DirectoryChange::Draining(name));
         }
         let start = record.start.or(row.record.start);
-        row.record = EndpointRecord { start, ..record };
+        // A start that drains never takes work again. An entry that says otherwise is from an older copy of the store.
+        let draining = record.draining || row.record.draining;
+        row.record = EndpointRecord {
+            start,
+            draining,
+            ..record
+        };
     }
 
     fn drop_missing(
@@ -188,7 +206,9 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in missing {
-            self.rows.remove(&name);
+            if let Some(row) = self.rows.remove(&name) {
+                self.departures.note(&row.record, now);
+            }
             changes.push(DirectoryChange::Gone(name));
         }
     }
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -8,6 +8,7 @@
 //! What is known:
 //! - [`node`]: what a process is told about itself.
 //! - [`site`]: the operator's configuration: routes, services, models.
+//! - [`workspace`]: whose requests they are: keys and quotas.
 //! - [`call`]: a caller's request, decoded.
 //! - [`fingerprint`]: which requests are the same.
 //! - [`engine`]: what an engine reports, and orders to it.
@@ -24,6 +25,7 @@
 //! - [`budget`]: how many requests may be sent a second time.
 //! - [`crashes`]: which requests end the endpoints that run them, and are not sent any more.
 //! - [`demand`]: how much each model is asked for.
+//! - [`quota`]: what workspaces use, within their limits over all gateways.
 //! - [`planner`]: which engine should load which model next.
 //! - [`peers`]: which gateways there are, and which of them plans.
 //!
@@ -46,8 +48,10 @@
 pub mod peers;
 pub mod permits;
 pub mod planner;
+pub mod quota;
 pub mod reading;
 pub mod reads;
 pub mod relays;
 pub mod residency;
 pub mod site;
+pub mod workspace;
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -7,12 +7,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oatpier_types::names::{DaemonName, EndpointName, ModelName, PoolName, ZoneName};
+use oatpier_types::names::{
+    DaemonName, EndpointName, ModelName, PoolName, WorkspaceName, ZoneName,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::crashes::CrashRecord;
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 use crate::fingerprint::RequestFingerprint;
+use crate::quota::PartIndex;
+use crate::quota::holder::{PartAnswer, UnitsWanted};
 use crate::reads::StoreWord;
 
 /// One datagram.
@@ -47,6 +51,10 @@
     PermitAsk(PermitAsk),
     /// A sidecar gives a permit.
     Permit(PermitGrant),
+    /// A gateway asks a holder for units of a workspace's limit.
+    QuotaAsk(QuotaAsk),
+    /// A holder answers.
+    QuotaAnswer(QuotaAnswer),
     /// A gateway gives a permit back, or withdraws its ask: the prompt was read, or will not be.
     PermitDone(PermitGrant),
 }
@@ -72,6 +80,8 @@
             Self::PermitAsk(_) => "permit-ask",
             Self::Permit(_) => "permit",
             Self::PermitDone(_) => "permit-done",
+            Self::QuotaAsk(_) => "quota-ask",
+            Self::QuotaAnswer(_) => "quota-answer",
         }
     }
 }
@@ -273,6 +283,30 @@
     pub id: u64,
 }
 
+/// A gateway asks a holder for units. Never repeated: what is lost on the way is asked for anew, elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct QuotaAsk {
+    /// Tells asks apart; drawn at random.
+    pub id: u64,
+    /// Which part of the limit.
+    pub part: PartIndex,
+    /// Whose limit.
+    pub workspace: WorkspaceName,
+    /// How much.
+    pub wanted: UnitsWanted,
+}
+
+/// A holder's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct QuotaAnswer {
+    /// The ask that it answers.
+    pub id: u64,
+    /// What it says.
+    pub answer: PartAnswer,
+}
+
 /// A gateway waits for an adapter.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/oatpier-serving/src/node.rs
+++ b/crates/oatpier-serving/src/node.rs
@@ -5,6 +5,8 @@
 
 use oatpier_types::names::{DaemonName, PoolName, ZoneName};
 
+use crate::quota::bounds::QuotaBounds;
+
 /// The checked settings of a gateway or a sidecar.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
@@ -63,4 +65,6 @@
     pub load_window: Duration,
     /// How far over its rate the weight store lets a window go, as a factor.
     pub load_margin: f64,
+    /// How strictly the limits of workspaces are judged.
+    pub quota: QuotaBounds,
 }
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -295,6 +295,14 @@
         before.count() < DEMAND_READERS
     }
 
+    /// How many gateways that are to stay are fitter than this one.
+    #[must_use]
+    pub fn rank(&self, now: ClockTime) -> usize {
+        let live = self.live(now).filter(|(_, kept)| !kept.report.leaving);
+        let peers = live.map(|(address, kept)| PeerStanding::of(*address, &kept.report));
+        peers.filter(|peer| peer.order() < self.own.order()).count()
+    }
+
     /// The live gateways of an availability zone, this one left out.
     pub fn in_zone<'a>(
         &'a self,
--- a/crates/oatpier-serving/src/reads.rs
+++ b/crates/oatpier-serving/src/reads.rs
@@ -16,10 +16,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::crashes::CrashRecord;
 use crate::directory::EndpointRecord;
+use crate::quota::tenure::{PartEntry, StoreEra};
 
 /// The least share of a period between two reads. Each gateway draws its own between this and the whole, so
 /// that the first of a zone's dozen reads and tells before the others are due.
@@ -35,42 +36,73 @@
 pub struct StoreDigest(pub u64);
 
 impl StoreDigest {
-    /// The digest of a configuration, by the revision of its last change, and of the registry.
+    /// The digest of a configuration, by its [`config_mark`], and of the registry.
     #[must_use]
-    pub fn of(config_revision: u64, endpoints: &[EndpointRecord]) -> Self {
+    pub fn of(config_mark: u64, endpoints: &[EndpointRecord]) -> Self {
         let mut sorted: Vec<&EndpointRecord> = endpoints.iter().collect();
         sorted.sort_by(|one, other| one.name.cmp(&other.name));
         let mut hasher = Xxh3::new();
-        hasher.update(&config_revision.to_le_bytes());
+        hasher.update(&config_mark.to_le_bytes());
         for record in sorted {
             hasher.update(digest_row(record).as_bytes());
         }
         Self(hasher.digest())
     }
 
-    /// The digest with what lies there on crashes.
+    /// The digest with what lies there of our own.
     #[must_use]
-    fn with(self, crashes: CrashDigest) -> Self {
-        Self(self.0 ^ crashes.0)
+    fn with(self, own: OwnDigest) -> Self {
+        Self(self.0 ^ own.0)
     }
 }
 
-/// A digest of what lies in the store on crashes, 0 for nothing. Words between gateways do not carry it: who knows
-/// another one reads by itself, which costs each gateway a read or two after an endpoint's end.
+/// What tells one configuration from another. Not its revision: a store that came back from an older copy gives
+/// revisions out again, and a gateway with the old configuration would take itself for one with the new.
+#[must_use]
+pub fn config_mark(value: &[u8]) -> u64 {
+    xxh3_64(value)
+}
+
+/// What lies in the store that our own processes wrote, and which copy of the store it is.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnEntries<'a> {
+    /// Requests that were at endpoints that ended.
+    pub crashes: &'a [CrashRecord],
+    /// Who holds the parts of limits.
+    pub parts: &'a [PartEntry],
+    /// Which copy it is: words of another one say nothing here.
+    pub era: StoreEra,
+}
+
+/// A digest of that, 0 for nothing. Words between gateways do not carry it: who knows another one reads by itself,
+/// which costs each gateway a read or two after an endpoint's end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-struct CrashDigest(u64);
-
-impl CrashDigest {
-    fn of(crashes: &[CrashRecord]) -> Self {
-        let digest = |crash: &CrashRecord| {
-            let mut hasher = Xxh3::new();
-            hasher.update(format!("{}/{};", crash.fingerprint, crash.site).as_bytes());
-            hasher.digest()
-        };
-        Self(crashes.iter().fold(0, |sum, crash| sum ^ digest(crash)))
+struct OwnDigest(u64);
+
+impl OwnDigest {
+    fn of(own: &OwnEntries<'_>) -> Self {
+        let crashes = own.crashes.iter().map(digest_crash);
+        let parts = own.parts.iter().map(digest_part);
+        let era = (own.era != 0).then(|| xxh3_64(&own.era.to_le_bytes()));
+        Self(
+            crashes
+                .chain(parts)
+                .chain(era)
+                .fold(0, |sum, row| sum ^ row),
+        )
     }
 }
 
+fn digest_crash(crash: &CrashRecord) -> u64 {
+    xxh3_64(format!("{}/{};", crash.fingerprint, crash.site).as_bytes())
+}
+
+/// Renewals change nothing for others, so they are left out.
+fn digest_part(entry: &PartEntry) -> u64 {
+    let record = &entry.record;
+    xxh3_64(format!("{}={:?};", record.part, record.holder).as_bytes())
+}
+
 /// What of an endpoint goes into the digest.
 fn digest_row(record: &EndpointRecord) -> String {
     let start = record.start.map(|start| start.0);
@@ -101,9 +133,9 @@
 /// What a gateway knows of the store.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoreView {
-    config_revision: u64,
+    config_mark: u64,
     endpoints: Vec<EndpointRecord>,
-    crashes: CrashDigest,
+    own: OwnDigest,
     digest: StoreDigest,
 }
 
@@ -121,26 +153,26 @@
 impl StoreView {
     /// What a read brought.
     #[must_use]
-    pub fn new(config_revision: u64, endpoints: Vec<EndpointRecord>) -> Self {
+    pub fn new(config_mark: u64, endpoints: Vec<EndpointRecord>) -> Self {
         Self {
-            digest: StoreDigest::of(config_revision, &endpoints),
-            config_revision,
+            digest: StoreDigest::of(config_mark, &endpoints),
+            config_mark,
             endpoints,
-            crashes: CrashDigest::default(),
+            own: OwnDigest::default(),
         }
     }
 
-    /// The same with what the read brought on crashes.
+    /// The same with what the read brought of our own.
     #[must_use]
-    pub fn with_crashes(self, crashes: &[CrashRecord]) -> Self {
-        self.with_crash_digest(CrashDigest::of(crashes))
+    pub fn with_own(self, own: &OwnEntries<'_>) -> Self {
+        self.with_own_digest(OwnDigest::of(own))
     }
 
-    fn with_crash_digest(self, crashes: CrashDigest) -> Self {
-        let digest = StoreDigest::of(self.config_revision, &self.endpoints);
+    fn with_own_digest(self, own: OwnDigest) -> Self {
+        let digest = StoreDigest::of(self.config_mark, &self.endpoints);
         Self {
-            digest: digest.with(crashes),
-            crashes,
+            digest: digest.with(own),
+            own,
             ..self
         }
     }
@@ -186,7 +218,7 @@
         };
         let kept = self.endpoints.iter().filter(|row| !is_replaced(row));
         let endpoints = kept.chain(&word.changed).cloned().collect();
-        let patched = Self::new(self.config_revision, endpoints).with_crash_digest(self.crashes);
+        let patched = Self::new(self.config_mark, endpoints).with_own_digest(self.own);
         if patched.digest != word.now {
             return WordOutcome::Unknown;
         }
--- a/crates/oatpier-serving/src/site.rs
+++ b/crates/oatpier-serving/src/site.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::engine::LocalCopies;
+use crate::workspace::WorkspaceTable;
 
 /// One version of the configuration.
 #[derive(Debug, Clone, PartialEq)]
@@ -19,6 +20,8 @@
     pub services: Vec<ServiceRule>,
     /// Bounds on what callers send.
     pub limits: CallerLimits,
+    /// Whose requests are taken; none where callers need no keys.
+    pub workspaces: Option<WorkspaceTable>,
 }
 
 /// Which requests belong to a class of work, and how they are served.
@@ -42,6 +45,8 @@
     pub targets: SmallVec<[WeightedService; 2]>,
     /// The most endpoints that one request may be sent to.
     pub max_attempts: u32,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 /// What may be repeated, and what an answer looks like.
--- a/crates/oatpier-serving/tests/testsuite/admission.rs
+++ b/crates/oatpier-serving/tests/testsuite/admission.rs
@@ -36,6 +36,7 @@
     judge.judge(&AdmissionQuery {
         choice,
         route,
+        priority: route.priority,
         waited: millis(waited_ms),
         patience: millis(2_000),
     })
--- a/crates/oatpier-serving/tests/testsuite/crashes.rs
+++ b/crates/oatpier-serving/tests/testsuite/crashes.rs
@@ -235,3 +235,23 @@
     assert!(pushed.flatten().count() > 0);
     assert!(queue.batch(usize::MAX).len() <= 1_024);
 }
+
+/// Three ends bar a request, and the store lists them. The store comes back from a copy without them. Taken for
+/// lifted, the request would be sent on at once, at all gateways, and end three more engines.
+#[test]
+fn a_store_from_an_older_copy_lifts_no_bar() {
+    let mut book = book_with(MOST_CRASHES);
+    let listed: Vec<CrashRecord> = (0..MOST_CRASHES).map(|number| crash("x", number)).collect();
+    book.take_stored(&listed, at(10));
+    let lost = book.take_returned(&listed[..1], at(20));
+    assert_eq!(verdict(&book, millis(20)), SuspectVerdict::Barred);
+    assert_eq!(lost.len(), MOST_CRASHES - 1);
+    assert!(lost.iter().all(|record| listed[1..].contains(record)));
+    // Until they are written again, a read without them says nothing either.
+    book.take_stored(&listed[..1], at(30));
+    assert_eq!(verdict(&book, millis(30)), SuspectVerdict::Barred);
+    // Written again and then lifted by an operator.
+    book.take_stored(&listed, at(40));
+    book.take_stored(&[], at(50));
+    assert_eq!(verdict(&book, millis(50)), SuspectVerdict::Clear);
+}
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -1,7 +1,7 @@
 //! What is believed of endpoints.
 
 use oatpier_serving::choice;
-use oatpier_serving::directory::{DirectoryChange, EndpointDirectory};
+use oatpier_serving::directory::{DirectoryChange, EndpointDirectory, EndpointRecord};
 use oatpier_serving::engine::{EndpointLoad, StartTime};
 use oatpier_serving::message::EnginePulse;
 use oatpier_serving::reading::SentPrompt;
@@ -271,3 +271,79 @@
     let row = directory.row(&endpoint("e9")).expect("it is still there");
     assert!(row.holds(&model("m1"), at(210)));
 }
+
+fn started(number: u8, start: u64) -> EndpointRecord {
+    EndpointRecord {
+        start: Some(StartTime(start)),
+        ..record(number, &["m1"])
+    }
+}
+
+fn is_open(directory: &EndpointDirectory, name: &str, now: u64) -> bool {
+    let row = directory.row(&endpoint(name));
+    row.is_some_and(|row| row.is_open(at(now)))
+}
+
+/// An engine says that it drains, and every gateway acknowledges it. The store comes back from a copy in which it is
+/// ready. It leaves all the same, so it must not get work; one that starts anew under its name must.
+#[test]
+fn an_engine_that_drains_is_not_ready_again_in_an_older_copy_of_the_store() {
+    let mut directory = EndpointDirectory::default();
+    let draining = EndpointRecord {
+        draining: true,
+        ..started(1, 7)
+    };
+    directory.apply_registry(vec![started(1, 7)], at(0));
+    assert!(is_open(&directory, "e1", 0));
+    directory.apply_registry(vec![draining], at(1_000));
+    directory.note_store_return(at(2_000));
+    directory.apply_registry(vec![started(1, 7)], at(2_000));
+    assert!(!is_open(&directory, "e1", 2_000));
+    directory.apply_registry(vec![started(1, 8)], at(3_000));
+    assert!(is_open(&directory, "e1", 3_000));
+}
+
+/// The same for engines that are gone: one that drained, and one whose entry lapsed. The second may live, and is
+/// known to once it is still listed when a dead one's entry would have lapsed.
+#[test]
+fn an_engine_that_is_gone_comes_back_only_if_it_lives() {
+    let mut directory = EndpointDirectory::default();
+    let drained = EndpointRecord {
+        draining: true,
+        ..started(1, 7)
+    };
+    directory.apply_registry(vec![drained, started(2, 7)], at(0));
+    directory.apply_registry(Vec::new(), at(1_000));
+    directory.note_store_return(at(3_000));
+    let copy = || vec![started(1, 7), started(2, 7), started(3, 7)];
+    directory.apply_registry(copy(), at(3_000));
+    assert!(directory.row(&endpoint("e1")).is_none());
+    assert!(directory.row(&endpoint("e2")).is_none());
+    assert!(is_open(&directory, "e3", 3_000));
+    directory.apply_registry(copy(), at(9_000));
+    assert!(directory.row(&endpoint("e1")).is_none());
+    assert!(is_open(&directory, "e2", 9_000));
+}
+
+/// Entries lapse while the store is away and come back: nothing was lost, and the engines take work at once.
+#[test]
+fn an_engine_whose_entry_lapsed_is_there_again_when_the_store_lists_it() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![started(1, 7)], at(0));
+    directory.apply_registry(Vec::new(), at(1_000));
+    directory.apply_registry(vec![started(1, 7)], at(2_000));
+    assert!(is_open(&directory, "e1", 2_000));
+}
+
+/// Engines that registered since the copy was made are missing until they write again, which takes a heartbeat or
+/// two. They must not be dropped meanwhile.
+#[test]
+fn an_engine_that_an_older_copy_does_not_have_stays_until_it_writes_again() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![started(1, 7)], at(0));
+    directory.note_store_return(at(1_000));
+    directory.apply_registry(Vec::new(), at(1_000));
+    assert!(is_open(&directory, "e1", 1_000));
+    directory.apply_registry(Vec::new(), at(4_000));
+    assert!(directory.row(&endpoint("e1")).is_none());
+}
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/quota_holder.rs
@@ -0,0 +1,147 @@
+//! What one part of a limit gives.
+
+use std::time::Duration;
+
+use oatpier_serving::quota::PartIndex;
+use oatpier_serving::quota::bounds::{PartTerms, QuotaBounds};
+use oatpier_serving::quota::holder::{PartAnswer, PartHolder, PartStart, UnitsWanted};
+use oatpier_serving::workspace::quota::{QuotaRule, QuotaUnit};
+use oatpier_types::names::WorkspaceName;
+
+use crate::support::{at, millis};
+
+const PART: PartIndex = PartIndex(0);
+
+const TERMS: PartTerms = PartTerms {
+    rate: 1_000.0,
+    capacity: 1_000.0,
+    debt: 500.0,
+};
+
+fn workspace(name: &str) -> WorkspaceName {
+    WorkspaceName::try_from(name).unwrap()
+}
+
+fn wanted(need: u64) -> UnitsWanted {
+    UnitsWanted { need, ahead: 0 }
+}
+
+fn ask(holder: &mut PartHolder, need: u64, now_ms: u64) -> PartAnswer {
+    holder.hand_out(PART, &workspace("one"), &TERMS, wanted(need), at(now_ms))
+}
+
+#[test]
+fn a_full_part_gives_its_capacity_and_its_debt_and_then_its_rate() {
+    let mut holder = PartHolder::default();
+    holder.begin(PART, PartStart::Full, at(0));
+    assert_eq!(ask(&mut holder, 1_500, 0), PartAnswer::Granted(1_500));
+    assert_eq!(ask(&mut holder, 100, 50), PartAnswer::Later(50));
+    assert_eq!(ask(&mut holder, 100, 100), PartAnswer::Granted(100));
+}
+
+#[test]
+fn an_empty_part_begins_at_its_rate() {
+    let mut holder = PartHolder::default();
+    holder.begin(PART, PartStart::Empty, at(1_000));
+    assert_eq!(ask(&mut holder, 700, 1_000), PartAnswer::Later(200));
+    assert_eq!(ask(&mut holder, 700, 1_200), PartAnswer::Granted(700));
+}
+
+#[test]
+fn what_is_not_held_gives_nothing() {
+    let mut holder = PartHolder::default();
+    assert_eq!(ask(&mut holder, 1, 0), PartAnswer::NotHeld);
+    holder.begin(PART, PartStart::Full, at(0));
+    holder.end(PART);
+    assert_eq!(ask(&mut holder, 1, 0), PartAnswer::NotHeld);
+}
+
+/// A request larger than all that can be saved up would never pass. It passes when the part is full, and the
+/// requests behind it wait for what it took.
+#[test]
+fn a_request_larger_than_the_part_passes_when_the_part_is_full() {
+    let mut holder = PartHolder::default();
+    holder.begin(PART, PartStart::Full, at(0));
+    assert_eq!(ask(&mut holder, 5_000, 0), PartAnswer::Granted(5_000));
+    assert_eq!(ask(&mut holder, 100, 3_000), PartAnswer::Later(600));
+}
+
+/// A dozen callers are refused within a moment. Told the same time, they would come back together, and all but
+/// one would be refused again.
+#[test]
+fn refused_callers_are_told_to_return_one_after_the_other() {
+    let mut holder = PartHolder::default();
+    holder.begin(PART, PartStart::Full, at(0));
+    ask(&mut holder, 1_500, 0);
+    let told: Vec<PartAnswer> = (0..4).map(|_| ask(&mut holder, 200, 0)).collect();
+    let expected = [200, 400, 600, 800].map(PartAnswer::Later);
+    assert_eq!(told, expected);
+}
+
+#[test]
+fn units_ahead_are_a_part_of_what_is_saved() {
+    let mut holder = PartHolder::default();
+    holder.begin(PART, PartStart::Full, at(0));
+    let ahead = UnitsWanted {
+        need: 200,
+        ahead: 5_000,
+    };
+    let answer = holder.hand_out(PART, &workspace("one"), &TERMS, ahead, at(0));
+    assert_eq!(answer, PartAnswer::Granted(400));
+}
+
+#[test]
+fn a_lower_limit_binds_at_once() {
+    let mut holder = PartHolder::default();
+    holder.begin(PART, PartStart::Full, at(0));
+    ask(&mut holder, 100, 0);
+    let lower = PartTerms {
+        rate: 10.0,
+        capacity: 10.0,
+        debt: 0.0,
+    };
+    let answer = holder.hand_out(PART, &workspace("one"), &lower, wanted(10), at(10_000));
+    assert_eq!(answer, PartAnswer::Granted(10));
+    let answer = holder.hand_out(PART, &workspace("one"), &lower, wanted(10), at(10_000));
+    assert_eq!(answer, PartAnswer::Later(1_000));
+}
+
+#[test]
+fn workspaces_do_not_use_up_each_others_units() {
+    let mut holder = PartHolder::default();
+    holder.begin(PART, PartStart::Full, at(0));
+    ask(&mut holder, 1_500, 0);
+    let other = holder.hand_out(PART, &workspace("two"), &TERMS, wanted(900), at(0));
+    assert_eq!(other, PartAnswer::Granted(900));
+}
+
+#[test]
+fn what_was_given_lapses_within_what_the_overage_covers() {
+    let bounds = |window_s, overage| QuotaBounds {
+        window: Duration::from_secs(window_s),
+        overage,
+        slack: 0.0,
+    };
+    assert_eq!(bounds(8, 0.1).grant_life(), millis(800));
+    assert_eq!(bounds(4, 0.1).grant_life(), millis(400));
+    assert_eq!(bounds(8, 0.0).grant_life(), millis(50));
+}
+
+#[test]
+fn the_parts_together_give_the_limit() {
+    let bounds = QuotaBounds {
+        window: Duration::from_secs(8),
+        overage: 0.1,
+        slack: 600.0,
+    };
+    let rule = QuotaRule {
+        rate: 3_000.0,
+        burst: 900.0,
+        unit: QuotaUnit::Requests,
+    };
+    let part = bounds.part(&rule);
+    assert_eq!(
+        (part.rate, part.capacity, part.debt),
+        (1_000.0, 300.0, 100.0)
+    );
+}
--- a/crates/oatpier-serving/tests/testsuite/reads.rs
+++ b/crates/oatpier-serving/tests/testsuite/reads.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use oatpier_serving::reads::{ReadSchedule, StoreDigest, StoreView, WordOutcome};
+use oatpier_serving::reads::{
+    OwnEntries, ReadSchedule, StoreDigest, StoreView, WordOutcome, config_mark,
+};
 
 use crate::support::{at, millis, record};
 
@@ -154,3 +156,23 @@
     moved[0].cold = millis(5);
     assert_eq!(digest, StoreDigest::of(7, &moved));
 }
+
+/// The store comes back from an older copy and gives its revisions out again: an old configuration then has the
+/// revision of a new one. A gateway that knows the old one must not take a neighbour's word for its own view.
+#[test]
+fn configurations_are_told_apart_by_what_they_say() {
+    assert_ne!(
+        config_mark(b"{\"version\":7}"),
+        config_mark(b"{\"version\":8}")
+    );
+    let view = |era| {
+        StoreView::new(7, vec![record(1, &["m1"])]).with_own(&OwnEntries {
+            crashes: &[],
+            parts: &[],
+            era,
+        })
+    };
+    let word = view(2).word_since(Some(&view(2)));
+    assert_eq!(view(2).take_word(&word), WordOutcome::Same);
+    assert_eq!(view(1).take_word(&word), WordOutcome::Unknown);
+}
--- a/crates/oatpier-serving/tests/testsuite/site.rs
+++ b/crates/oatpier-serving/tests/testsuite/site.rs
@@ -25,6 +25,7 @@
             head_wait: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         },
+        workspaces: None,
     }
 }
 
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -149,6 +149,7 @@
             weight: 1,
         }],
         max_attempts: 1,
+        is_public: false,
     }
 }
 
--- a/crates/oatpier-types/src/names.rs
+++ b/crates/oatpier-types/src/names.rs
@@ -146,4 +146,6 @@
     DaemonName, "daemon";
     /// Who sent a request, as far as the entry can tell.
     CallerName, "caller";
+    /// Callers that share keys, a priority and a quota.
+    WorkspaceName, "workspace";
 }
