Pass the configuration on between gateways, and count what workspaces ask of their limits

Cause: a gateway that the store turns away for longer than the bound keeps its old configuration: a key taken away works there and one added is unknown, while its neighbours know. Ruled out: the configuration in datagrams (some hundred kilobytes); only the taken keys in reports (a lower limit and a moved route would still be missing). Now: reports say which version a gateway has and how long ago it was known to be the store's; whoever can't read the store fetches a newer version whole, by HTTP and rmp-serde, keys as digests, and knows its own for current as long as anybody of the same version does.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -23,14 +23,13 @@
 use oatpier_serving::reads::StoreWord;
 use oatpier_serving::relays::RelayQueue;
 use oatpier_serving::site::{RouteRule, SiteConfig};
-use oatpier_serving::workspace::WorkspaceTable;
 use oatpier_serving::workspace::quota::QuotaRule;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{DaemonName, PoolName, WorkspaceName, ZoneName};
 use oatpier_types::refusal::{Refusal, RefusalCause};
 use oatpier_wire::client::{ClientLimits, HttpClient};
 use rand::RngExt;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::permits::PermitBook;
 use super::quota::QuotaAsks;
@@ -65,6 +64,10 @@
     pub words: RingSender<StoreWord>,
     /// Where the duty that writes crashes hears what is to be written.
     pub crash_changes: RingSender<CrashChange>,
+    /// Where the configuration in force is passed on.
+    pub shared_config: watch::Sender<Option<Arc<SiteConfig>>>,
+    /// Where the duty that fetches configurations hears who has a newer one.
+    pub config_wanted: RingSender<SocketAddr>,
     /// Where the duty that claims parts of limits hears which are due.
     pub claims: RingSender<DueClaim>,
 }
@@ -94,6 +97,10 @@
     pub(super) planner: LoadPlanner,
     pub(super) judge: AdmissionJudge,
     pub(super) store_read_at: Option<ClockTime>,
+    /// When the configuration was last known to be the store's, by an own read or another gateway's.
+    pub(super) config_known_at: Option<ClockTime>,
+    /// When a newer configuration was last asked for.
+    pub(super) config_wanted_at: Option<ClockTime>,
     /// Which copy of the store was read last.
     pub(super) store_era: Option<StoreEra>,
     /// Whether demand that can't be served came since the last report to peers.
@@ -126,6 +133,8 @@
     /// Units of limits that are waited for.
     pub(super) quota_asks: QuotaAsks,
     pub(super) claims: RingSender<DueClaim>,
+    pub(super) shared_config: watch::Sender<Option<Arc<SiteConfig>>>,
+    pub(super) config_wanted: RingSender<SocketAddr>,
     /// Calls endpoints.
     pub client: HttpClient,
     able: Arc<AtomicBool>,
@@ -161,6 +170,8 @@
             }),
             holder: PartHolder::default(),
             grants: GrantBook::default(),
+            config_known_at: None,
+            config_wanted_at: None,
             store_era: None,
             relayed: RelayQueue::default(),
             planner: LoadPlanner::default(),
@@ -184,6 +195,8 @@
             permits: PermitBook::default(),
             quota_asks: QuotaAsks::default(),
             claims: inputs.claims,
+            shared_config: inputs.shared_config,
+            config_wanted: inputs.config_wanted,
             client: HttpClient::new(ClientLimits {
                 connect: CONNECT_WAIT,
                 idle: IDLE_CONNECTION,
@@ -233,19 +246,12 @@
         self.lock().config.clone()
     }
 
-    /// Whether a configuration that is in force everywhere would be known here.
-    #[must_use]
-    pub fn is_current(&self) -> bool {
-        let bound = self.settings.borrow().bounds.config;
-        let read_at = self.lock().store_read_at;
-        read_at.is_some_and(|at| self.clock.now().since(at) <= bound)
-    }
-
     /// Takes what the store said. A version never gives way to an older one.
     pub fn take_records(&self, config: Option<Arc<SiteConfig>>, endpoints: Vec<EndpointRecord>) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.store_read_at = Some(now);
+        state.config_known_at = Some(now);
         if let Some(config) = config {
             self.take_config(&mut state, config);
         }
@@ -267,32 +273,6 @@
         }
     }
 
-    fn take_config(&self, state: &mut CoreState, config: Arc<SiteConfig>) {
-        let known = state.config.as_ref().map_or(0, |known| known.version);
-        let newer = state.config.is_none() || config.version > known;
-        let outcome = if newer { "in force" } else { "older, left out" };
-        let line = DecisionLine::new(LineWeight::Notable, "configuration")
-            .with("version", config.version)
-            .with("known", known)
-            .with("routes", config.routes.len())
-            .with("outcome", outcome);
-        self.log.write(line);
-        if newer {
-            let version = i64::try_from(config.version).unwrap_or(i64::MAX);
-            self.metrics.config_version.set(version);
-            state.limits = limits_of(&config);
-            let CoreState {
-                limits,
-                holder,
-                grants,
-                ..
-            } = &mut *state;
-            holder.retain(|workspace| limits.contains_key(workspace));
-            grants.retain(|workspace| limits.contains_key(workspace));
-            state.config = Some(config);
-        }
-    }
-
     /// Notes which copy of the store was read; says whether it is an older one than before, come back.
     pub fn note_era(&self, era: StoreEra) -> bool {
         let now = self.clock.now();
@@ -325,7 +305,10 @@
 
     /// The store holds what is known.
     pub fn note_store_same(&self) {
-        self.lock().store_read_at = Some(self.clock.now());
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.store_read_at = Some(now);
+        state.config_known_at = Some(now);
     }
 
     /// The store could not be read.
@@ -399,12 +382,6 @@
     }
 }
 
-fn limits_of(config: &SiteConfig) -> HashMap<WorkspaceName, QuotaRule> {
-    let rules = config.workspaces.iter().flat_map(WorkspaceTable::rules);
-    let limited = rules.filter_map(|rule| Some((rule.name.clone(), rule.quota?)));
-    limited.collect()
-}
-
 fn shown(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -6,6 +6,7 @@
 
 use oatpier_duty::duty::{RingReceiver, StopPhase, StopSignal};
 use oatpier_serving::message::InnerMessage;
+use oatpier_serving::site::SiteConfig;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::core::GatewayCore;
@@ -23,23 +24,36 @@
 /// From one look at the parts of limits to the next; renewals are seconds apart.
 const TEND_EVERY: Duration = Duration::from_millis(200);
 
+/// From one count of what workspaces asked of the parts that are held here to the next.
+const COUNT_EVERY: Duration = Duration::from_secs(1);
+
+/// What other duties of the process tell this one.
+pub struct ExchangeInputs {
+    /// What lies in the store.
+    pub news: RingReceiver<StoreNews>,
+    /// What came of claims of parts.
+    pub claims: RingReceiver<ClaimResult>,
+    /// Configurations that other gateways passed on.
+    pub fetched: RingReceiver<Arc<SiteConfig>>,
+}
+
 /// Exchanges messages until the process ends.
 pub async fn run(
     core: Arc<GatewayCore>,
     socket: &InnerSocket,
-    news: RingReceiver<StoreNews>,
-    claims: RingReceiver<ClaimResult>,
+    inputs: ExchangeInputs,
     stop: &StopSignal,
 ) {
     let reporter = PeerReporter::new(&core, stop);
     tokio::join!(
         hear(&core, socket),
-        take_news(&core, &news),
+        take_news(&core, &inputs.news),
+        take_passed_configs(&core, &inputs.fetched),
         greet(&core),
         pass_on(&core),
         report(reporter),
         plan(&core, stop),
-        tend_parts(&core, &claims, stop),
+        tend_parts(&core, &inputs.claims, stop),
     );
 }
 
@@ -51,6 +65,7 @@
             InnerMessage::Spread(word) => core.take_spread(word),
             InnerMessage::Relayed(words) => core.take_relayed(words),
             InnerMessage::Peer(report) => {
+                core.take_config_standing(from, report.config);
                 let now = core.clock.now();
                 core.lock().peers.take_report(from, *report, now);
             }
@@ -98,6 +113,13 @@
     std::future::pending::<()>().await;
 }
 
+async fn take_passed_configs(core: &GatewayCore, fetched: &RingReceiver<Arc<SiteConfig>>) {
+    while let Some(config) = fetched.receive().await {
+        core.take_passed_config(config);
+    }
+    std::future::pending::<()>().await;
+}
+
 /// Passes on to the gateways of the same zone what sidecars told this one.
 async fn pass_on(core: &GatewayCore) {
     let mut ticks = interval(RELAY_EVERY);
@@ -122,9 +144,12 @@
 async fn tend_parts(core: &GatewayCore, claims: &RingReceiver<ClaimResult>, stop: &StopSignal) {
     let mut ticks = interval(TEND_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut counting = interval(COUNT_EVERY);
+    counting.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = ticks.tick() => core.tend_parts(stop.phase() != StopPhase::Serving),
+            _ = counting.tick() => core.count_limit_use(),
             result = claims.receive() => match result {
                 Some(result) => core.take_claim(result),
                 None => break,
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -114,7 +114,7 @@
         }
     };
     if let Err(own) = charge(core, &mut plan).await {
-        return unplanned(core, &message.head, own);
+        return uncharged(core, &plan, own);
     }
     let plan = Arc::new(plan);
     core.note_arrival(&plan);
@@ -167,6 +167,28 @@
     own.reply(&id)
 }
 
+/// Answers a request that its workspace's limit keeps out, or may keep out.
+fn uncharged(core: &GatewayCore, plan: &RequestPlan, own: OwnAnswer) -> Reply {
+    let id = plan.request.id.as_str();
+    let mut line = DecisionLine::new(LineWeight::Notable, "answer")
+        .with("request", id)
+        .with("outcome", own.as_str())
+        .with("route", plan.route.name.as_str());
+    if let Some(workspace) = plan.identity.workspace() {
+        let limit = core.limit_of(workspace);
+        line = line
+            .with("workspace", workspace.name.as_str())
+            .with("units", limit.map(|rule| rule.cost(&plan.request)))
+            .with("limit_per_s", limit.map(|rule| rule.rate))
+            .with("burst", limit.map(|rule| rule.burst));
+        core.metrics.workspace_asked(&workspace.name, own.as_str());
+    }
+    core.log.write(line);
+    core.metrics
+        .answered(plan.route.name.as_str(), own.as_str());
+    own.reply(id)
+}
+
 fn plan(
     core: &GatewayCore,
     route: Arc<RouteRule>,
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! A gateway: takes callers' requests, sends them straight to endpoints, answers for the outcome.
 //!
+//! - `configuration`: the configuration in force, and where it comes from.
 //! - [`core`]: what all requests share: configuration, directory, demand, budget.
 //! - [`handler`]: one request, from its head to its final answer.
 //! - [`placement`]: a request on its way, and what is to be done with it.
@@ -22,6 +23,7 @@
 mod accounts;
 pub mod answers;
 pub mod attempt;
+mod configuration;
 pub mod core;
 mod crashes;
 pub mod exchanges;
@@ -47,9 +49,12 @@
     ring,
 };
 use oatpier_serving::node::NodeSettings;
+use oatpier_serving::site::SiteConfig;
 use oatpier_wire::server::{self, ServerLimits};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::config_share::{ConfigShareInputs, share_config};
 use crate::crash_writer::{CrashWriterInputs, write_crashes};
 use crate::exchange::{InnerSocket, MessageOutlet};
 use crate::frame::{FrameInputs, ProcessFrame};
@@ -58,6 +63,7 @@
 use crate::reload::{SettingsFeed, SettingsSource};
 
 use self::core::{CoreInputs, GatewayCore};
+use self::exchanges::ExchangeInputs;
 use self::handler::GatewayHandler;
 
 /// News of the store that wait to be taken; a full ring makes the reader wait.
@@ -80,6 +86,9 @@
 /// ring full is known to the gateways that were told.
 const CRASH_RING: usize = 512;
 
+/// Gateways that have a newer configuration, and configurations that they passed on.
+const FETCH_RING: usize = 2;
+
 /// Claims of parts of limits on their way to the store, and their results on the way back. There are a few parts.
 const CLAIM_RING: usize = 8;
 
@@ -97,6 +106,7 @@
     core: CoreInputs,
     news: RingReceiver<StoreNews>,
     claims: RingReceiver<ClaimResult>,
+    fetched: RingReceiver<Arc<SiteConfig>>,
     stop: StopSignal,
 }
 
@@ -138,7 +148,13 @@
     let (claim_sender, due_claims) =
         ring(CLAIM_RING, RingRule::Drop, frame.metrics.ring_full.clone());
     let (result_sender, claims) = ring(CLAIM_RING, RingRule::Wait, frame.metrics.ring_full.clone());
+    let (shared_config, config_feed) = watch::channel(None);
+    let (wanted_sender, wanted) = ring(FETCH_RING, RingRule::Drop, frame.metrics.ring_full.clone());
+    let (fetched_sender, fetched) =
+        ring(FETCH_RING, RingRule::Wait, frame.metrics.ring_full.clone());
     let core = CoreInputs {
+        shared_config,
+        config_wanted: wanted_sender,
         claims: claim_sender,
         clock: RuntimeClock::start(),
         metrics: frame.metrics.clone(),
@@ -156,6 +172,14 @@
     frame
         .process
         .spawn("crashes", || write_crashes(writer_inputs));
+    let share_inputs = ConfigShareInputs {
+        listener: bind(inner, "the configuration, for other gateways")?,
+        config: config_feed,
+        wanted,
+        fetched: fetched_sender,
+        stop: stop.clone(),
+    };
+    frame.process.spawn("config", || share_config(share_inputs));
     let parts_inputs = PartsWriterInputs {
         settings: frame.settings.clone(),
         claims: due_claims,
@@ -179,6 +203,7 @@
         core,
         news,
         claims,
+        fetched,
         stop,
     };
     frame
@@ -200,12 +225,17 @@
     };
     let outlet: Arc<dyn MessageOutlet> = Arc::clone(&socket) as Arc<dyn MessageOutlet>;
     let core = Arc::new(GatewayCore::new(inputs.settings, inputs.core, outlet));
+    let heard = ExchangeInputs {
+        news: inputs.news,
+        claims: inputs.claims,
+        fetched: inputs.fetched,
+    };
     let serving = serve_callers(inputs.listener, Arc::clone(&core), &stop);
     tokio::select! {
         () = serving => {}
         () = close_after_notice(&core, &stop) => {}
         () = watch_pace(&core) => {}
-        () = exchanges::run(Arc::clone(&core), &socket, inputs.news, inputs.claims, &stop) => {}
+        () = exchanges::run(Arc::clone(&core), &socket, heard, &stop) => {}
     }
     stop.advance(StopPhase::Ended);
 }
--- a/crates/oatpier-gateway/src/gateway/quota.rs
+++ b/crates/oatpier-gateway/src/gateway/quota.rs
@@ -302,6 +302,28 @@
         state.grants.set_holders(holders);
     }
 
+    /// Counts and logs what workspaces asked of the parts that are held here. A line for each that was refused some.
+    pub(super) fn count_limit_use(&self) {
+        let uses = self.lock().holder.count_use();
+        for used in uses {
+            let workspace = &used.workspace;
+            let units = used.units;
+            self.metrics
+                .workspace_used(workspace, "granted", units.granted);
+            if units.refused == 0 {
+                continue;
+            }
+            self.metrics
+                .workspace_used(workspace, "refused", units.refused);
+            let line = DecisionLine::new(LineWeight::Notable, "limit use")
+                .with("workspace", workspace.as_str())
+                .with("granted", units.granted)
+                .with("refused", units.refused)
+                .with("saved", used.saved.round());
+            self.log.write(line);
+        }
+    }
+
     /// Claims and renews parts as they are due.
     pub(super) fn tend_parts(&self, is_leaving: bool) {
         let now = self.clock.now();
--- a/crates/oatpier-gateway/src/gateway/reports.rs
+++ b/crates/oatpier-gateway/src/gateway/reports.rs
@@ -123,6 +123,7 @@
             is_behind: own.is_behind,
             leaving: self.stop.phase() != StopPhase::Serving,
             engines_heard: own.engines_heard,
+            config: self.core.config_standing(self.core.clock.now()),
             is_partial: false,
             demand: Vec::new(),
             uses: Vec::new(),
--- a/crates/oatpier-gateway/tests/testsuite/keys.rs
+++ b/crates/oatpier-gateway/tests/testsuite/keys.rs
@@ -1,14 +1,21 @@
 //! Keys of workspaces: who may send, whose request it is, and what a gateway says that can't know.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
+use oatpier_duty::duty::{RingRule, StopSignal, ring};
+use oatpier_gateway::config_share::{ConfigShareInputs, share_config};
+use oatpier_gateway::metrics::ServingMetrics;
+use oatpier_serving::message::ConfigStanding;
 use oatpier_serving::site::{RouteKind, RouteRule, SiteConfig};
 use oatpier_serving::workspace::keys::KeyDigest;
 use oatpier_serving::workspace::{DeclaredWorkspace, WorkspaceRule, WorkspaceTable};
 use oatpier_types::names::WorkspaceName;
 
+use tokio::sync::watch;
+
 use crate::support::{
     EndpointStep, ScriptedEndpoint, TestGateway, config, own_answer, record, request, route,
 };
@@ -162,3 +169,78 @@
     assert_eq!(answer.status(), StatusCode::UNAUTHORIZED);
     assert!(endpoint.requests().is_empty());
 }
+
+/// The store turns one gateway away for ten seconds and serves its neighbour. A key is taken away meanwhile. The
+/// gateway hears of a newer version and takes it from the neighbour: the key no longer works there, though no read
+/// of its own has shown it.
+#[tokio::test]
+async fn a_gateway_that_the_store_turns_away_takes_the_configuration_from_another_one() {
+    let endpoint = ScriptedEndpoint::start(answers(1)).await;
+    let both = vec![workspace("one", &["k1"]), workspace("two", &["k2"])];
+    let config = keyed(1, route(RouteKind::Unsafe, 1), both);
+    let gateway = gateway_with(config, &endpoint);
+    let newer = keyed(
+        2,
+        route(RouteKind::Unsafe, 1),
+        vec![workspace("two", &["k2"])],
+    );
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let neighbour = listener.local_addr().unwrap();
+    let metrics = ServingMetrics::default();
+    let full = metrics.ring_full.clone();
+    let (wanted_sender, wanted) = ring(2, RingRule::Drop, full.clone());
+    let (fetched_sender, fetched) = ring(2, RingRule::Wait, full);
+    let (_shared, feed) = watch::channel(Some(Arc::new(newer)));
+    let sharing = tokio::spawn(share_config(ConfigShareInputs {
+        listener,
+        config: feed,
+        wanted,
+        fetched: fetched_sender,
+        stop: StopSignal::default(),
+    }));
+    assert!(wanted_sender.offer(neighbour).is_ok());
+    let passed = fetched.receive().await.unwrap();
+    gateway.core.take_passed_config(passed);
+    let refused = gateway
+        .send(request(&[("authorization", "Bearer k1")]))
+        .await;
+    assert_eq!(refused.status(), StatusCode::UNAUTHORIZED);
+    let served = gateway
+        .send(request(&[("authorization", "Bearer k2")]))
+        .await;
+    assert_eq!(served.status(), StatusCode::OK);
+    sharing.abort();
+}
+
+/// A gateway asks for a newer configuration only while its own reads fail, and not once for each report.
+#[tokio::test(start_paused = true)]
+async fn a_newer_configuration_is_asked_for_once_while_the_store_does_not_answer() {
+    let gateway = TestGateway::unconfigured();
+    let config = keyed(3, route(RouteKind::Unsafe, 1), Vec::new());
+    gateway
+        .core
+        .take_records(Some(Arc::new(config)), Vec::new());
+    let peer = SocketAddr::from(([10, 0, 0, 9], 7380));
+    let tell = |gateway: &TestGateway, version| {
+        let told = ConfigStanding { version, age_ms: 0 };
+        gateway.core.take_config_standing(peer, told);
+    };
+    tell(&gateway, 4);
+    assert!(
+        gateway.config_wanted.poll().is_none(),
+        "its own read is a moment old"
+    );
+    tokio::time::advance(Duration::from_secs(2)).await;
+    tell(&gateway, 2);
+    assert!(gateway.config_wanted.poll().is_none(), "that one is older");
+    tell(&gateway, 4);
+    tell(&gateway, 4);
+    assert_eq!(gateway.config_wanted.poll(), Some(peer));
+    assert!(gateway.config_wanted.poll().is_none());
+    // The same version, known to be the store's by somebody else, is as good as an own read.
+    tokio::time::advance(Duration::from_secs(2)).await;
+    assert!(!gateway.core.is_current());
+    tell(&gateway, 3);
+    assert!(gateway.core.is_current());
+}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -192,6 +192,8 @@
     pub outlet: Arc<KeptOutlet>,
     /// What it has to write on crashes.
     pub written: RingReceiver<CrashChange>,
+    /// Gateways that have a newer configuration.
+    pub config_wanted: RingReceiver<SocketAddr>,
     handler: GatewayHandler,
 }
 
@@ -203,6 +205,7 @@
         let (log, _) = DecisionLog::new("gateway", &metrics);
         let full = metrics.ring_full.clone();
         let (crash_changes, written) = ring(64, RingRule::Drop, full.clone());
+        let (wanted_sender, config_wanted) = ring(2, RingRule::Drop, full.clone());
         let inputs = CoreInputs {
             clock: RuntimeClock::start(),
             metrics,
@@ -210,6 +213,8 @@
             able: Arc::default(),
             words: ring(8, RingRule::Drop, full).0,
             crash_changes,
+            shared_config: watch::channel(None).0,
+            config_wanted: wanted_sender,
             claims: ring(8, RingRule::Drop, ServingMetrics::default().ring_full).0,
         };
         let (_, feed) = watch::channel(Arc::new(settings()));
@@ -220,6 +225,7 @@
             core,
             outlet,
             written,
+            config_wanted,
         }
     }
 
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -337,6 +337,8 @@
     pub leaving: bool,
     /// Engines whose sidecars it hears.
     pub engines_heard: u32,
+    /// Which configuration it has.
+    pub config: ConfigStanding,
     /// Whether `demand` holds only the models whose requests could not be served since the last report. The
     /// others, and `uses`, stay as they were told last.
     pub is_partial: bool,
@@ -346,6 +348,16 @@
     pub uses: Vec<ModelUse>,
 }
 
+/// Which configuration a gateway has, and how sure it is that there is no newer one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ConfigStanding {
+    /// Its version; 0 for none.
+    pub version: u64,
+    /// How long ago it was known to be the store's, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// A gateway's requests for one model at one engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/oatpier-serving/src/quota/holder.rs
+++ b/crates/oatpier-serving/src/quota/holder.rs
@@ -54,6 +54,28 @@
     at: ClockTime,
     /// When the last refused request was told to return; the next one returns after it.
     returns_until: ClockTime,
+    /// What was handed out, and asked for in vain, since it was last counted.
+    use_lately: UnitsUse,
+}
+
+/// What became of asks for units.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UnitsUse {
+    /// Units that were handed out.
+    pub granted: u64,
+    /// Units that were asked for in vain.
+    pub refused: u64,
+}
+
+/// What one workspace asked of the parts that are held here, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkspaceUse {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// What was handed out and refused since the last count.
+    pub units: UnitsUse,
+    /// What is saved up, below zero for a debt.
+    pub saved: f64,
 }
 
 impl PartBucket {
@@ -69,12 +91,14 @@
         // What is larger than all that can be saved up passes when that much is there; it could never pass else.
         let reach = need.min(terms.capacity + terms.debt);
         if self.level + terms.debt < reach {
+            self.use_lately.refused += wanted.need;
             return PartAnswer::Later(self.return_after(terms, reach, now));
         }
         self.level -= need;
         let ahead = (self.level * AHEAD_SHARE).clamp(0.0, units(wanted.ahead));
         let ahead = whole(ahead);
         self.level -= units(ahead);
+        self.use_lately.granted += wanted.need + ahead;
         PartAnswer::Granted(wanted.need + ahead)
     }
 
@@ -145,17 +169,34 @@
             },
             at: begin.at,
             returns_until: now,
+            use_lately: UnitsUse::default(),
         };
         let bucket = begin.buckets.entry(workspace.clone()).or_insert(fresh);
         bucket.hand_out(terms, wanted, now)
     }
 
-    /// Units of a workspace that are saved up here, over all parts that are held.
-    #[must_use]
-    pub fn saved(&self, workspace: &WorkspaceName) -> f64 {
-        let buckets = self.begun.values();
-        let levels = buckets.filter_map(|begin| begin.buckets.get(workspace));
-        levels.map(|bucket| bucket.level).sum()
+    /// Counts what was asked of the parts that are held here since the last count, by workspace.
+    pub fn count_use(&mut self) -> Vec<WorkspaceUse> {
+        let mut uses: HashMap<WorkspaceName, (UnitsUse, f64)> = HashMap::new();
+        let buckets = self.begun.values_mut();
+        for (workspace, bucket) in buckets.flat_map(|begin| &mut begin.buckets) {
+            let units = std::mem::take(&mut bucket.use_lately);
+            if units == UnitsUse::default() {
+                continue;
+            }
+            let (sum, saved) = uses.entry(workspace.clone()).or_default();
+            sum.granted += units.granted;
+            sum.refused += units.refused;
+            *saved += bucket.level;
+        }
+        let uses = uses
+            .into_iter()
+            .map(|(workspace, (units, saved))| WorkspaceUse {
+                workspace,
+                units,
+                saved,
+            });
+        uses.collect()
     }
 }
 
--- a/crates/oatpier-serving/src/site.rs
+++ b/crates/oatpier-serving/src/site.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use oatpier_types::names::{ClassName, ModelName, PoolName};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::engine::LocalCopies;
@@ -11,6 +12,7 @@
 
 /// One version of the configuration.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SiteConfig {
     /// Rises with each change, in uneven steps.
     pub version: u64,
@@ -26,6 +28,7 @@
 
 /// Which requests belong to a class of work, and how they are served.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RouteRule {
     /// The class of work.
     pub name: ClassName,
@@ -51,6 +54,7 @@
 
 /// What may be repeated, and what an answer looks like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RouteKind {
     /// Whole answers; running twice does no harm.
     Safe,
@@ -88,6 +92,7 @@
 
 /// A service with its share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
     pub service: PoolName,
@@ -97,6 +102,7 @@
 
 /// A service: endpoints that serve the same.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceRule {
     /// Its name.
     pub name: PoolName,
@@ -110,6 +116,7 @@
 
 /// What the engines of a service may hold.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineRule {
     /// Memory for weights and adapters, in MB.
     pub weights_mb: f64,
@@ -143,6 +150,7 @@
 
 /// A model that engines may be ordered to load.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ModelRule {
     /// Its name.
     pub name: ModelName,
@@ -174,6 +182,7 @@
 
 /// Bounds on what callers send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CallerLimits {
     /// The largest request head, in bytes.
     pub head_bytes: usize,
--- a/crates/oatpier-serving/src/workspace/keys.rs
+++ b/crates/oatpier-serving/src/workspace/keys.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
 /// Bytes of a digest that are kept. Whoever wants to pass without a key would have to find a text for one of
@@ -17,6 +18,7 @@
 
 /// The digest of a key.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyDigest([u8; DIGEST_BYTES]);
 
 impl KeyDigest {
@@ -49,6 +51,7 @@
 
 /// Which workspace holds a key, by its place in the configuration.
 #[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyIndex {
     places: HashMap<KeyDigest, u32>,
 }
--- a/crates/oatpier-serving/src/workspace/mod.rs
+++ b/crates/oatpier-serving/src/workspace/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use oatpier_types::names::WorkspaceName;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use self::keys::{KeyDigest, KeyIndex};
@@ -33,6 +34,7 @@
 
 /// A workspace.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkspaceRule {
     /// Its name, as endpoints are told it.
     pub name: WorkspaceName,
@@ -53,6 +55,7 @@
 
 /// All workspaces of a configuration.
 #[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkspaceTable {
     rules: Vec<Arc<WorkspaceRule>>,
     keys: KeyIndex,
--- a/crates/oatpier-serving/src/workspace/quota.rs
+++ b/crates/oatpier-serving/src/workspace/quota.rs
@@ -1,5 +1,6 @@
 //! What a workspace may use, over all gateways.
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::call::CallerRequest;
@@ -20,6 +21,7 @@
 
 /// What a request counts as.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum QuotaUnit {
     /// One.
     Requests,
@@ -43,6 +45,7 @@
 
 /// A limit on what a workspace uses.
 #[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct QuotaRule {
     /// Units a second, above zero.
     pub rate: f64,
--- a/crates/oatpier-serving/tests/testsuite/quota_holder.rs
+++ b/crates/oatpier-serving/tests/testsuite/quota_holder.rs
@@ -4,7 +4,7 @@
 
 use oatpier_serving::quota::PartIndex;
 use oatpier_serving::quota::bounds::{PartTerms, QuotaBounds};
-use oatpier_serving::quota::holder::{PartAnswer, PartHolder, PartStart, UnitsWanted};
+use oatpier_serving::quota::holder::{PartAnswer, PartHolder, PartStart, UnitsUse, UnitsWanted};
 use oatpier_serving::workspace::quota::{QuotaRule, QuotaUnit};
 use oatpier_types::names::WorkspaceName;
 
@@ -145,3 +145,21 @@
         (1_000.0, 300.0, 100.0)
     );
 }
+
+#[test]
+fn what_was_handed_out_and_refused_is_counted_once_by_workspace() {
+    let mut holder = PartHolder::default();
+    for part in [PART, PartIndex(1)] {
+        holder.begin(part, PartStart::Full, at(0));
+        holder.hand_out(part, &workspace("one"), &TERMS, wanted(1_200), at(0));
+        holder.hand_out(part, &workspace("one"), &TERMS, wanted(600), at(0));
+    }
+    let uses = holder.count_use();
+    assert_eq!(uses.len(), 1);
+    let units = UnitsUse {
+        granted: 2_400,
+        refused: 1_200,
+    };
+    assert_eq!((uses[0].units, uses[0].saved), (units, -400.0));
+    assert!(holder.count_use().is_empty());
+}
