--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -20,6 +20,10 @@
 /// endpoint, reading the prompt, and the error of the prediction.
 const WAIT_SHARE: f64 = 0.7;
 
+/// The share of a class's target within which a plain service's answer must be expected; the rest is the way there
+/// and back, and the error of the prediction.
+const ANSWER_SHARE: f64 = 0.85;
+
 /// The share of an engine's slots by which the most urgent classes may go over them: their requests
 /// are short, and the engine has the next one at hand when a slot is free. More, or for all classes,
 /// makes everything behind it late: with 0, 5, 15 and 30% for all, the mean worth of the heavy days
@@ -164,7 +168,7 @@
 fn has_slot(query: &AdmissionQuery<'_>) -> bool {
     let (choice, route) = (query.choice, query.route);
     if !choice.batches {
-        return choice.queue <= query.latest();
+        return has_turn(query);
     }
     if choice.memory_full {
         return false;
@@ -172,6 +176,20 @@
     choice.occupancy < slots_share(query.is_late(), is_urgent(route, query.priority))
 }
 
+/// Whether a request goes to a plain service now.
+///
+/// In a burst a queue at the service makes everybody late who stands in it: it serves as many a second as without
+/// one, and none in time. So a request goes there while its whole answer is expected in time. One that can only be
+/// late takes what the others leave.
+fn has_turn(query: &AdmissionQuery<'_>) -> bool {
+    let choice = query.choice;
+    let expected = query.waited + choice.predicted;
+    if expected <= query.route.target.mul_f64(ANSWER_SHARE) {
+        return true;
+    }
+    choice.queue.is_zero() && choice.occupancy < 1.0 - LATE_RESERVE
+}
+
 /// Whether requests of this rank on a route are of the most urgent ones, which may go over an engine's slots by a
 /// few.
 #[must_use]
--- a/crates/oatpier-serving/tests/testsuite/admission.rs
+++ b/crates/oatpier-serving/tests/testsuite/admission.rs
@@ -144,3 +144,27 @@
         AdmissionVerdict::Send
     );
 }
+
+/// A plain service gets more requests for some seconds than it can bear. Each gateway sends while the queue there is
+/// below what the target allows, and then everybody waits in that queue and nobody is in time. A request is sent
+/// only where it is expected in time; one that can't be in time any more takes a free slot and no other's turn.
+#[test]
+fn a_plain_service_is_sent_what_it_can_answer_in_time() {
+    let mut judge = AdmissionJudge::new(1);
+    let route = route(300, 2);
+    let plain = |occupancy, queue_ms: u64, answer_ms: u64| EndpointChoice {
+        predicted: millis(queue_ms + answer_ms),
+        batches: false,
+        ..choice(occupancy, millis(queue_ms))
+    };
+    let mut verdict = |choice: &EndpointChoice, waited| judged(&mut judge, choice, &route, waited);
+    assert_eq!(verdict(&plain(0.5, 0, 70), 0), AdmissionVerdict::Send);
+    assert_eq!(verdict(&plain(2.0, 100, 70), 0), AdmissionVerdict::Send);
+    assert_ne!(verdict(&plain(3.0, 200, 70), 0), AdmissionVerdict::Send);
+    assert_ne!(verdict(&plain(2.0, 100, 70), 150), AdmissionVerdict::Send);
+    // It is late, and a slot is free, or only just not.
+    assert_eq!(verdict(&plain(0.8, 0, 70), 900), AdmissionVerdict::Send);
+    assert_ne!(verdict(&plain(1.0, 0, 70), 900), AdmissionVerdict::Send);
+    // A slow service is still used, as far as it has slots.
+    assert_eq!(verdict(&plain(0.5, 0, 900), 0), AdmissionVerdict::Send);
+}
