Parts of limits go on at once after a restart, and a request waits a moment for its units

Now: parts are claimed with the read that shows them, an inherited part is filled from the process's start on, and a request waits up to a quarter of its target for units that are coming, before it costs anybody anything.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -166,6 +166,7 @@
             tenure: PartTenure::new(TenureIdentity {
                 address: settings.inner_address(),
                 boot: rand::random(),
+                started_at: ClockTime::ZERO,
                 first_start: settings.first_start,
             }),
             holder: PartHolder::default(),
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -47,7 +47,7 @@
     let reporter = PeerReporter::new(&core, stop);
     tokio::join!(
         hear(&core, socket),
-        take_news(&core, &inputs.news),
+        take_news(&core, &inputs.news, stop),
         take_passed_configs(&core, &inputs.fetched),
         greet(&core),
         pass_on(&core),
@@ -87,7 +87,7 @@
     }
 }
 
-async fn take_news(core: &GatewayCore, news: &RingReceiver<StoreNews>) {
+async fn take_news(core: &GatewayCore, news: &RingReceiver<StoreNews>, stop: &StopSignal) {
     while let Some(news) = news.receive().await {
         match news {
             StoreNews::Read {
@@ -102,6 +102,8 @@
                 // Before the first configuration makes this gateway serve.
                 core.take_stored_crashes(&crashes, has_returned);
                 core.take_parts(&parts, era);
+                // A holder that has just started goes on with its parts at once: until then their workspaces wait.
+                core.tend_parts(stop.phase() != StopPhase::Serving);
                 core.take_records(config, endpoints);
                 core.tell_word(word);
             }
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -131,7 +131,8 @@
         return Ok(());
     };
     let units = rule.cost(&plan.request);
-    let charge = quota::charge(core, workspace, units).await?;
+    let patience = quota::unit_patience(&plan.route);
+    let charge = quota::charge(core, workspace, units, patience).await?;
     plan.charge = ChargeCell::new(Some(charge));
     Ok(())
 }
@@ -350,7 +351,8 @@
 
     /// Charges a request anew that waited for longer than its charge counts.
     async fn renew_charge(&self) -> Result<(), OwnAnswer> {
-        let renewed = quota::renew_charge(&self.core, &self.plan.charge).await;
+        let patience = quota::unit_patience(&self.plan.route);
+        let renewed = quota::renew_charge(&self.core, &self.plan.charge, patience).await;
         renewed.map_err(|own| self.if_not_run(own))
     }
 
--- a/crates/oatpier-gateway/src/gateway/quota.rs
+++ b/crates/oatpier-gateway/src/gateway/quota.rs
@@ -14,12 +14,13 @@
 use oatpier_serving::quota::grants::{AskedParts, GrantStep, PartAsk, UnitsLot};
 use oatpier_serving::quota::holder::{PartAnswer, UnitsWanted};
 use oatpier_serving::quota::tenure::{ClaimStanding, PartEntry, StoreEra, TenureChange};
+use oatpier_serving::site::RouteRule;
 use oatpier_serving::workspace::WorkspaceRule;
 use oatpier_serving::workspace::quota::QuotaRule;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::WorkspaceName;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::answers::OwnAnswer;
 use super::core::{CoreState, GatewayCore};
@@ -30,6 +31,21 @@
 /// processor. After it another holder is asked.
 const ANSWER_WAIT: Duration = Duration::from_millis(40);
 
+/// How soon a request that waits for units looks again where nobody holds them yet, as after a start.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// The share of a class's target that a request may wait for units. A caller who is sent away for less loses more
+/// by the way back and forth, and may come back only once; one that waits takes nothing from others.
+const WAIT_SHARE: f64 = 0.25;
+
+/// The longest such wait: patient classes as well learn soon that their limit is used up.
+const LONGEST_WAIT: Duration = Duration::from_millis(250);
+
+/// How long a request of a route may wait for units.
+pub(super) fn unit_patience(route: &RouteRule) -> Duration {
+    route.target.mul_f64(WAIT_SHARE).min(LONGEST_WAIT)
+}
+
 /// When to come back where no holder could be asked; the next try reaches another gateway.
 const UNASKED_RETURN: Duration = Duration::from_millis(250);
 
@@ -135,8 +151,10 @@
     core: &Arc<GatewayCore>,
     workspace: &Arc<WorkspaceRule>,
     units: u64,
+    patience: Duration,
 ) -> Result<UnitsCharge, OwnAnswer> {
     let mut asked = AskedParts::default();
+    let until = core.clock.now() + patience;
     loop {
         let now = core.clock.now();
         let step = core.lock().grants.step(&workspace.name, units, &asked, now);
@@ -153,7 +171,15 @@
                 asked.add(ask.part);
                 ask_holder(core, &workspace.name, &ask).await;
             }
+            GrantStep::Spent(after) if now + after < until => {
+                sleep(after.max(LOOK_AGAIN)).await;
+                asked = AskedParts::default();
+            }
             GrantStep::Spent(after) => return Err(core.over_limit(after)),
+            GrantStep::Nobody if now + LOOK_AGAIN < until => {
+                sleep(LOOK_AGAIN).await;
+                asked = AskedParts::default();
+            }
             GrantStep::Nobody => return Err(core.limit_unknown()),
         }
     }
@@ -163,11 +189,12 @@
 pub(super) async fn renew_charge(
     core: &Arc<GatewayCore>,
     cell: &ChargeCell,
+    patience: Duration,
 ) -> Result<(), OwnAnswer> {
     let Some((workspace, units)) = cell.lapsed(core.clock.now()) else {
         return Ok(());
     };
-    cell.renew(charge(core, &workspace, units).await?);
+    cell.renew(charge(core, &workspace, units, patience).await?);
     Ok(())
 }
 
@@ -270,7 +297,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let changes = state.tenure.take_read(parts, era, now);
-        self.apply_tenure(&mut state, changes, now);
+        self.apply_tenure(&mut state, changes);
     }
 
     /// Takes what came of a claim.
@@ -281,18 +308,17 @@
         let change = state
             .tenure
             .take_outcome(&due.claim, outcome, due.sent_at, now);
-        self.apply_tenure(&mut state, change, now);
+        self.apply_tenure(&mut state, change);
     }
 
-    fn apply_tenure(
-        &self,
-        state: &mut CoreState,
-        changes: impl IntoIterator<Item = TenureChange>,
-        now: ClockTime,
-    ) {
+    fn apply_tenure(&self, state: &mut CoreState, changes: impl IntoIterator<Item = TenureChange>) {
         for change in changes {
             match change {
-                TenureChange::Begun(part, start) => state.holder.begin(part, start, now),
+                TenureChange::Begun(begin) => {
+                    state
+                        .holder
+                        .begin(begin.part, begin.start, begin.free_since);
+                }
                 TenureChange::Ended(part) => state.holder.end(part),
             }
             let line = DecisionLine::new(LineWeight::Notable, "limit part");
@@ -340,9 +366,12 @@
         for claim in &released {
             state.holder.end(claim.record.part);
         }
-        let due = state.tenure.due(standing, now);
+        let mut claims = released;
+        while let Some(claim) = state.tenure.due(standing, now) {
+            claims.push(claim);
+        }
         drop(state);
-        for claim in released.into_iter().chain(due) {
+        for claim in claims {
             // A full ring counts what it drops, and the claim is due again a moment later.
             let _ = self.claims.offer(DueClaim {
                 claim,
--- a/crates/oatpier-gateway/tests/testsuite/quota.rs
+++ b/crates/oatpier-gateway/tests/testsuite/quota.rs
@@ -186,6 +186,7 @@
     assert!(answer.headers().contains_key("retry-after"));
     let mut asked: Vec<SocketAddr> = asks(&gateway).iter().map(|(to, _)| *to).collect();
     asked.sort_unstable();
+    asked.dedup();
     let all: Vec<SocketAddr> = PartIndex::all().map(holder).collect();
     assert_eq!(asked, all);
     assert!(endpoint.requests().is_empty());
--- a/crates/oatpier-serving/src/quota/tenure.rs
+++ b/crates/oatpier-serving/src/quota/tenure.rs
@@ -105,11 +105,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TenureChange {
     /// It holds a part from now on.
-    Begun(PartIndex, PartStart),
+    Begun(PartBegin),
     /// It no longer does.
     Ended(PartIndex),
 }
 
+/// How this gateway begins to hold a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartBegin {
+    /// The part.
+    pub part: PartIndex,
+    /// What is saved up at first.
+    pub start: PartStart,
+    /// Since when nobody else has handed out any of it.
+    pub free_since: ClockTime,
+}
+
 /// This gateway's standing when free parts are claimed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClaimStanding {
@@ -138,6 +149,12 @@
         self.held_until.is_some_and(|until| now < until)
     }
 
+    /// Whether a claim is on its way.
+    fn is_claimed(&self, now: ClockTime) -> bool {
+        self.claimed_at
+            .is_some_and(|at| now.since(at) < CLAIM_PAUSE)
+    }
+
     fn revision(&self) -> u64 {
         self.entry.as_ref().map_or(0, |entry| entry.revision)
     }
@@ -158,6 +175,8 @@
     pub address: SocketAddr,
     /// Drawn at its start.
     pub boot: u64,
+    /// When its process started.
+    pub started_at: ClockTime,
     /// Whether the whole fleet starts for the first time, so that nobody can have held a part before.
     pub first_start: bool,
 }
@@ -259,7 +278,10 @@
         if !standing.is_wanted {
             return None;
         }
-        let held = self.seats.iter().filter(|seat| seat.holds(now)).count();
+        let seats = self.seats.iter();
+        let held = seats
+            .filter(|seat| seat.holds(now) || seat.is_claimed(now))
+            .count();
         let rank = standing.rank + held * HELD_RANK;
         let rank_pause = RANK_PAUSE * u32::try_from(rank).unwrap_or(u32::MAX).min(64);
         let part = PartIndex::all().find(|part| self.is_due(*part, rank_pause, now))?;
@@ -284,10 +306,7 @@
         let Some(seen_since) = seat.seen_since else {
             return false;
         };
-        if seat
-            .claimed_at
-            .is_some_and(|at| now.since(at) < CLAIM_PAUSE)
-        {
+        if seat.is_claimed(now) {
             return false;
         }
         let record = seat.entry.as_ref().map(|entry| &entry.record);
@@ -328,10 +347,12 @@
             // Of another era than was thought: the condition says nothing about it. The next read shows what is there.
             ClaimOutcome::Written { era, .. } if era != claim.record.era => None,
             ClaimOutcome::Written { revision, .. } => {
+                let before = seat.entry.take();
                 let is_first = claim.expected == 0 && !seat.was_seen;
                 let record = claim.record.clone();
                 seat.see(Some(PartEntry { record, revision }), false, now);
-                self.note_written(claim, is_first, sent_at, now)
+                let begin = self.begin(part, before.as_ref(), is_first, now);
+                self.note_written(claim, begin, sent_at, now)
             }
             ClaimOutcome::Refused { present, era } => {
                 let is_new_era = self.enter(era);
@@ -358,12 +379,11 @@
     fn note_written(
         &mut self,
         claim: &PartClaim,
-        is_first: bool,
+        begin: PartBegin,
         sent_at: ClockTime,
         now: ClockTime,
     ) -> Option<TenureChange> {
         let part = claim.record.part;
-        let was_free = is_first && self.own.first_start;
         let seat = &mut self.seats[part.place()];
         if claim.record.holder.is_none() {
             let was_held = seat.held_until.take().is_some();
@@ -375,12 +395,35 @@
         if was_held || !seat.holds(now) {
             return None;
         }
-        let start = if was_free {
-            PartStart::Full
-        } else {
-            PartStart::Empty
-        };
-        Some(TenureChange::Begun(part, start))
+        Some(TenureChange::Begun(begin))
+    }
+
+    /// How a part begins that was in the entry `before`. An earlier start of this process has handed out nothing
+    /// since this one started.
+    fn begin(
+        &self,
+        part: PartIndex,
+        before: Option<&PartEntry>,
+        is_first: bool,
+        now: ClockTime,
+    ) -> PartBegin {
+        let record = before.map(|entry| &entry.record);
+        let is_inherited = record.is_some_and(|record| {
+            record.holder == Some(self.own.address) && record.boot != self.own.boot
+        });
+        PartBegin {
+            part,
+            start: if is_first && self.own.first_start {
+                PartStart::Full
+            } else {
+                PartStart::Empty
+            },
+            free_since: if is_inherited {
+                self.own.started_at
+            } else {
+                now
+            },
+        }
     }
 
     /// The parts that this gateway gives back as it leaves; it hands out nothing of them from now on.
--- a/crates/oatpier-serving/tests/testsuite/quota_fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/quota_fleet.rs
@@ -113,13 +113,20 @@
 }
 
 impl FleetGateway {
-    fn start(number: u8, boot: u64, first_start: bool, bounds: QuotaBounds) -> Self {
+    fn start(
+        number: u8,
+        boot: u64,
+        first_start: bool,
+        started_ms: u64,
+        bounds: QuotaBounds,
+    ) -> Self {
         Self {
             bounds,
             number,
             tenure: PartTenure::new(TenureIdentity {
                 address: address(number),
                 boot,
+                started_at: at(started_ms),
                 first_start,
             }),
             holder: PartHolder::default(),
@@ -134,10 +141,12 @@
         }
     }
 
-    fn note(&mut self, changes: impl IntoIterator<Item = TenureChange>, now: u64) {
+    fn note(&mut self, changes: impl IntoIterator<Item = TenureChange>) {
         for change in changes {
             match change {
-                TenureChange::Begun(part, start) => self.holder.begin(part, start, at(now)),
+                TenureChange::Begun(begin) => {
+                    self.holder.begin(begin.part, begin.start, begin.free_since);
+                }
                 TenureChange::Ended(part) => self.holder.end(part),
             }
         }
@@ -156,7 +165,7 @@
 
 impl Fleet {
     fn start(seed: u64, gateways: u8, bounds: QuotaBounds) -> Self {
-        let start = |number| FleetGateway::start(number, u64::from(number), true, bounds);
+        let start = |number| FleetGateway::start(number, u64::from(number), true, 0, bounds);
         Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             store: PartStore::default(),
@@ -243,7 +252,7 @@
             let changes = gateway
                 .tenure
                 .take_read(&self.store.entries, self.store.era, at(now));
-            gateway.note(changes, now);
+            gateway.note(changes);
         }
         let standing = ClaimStanding {
             rank: place,
@@ -255,7 +264,7 @@
             let change = gateway
                 .tenure
                 .take_outcome(&claim, outcome, at(now), at(now));
-            gateway.note(change, now);
+            gateway.note(change);
         }
     }
 
@@ -407,8 +416,9 @@
                 let number = self.gateways[place].number;
                 let boot = self.random.random();
                 let bounds = self.gateways[place].bounds;
-                let mut restarted = FleetGateway::start(number, boot, false, bounds);
-                restarted.off_until = now + self.random.random_range(100..4_000);
+                let starts_at = now + self.random.random_range(100..4_000);
+                let mut restarted = FleetGateway::start(number, boot, false, starts_at, bounds);
+                restarted.off_until = starts_at;
                 restarted.store_cut_until = self.gateways[place].store_cut_until;
                 self.gateways[place] = restarted;
             }
--- a/crates/oatpier-serving/tests/testsuite/quota_tenure.rs
+++ b/crates/oatpier-serving/tests/testsuite/quota_tenure.rs
@@ -27,7 +27,8 @@
         Self {
             tenure: PartTenure::new(TenureIdentity {
                 address: address(number),
-                boot: u64::from(number),
+                boot: if first_start { 1 } else { 2 },
+                started_at: at(0),
                 first_start,
             }),
             begun: Vec::new(),
@@ -37,7 +38,7 @@
     fn note(&mut self, changes: impl IntoIterator<Item = TenureChange>) {
         for change in changes {
             match change {
-                TenureChange::Begun(part, start) => self.begun.push((part, start)),
+                TenureChange::Begun(begin) => self.begun.push((begin.part, begin.start)),
                 TenureChange::Ended(part) => self.begun.retain(|(begun, _)| *begun != part),
             }
         }
