Tell all gateways which engines lose requests, through the engines' sidecars

A gateway sends each engine .8 requests a second and can't tell them apart before it is over. Two ways: each gateway by its own requests (standing), and beside it the engine's sidecar counting the failures that gateways tell it against the permits that it gave, and telling the share in its pulses. Ruled out: reports between gateways (bytes with the square of their number).

--- a/crates/oatpier-gateway/src/gateway/accounts.rs
+++ b/crates/oatpier-gateway/src/gateway/accounts.rs
@@ -1,11 +1,14 @@
 //! What becomes of requests, for the directory, the demand and the allowance.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use oatpier_serving::choice;
 use oatpier_serving::directory::EndpointOutcome;
 use oatpier_serving::engine::EndpointLoad;
+use oatpier_serving::failures::EngineFailure;
+use oatpier_serving::message::InnerMessage;
 use oatpier_serving::reading::SentPrompt;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
@@ -79,6 +82,7 @@
         if let Some(weights) = weights {
             state.demand.note_ended(&weights.model, now);
         }
+        self.tell_failure(&state, plan, endpoint, outcome);
         let greeting = makes_room.then(|| self.greeting(&mut state, &plan.service, endpoint));
         drop(state);
         if let Some(due) = greeting.flatten() {
@@ -87,6 +91,28 @@
         self.note_suspect_end(plan, endpoint, sent, outcome);
     }
 
+    /// Tells an engine's sidecar that a request failed there, so that all gateways know soon which engines lose them.
+    fn tell_failure(
+        &self,
+        state: &CoreState,
+        plan: &RequestPlan,
+        endpoint: &EndpointName,
+        outcome: EndpointOutcome,
+    ) {
+        let failure = match outcome {
+            EndpointOutcome::Broken => EngineFailure::Broken,
+            EndpointOutcome::ServerError => EngineFailure::ServerError,
+            _ => return,
+        };
+        let row = state.directory.row(endpoint);
+        let Some(row) = row.filter(|_| plan.request.weights.is_some()) else {
+            return;
+        };
+        let sidecar = SocketAddr::new(row.record.address.ip(), self.inner_port);
+        self.outlet
+            .send(sidecar, &InnerMessage::AttemptFailed(failure));
+    }
+
     /// The first piece of an answer came.
     pub fn note_first(
         &self,
--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -81,6 +81,7 @@
             | InnerMessage::Advice(_)
             | InnerMessage::PermitAsk(_)
             | InnerMessage::PermitDone(_)
+            | InnerMessage::AttemptFailed(_)
             | InnerMessage::RightAsk(_)
             | InnerMessage::Right(_) => {}
         }
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -16,6 +16,7 @@
 
 use oatpier_duty::duty::{DutyProcess, RuntimeClock, StartError, StopPhase, StopSignal, bind};
 use oatpier_serving::engine::{EngineOrder, OrderAnswer};
+use oatpier_serving::failures::FailureCount;
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::permits::PermitDesk;
@@ -120,6 +121,7 @@
     let mut sidecar = EngineSidecar {
         residency: EngineResidency::new(pace, settings.first_start, clock.now()),
         permits: PermitDesk::default(),
+        failures: FailureCount::default(),
         link: EngineLink::new(address, settings.name.clone()),
         pulses: PulseSender::new(address, settings.service.clone()),
         socket,
@@ -142,6 +144,8 @@
 struct EngineSidecar {
     residency: EngineResidency,
     permits: PermitDesk,
+    /// The engine's requests, and those that failed.
+    failures: FailureCount,
     link: EngineLink,
     pulses: PulseSender,
     socket: InnerSocket,
@@ -172,6 +176,8 @@
             self.give_orders().await;
             let now = self.clock.now();
             self.pulses.set_waiting(&self.permits);
+            let failing = self.failures.share_percent(self.clock.now());
+            self.pulses.set_failing(failing);
             self.pulses.send_due(&self.socket, &self.residency, now);
         }
     }
@@ -190,6 +196,7 @@
 
     fn give_permits(&mut self) {
         for due in self.permits.due(self.clock.now()) {
+            self.failures.note_request(self.clock.now());
             let message = InnerMessage::Permit(due.grant);
             MessageOutlet::send(&self.socket, due.to, &message);
         }
@@ -233,6 +240,7 @@
                 self.permits.take_back(permit.id);
                 self.give_permits();
             }
+            InnerMessage::AttemptFailed(failure) => self.failures.note_failure(failure, now),
             // For gateways.
             InnerMessage::Pulse(_)
             | InnerMessage::Spread(_)
@@ -276,6 +284,7 @@
     }
 
     fn forget_engine(&mut self) {
+        self.failures = FailureCount::default();
         self.permits.forget_load();
         self.residency.forget_engine(self.clock.now());
         self.link.forget_instance();
--- a/crates/oatpier-gateway/src/sidecar/pulses.rs
+++ b/crates/oatpier-gateway/src/sidecar/pulses.rs
@@ -67,6 +67,7 @@
     answers: bool,
     permit_wait_ms: u32,
     permits_waiting: u32,
+    failing_percent: u8,
     gateways: HashMap<SocketAddr, GreetedGateway>,
     /// Gateways that wait for something here, and since when.
     askers: HashMap<SocketAddr, ClockTime>,
@@ -94,6 +95,7 @@
             answers: false,
             permit_wait_ms: 0,
             permits_waiting: 0,
+            failing_percent: 0,
             gateways: HashMap::new(),
             askers: HashMap::new(),
             asked_last: None,
@@ -115,6 +117,11 @@
         self.permits_waiting = desk.waiting_requests();
     }
 
+    /// The share of the engine's requests that fails.
+    pub fn set_failing(&mut self, percent: u8) {
+        self.failing_percent = percent;
+    }
+
     /// A gateway greeted. One that hears nothing of this engine is told directly, until relays reach it.
     pub fn take_greeting(&mut self, from: SocketAddr, greeting: &GatewayGreeting, now: ClockTime) {
         let gateway = GreetedGateway {
@@ -201,6 +208,7 @@
             last.memory_used = pulse.memory_used;
             last.permit_wait_ms = pulse.permit_wait_ms;
             last.permits_waiting = pulse.permits_waiting;
+            last.failing_percent = pulse.failing_percent;
         }
         let load = LoadPulse {
             number,
@@ -210,6 +218,7 @@
             load_wait_ms: pulse.load_wait_ms,
             permit_wait_ms: pulse.permit_wait_ms,
             permits_waiting: pulse.permits_waiting,
+            failing_percent: pulse.failing_percent,
         };
         self.tell_relays(outlet, EngineWord::Load(load));
     }
@@ -244,7 +253,8 @@
         let load_changed = last.load != pulse.load
             || last.memory_used != pulse.memory_used
             || last.permit_wait_ms != pulse.permit_wait_ms
-            || last.permits_waiting != pulse.permits_waiting;
+            || last.permits_waiting != pulse.permits_waiting
+            || last.failing_percent != pulse.failing_percent;
         if load_changed && now.since(self.load_at) >= LOAD_EVERY {
             PulseDue::Load
         } else {
@@ -282,6 +292,7 @@
             load_wait_ms: u32::try_from(wait_ms).unwrap_or(u32::MAX),
             permit_wait_ms: self.permit_wait_ms,
             permits_waiting: self.permits_waiting,
+            failing_percent: self.failing_percent,
             gateways: Vec::new(),
         }
     }
@@ -307,6 +318,7 @@
         load_wait_ms: other.load_wait_ms,
         permit_wait_ms: other.permit_wait_ms,
         permits_waiting: other.permits_waiting,
+        failing_percent: other.failing_percent,
         ..pulse.clone()
     }
 }
--- a/crates/oatpier-gateway/tests/testsuite/relayed.rs
+++ b/crates/oatpier-gateway/tests/testsuite/relayed.rs
@@ -38,6 +38,7 @@
         load_wait_ms: 0,
         permit_wait_ms: 0,
         permits_waiting: 0,
+        failing_percent: 0,
     })
 }
 
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -358,6 +358,7 @@
         load_wait_ms: 0,
         permit_wait_ms: 0,
         permits_waiting: 0,
+        failing_percent: 0,
         gateways: Vec::new(),
     }
 }
--- a/crates/oatpier-serving/src/choice.rs
+++ b/crates/oatpier-serving/src/choice.rs
@@ -33,6 +33,10 @@
 /// The price of an endpoint all of whose requests fail. Beside it a queue of a second is better.
 const FAILING_MS: f64 = 1_500.0;
 
+/// The price of an engine that loses all requests, by the count of all gateways. A request that is lost there is
+/// worth a wait that leaves it in time, in proportion.
+const LOSING_MS: f64 = 600.0;
+
 /// The price of an endpoint that was ejected: only where nothing else holds the model.
 const EJECTED_MS: f64 = 5_000.0;
 
@@ -180,6 +184,7 @@
     let adapter = adapter_ms(row, query, now);
     let mut cost = queue_ms + first_ms + adapter + crowd * CROWD_MS;
     cost += row.failure_share(now).powi(2) * FAILING_MS;
+    cost += row.fleet_failure_share(now) * LOSING_MS;
     cost += row.record.cold.as_secs_f64().min(1.0) * CROWD_MS;
     if row.record.zone != *query.zone {
         cost += OTHER_ZONE_MS;
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -114,6 +114,7 @@
         self.pulse.load_wait_ms = load.load_wait_ms;
         self.pulse.permit_wait_ms = load.permit_wait_ms;
         self.pulse.permits_waiting = load.permits_waiting;
+        self.pulse.failing_percent = load.failing_percent;
         true
     }
 
@@ -127,6 +128,7 @@
             load_wait_ms: self.pulse.load_wait_ms,
             permit_wait_ms: self.pulse.permit_wait_ms,
             permits_waiting: self.pulse.permits_waiting,
+            failing_percent: self.pulse.failing_percent,
         }
     }
 }
@@ -416,7 +418,14 @@
         share
     }
 
-    /// The share of its requests that failed lately.
+    /// The share of all gateways' requests that failed there lately, by its sidecar's word.
+    #[must_use]
+    pub fn fleet_failure_share(&self, now: ClockTime) -> f64 {
+        let percent = self.pulse(now).map_or(0, |pulse| pulse.failing_percent);
+        f64::from(percent) / 100.0
+    }
+
+    /// The share of this gateway's requests that failed there lately.
     #[must_use]
     pub fn failure_share(&self, now: ClockTime) -> f64 {
         self.failures.at(now)
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -27,9 +27,11 @@
 //! - [`demand`]: how much each model is asked for.
 //! - [`quota`]: what workspaces use, within their limits over all gateways.
 //! - [`planner`]: which engine should load which model next.
+//! - [`greetings`]: how often sidecars are greeted that are not heard.
 //! - [`peers`]: which gateways there are, and which of them plans.
 //!
 //! What is decided at a sidecar:
+//! - [`failures`]: which share of its engine's requests fails.
 //! - [`permits`]: when its engine may be sent the next prompt.
 //! - [`residency`]: which order its engine gets next, within memory, slots and the shared pace.
 
@@ -41,7 +43,9 @@
 pub mod demand;
 pub mod directory;
 pub mod engine;
+pub mod failures;
 pub mod fingerprint;
+pub mod greetings;
 pub mod health;
 pub mod message;
 pub mod node;
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -14,6 +14,7 @@
 
 use crate::crashes::CrashRecord;
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
+use crate::failures::EngineFailure;
 use crate::fingerprint::RequestFingerprint;
 use crate::quota::PartIndex;
 use crate::quota::holder::{PartAnswer, UnitsWanted};
@@ -51,6 +52,8 @@
     PermitAsk(PermitAsk),
     /// A sidecar gives a permit.
     Permit(PermitGrant),
+    /// A gateway to a sidecar: a request failed at its engine.
+    AttemptFailed(EngineFailure),
     /// A gateway asks a holder for units of a workspace's limit.
     QuotaAsk(QuotaAsk),
     /// A holder answers.
@@ -80,6 +83,7 @@
             Self::PermitAsk(_) => "permit-ask",
             Self::Permit(_) => "permit",
             Self::PermitDone(_) => "permit-done",
+            Self::AttemptFailed(_) => "attempt-failed",
             Self::QuotaAsk(_) => "quota-ask",
             Self::QuotaAnswer(_) => "quota-answer",
         }
@@ -176,6 +180,8 @@
     pub permit_wait_ms: u32,
     /// Requests that wait for permits.
     pub permits_waiting: u32,
+    /// The share of its requests that fails, over all gateways, in hundredths.
+    pub failing_percent: u8,
     /// Where some of the gateways that greet this sidecar are, others each time.
     pub gateways: Vec<SocketAddr>,
 }
@@ -199,6 +205,8 @@
     pub permit_wait_ms: u32,
     /// Requests that wait for permits.
     pub permits_waiting: u32,
+    /// The share of its requests that fails, over all gateways, in hundredths.
+    pub failing_percent: u8,
 }
 
 /// A gateway's greeting to a sidecar.
--- a/crates/oatpier-serving/tests/testsuite/crashes.rs
+++ b/crates/oatpier-serving/tests/testsuite/crashes.rs
@@ -10,7 +10,7 @@
 use oatpier_serving::crashes::cuts::{CutAttempt, CutWatch, EndpointFate};
 use oatpier_serving::crashes::{CrashRecord, CrashSite, RequestOrigin};
 use oatpier_serving::fingerprint::{RequestContent, RequestFingerprint};
-use oatpier_types::names::ClassName;
+use oatpier_types::names::{ClassName, WorkspaceName};
 
 use crate::support::{at, endpoint, millis};
 
@@ -25,6 +25,7 @@
 
 fn origin(host: &str) -> RequestOrigin {
     RequestOrigin {
+        workspace: None,
         host: Arc::from(host),
         route: ClassName::try_from("draft").unwrap(),
     }
@@ -255,3 +256,22 @@
     book.take_stored(&[], at(50));
     assert_eq!(verdict(&book, millis(50)), SuspectVerdict::Clear);
 }
+
+/// One workspace floods the book, under a host that it shares with another one. It loses its own suspects.
+#[test]
+fn a_flood_of_one_workspace_pushes_out_none_of_another() {
+    let of = |workspace: &str, body: &str| CrashRecord {
+        origin: RequestOrigin {
+            workspace: Some(WorkspaceName::try_from(workspace).unwrap()),
+            ..origin("one.example")
+        },
+        ..crash(body, 1)
+    };
+    let mut book = CrashBook::default();
+    book.note_crash(&of("small", "mine"), at(0));
+    for number in 0..2 * MOST_SUSPECTS {
+        book.note_crash(&of("large", &format!("x{number}")), at(10));
+    }
+    assert_eq!(book.suspects(), MOST_SUSPECTS);
+    assert_eq!(book.clear(&fingerprint("mine")).len(), 1);
+}
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/failures.rs
@@ -0,0 +1,68 @@
+//! Engines that lose a part of their requests.
+
+use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict};
+use oatpier_serving::failures::{EngineFailure, FailureCount};
+use oatpier_serving::message::{EnginePulse, MessageNumber};
+
+use crate::support::{at, directory, engine_rule, pulse, request, service, zone};
+
+/// An engine loses a fifth of its answers from second 2 to 6, at twenty requests a second.
+#[test]
+fn a_share_of_failures_shows_within_a_second_and_fades_within_some() {
+    let mut count = FailureCount::default();
+    let mut shown = Vec::new();
+    for number in 0..240_u64 {
+        let now = at(number * 50);
+        count.note_request(now);
+        let is_bad = (40..120).contains(&number);
+        if is_bad && number.is_multiple_of(5) {
+            count.note_failure(EngineFailure::Broken, now);
+        }
+        shown.push(count.share_percent(now));
+    }
+    assert_eq!(shown[39], 0);
+    assert!(shown[60] >= 5, "{}", shown[60]);
+    assert!((10..=20).contains(&shown[119]), "{}", shown[119]);
+    assert_eq!(shown[239], 0);
+}
+
+#[test]
+fn a_single_failure_of_a_quiet_engine_says_little() {
+    let mut count = FailureCount::default();
+    count.note_request(at(0));
+    count.note_failure(EngineFailure::Broken, at(0));
+    assert!(count.share_percent(at(0)) <= 10);
+}
+
+/// Two engines hold the model, and one of them loses a fifth of its answers. No request of this gateway was lost
+/// there. It goes to the other one, unless that is so full that the request would rather be late.
+#[test]
+fn an_engine_that_loses_requests_of_others_gets_fewer() {
+    let chosen = |losing_percent: u8, other_running: u32| {
+        let mut directory = directory(&[(&["m1"], 2), (&["m1"], other_running)], at(0));
+        let word = EnginePulse {
+            number: MessageNumber { boot: 1, number: 2 },
+            failing_percent: losing_percent,
+            ..pulse(1, &["m1"], 2)
+        };
+        directory.take_pulse(word, at(10));
+        let verdict = choice::choose(
+            &directory,
+            &ChoiceQuery {
+                service: &service(),
+                request: &request("m1"),
+                zone: &zone("near"),
+                excluded: &[],
+                engine: Some(&engine_rule(&["m1"])),
+            },
+            at(100),
+        );
+        match verdict {
+            ChoiceVerdict::Endpoint(choice) => choice.endpoint.to_string(),
+            other => panic!("no endpoint was chosen: {other:?}"),
+        }
+    };
+    assert_eq!(chosen(0, 6), "e1");
+    assert_eq!(chosen(20, 6), "e2");
+    assert_eq!(chosen(20, 14), "e1");
+}
--- a/crates/oatpier-serving/tests/testsuite/relays.rs
+++ b/crates/oatpier-serving/tests/testsuite/relays.rs
@@ -41,6 +41,7 @@
         load_wait_ms: 0,
         permit_wait_ms: 0,
         permits_waiting: 0,
+        failing_percent: 0,
     }
 }
 
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -100,6 +100,7 @@
         load_wait_ms: 0,
         permit_wait_ms: 0,
         permits_waiting: 0,
+        failing_percent: 0,
         gateways: Vec::new(),
     }
 }
