Soak with keys, limits and a store that returns; oatpier limits; suspects by workspace; rarer greetings

Now: the soak's store honours conditions and comes back from copies, callers send three keys, one of them nobody's, and two checks (workspace, limit in any window) are each shown to find a planted breach. oatpier limits lists limits, holders and use. Sidecars that stay unheard are greeted after a quarter of that time more, at most each 5 s.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -14,6 +14,7 @@
 use oatpier_serving::crashes::cuts::CutWatch;
 use oatpier_serving::demand::DemandBook;
 use oatpier_serving::directory::{EndpointDirectory, EndpointRecord};
+use oatpier_serving::greetings::GreetingPaces;
 use oatpier_serving::message::{EnginePulse, EngineWord, InnerMessage};
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
@@ -84,6 +85,8 @@
     /// Attempts that were cut off, until it is known whether their endpoint ended.
     pub(super) cuts: CutWatch,
     pub(super) peers: PeerBook,
+    /// How often sidecars are greeted that are not heard.
+    pub(super) greeting_paces: GreetingPaces,
     /// The workspaces with limits.
     pub(super) limits: HashMap<WorkspaceName, QuotaRule>,
     /// Who holds which part of the limits.
@@ -162,6 +165,7 @@
             crashes: CrashBook::default(),
             cuts: CutWatch::default(),
             peers: PeerBook::new(settings.inner_address(), settings.processor),
+            greeting_paces: GreetingPaces::default(),
             limits: HashMap::new(),
             tenure: PartTenure::new(TenureIdentity {
                 address: settings.inner_address(),
--- a/crates/oatpier-gateway/src/gateway/crashes.rs
+++ b/crates/oatpier-gateway/src/gateway/crashes.rs
@@ -15,7 +15,7 @@
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::reading::SentPrompt;
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::EndpointName;
+use oatpier_types::names::{EndpointName, WorkspaceName};
 
 use super::core::{CoreState, GatewayCore};
 use super::placement::RequestPlan;
@@ -181,6 +181,10 @@
         let line = DecisionLine::new(LineWeight::Notable, decision)
             .with("fingerprint", record.fingerprint.to_string())
             .with("host", &*record.origin.host)
+            .with(
+                "workspace",
+                record.origin.workspace.as_ref().map(WorkspaceName::as_str),
+            )
             .with("route", record.origin.route.as_str())
             .with("endpoint", record.site.to_string())
             .with("crashes", standing.crashes)
@@ -221,6 +225,7 @@
         fingerprint: plan.fingerprint,
         origin: RequestOrigin {
             host: plan.route.host.clone(),
+            workspace: plan.identity.name().cloned(),
             route: plan.route.name.clone(),
         },
         site,
--- a/crates/oatpier-gateway/src/gateway/greetings.rs
+++ b/crates/oatpier-gateway/src/gateway/greetings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use oatpier_serving::directory::EndpointRow;
+use oatpier_serving::greetings::GreetingPaces;
 use oatpier_serving::message::{GatewayGreeting, InnerMessage};
 use oatpier_serving::node::NodeBounds;
 use oatpier_serving::site::{EngineRule, SiteConfig};
@@ -68,8 +69,11 @@
         }
     }
 
-    fn includes(self, row: &EndpointRow, now: ClockTime) -> bool {
-        self == Self::All || row.pulse(now).is_none() || (self == Self::Used && row.uses_adapters())
+    fn includes(self, row: &EndpointRow, paces: &mut GreetingPaces, now: ClockTime) -> bool {
+        if row.pulse(now).is_none() {
+            return paces.is_due(&row.record.name, now);
+        }
+        self == Self::All || (self == Self::Used && row.uses_adapters())
     }
 }
 
@@ -102,14 +106,20 @@
         return Vec::new();
     };
     let mut greetings = Vec::new();
+    let mut paces = std::mem::take(&mut state.greeting_paces);
+    paces.retain(|name| {
+        let row = state.directory.row(name);
+        row.is_some_and(|row| row.pulse(now).is_none())
+    });
     for (service, _) in engine_services(&config) {
         let rows = state.directory.service(service);
-        let due = rows.filter(|row| round.includes(row, now));
+        let due = rows.filter(|row| round.includes(row, &mut paces, now));
         let engines: Vec<EndpointName> = due.map(|row| row.record.name.clone()).collect();
         for engine in engines {
             greetings.extend(core.greeting(&mut state, service, &engine));
         }
     }
+    state.greeting_paces = paces;
     greetings
 }
 
--- a/crates/oatpier-serving/src/crashes/book.rs
+++ b/crates/oatpier-serving/src/crashes/book.rs
@@ -275,19 +275,19 @@
         }
         let mut counts: HashMap<&str, usize> = HashMap::new();
         for suspect in self.suspects.values() {
-            *counts.entry(&suspect.origin.host).or_default() += 1;
+            *counts.entry(suspect.origin.owner()).or_default() += 1;
         }
         let most = counts
             .into_iter()
-            .max_by_key(|(host, count)| (*count, *host));
-        let Some((host, _)) = most else {
+            .max_by_key(|(owner, count)| (*count, *owner));
+        let Some((owner, _)) = most else {
             return;
         };
         let least = self
             .suspects
             .iter()
             .filter(|(fingerprint, suspect)| {
-                &*suspect.origin.host == host && *fingerprint != newest
+                suspect.origin.owner() == owner && *fingerprint != newest
             })
             .min_by_key(|(fingerprint, suspect)| (suspect.certainty(), **fingerprint))
             .map(|(fingerprint, _)| *fingerprint);
--- a/crates/oatpier-serving/src/crashes/mod.rs
+++ b/crates/oatpier-serving/src/crashes/mod.rs
@@ -19,7 +19,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use oatpier_types::names::{ClassName, EndpointName};
+use oatpier_types::names::{ClassName, EndpointName, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::StartTime;
@@ -59,12 +59,23 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct RequestOrigin {
-    /// The host that its caller names: the only mark of a workspace that a request carries.
+    /// The host that its caller names.
     pub host: Arc<str>,
+    /// The workspace that holds its key; none where nobody had to say.
+    pub workspace: Option<WorkspaceName>,
     /// Its class of work.
     pub route: ClassName,
 }
 
+impl RequestOrigin {
+    /// Whose it is: the workspace, or where callers need no keys the host.
+    #[must_use]
+    pub fn owner(&self) -> &str {
+        let workspace = self.workspace.as_ref();
+        workspace.map_or(&*self.host, WorkspaceName::as_str)
+    }
+}
+
 /// A request was at an endpoint when that ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/oatpier-soak/src/check/mod.rs
+++ b/crates/oatpier-soak/src/check/mod.rs
@@ -1,6 +1,7 @@
 //! What must hold of what was seen.
 
 mod crashes;
+mod workspaces;
 
 use std::collections::HashMap;
 use std::fmt;
@@ -34,6 +35,10 @@
     StaysUp,
     /// Once faults are over everything is served again.
     Recovers,
+    /// A request runs for the workspace that holds its key, and not at all where none does.
+    RightWorkspace,
+    /// A workspace uses no more than its limit in any window.
+    Limit,
     /// A request that ends the endpoints that run it is soon not sent any more.
     CrashesBounded,
 }
@@ -104,6 +109,7 @@
     }
     check_loads(rows, loads, &mut breaches);
     crashes::check_crashes(rows, &mut breaches);
+    workspaces::check_limit(rows, &mut breaches);
     for (id, story) in &stories {
         check_story(id, story, &mut breaches);
     }
@@ -163,6 +169,7 @@
         let what = format!("{} came as {run:?}", sent.id);
         breach(breaches, SoakPromise::OnlyAsked, what);
     }
+    workspaces::check_workspace(sent, run, breaches);
     if run.service != sent.service {
         let what = format!("{} for {} ran at {}", sent.id, sent.service, run.service);
         breach(breaches, SoakPromise::RightService, what);
--- a/crates/oatpier-soak/src/ledger.rs
+++ b/crates/oatpier-soak/src/ledger.rs
@@ -5,6 +5,8 @@
 
 use tokio::time::Instant;
 
+use crate::standin::settings::{PLAIN_TOKENS, STREAM_TOKENS};
+
 /// What a request is, and how often it may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -47,6 +49,20 @@
     pub body: String,
     /// The model that it names.
     pub model: Option<String>,
+    /// The key that its caller sends.
+    pub key: &'static str,
+}
+
+impl SentCall {
+    /// Tokens that it counts as.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        if self.kind.is_stream() {
+            STREAM_TOKENS.0 + STREAM_TOKENS.1
+        } else {
+            PLAIN_TOKENS
+        }
+    }
 }
 
 /// What an endpoint began to run.
@@ -64,6 +80,8 @@
     pub body: String,
     /// The model as it came.
     pub model: Option<String>,
+    /// The workspace that the endpoint was told.
+    pub workspace: Option<String>,
     /// Headers that came and that only the system may set, but for the two that it does set.
     pub forged: Vec<String>,
 }
--- a/crates/oatpier-soak/src/plan.rs
+++ b/crates/oatpier-soak/src/plan.rs
@@ -44,6 +44,8 @@
     LateOrders(usize),
     /// A new version of the configuration.
     Configure,
+    /// The store comes back from a copy of this age.
+    StoreReturns(Duration),
     /// A caller comes back again and again, at any gateway, with a request that ends the endpoints that run it.
     CrashingRequest(CallKind),
 }
@@ -96,6 +98,7 @@
         at += Duration::from_millis(random.random_range(50..2 * FAULT_EVERY_MS));
         if at >= length {
             steps.push(crashing_request(seed, length));
+            steps.push(store_return(seed, length));
             steps.sort_by_key(|step| step.at);
             return steps;
         }
@@ -125,6 +128,17 @@
     }
 }
 
+/// The store's return from an older copy, with a generator of its own as well.
+fn store_return(seed: u64, length: Duration) -> FaultStep {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(17));
+    let age = Duration::from_millis(random.random_range(300..4_000));
+    FaultStep {
+        at: length.mul_f64(random.random_range(0.3..0.8)),
+        lasts: Duration::ZERO,
+        fault: SoakFault::StoreReturns(age),
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, size: SoakSize) -> SoakFault {
     let gateway = random.random_range(0..size.gateways);
     let engine = random.random_range(0..size.engines);
--- a/crates/oatpier-soak/src/run.rs
+++ b/crates/oatpier-soak/src/run.rs
@@ -424,6 +424,7 @@
                 .store
                 .configure(&settings::config(version, &fleet.models));
         }
+        SoakFault::StoreReturns(age) => fleet.store.come_back(*age),
         SoakFault::CrashingRequest(kind) => come_back(fleet, *kind, step.lasts).await,
     }
 }
--- a/crates/oatpier-soak/src/standin/caller.rs
+++ b/crates/oatpier-soak/src/standin/caller.rs
@@ -11,7 +11,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{sleep, timeout};
 
-use super::settings::{ENGINES, HOST, PLAIN, TIMEOUT_MS};
+use super::settings::{
+    ENGINES, FREE_KEY, HOST, LIMITED_KEY, PLAIN, STREAM_TOKENS, TIMEOUT_MS, UNKNOWN_KEY,
+};
 use crate::ledger::{CallEnd, CallKind, SeenEvent, SentCall, SoakLedger};
 
 /// A caller that has no answer this long after the route's time calls the request hung. A gateway that
@@ -21,12 +23,27 @@
 /// The longest pause between two requests of a caller.
 const PAUSE_MS: u64 = 40;
 
+/// Draws keys. It has a generator of its own, so that all else of a seed stays as it was drawn before.
+#[derive(Debug)]
+struct KeyDraw(ChaCha8Rng);
+
+impl KeyDraw {
+    fn next_key(&mut self) -> &'static str {
+        match self.0.random_range(0..20) {
+            0 => UNKNOWN_KEY,
+            1..8 => LIMITED_KEY,
+            _ => FREE_KEY,
+        }
+    }
+}
+
 /// A caller.
 #[derive(Debug)]
 pub struct SoakCaller {
     number: usize,
     sent: u64,
     random: ChaCha8Rng,
+    keys: KeyDraw,
     gateways: Vec<SocketAddr>,
     models: Vec<String>,
     ledger: SoakLedger,
@@ -46,6 +63,7 @@
             number,
             sent: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
+            keys: KeyDraw(ChaCha8Rng::seed_from_u64(!seed)),
             gateways,
             models,
             ledger,
@@ -86,7 +104,11 @@
             .random
             .random_bool(0.3)
             .then(|| self.random.random_range(1..5));
-        call(&id, kind, &self.models[place], adapter)
+        let call = call(&id, kind, &self.models[place], adapter);
+        SentCall {
+            key: self.keys.next_key(),
+            ..call
+        }
     }
 }
 
@@ -114,6 +136,7 @@
             format!("body of {id}")
         },
         model: (service == ENGINES).then_some(weights),
+        key: FREE_KEY,
     }
 }
 
@@ -205,13 +228,18 @@
         .header("host", HOST)
         .header("x-oatpier-request-id", &call.id)
         .header("x-oatpier-deadline-ms", TIMEOUT_MS.to_string())
+        .header("authorization", format!("Bearer {}", call.key))
         // What only the system may set: it must not get through.
+        .header("x-oatpier-tenant", "someone-else")
         .header("x-oatpier-hold", "h1")
         .header("kv-from", "10.0.0.1:1/x");
     if let Some(model) = &call.model {
         builder = builder
             .header("x-oatpier-model", model)
-            .header("x-oatpier-token-usage", "200,40")
+            .header(
+                "x-oatpier-token-usage",
+                format!("{},{}", STREAM_TOKENS.0, STREAM_TOKENS.1),
+            )
             .header("x-oatpier-prompt-prefix", "5c1e:150,9a0b:50");
     }
     builder.body(Bytes::from(call.body.clone())).ok()
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -42,7 +42,8 @@
 const AWAY: Duration = Duration::from_millis(400);
 
 /// Headers that callers must not get through. The system sets an expected instance by itself.
-const FORGED: [&str; 6] = [
+const FORGED: [&str; 7] = [
+    "authorization",
     "x-oatpier-hold",
     "x-oatpier-pin-ms",
     "x-oatpier-kv-backup",
@@ -430,6 +431,7 @@
         target: format!("{} {}", request.method(), request.uri()),
         body: String::from_utf8_lossy(request.body()).into_owned(),
         model: slot.weights.clone(),
+        workspace: text(headers, "x-oatpier-tenant"),
         forged: forged.map(|name| (*name).to_owned()).collect(),
     }
 }
--- a/crates/oatpier-soak/src/standin/settings.rs
+++ b/crates/oatpier-soak/src/standin/settings.rs
@@ -23,6 +23,52 @@
 /// Loads from the weight store a second, over all engines.
 pub const LOADS_PER_S: f64 = 2.0;
 
+/// A workspace without a limit, one with [`LIMIT`], and the key of nobody.
+pub const FREE_KEY: &str = "free-1f0c";
+/// See [`FREE_KEY`].
+pub const LIMITED_KEY: &str = "limited-77ab";
+/// See [`FREE_KEY`].
+pub const UNKNOWN_KEY: &str = "nobody-e001";
+
+/// Tokens that a stream counts as, and a request without tokens.
+pub const STREAM_TOKENS: (u64, u64) = (200, 40);
+/// See [`STREAM_TOKENS`].
+pub const PLAIN_TOKENS: u64 = 30;
+
+/// The limit of the limited workspace, and how strictly it is judged.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkspaceLimit {
+    /// Tokens a second.
+    pub rate: u64,
+    /// Tokens at once.
+    pub burst: u64,
+    /// The window that is judged, in seconds.
+    pub window_s: f64,
+    /// How far a window may be over the limit, as a share.
+    pub overage: f64,
+    /// And by how many tokens beside that.
+    pub slack: f64,
+}
+
+/// Callers ask for several times this.
+pub const LIMIT: WorkspaceLimit = WorkspaceLimit {
+    rate: 1_500,
+    burst: 1_500,
+    window_s: 4.0,
+    overage: 0.1,
+    slack: 900.0,
+};
+
+/// The workspace that holds a key; none for the key of nobody.
+#[must_use]
+pub fn workspace_of(key: &str) -> Option<&'static str> {
+    match key {
+        FREE_KEY => Some("free"),
+        LIMITED_KEY => Some("limited"),
+        _ => None,
+    }
+}
+
 /// What a process's settings file says.
 #[derive(Debug, Clone)]
 pub struct ProcessSettings {
@@ -58,13 +104,17 @@
             "node_name = \"{}\"\nip = \"{}\"\nzone = \"{}\"\nport_range = [{}, {}]\n\
              bootstrap = {}\n{engine}{listen}[bounds]\ndrain_ms = 2000\ngrace_s = 8\n\
              config_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 56\n\
-             ceiling_window_s = 5\nceiling_overage = 1.1\n[provider]\naddress = \"{}\"\n",
+             ceiling_window_s = 5\nceiling_overage = 1.1\nquota_window_s = {}\n\
+             quota_overage = {}\nquota_slack = {}\n[provider]\naddress = \"{}\"\n",
             self.name,
             self.ip,
             self.zone,
             self.inner_port,
             self.inner_port + 15,
             self.first_start,
+            LIMIT.window_s,
+            LIMIT.overage,
+            LIMIT.slack,
             self.store,
         )
     }
@@ -109,6 +159,11 @@
             }},
             {"name": PLAIN, "health_path": "/health", "max_connections": 200},
         ],
+        "tenants": [
+            {"name": "free", "api_keys": [FREE_KEY]},
+            {"name": "limited", "api_keys": ["spare-0001", LIMITED_KEY], "unit": "tokens",
+             "plain_tokens": PLAIN_TOKENS, "rate_per_s": LIMIT.rate, "burst": LIMIT.burst},
+        ],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
                    "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
     })
--- a/crates/oatpier-soak/src/standin/store.rs
+++ b/crates/oatpier-soak/src/standin/store.rs
@@ -1,6 +1,7 @@
-//! The platform's store, as far as oatpier calls it: reads of everything, and changes without a condition.
+//! The platform's store, as far as oatpier calls it: reads of everything, changes with and without a condition, and
+//! a return from a copy some seconds old.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use oatpier_wire::reply::{self, Reply};
 use oatpier_wire::server::RequestHandler;
 use serde_json::{Value, json};
@@ -41,14 +42,50 @@
     written: Instant,
 }
 
+/// What oatpier wrote: values in base64, and the revisions of their last change.
+type WrittenEntries = BTreeMap<String, (Value, u64)>;
+
+/// The store as it was.
+#[derive(Debug)]
+struct StoreCopy {
+    made: Instant,
+    revision: u64,
+    written: WrittenEntries,
+}
+
+/// Copies are kept for this long.
+const COPY_LIFE: Duration = Duration::from_secs(10);
+
 #[derive(Debug)]
 struct StoreState {
     mode: StoreMode,
     revision: u64,
+    /// Rises with each return from an older copy.
+    era: u64,
     config: Option<(String, u64)>,
     entries: BTreeMap<String, StoreEntry>,
-    /// What oatpier wrote: values in base64, and the revisions of their last change.
-    written: BTreeMap<String, (Value, u64)>,
+    written: WrittenEntries,
+    copies: VecDeque<StoreCopy>,
+}
+
+impl StoreState {
+    fn copy(&mut self) {
+        let copy = StoreCopy {
+            made: Instant::now(),
+            revision: self.revision,
+            written: self.written.clone(),
+        };
+        self.copies.push_back(copy);
+        let is_old = |copy: &StoreCopy| copy.made.elapsed() > COPY_LIFE;
+        while self.copies.len() > 1 && self.copies.front().is_some_and(is_old) {
+            self.copies.pop_front();
+        }
+    }
+
+    /// The revision of a key's last change; 0 for no such key.
+    fn revision_of(&self, key: &str) -> u64 {
+        self.written.get(key).map_or(0, |(_, revision)| *revision)
+    }
 }
 
 /// The store. Cloning shares it.
@@ -62,9 +99,11 @@
         let state = StoreState {
             mode: StoreMode::Up,
             revision: 0,
+            era: 1,
             config: None,
             entries: BTreeMap::new(),
             written: BTreeMap::new(),
+            copies: VecDeque::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -82,6 +121,22 @@
         self.lock().mode = mode;
     }
 
+    /// It comes back from a copy of this age. What endpoints and the operator wrote is written again at once;
+    /// what oatpier wrote since is gone, and its revisions are given out again.
+    pub fn come_back(&self, age: Duration) {
+        let mut state = self.lock();
+        let copies = state.copies.iter().rev();
+        let copy = copies.clone().find(|copy| copy.made.elapsed() >= age);
+        let (revision, written) = copy.map_or_else(
+            || (0, WrittenEntries::new()),
+            |copy| (copy.revision, copy.written.clone()),
+        );
+        state.revision = revision;
+        state.written = written;
+        state.copies.clear();
+        state.era += 1;
+    }
+
     /// The operator writes a configuration.
     pub fn configure(&self, config: &Value) {
         let mut state = self.lock();
@@ -133,9 +188,17 @@
             return reply::text(StatusCode::BAD_REQUEST, "");
         };
         let mut state = self.lock();
+        let rows = |name: &str| change[name].as_array().cloned().unwrap_or_default();
+        let is_other = |row: &Value| {
+            let key = row["key"].as_str().unwrap_or_default();
+            state.revision_of(key) != row["revision"].as_u64().unwrap_or_default()
+        };
+        if rows("expect").iter().any(is_other) {
+            return refused(&state, &rows("expect"));
+        }
+        state.copy();
         state.revision += 1;
         let revision = state.revision;
-        let rows = |name: &str| change[name].as_array().cloned().unwrap_or_default();
         for put in rows("puts") {
             let key = put["key"].as_str().unwrap_or_default().to_owned();
             state.written.insert(key, (put["value"].clone(), revision));
@@ -148,6 +211,13 @@
     }
 
     async fn answer(&self, request: Request<Bytes>) -> Reply {
+        let mut answer = self.answer_without_era(request).await;
+        let era = HeaderValue::from(self.lock().era);
+        answer.headers_mut().insert("store-era", era);
+        answer
+    }
+
+    async fn answer_without_era(&self, request: Request<Bytes>) -> Reply {
         let mode = self.lock().mode;
         match mode {
             StoreMode::Up => {}
@@ -163,6 +233,21 @@
     }
 }
 
+/// What is in place of what was expected.
+fn refused(state: &StoreState, expected: &[Value]) -> Reply {
+    let keys = expected.iter().filter_map(|row| row["key"].as_str());
+    let present = keys.filter_map(|key| {
+        let (value, revision) = state.written.get(key)?;
+        Some(json!({"key": key, "value": value, "revision": revision}))
+    });
+    let answer = json!({"items": present.collect::<Vec<Value>>()});
+    reply::whole(
+        StatusCode::PRECONDITION_FAILED,
+        "application/json",
+        answer.to_string(),
+    )
+}
+
 impl RequestHandler for StoreStandin {
     fn handle(&self, request: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
         self.answer(request).boxed()
--- a/crates/oatpier-soak/tests/testsuite/check.rs
+++ b/crates/oatpier-soak/tests/testsuite/check.rs
@@ -6,6 +6,7 @@
 use oatpier_soak::ledger::{
     BegunRun, CallEnd, CallKind, DisturbedPlace, LedgerRow, SeenEvent, SentCall,
 };
+use oatpier_soak::standin::settings::{LIMITED_KEY, UNKNOWN_KEY, workspace_of};
 use oatpier_soak::standin::{answers, caller};
 
 const LOADS: LoadBound = LoadBound {
@@ -25,6 +26,7 @@
         target: call.target.clone(),
         body: call.body.clone(),
         model: call.model.clone(),
+        workspace: workspace_of(call.key).map(str::to_owned),
         forged: Vec::new(),
     }
 }
@@ -261,3 +263,45 @@
     let other = Some(DisturbedPlace::Gateway(2));
     assert_eq!(sent_on(3, 4, other), [SoakPromise::CrashesBounded]);
 }
+
+#[test]
+fn a_run_without_a_key_or_for_another_workspace_is_found() {
+    let call = sent(CallKind::Safe);
+    let other = BegunRun {
+        workspace: Some("limited".to_owned()),
+        ..run_of(&call, "i-1")
+    };
+    let end = Some(good_end(&call));
+    assert_eq!(
+        broken(&call, &[other], end.clone()),
+        [SoakPromise::RightWorkspace]
+    );
+    let unknown = SentCall {
+        key: UNKNOWN_KEY,
+        ..call
+    };
+    let run = run_of(&unknown, "i-1");
+    assert_eq!(broken(&unknown, &[run], end), [SoakPromise::RightWorkspace]);
+}
+
+/// Streams of the limited workspace begin a tenth of a second apart. Thirty of them are 7,200 tokens within four
+/// seconds, where a window may have 9,150; of forty-five one window has 9,600.
+#[test]
+fn a_window_over_the_limit_is_found() {
+    let events = |count: usize| -> Vec<SeenEvent> {
+        let calls: Vec<SentCall> = (0..count)
+            .map(|number| SentCall {
+                id: format!("c{number}"),
+                key: LIMITED_KEY,
+                ..sent(CallKind::Stream)
+            })
+            .collect();
+        let sent = calls.iter().cloned().map(SeenEvent::Sent);
+        let begun = calls
+            .iter()
+            .map(|call| SeenEvent::Begun(run_of(call, "i-1")));
+        sent.chain(begun).collect()
+    };
+    assert!(!broken_by(events(30)).contains(&SoakPromise::Limit));
+    assert!(broken_by(events(45)).contains(&SoakPromise::Limit));
+}
--- a/crates/oatpier/src/commands/mod.rs
+++ b/crates/oatpier/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod crashes;
 pub mod explain;
+pub mod limits;
 pub mod logs;
 pub mod status;
 pub mod stop;
@@ -26,6 +27,7 @@
         explain::cli(),
         logs::cli(),
         crashes::cli(),
+        limits::cli(),
         completions::cli(),
     ]
 }
@@ -43,6 +45,7 @@
         Some(("explain", matches)) => explain::exec(context, matches),
         Some(("logs", matches)) => logs::exec(context, matches),
         Some(("crashes", matches)) => crashes::exec(context, matches),
+        Some(("limits", matches)) => limits::exec(context, matches),
         Some(("completions", matches)) => completions::exec(matches),
         _ => unreachable!("clap requires one of the subcommands"),
     }
--- a/crates/oatpier/src/ops/crashes.rs
+++ b/crates/oatpier/src/ops/crashes.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oatpier_platform::store::{CrashChanges, MOST_CHANGES, StoreClient};
+use oatpier_platform::store::{CrashChanges, MOST_CHANGES, StoreClient, StoreSnapshot};
 use oatpier_serving::crashes::CrashRecord;
 use oatpier_serving::crashes::book::MOST_CRASHES;
 use oatpier_serving::fingerprint::RequestFingerprint;
@@ -13,7 +13,7 @@
 use crate::error::CommandError;
 
 /// How long each call may take: an operator waits for it.
-const CALL_WAIT: Duration = Duration::from_secs(3);
+pub(super) const CALL_WAIT: Duration = Duration::from_secs(3);
 
 /// One request under suspicion.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -108,11 +108,19 @@
     }
 
     async fn crashes(&self) -> Result<Vec<CrashRecord>, CommandError> {
+        Ok(self.read().await?.crashes)
+    }
+
+    /// Reads everything that lies there.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer.
+    pub async fn read(&self) -> Result<StoreSnapshot, CommandError> {
         let snapshot = self.client.read(CALL_WAIT).await;
-        let snapshot = snapshot.map_err(|source| CommandError::PlatformRead {
+        snapshot.map_err(|source| CommandError::PlatformRead {
             address: self.address,
             source,
-        })?;
-        Ok(snapshot.crashes)
+        })
     }
 }
--- a/crates/oatpier/src/ops/mod.rs
+++ b/crates/oatpier/src/ops/mod.rs
@@ -4,6 +4,7 @@
 pub mod crashes;
 pub mod entries;
 pub mod files;
+pub mod limits;
 pub mod log_story;
 pub mod reach_text;
 pub mod record_store;
--- a/crates/oatpier/tests/testsuite/crash_commands.rs
+++ b/crates/oatpier/tests/testsuite/crash_commands.rs
@@ -8,6 +8,9 @@
 use oatpier_platform::store::{CrashChanges, StoreClient};
 use oatpier_serving::crashes::{CrashRecord, CrashSite, RequestOrigin};
 use oatpier_serving::fingerprint::RequestFingerprint;
+use oatpier_serving::quota::PartIndex;
+use oatpier_serving::quota::tenure::{PartClaim, PartRecord};
+use oatpier_soak::standin::settings;
 use oatpier_soak::standin::store::StoreStandin;
 use oatpier_types::names::{ClassName, EndpointName};
 use oatpier_wire::server::{self, ServerLimits};
@@ -51,6 +54,7 @@
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
     sender.send(listener.local_addr().unwrap()).unwrap();
     let store = Arc::new(StoreStandin::default());
+    store.configure(&settings::config(2, &["m1".to_owned()]));
     let limits = ServerLimits::default();
     server::serve(
         listener,
@@ -66,6 +70,7 @@
     CrashRecord {
         fingerprint: RequestFingerprint::try_from(fingerprint).unwrap(),
         origin: RequestOrigin {
+            workspace: None,
             host: Arc::from("one.example"),
             route: ClassName::try_from("draft").unwrap(),
         },
@@ -106,3 +111,30 @@
     assert!(run.stderr.contains("`draft` is no fingerprint"));
     assert!(run.stderr.contains("oatpier crashes list"));
 }
+
+#[test]
+fn limits_are_listed_with_their_holders() {
+    let platform = Platform::start();
+    let address = store();
+    let claim = PartClaim {
+        record: PartRecord {
+            part: PartIndex(1),
+            holder: Some(SocketAddr::from(([10, 0, 0, 9], 7380))),
+            boot: 1,
+            era: 1,
+        },
+        expected: 0,
+    };
+    let client = StoreClient::new(address);
+    let claiming = client.claim(&claim, Duration::from_secs(5));
+    runtime().block_on(claiming).unwrap();
+    let address = address.to_string();
+    let view = platform
+        .done(&["--json", "limits", "--store", &address])
+        .document();
+    assert_eq!(view["limits"][0]["workspace"], "free");
+    assert!(view["limits"][0]["rate"].is_null());
+    assert_eq!(view["limits"][1]["unit"], "tokens");
+    assert_eq!(view["parts"][0]["holder"], "10.0.0.9:7380");
+    assert!(!view.to_string().contains("limited-77ab"), "a key is shown");
+}
