--- a/crates/oatpier-gateway/src/gateway/accounts.rs
+++ b/crates/oatpier-gateway/src/gateway/accounts.rs
@@ -20,7 +20,7 @@
     /// A request came in.
     pub fn note_arrival(&self, plan: &RequestPlan) {
         if let Some(workspace) = plan.identity.name() {
-            self.metrics.workspace_asked(workspace, "taken");
+            self.metrics.workspaces.asked(workspace, "taken");
         }
         let mut state = self.lock();
         state.allowance.note_request(&plan.service, plan.arrived);
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -182,7 +182,7 @@
             .with("units", limit.map(|rule| rule.cost(&plan.request)))
             .with("limit_per_s", limit.map(|rule| rule.rate))
             .with("burst", limit.map(|rule| rule.burst));
-        core.metrics.workspace_asked(&workspace.name, own.as_str());
+        core.metrics.workspaces.asked(&workspace.name, own.as_str());
     }
     core.log.write(line);
     core.metrics
--- a/crates/oatpier-gateway/src/gateway/quota.rs
+++ b/crates/oatpier-gateway/src/gateway/quota.rs
@@ -335,12 +335,14 @@
             let workspace = &used.workspace;
             let units = used.units;
             self.metrics
-                .workspace_used(workspace, "granted", units.granted);
+                .workspaces
+                .used(workspace, "granted", units.granted);
             if units.refused == 0 {
                 continue;
             }
             self.metrics
-                .workspace_used(workspace, "refused", units.refused);
+                .workspaces
+                .used(workspace, "refused", units.refused);
             let line = DecisionLine::new(LineWeight::Notable, "limit use")
                 .with("workspace", workspace.as_str())
                 .with("granted", units.granted)
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod records;
 pub mod reload;
 pub mod sidecar;
+pub mod workspace_metrics;
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -1,10 +1,8 @@
 //! The metrics of gateways and sidecars, in the Prometheus text form.
 
-use std::collections::HashSet;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use oatpier_types::names::WorkspaceName;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -12,6 +10,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::workspace_metrics::WorkspaceMetrics;
+
 /// Labels of a request that was answered.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -48,41 +48,6 @@
     pub direction: &'static str,
 }
 
-/// Labels of a workspace.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-pub struct WorkspaceLabels {
-    /// The workspace, or [`OTHER_WORKSPACES`].
-    pub workspace: String,
-    /// What became of its requests or units.
-    pub outcome: &'static str,
-}
-
-/// Workspaces with series of their own. Further ones are counted together: a series takes some hundred bytes in
-/// each gateway and in whatever collects them.
-const MOST_WORKSPACES: usize = 200;
-
-/// The label of workspaces without series of their own.
-const OTHER_WORKSPACES: &str = "other";
-
-/// Workspaces that have series of their own, the first that were met.
-#[derive(Debug, Clone, Default)]
-struct NamedWorkspaces(Arc<Mutex<HashSet<WorkspaceName>>>);
-
-impl NamedWorkspaces {
-    fn label(&self, workspace: &WorkspaceName) -> String {
-        let mut named = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if named.contains(workspace) {
-            return workspace.as_str().to_owned();
-        }
-        if named.len() >= MOST_WORKSPACES {
-            return OTHER_WORKSPACES.to_owned();
-        }
-        named.insert(workspace.clone());
-        workspace.as_str().to_owned()
-    }
-}
-
 /// The counters that the duties share. Cloning shares them.
 #[derive(Debug, Clone)]
 pub struct ServingMetrics {
@@ -96,9 +61,8 @@
     advice: Family<CauseLabels, Counter>,
     messages: Family<MessageLabels, Counter>,
     message_bytes: Family<MessageLabels, Counter>,
-    named_workspaces: NamedWorkspaces,
-    workspace_requests: Family<WorkspaceLabels, Counter>,
-    workspace_units: Family<WorkspaceLabels, Counter>,
+    /// What workspaces ask for and use.
+    pub workspaces: WorkspaceMetrics,
     /// The version of the configuration in force.
     pub config_version: Gauge,
     /// Endpoints that are registered.
@@ -130,9 +94,7 @@
             advice: Family::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
-            named_workspaces: NamedWorkspaces::default(),
-            workspace_requests: Family::default(),
-            workspace_units: Family::default(),
+            workspaces: WorkspaceMetrics::default(),
             config_version: Gauge::default(),
             endpoints: Gauge::default(),
             in_flight: Gauge::default(),
@@ -172,29 +134,6 @@
         self.requests.get_or_create(&labels).inc();
     }
 
-    /// Counts a workspace's request that came in, or was turned away by its limit.
-    pub fn workspace_asked(&self, workspace: &WorkspaceName, outcome: &'static str) {
-        let labels = self.workspace_labels(workspace, outcome);
-        self.workspace_requests.get_or_create(&labels).inc();
-    }
-
-    /// Counts units of a workspace's limit that were handed out or refused here.
-    pub fn workspace_used(&self, workspace: &WorkspaceName, outcome: &'static str, units: u64) {
-        let labels = self.workspace_labels(workspace, outcome);
-        self.workspace_units.get_or_create(&labels).inc_by(units);
-    }
-
-    fn workspace_labels(
-        &self,
-        workspace: &WorkspaceName,
-        outcome: &'static str,
-    ) -> WorkspaceLabels {
-        WorkspaceLabels {
-            workspace: self.named_workspaces.label(workspace),
-            outcome,
-        }
-    }
-
     /// Counts an attempt that ended.
     pub fn attempted(&self, cause: &'static str) {
         self.attempts.get_or_create(&CauseLabels { cause }).inc();
@@ -303,16 +242,7 @@
             "Bytes of these messages, by kind and direction",
             self.message_bytes.clone(),
         );
-        registry.register(
-            "workspace_requests",
-            "Requests by workspace: taken, or refused by its limit",
-            self.workspace_requests.clone(),
-        );
-        registry.register(
-            "workspace_units",
-            "Units of workspaces' limits that were handed out or refused by the parts held here",
-            self.workspace_units.clone(),
-        );
+        self.workspaces.register(&mut registry);
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/crates/oatpier-serving/tests/testsuite/quota_fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/quota_fleet.rs
@@ -177,7 +177,7 @@
         }
     }
 
-    fn send(&mut self, from: u8, to: u8, word: FleetWord, now: u64) {
+    fn send(&mut self, from: u8, to: u8, word: &FleetWord, now: u64) {
         if self.random.random_bool(self.loss) {
             return;
         }
@@ -291,7 +291,7 @@
                 };
                 let answer = self.gateways[place].hand_out(&part_ask, now);
                 let word = FleetWord::Answer(QuotaAnswer { id: ask.id, answer });
-                self.send(number, from, word, now);
+                self.send(number, from, &word, now);
             }
             FleetWord::Answer(answer) => {
                 let gateway = &mut self.gateways[place];
@@ -389,7 +389,7 @@
             sent_ms: now,
         });
         if let Some(holder) = holder {
-            self.send(number, holder, word, now);
+            self.send(number, holder, &word, now);
         }
     }
 
--- a/crates/oatpier/src/commands/limits.rs
+++ b/crates/oatpier/src/commands/limits.rs
@@ -39,14 +39,18 @@
 ///
 /// The store or a gateway did not answer, or the configuration can't be used.
 pub fn exec(context: &CliContext, matches: &ArgMatches) -> CommandResult {
-    let address = matches.get_one::<SocketAddr>("store");
-    let store = PlatformStore::new(*address.expect("clap requires the store"));
+    let store = store_of(matches);
     let gateways = matches.get_many::<SocketAddr>("metrics");
     let gateways: Vec<SocketAddr> = gateways.into_iter().flatten().copied().collect();
     let view = context.block_on(limits::view(&store, &gateways))?;
     context.answer(&view, || text(&view))
 }
 
+fn store_of(matches: &ArgMatches) -> PlatformStore {
+    let address = matches.get_one::<SocketAddr>("store");
+    PlatformStore::new(*address.expect("clap requires the store"))
+}
+
 fn text(view: &LimitsView) -> String {
     let shown = |value: Option<f64>| value.map_or("-".to_owned(), |value| value.to_string());
     let cells = view.limits.iter().map(|row| {
