--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -3,6 +3,7 @@
 use oatpier_gateway::decisions::{DecisionLine, DecisionLog, LineWeight};
 use oatpier_gateway::metrics::ServingMetrics;
 use oatpier_serving::site::RouteKind;
+use oatpier_types::names::WorkspaceName;
 
 use crate::support::{EndpointStep, ScriptedEndpoint, TestGateway, own_answer, request};
 
@@ -47,6 +48,13 @@
     gateway.core.metrics.advised("busy");
     gateway.core.metrics.exchanged("pulse", "sent", 400);
     gateway.core.metrics.attempted("cut");
+    let workspace = WorkspaceName::try_from("one").unwrap();
+    gateway.core.metrics.workspaces.asked(&workspace, "taken");
+    gateway
+        .core
+        .metrics
+        .workspaces
+        .used(&workspace, "granted", 200);
     let text = gateway.core.metrics.encode();
     let page = include_str!("../../../../docs/OPERATIONS.md");
     let named: Vec<&str> = page
@@ -58,3 +66,18 @@
         assert!(text.contains(name), "{name} is not served");
     }
 }
+
+/// Ten thousand workspaces come. Each series takes memory here and wherever they are collected, so only the first ones
+/// have series of their own; the rest is counted together and nothing is lost.
+#[test]
+fn workspaces_take_a_bounded_number_of_series() {
+    let metrics = ServingMetrics::default();
+    for number in 0..1_000 {
+        let workspace = WorkspaceName::try_from(format!("w{number}")).unwrap();
+        metrics.workspaces.asked(&workspace, "taken");
+    }
+    let text = metrics.encode();
+    let series = |text: &str| text.matches("workspace_requests_total{").count();
+    assert_eq!(series(&text), 201);
+    assert!(text.contains("workspace_requests_total{workspace=\"other\",outcome=\"taken\"} 800"));
+}
