--- a/crates/oatpier-gateway/src/workspace_metrics.rs
+++ b/crates/oatpier-gateway/src/workspace_metrics.rs
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub struct WorkspaceLabels {
-    /// The workspace, or [`OTHER_WORKSPACES`].
+    /// The workspace, or `other` for all that have no series of their own.
     pub workspace: String,
     /// What became of its requests or units.
     pub outcome: &'static str,
