--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! - `configuration`: the configuration in force, and where it comes from.
 //! - [`core`]: what all requests share: configuration, directory, demand, budget.
-//! - [`handler`]: one request, from its head to its final answer.
+//! - [`handler`]: a request as it comes in.
+//! - `run`: one request on its way, from its place to its final answer.
 //! - [`placement`]: a request on its way, and what is to be done with it.
 //! - `placing`: where a request goes now.
 //! - [`attempt`]: one attempt at one endpoint.
@@ -38,6 +39,7 @@
 pub mod quota;
 pub mod relay;
 mod reports;
+mod run;
 mod run_log;
 
 use std::net::{TcpListener, UdpSocket};
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -22,9 +22,9 @@
 use tokio::time::timeout_at;
 
 use super::attempt::{self, AttemptFailure, AttemptGuard, OpenAnswer};
-use super::handler::RequestRun;
 use super::pauses::PauseWatch;
 use super::placement::PlacedSend;
+use super::run::RequestRun;
 
 /// A stream that may be resumed is given up after this many of the longest pauses that are in time.
 const STALL_PAUSES: u32 = 4;
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -7,9 +7,9 @@
 
 use super::answers::OwnAnswer;
 use super::attempt::AttemptFailure;
-use super::handler::RequestRun;
 use super::pauses::StreamPause;
 use super::placement::PlacedSend;
+use super::run::RequestRun;
 use crate::decisions::{DecisionLine, LineWeight};
 
 impl RequestRun {
