One book of open asks, names of workspaces in a set, and a limit looked up once

Cause: a last read of the whole change. Asks for units copied the book of asks for permits, which differed in the answer's type alone (asks.rs serves both now); each workspace's name was compared with all before it, 50 million comparisons for ten thousand when a configuration is decoded; and a request took a lock and a look-up for a limit that its identity holds.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -19,7 +19,7 @@
 use oatpier_serving::peers::PeerBook;
 use oatpier_serving::planner::LoadPlanner;
 use oatpier_serving::quota::grants::GrantBook;
-use oatpier_serving::quota::holder::PartHolder;
+use oatpier_serving::quota::holder::{PartAnswer, PartHolder};
 use oatpier_serving::quota::tenure::{PartTenure, StoreEra, TenureIdentity};
 use oatpier_serving::reads::StoreWord;
 use oatpier_serving::relays::RelayQueue;
@@ -32,8 +32,7 @@
 use rand::RngExt;
 use tokio::sync::{Notify, watch};
 
-use super::permits::PermitBook;
-use super::quota::QuotaAsks;
+use super::asks::AskBook;
 use crate::decisions::{DecisionLine, DecisionLog, LineWeight};
 use crate::exchange::MessageOutlet;
 use crate::metrics::ServingMetrics;
@@ -132,9 +131,9 @@
     /// Where decisions are logged.
     pub log: DecisionLog,
     /// Permits that are waited for.
-    pub(super) permits: PermitBook,
+    pub(super) permits: AskBook<()>,
     /// Units of limits that are waited for.
-    pub(super) quota_asks: QuotaAsks,
+    pub(super) quota_asks: AskBook<PartAnswer>,
     pub(super) claims: RingSender<DueClaim>,
     pub(super) shared_config: watch::Sender<Option<Arc<SiteConfig>>>,
     pub(super) config_wanted: RingSender<SocketAddr>,
@@ -197,8 +196,8 @@
             clock: inputs.clock,
             metrics: inputs.metrics,
             log: inputs.log,
-            permits: PermitBook::default(),
-            quota_asks: QuotaAsks::default(),
+            permits: AskBook::default(),
+            quota_asks: AskBook::default(),
             claims: inputs.claims,
             shared_config: inputs.shared_config,
             config_wanted: inputs.config_wanted,
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -107,7 +107,7 @@
     let Some(workspace) = plan.identity.workspace() else {
         return Ok(());
     };
-    let Some(rule) = core.limit_of(workspace) else {
+    let Some(rule) = workspace.quota else {
         return Ok(());
     };
     let units = rule.cost(&plan.request);
@@ -156,7 +156,7 @@
         .with("outcome", own.as_str())
         .with("route", plan.route.name.as_str());
     if let Some(workspace) = plan.identity.workspace() {
-        let limit = core.limit_of(workspace);
+        let limit = workspace.quota;
         line = line
             .with("workspace", workspace.name.as_str())
             .with("units", limit.map(|rule| rule.cost(&plan.request)))
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! - [`pauses`]: what made a stream late.
 //! - [`relay`]: an answer that goes back as a stream of events.
 //! - [`answers`]: answers of the gateway's own.
+//! - `asks`: asks to other processes that wait for an answer.
 //! - `run_log`: what is logged of a request.
 //! - `accounts`: what becomes of requests.
 //! - `crashes`: requests that end the endpoints that run them.
@@ -23,6 +24,7 @@
 
 mod accounts;
 pub mod answers;
+mod asks;
 pub mod attempt;
 mod configuration;
 pub mod core;
--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -1,15 +1,13 @@
 //! Asking sidecars for permits to send their engines prompts.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use oatpier_serving::admission;
 use oatpier_serving::message::{InnerMessage, PermitAsk, PermitGrant};
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::EndpointName;
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::core::GatewayCore;
@@ -45,36 +43,6 @@
     }
 }
 
-/// Asks that wait for an answer.
-#[derive(Debug, Default)]
-pub struct PermitBook {
-    asks: Mutex<HashMap<u64, oneshot::Sender<()>>>,
-}
-
-impl PermitBook {
-    /// A sidecar gave a permit.
-    fn take_grant(&self, grant: PermitGrant) {
-        if let Some(waiting) = self.lock().remove(&grant.id) {
-            // The request may have been given up at this moment.
-            let _ = waiting.send(());
-        }
-    }
-
-    fn open(&self, id: u64) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        self.lock().insert(id, sender);
-        receiver
-    }
-
-    fn close(&self, id: u64) {
-        self.lock().remove(&id);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<()>>> {
-        self.asks.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// An ask that is being waited for.
 struct OpenAsk {
     core: Arc<GatewayCore>,
@@ -179,7 +147,7 @@
 impl GatewayCore {
     /// Takes a sidecar's permit.
     pub fn take_permit(&self, grant: PermitGrant) {
-        self.permits.take_grant(grant);
+        self.permits.take(grant.id, ());
     }
 
     /// Whether a request that waits for a permit at an engine that is full would find a free slot at another
--- a/crates/oatpier-gateway/src/gateway/quota.rs
+++ b/crates/oatpier-gateway/src/gateway/quota.rs
@@ -4,7 +4,6 @@
 //! permit and no place in the demand that moves models. What it was given counts for a moment; a request that
 //! waited longer is charged anew when it is sent. A request that provably did not run costs nothing.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -16,10 +15,8 @@
 use oatpier_serving::quota::tenure::{ClaimStanding, PartEntry, StoreEra, TenureChange};
 use oatpier_serving::site::RouteRule;
 use oatpier_serving::workspace::WorkspaceRule;
-use oatpier_serving::workspace::quota::QuotaRule;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::WorkspaceName;
-use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
 use super::answers::OwnAnswer;
@@ -49,35 +46,6 @@
 /// When to come back where no holder could be asked; the next try reaches another gateway.
 const UNASKED_RETURN: Duration = Duration::from_millis(250);
 
-/// Asks that wait for an answer.
-#[derive(Debug, Default)]
-pub struct QuotaAsks {
-    open: Mutex<HashMap<u64, oneshot::Sender<PartAnswer>>>,
-}
-
-impl QuotaAsks {
-    fn open(&self, id: u64) -> oneshot::Receiver<PartAnswer> {
-        let (sender, receiver) = oneshot::channel();
-        self.lock().insert(id, sender);
-        receiver
-    }
-
-    fn take(&self, answer: QuotaAnswer) {
-        if let Some(waiting) = self.lock().remove(&answer.id) {
-            // The request may have been given up at this moment. Its units are lost, which no limit minds.
-            let _ = waiting.send(answer.answer);
-        }
-    }
-
-    fn close(&self, id: u64) {
-        self.lock().remove(&id);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<PartAnswer>>> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Units that a request was charged. Put back when it is dropped before the request may have run.
 pub struct UnitsCharge {
     core: Arc<GatewayCore>,
@@ -248,11 +216,6 @@
 }
 
 impl GatewayCore {
-    /// The limit of a workspace, as the configuration in force has it.
-    pub(super) fn limit_of(&self, workspace: &WorkspaceRule) -> Option<QuotaRule> {
-        self.lock().limits.get(&workspace.name).copied()
-    }
-
     fn over_limit(&self, after: Duration) -> OwnAnswer {
         OwnAnswer::OverLimit(self.lock().judge.spread(after))
     }
@@ -270,7 +233,7 @@
 
     /// A holder answered.
     pub fn take_quota_answer(&self, answer: QuotaAnswer) {
-        self.quota_asks.take(answer);
+        self.quota_asks.take(answer.id, answer.answer);
     }
 
     fn hand_out(
--- a/crates/oatpier-serving/src/workspace/mod.rs
+++ b/crates/oatpier-serving/src/workspace/mod.rs
@@ -6,6 +6,7 @@
 pub mod keys;
 pub mod quota;
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use oatpier_types::names::WorkspaceName;
@@ -66,7 +67,11 @@
 
     fn try_from(declared: Vec<DeclaredWorkspace>) -> Result<Self, WorkspaceError> {
         let mut table = Self::default();
+        let mut names = HashSet::new();
         for workspace in declared {
+            if !names.insert(workspace.rule.name.clone()) {
+                return Err(WorkspaceError::SameName(workspace.rule.name));
+            }
             table.add(workspace)?;
         }
         Ok(table)
@@ -76,9 +81,6 @@
 impl WorkspaceTable {
     fn add(&mut self, workspace: DeclaredWorkspace) -> Result<(), WorkspaceError> {
         let DeclaredWorkspace { rule, keys } = workspace;
-        if self.by_name(&rule.name).is_some() {
-            return Err(WorkspaceError::SameName(rule.name));
-        }
         let place = self.rules.len();
         for key in keys {
             let known = self.keys.insert(key, place);
@@ -99,12 +101,6 @@
         self.rules.get(self.keys.place(key)?)
     }
 
-    /// A workspace by its name. Its cost grows with their number: not for the path of a request.
-    #[must_use]
-    pub fn by_name(&self, name: &WorkspaceName) -> Option<&Arc<WorkspaceRule>> {
-        self.rules.iter().find(|rule| rule.name == *name)
-    }
-
     /// All workspaces, in the operator's order.
     pub fn rules(&self) -> impl Iterator<Item = &Arc<WorkspaceRule>> {
         self.rules.iter()
