Sight: the limit that an endpoint names is decoded, kept by start, logged and counted

Cause of the blindness: the decoder of answers took kind, load, instance and request id, so no line and no metric could tell whether a gateway had been told of a limit, when, and by which answer.

Now the adapter decodes `Server-Limit` once, into a checked rate; the directory keeps it for the start that named it; a change is a line `endpoint says` (endpoint, start, rate, request) and a count by cause; a gauge counts endpoints that name one. Decided values: text, empty, negative, NaN, infinite: not readable, counted, changes nothing; several: the lowest that can be read; 0: one request in 20 s, since only an answer tells that it is over; 1e300: 1e6. A higher limit or none counts only from a request that was sent after the limit was last named, since answers overtake each other.

Nothing acts on it yet: sends are as before.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -7,7 +7,8 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use oatpier_platform::headers::{self, AnswerHead, AnswerKind, SendTerms};
-use oatpier_serving::directory::EndpointOutcome;
+use oatpier_serving::directory::{EndpointOutcome, HeardNotice};
+use oatpier_serving::notice::EndpointNotice;
 use oatpier_serving::reading::SentPrompt;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
@@ -155,6 +156,17 @@
         self.sent_at
     }
 
+    /// The head of the answer is here, and says this of the endpoint.
+    fn note_notice(&self, notice: EndpointNotice) {
+        let heard = HeardNotice {
+            notice,
+            sent: &self.sent,
+            sent_at: self.sent_at,
+        };
+        let request = &self.plan.request.id;
+        self.core.take_notice(&self.endpoint, &heard, request);
+    }
+
     /// The first piece of the answer is here.
     pub fn note_first(&mut self) {
         let now = self.core.clock.now();
@@ -265,6 +277,9 @@
     if let Some(load) = head.load {
         core.note_load(&guard.endpoint, load);
     }
+    if is_of_endpoint(&head, &guard.endpoint) {
+        guard.note_notice(head.notice);
+    }
     match head.kind {
         AnswerKind::NotRun => Err(refused_by_endpoint(core, parts.status, &head, guard)),
         AnswerKind::Spoilt => {
@@ -280,6 +295,12 @@
     }
 }
 
+/// Whether an answer is its endpoint's own, so that what it says of itself can be believed.
+fn is_of_endpoint(head: &AnswerHead, endpoint: &EndpointName) -> bool {
+    let is_other = head.instance.as_ref().is_some_and(|name| name != endpoint);
+    head.kind != AnswerKind::Spoilt && !is_other
+}
+
 fn refused_by_endpoint(
     core: &GatewayCore,
     status: StatusCode,
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! - `run_log`: what is logged of a request.
 //! - `accounts`: what becomes of requests.
 //! - `crashes`: requests that end the endpoints that run them.
+//! - `notices`: what endpoints say of themselves in their answers.
 //! - [`identity`]: whose request it is.
 //! - [`quota`]: units of workspaces' limits.
 //! - `greetings`: greeting sidecars.
@@ -33,6 +34,7 @@
 mod greetings;
 pub mod handler;
 pub mod identity;
+mod notices;
 pub mod pauses;
 pub mod permits;
 pub mod placement;
--- a/crates/oatpier-gateway/src/gateway/planning.rs
+++ b/crates/oatpier-gateway/src/gateway/planning.rs
@@ -157,6 +157,7 @@
         .with("first_ms", row.first.mean_ms().round())
         .with("memory", (row.memory_share(0, now) * 100.0).round())
         .with("failures", (row.failure_share(now) * 100.0).round())
+        .with("limit", row.limit().map(|limit| limit.rate.per_second()))
         .with("models", models.collect::<Vec<_>>())
 }
 
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod frame;
 pub mod gateway;
 pub mod metrics;
+pub mod notice_metrics;
 pub mod observe;
 pub mod parts_writer;
 pub mod records;
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::notice_metrics::NoticeMetrics;
 use crate::workspace_metrics::WorkspaceMetrics;
 
 /// Labels of a request that was answered.
@@ -63,6 +64,8 @@
     message_bytes: Family<MessageLabels, Counter>,
     /// What workspaces ask for and use.
     pub workspaces: WorkspaceMetrics,
+    /// What endpoints say of themselves.
+    pub notices: NoticeMetrics,
     /// The version of the configuration in force.
     pub config_version: Gauge,
     /// Endpoints that are registered.
@@ -95,6 +98,7 @@
             messages: Family::default(),
             message_bytes: Family::default(),
             workspaces: WorkspaceMetrics::default(),
+            notices: NoticeMetrics::default(),
             config_version: Gauge::default(),
             endpoints: Gauge::default(),
             in_flight: Gauge::default(),
@@ -243,6 +247,7 @@
             self.message_bytes.clone(),
         );
         self.workspaces.register(&mut registry);
+        self.notices.register(&mut registry);
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -5,7 +5,9 @@
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::WorkspaceName;
 
-use crate::support::{EndpointStep, ScriptedEndpoint, TestGateway, own_answer, request};
+use crate::support::{
+    EndpointStep, ScriptedEndpoint, TestGateway, own_answer, request, with_headers,
+};
 
 #[tokio::test(start_paused = true)]
 async fn failures_are_logged_when_good_ends_no_longer_are() {
@@ -48,6 +50,7 @@
     gateway.core.metrics.advised("busy");
     gateway.core.metrics.exchanged("pulse", "sent", 400);
     gateway.core.metrics.attempted("cut");
+    gateway.core.metrics.notices.noticed("limit-named");
     let workspace = WorkspaceName::try_from("one").unwrap();
     gateway.core.metrics.workspaces.asked(&workspace, "taken");
     gateway
@@ -67,6 +70,33 @@
     }
 }
 
+/// An endpoint names a limit, names it again, and no longer does: a line and a count for each change, none between.
+#[tokio::test]
+async fn a_change_of_an_endpoints_limit_is_logged_and_counted_once() {
+    let plain = own_answer("200 OK", "");
+    let limited = with_headers(&plain, &[("Server-Limit", "2.5")]);
+    let steps = [&limited, &limited, &plain].map(|answer| EndpointStep::Answer(answer.clone()));
+    let endpoint = ScriptedEndpoint::start(steps.to_vec()).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    gateway.send(request(&[])).await;
+    gateway.send(request(&[])).await;
+    let lines = gateway.logged("endpoint says");
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    for part in [
+        "\"endpoint\":\"i-1\"",
+        "limit-named",
+        "\"rate\":2.5",
+        "\"request\":",
+    ] {
+        assert!(lines[0].contains(part), "{part} in {}", lines[0]);
+    }
+    gateway.send(request(&[])).await;
+    assert_eq!(gateway.logged("endpoint says").len(), 1);
+    let text = gateway.core.metrics.encode();
+    assert!(text.contains("endpoint_notices_total{cause=\"limit-named\"} 1"));
+    assert!(text.contains("endpoint_notices_total{cause=\"limit-ended\"} 1"));
+}
+
 /// Ten thousand workspaces come. Each series takes memory here and wherever they are collected, so only the first ones
 /// have series of their own; the rest is counted together and nothing is lost.
 #[test]
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -144,6 +144,15 @@
     )
 }
 
+/// An answer whose head has more headers.
+pub fn with_headers(answer: &str, rows: &[(&str, &str)]) -> String {
+    let (status, rest) = answer.split_once("\r\n").unwrap();
+    let rows = rows
+        .iter()
+        .map(|(name, value)| format!("{name}: {value}\r\n"));
+    format!("{status}\r\n{}{rest}", rows.collect::<String>())
+}
+
 /// An endpoint's word that it did not run the request.
 pub fn not_run(status: &str) -> String {
     format!("HTTP/1.1 {status}\r\nx-oatpier-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
@@ -190,6 +199,8 @@
 pub struct TestGateway {
     pub core: Arc<GatewayCore>,
     pub outlet: Arc<KeptOutlet>,
+    /// What it logs.
+    pub lines: RingReceiver<String>,
     /// What it has to write on crashes.
     pub written: RingReceiver<CrashChange>,
     /// Gateways that have a newer configuration.
@@ -202,7 +213,7 @@
     pub fn unconfigured() -> Self {
         let outlet = Arc::new(KeptOutlet::default());
         let metrics = ServingMetrics::default();
-        let (log, _) = DecisionLog::new("gateway", &metrics);
+        let (log, lines) = DecisionLog::new("gateway", &metrics);
         let full = metrics.ring_full.clone();
         let (crash_changes, written) = ring(64, RingRule::Drop, full.clone());
         let (wanted_sender, config_wanted) = ring(2, RingRule::Drop, full.clone());
@@ -224,6 +235,7 @@
             handler: GatewayHandler::new(Arc::clone(&core)),
             core,
             outlet,
+            lines,
             written,
             config_wanted,
         }
@@ -242,6 +254,14 @@
         gateway
     }
 
+    /// The lines so far on a decision.
+    pub fn logged(&self, decision: &str) -> Vec<String> {
+        let is_on_it = |line: &String| line.contains(&format!("\"decision\":\"{decision}\""));
+        std::iter::from_fn(|| self.lines.poll())
+            .filter(is_on_it)
+            .collect()
+    }
+
     pub async fn send(&self, request: Request<Bytes>) -> Response<Bytes> {
         let reply = self.reply(request).await;
         let (parts, body) = reply.into_parts();
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -6,6 +6,7 @@
 
 mod departures;
 mod fate;
+mod notices;
 mod requests;
 mod row;
 
@@ -24,8 +25,9 @@
 use crate::reading::ReadingPaces;
 
 use departures::Departures;
+pub use notices::HeardNotice;
 pub use requests::EndpointOutcome;
-pub use row::{AdapterState, EndpointRecord, EndpointRow, PULSE_LIFE};
+pub use row::{AdapterState, EndpointRecord, EndpointRow, NamedLimit, PULSE_LIFE};
 
 /// How long after the store has come back an entry that is missing from the registry may still
 /// be written again by its endpoint. The platform promises about two seconds.
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -13,6 +13,7 @@
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 use crate::health::{FailureShare, PaceEstimate};
 use crate::message::{EnginePulse, LoadPulse, MessageNumber};
+use crate::notice::RequestRate;
 use crate::reading::ReadingLoad;
 use crate::site::EngineRule;
 
@@ -133,6 +134,17 @@
     }
 }
 
+/// A limit on the requests of all gateways that an endpoint named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NamedLimit {
+    /// The limit.
+    pub rate: RequestRate,
+    /// Since when there is one.
+    pub since: ClockTime,
+    /// When it was last named.
+    pub(super) named_at: ClockTime,
+}
+
 /// A model that an engine loads or is about to.
 #[derive(Debug, Clone)]
 pub(super) struct ComingModel {
@@ -171,6 +183,8 @@
     pub(super) refused_at: Option<ClockTime>,
     /// When the last request was sent that it answered whole.
     pub(super) served_at: Option<ClockTime>,
+    /// The limit that it named, while it names one.
+    pub(super) limit: Option<NamedLimit>,
 }
 
 impl EndpointRow {
@@ -198,9 +212,16 @@
             adopted_at: None,
             refused_at: None,
             served_at: None,
+            limit: None,
         }
     }
 
+    /// The limit on the requests of all gateways, if it named one.
+    #[must_use]
+    pub fn limit(&self) -> Option<NamedLimit> {
+        self.limit
+    }
+
     /// Whether this gateway's requests use adapters there, or did since its last greeting.
     #[must_use]
     pub fn uses_adapters(&self) -> bool {
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`call`]: a caller's request, decoded.
 //! - [`fingerprint`]: which requests are the same.
 //! - [`engine`]: what an engine reports, and orders to it.
+//! - [`notice`]: what endpoints say of themselves in the heads of their answers.
 //! - [`message`]: what gateways and sidecars tell each other.
 //! - [`reads`]: when the store is read, and what spares a read.
 //! - [`relays`]: which gateways hear a sidecar, and what they pass on to the others of their zone.
@@ -49,6 +50,7 @@
 pub mod health;
 pub mod message;
 pub mod node;
+pub mod notice;
 pub mod peers;
 pub mod permits;
 pub mod planner;
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod forecast;
 mod greetings;
 mod messages;
+mod notices;
 mod part_store;
 mod peers;
 mod permits;
