Failing test: gateways that were told an endpoint's limit send as before

Two gateways before one scripted endpoint, each told 2.5 requests a second by one answer; then 30 callers at each. All 60 requests reach the endpoint, some 5 are allowed. The bound is the platform's, over the time that passed; nothing is asserted on time.

--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod permits;
 mod pulses;
 mod quota;
+mod rate_limits;
 mod records;
 mod refusals;
 mod relayed;
