--- a/crates/oatpier-gateway/src/gateway/asks.rs
+++ b/crates/oatpier-gateway/src/gateway/asks.rs
@@ -2,8 +2,22 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// Forgets an ask when its answer is here, late, or no longer waited for.
+struct OpenAsk<'a, T> {
+    book: &'a AskBook<T>,
+    id: u64,
+}
+
+impl<T> Drop for OpenAsk<'_, T> {
+    fn drop(&mut self) {
+        self.book.close(self.id);
+    }
+}
 
 /// Asks by their ids, each with whoever waits for its answer.
 #[derive(Debug)]
@@ -20,6 +34,15 @@
 }
 
 impl<T> AskBook<T> {
+    /// Sends an ask and waits for its answer; none if that did not come in time.
+    pub(super) async fn ask(&self, wait: Duration, send: impl FnOnce(u64)) -> Option<T> {
+        let id = rand::random();
+        let answer = self.open(id);
+        let _open = OpenAsk { book: self, id };
+        send(id);
+        timeout(wait, answer).await.ok()?.ok()
+    }
+
     /// An ask is sent; gives back where its answer comes.
     pub(super) fn open(&self, id: u64) -> oneshot::Receiver<T> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -53,6 +53,8 @@
     Unsent,
     /// The endpoint says that it did not run the request.
     Refused,
+    /// Since it was placed the endpoint has said that it does not want it.
+    HeldBack,
     /// Another endpoint has the address, and did not run the request.
     Replaced,
     /// The endpoint lacks the weights, and did not run the request.
@@ -74,6 +76,7 @@
         match self {
             Self::Unreachable
             | Self::Unsent
+            | Self::HeldBack
             | Self::Refused
             | Self::Replaced
             | Self::WeightsMissing => RunVerdict::NotRun,
@@ -84,7 +87,10 @@
     /// Whether any byte of the request reached the endpoint that it was sent to.
     #[must_use]
     pub fn has_reached(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::Unsent | Self::Replaced)
+        !matches!(
+            self,
+            Self::Unreachable | Self::Unsent | Self::HeldBack | Self::Replaced
+        )
     }
 
     /// Whether the second send that follows needs nothing of the allowance: it was taken already, or
@@ -93,7 +99,7 @@
     pub fn is_paid(self) -> bool {
         matches!(
             self,
-            Self::Silent | Self::ServerError | Self::Unreachable | Self::Unsent
+            Self::Silent | Self::ServerError | Self::Unreachable | Self::Unsent | Self::HeldBack
         )
     }
 
@@ -103,6 +109,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::Unsent => "unsent",
+            Self::HeldBack => "held-back",
             Self::Refused => "refused",
             Self::Replaced => "replaced",
             Self::WeightsMissing => "weights-missing",
@@ -220,6 +227,9 @@
     after_event: Option<&str>,
 ) -> Result<OpenAnswer, AttemptFailure> {
     let endpoint = placed.choice.endpoint.clone();
+    if !core.may_send(&endpoint, placed.turn.take()) {
+        return Err(AttemptFailure::HeldBack);
+    }
     let left = plan.deadline.since(core.clock.now());
     let terms = SendTerms {
         instance: &endpoint,
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -21,6 +21,7 @@
 use oatpier_serving::quota::grants::GrantBook;
 use oatpier_serving::quota::holder::{PartAnswer, PartHolder};
 use oatpier_serving::quota::tenure::{PartTenure, StoreEra, TenureIdentity};
+use oatpier_serving::quota::turns::TurnAnswer;
 use oatpier_serving::reads::StoreWord;
 use oatpier_serving::relays::RelayQueue;
 use oatpier_serving::site::{RouteRule, SiteConfig};
@@ -134,6 +135,8 @@
     pub(super) permits: AskBook<()>,
     /// Units of limits that are waited for.
     pub(super) quota_asks: AskBook<PartAnswer>,
+    /// Turns at endpoints that are waited for.
+    pub(super) turn_asks: AskBook<TurnAnswer>,
     pub(super) claims: RingSender<DueClaim>,
     pub(super) shared_config: watch::Sender<Option<Arc<SiteConfig>>>,
     pub(super) config_wanted: RingSender<SocketAddr>,
@@ -198,6 +201,7 @@
             log: inputs.log,
             permits: AskBook::default(),
             quota_asks: AskBook::default(),
+            turn_asks: AskBook::default(),
             claims: inputs.claims,
             shared_config: inputs.shared_config,
             config_wanted: inputs.config_wanted,
@@ -260,7 +264,11 @@
             self.take_config(&mut state, config);
         }
         let count = endpoints.len();
-        let changes = state.directory.apply_registry(endpoints, now);
+        let CoreState {
+            directory, holder, ..
+        } = &mut *state;
+        let changes = directory.apply_registry(endpoints, now);
+        holder.retain_endpoints(|endpoint| directory.row(endpoint).is_some());
         let is_able = state.config.is_some();
         drop(state);
         self.metrics.endpoints.set(shown(count));
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! - [`quota`]: units of workspaces' limits.
 //! - `greetings`: greeting sidecars.
 //! - [`exchanges`]: what gateways and sidecars tell each other.
+//! - `turns`: turns at endpoints that limit the requests of all gateways.
 //! - `reports`: what gateways report to each other.
 //! - `planning`: the planner's rounds.
 
@@ -45,6 +46,7 @@
 mod reports;
 mod run;
 mod run_log;
+mod turns;
 
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
--- a/crates/oatpier-gateway/src/gateway/notices.rs
+++ b/crates/oatpier-gateway/src/gateway/notices.rs
@@ -19,10 +19,24 @@
         let mut state = self.lock();
         let changes = state.directory.take_notice(endpoint, heard, now);
         for change in &changes {
-            self.metrics.notices.noticed(change.as_str());
-            self.log
-                .write(notice_line(&state, endpoint, *change).with("request", request));
+            self.log_notice(&state, endpoint, *change, Some(request));
         }
+        drop(state);
+        self.tell_limit(endpoint, &changes, heard.sent_at);
+    }
+
+    /// Logs and counts what is believed anew of an endpoint, by the answer to a request or, without one, by another
+    /// gateway's word.
+    pub(super) fn log_notice(
+        &self,
+        state: &CoreState,
+        endpoint: &EndpointName,
+        change: NoticeChange,
+        request: Option<&str>,
+    ) {
+        self.metrics.notices.noticed(change.as_str());
+        self.log
+            .write(notice_line(state, endpoint, change).with("request", request));
     }
 
     /// Shows how many endpoints have asked for what.
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -9,6 +9,7 @@
 use oatpier_serving::call::CallerRequest;
 use oatpier_serving::choice::EndpointChoice;
 use oatpier_serving::fingerprint::RequestFingerprint;
+use oatpier_serving::quota::turns::{HeldTurn, MOST_AHEAD};
 use oatpier_serving::site::{RouteKind, RouteRule};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::PoolName;
@@ -77,6 +78,13 @@
         now.since(self.arrived) > most
     }
 
+    /// How much longer it can wait for its turn at an endpoint that names a limit.
+    pub(super) fn turn_patience(&self, now: ClockTime) -> Duration {
+        let most = admission::longest_wait(&self.route, self.first_patience());
+        let left = most.saturating_sub(now.since(self.arrived));
+        left.min(MOST_AHEAD)
+    }
+
     /// How long it waits for its model at the most.
     pub(super) fn model_patience(&self) -> Duration {
         self.first_patience().mul_f64(MODEL_WAIT_SHARE)
@@ -130,6 +138,8 @@
     pub slots: u32,
     /// How old the last word of the endpoint's sidecar was; none without one.
     pub load_age: Option<Duration>,
+    /// Its turn, where the endpoint names a limit.
+    pub turn: Option<HeldTurn>,
     /// The permit to send it its prompt, if one is needed.
     pub permit: Option<HeldPermit>,
 }
--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -71,6 +71,10 @@
                 let coming = ComingModel { ready_in, load };
                 place_without_model(&mut state, plan, coming, now)
             }
+            ChoiceVerdict::Held(held) => {
+                self.note_unserved(&mut state, plan, now);
+                PlacementRefusal::without_endpoint(state.judge.held(held))
+            }
             ChoiceVerdict::NoEndpoint => {
                 let refusal = state.judge.refusal(RefusalCause::NoEndpoint, ABSENT_RETURN);
                 PlacementRefusal::without_endpoint(refusal)
@@ -85,7 +89,9 @@
         let engine = engine_of(config.as_deref(), plan);
         match self.choose(&state, plan, &[], engine, self.clock.now()) {
             ChoiceVerdict::Endpoint(choice) => Some(choice),
-            ChoiceVerdict::NoModel { .. } | ChoiceVerdict::NoEndpoint => None,
+            ChoiceVerdict::NoModel { .. } | ChoiceVerdict::Held(_) | ChoiceVerdict::NoEndpoint => {
+                None
+            }
         }
     }
 
@@ -103,6 +109,7 @@
             zone: &self.zone,
             excluded,
             engine,
+            turn_patience: plan.turn_patience(now),
         };
         choice::choose(&state.directory, &query, now)
     }
@@ -148,6 +155,7 @@
             address,
             slots,
             load_age,
+            turn: None,
             permit: None,
         })
     }
--- a/crates/oatpier-gateway/src/gateway/quota.rs
+++ b/crates/oatpier-gateway/src/gateway/quota.rs
@@ -17,7 +17,7 @@
 use oatpier_serving::workspace::WorkspaceRule;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::WorkspaceName;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::answers::OwnAnswer;
 use super::core::{CoreState, GatewayCore};
@@ -26,7 +26,7 @@
 
 /// How long a holder has for an answer: a few times the way between availability zones and a turn of a busy
 /// processor. After it another holder is asked.
-const ANSWER_WAIT: Duration = Duration::from_millis(40);
+pub(super) const ANSWER_WAIT: Duration = Duration::from_millis(40);
 
 /// How soon a request that waits for units looks again where nobody holds them yet, as after a start.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
@@ -181,19 +181,7 @@
             let grants = &mut state.grants;
             grants.take_answer(workspace, ask, answer, asked_at, life, now);
         }
-        None => state.grants.note_silence(ask.part, now),
-    }
-}
-
-/// Forgets an ask when its answer is here, late, or no longer waited for.
-struct OpenAsk<'a> {
-    core: &'a GatewayCore,
-    id: u64,
-}
-
-impl Drop for OpenAsk<'_> {
-    fn drop(&mut self) {
-        self.core.quota_asks.close(self.id);
+        None => state.grants.holders_mut().note_silence(ask.part, now),
     }
 }
 
@@ -202,17 +190,16 @@
     workspace: &WorkspaceName,
     ask: &PartAsk,
 ) -> Option<PartAnswer> {
-    let id = rand::random();
-    let answer = core.quota_asks.open(id);
-    let _open = OpenAsk { core, id };
-    let message = InnerMessage::QuotaAsk(QuotaAsk {
-        id,
-        part: ask.part,
-        workspace: workspace.clone(),
-        wanted: ask.wanted,
-    });
-    core.outlet.send(ask.holder, &message);
-    timeout(ANSWER_WAIT, answer).await.ok()?.ok()
+    let send = |id| {
+        let message = InnerMessage::QuotaAsk(QuotaAsk {
+            id,
+            part: ask.part,
+            workspace: workspace.clone(),
+            wanted: ask.wanted,
+        });
+        core.outlet.send(ask.holder, &message);
+    };
+    core.quota_asks.ask(ANSWER_WAIT, send).await
 }
 
 impl GatewayCore {
@@ -288,7 +275,7 @@
             self.log.write(line.with("change", format!("{change:?}")));
         }
         let holders = state.tenure.holders();
-        state.grants.set_holders(holders);
+        state.grants.holders_mut().set(holders);
     }
 
     /// Counts and logs what workspaces asked of the parts that are held here. A line for each that was refused some.
@@ -321,7 +308,7 @@
         let mut state = self.lock();
         let standing = ClaimStanding {
             rank: state.peers.rank(now),
-            is_wanted: !state.limits.is_empty() && !is_leaving,
+            is_wanted: !is_leaving,
         };
         let released = if is_leaving {
             state.tenure.release(now)
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -23,6 +23,7 @@
 use super::placement::{PlacedSend, Placement, RequestPlan};
 use super::quota;
 use super::relay;
+use super::turns::{self, TurnVerdict};
 
 /// The least silence after which an idempotent request is sent elsewhere.
 const SILENCE_LEAST: Duration = Duration::from_millis(120);
@@ -36,6 +37,12 @@
 /// When to come back after an endpoint refused and the request may go nowhere else.
 const REFUSED_RETURN: Duration = Duration::from_millis(80);
 
+/// How far ahead a turn at an endpoint may be where another one could take the request at once.
+const TURN_BESIDE_OTHERS: Duration = Duration::from_millis(30);
+
+/// When to come back where no gateway that gives turns answers; the next try reaches another gateway.
+const UNGIVEN_RETURN: Duration = Duration::from_millis(250);
+
 /// A request that is being served.
 #[derive(Clone)]
 pub(super) struct RequestRun {
@@ -133,6 +140,7 @@
     /// tenth of a second at most, so this is seen long before the end.
     pub(super) async fn placement(&mut self) -> Result<PlacedSend, OwnAnswer> {
         let core = Arc::clone(&self.core);
+        let mut passed = self.excluded.clone();
         loop {
             let changed = core.changed.notified();
             if core.is_closed() {
@@ -141,8 +149,11 @@
             }
             self.check_identity()?;
             self.check_suspect()?;
-            match core.place(&self.plan, &self.excluded) {
+            match core.place(&self.plan, &passed) {
                 Placement::Send(placed) => {
+                    let Some(placed) = self.with_turn(placed, &mut passed).await? else {
+                        continue;
+                    };
                     if let Some(permitted) = self.permitted(placed).await? {
                         self.check_suspect()?;
                         self.renew_charge().await?;
@@ -153,8 +164,12 @@
                     self.too_busy = refused.best;
                     return Err(self.refused(refused.refusal));
                 }
-                Placement::Pause(span) => tokio::time::sleep(span).await,
+                Placement::Pause(span) => {
+                    passed = self.excluded.clone();
+                    tokio::time::sleep(span).await;
+                }
                 Placement::Wait(most) => {
+                    passed = self.excluded.clone();
                     let at = self.core.clock.instant(self.core.clock.now() + most);
                     tokio::select! {
                         () = changed => {}
@@ -191,6 +206,49 @@
         Err(self.if_not_run(OwnAnswer::UnknownKey))
     }
 
+    /// Waits for the request's turn where the endpoint names a limit; none if the request has to be placed anew. Where
+    /// another endpoint could take it at once it waits little, and passes this one over for now.
+    async fn with_turn(
+        &mut self,
+        placed: PlacedSend,
+        passed: &mut SmallVec<[EndpointName; 2]>,
+    ) -> Result<Option<PlacedSend>, OwnAnswer> {
+        let endpoint = placed.choice.endpoint.clone();
+        if !self.core.names_limit(&endpoint) {
+            return Ok(Some(placed));
+        }
+        let mut others = passed.clone();
+        others.push(endpoint.clone());
+        let elsewhere = self.core.place(&self.plan, &others);
+        let has_other = matches!(elsewhere, Placement::Send(_));
+        let patience = self.plan.turn_patience(self.core.clock.now());
+        let most_wait = if has_other {
+            patience.min(TURN_BESIDE_OTHERS)
+        } else {
+            patience
+        };
+        match turns::take_turn(&self.core, &endpoint, most_wait).await {
+            TurnVerdict::Free => Ok(Some(placed)),
+            TurnVerdict::Given(turn) => {
+                sleep_until(self.core.clock.instant(turn.at)).await;
+                Ok(Some(PlacedSend {
+                    turn: Some(turn),
+                    ..placed
+                }))
+            }
+            TurnVerdict::Later | TurnVerdict::Nobody if has_other => {
+                *passed = others;
+                Ok(None)
+            }
+            TurnVerdict::Later => Ok(None),
+            TurnVerdict::Nobody => {
+                let refusal = self.core.refusal(RefusalCause::RateLimited, UNGIVEN_RETURN);
+                self.too_busy = Some(placed.choice);
+                Err(self.refused(refusal))
+            }
+        }
+    }
+
     /// Waits until the endpoint may be sent the prompt; none if the request has to be placed anew.
     async fn permitted(&mut self, placed: PlacedSend) -> Result<Option<PlacedSend>, OwnAnswer> {
         match permits::permit(&self.core, &self.plan, &placed).await {
@@ -309,7 +367,9 @@
         self.plan
             .charge
             .set_spent(self.settled != RunVerdict::NotRun);
-        self.excluded.push(endpoint.clone());
+        if failure != AttemptFailure::HeldBack {
+            self.excluded.push(endpoint.clone());
+        }
         if failure.has_reached() {
             self.reached.push(endpoint.clone());
         }
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -249,6 +249,9 @@
             | InnerMessage::StoreSeen(_)
             | InnerMessage::QuotaAsk(_)
             | InnerMessage::QuotaAnswer(_)
+            | InnerMessage::TurnAsk(_)
+            | InnerMessage::TurnAnswer(_)
+            | InnerMessage::LimitSeen(_)
             | InnerMessage::CrashesSeen(_)
             | InnerMessage::CrashesCleared(_)
             | InnerMessage::Permit(_) => {}
--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -2,6 +2,8 @@
 
 use oatpier_gateway::decisions::{DecisionLine, DecisionLog, LineWeight};
 use oatpier_gateway::metrics::ServingMetrics;
+use oatpier_serving::message::TurnAsk;
+use oatpier_serving::quota::turns::TurnAnswer;
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::WorkspaceName;
 
@@ -78,8 +80,10 @@
     let steps = [&limited, &limited, &plain].map(|answer| EndpointStep::Answer(answer.clone()));
     let endpoint = ScriptedEndpoint::start(steps.to_vec()).await;
     let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    gateway.hold_parts_elsewhere();
+    let now = |_: &TurnAsk| TurnAnswer::In(0);
     gateway.send(request(&[])).await;
-    gateway.send(request(&[])).await;
+    gateway.with_turns(gateway.send(request(&[])), now).await;
     let lines = gateway.logged("endpoint says");
     assert_eq!(lines.len(), 1, "{lines:?}");
     for part in [
@@ -90,7 +94,7 @@
     ] {
         assert!(lines[0].contains(part), "{part} in {}", lines[0]);
     }
-    gateway.send(request(&[])).await;
+    gateway.with_turns(gateway.send(request(&[])), now).await;
     assert_eq!(gateway.logged("endpoint says").len(), 1);
     let text = gateway.core.metrics.encode();
     assert!(text.contains("endpoint_notices_total{cause=\"limit-named\"} 1"));
--- a/crates/oatpier-gateway/tests/testsuite/quota.rs
+++ b/crates/oatpier-gateway/tests/testsuite/quota.rs
@@ -9,7 +9,6 @@
 use oatpier_serving::message::{InnerMessage, QuotaAnswer, QuotaAsk};
 use oatpier_serving::quota::PartIndex;
 use oatpier_serving::quota::holder::PartAnswer;
-use oatpier_serving::quota::tenure::{PartEntry, PartRecord};
 use oatpier_serving::site::{RouteKind, SiteConfig};
 use oatpier_serving::workspace::keys::KeyDigest;
 use oatpier_serving::workspace::quota::{QuotaRule, QuotaUnit};
@@ -18,7 +17,7 @@
 use tokio::time::sleep;
 
 use crate::support::{
-    EndpointStep, ScriptedEndpoint, TestGateway, config, own_answer, record, request, route,
+    EndpointStep, ScriptedEndpoint, TestGateway, config, holder, own_answer, record, request, route,
 };
 
 const STREAM: RouteKind = RouteKind::Stream {
@@ -26,10 +25,6 @@
     pause: Duration::from_millis(150),
 };
 
-fn holder(part: PartIndex) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, 50 + part.0], 7380))
-}
-
 /// A gateway before one endpoint, whose only workspace has a limit that other gateways hold the parts of.
 fn limited(kind: RouteKind, endpoint: &ScriptedEndpoint) -> TestGateway {
     let declared = DeclaredWorkspace {
@@ -51,17 +46,7 @@
     let gateway = TestGateway::unconfigured();
     let records = vec![record(1, endpoint.address)];
     gateway.core.take_records(Some(Arc::new(config)), records);
-    let entry = |part| PartEntry {
-        record: PartRecord {
-            part,
-            holder: Some(holder(part)),
-            boot: 1,
-            era: 0,
-        },
-        revision: 5,
-    };
-    let entries: Vec<PartEntry> = PartIndex::all().map(entry).collect();
-    gateway.core.take_parts(&entries, 0);
+    gateway.hold_parts_elsewhere();
     gateway
 }
 
--- a/crates/oatpier-gateway/tests/testsuite/rate_limits.rs
+++ b/crates/oatpier-gateway/tests/testsuite/rate_limits.rs
@@ -4,12 +4,19 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
-use http::Request;
+use http::{Request, StatusCode};
+use oatpier_serving::engine::HeldModel;
+use oatpier_serving::message::{InnerMessage, LimitWord, PermitGrant};
+use oatpier_serving::notice::RequestRate;
+use oatpier_serving::quota::PartIndex;
+use oatpier_serving::quota::turns::TurnAnswer;
 use oatpier_serving::site::RouteKind;
-use tokio::time::Instant;
+use oatpier_types::names::{EndpointName, ModelName};
+use tokio::time::{Instant, sleep};
 
 use crate::support::{
-    EndpointStep, ScriptedEndpoint, TestGateway, own_answer, request, with_headers,
+    EndpointStep, STREAM_END, ScriptedEndpoint, TestGateway, own_answer, pulse, request,
+    stream_start, with_headers,
 };
 
 /// Requests a second that the endpoint takes.
@@ -54,3 +61,177 @@
     let allowed = allowed(begun.elapsed());
     assert!(sent <= allowed, "{sent} requests, allowed {allowed:.1}");
 }
+
+/// A gateway that was told the limit of its first endpoint by another one.
+fn told(endpoints: &[&ScriptedEndpoint]) -> TestGateway {
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, endpoints);
+    gateway.hold_parts_elsewhere();
+    gateway.core.take_limit_word(&limit_word());
+    gateway
+}
+
+fn limit_word() -> LimitWord {
+    LimitWord {
+        endpoint: EndpointName::try_from("i-1").unwrap(),
+        start: None,
+        rate: Some(RequestRate::try_from(RATE).unwrap()),
+        sent_ago_ms: 5,
+    }
+}
+
+#[tokio::test]
+async fn a_request_is_sent_with_a_turn() {
+    let endpoint = ScriptedEndpoint::start(limited_answers(1)).await;
+    let gateway = told(&[&endpoint]);
+    let sending = gateway.send(impatient());
+    let answer = gateway.with_turns(sending, |_| TurnAnswer::In(20)).await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    let asks = gateway.turn_asks();
+    assert_eq!(asks.len(), 1);
+    assert_eq!(asks[0].limit.rate, RequestRate::try_from(RATE).ok());
+}
+
+/// One endpoint of two names a limit, and its next turn is a second ahead: the caller would wait for it beside an
+/// endpoint that is idle.
+#[tokio::test]
+async fn beyond_the_limit_a_request_goes_to_another_endpoint() {
+    let limited = ScriptedEndpoint::start(limited_answers(1)).await;
+    let plain = EndpointStep::Answer(own_answer("200 OK", "done"));
+    let other = ScriptedEndpoint::start(vec![plain; 2]).await;
+    let gateway = told(&[&limited, &other]);
+    for _ in 0..2 {
+        let sending = gateway.send(impatient());
+        let answer = gateway
+            .with_turns(sending, |_| TurnAnswer::Later(1_000))
+            .await;
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    assert_eq!(other.requests().len(), 2);
+    assert!(limited.requests().is_empty());
+    assert!(gateway.turn_asks().len() <= PartIndex::all().count());
+}
+
+/// The only endpoint has no turn before the caller leaves. Kept waiting, the caller would learn it too late to go
+/// elsewhere; told less than the holder said, it would come back in vain.
+#[tokio::test]
+async fn where_no_turn_is_in_time_the_caller_is_told_at_once_when_to_return() {
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    let gateway = told(&[&endpoint]);
+    let sending = gateway.send(impatient());
+    let answer = gateway
+        .with_turns(sending, |_| TurnAnswer::Later(9_000))
+        .await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let after = answer.headers()["retry-after"].to_str().unwrap();
+    let after: f64 = after.parse().unwrap();
+    assert!((8.0..=10.0).contains(&after), "{after}");
+    let asked = gateway.turn_asks().len();
+    let again = gateway.send(impatient()).await;
+    assert_eq!(again.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(
+        gateway.turn_asks().len(),
+        asked,
+        "what is known is not asked again"
+    );
+    assert!(endpoint.requests().is_empty());
+    let line = gateway.logged("answer").join("");
+    assert!(line.contains("rate-limited"), "{line}");
+}
+
+/// The gateway reaches nobody who gives turns: it can't know what the others send.
+#[tokio::test]
+async fn without_word_of_any_holder_a_limited_endpoint_gets_nothing() {
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    let gateway = told(&[&endpoint]);
+    let answer = gateway.send(impatient()).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert_eq!(gateway.turn_asks().len(), PartIndex::all().count());
+    assert!(endpoint.requests().is_empty());
+}
+
+/// A prompt waits for its permit when another gateway tells of the limit: it was placed without a turn, and is looked
+/// at again before its first byte.
+#[tokio::test]
+async fn a_limit_holds_for_requests_that_were_placed_before_it_was_known() {
+    let stream = stream_start(&["id: 1\ndata: 1\n\n"]) + STREAM_END;
+    let engine = ScriptedEndpoint::start(vec![EndpointStep::Answer(stream)]).await;
+    let kind = RouteKind::Stream {
+        resumable: false,
+        pause: Duration::from_millis(300),
+    };
+    let gateway = TestGateway::before(kind, 1, &[&engine]);
+    gateway.hold_parts_elsewhere();
+    let held = HeldModel {
+        model: ModelName::try_from("m1").unwrap(),
+        adapters: Vec::new(),
+    };
+    gateway
+        .core
+        .take_pulse(pulse(1, engine.address, vec![held]));
+    let prompt = request(&[
+        ("x-oatpier-model", "m1"),
+        ("x-oatpier-token-usage", "400,10"),
+    ]);
+    let granting = async {
+        let mut granted = 0;
+        loop {
+            sleep(Duration::from_millis(1)).await;
+            let sent = gateway.outlet.sent().into_iter();
+            let asks = sent.filter_map(|(_, message)| match message {
+                InnerMessage::PermitAsk(ask) => Some(ask.id),
+                _ => None,
+            });
+            for id in asks.skip(granted) {
+                granted += 1;
+                gateway.core.take_limit_word(&limit_word());
+                gateway.core.take_permit(PermitGrant { id });
+            }
+        }
+    };
+    let sending = async {
+        tokio::select! {
+            answer = gateway.send(prompt) => answer,
+            () = granting => unreachable!("permits are given for ever"),
+        }
+    };
+    let answer = gateway.with_turns(sending, |_| TurnAnswer::In(0)).await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(gateway.turn_asks().len(), 1);
+    assert!(
+        gateway
+            .core
+            .metrics
+            .encode()
+            .contains("sends_total{cause=\"held-back\"} 1")
+    );
+}
+
+/// The gateway that hears of a limit first tells the others at once: until they know they send as before.
+#[tokio::test]
+async fn other_gateways_are_told_of_a_limit_and_of_its_end() {
+    let plain = EndpointStep::Answer(own_answer("200 OK", "done"));
+    let steps = [limited_answers(2), vec![plain]].concat();
+    let endpoint = ScriptedEndpoint::start(steps).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    gateway.hold_parts_elsewhere();
+    let mut named = pulse(1, endpoint.address, Vec::new());
+    named.gateways = vec!["10.0.0.9:7380".parse().unwrap()];
+    gateway.core.take_pulse(named);
+    for _ in 0..3 {
+        let sending = gateway.send(impatient());
+        gateway.with_turns(sending, |_| TurnAnswer::In(0)).await;
+    }
+    let told = gateway.outlet.sent().into_iter();
+    let told = told.filter_map(|(to, message)| match message {
+        InnerMessage::LimitSeen(word) => {
+            Some((to.to_string(), word.rate.map(RequestRate::per_second)))
+        }
+        _ => None,
+    });
+    let peer = "10.0.0.9:7380".to_owned();
+    assert_eq!(
+        told.collect::<Vec<_>>(),
+        [(peer.clone(), Some(RATE)), (peer, None)]
+    );
+}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -17,9 +17,12 @@
 use oatpier_serving::crashes::changes::CrashChange;
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::engine::{EndpointLoad, HeldModel, LocalCopies};
-use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber};
+use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber, TurnAsk, TurnReply};
 use oatpier_serving::node::{NodeBounds, NodeSettings};
+use oatpier_serving::quota::PartIndex;
 use oatpier_serving::quota::bounds::QuotaBounds;
+use oatpier_serving::quota::tenure::{PartEntry, PartRecord};
+use oatpier_serving::quota::turns::TurnAnswer;
 use oatpier_serving::site::{
     CallerLimits, EngineRule, ModelRule, RouteKind, RouteRule, ServiceRule, SiteConfig,
     WeightedService,
@@ -31,6 +34,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 pub const ID: &str = "9c41d07be2a35f68";
 
@@ -254,6 +258,56 @@
         gateway
     }
 
+    /// Other gateways hold the parts of limits.
+    pub fn hold_parts_elsewhere(&self) {
+        let entry = |part| PartEntry {
+            record: PartRecord {
+                part,
+                holder: Some(holder(part)),
+                boot: 1,
+                era: 0,
+            },
+            revision: 5,
+        };
+        let entries: Vec<PartEntry> = PartIndex::all().map(entry).collect();
+        self.core.take_parts(&entries, 0);
+    }
+
+    /// The asks for turns that it sent.
+    pub fn turn_asks(&self) -> Vec<TurnAsk> {
+        let sent = self.outlet.sent().into_iter();
+        let asks = sent.filter_map(|(_, message)| match message {
+            InnerMessage::TurnAsk(ask) => Some(ask),
+            _ => None,
+        });
+        asks.collect()
+    }
+
+    /// Does some work while the holders answer each ask for a turn in the same way.
+    pub async fn with_turns<T>(
+        &self,
+        work: impl Future<Output = T>,
+        answer: impl Fn(&TurnAsk) -> TurnAnswer,
+    ) -> T {
+        let holders = async {
+            let mut answered = self.turn_asks().len();
+            loop {
+                for ask in self.turn_asks().drain(answered..) {
+                    answered += 1;
+                    let answer = answer(&ask);
+                    self.core.take_turn_reply(TurnReply { id: ask.id, answer });
+                }
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        // Holders first: on a busy machine an answer must not come after the time for it is over.
+        tokio::select! {
+            biased;
+            () = holders => unreachable!("holders answer for ever"),
+            done = work => done,
+        }
+    }
+
     /// The lines so far on a decision.
     pub fn logged(&self, decision: &str) -> Vec<String> {
         let is_on_it = |line: &String| line.contains(&format!("\"decision\":\"{decision}\""));
@@ -275,6 +329,11 @@
     }
 }
 
+/// Where the holder of a part is.
+pub fn holder(part: PartIndex) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 50 + part.0], 7380))
+}
+
 pub fn request(rows: &[(&'static str, &'static str)]) -> Request<Bytes> {
     let mut builder = Request::builder()
         .method(Method::POST)
--- a/crates/oatpier-serving/examples/limit_costs.rs
+++ b/crates/oatpier-serving/examples/limit_costs.rs
@@ -72,7 +72,7 @@
     holder.begin(part, PartStart::Full, ClockTime::ZERO);
     let mut grants = GrantBook::default();
     let own = "10.0.0.1:7380".parse().expect("an address");
-    grants.set_holders([Some(own); PARTS as usize]);
+    grants.holders_mut().set([Some(own); PARTS as usize]);
     let now = ClockTime::from_millis(10);
     let started = std::time::Instant::now();
     for key in &keys {
--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -13,7 +13,7 @@
 
 use oatpier_types::refusal::{Refusal, RefusalCause};
 
-use crate::choice::EndpointChoice;
+use crate::choice::{EndpointChoice, HeldService, HoldCause};
 use crate::site::RouteRule;
 
 /// The share of a class's target that may be spent waiting for a slot; the rest is the way to the
@@ -57,6 +57,9 @@
 /// Refused callers come back up to this share later than told at the least.
 const RETURN_SPREAD: f64 = 0.6;
 
+/// The longest spread of returns to an endpoint that takes requests again at a known time.
+const HELD_SPREAD: Duration = Duration::from_secs(1);
+
 /// The weight of one more request in the share of refused ones: about the last forty count.
 const PRESSURE_WEIGHT: f64 = 0.025;
 
@@ -156,6 +159,20 @@
         }
     }
 
+    /// A refusal where no endpoint takes the request for a time that is known: what is told is not shortened, and its
+    /// spread is bounded, so that the room that there is then is used.
+    pub fn held(&mut self, held: HeldService) -> Refusal {
+        let cause = match held.cause {
+            HoldCause::Limit => RefusalCause::RateLimited,
+        };
+        let spread = held.left.mul_f64(RETURN_SPREAD).min(HELD_SPREAD);
+        let after = held.left.max(RETURN_LEAST) + spread.mul_f64(self.generator.random::<f64>());
+        Refusal {
+            cause,
+            retry_after: Some(after),
+        }
+    }
+
     /// A time to return, spread.
     pub fn spread(&mut self, after: Duration) -> Duration {
         let after = after.clamp(RETURN_LEAST, RETURN_MOST);
--- a/crates/oatpier-serving/src/choice.rs
+++ b/crates/oatpier-serving/src/choice.rs
@@ -65,6 +65,8 @@
     pub excluded: &'a [EndpointName],
     /// What the service's engines may hold; none for a plain service.
     pub engine: Option<&'a EngineRule>,
+    /// How long the request can wait for its turn at an endpoint that names a limit.
+    pub turn_patience: Duration,
 }
 
 /// An endpoint for a request.
@@ -100,10 +102,28 @@
         /// How long a load takes at the engine that has it nearest, if any engine is heard.
         load: Option<Duration>,
     },
+    /// Nowhere for this long: all endpoints that could serve it have asked to be left alone.
+    Held(HeldService),
     /// No endpoint of the service is there, or all of them had it already.
     NoEndpoint,
 }
 
+/// Why a request can go to none of the endpoints that could serve it, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldService {
+    /// What the endpoint said that takes requests again first.
+    pub cause: HoldCause,
+    /// Until then.
+    pub left: Duration,
+}
+
+/// What keeps an endpoint from being sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HoldCause {
+    /// Its limit on the requests of all gateways.
+    Limit,
+}
+
 /// Chooses an endpoint.
 #[must_use]
 pub fn choose(
@@ -124,18 +144,24 @@
             seen.note_missing(row, query, now);
             continue;
         }
+        let turn_wait = row.turn_wait(now);
+        if turn_wait > query.turn_patience {
+            seen.note_held(HoldCause::Limit, turn_wait);
+            continue;
+        }
         let scored = score(directory, row, query, &holders, now);
         if best.as_ref().is_none_or(|(cost, _)| scored.0 < *cost) {
             best = Some(scored);
         }
     }
-    match best {
-        Some((_, choice)) => ChoiceVerdict::Endpoint(choice),
-        None if seen.open => ChoiceVerdict::NoModel {
+    match (best, seen.held) {
+        (Some((_, choice)), _) => ChoiceVerdict::Endpoint(choice),
+        (None, Some(held)) => ChoiceVerdict::Held(held),
+        (None, None) if seen.open => ChoiceVerdict::NoModel {
             ready_in: seen.ready_in,
             load: seen.load,
         },
-        None => ChoiceVerdict::NoEndpoint,
+        (None, None) => ChoiceVerdict::NoEndpoint,
     }
 }
 
@@ -145,9 +171,16 @@
     open: bool,
     ready_in: Option<Duration>,
     load: Option<Duration>,
+    held: Option<HeldService>,
 }
 
 impl SeenEndpoints {
+    fn note_held(&mut self, cause: HoldCause, left: Duration) {
+        if self.held.is_none_or(|held| left < held.left) {
+            self.held = Some(HeldService { cause, left });
+        }
+    }
+
     fn note_missing(&mut self, row: &EndpointRow, query: &ChoiceQuery<'_>, now: ClockTime) {
         let Some((weights, rule)) = query.request.weights.as_ref().zip(query.engine) else {
             return;
@@ -176,13 +209,14 @@
     let slots = f64::from(row.record.slots.max(1));
     let present = f64::from(row.present());
     let crowd = (present / slots).min(1.0);
+    let turn_ms = row.turn_wait(now).as_secs_f64() * 1e3;
     let queue_ms = queue_ms(row, query.request, now);
     let unread = unread_tokens(row, query.request, holders);
     let own_ms = reading_ms(directory, query.request, unread);
     let ahead_ms = row.reading_ahead_ms(now);
     let first_ms = row.first.mean_ms() + ahead_ms + own_ms;
     let adapter = adapter_ms(row, query, now);
-    let mut cost = queue_ms + first_ms + adapter + crowd * CROWD_MS;
+    let mut cost = turn_ms.max(queue_ms) + first_ms + adapter + crowd * CROWD_MS;
     cost += row.failure_share(now).powi(2) * FAILING_MS;
     cost += row.fleet_failure_share(now) * LOSING_MS;
     cost += row.record.cold.as_secs_f64().min(1.0) * CROWD_MS;
--- a/crates/oatpier-serving/src/directory/notices.rs
+++ b/crates/oatpier-serving/src/directory/notices.rs
@@ -1,12 +1,18 @@
 //! What endpoints said of themselves in their answers.
 
+use std::time::Duration;
+
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
 use smallvec::SmallVec;
 
 use super::row::NamedLimit;
 use super::{EndpointDirectory, EndpointRow};
+use crate::message::LimitWord;
 use crate::notice::{EndpointNotice, NoticeChange, NoticeValue, RequestRate};
+use crate::quota::PartIndex;
+use crate::quota::holders::HolderBook;
+use crate::quota::turns::{HeldTurn, TurnAnswer, TurnEstimates, TurnStep};
 use crate::reading::SentPrompt;
 
 /// A notice, and the request that it came with.
@@ -40,6 +46,71 @@
             .collect()
     }
 
+    /// Takes what another gateway's answer said of a limit.
+    pub fn take_limit_word(&mut self, word: &LimitWord, now: ClockTime) -> Option<NoticeChange> {
+        let row = self.rows.get_mut(&word.endpoint)?;
+        if row.is_other_start(word.start) {
+            return None;
+        }
+        let named = word.rate.map_or(NoticeValue::Absent, NoticeValue::Given);
+        row.take_rate(named, now - word.sent_ago(), now)
+    }
+
+    /// What this gateway knows of an endpoint's limit, for the others: what the answer to a request that was sent at
+    /// `sent_at` said, or the last one that named a limit.
+    #[must_use]
+    pub fn limit_word(
+        &self,
+        name: &EndpointName,
+        sent_at: Option<ClockTime>,
+        now: ClockTime,
+    ) -> Option<LimitWord> {
+        let row = self.row(name)?;
+        let sent_at = sent_at.or(row.limit.map(|limit| limit.sent_at))?;
+        Some(LimitWord {
+            endpoint: name.clone(),
+            start: row.record.start,
+            rate: row.limit.map(|limit| limit.rate),
+            sent_ago_ms: u32::try_from(now.since(sent_at).as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// What a request does next to get its turn at an endpoint; none where that names no limit.
+    pub fn turn_step(
+        &mut self,
+        name: &EndpointName,
+        holders: &HolderBook,
+        most_wait: Duration,
+        now: ClockTime,
+    ) -> Option<TurnStep> {
+        let limit = self.rows.get_mut(name)?.limit.as_mut()?;
+        Some(limit.turns.step(holders, most_wait, now))
+    }
+
+    /// Takes a holder's answer to an ask for a turn; gives back the turn, if there is one.
+    pub fn take_turn_answer(
+        &mut self,
+        name: &EndpointName,
+        holders: &mut HolderBook,
+        part: PartIndex,
+        answer: TurnAnswer,
+        now: ClockTime,
+    ) -> Option<HeldTurn> {
+        let limit = self.rows.get_mut(name)?.limit.as_mut()?;
+        limit
+            .turns
+            .take_answer(holders, part, answer, limit.rate, now)
+    }
+
+    /// Whether an endpoint may be sent a request that has this turn.
+    #[must_use]
+    pub fn may_send(&self, name: &EndpointName, turn: Option<HeldTurn>, now: ClockTime) -> bool {
+        self.row(name).is_some_and(|row| {
+            let has_turn = turn.is_some_and(|turn| turn.is_valid(now));
+            row.is_open(now) && (row.limit.is_none() || has_turn)
+        })
+    }
+
     /// Endpoints that name a limit.
     #[must_use]
     pub fn limited(&self) -> usize {
@@ -67,10 +138,17 @@
             (NoticeValue::Given(rate), known) => {
                 let is_kept = known.is_some_and(|known| rate > known.rate && !is_later);
                 let kept = known.filter(|_| is_kept).map_or(rate, |known| known.rate);
+                // Turns at a lower rate lie further apart than those that can be had now.
+                let is_raised = known.is_some_and(|known| kept > known.rate);
+                let turns = known
+                    .filter(|_| !is_raised)
+                    .map_or(TurnEstimates::default(), |known| known.turns);
                 self.limit = Some(NamedLimit {
                     rate: kept,
                     since: known.map_or(now, |known| known.since),
                     named_at: now,
+                    sent_at: known.map_or(sent_at, |known| known.sent_at.max(sent_at)),
+                    turns,
                 });
                 let is_new = known.is_none_or(|known| known.rate != kept);
                 is_new.then_some(NoticeChange::RateNamed(kept))
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -14,6 +14,7 @@
 use crate::health::{FailureShare, PaceEstimate};
 use crate::message::{EnginePulse, LoadPulse, MessageNumber};
 use crate::notice::RequestRate;
+use crate::quota::turns::TurnEstimates;
 use crate::reading::ReadingLoad;
 use crate::site::EngineRule;
 
@@ -43,6 +44,12 @@
 /// As [`HOLD_GUESS_MS`] for a plain service.
 const SERVICE_HOLD_GUESS_MS: f64 = 30.0;
 
+/// An engine whose limit keeps its requests below this share of its slots holds its models for few callers.
+const SQUEEZED_SHARE: f64 = 0.25;
+
+/// A limit that is over within this is not worth a load elsewhere.
+const SQUEEZED_AFTER: Duration = Duration::from_secs(2);
+
 /// An endpoint as the registry lists it.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -143,6 +150,10 @@
     pub since: ClockTime,
     /// When it was last named.
     pub(super) named_at: ClockTime,
+    /// When the last request was sent whose answer named it.
+    pub(super) sent_at: ClockTime,
+    /// When the endpoint may be sent the next request.
+    pub(super) turns: TurnEstimates,
 }
 
 /// A model that an engine loads or is about to.
@@ -222,6 +233,23 @@
         self.limit
     }
 
+    /// How long until a limit lets it be sent a request, at the least.
+    #[must_use]
+    pub fn turn_wait(&self, now: ClockTime) -> Duration {
+        self.limit
+            .map_or(Duration::ZERO, |limit| limit.turns.wait(now))
+    }
+
+    /// Whether a limit has left it so little for so long that its models need other holders.
+    #[must_use]
+    pub fn is_squeezed(&self, now: ClockTime) -> bool {
+        self.limit.is_some_and(|limit| {
+            let running = limit.rate.per_second() * self.hold.mean_ms() / 1e3;
+            let is_small = running < f64::from(self.record.slots) * SQUEEZED_SHARE;
+            is_small && now.since(limit.since) >= SQUEEZED_AFTER
+        })
+    }
+
     /// Whether this gateway's requests use adapters there, or did since its last greeting.
     #[must_use]
     pub fn uses_adapters(&self) -> bool {
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -16,8 +16,10 @@
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 use crate::failures::EngineFailure;
 use crate::fingerprint::RequestFingerprint;
+use crate::notice::RequestRate;
 use crate::quota::PartIndex;
 use crate::quota::holder::{PartAnswer, UnitsWanted};
+use crate::quota::turns::TurnAnswer;
 use crate::reads::StoreWord;
 
 /// One datagram.
@@ -60,6 +62,12 @@
     QuotaAnswer(QuotaAnswer),
     /// A gateway gives a permit back, or withdraws its ask: the prompt was read, or will not be.
     PermitDone(PermitGrant),
+    /// A gateway asks a holder for a turn at an endpoint.
+    TurnAsk(TurnAsk),
+    /// A holder answers.
+    TurnAnswer(TurnReply),
+    /// A gateway to all others: what an endpoint's answer said of its limit.
+    LimitSeen(LimitWord),
 }
 
 impl InnerMessage {
@@ -86,6 +94,9 @@
             Self::AttemptFailed(_) => "attempt-failed",
             Self::QuotaAsk(_) => "quota-ask",
             Self::QuotaAnswer(_) => "quota-answer",
+            Self::TurnAsk(_) => "turn-ask",
+            Self::TurnAnswer(_) => "turn-answer",
+            Self::LimitSeen(_) => "limit-seen",
         }
     }
 }
@@ -315,6 +326,52 @@
     pub answer: PartAnswer,
 }
 
+/// A gateway asks a holder for a turn. Never repeated: a turn whose answer is lost is lost.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TurnAsk {
+    /// Tells asks apart; drawn at random.
+    pub id: u64,
+    /// Which part of the limit.
+    pub part: PartIndex,
+    /// How far ahead the turn may be, in milliseconds.
+    pub most_wait_ms: u32,
+    /// The endpoint, and its limit as the asker knows it.
+    pub limit: LimitWord,
+}
+
+/// A holder's answer to an ask for a turn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TurnReply {
+    /// The ask that it answers.
+    pub id: u64,
+    /// What it says.
+    pub answer: TurnAnswer,
+}
+
+/// What an endpoint's answer said of its limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LimitWord {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Which start of it, if it tells.
+    pub start: Option<StartTime>,
+    /// The limit; none if the answer named none.
+    pub rate: Option<RequestRate>,
+    /// How long ago the request was sent that it answered, in milliseconds.
+    pub sent_ago_ms: u32,
+}
+
+impl LimitWord {
+    /// How long ago the request was sent.
+    #[must_use]
+    pub fn sent_ago(&self) -> Duration {
+        Duration::from_millis(u64::from(self.sent_ago_ms))
+    }
+}
+
 /// A gateway waits for an adapter.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/oatpier-serving/src/quota/grants.rs
+++ b/crates/oatpier-serving/src/quota/grants.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use super::holder::{PartAnswer, UnitsWanted};
+use super::holders::HolderBook;
 use super::{PARTS, PartIndex};
 
 /// Requests of the next moment are provided for with the units that those of the last second used in as long.
@@ -17,12 +18,6 @@
 /// The span over which use is averaged.
 const USE_SPAN: Duration = Duration::from_secs(1);
 
-/// A holder that did not answer is asked last for this long, the first time; each further time twice as long.
-const SILENT_FIRST: Duration = Duration::from_millis(500);
-
-/// The longest time for that: a holder that was cut off is found again this soon.
-const SILENT_MOST: Duration = Duration::from_secs(4);
-
 /// A part that had nothing left is not asked again for the same need before this. Others may not have used what
 /// it has gained meanwhile, so this is short beside the time to return.
 const EMPTY_PAUSE: Duration = Duration::from_millis(60);
@@ -113,16 +108,6 @@
     }
 }
 
-/// Where the holders of all parts are, as far as known; none for a part that nobody holds.
-pub type PartHolders = [Option<SocketAddr>; PARTS as usize];
-
-#[derive(Debug, Clone, Copy, Default)]
-struct HolderView {
-    holder: Option<SocketAddr>,
-    silences: u32,
-    silent_until: ClockTime,
-}
-
 /// Whom to ask for units.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PartAsk {
@@ -162,18 +147,19 @@
 #[derive(Debug, Default)]
 pub struct GrantBook {
     workspaces: HashMap<WorkspaceName, WorkspaceUnits>,
-    holders: [HolderView; PARTS as usize],
+    holders: HolderBook,
 }
 
 impl GrantBook {
-    /// Who holds the parts now.
-    pub fn set_holders(&mut self, holders: PartHolders) {
-        for (view, holder) in self.holders.iter_mut().zip(holders) {
-            if view.holder != holder {
-                *view = HolderView::default();
-            }
-            view.holder = holder;
-        }
+    /// Who holds the parts.
+    #[must_use]
+    pub fn holders(&self) -> &HolderBook {
+        &self.holders
+    }
+
+    /// Who holds the parts, to note who does and who answers.
+    pub fn holders_mut(&mut self) -> &mut HolderBook {
+        &mut self.holders
     }
 
     /// Only these workspaces have limits any more.
@@ -198,11 +184,11 @@
         let need = units - known.left();
         let open = PartIndex::all().filter(|part| !asked.0.contains(part));
         let askable = open.filter(|part| !known.is_empty(*part, need, now));
-        let views = &self.holders;
-        let held = askable.filter_map(|part| Some((part, views[part.place()].holder?)));
+        let holders = &self.holders;
+        let held = askable.filter_map(|part| Some((part, holders.holder(part)?)));
         let turn = known.turn;
         let best = held.min_by_key(|(part, _)| {
-            let is_silent = now < views[part.place()].silent_until;
+            let is_silent = holders.is_silent(*part, now);
             (is_silent, (part.0 + PARTS - turn) % PARTS)
         });
         if let Some((part, holder)) = best {
@@ -234,9 +220,7 @@
         now: ClockTime,
     ) {
         let place = ask.part.place();
-        let view = &mut self.holders[place];
-        view.silences = 0;
-        view.silent_until = ClockTime::ZERO;
+        self.holders.note_answer(ask.part);
         let known = self.workspaces.entry(workspace.clone()).or_default();
         match answer {
             PartAnswer::Granted(units) => {
@@ -258,14 +242,6 @@
         }
     }
 
-    /// A holder did not answer.
-    pub fn note_silence(&mut self, part: PartIndex, now: ClockTime) {
-        let view = &mut self.holders[part.place()];
-        let span = SILENT_FIRST * 2_u32.saturating_pow(view.silences.min(8));
-        view.silences += 1;
-        view.silent_until = now + span.min(SILENT_MOST);
-    }
-
     /// Units that were taken for a request that was not sent.
     pub fn put_back(&mut self, workspace: &WorkspaceName, lot: UnitsLot, now: ClockTime) {
         if let Some(known) = self.workspaces.get_mut(workspace)
--- a/crates/oatpier-serving/src/quota/holder.rs
+++ b/crates/oatpier-serving/src/quota/holder.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::WorkspaceName;
+use oatpier_types::names::{EndpointName, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 use super::PartIndex;
 use super::bounds::PartTerms;
+use super::turns::{TurnAnswer, TurnQueue};
+use crate::notice::RequestRate;
 
 /// The share of what is saved up that is handed out ahead of requests.
 const AHEAD_SHARE: f64 = 0.25;
@@ -125,6 +127,7 @@
     start: PartStart,
     at: ClockTime,
     buckets: HashMap<WorkspaceName, PartBucket>,
+    turns: HashMap<EndpointName, TurnQueue>,
 }
 
 impl PartHolder {
@@ -134,6 +137,7 @@
             start,
             at: now,
             buckets: HashMap::new(),
+            turns: HashMap::new(),
         };
         self.begun.insert(part, begin);
     }
@@ -175,6 +179,30 @@
         bucket.hand_out(terms, wanted, now)
     }
 
+    /// Gives a turn at an endpoint that takes `rate` requests a second from all gateways.
+    pub fn give_turn(
+        &mut self,
+        part: PartIndex,
+        endpoint: &EndpointName,
+        rate: RequestRate,
+        most_wait: Duration,
+        now: ClockTime,
+    ) -> TurnAnswer {
+        let Some(begin) = self.begun.get_mut(&part) else {
+            return TurnAnswer::NotHeld;
+        };
+        let fresh = TurnQueue::begin(begin.start, begin.at);
+        let queue = begin.turns.entry(endpoint.clone()).or_insert(fresh);
+        queue.give(rate, most_wait, now)
+    }
+
+    /// Only these endpoints are there any more.
+    pub fn retain_endpoints(&mut self, is_there: impl Fn(&EndpointName) -> bool) {
+        for begin in self.begun.values_mut() {
+            begin.turns.retain(|endpoint, _| is_there(endpoint));
+        }
+    }
+
     /// Counts what was asked of the parts that are held here since the last count, by workspace.
     pub fn count_use(&mut self) -> Vec<WorkspaceUse> {
         let mut uses: HashMap<WorkspaceName, (UnitsUse, f64)> = HashMap::new();
--- a/crates/oatpier-serving/src/quota/mod.rs
+++ b/crates/oatpier-serving/src/quota/mod.rs
@@ -8,7 +8,9 @@
 //! - [`bounds`]: what the platform allows beside the limit itself.
 //! - [`tenure`]: which gateway holds which part, by leases in the store.
 //! - [`holder`]: handing out what a part gives.
+//! - [`holders`]: which holders answer.
 //! - [`grants`]: what a gateway was given, and whom it asks next.
+//! - [`turns`]: the same for the limits that endpoints put on the requests of all gateways.
 //!
 //! A holder that is gone takes its part along until it is back, or until its lease has run out: the other parts
 //! go on. That is why there are a few and not one. Many would each give too little for one request.
@@ -16,7 +18,9 @@
 pub mod bounds;
 pub mod grants;
 pub mod holder;
+pub mod holders;
 pub mod tenure;
+pub mod turns;
 
 use std::fmt;
 
--- a/crates/oatpier-serving/src/quota/tenure.rs
+++ b/crates/oatpier-serving/src/quota/tenure.rs
@@ -18,8 +18,8 @@
 
 use oatpier_types::clock::ClockTime;
 
-use super::grants::PartHolders;
 use super::holder::PartStart;
+use super::holders::PartHolders;
 use super::{PARTS, PartIndex};
 
 /// How long a holder holds a part after its last renewal. Longer than the store is away as a rule; a gateway that
@@ -126,7 +126,7 @@
 pub struct ClaimStanding {
     /// Gateways that are fitter.
     pub rank: usize,
-    /// Whether any workspace has a limit, and this gateway is to stay.
+    /// Whether this gateway is to stay.
     pub is_wanted: bool,
 }
 
--- a/crates/oatpier-serving/tests/testsuite/choice.rs
+++ b/crates/oatpier-serving/tests/testsuite/choice.rs
@@ -21,6 +21,7 @@
         zone: &zone("near"),
         excluded,
         engine: Some(&engine_rule(&["m1", "m2"])),
+        turn_patience: millis(0),
     };
     choice::choose(directory, &query, at(100))
 }
@@ -247,6 +248,7 @@
         zone: &zone("near"),
         excluded: &[],
         engine: None,
+        turn_patience: millis(0),
     };
     let ChoiceVerdict::Endpoint(choice) = choice::choose(&directory, &query, at(1_200)) else {
         panic!("an endpoint is there");
--- a/crates/oatpier-serving/tests/testsuite/failures.rs
+++ b/crates/oatpier-serving/tests/testsuite/failures.rs
@@ -54,6 +54,7 @@
                 zone: &zone("near"),
                 excluded: &[],
                 engine: Some(&engine_rule(&["m1"])),
+                turn_patience: std::time::Duration::ZERO,
             },
             at(100),
         );
--- a/crates/oatpier-serving/tests/testsuite/planner.rs
+++ b/crates/oatpier-serving/tests/testsuite/planner.rs
@@ -8,12 +8,15 @@
 
 use oatpier_serving::directory::EndpointDirectory;
 use oatpier_serving::engine::LocalCopies;
-use oatpier_serving::message::ModelUse;
+use oatpier_serving::message::{LimitWord, ModelUse};
+use oatpier_serving::notice::RequestRate;
 use oatpier_serving::peers::{FleetUses, TotalDemand};
 use oatpier_serving::planner::{FleetDemand, LoadPlanner, LoadReason, PlanOutcome};
 use oatpier_types::names::ModelName;
 
-use crate::support::{address, at, directory, engine_rule, model, pulse, record, service};
+use crate::support::{
+    address, at, directory, endpoint, engine_rule, model, pulse, record, service,
+};
 
 /// Two engines that are full with a model in great demand, and one with models that are rarely asked for.
 const HOT_BESIDE_RARE: [(&[&str], u32); 3] = [
@@ -130,6 +133,42 @@
     assert!(!outcome.planned.is_empty());
 }
 
+/// The only holder of a model names a limit that leaves it a request a second: its callers are turned away while other
+/// engines idle. A limit that is over soon is not worth a load.
+#[test]
+fn a_model_whose_holder_may_take_few_requests_gets_another_holder() {
+    let mut directory = directory(&[(&["hot"], 1), (&["rare"], 0)], at(0));
+    let demand = demand(&[("hot", 0.5, 0.5)]);
+    let word = LimitWord {
+        endpoint: endpoint("e1"),
+        start: None,
+        rate: Some(RequestRate::try_from(1.0).unwrap()),
+        sent_ago_ms: 0,
+    };
+    directory.take_limit_word(&word, at(0));
+    for number in [1, 2] {
+        let mut heard = pulse(
+            number,
+            [&["hot"][..], &["rare"]][usize::from(number) - 1],
+            0,
+        );
+        heard.number.number = 2;
+        directory.take_pulse(heard, at(2_500));
+    }
+    let rule = engine_rule(&["hot", "rare"]);
+    let mut planner = LoadPlanner::default();
+    let mut round = |now| {
+        let demand = FleetDemand {
+            models: &demand,
+            uses: &FleetUses::default(),
+        };
+        loads(&planner.plan(&rule, directory.service(&service()), demand, at(now)))
+    };
+    assert_eq!(round(1_500), []);
+    let load = ("e2".to_owned(), "hot".to_owned(), LoadReason::Unreachable);
+    assert_eq!(round(2_600), [load]);
+}
+
 #[test]
 fn a_calm_fleet_is_left_alone() {
     let directory = directory(&[(&["m1"], 2), (&["m2"], 1)], at(900));
--- a/crates/oatpier-types/src/refusal.rs
+++ b/crates/oatpier-types/src/refusal.rs
@@ -27,6 +27,8 @@
     Duplicate,
     /// No endpoint is known that could run it.
     NoEndpoint,
+    /// The endpoints that could run it take no more requests a second.
+    RateLimited,
     /// The class has used up its retries.
     RetriesSpent,
     /// The idempotency key was used already.
@@ -62,6 +64,7 @@
             Self::GivenUp => "given-up",
             Self::Duplicate => "duplicate",
             Self::NoEndpoint => "no-endpoint",
+            Self::RateLimited => "rate-limited",
             Self::RetriesSpent => "retries-spent",
             Self::KeyUsed => "key-used",
             Self::ClaimUnavailable => "claim-unavailable",
