Sight: that an endpoint leaves, or wants rest, is decoded, kept by start, logged and counted

Now both are decoded once in the adapter; the directory keeps them for the start that said so; changes are lines `endpoint says` and counts by cause; gauges count endpoints that leave and rest. Decided values. Leaving: 1 and 0; anything else is counted and changes nothing; 1 stays, whatever comes later. Rest: of 503 and 429 only; the longest of several; 0 is none, 0.001 a millisecond, 1e300 and more an hour; a date, text, a negative or infinite value is counted and taken for a second; never shortened by a later answer.

Nothing acts on it yet.

--- a/crates/oatpier-gateway/src/gateway/notices.rs
+++ b/crates/oatpier-gateway/src/gateway/notices.rs
@@ -1,11 +1,12 @@
 //! What endpoints say of themselves in their answers: kept, logged and counted.
 
 use oatpier_serving::directory::HeardNotice;
-use oatpier_serving::notice::{NoticeChange, RequestRate};
+use oatpier_serving::notice::NoticeChange;
 use oatpier_types::names::EndpointName;
 
 use super::core::{CoreState, GatewayCore};
 use crate::decisions::{DecisionLine, LineWeight};
+use crate::notice_metrics::NoticeCounts;
 
 impl GatewayCore {
     /// Takes what the answer to a request said of its endpoint.
@@ -41,19 +42,34 @@
 
     /// Shows how many endpoints have asked for what.
     pub(super) fn show_notices(&self, state: &CoreState) {
-        self.metrics.notices.note_limited(state.directory.limited());
+        let now = self.clock.now();
+        let directory = &state.directory;
+        self.metrics.notices.note_counts(NoticeCounts {
+            limited: directory.limited(),
+            leaving: directory.said_leaving(),
+            resting: directory.resting(now),
+        });
     }
 }
 
 /// What is believed anew of an endpoint. A value that can't be read may come with every answer.
 fn notice_line(state: &CoreState, endpoint: &EndpointName, change: NoticeChange) -> DecisionLine {
     let weight = match change {
-        NoticeChange::RateUnusable => LineWeight::Calm,
-        NoticeChange::RateNamed(_) | NoticeChange::RateEnded => LineWeight::Notable,
+        NoticeChange::RateUnusable | NoticeChange::LeavingUnusable | NoticeChange::RestUnusable => {
+            LineWeight::Calm
+        }
+        NoticeChange::RateNamed(_)
+        | NoticeChange::RateEnded
+        | NoticeChange::Leaving
+        | NoticeChange::Rests(_) => LineWeight::Notable,
     };
     let rate = match change {
-        NoticeChange::RateNamed(rate) => Some(rate),
-        NoticeChange::RateEnded | NoticeChange::RateUnusable => None,
+        NoticeChange::RateNamed(rate) => Some(rate.per_second()),
+        _ => None,
+    };
+    let rest_ms = match change {
+        NoticeChange::Rests(span) => u64::try_from(span.duration().as_millis()).ok(),
+        _ => None,
     };
     let row = state.directory.row(endpoint);
     DecisionLine::new(weight, "endpoint says")
@@ -63,5 +79,6 @@
             row.and_then(|row| row.record.start).map(|start| start.0),
         )
         .with("says", change.as_str())
-        .with("rate", rate.map(RequestRate::per_second))
+        .with("rate", rate)
+        .with("rest_ms", rest_ms)
 }
--- a/crates/oatpier-gateway/src/notice_metrics.rs
+++ b/crates/oatpier-gateway/src/notice_metrics.rs
@@ -12,6 +12,19 @@
 pub struct NoticeMetrics {
     notices: Family<CauseLabels, Counter>,
     limited: Gauge,
+    leaving: Gauge,
+    resting: Gauge,
+}
+
+/// Endpoints by what they have asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct NoticeCounts {
+    /// They name a limit.
+    pub limited: usize,
+    /// Their answers said that they leave.
+    pub leaving: usize,
+    /// They want no requests from this gateway now.
+    pub resting: usize,
 }
 
 impl NoticeMetrics {
@@ -20,9 +33,12 @@
         self.notices.get_or_create(&CauseLabels { cause }).inc();
     }
 
-    /// Notes how many endpoints name a limit.
-    pub fn note_limited(&self, limited: usize) {
-        self.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
+    /// Notes how many endpoints have asked for what.
+    pub fn note_counts(&self, counts: NoticeCounts) {
+        let shown = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.limited.set(shown(counts.limited));
+        self.leaving.set(shown(counts.leaving));
+        self.resting.set(shown(counts.resting));
     }
 
     pub(crate) fn register(&self, registry: &mut Registry) {
@@ -36,5 +52,15 @@
             "Endpoints that name a limit on the requests of all gateways",
             self.limited.clone(),
         );
+        registry.register(
+            "leaving_endpoints",
+            "Endpoints whose answers said that they leave",
+            self.leaving.clone(),
+        );
+        registry.register(
+            "resting_endpoints",
+            "Endpoints that want no requests from this gateway for a while",
+            self.resting.clone(),
+        );
     }
 }
--- a/crates/oatpier-serving/src/directory/notices.rs
+++ b/crates/oatpier-serving/src/directory/notices.rs
@@ -9,7 +9,7 @@
 use super::row::NamedLimit;
 use super::{EndpointDirectory, EndpointRow};
 use crate::message::LimitWord;
-use crate::notice::{EndpointNotice, NoticeChange, NoticeValue, RequestRate};
+use crate::notice::{EndpointNotice, NoticeChange, NoticeValue, RequestRate, RestSpan};
 use crate::quota::PartIndex;
 use crate::quota::holders::HolderBook;
 use crate::quota::turns::{HeldTurn, TurnAnswer, TurnEstimates, TurnStep};
@@ -41,9 +41,13 @@
         let Some(row) = self.rows.get_mut(name) else {
             return SmallVec::new();
         };
-        row.take_rate(heard.notice.rate, heard.sent_at, now)
-            .into_iter()
-            .collect()
+        let notice = heard.notice;
+        let changes = [
+            row.take_rate(notice.rate, heard.sent_at, now),
+            row.take_leaving(notice.leaving),
+            row.take_rest(notice.rest, now),
+        ];
+        changes.into_iter().flatten().collect()
     }
 
     /// Takes what another gateway's answer said of a limit.
@@ -111,6 +115,19 @@
         })
     }
 
+    /// Endpoints whose answers said that they leave.
+    #[must_use]
+    pub fn said_leaving(&self) -> usize {
+        self.rows.values().filter(|row| row.says_leaving).count()
+    }
+
+    /// Endpoints that want no requests from this gateway now.
+    #[must_use]
+    pub fn resting(&self, now: ClockTime) -> usize {
+        let rows = self.rows.values();
+        rows.filter(|row| !row.rest_left(now).is_zero()).count()
+    }
+
     /// Endpoints that name a limit.
     #[must_use]
     pub fn limited(&self) -> usize {
@@ -119,6 +136,34 @@
 }
 
 impl EndpointRow {
+    /// A start that leaves stays leaving, whatever a later answer says.
+    fn take_leaving(&mut self, leaving: NoticeValue<bool>) -> Option<NoticeChange> {
+        match leaving {
+            NoticeValue::Given(true) => {
+                let is_known = std::mem::replace(&mut self.says_leaving, true);
+                (!is_known).then_some(NoticeChange::Leaving)
+            }
+            NoticeValue::Unusable => Some(NoticeChange::LeavingUnusable),
+            NoticeValue::Given(false) | NoticeValue::Absent => None,
+        }
+    }
+
+    /// A rest is never shortened: the endpoint holds the gateway to each that it asked for.
+    fn take_rest(&mut self, rest: NoticeValue<RestSpan>, now: ClockTime) -> Option<NoticeChange> {
+        let span = match rest {
+            NoticeValue::Given(span) => span,
+            NoticeValue::Unusable => RestSpan::UNREADABLE,
+            NoticeValue::Absent => return None,
+        };
+        let until = now + span.duration();
+        let is_longer = span.duration() > self.rest_left(now);
+        self.rests_until = self.rests_until.max(Some(until));
+        match rest {
+            NoticeValue::Unusable => Some(NoticeChange::RestUnusable),
+            _ => is_longer.then_some(NoticeChange::Rests(span)),
+        }
+    }
+
     /// A lower limit holds at once. Answers may overtake each other, so a higher one, or none, counts only where the
     /// request was sent after the limit was last named.
     pub(super) fn take_rate(
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -196,6 +196,10 @@
     pub(super) served_at: Option<ClockTime>,
     /// The limit that it named, while it names one.
     pub(super) limit: Option<NamedLimit>,
+    /// Whether an answer of its said that it leaves.
+    pub(super) says_leaving: bool,
+    /// Until when it wants no requests from this gateway.
+    pub(super) rests_until: Option<ClockTime>,
 }
 
 impl EndpointRow {
@@ -224,9 +228,24 @@
             refused_at: None,
             served_at: None,
             limit: None,
+            says_leaving: false,
+            rests_until: None,
         }
     }
 
+    /// Whether an answer of its said that it leaves.
+    #[must_use]
+    pub fn says_leaving(&self) -> bool {
+        self.says_leaving
+    }
+
+    /// How much longer it wants no requests from this gateway.
+    #[must_use]
+    pub fn rest_left(&self, now: ClockTime) -> Duration {
+        self.rests_until
+            .map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// The limit on the requests of all gateways, if it named one.
     #[must_use]
     pub fn limit(&self) -> Option<NamedLimit> {
--- a/crates/oatpier-serving/tests/testsuite/notices.rs
+++ b/crates/oatpier-serving/tests/testsuite/notices.rs
@@ -2,7 +2,7 @@
 
 use oatpier_serving::directory::{EndpointDirectory, HeardNotice};
 use oatpier_serving::engine::StartTime;
-use oatpier_serving::notice::{EndpointNotice, NoticeChange, NoticeValue, RequestRate};
+use oatpier_serving::notice::{EndpointNotice, NoticeChange, NoticeValue, RequestRate, RestSpan};
 use oatpier_serving::reading::SentPrompt;
 
 use crate::support::{at, directory, endpoint, record};
@@ -32,6 +32,7 @@
     let heard = HeardNotice {
         notice: EndpointNotice {
             rate: limit.map_or(NoticeValue::Absent, NoticeValue::Given),
+            ..EndpointNotice::default()
         },
         sent,
         sent_at: at(answer.sent_ms),
@@ -87,6 +88,7 @@
     let heard = HeardNotice {
         notice: EndpointNotice {
             rate: NoticeValue::Unusable,
+            ..EndpointNotice::default()
         },
         sent: &sent,
         sent_at: at(20),
@@ -115,3 +117,87 @@
     assert!(late.is_empty());
     assert_eq!(limit(&directory), None);
 }
+
+/// What one answer says of rest and leaving.
+fn say(
+    directory: &mut EndpointDirectory,
+    notice: EndpointNotice,
+    heard_ms: u64,
+) -> Vec<NoticeChange> {
+    let sent = directory.sent_without_prompt(&endpoint("e1"));
+    let heard = HeardNotice {
+        notice,
+        sent: &sent,
+        sent_at: at(heard_ms),
+    };
+    let changes = directory.take_notice(&endpoint("e1"), &heard, at(heard_ms));
+    changes.into_vec()
+}
+
+fn rest(seconds: f64) -> EndpointNotice {
+    EndpointNotice {
+        rest: NoticeValue::Given(RestSpan::try_from(seconds).unwrap()),
+        ..EndpointNotice::default()
+    }
+}
+
+fn rest_left(directory: &EndpointDirectory, now_ms: u64) -> u128 {
+    let row = directory.row(&endpoint("e1")).unwrap();
+    row.rest_left(at(now_ms)).as_millis()
+}
+
+/// A second answer asks for less rest, or comes late: the endpoint still counts what it asked for first.
+#[test]
+fn a_rest_is_never_shortened() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    assert_eq!(say(&mut directory, rest(3.0), 100).len(), 1);
+    assert!(say(&mut directory, rest(0.5), 200).is_empty());
+    assert_eq!(rest_left(&directory, 1_100), 2_000);
+    assert_eq!(say(&mut directory, rest(3.0), 2_100).len(), 1);
+    assert_eq!(rest_left(&directory, 4_100), 1_000);
+    assert_eq!(rest_left(&directory, 5_200), 0);
+}
+
+#[test]
+fn rests_of_nothing_a_moment_and_an_hour_are_kept_as_asked() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    assert!(say(&mut directory, rest(0.0), 0).is_empty());
+    say(&mut directory, rest(0.001), 0);
+    assert_eq!(rest_left(&directory, 0), 1);
+    say(&mut directory, rest(1e300), 0);
+    assert_eq!(rest_left(&directory, 0), 3_600_000);
+}
+
+/// The time can't be read, and that rest is wanted can: taken for none, the endpoint would get the next request at once.
+#[test]
+fn a_rest_that_cannot_be_read_is_a_second() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    let unreadable = EndpointNotice {
+        rest: NoticeValue::Unusable,
+        ..EndpointNotice::default()
+    };
+    assert_eq!(
+        say(&mut directory, unreadable, 0),
+        [NoticeChange::RestUnusable]
+    );
+    assert_eq!(rest_left(&directory, 0), 1_000);
+}
+
+fn leaving(leaving: bool) -> EndpointNotice {
+    EndpointNotice {
+        leaving: NoticeValue::Given(leaving),
+        ..EndpointNotice::default()
+    }
+}
+
+#[test]
+fn leaving_is_told_once_and_never_taken_back() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    assert_eq!(
+        say(&mut directory, leaving(true), 10),
+        [NoticeChange::Leaving]
+    );
+    assert!(say(&mut directory, leaving(true), 20).is_empty());
+    assert!(say(&mut directory, leaving(false), 30).is_empty());
+    assert!(directory.row(&endpoint("e1")).unwrap().says_leaving());
+}
