An endpoint that says in an answer that it leaves gets no new requests, whatever comes later

Cause: whether an endpoint is open came from its entry in the store and its sidecar's pulse; its own answer was thrown away.

Mend: the answer marks the record of that start as draining. Everything that asks whether an endpoint is open then knows: first and second sends, resumed streams, requests that wait for a permit or a turn, the look before the first byte, the planner. The mark outlives later registries, pulses and a store that comes back from an older copy, since a start that drains never takes work again (as was so for the registry's word). Running streams go on. The gateway that hears it tells the others; sidecars read it in the heads of their engine's reports.

The same cause elsewhere: a successor that was adopted at the address of a draining endpoint inherited the mark, and would have had no work until the registry listed it (a test, seen failing without the mend).

--- a/crates/oatpier-gateway/src/gateway/exchanges.rs
+++ b/crates/oatpier-gateway/src/gateway/exchanges.rs
@@ -75,6 +75,7 @@
             InnerMessage::TurnAsk(ask) => core.take_turn_ask(from, &ask),
             InnerMessage::TurnAnswer(reply) => core.take_turn_reply(reply),
             InnerMessage::LimitSeen(word) => core.take_limit_word(&word),
+            InnerMessage::LeavingSeen(word) => core.take_leaving_word(&word),
             InnerMessage::StoreSeen(word) => core.take_store_word(*word),
             InnerMessage::CrashesSeen(records) => core.take_crashes(&records),
             InnerMessage::CrashesCleared(requests) => core.take_cleared(&requests),
--- a/crates/oatpier-gateway/src/gateway/notices.rs
+++ b/crates/oatpier-gateway/src/gateway/notices.rs
@@ -1,6 +1,9 @@
 //! What endpoints say of themselves in their answers: kept, logged and counted.
 
+use std::net::SocketAddr;
+
 use oatpier_serving::directory::HeardNotice;
+use oatpier_serving::message::{InnerMessage, LeavingWord};
 use oatpier_serving::notice::NoticeChange;
 use oatpier_types::names::EndpointName;
 
@@ -22,8 +25,38 @@
         for change in &changes {
             self.log_notice(&state, endpoint, *change, Some(request));
         }
+        let start = state
+            .directory
+            .row(endpoint)
+            .and_then(|row| row.record.start);
         drop(state);
         self.tell_limit(endpoint, &changes, heard.sent_at);
+        if changes.contains(&NoticeChange::Leaving) {
+            self.changed.notify_waiters();
+            self.tell_gateways(&InnerMessage::LeavingSeen(LeavingWord {
+                endpoint: endpoint.clone(),
+                start,
+            }));
+        }
+    }
+
+    /// Another gateway told that an endpoint leaves.
+    pub fn take_leaving_word(&self, word: &LeavingWord) {
+        let mut state = self.lock();
+        let change = state.directory.take_leaving_word(word);
+        if let Some(change) = change {
+            self.log_notice(&state, &word.endpoint, change, None);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Tells all other gateways.
+    pub(super) fn tell_gateways(&self, message: &InnerMessage) {
+        let now = self.clock.now();
+        let peers: Vec<SocketAddr> = self.lock().peers.known(now).collect();
+        for peer in peers {
+            self.outlet.send(peer, message);
+        }
     }
 
     /// Logs and counts what is believed anew of an endpoint, by the answer to a request or, without one, by another
--- a/crates/oatpier-gateway/src/gateway/turns.rs
+++ b/crates/oatpier-gateway/src/gateway/turns.rs
@@ -151,12 +151,7 @@
         let Some(word) = self.limit_word(endpoint, Some(sent_at)) else {
             return;
         };
-        let now = self.clock.now();
-        let peers: Vec<SocketAddr> = self.lock().peers.known(now).collect();
-        let message = InnerMessage::LimitSeen(word);
-        for peer in peers {
-            self.outlet.send(peer, &message);
-        }
+        self.tell_gateways(&InnerMessage::LimitSeen(word));
     }
 
     /// Whether an endpoint names a limit.
--- a/crates/oatpier-gateway/src/sidecar/engine_link.rs
+++ b/crates/oatpier-gateway/src/sidecar/engine_link.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use oatpier_platform::engine;
+use oatpier_platform::{engine, headers};
 use oatpier_serving::engine::{EngineReport, OrderAnswer};
 use oatpier_serving::residency::NumberedOrder;
 use oatpier_types::names::{DaemonName, EndpointName};
@@ -70,7 +70,11 @@
         if answer.status() != StatusCode::OK {
             return Err(format!("the engine answered {}", answer.status()));
         }
-        engine::decode_report(answer.body()).map_err(|error| error.to_string())
+        let report = engine::decode_report(answer.body()).map_err(|error| error.to_string())?;
+        Ok(EngineReport {
+            draining: report.draining || headers::says_leaving(answer.headers()),
+            ..report
+        })
     }
 
     /// Asks the engine which instance it is. It tells with every health check, also where it is not
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -252,6 +252,7 @@
             | InnerMessage::TurnAsk(_)
             | InnerMessage::TurnAnswer(_)
             | InnerMessage::LimitSeen(_)
+            | InnerMessage::LeavingSeen(_)
             | InnerMessage::CrashesSeen(_)
             | InnerMessage::CrashesCleared(_)
             | InnerMessage::Permit(_) => {}
--- a/crates/oatpier-gateway/tests/testsuite/leaving.rs
+++ b/crates/oatpier-gateway/tests/testsuite/leaving.rs
@@ -1,10 +1,17 @@
 //! Endpoints that say in their answers that they leave.
 
+use std::time::Duration;
+
 use http::StatusCode;
+use oatpier_serving::engine::HeldModel;
+use oatpier_serving::message::{InnerMessage, LeavingWord, PermitGrant};
 use oatpier_serving::site::RouteKind;
+use oatpier_types::names::{EndpointName, ModelName};
+use tokio::time::sleep;
 
 use crate::support::{
-    EndpointStep, ScriptedEndpoint, TestGateway, own_answer, record, request, with_headers,
+    EndpointStep, STREAM_END, ScriptedEndpoint, TestGateway, own_answer, pulse, record, request,
+    stream_start, with_headers,
 };
 
 /// Answers that say that their endpoint leaves.
@@ -34,3 +41,98 @@
     assert_eq!(leaving.requests().len(), 1);
     assert_eq!(staying.requests().len(), 4);
 }
+
+fn word() -> LeavingWord {
+    LeavingWord {
+        endpoint: EndpointName::try_from("i-1").unwrap(),
+        start: None,
+    }
+}
+
+/// Only one gateway had a request there when the endpoint said so; the others would send it theirs until the registry
+/// is read.
+#[tokio::test]
+async fn other_gateways_are_told_that_an_endpoint_leaves() {
+    let leaving = ScriptedEndpoint::start(leaving_answers(1)).await;
+    let teller = TestGateway::before(RouteKind::Unsafe, 1, &[&leaving]);
+    let mut named = pulse(1, leaving.address, Vec::new());
+    named.gateways = vec!["10.0.0.9:7380".parse().unwrap()];
+    teller.core.take_pulse(named);
+    teller.send(request(&[])).await;
+    let told = teller.outlet.sent().into_iter();
+    let told = told.filter(|(_, message)| matches!(message, InnerMessage::LeavingSeen(_)));
+    assert_eq!(
+        told.map(|(_, message)| message).collect::<Vec<_>>(),
+        [InnerMessage::LeavingSeen(word())]
+    );
+
+    let listener = TestGateway::before(RouteKind::Unsafe, 1, &[&leaving]);
+    listener.core.take_leaving_word(&word());
+    listener.send(request(&[])).await;
+    assert_eq!(leaving.requests().len(), 1);
+}
+
+/// All endpoints of a service leave. A caller that was kept waiting would learn it at its deadline.
+#[tokio::test]
+async fn where_all_endpoints_leave_callers_are_refused_at_once() {
+    let leaving = ScriptedEndpoint::start(leaving_answers(1)).await;
+    let gateway = TestGateway::before(RouteKind::Safe, 2, &[&leaving]);
+    gateway.send(request(&[])).await;
+    let answer = gateway.send(request(&[])).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers().contains_key("retry-after"));
+    let line = gateway.logged("answer").join("");
+    assert!(line.contains("no-endpoint"), "{line}");
+}
+
+/// A prompt waits for its permit at an engine when the word comes that the engine leaves, and its permit comes all the
+/// same: it goes to the other engine.
+#[tokio::test]
+async fn a_request_that_waits_when_its_endpoint_leaves_goes_elsewhere() {
+    let stream = stream_start(&["id: 1\ndata: 1\n\n"]) + STREAM_END;
+    let leaving = ScriptedEndpoint::start(Vec::new()).await;
+    let staying = ScriptedEndpoint::start(vec![EndpointStep::Answer(stream)]).await;
+    let kind = RouteKind::Stream {
+        resumable: false,
+        pause: Duration::from_millis(300),
+    };
+    let gateway = TestGateway::before(kind, 1, &[&leaving, &staying]);
+    let held = HeldModel {
+        model: ModelName::try_from("m1").unwrap(),
+        adapters: Vec::new(),
+    };
+    let hear = |endpoint: &ScriptedEndpoint, running| {
+        let mut heard = pulse(1, endpoint.address, vec![held.clone()]);
+        heard.load.running = running;
+        gateway.core.take_pulse(heard);
+    };
+    hear(&leaving, 0);
+    hear(&staying, 5);
+    let prompt = request(&[
+        ("x-oatpier-model", "m1"),
+        ("x-oatpier-token-usage", "400,10"),
+    ]);
+    let granting = async {
+        let mut granted = 0;
+        loop {
+            sleep(Duration::from_millis(1)).await;
+            let sent = gateway.outlet.sent().into_iter();
+            let asks = sent.filter_map(|(_, message)| match message {
+                InnerMessage::PermitAsk(ask) => Some(ask),
+                _ => None,
+            });
+            for ask in asks.skip(granted) {
+                granted += 1;
+                gateway.core.take_leaving_word(&word());
+                gateway.core.take_permit(PermitGrant { id: ask.id });
+            }
+        }
+    };
+    let answer = tokio::select! {
+        answer = gateway.send(prompt) => answer,
+        () = granting => unreachable!("permits are given for ever"),
+    };
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert!(leaving.requests().is_empty());
+    assert_eq!(staying.requests().len(), 1);
+}
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -355,6 +355,7 @@
         let record = EndpointRecord {
             name,
             start: None,
+            draining: false,
             ..old.record
         };
         EndpointRow {
--- a/crates/oatpier-serving/src/directory/notices.rs
+++ b/crates/oatpier-serving/src/directory/notices.rs
@@ -8,7 +8,7 @@
 
 use super::row::NamedLimit;
 use super::{EndpointDirectory, EndpointRow};
-use crate::message::LimitWord;
+use crate::message::{LeavingWord, LimitWord};
 use crate::notice::{EndpointNotice, NoticeChange, NoticeValue, RequestRate, RestSpan};
 use crate::quota::PartIndex;
 use crate::quota::holders::HolderBook;
@@ -60,6 +60,15 @@
         row.take_rate(named, now - word.sent_ago(), now)
     }
 
+    /// Takes another gateway's word that an endpoint leaves.
+    pub fn take_leaving_word(&mut self, word: &LeavingWord) -> Option<NoticeChange> {
+        let row = self.rows.get_mut(&word.endpoint)?;
+        if row.is_other_start(word.start) {
+            return None;
+        }
+        row.take_leaving(NoticeValue::Given(true))
+    }
+
     /// What this gateway knows of an endpoint's limit, for the others: what the answer to a request that was sent at
     /// `sent_at` said, or the last one that named a limit.
     #[must_use]
@@ -136,10 +145,11 @@
 }
 
 impl EndpointRow {
-    /// A start that leaves stays leaving, whatever a later answer says.
+    /// A start that leaves stays leaving, whatever a later answer, the registry or its sidecar says.
     fn take_leaving(&mut self, leaving: NoticeValue<bool>) -> Option<NoticeChange> {
         match leaving {
             NoticeValue::Given(true) => {
+                self.record.draining = true;
                 let is_known = std::mem::replace(&mut self.says_leaving, true);
                 (!is_known).then_some(NoticeChange::Leaving)
             }
--- a/crates/oatpier-serving/src/message.rs
+++ b/crates/oatpier-serving/src/message.rs
@@ -68,6 +68,8 @@
     TurnAnswer(TurnReply),
     /// A gateway to all others: what an endpoint's answer said of its limit.
     LimitSeen(LimitWord),
+    /// A gateway to all others: an endpoint's answer said that it leaves.
+    LeavingSeen(LeavingWord),
 }
 
 impl InnerMessage {
@@ -97,6 +99,7 @@
             Self::TurnAsk(_) => "turn-ask",
             Self::TurnAnswer(_) => "turn-answer",
             Self::LimitSeen(_) => "limit-seen",
+            Self::LeavingSeen(_) => "leaving-seen",
         }
     }
 }
@@ -350,6 +353,16 @@
     pub answer: TurnAnswer,
 }
 
+/// An endpoint that leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LeavingWord {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Which start of it, if it tells.
+    pub start: Option<StartTime>,
+}
+
 /// What an endpoint's answer said of its limit.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/oatpier-serving/tests/testsuite/notices.rs
+++ b/crates/oatpier-serving/tests/testsuite/notices.rs
@@ -5,7 +5,7 @@
 use oatpier_serving::notice::{EndpointNotice, NoticeChange, NoticeValue, RequestRate, RestSpan};
 use oatpier_serving::reading::SentPrompt;
 
-use crate::support::{at, directory, endpoint, record};
+use crate::support::{at, directory, endpoint, millis, pulse, record};
 
 fn rate(value: f64) -> RequestRate {
     RequestRate::try_from(value).unwrap()
@@ -201,3 +201,52 @@
     assert!(say(&mut directory, leaving(false), 30).is_empty());
     assert!(directory.row(&endpoint("e1")).unwrap().says_leaving());
 }
+
+fn is_open(directory: &EndpointDirectory, name: &str, now_ms: u64) -> bool {
+    let row = directory.row(&endpoint(name));
+    row.is_some_and(|row| row.is_open(at(now_ms)))
+}
+
+/// The registry lists the endpoint as ready for as long as the store is away, and again when the store comes back from an
+/// older copy; its sidecar hears no more of it than the registry. It would get work again by either word.
+#[test]
+fn an_endpoint_that_said_that_it_leaves_stays_closed_whatever_comes_later() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    say(&mut directory, leaving(true), 10);
+    assert!(!is_open(&directory, "e1", 20));
+    directory.apply_registry(vec![record(1, &["m1"])], at(1_000));
+    let mut heard = pulse(1, &["m1"], 0);
+    heard.number.number = 2;
+    directory.take_pulse(heard, at(1_100));
+    assert!(!is_open(&directory, "e1", 1_200));
+    directory.apply_registry(Vec::new(), at(5_000));
+    directory.note_store_return(at(6_000));
+    directory.apply_registry(vec![record(1, &["m1"])], at(6_100));
+    assert!(!is_open(&directory, "e1", 6_200));
+}
+
+/// Another start under the name, and another endpoint at the address: each would be without work until it leaves too.
+#[test]
+fn who_comes_after_an_endpoint_that_left_inherits_nothing() {
+    let start = |time| {
+        let mut record = record(1, &["m1"]);
+        record.start = Some(StartTime(time));
+        record
+    };
+    let mut restarted = EndpointDirectory::default();
+    restarted.apply_registry(vec![start(1)], at(0));
+    say(&mut restarted, leaving(true), 10);
+    restarted.apply_registry(vec![start(2)], at(1_000));
+    assert!(is_open(&restarted, "e1", 1_100));
+
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    say(&mut directory, leaving(true), 10);
+    say(&mut directory, rest(30.0), 20);
+    let mut heard = pulse(1, &["m1"], 0);
+    heard.number.number = 2;
+    heard.instance = Some(endpoint("e9"));
+    directory.take_pulse(heard, at(1_100));
+    assert!(is_open(&directory, "e9", 1_200));
+    let row = directory.row(&endpoint("e9")).unwrap();
+    assert_eq!(row.rest_left(at(1_200)), millis(0));
+}
