An endpoint that asks a gateway for rest gets none of its requests until the rest is over

What callers saw: refused, sent back after 80 ms, and refused again by the same endpoint, a fifth of the drafts while a third of the engines turned requests away.

Cause: a refusal was a failure share that halves in two seconds and an exclusion for that one request; the rest that it asked for was thrown away, and since the engine was idle the next request went there.

Mend: rest belongs to one gateway and one endpoint, and outlasts each later answer. Choice leaves a resting endpoint out; what waits for a permit there, and what was placed a moment before, is held back before its first byte. Where nothing else can serve, a request waits if the rest ends while its caller does, and is told at once when to come back otherwise: the whole time that is left, no longer cut at five seconds (`endpoint-rests`; the line names endpoint, cause and time). When the rest is over one request goes first, and each that is taken lets two more go; a lost one is followed by another after half a second; who can wait least looks first. A refusal's own time to return follows from where the request could go now. An endpoint that has taken nothing but tries for two seconds counts as lost for its models, as a limited one does.

--- a/crates/oatpier-gateway/src/gateway/accounts.rs
+++ b/crates/oatpier-gateway/src/gateway/accounts.rs
@@ -51,6 +51,7 @@
         let weights = plan.request.weights.as_ref();
         state.crashes.begin(plan.fingerprint);
         state.directory.note_sent(endpoint, weights);
+        state.directory.note_try(endpoint, now);
         let Some(weights) = weights else {
             return state.directory.sent_without_prompt(endpoint);
         };
--- a/crates/oatpier-gateway/src/gateway/answers.rs
+++ b/crates/oatpier-gateway/src/gateway/answers.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    fn retry_after(self) -> Option<Duration> {
+    pub(super) fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Refused(refusal) => refusal.retry_after,
             Self::NoConfiguration => Some(UNCONFIGURED_RETURN),
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -164,9 +164,10 @@
     }
 
     /// The head of the answer is here, and says this of the endpoint.
-    fn note_notice(&self, notice: EndpointNotice) {
+    fn note_notice(&self, notice: EndpointNotice, was_taken: bool) {
         let heard = HeardNotice {
             notice,
+            was_taken,
             sent: &self.sent,
             sent_at: self.sent_at,
         };
@@ -288,7 +289,7 @@
         core.note_load(&guard.endpoint, load);
     }
     if is_of_endpoint(&head, &guard.endpoint) {
-        guard.note_notice(head.notice);
+        guard.note_notice(head.notice, head.kind == AnswerKind::Own);
     }
     match head.kind {
         AnswerKind::NotRun => Err(refused_by_endpoint(core, parts.status, &head, guard)),
--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -169,6 +169,6 @@
         };
         let weights = plan.request.weights.as_ref();
         let holds = weights.is_none_or(|weights| row.holds(&weights.model, now));
-        holds && row.is_open(now) && !row.is_overdue(now)
+        holds && row.is_open(now) && row.is_rested(now) && !row.is_overdue(now)
     }
 }
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -7,7 +7,7 @@
 
 use oatpier_serving::admission;
 use oatpier_serving::call::CallerRequest;
-use oatpier_serving::choice::EndpointChoice;
+use oatpier_serving::choice::{EndpointChoice, HeldService};
 use oatpier_serving::fingerprint::RequestFingerprint;
 use oatpier_serving::quota::turns::{HeldTurn, MOST_AHEAD};
 use oatpier_serving::site::{RouteKind, RouteRule};
@@ -80,9 +80,13 @@
 
     /// How much longer it can wait for its turn at an endpoint that names a limit.
     pub(super) fn turn_patience(&self, now: ClockTime) -> Duration {
+        self.wait_left(now).min(MOST_AHEAD)
+    }
+
+    /// How much longer it may wait for an endpoint.
+    pub(super) fn wait_left(&self, now: ClockTime) -> Duration {
         let most = admission::longest_wait(&self.route, self.first_patience());
-        let left = most.saturating_sub(now.since(self.arrived));
-        left.min(MOST_AHEAD)
+        most.saturating_sub(now.since(self.arrived))
     }
 
     /// How long it waits for its model at the most.
@@ -116,6 +120,8 @@
     pub refusal: Refusal,
     /// The best endpoint for it, if there is one: it is too busy.
     pub best: Option<EndpointChoice>,
+    /// What keeps it from its endpoints, if they asked to be left alone.
+    pub held: Option<HeldService>,
 }
 
 impl PlacementRefusal {
@@ -123,6 +129,15 @@
         Placement::Refuse(Self {
             refusal,
             best: None,
+            held: None,
+        })
+    }
+
+    pub(super) fn held(refusal: Refusal, held: HeldService) -> Placement {
+        Placement::Refuse(Self {
+            refusal,
+            best: None,
+            held: Some(held),
         })
     }
 }
--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -5,7 +5,7 @@
 
 use oatpier_serving::admission::{AdmissionQuery, AdmissionVerdict};
 use oatpier_serving::call::WeightsKey;
-use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict, EndpointChoice};
+use oatpier_serving::choice::{self, ChoiceQuery, ChoiceVerdict, EndpointChoice, HeldService};
 use oatpier_serving::message::{AdapterWish, InnerMessage};
 use oatpier_serving::site::{EngineRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
@@ -34,6 +34,12 @@
 /// How soon a request that waits for a model asks again if nothing is heard.
 const MODEL_RETRY: Duration = Duration::from_millis(100);
 
+/// After a rest requests look at its endpoint in the order of the time that they can still wait: by so much of it later.
+const LOOK_SLACKS: u32 = 100;
+
+/// The latest look of a request after a rest.
+const LATEST_LOOK: Duration = Duration::from_millis(30);
+
 impl GatewayCore {
     /// What is to be done with a request now.
     pub fn place(&self, plan: &RequestPlan, excluded: &[EndpointName]) -> Placement {
@@ -58,6 +64,7 @@
                     AdmissionVerdict::Refuse(refusal) => Placement::Refuse(PlacementRefusal {
                         refusal,
                         best: Some(choice),
+                        held: None,
                     }),
                     AdmissionVerdict::Wait(most) if !queues => Placement::Pause(most),
                     AdmissionVerdict::Send | AdmissionVerdict::Wait(_) => {
@@ -73,7 +80,7 @@
             }
             ChoiceVerdict::Held(held) => {
                 self.note_unserved(&mut state, plan, now);
-                PlacementRefusal::without_endpoint(state.judge.held(held))
+                place_held(&mut state, plan, held, now)
             }
             ChoiceVerdict::NoEndpoint => {
                 let refusal = state.judge.refusal(RefusalCause::NoEndpoint, ABSENT_RETURN);
@@ -143,6 +150,7 @@
                 return Placement::Refuse(PlacementRefusal {
                     refusal,
                     best: Some(choice),
+                    held: None,
                 });
             }
             let sidecar = SocketAddr::new(address.ip(), self.inner_port);
@@ -191,6 +199,22 @@
     plan.route.kind.is_stream() && choice.batches && !choice.memory_full && is_heard
 }
 
+/// A request whose endpoints asked to be left alone waits if one of them takes requests again in time, and is told at
+/// once to come back when it does otherwise. Those whose callers leave first look first.
+fn place_held(
+    state: &mut CoreState,
+    plan: &RequestPlan,
+    held: HeldService,
+    now: ClockTime,
+) -> Placement {
+    let slack = plan.wait_left(now).saturating_sub(held.left);
+    if slack.is_zero() {
+        let refusal = state.judge.held(&held);
+        return PlacementRefusal::held(refusal, held);
+    }
+    Placement::Pause(held.left + (slack / LOOK_SLACKS).min(LATEST_LOOK))
+}
+
 /// What is known of a model that nobody holds.
 #[derive(Debug, Clone, Copy)]
 struct ComingModel {
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt, Full};
-use oatpier_serving::choice::EndpointChoice;
+use oatpier_serving::choice::{EndpointChoice, HeldService};
 use oatpier_serving::crashes::book::SuspectVerdict;
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::EndpointName;
@@ -61,6 +61,8 @@
     pub(super) endpoint: Option<EndpointName>,
     /// The endpoint that was best and too busy, where the request was refused.
     pub(super) too_busy: Option<EndpointChoice>,
+    /// What kept it from its endpoints, where it was refused since they asked to be left alone.
+    pub(super) held: Option<HeldService>,
 }
 
 /// What became of a request.
@@ -85,6 +87,7 @@
             sending: false,
             endpoint: None,
             too_busy: None,
+            held: None,
         }
     }
 
@@ -162,6 +165,7 @@
                 }
                 Placement::Refuse(refused) => {
                     self.too_busy = refused.best;
+                    self.held = refused.held;
                     return Err(self.refused(refused.refusal));
                 }
                 Placement::Pause(span) => {
@@ -391,7 +395,13 @@
         }
     }
 
-    fn refused_after(&self, failure: AttemptFailure) -> OwnAnswer {
+    fn refused_after(&mut self, failure: AttemptFailure) -> OwnAnswer {
+        if failure == AttemptFailure::Refused
+            && let Placement::Refuse(refused) = self.core.place(&self.plan, &[])
+        {
+            self.held = refused.held;
+            return self.refused(refused.refusal);
+        }
         let cause = match failure {
             AttemptFailure::WeightsMissing => RefusalCause::WeightsMissing,
             AttemptFailure::Refused => RefusalCause::QueueFull,
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -96,6 +96,7 @@
         let now = self.core.clock.now();
         let store_read_at = self.core.lock().store_read_at;
         let best = self.too_busy.as_ref();
+        let held = self.held.as_ref();
         let line = self
             .answer_line(LineWeight::Notable, own.as_str())
             .with("fingerprint", self.plan.fingerprint.short())
@@ -105,6 +106,10 @@
                 best.map(|choice| hundredths(choice.occupancy)),
             )
             .with("best_queue_ms", best.map(|choice| millis(choice.queue)))
+            .with("held_by", held.map(|held| held.endpoint.to_string()))
+            .with("held_for", held.map(|held| held.cause.as_str()))
+            .with("held_ms", held.map(|held| millis(held.left)))
+            .with("return_ms", own.retry_after().map(millis))
             .with("status", own.status().as_u16())
             .with("verdict", self.verdict().as_str())
             .with(
--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission.rs
@@ -161,9 +161,10 @@
 
     /// A refusal where no endpoint takes the request for a time that is known: what is told is not shortened, and its
     /// spread is bounded, so that the room that there is then is used.
-    pub fn held(&mut self, held: HeldService) -> Refusal {
+    pub fn held(&mut self, held: &HeldService) -> Refusal {
         let cause = match held.cause {
             HoldCause::Limit => RefusalCause::RateLimited,
+            HoldCause::Rest => RefusalCause::EndpointRests,
         };
         let spread = held.left.mul_f64(RETURN_SPREAD).min(HELD_SPREAD);
         let after = held.left.max(RETURN_LEAST) + spread.mul_f64(self.generator.random::<f64>());
--- a/crates/oatpier-serving/src/choice.rs
+++ b/crates/oatpier-serving/src/choice.rs
@@ -52,6 +52,9 @@
 /// The share of an engine's memory above which new requests would drive running ones out.
 const MEMORY_BOUND: f64 = 0.93;
 
+/// How soon to look again at an endpoint that has rested and was sent a first request.
+const NEXT_TRY: Duration = Duration::from_millis(25);
+
 /// What the choice depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceQuery<'a> {
@@ -109,9 +112,11 @@
 }
 
 /// Why a request can go to none of the endpoints that could serve it, and for how long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldService {
-    /// What the endpoint said that takes requests again first.
+    /// The endpoint that takes requests again first.
+    pub endpoint: EndpointName,
+    /// What it said.
     pub cause: HoldCause,
     /// Until then.
     pub left: Duration,
@@ -122,6 +127,19 @@
 pub enum HoldCause {
     /// Its limit on the requests of all gateways.
     Limit,
+    /// The rest that it asked this gateway for.
+    Rest,
+}
+
+impl HoldCause {
+    /// The word that logs use.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Limit => "limit",
+            Self::Rest => "rest",
+        }
+    }
 }
 
 /// Chooses an endpoint.
@@ -144,9 +162,13 @@
             seen.note_missing(row, query, now);
             continue;
         }
+        if !row.is_rested(now) {
+            seen.note_held(row, HoldCause::Rest, row.rest_left(now).max(NEXT_TRY));
+            continue;
+        }
         let turn_wait = row.turn_wait(now);
         if turn_wait > query.turn_patience {
-            seen.note_held(HoldCause::Limit, turn_wait);
+            seen.note_held(row, HoldCause::Limit, turn_wait);
             continue;
         }
         let scored = score(directory, row, query, &holders, now);
@@ -175,9 +197,13 @@
 }
 
 impl SeenEndpoints {
-    fn note_held(&mut self, cause: HoldCause, left: Duration) {
-        if self.held.is_none_or(|held| left < held.left) {
-            self.held = Some(HeldService { cause, left });
+    fn note_held(&mut self, row: &EndpointRow, cause: HoldCause, left: Duration) {
+        if self.held.as_ref().is_none_or(|held| left < held.left) {
+            self.held = Some(HeldService {
+                endpoint: row.record.name.clone(),
+                cause,
+                left,
+            });
         }
     }
 
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -8,6 +8,7 @@
 mod fate;
 mod notices;
 mod requests;
+mod rest;
 mod row;
 
 use std::collections::HashMap;
--- a/crates/oatpier-serving/src/directory/notices.rs
+++ b/crates/oatpier-serving/src/directory/notices.rs
@@ -6,6 +6,7 @@
 use oatpier_types::names::EndpointName;
 use smallvec::SmallVec;
 
+use super::rest::RestState;
 use super::row::NamedLimit;
 use super::{EndpointDirectory, EndpointRow};
 use crate::message::{LeavingWord, LimitWord};
@@ -24,6 +25,8 @@
     pub sent: &'a SentPrompt,
     /// When it was sent.
     pub sent_at: ClockTime,
+    /// Whether the endpoint took it, and did not turn it away.
+    pub was_taken: bool,
 }
 
 impl EndpointDirectory {
@@ -47,6 +50,9 @@
             row.take_leaving(notice.leaving),
             row.take_rest(notice.rest, now),
         ];
+        if heard.was_taken {
+            row.note_taken(heard.sent_at);
+        }
         changes.into_iter().flatten().collect()
     }
 
@@ -115,12 +121,20 @@
             .take_answer(holders, part, answer, limit.rate, now)
     }
 
+    /// A request is sent to an endpoint, which may have asked for rest before.
+    pub fn note_try(&mut self, name: &EndpointName, now: ClockTime) {
+        let row = self.rows.get_mut(name);
+        if let Some(rest) = row.and_then(|row| row.rest.as_mut()) {
+            rest.note_sent(now);
+        }
+    }
+
     /// Whether an endpoint may be sent a request that has this turn.
     #[must_use]
     pub fn may_send(&self, name: &EndpointName, turn: Option<HeldTurn>, now: ClockTime) -> bool {
         self.row(name).is_some_and(|row| {
             let has_turn = turn.is_some_and(|turn| turn.is_valid(now));
-            row.is_open(now) && (row.limit.is_none() || has_turn)
+            row.is_open(now) && row.is_rested(now) && (row.limit.is_none() || has_turn)
         })
     }
 
@@ -165,15 +179,28 @@
             NoticeValue::Unusable => RestSpan::UNREADABLE,
             NoticeValue::Absent => return None,
         };
-        let until = now + span.duration();
         let is_longer = span.duration() > self.rest_left(now);
-        self.rests_until = self.rests_until.max(Some(until));
+        let until = now + span.duration();
+        if !span.duration().is_zero() {
+            self.rest = Some(RestState::until(self.rest, until, now));
+        }
         match rest {
             NoticeValue::Unusable => Some(NoticeChange::RestUnusable),
             _ => is_longer.then_some(NoticeChange::Rests(span)),
         }
     }
 
+    fn note_taken(&mut self, sent_at: ClockTime) {
+        let slots = self.record.slots;
+        let is_over = self
+            .rest
+            .as_mut()
+            .is_some_and(|rest| rest.note_taken(sent_at, slots));
+        if is_over {
+            self.rest = None;
+        }
+    }
+
     /// A lower limit holds at once. Answers may overtake each other, so a higher one, or none, counts only where the
     /// request was sent after the limit was last named.
     pub(super) fn take_rate(
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::REGISTRY_SETTLE;
+use super::rest::RestState;
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 use crate::health::{FailureShare, PaceEstimate};
 use crate::message::{EnginePulse, LoadPulse, MessageNumber};
@@ -47,7 +48,7 @@
 /// An engine whose limit keeps its requests below this share of its slots holds its models for few callers.
 const SQUEEZED_SHARE: f64 = 0.25;
 
-/// A limit that is over within this is not worth a load elsewhere.
+/// A limit or a rest that is over within this is not worth a load elsewhere.
 const SQUEEZED_AFTER: Duration = Duration::from_secs(2);
 
 /// An endpoint as the registry lists it.
@@ -198,8 +199,8 @@
     pub(super) limit: Option<NamedLimit>,
     /// Whether an answer of its said that it leaves.
     pub(super) says_leaving: bool,
-    /// Until when it wants no requests from this gateway.
-    pub(super) rests_until: Option<ClockTime>,
+    /// The rest that it asked this gateway for, until it serves as before.
+    pub(super) rest: Option<RestState>,
 }
 
 impl EndpointRow {
@@ -229,7 +230,7 @@
             served_at: None,
             limit: None,
             says_leaving: false,
-            rests_until: None,
+            rest: None,
         }
     }
 
@@ -242,8 +243,13 @@
     /// How much longer it wants no requests from this gateway.
     #[must_use]
     pub fn rest_left(&self, now: ClockTime) -> Duration {
-        self.rests_until
-            .map_or(Duration::ZERO, |until| until.since(now))
+        self.rest.map_or(Duration::ZERO, |rest| rest.left(now))
+    }
+
+    /// Whether this gateway may send it a request, by the rest that it asked for.
+    #[must_use]
+    pub fn is_rested(&self, now: ClockTime) -> bool {
+        self.rest.is_none_or(|rest| rest.may_try(now))
     }
 
     /// The limit on the requests of all gateways, if it named one.
@@ -259,14 +265,16 @@
             .map_or(Duration::ZERO, |limit| limit.turns.wait(now))
     }
 
-    /// Whether a limit has left it so little for so long that its models need other holders.
+    /// Whether its limit, or its rest, has left it so little for so long that its models need other holders.
     #[must_use]
     pub fn is_squeezed(&self, now: ClockTime) -> bool {
-        self.limit.is_some_and(|limit| {
+        let is_limited = self.limit.is_some_and(|limit| {
             let running = limit.rate.per_second() * self.hold.mean_ms() / 1e3;
             let is_small = running < f64::from(self.record.slots) * SQUEEZED_SHARE;
             is_small && now.since(limit.since) >= SQUEEZED_AFTER
-        })
+        });
+        let rests = |rest: RestState| now.since(rest.since) >= SQUEEZED_AFTER;
+        is_limited || self.rest.is_some_and(rests)
     }
 
     /// Whether this gateway's requests use adapters there, or did since its last greeting.
--- a/crates/oatpier-serving/tests/testsuite/notices.rs
+++ b/crates/oatpier-serving/tests/testsuite/notices.rs
@@ -36,6 +36,7 @@
         },
         sent,
         sent_at: at(answer.sent_ms),
+        was_taken: true,
     };
     let changes = directory.take_notice(&endpoint("e1"), &heard, at(answer.heard_ms));
     changes.into_vec()
@@ -92,6 +93,7 @@
         },
         sent: &sent,
         sent_at: at(20),
+        was_taken: true,
     };
     let changes = directory.take_notice(&endpoint("e1"), &heard, at(30));
     assert_eq!(changes.as_slice(), [NoticeChange::RateUnusable]);
@@ -129,6 +131,7 @@
         notice,
         sent: &sent,
         sent_at: at(heard_ms),
+        was_taken: false,
     };
     let changes = directory.take_notice(&endpoint("e1"), &heard, at(heard_ms));
     changes.into_vec()
@@ -250,3 +253,56 @@
     let row = directory.row(&endpoint("e9")).unwrap();
     assert_eq!(row.rest_left(at(1_200)), millis(0));
 }
+
+/// A request that was sent at a moment was taken.
+fn take(directory: &mut EndpointDirectory, sent_ms: u64) {
+    let sent = directory.sent_without_prompt(&endpoint("e1"));
+    let heard = HeardNotice {
+        notice: EndpointNotice::default(),
+        sent: &sent,
+        sent_at: at(sent_ms),
+        was_taken: true,
+    };
+    directory.take_notice(&endpoint("e1"), &heard, at(sent_ms + 5));
+}
+
+/// Sends as many requests as may be sent at a moment.
+fn tries(directory: &mut EndpointDirectory, now_ms: u64) -> usize {
+    let name = endpoint("e1");
+    let sends = (0..100).take_while(|_| {
+        let may_send = directory.may_send(&name, None, at(now_ms));
+        if may_send {
+            directory.note_try(&name, at(now_ms));
+        }
+        may_send
+    });
+    sends.count()
+}
+
+/// All that waits for the end of a rest, sent in its first millisecond, is the next overload.
+#[test]
+fn requests_after_a_rest_grow_with_those_that_are_taken() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    say(&mut directory, rest(3.0), 0);
+    assert_eq!(tries(&mut directory, 2_999), 0);
+    let mut sent = 1;
+    for now_ms in [3_000, 3_010, 3_020, 3_030] {
+        assert_eq!(tries(&mut directory, now_ms), sent);
+        for _ in 0..sent {
+            take(&mut directory, now_ms);
+        }
+        sent *= 2;
+    }
+    assert_eq!(tries(&mut directory, 3_040), 100);
+}
+
+/// The first request after a rest is lost, or its caller leaves: the endpoint must not stay closed for that.
+#[test]
+fn after_a_request_without_an_answer_another_one_is_tried() {
+    let mut directory = directory(&[(&["m1"], 0)], at(0));
+    say(&mut directory, rest(3.0), 0);
+    take(&mut directory, 2_000);
+    assert_eq!(tries(&mut directory, 3_000), 1);
+    assert_eq!(tries(&mut directory, 3_400), 0);
+    assert_eq!(tries(&mut directory, 3_600), 1);
+}
--- a/crates/oatpier-types/src/refusal.rs
+++ b/crates/oatpier-types/src/refusal.rs
@@ -29,6 +29,8 @@
     NoEndpoint,
     /// The endpoints that could run it take no more requests a second.
     RateLimited,
+    /// The endpoints that could run it asked for rest.
+    EndpointRests,
     /// The class has used up its retries.
     RetriesSpent,
     /// The idempotency key was used already.
@@ -65,6 +67,7 @@
             Self::Duplicate => "duplicate",
             Self::NoEndpoint => "no-endpoint",
             Self::RateLimited => "rate-limited",
+            Self::EndpointRests => "endpoint-rests",
             Self::RetriesSpent => "retries-spent",
             Self::KeyUsed => "key-used",
             Self::ClaimUnavailable => "claim-unavailable",
