Soak: endpoints that leave, rest and name limits in their answers, and a check of what they get then

The soak's endpoints said nothing of themselves, so neither matter could have shown in it. Two of each kind strike in each soak, from a generator of their own so that all else of a seed stays as it was drawn; they overlap with cuts, restarts and each other. A leaving endpoint says so in its answers alone: the registry lists it as ready.

The check counts at the endpoint, by the gateway that the caller went to: a request sent over 2 s after a gateway passed on that the endpoint leaves; more than two in a rest from half a second on; over 1.5 times the limit + 5 in 4 s from 3 s after it was first named. A gateway's restart or pause, and trouble on the way to the endpoint, excuse; the store's troubles don't. Each part is shown to catch a planted breach and to pass what is allowed.

--- a/crates/oatpier-soak/src/check/crashes.rs
+++ b/crates/oatpier-soak/src/check/crashes.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::{SoakBreach, SoakPromise, breach};
-use crate::ledger::{DisturbedPlace, LedgerRow, SeenEvent};
+use super::{DisturbedSpan, SoakBreach, SoakPromise, breach, disturbed_spans};
+use crate::ledger::{LedgerRow, SeenEvent};
 use crate::standin::caller;
 
 /// Ends of endpoints after which the request must be known.
@@ -16,14 +16,6 @@
 /// How long a gateway and the store must have been well for a send to count, by the platform's rules.
 const STABLE: Duration = Duration::from_secs(3);
 
-/// When a place was disturbed, from and to.
-#[derive(Debug, Clone, Copy)]
-struct DisturbedSpan {
-    place: DisturbedPlace,
-    from: Duration,
-    to: Duration,
-}
-
 /// Checks each request that ends endpoints by itself.
 pub(super) fn check_crashes(rows: &[LedgerRow], breaches: &mut Vec<SoakBreach>) {
     let spans = disturbed_spans(rows);
@@ -52,26 +44,9 @@
     }
 }
 
-/// Faults overlap, so a place is disturbed from a fault's begin to its own end, whatever others do.
-fn disturbed_spans(rows: &[LedgerRow]) -> Vec<DisturbedSpan> {
-    let spans = rows.iter().filter_map(|row| match row.event {
-        SeenEvent::Disturbed { place, since } => Some(DisturbedSpan {
-            place,
-            from: since,
-            to: row.at,
-        }),
-        _ => None,
-    });
-    spans.collect()
-}
-
 fn is_well(spans: &[DisturbedSpan], gateway: usize, at: Duration) -> bool {
-    let concerns = |span: &&DisturbedSpan| match span.place {
-        DisturbedPlace::Store | DisturbedPlace::AllGateways => true,
-        DisturbedPlace::Gateway(number) => number == gateway,
-    };
     spans
         .iter()
-        .filter(concerns)
+        .filter(|span| span.concerns(gateway))
         .all(|span| at < span.from || at > span.to + STABLE)
 }
--- a/crates/oatpier-soak/src/check/mod.rs
+++ b/crates/oatpier-soak/src/check/mod.rs
@@ -1,13 +1,14 @@
 //! What must hold of what was seen.
 
 mod crashes;
+mod notices;
 mod workspaces;
 
 use std::collections::HashMap;
 use std::fmt;
 use std::time::Duration;
 
-use crate::ledger::{BegunRun, CallEnd, LedgerRow, SeenEvent, SentCall};
+use crate::ledger::{BegunRun, CallEnd, DisturbedPlace, LedgerRow, SeenEvent, SentCall};
 use crate::standin::answers;
 
 /// A promise.
@@ -41,6 +42,8 @@
     Limit,
     /// A request that ends the endpoints that run it is soon not sent any more.
     CrashesBounded,
+    /// An endpoint that leaves, wants rest or names a limit gets no more than it asked for.
+    LeavesAlone,
 }
 
 /// A promise that was broken.
@@ -67,6 +70,39 @@
     pub window: Duration,
 }
 
+/// When a place was disturbed, from and to.
+#[derive(Debug, Clone, Copy)]
+struct DisturbedSpan {
+    place: DisturbedPlace,
+    from: Duration,
+    to: Duration,
+}
+
+impl DisturbedSpan {
+    fn concerns(&self, gateway: usize) -> bool {
+        match self.place {
+            DisturbedPlace::Store | DisturbedPlace::AllGateways => true,
+            DisturbedPlace::Gateway(number) | DisturbedPlace::StoreLink(number) => {
+                number == gateway
+            }
+            DisturbedPlace::Endpoint(_) => false,
+        }
+    }
+}
+
+/// Faults overlap, so a place is disturbed from a fault's begin to its own end, whatever others do.
+fn disturbed_spans(rows: &[LedgerRow]) -> Vec<DisturbedSpan> {
+    let spans = rows.iter().filter_map(|row| match row.event {
+        SeenEvent::Disturbed { place, since } => Some(DisturbedSpan {
+            place,
+            from: since,
+            to: row.at,
+        }),
+        _ => None,
+    });
+    spans.collect()
+}
+
 /// What is known of one request.
 #[derive(Debug, Default)]
 struct CallStory<'a> {
@@ -104,11 +140,15 @@
             }
             SeenEvent::StoreLoad { .. }
             | SeenEvent::Crashed { .. }
+            | SeenEvent::Routed { .. }
+            | SeenEvent::Reached { .. }
+            | SeenEvent::Said { .. }
             | SeenEvent::Disturbed { .. } => {}
         }
     }
     check_loads(rows, loads, &mut breaches);
     crashes::check_crashes(rows, &mut breaches);
+    notices::check_notices(rows, &mut breaches);
     workspaces::check_limit(rows, &mut breaches);
     for (id, story) in &stories {
         check_story(id, story, &mut breaches);
--- a/crates/oatpier-soak/src/ledger.rs
+++ b/crates/oatpier-soak/src/ledger.rs
@@ -113,8 +113,23 @@
     Store,
     /// All gateways.
     AllGateways,
-    /// One gateway, or its way to the store.
+    /// One gateway.
     Gateway(usize),
+    /// One gateway's way to the store.
+    StoreLink(usize),
+    /// The way to one endpoint.
+    Endpoint(usize),
+}
+
+/// What an endpoint says of itself in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SaidNotice {
+    /// It leaves.
+    Leaving,
+    /// It wants rest for so long.
+    Rest(Duration),
+    /// It takes so many requests in a thousand seconds, from all gateways together.
+    Limit(u32),
 }
 
 /// One thing that was seen.
@@ -122,6 +137,31 @@
 pub enum SeenEvent {
     /// A caller sent a request.
     Sent(SentCall),
+    /// It went to this gateway.
+    Routed {
+        /// The request's id.
+        id: String,
+        /// The gateway.
+        gateway: usize,
+    },
+    /// It reached an endpoint.
+    Reached {
+        /// The request's id.
+        id: String,
+        /// The endpoint.
+        endpoint: usize,
+        /// Its instance.
+        instance: String,
+    },
+    /// An endpoint said something of itself in the answer to a request.
+    Said {
+        /// The request's id.
+        id: String,
+        /// The endpoint's instance.
+        instance: String,
+        /// What.
+        said: SaidNotice,
+    },
     /// An endpoint began to run one.
     Begun(BegunRun),
     /// A call ended for its caller.
--- a/crates/oatpier-soak/src/plan.rs
+++ b/crates/oatpier-soak/src/plan.rs
@@ -46,6 +46,12 @@
     Configure,
     /// The store comes back from a copy of this age.
     StoreReturns(Duration),
+    /// An endpoint says in its answers alone that it leaves, and comes back as another instance.
+    Leave(usize),
+    /// An endpoint turns requests away and asks for so much rest each time.
+    Rest(usize, Duration),
+    /// An endpoint names a limit, in requests in a thousand seconds.
+    Limit(usize, u32),
     /// A caller comes back again and again, at any gateway, with a request that ends the endpoints that run it.
     CrashingRequest(CallKind),
 }
@@ -99,6 +105,7 @@
         if at >= length {
             steps.push(crashing_request(seed, length));
             steps.push(store_return(seed, length));
+            steps.extend(notices(seed, size, length));
             steps.sort_by_key(|step| step.at);
             return steps;
         }
@@ -139,6 +146,28 @@
     }
 }
 
+/// What endpoints say of themselves: two of each kind, with a generator of its own as well.
+fn notices(seed: u64, size: SoakSize, length: Duration) -> Vec<FaultStep> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(31));
+    let mut steps = Vec::new();
+    for number in 0..6 {
+        let endpoint = random.random_range(0..size.endpoints());
+        let rest = Duration::from_millis(random.random_range(300..3_000));
+        let limit = random.random_range(500..6_000);
+        let (fault, share) = match number % 3 {
+            0 => (SoakFault::Leave(endpoint), 0.4),
+            1 => (SoakFault::Rest(endpoint, rest), 0.3),
+            _ => (SoakFault::Limit(endpoint, limit), 0.8),
+        };
+        steps.push(FaultStep {
+            at: length.mul_f64(random.random_range(0.05..0.5)),
+            lasts: length.mul_f64(share * random.random_range(0.5..1.0)),
+            fault,
+        });
+    }
+    steps
+}
+
 fn draw(random: &mut ChaCha8Rng, size: SoakSize) -> SoakFault {
     let gateway = random.random_range(0..size.gateways);
     let engine = random.random_range(0..size.engines);
--- a/crates/oatpier-soak/src/run.rs
+++ b/crates/oatpier-soak/src/run.rs
@@ -233,6 +233,7 @@
         let first = number % MODELS;
         let held = [first, (first + 1) % MODELS].map(|place| self.models[place].clone());
         let kind = EndpointKind {
+            number,
             listen: block.address(number, ENDPOINT),
             address: block.address(number, LINK),
             service: if is_engine { ENGINES } else { PLAIN },
@@ -366,8 +367,9 @@
     match fault {
         SoakFault::KillGateway(number)
         | SoakFault::StopGateway(number)
-        | SoakFault::PauseGateway(number)
-        | SoakFault::StoreLink(number, _) => Some(DisturbedPlace::Gateway(*number)),
+        | SoakFault::PauseGateway(number) => Some(DisturbedPlace::Gateway(*number)),
+        SoakFault::StoreLink(number, _) => Some(DisturbedPlace::StoreLink(*number)),
+        SoakFault::Link(number, _) => Some(DisturbedPlace::Endpoint(*number)),
         SoakFault::KillAll => Some(DisturbedPlace::AllGateways),
         SoakFault::Store(_) => Some(DisturbedPlace::Store),
         _ => None,
@@ -425,6 +427,21 @@
                 .configure(&settings::config(version, &fleet.models));
         }
         SoakFault::StoreReturns(age) => fleet.store.come_back(*age),
+        SoakFault::Leave(number) => {
+            fleet.note_standin(fleet.endpoints[*number].leave(step.lasts).await);
+        }
+        SoakFault::Rest(number, rest) => {
+            let endpoint = &fleet.endpoints[*number];
+            endpoint.say(|sayings| sayings.rest = Some(*rest));
+            sleep(step.lasts).await;
+            endpoint.say(|sayings| sayings.rest = None);
+        }
+        SoakFault::Limit(number, per_mille) => {
+            let endpoint = &fleet.endpoints[*number];
+            endpoint.say(|sayings| sayings.limit_per_mille = Some(*per_mille));
+            sleep(step.lasts).await;
+            endpoint.say(|sayings| sayings.limit_per_mille = None);
+        }
         SoakFault::CrashingRequest(kind) => come_back(fleet, *kind, step.lasts).await,
     }
 }
--- a/crates/oatpier-soak/src/standin/caller.rs
+++ b/crates/oatpier-soak/src/standin/caller.rs
@@ -75,7 +75,10 @@
         let client = new_client();
         while !*stop.borrow() {
             let call = self.draw();
-            let gateway = self.gateways[self.random.random_range(0..self.gateways.len())];
+            let gateway = self.random.random_range(0..self.gateways.len());
+            let id = call.id.clone();
+            self.ledger.note(SeenEvent::Routed { id, gateway });
+            let gateway = self.gateways[gateway];
             let leaves = self.random.random_bool(0.05).then(|| {
                 let after = self.random.random_range(1..200);
                 Duration::from_millis(after)
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -23,7 +23,7 @@
 use super::caller::CRASHING;
 use super::store::StoreStandin;
 use super::weights::{EngineWeights, OrderOutcome};
-use crate::ledger::{BegunRun, SeenEvent, SoakLedger};
+use crate::ledger::{BegunRun, SaidNotice, SeenEvent, SoakLedger};
 
 /// Requests at the same time.
 const SLOTS: u32 = 8;
@@ -63,9 +63,46 @@
     pub late_orders: f64,
 }
 
+/// What an endpoint says of itself in its answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EndpointSayings {
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// It turns requests away and asks for this rest.
+    pub rest: Option<Duration>,
+    /// Requests in a thousand seconds that it takes.
+    pub limit_per_mille: Option<u32>,
+}
+
+impl EndpointSayings {
+    fn list(self) -> impl Iterator<Item = SaidNotice> {
+        let leaving = self.leaving.then_some(SaidNotice::Leaving);
+        let rest = self.rest.map(SaidNotice::Rest);
+        let limit = self.limit_per_mille.map(SaidNotice::Limit);
+        [leaving, rest, limit].into_iter().flatten()
+    }
+
+    fn write(self, headers: &mut HeaderMap) {
+        for said in self.list() {
+            match said {
+                SaidNotice::Leaving => set(headers, "server-leaving", "1"),
+                SaidNotice::Rest(span) => {
+                    set(headers, "retry-after", &span.as_secs_f64().to_string());
+                }
+                SaidNotice::Limit(per_mille) => {
+                    let rate = f64::from(per_mille) / 1e3;
+                    set(headers, "server-limit", &rate.to_string());
+                }
+            }
+        }
+    }
+}
+
 /// What an endpoint is.
 #[derive(Debug, Clone)]
 pub struct EndpointKind {
+    /// Its place among all endpoints.
+    pub number: usize,
     /// Where it listens, behind its link.
     pub listen: SocketAddr,
     /// Where it is registered: its link.
@@ -87,6 +124,7 @@
     running: u32,
     draining: bool,
     faults: EndpointFaults,
+    sayings: EndpointSayings,
 }
 
 /// An endpoint. Cloning shares it.
@@ -118,6 +156,7 @@
             running: 0,
             draining: false,
             faults: EndpointFaults::default(),
+            sayings: EndpointSayings::default(),
         };
         let endpoint = Self {
             kind: Arc::new(kind),
@@ -192,6 +231,25 @@
         self.lock().faults = faults;
     }
 
+    /// Sets what it says of itself, by what it said before.
+    pub fn say(&self, change: impl FnOnce(&mut EndpointSayings)) {
+        change(&mut self.lock().sayings);
+    }
+
+    /// Says in its answers alone that it leaves, goes on for a while, and comes back as another instance.
+    ///
+    /// # Errors
+    ///
+    /// Its address can't be listened on again.
+    pub async fn leave(&self, span: Duration) -> std::io::Result<()> {
+        let _turn = self.turn.lock().await;
+        self.say(|sayings| sayings.leaving = true);
+        sleep(span).await;
+        let (name, _) = self.entry();
+        self.store.register(&name, None);
+        self.restart().await
+    }
+
     /// Loses all connections and comes back as another instance, empty, a moment later.
     ///
     /// # Errors
@@ -229,6 +287,7 @@
             state.weights = state.weights.after_crash();
             state.running = 0;
             state.draining = false;
+            state.sayings = EndpointSayings::default();
         }
         self.serve()
     }
@@ -253,8 +312,38 @@
             "/report" => self.report(),
             "/health" => self.health(),
             "/order" => self.order(&request).await,
-            _ => self.run(request).await,
+            _ => self.answer_request(request).await,
+        }
+    }
+
+    /// Answers a request that is meant for this instance, and says in its answer what it says of itself.
+    async fn answer_request(&self, request: Request<Bytes>) -> Reply {
+        if let Some(other) = self.other_instance(request.headers()) {
+            return other;
         }
+        let id = text(request.headers(), "x-oatpier-request-id").unwrap_or_default();
+        let instance = self.lock().instance.clone();
+        self.ledger.note(SeenEvent::Reached {
+            id: id.clone(),
+            endpoint: self.kind.number,
+            instance: instance.clone(),
+        });
+        let rests = self.lock().sayings.rest.is_some();
+        let mut answer = if rests {
+            not_run(StatusCode::SERVICE_UNAVAILABLE)
+        } else {
+            self.run(request).await
+        };
+        let sayings = EndpointSayings {
+            rest: self.lock().sayings.rest.filter(|_| rests),
+            ..self.lock().sayings
+        };
+        for said in sayings.list() {
+            let (id, instance) = (id.clone(), instance.clone());
+            self.ledger.note(SeenEvent::Said { id, instance, said });
+        }
+        sayings.write(answer.headers_mut());
+        answer
     }
 
     fn report(&self) -> Reply {
@@ -336,9 +425,6 @@
     }
 
     async fn run(&self, request: Request<Bytes>) -> Reply {
-        if let Some(other) = self.other_instance(request.headers()) {
-            return other;
-        }
         let Some(id) = text(request.headers(), "x-oatpier-request-id") else {
             return not_run(StatusCode::BAD_REQUEST);
         };
--- a/crates/oatpier-soak/tests/testsuite/check.rs
+++ b/crates/oatpier-soak/tests/testsuite/check.rs
@@ -4,7 +4,7 @@
 
 use oatpier_soak::check::{LoadBound, SoakPromise, check};
 use oatpier_soak::ledger::{
-    BegunRun, CallEnd, CallKind, DisturbedPlace, LedgerRow, SeenEvent, SentCall,
+    BegunRun, CallEnd, CallKind, DisturbedPlace, LedgerRow, SaidNotice, SeenEvent, SentCall,
 };
 use oatpier_soak::standin::settings::{LIMITED_KEY, UNKNOWN_KEY, workspace_of};
 use oatpier_soak::standin::{answers, caller};
@@ -305,3 +305,110 @@
     assert!(!broken_by(events(30)).contains(&SoakPromise::Limit));
     assert!(broken_by(events(45)).contains(&SoakPromise::Limit));
 }
+
+/// An instance says something at the start and in each answer, through gateway 1, and gets a request each `every_ms` from
+/// `from_ms` on, until eight seconds have passed; `disturbed` is a fault of half a second just before the first of them.
+fn arrivals_after(
+    said: SaidNotice,
+    from_ms: u64,
+    every_ms: usize,
+    disturbed: Option<DisturbedPlace>,
+) -> bool {
+    let row = |millis: u64, event| LedgerRow {
+        at: Duration::from_millis(millis),
+        event,
+    };
+    let mut rows = Vec::new();
+    if let Some(place) = disturbed {
+        let since = Duration::from_millis(from_ms - 500);
+        rows.push(row(from_ms, SeenEvent::Disturbed { place, since }));
+    }
+    let sends = [0].into_iter().chain((from_ms..8_000).step_by(every_ms));
+    for (number, at) in sends.enumerate() {
+        let id = format!("c{number}");
+        let call = SentCall {
+            id: id.clone(),
+            ..sent(CallKind::Safe)
+        };
+        let instance = "i-1".to_owned();
+        rows.push(row(at, SeenEvent::Sent(call)));
+        rows.push(row(
+            at,
+            SeenEvent::Routed {
+                id: id.clone(),
+                gateway: 1,
+            },
+        ));
+        let reached = SeenEvent::Reached {
+            id: id.clone(),
+            endpoint: 4,
+            instance: instance.clone(),
+        };
+        rows.push(row(at + 5, reached));
+        rows.push(row(
+            at + 5,
+            SeenEvent::Said {
+                id: id.clone(),
+                instance,
+                said,
+            },
+        ));
+        let end = whole(503, None, "");
+        rows.push(row(at + 10, SeenEvent::Ended { id, end }));
+    }
+    let breaches = check(&rows, LOADS);
+    breaches
+        .iter()
+        .any(|breach| breach.promise == SoakPromise::LeavesAlone)
+}
+
+#[test]
+fn a_request_to_an_endpoint_that_leaves_is_found() {
+    assert!(!arrivals_after(SaidNotice::Leaving, 1_900, 8_000, None));
+    assert!(arrivals_after(SaidNotice::Leaving, 2_100, 8_000, None));
+}
+
+#[test]
+fn requests_during_a_rest_are_found() {
+    let rest = SaidNotice::Rest(Duration::from_secs(3));
+    assert!(!arrivals_after(rest, 3_100, 8_000, None));
+    assert!(!arrivals_after(rest, 1_000, 1_500, None));
+    assert!(arrivals_after(rest, 1_000, 400, None));
+}
+
+#[test]
+fn requests_above_a_limit_are_found() {
+    let limit = SaidNotice::Limit(2_500);
+    assert!(!arrivals_after(limit, 1_000, 400, None));
+    assert!(arrivals_after(limit, 1_000, 150, None));
+}
+
+/// A gateway that was restarted or paused may know nothing; that the store was away is no excuse.
+#[test]
+fn only_gateways_and_ways_that_are_well_are_held_to_what_was_said() {
+    for place in [
+        DisturbedPlace::AllGateways,
+        DisturbedPlace::Gateway(1),
+        DisturbedPlace::Endpoint(4),
+    ] {
+        assert!(!arrivals_after(
+            SaidNotice::Leaving,
+            2_600,
+            8_000,
+            Some(place)
+        ));
+    }
+    for place in [
+        DisturbedPlace::Store,
+        DisturbedPlace::StoreLink(1),
+        DisturbedPlace::Gateway(2),
+        DisturbedPlace::Endpoint(3),
+    ] {
+        assert!(arrivals_after(
+            SaidNotice::Leaving,
+            2_600,
+            8_000,
+            Some(place)
+        ));
+    }
+}
