--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -102,6 +102,19 @@
         }
     }
 
+    /// The refusal of a request whose endpoints have all asked to be left alone.
+    pub(super) fn held_everywhere(&self, plan: &RequestPlan) -> Option<(Refusal, HeldService)> {
+        let mut state = self.lock();
+        let config = state.config.clone();
+        let engine = engine_of(config.as_deref(), plan);
+        match self.choose(&state, plan, &[], engine, self.clock.now()) {
+            ChoiceVerdict::Held(held) => Some((state.judge.held(&held), held)),
+            ChoiceVerdict::Endpoint(_)
+            | ChoiceVerdict::NoModel { .. }
+            | ChoiceVerdict::NoEndpoint => None,
+        }
+    }
+
     fn choose(
         &self,
         state: &CoreState,
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -396,11 +396,9 @@
     }
 
     fn refused_after(&mut self, failure: AttemptFailure) -> OwnAnswer {
-        if failure == AttemptFailure::Refused
-            && let Placement::Refuse(refused) = self.core.place(&self.plan, &[])
-        {
-            self.held = refused.held;
-            return self.refused(refused.refusal);
+        if let Some((refusal, held)) = self.core.held_everywhere(&self.plan) {
+            self.held = Some(held);
+            return self.refused(refusal);
         }
         let cause = match failure {
             AttemptFailure::WeightsMissing => RefusalCause::WeightsMissing,
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -334,10 +334,8 @@
         } else {
             self.run(request).await
         };
-        let sayings = EndpointSayings {
-            rest: self.lock().sayings.rest.filter(|_| rests),
-            ..self.lock().sayings
-        };
+        let mut sayings = self.lock().sayings;
+        sayings.rest = sayings.rest.filter(|_| rests);
         for said in sayings.list() {
             let (id, instance) = (id.clone(), instance.clone());
             self.ledger.note(SeenEvent::Said { id, instance, said });
