Messages on limits, kept pulses and the soak's sayings in modules of their own; tests share their prompts and permits

Three tests of the two matters set up the same engine, prompt and permits; the test support has them now. No behaviour changes; the same tests pass.

--- a/crates/oatpier-gateway/tests/testsuite/leaving.rs
+++ b/crates/oatpier-gateway/tests/testsuite/leaving.rs
@@ -1,17 +1,13 @@
 //! Endpoints that say in their answers that they leave.
 
-use std::time::Duration;
-
 use http::StatusCode;
-use oatpier_serving::engine::HeldModel;
-use oatpier_serving::message::{InnerMessage, LeavingWord, PermitGrant};
+use oatpier_serving::message::{InnerMessage, LeavingWord};
 use oatpier_serving::site::RouteKind;
-use oatpier_types::names::{EndpointName, ModelName};
-use tokio::time::sleep;
+use oatpier_types::names::EndpointName;
 
 use crate::support::{
-    EndpointStep, STREAM_END, ScriptedEndpoint, TestGateway, own_answer, pulse, record, request,
-    stream_start, with_headers,
+    EndpointStep, STREAM, STREAM_END, ScriptedEndpoint, TestGateway, own_answer, prompt, pulse,
+    record, request, stream_start, with_headers,
 };
 
 /// Answers that say that their endpoint leaves.
@@ -92,45 +88,14 @@
     let stream = stream_start(&["id: 1\ndata: 1\n\n"]) + STREAM_END;
     let leaving = ScriptedEndpoint::start(Vec::new()).await;
     let staying = ScriptedEndpoint::start(vec![EndpointStep::Answer(stream)]).await;
-    let kind = RouteKind::Stream {
-        resumable: false,
-        pause: Duration::from_millis(300),
-    };
-    let gateway = TestGateway::before(kind, 1, &[&leaving, &staying]);
-    let held = HeldModel {
-        model: ModelName::try_from("m1").unwrap(),
-        adapters: Vec::new(),
-    };
-    let hear = |endpoint: &ScriptedEndpoint, running| {
-        let mut heard = pulse(1, endpoint.address, vec![held.clone()]);
-        heard.load.running = running;
-        gateway.core.take_pulse(heard);
-    };
-    hear(&leaving, 0);
-    hear(&staying, 5);
-    let prompt = request(&[
-        ("x-oatpier-model", "m1"),
-        ("x-oatpier-token-usage", "400,10"),
-    ]);
-    let granting = async {
-        let mut granted = 0;
-        loop {
-            sleep(Duration::from_millis(1)).await;
-            let sent = gateway.outlet.sent().into_iter();
-            let asks = sent.filter_map(|(_, message)| match message {
-                InnerMessage::PermitAsk(ask) => Some(ask),
-                _ => None,
-            });
-            for ask in asks.skip(granted) {
-                granted += 1;
-                gateway.core.take_leaving_word(&word());
-                gateway.core.take_permit(PermitGrant { id: ask.id });
-            }
-        }
-    };
+    let gateway = TestGateway::before(STREAM, 1, &[&leaving, &staying]);
+    gateway.hear_engine(&leaving, 0);
+    gateway.hear_engine(&staying, 5);
     let answer = tokio::select! {
-        answer = gateway.send(prompt) => answer,
-        () = granting => unreachable!("permits are given for ever"),
+        answer = gateway.send(prompt()) => answer,
+        () = gateway.give_permits(|| gateway.core.take_leaving_word(&word())) => {
+            unreachable!("permits are given for ever")
+        }
     };
     assert_eq!(answer.status(), StatusCode::OK);
     assert!(leaving.requests().is_empty());
--- a/crates/oatpier-gateway/tests/testsuite/rate_limits.rs
+++ b/crates/oatpier-gateway/tests/testsuite/rate_limits.rs
@@ -5,18 +5,17 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use http::{Request, StatusCode};
-use oatpier_serving::engine::HeldModel;
-use oatpier_serving::message::{InnerMessage, LimitWord, PermitGrant};
+use oatpier_serving::message::{InnerMessage, LimitWord};
 use oatpier_serving::notice::RequestRate;
 use oatpier_serving::quota::PartIndex;
 use oatpier_serving::quota::turns::TurnAnswer;
 use oatpier_serving::site::RouteKind;
-use oatpier_types::names::{EndpointName, ModelName};
-use tokio::time::{Instant, sleep};
+use oatpier_types::names::EndpointName;
+use tokio::time::Instant;
 
 use crate::support::{
-    EndpointStep, STREAM_END, ScriptedEndpoint, TestGateway, own_answer, pulse, request,
-    stream_start, with_headers,
+    EndpointStep, STREAM, STREAM_END, ScriptedEndpoint, TestGateway, own_answer, prompt, pulse,
+    request, stream_start, with_headers,
 };
 
 /// Requests a second that the endpoint takes.
@@ -156,43 +155,15 @@
 async fn a_limit_holds_for_requests_that_were_placed_before_it_was_known() {
     let stream = stream_start(&["id: 1\ndata: 1\n\n"]) + STREAM_END;
     let engine = ScriptedEndpoint::start(vec![EndpointStep::Answer(stream)]).await;
-    let kind = RouteKind::Stream {
-        resumable: false,
-        pause: Duration::from_millis(300),
-    };
-    let gateway = TestGateway::before(kind, 1, &[&engine]);
+    let gateway = TestGateway::before(STREAM, 1, &[&engine]);
     gateway.hold_parts_elsewhere();
-    let held = HeldModel {
-        model: ModelName::try_from("m1").unwrap(),
-        adapters: Vec::new(),
-    };
-    gateway
-        .core
-        .take_pulse(pulse(1, engine.address, vec![held]));
-    let prompt = request(&[
-        ("x-oatpier-model", "m1"),
-        ("x-oatpier-token-usage", "400,10"),
-    ]);
-    let granting = async {
-        let mut granted = 0;
-        loop {
-            sleep(Duration::from_millis(1)).await;
-            let sent = gateway.outlet.sent().into_iter();
-            let asks = sent.filter_map(|(_, message)| match message {
-                InnerMessage::PermitAsk(ask) => Some(ask.id),
-                _ => None,
-            });
-            for id in asks.skip(granted) {
-                granted += 1;
-                gateway.core.take_limit_word(&limit_word());
-                gateway.core.take_permit(PermitGrant { id });
-            }
-        }
-    };
+    gateway.hear_engine(&engine, 0);
     let sending = async {
         tokio::select! {
-            answer = gateway.send(prompt) => answer,
-            () = granting => unreachable!("permits are given for ever"),
+            answer = gateway.send(prompt()) => answer,
+            () = gateway.give_permits(|| gateway.core.take_limit_word(&limit_word())) => {
+                unreachable!("permits are given for ever")
+            }
         }
     };
     let answer = gateway.with_turns(sending, |_| TurnAnswer::In(0)).await;
--- a/crates/oatpier-gateway/tests/testsuite/rests.rs
+++ b/crates/oatpier-gateway/tests/testsuite/rests.rs
@@ -5,15 +5,13 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use http::{Response, StatusCode};
-use oatpier_serving::engine::HeldModel;
-use oatpier_serving::message::{InnerMessage, PermitGrant};
+use oatpier_serving::message::PermitGrant;
 use oatpier_serving::site::RouteKind;
-use oatpier_types::names::ModelName;
 use tokio::time::sleep;
 
 use crate::support::{
-    EndpointStep, STREAM_END, ScriptedEndpoint, TestGateway, not_run, own_answer, pulse, request,
-    stream_start, with_headers,
+    EndpointStep, STREAM, STREAM_END, ScriptedEndpoint, TestGateway, not_run, own_answer, prompt,
+    request, stream_start, with_headers,
 };
 
 /// Answers that turn a request away and ask for so many seconds of rest.
@@ -135,40 +133,13 @@
     let stream = stream_start(&["id: 1\ndata: 1\n\n"]) + STREAM_END;
     let steps = [refusals(1, "30"), vec![EndpointStep::Answer(stream)]].concat();
     let engine = ScriptedEndpoint::start(steps).await;
-    let kind = RouteKind::Stream {
-        resumable: false,
-        pause: Duration::from_millis(300),
-    };
-    let gateway = TestGateway::before(kind, 1, &[&engine]);
-    let held = HeldModel {
-        model: ModelName::try_from("m1").unwrap(),
-        adapters: Vec::new(),
-    };
-    gateway
-        .core
-        .take_pulse(pulse(1, engine.address, vec![held]));
-    let prompt = || {
-        request(&[
-            ("x-oatpier-model", "m1"),
-            ("x-oatpier-token-usage", "400,10"),
-        ])
-    };
-    let asked = || {
-        let sent = gateway.outlet.sent().into_iter();
-        let asks = sent.filter_map(|(_, message)| match message {
-            InnerMessage::PermitAsk(ask) => Some(ask.id),
-            _ => None,
-        });
-        let mut ids: Vec<u64> = asks.collect();
-        ids.sort_unstable();
-        ids.dedup();
-        ids
-    };
+    let gateway = TestGateway::before(STREAM, 1, &[&engine]);
+    gateway.hear_engine(&engine, 0);
     let granting = async {
-        while asked().len() < 2 {
+        while gateway.permit_asks().len() < 2 {
             sleep(Duration::from_millis(1)).await;
         }
-        let ids = asked();
+        let ids = gateway.permit_asks();
         gateway.core.take_permit(PermitGrant { id: ids[0] });
         while engine.requests().is_empty() {
             sleep(Duration::from_millis(1)).await;
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -17,7 +17,9 @@
 use oatpier_serving::crashes::changes::CrashChange;
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::engine::{EndpointLoad, HeldModel, LocalCopies};
-use oatpier_serving::message::{EnginePulse, InnerMessage, MessageNumber, TurnAsk, TurnReply};
+use oatpier_serving::message::{
+    EnginePulse, InnerMessage, MessageNumber, PermitGrant, TurnAsk, TurnReply,
+};
 use oatpier_serving::node::{NodeBounds, NodeSettings};
 use oatpier_serving::quota::PartIndex;
 use oatpier_serving::quota::bounds::QuotaBounds;
@@ -273,6 +275,43 @@
         self.core.take_parts(&entries, 0);
     }
 
+    /// The sidecar of an engine that holds the model of the tests is heard; so many requests run there.
+    pub fn hear_engine(&self, engine: &ScriptedEndpoint, running: u32) {
+        let held = HeldModel {
+            model: ModelName::try_from("m1").unwrap(),
+            adapters: Vec::new(),
+        };
+        let mut heard = pulse(1, engine.address, vec![held]);
+        heard.load.running = running;
+        self.core.take_pulse(heard);
+    }
+
+    /// The ids of its asks for permits, each once, in their order.
+    pub fn permit_asks(&self) -> Vec<u64> {
+        let mut ids = Vec::new();
+        for (_, message) in self.outlet.sent() {
+            if let InnerMessage::PermitAsk(ask) = message
+                && !ids.contains(&ask.id)
+            {
+                ids.push(ask.id);
+            }
+        }
+        ids
+    }
+
+    /// Gives a permit for each ask, after something has happened.
+    pub async fn give_permits(&self, happens: impl Fn()) {
+        let mut granted = 0;
+        loop {
+            sleep(Duration::from_millis(1)).await;
+            for id in self.permit_asks().drain(granted..) {
+                granted += 1;
+                happens();
+                self.core.take_permit(PermitGrant { id });
+            }
+        }
+    }
+
     /// The asks for turns that it sent.
     pub fn turn_asks(&self) -> Vec<TurnAsk> {
         let sent = self.outlet.sent().into_iter();
@@ -334,6 +373,20 @@
     SocketAddr::from(([10, 0, 0, 50 + part.0], 7380))
 }
 
+/// A prompt for the model of the tests.
+pub fn prompt() -> Request<Bytes> {
+    request(&[
+        ("x-oatpier-model", "m1"),
+        ("x-oatpier-token-usage", "400,10"),
+    ])
+}
+
+/// A stream that runs once at most.
+pub const STREAM: RouteKind = RouteKind::Stream {
+    resumable: false,
+    pause: Duration::from_millis(300),
+};
+
 pub fn request(rows: &[(&'static str, &'static str)]) -> Request<Bytes> {
     let mut builder = Request::builder()
         .method(Method::POST)
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -7,6 +7,7 @@
 mod departures;
 mod fate;
 mod notices;
+mod pulse;
 mod requests;
 mod rest;
 mod row;
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -21,9 +21,10 @@
 
 use super::answers::{self, not_run, set, sign, text};
 use super::caller::CRASHING;
+use super::sayings::EndpointSayings;
 use super::store::StoreStandin;
 use super::weights::{EngineWeights, OrderOutcome};
-use crate::ledger::{BegunRun, SaidNotice, SeenEvent, SoakLedger};
+use crate::ledger::{BegunRun, SeenEvent, SoakLedger};
 
 /// Requests at the same time.
 const SLOTS: u32 = 8;
@@ -63,41 +64,6 @@
     pub late_orders: f64,
 }
 
-/// What an endpoint says of itself in its answers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct EndpointSayings {
-    /// Whether it leaves.
-    pub leaving: bool,
-    /// It turns requests away and asks for this rest.
-    pub rest: Option<Duration>,
-    /// Requests in a thousand seconds that it takes.
-    pub limit_per_mille: Option<u32>,
-}
-
-impl EndpointSayings {
-    fn list(self) -> impl Iterator<Item = SaidNotice> {
-        let leaving = self.leaving.then_some(SaidNotice::Leaving);
-        let rest = self.rest.map(SaidNotice::Rest);
-        let limit = self.limit_per_mille.map(SaidNotice::Limit);
-        [leaving, rest, limit].into_iter().flatten()
-    }
-
-    fn write(self, headers: &mut HeaderMap) {
-        for said in self.list() {
-            match said {
-                SaidNotice::Leaving => set(headers, "server-leaving", "1"),
-                SaidNotice::Rest(span) => {
-                    set(headers, "retry-after", &span.as_secs_f64().to_string());
-                }
-                SaidNotice::Limit(per_mille) => {
-                    let rate = f64::from(per_mille) / 1e3;
-                    set(headers, "server-limit", &rate.to_string());
-                }
-            }
-        }
-    }
-}
-
 /// What an endpoint is.
 #[derive(Debug, Clone)]
 pub struct EndpointKind {
