Soak: a limit is judged while it is named

Counted are now arrivals up to the last answer that names the limit; a test for both sides of that moment. The bound, the window and the excuses are as before.

--- a/crates/oatpier-soak/src/check/notices.rs
+++ b/crates/oatpier-soak/src/check/notices.rs
@@ -46,6 +46,14 @@
     said: SaidNotice,
 }
 
+/// A limit that an instance named, and when it did so first and last.
+#[derive(Debug, Clone, Copy)]
+struct SaidLimit {
+    per_mille: u32,
+    first_at: Duration,
+    last_at: Duration,
+}
+
 /// What is known of a call by its id.
 #[derive(Debug, Default)]
 struct CallTimes {
@@ -196,35 +204,37 @@
     spans: &[DisturbedSpan],
     breaches: &mut Vec<SoakBreach>,
 ) {
-    let mut first_said: HashMap<&str, (Duration, f64)> = HashMap::new();
+    let mut limits: HashMap<&str, SaidLimit> = HashMap::new();
     let mut told: HashMap<(&str, usize), Duration> = HashMap::new();
     for notice in heard {
-        if let SaidNotice::Limit(per_mille) = notice.said {
-            let rate = f64::from(per_mille) / 1e3;
-            first_said
-                .entry(notice.instance)
-                .or_insert((notice.at, rate));
-            if let Some(passed_at) = notice.passed_at {
-                let known = told
-                    .entry((notice.instance, notice.gateway))
-                    .or_insert(passed_at);
-                *known = (*known).min(passed_at);
-            }
+        let SaidNotice::Limit(per_mille) = notice.said else {
+            continue;
+        };
+        let limit = limits.entry(notice.instance).or_insert(SaidLimit {
+            per_mille,
+            first_at: notice.at,
+            last_at: notice.at,
+        });
+        limit.last_at = limit.last_at.max(notice.at);
+        if let Some(passed_at) = notice.passed_at {
+            let known = told
+                .entry((notice.instance, notice.gateway))
+                .or_insert(passed_at);
+            *known = (*known).min(passed_at);
         }
     }
-    for (instance, (since, rate)) in first_said {
+    for (instance, limit) in limits {
         let counted = |arrival: &&Arrival<'_>| {
             let told_at = told.get(&(instance, arrival.gateway));
             let knows = told_at.is_some_and(|told_at| arrival.at >= *told_at + HEARD);
-            let binds = arrival.at >= since + LIMIT_BINDS;
-            arrival.instance == instance && knows && binds && !is_excused(spans, arrival, since)
+            let binds = arrival.at >= limit.first_at + LIMIT_BINDS && arrival.at <= limit.last_at;
+            let is_excused = || is_excused(spans, arrival, limit.first_at);
+            arrival.instance == instance && knows && binds && !is_excused()
         };
-        let times: Vec<Duration> = arrivals
-            .iter()
-            .filter(counted)
-            .map(|arrival| arrival.at)
-            .collect();
+        let counted = arrivals.iter().filter(counted);
+        let times: Vec<Duration> = counted.map(|arrival| arrival.at).collect();
         let most = most_in_window(&times);
+        let rate = f64::from(limit.per_mille) / 1e3;
         let allowed = LIMIT_FACTOR * rate * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
         if f64::from(u32::try_from(most).unwrap_or(u32::MAX)) > allowed {
             let what =
--- a/crates/oatpier-soak/tests/testsuite/check.rs
+++ b/crates/oatpier-soak/tests/testsuite/check.rs
@@ -313,6 +313,17 @@
     from_ms: u64,
     every_ms: usize,
     disturbed: Option<DisturbedPlace>,
+) -> bool {
+    arrivals_while(said, 8_000, from_ms, every_ms, disturbed)
+}
+
+/// The same where it says so until a moment.
+fn arrivals_while(
+    said: SaidNotice,
+    says_until_ms: u64,
+    from_ms: u64,
+    every_ms: usize,
+    disturbed: Option<DisturbedPlace>,
 ) -> bool {
     let row = |millis: u64, event| LedgerRow {
         at: Duration::from_millis(millis),
@@ -345,14 +356,10 @@
             instance: instance.clone(),
         };
         rows.push(row(at + 5, reached));
-        rows.push(row(
-            at + 5,
-            SeenEvent::Said {
-                id: id.clone(),
-                instance,
-                said,
-            },
-        ));
+        if at < says_until_ms {
+            let id = id.clone();
+            rows.push(row(at + 5, SeenEvent::Said { id, instance, said }));
+        }
         let end = whole(503, None, "");
         rows.push(row(at + 10, SeenEvent::Ended { id, end }));
     }
@@ -383,6 +390,15 @@
     assert!(arrivals_after(limit, 1_000, 150, None));
 }
 
+/// A limit holds for as long as it is named: what comes when it is over is nobody's breach.
+#[test]
+fn requests_after_the_end_of_a_limit_are_none_of_its_breaches() {
+    let limit = SaidNotice::Limit(2_500);
+    assert!(!arrivals_while(limit, 500, 4_500, 50, None));
+    assert!(!arrivals_while(limit, 4_000, 4_000, 50, None));
+    assert!(arrivals_while(limit, 6_500, 4_000, 50, None));
+}
+
 /// A gateway that was restarted or paused may know nothing; that the store was away is no excuse.
 #[test]
 fn only_gateways_and_ways_that_are_well_are_held_to_what_was_said() {
