Requests that wait for a rest or a turn see within a tenth of a second that their gateway is being stopped

What callers would have seen: a closed connection. A request may wait seconds for the end of a rest, and two for its turn; it slept for the whole of it, while every wait of a request is to be a tenth of a second at most, so that a gateway that is being stopped ends what still waits in time.

Both waits are now taken in such steps; a wait for a turn also ends where its endpoint leaves or rests meanwhile. Two tests: each is refused as `leaving`, and nothing reaches the endpoint.

--- a/crates/oatpier-gateway/src/gateway/placing.rs
+++ b/crates/oatpier-gateway/src/gateway/placing.rs
@@ -37,6 +37,9 @@
 /// After a rest requests look at its endpoint in the order of the time that they can still wait: by so much of it later.
 const LOOK_SLACKS: u32 = 100;
 
+/// The longest time for which a request that waits does not look whether its gateway is being stopped.
+pub(super) const LONGEST_PAUSE: Duration = Duration::from_millis(100);
+
 /// The latest look of a request after a rest.
 const LATEST_LOOK: Duration = Duration::from_millis(30);
 
@@ -225,7 +228,8 @@
         let refusal = state.judge.held(&held);
         return PlacementRefusal::held(refusal, held);
     }
-    Placement::Pause(held.left + (slack / LOOK_SLACKS).min(LATEST_LOOK))
+    let until_look = held.left + (slack / LOOK_SLACKS).min(LATEST_LOOK);
+    Placement::Pause(until_look.min(LONGEST_PAUSE))
 }
 
 /// What is known of a model that nobody holds.
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -234,8 +234,8 @@
         match turns::take_turn(&self.core, &endpoint, most_wait).await {
             TurnVerdict::Free => Ok(Some(placed)),
             TurnVerdict::Given(turn) => {
-                sleep_until(self.core.clock.instant(turn.at)).await;
-                Ok(Some(PlacedSend {
+                let is_there = turns::wait_for_turn(&self.core, &endpoint, turn).await;
+                Ok(is_there.then_some(PlacedSend {
                     turn: Some(turn),
                     ..placed
                 }))
--- a/crates/oatpier-gateway/src/gateway/turns.rs
+++ b/crates/oatpier-gateway/src/gateway/turns.rs
@@ -11,8 +11,10 @@
 use oatpier_serving::quota::turns::{HeldTurn, TurnAnswer, TurnQuery, TurnStep};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
+use tokio::time::sleep;
 
 use super::core::{CoreState, GatewayCore};
+use super::placing::LONGEST_PAUSE;
 use super::quota::ANSWER_WAIT;
 
 /// How a request gets on at an endpoint that may name a limit.
@@ -47,6 +49,25 @@
     }
 }
 
+/// Waits until a turn may be used; false if meanwhile its endpoint has said that it wants nothing, or the gateway is
+/// being stopped.
+pub(super) async fn wait_for_turn(
+    core: &GatewayCore,
+    endpoint: &EndpointName,
+    turn: HeldTurn,
+) -> bool {
+    loop {
+        let left = turn.at.since(core.clock.now());
+        if left.is_zero() {
+            return true;
+        }
+        sleep(left.min(LONGEST_PAUSE)).await;
+        if core.is_closed() || !core.takes_requests(endpoint) {
+            return false;
+        }
+    }
+}
+
 impl GatewayCore {
     fn turn_step(&self, endpoint: &EndpointName, most_wait: Duration) -> Option<TurnStep> {
         let now = self.clock.now();
@@ -161,6 +182,14 @@
         row.is_some_and(|row| row.limit().is_some())
     }
 
+    /// Whether an endpoint neither leaves nor rests.
+    fn takes_requests(&self, endpoint: &EndpointName) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let row = state.directory.row(endpoint);
+        row.is_some_and(|row| row.is_open(now) && row.is_rested(now))
+    }
+
     /// Whether an endpoint may be sent a request that has this turn, by what is known now.
     pub(super) fn may_send(&self, endpoint: &EndpointName, turn: Option<HeldTurn>) -> bool {
         let now = self.clock.now();
--- a/crates/oatpier-gateway/tests/testsuite/rate_limits.rs
+++ b/crates/oatpier-gateway/tests/testsuite/rate_limits.rs
@@ -11,7 +11,7 @@
 use oatpier_serving::quota::turns::TurnAnswer;
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::EndpointName;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::support::{
     EndpointStep, STREAM, STREAM_END, ScriptedEndpoint, TestGateway, own_answer, prompt, pulse,
@@ -206,3 +206,22 @@
         [(peer.clone(), Some(RATE)), (peer, None)]
     );
 }
+
+/// The same for a request whose turn lies ahead.
+#[tokio::test]
+async fn a_request_that_waits_for_its_turn_is_refused_when_its_gateway_stops() {
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    let gateway = told(&[&endpoint]);
+    let closing = async {
+        while gateway.turn_asks().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        gateway.core.close();
+    };
+    let sending = async { tokio::join!(gateway.send(request(&[])), closing).0 };
+    let answer = gateway.with_turns(sending, |_| TurnAnswer::In(1_900)).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let lines = gateway.logged("answer").join("");
+    assert!(lines.contains("\"outcome\":\"leaving\""), "{lines}");
+    assert!(endpoint.requests().is_empty());
+}
--- a/crates/oatpier-gateway/tests/testsuite/rests.rs
+++ b/crates/oatpier-gateway/tests/testsuite/rests.rs
@@ -155,3 +155,21 @@
     }
     assert_eq!(engine.requests().len(), 1);
 }
+
+/// The gateway is being stopped while a request waits for a rest to end. Kept until the process is killed, its caller
+/// would see a closed connection.
+#[tokio::test]
+async fn a_request_that_waits_for_a_rest_is_refused_when_its_gateway_stops() {
+    let endpoint = ScriptedEndpoint::start(refusals(1, "8")).await;
+    let gateway = TestGateway::before(RouteKind::Unsafe, 1, &[&endpoint]);
+    gateway.send(request(&[])).await;
+    let closing = async {
+        sleep(Duration::from_millis(20)).await;
+        gateway.core.close();
+    };
+    let (answer, ()) = tokio::join!(gateway.send(request(&[])), closing);
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let lines = gateway.logged("answer").join("");
+    assert!(lines.contains("\"outcome\":\"leaving\""), "{lines}");
+    assert_eq!(endpoint.requests().len(), 1);
+}
