--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -213,6 +213,7 @@
                 idle_timeout: IDLE_TIMEOUT,
                 max_idle_per_address: MAX_IDLE_PER_ENDPOINT,
                 discard_on_close: true,
+                ..ClientLimits::default()
             }),
             can_serve: inputs.can_serve,
             store_deltas: inputs.store_deltas,
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub gateways: Gauge,
     /// Milliseconds since the store was last read.
     pub store_age_ms: Gauge,
+    /// Number of entries of the store that can't be decoded, at the last read.
+    pub unreadable_entries: Gauge,
     suspects: Gauge,
     barred: Gauge,
     /// Number of times that a ring was full.
@@ -108,6 +110,7 @@
             in_flight: Gauge::default(),
             gateways: Gauge::default(),
             store_age_ms: Gauge::default(),
+            unreadable_entries: Gauge::default(),
             suspects: Gauge::default(),
             barred: Gauge::default(),
             ring_full: Counter::default(),
@@ -316,5 +319,10 @@
             "Milliseconds since the store was last read",
             self.store_age_ms.clone(),
         );
+        registry.register(
+            "store_unreadable_entries",
+            "Entries of the store that could not be decoded at the last read",
+            self.unreadable_entries.clone(),
+        );
     }
 }
--- /dev/null
+++ b/crates/oatpier-gateway/tests/testsuite/slow_callers.rs
@@ -0,0 +1,83 @@
+//! Callers that do not read the responses that they asked for.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use oatpier_gateway::gateway::handler::GatewayHandler;
+use oatpier_serving::site::RouteKind;
+use oatpier_wire::server::{self, ServerCounters, ServerLimits};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use crate::support::{EndpointStep, REQUEST_ID, ScriptedEndpoint, TestGateway, stream_start};
+
+const STREAM: RouteKind = RouteKind::Stream {
+    resumable: false,
+    pause: Duration::from_millis(300),
+};
+
+/// What a gateway may hold of one response that its caller does not read, in bytes.
+const MAX_HELD_BYTES: u64 = 128 << 10;
+
+/// More than the sockets on the way hold.
+const RESPONSE_BYTES: usize = 48 << 20;
+
+const CALLERS: usize = 3;
+
+async fn start_server(gateway: &TestGateway, counters: &Arc<ServerCounters>) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let limits = ServerLimits {
+        head_bytes: 16 << 10,
+        write_timeout: Duration::from_secs(1),
+        ..ServerLimits::default()
+    };
+    let handler = Arc::new(GatewayHandler::new(Arc::clone(&gateway.core)));
+    let counters = Arc::clone(counters);
+    tokio::spawn(server::serve(
+        listener,
+        handler,
+        limits,
+        counters,
+        std::future::pending(),
+    ));
+    address
+}
+
+async fn send_request(address: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "POST /draft/7 HTTP/1.1\r\nhost: a.example\r\nx-oatpier-request-id: {REQUEST_ID}\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Guards against memory that grows with responses that callers leave unread, and against endpoints whose slots stay
+/// taken by them: the caller's connection is closed.
+#[tokio::test]
+async fn an_unread_response_takes_bounded_memory_and_ends_with_its_callers_connection() {
+    let event = format!("data: {}\n\n", "x".repeat(1 << 20));
+    let events = vec![event.as_str(); RESPONSE_BYTES >> 20];
+    let step = EndpointStep::Answer(stream_start(&events));
+    let engine = ScriptedEndpoint::start(vec![step; CALLERS]).await;
+    let gateway = TestGateway::with_endpoints(STREAM, 1, &[&engine]);
+    let counters = Arc::new(ServerCounters::default());
+    let address = start_server(&gateway, &counters).await;
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        callers.push(send_request(address).await);
+    }
+    let callers_served = u64::try_from(CALLERS).unwrap();
+    while counters.stalled() < callers_served {
+        let received = gateway.core.client.traffic().received();
+        let held = received.saturating_sub(counters.traffic.sent());
+        assert!(held <= MAX_HELD_BYTES * callers_served, "{held} bytes held");
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(counters.traffic.sent() > 0);
+    assert!(counters.traffic.sent() < u64::try_from(RESPONSE_BYTES).unwrap());
+}
--- a/crates/oatpier-soak/src/standin/caller.rs
+++ b/crates/oatpier-soak/src/standin/caller.rs
@@ -177,7 +177,7 @@
         connect_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(10),
         max_idle_per_address: 2,
-        discard_on_close: false,
+        ..ClientLimits::default()
     })
 }
 
--- a/crates/oatpier-wire/src/client.rs
+++ b/crates/oatpier-wire/src/client.rs
@@ -46,6 +46,8 @@
     /// be in transit to a peer that is frozen or unreachable. After an orderly close it would arrive seconds later,
     /// although its response is no longer needed. Connections that are closed while idle have no data in transit.
     pub discard_on_close: bool,
+    /// The maximum number of bytes of a response that are held for a reader that does not keep up.
+    pub buffer_bytes: usize,
 }
 
 impl Default for ClientLimits {
@@ -55,6 +57,7 @@
             idle_timeout: Duration::from_secs(20),
             max_idle_per_address: 32,
             discard_on_close: false,
+            buffer_bytes: 32 << 10,
         }
     }
 }
@@ -282,7 +285,9 @@
                 .map_err(|error| connect_error(&error))?;
         }
         let stream = MeteredStream::new(stream, Arc::clone(&self.traffic));
-        let (connection, driver) = http1::handshake(TokioIo::new(stream))
+        let (connection, driver) = http1::Builder::new()
+            .max_buf_size(self.limits.buffer_bytes)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| connect_error(&error))?;
         tokio::spawn(driver);
