reads: Calls to the store that do not grow with a zone's gateways

By reading, three laws: - Until the first configuration is written each gateway reads everything, two pages at this size, about each two seconds, and knows no other gateway yet. Now it waits for the first configuration at the store, in one call. - All gateways of a zone drew the time of their next read from the same range, so that the number of those that read before a read has reached them grew with the zone (71 gateways in .56 s). Now four read one after the other, by their rank, and the others only if none of these has. - The bound on skipped reads counted messages, of which there are more in a larger zone. It is a time now, and grows with the zone, so that all of its gateways together read by themselves about once a period.

Ruled out: drawing from a distribution whose first values lie apart (U^n): each message draws anew and the largest draw counts, so that all crowd at the end of the range: 396 reads a minute of 12 gateways in the new test.

Tests: a zone of 12, 71 and 200 gateways, the same bound for all; gateways that started together; a store without configuration is read twice in all.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -39,7 +39,7 @@
 use crate::metrics::ServingMetrics;
 use crate::parts_writer::DueClaim;
 use crate::reload::SettingsFeed;
-use crate::store_reader::ReceivedDelta;
+use crate::store_reader::{ReceivedDelta, StorePeers};
 
 /// Connect timeout for endpoints. Endpoints are a few milliseconds away; one that is down does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -64,7 +64,7 @@
     /// Queue of store deltas from other gateways, read by the thread that reads the store.
     pub store_deltas: RingSender<ReceivedDelta>,
     /// Publishes the other gateways, which the thread that reads the store may ask.
-    pub store_peers: watch::Sender<Arc<[SocketAddr]>>,
+    pub store_peers: watch::Sender<StorePeers>,
     /// Queue of crash records to write, read by the thread that writes crashes.
     pub crash_changes: RingSender<CrashChange>,
     /// Publishes the configuration in force.
@@ -146,7 +146,7 @@
     pub client: HttpClient,
     pub(super) can_serve: Arc<AtomicBool>,
     pub(super) store_deltas: RingSender<ReceivedDelta>,
-    pub(super) store_peers: watch::Sender<Arc<[SocketAddr]>>,
+    pub(super) store_peers: watch::Sender<StorePeers>,
     pub(super) crash_changes: RingSender<CrashChange>,
     closed: AtomicBool,
     behind: AtomicBool,
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -70,7 +70,7 @@
 use crate::parts_writer::{ClaimResult, PartsWriterInputs, write_parts};
 use crate::reload::{SettingsFeed, SettingsSource};
 use crate::share::{ShareInputs, share};
-use crate::store_reader::{ReaderInputs, StoreEvent, read_store};
+use crate::store_reader::{ReaderInputs, StoreEvent, StorePeers, read_store};
 
 use self::core::{CoreInputs, GatewayCore};
 use self::handler::GatewayHandler;
@@ -167,7 +167,7 @@
         RingRule::Drop,
         node.metrics.ring_full.clone(),
     );
-    let (store_peers, store_peer_feed) = watch::channel(Arc::from([]));
+    let (store_peers, store_peer_feed) = watch::channel(StorePeers::default());
     let (shared_config, config_feed) = watch::channel(None);
     let (source_sender, sources) = ring(FETCH_RING, RingRule::Drop, node.metrics.ring_full.clone());
     let (fetched_sender, fetched) =
--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -17,7 +17,7 @@
 
 use super::core::{CoreState, GatewayCore};
 use crate::decisions::{DecisionLine, LinePriority};
-use crate::store_reader::ReceivedDelta;
+use crate::store_reader::{ReceivedDelta, StorePeers};
 
 /// The age of what this gateway knows of the store.
 #[derive(Debug, Default)]
@@ -201,11 +201,16 @@
     /// Publishes the gateways that can be asked for what they know of the store.
     pub(super) fn publish_store_peers(&self) {
         let now = self.clock.now();
-        let peers = self.lock().peers.live_addresses(now);
+        let state = self.lock();
+        let peers = StorePeers {
+            addresses: state.peers.live_addresses(now).into(),
+            place: state.peers.zone_place(&self.zone, now),
+        };
+        drop(state);
         self.store_peers.send_if_modified(|published| {
-            let is_changed = **published != *peers;
+            let is_changed = *published != peers;
             if is_changed {
-                *published = peers.into();
+                *published = peers;
             }
             is_changed
         });
--- a/crates/oatpier-gateway/src/store_reader.rs
+++ b/crates/oatpier-gateway/src/store_reader.rs
@@ -2,8 +2,9 @@
 //! availability zone has just read the store and sent what changed, and other gateways are asked while reads fail; see
 //! [`oatpier_serving::reads`].
 //!
-//! One call reads both. There is no watch: it would return at each heartbeat of each endpoint, and a watch that
-//! stopped delivering would leave the gateway with an old configuration.
+//! One call reads both. There is no watch on them: it would return at each heartbeat of each endpoint, and a watch that
+//! stopped delivering would leave the gateway with an old configuration. Only the first configuration of a new
+//! deployment is waited for at the store, because until then a read is of no use.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,8 +18,8 @@
 use oatpier_platform::store::{ReadError, StoreClient, StoreSnapshot, UnreadableEntry};
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::reads::{
-    ExcerptFetch, FollowerTimes, InternalContents, NO_CONFIG, StoreContents, StoreDelta,
-    StoreExcerpt, StoreFollower, StoreKnowledge, config_digest,
+    ExcerptFetch, FollowerTimes, InternalContents, NO_CONFIG, ReadPlan, StoreContents, StoreDelta,
+    StoreExcerpt, StoreFollower, StoreKnowledge, StorePosition, ZonePlace, config_digest,
 };
 use oatpier_serving::site::SiteConfig;
 use oatpier_types::clock::ClockTime;
@@ -38,6 +39,9 @@
 /// Longest time between two checks of what is due.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
 
+/// Longest wait at the store for the first configuration, in one call.
+const CONFIG_WAIT: Duration = Duration::from_secs(5);
+
 /// What a read of the store, by this gateway or another one, has shown.
 #[derive(Debug)]
 pub struct StoreUpdate {
@@ -68,8 +72,17 @@
     pub delta: StoreDelta,
 }
 
-/// The other gateways that may be asked for what they know.
-pub type PeerFeed = watch::Receiver<Arc<[SocketAddr]>>;
+/// The other gateways, as far as the reader needs to know them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StorePeers {
+    /// Addresses of those that may be asked for what they know.
+    pub addresses: Arc<[SocketAddr]>,
+    /// The place of this gateway among those of its availability zone, once others are known.
+    pub place: Option<ZonePlace>,
+}
+
+/// Publishes the other gateways.
+pub type PeerFeed = watch::Receiver<StorePeers>;
 
 /// Inputs of the thread.
 pub struct ReaderInputs {
@@ -98,10 +111,19 @@
     }
 }
 
-/// A read that has ended.
+/// A call to the store that has ended.
 struct EndedRead {
     begun: ClockTime,
-    result: Result<StoreSnapshot, ReadError>,
+    result: Result<ReadResult, ReadError>,
+}
+
+/// What a call to the store has returned.
+enum ReadResult {
+    Contents(StoreSnapshot),
+    /// The end of a wait for the first configuration.
+    ConfigWait {
+        is_written: bool,
+    },
 }
 
 /// A question that has ended.
@@ -129,16 +151,17 @@
         if reading.is_terminated() && reader.follower.next_read_at() <= now {
             reading = reader.begin_read(&client);
         }
-        let peers = Arc::clone(&inputs.peers.borrow());
+        let peers = inputs.peers.borrow().clone();
+        reader.follower.set_place(peers.place);
         if fetching.is_terminated()
-            && let Some(fetch) = reader.begin_fetch(&peers)
+            && let Some(fetch) = reader.begin_fetch(&peers.addresses)
         {
             fetching = ask(&peer_client, fetch);
         }
         let due = reader.next_due(reading.is_terminated(), fetching.is_terminated());
         let due = reader.clock.instant(due);
         let event = tokio::select! {
-            ended = &mut reading, if !reading.is_terminated() => Some(reader.finish_read(ended)),
+            ended = &mut reading, if !reading.is_terminated() => reader.finish_read(ended),
             ended = &mut fetching, if !fetching.is_terminated() => reader.finish_fetch(ended),
             Some(received) = inputs.deltas.receive() => reader.apply_delta(&received),
             Some(question) = inputs.questions.receive() => {
@@ -153,6 +176,23 @@
     }
 }
 
+/// Waits at the store for the first configuration.
+fn await_config(
+    client: Arc<StoreClient>,
+    after: StorePosition,
+    timeout: Duration,
+    begun: ClockTime,
+) -> Fuse<BoxFuture<'static, EndedRead>> {
+    let waiting = async move {
+        let waited = client.await_config(after, CONFIG_WAIT, timeout).await;
+        EndedRead {
+            begun,
+            result: waited.map(|is_written| ReadResult::ConfigWait { is_written }),
+        }
+    };
+    waiting.boxed().fuse()
+}
+
 /// Asks another gateway for what it knows.
 fn ask(client: &Arc<HttpClient>, fetch: ExcerptFetch) -> Fuse<BoxFuture<'static, EndedFetch>> {
     let client = Arc::clone(client);
@@ -231,22 +271,32 @@
 
     fn begin_read(&mut self, client: &Arc<StoreClient>) -> Fuse<BoxFuture<'static, EndedRead>> {
         let begun = self.clock.now();
-        self.follower.note_read_begun(begun);
         let client = Arc::clone(client);
         let timeout = self.follower.read_timeout();
-        let reading = async move {
-            EndedRead {
-                begun,
-                result: client.read(timeout).await,
+        match self.follower.next_plan() {
+            ReadPlan::Contents => {
+                self.follower.note_read_begun(begun);
+                let reading = async move {
+                    EndedRead {
+                        begun,
+                        result: client.read(timeout).await.map(ReadResult::Contents),
+                    }
+                };
+                reading.boxed().fuse()
             }
-        };
-        reading.boxed().fuse()
+            ReadPlan::ConfigAfter(after) => await_config(client, after, timeout, begun),
+        }
     }
 
-    fn finish_read(&mut self, ended: EndedRead) -> StoreEvent {
+    fn finish_read(&mut self, ended: EndedRead) -> Option<StoreEvent> {
         match ended.result {
-            Ok(snapshot) => self.apply_snapshot(snapshot, ended.begun),
-            Err(error) => self.note_failure(&error, ended.begun),
+            Ok(ReadResult::Contents(snapshot)) => Some(self.apply_snapshot(snapshot, ended.begun)),
+            Ok(ReadResult::ConfigWait { is_written }) => {
+                self.metrics.count_store_read("awaited");
+                self.follower.note_config_wait(is_written, ended.begun);
+                None
+            }
+            Err(error) => Some(self.note_failure(&error, ended.begun)),
         }
     }
 
@@ -291,6 +341,8 @@
             spdlog::info!("the store is reachable", kv: { endpoints:, crashes: });
         }
         self.is_reachable = Some(true);
+        let unreadable = i64::try_from(snapshot.unreadable.len()).unwrap_or(i64::MAX);
+        self.metrics.unreadable_entries.set(unreadable);
         for entry in self.unreadable.replace(snapshot.unreadable) {
             let (key, reason) = (entry.key.as_str(), entry.reason.as_str());
             spdlog::warn!("ignoring an invalid entry of the store", kv: { key:, reason: });
--- a/crates/oatpier-gateway/tests/testsuite/store_reading.rs
+++ b/crates/oatpier-gateway/tests/testsuite/store_reading.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use base64::Engine;
@@ -13,7 +14,9 @@
 use oatpier_duty::duty::{RingReceiver, RingRule, RingSender, StopSignal, ring};
 use oatpier_gateway::metrics::ServingMetrics;
 use oatpier_gateway::share::{ShareInputs, share};
-use oatpier_gateway::store_reader::{ReaderInputs, ReceivedDelta, StoreEvent, read_store};
+use oatpier_gateway::store_reader::{
+    ReaderInputs, ReceivedDelta, StoreEvent, StorePeers, read_store,
+};
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::reads::{KnowledgeSource, StoreKnowledge};
 use oatpier_wire::reply::{self, Reply};
@@ -50,21 +53,20 @@
     let items = endpoints.iter().map(|name| {
         json!({"key": format!("servers/{name}"), "value": value, "revision": revision, "lease": 0})
     });
-    let body = json!({
-        "items": items.collect::<Vec<_>>(), "truncated": false, "store_revision": revision,
+    let config = json!({
+        "key": "op/config", "value": STANDARD.encode("{}"), "revision": 1, "lease": 0,
     });
-    reply::whole(
-        StatusCode::OK,
-        "application/json",
-        body.to_string().into_bytes(),
-    )
+    let items = [config].into_iter().chain(items);
+    json_reply(&json!({
+        "items": items.collect::<Vec<_>>(), "truncated": false, "store_revision": revision,
+    }))
 }
 
 /// A gateway's threads for the store, in front of a store of its own.
 struct ReadingGateway {
     address: SocketAddr,
     store: watch::Sender<StoreState>,
-    peers: watch::Sender<Arc<[SocketAddr]>>,
+    peers: watch::Sender<StorePeers>,
     deltas: RingSender<ReceivedDelta>,
     events: RingReceiver<StoreEvent>,
 }
@@ -72,10 +74,16 @@
 impl ReadingGateway {
     async fn start(state: StoreState) -> Self {
         let (store, store_state) = watch::channel(state);
+        Self::start_with(store, Arc::new(ScriptedStore { state: store_state })).await
+    }
+
+    async fn start_with(
+        store: watch::Sender<StoreState>,
+        handler: Arc<dyn RequestHandler>,
+    ) -> Self {
         let listener = tokio::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
         let listener = listener.await.unwrap();
         let store_address = listener.local_addr().unwrap();
-        let handler = Arc::new(ScriptedStore { state: store_state });
         let limits = ServerLimits::default();
         tokio::spawn(server::serve(
             listener,
@@ -89,7 +97,7 @@
         let (event_sender, events) = ring(16, RingRule::Wait, full.clone());
         let (deltas, delta_receiver) = ring(8, RingRule::Drop, full.clone());
         let (question_sender, questions) = ring(8, RingRule::Drop, full.clone());
-        let (peers, peer_feed) = watch::channel(Arc::from([]));
+        let (peers, peer_feed) = watch::channel(StorePeers::default());
         let node = NodeSettings {
             store: store_address,
             ..settings()
@@ -142,6 +150,14 @@
     }
 }
 
+/// Returns the only other gateway.
+fn peer(address: SocketAddr) -> StorePeers {
+    StorePeers {
+        addresses: Arc::from([address]),
+        place: None,
+    }
+}
+
 fn listed(knowledge: &StoreKnowledge) -> Option<Vec<&str>> {
     let endpoints = knowledge.endpoints.as_ref()?;
     let mut names: Vec<&str> = endpoints
@@ -160,7 +176,7 @@
     let reader = ReadingGateway::start(Some((100, vec!["a", "b"]))).await;
     let turned_away = ReadingGateway::start(Some((100, vec!["a", "b"]))).await;
     turned_away.until_known(&["a", "b"]).await;
-    turned_away.peers.send_replace(Arc::from([reader.address]));
+    turned_away.peers.send_replace(peer(reader.address));
     turned_away.store.send_replace(None);
     reader.store.send_replace(Some((110, vec!["b"])));
     let knowledge = turned_away.until_known(&["b"]).await;
@@ -173,7 +189,7 @@
     let reader = ReadingGateway::start(Some((100, vec!["a"]))).await;
     reader.until_known(&["a"]).await;
     let starting = ReadingGateway::start(None).await;
-    starting.peers.send_replace(Arc::from([reader.address]));
+    starting.peers.send_replace(peer(reader.address));
     let knowledge = starting.until_known(&["a"]).await;
     assert!(!knowledge.confirms_config);
 }
@@ -194,3 +210,55 @@
     assert!(receiver.deltas.try_send(message).is_ok());
     receiver.until_known(&["b"]).await;
 }
+
+/// A store in which the first configuration is written later. It counts the calls that read everything.
+struct NewStore {
+    is_configured: watch::Receiver<bool>,
+    reads: Arc<AtomicU32>,
+}
+
+impl RequestHandler for NewStore {
+    fn handle(&self, request: Request<Bytes>, _: SocketAddr) -> BoxFuture<'_, Reply> {
+        let mut is_configured = self.is_configured.clone();
+        if request.uri().path() == "/kv-watch" {
+            return async move {
+                let _ = is_configured.wait_for(|written| *written).await;
+                let event = json!({"key": "op/config", "value": "", "revision": 9, "lease": 0});
+                json_reply(&json!({"events": [event], "store_revision": 9}))
+            }
+            .boxed();
+        }
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        let reply = if *is_configured.borrow() {
+            page(9, &["a"])
+        } else {
+            json_reply(&json!({"items": [], "truncated": false, "store_revision": 3}))
+        };
+        async move { reply }.boxed()
+    }
+}
+
+fn json_reply(body: &serde_json::Value) -> Reply {
+    reply::whole(
+        StatusCode::OK,
+        "application/json",
+        body.to_string().into_bytes(),
+    )
+}
+
+/// Guards against reads by all gateways of a new deployment, several times a second and each, until the operator
+/// writes the first configuration.
+#[tokio::test]
+async fn a_gateway_waits_at_the_store_for_the_first_configuration() {
+    let (written, is_configured) = watch::channel(false);
+    let reads = Arc::new(AtomicU32::new(0));
+    let store = Arc::new(NewStore {
+        is_configured,
+        reads: Arc::clone(&reads),
+    });
+    let gateway = ReadingGateway::start_with(watch::channel(None).0, store).await;
+    gateway.until_known(&[]).await;
+    written.send_replace(true);
+    gateway.until_known(&["a"]).await;
+    assert_eq!(reads.load(Ordering::Relaxed), 2);
+}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -14,6 +14,7 @@
 use oatpier_gateway::gateway::core::{CoreInputs, GatewayCore};
 use oatpier_gateway::gateway::handler::GatewayHandler;
 use oatpier_gateway::metrics::ServingMetrics;
+use oatpier_gateway::store_reader::StorePeers;
 use oatpier_serving::crashes::changes::CrashChange;
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::engine::{EndpointLoad, HeldModel, LocalCopies};
@@ -230,7 +231,7 @@
             log,
             can_serve: Arc::default(),
             store_deltas: ring(8, RingRule::Drop, full).0,
-            store_peers: watch::channel(Arc::from([])).0,
+            store_peers: watch::channel(StorePeers::default()).0,
             crash_changes,
             shared_config: watch::channel(None).0,
             config_sources: source_sender,
--- a/crates/oatpier-serving/src/peers.rs
+++ b/crates/oatpier-serving/src/peers.rs
@@ -14,6 +14,8 @@
 use oatpier_types::names::{ModelName, ZoneName};
 
 use crate::message::{ModelDemand, ModelUse, PeerReport};
+use crate::reads::ZonePlace;
+use crate::relays::RelayCandidate;
 
 /// Consecutive reports of a gateway that may be missing before it counts as gone, stopped or partitioned.
 const MAX_MISSING_REPORTS: u32 = 3;
@@ -327,15 +329,50 @@
         live.map(|(address, _)| *address)
     }
 
+    /// Returns the other live gateways of an availability zone as candidates for relays.
+    #[must_use]
+    pub fn zone_candidates<'a>(
+        &'a self,
+        zone: &'a ZoneName,
+        now: ClockTime,
+    ) -> Vec<RelayCandidate<'a>> {
+        let live = self.live(now).filter(|(_, kept)| kept.report.zone == *zone);
+        let candidates = live.map(|(address, kept)| RelayCandidate {
+            zone,
+            address: *address,
+            processor: kept.report.processor,
+        });
+        candidates.collect()
+    }
+
+    /// Returns the place of this gateway among the live ones of its availability zone, or `None` if it knows no other. Those with larger CPU
+    /// allotments come first.
+    #[must_use]
+    pub fn zone_place(&self, zone: &ZoneName, now: ClockTime) -> Option<ZonePlace> {
+        let sort_key = |processor: u32, address| (Reverse(processor), address);
+        let own = sort_key(self.own.processor, self.own.address);
+        let others = self.live(now);
+        let others = others
+            .filter(|(_, kept)| kept.report.zone == *zone && !kept.report.leaving)
+            .map(|(address, kept)| sort_key(kept.report.processor, *address));
+        let mut place = ZonePlace {
+            rank: 0,
+            gateways: 1,
+        };
+        for other in others {
+            place.gateways += 1;
+            place.rank += u32::from(other < own);
+        }
+        (place.gateways > 1).then_some(place)
+    }
+
     /// Returns the number of gateways, including this one.
     ///
     /// Gateways that a sidecar has named count before their first report. Otherwise, gateways that have
     /// just started would take too large a part of what is divided by this number.
     #[must_use]
     pub fn count(&self, now: ClockTime) -> usize {
-        let is_named = |named_at: &&ClockTime| now.since(**named_at) < ADDRESS_EXPIRY;
-        let named = self.named_at.values().filter(is_named).count();
-        1 + named.max(self.live(now).count())
+        1 + self.known(now).count()
     }
 
     /// Returns the gateway that plans: the highest-ranked one among those that receive updates from most of
--- a/crates/oatpier-serving/src/reads/follower.rs
+++ b/crates/oatpier-serving/src/reads/follower.rs
@@ -9,7 +9,7 @@
 use super::delta::{StoreDelta, StorePosition};
 use super::digest::{InternalContents, InternalDigest};
 use super::fetch::{ExcerptFetch, ExcerptQuery, FetchSchedule, StoreExcerpt};
-use super::schedule::ReadSchedule;
+use super::schedule::{ReadSchedule, ZonePlace};
 use super::view::{DeltaOutcome, RegisteredEndpoints, StoreContents, StoreView};
 use crate::quota::lease::StoreEra;
 
@@ -86,6 +86,15 @@
     pub heartbeat: Duration,
 }
 
+/// What a gateway is to ask the store next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadPlan {
+    /// Read everything.
+    Contents,
+    /// There was no configuration at this position: wait for the first one at the store.
+    ConfigAfter(StorePosition),
+}
+
 /// Follows the store for one gateway.
 ///
 /// While it can't read the store, it asks other gateways for what they have read.
@@ -99,6 +108,8 @@
     failures: u32,
     /// When the read in progress began.
     read_begun: Option<ClockTime>,
+    /// Whether a configuration was written after the last read, which showed none.
+    is_config_written: bool,
     /// The position before an outage, while other gateways may know which of the endpoints that are missing
     /// since then were removed.
     unconfirmed_since: Option<StorePosition>,
@@ -115,10 +126,41 @@
             view: None,
             failures: 0,
             read_begun: None,
+            is_config_written: false,
             unconfirmed_since: None,
         }
     }
 
+    /// Sets the place of this gateway among those of its availability zone.
+    pub fn set_place(&mut self, place: Option<ZonePlace>) {
+        self.schedule.set_place(place);
+    }
+
+    /// Returns what the next read is to ask. Until there is a configuration no request can be served, and the
+    /// registry is of no use yet.
+    #[must_use]
+    pub fn next_plan(&self) -> ReadPlan {
+        let empty = self.view.as_ref().filter(|view| !view.has_config());
+        match empty {
+            Some(view) if self.failures == 0 && !self.is_config_written => {
+                ReadPlan::ConfigAfter(view.position())
+            }
+            _ => ReadPlan::Contents,
+        }
+    }
+
+    /// Records the end of a wait for the first configuration that began at `begun`: whether one was written.
+    pub fn note_config_wait(&mut self, is_written: bool, begun: ClockTime) {
+        self.read_begun = None;
+        self.is_config_written = is_written;
+        let pause = if is_written {
+            Duration::ZERO
+        } else {
+            COLD_INTERVAL
+        };
+        self.schedule.note_failure(begun + pause);
+    }
+
     /// Changes the times that it goes by.
     pub fn set_times(&mut self, times: FollowerTimes) {
         self.times = times;
@@ -172,6 +214,7 @@
         let kept_before = self.kept();
         self.failures = 0;
         self.read_begun = None;
+        self.is_config_written = false;
         self.schedule.note_read(begun, self.times.period);
         let is_applied = if let Some(view) = &mut self.view {
             view.apply_contents(contents, may_be_expired, now)
--- a/crates/oatpier-serving/src/reads/mod.rs
+++ b/crates/oatpier-serving/src/reads/mod.rs
@@ -30,6 +30,6 @@
     ContentsDigest, InternalContents, InternalDigest, config_digest, endpoint_digest,
 };
 pub use fetch::{ExcerptFetch, ExcerptQuery, StoreExcerpt};
-pub use follower::{FollowerTimes, KnowledgeSource, StoreFollower, StoreKnowledge};
-pub use schedule::ReadSchedule;
+pub use follower::{FollowerTimes, KnowledgeSource, ReadPlan, StoreFollower, StoreKnowledge};
+pub use schedule::{ReadSchedule, ZonePlace};
 pub use view::{DeltaOutcome, NO_CONFIG, RegisteredEndpoints, StoreContents, StoreView};
--- a/crates/oatpier-serving/tests/testsuite/reads.rs
+++ b/crates/oatpier-serving/tests/testsuite/reads.rs
@@ -9,7 +9,7 @@
 use oatpier_serving::engine::StartTime;
 use oatpier_serving::reads::{
     DeltaOutcome, FollowerTimes, InternalContents, ReadSchedule, RegisteredEndpoints,
-    StoreContents, StoreDelta, StoreFollower, StoreKnowledge, StorePosition, StoreView,
+    StoreContents, StoreDelta, StoreFollower, StoreKnowledge, StorePosition, StoreView, ZonePlace,
     config_digest, endpoint_digest,
 };
 
@@ -93,6 +93,68 @@
     assert!(run.longest_ms <= 1_850, "{} ms", run.longest_ms);
 }
 
+/// Returns the schedules of the gateways of a zone, which have all read at the start.
+fn ranked_schedules(gateways: u32) -> Vec<ReadSchedule> {
+    let schedules = (0..gateways).map(|rank| {
+        let mut schedule = ReadSchedule::new(u64::from(rank));
+        schedule.set_place(Some(ZonePlace { rank, gateways }));
+        schedule.note_read(at(0), PERIOD);
+        schedule
+    });
+    schedules.collect()
+}
+
+/// Returns how often the gateways of a zone read in a minute. A read reaches the others 100 ms after it began, the time
+/// that a thin VM takes to decode it.
+fn reads_per_minute(gateways: u32) -> usize {
+    let mut schedules = ranked_schedules(gateways);
+    let mut begun: Vec<(u64, usize)> = Vec::new();
+    let mut told = 0;
+    for now in (10..60_000).step_by(10) {
+        while let Some((at_ms, reader)) = begun.get(told).filter(|(at_ms, _)| at_ms + 100 <= now) {
+            let others = schedules.iter_mut().enumerate();
+            for (_, schedule) in others.filter(|(index, _)| index != reader) {
+                schedule.note_peer_read(at(*at_ms), PERIOD);
+            }
+            told += 1;
+        }
+        for (index, schedule) in schedules.iter_mut().enumerate() {
+            if schedule.next_at() <= at(now) {
+                schedule.note_read(at(now), PERIOD);
+                begun.push((now, index));
+            }
+        }
+    }
+    begun.len()
+}
+
+/// Guards against a number of reads that grows with the gateways of a zone: those that are due before a read has reached
+/// them read too, and each reads by itself after some time. A single gateway reads 38 times.
+#[test]
+fn the_reads_of_a_zone_do_not_grow_with_its_gateways() {
+    for gateways in [12, 71, 200] {
+        let reads = reads_per_minute(gateways);
+        assert!(reads < 150, "{reads} reads of {gateways} gateways");
+    }
+}
+
+/// Guards against gateways that started together and read by themselves in the same period.
+#[test]
+fn gateways_that_started_together_do_not_read_by_themselves_together() {
+    let mut schedules = ranked_schedules(71);
+    for now in (1_000..).step_by(1_000).take(200) {
+        let mut due = 0;
+        for schedule in &mut schedules {
+            schedule.note_peer_read(at(now), PERIOD);
+            if schedule.next_at() <= at(now) {
+                due += 1;
+                schedule.note_read(at(now), PERIOD);
+            }
+        }
+        assert!(due <= 7, "{due} gateways read at {now} ms");
+    }
+}
+
 fn position(revision: u64) -> StorePosition {
     StorePosition { era: 1, revision }
 }
