residency: A part of the load rate that changes hands rests for a window

Parts go to the first engines by place in the registry. Entries of crashed engines lapse, others move up and use the part at once, and those that come back keep theirs until the next subscription, so a part was used twice in a window.

Test: eight engines, three loads in a window, entries that lapse and return, gateways whose view is up to four seconds old. Fails without the change, holds with it.

--- a/crates/oatpier-serving/src/residency/mod.rs
+++ b/crates/oatpier-serving/src/residency/mod.rs
@@ -26,6 +26,7 @@
 use crate::message::{AdapterRequest, GatewaySubscription, LoadAdvice};
 
 pub use adapters::held_adapters;
+use pace::HeldShare;
 pub use pace::LoadPace;
 use rights::RequestedRight;
 pub use rights::RightRequest;
@@ -93,7 +94,9 @@
 /// Decisions about the models and adapters of one engine.
 #[derive(Debug)]
 pub struct EngineResidency {
+    /// The division of the rate as last stated.
     pace: LoadPace,
+    share: HeldShare,
     report: Option<EngineReport>,
     /// Number of orders that the engine had accepted at its last report.
     sequence: u64,
@@ -136,6 +139,7 @@
             pace.longest_spacing() + rights::RIGHT_LIFETIME
         };
         Self {
+            share: HeldShare::new(&pace),
             pace,
             report: None,
             sequence: 0,
@@ -232,6 +236,7 @@
             self.pace.engines = subscription.engines;
             self.pace.loads = subscription.loads_per_window;
             self.pace.index = subscription.place;
+            self.share.note_stated(&self.pace, now);
         }
         self.adapter_slots = subscription.adapter_slots as usize;
         for used in &subscription.used {
@@ -289,7 +294,7 @@
     /// Returns the time until the engine may load from the weight store.
     #[must_use]
     pub fn store_load_wait(&self, now: ClockTime) -> Duration {
-        match self.pace.spacing() {
+        match self.share.spacing(self.pace.window, now) {
             Some(_) => self.next_store_load.since(now),
             None => Duration::MAX,
         }
--- a/crates/oatpier-serving/src/residency/rights.rs
+++ b/crates/oatpier-serving/src/residency/rights.rs
@@ -91,7 +91,7 @@
     /// Handles a request from another engine's sidecar for this engine's right. Refuses if this engine
     /// needs the right itself.
     pub fn lend_right(&mut self, now: ClockTime) -> bool {
-        let Some(spacing) = self.pace.spacing() else {
+        let Some(spacing) = self.share.spacing(self.pace.window, now) else {
             return false;
         };
         let needs_right = self.advice.as_ref().is_some_and(|pending| {
@@ -135,7 +135,7 @@
         {
             return;
         }
-        let spacing = self.pace.spacing();
+        let spacing = self.share.spacing(self.pace.window, now);
         self.next_store_load = now + spacing.unwrap_or(self.pace.longest_spacing());
     }
 }
--- a/crates/oatpier-serving/tests/testsuite/rights.rs
+++ b/crates/oatpier-serving/tests/testsuite/rights.rs
@@ -1,14 +1,15 @@
 //! Rights to load from the weight store that engines lend each other.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use oatpier_serving::engine::{EngineOrder, OrderAnswer};
-use oatpier_serving::message::LoadRight;
+use oatpier_serving::message::{GatewaySubscription, LoadRight};
 use oatpier_serving::residency::{EngineResidency, LoadPace};
 use proptest::prelude::*;
 
 use crate::residency::{advice, report};
-use crate::support::{address, at, fixed_cases, model};
+use crate::support::{address, at, fixed_cases, model, zone};
 
 /// An engine has just joined a fleet with more engines than loads per window, so it has no share of the
 /// rate. Its callers wait while another engine's share is unused. It borrows that right once, and the
@@ -125,3 +126,84 @@
         }
     }
 }
+
+/// Number of engines of the fleet below, and of loads that they may begin in five seconds.
+const FLEET_ENGINES: usize = 8;
+const FLEET_LOADS: u32 = 3;
+
+/// Returns what a gateway states to an engine, as the registry listed engines `lag` ago; `None` if it was not listed.
+fn stated_share(
+    absences: &[(u64, usize, u64)],
+    engine: usize,
+    seen_at: u64,
+) -> Option<GatewaySubscription> {
+    let is_listed = |engine: usize| {
+        let mut covering = absences.iter();
+        !covering.any(|(from, which, length)| {
+            *which == engine && (*from..*from + *length).contains(&seen_at)
+        })
+    };
+    if !is_listed(engine) {
+        return None;
+    }
+    let before = (0..engine).filter(|other| is_listed(*other)).count();
+    let listed = (0..FLEET_ENGINES).filter(|other| is_listed(*other)).count();
+    Some(GatewaySubscription {
+        zone: zone("near"),
+        processor: 100,
+        is_heard: true,
+        used: Vec::new(),
+        engines: u32::try_from(listed).unwrap(),
+        place: u32::try_from(before).unwrap(),
+        loads_per_window: FLEET_LOADS,
+        adapter_slots: 4,
+        health_path: Arc::from("/health"),
+    })
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(64))]
+
+    /// Guards against more loads than the weight store allows while entries of crashed engines lapse and return: other
+    /// engines take over their parts, and they go on with them for some time. Gateways see the registry up to four
+    /// seconds late, each by a different delay.
+    #[test]
+    fn parts_that_change_hands_keep_the_store_rate_limit(
+        absences in prop::collection::vec((0_u64..40_000, 0_usize..FLEET_ENGINES, 500_u64..15_000), 0..12),
+        lags in prop::collection::vec(0_u64..4_000, 31),
+    ) {
+        let pace = |index| LoadPace {
+            loads: FLEET_LOADS,
+            engines: u32::try_from(FLEET_ENGINES).unwrap(),
+            index,
+            window: Duration::from_secs(5),
+        };
+        let places = 0..u32::try_from(FLEET_ENGINES).unwrap();
+        let mut sidecars: Vec<EngineResidency> =
+            places.map(|place| EngineResidency::new(pace(place), true, at(0))).collect();
+        let mut begun: Vec<u64> = Vec::new();
+        let mut sent = 0;
+        for now in (0..60_000_u64).step_by(100) {
+            for (engine, sidecar) in sidecars.iter_mut().enumerate() {
+                if now.is_multiple_of(500) {
+                    sent += 1;
+                    let seen_at = now.saturating_sub(lags[sent % lags.len()]);
+                    if let Some(stated) = stated_share(&absences, engine, seen_at) {
+                        sidecar.apply_subscription(address(1), &stated, at(now));
+                    }
+                }
+                sidecar.apply_report(report(now, &[]));
+                sidecar.accept_advice(advice("m1", &[], &[]), at(now));
+                if let Some(order) = sidecar.next_order(at(now)) {
+                    begun.push(now);
+                    sidecar.note_answer(&order, OrderAnswer::Taken, at(now));
+                }
+            }
+        }
+        prop_assert!(!begun.is_empty());
+        for end in &begun {
+            let within = begun.iter().filter(|time| **time <= *end && **time + 5_000 > *end);
+            prop_assert!(within.count() <= FLEET_LOADS as usize);
+        }
+    }
+}
