subscriptions: A gateway's subscriptions do not grow with the fleet

Law: gateways x engines. Each gateway subscribed to each sidecar each two seconds (312 a second from each of 357 gateways before 625 engines, worked out) and eight times a second to each silent one (5,000 a second after a start of all). Sidecars answer each that receives nothing with a complete status.

Now a gateway subscribes each two seconds where it ranks among the first three relays of its zone, each half second where it uses adapters, to the others in rotation (48 a second at most), and to 16 silent sidecars in a round, in an order of its own; one that is no relay of a silent sidecar waits half a second for what relays forward. Up to 96 engines all are covered each two seconds, as before.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -51,6 +51,9 @@
 /// Maximum number of idle connections kept for each endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 24;
 
+/// Bound of the random position in the list of sidecars at which a gateway begins to subscribe.
+const MAX_START: usize = 1 << 16;
+
 /// Inputs of a [`GatewayCore`], apart from the settings.
 pub struct CoreInputs {
     /// The runtime's clock.
@@ -87,7 +90,7 @@
     /// Broken attempts, kept until it is known whether their endpoint ended.
     pub(super) broken_attempts: AttemptWatch,
     pub(super) peers: PeerTable,
-    /// Intervals between subscriptions to sidecars without a current status update.
+    /// When subscriptions are sent to which sidecars.
     pub(super) subscription_schedule: SubscriptionSchedule,
     /// Quota rules of the workspaces that have limits.
     pub(super) limits: HashMap<WorkspaceName, QuotaRule>,
--- a/crates/oatpier-gateway/src/gateway/subscriptions.rs
+++ b/crates/oatpier-gateway/src/gateway/subscriptions.rs
@@ -3,31 +3,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use oatpier_serving::directory::EndpointRow;
 use oatpier_serving::message::{GatewaySubscription, InnerMessage};
 use oatpier_serving::node::NodeBounds;
+use oatpier_serving::relays::{self, RelayCandidate};
 use oatpier_serving::site::{EngineRule, SiteConfig};
-use oatpier_serving::subscriptions::SubscriptionSchedule;
+use oatpier_serving::subscriptions::{
+    ROUND_INTERVAL, RelayCheck, SidecarView, SubscriptionSchedule,
+};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{EndpointName, PoolName};
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::core::{CoreState, GatewayCore};
 
-/// Interval between subscriptions to a silent sidecar, one without a current status update. After a start of all
-/// processes, sidecars that come up slightly later than the gateways send status updates within this time.
-const SILENT_INTERVAL: Duration = Duration::from_millis(125);
-
-/// Ticks for each subscription to sidecars whose engines this gateway uses adapters of: every half second. A sidecar
-/// considers an adapter unused after three of these.
-const USED_ROUND_TICKS: u64 = 4;
-
-/// Ticks for each subscription to all sidecars: every two seconds. It only says that this gateway is still there, and
-/// the number of these subscriptions is that of gateways times engines.
-const ALL_ROUND_TICKS: u64 = 16;
-
 /// Share of the weight store's limit that sidecars divide among themselves. The rest covers loads whose answers were
 /// lost, and engines that not all sidecars know yet.
 const LOAD_SHARE: f64 = 0.93;
@@ -48,84 +38,88 @@
     }
 }
 
-/// The sidecars that one round of subscriptions addresses.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum SubscriptionRound {
-    /// Silent sidecars only.
-    Silent,
-    /// Silent sidecars, and those whose engines this gateway uses adapters of.
-    Used,
-    /// All sidecars.
-    All,
-}
-
-impl SubscriptionRound {
-    fn of_tick(number: u64) -> Self {
-        if number.is_multiple_of(ALL_ROUND_TICKS) {
-            Self::All
-        } else if number.is_multiple_of(USED_ROUND_TICKS) {
-            Self::Used
-        } else {
-            Self::Silent
-        }
-    }
-
-    fn includes(
-        self,
-        row: &EndpointRow,
-        schedule: &mut SubscriptionSchedule,
-        now: ClockTime,
-    ) -> bool {
-        if row.status(now).is_none() {
-            return schedule.is_due(&row.record.name, now);
-        }
-        self == Self::All || (self == Self::Used && row.uses_adapters())
-    }
-}
-
 /// Sends subscriptions until the process ends.
 pub(super) async fn subscribe(core: &GatewayCore) {
-    let mut ticks = interval(SILENT_INTERVAL);
+    let mut ticks = interval(ROUND_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut number: u64 = 0;
     loop {
         // The gateway subscribes to a new endpoint at once: until its sidecar answers, nothing can be loaded there.
-        let round = tokio::select! {
-            _ = ticks.tick() => {
-                number += 1;
-                SubscriptionRound::of_tick(number)
+        let subscriptions = tokio::select! {
+            _ = ticks.tick() => due_subscriptions(core, SubscriptionSchedule::next_round),
+            () = core.endpoints_appeared.notified() => {
+                due_subscriptions(core, SubscriptionSchedule::due_silent)
             }
-            () = core.endpoints_appeared.notified() => SubscriptionRound::Silent,
         };
-        for due in due_subscriptions(core, round) {
+        for due in subscriptions {
             due.send(core);
         }
     }
 }
 
-/// Returns the subscriptions that are due in a round.
-fn due_subscriptions(core: &GatewayCore, round: SubscriptionRound) -> Vec<AddressedSubscription> {
+/// Selects the positions of the sidecars that are due.
+type DueSelection =
+    fn(&mut SubscriptionSchedule, &[SidecarView<'_>], RelayCheck<'_>, ClockTime) -> Vec<usize>;
+
+/// Returns the subscriptions that are due now.
+fn due_subscriptions(core: &GatewayCore, select: DueSelection) -> Vec<AddressedSubscription> {
     let now = core.clock.now();
     let mut state = core.lock();
     let Some(config) = state.config.clone() else {
         return Vec::new();
     };
-    let mut subscriptions = Vec::new();
-    let mut schedule = std::mem::take(&mut state.subscription_schedule);
-    schedule.retain(|name| {
-        let row = state.directory.row(name);
-        row.is_some_and(|row| row.status(now).is_none())
-    });
-    for (service, _) in engine_services(&config) {
-        let rows = state.directory.service(service);
-        let due = rows.filter(|row| round.includes(row, &mut schedule, now));
-        let engines: Vec<EndpointName> = due.map(|row| row.record.name.clone()).collect();
-        for engine in engines {
-            subscriptions.extend(core.subscription(&mut state, service, &engine));
-        }
+    let engines = due_engines(core, &mut state, &config, select, now);
+    let subscriptions = engines
+        .iter()
+        .filter_map(|due| core.subscription(&mut state, &due.service, &due.engine));
+    subscriptions.collect()
+}
+
+/// An engine whose sidecar is due.
+struct DueEngine {
+    service: PoolName,
+    engine: EndpointName,
+}
+
+fn due_engines(
+    core: &GatewayCore,
+    state: &mut CoreState,
+    config: &SiteConfig,
+    select: DueSelection,
+    now: ClockTime,
+) -> Vec<DueEngine> {
+    let CoreState {
+        directory,
+        peers,
+        subscription_schedule,
+        ..
+    } = state;
+    let services = engine_services(config).map(|(service, _)| service);
+    let rows: Vec<&EndpointRow> = services
+        .flat_map(|service| directory.service(service))
+        .collect();
+    let sidecars: Vec<SidecarView<'_>> = rows.iter().map(|row| sidecar_view(row, now)).collect();
+    let others = peers.zone_candidates(&core.zone, now);
+    let own = RelayCandidate {
+        zone: &core.zone,
+        address: peers.own().address,
+        processor: peers.own().processor,
+    };
+    let may_relay = |sidecar| relays::is_candidate(sidecar, &own, others.iter());
+    let due = select(subscription_schedule, &sidecars, &may_relay, now);
+    let engine = |position: usize| DueEngine {
+        service: rows[position].record.service.clone(),
+        engine: rows[position].record.name.clone(),
+    };
+    due.into_iter().map(engine).collect()
+}
+
+fn sidecar_view(row: &EndpointRow, now: ClockTime) -> SidecarView<'_> {
+    SidecarView {
+        engine: &row.record.name,
+        address: row.record.address,
+        is_silent: row.status(now).is_none(),
+        uses_adapters: row.uses_adapters(),
     }
-    state.subscription_schedule = schedule;
-    subscriptions
 }
 
 impl GatewayCore {
@@ -143,21 +137,15 @@
         let address = row.record.address;
         let is_heard = row.status(self.clock.now()).is_some();
         let settings = Arc::clone(&self.settings.borrow());
-        let mut engines: u32 = 0;
-        let mut place = 0;
-        for row in state.directory.service(service) {
-            if row.record.name == *endpoint {
-                place = engines;
-            }
-            engines += 1;
-        }
+        let engines = state.directory.service_size(service);
+        let place = state.directory.place(service, endpoint)?;
         let subscription = GatewaySubscription {
             zone: self.zone.clone(),
             processor: settings.processor,
             is_heard,
             used: state.directory.take_used_adapters(endpoint),
-            engines,
-            place,
+            engines: u32::try_from(engines).unwrap_or(u32::MAX),
+            place: u32::try_from(place).unwrap_or(u32::MAX),
             loads_per_window: loads_per_window(&settings.bounds, rule),
             adapter_slots: u32::try_from(rule.adapter_slots).unwrap_or(u32::MAX),
             health_path: Arc::clone(&service_rule.health_path),
