gateway: Refuse new requests while bodies take a quarter of the memory

Cause: whole responses of up to 8 MiB and request bodies were limited one by one; slow callers hold them, and their sum had no limit but the process's memory, beyond which it is killed with all its streams.

Now what is held is counted until the connection has taken the last part, and new requests are refused (503, not run) beyond a quarter of the memory that the settings name. Whole responses are handed on in parts of 16 KiB, so that the count follows what the caller reads. Test: two unread responses of 700 KiB at a gateway of 4 MiB; the third request is refused, and served once they are gone.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -32,6 +32,7 @@
 use rand::RngExt;
 use tokio::sync::{Notify, watch};
 
+use super::buffers::BufferBudget;
 use super::pending_calls::PendingCalls;
 use super::store_knowledge::StoreAge;
 use crate::decisions::{DecisionLine, DecisionLog, LinePriority};
@@ -151,6 +152,8 @@
     pub(super) store_deltas: RingSender<ReceivedDelta>,
     pub(super) store_peers: watch::Sender<StorePeers>,
     pub(super) crash_changes: RingSender<CrashChange>,
+    /// The memory that request bodies and whole responses take.
+    pub(super) buffers: Arc<BufferBudget>,
     closed: AtomicBool,
     behind: AtomicBool,
 }
@@ -224,6 +227,7 @@
             store_deltas: inputs.store_deltas,
             store_peers: inputs.store_peers,
             crash_changes: inputs.crash_changes,
+            buffers: Arc::default(),
             closed: AtomicBool::new(false),
             behind: AtomicBool::new(false),
         }
@@ -247,6 +251,13 @@
         self.behind.load(Ordering::Relaxed)
     }
 
+    /// Returns whether bodies take so much memory that new requests must be refused.
+    #[must_use]
+    pub fn is_memory_short(&self) -> bool {
+        let memory_bytes = self.settings.borrow().memory_bytes;
+        self.buffers.is_exceeded(memory_bytes)
+    }
+
     /// Refuses new requests from now on.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -61,7 +61,7 @@
 async fn handle_request(core: &Arc<GatewayCore>, request: Request<Bytes>) -> Reply {
     let arrived = core.clock.now();
     let (head, body) = request.into_parts();
-    if core.is_behind() {
+    if core.is_behind() || core.is_memory_short() {
         let refusal = core.refusal(RefusalCause::QueueFull, OVERLOADED_RETRY_AFTER);
         return reject_early(core, &head, LocalResponse::Refused(refusal));
     }
@@ -82,6 +82,7 @@
     if body.len() > config.limits.body_bytes {
         return reject_early(core, &head, LocalResponse::TooLarge);
     }
+    let _lease = core.buffers.hold(body.len());
     let message = CallerMessage {
         head: Arc::new(head),
         body,
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 
 mod accounting;
 pub mod attempt;
+mod buffers;
 mod configuration;
 pub mod core;
 mod crashes;
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use oatpier_serving::choice::{EndpointChoice, ThrottledService};
 use oatpier_serving::crashes::suspects::SuspectVerdict;
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::EndpointName;
 use oatpier_types::refusal::{Refusal, RefusalCause};
 use oatpier_types::verdict::{Repeat, RunVerdict};
-use oatpier_wire::reply::Reply;
+use oatpier_wire::reply::{LeasedBody, Reply};
 use smallvec::SmallVec;
 use tokio::time::{sleep_until, timeout_at};
 
@@ -360,9 +360,8 @@
         }
         self.log_response(status);
         Ok(response.map(|body| {
-            Full::new(body)
-                .map_err(|never| match never {})
-                .boxed_unsync()
+            let lease = self.core.buffers.hold(body.len());
+            LeasedBody::new(body, lease).boxed_unsync()
         }))
     }
 
--- a/crates/oatpier-gateway/tests/testsuite/slow_callers.rs
+++ b/crates/oatpier-gateway/tests/testsuite/slow_callers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use oatpier_gateway::gateway::handler::GatewayHandler;
 use oatpier_serving::site::RouteKind;
 use oatpier_wire::server::{self, ServerCounters, ServerLimits};
@@ -11,7 +12,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use crate::support::{EndpointStep, REQUEST_ID, ScriptedEndpoint, TestGateway, stream_start};
+use crate::support::{
+    EndpointStep, REQUEST_ID, ScriptedEndpoint, TestGateway, endpoint_response, request,
+    stream_start,
+};
 
 const STREAM: RouteKind = RouteKind::Stream {
     resumable: false,
@@ -81,3 +85,25 @@
     assert!(counters.traffic.sent() > 0);
     assert!(counters.traffic.sent() < u64::try_from(RESPONSE_BYTES).unwrap());
 }
+
+/// Guards against a gateway that is killed for its memory while callers leave whole responses unread: it refuses new
+/// requests, which have not run, and serves again when the responses are gone.
+#[tokio::test]
+async fn requests_are_refused_while_unread_responses_take_too_much_memory() {
+    let body = "x".repeat(700 << 10);
+    let step = EndpointStep::Answer(endpoint_response("200 OK", &body));
+    let endpoint = ScriptedEndpoint::start(vec![step; 4]).await;
+    let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
+    let unread = [
+        gateway.reply(request(&[])).await,
+        gateway.reply(request(&[])).await,
+    ];
+    let refused = gateway.send(request(&[])).await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.headers().contains_key("retry-after"));
+    assert_eq!(endpoint.requests().len(), 2);
+    drop(unread);
+    let served = gateway.send(request(&[])).await;
+    assert_eq!(served.status(), StatusCode::OK);
+    assert_eq!(served.body().len(), body.len());
+}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -523,6 +523,7 @@
         ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
         zone: ZoneName::try_from("near").unwrap(),
         processor: 200,
+        memory_bytes: 4 << 20,
         inner_port: 7380,
         metrics: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         callers: None,
--- a/crates/oatpier-serving/src/node.rs
+++ b/crates/oatpier-serving/src/node.rs
@@ -18,6 +18,8 @@
     pub zone: ZoneName,
     /// The share of a CPU core that the process may use, in thousandths.
     pub processor: u32,
+    /// The memory that the process may use, in bytes.
+    pub memory_bytes: usize,
     /// The port for traffic between gateways and sidecars, the same on every VM.
     pub inner_port: u16,
     /// The listen address for metrics.
--- a/crates/oatpier-wire/src/reply.rs
+++ b/crates/oatpier-wire/src/reply.rs
@@ -1,6 +1,8 @@
 //! Responses of request handlers.
 
 use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +11,7 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Body, Frame, SizeHint};
 use serde::Serialize;
 
 /// An error of the source of a body.
@@ -35,6 +37,54 @@
     reply
 }
 
+/// Size of the parts in which a [`LeasedBody`] is handed to the connection.
+const PART_BYTES: usize = 16 << 10;
+
+/// A complete body that is handed to the connection in parts, as fast as the caller reads them.
+///
+/// The lease is dropped when the last part has been taken, so it can stand for the memory that the body takes.
+#[derive(Debug)]
+pub struct LeasedBody<L> {
+    rest: Bytes,
+    lease: Option<L>,
+}
+
+impl<L> LeasedBody<L> {
+    /// Creates a body.
+    pub fn new(body: Bytes, lease: L) -> Self {
+        Self {
+            rest: body,
+            lease: Some(lease),
+        }
+    }
+}
+
+impl<L: Unpin> Body for LeasedBody<L> {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if self.rest.is_empty() {
+            self.lease = None;
+            return Poll::Ready(None);
+        }
+        let length = self.rest.len().min(PART_BYTES);
+        let part = self.rest.split_to(length);
+        Poll::Ready(Some(Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
+
 /// Builds a plain text reply.
 #[must_use]
 pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Reply {
