reads: Ask the gateway that has read instead of reading, when changes do not fit into its message

Now a gateway that receives such a message asks its sender for what has changed since its own position, within a time that grows with the zone, and for the configuration if that differs (keys as digests). Its own read waits for the answer and follows at once if there is none.

Ruled out: larger messages (a datagram of several packets is lost if one of them is, and 24 changes are too few at twice the fleet); the raw configuration in the answer (it holds keys).

--- a/crates/oatpier-gateway/src/share/excerpts.rs
+++ b/crates/oatpier-gateway/src/share/excerpts.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, Uri};
+use http::header::CONNECTION;
+use http::{HeaderValue, Method, Request, StatusCode, Uri};
 use oatpier_duty::duty::RingSender;
 use oatpier_serving::reads::{ExcerptFetch, ExcerptQuery, StoreExcerpt};
 use oatpier_types::errors::error_chain;
@@ -81,6 +82,9 @@
     let mut request = Request::new(Bytes::from(rmp_serde::to_vec(&fetch.query)?));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(REGISTRY_PATH);
+    // All gateways of a zone ask the same one, and rarely. Open connections would keep others out.
+    let close = HeaderValue::from_static("close");
+    request.headers_mut().insert(CONNECTION, close);
     let response = client
         .fetch(fetch.peer, request, EXCERPT_TIMEOUT, MAX_EXCERPT_BYTES)
         .await?;
--- a/crates/oatpier-gateway/src/store_reader.rs
+++ b/crates/oatpier-gateway/src/store_reader.rs
@@ -227,7 +227,10 @@
     metrics: ServingMetrics,
     clock: RuntimeClock,
     follower: StoreFollower,
+    /// The configuration as read last.
     config: Option<Bytes>,
+    /// The same, decoded, if it is valid.
+    decoded: Option<Arc<SiteConfig>>,
     is_reachable: Option<bool>,
     unreadable: UnreadableEntries,
 }
@@ -256,6 +259,7 @@
             clock: RuntimeClock::start(),
             follower: StoreFollower::new(times, rand::random()),
             config: None,
+            decoded: None,
             is_reachable: None,
             unreadable: UnreadableEntries::default(),
         }
@@ -316,7 +320,13 @@
             Ok(excerpt) => {
                 let (outcome, knowledge) = self.follower.apply_excerpt(&excerpt, now);
                 self.metrics.count_store_fetch(outcome.as_str());
-                known(knowledge, None)
+                let config = excerpt.config.filter(|_| !outcome.is_ignored());
+                if config.is_some() {
+                    // The value itself is not known here, so that the next own read decodes it.
+                    self.config = None;
+                    self.decoded.clone_from(&config);
+                }
+                known(knowledge, config)
             }
             Err(error) => {
                 let (peer, reason) = (ended.peer, error_chain(&error));
@@ -331,6 +341,13 @@
     /// Answers another gateway. One that has left does not need the answer.
     fn answer(&self, question: ExcerptRequest) {
         let excerpt = self.follower.excerpt(&question.query, self.clock.now());
+        let excerpt = excerpt.map(|excerpt| {
+            let is_equal = question.query.config == excerpt.delta.digest.config;
+            StoreExcerpt {
+                config: self.decoded.clone().filter(|_| !is_equal),
+                ..excerpt
+            }
+        });
         let _ = question.reply.send(excerpt);
     }
 
@@ -382,8 +399,12 @@
         let decoded = config::decode(&value);
         self.config = Some(value);
         match decoded {
-            Ok(config) => Some(Arc::new(config)),
+            Ok(config) => {
+                self.decoded = Some(Arc::new(config));
+                self.decoded.clone()
+            }
             Err(error) => {
+                self.decoded = None;
                 spdlog::error!("rejected an invalid configuration, keeping the current one", kv: { reason: = error_chain(&error) });
                 None
             }
--- a/crates/oatpier-gateway/tests/testsuite/store_reading.rs
+++ b/crates/oatpier-gateway/tests/testsuite/store_reading.rs
@@ -54,7 +54,15 @@
         json!({"key": format!("servers/{name}"), "value": value, "revision": revision, "lease": 0})
     });
     let config = json!({
-        "key": "op/config", "value": STANDARD.encode("{}"), "revision": 1, "lease": 0,
+        "version": revision, "routes": [], "services": [],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 1_000,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+        },
+    });
+    let value_of_config = STANDARD.encode(config.to_string());
+    let config = json!({
+        "key": "op/config", "value": value_of_config, "revision": revision, "lease": 0,
     });
     let items = [config].into_iter().chain(items);
     json_reply(&json!({
@@ -211,6 +219,35 @@
     receiver.until_known(&["b"]).await;
 }
 
+/// Guards against a read of the whole store by each gateway of a zone at each change of the configuration: a gateway asks
+/// the one whose message says that it has read a new one. Here it could not read the store at all.
+#[tokio::test]
+async fn a_configuration_that_another_gateway_has_read_is_asked_from_it() {
+    let reader = ReadingGateway::start(Some((100, vec!["a"]))).await;
+    let receiver = ReadingGateway::start(Some((100, vec!["a"]))).await;
+    receiver.until_known(&["a"]).await;
+    receiver.store.send_replace(None);
+    reader.store.send_replace(Some((110, vec!["a", "b"])));
+    let delta = reader.until_known(&["a", "b"]).await.delta.unwrap();
+    let message = ReceivedDelta {
+        from: reader.address,
+        delta,
+    };
+    assert!(receiver.deltas.try_send(message).is_ok());
+    let receiving = async {
+        loop {
+            let event = receiver.events.receive().await.unwrap();
+            if let StoreEvent::Known(update) = event
+                && let Some(config) = update.config
+            {
+                assert!(update.knowledge.confirms_config);
+                return config.version;
+            }
+        }
+    };
+    assert_eq!(timeout(PATIENCE, receiving).await, Ok(110));
+}
+
 /// A store in which the first configuration is written later. It counts the calls that read everything.
 struct NewStore {
     is_configured: watch::Receiver<bool>,
--- a/crates/oatpier-serving/src/reads/fetch.rs
+++ b/crates/oatpier-serving/src/reads/fetch.rs
@@ -1,6 +1,8 @@
-//! When a gateway that can't read the store asks another one for what that one knows, and which one.
+//! When a gateway asks another one for what that one knows of the store, and which one: while it can't read the store,
+//! and when a message says that the other one has read something that the message does not contain.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
@@ -11,6 +13,7 @@
 
 use super::delta::{StoreDelta, StorePosition};
 use super::digest::{InternalContents, InternalDigest};
+use crate::site::SiteConfig;
 
 /// Number of gateways that are asked one after the other before a pause. Some of them may be turned away by
 /// the store as well.
@@ -27,6 +30,8 @@
     pub since: Option<StorePosition>,
     /// Digest of the entries that gateways wrote.
     pub internal: InternalDigest,
+    /// Digest of the configuration, see [`config_digest`](super::config_digest).
+    pub config: u64,
 }
 
 /// What another gateway knows beyond an [`ExcerptQuery`].
@@ -39,6 +44,8 @@
     pub is_whole: bool,
     /// The entries that gateways wrote, if they differ.
     pub internal: Option<InternalContents>,
+    /// The configuration, if it differs. Keys are transferred as digests.
+    pub config: Option<Arc<SiteConfig>>,
 }
 
 /// A question to another gateway.
@@ -86,6 +93,14 @@
         }
     }
 
+    /// Records that a gateway has read what a message of it did not contain, so that it is to be asked within `spread`.
+    /// All gateways of a zone have received that message.
+    pub(super) fn note_reader(&mut self, reader: SocketAddr, spread: Duration, now: ClockTime) {
+        self.tried.clear();
+        self.hint = Some(reader);
+        self.next_at = now + spread.mul_f64(self.generator.random());
+    }
+
     /// Returns the gateway to ask next. If there is none, the round is over.
     pub(super) fn pick(
         &mut self,
--- a/crates/oatpier-serving/src/reads/follower.rs
+++ b/crates/oatpier-serving/src/reads/follower.rs
@@ -10,7 +10,7 @@
 use super::digest::{InternalContents, InternalDigest};
 use super::fetch::{ExcerptFetch, ExcerptQuery, FetchSchedule, StoreExcerpt};
 use super::schedule::{ReadSchedule, ZonePlace};
-use super::view::{DeltaOutcome, RegisteredEndpoints, StoreContents, StoreView};
+use super::view::{DeltaOutcome, NO_CONFIG, RegisteredEndpoints, StoreContents, StoreView};
 use crate::quota::lease::StoreEra;
 
 /// Timeout of a read, as a share of the interval between reads.
@@ -36,6 +36,15 @@
 /// the interval between reads.
 const PATIENCE_SHARE: f64 = 0.25;
 
+/// Time that a gateway takes to answer a question of another one.
+const QUESTION_TIME: Duration = Duration::from_millis(4);
+
+/// Time that a question and its answer take.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
+/// Longest time over which the questions of a zone's gateways are spread, as a share of the interval between reads.
+const MAX_SPREAD_SHARE: f64 = 0.15;
+
 /// Where knowledge of the store came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KnowledgeSource {
@@ -103,11 +112,14 @@
     times: FollowerTimes,
     schedule: ReadSchedule,
     fetches: FetchSchedule,
+    place: Option<ZonePlace>,
     view: Option<StoreView>,
     /// Number of consecutive failed reads.
     failures: u32,
     /// When the read in progress began.
     read_begun: Option<ClockTime>,
+    /// Whether another gateway has read something that its message did not contain.
+    is_behind_reader: bool,
     /// Whether a configuration was written after the last read, which showed none.
     is_config_written: bool,
     /// The position before an outage, while other gateways may know which of the endpoints that are missing
@@ -123,9 +135,11 @@
             times,
             schedule: ReadSchedule::new(seed),
             fetches: FetchSchedule::new(seed),
+            place: None,
             view: None,
             failures: 0,
             read_begun: None,
+            is_behind_reader: false,
             is_config_written: false,
             unconfirmed_since: None,
         }
@@ -133,6 +147,7 @@
 
     /// Sets the place of this gateway among those of its availability zone.
     pub fn set_place(&mut self, place: Option<ZonePlace>) {
+        self.place = place;
         self.schedule.set_place(place);
     }
 
@@ -298,18 +313,49 @@
                 let begun = now - delta.age();
                 self.schedule.note_peer_read(begun, self.times.period);
             }
-            DeltaOutcome::Missed | DeltaOutcome::Diverged => self.fetches.note_hint(from, now),
-            DeltaOutcome::Partial | DeltaOutcome::Older => {}
+            DeltaOutcome::Missed | DeltaOutcome::Diverged | DeltaOutcome::Partial => {
+                self.note_reader(from, now);
+            }
+            DeltaOutcome::Older => {}
         }
         let knowledge = self.knowledge_from(outcome, delta, before, now);
         (outcome, knowledge)
     }
 
+    /// Records that another gateway has read something that its message did not contain. It is asked soon, and the own
+    /// read waits for the answer.
+    fn note_reader(&mut self, reader: SocketAddr, now: ClockTime) {
+        if self.is_behind_reader {
+            return;
+        }
+        self.is_behind_reader = true;
+        let spread = self.question_spread();
+        self.fetches.note_reader(reader, spread, now);
+        self.schedule.postpone(now + spread + ANSWER_TIME);
+    }
+
+    /// Records the end of a question. The own read is due if there was no answer that made it needless.
+    fn note_asked(&mut self, is_current: bool, now: ClockTime) {
+        let was_behind = std::mem::take(&mut self.is_behind_reader);
+        if was_behind && !is_current {
+            self.schedule.bring_forward(now);
+        }
+    }
+
+    /// Returns the time over which the gateways of a zone spread their questions to one that has read the store. Their
+    /// own reads are due later.
+    fn question_spread(&self) -> Duration {
+        let gateways = self.place.map_or(1, |place| place.gateways);
+        let longest = self.times.period.mul_f64(MAX_SPREAD_SHARE);
+        (QUESTION_TIME * gateways).min(longest)
+    }
+
     /// Returns when another gateway is to be asked; `None` as long as there is no need.
     #[must_use]
     pub fn next_fetch_at(&self) -> Option<ClockTime> {
-        let needs_now =
-            self.unconfirmed_since.is_some() || (self.is_diverged() && self.failures > 0);
+        let needs_now = self.is_behind_reader
+            || self.unconfirmed_since.is_some()
+            || (self.is_diverged() && self.failures > 0);
         let needed_at = if needs_now {
             ClockTime::ZERO
         } else {
@@ -341,6 +387,7 @@
         let query = ExcerptQuery {
             since: since.filter(|_| !self.is_diverged()),
             internal: view.map_or_else(InternalDigest::default, |view| view.digest().internal),
+            config: view.map_or(NO_CONFIG, |view| view.digest().config),
         };
         let peer = self.fetches.pick(peers, self.times.period, now)?;
         Some(ExcerptFetch { peer, query })
@@ -348,6 +395,7 @@
 
     /// Records that a gateway that was asked has not answered.
     pub fn note_fetch_failure(&mut self, now: ClockTime) {
+        self.note_asked(false, now);
         self.fetches.note_useless(self.times.period, now);
     }
 
@@ -367,6 +415,12 @@
         } else {
             (0, DeltaOutcome::Missed)
         };
+        let is_current = outcome == DeltaOutcome::Current;
+        self.note_asked(is_current, now);
+        if is_current {
+            let begun = now - excerpt.delta.age();
+            self.schedule.note_peer_read(begun, self.times.period);
+        }
         let knowledge = self.knowledge_from(outcome, &excerpt.delta, before, now);
         let is_helpful = excerpt.delta.age() <= self.times.period
             && !matches!(outcome, DeltaOutcome::Missed | DeltaOutcome::Diverged);
--- a/crates/oatpier-serving/src/reads/schedule.rs
+++ b/crates/oatpier-serving/src/reads/schedule.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Ensures that the next read is not due before `at`.
+    pub fn postpone(&mut self, at: ClockTime) {
+        self.next_at = self.next_at.max(at);
+    }
+
     /// Ensures that the next read is due at `at` at the latest.
     pub fn bring_forward(&mut self, at: ClockTime) {
         self.next_at = self.next_at.min(at);
--- a/crates/oatpier-serving/src/reads/view.rs
+++ b/crates/oatpier-serving/src/reads/view.rs
@@ -13,7 +13,7 @@
 use crate::directory::EndpointRecord;
 
 /// Maximum number of changes in one message, so that it fits into one packet. A receiver that misses more
-/// than these reads the store itself.
+/// than these asks the sender for them.
 const MAX_CHANGES: usize = 6;
 
 /// Time for which a change is repeated in messages. A receiver that loses some messages in a row still gets
@@ -365,6 +365,9 @@
         if let Some(internal) = &excerpt.internal {
             self.set_internal(internal.clone());
         }
+        if excerpt.config.is_some() {
+            self.config = delta.digest.config;
+        }
         self.compare(&delta.digest)
     }
 
@@ -485,7 +488,7 @@
         delta
     }
 
-    /// Returns what this gateway knows beyond a query, unless its own view is not right.
+    /// Returns what this gateway knows beyond a query, but for the configuration, unless its own view is not right.
     #[must_use]
     pub fn excerpt(&self, query: &ExcerptQuery, now: ClockTime) -> Option<StoreExcerpt> {
         if self.is_diverged {
@@ -500,6 +503,7 @@
             delta: self.delta_since(since.unwrap_or_default(), now),
             is_whole: since.is_none(),
             internal: (!is_equal).then(|| self.internal.clone()),
+            config: None,
         })
     }
 
--- a/crates/oatpier-serving/tests/testsuite/reads.rs
+++ b/crates/oatpier-serving/tests/testsuite/reads.rs
@@ -8,9 +8,9 @@
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::engine::StartTime;
 use oatpier_serving::reads::{
-    DeltaOutcome, FollowerTimes, InternalContents, ReadSchedule, RegisteredEndpoints,
-    StoreContents, StoreDelta, StoreFollower, StoreKnowledge, StorePosition, StoreView, ZonePlace,
-    config_digest, endpoint_digest,
+    DeltaOutcome, ExcerptQuery, FollowerTimes, InternalContents, InternalDigest, ReadSchedule,
+    RegisteredEndpoints, StoreContents, StoreDelta, StoreFollower, StoreKnowledge, StorePosition,
+    StoreView, ZonePlace, config_digest, endpoint_digest,
 };
 
 use crate::store_fleet::world::internal_contents;
@@ -138,6 +138,122 @@
     }
 }
 
+/// A zone of gateways that follow a store in which many entries change. The gateway with the lowest number reads first.
+struct BusyZone {
+    followers: Vec<StoreFollower>,
+    /// Messages with the time at which they arrive at all other gateways, and their sender.
+    messages: Vec<(u64, usize, StoreDelta)>,
+    reads: usize,
+}
+
+/// Entries of the registry, and how many of them change each second: more than fit into a message.
+const BUSY_ENTRIES: u8 = 60;
+const CHANGES_PER_SECOND: u64 = 20;
+
+impl BusyZone {
+    fn new(gateways: u32) -> Self {
+        let followers = (0..gateways).map(|rank| {
+            let times = FollowerTimes {
+                period: PERIOD,
+                heartbeat: millis(1_200),
+            };
+            let mut follower = StoreFollower::new(times, u64::from(rank));
+            follower.set_place(Some(ZonePlace { rank, gateways }));
+            follower
+        });
+        Self {
+            followers: followers.collect(),
+            messages: Vec::new(),
+            reads: 0,
+        }
+    }
+
+    fn address(index: usize) -> SocketAddr {
+        SocketAddr::from(([10, 1, 0, 1], u16::try_from(index).unwrap()))
+    }
+
+    /// Returns the registry as the store holds it at a time.
+    fn entries(now: u64) -> Vec<EndpointRecord> {
+        let second = now / 1_000;
+        let entries = (0..BUSY_ENTRIES).map(|number| {
+            let turn = (second * CHANGES_PER_SECOND + 60 - u64::from(number)) / 60;
+            EndpointRecord {
+                start: Some(StartTime(turn)),
+                ..record(number, &["m1"])
+            }
+        });
+        entries.collect()
+    }
+
+    fn step(&mut self, now: u64) {
+        let arrived = self.messages.extract_if(.., |(due, _, _)| *due <= now);
+        for (_, sender, delta) in arrived.collect::<Vec<_>>() {
+            for (index, follower) in self.followers.iter_mut().enumerate() {
+                if index != sender {
+                    follower.apply_delta(Self::address(sender), &delta, at(now));
+                }
+            }
+        }
+        for index in 0..self.followers.len() {
+            if self.followers[index].next_read_at() <= at(now) {
+                let contents = contents(100 + now / 1_000, now, Self::entries(now));
+                let knowledge = self.followers[index].apply_read(contents, at(now));
+                self.messages
+                    .push((now + 100, index, knowledge.delta.unwrap()));
+                self.reads += 1;
+            }
+            if self.followers[index]
+                .next_fetch_at()
+                .is_some_and(|due| due <= at(now))
+            {
+                self.ask(index, now);
+            }
+        }
+    }
+
+    fn ask(&mut self, index: usize, now: u64) {
+        let Some(fetch) = self.followers[index].begin_fetch(&[], at(now)) else {
+            return;
+        };
+        let asked = usize::from(fetch.peer.port());
+        match self.followers[asked].excerpt(&fetch.query, at(now)) {
+            Some(excerpt) => {
+                self.followers[index].apply_excerpt(&excerpt, at(now));
+            }
+            None => self.followers[index].note_fetch_failure(at(now)),
+        }
+    }
+}
+
+/// Guards against a read by each gateway of a zone whenever more entries change than fit into a message, as with hundreds of
+/// engines: they ask the gateway that has read.
+#[test]
+fn the_reads_of_a_zone_do_not_grow_while_many_entries_change() {
+    for gateways in [12, 71, 200] {
+        let mut zone = BusyZone::new(gateways);
+        (0..1_000).step_by(10).for_each(|now| zone.step(now));
+        zone.reads = 0;
+        (1_000..31_000).step_by(10).for_each(|now| zone.step(now));
+        assert!(
+            zone.reads < 75,
+            "{} reads of {gateways} gateways",
+            zone.reads
+        );
+        let current = BusyZone::entries(30_990);
+        let is_current = |follower: &StoreFollower| {
+            let query = ExcerptQuery {
+                since: None,
+                internal: InternalDigest::default(),
+                config: 7,
+            };
+            let known = follower.excerpt(&query, at(31_000)).unwrap().delta.changed;
+            let fresh = current.iter().filter(|entry| known.contains(entry));
+            fresh.count() >= current.len() / 3
+        };
+        assert!(zone.followers.iter().all(is_current));
+    }
+}
+
 /// Guards against gateways that started together and read by themselves in the same period.
 #[test]
 fn gateways_that_started_together_do_not_read_by_themselves_together() {
