--- a/crates/oatpier-serving/src/reads/mod.rs
+++ b/crates/oatpier-serving/src/reads/mod.rs
@@ -4,8 +4,9 @@
 //! nearly 40 calls per second that all returned the same data, and the smallest gateways spent a twentieth
 //! of their CPU time on decoding it. Therefore, a gateway that has read the store sends the gateways of its
 //! availability zone what has changed. There is no election: the gateway that is due first reads, and if it
-//! fails the next one is due shortly after. Each gateway ensures by itself that it sees a change in time,
-//! whatever messages it receives.
+//! fails the next one is due shortly after. A gateway that finds that a message does not contain everything asks
+//! its sender for the rest. Each gateway ensures by itself that it sees a change in time, whatever messages it
+//! receives.
 //!
 //! Contents are ordered by [`StorePosition`], the store's era and revision, not by the order in which they
 //! arrive. A message states the position that its changes start from. It applies to each view at that
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod quota_fleet;
 mod quota_holder;
 mod quota_lease;
+mod read_growth;
 mod reads;
 mod relays;
 mod residency;
