gateway: A stalled stream stays where it is until another endpoint takes it

Cause, from the gateway's log ("stream broke off, silent, cut at the caller"): the stream was given up as soon as another engine had a free slot. It then had to wait for that engine's permit, was over its waiting time since its arrival, and was refused: an endpoint's silence ended an answer.

Now the stream is given up only when the other endpoint has a place and a permit for it, within 0.2 s; else it stays, and the next stall tries again. Test: a stream that pauses for 1.5 s beside an engine that grants no permit; it was cut, now its rest arrives.

Also: only the gateway's client for endpoints has the small buffer for responses; other clients keep the library's.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -49,6 +49,9 @@
 /// close may have run, so it could not be sent again safely.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Size of the buffer of an endpoint's response, in bytes. A caller that does not read leaves it full.
+const RESPONSE_BUFFER_BYTES: usize = 32 << 10;
+
 /// Maximum number of idle connections kept for each endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 24;
 
@@ -221,7 +224,7 @@
                 idle_timeout: IDLE_TIMEOUT,
                 max_idle_per_address: MAX_IDLE_PER_ENDPOINT,
                 discard_on_close: true,
-                ..ClientLimits::default()
+                buffer_bytes: Some(RESPONSE_BUFFER_BYTES),
             }),
             can_serve: inputs.can_serve,
             store_deltas: inputs.store_deltas,
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -20,7 +20,7 @@
 use oatpier_wire::client::ResponseBody;
 use oatpier_wire::reply::{BoxError, Reply};
 use oatpier_wire::sse::EventSplitter;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use super::attempt::{self, AttemptFailure, AttemptGuard, OpenResponse};
 use super::pauses::PauseTracker;
@@ -33,12 +33,17 @@
 /// The shortest stall timeout: an engine processes long prompts between events.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long a stalled stream waits for a place at another endpoint. Meanwhile nothing is forwarded.
+const MAX_MOVE_WAIT: Duration = Duration::from_millis(200);
+
 /// The bytes that end every event.
 const EVENT_END: &[u8] = b"\n\n";
 
 /// A stream that is being relayed.
 struct StreamRelay {
     run: RequestRun,
+    /// The endpoint that the stream comes from.
+    endpoint: EndpointName,
     body: ResponseBody,
     guard: Option<AttemptGuard>,
     /// Splits a resumable stream into events.
@@ -85,6 +90,7 @@
     };
     let mut relay = StreamRelay {
         run: run.clone(),
+        endpoint: guard.endpoint.clone(),
         body,
         guard: Some(guard),
         splitter: resumable.then(EventSplitter::new),
@@ -151,9 +157,17 @@
                     return Some(Err("the stream's deadline passed".into()));
                 }
                 StreamStep::Failed(failure) => failure,
-                StreamStep::Stalled => AttemptFailure::Silent,
+                StreamStep::Stalled => {
+                    let Some(placed) = self.place_elsewhere().await else {
+                        continue;
+                    };
+                    match self.move_to(placed).await {
+                        Ok(()) => continue,
+                        Err(failure) => failure,
+                    }
+                }
             };
-            let endpoint = self.guard.as_ref()?.endpoint.clone();
+            let endpoint = self.endpoint.clone();
             self.finish_broken();
             let is_resumed = self.resume(failure, &endpoint).await.is_some();
             self.run.log_broken_stream(&endpoint, failure, is_resumed);
@@ -269,6 +283,29 @@
         }
     }
 
+    /// Waits for a place for a stalled stream at another endpoint. Until there is one the stream stays where it is: a
+    /// silent endpoint alone is no reason to end a response.
+    async fn place_elsewhere(&self) -> Option<PlacedSend> {
+        let mut run = self.run.clone();
+        run.excluded.push(self.endpoint.clone());
+        let placing = timeout(MAX_MOVE_WAIT, run.await_placement());
+        placing.await.ok()?.ok()
+    }
+
+    /// Moves a stalled stream to another endpoint.
+    async fn move_to(&mut self, mut placed: PlacedSend) -> Result<(), AttemptFailure> {
+        let endpoint = self.endpoint.clone();
+        self.finish_broken();
+        let failure = AttemptFailure::Silent;
+        if self.run.handle_failure(&endpoint, failure).is_some() {
+            return Err(failure);
+        }
+        self.endpoint = placed.choice.endpoint.clone();
+        self.resume_at(&mut placed).await?;
+        self.run.log_broken_stream(&endpoint, failure, true);
+        Ok(())
+    }
+
     /// Resumes the stream at another endpoint after the last event that the caller received.
     async fn resume(&mut self, failure: AttemptFailure, endpoint: &EndpointName) -> Option<()> {
         self.splitter.as_ref()?;
@@ -301,6 +338,7 @@
         let response = timeout_at(deadline, sending)
             .await
             .map_err(|_| AttemptFailure::Silent)??;
+        self.endpoint = response.guard.endpoint.clone();
         if !response.status.is_success() {
             response.guard.finish(RequestOutcome::ServerError);
             return Err(AttemptFailure::ServerError);
--- a/crates/oatpier-gateway/tests/testsuite/streams.rs
+++ b/crates/oatpier-gateway/tests/testsuite/streams.rs
@@ -4,7 +4,9 @@
 
 use http::StatusCode;
 use http_body_util::BodyExt;
+use oatpier_serving::message::PermitGrant;
 use oatpier_serving::site::RouteKind;
+use tokio::time::sleep;
 
 use crate::support::{
     EndpointStep, STREAM_END, ScriptedEndpoint, TestGateway, chunk, request, stream_start,
@@ -113,3 +115,35 @@
     let first = reply.into_body().frame().await.unwrap().unwrap();
     assert_eq!(first.into_data().unwrap(), event(1).as_bytes());
 }
+
+/// Guards against streams that are cut because their endpoint was silent for a while. The stream could be resumed, and
+/// another engine has a free slot, but its sidecar grants no permit. The stream stays where it is, and its rest arrives.
+#[tokio::test]
+async fn a_stalled_stream_stays_at_its_endpoint_until_another_one_takes_it() {
+    let rest = chunk(&event(2)) + STREAM_END;
+    let pause = Duration::from_millis(1_500);
+    let slow = EndpointStep::AnswerInParts(stream_start(&[&event(1)]), pause, rest);
+    let first = ScriptedEndpoint::start(vec![slow]).await;
+    let second = ScriptedEndpoint::start(Vec::new()).await;
+    let gateway = TestGateway::with_endpoints(RESUMABLE, 2, &[&first, &second]);
+    gateway.report_engine(&first, 0);
+    gateway.report_engine(&second, 5);
+    let keeping = async {
+        loop {
+            if let Some(id) = gateway.permit_request_ids().first() {
+                gateway.core.apply_permit(PermitGrant { id: *id });
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let caller = [
+        ("x-oatpier-model", "m1"),
+        ("x-oatpier-token-usage", "400,10"),
+    ];
+    let answer = tokio::select! {
+        answer = gateway.send(request(&caller)) => answer,
+        () = keeping => unreachable!("permits are granted without end"),
+    };
+    assert_eq!(&answer.body()[..], (event(1) + &event(2)).as_bytes());
+    assert!(second.requests().is_empty());
+}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -49,6 +49,8 @@
     Answer(String),
     /// Responds with these bytes and closes the connection.
     AnswerAndClose(String),
+    /// Responds with the first bytes, and with the others after a pause.
+    AnswerInParts(String, Duration, String),
     /// Closes the connection without a response.
     Close,
     /// Never responds.
@@ -115,6 +117,11 @@
                 stream.write_all(bytes.as_bytes()).await.unwrap();
                 return;
             }
+            Some(EndpointStep::AnswerInParts(first, pause, rest)) => {
+                stream.write_all(first.as_bytes()).await.unwrap();
+                sleep(pause).await;
+                stream.write_all(rest.as_bytes()).await.unwrap();
+            }
             Some(EndpointStep::Silence) => std::future::pending().await,
             Some(EndpointStep::Close) | None => return,
         }
--- a/crates/oatpier-wire/src/client.rs
+++ b/crates/oatpier-wire/src/client.rs
@@ -46,8 +46,8 @@
     /// be in transit to a peer that is frozen or unreachable. After an orderly close it would arrive seconds later,
     /// although its response is no longer needed. Connections that are closed while idle have no data in transit.
     pub discard_on_close: bool,
-    /// The maximum number of bytes of a response that are held for a reader that does not keep up.
-    pub buffer_bytes: usize,
+    /// The maximum number of bytes of a response that are held for a reader that does not keep up, if limited.
+    pub buffer_bytes: Option<usize>,
 }
 
 impl Default for ClientLimits {
@@ -57,7 +57,7 @@
             idle_timeout: Duration::from_secs(20),
             max_idle_per_address: 32,
             discard_on_close: false,
-            buffer_bytes: 32 << 10,
+            buffer_bytes: None,
         }
     }
 }
@@ -285,8 +285,11 @@
                 .map_err(|error| connect_error(&error))?;
         }
         let stream = MeteredStream::new(stream, Arc::clone(&self.traffic));
-        let (connection, driver) = http1::Builder::new()
-            .max_buf_size(self.limits.buffer_bytes)
+        let mut builder = http1::Builder::new();
+        if let Some(bytes) = self.limits.buffer_bytes {
+            builder.max_buf_size(bytes);
+        }
+        let (connection, driver) = builder
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| connect_error(&error))?;
