sidecar: One answer to each gateway that asks for the status

Law: gateways squared, for each engine. A gateway that receives nothing of an engine asks its sidecar; each new one made the sidecar send its complete status to all that had asked within 0.4 s. Where all processes start together, 73 gateways ask each sidecar per second (357 gateways, 128 questions a second each), and each question caused some 30 statuses. Confirmed by the new test: 1,275 statuses for 50 gateways that ask one after the other, 50 now.

A gateway that asks again gets another answer, since the first may have been lost; before, it waited for a change.

--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -216,7 +216,7 @@
                 self.residency.apply_subscription(from, &subscription, now);
             }
             InnerMessage::AdapterWanted(request) => {
-                self.status_sender.note_requester(from, now);
+                self.status_sender.record_requester(from, now);
                 self.residency.request_adapter(request, now);
             }
             InnerMessage::Advice(advice) => {
--- a/crates/oatpier-gateway/src/sidecar/statuses.rs
+++ b/crates/oatpier-gateway/src/sidecar/statuses.rs
@@ -57,6 +57,14 @@
     at: ClockTime,
 }
 
+/// A gateway that waits for a change.
+#[derive(Debug)]
+struct StatusRequester {
+    requested_at: ClockTime,
+    /// Whether it has been sent the last status update to requesters.
+    is_updated: bool,
+}
+
 /// Decides when status updates are due, and sends them.
 #[derive(Debug)]
 pub struct StatusSender {
@@ -71,9 +79,9 @@
     gateways: HashMap<SocketAddr, KnownGateway>,
     /// Number of engines of the service, as gateways state it.
     engines: usize,
-    /// Gateways that wait for a change here, with the time of their last request.
-    requesters: HashMap<SocketAddr, ClockTime>,
-    /// The last status update that was sent to the requesters.
+    /// Gateways that wait for a change here.
+    requesters: HashMap<SocketAddr, StatusRequester>,
+    /// The last status update that was sent to requesters.
     last_to_requesters: Option<EngineStatus>,
     /// Position in the sorted gateways at which the next full status update continues.
     next_listed: usize,
@@ -142,15 +150,23 @@
         self.gateways.insert(from, gateway);
         self.engines = usize::try_from(subscription.engines).unwrap_or(usize::MAX);
         if !subscription.is_heard {
-            self.note_requester(from, now);
+            // It asks again if the last answer was lost.
+            self.note_requester(from, now).is_updated = false;
         }
     }
 
     /// Records that a gateway waits for an adapter of this engine.
-    pub fn note_requester(&mut self, gateway: SocketAddr, now: ClockTime) {
-        if self.requesters.insert(gateway, now).is_none() {
-            self.last_to_requesters = None;
-        }
+    pub fn record_requester(&mut self, gateway: SocketAddr, now: ClockTime) {
+        self.note_requester(gateway, now);
+    }
+
+    fn note_requester(&mut self, gateway: SocketAddr, now: ClockTime) -> &mut StatusRequester {
+        let requester = self.requesters.entry(gateway).or_insert(StatusRequester {
+            requested_at: now,
+            is_updated: false,
+        });
+        requester.requested_at = now;
+        requester
     }
 
     /// Sets the engine's instance, if known.
@@ -168,7 +184,7 @@
         self.gateways
             .retain(|_, gateway| now.since(gateway.at) < GATEWAY_EXPIRY);
         self.requesters
-            .retain(|_, requested_at| now.since(*requested_at) < REQUESTER_EXPIRY);
+            .retain(|_, requester| now.since(requester.requested_at) < REQUESTER_EXPIRY);
         // Without a report, the only change worth sending is the loss of the engine.
         let report = residency.report().cloned();
         if report.is_none() && self.is_answering {
@@ -188,21 +204,29 @@
             return;
         }
         let known = self.last_to_requesters.as_ref();
-        if known.is_some_and(|known| with_load_of(status, known) == *known) {
+        if known.is_none_or(|known| with_load_of(status, known) != *known) {
+            self.last_to_requesters = Some(status.clone());
+            for requester in self.requesters.values_mut() {
+                requester.is_updated = false;
+            }
+        }
+        if self
+            .requesters
+            .values()
+            .all(|requester| requester.is_updated)
+        {
             return;
         }
         let status = EngineStatus {
             number: self.next_number(),
-            ..status.clone()
-        };
-        self.last_to_requesters = Some(status.clone());
-        let status = EngineStatus {
             gateways: self.next_gateways(),
-            ..status
+            ..status.clone()
         };
         let message = InnerMessage::Status(Box::new(status));
-        for requester in self.requesters.keys() {
-            outlet.send(*requester, &message);
+        for (address, requester) in &mut self.requesters {
+            if !std::mem::replace(&mut requester.is_updated, true) {
+                outlet.send(*address, &message);
+            }
         }
     }
 
--- a/crates/oatpier-gateway/tests/testsuite/statuses.rs
+++ b/crates/oatpier-gateway/tests/testsuite/statuses.rs
@@ -150,6 +150,28 @@
     assert_eq!(sent.count(), 9);
 }
 
+/// Guards against status updates that grow with the square of the gateways when all of them start: each one that asked made
+/// the sidecar send its status to all that had asked shortly before.
+#[test]
+fn gateways_that_ask_one_after_the_other_get_one_status_each() {
+    for gateways in [50_u8, 100, 200] {
+        let outlet = RecordingOutlet::default();
+        let mut sender = StatusSender::new(address(201), None);
+        sender.set_answering(true);
+        let residency = residency();
+        for number in 0..gateways {
+            let now = at(1_000 + u64::from(number));
+            sender.apply_subscription(address(number), &subscription("near", false), now);
+            sender.send_due(&outlet, &residency, now);
+        }
+        let direct = outlet
+            .sent()
+            .into_iter()
+            .filter(|(_, message)| matches!(message, InnerMessage::Status(_)));
+        assert_eq!(direct.count(), usize::from(gateways));
+    }
+}
+
 /// An adapter is loaded for a request of one gateway, which waits for it. That gateway is notified at once, the others
 /// with the next full status update. The loss of an adapter is sent to all at once; otherwise they would send requests
 /// that the engine rejects.
@@ -162,7 +184,7 @@
     let mut residency = residency();
     report_adapters(&mut residency, &["a1"]);
     sender.send_due(&outlet, &residency, at(1_000));
-    sender.note_requester(address(2), at(1_010));
+    sender.record_requester(address(2), at(1_010));
     report_adapters(&mut residency, &["a1", "a2"]);
     sender.send_due(&outlet, &residency, at(1_020));
     report_adapters(&mut residency, &["a2"]);
