serving: Interfaces of capacity and sharing: pace and share updates, rated permit requests

Cause: engines are known by slots alone; a permit request names neither the work that it brings nor the workspace that it is for; nothing tells gateways how fast an engine is.

Change: sidecars may send their engine's pace and its use by workspaces (EngineUpdate::Pace, ::Shares), which relays pass on in datagrams of their own, and gateways keep them by incarnation for six seconds. Gateways may ask for a permit with the work that it brings (RatedPermitAsk), once a sidecar has reported a pace. Nothing sends or uses any of it yet, so decisions are unchanged.

Ruled out: further fields in status updates and permit requests. Their encoding is by position, and processes of earlier builds fail on a longer one; unknown kinds of messages they skip and count.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -309,6 +309,14 @@
                 state.directory.apply_load_status(&load, now);
                 false
             }
+            EngineUpdate::Pace(pace) => {
+                state.directory.apply_pace(&pace, now);
+                false
+            }
+            EngineUpdate::Shares(shares) => {
+                state.directory.apply_shares(shares, now);
+                false
+            }
         };
         drop(state);
         self.resolve_broken_attempts();
--- a/crates/oatpier-gateway/src/gateway/messaging.rs
+++ b/crates/oatpier-gateway/src/gateway/messaging.rs
@@ -81,6 +81,7 @@
             | InnerMessage::AdapterWanted(_)
             | InnerMessage::Advice(_)
             | InnerMessage::PermitAsk(_)
+            | InnerMessage::RatedPermitAsk(_)
             | InnerMessage::PermitDone(_)
             | InnerMessage::AttemptFailed(_)
             | InnerMessage::RightAsk(_)
@@ -125,6 +126,7 @@
         let mut state = core.lock();
         let peers: Vec<SocketAddr> = state.peers.in_zone(&core.zone, now).collect();
         let mut datagrams = state.relayed.drain_statuses();
+        datagrams.extend(state.relayed.drain_capacity());
         ticks_since_loads += 1;
         if RELAY_INTERVAL * ticks_since_loads >= pacing::relay_interval(1 + peers.len()) {
             ticks_since_loads = 0;
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -241,6 +241,10 @@
                 self.permits.add_request(from, ask, now);
                 self.send_permits();
             }
+            InnerMessage::RatedPermitAsk(rated) => {
+                self.permits.add_rated_request(from, &rated, now);
+                self.send_permits();
+            }
             InnerMessage::PermitDone(permit) => {
                 self.permits.release(permit.id);
                 self.send_permits();
--- a/crates/oatpier-serving/src/call.rs
+++ b/crates/oatpier-serving/src/call.rs
@@ -21,6 +21,8 @@
     pub prompt_tokens: u32,
     /// Maximum number of tokens of the response.
     pub output_tokens: u32,
+    /// The caller's estimate of the number of tokens of the response, if it gave one. It is often far off.
+    pub expected_tokens: Option<u32>,
     /// The parts of the prompt, in order.
     pub parts: SmallVec<[PromptPart; 4]>,
 }
--- /dev/null
+++ b/crates/oatpier-serving/src/directory/capacity.rs
@@ -0,0 +1,64 @@
+//! The latest updates of an engine's capacity and of its use.
+
+use std::time::Duration;
+
+use oatpier_types::clock::ClockTime;
+
+use crate::capacity::EnginePace;
+use crate::engine::StartTime;
+use crate::message::{PaceStatus, ShareStatus};
+use crate::sharing::WorkspaceUse;
+
+/// Time after which an update no longer counts. Covers several lost updates.
+const UPDATE_TTL: Duration = Duration::from_secs(6);
+
+/// An update and the time of its arrival.
+#[derive(Debug)]
+struct KeptUpdate<T> {
+    update: T,
+    at: ClockTime,
+}
+
+impl<T> KeptUpdate<T> {
+    fn current(&self, now: ClockTime) -> Option<&T> {
+        (now.since(self.at) < UPDATE_TTL).then_some(&self.update)
+    }
+}
+
+/// Capacity of an engine and its use, as last reported.
+#[derive(Debug, Default)]
+pub(super) struct CapacityState {
+    pace: Option<KeptUpdate<PaceStatus>>,
+    shares: Option<KeptUpdate<ShareStatus>>,
+}
+
+impl CapacityState {
+    pub(super) fn store_pace(&mut self, update: &PaceStatus, now: ClockTime) {
+        let known = self.pace.as_ref().map(|kept| kept.update.number);
+        if known.is_none_or(|known| update.number.supersedes(known)) {
+            self.pace = Some(KeptUpdate {
+                update: *update,
+                at: now,
+            });
+        }
+    }
+
+    pub(super) fn store_shares(&mut self, update: ShareStatus, now: ClockTime) {
+        let known = self.shares.as_ref().map(|kept| kept.update.number);
+        if known.is_none_or(|known| update.number.supersedes(known)) {
+            self.shares = Some(KeptUpdate { update, at: now });
+        }
+    }
+
+    /// Returns the pace of the incarnation that started at `start`.
+    pub(super) fn pace(&self, start: Option<StartTime>, now: ClockTime) -> Option<&EnginePace> {
+        let update = self.pace.as_ref()?.current(now)?;
+        let is_other = update.start.is_some() && start.is_some() && update.start != start;
+        (!is_other).then_some(&update.pace)
+    }
+
+    pub(super) fn shares(&self, now: ClockTime) -> &[WorkspaceUse] {
+        let update = self.shares.as_ref().and_then(|kept| kept.current(now));
+        update.map_or(&[], |update| &update.uses)
+    }
+}
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -4,6 +4,7 @@
 //! ([`EngineStatus`]) reports what its engine holds and does, with a delay of a fraction of a second.
 //! Responses report the load of an endpoint a moment ago. For each fact the newest source applies.
 
+mod capacity;
 mod departures;
 mod liveness;
 mod notices;
@@ -23,7 +24,7 @@
 
 use crate::engine::EndpointLoad;
 use crate::health::{HealthSettings, HealthTracker};
-use crate::message::{AdapterUse, EngineStatus, LoadStatus, ModelUse};
+use crate::message::{AdapterUse, EngineStatus, LoadStatus, ModelUse, PaceStatus, ShareStatus};
 use crate::pacing::StatusLifetime;
 use crate::prefill::PrefillEstimator;
 use crate::reads::RegisteredEndpoints;
@@ -304,6 +305,25 @@
         }
     }
 
+    /// Applies a sidecar's update of its engine's pace.
+    pub fn apply_pace(&mut self, update: &PaceStatus, now: ClockTime) {
+        if let Some(row) = self.row_at(update.engine) {
+            row.capacity.store_pace(update, now);
+        }
+    }
+
+    /// Applies a sidecar's update of the use of its engine by workspaces.
+    pub fn apply_shares(&mut self, update: ShareStatus, now: ClockTime) {
+        if let Some(row) = self.row_at(update.engine) {
+            row.capacity.store_shares(update, now);
+        }
+    }
+
+    fn row_at(&mut self, address: SocketAddr) -> Option<&mut EndpointRow> {
+        let name = self.by_address.get(&address)?;
+        self.rows.get_mut(name)
+    }
+
     /// Applies the load that a response reported.
     pub fn apply_load(&mut self, name: &EndpointName, load: EndpointLoad) {
         if let Some(row) = self.rows.get_mut(name) {
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -10,8 +10,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::REGISTRY_GRACE;
+use super::capacity::CapacityState;
 use super::rest::RestState;
 use super::status::{LatestStatus, LoadEstimate};
+use crate::capacity::EnginePace;
 use crate::engine::{AdapterKey, HeldModel, LocalCopies, StartTime};
 use crate::health::{DurationEstimate, FailureShare};
 use crate::message::EngineStatus;
@@ -19,6 +21,7 @@
 use crate::pacing::StatusLifetime;
 use crate::prefill::PrefillBacklog;
 use crate::quota::turns::TurnEstimates;
+use crate::sharing::WorkspaceUse;
 use crate::site::EngineRule;
 
 /// Minimum remaining time assumed for a load in progress. It applies to a load that exceeds its expected
@@ -136,6 +139,7 @@
     pub(super) is_leaving: bool,
     /// The rest period that it asked this gateway for, until the ramp-up afterwards is complete.
     pub(super) rest: Option<RestState>,
+    pub(super) capacity: CapacityState,
 }
 
 impl EndpointRow {
@@ -168,6 +172,7 @@
             limit: None,
             is_leaving: false,
             rest: None,
+            capacity: CapacityState::default(),
         }
     }
 
@@ -282,6 +287,18 @@
         self.prefill.total_ms().max(f64::from(queued_ms))
     }
 
+    /// Returns the pace of its present incarnation, if its sidecar has reported one lately.
+    #[must_use]
+    pub fn pace(&self, now: ClockTime) -> Option<&EnginePace> {
+        self.capacity.pace(self.record.start, now)
+    }
+
+    /// Returns its recent use by workspaces, as far as its sidecar reports it.
+    #[must_use]
+    pub fn workspace_uses(&self, now: ClockTime) -> &[WorkspaceUse] {
+        self.capacity.shares(now)
+    }
+
     /// Returns whether its sidecar has sent updates before but is overdue with the next one.
     #[must_use]
     pub fn is_overdue(&self, now: ClockTime) -> bool {
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`notice`]: state that endpoints report in the headers of their responses.
 //! - [`message`]: the messages between gateways and sidecars.
 //! - [`reads`]: when the store is read, and how the reads of other gateways replace a gateway's own.
+//! - [`capacity`]: what engines can serve in time.
+//! - [`sharing`]: how workspaces share engines that cannot serve all requests.
 //! - [`relays`]: which gateways receive a sidecar's updates, and what they forward to the others of their
 //!   zone.
 //! - [`directory`]: the endpoints, from the registry, sidecars' updates and responses.
@@ -42,6 +44,7 @@
 pub mod admission;
 pub mod budget;
 pub mod call;
+pub mod capacity;
 pub mod choice;
 pub mod crashes;
 pub mod demand;
@@ -62,6 +65,7 @@
 pub mod reads;
 pub mod relays;
 pub mod residency;
+pub mod sharing;
 pub mod site;
 pub mod subscriptions;
 pub mod workspace;
--- a/crates/oatpier-serving/src/message/mod.rs
+++ b/crates/oatpier-serving/src/message/mod.rs
@@ -3,6 +3,7 @@
 //! Status updates are self-contained and sent at short intervals, so that lost, duplicated and delayed datagrams do no
 //! harm. Receivers keep the message with the highest number of its sender's incarnation.
 
+mod capacity;
 mod limits;
 
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::reads::StoreDelta;
 
+pub use capacity::{PaceStatus, RatedPermitAsk, ShareStatus};
 pub use limits::{LeavingReport, LimitReport, QuotaAnswer, QuotaAsk, TurnAsk, TurnReply};
 
 /// Content of one datagram.
@@ -74,6 +76,8 @@
     LimitSeen(LimitReport),
     /// Sent by a gateway to all others: an endpoint that is leaving according to its response.
     LeavingSeen(LeavingReport),
+    /// Sent by a gateway to a sidecar that reports its pace: requests a permit to send a prompt to its engine.
+    RatedPermitAsk(RatedPermitAsk),
 }
 
 impl InnerMessage {
@@ -84,6 +88,8 @@
             Self::Status(_) => "pulse",
             Self::Spread(EngineUpdate::Status(_)) => "spread-pulse",
             Self::Spread(EngineUpdate::Load(_)) => "spread-load",
+            Self::Spread(EngineUpdate::Pace(_)) => "spread-pace",
+            Self::Spread(EngineUpdate::Shares(_)) => "spread-shares",
             Self::Relayed(_) => "relayed",
             Self::Subscription(_) => "greeting",
             Self::AdapterWanted(_) => "adapter-wanted",
@@ -95,6 +101,7 @@
             Self::RightAsk(_) => "right-ask",
             Self::Right(_) => "right",
             Self::PermitAsk(_) => "permit-ask",
+            Self::RatedPermitAsk(_) => "rated-permit-ask",
             Self::Permit(_) => "permit",
             Self::PermitDone(_) => "permit-done",
             Self::AttemptFailed(_) => "attempt-failed",
@@ -117,6 +124,10 @@
     Status(Box<EngineStatus>),
     /// Load of the engine only, sent when nothing else has changed.
     Load(LoadStatus),
+    /// Pace of the engine.
+    Pace(PaceStatus),
+    /// Use of the engine by workspaces.
+    Shares(ShareStatus),
 }
 
 impl EngineUpdate {
@@ -126,6 +137,8 @@
         match self {
             Self::Status(status) => status.engine,
             Self::Load(load) => load.engine,
+            Self::Pace(pace) => pace.engine,
+            Self::Shares(shares) => shares.engine,
         }
     }
 
@@ -135,6 +148,8 @@
         match self {
             Self::Status(status) => status.number,
             Self::Load(load) => load.number,
+            Self::Pace(pace) => pace.number,
+            Self::Shares(shares) => shares.number,
         }
     }
 }
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -23,7 +23,7 @@
 
 use crate::admission;
 use crate::engine::EndpointLoad;
-use crate::message::{PermitAsk, PermitGrant};
+use crate::message::{PermitAsk, PermitGrant, RatedPermitAsk};
 
 /// Share of the pause limit for which an engine may have prompts to prefill. A chunk of a stream takes about
 /// three steps, each of which may prefill that much. The steps themselves take the rest of the pause.
@@ -143,6 +143,11 @@
         });
     }
 
+    /// Records a new or repeated permit request with what the engine will do for it.
+    pub fn add_rated_request(&mut self, from: SocketAddr, rated: &RatedPermitAsk, now: ClockTime) {
+        self.add_request(from, rated.ask, now);
+    }
+
     /// Issues the permits that are possible now.
     pub fn issue_due(&mut self, now: ClockTime) -> Vec<AddressedGrant> {
         self.expire(now);
--- a/crates/oatpier-serving/src/relays.rs
+++ b/crates/oatpier-serving/src/relays.rs
@@ -38,6 +38,9 @@
 /// Maximum number of load updates, of about 45 bytes each, per datagram.
 const LOADS_PER_DATAGRAM: usize = 24;
 
+/// Maximum number of updates of the use by workspaces, of up to 250 bytes each, per datagram.
+const SHARES_PER_DATAGRAM: usize = 5;
+
 /// A gateway that a sidecar may select as a relay.
 #[derive(Debug, Clone, Copy)]
 pub struct RelayCandidate<'a> {
@@ -116,15 +119,14 @@
 pub struct RelayQueue {
     statuses: HashMap<SocketAddr, EngineUpdate>,
     loads: HashMap<SocketAddr, EngineUpdate>,
+    paces: HashMap<SocketAddr, EngineUpdate>,
+    shares: HashMap<SocketAddr, EngineUpdate>,
 }
 
 impl RelayQueue {
     /// Queues an update, unless a newer one is queued.
     pub fn push(&mut self, update: EngineUpdate) {
-        let queue = match &update {
-            EngineUpdate::Status(_) => &mut self.statuses,
-            EngineUpdate::Load(_) => &mut self.loads,
-        };
+        let queue = self.queue_of(&update);
         let queued = queue.get(&update.engine()).map(EngineUpdate::number);
         if queued.is_none_or(|queued| update.number().supersedes(queued)) {
             queue.insert(update.engine(), update);
@@ -133,10 +135,7 @@
 
     /// Drops an update that another relay of the zone has already forwarded.
     pub fn note_forwarded(&mut self, update: &EngineUpdate) {
-        let queue = match update {
-            EngineUpdate::Status(_) => &mut self.statuses,
-            EngineUpdate::Load(_) => &mut self.loads,
-        };
+        let queue = self.queue_of(update);
         let engine = update.engine();
         if queue
             .get(&engine)
@@ -146,6 +145,15 @@
         }
     }
 
+    fn queue_of(&mut self, update: &EngineUpdate) -> &mut HashMap<SocketAddr, EngineUpdate> {
+        match update {
+            EngineUpdate::Status(_) => &mut self.statuses,
+            EngineUpdate::Load(_) => &mut self.loads,
+            EngineUpdate::Pace(_) => &mut self.paces,
+            EngineUpdate::Shares(_) => &mut self.shares,
+        }
+    }
+
     /// Removes all queued full status updates and returns them grouped by datagram.
     pub fn drain_statuses(&mut self) -> Vec<Vec<EngineUpdate>> {
         group_updates(&mut self.statuses, STATUSES_PER_DATAGRAM)
@@ -155,6 +163,14 @@
     pub fn drain_loads(&mut self) -> Vec<Vec<EngineUpdate>> {
         group_updates(&mut self.loads, LOADS_PER_DATAGRAM)
     }
+
+    /// Removes all queued updates of capacity and its use, and returns them grouped by datagram. They travel apart
+    /// from the others, since gateways of earlier versions cannot decode a datagram that contains one.
+    pub fn drain_capacity(&mut self) -> Vec<Vec<EngineUpdate>> {
+        let mut datagrams = group_updates(&mut self.paces, LOADS_PER_DATAGRAM);
+        datagrams.extend(group_updates(&mut self.shares, SHARES_PER_DATAGRAM));
+        datagrams
+    }
 }
 
 fn group_updates(
--- a/crates/oatpier-serving/tests/testsuite/relays.rs
+++ b/crates/oatpier-serving/tests/testsuite/relays.rs
@@ -64,6 +64,8 @@
             directory.apply_status((**status).clone(), at(now));
         }
         EngineUpdate::Load(load) => directory.apply_load_status(load, at(now)),
+        EngineUpdate::Pace(pace) => directory.apply_pace(pace, at(now)),
+        EngineUpdate::Shares(shares) => directory.apply_shares(shares.clone(), at(now)),
     }
 }
 
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -130,6 +130,7 @@
         }),
         prompt_tokens: 400,
         output_tokens: 100,
+        expected_tokens: None,
         parts: smallvec![PromptPart { id: 7, tokens: 300 }],
     }
 }
