oatpier: logs summary: who was served late or refused over a whole period

Cause: logs told the story of one request, model or endpoint only. Who waits, who is refused and which endpoint makes streams late had to be counted by scripts.

Change: `oatpier logs summary FILE...`, by route, workspace, endpoint and cause, as tables or JSON.

Ruled out: a new metric for each endpoint and route, which grows with their product at each gateway.

--- a/crates/oatpier/src/commands/logs/mod.rs
+++ b/crates/oatpier/src/commands/logs/mod.rs
@@ -1,8 +1,10 @@
-//! `oatpier logs`: shows the logged decisions on a request, a model, an endpoint or a fingerprint.
+//! `oatpier logs`: shows the logged decisions on a request, a model, an endpoint or a fingerprint, or a summary of all.
+
+pub mod summary;
 
 use std::fs::File;
-use std::io::BufReader;
-use std::path::PathBuf;
+use std::io::{self, BufRead, BufReader};
+use std::path::{Path, PathBuf};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use serde_json::Value;
@@ -38,19 +40,22 @@
             "FINGERPRINT",
             "Fingerprint of requests with the same content, as `oatpier crashes list` shows it",
         ))
+        .subcommand(summary::cli())
 }
 
 fn subject(name: &'static str, value: &'static str, help: &'static str) -> Command {
     Command::new(name)
         .about(format!("Show the decisions on one {name}"))
         .arg(Arg::new("name").value_name(value).help(help).required(true))
-        .arg(
-            Arg::new("files")
-                .value_name("FILE")
-                .help("Log files of gateways and sidecars [default: standard input]")
-                .action(ArgAction::Append)
-                .value_parser(value_parser!(PathBuf)),
-        )
+        .arg(files())
+}
+
+fn files() -> Arg {
+    Arg::new("files")
+        .value_name("FILE")
+        .help("Log files of gateways and sidecars [default: standard input]")
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(PathBuf))
 }
 
 /// Reads the logs and prints the decisions on the subject.
@@ -62,6 +67,9 @@
     let Some((kind, matches)) = matches.subcommand() else {
         unreachable!("clap requires one of the subcommands");
     };
+    if kind == summary::NAME {
+        return summary::exec(context, matches);
+    }
     let name = matches.get_one::<String>("name").map_or("", String::as_str);
     let (subject, kind) = match kind {
         "request" => (LogSubject::Request(name), "request in the logs"),
@@ -82,29 +90,32 @@
 
 fn read(matches: &ArgMatches, subject: LogSubject<'_>) -> Result<Vec<DecisionLine>, CommandError> {
     let mut decisions = Vec::new();
-    let files = matches.get_many::<PathBuf>("files");
-    let Some(files) = files else {
-        return read_input(subject);
-    };
-    for path in files {
-        let failed = |source| CommandError::ReadFile {
-            path: path.clone(),
-            source,
-        };
-        let file = File::open(path).map_err(failed)?;
-        decisions
-            .extend(decision_log::read_decisions(BufReader::new(file), subject).map_err(failed)?);
-    }
+    read_files(matches, |input| {
+        decisions.extend(decision_log::read_decisions(input, subject)?);
+        Ok(())
+    })?;
     decisions.sort_by_key(|line| line.time_ms);
     Ok(decisions)
 }
 
-fn read_input(subject: LogSubject<'_>) -> Result<Vec<DecisionLine>, CommandError> {
-    let input = std::io::stdin().lock();
-    decision_log::read_decisions(input, subject).map_err(|source| CommandError::ReadFile {
-        path: PathBuf::from("-"),
-        source,
-    })
+/// Calls `read` with each log file, or with the standard input if no file is given.
+fn read_files(
+    matches: &ArgMatches,
+    mut read: impl FnMut(Box<dyn BufRead>) -> io::Result<()>,
+) -> CommandResult {
+    let failed = |path: &Path| {
+        let path = path.to_owned();
+        move |source| CommandError::ReadFile { path, source }
+    };
+    let Some(files) = matches.get_many::<PathBuf>("files") else {
+        let input = Box::new(BufReader::new(io::stdin()));
+        return read(input).map_err(failed(Path::new("-")));
+    };
+    for path in files {
+        let file = File::open(path).map_err(failed(path))?;
+        read(Box::new(BufReader::new(file))).map_err(failed(path))?;
+    }
+    Ok(())
 }
 
 fn text(decisions: &[DecisionLine]) -> String {
--- a/crates/oatpier/src/ops/decision_log.rs
+++ b/crates/oatpier/src/ops/decision_log.rs
@@ -47,13 +47,29 @@
     subject: LogSubject<'_>,
 ) -> std::io::Result<Vec<DecisionLine>> {
     let mut decisions = Vec::new();
+    for_each_decision(input, |decision| {
+        decisions.extend(Some(decision).filter(|decision| subject.is_named_in(decision)));
+    })?;
+    decisions.sort_by_key(|line| line.time_ms);
+    Ok(decisions)
+}
+
+/// Calls `visit` with each decision, in the order of the input.
+///
+/// # Errors
+///
+/// Returns an error if the input can't be read.
+pub fn for_each_decision(
+    input: impl BufRead,
+    mut visit: impl FnMut(DecisionLine),
+) -> std::io::Result<()> {
     for line in input.split(b'\n') {
         let line = line?;
-        let text = String::from_utf8_lossy(&line);
-        decisions.extend(parse_decision(&text).filter(|decision| subject.is_named_in(decision)));
+        if let Some(decision) = parse_decision(&String::from_utf8_lossy(&line)) {
+            visit(decision);
+        }
     }
-    decisions.sort_by_key(|line| line.time_ms);
-    Ok(decisions)
+    Ok(())
 }
 
 fn parse_decision(text: &str) -> Option<DecisionLine> {
--- a/crates/oatpier/src/ops/mod.rs
+++ b/crates/oatpier/src/ops/mod.rs
@@ -7,6 +7,7 @@
 pub mod entries;
 pub mod files;
 pub mod limits;
+pub mod log_summary;
 pub mod record_store;
 pub mod stops;
 pub mod timestamp;
--- a/crates/oatpier/tests/testsuite/main.rs
+++ b/crates/oatpier/tests/testsuite/main.rs
@@ -6,5 +6,6 @@
 mod decision_log;
 mod entry_commands;
 mod fixture;
+mod log_summary;
 mod settings;
 mod stop_commands;
