serving: Engines' pace from the progress of their streams, and prefill permits by a window in it

Cause: permits bound outstanding prompts to .27 of the pause limit by the gateways' own estimates and until they say that a prompt was read.

Change: an engine's report states the chunks of its streams. The sidecar's estimator (capacity/pace) derives the time of a chunk at present and as usual, the time to prefill a token (quantile regression over spans of .3 s with the tokens that were granted), the rate of late pauses and of permits under waiting. While the present pace is known, permits follow a sliding window: the work granted within a pause limit fits beside one chunk at the present pace, with a fifth left over; granted work leaves it by time. Without a pace the rule of outstanding work stays. The sidecar does not use it yet.

Ruled out: the present time of a chunk without telling prefill apart (each burst would read as a disturbance); least squares for the fit (one disturbed span in three pulls it); a release on the gateways' message (late or lost).

Planted: keeping the pace across an incarnation fails pace_of_another_incarnation_is_not_kept; a window that keeps its prompts fails six.

--- a/crates/oatpier-serving/src/capacity/mod.rs
+++ b/crates/oatpier-serving/src/capacity/mod.rs
@@ -2,6 +2,16 @@
 //!
 //! Engines of one service differ in speed, and their VMs are disturbed by neighbours for fractions of a second. A
 //! sidecar observes the progress of its engine's streams and tells the gateways its pace.
+//!
+//! - [`pace`]: the pace of one engine, as its sidecar estimates it.
+//! - [`prefill_window`]: the prefill work that an engine may be sent at that pace.
+
+mod hazard;
+pub mod pace;
+mod pace_fit;
+mod permit_rate;
+pub mod prefill_window;
+mod progress;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/oatpier-serving/src/engine.rs
+++ b/crates/oatpier-serving/src/engine.rs
@@ -62,6 +62,15 @@
     pub waiting: u32,
 }
 
+/// Progress of a stream that an engine runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamProgress {
+    /// Hash of the request's identifier.
+    pub id: u64,
+    /// Number of chunks produced so far.
+    pub chunks: u32,
+}
+
 /// The status that an engine reports.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct EngineReport {
@@ -87,6 +96,8 @@
     pub draining: bool,
     /// Time until it is removed, if it is being removed.
     pub remaining: Option<Duration>,
+    /// Progress of its streams; empty if not reported.
+    pub streams: Vec<StreamProgress>,
 }
 
 /// An order to an engine.
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -13,6 +13,9 @@
 //! Requests that have to wait do so before they are sent, in the order of their deadlines. Requests that
 //! can only be late are sent when no others wait.
 //!
+//! While the engine's present pace is known, the work ahead is that of [`crate::capacity::prefill_window`], and does not
+//! depend on releases.
+//!
 //! Permits affect only latency: a gateway that receives no answer sends its request without one.
 
 use std::collections::VecDeque;
@@ -22,11 +25,13 @@
 use oatpier_types::clock::ClockTime;
 
 use crate::admission;
+use crate::capacity::prefill_window::{PrefillWindow, PresentPace, PromptWork};
 use crate::engine::EndpointLoad;
 use crate::message::{PermitAsk, PermitGrant, RatedPermitAsk};
 
 /// Share of the pause limit for which an engine may have prompts to prefill. A chunk of a stream takes about
-/// three steps, each of which may prefill that much. The steps themselves take the rest of the pause.
+/// three steps, each of which may prefill that much. The steps themselves take the rest of the pause. Applies while the
+/// engine's pace is unknown.
 const PREFILL_SHARE: f64 = 0.27;
 
 /// Time after which a permit that was not released expires, because the message was lost or the gateway is
@@ -61,6 +66,8 @@
 struct PendingRequest {
     from: SocketAddr,
     ask: PermitAsk,
+    /// Number of tokens to prefill, if the gateway stated it.
+    prefill_tokens: Option<u32>,
     /// Latest time at which the request can still be in time.
     due_at: ClockTime,
     arrived_at: ClockTime,
@@ -90,6 +97,28 @@
     pub to: SocketAddr,
     /// The permit.
     pub grant: PermitGrant,
+    /// The prompt; `None` if the permit was sent before.
+    pub prompt: Option<PromptWork>,
+}
+
+/// What the request waits for that gets a permit next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitCause {
+    /// A free slot.
+    Slot,
+    /// Prefill of the prompts ahead.
+    Prefill,
+}
+
+impl WaitCause {
+    /// Returns the name used in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Slot => "slot",
+            Self::Prefill => "prefill",
+        }
+    }
 }
 
 /// Issuer of permits for one engine.
@@ -103,6 +132,9 @@
     reported_requests: Option<u32>,
     /// Issue times of permits whose requests the last report may not contain yet.
     unreported: VecDeque<ClockTime>,
+    /// The engine's present pace, while known.
+    pace: Option<PresentPace>,
+    window: PrefillWindow,
 }
 
 impl PermitIssuer {
@@ -120,6 +152,17 @@
         self.unreported.clear();
     }
 
+    /// Sets the engine's present pace; `None` while unknown.
+    pub fn set_pace(&mut self, pace: Option<PresentPace>) {
+        self.pace = pace;
+    }
+
+    /// Returns the shortest pause limit of the requests that wait or were granted lately.
+    #[must_use]
+    pub fn max_pause(&self) -> Option<Duration> {
+        self.max_pause
+    }
+
     /// Records a new or repeated permit request of a gateway.
     pub fn add_request(&mut self, from: SocketAddr, ask: PermitAsk, now: ClockTime) {
         self.max_pause = Some(
@@ -139,6 +182,7 @@
             due_at: now + ask.due_in(),
             arrived_at: now,
             repeated_at: now,
+            prefill_tokens: None,
             ask,
         });
     }
@@ -146,6 +190,10 @@
     /// Records a new or repeated permit request with what the engine will do for it.
     pub fn add_rated_request(&mut self, from: SocketAddr, rated: &RatedPermitAsk, now: ClockTime) {
         self.add_request(from, rated.ask, now);
+        let mut pending = self.pending.iter_mut();
+        if let Some(request) = pending.find(|request| request.ask.id == rated.ask.id) {
+            request.prefill_tokens = Some(rated.prefill_tokens);
+        }
     }
 
     /// Issues the permits that are possible now.
@@ -154,10 +202,11 @@
         let mut due = Vec::new();
         while let Some(index) = self.next_issuable(now) {
             let request = self.pending.swap_remove(index);
-            self.note_issued(&request.ask, now);
+            let is_new = self.note_issued(&request, now);
             due.push(AddressedGrant {
                 to: request.from,
                 grant: PermitGrant { id: request.ask.id },
+                prompt: is_new.then(|| request.prompt()),
             });
         }
         due
@@ -169,15 +218,36 @@
         self.pending.retain(|request| request.ask.id != id);
     }
 
-    /// Returns the next time at which a permit expires while requests wait.
+    /// Returns the next time at which prefill work expires while requests wait.
     #[must_use]
     pub fn next_expiry(&self) -> Option<ClockTime> {
         if self.pending.is_empty() {
             return None;
         }
+        if let Some((pace, pause)) = self.pace.as_ref().zip(self.max_pause) {
+            return self.window.next_room(pace, pause);
+        }
         self.issued.iter().map(IssuedPermit::expires_at).min()
     }
 
+    /// Returns what keeps requests waiting; `None` if none waits or the next one can be granted now.
+    #[must_use]
+    pub fn wait_cause(&self, now: ClockTime) -> Option<WaitCause> {
+        let (_, request) = self.most_urgent(now)?;
+        if !self.has_slot(&request.ask, request.is_late(now)) {
+            return Some(WaitCause::Slot);
+        }
+        let has_budget = self.has_prefill_budget(request.prompt(), now);
+        (!has_budget).then_some(WaitCause::Prefill)
+    }
+
+    /// Returns the prefill work that the engine can accept now beside its streams; `None` while its pace is unknown.
+    #[must_use]
+    pub fn prefill_room(&self, now: ClockTime) -> Option<Duration> {
+        let (pace, pause) = self.pace.as_ref().zip(self.max_pause)?;
+        Some(self.window.room(pace, pause, now))
+    }
+
     /// Returns the number of requests that wait.
     #[must_use]
     pub fn pending_requests(&self) -> u32 {
@@ -197,6 +267,8 @@
         self.pending
             .retain(|request| now.since(request.repeated_at) < REQUEST_TTL);
         self.issued.retain(|permit| permit.expires_at() > now);
+        self.window
+            .expire(self.pace.as_ref().zip(self.max_pause), now);
         if self.issued.is_empty() && self.pending.is_empty() {
             self.max_pause = None;
         }
@@ -210,10 +282,14 @@
         if let Some(index) = self.pending.iter().position(is_issued) {
             return Some(index);
         }
-        let pending = self.pending.iter().enumerate();
-        let (index, request) = pending.min_by_key(|(_, request)| request.sort_key(now))?;
+        let (index, request) = self.most_urgent(now)?;
         let has_room = self.has_slot(&request.ask, request.is_late(now));
-        (has_room && self.has_prefill_budget(request.ask.reading())).then_some(index)
+        (has_room && self.has_prefill_budget(request.prompt(), now)).then_some(index)
+    }
+
+    fn most_urgent(&self, now: ClockTime) -> Option<(usize, &PendingRequest)> {
+        let pending = self.pending.iter().enumerate();
+        pending.min_by_key(|(_, request)| request.sort_key(now))
     }
 
     /// Returns whether a slot is free for a request, by the engine's last report and the permits issued
@@ -229,28 +305,43 @@
 
     /// Returns whether the engine can prefill a prompt without pausing its streams for too long. An engine
     /// with no prefill work accepts a prompt of any length.
-    fn has_prefill_budget(&self, prefill: Duration) -> bool {
+    fn has_prefill_budget(&self, prompt: PromptWork, now: ClockTime) -> bool {
         let Some(pause) = self.max_pause else {
             return true;
         };
+        if let Some(pace) = &self.pace {
+            return self.window.has_room(prompt, pace, pause, now);
+        }
+        let prefill = prompt.told;
         let ahead: Duration = self.issued.iter().map(|permit| permit.prefill).sum();
         self.issued.is_empty() || ahead + prefill <= pause.mul_f64(PREFILL_SHARE)
     }
 
-    fn note_issued(&mut self, ask: &PermitAsk, now: ClockTime) {
-        if self.issued.iter().any(|permit| permit.id == ask.id) {
-            return;
+    /// Records that a permit is issued. Returns whether it was not issued before.
+    fn note_issued(&mut self, request: &PendingRequest, now: ClockTime) -> bool {
+        let id = request.ask.id;
+        if self.issued.iter().any(|permit| permit.id == id) {
+            return false;
         }
         self.issued.push_back(IssuedPermit {
-            id: ask.id,
+            id,
             at: now,
-            prefill: ask.reading(),
+            prefill: request.ask.reading(),
         });
+        self.window.note_granted(request.prompt(), now);
         self.unreported.push_back(now);
+        true
     }
 }
 
 impl PendingRequest {
+    fn prompt(&self) -> PromptWork {
+        PromptWork {
+            tokens: self.prefill_tokens,
+            told: self.ask.reading(),
+        }
+    }
+
     /// Returns whether the request can only be late.
     fn is_late(&self, now: ClockTime) -> bool {
         self.due_at <= now
--- a/crates/oatpier-serving/src/prefill.rs
+++ b/crates/oatpier-serving/src/prefill.rs
@@ -36,17 +36,17 @@
 
 /// Estimate of a low quantile of durations.
 #[derive(Debug, Clone, Copy)]
-struct QuantileEstimate {
+pub(crate) struct QuantileEstimate {
     ms: f64,
     samples: u32,
 }
 
 impl QuantileEstimate {
-    fn starting_at(ms: f64) -> Self {
+    pub(crate) fn starting_at(ms: f64) -> Self {
         Self { ms, samples: 0 }
     }
 
-    fn note(&mut self, ms: f64) {
+    pub(crate) fn note(&mut self, ms: f64) {
         let size = ESTIMATE_STEP + INITIAL_STEP / f64::from(self.samples + 2);
         let up = size * TIME_QUANTILE;
         let down = size * (1.0 - TIME_QUANTILE);
@@ -61,6 +61,11 @@
     fn is_known(&self) -> bool {
         self.samples >= MIN_SAMPLES
     }
+
+    /// Returns the estimate in milliseconds once it is based on enough samples.
+    pub(crate) fn known_ms(&self) -> Option<f64> {
+        self.is_known().then_some(self.ms)
+    }
 }
 
 /// Estimated prefill times of all models.
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod crashing_loads;
 mod demand;
 mod directory;
+mod engine_pace;
 mod failures;
 mod fingerprint;
 mod fleet;
