gateway: Sidecars report their engine's pace, and grant permits by it

Cause: the pace of an engine is estimated but neither used nor told, and a fully cached prompt asked for a permit of a whole pause, since no prefill was taken for an unknown one.

Change: the sidecar feeds the estimator with each report and grant, sets the permits' pace, and sends the pace to its relays once a second, or after .25 s if it changed by a quarter or in its class of late pauses (in fleets of more than a thousand engines at the heartbeat interval). Gauges of the present and usual chunk and the prefill room, time waited for permits by cause, one log line in five seconds at most. Gateways name the tokens of a prompt to sidecars that report a pace; every other repetition is a plain request, so that a sidecar that was replaced by an earlier version answers. Waiting prompts are told in statuses by the engine's pace where known.

Ruled out: a pace update with each status (twelve a second). Counting the tokens again at the permit (the choice has just done so, and thin gateways are short of processor time).

With the old rule for cached prompts, a_cached_prompt_is_not_taken_for_an_unknown_one fails.

--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use oatpier_serving::admission;
-use oatpier_serving::message::{InnerMessage, PermitAsk, PermitGrant};
+use oatpier_serving::message::{InnerMessage, PermitAsk, PermitGrant, RatedPermitAsk};
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::EndpointName;
 use tokio::time::timeout;
@@ -44,12 +44,32 @@
     }
 }
 
+/// What an engine will do for a request.
+#[derive(Debug, Clone, Copy)]
+struct RequestWork {
+    prefill_tokens: u32,
+    output_tokens: u32,
+}
+
+impl RequestWork {
+    fn of(context: &RequestContext, placed: &PlacedSend) -> Self {
+        let request = &context.request;
+        let expected = request.expected_tokens.unwrap_or(request.output_tokens);
+        Self {
+            prefill_tokens: placed.choice.prefill_tokens,
+            output_tokens: expected.min(request.output_tokens),
+        }
+    }
+}
+
 /// A permit request that waits for its answer.
 struct PendingPermit {
     core: Arc<GatewayCore>,
     endpoint: EndpointName,
     sidecar: SocketAddr,
     ask: PermitAsk,
+    /// What the engine will do for the request, if its sidecar reports a pace and so knows such requests.
+    work: Option<RequestWork>,
     /// The permit once it is granted. Dropping it with this request withdraws the request: a permit that is granted
     /// to a request whose caller has disconnected would keep the engine from the prefill of other prompts until the
     /// permit expires.
@@ -57,17 +77,26 @@
 }
 
 impl PendingPermit {
-    fn begin(core: &Arc<GatewayCore>, placed: &PlacedSend, ask: PermitAsk) -> Self {
+    fn begin(
+        core: &Arc<GatewayCore>,
+        context: &RequestContext,
+        placed: &PlacedSend,
+        ask: PermitAsk,
+    ) -> Self {
         let endpoint = placed.choice.endpoint.clone();
         let sidecar = SocketAddr::new(placed.address.ip(), core.inner_port);
-        core.lock()
-            .directory
-            .note_permit_wait(&endpoint, ask.reading());
+        let now = core.clock.now();
+        let mut state = core.lock();
+        state.directory.note_permit_wait(&endpoint, ask.reading());
+        let row = state.directory.row(&endpoint);
+        let has_pace = row.is_some_and(|row| row.pace(now).is_some());
+        drop(state);
         Self {
             core: Arc::clone(core),
             endpoint,
             sidecar,
             ask,
+            work: has_pace.then(|| RequestWork::of(context, placed)),
             permit: Some(HeldPermit {
                 outlet: Arc::clone(&core.outlet),
                 sidecar,
@@ -76,14 +105,24 @@
         }
     }
 
-    fn send(&self, context: &RequestContext) {
+    /// Sends the request for the `number`-th time, from 0. Every other one is a plain request: the sidecar may have been
+    /// replaced by one of an earlier version, which does not know others and would let the request wait in vain.
+    fn send(&self, context: &RequestContext, number: u32) {
         let ask = PermitAsk {
             due_in_ms: due_in_ms(&self.core, context),
             ..self.ask
         };
-        self.core
-            .outlet
-            .send(self.sidecar, &InnerMessage::PermitAsk(ask));
+        let work = self.work.filter(|_| number.is_multiple_of(2));
+        let message = match work {
+            Some(work) => InnerMessage::RatedPermitAsk(RatedPermitAsk {
+                ask,
+                prefill_tokens: work.prefill_tokens,
+                output_tokens: work.output_tokens,
+                share: None,
+            }),
+            None => InnerMessage::PermitAsk(ask),
+        };
+        self.core.outlet.send(self.sidecar, &message);
     }
 }
 
@@ -121,9 +160,11 @@
     if placed.load_age.is_none() {
         return PermitVerdict::NotNeeded;
     }
-    let prefill = match placed.choice.own_prefill {
-        Duration::ZERO => pause,
-        known => known,
+    let is_unknown = placed.choice.own_prefill.is_zero() && placed.choice.prefill_tokens > 0;
+    let prefill = if is_unknown {
+        pause
+    } else {
+        placed.choice.own_prefill
     };
     let ask = PermitAsk {
         id: rand::random(),
@@ -135,9 +176,9 @@
         priority: context.priority(),
     };
     let mut answer = core.permits.register(ask.id);
-    let mut pending = PendingPermit::begin(core, placed, ask);
-    loop {
-        pending.send(context);
+    let mut pending = PendingPermit::begin(core, context, placed, ask);
+    for number in 0.. {
+        pending.send(context, number);
         let is_granted = timeout(PERMIT_RESEND_INTERVAL, &mut answer).await.is_ok();
         if let Some(permit) = pending.permit.take_if(|_| is_granted) {
             return PermitVerdict::Granted(permit);
@@ -148,6 +189,7 @@
             return PermitVerdict::Withdrawn;
         }
     }
+    PermitVerdict::Withdrawn
 }
 
 impl GatewayCore {
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod node_process;
 pub mod notice_metrics;
 pub mod observe;
+pub mod pace_metrics;
 pub mod parts_writer;
 pub mod reload;
 pub mod share;
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::notice_metrics::NoticeMetrics;
+use crate::pace_metrics::PaceMetrics;
 use crate::workspace_metrics::WorkspaceMetrics;
 
 /// Labels of an answered request.
@@ -68,6 +69,8 @@
     pub workspaces: WorkspaceMetrics,
     /// What endpoints report about themselves.
     pub notices: NoticeMetrics,
+    /// The pace of a sidecar's engine.
+    pub pace: PaceMetrics,
     /// The version of the configuration in force.
     pub config_version: Gauge,
     /// Number of registered endpoints.
@@ -105,6 +108,7 @@
             message_bytes: Family::default(),
             workspaces: WorkspaceMetrics::default(),
             notices: NoticeMetrics::default(),
+            pace: PaceMetrics::default(),
             config_version: Gauge::default(),
             endpoints: Gauge::default(),
             in_flight: Gauge::default(),
@@ -260,6 +264,7 @@
         );
         self.workspaces.register(&mut registry);
         self.notices.register(&mut registry);
+        self.pace.register(&mut registry);
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -1,12 +1,14 @@
 //! A sidecar: the only process that sends orders to its engine.
 //!
 //! - [`engine_link`]: calls to the engine.
+//! - [`pace`]: the engine's pace, and when gateways are told.
 //! - [`statuses`]: status updates to gateways, and when they are sent.
 //!
 //! One loop reads the engine's report, receives messages from gateways, sends the orders that
 //! [`oatpier_serving::residency`] decides on, and sends status updates.
 
 pub mod engine_link;
+pub mod pace;
 pub mod statuses;
 
 use std::net::{SocketAddr, UdpSocket};
@@ -21,6 +23,7 @@
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::permits::PermitIssuer;
 use oatpier_serving::residency::{EngineResidency, LoadPace, SequencedOrder};
+use oatpier_types::clock::ClockTime;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 use crate::decisions::{DecisionLine, DecisionLog, LinePriority};
@@ -30,6 +33,7 @@
 use crate::reload::{SettingsFeed, SettingsSource};
 
 use self::engine_link::EngineLink;
+use self::pace::PaceReporter;
 use self::statuses::StatusSender;
 
 /// Interval between reads of the engine's report. Reading it on the same VM costs next to nothing. Gateways place
@@ -124,6 +128,7 @@
     let mut sidecar = EngineSidecar {
         residency: EngineResidency::new(pace, settings.is_first_start, clock.now()),
         permits: PermitIssuer::default(),
+        pace: PaceReporter::new(address, inputs.metrics.pace.clone()),
         failures: FailureCount::default(),
         link: EngineLink::new(address, settings.name.clone()),
         status_sender: StatusSender::new(address, settings.service.clone()),
@@ -147,6 +152,7 @@
 struct EngineSidecar {
     residency: EngineResidency,
     permits: PermitIssuer,
+    pace: PaceReporter,
     /// Counts of the engine's requests and of those that failed.
     failures: FailureCount,
     link: EngineLink,
@@ -183,6 +189,17 @@
             self.status_sender.set_failing(failing);
             self.status_sender
                 .send_due(&self.socket, &self.residency, now);
+            self.send_pace(now);
+        }
+    }
+
+    fn send_pace(&mut self, now: ClockTime) {
+        let engines = self.status_sender.engines();
+        if let Some(update) = self.pace.due_update(engines, now) {
+            self.status_sender.send_to_relays(&self.socket, update);
+        }
+        if let Some(line) = self.pace.due_line(now) {
+            self.log.write(line);
         }
     }
 
@@ -199,8 +216,11 @@
     }
 
     fn send_permits(&mut self) {
-        for due in self.permits.issue_due(self.clock.now()) {
-            self.failures.note_request(self.clock.now());
+        let now = self.clock.now();
+        let grants = self.permits.issue_due(now);
+        self.pace.note_grants(&grants, &self.permits, now);
+        for due in grants {
+            self.failures.note_request(now);
             let message = InnerMessage::Permit(due.grant);
             MessageOutlet::send(&self.socket, due.to, &message);
         }
@@ -273,7 +293,7 @@
         let window = self.settings.borrow().bounds.load_window;
         self.residency.set_load_window(window);
         match self.link.report().await {
-            Ok(report) => {
+            Ok(mut report) => {
                 if self.residency.is_restarted(&report) {
                     self.log_engine("engine restarted");
                     self.forget_engine();
@@ -281,7 +301,10 @@
                 if !self.status_sender.set_answering(true) {
                     self.log_engine("engine answers");
                 }
-                self.permits.note_load(report.load, self.clock.now());
+                let now = self.clock.now();
+                self.permits.note_load(report.load, now);
+                self.pace.apply_report(&report, &mut self.permits, now);
+                report.streams.clear();
                 self.residency.apply_report(report);
                 self.send_permits();
                 self.identify().await;
@@ -299,6 +322,7 @@
     fn forget_engine(&mut self) {
         self.failures = FailureCount::default();
         self.permits.forget_load();
+        self.pace.forget_engine(&mut self.permits);
         self.residency.forget_engine(self.clock.now());
         self.link.forget_instance();
         self.status_sender.set_instance(None);
--- a/crates/oatpier-gateway/src/sidecar/statuses.rs
+++ b/crates/oatpier-gateway/src/sidecar/statuses.rs
@@ -263,7 +263,14 @@
         self.send_to_relays(outlet, EngineUpdate::Load(load));
     }
 
-    fn send_to_relays(&self, outlet: &dyn MessageOutlet, update: EngineUpdate) {
+    /// Returns the number of engines of the service, as gateways state it.
+    #[must_use]
+    pub fn engines(&self) -> usize {
+        self.engines
+    }
+
+    /// Sends an update to the relays of all availability zones.
+    pub fn send_to_relays(&self, outlet: &dyn MessageOutlet, update: EngineUpdate) {
         let candidates = self
             .gateways
             .iter()
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod leaving;
 mod observing;
+mod paces;
 mod permits;
 mod promises;
 mod quota;
--- a/crates/oatpier-gateway/tests/testsuite/permits.rs
+++ b/crates/oatpier-gateway/tests/testsuite/permits.rs
@@ -4,8 +4,11 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
+use oatpier_serving::capacity::EnginePace;
 use oatpier_serving::engine::HeldModel;
-use oatpier_serving::message::{InnerMessage, PermitAsk, PermitGrant};
+use oatpier_serving::message::{
+    EngineUpdate, InnerMessage, MessageNumber, PaceStatus, PermitAsk, PermitGrant, RatedPermitAsk,
+};
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::ModelName;
 use tokio::time::sleep;
@@ -165,3 +168,82 @@
     assert!(gateway.outlet.sent().iter().any(|row| row.1 == done));
     assert!(engine.requests().is_empty());
 }
+
+fn report_pace(gateway: &TestGateway, engine: &ScriptedEndpoint) {
+    let update = EngineUpdate::Pace(PaceStatus {
+        number: MessageNumber { boot: 1, number: 1 },
+        engine: engine.address,
+        start: None,
+        pace: EnginePace {
+            chunk_us: 50_000,
+            ..EnginePace::default()
+        },
+    });
+    gateway.core.relay_update(update);
+}
+
+fn rated_requests(gateway: &TestGateway) -> Vec<RatedPermitAsk> {
+    let rated = |message: &InnerMessage| match message {
+        InnerMessage::RatedPermitAsk(rated) => Some(*rated),
+        _ => None,
+    };
+    let sent = gateway.outlet.sent();
+    sent.iter()
+        .filter_map(|(_, message)| rated(message))
+        .collect()
+}
+
+/// Guards against requests that wait in vain after a sidecar was replaced by one of an earlier version. A sidecar that
+/// has reported its pace is told what its engine will do for the request, and every other repetition is one that each
+/// version knows.
+#[tokio::test]
+async fn a_sidecar_with_a_pace_is_told_the_work_of_the_prompt() {
+    let engine = ScriptedEndpoint::start(stream_responses(1)).await;
+    let gateway = TestGateway::with_endpoints(STREAM, 1, &[&engine]);
+    report_engine(&gateway, &engine, 1);
+    report_pace(&gateway, &engine);
+    let hinted = request(&[
+        ("x-oatpier-model", "m1"),
+        ("x-oatpier-token-usage", "4000,300"),
+        ("x-oatpier-length-hint", "120"),
+    ]);
+    let sending = gateway.send(hinted);
+    let granting = async {
+        while permit_requests(&gateway).is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        grant_last(&gateway);
+    };
+    let (answer, ()) = tokio::join!(sending, granting);
+    assert_eq!(answer.status(), StatusCode::OK);
+    let rated = rated_requests(&gateway)[0];
+    assert_eq!((rated.prefill_tokens, rated.output_tokens), (4_000, 120));
+    assert_eq!(rated.ask.id, permit_requests(&gateway)[0].id);
+}
+
+/// Guards against prompts that wait for a whole pause although the engine has all of their parts. No prefill is not an
+/// unknown prefill.
+#[tokio::test]
+async fn a_cached_prompt_is_not_taken_for_an_unknown_one() {
+    let engine = ScriptedEndpoint::start(stream_responses(PROMPTS_TO_LEARN + 2)).await;
+    let gateway = gateway_with_learned_times(&engine).await;
+    for _ in 0..2 {
+        let cached = request(&[
+            ("x-oatpier-model", "m1"),
+            ("x-oatpier-token-usage", "800,10"),
+            ("x-oatpier-prompt-prefix", "5c1e07a2:800"),
+        ]);
+        let before = permit_requests(&gateway).len();
+        let sending = gateway.send(cached);
+        let granting = async {
+            while permit_requests(&gateway).len() == before {
+                sleep(Duration::from_millis(1)).await;
+            }
+            grant_last(&gateway);
+        };
+        let (answer, ()) = tokio::join!(sending, granting);
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    let last = permit_requests(&gateway).last().copied().unwrap();
+    assert!(last.reading_us < 1_000, "{}", last.reading_us);
+}
--- a/crates/oatpier-serving/src/choice.rs
+++ b/crates/oatpier-serving/src/choice.rs
@@ -94,8 +94,10 @@
     pub is_memory_full: bool,
     /// Whether the endpoint is an engine, which serves all its requests in one batch.
     pub is_batched: bool,
-    /// Time to prefill the prompt of the request.
+    /// Time to prefill the prompt of the request. Zero also while the speed of the endpoint is unknown.
     pub own_prefill: Duration,
+    /// Number of prompt tokens that the endpoint has to prefill, as far as known.
+    pub prefill_tokens: u32,
 }
 
 /// Result of a selection.
@@ -278,6 +280,7 @@
         is_memory_full: row.memory_share(query.request.memory_tokens(), now) > MAX_MEMORY_SHARE,
         is_batched: query.request.weights.is_some(),
         own_prefill: Duration::from_secs_f64(own_ms / 1e3),
+        prefill_tokens: whole_tokens(uncached),
     };
     (cost, choice)
 }
@@ -339,6 +342,15 @@
     (f64::from(request.prompt_tokens) - cached).max(0.0)
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates"
+)]
+fn whole_tokens(tokens: f64) -> u32 {
+    tokens as u32
+}
+
 /// Returns the number of prompt tokens in the endpoint's prefix cache.
 fn cached_tokens(row: &EndpointRow, parts: &[PromptPart], holders: &[PrefixHolder]) -> f64 {
     let holder = holders.iter().find(|holder| holder.endpoint == row.index);
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -257,10 +257,11 @@
     /// Returns the time to prefill all waiting prompts.
     #[must_use]
     pub fn pending_prefill(&self) -> Duration {
-        self.pending
-            .iter()
-            .map(|request| request.ask.reading())
-            .sum()
+        let prefill = |request: &PendingRequest| {
+            let prompt = request.prompt();
+            self.pace.map_or(prompt.told, |pace| pace.prefill(prompt))
+        };
+        self.pending.iter().map(prefill).sum()
     }
 
     fn expire(&mut self, now: ClockTime) {
