serving: Shares of engine time among workspaces that compete

Cause: where engines cannot take all requests, permits go by deadline and class alone. A workspace that asks for several times what an engine serves takes the room of the others in proportion to its requests.

Change: a sidecar counts the engine time that it grants by workspace (prompt and output tokens at a nominal pace, decaying over 3 s, at most 64 workspaces, discarded with the engine's incarnation) and reports the 16 largest about once a second, within a budget of 60 updates per second at a gateway. Gateways add the reports up once a second; the sum, with the rate of the workspace's quota as its weight, is the standing that a rated permit request states. The sidecar orders waiting requests by whether they can be in time, then by how far their workspaces are beyond the average use per weight of those that wait, then by deadline and class as before. A late request within its share waits no longer than 300 ms behind those beyond theirs. Requests that state no workspace are ordered as before; nothing is sent where no request states one. Metrics: workspace_engine_use_ms, workspace_permit_waits, workspace_permit_wait_ms. Log: `share exceeded`.

Permit requests still state no share: `GatewayCore::share_standing` returns it for the request that is to carry it.

Ruled out: a margin of 1.25 around the average, within which uses count as equal.

--- a/crates/oatpier-gateway/src/gateway/configuration.rs
+++ b/crates/oatpier-gateway/src/gateway/configuration.rs
@@ -46,6 +46,7 @@
             let version = i64::try_from(config.version).unwrap_or(i64::MAX);
             self.metrics.config_version.set(version);
             state.limits = collect_quota_rules(&config);
+            state.shares.apply_config(&config);
             let CoreState {
                 limits,
                 holder,
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -34,6 +34,7 @@
 
 use super::buffers::BufferBudget;
 use super::pending_calls::PendingCalls;
+use super::shares::ShareState;
 use super::store_knowledge::StoreAge;
 use crate::decisions::{DecisionLine, DecisionLog, LinePriority};
 use crate::exchange::MessageOutlet;
@@ -108,6 +109,8 @@
     pub(super) relayed: RelayQueue,
     pub(super) planner: LoadPlanner,
     pub(super) admission: AdmissionController,
+    /// Use of engines by workspaces.
+    pub(super) shares: ShareState,
     pub(super) store_age: StoreAge,
     /// When the configuration was last known to match the store, from an own read or from another gateway.
     pub(super) config_known_at: Option<ClockTime>,
@@ -197,6 +200,7 @@
             relayed: RelayQueue::default(),
             planner: LoadPlanner::default(),
             admission: AdmissionController::new(rand::random()),
+            shares: ShareState::default(),
             store_age: StoreAge::default(),
             has_unserved_demand: false,
         };
--- a/crates/oatpier-gateway/src/gateway/messaging.rs
+++ b/crates/oatpier-gateway/src/gateway/messaging.rs
@@ -151,7 +151,10 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => core.maintain_parts(stop.phase() != StopPhase::Serving),
-            _ = count_ticks.tick() => core.report_limit_use(),
+            _ = count_ticks.tick() => {
+                core.report_limit_use();
+                core.refresh_shares();
+            }
             result = claims.receive() => match result {
                 Some(result) => core.apply_claim(result),
                 None => break,
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 //! - `notices`: what endpoints report about themselves in answer headers.
 //! - [`identity`]: authentication of requests, and the workspace they belong to.
 //! - [`quota`]: units of workspaces' limits.
+//! - `shares`: standings of workspaces that compete for engines.
 //! - `subscriptions`: subscriptions to sidecars' status updates.
 //! - [`messaging`]: messages between gateways and sidecars.
 //! - `turns`: turns at endpoints that limit the requests of all gateways together.
@@ -47,6 +48,7 @@
 mod reports;
 mod run;
 mod run_log;
+mod shares;
 mod store_knowledge;
 mod subscriptions;
 mod turns;
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -267,7 +267,11 @@
         &mut self,
         placed: PlacedSend,
     ) -> Result<Option<PlacedSend>, LocalResponse> {
-        match permits::acquire_permit(&self.core, &self.context, &placed).await {
+        let asked_at = self.core.clock.now();
+        let verdict = permits::acquire_permit(&self.core, &self.context, &placed).await;
+        self.core
+            .count_permit_wait(&self.context, &verdict, asked_at);
+        match verdict {
             PermitVerdict::NotNeeded => return Ok(Some(placed)),
             PermitVerdict::Granted(permit) => {
                 return Ok(Some(PlacedSend {
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`engine_link`]: calls to the engine.
 //! - [`statuses`]: status updates to gateways, and when they are sent.
+//! - [`shares`]: updates of the engine's use by workspaces.
 //!
 //! One loop reads the engine's report, receives messages from gateways, sends the orders that
 //! [`oatpier_serving::residency`] decides on, and sends status updates.
 
 pub mod engine_link;
+pub mod shares;
 pub mod statuses;
 
 use std::net::{SocketAddr, UdpSocket};
@@ -17,10 +19,11 @@
 use oatpier_duty::duty::{DutyProcess, RuntimeClock, StartError, StopPhase, StopSignal, bind};
 use oatpier_serving::engine::{EngineOrder, OrderAnswer};
 use oatpier_serving::failures::FailureCount;
-use oatpier_serving::message::InnerMessage;
+use oatpier_serving::message::{EngineUpdate, InnerMessage};
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::permits::PermitIssuer;
 use oatpier_serving::residency::{EngineResidency, LoadPace, SequencedOrder};
+use oatpier_types::clock::ClockTime;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 use crate::decisions::{DecisionLine, DecisionLog, LinePriority};
@@ -30,6 +33,7 @@
 use crate::reload::{SettingsFeed, SettingsSource};
 
 use self::engine_link::EngineLink;
+use self::shares::ShareReporter;
 use self::statuses::StatusSender;
 
 /// Interval between reads of the engine's report. Reading it on the same VM costs next to nothing. Gateways place
@@ -127,6 +131,7 @@
         failures: FailureCount::default(),
         link: EngineLink::new(address, settings.name.clone()),
         status_sender: StatusSender::new(address, settings.service.clone()),
+        share_reporter: ShareReporter::new(address),
         socket,
         clock,
         metrics: inputs.metrics,
@@ -151,6 +156,7 @@
     failures: FailureCount,
     link: EngineLink,
     status_sender: StatusSender,
+    share_reporter: ShareReporter,
     socket: MessageSocket,
     clock: RuntimeClock,
     metrics: ServingMetrics,
@@ -183,6 +189,16 @@
             self.status_sender.set_failing(failing);
             self.status_sender
                 .send_due(&self.socket, &self.residency, now);
+            self.send_shares(now);
+        }
+    }
+
+    fn send_shares(&mut self, now: ClockTime) {
+        let engines = self.status_sender.engines();
+        let update = self.share_reporter.due_update(&self.permits, engines, now);
+        if let Some(update) = update {
+            self.status_sender
+                .send_to_relays(&self.socket, EngineUpdate::Shares(update));
         }
     }
 
@@ -299,6 +315,7 @@
     fn forget_engine(&mut self) {
         self.failures = FailureCount::default();
         self.permits.forget_load();
+        self.permits.forget_shares();
         self.residency.forget_engine(self.clock.now());
         self.link.forget_instance();
         self.status_sender.set_instance(None);
--- a/crates/oatpier-gateway/src/sidecar/statuses.rs
+++ b/crates/oatpier-gateway/src/sidecar/statuses.rs
@@ -169,6 +169,12 @@
         requester
     }
 
+    /// Returns the number of engines of the service, as gateways state it.
+    #[must_use]
+    pub fn engines(&self) -> usize {
+        self.engines
+    }
+
     /// Sets the engine's instance, if known.
     pub fn set_instance(&mut self, instance: Option<&EndpointName>) {
         self.instance = instance.cloned();
@@ -263,7 +269,8 @@
         self.send_to_relays(outlet, EngineUpdate::Load(load));
     }
 
-    fn send_to_relays(&self, outlet: &dyn MessageOutlet, update: EngineUpdate) {
+    /// Sends an update to the relays of all availability zones.
+    pub fn send_to_relays(&self, outlet: &dyn MessageOutlet, update: EngineUpdate) {
         let candidates = self
             .gateways
             .iter()
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod refusals;
 mod relayed;
 mod rests;
+mod share_updates;
 mod slow_callers;
 mod statuses;
 mod stops;
--- a/crates/oatpier-serving/src/pacing.rs
+++ b/crates/oatpier-serving/src/pacing.rs
@@ -13,6 +13,9 @@
 /// Complete status updates of all engines that a gateway receives while nothing changes.
 const STATUS_REPEATS: MessageBudget = MessageBudget::per_second(120);
 
+/// Updates of the use by workspaces of all engines that a gateway receives. Each takes up to 250 bytes.
+const SHARE_UPDATES: MessageBudget = MessageBudget::per_second(60);
+
 /// Datagrams with load updates that a gateway receives from the relays of its availability zone.
 const RELAY_DATAGRAMS: MessageBudget = MessageBudget::per_second(250);
 
@@ -37,6 +40,9 @@
 /// Time between two status updates while nothing changes.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Time between two updates of the use by workspaces. A third of the time for which use counts.
+const MIN_SHARE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval at which relays forward updates. A relay receives updates from about twenty engines in that time, which
 /// fit into one or two packets.
 pub const RELAY_INTERVAL: Duration = Duration::from_millis(40);
@@ -104,6 +110,12 @@
     STATUS_REPEATS.interval(engines, MIN_HEARTBEAT_INTERVAL)
 }
 
+/// Returns the interval between a sidecar's updates of the use of its engine by workspaces.
+#[must_use]
+pub fn share_interval(engines: usize) -> Duration {
+    SHARE_UPDATES.interval(engines, MIN_SHARE_INTERVAL)
+}
+
 /// Returns the interval at which a relay forwards load updates to the other gateways of its availability zone.
 #[must_use]
 pub fn relay_interval(zone_gateways: usize) -> Duration {
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -24,6 +24,9 @@
 use crate::admission;
 use crate::engine::EndpointLoad;
 use crate::message::{PermitAsk, PermitGrant, RatedPermitAsk};
+use crate::sharing::cost::engine_time;
+use crate::sharing::ledger::{ShareLedger, ShareLevels};
+use crate::sharing::{WorkspaceTag, WorkspaceUse};
 
 /// Share of the pause limit for which an engine may have prompts to prefill. A chunk of a stream takes about
 /// three steps, each of which may prefill that much. The steps themselves take the rest of the pause.
@@ -47,6 +50,10 @@
 /// the other classes are served too.
 const PRIORITY_STEP: Duration = Duration::from_millis(200);
 
+/// Time after which a request of a workspace within its share goes before all requests of workspaces beyond theirs,
+/// although it is late. Callers wait for two seconds or longer, and gateways refuse a request after 0.6 of that.
+const SHARE_WAIT_LIMIT: Duration = Duration::from_millis(300);
+
 /// Time after which a permit request that was not repeated is dropped, because its request was sent
 /// elsewhere or has ended. Gateways repeat theirs three times within this time.
 const REQUEST_TTL: Duration = Duration::from_millis(100);
@@ -66,6 +73,15 @@
     arrived_at: ClockTime,
     /// Time of the last repetition.
     repeated_at: ClockTime,
+    /// What its workspace is charged; `None` if its gateway stated no workspace.
+    charge: Option<ShareCharge>,
+}
+
+/// Engine time of a request and the workspace that is charged for it.
+#[derive(Debug, Clone, Copy)]
+struct ShareCharge {
+    workspace: WorkspaceTag,
+    engine_time: Duration,
 }
 
 /// A permit that was issued.
@@ -103,6 +119,8 @@
     reported_requests: Option<u32>,
     /// Issue times of permits whose requests the last report may not contain yet.
     unreported: VecDeque<ClockTime>,
+    /// Use of the engine by workspaces.
+    shares: ShareLedger,
 }
 
 impl PermitIssuer {
@@ -120,8 +138,30 @@
         self.unreported.clear();
     }
 
+    /// Discards what workspaces have used of the engine.
+    pub fn forget_shares(&mut self) {
+        self.shares = ShareLedger::default();
+    }
+
+    /// Returns the workspaces that have used the engine most.
+    #[must_use]
+    pub fn workspace_uses(&self, now: ClockTime) -> Vec<WorkspaceUse> {
+        self.shares.largest_uses(now)
+    }
+
     /// Records a new or repeated permit request of a gateway.
     pub fn add_request(&mut self, from: SocketAddr, ask: PermitAsk, now: ClockTime) {
+        self.add_pending(from, ask, None, now);
+    }
+
+    /// Records a permit request. Returns whether it is a new one.
+    fn add_pending(
+        &mut self,
+        from: SocketAddr,
+        ask: PermitAsk,
+        charge: Option<ShareCharge>,
+        now: ClockTime,
+    ) -> bool {
         self.max_pause = Some(
             self.max_pause
                 .map_or(ask.pause(), |known| known.min(ask.pause())),
@@ -132,20 +172,29 @@
             .find(|request| request.ask.id == ask.id)
         {
             request.repeated_at = now;
-            return;
+            return false;
         }
         self.pending.push(PendingRequest {
             from,
             due_at: now + ask.due_in(),
             arrived_at: now,
             repeated_at: now,
+            charge,
             ask,
         });
+        true
     }
 
     /// Records a new or repeated permit request with what the engine will do for it.
     pub fn add_rated_request(&mut self, from: SocketAddr, rated: &RatedPermitAsk, now: ClockTime) {
-        self.add_request(from, rated.ask, now);
+        let charge = rated.share.map(|standing| ShareCharge {
+            workspace: standing.workspace,
+            engine_time: engine_time(rated.prefill_tokens, rated.output_tokens),
+        });
+        let is_new = self.add_pending(from, rated.ask, charge, now);
+        if let Some(standing) = rated.share.filter(|_| is_new) {
+            self.shares.note_standing(standing, now);
+        }
     }
 
     /// Issues the permits that are possible now.
@@ -154,6 +203,7 @@
         let mut due = Vec::new();
         while let Some(index) = self.next_issuable(now) {
             let request = self.pending.swap_remove(index);
+            self.charge(&request, now);
             self.note_issued(&request.ask, now);
             due.push(AddressedGrant {
                 to: request.from,
@@ -210,8 +260,11 @@
         if let Some(index) = self.pending.iter().position(is_issued) {
             return Some(index);
         }
+        let waiting = self.pending.iter().filter_map(|request| request.charge);
+        let waiting = waiting.map(|charge| charge.workspace);
+        let levels = self.shares.levels(waiting, now);
         let pending = self.pending.iter().enumerate();
-        let (index, request) = pending.min_by_key(|(_, request)| request.sort_key(now))?;
+        let (index, request) = pending.min_by_key(|(_, request)| request.sort_key(&levels, now))?;
         let has_room = self.has_slot(&request.ask, request.is_late(now));
         (has_room && self.has_prefill_budget(request.ask.reading())).then_some(index)
     }
@@ -237,6 +290,18 @@
         self.issued.is_empty() || ahead + prefill <= pause.mul_f64(PREFILL_SHARE)
     }
 
+    /// Charges the workspace of a request that gets a permit, unless the permit was already issued.
+    fn charge(&mut self, request: &PendingRequest, now: ClockTime) {
+        let is_issued = |permit: &IssuedPermit| permit.id == request.ask.id;
+        let Some(charge) = request.charge else {
+            return;
+        };
+        if !self.issued.iter().any(is_issued) {
+            self.shares
+                .charge(charge.workspace, charge.engine_time, now);
+        }
+    }
+
     fn note_issued(&mut self, ask: &PermitAsk, now: ClockTime) {
         if self.issued.iter().any(|permit| permit.id == ask.id) {
             return;
@@ -256,15 +321,43 @@
         self.due_at <= now
     }
 
-    /// Returns the sort key of a request. Requests that can still be in time come first, ordered by their
-    /// deadlines. The others follow in the order of their arrival. Less urgent classes count as later.
-    fn sort_key(&self, now: ClockTime) -> (bool, ClockTime) {
+    /// Returns the sort key of a request. Requests that can still be in time come first, ordered by how far their
+    /// workspaces are beyond their shares and then by their deadlines. The others follow, ordered in the same way
+    /// and then by their arrival. Less urgent classes count as later.
+    fn sort_key(&self, levels: &ShareLevels, now: ClockTime) -> (ShareRank, ClockTime) {
         let is_late = self.is_late(now);
         let at = if is_late {
             self.arrived_at
         } else {
             self.due_at
         };
-        (is_late, at + PRIORITY_STEP * u32::from(self.ask.priority))
+        let at = at + PRIORITY_STEP * u32::from(self.ask.priority);
+        (self.share_rank(is_late, levels, now), at)
     }
+
+    fn share_rank(&self, is_late: bool, levels: &ShareLevels, now: ClockTime) -> ShareRank {
+        let level = self
+            .charge
+            .map_or(0, |charge| levels.level(charge.workspace));
+        let has_waited = now.since(self.arrived_at) >= SHARE_WAIT_LIMIT;
+        match (is_late, level) {
+            (false, 0) => ShareRank::WithinShare,
+            (false, level) => ShareRank::BeyondShare(level),
+            (true, 0) if levels.is_contended() && has_waited => ShareRank::LongWait,
+            (true, level) => ShareRank::Late(level),
+        }
+    }
+}
+
+/// Rank of a request by its workspace's share, the first rank first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ShareRank {
+    /// It can be in time, and its workspace is within its share.
+    WithinShare,
+    /// It is late and has waited for the maximum time, and its workspace is within its share.
+    LongWait,
+    /// It can be in time, and its workspace is beyond its share by this level.
+    BeyondShare(u8),
+    /// It can only be late, and its workspace is beyond its share by this level, or within it.
+    Late(u8),
 }
--- a/crates/oatpier-serving/src/sharing/mod.rs
+++ b/crates/oatpier-serving/src/sharing/mod.rs
@@ -1,4 +1,17 @@
 //! How workspaces share engines that cannot serve all of their requests.
+//!
+//! - [`cost`]: the engine time that a request takes.
+//! - [`ledger`]: what workspaces have used of one engine, and which of those that wait are beyond their share.
+//! - [`fleet`]: what workspaces have used over all engines of a service.
+//! - [`weights`]: what the configuration grants each workspace.
+//!
+//! A sidecar counts the engine time that it grants to workspaces and reports it. Gateways add up the reports and state
+//! the sum in their requests for permits, and the sidecar orders waiting requests by it.
+
+pub mod cost;
+pub mod fleet;
+pub mod ledger;
+pub mod weights;
 
 use oatpier_types::names::WorkspaceName;
 use serde::{Deserialize, Serialize};
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod relays;
 mod residency;
 mod rights;
+mod sharing;
 mod site;
 mod store_fleet;
 mod subscriptions;
