--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -118,7 +118,7 @@
                 ask,
                 prefill_tokens: work.prefill_tokens,
                 output_tokens: work.output_tokens,
-                share: None,
+                share: self.core.share_standing(context),
             }),
             None => InnerMessage::PermitAsk(ask),
         };
