serving: Choose engines for streams by their predicted finish

Cause: engines of one service differ in speed, and a disturbed chunk of a slow one is beyond the pause limit. Choice saw the first chunk alone, so long streams met slow engines as often as short ones.

Change: LengthEstimator learns the lengths of responses by route, from the caller's estimate, the requested maximum and earlier responses, each weighted by how far off it has been. EnginePace gives the probability of a late pause for a stream of that length. Where the paces of holders differ, choice adds the probability of a late stream (start or pause) times the latency target, at most 600 ms, to their costs. The prefill time is that of the engine where it reports one. Where no pace is known, or all are alike, nothing changes. `answer` lines name the workspace; they and `stream late` lines show pause_risk and engine_chunk_ms.

--- a/crates/oatpier-gateway/src/gateway/accounting.rs
+++ b/crates/oatpier-gateway/src/gateway/accounting.rs
@@ -141,6 +141,13 @@
             .note_first_chunk(endpoint, weights, prompt, took, now);
     }
 
+    /// Records the number of chunks of a complete stream.
+    pub(super) fn record_length(&self, context: &RequestContext, chunks: u32) {
+        let mut state = self.lock();
+        let lengths = &mut state.lengths;
+        lengths.note(&context.route.name, &context.request, chunks);
+    }
+
     /// Records the load that an endpoint reported in a response.
     pub fn record_load(&self, endpoint: &EndpointName, load: EndpointLoad) {
         self.lock().directory.apply_load(endpoint, load);
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -9,6 +9,7 @@
 use oatpier_duty::duty::{RingSender, RuntimeClock};
 use oatpier_serving::admission::AdmissionController;
 use oatpier_serving::budget::RetryAllowance;
+use oatpier_serving::capacity::exposure::LengthEstimator;
 use oatpier_serving::crashes::broken_attempts::AttemptWatch;
 use oatpier_serving::crashes::changes::CrashChange;
 use oatpier_serving::crashes::suspects::SuspectTable;
@@ -108,6 +109,8 @@
     pub(super) relayed: RelayQueue,
     pub(super) planner: LoadPlanner,
     pub(super) admission: AdmissionController,
+    /// Lengths of the responses of each route.
+    pub(super) lengths: LengthEstimator,
     pub(super) store_age: StoreAge,
     /// When the configuration was last known to match the store, from an own read or from another gateway.
     pub(super) config_known_at: Option<ClockTime>,
@@ -197,6 +200,7 @@
             relayed: RelayQueue::default(),
             planner: LoadPlanner::default(),
             admission: AdmissionController::new(rand::random()),
+            lengths: LengthEstimator::default(),
             store_age: StoreAge::default(),
             has_unserved_demand: false,
         };
--- a/crates/oatpier-gateway/src/gateway/pauses.rs
+++ b/crates/oatpier-gateway/src/gateway/pauses.rs
@@ -83,6 +83,12 @@
         self.chunks = self.chunks.saturating_add(1);
     }
 
+    /// Returns the number of chunks so far.
+    #[must_use]
+    pub fn chunks(&self) -> u32 {
+        self.chunks
+    }
+
     /// Returns the longest pause if it made the stream late.
     #[must_use]
     pub fn longest_late_pause(&self) -> Option<StreamPause> {
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -5,7 +5,9 @@
 
 use oatpier_serving::admission::{AdmissionDecision, AdmissionQuery};
 use oatpier_serving::call::WeightsKey;
-use oatpier_serving::choice::{self, ChoiceOutcome, ChoiceQuery, EndpointChoice, ThrottledService};
+use oatpier_serving::choice::{
+    self, ChoiceOutcome, ChoiceQuery, EndpointChoice, StreamNeed, ThrottledService,
+};
 use oatpier_serving::message::{AdapterRequest, InnerMessage};
 use oatpier_serving::site::{EngineRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
@@ -144,6 +146,7 @@
             excluded,
             engine,
             max_turn_wait: context.max_turn_wait(now),
+            stream: stream_need(state, context, now),
         };
         choice::choose(&state.directory, &query, now)
     }
@@ -215,6 +218,19 @@
     config?.service(&context.service)?.engine.as_ref()
 }
 
+/// Returns what the choice of an engine for a stream depends on, if the length of the stream can be estimated.
+fn stream_need(state: &CoreState, context: &RequestContext, now: ClockTime) -> Option<StreamNeed> {
+    if !context.route.kind.is_stream() {
+        return None;
+    }
+    let lengths = &state.lengths;
+    Some(StreamNeed {
+        chunks: lengths.expected_chunks(&context.route.name, &context.request)?,
+        target: context.route.target,
+        waited: now.since(context.arrived),
+    })
+}
+
 /// Returns whether a request that finds no free slot waits for its permit at the engine's sidecar. The sidecar
 /// knows when a slot is free and grants it to the request with the earliest deadline. A request that waits at its
 /// gateway relies on the last reported state, and so do the requests of all other gateways, for the same slot.
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -270,6 +270,8 @@
 
     fn finish(&mut self) {
         if let Some(guard) = self.guard.take() {
+            let chunks = self.pauses.chunks();
+            self.run.core.record_length(&self.run.context, chunks);
             let pause = self.pauses.longest_late_pause();
             self.run
                 .log_late_stream(&guard.endpoint, self.first_chunk_latency, pause);
@@ -339,6 +341,7 @@
             .await
             .map_err(|_| AttemptFailure::Silent)??;
         self.endpoint = response.guard.endpoint.clone();
+        self.run.prediction = placed.choice.stream;
         if !response.status.is_success() {
             response.guard.finish(RequestOutcome::ServerError);
             return Err(AttemptFailure::ServerError);
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use oatpier_serving::choice::{EndpointChoice, ThrottledService};
+use oatpier_serving::choice::{EndpointChoice, StreamPrediction, ThrottledService};
 use oatpier_serving::crashes::suspects::SuspectVerdict;
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::EndpointName;
@@ -59,6 +59,8 @@
     is_sending: bool,
     /// The endpoint of the last attempt.
     pub(super) endpoint: Option<EndpointName>,
+    /// Predicted course of the stream of the last attempt.
+    pub(super) prediction: Option<StreamPrediction>,
     /// The best endpoint when the request was refused because that endpoint could not take it.
     pub(super) best_choice: Option<EndpointChoice>,
     /// Why no endpoint could be used when the request was refused because all of them are throttled: they asked for
@@ -87,6 +89,7 @@
             ended_verdict: RunVerdict::NotRun,
             is_sending: false,
             endpoint: None,
+            prediction: None,
             best_choice: None,
             throttled: None,
         }
@@ -128,6 +131,7 @@
             self.is_sending = true;
             self.context.charge.set_spent(true);
             self.endpoint = Some(placed.choice.endpoint.clone());
+            self.prediction = placed.choice.stream;
             let failure = match self.attempt(&mut placed).await {
                 Ok(reply) => return RunOutcome::Relayed(reply),
                 Err(failure) => failure,
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -80,7 +80,7 @@
                 "reading_ms",
                 pause.map(|pause| pause.engine.prefill_ms.round()),
             );
-        self.core.log.write(line);
+        self.core.log.write(self.with_prediction(line));
     }
 
     /// Logs a response that an endpoint sent.
@@ -134,7 +134,7 @@
     fn answer_line(&self, priority: LinePriority, outcome: &'static str) -> DecisionLine {
         let context = &self.context;
         let waited = self.core.clock.now().since(context.arrived);
-        DecisionLine::new(priority, "answer")
+        let line = DecisionLine::new(priority, "answer")
             .with("request", context.request.id.as_str())
             .with("route", context.route.name.as_str())
             .with("outcome", outcome)
@@ -145,7 +145,22 @@
             .with("endpoint", self.endpoint.as_ref().map(ToString::to_string))
             .with("failed_at", names(&self.excluded))
             .with("waited_ms", millis(waited))
-            .with("store_age_ms", self.core.store_age_ms())
+            .with("store_age_ms", self.core.store_age_ms());
+        let workspace = context.identity.workspace_name();
+        let line = match workspace {
+            Some(name) => line.with("workspace", name.as_str()),
+            None => line,
+        };
+        self.with_prediction(line)
+    }
+
+    /// Adds what was predicted for the stream at its endpoint, if the pace of the engine was known.
+    fn with_prediction(&self, line: DecisionLine) -> DecisionLine {
+        let Some(prediction) = self.prediction else {
+            return line;
+        };
+        line.with("pause_risk", hundredths(prediction.late_pause_risk))
+            .with("engine_chunk_ms", millis(prediction.chunk_time))
     }
 }
 
--- a/crates/oatpier-serving/src/capacity/mod.rs
+++ b/crates/oatpier-serving/src/capacity/mod.rs
@@ -3,6 +3,8 @@
 //! Engines of one service differ in speed, and their VMs are disturbed by neighbours for fractions of a second. A
 //! sidecar observes the progress of its engine's streams and tells the gateways its pace.
 
+pub mod exposure;
+
 use serde::{Deserialize, Serialize};
 
 /// The pace of an engine as observed by its sidecar. All figures are 0 while unknown.
--- a/crates/oatpier-serving/tests/testsuite/admission.rs
+++ b/crates/oatpier-serving/tests/testsuite/admission.rs
@@ -23,6 +23,7 @@
         is_memory_full: false,
         is_batched: true,
         own_prefill: Duration::ZERO,
+        stream: None,
     }
 }
 
--- a/crates/oatpier-serving/tests/testsuite/choice.rs
+++ b/crates/oatpier-serving/tests/testsuite/choice.rs
@@ -22,6 +22,7 @@
         excluded,
         engine: Some(&engine_rule(&["m1", "m2"])),
         max_turn_wait: millis(0),
+        stream: None,
     };
     choice::choose(directory, &query, at(100))
 }
@@ -250,6 +251,7 @@
         excluded: &[],
         engine: None,
         max_turn_wait: millis(0),
+        stream: None,
     };
     let ChoiceOutcome::Endpoint(choice) = choice::choose(&directory, &query, at(1_200)) else {
         panic!("an endpoint is there");
--- a/crates/oatpier-serving/tests/testsuite/failures.rs
+++ b/crates/oatpier-serving/tests/testsuite/failures.rs
@@ -57,6 +57,7 @@
                 excluded: &[],
                 engine: Some(&engine_rule(&["m1"])),
                 max_turn_wait: std::time::Duration::ZERO,
+                stream: None,
             },
             at(100),
         );
