--- a/crates/oatpier-serving/src/capacity/mod.rs
+++ b/crates/oatpier-serving/src/capacity/mod.rs
@@ -13,6 +13,8 @@
 pub mod prefill_window;
 mod progress;
 
+pub mod exposure;
+
 use serde::{Deserialize, Serialize};
 
 /// The pace of an engine as observed by its sidecar. All figures are 0 while unknown.
--- a/crates/oatpier-serving/tests/testsuite/admission.rs
+++ b/crates/oatpier-serving/tests/testsuite/admission.rs
@@ -24,6 +24,7 @@
         is_batched: true,
         own_prefill: Duration::ZERO,
         prefill_tokens: 0,
+        stream: None,
     }
 }
 
