--- a/crates/oatpier-serving/src/capacity/pace.rs
+++ b/crates/oatpier-serving/src/capacity/pace.rs
@@ -20,6 +20,10 @@
 /// Time from the grant of a prompt to its prefill: the messages to the gateway and to the engine, and the current step.
 const PREFILL_DELAY: Duration = Duration::from_millis(30);
 
+/// Time by which a prompt may be prefilled later than expected, behind others or because of a slow gateway. A chunk is
+/// taken for slow only if the prompts that may have been prefilled meanwhile do not explain its time.
+const PREFILL_VARIATION: Duration = Duration::from_millis(60);
+
 /// Time for which granted prompts are kept. The recent progress of an engine covers less.
 const GRANT_HISTORY: Duration = Duration::from_secs(2);
 
@@ -33,8 +37,9 @@
 /// was granted in a lull is prefilled at the disturbed pace.
 const RECOVERY_TIME: Duration = Duration::from_millis(150);
 
-/// Limits of the ratio of the present pace to the usual one. Beyond, it says more about the measurement.
-const SLOWDOWN_RANGE: (f64, f64) = (0.7, 10.0);
+/// Limits of the ratio of the present pace to the usual one. Ratios below 1 come from prompts that were granted and are
+/// not prefilled yet; work granted by them would make the next chunks late.
+const SLOWDOWN_RANGE: (f64, f64) = (1.0, 10.0);
 
 /// Tokens of a granted prompt, and when the engine is expected to prefill them.
 #[derive(Debug, Clone, Copy)]
@@ -188,7 +193,8 @@
     }
 
     fn present_slowdown(&self, times: UsualTimes, recent: RecentProgress, now: ClockTime) -> f64 {
-        let tokens = self.granted_tokens(now - recent.span, now);
+        let from = now - recent.span - PREFILL_VARIATION;
+        let tokens = self.granted_tokens(from, now);
         let usual_us = times.chunk_us * recent.chunks + times.token_us * tokens;
         let (min, max) = SLOWDOWN_RANGE;
         (recent.span.as_secs_f64() * 1e6 / usual_us).clamp(min, max)
