--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -1,7 +1,7 @@
 //! A sidecar: the only process that sends orders to its engine.
 //!
 //! - [`engine_link`]: calls to the engine.
-//! - [`pace`]: the engine's pace, and when gateways are told.
+//! - [`pace`]: the engine's pace, and when it is sent to gateways.
 //! - [`statuses`]: status updates to gateways, and when they are sent.
 //!
 //! One loop reads the engine's report, receives messages from gateways, sends the orders that
--- a/crates/oatpier-gateway/src/sidecar/pace.rs
+++ b/crates/oatpier-gateway/src/sidecar/pace.rs
@@ -1,4 +1,4 @@
-//! The pace of a sidecar's engine: what is learned of it, and when gateways are told.
+//! The pace of a sidecar's engine: what is learned of it, and when it is sent to gateways.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -54,7 +54,7 @@
     }
 }
 
-/// Observes the pace of an engine, applies it to its permits, and decides when gateways are told.
+/// Observes the pace of an engine, applies it to its permits, and decides when it is sent to gateways.
 #[derive(Debug)]
 pub struct PaceReporter {
     engine: SocketAddr,
--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -5,6 +5,7 @@
 use oatpier_gateway::decisions::{DecisionLine, DecisionLog, LinePriority};
 use oatpier_gateway::metrics::ServingMetrics;
 use oatpier_serving::message::TurnAsk;
+use oatpier_serving::permits::WaitCause;
 use oatpier_serving::quota::turns::TurnAnswer;
 use oatpier_serving::reads::StoreKnowledge;
 use oatpier_serving::site::RouteKind;
@@ -58,6 +59,11 @@
     gateway.core.metrics.count_message("pulse", "sent", 400);
     gateway.core.metrics.count_attempt("cut");
     gateway.core.metrics.notices.count_notice("limit-named");
+    gateway
+        .core
+        .metrics
+        .pace
+        .count_wait(WaitCause::Slot, Duration::from_secs(1));
     let workspace = WorkspaceName::try_from("one").unwrap();
     gateway
         .core
--- a/crates/oatpier-serving/src/capacity/mod.rs
+++ b/crates/oatpier-serving/src/capacity/mod.rs
@@ -1,7 +1,7 @@
 //! What engines can serve in time.
 //!
 //! Engines of one service differ in speed, and their VMs are disturbed by neighbours for fractions of a second. A
-//! sidecar observes the progress of its engine's streams and tells the gateways its pace.
+//! sidecar observes the progress of its engine's streams and reports its pace to gateways.
 //!
 //! - [`pace`]: the pace of one engine, as its sidecar estimates it.
 //! - [`prefill_window`]: the prefill work that an engine may be sent at that pace.
--- a/crates/oatpier-serving/src/capacity/pace.rs
+++ b/crates/oatpier-serving/src/capacity/pace.rs
@@ -27,7 +27,7 @@
 /// Time for which granted prompts are kept. The recent progress of an engine covers less.
 const GRANT_HISTORY: Duration = Duration::from_secs(2);
 
-/// Shorter prompts tell nothing about the time per token, because gateways' estimates of them are mostly overhead.
+/// Shorter prompts are not used for the time per token, because gateways' estimates of them are mostly overhead.
 const MIN_PROMPT_TOKENS: u32 = 100;
 
 /// Age of the last report from which the present pace is unknown.
@@ -61,7 +61,7 @@
     max_pause: Option<Duration>,
     /// Time per prompt token according to the gateways, in milliseconds. Gateways that are short of CPU overestimate
     /// it, so that a low quantile is used.
-    told_token_ms: Option<QuantileEstimate>,
+    estimated_token_ms: Option<QuantileEstimate>,
     /// Ratio of the present pace to the usual one; 0 while unknown.
     slowdown: f64,
 }
@@ -83,8 +83,8 @@
         let sample = self.meter.note(&report.streams, now);
         if let Some(sample) = sample.filter(|_| !self.meter.is_stuck()) {
             let tokens = self.granted_tokens(now - sample.span, now);
-            let told_us = self.told_token_us();
-            self.fit.note(&sample, tokens, told_us);
+            let estimate_us = self.estimated_token_us();
+            self.fit.note(&sample, tokens, estimate_us);
             if let Some((recent, max_pause)) = self.meter.recent().zip(self.max_pause) {
                 let chunk = recent.chunk_time();
                 self.hazard.note(&sample, chunk, max_pause, now);
@@ -97,15 +97,15 @@
 
     /// Records a prompt that was granted.
     pub fn note_granted(&mut self, prompt: PromptWork, now: ClockTime) {
-        let told_ms = prompt.told.as_secs_f64() * 1e3;
+        let estimate_ms = prompt.estimate.as_secs_f64() * 1e3;
         if let Some(tokens) = prompt.tokens.filter(|tokens| *tokens >= MIN_PROMPT_TOKENS) {
-            let token_ms = told_ms / f64::from(tokens);
+            let token_ms = estimate_ms / f64::from(tokens);
             let first = QuantileEstimate::starting_at(token_ms);
-            self.told_token_ms.get_or_insert(first).note(token_ms);
+            self.estimated_token_ms.get_or_insert(first).note(token_ms);
         }
         let token_us = self.times().map_or(0.0, |times| times.token_us);
-        let told = (token_us > 0.0).then(|| told_ms * 1e3 / token_us);
-        if let Some(tokens) = prompt.tokens.map(f64::from).or(told) {
+        let estimated = (token_us > 0.0).then(|| estimate_ms * 1e3 / token_us);
+        if let Some(tokens) = prompt.tokens.map(f64::from).or(estimated) {
             self.granted.push_back(GrantedTokens {
                 tokens,
                 at: now + PREFILL_DELAY,
@@ -141,7 +141,7 @@
         })
     }
 
-    /// Returns the pace at present. `None` while the engine's streams tell nothing: before they have run for a while,
+    /// Returns the pace at present. `None` while it is unknown: before they have run for a while,
     /// if reports do not arrive, and if the figures in them do not change.
     #[must_use]
     pub fn present(&self, now: ClockTime) -> Option<PresentPace> {
@@ -166,9 +166,9 @@
         self.fit.times()
     }
 
-    fn told_token_us(&self) -> Option<f64> {
-        let told_ms = self.told_token_ms.as_ref()?.known_ms()?;
-        Some(told_ms * 1e3)
+    fn estimated_token_us(&self) -> Option<f64> {
+        let estimate_ms = self.estimated_token_ms.as_ref()?.known_ms()?;
+        Some(estimate_ms * 1e3)
     }
 
     /// Returns the number of tokens that the engine is expected to have prefilled in a span.
--- a/crates/oatpier-serving/src/capacity/pace_fit.rs
+++ b/crates/oatpier-serving/src/capacity/pace_fit.rs
@@ -1,4 +1,4 @@
-//! Usual time of an engine's chunks and of its prefill, told apart.
+//! Usual time of an engine's chunks and of its prefill, separated from each other.
 //!
 //! Chunks take longer while the engine prefills prompts between its steps. Over some tenths of a second, the time is
 //! the number of chunks times the time of a chunk plus the number of tokens that were prefilled times the time of a
@@ -65,13 +65,13 @@
 }
 
 impl PaceFit {
-    /// Records progress, and the number of tokens that were prefilled meanwhile. `told_token_us` is the gateways'
+    /// Records progress, and the number of tokens that were prefilled meanwhile. `estimated_token_us` is the gateways'
     /// estimate of the time to prefill a token, if known.
     pub(super) fn note(
         &mut self,
         sample: &ProgressSample,
         tokens: f64,
-        told_token_us: Option<f64>,
+        estimated_token_us: Option<f64>,
     ) {
         self.current.us += sample.span.as_secs_f64() * 1e6;
         self.current.chunks += sample.chunks;
@@ -85,7 +85,7 @@
         if self.spans.len() > MAX_SPANS {
             self.spans.pop_front();
         }
-        self.times = self.fit(told_token_us);
+        self.times = self.fit(estimated_token_us);
     }
 
     /// Returns the usual times, once known.
@@ -93,18 +93,18 @@
         self.times
     }
 
-    fn fit(&self, told_token_us: Option<f64>) -> Option<UsualTimes> {
+    fn fit(&self, estimated_token_us: Option<f64>) -> Option<UsualTimes> {
         if self.spans.len() < MIN_SPANS {
             return None;
         }
-        let told = told_token_us.unwrap_or(0.0);
-        if told <= 0.0 || self.spans.len() < MIN_FITTED_SPANS {
-            return self.chunk_fit(told).map(|fit| fit.times);
+        let estimate = estimated_token_us.unwrap_or(0.0);
+        if estimate <= 0.0 || self.spans.len() < MIN_FITTED_SPANS {
+            return self.chunk_fit(estimate).map(|fit| fit.times);
         }
         TOKEN_TIME_FACTORS
             .iter()
             .filter_map(|factor| {
-                let fit = self.chunk_fit(told * factor)?;
+                let fit = self.chunk_fit(estimate * factor)?;
                 let penalty = 1.0 + FACTOR_PENALTY * factor.ln().abs();
                 let loss = fit.loss * penalty;
                 Some(CandidateFit { loss, ..fit })
--- a/crates/oatpier-serving/src/capacity/prefill_window.rs
+++ b/crates/oatpier-serving/src/capacity/prefill_window.rs
@@ -23,7 +23,7 @@
     /// Number of tokens to prefill, if the gateway stated it.
     pub tokens: Option<u32>,
     /// Time to prefill them according to the gateway.
-    pub told: Duration,
+    pub estimate: Duration,
 }
 
 /// Pace of an engine at present, including disturbances.
@@ -40,7 +40,7 @@
     #[must_use]
     pub fn prefill(&self, prompt: PromptWork) -> Duration {
         let known = prompt.tokens.filter(|_| self.token_us > 0.0);
-        known.map_or(prompt.told, |tokens| {
+        known.map_or(prompt.estimate, |tokens| {
             Duration::from_secs_f64(f64::from(tokens) * self.token_us / 1e6)
         })
     }
--- a/crates/oatpier-serving/src/capacity/progress.rs
+++ b/crates/oatpier-serving/src/capacity/progress.rs
@@ -64,7 +64,7 @@
 }
 
 impl ProgressMeter {
-    /// Records the streams of a report. Returns their progress since the previous one, if it can be told.
+    /// Records the streams of a report. Returns their progress since the previous one, if it is known.
     pub(super) fn note(
         &mut self,
         streams: &[StreamProgress],
@@ -101,7 +101,7 @@
         self.reported_at
     }
 
-    /// Returns whether the engine has streams whose progress can be told.
+    /// Returns whether the engine has streams whose progress is known.
     pub(super) fn has_progress(&self) -> bool {
         !self.samples.is_empty()
     }
@@ -129,7 +129,7 @@
                 return Some(recent);
             }
         }
-        // A single stream is too little to tell a slow chunk from one that is not due yet.
+        // With few streams, a slow chunk cannot be distinguished from one that is not due yet.
         (recent.chunks > 0.0 && stream_chunks >= MIN_STREAM_CHUNKS).then_some(recent)
     }
 }
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -259,7 +259,8 @@
     pub fn pending_prefill(&self) -> Duration {
         let prefill = |request: &PendingRequest| {
             let prompt = request.prompt();
-            self.pace.map_or(prompt.told, |pace| pace.prefill(prompt))
+            self.pace
+                .map_or(prompt.estimate, |pace| pace.prefill(prompt))
         };
         self.pending.iter().map(prefill).sum()
     }
@@ -313,7 +314,7 @@
         if let Some(pace) = &self.pace {
             return self.window.has_room(prompt, pace, pause, now);
         }
-        let prefill = prompt.told;
+        let prefill = prompt.estimate;
         let ahead: Duration = self.issued.iter().map(|permit| permit.prefill).sum();
         self.issued.is_empty() || ahead + prefill <= pause.mul_f64(PREFILL_SHARE)
     }
@@ -339,7 +340,7 @@
     fn prompt(&self) -> PromptWork {
         PromptWork {
             tokens: self.prefill_tokens,
-            told: self.ask.reading(),
+            estimate: self.ask.reading(),
         }
     }
 
--- a/crates/oatpier-serving/tests/testsuite/engine_pace/mod.rs
+++ b/crates/oatpier-serving/tests/testsuite/engine_pace/mod.rs
@@ -249,7 +249,7 @@
     let factor = random.random_range(1.0..4.0);
     PromptWork {
         tokens: Some(tokens),
-        told: Duration::from_secs_f64(f64::from(tokens) * TOKEN_US * factor / 1e6),
+        estimate: Duration::from_secs_f64(f64::from(tokens) * TOKEN_US * factor / 1e6),
     }
 }
 
--- a/crates/oatpier-serving/tests/testsuite/engine_pace/pace_failures.rs
+++ b/crates/oatpier-serving/tests/testsuite/engine_pace/pace_failures.rs
@@ -14,7 +14,7 @@
 
 const PROMPT: PromptWork = PromptWork {
     tokens: Some(1_500),
-    told: Duration::from_millis(45),
+    estimate: Duration::from_millis(45),
 };
 
 /// An engine comes back under its name at another speed. The pace of its predecessor must not be taken for its own.
--- a/crates/oatpier-serving/tests/testsuite/engine_pace/prompt_burst.rs
+++ b/crates/oatpier-serving/tests/testsuite/engine_pace/prompt_burst.rs
@@ -17,7 +17,7 @@
     RatedPermitAsk {
         ask: PermitAsk {
             id,
-            reading_us: u32::try_from(prompt.told.as_micros()).unwrap(),
+            reading_us: u32::try_from(prompt.estimate.as_micros()).unwrap(),
             pause_ms: u32::try_from(MAX_PAUSE.as_millis()).unwrap(),
             due_in_ms: 5_000,
             slots: SLOTS,
@@ -136,7 +136,7 @@
     }));
     let prompt = PromptWork {
         tokens: Some(600),
-        told: Duration::from_millis(30),
+        estimate: Duration::from_millis(30),
     };
     let mut granted = Vec::new();
     for step in 0..100_u64 {
@@ -167,7 +167,7 @@
     issuer.set_pace(Some(pace(50)));
     let long = PromptWork {
         tokens: Some(20_000),
-        told: Duration::from_millis(700),
+        estimate: Duration::from_millis(700),
     };
     issuer.add_rated_request(address(1), &rated(1, long), at(0));
     issuer.add_rated_request(address(1), &rated(2, long), at(0));
@@ -192,7 +192,7 @@
         let mut issuer = PermitIssuer::default();
         let pace = pace(chunk_ms);
         issuer.set_pace(Some(pace));
-        let prompt = |tokens: u32| PromptWork { tokens: Some(tokens), told: MAX_PAUSE };
+        let prompt = |tokens: u32| PromptWork { tokens: Some(tokens), estimate: MAX_PAUSE };
         let mut waiting: Vec<(u64, u32)> = (0..).zip(tokens.iter().copied()).collect();
         let mut granted: Vec<(ClockTime, Duration)> = Vec::new();
         let mut now = at(0);
--- a/crates/oatpier-serving/tests/testsuite/engine_pace/uneven_engines.rs
+++ b/crates/oatpier-serving/tests/testsuite/engine_pace/uneven_engines.rs
@@ -4,7 +4,7 @@
 
 const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
 
-/// The time of a chunk without prefill is told apart from that of the prompts between its steps.
+/// The time of a chunk does not include the prompts that are prefilled between its steps.
 #[test]
 fn each_engine_is_known_by_its_own_chunk_time() {
     for seed in 0..8 {
@@ -16,7 +16,7 @@
     }
 }
 
-/// Gateways tell the same time of a prompt for all engines, most of them too much. The engine's own time is learned from
+/// Gateways estimate the same time of a prompt for all engines, and most of them overestimate it. The engine's own time is learned from
 /// the chunks between which it prefills.
 #[test]
 fn prefill_time_is_the_engines_own() {
