--- a/crates/oatpier-serving/src/capacity/pace.rs
+++ b/crates/oatpier-serving/src/capacity/pace.rs
@@ -20,10 +20,14 @@
 /// Time from the grant of a prompt to its prefill: the messages to the gateway and to the engine, and the current step.
 const PREFILL_DELAY: Duration = Duration::from_millis(30);
 
+/// Time by which a prompt may be prefilled later than expected, behind others or because of a slow gateway. A chunk is
+/// taken for slow only if the prompts that may have been prefilled meanwhile do not explain its time.
+const PREFILL_VARIATION: Duration = Duration::from_millis(60);
+
 /// Time for which granted prompts are kept. The recent progress of an engine covers less.
 const GRANT_HISTORY: Duration = Duration::from_secs(2);
 
-/// Shorter prompts tell nothing about the time per token, because gateways' estimates of them are mostly overhead.
+/// Shorter prompts are not used for the time per token, because gateways' estimates of them are mostly overhead.
 const MIN_PROMPT_TOKENS: u32 = 100;
 
 /// Age of the last report from which the present pace is unknown.
@@ -33,8 +37,9 @@
 /// was granted in a lull is prefilled at the disturbed pace.
 const RECOVERY_TIME: Duration = Duration::from_millis(150);
 
-/// Limits of the ratio of the present pace to the usual one. Beyond, it says more about the measurement.
-const SLOWDOWN_RANGE: (f64, f64) = (0.7, 10.0);
+/// Limits of the ratio of the present pace to the usual one. Ratios below 1 come from prompts that were granted and are
+/// not prefilled yet; work granted by them would make the next chunks late.
+const SLOWDOWN_RANGE: (f64, f64) = (1.0, 10.0);
 
 /// Tokens of a granted prompt, and when the engine is expected to prefill them.
 #[derive(Debug, Clone, Copy)]
@@ -56,7 +61,7 @@
     max_pause: Option<Duration>,
     /// Time per prompt token according to the gateways, in milliseconds. Gateways that are short of CPU overestimate
     /// it, so that a low quantile is used.
-    told_token_ms: Option<QuantileEstimate>,
+    estimated_token_ms: Option<QuantileEstimate>,
     /// Ratio of the present pace to the usual one; 0 while unknown.
     slowdown: f64,
 }
@@ -78,8 +83,8 @@
         let sample = self.meter.note(&report.streams, now);
         if let Some(sample) = sample.filter(|_| !self.meter.is_stuck()) {
             let tokens = self.granted_tokens(now - sample.span, now);
-            let told_us = self.told_token_us();
-            self.fit.note(&sample, tokens, told_us);
+            let estimate_us = self.estimated_token_us();
+            self.fit.note(&sample, tokens, estimate_us);
             if let Some((recent, max_pause)) = self.meter.recent().zip(self.max_pause) {
                 let chunk = recent.chunk_time();
                 self.hazard.note(&sample, chunk, max_pause, now);
@@ -92,15 +97,15 @@
 
     /// Records a prompt that was granted.
     pub fn note_granted(&mut self, prompt: PromptWork, now: ClockTime) {
-        let told_ms = prompt.told.as_secs_f64() * 1e3;
+        let estimate_ms = prompt.estimate.as_secs_f64() * 1e3;
         if let Some(tokens) = prompt.tokens.filter(|tokens| *tokens >= MIN_PROMPT_TOKENS) {
-            let token_ms = told_ms / f64::from(tokens);
+            let token_ms = estimate_ms / f64::from(tokens);
             let first = QuantileEstimate::starting_at(token_ms);
-            self.told_token_ms.get_or_insert(first).note(token_ms);
+            self.estimated_token_ms.get_or_insert(first).note(token_ms);
         }
         let token_us = self.times().map_or(0.0, |times| times.token_us);
-        let told = (token_us > 0.0).then(|| told_ms * 1e3 / token_us);
-        if let Some(tokens) = prompt.tokens.map(f64::from).or(told) {
+        let estimated = (token_us > 0.0).then(|| estimate_ms * 1e3 / token_us);
+        if let Some(tokens) = prompt.tokens.map(f64::from).or(estimated) {
             self.granted.push_back(GrantedTokens {
                 tokens,
                 at: now + PREFILL_DELAY,
@@ -136,7 +141,7 @@
         })
     }
 
-    /// Returns the pace at present. `None` while the engine's streams tell nothing: before they have run for a while,
+    /// Returns the pace at present. `None` while it is unknown: before they have run for a while,
     /// if reports do not arrive, and if the figures in them do not change.
     #[must_use]
     pub fn present(&self, now: ClockTime) -> Option<PresentPace> {
@@ -161,9 +166,9 @@
         self.fit.times()
     }
 
-    fn told_token_us(&self) -> Option<f64> {
-        let told_ms = self.told_token_ms.as_ref()?.known_ms()?;
-        Some(told_ms * 1e3)
+    fn estimated_token_us(&self) -> Option<f64> {
+        let estimate_ms = self.estimated_token_ms.as_ref()?.known_ms()?;
+        Some(estimate_ms * 1e3)
     }
 
     /// Returns the number of tokens that the engine is expected to have prefilled in a span.
@@ -188,7 +193,8 @@
     }
 
     fn present_slowdown(&self, times: UsualTimes, recent: RecentProgress, now: ClockTime) -> f64 {
-        let tokens = self.granted_tokens(now - recent.span, now);
+        let from = now - recent.span - PREFILL_VARIATION;
+        let tokens = self.granted_tokens(from, now);
         let usual_us = times.chunk_us * recent.chunks + times.token_us * tokens;
         let (min, max) = SLOWDOWN_RANGE;
         (recent.span.as_secs_f64() * 1e6 / usual_us).clamp(min, max)
