planner: Places models by the speed of their engines

Cause: the planner counted engines as equal. On a fleet of three speeds a third of a hot model's long streams runs where more than half of them is late by a pause, while rarely requested models keep places on fast engines.

Change: an engine's capacity relative to the fleet's median follows from its reported pace; a model's demand is shared by its holders in proportion to it, and squared utilization is weighted by it. Streams that are late by pauses cost as much as streams that a full engine refuses. Moves, which are limited by engine and over the fleet, load a model where its streams are in time (reason speed); a swap first gives the model that is to leave a fast engine another holder (reason swap). Where engines differ, replicas and moves evict no last holder of a requested model, and a load in progress is no holder. With fewer than two or one in sixteen engines that differ, plans are as before.

--- a/crates/oatpier-gateway/src/gateway/planning.rs
+++ b/crates/oatpier-gateway/src/gateway/planning.rs
@@ -114,7 +114,7 @@
         let line = DecisionLine::new(LinePriority::Notable, "load not possible")
             .with("model", load.model.as_str())
             .with("reason", load.reason.as_str())
-            .with("want", (load.want * 100.0).round() / 100.0)
+            .with("want", rounded(load.want))
             .with("holders", load.holders)
             .with("rate_spent", load.rate_spent)
             .with("rests", load.is_backed_off)
@@ -161,6 +161,11 @@
         .with("models", models.collect::<Vec<_>>())
 }
 
+/// Returns a figure with two decimal places.
+fn rounded(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
 fn log_plan(core: &GatewayCore, planned: &PlannedLoad) {
     let reason = planned.reason.as_str();
     let unload = planned.advice.unload.iter().map(ToString::to_string);
@@ -168,7 +173,10 @@
         .with("endpoint", planned.endpoint.as_str())
         .with("model", planned.advice.load.as_str())
         .with("unload", unload.collect::<Vec<_>>())
-        .with("reason", reason);
+        .with("reason", reason)
+        .with("gain", rounded(planned.figures.gain))
+        .with("capacity", rounded(planned.figures.capacity))
+        .with("late_share", rounded(planned.figures.late_share));
     core.log.write(line);
     core.metrics.count_advice(reason);
 }
--- a/crates/oatpier-serving/src/planner/gain.rs
+++ b/crates/oatpier-serving/src/planner/gain.rs
@@ -56,6 +56,8 @@
     /// Cost of the time that callers wait for the load beyond the shortest possible load. Used only to
     /// compare options for the same model, not to decide whether to load it.
     pub(super) delay_cost: f64,
+    /// Cost of the load itself and of the evictions' streams.
+    pub(super) load_cost: f64,
     pub(super) from_store: bool,
     /// Whether the engine has used up its own right to load from the weight store.
     pub(super) needs_right: bool,
@@ -76,6 +78,8 @@
     models: Vec<ModelName>,
     /// Cost of evicting them.
     cost: f64,
+    /// The part of this cost that is due to the streams that end first.
+    drain_cost: f64,
     /// Requests per second for those of them that no other engine holds.
     displaced_rate: f64,
 }
@@ -86,6 +90,33 @@
         engine: usize,
         model: &ModelName,
         reason: LoadReason,
+    ) -> Option<LoadOption> {
+        let victims = self.victims(&self.engines[engine], model)?;
+        self.load_option_evicting(engine, model, reason, victims)
+    }
+
+    /// Returns the load of a model in the place of another one, or in a free place.
+    pub(super) fn replacing_option(
+        &self,
+        engine: usize,
+        model: &ModelName,
+        replaced: Option<&ModelName>,
+    ) -> Option<LoadOption> {
+        let view = &self.engines[engine];
+        let mut victims = LoadVictims::default();
+        if let Some(replaced) = replaced {
+            let cost = self.eviction_cost(view, replaced);
+            self.add_victim(&mut victims, view, replaced, cost);
+        }
+        self.load_option_evicting(engine, model, LoadReason::Swap, victims)
+    }
+
+    fn load_option_evicting(
+        &self,
+        engine: usize,
+        model: &ModelName,
+        reason: LoadReason,
+        victims: LoadVictims,
     ) -> Option<LoadOption> {
         let view = &self.engines[engine];
         if !view.is_free || view.held.contains(&model) {
@@ -97,7 +128,6 @@
         if needs_right && self.lenders.is_empty() {
             return None;
         }
-        let victims = self.victims(view, model)?;
         let rule = self.rule.model(model)?;
         let extra_time = rule
             .load_with(&status.copies)
@@ -111,6 +141,7 @@
             engine,
             gain: self.gain(view, model, &victims) - cost,
             delay_cost: ENGINE_TIME_COST_PER_S * extra_time.as_secs_f64(),
+            load_cost: cost + victims.drain_cost,
             unload: victims.models,
             from_store,
             needs_right,
@@ -135,13 +166,24 @@
                 break;
             }
             used -= self.size_mb(victim);
-            victims.models.push(victim.clone());
-            victims.cost += cost;
-            victims.displaced_rate += self.displaced_rate(victim);
+            self.add_victim(&mut victims, view, victim, cost);
         }
         (used + needed <= room).then_some(victims)
     }
 
+    fn add_victim(
+        &self,
+        victims: &mut LoadVictims,
+        view: &EngineView<'_>,
+        victim: &ModelName,
+        cost: f64,
+    ) {
+        victims.models.push(victim.clone());
+        victims.cost += cost;
+        victims.drain_cost += self.drain_cost(view, victim);
+        victims.displaced_rate += self.displaced_rate(victim);
+    }
+
     /// Returns the reduction of the fleet's summed squared utilization by a load, minus the cost of its
     /// evictions.
     /// Waiting time grows faster than utilization, so utilization is squared. Removing a small share from a
@@ -151,16 +193,12 @@
             return 0.0;
         };
         let present = wanted.share();
-        let shared = wanted.share_among(wanted.holders() + 1.0);
+        let shared = wanted.share_with(view);
         let relief: f64 = self
             .other_holders(view, wanted)
             .map(|holder| {
-                holder.utilization.squared()
-                    - holder
-                        .utilization
-                        .saturating_minus(present)
-                        .plus(shared)
-                        .squared()
+                let after = holder.utilization.saturating_minus(present).plus(shared);
+                holder.weighted_square(holder.utilization) - holder.weighted_square(after)
             })
             .sum();
         let leaving = victims
@@ -170,44 +208,60 @@
             .map(ModelView::share)
             .fold(EngineShare::default(), EngineShare::plus);
         let after = view.utilization.saturating_minus(leaving).plus(shared);
-        let added = after.squared() - view.utilization.squared();
-        relief - added - victims.cost
+        let added = view.weighted_square(after) - view.weighted_square(view.utilization);
+        relief - added - victims.cost + self.lateness_relief(view, wanted)
     }
 
     /// Returns the cost of evicting a model from an engine. It consists of the time until the model's
     /// streams have ended there and the share that its other holders take over. If there is no other
     /// holder, the second part is the cost of the requests that wait until the model is loaded again.
     fn eviction_cost(&self, view: &EngineView<'_>, model: &ModelName) -> f64 {
+        let Some(lost) = self.models.get(model) else {
+            return 0.0;
+        };
+        let removal = self.removal_cost(view, model, lost) + self.lateness_growth(view, lost);
+        self.drain_cost(view, model) + removal
+    }
+
+    /// Returns the cost of the engine time until the streams of a model have ended.
+    fn drain_cost(&self, view: &EngineView<'_>, model: &ModelName) -> f64 {
         let Some(lost) = self.models.get(model) else {
             return 0.0;
         };
         let streams = self.uses.requests(view.row.record.address, model);
-        let drain_s = lost.slot_time_s * expected_longest(streams);
-        ENGINE_TIME_COST_PER_S * drain_s + self.removal_cost(view, model, lost)
+        ENGINE_TIME_COST_PER_S * lost.slot_time_s * expected_longest(streams)
     }
 
     /// Returns the requests per second for a model that would have no holder left after one eviction, or 0
     /// if it has other holders.
     fn displaced_rate(&self, model: &ModelName) -> f64 {
         let lost = self.models.get(model);
-        let lost = lost.filter(|lost| lost.served_by.len() <= 1);
+        let lost = lost.filter(|lost| self.holders_left(model, lost) == 0);
         lost.map_or(0.0, |lost| lost.long_request_rate)
     }
 
+    /// Returns the number of holders that a model has left after one eviction. Where models are moved, a load in
+    /// progress does not count: the model that it is to free elsewhere would have no holder until it is done.
+    pub(super) fn holders_left(&self, name: &ModelName, model: &ModelView) -> usize {
+        let holds = |index: &&usize| self.engines[**index].held.contains(&name);
+        let holders = if self.speeds.is_uneven {
+            model.served_by.iter().filter(holds).count()
+        } else {
+            model.served_by.len()
+        };
+        holders.saturating_sub(1)
+    }
+
     /// Returns the cost of having one holder less for a model.
     fn removal_cost(&self, view: &EngineView<'_>, model: &ModelName, lost: &ModelView) -> f64 {
         if lost.served_by.len() > 1 {
             let present = lost.share();
-            let shared = lost.share_among(lost.holders() - 1.0);
+            let shared = lost.share_without(view);
             let others = self.other_holders(view, lost);
             return others
                 .map(|holder| {
-                    holder
-                        .utilization
-                        .saturating_minus(present)
-                        .plus(shared)
-                        .squared()
-                        - holder.utilization.squared()
+                    let after = holder.utilization.saturating_minus(present).plus(shared);
+                    holder.weighted_square(after) - holder.weighted_square(holder.utilization)
                 })
                 .sum();
         }
@@ -239,7 +293,7 @@
         rule.load_from_disk.mul_f64(1.0 - all_busy) + rule.load.mul_f64(all_busy)
     }
 
-    fn other_holders(
+    pub(super) fn other_holders(
         &self,
         view: &EngineView<'_>,
         model: &ModelView,
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -10,9 +10,13 @@
 //! than the next requests for the evicted model lose while it is loaded again. Every model stays reachable,
 //! because an evicted model is loaded again when it is requested.
 
+mod capacity;
 mod crash_tracker;
+mod exchange;
 pub mod forecast;
 mod gain;
+mod lateness;
+mod moves;
 mod round;
 mod wanted;
 
@@ -28,8 +32,10 @@
 use crate::peers::{FleetUses, TotalDemand};
 use crate::site::EngineRule;
 
+use capacity::FleetSpeeds;
 use crash_tracker::CrashTracker;
 use gain::LoadOption;
+use moves::MoveLimiter;
 use round::{EngineShare, EngineView, PlanRound};
 use wanted::WantedLoad;
 
@@ -60,6 +66,19 @@
     pub advice: LoadAdvice,
     /// Reason for the load.
     pub reason: LoadReason,
+    /// Figures that led to it.
+    pub figures: LoadFigures,
+}
+
+/// Figures that led to a load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadFigures {
+    /// Gain of the load, or of the swap that it begins, in squared engine shares.
+    pub gain: f64,
+    /// Capacity of the engine relative to an engine of usual speed.
+    pub capacity: f64,
+    /// Share of the model's streams that are expected to be late by a pause at the engine.
+    pub late_share: f64,
 }
 
 /// Reason for a load.
@@ -72,6 +91,10 @@
     /// An engine has free memory, and either no engine holds the model or this engine is empty after a
     /// restart.
     Room,
+    /// The model's streams end late where they are served now.
+    Speed,
+    /// The model is to leave a fast engine for one whose streams end late there. This engine takes it over first.
+    Swap,
 }
 
 impl LoadReason {
@@ -82,6 +105,8 @@
             Self::Unreachable => "unreachable",
             Self::Busy => "busy",
             Self::Room => "room",
+            Self::Speed => "speed",
+            Self::Swap => "swap",
         }
     }
 }
@@ -139,6 +164,7 @@
     missing: HashMap<ModelName, ClockTime>,
     /// Models whose loads crash the engines that carry them out.
     crashes: CrashTracker,
+    moves: MoveLimiter,
     store_tokens: f64,
     refilled_at: ClockTime,
 }
@@ -171,12 +197,36 @@
             }
             self.plan_load(&mut round, &wanted, &mut outcome);
         }
+        if round.speeds.is_uneven {
+            self.plan_move(&mut round, &mut outcome);
+        }
         for engine in 0..round.engines.len() {
             self.fill_free_memory(&mut round, engine, &mut outcome);
         }
         outcome
     }
 
+    /// Moves a model to an engine that serves its streams in time. Missing models go first: a move waits until all are
+    /// loaded or being loaded.
+    fn plan_move(&mut self, round: &mut PlanRound<'_>, outcome: &mut PlanOutcome) {
+        self.moves.refill(round.engines.len(), round.now);
+        if !self.moves.has_tokens() || round.unreachable().next().is_some() {
+            return;
+        }
+        let Some(found) = round.best_move(&self.moves, self.store_tokens >= 1.0) else {
+            return;
+        };
+        if self.crashes.is_backed_off(&found.model, round.now) {
+            return;
+        }
+        if found.option.from_store {
+            self.store_tokens -= 1.0;
+        }
+        let name = &round.engines[found.option.engine].row.record.name;
+        self.moves.note_move(name, round.now);
+        self.record_advice(round, &found.option, &found.model, found.reason, outcome);
+    }
+
     /// Loads a model of which the engine has a copy into free memory. Engines are empty after a restart,
     /// and waiting for requests that cannot be served would delay the first requests for every model.
     fn fill_free_memory(
@@ -221,15 +271,20 @@
         demand: FleetDemand<'a>,
         now: ClockTime,
     ) -> PlanRound<'a> {
-        let engines: Vec<EngineView<'a>> = rows
+        let rows: Vec<&EndpointRow> = rows
             .filter(|row| row.is_open(now) && !row.is_throttled(now))
-            .map(|row| self.engine_view(row, now))
+            .collect();
+        let speeds = FleetSpeeds::of_rows(&rows, now);
+        let engines: Vec<EngineView<'a>> = rows
+            .into_iter()
+            .map(|row| self.engine_view(row, speeds, now))
             .collect();
         let slots = engines.first().map_or(1, |view| view.row.record.slots);
         let mut round = PlanRound {
             rule,
             models: HashMap::new(),
             uses: demand.uses,
+            speeds,
             lenders: self.available_lenders(&engines, now),
             busy_share: busy_share(&engines),
             engines,
@@ -254,7 +309,12 @@
         eligible.map(|(index, _)| index).collect()
     }
 
-    fn engine_view<'a>(&self, row: &'a EndpointRow, now: ClockTime) -> EngineView<'a> {
+    fn engine_view<'a>(
+        &self,
+        row: &'a EndpointRow,
+        speeds: FleetSpeeds,
+        now: ClockTime,
+    ) -> EngineView<'a> {
         let held = row.models(now).iter().map(|held| &held.model);
         let held = held.filter(|model| row.holds(model, now)).collect();
         let takes_load = |status: &crate::message::EngineStatus| {
@@ -268,6 +328,7 @@
             held,
             incoming: loading.or_else(|| advised.map(|sent| sent.model.clone())),
             utilization: EngineShare::default(),
+            speed: speeds.of_row(row, now),
             is_free: is_idle && !self.advised.contains_key(&row.record.name),
         }
     }
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -8,9 +8,10 @@
 use oatpier_types::names::ModelName;
 use smallvec::SmallVec;
 
+use super::capacity::{EngineSpeed, FleetSpeeds};
 use super::forecast::{self, SlotTimes};
 use super::gain::LoadOption;
-use super::{BlockedLoad, LoadReason, PlannedLoad};
+use super::{BlockedLoad, LoadFigures, LoadReason, PlannedLoad};
 use crate::directory::EndpointRow;
 use crate::message::{LoadAdvice, ModelSize};
 use crate::peers::{FleetUses, TotalDemand};
@@ -24,6 +25,9 @@
 /// because an adapter slot is free as soon as the streams of one adapter have ended.
 const ADAPTER_WEIGHT: f64 = 0.7;
 
+/// Summed capacity below which a model counts as without holder. Sums of fractions leave a remainder.
+const MIN_CAPACITY: f64 = 0.1;
+
 /// One engine during a round.
 #[derive(Debug)]
 pub(super) struct EngineView<'a> {
@@ -34,6 +38,7 @@
     pub(super) incoming: Option<ModelName>,
     /// Share of the engine that the demand for its models takes.
     pub(super) utilization: EngineShare,
+    pub(super) speed: EngineSpeed,
     pub(super) is_free: bool,
 }
 
@@ -45,10 +50,10 @@
 }
 
 impl EngineShare {
-    fn divided(self, holders: f64) -> Self {
+    fn divided(self, capacity: f64) -> Self {
         Self {
-            slots: self.slots / holders,
-            adapter_slots: self.adapter_slots / holders,
+            slots: self.slots / capacity,
+            adapter_slots: self.adapter_slots / capacity,
         }
     }
 
@@ -91,10 +96,14 @@
 pub(super) struct ModelView {
     /// Indices of the engines that hold the model, are loading it, or were advised to load it.
     pub(super) served_by: SmallVec<[usize; 8]>,
+    /// Summed capacity of these engines.
+    capacity: f64,
     /// Number of engines that have a local copy of the weights.
     pub(super) copies: u32,
-    /// Demand for the model, in engines that it would fill.
+    /// Demand for the model, in engines of usual speed that it would fill.
     demand: EngineShare,
+    /// The same over about the last ten seconds, in slots.
+    pub(super) steady_share: f64,
     /// Requests per second.
     pub(super) request_rate: f64,
     /// Requests per second over about the last ten seconds.
@@ -104,6 +113,8 @@
     pub(super) unserved: f64,
     /// Time that a request occupies a slot, in seconds.
     pub(super) slot_time_s: f64,
+    /// Time that a request would occupy a slot of an engine of usual speed, in seconds.
+    pub(super) usual_time_s: f64,
 }
 
 impl ModelView {
@@ -113,12 +124,27 @@
 
     /// Returns the share that the model takes of each of its holders.
     pub(super) fn share(&self) -> EngineShare {
-        self.share_among(self.holders())
+        self.share_at(self.capacity)
+    }
+
+    /// Returns the share that the model would take of each holder if one more held it.
+    pub(super) fn share_with(&self, engine: &EngineView<'_>) -> EngineShare {
+        self.share_at(self.capacity + engine.speed.capacity)
     }
 
-    /// Returns the share that the model would take of each of `holders` engines.
-    pub(super) fn share_among(&self, holders: f64) -> EngineShare {
-        self.demand.divided(holders.max(1.0))
+    /// Returns the share that the model would take of each other holder if one held it no longer.
+    pub(super) fn share_without(&self, engine: &EngineView<'_>) -> EngineShare {
+        self.share_at(self.capacity - engine.speed.capacity)
+    }
+
+    /// Returns the share that the model takes of each holder. Holders serve requests in proportion to their capacity,
+    /// so that the share is the same for all.
+    pub(super) fn share_at(&self, capacity: f64) -> EngineShare {
+        self.demand.divided(if capacity > MIN_CAPACITY {
+            capacity
+        } else {
+            1.0
+        })
     }
 }
 
@@ -127,6 +153,11 @@
     fn serves(&self, model: &ModelName) -> bool {
         self.held.contains(&model) || self.incoming.as_ref() == Some(model)
     }
+
+    /// Returns the squared utilization, weighted by the capacity that it concerns.
+    pub(super) fn weighted_square(&self, utilization: EngineShare) -> f64 {
+        self.speed.capacity * utilization.squared()
+    }
 }
 
 /// Input and working state of one round.
@@ -135,6 +166,7 @@
     pub(super) engines: Vec<EngineView<'a>>,
     pub(super) models: HashMap<&'a ModelName, ModelView>,
     pub(super) uses: &'a FleetUses,
+    pub(super) speeds: FleetSpeeds,
     /// Indices of the engines whose right to load from the weight store is unused and that were not named
     /// as lenders recently.
     pub(super) lenders: Vec<usize>,
@@ -149,22 +181,29 @@
         let slot_times = SlotTimes::of_fleet(demand);
         for rule in &self.rule.models {
             let total = demand.get(&rule.name).copied().unwrap_or_default();
-            let requests = forecast::slots_wanted(&total, slot_times, rule.load);
+            let held_s = slot_times.of_model(&total);
+            // Requests occupy the slots of slow engines for longer.
+            let pace = self.usual_capacity(&rule.name);
+            let requests = forecast::slots_wanted(&total, slot_times, rule.load) * pace;
             let adapter_slots =
                 f64::from(u32::try_from(self.rule.adapter_slots).unwrap_or(u32::MAX));
+            let served_by = self.served_by(&rule.name);
             let view = ModelView {
-                served_by: self.served_by(&rule.name),
+                capacity: self.capacity_of(served_by.iter().copied()),
+                served_by,
                 copies: self.count_copies(&rule.name),
                 demand: EngineShare {
                     slots: requests / self.slots,
                     adapter_slots: adapters_in_use(total.adapters, requests)
                         / adapter_slots.max(1.0),
                 },
+                steady_share: total.asked_long * held_s * pace / self.slots,
                 request_rate: total.asked_fast.max(total.asked_slow),
                 long_request_rate: total.asked_long,
                 idle: total.idle,
                 unserved: total.unserved,
-                slot_time_s: slot_times.of_model(&total),
+                slot_time_s: held_s,
+                usual_time_s: held_s * pace,
             };
             self.models.insert(&rule.name, view);
         }
@@ -176,21 +215,46 @@
         serving.map(|(index, _)| index).collect()
     }
 
+    /// Returns the mean capacity of the engines that hold a model; 1 if none does. Its requests have been served there.
+    fn usual_capacity(&self, model: &ModelName) -> f64 {
+        let holders = self
+            .engines
+            .iter()
+            .filter(|view| view.held.contains(&model));
+        let (count, sum) = holders.fold((0.0, 0.0), |(count, sum), view| {
+            (count + 1.0, sum + view.speed.capacity)
+        });
+        if count > 0.0 { sum / count } else { 1.0 }
+    }
+
+    pub(super) fn capacity_of(&self, served_by: impl Iterator<Item = usize>) -> f64 {
+        served_by
+            .map(|index| self.engines[index].speed.capacity)
+            .sum()
+    }
+
     /// Accounts for a load that was just advised, so that the next decision of this round sees its effect.
     pub(super) fn apply_advised(&mut self, option: &LoadOption, model: &ModelName) {
         let view = &mut self.engines[option.engine];
         view.is_free = false;
         view.incoming = Some(model.clone());
         view.held.retain(|held| !option.unload.contains(*held));
+        let capacity = view.speed.capacity;
         for victim in &option.unload {
             if let Some(lost) = self.models.get_mut(victim) {
                 lost.served_by.retain(|index| *index != option.engine);
+                lost.capacity -= capacity;
             }
         }
+        self.add_holder(model, option.engine);
+        self.update_utilization();
+    }
+
+    pub(super) fn add_holder(&mut self, model: &ModelName, engine: usize) {
         if let Some(wanted) = self.models.get_mut(model) {
-            wanted.served_by.push(option.engine);
+            wanted.served_by.push(engine);
+            wanted.capacity += self.engines[engine].speed.capacity;
         }
-        self.update_utilization();
     }
 
     pub(super) fn update_utilization(&mut self) {
@@ -308,6 +372,10 @@
         } else {
             Vec::new()
         };
+        let usual_time_s = self
+            .models
+            .get(model)
+            .map_or(0.0, |known| known.usual_time_s);
         let view = &self.engines[option.engine];
         let held = view.row.models(self.now).iter().map(|held| &held.model);
         let sizes = held.chain([model]).map(|model| ModelSize {
@@ -324,6 +392,11 @@
                 lenders,
             },
             reason,
+            figures: LoadFigures {
+                gain: option.gain,
+                capacity: view.speed.capacity,
+                late_share: view.speed.late_share(usual_time_s),
+            },
         }
     }
 }
--- a/crates/oatpier-serving/src/planner/wanted.rs
+++ b/crates/oatpier-serving/src/planner/wanted.rs
@@ -6,6 +6,7 @@
 use oatpier_types::names::ModelName;
 
 use super::LoadReason;
+use super::exchange::UNUSED_RATE_PER_S;
 use super::gain::LoadOption;
 use super::round::PlanRound;
 
@@ -92,7 +93,11 @@
             model,
             reason: LoadReason::Busy,
             priority: 0.0,
-            max_displaced_rate: f64::INFINITY,
+            max_displaced_rate: if self.speeds.is_uneven {
+                UNUSED_RATE_PER_S
+            } else {
+                f64::INFINITY
+            },
         };
         let best = self.best_option(&wanted, true);
         wanted.priority = best.map_or(0.0, |option| option.gain);
@@ -138,7 +143,9 @@
             .max_by(|one, other| one.rank().total_cmp(&other.rank()))?;
         match wanted.reason {
             LoadReason::Unreachable | LoadReason::Room => Some(best),
-            LoadReason::Busy => (best.gain > MIN_REPLICA_GAIN).then_some(best),
+            LoadReason::Busy | LoadReason::Speed | LoadReason::Swap => {
+                (best.gain > MIN_REPLICA_GAIN).then_some(best)
+            }
         }
     }
 }
