serving: Choose endpoints of plain services by how long work takes on their VMs

Cause: endpoints of plain services share their VMs with others, and report in each response how long work takes there. The figure was dropped, and a gateway learns the time of a response too slowly for disturbances of tenths of a second.

Change: the figure is decoded (HostPace, 10 to 1000%), kept per endpoint as a hint that ages by 1/e in 0.5 s, and multiplies the learned time in the cost of an endpoint of a plain service. The predicted time stays as it is, so that admission and time-outs are unchanged. Endpoints without the figure are chosen as before.

--- a/crates/oatpier-gateway/src/gateway/accounting.rs
+++ b/crates/oatpier-gateway/src/gateway/accounting.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use oatpier_serving::capacity::host::HostPace;
 use oatpier_serving::choice;
 use oatpier_serving::directory::RequestOutcome;
 use oatpier_serving::engine::EndpointLoad;
@@ -153,6 +154,12 @@
         self.lock().directory.apply_load(endpoint, load);
     }
 
+    /// Records how long work takes on an endpoint's VM, as a response reported it.
+    pub fn record_host_pace(&self, endpoint: &EndpointName, pace: HostPace) {
+        let now = self.clock.now();
+        self.lock().directory.apply_host_pace(endpoint, pace, now);
+    }
+
     /// Records that nothing arrived from an endpoint since `since`.
     pub fn record_timeout(&self, endpoint: &EndpointName, since: ClockTime) {
         let now = self.clock.now();
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -289,6 +289,9 @@
     if let Some(load) = head.load {
         core.record_load(&guard.endpoint, load);
     }
+    if let Some(pace) = head.host_pace {
+        core.record_host_pace(&guard.endpoint, pace);
+    }
     if is_from_endpoint(&head, &guard.endpoint) {
         guard.record_notice(head.notice, head.kind == ResponseKind::Matching);
     }
--- a/crates/oatpier-serving/src/capacity/mod.rs
+++ b/crates/oatpier-serving/src/capacity/mod.rs
@@ -4,6 +4,7 @@
 //! sidecar observes the progress of its engine's streams and tells the gateways its pace.
 
 pub mod exposure;
+pub mod host;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/oatpier-serving/src/choice/cost.rs
+++ b/crates/oatpier-serving/src/choice/cost.rs
@@ -75,6 +75,9 @@
     let first_ms = row.first_chunk.mean_ms() + ahead_ms + own_ms;
     let adapter = adapter_ms(row, query, now);
     let mut cost = turn_ms.max(queue_ms) + first_ms + adapter + batch_share * FULL_BATCH_MS;
+    if query.request.weights.is_none() {
+        cost += row.first_chunk.mean_ms() * (row.work_factor(now) - 1.0);
+    }
     cost += row.failure_share(now).powi(2) * ALL_FAILED_MS;
     cost += row.fleet_failure_share(now) * ALL_LOST_MS;
     cost += row.record.cold.as_secs_f64().min(1.0) * FULL_BATCH_MS;
--- a/crates/oatpier-serving/src/directory/capacity.rs
+++ b/crates/oatpier-serving/src/directory/capacity.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
+use oatpier_types::names::EndpointName;
 
+use super::{EndpointDirectory, EndpointRow};
 use crate::capacity::EnginePace;
+use crate::capacity::host::{HostHint, HostPace};
 use crate::engine::StartTime;
 use crate::message::{PaceStatus, ShareStatus};
 use crate::sharing::WorkspaceUse;
@@ -30,6 +33,8 @@
 pub(super) struct CapacityState {
     pace: Option<KeptUpdate<PaceStatus>>,
     shares: Option<KeptUpdate<ShareStatus>>,
+    /// How long work took on its VM at its last response.
+    host: Option<HostHint>,
 }
 
 impl CapacityState {
@@ -62,3 +67,20 @@
         update.map_or(&[], |update| &update.uses)
     }
 }
+
+impl EndpointDirectory {
+    /// Records how long work takes on the VM of an endpoint, as a response reported it.
+    pub fn apply_host_pace(&mut self, name: &EndpointName, pace: HostPace, now: ClockTime) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.capacity.host = Some(HostHint { pace, at: now });
+        }
+    }
+}
+
+impl EndpointRow {
+    /// Returns the expected time of work on its VM, relative to the usual one; 1 if unknown.
+    #[must_use]
+    pub fn work_factor(&self, now: ClockTime) -> f64 {
+        self.capacity.host.map_or(1.0, |hint| hint.factor(now))
+    }
+}
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -36,3 +36,4 @@
 mod support;
 mod turn_fleet;
 mod uneven_engines;
+mod uneven_services;
