--- a/crates/oatpier-serving/src/capacity/mod.rs
+++ b/crates/oatpier-serving/src/capacity/mod.rs
@@ -14,6 +14,7 @@
 mod progress;
 
 pub mod exposure;
+pub mod host;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -40,3 +40,4 @@
 mod turn_fleet;
 mod uneven_engines;
 mod uneven_placement;
+mod uneven_services;
