serving: A workspace that is stated in a later permit request counts

Cause: gateways may repeat a rated permit request as a plain one. If the first one is lost, the request stayed without its workspace. Found by reading; the test fails without the change.

--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -151,17 +151,6 @@
 
     /// Records a new or repeated permit request of a gateway.
     pub fn add_request(&mut self, from: SocketAddr, ask: PermitAsk, now: ClockTime) {
-        self.add_pending(from, ask, None, now);
-    }
-
-    /// Records a permit request. Returns whether it is a new one.
-    fn add_pending(
-        &mut self,
-        from: SocketAddr,
-        ask: PermitAsk,
-        charge: Option<ShareCharge>,
-        now: ClockTime,
-    ) -> bool {
         self.max_pause = Some(
             self.max_pause
                 .map_or(ask.pause(), |known| known.min(ask.pause())),
@@ -172,27 +161,30 @@
             .find(|request| request.ask.id == ask.id)
         {
             request.repeated_at = now;
-            return false;
+            return;
         }
         self.pending.push(PendingRequest {
             from,
             due_at: now + ask.due_in(),
             arrived_at: now,
             repeated_at: now,
-            charge,
+            charge: None,
             ask,
         });
-        true
     }
 
     /// Records a new or repeated permit request with what the engine will do for it.
     pub fn add_rated_request(&mut self, from: SocketAddr, rated: &RatedPermitAsk, now: ClockTime) {
-        let charge = rated.share.map(|standing| ShareCharge {
-            workspace: standing.workspace,
-            engine_time: engine_time(rated.prefill_tokens, rated.output_tokens),
-        });
-        let is_new = self.add_pending(from, rated.ask, charge, now);
-        if let Some(standing) = rated.share.filter(|_| is_new) {
+        self.add_request(from, rated.ask, now);
+        let mut pending = self.pending.iter_mut();
+        let request = pending.find(|request| request.ask.id == rated.ask.id);
+        if let Some((request, standing)) = request.zip(rated.share)
+            && request.charge.is_none()
+        {
+            request.charge = Some(ShareCharge {
+                workspace: standing.workspace,
+                engine_time: engine_time(rated.prefill_tokens, rated.output_tokens),
+            });
             self.shares.note_standing(standing, now);
         }
     }
--- a/crates/oatpier-serving/tests/testsuite/sharing/order.rs
+++ b/crates/oatpier-serving/tests/testsuite/sharing/order.rs
@@ -177,3 +177,16 @@
     add_all(&mut issuer, &requests, 0);
     assert_eq!(order_at(&mut issuer, &requests, 10), [3, 2, 1]);
 }
+
+/// Guards against the loss of a gateway's first request, after which one without a workspace arrives: the next one
+/// that states it counts.
+#[test]
+fn workspace_that_is_stated_later_counts() {
+    let requests = [request(1, 0, HEAVY, 300), request(2, 1, LIGHT, 500)];
+    let mut issuer = full_issuer();
+    for rated in &requests {
+        issuer.add_request(address(1), rated.ask, at(0));
+    }
+    add_all(&mut issuer, &requests, 30);
+    assert_eq!(order_at(&mut issuer, &requests, 40), [2, 1]);
+}
