planner: Weighs the wait of a missing model's callers; tests of mass losses

Cause: after a mass loss models without holder are loaded from the weight store on engines of any speed while an engine with a copy would be done five times as soon.

Change: where engines differ, the time that a missing model's load takes counts by its callers as in evictions. A move that is backed off leaves the next one to be taken.

--- a/crates/oatpier-serving/src/planner/gain.rs
+++ b/crates/oatpier-serving/src/planner/gain.rs
@@ -140,7 +140,7 @@
         Some(LoadOption {
             engine,
             gain: self.gain(view, model, &victims) - cost,
-            delay_cost: ENGINE_TIME_COST_PER_S * extra_time.as_secs_f64(),
+            delay_cost: extra_time.as_secs_f64() * self.delay_cost_per_s(model, reason),
             load_cost: cost + victims.drain_cost,
             unload: victims.models,
             from_store,
@@ -149,6 +149,20 @@
         })
     }
 
+    /// Returns the cost of each second for which a load takes longer than the shortest possible one. The callers of a
+    /// model without holder wait for it. Where engines differ, a load from a slow engine's copy competes with one from
+    /// the weight store on a fast engine, and the number of callers decides.
+    fn delay_cost_per_s(&self, model: &ModelName, reason: LoadReason) -> f64 {
+        let known = self.models.get(model).filter(|_| self.speeds.is_uneven);
+        let waiting = match reason {
+            LoadReason::Unreachable => {
+                known.map_or(0.0, |view| view.unserved.max(view.request_rate))
+            }
+            _ => 0.0,
+        };
+        ENGINE_TIME_COST_PER_S * (1.0 + waiting / RELOAD_WAIT_RATE_PER_S)
+    }
+
     /// Returns the cheapest models to evict, or `None` if evicting all of them would not make enough room.
     pub(super) fn victims(&self, view: &EngineView<'_>, model: &ModelName) -> Option<LoadVictims> {
         let room = self.rule.model_room_mb();
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -213,12 +213,12 @@
         if !self.moves.has_tokens() || round.unreachable().next().is_some() {
             return;
         }
-        let Some(found) = round.best_move(&self.moves, self.store_tokens >= 1.0) else {
+        let moves = round.useful_moves(&self.moves, self.store_tokens >= 1.0);
+        let mut moves = moves.into_iter();
+        let allowed = moves.find(|found| !self.crashes.is_backed_off(&found.model, round.now));
+        let Some(found) = allowed else {
             return;
         };
-        if self.crashes.is_backed_off(&found.model, round.now) {
-            return;
-        }
         if found.option.from_store {
             self.store_tokens -= 1.0;
         }
--- a/crates/oatpier-serving/src/planner/moves.rs
+++ b/crates/oatpier-serving/src/planner/moves.rs
@@ -71,17 +71,16 @@
 }
 
 impl PlanRound<'_> {
-    /// Returns the load that lowers the cost of late streams most, if it gains enough.
-    pub(super) fn best_move(&self, limiter: &MoveLimiter, has_tokens: bool) -> Option<ModelMove> {
+    /// Returns the loads that gain enough, those with the largest gain first.
+    pub(super) fn useful_moves(&self, limiter: &MoveLimiter, has_tokens: bool) -> Vec<ModelMove> {
         let mut moves: Vec<ModelMove> = Vec::new();
         for model in self.models_to_move() {
             let direct = self.direct_move(&model, limiter, has_tokens);
             let found = direct.or_else(|| self.swap_move(&model, limiter, has_tokens));
             moves.extend(found);
         }
+        moves.sort_by(|one, other| other.option.gain.total_cmp(&one.option.gain));
         moves
-            .into_iter()
-            .max_by(|one, other| one.option.gain.total_cmp(&other.option.gain))
     }
 
     fn models_to_move(&self) -> Vec<ModelName> {
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod fingerprint;
 mod fleet;
 mod forecast;
+mod mass_loss;
 mod messages;
 mod notices;
 mod pacing;
--- a/crates/oatpier-serving/tests/testsuite/placement_fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/placement_fleet.rs
@@ -105,6 +105,8 @@
     /// Deviation of each reported pace from the true one.
     pub noise: f64,
     pub now: u64,
+    /// Number of engines that have ended.
+    pub ends: usize,
     directory: EndpointDirectory,
     random: ChaCha8Rng,
     messages: u64,
@@ -159,6 +161,7 @@
             harmful: None,
             noise: 0.0,
             now: 0,
+            ends: 0,
             directory: EndpointDirectory::default(),
             random,
             messages: 0,
@@ -211,6 +214,7 @@
 
     /// Ends an engine, which starts again empty after `downtime` milliseconds.
     pub fn end_engine(&mut self, index: usize, downtime: u64) {
+        self.ends += 1;
         let engine = &mut self.engines[index];
         engine.held.clear();
         engine.copies.clear();
@@ -219,6 +223,17 @@
         engine.starts += 1;
     }
 
+    /// Ends some of the engines that are up.
+    pub fn end_some(&mut self, count: usize, downtime: u64) {
+        let mut up: Vec<usize> = (0..self.engines.len())
+            .filter(|index| self.engines[*index].up_at <= self.now)
+            .collect();
+        up.shuffle(&mut self.random);
+        for index in up.into_iter().take(count) {
+            self.end_engine(index, downtime);
+        }
+    }
+
     pub fn holders<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a PlacedEngine> + 'a {
         let holds = move |engine: &&PlacedEngine| {
             engine.up_at <= self.now && engine.held.iter().any(|held| held == name)
@@ -378,7 +393,10 @@
     }
 
     fn report_pace(&mut self, index: usize, start: Option<StartTime>) {
-        let deviation = 1.0 + self.noise * self.random.random_range(-1.0..=1.0);
+        let mut deviation = 1.0;
+        if self.noise > 0.0 {
+            deviation += self.noise * self.random.random_range(-1.0..=1.0);
+        }
         let speed = self.engines[index].speed;
         let whole = |value: f64| format!("{value:.0}").parse().unwrap();
         let update = PaceStatus {
--- a/crates/oatpier-serving/tests/testsuite/uneven_placement.rs
+++ b/crates/oatpier-serving/tests/testsuite/uneven_placement.rs
@@ -151,3 +151,25 @@
         assert!(failed < alike, "seed {seed}: {failed:.3} of {alike:.3}");
     }
 }
+
+/// The only holder of a model is slow and less than half full. By its slots alone no replica gains anything, but half
+/// of the long streams there are late.
+#[test]
+fn slow_holder_that_is_not_full_gets_help() {
+    let speeds = [SLOW, SLOW, USUAL, USUAL, FAST, FAST];
+    let name = |number: usize| format!("unused{number}");
+    let mut flows: Vec<(String, f64, f64)> =
+        (0..12).map(|number| (name(number), 0.0, 35.0)).collect();
+    flows.push(("hot".to_owned(), 1.4, 35.0));
+    let has_helper = [PaceReports::None, PaceReports::EverySecond].map(|reports| {
+        let mut fleet = PlacementFleet::start(1, &speeds, &flows);
+        fleet.reports = reports;
+        for (index, engine) in fleet.engines.iter_mut().enumerate() {
+            engine.held = vec![name(2 * index), name(2 * index + 1)];
+        }
+        fleet.engines[0].held = vec!["hot".to_owned(), name(0)];
+        fleet.run(4_500);
+        fleet.holders("hot").any(|engine| engine.speed != SLOW)
+    });
+    assert_eq!(has_helper, [false, true]);
+}
