planner: Bounds the search for moves

Cause: a search among all pairs of places takes longer with the square of the fleet, each round.

Change: a search at most each half second, among 64 engines, the next 64 at the next one.

--- a/crates/oatpier-serving/src/planner/exchange.rs
+++ b/crates/oatpier-serving/src/planner/exchange.rs
@@ -52,11 +52,11 @@
 }
 
 impl PlanRound<'_> {
-    /// Returns the best swap that brings `model` to another engine.
-    pub(super) fn best_swap(&self, model: &ModelName) -> Option<PlaceSwap> {
+    /// Returns the best swap among some engines that brings `model` to another engine.
+    pub(super) fn best_swap(&self, model: &ModelName, searched: &[usize]) -> Option<PlaceSwap> {
         let wanted = self.models.get(model)?;
         let worst = self.worst_holder(wanted)?;
-        let targets = (0..self.engines.len()).filter(|target| {
+        let targets = searched.iter().copied().filter(|target| {
             let view = &self.engines[*target];
             view.is_free && !view.held.contains(&model)
         });
@@ -73,8 +73,8 @@
         let mut gains: Vec<(usize, &ModelName, f64)> = gains.collect();
         gains.sort_by(|one, other| other.2.total_cmp(&one.2));
         let best = gains.into_iter().take(SEARCHED_PLACES);
-        let swaps =
-            best.filter_map(|(target, leaving, _)| self.best_refuge(model, target, leaving));
+        let swaps = best
+            .filter_map(|(target, leaving, _)| self.best_refuge(model, target, leaving, searched));
         swaps.max_by(|one, other| one.gain.total_cmp(&other.gain))
     }
 
@@ -84,8 +84,9 @@
         model: &ModelName,
         target: usize,
         leaving: &ModelName,
+        searched: &[usize],
     ) -> Option<PlaceSwap> {
-        let refuges = (0..self.engines.len()).filter(|refuge| {
+        let refuges = searched.iter().copied().filter(|refuge| {
             let view = &self.engines[*refuge];
             *refuge != target && view.is_free && !view.held.contains(&leaving)
         });
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -210,10 +210,15 @@
     /// loaded or being loaded.
     fn plan_move(&mut self, round: &mut PlanRound<'_>, outcome: &mut PlanOutcome) {
         self.moves.refill(round.engines.len(), round.now);
-        if !self.moves.has_tokens() || round.unreachable().next().is_some() {
+        if round.unreachable().next().is_some() {
             return;
         }
-        let moves = round.useful_moves(&self.moves, self.store_tokens >= 1.0);
+        let searched = self.moves.begin_search(round.engines.len(), round.now);
+        if searched.is_empty() {
+            return;
+        }
+        let has_tokens = self.store_tokens >= 1.0;
+        let moves = round.useful_moves(&self.moves, &searched, has_tokens);
         let mut moves = moves.into_iter();
         let allowed = moves.find(|found| !self.crashes.is_backed_off(&found.model, round.now));
         let Some(found) = allowed else {
--- a/crates/oatpier-serving/src/planner/moves.rs
+++ b/crates/oatpier-serving/src/planner/moves.rs
@@ -25,6 +25,13 @@
 /// Minimum time between two moves at one engine: two of the longest loads and the streams that end before them.
 const MIN_MOVE_PAUSE: Duration = Duration::from_secs(10);
 
+/// Minimum time between two searches for moves. A search takes as long as several rounds without one.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of engines among which a search looks for pairs of places, so that its time does not grow with the fleet.
+/// The next search takes the next ones.
+const SEARCHED_ENGINES: usize = 64;
+
 /// Minimum gain of a move after the costs of its loads, in squared engine shares. Less than the gain of a replica, which
 /// may be needed for seconds only: speeds last. Twice the error that noise of a tenth in the paces makes.
 const MIN_MOVE_GAIN: f64 = 0.03;
@@ -35,6 +42,9 @@
     moved_at: HashMap<EndpointName, ClockTime>,
     tokens: f64,
     refilled_at: ClockTime,
+    searched_at: Option<ClockTime>,
+    /// Number of the first engine of the next search.
+    next_engine: usize,
 }
 
 impl MoveLimiter {
@@ -48,8 +58,21 @@
             .retain(|_, moved_at| now.since(*moved_at) < MIN_MOVE_PAUSE);
     }
 
-    pub(super) fn has_tokens(&self) -> bool {
-        self.tokens >= 1.0
+    /// Returns the engines among which to search for moves now; none if it is not time for a search.
+    pub(super) fn begin_search(&mut self, engines: usize, now: ClockTime) -> Vec<usize> {
+        let is_early = self
+            .searched_at
+            .is_some_and(|searched_at| now.since(searched_at) < SEARCH_INTERVAL);
+        if self.tokens < 1.0 || is_early || engines == 0 {
+            return Vec::new();
+        }
+        self.searched_at = Some(now);
+        let searched = engines.min(SEARCHED_ENGINES);
+        let first = self.next_engine % engines;
+        self.next_engine = first + searched;
+        (first..first + searched)
+            .map(|engine| engine % engines)
+            .collect()
     }
 
     /// Returns whether an engine's models were not moved lately.
@@ -72,11 +95,16 @@
 
 impl PlanRound<'_> {
     /// Returns the loads that gain enough, those with the largest gain first.
-    pub(super) fn useful_moves(&self, limiter: &MoveLimiter, has_tokens: bool) -> Vec<ModelMove> {
+    pub(super) fn useful_moves(
+        &self,
+        limiter: &MoveLimiter,
+        searched: &[usize],
+        has_tokens: bool,
+    ) -> Vec<ModelMove> {
         let mut moves: Vec<ModelMove> = Vec::new();
         for model in self.models_to_move() {
             let direct = self.direct_move(&model, limiter, has_tokens);
-            let found = direct.or_else(|| self.swap_move(&model, limiter, has_tokens));
+            let found = direct.or_else(|| self.swap_move(&model, limiter, searched, has_tokens));
             moves.extend(found);
         }
         moves.sort_by(|one, other| other.option.gain.total_cmp(&one.option.gain));
@@ -116,9 +144,10 @@
         &self,
         model: &ModelName,
         limiter: &MoveLimiter,
+        searched: &[usize],
         has_tokens: bool,
     ) -> Option<ModelMove> {
-        let swap = self.best_swap(model)?;
+        let swap = self.best_swap(model, searched)?;
         if !limiter.allows(&self.engines[swap.refuge].row.record.name) {
             return None;
         }
