--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -211,12 +211,8 @@
             due_at: now + ask.due_in(),
             arrived_at: now,
             repeated_at: now,
-<<<<<<< HEAD
             prefill_tokens: None,
-            charge,
-=======
             charge: None,
->>>>>>> hard-b
             ask,
         });
     }
@@ -225,22 +221,18 @@
     pub fn add_rated_request(&mut self, from: SocketAddr, rated: &RatedPermitAsk, now: ClockTime) {
         self.add_request(from, rated.ask, now);
         let mut pending = self.pending.iter_mut();
-        let request = pending.find(|request| request.ask.id == rated.ask.id);
-        if let Some((request, standing)) = request.zip(rated.share)
-            && request.charge.is_none()
-        {
-            request.charge = Some(ShareCharge {
-                workspace: standing.workspace,
-                engine_time: engine_time(rated.prefill_tokens, rated.output_tokens),
-            });
-            self.shares.note_standing(standing, now);
-        }
-        let mut pending = self.pending.iter_mut();
-        if let Some(request) = pending.find(|request| request.ask.id == rated.ask.id) {
-            request.prefill_tokens = Some(rated.prefill_tokens);
-            // The request may have been recorded by a plain one, if the first datagram was lost.
-            request.charge = charge;
-        }
+        let Some(request) = pending.find(|request| request.ask.id == rated.ask.id) else {
+            return;
+        };
+        request.prefill_tokens = Some(rated.prefill_tokens);
+        let Some(standing) = rated.share.filter(|_| request.charge.is_none()) else {
+            return;
+        };
+        request.charge = Some(ShareCharge {
+            workspace: standing.workspace,
+            engine_time: engine_time(rated.prefill_tokens, rated.output_tokens),
+        });
+        self.shares.note_standing(standing, now);
     }
 
     /// Issues the permits that are possible now.
