admission: Forecast of waits for permits, and appointments for refused callers

Cause: at the measured peak 3,831 tries of the live chat waited for 1.2 s and were then refused with a retry time of about .3 s, into the same shortage.

Change: admission becomes a folder. forecast: the time that the best holder of a model needs for its queue, from what sidecars report over all gateways, against the queue that can be served in time. appointments: a book of the times given out, spaced by the gateway's part of the rate of permits. arrival: refusal on arrival, early end of waits that can only be late, final times. Gateways do not ask them yet.

--- a/crates/oatpier-serving/src/admission.rs
+++ b/crates/oatpier-serving/src/admission/mod.rs
@@ -5,6 +5,13 @@
 //! the requests that can, for a part of their caller's timeout. After that they are refused with a retry
 //! time. Retry times grow with the share of refused requests and are jittered, so that callers return when
 //! there is capacity and not all at once.
+//!
+//! Where sidecars report the rate of permits, [`forecast`] tells on arrival which requests would wait in vain: they are
+//! refused at once, and [`appointments`] spreads the returns of all refused callers.
+
+pub mod appointments;
+pub mod arrival;
+pub mod forecast;
 
 use std::time::Duration;
 
@@ -13,6 +20,9 @@
 
 use oatpier_types::refusal::{Refusal, RefusalCause};
 
+use self::appointments::AppointmentBook;
+use self::arrival::RefusalTimes;
+use self::forecast::{TimelyWaits, WaitForecaster};
 use crate::choice::{EndpointChoice, ThrottleCause, ThrottledService};
 use crate::site::RouteRule;
 
@@ -119,6 +129,10 @@
 pub struct AdmissionController {
     generator: ChaCha8Rng,
     refused_share: f64,
+    forecaster: WaitForecaster,
+    timely_waits: TimelyWaits,
+    book: AppointmentBook,
+    last_refusals: RefusalTimes,
 }
 
 impl AdmissionController {
@@ -128,6 +142,10 @@
         Self {
             generator: ChaCha8Rng::seed_from_u64(seed),
             refused_share: 0.0,
+            forecaster: WaitForecaster::default(),
+            timely_waits: TimelyWaits::default(),
+            book: AppointmentBook::default(),
+            last_refusals: RefusalTimes::default(),
         }
     }
 
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -1,17 +1,22 @@
 //! Tests of the decision logic of gateways and sidecars.
 
 mod admission;
+mod admission_callers;
+mod admission_engine;
+mod admission_fleet;
 mod budget;
 mod choice;
 mod crash_fleet;
 mod crashes;
 mod crashing_loads;
 mod demand;
+mod demand_waves;
 mod directory;
 mod failures;
 mod fingerprint;
 mod fleet;
 mod forecast;
+mod mass_loss;
 mod messages;
 mod notices;
 mod pacing;
@@ -27,6 +32,7 @@
 mod reads;
 mod relays;
 mod residency;
+mod return_times;
 mod rights;
 mod site;
 mod store_fleet;
