gateway: Refusals by the forecast, and appointments

Change: a stream to an engine whose holders report their pace is decided on once, on arrival; it is given up as soon as it can only be late and has no chance; its refusal names an appointment. Requests for a missing model get appointments from its ready time on, if any engine of the service reports a pace. Metrics of refusals by stage, return times, probes, idle room and outstanding returns; answer lines of refusals gain expected_wait_ms. Without a pace everything is as before.

--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -20,6 +20,7 @@
 use oatpier_wire::reply::Reply;
 use oatpier_wire::server::RequestHandler;
 
+use super::arrivals::ArrivalForecast;
 use super::attempt::CallerMessage;
 use super::core::GatewayCore;
 use super::identity::CallerIdentity;
@@ -201,5 +202,6 @@
         arrived,
         charge: ChargeCell::default(),
         is_counted_unserved: AtomicBool::new(false),
+        forecast: ArrivalForecast::default(),
     })
 }
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 //! - `planning`: rounds of the load planner.
 
 mod accounting;
+mod arrivals;
 pub mod attempt;
 mod buffers;
 mod configuration;
--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -170,6 +170,9 @@
             return false;
         }
         let state = self.lock();
+        if Self::is_given_up(&state, context, now) {
+            return false;
+        }
         let Some(row) = state.directory.row(endpoint) else {
             return false;
         };
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -15,6 +15,7 @@
 use oatpier_types::names::PoolName;
 use oatpier_types::refusal::Refusal;
 
+use super::arrivals::ArrivalForecast;
 use super::identity::CallerIdentity;
 use super::permits::HeldPermit;
 use super::quota::ChargeCell;
@@ -55,6 +56,8 @@
     pub charge: ChargeCell,
     /// Whether the request was already counted as demand that could not be served at once.
     pub is_counted_unserved: AtomicBool,
+    /// The forecast of its wait.
+    pub forecast: ArrivalForecast,
 }
 
 impl RequestContext {
@@ -136,6 +139,14 @@
         })
     }
 
+    pub(super) fn overloaded(refusal: Refusal, best: EndpointChoice) -> Placement {
+        Placement::Refuse(Self {
+            refusal,
+            best: Some(best),
+            throttled: None,
+        })
+    }
+
     pub(super) fn throttled(refusal: Refusal, throttled: ThrottledService) -> Placement {
         Placement::Refuse(Self {
             refusal,
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -53,6 +53,12 @@
         let engine = engine_rule(config.as_deref(), context);
         match self.choose(&state, context, excluded, engine, now) {
             ChoiceOutcome::Endpoint(choice) => {
+                if excluded.is_empty()
+                    && let Some(refusal) = self.refuse_on_arrival(&mut state, context, &choice, now)
+                {
+                    self.record_unserved(&mut state, context, now);
+                    return PlacementRefusal::overloaded(refusal, choice);
+                }
                 let decision = state.admission.decide(&AdmissionQuery {
                     choice: &choice,
                     route: &context.route,
@@ -65,11 +71,13 @@
                 }
                 let waits_at_sidecar = waits_at_sidecar(&state, context, &choice, now);
                 match decision {
-                    AdmissionDecision::Refuse(refusal) => Placement::Refuse(PlacementRefusal {
-                        refusal,
-                        best: Some(choice),
-                        throttled: None,
-                    }),
+                    AdmissionDecision::Refuse(refusal) => {
+                        let scheduled = excluded
+                            .is_empty()
+                            .then(|| self.refuse_waited(&mut state, context, now));
+                        let refusal = scheduled.flatten().unwrap_or(refusal);
+                        PlacementRefusal::overloaded(refusal, choice)
+                    }
                     AdmissionDecision::Wait(max_wait) if !waits_at_sidecar => {
                         Placement::Sleep(max_wait)
                     }
@@ -82,7 +90,7 @@
             ChoiceOutcome::NoModel { ready_in, load } => {
                 self.record_unserved(&mut state, context, now);
                 let pending = PendingModel { ready_in, load };
-                place_without_model(&mut state, context, pending, now)
+                self.place_without_model(&mut state, context, pending, now)
             }
             ChoiceOutcome::Throttled(throttled) => {
                 self.record_unserved(&mut state, context, now);
@@ -148,10 +156,49 @@
         choice::choose(&state.directory, &query, now)
     }
 
-    /// Returns the refusal of a request that has waited for the maximum time.
+    /// Returns the refusal of a request that has waited for the maximum time, or that can only be late and has no
+    /// chance.
     pub(super) fn refusal_if_wait_exceeded(&self, context: &RequestContext) -> Option<Refusal> {
-        let has_exceeded_wait = context.has_exceeded_wait(self.clock.now());
-        has_exceeded_wait.then(|| self.lock().admission.refuse_late(Duration::ZERO))
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if !context.has_exceeded_wait(now) && !Self::is_given_up(&state, context, now) {
+            return None;
+        }
+        let scheduled = self.refuse_waited(&mut state, context, now);
+        Some(scheduled.unwrap_or_else(|| state.admission.refuse_late(Duration::ZERO)))
+    }
+
+    /// Places a request whose model is not loaded anywhere. It waits if the model will be ready before the caller times
+    /// out; otherwise it is refused at once with a `Retry-After` of the time when the model should be ready.
+    fn place_without_model(
+        &self,
+        state: &mut CoreState,
+        context: &RequestContext,
+        pending: PendingModel,
+        now: ClockTime,
+    ) -> Placement {
+        let waited = now.since(context.arrived);
+        let max_wait = context.max_model_wait();
+        let is_in_time = match (pending.ready_in, pending.load) {
+            (Some(ready_in), _) => waited + ready_in < max_wait,
+            // Callers with long timeouts wait until the load of their model starts, as long as it can still finish in
+            // time.
+            (None, Some(load)) => {
+                waited + load < max_wait && waited < MAX_PLANNER_WAIT.max(context.route.target)
+            }
+            (None, None) => waited < MAX_PLANNER_WAIT.min(max_wait),
+        };
+        if is_in_time {
+            return Placement::WaitForChange(MODEL_POLL_INTERVAL);
+        }
+        let ready_in = pending.time_until_ready();
+        let scheduled = self.refuse_until_ready(state, context, ready_in, now);
+        let refusal = scheduled.unwrap_or_else(|| {
+            state
+                .admission
+                .refusal(RefusalCause::WeightsMissing, ready_in)
+        });
+        PlacementRefusal::without_endpoint(refusal)
     }
 
     fn place_at(
@@ -174,11 +221,7 @@
                 let refusal = state
                     .admission
                     .refusal(RefusalCause::WeightsMissing, ADAPTER_RETRY_AFTER);
-                return Placement::Refuse(PlacementRefusal {
-                    refusal,
-                    best: Some(choice),
-                    throttled: None,
-                });
+                return PlacementRefusal::overloaded(refusal, choice);
             }
             let sidecar = SocketAddr::new(address.ip(), self.inner_port);
             self.request_adapter(context.request.weights.as_ref(), sidecar, adapter_slots);
@@ -266,31 +309,3 @@
         self.ready_in.or_else(planned).unwrap_or(MODEL_RETRY_AFTER)
     }
 }
-
-/// Places a request whose model is not loaded anywhere. It waits if the model will be ready before the caller times
-/// out; otherwise it is refused at once with a `Retry-After` of the time when the model should be ready.
-fn place_without_model(
-    state: &mut CoreState,
-    context: &RequestContext,
-    pending: PendingModel,
-    now: ClockTime,
-) -> Placement {
-    let waited = now.since(context.arrived);
-    let max_wait = context.max_model_wait();
-    let is_in_time = match (pending.ready_in, pending.load) {
-        (Some(ready_in), _) => waited + ready_in < max_wait,
-        // Callers with long timeouts wait until the load of their model starts, as long as it can still finish in
-        // time.
-        (None, Some(load)) => {
-            waited + load < max_wait && waited < MAX_PLANNER_WAIT.max(context.route.target)
-        }
-        (None, None) => waited < MAX_PLANNER_WAIT.min(max_wait),
-    };
-    if is_in_time {
-        return Placement::WaitForChange(MODEL_POLL_INTERVAL);
-    }
-    let refusal = state
-        .admission
-        .refusal(RefusalCause::WeightsMissing, pending.time_until_ready());
-    PlacementRefusal::without_endpoint(refusal)
-}
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -270,6 +270,7 @@
         match permits::acquire_permit(&self.core, &self.context, &placed).await {
             PermitVerdict::NotNeeded => return Ok(Some(placed)),
             PermitVerdict::Granted(permit) => {
+                self.core.record_permit(&self.context);
                 return Ok(Some(PlacedSend {
                     permit: Some(permit),
                     ..placed
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -122,6 +122,7 @@
                 "held_ms",
                 throttled.map(|throttled| millis(throttled.remaining)),
             )
+            .with("expected_wait_ms", self.context.forecast.expected_ms())
             .with("return_ms", response.retry_after().map(millis))
             .with("status", response.status().as_u16())
             .with("verdict", self.verdict().as_str());
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! [`node_process`] starts the threads that both have. Decisions are made in `oatpier-serving`; names and formats of
 //! the users' platform are in `platform/`.
 
+pub mod admission_metrics;
 pub mod crash_writer;
 pub mod decisions;
 pub mod exchange;
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::admission_metrics::AdmissionMetrics;
 use crate::notice_metrics::NoticeMetrics;
 use crate::workspace_metrics::WorkspaceMetrics;
 
@@ -68,6 +69,8 @@
     pub workspaces: WorkspaceMetrics,
     /// What endpoints report about themselves.
     pub notices: NoticeMetrics,
+    /// Requests refused for lack of room.
+    pub admission: AdmissionMetrics,
     /// The version of the configuration in force.
     pub config_version: Gauge,
     /// Number of registered endpoints.
@@ -105,6 +108,7 @@
             message_bytes: Family::default(),
             workspaces: WorkspaceMetrics::default(),
             notices: NoticeMetrics::default(),
+            admission: AdmissionMetrics::default(),
             config_version: Gauge::default(),
             endpoints: Gauge::default(),
             in_flight: Gauge::default(),
@@ -260,6 +264,7 @@
         );
         self.workspaces.register(&mut registry);
         self.notices.register(&mut registry);
+        self.admission.register(&mut registry);
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/crates/oatpier-serving/tests/testsuite/admission_fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/admission_fleet.rs
@@ -478,8 +478,7 @@
         )
     }
 
-    /// Chooses among a random half of the engines. Gateways that all saw the same figures of the same age would all
-    /// choose the same engine; they differ by their own requests and their zone.
+    /// Chooses among a random half of the engines. Gateways differ by their own requests and their zone.
     fn choose(&mut self) -> Option<EndpointChoice> {
         let mut names: Vec<EndpointName> = self.present_names();
         names.shuffle(&mut self.generator);
