--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod refusals;
 mod relayed;
 mod rests;
+mod returns;
 mod slow_callers;
 mod statuses;
 mod stops;
