--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -1,12 +1,16 @@
 //! Tests of the decision logic of gateways and sidecars.
 
 mod admission;
+mod admission_callers;
+mod admission_engine;
+mod admission_fleet;
 mod budget;
 mod choice;
 mod crash_fleet;
 mod crashes;
 mod crashing_loads;
 mod demand;
+mod demand_waves;
 mod directory;
 mod engine_pace;
 mod failures;
@@ -14,6 +18,7 @@
 mod fleet;
 mod forecast;
 mod mass_loss;
+mod mass_loss_returns;
 mod messages;
 mod notices;
 mod pacing;
@@ -32,6 +37,7 @@
 mod relays;
 mod residency;
 mod response_lengths;
+mod return_times;
 mod rights;
 mod sharing;
 mod site;
