serving: Engines whose streams are late anyway are sent prompts for half of their time; waits are logged

Change: while a chunk alone exceeds the pause limit, prompts get half of the engine's time; else .85 instead of .8 of the limit is used. A line `permits waited for` with the time waited for slots and for prefill, once in five seconds at most.

--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`engine_link`]: calls to the engine.
 //! - [`pace`]: the engine's pace, and when it is sent to gateways.
+//! - [`permit_waits`]: what requests for its permits wait for.
 //! - [`statuses`]: status updates to gateways, and when they are sent.
 //!
 //! One loop reads the engine's report, receives messages from gateways, sends the orders that
@@ -9,6 +10,7 @@
 
 pub mod engine_link;
 pub mod pace;
+pub mod permit_waits;
 pub mod statuses;
 
 use std::net::{SocketAddr, UdpSocket};
@@ -198,7 +200,7 @@
         if let Some(update) = self.pace.due_update(engines, now) {
             self.status_sender.send_to_relays(&self.socket, update);
         }
-        if let Some(line) = self.pace.due_line(now) {
+        for line in self.pace.due_lines(now) {
             self.log.write(line);
         }
     }
--- a/crates/oatpier-gateway/src/sidecar/pace.rs
+++ b/crates/oatpier-gateway/src/sidecar/pace.rs
@@ -11,6 +11,7 @@
 use oatpier_serving::permits::{AddressedGrant, PermitIssuer};
 use oatpier_types::clock::ClockTime;
 
+use super::permit_waits::PermitWaits;
 use crate::decisions::{DecisionLine, LinePriority};
 use crate::pace_metrics::PaceMetrics;
 
@@ -62,8 +63,7 @@
     number: MessageNumber,
     sent: Option<KnownPace>,
     logged: Option<KnownPace>,
-    /// Time up to which the waiting of requests has been counted.
-    counted_at: Option<ClockTime>,
+    waits: PermitWaits,
     metrics: PaceMetrics,
 }
 
@@ -80,7 +80,7 @@
             },
             sent: None,
             logged: None,
-            counted_at: None,
+            waits: PermitWaits::default(),
             metrics,
         }
     }
@@ -93,7 +93,7 @@
         now: ClockTime,
     ) {
         self.estimator.note_report(report, issuer.max_pause(), now);
-        self.count_wait(issuer, now);
+        self.waits.count(issuer, &self.metrics, now);
         let present = self.estimator.present(now);
         issuer.set_pace(present);
         self.metrics.set_usual(self.estimator.pace(now));
@@ -144,8 +144,14 @@
         }))
     }
 
-    /// Returns a log line if the pace has changed much since the last one.
-    pub fn due_line(&mut self, now: ClockTime) -> Option<DecisionLine> {
+    /// Returns the log lines that are due: if the pace has changed much since the last one, and if requests have waited
+    /// for long.
+    pub fn due_lines(&mut self, now: ClockTime) -> impl Iterator<Item = DecisionLine> {
+        let waited = self.waits.due_line(now);
+        self.due_pace_line(now).into_iter().chain(waited)
+    }
+
+    fn due_pace_line(&mut self, now: ClockTime) -> Option<DecisionLine> {
         let pace = self.estimator.pace(now)?;
         let is_due = self.logged.is_none_or(|logged| {
             now.since(logged.at) >= LINE_INTERVAL && logged.has_changed(&pace)
@@ -161,12 +167,4 @@
             .with("late_pauses", late_pause_class(&pace));
         Some(line)
     }
-
-    fn count_wait(&mut self, issuer: &PermitIssuer, now: ClockTime) {
-        let since = self.counted_at.replace(now).unwrap_or(now);
-        if let Some(cause) = issuer.wait_cause(now) {
-            let waited = now.since(since) * issuer.pending_requests();
-            self.metrics.count_wait(cause, waited);
-        }
-    }
 }
--- a/crates/oatpier-serving/src/capacity/prefill_window.rs
+++ b/crates/oatpier-serving/src/capacity/prefill_window.rs
@@ -11,8 +11,12 @@
 use oatpier_types::clock::ClockTime;
 
 /// Share of the pause limit that may be used. Prompts take different times to reach the engine, so that those granted
-/// within one and a quarter pause limits may be prefilled within one.
-const USED_SHARE: f64 = 0.8;
+/// within somewhat more than a pause limit may be prefilled within one.
+const USED_SHARE: f64 = 0.85;
+
+/// Share of the time of an engine that may be prefill while its chunks alone exceed the pause limit. Its streams are late
+/// whether it prefills or not, so that only their progress is kept.
+const SHARE_WITHOUT_LIMIT: f64 = 0.5;
 
 /// Maximum time for which a prompt stays in the window. Longer than the pauses that callers allow.
 const MAX_PROMPT_TIME: Duration = Duration::from_secs(1);
@@ -89,14 +93,16 @@
             .current(pace, max_pause, now)
             .map(|granted| pace.prefill(granted.prompt))
             .sum();
-        max_pause
-            .mul_f64(USED_SHARE)
-            .saturating_sub(pace.chunk)
-            .saturating_sub(work)
+        let budget = if pace.chunk > max_pause {
+            max_pause.mul_f64(SHARE_WITHOUT_LIMIT)
+        } else {
+            max_pause.mul_f64(USED_SHARE).saturating_sub(pace.chunk)
+        };
+        budget.saturating_sub(work)
     }
 
     /// Returns whether a prompt may be granted. An engine that was granted none lately accepts one of any length, also
-    /// if its chunks alone exceed the limit: otherwise its models would be out of reach.
+    /// if its chunks leave no room: otherwise its models would be out of reach.
     #[must_use]
     pub fn has_room(
         &self,
