--- a/crates/oatpier-gateway/tests/testsuite/keys.rs
+++ b/crates/oatpier-gateway/tests/testsuite/keys.rs
@@ -83,6 +83,23 @@
     assert!(!seen.contains("one\r\n"), "{seen}");
 }
 
+/// An operator sees from the log which workspace pays for a shortage.
+#[tokio::test]
+async fn answers_are_logged_with_their_workspace() {
+    let endpoint = ScriptedEndpoint::start(ok_answers(1)).await;
+    let workspaces = vec![workspace("one", &["k1"])];
+    let gateway = configured_gateway(
+        config_with_keys(1, route(RouteKind::Unsafe, 1), workspaces),
+        &endpoint,
+    );
+    let answer = gateway
+        .send(request(&[("authorization", "Bearer k1")]))
+        .await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    let line = gateway.logged("answer").remove(0);
+    assert!(line.contains("\"workspace\":\"one\""), "{line}");
+}
+
 #[tokio::test]
 async fn a_request_without_a_known_key_is_refused() {
     let endpoint = ScriptedEndpoint::start(ok_answers(4)).await;
--- a/crates/oatpier-gateway/tests/testsuite/streams.rs
+++ b/crates/oatpier-gateway/tests/testsuite/streams.rs
@@ -4,7 +4,8 @@
 
 use http::StatusCode;
 use http_body_util::BodyExt;
-use oatpier_serving::message::PermitGrant;
+use oatpier_serving::capacity::EnginePace;
+use oatpier_serving::message::{EngineUpdate, MessageNumber, PaceStatus, PermitGrant};
 use oatpier_serving::site::RouteKind;
 use tokio::time::sleep;
 
@@ -147,3 +148,34 @@
     assert_eq!(&answer.body()[..], (event(1) + &event(2)).as_bytes());
     assert!(second.requests().is_empty());
 }
+
+/// An operator sees from the log why an engine was chosen for a stream.
+#[tokio::test]
+async fn streams_are_logged_with_the_predicted_risk_at_their_engine() {
+    let answer = EndpointStep::Answer(stream_start(&[&event(1), &event(2)]) + STREAM_END);
+    let engine = ScriptedEndpoint::start(vec![answer]).await;
+    let gateway = TestGateway::with_endpoints(PLAIN, 1, &[&engine]);
+    gateway.report_engine(&engine, 0);
+    let pace = EnginePace {
+        chunk_us: 50_000,
+        late_pauses_per_ks: 1_000,
+        ..EnginePace::default()
+    };
+    gateway.core.relay_update(EngineUpdate::Pace(PaceStatus {
+        number: MessageNumber { boot: 1, number: 1 },
+        engine: engine.address,
+        start: None,
+        pace,
+    }));
+    let caller = [
+        ("x-oatpier-model", "m1"),
+        ("x-oatpier-token-usage", "400,100"),
+    ];
+    tokio::select! {
+        answer = gateway.send(request(&caller)) => assert_eq!(answer.status(), StatusCode::OK),
+        () = gateway.grant_permits(|| {}) => unreachable!("permits are granted without end"),
+    }
+    let line = gateway.logged("answer").remove(0);
+    assert!(line.contains("\"engine_chunk_ms\":50.0"), "{line}");
+    assert!(line.contains("\"pause_risk\":0.71"), "{line}");
+}
