--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! A sidecar: the only process that sends orders to its engine.
 //!
 //! - [`engine_link`]: calls to the engine.
+//! - [`pace`]: the engine's pace, and when it is sent to gateways.
 //! - [`statuses`]: status updates to gateways, and when they are sent.
 //! - [`shares`]: updates of the engine's use by workspaces.
 //!
@@ -8,6 +9,7 @@
 //! [`oatpier_serving::residency`] decides on, and sends status updates.
 
 pub mod engine_link;
+pub mod pace;
 pub mod shares;
 pub mod statuses;
 
@@ -33,6 +35,7 @@
 use crate::reload::{SettingsFeed, SettingsSource};
 
 use self::engine_link::EngineLink;
+use self::pace::PaceReporter;
 use self::shares::ShareReporter;
 use self::statuses::StatusSender;
 
@@ -128,6 +131,7 @@
     let mut sidecar = EngineSidecar {
         residency: EngineResidency::new(pace, settings.is_first_start, clock.now()),
         permits: PermitIssuer::default(),
+        pace: PaceReporter::new(address, inputs.metrics.pace.clone()),
         failures: FailureCount::default(),
         link: EngineLink::new(address, settings.name.clone()),
         status_sender: StatusSender::new(address, settings.service.clone()),
@@ -152,6 +156,7 @@
 struct EngineSidecar {
     residency: EngineResidency,
     permits: PermitIssuer,
+    pace: PaceReporter,
     /// Counts of the engine's requests and of those that failed.
     failures: FailureCount,
     link: EngineLink,
@@ -189,10 +194,21 @@
             self.status_sender.set_failing(failing);
             self.status_sender
                 .send_due(&self.socket, &self.residency, now);
+            self.send_pace(now);
             self.send_shares(now);
         }
     }
 
+    fn send_pace(&mut self, now: ClockTime) {
+        let engines = self.status_sender.engines();
+        if let Some(update) = self.pace.due_update(engines, now) {
+            self.status_sender.send_to_relays(&self.socket, update);
+        }
+        if let Some(line) = self.pace.due_line(now) {
+            self.log.write(line);
+        }
+    }
+
     fn send_shares(&mut self, now: ClockTime) {
         let engines = self.status_sender.engines();
         let update = self.share_reporter.due_update(&self.permits, engines, now);
@@ -215,8 +231,11 @@
     }
 
     fn send_permits(&mut self) {
-        for due in self.permits.issue_due(self.clock.now()) {
-            self.failures.note_request(self.clock.now());
+        let now = self.clock.now();
+        let grants = self.permits.issue_due(now);
+        self.pace.note_grants(&grants, &self.permits, now);
+        for due in grants {
+            self.failures.note_request(now);
             let message = InnerMessage::Permit(due.grant);
             MessageOutlet::send(&self.socket, due.to, &message);
         }
@@ -289,7 +308,7 @@
         let window = self.settings.borrow().bounds.load_window;
         self.residency.set_load_window(window);
         match self.link.report().await {
-            Ok(report) => {
+            Ok(mut report) => {
                 if self.residency.is_restarted(&report) {
                     self.log_engine("engine restarted");
                     self.forget_engine();
@@ -297,7 +316,10 @@
                 if !self.status_sender.set_answering(true) {
                     self.log_engine("engine answers");
                 }
-                self.permits.note_load(report.load, self.clock.now());
+                let now = self.clock.now();
+                self.permits.note_load(report.load, now);
+                self.pace.apply_report(&report, &mut self.permits, now);
+                report.streams.clear();
                 self.residency.apply_report(report);
                 self.send_permits();
                 self.identify().await;
@@ -315,6 +337,7 @@
     fn forget_engine(&mut self) {
         self.failures = FailureCount::default();
         self.permits.forget_load();
+        self.pace.forget_engine(&mut self.permits);
         self.permits.forget_shares();
         self.residency.forget_engine(self.clock.now());
         self.link.forget_instance();
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -13,6 +13,9 @@
 //! Requests that have to wait do so before they are sent, in the order of their deadlines. Requests that
 //! can only be late are sent when no others wait.
 //!
+//! While the engine's present pace is known, the work ahead is that of [`crate::capacity::prefill_window`], and does not
+//! depend on releases.
+//!
 //! Permits affect only latency: a gateway that receives no answer sends its request without one.
 
 use std::collections::VecDeque;
@@ -22,6 +25,7 @@
 use oatpier_types::clock::ClockTime;
 
 use crate::admission;
+use crate::capacity::prefill_window::{PrefillWindow, PresentPace, PromptWork};
 use crate::engine::EndpointLoad;
 use crate::message::{PermitAsk, PermitGrant, RatedPermitAsk};
 use crate::sharing::cost::engine_time;
@@ -29,7 +33,8 @@
 use crate::sharing::{WorkspaceTag, WorkspaceUse};
 
 /// Share of the pause limit for which an engine may have prompts to prefill. A chunk of a stream takes about
-/// three steps, each of which may prefill that much. The steps themselves take the rest of the pause.
+/// three steps, each of which may prefill that much. The steps themselves take the rest of the pause. Applies while the
+/// engine's pace is unknown.
 const PREFILL_SHARE: f64 = 0.27;
 
 /// Time after which a permit that was not released expires, because the message was lost or the gateway is
@@ -68,6 +73,8 @@
 struct PendingRequest {
     from: SocketAddr,
     ask: PermitAsk,
+    /// Number of tokens to prefill, if the gateway stated it.
+    prefill_tokens: Option<u32>,
     /// Latest time at which the request can still be in time.
     due_at: ClockTime,
     arrived_at: ClockTime,
@@ -106,6 +113,28 @@
     pub to: SocketAddr,
     /// The permit.
     pub grant: PermitGrant,
+    /// The prompt; `None` if the permit was sent before.
+    pub prompt: Option<PromptWork>,
+}
+
+/// What the request waits for that gets a permit next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitCause {
+    /// A free slot.
+    Slot,
+    /// Prefill of the prompts ahead.
+    Prefill,
+}
+
+impl WaitCause {
+    /// Returns the name used in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Slot => "slot",
+            Self::Prefill => "prefill",
+        }
+    }
 }
 
 /// Issuer of permits for one engine.
@@ -119,6 +148,9 @@
     reported_requests: Option<u32>,
     /// Issue times of permits whose requests the last report may not contain yet.
     unreported: VecDeque<ClockTime>,
+    /// The engine's present pace, while known.
+    pace: Option<PresentPace>,
+    window: PrefillWindow,
     /// Use of the engine by workspaces.
     shares: ShareLedger,
 }
@@ -138,6 +170,17 @@
         self.unreported.clear();
     }
 
+    /// Sets the engine's present pace; `None` while unknown.
+    pub fn set_pace(&mut self, pace: Option<PresentPace>) {
+        self.pace = pace;
+    }
+
+    /// Returns the shortest pause limit of the requests that wait or were granted lately.
+    #[must_use]
+    pub fn max_pause(&self) -> Option<Duration> {
+        self.max_pause
+    }
+
     /// Discards what workspaces have used of the engine.
     pub fn forget_shares(&mut self) {
         self.shares = ShareLedger::default();
@@ -168,6 +211,7 @@
             due_at: now + ask.due_in(),
             arrived_at: now,
             repeated_at: now,
+            prefill_tokens: None,
             charge: None,
             ask,
         });
@@ -177,10 +221,11 @@
     pub fn add_rated_request(&mut self, from: SocketAddr, rated: &RatedPermitAsk, now: ClockTime) {
         self.add_request(from, rated.ask, now);
         let mut pending = self.pending.iter_mut();
-        let request = pending.find(|request| request.ask.id == rated.ask.id);
-        if let Some((request, standing)) = request.zip(rated.share)
-            && request.charge.is_none()
-        {
+        let Some(request) = pending.find(|request| request.ask.id == rated.ask.id) else {
+            return;
+        };
+        request.prefill_tokens = Some(rated.prefill_tokens);
+        if let Some(standing) = rated.share.filter(|_| request.charge.is_none()) {
             request.charge = Some(ShareCharge {
                 workspace: standing.workspace,
                 engine_time: engine_time(rated.prefill_tokens, rated.output_tokens),
@@ -195,11 +240,15 @@
         let mut due = Vec::new();
         while let Some(index) = self.next_issuable(now) {
             let request = self.pending.swap_remove(index);
-            self.charge(&request, now);
-            self.note_issued(&request.ask, now);
+            let is_new = self.note_issued(&request, now);
+            if let Some(charge) = request.charge.filter(|_| is_new) {
+                self.shares
+                    .charge(charge.workspace, charge.engine_time, now);
+            }
             due.push(AddressedGrant {
                 to: request.from,
                 grant: PermitGrant { id: request.ask.id },
+                prompt: is_new.then(|| request.prompt()),
             });
         }
         due
@@ -211,15 +260,36 @@
         self.pending.retain(|request| request.ask.id != id);
     }
 
-    /// Returns the next time at which a permit expires while requests wait.
+    /// Returns the next time at which prefill work expires while requests wait.
     #[must_use]
     pub fn next_expiry(&self) -> Option<ClockTime> {
         if self.pending.is_empty() {
             return None;
         }
+        if let Some((pace, pause)) = self.pace.as_ref().zip(self.max_pause) {
+            return self.window.next_room(pace, pause);
+        }
         self.issued.iter().map(IssuedPermit::expires_at).min()
     }
 
+    /// Returns what keeps requests waiting; `None` if none waits or the next one can be granted now.
+    #[must_use]
+    pub fn wait_cause(&self, now: ClockTime) -> Option<WaitCause> {
+        let (_, request) = self.most_urgent(now)?;
+        if !self.has_slot(&request.ask, request.is_late(now)) {
+            return Some(WaitCause::Slot);
+        }
+        let has_budget = self.has_prefill_budget(request.prompt(), now);
+        (!has_budget).then_some(WaitCause::Prefill)
+    }
+
+    /// Returns the prefill work that the engine can accept now beside its streams; `None` while its pace is unknown.
+    #[must_use]
+    pub fn prefill_room(&self, now: ClockTime) -> Option<Duration> {
+        let (pace, pause) = self.pace.as_ref().zip(self.max_pause)?;
+        Some(self.window.room(pace, pause, now))
+    }
+
     /// Returns the number of requests that wait.
     #[must_use]
     pub fn pending_requests(&self) -> u32 {
@@ -229,16 +299,20 @@
     /// Returns the time to prefill all waiting prompts.
     #[must_use]
     pub fn pending_prefill(&self) -> Duration {
-        self.pending
-            .iter()
-            .map(|request| request.ask.reading())
-            .sum()
+        let prefill = |request: &PendingRequest| {
+            let prompt = request.prompt();
+            self.pace
+                .map_or(prompt.estimate, |pace| pace.prefill(prompt))
+        };
+        self.pending.iter().map(prefill).sum()
     }
 
     fn expire(&mut self, now: ClockTime) {
         self.pending
             .retain(|request| now.since(request.repeated_at) < REQUEST_TTL);
         self.issued.retain(|permit| permit.expires_at() > now);
+        self.window
+            .expire(self.pace.as_ref().zip(self.max_pause), now);
         if self.issued.is_empty() && self.pending.is_empty() {
             self.max_pause = None;
         }
@@ -252,13 +326,17 @@
         if let Some(index) = self.pending.iter().position(is_issued) {
             return Some(index);
         }
+        let (index, request) = self.most_urgent(now)?;
+        let has_room = self.has_slot(&request.ask, request.is_late(now));
+        (has_room && self.has_prefill_budget(request.prompt(), now)).then_some(index)
+    }
+
+    fn most_urgent(&self, now: ClockTime) -> Option<(usize, &PendingRequest)> {
         let waiting = self.pending.iter().filter_map(|request| request.charge);
         let waiting = waiting.map(|charge| charge.workspace);
         let levels = self.shares.levels(waiting, now);
         let pending = self.pending.iter().enumerate();
-        let (index, request) = pending.min_by_key(|(_, request)| request.sort_key(&levels, now))?;
-        let has_room = self.has_slot(&request.ask, request.is_late(now));
-        (has_room && self.has_prefill_budget(request.ask.reading())).then_some(index)
+        pending.min_by_key(|(_, request)| request.sort_key(&levels, now))
     }
 
     /// Returns whether a slot is free for a request, by the engine's last report and the permits issued
@@ -274,40 +352,43 @@
 
     /// Returns whether the engine can prefill a prompt without pausing its streams for too long. An engine
     /// with no prefill work accepts a prompt of any length.
-    fn has_prefill_budget(&self, prefill: Duration) -> bool {
+    fn has_prefill_budget(&self, prompt: PromptWork, now: ClockTime) -> bool {
         let Some(pause) = self.max_pause else {
             return true;
         };
+        if let Some(pace) = &self.pace {
+            return self.window.has_room(prompt, pace, pause, now);
+        }
+        let prefill = prompt.estimate;
         let ahead: Duration = self.issued.iter().map(|permit| permit.prefill).sum();
         self.issued.is_empty() || ahead + prefill <= pause.mul_f64(PREFILL_SHARE)
     }
 
-    /// Charges the workspace of a request that gets a permit, unless the permit was already issued.
-    fn charge(&mut self, request: &PendingRequest, now: ClockTime) {
-        let is_issued = |permit: &IssuedPermit| permit.id == request.ask.id;
-        let Some(charge) = request.charge else {
-            return;
-        };
-        if !self.issued.iter().any(is_issued) {
-            self.shares
-                .charge(charge.workspace, charge.engine_time, now);
-        }
-    }
-
-    fn note_issued(&mut self, ask: &PermitAsk, now: ClockTime) {
-        if self.issued.iter().any(|permit| permit.id == ask.id) {
-            return;
+    /// Records that a permit is issued. Returns whether it was not issued before.
+    fn note_issued(&mut self, request: &PendingRequest, now: ClockTime) -> bool {
+        let id = request.ask.id;
+        if self.issued.iter().any(|permit| permit.id == id) {
+            return false;
         }
         self.issued.push_back(IssuedPermit {
-            id: ask.id,
+            id,
             at: now,
-            prefill: ask.reading(),
+            prefill: request.ask.reading(),
         });
+        self.window.note_granted(request.prompt(), now);
         self.unreported.push_back(now);
+        true
     }
 }
 
 impl PendingRequest {
+    fn prompt(&self) -> PromptWork {
+        PromptWork {
+            tokens: self.prefill_tokens,
+            estimate: self.ask.reading(),
+        }
+    }
+
     /// Returns whether the request can only be late.
     fn is_late(&self, now: ClockTime) -> bool {
         self.due_at <= now
