--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod relayed;
 mod rests;
 mod share_updates;
+mod shares;
 mod slow_callers;
 mod statuses;
 mod stops;
