--- a/crates/oatpier-gateway/src/gateway/shares.rs
+++ b/crates/oatpier-gateway/src/gateway/shares.rs
@@ -74,7 +74,7 @@
 
     /// Adds up the use of engines by workspaces, sets its metrics, and logs the workspaces beyond their share while
     /// requests wait for permits.
-    pub(super) fn refresh_shares(&self) {
+    pub fn refresh_shares(&self) {
         let Some(config) = self.config() else {
             return;
         };
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod rests;
 mod returns;
 mod share_updates;
+mod shares;
 mod slow_callers;
 mod statuses;
 mod stops;
--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -75,6 +75,9 @@
         .metrics
         .workspaces
         .count_units(&workspace, "granted", 200);
+    let metrics = &gateway.core.metrics.workspaces;
+    metrics.count_permit_wait(&workspace, "granted", Duration::from_millis(20));
+    metrics.set_engine_use([(&workspace, 1_000)].into_iter());
     let text = gateway.core.metrics.encode();
     let page = include_str!("../../../../docs/OPERATIONS.md");
     let named: Vec<&str> = page
--- a/crates/oatpier-serving/src/permits.rs
+++ b/crates/oatpier-serving/src/permits.rs
@@ -225,14 +225,13 @@
             return;
         };
         request.prefill_tokens = Some(rated.prefill_tokens);
-        let Some(standing) = rated.share.filter(|_| request.charge.is_none()) else {
-            return;
-        };
-        request.charge = Some(ShareCharge {
-            workspace: standing.workspace,
-            engine_time: engine_time(rated.prefill_tokens, rated.output_tokens),
-        });
-        self.shares.note_standing(standing, now);
+        if let Some(standing) = rated.share.filter(|_| request.charge.is_none()) {
+            request.charge = Some(ShareCharge {
+                workspace: standing.workspace,
+                engine_time: engine_time(rated.prefill_tokens, rated.output_tokens),
+            });
+            self.shares.note_standing(standing, now);
+        }
     }
 
     /// Issues the permits that are possible now.
@@ -241,8 +240,11 @@
         let mut due = Vec::new();
         while let Some(index) = self.next_issuable(now) {
             let request = self.pending.swap_remove(index);
-            self.charge(&request, now);
             let is_new = self.note_issued(&request, now);
+            if let Some(charge) = request.charge.filter(|_| is_new) {
+                self.shares
+                    .charge(charge.workspace, charge.engine_time, now);
+            }
             due.push(AddressedGrant {
                 to: request.from,
                 grant: PermitGrant { id: request.ask.id },
@@ -362,18 +364,6 @@
         self.issued.is_empty() || ahead + prefill <= pause.mul_f64(PREFILL_SHARE)
     }
 
-    /// Charges the workspace of a request that gets a permit, unless the permit was already issued.
-    fn charge(&mut self, request: &PendingRequest, now: ClockTime) {
-        let is_issued = |permit: &IssuedPermit| permit.id == request.ask.id;
-        let Some(charge) = request.charge else {
-            return;
-        };
-        if !self.issued.iter().any(is_issued) {
-            self.shares
-                .charge(charge.workspace, charge.engine_time, now);
-        }
-    }
-
     /// Records that a permit is issued. Returns whether it was not issued before.
     fn note_issued(&mut self, request: &PendingRequest, now: ClockTime) -> bool {
         let id = request.ask.id;
--- a/crates/oatpier-serving/tests/testsuite/admission_fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/admission_fleet.rs
@@ -491,6 +491,7 @@
             excluded,
             engine: Some(&rule),
             max_turn_wait: Duration::ZERO,
+            stream: None,
         };
         match choice::choose(&self.directory, &query, at(self.now_ms)) {
             ChoiceOutcome::Endpoint(choice) => Some(choice),
