serving: Count pending prompts at the pace of the engine

Cause: the choice took the prefill time of a prompt from the engine's pace, while the backlog of what the gateway had sent there, and the first chunk that it learned without it, went by the gateway's own estimate, which gateways with little CPU overrate. The predicted first chunk was too early by the difference.

Change: EndpointDirectory::prefill_ms, used for both; note_prefill takes the time.

--- a/crates/oatpier-gateway/src/gateway/accounting.rs
+++ b/crates/oatpier-gateway/src/gateway/accounting.rs
@@ -68,7 +68,9 @@
             choice::uncached_tokens_at(&state.directory, endpoint, &context.request, now);
         state.directory.note_cached_prompt(endpoint, &chain, now);
         state.demand.note_sent(&weights.model, now);
-        state.directory.note_prefill(endpoint, weights, uncached)
+        state
+            .directory
+            .note_prefill(endpoint, weights, uncached, now)
     }
 
     /// Records that an endpoint has finished the prefill of a request's prompt, or will not start it.
--- a/crates/oatpier-serving/src/choice/cost.rs
+++ b/crates/oatpier-serving/src/choice/cost.rs
@@ -49,9 +49,6 @@
 /// grows, so requests are spread over engines before slots run out.
 const FULL_BATCH_MS: f64 = 40.0;
 
-/// Smallest number of tokens that a prompt is assumed to need. A prefill time of zero counts as unknown.
-const MIN_PREFILL_TOKENS: f64 = 1.0;
-
 /// Share of an engine's memory above which new requests would evict running ones.
 const MAX_MEMORY_SHARE: f64 = 0.93;
 
@@ -70,7 +67,10 @@
     let turn_ms = row.min_turn_wait(now).as_secs_f64() * 1e3;
     let queue_ms = queue_ms(row, query.request, now);
     let uncached = uncached_tokens(row, query.request, holders);
-    let own_ms = prefill_ms(directory, row, query.request, uncached, now);
+    let weights = query.request.weights.as_ref();
+    let own_ms = weights.map_or(0.0, |weights| {
+        directory.prefill_ms(row, &weights.model, uncached, now)
+    });
     let ahead_ms = row.pending_prefill_ms(now);
     let first_ms = row.first_chunk.mean_ms() + ahead_ms + own_ms;
     let adapter = adapter_ms(row, query, now);
@@ -136,21 +136,3 @@
         AdapterState::Absent => ADAPTER_FULL_MS,
     }
 }
-
-/// Returns the time to prefill a number of tokens, in milliseconds, at the engine's own pace if it is known.
-fn prefill_ms(
-    directory: &EndpointDirectory,
-    row: &EndpointRow,
-    request: &CallerRequest,
-    tokens: f64,
-    now: ClockTime,
-) -> f64 {
-    let Some(weights) = &request.weights else {
-        return 0.0;
-    };
-    let reported = row
-        .pace(now)
-        .and_then(|pace| pace.prefill_ms(tokens.max(MIN_PREFILL_TOKENS)));
-    let estimator = directory.prefill_estimator();
-    reported.unwrap_or_else(|| estimator.prefill_ms(&weights.model, tokens))
-}
--- a/crates/oatpier-serving/src/directory/capacity.rs
+++ b/crates/oatpier-serving/src/directory/capacity.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::EndpointName;
+use oatpier_types::names::{EndpointName, ModelName};
 
 use super::{EndpointDirectory, EndpointRow};
 use crate::capacity::EnginePace;
@@ -15,6 +15,9 @@
 /// Time after which an update no longer counts. Covers several lost updates.
 const UPDATE_TTL: Duration = Duration::from_secs(6);
 
+/// Smallest number of tokens that a prompt is assumed to need. A prefill time of zero counts as unknown.
+const MIN_PREFILL_TOKENS: f64 = 1.0;
+
 /// An update and the time of its arrival.
 #[derive(Debug)]
 struct KeptUpdate<T> {
@@ -75,6 +78,21 @@
             row.capacity.host = Some(HostHint { pace, at: now });
         }
     }
+
+    /// Returns the time that an engine needs to prefill a number of tokens, in milliseconds: at the pace that its
+    /// sidecar reports, or else as estimated by this gateway.
+    #[must_use]
+    pub fn prefill_ms(
+        &self,
+        row: &EndpointRow,
+        model: &ModelName,
+        tokens: f64,
+        now: ClockTime,
+    ) -> f64 {
+        let pace = row.pace(now);
+        let reported = pace.and_then(|pace| pace.prefill_ms(tokens.max(MIN_PREFILL_TOKENS)));
+        reported.unwrap_or_else(|| self.estimator.prefill_ms(model, tokens))
+    }
 }
 
 impl EndpointRow {
--- a/crates/oatpier-serving/src/directory/requests.rs
+++ b/crates/oatpier-serving/src/directory/requests.rs
@@ -80,8 +80,10 @@
         name: &EndpointName,
         weights: &WeightsKey,
         tokens: f64,
+        now: ClockTime,
     ) -> SentPrompt {
-        let own_ms = self.estimator.prefill_ms(&weights.model, tokens);
+        let row = self.rows.get(name);
+        let own_ms = row.map_or(0.0, |row| self.prefill_ms(row, &weights.model, tokens, now));
         let Some(row) = self.rows.get_mut(name) else {
             return SentPrompt::default();
         };
--- a/crates/oatpier-serving/tests/testsuite/choice.rs
+++ b/crates/oatpier-serving/tests/testsuite/choice.rs
@@ -177,7 +177,7 @@
 fn learn_prefill(directory: &mut EndpointDirectory, name: &str) {
     let weights = request("m1").weights.unwrap();
     for _ in 0..20 {
-        let prompt = directory.note_prefill(&endpoint(name), &weights, 400.0);
+        let prompt = directory.note_prefill(&endpoint(name), &weights, 400.0, at(0));
         directory.note_first_chunk(&endpoint(name), Some(&weights), &prompt, millis(20), at(10));
         directory.note_prefill_end(&endpoint(name), &prompt);
     }
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -259,11 +259,11 @@
     let name = endpoint("e1");
     directory.apply_status(status_of_start(1_000, 2, &["m1"]), at(10));
     let weights = request("m1").weights.unwrap();
-    let sent = directory.note_prefill(&name, &weights, 400.0);
+    let sent = directory.note_prefill(&name, &weights, 400.0, at(0));
     assert!(directory.is_current_incarnation(&name, &sent));
     directory.apply_status(status_of_start(2_000, 3, &["m1"]), at(100));
     assert!(!directory.is_current_incarnation(&name, &sent));
-    let next = directory.note_prefill(&name, &weights, 400.0);
+    let next = directory.note_prefill(&name, &weights, 400.0, at(0));
     directory.note_prefill_end(&name, &sent);
     assert!(!directory.row(&name).unwrap().prefill.is_idle());
     directory.note_prefill_end(&name, &next);
--- a/crates/oatpier-serving/tests/testsuite/predicted_finish.rs
+++ b/crates/oatpier-serving/tests/testsuite/predicted_finish.rs
@@ -199,6 +199,21 @@
     assert_eq!(choice.own_prefill, millis(8));
 }
 
+/// Failure: a gateway on a VM with little CPU overrates the prefill, and what it has sent makes an engine look busy.
+#[test]
+fn pending_prefill_is_counted_at_the_pace_of_the_engine() {
+    let mut directory = slow_and_fast(0, 0);
+    let weights = request("m1").weights.unwrap();
+    let (name, now) = (endpoint("e2"), at(10));
+    for _ in 0..20 {
+        let prompt = directory.note_prefill(&name, &weights, 400.0, now);
+        directory.note_first_chunk(&name, Some(&weights), &prompt, millis(90), now);
+        directory.note_prefill_end(&name, &prompt);
+    }
+    let prompt = directory.note_prefill(&name, &weights, 400.0, now);
+    assert!((prompt.own_ms - 8.0).abs() < 1e-6);
+}
+
 #[test]
 fn other_requests_are_placed_without_regard_to_the_pace() {
     let directory = slow_and_fast(0, 4);
