serving: Bound what a single estimate of a length can do

Cause: where callers' estimates of a route are right, their prediction has nearly all of the weight, and one absurd estimate took the expected length with it (35 chunks expected as 3). The first lengths of a route with long responses were learned slowly, since a first response was clamped as well.

Change: a prediction differs from the route's usual length by at most three standard deviations of its lengths; the first response sets the usual length.

--- a/crates/oatpier-gateway/tests/testsuite/streams.rs
+++ b/crates/oatpier-gateway/tests/testsuite/streams.rs
@@ -149,11 +149,10 @@
     assert!(second.requests().is_empty());
 }
 
-/// An operator sees from the log why an engine was chosen for a stream.
-#[tokio::test]
-async fn streams_are_logged_with_the_predicted_risk_at_their_engine() {
+/// Sends streams of two events to an engine of known pace, one after the other, and returns the lines of their answers.
+async fn logged_answers(streams: usize) -> Vec<String> {
     let answer = EndpointStep::Answer(stream_start(&[&event(1), &event(2)]) + STREAM_END);
-    let engine = ScriptedEndpoint::start(vec![answer]).await;
+    let engine = ScriptedEndpoint::start(vec![answer; streams]).await;
     let gateway = TestGateway::with_endpoints(PLAIN, 1, &[&engine]);
     gateway.report_engine(&engine, 0);
     let pace = EnginePace {
@@ -171,11 +170,32 @@
         ("x-oatpier-model", "m1"),
         ("x-oatpier-token-usage", "400,100"),
     ];
+    let sending = async {
+        for _ in 0..streams {
+            let answer = gateway.send(request(&caller)).await;
+            assert_eq!(answer.status(), StatusCode::OK);
+        }
+    };
     tokio::select! {
-        answer = gateway.send(request(&caller)) => assert_eq!(answer.status(), StatusCode::OK),
+        () = sending => {}
         () = gateway.grant_permits(|| {}) => unreachable!("permits are granted without end"),
     }
-    let line = gateway.logged("answer").remove(0);
+    gateway.logged("answer")
+}
+
+/// An operator sees from the log why an engine was chosen for a stream.
+#[tokio::test]
+async fn streams_are_logged_with_the_predicted_risk_at_their_engine() {
+    let line = logged_answers(1).await.remove(0);
     assert!(line.contains("\"engine_chunk_ms\":50.0"), "{line}");
     assert!(line.contains("\"pause_risk\":0.71"), "{line}");
 }
+
+/// The callers ask for up to 100 tokens, and the streams end after two events.
+#[tokio::test]
+async fn lengths_of_streams_are_learned_when_they_end() {
+    let line = logged_answers(2).await.remove(1);
+    let (_, risk) = line.split_once("\"pause_risk\":").unwrap();
+    let risk: f64 = risk.split([',', '}']).next().unwrap().parse().unwrap();
+    assert!(risk < 0.2, "{line}");
+}
--- a/crates/oatpier-serving/src/capacity/exposure.rs
+++ b/crates/oatpier-serving/src/capacity/exposure.rs
@@ -31,6 +31,10 @@
 /// as if they differed by this, so that an absurd estimate of one caller does not move those for the others.
 const MAX_ERROR: f64 = 3.0;
 
+/// Number of standard deviations of the route's lengths by which the prediction for one request can differ from the
+/// usual length.
+const MAX_DEVIATIONS: f64 = 3.0;
+
 /// Variance that is added to that of each predictor, so that none takes all of the weight.
 const VARIANCE_FLOOR: f64 = 0.02;
 
@@ -65,6 +69,12 @@
         self.variance += (error.powi(2) - self.variance) * weight.min(MAX_VARIANCE_WEIGHT);
     }
 
+    /// Returns the value nearest to `value` that is not far beyond the spread of the samples.
+    fn nearest_plausible(&self, value: f64) -> f64 {
+        let deviation = (self.variance + VARIANCE_FLOOR).sqrt() * MAX_DEVIATIONS;
+        value.clamp(self.offset - deviation, self.offset + deviation)
+    }
+
     fn weight(&self) -> f64 {
         1.0 / (self.variance + VARIANCE_FLOOR)
     }
@@ -94,6 +104,9 @@
 
 impl LengthGroup {
     fn note(&mut self, request: &CallerRequest, log_chunks: f64) {
+        if self.usual.samples == 0 {
+            self.usual.offset = log_chunks;
+        }
         self.usual.note(log_chunks);
         if let Some(log_hint) = log_tokens(request.expected_tokens) {
             self.hinted.note(log_chunks - log_hint);
@@ -105,13 +118,20 @@
 
     /// Returns the logarithm of the expected number of chunks, or `None` if nothing is known about the length.
     fn log_chunks(&self, request: &CallerRequest) -> Option<f64> {
-        let usual = (self.usual.samples > 0).then_some((self.usual, 0.0));
+        let is_learned = self.usual.samples > 0;
+        let usual = is_learned.then_some((self.usual, 0.0));
         let hinted = log_tokens(request.expected_tokens).map(|basis| (self.hinted, basis));
         let limited = log_tokens(Some(request.output_tokens)).map(|basis| (self.limited, basis));
         let known = [usual, hinted, limited].into_iter().flatten();
         let (sum, weight) = known.fold((0.0, 0.0), |(sum, weight), (predictor, basis)| {
             let own = predictor.weight();
-            (sum + (basis + predictor.offset) * own, weight + own)
+            let log_chunks = basis + predictor.offset;
+            let log_chunks = if is_learned {
+                self.usual.nearest_plausible(log_chunks)
+            } else {
+                log_chunks
+            };
+            (sum + log_chunks * own, weight + own)
         });
         (weight > 0.0).then(|| sum / weight)
     }
--- a/crates/oatpier-serving/tests/testsuite/response_lengths.rs
+++ b/crates/oatpier-serving/tests/testsuite/response_lengths.rs
@@ -71,6 +71,17 @@
     }
 }
 
+/// Failure: one caller of a route whose estimates are right gives an absurd one.
+#[test]
+fn single_absurd_hint_stays_near_the_lengths_of_its_route() {
+    let estimator = learned(&[("chat", 35, Some(280)), ("chat", 25, Some(200))]);
+    for hint in [1, u32::MAX] {
+        let chunks = estimator.expected_chunks(&class("chat"), &asked(Some(hint), 480));
+        let chunks = chunks.unwrap();
+        assert!((10.0..90.0).contains(&chunks), "{chunks}");
+    }
+}
+
 /// The hint of a route with responses of all lengths is right at the median and off by a factor of up to three.
 #[test]
 fn hints_improve_the_estimate_where_lengths_vary() {
