serving: A workspace that was dropped from the count is not held back

Cause: with more than 64 workspaces the one with the least use is dropped. Its next grant counted it again without a weight, as if it were granted a thousandth of the others: its other waiting requests went last. The use of services that are no longer configured stayed in the sums. Both found by reading; the test fails without the change.

--- a/crates/oatpier-gateway/src/gateway/shares.rs
+++ b/crates/oatpier-gateway/src/gateway/shares.rs
@@ -30,6 +30,10 @@
     /// Applies the workspaces of a configuration.
     pub(super) fn apply_config(&mut self, config: &SiteConfig) {
         self.fleet_use.set_workspaces(config.workspaces.as_ref());
+        self.fleet_use.retain_services(|name| {
+            let mut services = config.services.iter();
+            services.any(|service| service.name == *name)
+        });
     }
 
     /// Returns whether a line about a workspace may be logged now.
--- a/crates/oatpier-serving/src/sharing/fleet.rs
+++ b/crates/oatpier-serving/src/sharing/fleet.rs
@@ -42,6 +42,11 @@
         self.weights = table.map(ShareWeights::from).unwrap_or_default();
     }
 
+    /// Drops the use of services that are no longer configured.
+    pub fn retain_services(&mut self, is_configured: impl Fn(&PoolName) -> bool) {
+        self.services.retain(|service, _| is_configured(service));
+    }
+
     /// Adds up the latest updates of the engines of a service.
     pub fn refresh(&mut self, directory: &EndpointDirectory, service: &PoolName, now: ClockTime) {
         let uses = self.services.entry(service.clone()).or_default();
--- a/crates/oatpier-serving/src/sharing/ledger.rs
+++ b/crates/oatpier-serving/src/sharing/ledger.rs
@@ -157,7 +157,9 @@
             if competing.iter().any(|entry| entry.workspace == workspace) {
                 continue;
             }
-            competing.extend(self.find(workspace));
+            // The weight of a workspace that was dropped meanwhile is unknown until its next request.
+            let entry = self.find(workspace);
+            competing.extend(entry.filter(|entry| !entry.standings.is_empty()));
         }
         if competing.len() < 2 {
             return ShareLevels::default();
--- a/crates/oatpier-serving/tests/testsuite/sharing/failures.rs
+++ b/crates/oatpier-serving/tests/testsuite/sharing/failures.rs
@@ -191,4 +191,11 @@
     let after = fleet_use.standing(&service(), &name(0));
     assert_eq!(after.use_us_per_s, before.use_us_per_s);
     assert_eq!(after.weight, 50_000);
+    fleet_use.retain_services(|_| true);
+    assert_eq!(
+        fleet_use.total_use_us_per_s(&name(0)),
+        u64::from(before.use_us_per_s)
+    );
+    fleet_use.retain_services(|_| false);
+    assert_eq!(fleet_use.total_use_us_per_s(&name(0)), 0);
 }
--- a/crates/oatpier-serving/tests/testsuite/sharing/order.rs
+++ b/crates/oatpier-serving/tests/testsuite/sharing/order.rs
@@ -190,3 +190,14 @@
     add_all(&mut issuer, &requests, 30);
     assert_eq!(order_at(&mut issuer, &requests, 40), [2, 1]);
 }
+
+/// Guards against a workspace that is held back since it was dropped in favour of others, and then charged: its weight
+/// is unknown until its next request.
+#[test]
+fn workspace_that_was_dropped_is_not_held_back() {
+    let mut requests = vec![request(1, 0, 10, 300), request(2, 0, 10, 310)];
+    requests.extend((3..=80).map(|id| request(id, usize::try_from(id).unwrap(), LIGHT, 500)));
+    let mut issuer = full_issuer();
+    add_all(&mut issuer, &requests, 0);
+    assert_eq!(order_at(&mut issuer, &requests, 10)[..2], [1, 2]);
+}
