--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -278,6 +278,7 @@
         match verdict {
             PermitVerdict::NotNeeded => return Ok(Some(placed)),
             PermitVerdict::Granted(permit) => {
+                self.core.record_permit(&self.context);
                 return Ok(Some(PlacedSend {
                     permit: Some(permit),
                     ..placed
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::admission_metrics::AdmissionMetrics;
 use crate::notice_metrics::NoticeMetrics;
 use crate::pace_metrics::PaceMetrics;
 use crate::workspace_metrics::WorkspaceMetrics;
@@ -71,6 +72,8 @@
     pub notices: NoticeMetrics,
     /// The pace of a sidecar's engine.
     pub pace: PaceMetrics,
+    /// Requests refused for lack of room.
+    pub admission: AdmissionMetrics,
     /// The version of the configuration in force.
     pub config_version: Gauge,
     /// Number of registered endpoints.
@@ -109,6 +112,7 @@
             workspaces: WorkspaceMetrics::default(),
             notices: NoticeMetrics::default(),
             pace: PaceMetrics::default(),
+            admission: AdmissionMetrics::default(),
             config_version: Gauge::default(),
             endpoints: Gauge::default(),
             in_flight: Gauge::default(),
@@ -265,6 +269,7 @@
         self.workspaces.register(&mut registry);
         self.notices.register(&mut registry);
         self.pace.register(&mut registry);
+        self.admission.register(&mut registry);
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod refusals;
 mod relayed;
 mod rests;
+mod returns;
 mod share_updates;
 mod shares;
 mod slow_callers;
