--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -9,6 +9,9 @@
 //! The last holder of a model may be evicted too, if the load that replaces it relieves the fleet by more
 //! than the next requests for the evicted model lose while it is loaded again. Every model stays reachable,
 //! because an evicted model is loaded again when it is requested.
+//!
+//! Where the sidecars report that engines differ in speed, models are also moved to engines that serve their
+//! streams in time, and no last holder of a requested model is evicted for that or for a replica.
 
 mod capacity;
 mod crash_tracker;
