admission: A reported queue shrinks with the age of its report

Cause: in a large fleet a report may be a second old; gateways that all refuse because of it leave the engine idle.

Change: the drain time is reduced by the age of the report.

--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use oatpier_gateway::admission_metrics::RefusalStage;
 use oatpier_gateway::decisions::{DecisionLine, DecisionLog, LinePriority};
 use oatpier_gateway::metrics::ServingMetrics;
 use oatpier_serving::message::TurnAsk;
@@ -58,6 +59,10 @@
     gateway.core.metrics.count_message("pulse", "sent", 400);
     gateway.core.metrics.count_attempt("cut");
     gateway.core.metrics.notices.count_notice("limit-named");
+    let admission = &gateway.core.metrics.admission;
+    admission.count_refusal(RefusalStage::Arrival);
+    admission.count_return_time(true);
+    admission.count_probe(true);
     let workspace = WorkspaceName::try_from("one").unwrap();
     gateway
         .core
--- a/crates/oatpier-serving/src/admission/forecast.rs
+++ b/crates/oatpier-serving/src/admission/forecast.rs
@@ -102,6 +102,8 @@
 struct HolderQueue {
     waiting: u32,
     permits_per_s: f64,
+    /// Age of `waiting`.
+    age: Duration,
 }
 
 impl HolderQueue {
@@ -112,15 +114,19 @@
         is_known.then_some(Self {
             waiting,
             permits_per_s,
+            age: row.status_age(now)?,
         })
     }
 
+    /// Returns the remaining time for the reported queue. The engine has worked on it since the report, and if gateways
+    /// refuse requests because of an old report, nothing has been added.
     fn drain_time(self) -> Duration {
         if self.waiting == 0 {
             return Duration::ZERO;
         }
         let seconds = f64::from(self.waiting) / self.permits_per_s;
-        Duration::from_secs_f64(seconds.min(MAX_EXPECTED_WAIT.as_secs_f64()))
+        let reported = Duration::from_secs_f64(seconds.min(MAX_EXPECTED_WAIT.as_secs_f64()));
+        reported.saturating_sub(self.age)
     }
 }
 
