--- a/crates/oatpier-serving/tests/testsuite/demand_waves.rs
+++ b/crates/oatpier-serving/tests/testsuite/demand_waves.rs
@@ -61,7 +61,7 @@
     );
     assert!(after.returns_served * 10 > after.returns * 8, "{after:?}");
     for fleet in booked {
-        assert!(fleet.idle_share() < 0.02, "{}", fleet.idle_share());
+        assert!(fleet.idle_share() < 0.001, "{}", fleet.idle_share());
     }
 }
 
--- a/crates/oatpier-serving/tests/testsuite/mass_loss.rs
+++ b/crates/oatpier-serving/tests/testsuite/mass_loss.rs
@@ -39,7 +39,7 @@
         "{after:?}, {before:?}"
     );
     assert!(after.returns_served * 10 > after.returns * 9, "{after:?}");
-    assert!(booked.idle_share() < 0.03, "{}", booked.idle_share());
+    assert!(booked.idle_share() < 0.001, "{}", booked.idle_share());
 }
 
 /// Guards against appointments at an engine that is gone: a book that never empties.
