--- a/crates/oatpier-gateway/src/gateway/arrivals.rs
+++ b/crates/oatpier-gateway/src/gateway/arrivals.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
+use oatpier_serving::admission;
 use oatpier_serving::admission::appointments::{BookKey, ReturnQuery};
 use oatpier_serving::admission::arrival::{ArrivalDecision, ArrivalQuery, ScheduledRefusal};
 use oatpier_serving::admission::forecast::{ModelQueue, WaitForecast};
@@ -141,7 +142,8 @@
 
     /// Returns whether a request that waits has become late and has no chance.
     pub(super) fn is_given_up(state: &CoreState, context: &RequestContext, now: ClockTime) -> bool {
-        if context.forecast.is_probe() {
+        let is_late = now.since(context.arrived) > admission::max_timely_wait(&context.route);
+        if !is_late || context.forecast.is_probe() {
             return false;
         }
         let arrival = QueuedArrival::observe(state, context, now);
