--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use oatpier_gateway::admission_metrics::RefusalStage;
 use oatpier_gateway::decisions::{DecisionLine, DecisionLog, LinePriority};
 use oatpier_gateway::metrics::ServingMetrics;
 use oatpier_serving::message::TurnAsk;
@@ -64,6 +65,10 @@
         .metrics
         .pace
         .count_wait(WaitCause::Slot, Duration::from_secs(1));
+    let admission = &gateway.core.metrics.admission;
+    admission.count_refusal(RefusalStage::Arrival);
+    admission.count_return_time(true);
+    admission.count_probe(true);
     let workspace = WorkspaceName::try_from("one").unwrap();
     gateway
         .core
