gateway, sidecar: Pace is observed only where workspaces share engines or VMs are disturbed

Cause: each engine's report lists its streams, so the pace, and with it the prefill window, refusals on arrival and placement by speed, would take effect on every deployment, also where nothing calls for them.

Change: permit requests state their work where callers have workspaces, or an endpoint of the service has reported within a minute that work takes a tenth longer or shorter than usual on its VM. A sidecar observes the pace for 30 s after such a request, and otherwise issues permits and informs gateways as if none were known. Everything else follows from the pace.

Ruled out: a pace sent by all sidecars and used by some gateways: its messages and its processor time at deployments that don't use it. A setting: what calls for it is in the configuration and in what endpoints say already.

Changed test: permits::a_sidecar_with_a_pace_is_told_the_work_of_the_prompt asked for the work after a pace was reported; it asks for it where a VM is disturbed, and asserts the same. New: paces::pace_is_observed_only_while_requests_state_their_work.

--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -7,10 +7,11 @@
 use oatpier_serving::admission;
 use oatpier_serving::message::{InnerMessage, PermitAsk, PermitGrant, RatedPermitAsk};
 use oatpier_serving::site::RouteKind;
+use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
 use tokio::time::timeout;
 
-use super::core::GatewayCore;
+use super::core::{CoreState, GatewayCore};
 use super::placement::{PlacedSend, RequestContext};
 use crate::exchange::MessageOutlet;
 
@@ -68,7 +69,7 @@
     endpoint: EndpointName,
     sidecar: SocketAddr,
     ask: PermitAsk,
-    /// What the engine will do for the request, if its sidecar reports a pace and so knows such requests.
+    /// What the engine will do for the request, if the sidecar is told.
     work: Option<RequestWork>,
     /// The permit once it is granted. Dropping it with this request withdraws the request: a permit that is granted
     /// to a request whose caller has disconnected would keep the engine from the prefill of other prompts until the
@@ -88,15 +89,14 @@
         let now = core.clock.now();
         let mut state = core.lock();
         state.directory.note_permit_wait(&endpoint, ask.reading());
-        let row = state.directory.row(&endpoint);
-        let has_pace = row.is_some_and(|row| row.pace(now).is_some());
+        let is_rated = is_rated(&state, context, now);
         drop(state);
         Self {
             core: Arc::clone(core),
             endpoint,
             sidecar,
             ask,
-            work: has_pace.then(|| RequestWork::of(context, placed)),
+            work: is_rated.then(|| RequestWork::of(context, placed)),
             permit: Some(HeldPermit {
                 outlet: Arc::clone(&core.outlet),
                 sidecar,
@@ -136,6 +136,12 @@
     }
 }
 
+/// Returns whether a permit request states the work that it brings: where workspaces share the engines, or the engines'
+/// VMs are disturbed. Sidecars observe the pace of their engines only where requests state it.
+fn is_rated(state: &CoreState, context: &RequestContext, now: ClockTime) -> bool {
+    context.identity.workspace().is_some() || state.directory.is_disturbed(&context.service, now)
+}
+
 /// Returns how long a request may still wait to be in time, in milliseconds.
 fn due_in_ms(core: &GatewayCore, context: &RequestContext) -> u32 {
     let waited = core.clock.now().since(context.arrived);
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -280,6 +280,7 @@
                 self.send_permits();
             }
             InnerMessage::RatedPermitAsk(rated) => {
+                self.pace.note_rated_request(now);
                 self.permits.add_rated_request(from, &rated, now);
                 self.send_permits();
             }
--- a/crates/oatpier-gateway/src/sidecar/pace.rs
+++ b/crates/oatpier-gateway/src/sidecar/pace.rs
@@ -31,6 +31,9 @@
 /// Minimum time between two log lines about the pace.
 const LINE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time for which the pace is observed after a request that states its work.
+const OBSERVED_FOR: Duration = Duration::from_secs(30);
+
 /// A pace that was sent or logged.
 #[derive(Debug, Clone, Copy)]
 struct KnownPace {
@@ -65,6 +68,8 @@
     logged: Option<KnownPace>,
     waits: PermitWaits,
     metrics: PaceMetrics,
+    /// When a permit request last stated its work.
+    rated_at: Option<ClockTime>,
 }
 
 impl PaceReporter {
@@ -82,9 +87,20 @@
             logged: None,
             waits: PermitWaits::default(),
             metrics,
+            rated_at: None,
         }
     }
 
+    /// Records a permit request that states its work. Without such requests the pace of the engine is not observed, and
+    /// its permits are issued as if it were unknown.
+    pub fn note_rated_request(&mut self, now: ClockTime) {
+        self.rated_at = Some(now);
+    }
+
+    fn is_observing(&self, now: ClockTime) -> bool {
+        self.rated_at.is_some_and(|at| now.since(at) < OBSERVED_FOR)
+    }
+
     /// Learns from a report, and sets the pace of the engine's permits by it.
     pub fn apply_report(
         &mut self,
@@ -92,8 +108,12 @@
         issuer: &mut PermitIssuer,
         now: ClockTime,
     ) {
-        self.estimator.note_report(report, issuer.max_pause(), now);
         self.waits.count(issuer, &self.metrics, now);
+        if !self.is_observing(now) {
+            self.forget_engine(issuer);
+            return;
+        }
+        self.estimator.note_report(report, issuer.max_pause(), now);
         let present = self.estimator.present(now);
         issuer.set_pace(present);
         self.metrics.set_usual(self.estimator.pace(now));
@@ -107,6 +127,9 @@
         issuer: &PermitIssuer,
         now: ClockTime,
     ) {
+        if !self.is_observing(now) {
+            return;
+        }
         let mut permits = 0;
         for prompt in grants.iter().filter_map(|grant| grant.prompt) {
             permits += 1;
--- a/crates/oatpier-gateway/tests/testsuite/paces.rs
+++ b/crates/oatpier-gateway/tests/testsuite/paces.rs
@@ -25,6 +25,8 @@
     now_ms: u64,
     updates: Vec<(u64, PaceStatus)>,
     lines: usize,
+    /// Whether permit requests state their work.
+    is_rated: bool,
 }
 
 impl ReportedEngine {
@@ -39,6 +41,7 @@
             now_ms: 0,
             updates: Vec::new(),
             lines: 0,
+            is_rated: true,
         }
     }
 
@@ -62,6 +65,9 @@
             ..EngineReport::default()
         };
         let now = ClockTime::from_millis(self.now_ms);
+        if self.is_rated {
+            self.reporter.note_rated_request(now);
+        }
         self.reporter.apply_report(&report, &mut self.issuer, now);
         if let Some(EngineUpdate::Pace(pace)) = self.reporter.due_update(4, now) {
             self.updates.push((self.now_ms, pace));
@@ -88,6 +94,25 @@
     assert_eq!(engine.lines, 1);
 }
 
+/// Where no permit request states its work, permits are issued and gateways informed as if no pace were known, also
+/// after a while in which requests did.
+#[test]
+fn pace_is_observed_only_while_requests_state_their_work() {
+    let mut engine = ReportedEngine::new(50);
+    engine.is_rated = false;
+    engine.run(12_000);
+    assert!(engine.updates.is_empty());
+    engine.is_rated = true;
+    engine.run(24_000);
+    assert!(!engine.updates.is_empty());
+    engine.is_rated = false;
+    engine.run(60_000);
+    let now = ClockTime::from_millis(engine.now_ms);
+    assert_eq!(engine.issuer.prefill_room(now), None);
+    let last = engine.updates.last().unwrap().0;
+    assert!(last < 24_000 + 31_000, "{last}");
+}
+
 /// An engine is lost, and another one takes its address at another speed. Gateways are told nothing of the first one
 /// after that, and the pace of the second as soon as it is known.
 #[test]
--- a/crates/oatpier-gateway/tests/testsuite/permits.rs
+++ b/crates/oatpier-gateway/tests/testsuite/permits.rs
@@ -4,13 +4,11 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use oatpier_serving::capacity::EnginePace;
+use oatpier_serving::capacity::host::HostPace;
 use oatpier_serving::engine::HeldModel;
-use oatpier_serving::message::{
-    EngineUpdate, InnerMessage, MessageNumber, PaceStatus, PermitAsk, PermitGrant, RatedPermitAsk,
-};
+use oatpier_serving::message::{InnerMessage, PermitAsk, PermitGrant, RatedPermitAsk};
 use oatpier_serving::site::RouteKind;
-use oatpier_types::names::ModelName;
+use oatpier_types::names::{EndpointName, ModelName};
 use tokio::time::sleep;
 
 use crate::support::{
@@ -169,17 +167,11 @@
     assert!(engine.requests().is_empty());
 }
 
-fn report_pace(gateway: &TestGateway, engine: &ScriptedEndpoint) {
-    let update = EngineUpdate::Pace(PaceStatus {
-        number: MessageNumber { boot: 1, number: 1 },
-        engine: engine.address,
-        start: None,
-        pace: EnginePace {
-            chunk_us: 50_000,
-            ..EnginePace::default()
-        },
-    });
-    gateway.core.relay_update(update);
+/// Records that the engine's response reported a disturbance of its VM.
+fn report_disturbance(gateway: &TestGateway) {
+    let pace = HostPace::try_from(250).unwrap();
+    let name = EndpointName::try_from("i-1").unwrap();
+    gateway.core.record_host_pace(&name, pace);
 }
 
 fn rated_requests(gateway: &TestGateway) -> Vec<RatedPermitAsk> {
@@ -193,15 +185,15 @@
         .collect()
 }
 
-/// Guards against requests that wait in vain after a sidecar was replaced by one of an earlier version. A sidecar that
-/// has reported its pace is told what its engine will do for the request, and every other repetition is one that each
-/// version knows.
+/// Guards against requests that wait in vain after a sidecar was replaced by one of an earlier version. Where the VMs of
+/// engines are disturbed, a sidecar is told what its engine will do for the request, and every other repetition is one
+/// that each version knows.
 #[tokio::test]
-async fn a_sidecar_with_a_pace_is_told_the_work_of_the_prompt() {
+async fn a_sidecar_at_a_disturbed_service_is_told_the_work_of_the_prompt() {
     let engine = ScriptedEndpoint::start(stream_responses(1)).await;
     let gateway = TestGateway::with_endpoints(STREAM, 1, &[&engine]);
     report_engine(&gateway, &engine, 1);
-    report_pace(&gateway, &engine);
+    report_disturbance(&gateway);
     let hinted = request(&[
         ("x-oatpier-model", "m1"),
         ("x-oatpier-token-usage", "4000,300"),
--- a/crates/oatpier-serving/src/capacity/host.rs
+++ b/crates/oatpier-serving/src/capacity/host.rs
@@ -15,6 +15,9 @@
 /// The bounds of a plausible pace, in percent.
 const PERCENT_RANGE: RangeInclusive<u32> = 10..=1_000;
 
+/// Deviation from the usual time, in percent, from which a VM counts as disturbed.
+const DISTURBED_BY: u32 = 10;
+
 /// How long work takes on a VM, in percent of the usual time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostPace {
@@ -39,6 +42,13 @@
     }
 }
 
+impl HostPace {
+    /// Returns whether work takes clearly longer or shorter than usual.
+    pub(crate) fn is_disturbed(self) -> bool {
+        self.percent.abs_diff(100) >= DISTURBED_BY
+    }
+}
+
 /// A pace as reported at some time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct HostHint {
--- a/crates/oatpier-serving/src/directory/capacity.rs
+++ b/crates/oatpier-serving/src/directory/capacity.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::{EndpointName, ModelName};
+use oatpier_types::names::{EndpointName, ModelName, PoolName};
 
 use super::{EndpointDirectory, EndpointRow};
 use crate::capacity::EnginePace;
@@ -18,6 +18,10 @@
 /// Smallest number of tokens that a prompt is assumed to need. A prefill time of zero counts as unknown.
 const MIN_PREFILL_TOKENS: f64 = 1.0;
 
+/// Time for which a service counts as disturbed after an endpoint reported a disturbance of its VM. Disturbances last for
+/// tenths of a second and recur every few seconds.
+const DISTURBED_FOR: Duration = Duration::from_mins(1);
+
 /// An update and the time of its arrival.
 #[derive(Debug)]
 struct KeptUpdate<T> {
@@ -76,9 +80,19 @@
     pub fn apply_host_pace(&mut self, name: &EndpointName, pace: HostPace, now: ClockTime) {
         if let Some(row) = self.rows.get_mut(name) {
             row.capacity.host = Some(HostHint { pace, at: now });
+            if pace.is_disturbed() {
+                self.disturbed_at.insert(row.record.service.clone(), now);
+            }
         }
     }
 
+    /// Returns whether an endpoint of a service has lately reported that its VM is disturbed.
+    #[must_use]
+    pub fn is_disturbed(&self, service: &PoolName, now: ClockTime) -> bool {
+        let at = self.disturbed_at.get(service);
+        at.is_some_and(|at| now.since(*at) < DISTURBED_FOR)
+    }
+
     /// Returns the time that an engine needs to prefill a number of tokens, in milliseconds: at the pace that its
     /// sidecar reports, or else as estimated by this gateway.
     #[must_use]
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -84,6 +84,8 @@
     estimator: PrefillEstimator,
     departures: DepartedEndpoints,
     status_lifetime: StatusLifetime,
+    /// When an endpoint of each service last reported that its VM is disturbed.
+    disturbed_at: HashMap<PoolName, ClockTime>,
 }
 
 impl Default for EndpointDirectory {
@@ -105,6 +107,7 @@
             estimator: PrefillEstimator::default(),
             departures: DepartedEndpoints::default(),
             status_lifetime: StatusLifetime::default(),
+            disturbed_at: HashMap::new(),
         }
     }
 }
