planner: The same demand gives the same plan

Traced: alone it failed in one of six runs of the same binary. Models are kept in a hash map whose order differs by map, and so does the rounding of the sums over it; ties and near ties then give other plans.

Change: models of a round are sorted by name, and the sums of the slot times are taken in a fixed order.

Ruled out: the machine's load: six runs at once differed among themselves, and the test has no clock.

New test forecast::same_demand_gives_the_same_forecast, seen failing without the change; a test that compares the plans of two fleets passed also without it and was not kept.

--- a/crates/oatpier-serving/src/planner/forecast.rs
+++ b/crates/oatpier-serving/src/planner/forecast.rs
@@ -39,8 +39,8 @@
     /// second.
     #[must_use]
     pub fn of_fleet(demand: &HashMap<ModelName, TotalDemand>) -> Self {
-        let running: f64 = demand.values().map(|total| total.running).sum();
-        let sent: f64 = demand.values().map(|total| total.sent).sum();
+        let running = ordered_sum(demand.values().map(|total| total.running));
+        let sent = ordered_sum(demand.values().map(|total| total.sent));
         Self {
             mean_s: (running + DEFAULT_SLOT_TIME_S) / (sent + 1.0),
         }
@@ -53,6 +53,13 @@
     }
 }
 
+/// Returns the sum of values in a fixed order. The rounding of a sum depends on the order, and so would plans.
+fn ordered_sum(values: impl Iterator<Item = f64>) -> f64 {
+    let mut sorted: Vec<f64> = values.collect();
+    sorted.sort_by(f64::total_cmp);
+    sorted.iter().sum()
+}
+
 /// Returns the number of slots that requests of a model will occupy at the same time after `lead`.
 #[must_use]
 pub fn slots_wanted(total: &TotalDemand, slot_times: SlotTimes, lead: Duration) -> f64 {
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -23,7 +23,7 @@
 mod round;
 mod wanted;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -290,7 +290,7 @@
         let slots = engines.first().map_or(1, |view| view.row.record.slots);
         let mut round = PlanRound {
             rule,
-            models: HashMap::new(),
+            models: BTreeMap::new(),
             uses: demand.uses,
             speeds,
             lenders: self.available_lenders(&engines, now),
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -1,6 +1,6 @@
 //! State of one planning round: the engines and models, and the advice that results from them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -164,7 +164,8 @@
 pub(super) struct PlanRound<'a> {
     pub(super) rule: &'a EngineRule,
     pub(super) engines: Vec<EngineView<'a>>,
-    pub(super) models: HashMap<&'a ModelName, ModelView>,
+    /// Sorted by name, so that the same input gives the same plan.
+    pub(super) models: BTreeMap<&'a ModelName, ModelView>,
     pub(super) uses: &'a FleetUses,
     pub(super) speeds: FleetSpeeds,
     /// Indices of the engines whose right to load from the weight store is unused and that were not named
--- a/crates/oatpier-serving/tests/testsuite/forecast.rs
+++ b/crates/oatpier-serving/tests/testsuite/forecast.rs
@@ -95,3 +95,27 @@
     let slots = |name: &str| slots_wanted(&all[&model(name)], slot_times, Duration::ZERO);
     assert!(slots("long") > 4.0 * slots("short"));
 }
+
+/// Maps iterate in a different order each time, and the rounding of a sum depends on the order. The same demand must give
+/// the same plan.
+#[test]
+fn same_demand_gives_the_same_forecast() {
+    let totals = |_| {
+        let demand = (1..=60_u8).map(|number| {
+            let total = TotalDemand {
+                running: 1.0 / f64::from(number),
+                sent: 1.0 / f64::from(number + 7),
+                asked_fast: 5.0,
+                asked_slow: 5.0,
+                ..TotalDemand::default()
+            };
+            (model(&format!("m{number}")), total)
+        });
+        slots_after(&demand.collect(), 2).to_bits()
+    };
+    let forecasts: Vec<u64> = (0..50).map(totals).collect();
+    assert!(
+        forecasts.windows(2).all(|pair| pair[0] == pair[1]),
+        "{forecasts:?}"
+    );
+}
