gateway, sidecar: Pace is observed only where VMs are disturbed, not where workspaces share alike engines

Change: a rated permit request says whether VMs of the service are disturbed; only then does the sidecar observe the pace. Workspaces' shares need the work of a request and stay.

Result: cargo test -p oatpier-gateway 129 passed; 92 tests of paces, permits, sharing, messages and relays passed.

--- a/crates/oatpier-gateway/src/gateway/permits.rs
+++ b/crates/oatpier-gateway/src/gateway/permits.rs
@@ -7,11 +7,10 @@
 use oatpier_serving::admission;
 use oatpier_serving::message::{InnerMessage, PermitAsk, PermitGrant, RatedPermitAsk};
 use oatpier_serving::site::RouteKind;
-use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
 use tokio::time::timeout;
 
-use super::core::{CoreState, GatewayCore};
+use super::core::GatewayCore;
 use super::placement::{PlacedSend, RequestContext};
 use crate::exchange::MessageOutlet;
 
@@ -71,6 +70,8 @@
     ask: PermitAsk,
     /// What the engine will do for the request, if the sidecar is told.
     work: Option<RequestWork>,
+    /// Whether VMs of the service are disturbed.
+    is_disturbed: bool,
     /// The permit once it is granted. Dropping it with this request withdraws the request: a permit that is granted
     /// to a request whose caller has disconnected would keep the engine from the prefill of other prompts until the
     /// permit expires.
@@ -89,7 +90,9 @@
         let now = core.clock.now();
         let mut state = core.lock();
         state.directory.note_permit_wait(&endpoint, ask.reading());
-        let is_rated = is_rated(&state, context, now);
+        let is_disturbed = state.directory.is_disturbed(&context.service, now);
+        // Workspaces compete for the engine's time, so their sidecar has to know the work of their requests.
+        let is_rated = is_disturbed || context.identity.workspace().is_some();
         drop(state);
         Self {
             core: Arc::clone(core),
@@ -97,6 +100,7 @@
             sidecar,
             ask,
             work: is_rated.then(|| RequestWork::of(context, placed)),
+            is_disturbed,
             permit: Some(HeldPermit {
                 outlet: Arc::clone(&core.outlet),
                 sidecar,
@@ -119,6 +123,7 @@
                 prefill_tokens: work.prefill_tokens,
                 output_tokens: work.output_tokens,
                 share: self.core.share_standing(context),
+                is_disturbed: self.is_disturbed,
             }),
             None => InnerMessage::PermitAsk(ask),
         };
@@ -136,12 +141,6 @@
     }
 }
 
-/// Returns whether a permit request states the work that it brings: where workspaces share the engines, or the engines'
-/// VMs are disturbed. Sidecars observe the pace of their engines only where requests state it.
-fn is_rated(state: &CoreState, context: &RequestContext, now: ClockTime) -> bool {
-    context.identity.workspace().is_some() || state.directory.is_disturbed(&context.service, now)
-}
-
 /// Returns how long a request may still wait to be in time, in milliseconds.
 fn due_in_ms(core: &GatewayCore, context: &RequestContext) -> u32 {
     let waited = core.clock.now().since(context.arrived);
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -280,7 +280,9 @@
                 self.send_permits();
             }
             InnerMessage::RatedPermitAsk(rated) => {
-                self.pace.note_rated_request(now);
+                if rated.is_disturbed {
+                    self.pace.note_disturbed(now);
+                }
                 self.permits.add_rated_request(from, &rated, now);
                 self.send_permits();
             }
--- a/crates/oatpier-gateway/src/sidecar/pace.rs
+++ b/crates/oatpier-gateway/src/sidecar/pace.rs
@@ -31,7 +31,7 @@
 /// Minimum time between two log lines about the pace.
 const LINE_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Time for which the pace is observed after a request that states its work.
+/// Time for which the pace is observed after a permit request that says that VMs are disturbed.
 const OBSERVED_FOR: Duration = Duration::from_secs(30);
 
 /// A pace that was sent or logged.
@@ -68,8 +68,8 @@
     logged: Option<KnownPace>,
     waits: PermitWaits,
     metrics: PaceMetrics,
-    /// When a permit request last stated its work.
-    rated_at: Option<ClockTime>,
+    /// When a permit request last said that VMs of the service are disturbed.
+    disturbed_at: Option<ClockTime>,
 }
 
 impl PaceReporter {
@@ -87,18 +87,19 @@
             logged: None,
             waits: PermitWaits::default(),
             metrics,
-            rated_at: None,
+            disturbed_at: None,
         }
     }
 
-    /// Records a permit request that states its work. Without such requests the pace of the engine is not observed, and
-    /// its permits are issued as if it were unknown.
-    pub fn note_rated_request(&mut self, now: ClockTime) {
-        self.rated_at = Some(now);
+    /// Records a permit request that says that VMs of the service are disturbed. Without such requests the pace of the
+    /// engine is not observed, and its permits are issued as if it were unknown.
+    pub fn note_disturbed(&mut self, now: ClockTime) {
+        self.disturbed_at = Some(now);
     }
 
     fn is_observing(&self, now: ClockTime) -> bool {
-        self.rated_at.is_some_and(|at| now.since(at) < OBSERVED_FOR)
+        self.disturbed_at
+            .is_some_and(|at| now.since(at) < OBSERVED_FOR)
     }
 
     /// Learns from a report, and sets the pace of the engine's permits by it.
--- a/crates/oatpier-gateway/tests/testsuite/paces.rs
+++ b/crates/oatpier-gateway/tests/testsuite/paces.rs
@@ -25,8 +25,8 @@
     now_ms: u64,
     updates: Vec<(u64, PaceStatus)>,
     lines: usize,
-    /// Whether permit requests state their work.
-    is_rated: bool,
+    /// Whether permit requests say that VMs are disturbed.
+    is_disturbed: bool,
 }
 
 impl ReportedEngine {
@@ -41,7 +41,7 @@
             now_ms: 0,
             updates: Vec::new(),
             lines: 0,
-            is_rated: true,
+            is_disturbed: true,
         }
     }
 
@@ -65,8 +65,8 @@
             ..EngineReport::default()
         };
         let now = ClockTime::from_millis(self.now_ms);
-        if self.is_rated {
-            self.reporter.note_rated_request(now);
+        if self.is_disturbed {
+            self.reporter.note_disturbed(now);
         }
         self.reporter.apply_report(&report, &mut self.issuer, now);
         if let Some(EngineUpdate::Pace(pace)) = self.reporter.due_update(4, now) {
@@ -94,18 +94,18 @@
     assert_eq!(engine.lines, 1);
 }
 
-/// Where no permit request states its work, permits are issued and gateways informed as if no pace were known, also
-/// after a while in which requests did.
+/// Where no VM is disturbed, permits are issued and gateways informed as if no pace were known, also half a minute after
+/// one was.
 #[test]
-fn pace_is_observed_only_while_requests_state_their_work() {
+fn pace_is_observed_only_while_vms_are_disturbed() {
     let mut engine = ReportedEngine::new(50);
-    engine.is_rated = false;
+    engine.is_disturbed = false;
     engine.run(12_000);
     assert!(engine.updates.is_empty());
-    engine.is_rated = true;
+    engine.is_disturbed = true;
     engine.run(24_000);
     assert!(!engine.updates.is_empty());
-    engine.is_rated = false;
+    engine.is_disturbed = false;
     engine.run(60_000);
     let now = ClockTime::from_millis(engine.now_ms);
     assert_eq!(engine.issuer.prefill_room(now), None);
--- a/crates/oatpier-gateway/tests/testsuite/share_updates.rs
+++ b/crates/oatpier-gateway/tests/testsuite/share_updates.rs
@@ -41,6 +41,7 @@
         prefill_tokens: 40,
         output_tokens: 100,
         share,
+        is_disturbed: false,
     };
     issuer.add_rated_request(engine(), &rated, now);
     assert_eq!(issuer.issue_due(now).len(), 1);
--- a/crates/oatpier-serving/src/message/capacity.rs
+++ b/crates/oatpier-serving/src/message/capacity.rs
@@ -38,7 +38,7 @@
     pub uses: Vec<WorkspaceUse>,
 }
 
-/// Request of a gateway for a permit, with what the engine will do for it. Sent to sidecars that report their pace.
+/// Request of a gateway for a permit, with what the engine will do for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RatedPermitAsk {
@@ -50,4 +50,7 @@
     pub output_tokens: u32,
     /// Standing of the request's workspace; `None` where callers have no workspace.
     pub share: Option<ShareStanding>,
+    /// Whether endpoints of the service have lately reported that their VMs are disturbed. The sidecar then observes the
+    /// pace of its engine.
+    pub is_disturbed: bool,
 }
--- a/crates/oatpier-serving/tests/testsuite/engine_pace/prompt_burst.rs
+++ b/crates/oatpier-serving/tests/testsuite/engine_pace/prompt_burst.rs
@@ -27,6 +27,7 @@
         prefill_tokens: prompt.tokens.unwrap_or(0),
         output_tokens: 100,
         share: None,
+        is_disturbed: false,
     }
 }
 
--- a/crates/oatpier-serving/tests/testsuite/sharing/engines.rs
+++ b/crates/oatpier-serving/tests/testsuite/sharing/engines.rs
@@ -275,6 +275,7 @@
             prefill_tokens: load.prompt_tokens,
             output_tokens: load.output_tokens,
             share: self.states_shares.then_some(share),
+            is_disturbed: false,
         };
         let engines = &mut self.engines[load.engines.clone()];
         let engine = engines
--- a/crates/oatpier-serving/tests/testsuite/sharing/order.rs
+++ b/crates/oatpier-serving/tests/testsuite/sharing/order.rs
@@ -30,6 +30,7 @@
             weight: 1_000,
             use_us_per_s,
         }),
+        is_disturbed: false,
     }
 }
 
