--- a/crates/oatpier-serving/src/directory/capacity.rs
+++ b/crates/oatpier-serving/src/directory/capacity.rs
@@ -110,6 +110,18 @@
 }
 
 impl EndpointRow {
+    /// Returns the pace of its present incarnation, if its sidecar has reported one lately.
+    #[must_use]
+    pub fn pace(&self, now: ClockTime) -> Option<&EnginePace> {
+        self.capacity.pace(self.record.start, now)
+    }
+
+    /// Returns its recent use by workspaces, as far as its sidecar reports it.
+    #[must_use]
+    pub fn workspace_uses(&self, now: ClockTime) -> &[WorkspaceUse] {
+        self.capacity.shares(now)
+    }
+
     /// Returns the expected time of work on its VM, relative to the usual one; 1 if unknown.
     #[must_use]
     pub fn work_factor(&self, now: ClockTime) -> f64 {
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -13,7 +13,6 @@
 use super::capacity::CapacityState;
 use super::rest::RestState;
 use super::status::{LatestStatus, LoadEstimate};
-use crate::capacity::EnginePace;
 use crate::engine::{AdapterKey, HeldModel, LocalCopies, StartTime};
 use crate::health::{DurationEstimate, FailureShare};
 use crate::message::EngineStatus;
@@ -21,7 +20,6 @@
 use crate::pacing::StatusLifetime;
 use crate::prefill::PrefillBacklog;
 use crate::quota::turns::TurnEstimates;
-use crate::sharing::WorkspaceUse;
 use crate::site::EngineRule;
 
 /// Minimum remaining time assumed for a load in progress. It applies to a load that exceeds its expected
@@ -287,18 +285,6 @@
         self.prefill.total_ms().max(f64::from(queued_ms))
     }
 
-    /// Returns the pace of its present incarnation, if its sidecar has reported one lately.
-    #[must_use]
-    pub fn pace(&self, now: ClockTime) -> Option<&EnginePace> {
-        self.capacity.pace(self.record.start, now)
-    }
-
-    /// Returns its recent use by workspaces, as far as its sidecar reports it.
-    #[must_use]
-    pub fn workspace_uses(&self, now: ClockTime) -> &[WorkspaceUse] {
-        self.capacity.shares(now)
-    }
-
     /// Returns whether its sidecar has sent updates before but is overdue with the next one.
     #[must_use]
     pub fn is_overdue(&self, now: ClockTime) -> bool {
--- a/crates/oatpier-serving/src/message/mod.rs
+++ b/crates/oatpier-serving/src/message/mod.rs
@@ -76,7 +76,7 @@
     LimitSeen(LimitReport),
     /// Sent by a gateway to all others: an endpoint that is leaving according to its response.
     LeavingSeen(LeavingReport),
-    /// Sent by a gateway to a sidecar that reports its pace: requests a permit to send a prompt to its engine.
+    /// Sent by a gateway to a sidecar: requests a permit to send a prompt to its engine, and states its work.
     RatedPermitAsk(RatedPermitAsk),
 }
 
--- a/crates/oatpier-serving/tests/testsuite/admission_fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/admission_fleet.rs
@@ -11,8 +11,7 @@
 use oatpier_serving::message::{EngineStatus, MessageNumber, PermitAsk};
 use oatpier_serving::site::RouteRule;
 use oatpier_types::names::EndpointName;
-use rand::seq::SliceRandom;
-use rand::{RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
 use crate::admission_callers::{ArrivedTry, CallerClass, CallerOutcome, CallerState, ReturnPolicy};
