gateway, platform: Logs and metrics name the software versions of the endpoints of a stream

Callers saw streams joined from endpoints of two software versions. No line named an endpoint's version, `stream broke off` didn't say where a stream was resumed, and a request that takes a stream up looked like any other, so the log could not tell a resumption within one response from one by the caller.

The registry's `version` is decoded (it is of an incarnation: unknown after a restart or a replacement until the registry lists it) and is part of an entry's digest. `answer`, `stream broke off`, `directory` and `engine seen` lines name it; `stream broke off` names the endpoint and version of a resumption; `answer` lines have `resumes` and `after_event`; metrics `broken_streams` and `taken_up_streams` by outcome. No decision uses the version yet.

--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -14,6 +14,7 @@
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::PoolName;
 use oatpier_types::refusal::Refusal;
+use oatpier_types::software::SoftwareVersion;
 
 use super::arrivals::ArrivalForecast;
 use super::identity::CallerIdentity;
@@ -163,6 +164,8 @@
     pub choice: EndpointChoice,
     /// The address on which the endpoint listens.
     pub address: SocketAddr,
+    /// The version of the endpoint's software, if known.
+    pub version: Option<SoftwareVersion>,
     /// The number of requests that the endpoint runs concurrently.
     pub slots: u32,
     /// The age of the last status update of the endpoint's sidecar, or `None` without one.
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -217,6 +217,7 @@
         };
         let address = row.record.address;
         let slots = row.record.slots;
+        let version = row.record.version.clone();
         let load_age = row.status_age(now);
         if choice.needs_adapter {
             if now.since(context.arrived) > context.max_adapter_wait() {
@@ -234,6 +235,7 @@
         Placement::Send(PlacedSend {
             choice,
             address,
+            version,
             slots,
             load_age,
             turn: None,
--- a/crates/oatpier-gateway/src/gateway/planning.rs
+++ b/crates/oatpier-gateway/src/gateway/planning.rs
@@ -151,6 +151,10 @@
     });
     DecisionLine::new(LinePriority::Notable, "engine seen")
         .with("endpoint", row.record.name.as_str())
+        .with(
+            "version",
+            row.record.version.as_ref().map(ToString::to_string),
+        )
         .with("requests", row.request_count())
         .with("waiting", row.waiting())
         .with("hold_ms", row.slot_time.mean_ms().round())
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -26,6 +26,7 @@
 use super::pauses::PauseTracker;
 use super::placement::PlacedSend;
 use super::run::RequestRun;
+use super::run_log::StreamEnd;
 
 /// The stall timeout of a resumable stream, as a multiple of the longest allowed pause between chunks.
 const STALL_TIMEOUT_PAUSES: u32 = 4;
@@ -151,8 +152,12 @@
                 }
                 StreamStep::Expired => {
                     if let Some(guard) = self.guard.take() {
-                        self.run
-                            .log_broken_stream(&guard.endpoint, AttemptFailure::Silent, false);
+                        self.run.log_broken_stream(&StreamEnd {
+                            endpoint: &guard.endpoint,
+                            version: self.run.version.as_ref(),
+                            failure: AttemptFailure::Silent,
+                            is_resumed: false,
+                        });
                     }
                     return Some(Err("the stream's deadline passed".into()));
                 }
@@ -169,8 +174,15 @@
             };
             let endpoint = self.endpoint.clone();
             self.finish_broken();
+            let begun_at = self.run.version.clone();
             let is_resumed = self.resume(failure, &endpoint).await.is_some();
-            self.run.log_broken_stream(&endpoint, failure, is_resumed);
+            let end = StreamEnd {
+                endpoint: &endpoint,
+                version: begun_at.as_ref(),
+                failure,
+                is_resumed,
+            };
+            self.run.log_broken_stream(&end);
             if !is_resumed {
                 return Some(Err(failure.as_str().into()));
             }
@@ -297,6 +309,7 @@
     /// Moves a stalled stream to another endpoint.
     async fn move_to(&mut self, mut placed: PlacedSend) -> Result<(), AttemptFailure> {
         let endpoint = self.endpoint.clone();
+        let version = self.run.version.clone();
         self.finish_broken();
         let failure = AttemptFailure::Silent;
         if self.run.handle_failure(&endpoint, failure).is_some() {
@@ -304,7 +317,12 @@
         }
         self.endpoint = placed.choice.endpoint.clone();
         self.resume_at(&mut placed).await?;
-        self.run.log_broken_stream(&endpoint, failure, true);
+        self.run.log_broken_stream(&StreamEnd {
+            endpoint: &endpoint,
+            version: version.as_ref(),
+            failure,
+            is_resumed: true,
+        });
         Ok(())
     }
 
@@ -341,6 +359,8 @@
             .await
             .map_err(|_| AttemptFailure::Silent)??;
         self.endpoint = response.guard.endpoint.clone();
+        self.run.endpoint = Some(self.endpoint.clone());
+        self.run.version = placed.version.clone();
         self.run.prediction = placed.choice.stream;
         if !response.status.is_success() {
             response.guard.finish(RequestOutcome::ServerError);
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -11,6 +11,7 @@
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::EndpointName;
 use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_types::software::SoftwareVersion;
 use oatpier_types::verdict::{Repeat, RunVerdict};
 use oatpier_wire::reply::{LeasedBody, Reply};
 use smallvec::SmallVec;
@@ -59,6 +60,8 @@
     is_sending: bool,
     /// The endpoint of the last attempt.
     pub(super) endpoint: Option<EndpointName>,
+    /// The version of that endpoint's software, if known.
+    pub(super) version: Option<SoftwareVersion>,
     /// Predicted course of the stream of the last attempt.
     pub(super) prediction: Option<StreamPrediction>,
     /// The best endpoint when the request was refused because that endpoint could not take it.
@@ -89,6 +92,7 @@
             ended_verdict: RunVerdict::NotRun,
             is_sending: false,
             endpoint: None,
+            version: None,
             prediction: None,
             best_choice: None,
             throttled: None,
@@ -131,6 +135,7 @@
             self.is_sending = true;
             self.context.charge.set_spent(true);
             self.endpoint = Some(placed.choice.endpoint.clone());
+            self.version = placed.version.clone();
             self.prediction = placed.choice.stream;
             let failure = match self.attempt(&mut placed).await {
                 Ok(reply) => return RunOutcome::Relayed(reply),
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -4,6 +4,7 @@
 
 use http::StatusCode;
 use oatpier_types::names::EndpointName;
+use oatpier_types::software::SoftwareVersion;
 
 use super::attempt::AttemptFailure;
 use super::local_responses::LocalResponse;
@@ -12,6 +13,16 @@
 use super::run::RequestRun;
 use crate::decisions::{DecisionLine, LinePriority};
 
+/// The end of a stream at an endpoint, before the stream was complete.
+pub(super) struct StreamEnd<'a> {
+    pub(super) endpoint: &'a EndpointName,
+    /// The version of the endpoint's software, if known.
+    pub(super) version: Option<&'a SoftwareVersion>,
+    pub(super) failure: AttemptFailure,
+    /// Whether the stream goes on at another endpoint.
+    pub(super) is_resumed: bool,
+}
+
 impl RequestRun {
     /// Logs a failed attempt.
     pub(super) fn log_failure(&self, placed: &PlacedSend, failure: AttemptFailure) {
@@ -29,13 +40,8 @@
     }
 
     /// Logs a stream that broke off after its first chunk.
-    pub(super) fn log_broken_stream(
-        &self,
-        endpoint: &EndpointName,
-        failure: AttemptFailure,
-        is_resumed: bool,
-    ) {
-        let outcome = if is_resumed {
+    pub(super) fn log_broken_stream(&self, end: &StreamEnd<'_>) {
+        let outcome = if end.is_resumed {
             "resumed"
         } else {
             "cut at the caller"
@@ -44,12 +50,26 @@
         let line = DecisionLine::new(LinePriority::Notable, "stream broke off")
             .with("request", self.context.request.id.as_str())
             .with("fingerprint", self.context.fingerprint.short())
-            .with("endpoint", endpoint.as_str())
-            .with("cause", failure.as_str())
+            .with("endpoint", end.endpoint.as_str())
+            .with("version", end.version.map(ToString::to_string))
+            .with("cause", end.failure.as_str())
             .with("outcome", outcome)
             .with("waited_ms", millis(waited));
-        self.core.log.write(line);
-        self.core.metrics.count_attempt(failure.as_str());
+        self.core.log.write(self.with_resumption_target(line, end));
+        self.core.metrics.count_attempt(end.failure.as_str());
+        let resumption = if end.is_resumed { "resumed" } else { "cut" };
+        self.core.metrics.streams.count_broken(resumption);
+    }
+
+    /// Adds where the stream goes on, if it does.
+    fn with_resumption_target(&self, line: DecisionLine, end: &StreamEnd<'_>) -> DecisionLine {
+        if !end.is_resumed {
+            return line;
+        }
+        let endpoint = self.endpoint.as_ref();
+        let version = self.version.as_ref();
+        line.with("resumed_at", endpoint.map(ToString::to_string))
+            .with("resumed_version", version.map(ToString::to_string))
     }
 
     /// Logs why a complete stream was late, if it was.
@@ -92,6 +112,7 @@
         };
         let line = self.answer_line(priority, outcome);
         self.core.log.write(line.with("status", status.as_u16()));
+        self.count_taken_up(outcome);
         self.core
             .metrics
             .count_request(self.context.route.name.as_str(), outcome);
@@ -127,11 +148,19 @@
             .with("status", response.status().as_u16())
             .with("verdict", self.verdict().as_str());
         self.core.log.write(line);
+        self.count_taken_up(response.as_str());
         self.core
             .metrics
             .count_request(self.context.route.name.as_str(), response.as_str());
     }
 
+    /// Counts the outcome of a request that takes up a stream.
+    fn count_taken_up(&self, outcome: &'static str) {
+        if self.context.request.resumption.is_some() {
+            self.core.metrics.streams.count_taken_up(outcome);
+        }
+    }
+
     fn answer_line(&self, priority: LinePriority, outcome: &'static str) -> DecisionLine {
         let context = &self.context;
         let waited = self.core.clock.now().since(context.arrived);
@@ -144,9 +173,16 @@
                 context.request.weights.as_ref().map(ToString::to_string),
             )
             .with("endpoint", self.endpoint.as_ref().map(ToString::to_string))
+            .with("version", self.version.as_ref().map(ToString::to_string))
             .with("failed_at", names(&self.excluded))
             .with("waited_ms", millis(waited))
             .with("store_age_ms", self.core.store_age_ms());
+        let line = match &context.request.resumption {
+            Some(resumption) => line
+                .with("resumes", resumption.first_attempt.as_deref())
+                .with("after_event", resumption.last_event.as_deref()),
+            None => line,
+        };
         let workspace = context.identity.workspace_name();
         let line = match workspace {
             Some(name) => line.with("workspace", name.as_str()),
--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use oatpier_duty::duty::{StopPhase, StopSignal};
-use oatpier_serving::directory::EndpointRecord;
+use oatpier_serving::directory::{DirectoryChange, EndpointDirectory, EndpointRecord};
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::quota::lease::StoreEra;
 use oatpier_serving::reads::{KnowledgeSource, RegisteredEndpoints, StoreDelta, StoreKnowledge};
@@ -135,10 +135,13 @@
         } = &mut *state;
         let changes = directory.apply_registered(endpoints, now);
         holder.retain_endpoints(|endpoint| directory.row(endpoint).is_some());
+        let lines: Vec<DecisionLine> = changes
+            .iter()
+            .map(|change| directory_line(directory, change))
+            .collect();
         drop(state);
-        for change in &changes {
-            let line = DecisionLine::new(LinePriority::Notable, "directory");
-            self.log.write(line.with("change", format!("{change:?}")));
+        for line in lines {
+            self.log.write(line);
         }
         self.resolve_broken_attempts();
         if !changes.is_empty() {
@@ -248,6 +251,15 @@
     }
 }
 
+/// Creates the log line for a change in the set of endpoints.
+fn directory_line(directory: &EndpointDirectory, change: &DirectoryChange) -> DecisionLine {
+    let row = directory.row(change.endpoint());
+    let version = row.and_then(|row| row.record.version.as_ref());
+    DecisionLine::new(LinePriority::Notable, "directory")
+        .with("change", format!("{change:?}"))
+        .with("version", version.map(ToString::to_string))
+}
+
 fn millis(age: Duration) -> u64 {
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/oatpier-gateway/src/lib.rs
+++ b/crates/oatpier-gateway/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod share;
 pub mod sidecar;
 pub mod store_reader;
+pub mod stream_metrics;
 pub mod workspace_metrics;
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use crate::admission_metrics::AdmissionMetrics;
 use crate::notice_metrics::NoticeMetrics;
 use crate::pace_metrics::PaceMetrics;
+use crate::stream_metrics::StreamMetrics;
 use crate::workspace_metrics::WorkspaceMetrics;
 
 /// Labels of an answered request.
@@ -74,6 +75,8 @@
     pub pace: PaceMetrics,
     /// Requests refused for lack of room.
     pub admission: AdmissionMetrics,
+    /// Streams that broke off, and requests that take a stream up.
+    pub streams: StreamMetrics,
     /// The version of the configuration in force.
     pub config_version: Gauge,
     /// Number of registered endpoints.
@@ -113,6 +116,7 @@
             notices: NoticeMetrics::default(),
             pace: PaceMetrics::default(),
             admission: AdmissionMetrics::default(),
+            streams: StreamMetrics::default(),
             config_version: Gauge::default(),
             endpoints: Gauge::default(),
             in_flight: Gauge::default(),
@@ -270,6 +274,7 @@
         self.notices.register(&mut registry);
         self.pace.register(&mut registry);
         self.admission.register(&mut registry);
+        self.streams.register(&mut registry);
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -25,3 +25,4 @@
 mod store_reading;
 mod streams;
 mod support;
+mod versions;
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -32,6 +32,7 @@
     WeightedService,
 };
 use oatpier_types::names::{ClassName, DaemonName, EndpointName, ModelName, PoolName, ZoneName};
+use oatpier_types::software::SoftwareVersion;
 use oatpier_wire::server::RequestHandler;
 use smallvec::smallvec;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -274,6 +275,22 @@
         gateway
     }
 
+    /// Creates a gateway with one resumable route to endpoints with these versions of their software.
+    pub fn with_versions(max_attempts: u32, endpoints: &[(&ScriptedEndpoint, &str)]) -> Self {
+        let gateway = Self::unconfigured();
+        let records = (1..)
+            .zip(endpoints)
+            .map(|(number, (endpoint, text))| EndpointRecord {
+                version: Some(version(text)),
+                ..record(number, endpoint.address)
+            });
+        let config = config(vec![route(RESUMABLE_STREAM, max_attempts)]);
+        gateway
+            .core
+            .apply_records(Some(Arc::new(config)), records.collect());
+        gateway
+    }
+
     /// Makes other gateways the holders of all parts of limits.
     pub fn hold_parts_elsewhere(&self) {
         let entry = |part| PartEntry {
@@ -396,6 +413,12 @@
     ])
 }
 
+/// A stream that may be resumed at another endpoint.
+pub const RESUMABLE_STREAM: RouteKind = RouteKind::Stream {
+    resumable: true,
+    pause: Duration::from_millis(150),
+};
+
 /// A stream that is sent at most once.
 pub const STREAM: RouteKind = RouteKind::Stream {
     resumable: false,
@@ -483,10 +506,16 @@
     }
 }
 
+/// Returns a version of endpoints' software.
+pub fn version(text: &str) -> SoftwareVersion {
+    SoftwareVersion::try_from(text).unwrap()
+}
+
 pub fn record(number: u8, address: SocketAddr) -> EndpointRecord {
     EndpointRecord {
         name: EndpointName::try_from(format!("i-{number}").as_str()).unwrap(),
         start: None,
+        version: Some(version("v1")),
         service: service(),
         address,
         zone: ZoneName::try_from("near").unwrap(),
--- a/crates/oatpier-serving/src/call.rs
+++ b/crates/oatpier-serving/src/call.rs
@@ -25,6 +25,8 @@
     pub expected_tokens: Option<u32>,
     /// The parts of the prompt, in order.
     pub parts: SmallVec<[PromptPart; 4]>,
+    /// The stream that the request takes up, if it does.
+    pub resumption: Option<StreamResumption>,
 }
 
 impl CallerRequest {
@@ -35,6 +37,15 @@
     }
 }
 
+/// The stream of earlier attempts that a request takes up after an event that its caller has received.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamResumption {
+    /// The identifier of the attempt that brought the first event; `None` if it is missing or unusable.
+    pub first_attempt: Option<String>,
+    /// The identifier of the last event that the caller received; `None` if it is missing or unusable.
+    pub last_event: Option<String>,
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -58,6 +58,18 @@
     Draining(EndpointName),
 }
 
+impl DirectoryChange {
+    /// Returns the endpoint that the change concerns.
+    #[must_use]
+    pub fn endpoint(&self) -> &EndpointName {
+        let (Self::Appeared(name)
+        | Self::Gone(name)
+        | Self::Restarted(name)
+        | Self::Draining(name)) = self;
+        name
+    }
+}
+
 /// Allocates a separate index in the health and prefix tables for each incarnation of an endpoint.
 #[derive(Debug, Default)]
 struct IndexAllocator {
@@ -272,6 +284,7 @@
         if row.is_other_incarnation(status.start) {
             let record = EndpointRecord {
                 start: status.start,
+                version: None,
                 draining: row.is_listed_draining(status.start),
                 ..row.record.clone()
             };
@@ -384,6 +397,7 @@
         let record = EndpointRecord {
             name,
             start: None,
+            version: None,
             draining: false,
             ..old.record
         };
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -7,6 +7,7 @@
 use oatpier_policy::index::EndpointIndex;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{AdapterName, EndpointName, ModelName, PoolName, ZoneName};
+use oatpier_types::software::SoftwareVersion;
 use serde::{Deserialize, Serialize};
 
 use super::REGISTRY_GRACE;
@@ -56,6 +57,8 @@
     pub name: EndpointName,
     /// Start time of the incarnation that the entry describes, if known.
     pub start: Option<StartTime>,
+    /// The version of this incarnation's software; `None` if it is not known.
+    pub version: Option<SoftwareVersion>,
     /// The service that it provides.
     pub service: PoolName,
     /// The address that it listens on.
--- a/crates/oatpier-serving/src/reads/digest.rs
+++ b/crates/oatpier-serving/src/reads/digest.rs
@@ -72,8 +72,9 @@
 #[must_use]
 pub fn endpoint_digest(record: &EndpointRecord) -> u64 {
     let start = record.start.map(|start| start.0);
+    let version = &record.version;
     let text = format!(
-        "{}|{start:?}|{}|{}|{}|{}|{};",
+        "{}|{start:?}|{version:?}|{}|{}|{}|{}|{};",
         record.name, record.service, record.address, record.zone, record.slots, record.draining,
     );
     xxh3_64(text.as_bytes())
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -11,6 +11,7 @@
 use oatpier_serving::site::{EngineRule, ModelRule, RouteKind, RouteRule, WeightedService};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{AdapterName, ClassName, EndpointName, ModelName, PoolName, ZoneName};
+use oatpier_types::software::SoftwareVersion;
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 use smallvec::smallvec;
 
@@ -61,10 +62,16 @@
     }
 }
 
+/// Returns a version of endpoints' software.
+pub fn version(text: &str) -> SoftwareVersion {
+    SoftwareVersion::try_from(text).unwrap()
+}
+
 pub fn record(number: u8, models: &[&str]) -> EndpointRecord {
     EndpointRecord {
         name: endpoint(&format!("e{number}")),
         start: None,
+        version: Some(version("v1")),
         service: service(),
         address: address(number),
         zone: zone("near"),
@@ -132,6 +139,7 @@
         output_tokens: 100,
         expected_tokens: None,
         parts: smallvec![PromptPart { id: 7, tokens: 300 }],
+        resumption: None,
     }
 }
 
--- a/crates/oatpier-types/src/lib.rs
+++ b/crates/oatpier-types/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`plan`]: the assignment of models to endpoints.
 //! - [`prefix`]: hashes that identify the prefixes of a prompt.
 //! - [`status`]: the status that an agent reports for its endpoint.
+//! - [`software`]: versions of the software of endpoints.
 //! - [`refusal`]: why a request is refused, and when the caller may retry.
 //! - [`errors`]: formatting of errors for log lines.
 //! - [`event`]: the typed event log that the invariant checker reads.
@@ -31,5 +32,6 @@
 pub mod prefix;
 pub mod refusal;
 pub mod request;
+pub mod software;
 pub mod status;
 pub mod verdict;
