--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -360,7 +360,7 @@
             .map_err(|_| AttemptFailure::Silent)??;
         self.endpoint = response.guard.endpoint.clone();
         self.run.endpoint = Some(self.endpoint.clone());
-        self.run.version = placed.version.clone();
+        self.run.version.clone_from(&placed.version);
         self.run.prediction = placed.choice.stream;
         if !response.status.is_success() {
             response.guard.finish(RequestOutcome::ServerError);
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -135,7 +135,7 @@
             self.is_sending = true;
             self.context.charge.set_spent(true);
             self.endpoint = Some(placed.choice.endpoint.clone());
-            self.version = placed.version.clone();
+            self.version.clone_from(&placed.version);
             self.prediction = placed.choice.stream;
             let failure = match self.attempt(&mut placed).await {
                 Ok(reply) => return RunOutcome::Relayed(reply),
--- a/crates/oatpier-gateway/tests/testsuite/versions.rs
+++ b/crates/oatpier-gateway/tests/testsuite/versions.rs
@@ -1,7 +1,13 @@
 //! Tests of streams at endpoints with several versions of their software.
 
+use std::time::Duration;
+
+use http::StatusCode;
+use http_body_util::BodyExt;
+
 use crate::support::{
-    EndpointStep, STREAM_END, ScriptedEndpoint, TestGateway, request, stream_start,
+    EndpointStep, REQUEST_ID, STREAM_END, ScriptedEndpoint, TestGateway, chunk, request,
+    stream_start,
 };
 
 fn event(number: u32) -> String {
@@ -54,3 +60,96 @@
         "{metrics}"
     );
 }
+
+/// Returns an endpoint that ends in the middle of the second event.
+async fn breaking_endpoint() -> ScriptedEndpoint {
+    let broken = stream_start(&[&event(1), "id: 2\nda"]);
+    ScriptedEndpoint::start(vec![EndpointStep::AnswerAndClose(broken)]).await
+}
+
+/// Returns an endpoint that answers one request with the events from `first` to 3.
+async fn serving_endpoint(first: u32) -> ScriptedEndpoint {
+    let events: Vec<String> = (first..=3).map(event).collect();
+    let events: Vec<&str> = events.iter().map(String::as_str).collect();
+    let answer = stream_start(&events) + STREAM_END;
+    ScriptedEndpoint::start(vec![EndpointStep::Answer(answer)]).await
+}
+
+/// Guards against a response with events from endpoints of two versions. Its endpoint ends, and an idle endpoint of
+/// another version is preferred to the one of the same version.
+#[tokio::test]
+async fn a_broken_stream_is_resumed_only_at_an_endpoint_of_its_version() {
+    let (first, other) = (breaking_endpoint().await, serving_endpoint(2).await);
+    let same = serving_endpoint(2).await;
+    let endpoints = [(&first, "v1"), (&other, "v2"), (&same, "v1")];
+    let gateway = TestGateway::with_versions(3, &endpoints);
+    gateway.report_engine(&other, 0);
+    gateway.report_engine(&same, 5);
+    let answer = gateway.send(request(&[])).await;
+    assert_eq!(
+        &answer.body()[..],
+        (event(1) + &event(2) + &event(3)).as_bytes()
+    );
+    assert!(other.requests().is_empty());
+    assert_eq!(same.requests().len(), 1);
+}
+
+/// Guards against a response with events from endpoints of two versions. No other endpoint has the stream's version, so
+/// the caller's connection is cut.
+#[tokio::test]
+async fn a_broken_stream_is_cut_if_no_other_endpoint_has_its_version() {
+    let (first, other) = (breaking_endpoint().await, serving_endpoint(2).await);
+    let gateway = TestGateway::with_versions(2, &[(&first, "v1"), (&other, "v2")]);
+    let reply = gateway.reply(request(&[])).await;
+    assert_eq!(reply.status(), StatusCode::OK);
+    assert!(reply.into_body().collect().await.is_err());
+    assert!(other.requests().is_empty());
+}
+
+/// Guards against a response with events from endpoints of two versions. The first endpoint is silent for a while, and
+/// the stream must stay there, because the idle endpoint has another version.
+#[tokio::test]
+async fn a_stalled_stream_does_not_move_to_an_endpoint_of_another_version() {
+    let rest = chunk(&event(2)) + &chunk(&event(3)) + STREAM_END;
+    let pause = Duration::from_millis(1_500);
+    let slow = EndpointStep::AnswerInParts(stream_start(&[&event(1)]), pause, rest);
+    let first = ScriptedEndpoint::start(vec![slow]).await;
+    let other = serving_endpoint(2).await;
+    let gateway = TestGateway::with_versions(2, &[(&first, "v1"), (&other, "v2")]);
+    let answer = gateway.send(request(&[])).await;
+    assert_eq!(
+        &answer.body()[..],
+        (event(1) + &event(2) + &event(3)).as_bytes()
+    );
+    assert!(other.requests().is_empty());
+}
+
+/// Guards against a caller that gets events of two versions over two attempts. Its stream began at `v1` and broke off,
+/// and when it returns, an idle endpoint of another version is preferred.
+#[tokio::test]
+async fn a_caller_that_returns_is_sent_to_an_endpoint_of_the_version_of_its_stream() {
+    let (first, other) = (breaking_endpoint().await, serving_endpoint(2).await);
+    let same = serving_endpoint(2).await;
+    let endpoints = [(&first, "v1"), (&other, "v2"), (&same, "v1")];
+    let gateway = TestGateway::with_versions(1, &endpoints);
+    let reply = gateway.reply(request(&[])).await;
+    assert!(reply.into_body().collect().await.is_err());
+    first.end();
+    gateway.report_engine(&other, 0);
+    gateway.report_engine(&same, 5);
+    let caller = [("resumes", REQUEST_ID), ("last-event-id", "1")];
+    let answer = gateway.send(request(&caller)).await;
+    assert_eq!(&answer.body()[..], (event(2) + &event(3)).as_bytes());
+    assert!(other.requests().is_empty());
+}
+
+/// Guards against a stream that is continued at a guess. Nothing is known of its beginning, and two versions serve.
+#[tokio::test]
+async fn a_stream_whose_version_is_unknown_is_not_taken_up() {
+    let (one, other) = (serving_endpoint(2).await, serving_endpoint(2).await);
+    let gateway = TestGateway::with_versions(2, &[(&one, "v1"), (&other, "v2")]);
+    let caller = [("resumes", "7a01"), ("last-event-id", "1")];
+    let answer = gateway.send(request(&caller)).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(one.requests().is_empty() && other.requests().is_empty());
+}
