gateway: A caller that returns with its stream goes on at the version that began it, or is refused

Cause: nothing outlived the response in which a stream began. The gateway that gets the return did not see the beginning, and `Resumes` was not read. Class: state of a conversation that outlives the process that held it, while the back ends are not alike. Evidence: two tests red before this commit (at the same gateway, and at one that knows nothing), and the fleet's property test, which fails when unknown is taken for the only version seen, when a gateway that is cut off concludes alone, and when holders forget.

Change: while a service has served with several versions within the longest time that a stream lasts, gateways record where each resumable stream began, before its first event goes out, and send the record to three gateways on a consistent-hash ring of the stream's key (workspace and attempt id); once more a moment later, since datagrams get lost. Streams that run when a second version appears are recorded with their next event. A gateway that gets a return asks the holders. A record decides; else a single version that has served alone for longer than a stream lasts does, if no gateway that answered knows of another one, if the newest knowledge is current or the store is away for a majority, and if a holder answered at all. Otherwise the stream is unknown: 503, with a time to return if holders did not answer, final if they did.

Why it works: any stream at another version than the one that served alone was recorded by the gateway that began it, because that gateway saw both. Unknown never becomes a guess. With a single version there are no records and no messages but questions about returns.

Also in it, for streams of callers: the version is that of an incarnation, unknown after a restart or a replacement until the registry lists it.

--- a/crates/oatpier-gateway/src/gateway/accounting.rs
+++ b/crates/oatpier-gateway/src/gateway/accounting.rs
@@ -173,6 +173,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.directory.note_replaced(endpoint, successor, now);
+        Self::observe_versions(&mut state, now);
         drop(state);
         self.resolve_broken_attempts();
     }
--- a/crates/oatpier-gateway/src/gateway/configuration.rs
+++ b/crates/oatpier-gateway/src/gateway/configuration.rs
@@ -47,6 +47,7 @@
             self.metrics.config_version.set(version);
             state.limits = collect_quota_rules(&config);
             state.shares.apply_config(&config);
+            state.origins.apply_config(&config);
             let CoreState {
                 limits,
                 holder,
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -16,6 +16,7 @@
 use oatpier_serving::demand::DemandTracker;
 use oatpier_serving::directory::EndpointDirectory;
 use oatpier_serving::message::{EngineStatus, EngineUpdate};
+use oatpier_serving::origins::{OriginAttestation, OriginBook};
 use oatpier_serving::peers::PeerTable;
 use oatpier_serving::planner::LoadPlanner;
 use oatpier_serving::quota::grants::GrantCache;
@@ -121,6 +122,8 @@
     pub(super) config_requested_at: Option<ClockTime>,
     /// Era of the store at the last read; it changes when the store is restored from an older copy.
     pub(super) store_era: Option<StoreEra>,
+    /// The versions at which streams begin.
+    pub(super) origins: OriginBook,
     /// Whether demand that can't be served has arrived since the last report to peers.
     pub(super) has_unserved_demand: bool,
 }
@@ -152,6 +155,8 @@
     pub(super) quota_asks: PendingCalls<PartAnswer>,
     /// Pending requests for turns at endpoints.
     pub(super) turn_asks: PendingCalls<TurnAnswer>,
+    /// Pending questions about the beginnings of streams.
+    pub(super) origin_asks: PendingCalls<OriginAttestation>,
     pub(super) claims: RingSender<DueClaim>,
     pub(super) shared_config: watch::Sender<Option<Arc<SiteConfig>>>,
     pub(super) config_sources: RingSender<SocketAddr>,
@@ -206,6 +211,7 @@
             shares: ShareState::default(),
             lengths: LengthEstimator::default(),
             store_age: StoreAge::default(),
+            origins: OriginBook::new(settings.inner_address(), settings.is_first_start),
             has_unserved_demand: false,
         };
         Self {
@@ -224,6 +230,7 @@
             permits: PendingCalls::default(),
             quota_asks: PendingCalls::default(),
             turn_asks: PendingCalls::default(),
+            origin_asks: PendingCalls::default(),
             claims: inputs.claims,
             shared_config: inputs.shared_config,
             config_sources: inputs.config_sources,
@@ -326,6 +333,7 @@
                 false
             }
         };
+        Self::observe_versions(&mut state, now);
         drop(state);
         self.resolve_broken_attempts();
         if changed {
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -13,6 +13,7 @@
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use oatpier_platform::headers::{self, HeaderError};
+use oatpier_serving::choice::VersionPin;
 use oatpier_serving::fingerprint::{RequestContent, RequestFingerprint};
 use oatpier_serving::site::{RouteRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
@@ -25,6 +26,7 @@
 use super::core::GatewayCore;
 use super::identity::CallerIdentity;
 use super::local_responses::LocalResponse;
+use super::origins;
 use super::placement::RequestContext;
 use super::quota::{self, ChargeCell};
 use super::run::RequestRun;
@@ -96,6 +98,9 @@
             return LocalResponse::Malformed.reply_with_text("", &error.to_string());
         }
     };
+    if let Err(response) = origins::take_up(core, &mut context).await {
+        return RequestRun::new(core, Arc::new(context), message).refuse(response);
+    }
     if let Err(response) = charge(core, &mut context).await {
         return reject_over_limit(core, &context, response);
     }
@@ -203,5 +208,7 @@
         charge: ChargeCell::default(),
         is_counted_unserved: AtomicBool::new(false),
         forecast: ArrivalForecast::default(),
+        pin: VersionPin::Any,
+        finding: None,
     })
 }
--- a/crates/oatpier-gateway/src/gateway/messaging.rs
+++ b/crates/oatpier-gateway/src/gateway/messaging.rs
@@ -61,11 +61,7 @@
             InnerMessage::Status(status) => core.apply_status(*status),
             InnerMessage::Spread(update) => core.relay_update(update),
             InnerMessage::Relayed(updates) => core.apply_relayed(updates),
-            InnerMessage::Peer(report) => {
-                core.apply_config_status(from, report.config);
-                let now = core.clock.now();
-                core.lock().peers.apply_report(from, *report, now);
-            }
+            InnerMessage::Peer(report) => core.apply_peer_report(from, *report),
             InnerMessage::Permit(grant) => core.apply_permit(grant),
             InnerMessage::QuotaAsk(ask) => core.answer_quota_ask(from, &ask),
             InnerMessage::QuotaAnswer(answer) => core.complete_quota_ask(answer),
@@ -76,6 +72,9 @@
             InnerMessage::StoreSeen(delta) => core.queue_store_delta(from, *delta),
             InnerMessage::CrashesSeen(records) => core.apply_crashes(&records),
             InnerMessage::CrashesCleared(requests) => core.apply_cleared(&requests),
+            InnerMessage::StreamsBegun(records) => core.keep_origin_records(records),
+            InnerMessage::OriginAsk(ask) => core.answer_origin_ask(from, &ask),
+            InnerMessage::OriginAnswer(answer) => core.complete_origin_ask(*answer),
             // Messages to sidecars.
             InnerMessage::Subscription(_)
             | InnerMessage::AdapterWanted(_)
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 //! - `crashes`: requests that crash the endpoints that run them.
 //! - `store_knowledge`: what is known of the store, and how old that is.
 //! - `notices`: what endpoints report about themselves in answer headers.
+//! - [`origins`]: the software versions at which streams begin.
 //! - [`identity`]: authentication of requests, and the workspace they belong to.
 //! - [`quota`]: units of workspaces' limits.
 //! - `shares`: standings of workspaces that compete for engines.
@@ -38,6 +39,7 @@
 pub mod local_responses;
 pub mod messaging;
 mod notices;
+pub mod origins;
 pub mod pauses;
 mod pending_calls;
 pub mod permits;
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -7,7 +7,7 @@
 
 use oatpier_serving::admission;
 use oatpier_serving::call::CallerRequest;
-use oatpier_serving::choice::{EndpointChoice, ThrottledService};
+use oatpier_serving::choice::{EndpointChoice, ThrottledService, VersionPin};
 use oatpier_serving::fingerprint::RequestFingerprint;
 use oatpier_serving::quota::turns::{HeldTurn, MAX_TURN_ADVANCE};
 use oatpier_serving::site::{RouteKind, RouteRule};
@@ -18,6 +18,7 @@
 
 use super::arrivals::ArrivalForecast;
 use super::identity::CallerIdentity;
+use super::origins::OriginFinding;
 use super::permits::HeldPermit;
 use super::quota::ChargeCell;
 
@@ -59,6 +60,10 @@
     pub is_counted_unserved: AtomicBool,
     /// The forecast of its wait.
     pub forecast: ArrivalForecast,
+    /// The versions at which it may be served: any, unless it takes up a stream.
+    pub pin: VersionPin,
+    /// How the version of the stream was found that it takes up.
+    pub finding: Option<OriginFinding>,
 }
 
 impl RequestContext {
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -125,7 +125,7 @@
     /// Returns the endpoint that would serve the request best now, regardless of its queue.
     pub(super) fn best_choice(&self, context: &RequestContext) -> Option<EndpointChoice> {
         let state = self.lock();
-        match self.choose(&state, context, &[], &VersionPin::Any, self.clock.now()) {
+        match self.choose(&state, context, &[], &context.pin, self.clock.now()) {
             ChoiceOutcome::Endpoint(choice) => Some(choice),
             ChoiceOutcome::NoModel { .. }
             | ChoiceOutcome::Throttled(_)
@@ -140,7 +140,7 @@
         context: &RequestContext,
     ) -> Option<(Refusal, ThrottledService)> {
         let mut state = self.lock();
-        match self.choose(&state, context, &[], &VersionPin::Any, self.clock.now()) {
+        match self.choose(&state, context, &[], &context.pin, self.clock.now()) {
             ChoiceOutcome::Throttled(throttled) => {
                 Some((state.admission.refuse_throttled(&throttled), throttled))
             }
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -56,6 +56,8 @@
     /// The last bytes that were forwarded unchanged.
     tail: Vec<u8>,
     stall_timeout: Duration,
+    /// Whether it is recorded at which version the stream began.
+    is_recorded: bool,
     first_chunk: Option<Bytes>,
     first_chunk_latency: Duration,
     pauses: PauseTracker,
@@ -100,6 +102,7 @@
         is_at_event_end: true,
         tail: Vec::new(),
         stall_timeout: (pause * STALL_TIMEOUT_PAUSES).max(MIN_STALL_TIMEOUT),
+        is_recorded: false,
         first_chunk: None,
         first_chunk_latency: Duration::ZERO,
         pauses: PauseTracker::begin(&run.context.route, run.core.clock.now()),
@@ -121,6 +124,7 @@
     relay.pauses = PauseTracker::begin(&run.context.route, now);
     if resumable {
         relay.run.pin = VersionPin::of(run.version.as_ref());
+        relay.is_recorded = run.core.record_stream(&run.context, run.version.as_ref());
     }
     run.log_response(status);
     let chunks = stream::unfold(Some(relay), |relay| async move {
@@ -277,6 +281,11 @@
     }
 
     fn record_chunk(&mut self) {
+        // A second version may have appeared since the stream began.
+        if self.splitter.is_some() && !self.is_recorded {
+            let (run, version) = (&self.run, self.run.version.as_ref());
+            self.is_recorded = run.core.record_stream(&run.context, version);
+        }
         if let Some(guard) = &self.guard {
             let now = self.run.core.clock.now();
             self.pauses
--- a/crates/oatpier-gateway/src/gateway/reports.rs
+++ b/crates/oatpier-gateway/src/gateway/reports.rs
@@ -93,7 +93,8 @@
     /// Sends the reports that are due at the tick `number`: with demand to the gateways that plan, without to the others.
     fn send_due(&mut self, number: u32) {
         self.core.check_store_age();
-        self.core.publish_store_peers();
+        self.core.update_gateways();
+        self.core.repeat_origin_records();
         let now = self.core.clock.now();
         let mut state = self.core.lock();
         let peers = state.peers.addresses(&self.core.zone, now);
@@ -207,6 +208,13 @@
 }
 
 impl GatewayCore {
+    /// Applies the report of another gateway.
+    pub fn apply_peer_report(&self, from: SocketAddr, report: PeerReport) {
+        self.apply_config_status(from, report.config);
+        let now = self.clock.now();
+        self.lock().peers.apply_report(from, report, now);
+    }
+
     /// Returns the number of gateways, including this one.
     fn gateways(&self) -> usize {
         let now = self.clock.now();
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -87,7 +87,7 @@
     ) -> Self {
         Self {
             core: Arc::clone(core),
-            pin: VersionPin::Any,
+            pin: context.pin.clone(),
             context,
             message,
             reached: SmallVec::new(),
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use oatpier_serving::choice::VersionPin;
 use oatpier_types::names::EndpointName;
 use oatpier_types::software::SoftwareVersion;
 
@@ -177,10 +178,14 @@
             .with("failed_at", names(&self.excluded))
             .with("waited_ms", millis(waited))
             .with("store_age_ms", self.core.store_age_ms());
+        let finding = context.finding;
         let line = match &context.request.resumption {
             Some(resumption) => line
                 .with("resumes", resumption.first_attempt.as_deref())
-                .with("after_event", resumption.last_event.as_deref()),
+                .with("after_event", resumption.last_event.as_deref())
+                .with("stream_version", pinned_version(&context.pin))
+                .with("known_by", finding.map(|finding| finding.source.as_str()))
+                .with("known_for_ms", finding.map(|finding| millis(finding.age))),
             None => line,
         };
         let workspace = context.identity.workspace_name();
@@ -201,6 +206,13 @@
     }
 }
 
+fn pinned_version(pin: &VersionPin) -> Option<String> {
+    match pin {
+        VersionPin::Only(version) => Some(version.to_string()),
+        VersionPin::Any | VersionPin::Unknown => None,
+    }
+}
+
 fn names(endpoints: &[EndpointName]) -> Vec<String> {
     endpoints.iter().map(ToString::to_string).collect()
 }
--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -139,6 +139,7 @@
             .iter()
             .map(|change| directory_line(directory, change))
             .collect();
+        Self::observe_versions(&mut state, now);
         drop(state);
         for line in lines {
             self.log.write(line);
@@ -201,14 +202,16 @@
         self.lock().store_age.note_failure(reason);
     }
 
-    /// Publishes the gateways that can be asked for what they know of the store.
-    pub(super) fn publish_store_peers(&self) {
+    /// Updates which gateways can be asked for what they know of the store, and which hold the records of streams.
+    pub fn update_gateways(&self) {
         let now = self.clock.now();
-        let state = self.lock();
+        let mut state = self.lock();
+        let others = state.peers.live_addresses(now);
         let peers = StorePeers {
-            addresses: state.peers.live_addresses(now).into(),
+            addresses: others.as_slice().into(),
             place: state.peers.zone_place(&self.zone, now),
         };
+        state.origins.set_gateways(others, now);
         drop(state);
         self.store_peers.send_if_modified(|published| {
             let is_changed = *published != peers;
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -303,6 +303,9 @@
             | InnerMessage::TurnAnswer(_)
             | InnerMessage::LimitSeen(_)
             | InnerMessage::LeavingSeen(_)
+            | InnerMessage::StreamsBegun(_)
+            | InnerMessage::OriginAsk(_)
+            | InnerMessage::OriginAnswer(_)
             | InnerMessage::CrashesSeen(_)
             | InnerMessage::CrashesCleared(_)
             | InnerMessage::Permit(_) => {}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -19,7 +19,8 @@
 use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::engine::{EndpointLoad, HeldModel, LocalCopies};
 use oatpier_serving::message::{
-    EngineStatus, InnerMessage, MessageNumber, PermitGrant, TurnAsk, TurnReply,
+    ConfigStatus, EngineStatus, InnerMessage, MessageNumber, PeerReport, PermitGrant, TurnAsk,
+    TurnReply,
 };
 use oatpier_serving::node::{NodeBounds, NodeSettings};
 use oatpier_serving::quota::PartIndex;
@@ -280,10 +281,7 @@
         let gateway = Self::unconfigured();
         let records = (1..)
             .zip(endpoints)
-            .map(|(number, (endpoint, text))| EndpointRecord {
-                version: Some(version(text)),
-                ..record(number, endpoint.address)
-            });
+            .map(|(number, (endpoint, text))| versioned(number, endpoint, text));
         let config = config(vec![route(RESUMABLE_STREAM, max_attempts)]);
         gateway
             .core
@@ -291,6 +289,14 @@
         gateway
     }
 
+    /// Applies reports of other gateways.
+    pub fn meet_gateways(&self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            self.core.apply_peer_report(*address, peer_report());
+        }
+        self.core.update_gateways();
+    }
+
     /// Makes other gateways the holders of all parts of limits.
     pub fn hold_parts_elsewhere(&self) {
         let entry = |part| PartEntry {
@@ -511,6 +517,31 @@
     SoftwareVersion::try_from(text).unwrap()
 }
 
+/// Returns the registry entry of an endpoint with a version of its software.
+pub fn versioned(number: u8, endpoint: &ScriptedEndpoint, text: &str) -> EndpointRecord {
+    EndpointRecord {
+        version: Some(version(text)),
+        ..record(number, endpoint.address)
+    }
+}
+
+fn peer_report() -> PeerReport {
+    PeerReport {
+        number: MessageNumber { boot: 1, number: 1 },
+        name: DaemonName::try_from("other").unwrap(),
+        zone: ZoneName::try_from("near").unwrap(),
+        every_ms: 60_000,
+        processor: 200,
+        is_behind: false,
+        leaving: false,
+        engines_heard: 0,
+        config: ConfigStatus::default(),
+        is_partial: false,
+        demand: Vec::new(),
+        uses: Vec::new(),
+    }
+}
+
 pub fn record(number: u8, address: SocketAddr) -> EndpointRecord {
     EndpointRecord {
         name: EndpointName::try_from(format!("i-{number}").as_str()).unwrap(),
--- a/crates/oatpier-gateway/tests/testsuite/versions.rs
+++ b/crates/oatpier-gateway/tests/testsuite/versions.rs
@@ -1,13 +1,16 @@
 //! Tests of streams at endpoints with several versions of their software.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::StatusCode;
 use http_body_util::BodyExt;
+use oatpier_serving::message::InnerMessage;
+use tokio::time::sleep;
 
 use crate::support::{
     EndpointStep, REQUEST_ID, STREAM_END, ScriptedEndpoint, TestGateway, chunk, request,
-    stream_start,
+    stream_start, versioned,
 };
 
 fn event(number: u32) -> String {
@@ -153,3 +156,101 @@
     assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(one.requests().is_empty() && other.requests().is_empty());
 }
+
+/// Passes the messages about streams that gateways have sent since the last call to the one of the other address.
+fn pass_messages(gateways: [&TestGateway; 2], passed: &mut [usize; 2]) {
+    for (index, from) in gateways.iter().enumerate() {
+        let to = gateways[1 - index];
+        for (_, message) in from.outlet.sent().drain(passed[index]..) {
+            passed[index] += 1;
+            match message {
+                InnerMessage::StreamsBegun(records) => to.core.keep_origin_records(records),
+                InnerMessage::OriginAsk(ask) => {
+                    to.core.answer_origin_ask(gateway_address(index), &ask);
+                }
+                InnerMessage::OriginAnswer(answer) => to.core.complete_origin_ask(*answer),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn gateway_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 7_380 + u16::try_from(index).unwrap()))
+}
+
+/// Runs `work` while two gateways exchange messages about streams.
+async fn with_messages<T>(gateways: [&TestGateway; 2], work: impl Future<Output = T>) -> T {
+    let passing = async {
+        let mut passed = [0, 0];
+        loop {
+            pass_messages(gateways, &mut passed);
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::select! {
+        biased;
+        () = passing => unreachable!("messages are passed without end"),
+        done = work => done,
+    }
+}
+
+/// Guards against a caller that gets events of two versions because it returns to another gateway. That gateway prefers an
+/// idle endpoint of another version.
+#[tokio::test]
+async fn a_caller_that_returns_to_another_gateway_goes_on_at_the_version_of_its_stream() {
+    let (first, other) = (breaking_endpoint().await, serving_endpoint(2).await);
+    let same = serving_endpoint(2).await;
+    let endpoints = [(&first, "v1"), (&other, "v2"), (&same, "v1")];
+    let began = TestGateway::with_versions(1, &endpoints);
+    let returned = TestGateway::with_versions(1, &endpoints[1..]);
+    began.meet_gateways(&[gateway_address(1)]);
+    returned.meet_gateways(&[gateway_address(0)]);
+    let answer = with_messages([&began, &returned], async {
+        let reply = began.reply(request(&[])).await;
+        assert!(reply.into_body().collect().await.is_err());
+        let caller = [("resumes", REQUEST_ID), ("last-event-id", "1")];
+        returned.send(request(&caller)).await
+    });
+    let answer = answer.await;
+    assert_eq!(&answer.body()[..], (event(2) + &event(3)).as_bytes());
+    assert!(other.requests().is_empty());
+    let line = returned.logged("answer").remove(0);
+    for field in ["\"stream_version\":\"v1\"", "\"known_by\":\"record\""] {
+        assert!(line.contains(field), "{line}");
+    }
+}
+
+/// Guards against a caller that is kept waiting while the gateways that could know its stream don't answer. The refusal is
+/// true, and says when to return.
+#[tokio::test]
+async fn a_caller_whose_stream_is_unknown_for_lack_of_an_answer_is_told_when_to_return() {
+    let one = serving_endpoint(2).await;
+    let gateway = TestGateway::with_versions(1, &[(&one, "v1")]);
+    gateway.meet_gateways(&[gateway_address(1)]);
+    let caller = [("resumes", "7a01"), ("last-event-id", "1")];
+    let answer = gateway.send(request(&caller)).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert!(one.requests().is_empty());
+    let metrics = gateway.core.metrics.encode();
+    assert!(metrics.contains("taken_up_streams_total{cause=\"stream-unknown\"} 1"));
+}
+
+/// Guards against a stream that is refused only after a wait although no endpoint has its version.
+#[tokio::test]
+async fn a_stream_whose_version_has_no_endpoint_is_refused_at_once() {
+    let (first, other) = (breaking_endpoint().await, serving_endpoint(2).await);
+    let gateway = TestGateway::with_versions(1, &[(&first, "v1"), (&other, "v2")]);
+    let reply = gateway.reply(request(&[])).await;
+    assert!(reply.into_body().collect().await.is_err());
+    gateway
+        .core
+        .apply_records(None, vec![versioned(2, &other, "v2")]);
+    let caller = [("resumes", REQUEST_ID), ("last-event-id", "1")];
+    let answer = gateway.send(request(&caller)).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(&answer.body()[..], b"version-missing\n");
+    assert!(!answer.headers().contains_key("retry-after"));
+    assert!(other.requests().is_empty());
+}
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -25,6 +25,7 @@
 use crate::engine::EndpointLoad;
 use crate::health::{HealthSettings, HealthTracker};
 use crate::message::{AdapterUse, EngineStatus, LoadStatus, ModelUse, PaceStatus, ShareStatus};
+use crate::origins::ObservedVersions;
 use crate::pacing::StatusLifetime;
 use crate::prefill::PrefillEstimator;
 use crate::reads::RegisteredEndpoints;
@@ -45,6 +46,15 @@
 /// prompts and takes 1.5 MB.
 const PREFIX_INDEX_BLOCKS: usize = 1 << 16;
 
+/// The versions of the endpoints of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceVersion {
+    /// The service.
+    pub service: PoolName,
+    /// The versions of its endpoints.
+    pub versions: ObservedVersions,
+}
+
 /// A change in the set of endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DirectoryChange {
@@ -98,6 +108,8 @@
     status_lifetime: StatusLifetime,
     /// When an endpoint of each service last reported that its VM is disturbed.
     disturbed_at: HashMap<PoolName, ClockTime>,
+    /// Whether the versions of endpoints have changed since they were last observed.
+    has_new_versions: bool,
 }
 
 impl Default for EndpointDirectory {
@@ -120,6 +132,7 @@
             departures: DepartedEndpoints::default(),
             status_lifetime: StatusLifetime::default(),
             disturbed_at: HashMap::new(),
+            has_new_versions: false,
         }
     }
 }
@@ -203,12 +216,14 @@
         if row.is_other_version(&record) {
             let index = self.indices.allocate();
             row.restart(record, index);
+            self.has_new_versions = true;
             changes.push(DirectoryChange::Restarted(name));
             return;
         }
         if record.draining && !row.record.draining {
             changes.push(DirectoryChange::Draining(name));
         }
+        self.has_new_versions |= row.record.version != record.version;
         let start = record.start.or(row.record.start);
         // An incarnation that drains never accepts work again. An entry that says otherwise is from an
         // older copy of the store.
@@ -241,6 +256,7 @@
     }
 
     fn rebuild(&mut self) {
+        self.has_new_versions = true;
         self.by_address.clear();
         self.by_service.clear();
         let mut names: Vec<&EndpointName> = self.rows.keys().collect();
@@ -295,6 +311,7 @@
                 ..row.record.clone()
             };
             row.restart(record, self.indices.allocate());
+            self.has_new_versions = true;
         }
         row.record.start = status.start.or(row.record.start);
         let kept = row.status.as_ref();
@@ -426,6 +443,22 @@
         names.into_iter().flatten().map(|name| &self.rows[name])
     }
 
+    /// Returns the versions of the endpoints of each service, if one has changed since the last call.
+    pub fn take_new_versions(&mut self) -> Vec<ServiceVersion> {
+        if !std::mem::take(&mut self.has_new_versions) {
+            return Vec::new();
+        }
+        let services = self.by_service.iter().filter_map(|(service, names)| {
+            let rows = names.iter().filter_map(|name| self.rows.get(name));
+            let versions = rows.map(|row| row.record.version.as_ref());
+            Some(ServiceVersion {
+                service: service.clone(),
+                versions: ObservedVersions::of(versions)?,
+            })
+        });
+        services.collect()
+    }
+
     /// Returns the number of endpoints of a service.
     #[must_use]
     pub fn service_size(&self, service: &PoolName) -> usize {
--- a/crates/oatpier-serving/src/lib.rs
+++ b/crates/oatpier-serving/src/lib.rs
@@ -22,6 +22,7 @@
 //!
 //! Decisions of a gateway:
 //! - [`choice`]: which endpoint receives a request, and whether the response would be in time.
+//! - [`origins`]: the software version at which the stream of an interrupted response began.
 //! - [`prefill`]: how long engines take for the prefill of prompts.
 //! - [`health`]: which endpoints are avoided because of failures on the data path.
 //! - [`admission`]: when a request that cannot be served in time is refused, and when its caller should
@@ -56,6 +57,7 @@
 pub mod message;
 pub mod node;
 pub mod notice;
+pub mod origins;
 pub mod pacing;
 pub mod peers;
 pub mod permits;
--- a/crates/oatpier-serving/src/message/mod.rs
+++ b/crates/oatpier-serving/src/message/mod.rs
@@ -5,6 +5,7 @@
 
 mod capacity;
 mod limits;
+mod origins;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,10 +18,12 @@
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 use crate::failures::EngineFailure;
 use crate::fingerprint::RequestFingerprint;
+use crate::origins::OriginRecord;
 use crate::reads::StoreDelta;
 
 pub use capacity::{PaceStatus, RatedPermitAsk, ShareStatus};
 pub use limits::{LeavingReport, LimitReport, QuotaAnswer, QuotaAsk, TurnAsk, TurnReply};
+pub use origins::{OriginAnswer, OriginAsk};
 
 /// Content of one datagram.
 #[derive(Debug, Clone, PartialEq)]
@@ -78,6 +81,12 @@
     LeavingSeen(LeavingReport),
     /// Sent by a gateway to a sidecar: requests a permit to send a prompt to its engine, and states its work.
     RatedPermitAsk(RatedPermitAsk),
+    /// Sent by a gateway to the holders of their records: streams that have begun.
+    StreamsBegun(Vec<OriginRecord>),
+    /// Sent by a gateway to a holder: asks where a stream began.
+    OriginAsk(OriginAsk),
+    /// Sent by a holder to a gateway: answers a question about a stream.
+    OriginAnswer(Box<OriginAnswer>),
 }
 
 impl InnerMessage {
@@ -111,6 +120,9 @@
             Self::TurnAnswer(_) => "turn-answer",
             Self::LimitSeen(_) => "limit-seen",
             Self::LeavingSeen(_) => "leaving-seen",
+            Self::StreamsBegun(_) => "streams-begun",
+            Self::OriginAsk(_) => "origin-ask",
+            Self::OriginAnswer(_) => "origin-answer",
         }
     }
 }
--- a/crates/oatpier-serving/src/site.rs
+++ b/crates/oatpier-serving/src/site.rs
@@ -83,6 +83,18 @@
         )
     }
 
+    /// Returns whether an interrupted stream may be resumed.
+    #[must_use]
+    pub fn is_resumable(self) -> bool {
+        matches!(
+            self,
+            Self::Stream {
+                resumable: true,
+                ..
+            }
+        )
+    }
+
     /// Returns whether responses are streams.
     #[must_use]
     pub fn is_stream(self) -> bool {
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -6,7 +6,7 @@
 use oatpier_serving::message::EngineStatus;
 use oatpier_serving::prefill::SentPrompt;
 
-use crate::support::{at, directory, endpoint, millis, model, record, request, status};
+use crate::support::{at, directory, endpoint, millis, model, record, request, status, version};
 
 #[test]
 fn missing_entry_removes_the_endpoint_while_the_store_is_up() {
@@ -357,3 +357,45 @@
     directory.apply_registry(vec![started(1, 7)], at(2_000));
     assert!(is_open(&directory, "e1", 2_000));
 }
+
+/// Guards against a version that is taken for that of a later incarnation under the same name: the sidecar reports a
+/// restart before the registry lists it.
+#[test]
+fn the_version_of_an_incarnation_is_unknown_until_the_registry_lists_it() {
+    let mut directory = EndpointDirectory::default();
+    let listed = |start, text: &str| EndpointRecord {
+        version: Some(version(text)),
+        ..started(1, start)
+    };
+    let known = |directory: &EndpointDirectory| {
+        let row = directory.row(&endpoint("e1")).unwrap();
+        row.record.version.clone()
+    };
+    directory.apply_registry(vec![listed(1, "v1")], at(0));
+    assert_eq!(known(&directory), Some(version("v1")));
+    let restarted = EngineStatus {
+        start: Some(StartTime(2)),
+        ..status(1, &["m1"], 0)
+    };
+    directory.apply_status(restarted, at(100));
+    assert_eq!(known(&directory), None);
+    directory.apply_registry(vec![listed(1, "v1")], at(200));
+    assert_eq!(known(&directory), None);
+    directory.apply_registry(vec![listed(2, "v2")], at(300));
+    assert_eq!(known(&directory), Some(version("v2")));
+}
+
+/// Guards against a version that changes in place, for endpoints that state no start time.
+#[test]
+fn an_entry_with_another_version_is_of_another_incarnation() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![record(1, &["m1"])], at(0));
+    let index = directory.row(&endpoint("e1")).unwrap().index;
+    let other = EndpointRecord {
+        version: Some(version("v2")),
+        ..record(1, &["m1"])
+    };
+    let changes = directory.apply_registry(vec![other], at(100));
+    assert_eq!(changes, [DirectoryChange::Restarted(endpoint("e1"))]);
+    assert_ne!(directory.row(&endpoint("e1")).unwrap().index, index);
+}
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -42,6 +42,7 @@
 mod sharing;
 mod site;
 mod store_fleet;
+mod stream_origins;
 mod subscriptions;
 mod support;
 mod turn_fleet;
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -8,7 +8,9 @@
 use oatpier_serving::directory::{EndpointDirectory, EndpointRecord};
 use oatpier_serving::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies};
 use oatpier_serving::message::{EngineStatus, MessageNumber};
-use oatpier_serving::site::{EngineRule, ModelRule, RouteKind, RouteRule, WeightedService};
+use oatpier_serving::site::{
+    CallerLimits, EngineRule, ModelRule, RouteKind, RouteRule, SiteConfig, WeightedService,
+};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::{AdapterName, ClassName, EndpointName, ModelName, PoolName, ZoneName};
 use oatpier_types::software::SoftwareVersion;
@@ -196,3 +198,26 @@
         ..ProptestConfig::default()
     }
 }
+
+/// Returns a configuration with one route, whose streams may be resumed.
+pub fn config_with_resumable_route(timeout: Duration) -> SiteConfig {
+    SiteConfig {
+        version: 1,
+        routes: vec![Arc::new(RouteRule {
+            kind: RouteKind::Stream {
+                resumable: true,
+                pause: millis(150),
+            },
+            timeout,
+            ..route(250, 1)
+        })],
+        services: Vec::new(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_000,
+            head_wait: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        },
+        workspaces: None,
+    }
+}
--- a/crates/oatpier-types/src/refusal.rs
+++ b/crates/oatpier-types/src/refusal.rs
@@ -45,6 +45,8 @@
     Invalid,
     /// No endpoint has the software version at which the stream began that the request takes up.
     VersionMissing,
+    /// It is not known at which software version the stream began that the request takes up.
+    StreamUnknown,
 }
 
 /// The refusal of a request.
@@ -78,6 +80,7 @@
             Self::Unknown => "unknown",
             Self::Invalid => "invalid",
             Self::VersionMissing => "version-missing",
+            Self::StreamUnknown => "stream-unknown",
         }
     }
 }
