gateway: Tests of returns to another gateway don't depend on which message arrives first

Cause: the test passed records and questions between two gateways at the same time, and the second gateway, which holds the record, answered from it or asked, depending on which came first; the line says `own record` or `record`. Both are right. The test is replaced by two, one for each way, both as strict: records alone with the first gateway gone, and a question with the records lost.

--- a/crates/oatpier-gateway/tests/testsuite/versions.rs
+++ b/crates/oatpier-gateway/tests/testsuite/versions.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::StatusCode;
+use bytes::Bytes;
+use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use oatpier_serving::message::InnerMessage;
 use tokio::time::sleep;
@@ -157,37 +158,44 @@
     assert!(one.requests().is_empty() && other.requests().is_empty());
 }
 
-/// Passes the messages about streams that gateways have sent since the last call to the one of the other address.
-fn pass_messages(gateways: [&TestGateway; 2], passed: &mut [usize; 2]) {
-    for (index, from) in gateways.iter().enumerate() {
-        let to = gateways[1 - index];
-        for (_, message) in from.outlet.sent().drain(passed[index]..) {
-            passed[index] += 1;
-            match message {
-                InnerMessage::StreamsBegun(records) => to.core.keep_origin_records(records),
-                InnerMessage::OriginAsk(ask) => {
-                    to.core.answer_origin_ask(gateway_address(index), &ask);
-                }
-                InnerMessage::OriginAnswer(answer) => to.core.complete_origin_ask(*answer),
-                _ => {}
-            }
-        }
-    }
-}
-
 fn gateway_address(index: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 2], 7_380 + u16::try_from(index).unwrap()))
 }
 
-/// Runs `work` while two gateways exchange messages about streams.
-async fn with_messages<T>(gateways: [&TestGateway; 2], work: impl Future<Output = T>) -> T {
+/// Passes the records that a gateway has sent to another one.
+fn pass_records(from: &TestGateway, to: &TestGateway) {
+    for (_, message) in from.outlet.sent() {
+        if let InnerMessage::StreamsBegun(records) = message {
+            to.core.keep_origin_records(records);
+        }
+    }
+}
+
+/// Runs `work` while a gateway answers the questions of another one.
+async fn with_answers<T>(
+    asking: &TestGateway,
+    answering: &TestGateway,
+    work: impl Future<Output = T>,
+) -> T {
     let passing = async {
-        let mut passed = [0, 0];
+        let (mut asked, mut answered) = (0, 0);
         loop {
-            pass_messages(gateways, &mut passed);
+            for (_, message) in asking.outlet.sent().drain(asked..) {
+                asked += 1;
+                if let InnerMessage::OriginAsk(ask) = message {
+                    answering.core.answer_origin_ask(gateway_address(0), &ask);
+                }
+            }
+            for (_, message) in answering.outlet.sent().drain(answered..) {
+                answered += 1;
+                if let InnerMessage::OriginAnswer(answer) = message {
+                    asking.core.complete_origin_ask(*answer);
+                }
+            }
             sleep(Duration::from_millis(1)).await;
         }
     };
+    // The messages are passed first: on a busy machine an answer must not arrive after its timeout.
     tokio::select! {
         biased;
         () = passing => unreachable!("messages are passed without end"),
@@ -195,30 +203,66 @@
     }
 }
 
-/// Guards against a caller that gets events of two versions because it returns to another gateway. That gateway prefers an
-/// idle endpoint of another version.
-#[tokio::test]
-async fn a_caller_that_returns_to_another_gateway_goes_on_at_the_version_of_its_stream() {
-    let (first, other) = (breaking_endpoint().await, serving_endpoint(2).await);
-    let same = serving_endpoint(2).await;
-    let endpoints = [(&first, "v1"), (&other, "v2"), (&same, "v1")];
-    let began = TestGateway::with_versions(1, &endpoints);
-    let returned = TestGateway::with_versions(1, &endpoints[1..]);
-    began.meet_gateways(&[gateway_address(1)]);
-    returned.meet_gateways(&[gateway_address(0)]);
-    let answer = with_messages([&began, &returned], async {
+/// A stream that broke off at its only endpoint of `v1`, as begun by one gateway, and another gateway in front of the other
+/// endpoints. An endpoint of `v2` is preferred there.
+struct BrokenStream {
+    began: TestGateway,
+    returned: TestGateway,
+    other: ScriptedEndpoint,
+    _same: ScriptedEndpoint,
+}
+
+impl BrokenStream {
+    async fn begin() -> Self {
+        let (first, other) = (breaking_endpoint().await, serving_endpoint(2).await);
+        let same = serving_endpoint(2).await;
+        let endpoints = [(&first, "v1"), (&other, "v2"), (&same, "v1")];
+        let began = TestGateway::with_versions(1, &endpoints);
+        let returned = TestGateway::with_versions(1, &endpoints[1..]);
+        began.meet_gateways(&[gateway_address(1)]);
+        returned.meet_gateways(&[gateway_address(0)]);
         let reply = began.reply(request(&[])).await;
         assert!(reply.into_body().collect().await.is_err());
-        let caller = [("resumes", REQUEST_ID), ("last-event-id", "1")];
-        returned.send(request(&caller)).await
-    });
-    let answer = answer.await;
-    assert_eq!(&answer.body()[..], (event(2) + &event(3)).as_bytes());
-    assert!(other.requests().is_empty());
-    let line = returned.logged("answer").remove(0);
-    for field in ["\"stream_version\":\"v1\"", "\"known_by\":\"record\""] {
-        assert!(line.contains(field), "{line}");
+        Self {
+            began,
+            returned,
+            other,
+            _same: same,
+        }
     }
+
+    /// Checks the rest of the stream, and how its version was found.
+    fn check_rest(&self, answer: &Response<Bytes>, known_by: &str) {
+        assert_eq!(&answer.body()[..], (event(2) + &event(3)).as_bytes());
+        assert!(self.other.requests().is_empty());
+        let line = self.returned.logged("answer").remove(0);
+        let known_by = format!("\"known_by\":\"{known_by}\"");
+        for field in ["\"stream_version\":\"v1\"", &known_by] {
+            assert!(line.contains(field), "{line}");
+        }
+    }
+}
+
+const RETURN: [(&str, &str); 2] = [("resumes", REQUEST_ID), ("last-event-id", "1")];
+
+/// Guards against a caller that gets events of two versions because it returns to another gateway than the one that began
+/// its stream, which has ended since.
+#[tokio::test]
+async fn a_stream_goes_on_at_its_version_after_its_gateway_has_ended() {
+    let stream = BrokenStream::begin().await;
+    pass_records(&stream.began, &stream.returned);
+    let answer = stream.returned.send(request(&RETURN)).await;
+    stream.check_rest(&answer, "own record");
+}
+
+/// Guards against a caller that gets events of two versions because the record of its stream was lost on the way. The
+/// gateway asks the one that began the stream.
+#[tokio::test]
+async fn a_gateway_asks_for_the_version_of_a_stream_that_it_does_not_know() {
+    let stream = BrokenStream::begin().await;
+    let sending = stream.returned.send(request(&RETURN));
+    let answer = with_answers(&stream.returned, &stream.began, sending).await;
+    stream.check_rest(&answer, "record");
 }
 
 /// Guards against a caller that is kept waiting while the gateways that could know its stream don't answer. The refusal is
