soak: Engines run two software versions, and callers return to other gateways for the rest of a stream

The soak's engines all had one version and its callers dropped interrupted streams, so that it could not see a stream that goes on at another version. Engines now draw one of two versions at each restart, callers of resumable streams come back up to three times at drawn gateways with the first attempt's id, and the check compares the version of each run that goes on with that of the run that began the stream. Draws of earlier seeds stay: returns have a generator of their own.

--- a/crates/oatpier-soak/src/check/mod.rs
+++ b/crates/oatpier-soak/src/check/mod.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod notices;
 mod retirement;
+mod versions;
 mod workspaces;
 
 use std::collections::HashMap;
@@ -47,6 +48,8 @@
     LeavesAlone,
     /// An endpoint that leaves according to the registry soon gets no more requests.
     Drain,
+    /// All events of a stream, over all requests of its caller, come from endpoints of one software version.
+    OneVersion,
 }
 
 /// A broken promise.
@@ -154,6 +157,7 @@
     notices::check_notices(rows, &mut breaches);
     retirement::check_retirements(rows, &mut breaches);
     workspaces::check_limit(rows, &mut breaches);
+    versions::check_versions(rows, &mut breaches);
     for (id, record) in &records {
         check_call(id, record, &mut breaches);
     }
@@ -251,7 +255,8 @@
         add_breach(breaches, SoakPromise::OwnAnswer, detail);
     }
     if sent.kind.is_stream() {
-        if body != responses::stream(&sent.id) {
+        let after = sent.resumed.as_ref().map_or(0, |resumed| resumed.after);
+        if body != responses::stream_after(&sent.id, after) {
             let detail = format!("the stream of {} completed as {body:?}", sent.id);
             add_breach(breaches, SoakPromise::WholeStream, detail);
         }
--- a/crates/oatpier-soak/src/history.rs
+++ b/crates/oatpier-soak/src/history.rs
@@ -51,6 +51,17 @@
     pub model: Option<String>,
     /// The key that its caller sends.
     pub key: &'static str,
+    /// The stream that it takes up, if it does.
+    pub resumed: Option<ResumedCall>,
+}
+
+/// An interrupted stream of a caller that returns.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumedCall {
+    /// The id of the request that brought the first event.
+    pub first: String,
+    /// The number of the last event that the caller received.
+    pub after: u32,
 }
 
 impl SentCall {
@@ -72,6 +83,10 @@
     pub id: String,
     /// The endpoint's instance.
     pub instance: String,
+    /// The version of the endpoint's software.
+    pub version: &'static str,
+    /// The number of the event after which it goes on; 0 for a run from the start.
+    pub after: u32,
     /// The endpoint's service.
     pub service: &'static str,
     /// Method, path and query as received.
--- a/crates/oatpier-soak/src/run.rs
+++ b/crates/oatpier-soak/src/run.rs
@@ -347,8 +347,8 @@
             let number = self.probes.fetch_add(1, Ordering::Relaxed);
             let id = format!("ffff{number:08x}");
             let call = caller::build_call(&id, kind, &self.models[model], None);
-            let end = caller::send(&client, gateway, &call, None, &self.history).await;
-            if matches!(end, CallEnd::Complete { status: 200, .. }) {
+            let outcome = caller::send(&client, gateway, &call, None, &self.history).await;
+            if matches!(outcome.end, CallEnd::Complete { status: 200, .. }) {
                 return;
             }
             sleep(Duration::from_millis(200)).await;
--- a/crates/oatpier-soak/src/standin/caller.rs
+++ b/crates/oatpier-soak/src/standin/caller.rs
@@ -5,22 +5,26 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Collected};
-use oatpier_wire::client::{ClientLimits, HttpClient};
+use http_body_util::BodyExt;
+use oatpier_wire::client::{ClientLimits, HttpClient, ResponseBody};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{sleep, timeout};
 
+use super::responses::EVENTS;
 use super::settings::{
     ENGINE_SERVICE, FREE_KEY, HOST, LIMITED_KEY, PLAIN_SERVICE, STREAM_TOKENS, TIMEOUT_MS,
     UNKNOWN_KEY,
 };
-use crate::history::{CallEnd, CallKind, EventHistory, ObservedEvent, SentCall};
+use crate::history::{CallEnd, CallKind, EventHistory, ObservedEvent, ResumedCall, SentCall};
 
 /// Time after which a caller without a complete response gives up: the route's timeout plus 12 s, because a paused
 /// gateway responds only after the pause.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(TIMEOUT_MS + 12_000);
 
+/// The number of times that a caller returns for the rest of a stream.
+const MAX_RETURNS: u32 = 3;
+
 /// The longest pause between two requests of a caller, in milliseconds.
 const MAX_PAUSE_MS: u64 = 40;
 
@@ -45,6 +49,8 @@
     sent: u64,
     rng: ChaCha8Rng,
     keys: KeyDraw,
+    /// Draws the gateways that the caller returns to, so that the other draws of a seed don't depend on them.
+    returns: ChaCha8Rng,
     gateways: Vec<SocketAddr>,
     models: Vec<String>,
     history: EventHistory,
@@ -65,6 +71,7 @@
             sent: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             keys: KeyDraw(ChaCha8Rng::seed_from_u64(!seed)),
+            returns: ChaCha8Rng::seed_from_u64(seed.rotate_left(13)),
             gateways,
             models,
             history,
@@ -84,12 +91,29 @@
                 let after = self.rng.random_range(1..200);
                 Duration::from_millis(after)
             });
-            send(&client, gateway, &call, cancel_after, &self.history).await;
+            let outcome = send(&client, gateway, &call, cancel_after, &self.history).await;
+            self.take_up(&client, call, outcome).await;
             let pause = self.rng.random_range(0..MAX_PAUSE_MS);
             sleep(Duration::from_millis(pause)).await;
         }
     }
 
+    /// Returns to drawn gateways for the rest of an interrupted stream.
+    async fn take_up(&mut self, client: &HttpClient, call: SentCall, outcome: CallOutcome) {
+        let (mut call, mut outcome) = (call, outcome);
+        for number in 1..=MAX_RETURNS {
+            let Some(returning) = returning_call(&call, &outcome, number) else {
+                return;
+            };
+            let gateway = self.returns.random_range(0..self.gateways.len());
+            let id = returning.id.clone();
+            self.history.record(ObservedEvent::Routed { id, gateway });
+            let gateway = self.gateways[gateway];
+            outcome = send(client, gateway, &returning, None, &self.history).await;
+            call = returning;
+        }
+    }
+
     fn draw_call(&mut self) -> SentCall {
         self.sent += 1;
         let id = format!("{:04x}{:08x}", self.number, self.sent);
@@ -141,9 +165,36 @@
         },
         model: (service == ENGINE_SERVICE).then_some(weights),
         key: FREE_KEY,
+        resumed: None,
     }
 }
 
+/// How a request ended, and the last event of a stream that its caller received.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallOutcome {
+    /// How it ended.
+    pub end: CallEnd,
+    /// The number of the last complete event; 0 for none.
+    pub last_event: u32,
+}
+
+/// Returns the request for the rest of a stream, if it was interrupted after an event.
+fn returning_call(call: &SentCall, outcome: &CallOutcome, number: u32) -> Option<SentCall> {
+    let is_interrupted = call.kind == CallKind::ResumableStream
+        && outcome.end == CallEnd::Interrupted
+        && (1..EVENTS).contains(&outcome.last_event);
+    let earlier = call.resumed.as_ref();
+    let first = earlier.map_or(&call.id, |resumed| &resumed.first).clone();
+    is_interrupted.then(|| SentCall {
+        id: format!("{first}-{number}"),
+        resumed: Some(ResumedCall {
+            first,
+            after: outcome.last_event,
+        }),
+        ..call.clone()
+    })
+}
+
 /// The end of the paths of crashing requests.
 pub const CRASH_PATH: &str = "/crash";
 
@@ -188,9 +239,10 @@
     call: &SentCall,
     cancel_after: Option<Duration>,
     history: &EventHistory,
-) -> CallEnd {
+) -> CallOutcome {
+    let mut last_event = call.resumed.as_ref().map_or(0, |resumed| resumed.after);
     history.record(ObservedEvent::Sent(call.clone()));
-    let exchange = exchange(client, gateway, call);
+    let exchange = exchange(client, gateway, call, &mut last_event);
     let end = match cancel_after {
         Some(after) => timeout(after, exchange).await.unwrap_or(CallEnd::Cancelled),
         None => timeout(CALLER_TIMEOUT, exchange)
@@ -201,10 +253,15 @@
         id: call.id.clone(),
         end: end.clone(),
     });
-    end
+    CallOutcome { end, last_event }
 }
 
-async fn exchange(client: &HttpClient, gateway: SocketAddr, call: &SentCall) -> CallEnd {
+async fn exchange(
+    client: &HttpClient,
+    gateway: SocketAddr,
+    call: &SentCall,
+    last_event: &mut u32,
+) -> CallEnd {
     let Some(request) = build_request(call) else {
         return CallEnd::Interrupted;
     };
@@ -216,14 +273,33 @@
     let stamp = stamp
         .and_then(|stamp| stamp.to_str().ok())
         .map(str::to_owned);
-    match body.collect().await.map(Collected::to_bytes) {
-        Ok(body) => CallEnd::Complete {
+    match read_body(body, last_event).await {
+        Some(body) => CallEnd::Complete {
             status: parts.status.as_u16(),
             stamp,
-            body: String::from_utf8_lossy(&body).into_owned(),
+            body,
         },
-        Err(_) => CallEnd::Interrupted,
+        None => CallEnd::Interrupted,
+    }
+}
+
+/// Reads a body and counts the events that arrive. Returns `None` if it breaks off.
+async fn read_body(mut body: ResponseBody, last_event: &mut u32) -> Option<String> {
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            text.push_str(&String::from_utf8_lossy(&data));
+            let last = text.rsplit("id: ").find_map(event_number);
+            *last_event = last.unwrap_or(*last_event);
+        }
     }
+    Some(text)
+}
+
+/// Returns the number of an event, if its text is complete.
+fn event_number(event: &str) -> Option<u32> {
+    let (number, rest) = event.split_once('\n')?;
+    rest.ends_with("\n\n").then(|| number.parse().ok())?
 }
 
 fn build_request(call: &SentCall) -> Option<Request<Bytes>> {
@@ -239,6 +315,11 @@
         .header("x-oatpier-tenant", "someone-else")
         .header("x-oatpier-hold", "h1")
         .header("kv-from", "10.0.0.1:1/x");
+    if let Some(resumed) = &call.resumed {
+        builder = builder
+            .header("resumes", &resumed.first)
+            .header("last-event-id", resumed.after.to_string());
+    }
     if let Some(model) = &call.model {
         builder = builder
             .header("x-oatpier-model", model)
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -33,6 +33,9 @@
 const RUN_TIME: Duration = Duration::from_millis(15);
 const EVENT_INTERVAL: Duration = Duration::from_millis(12);
 
+/// The software versions of endpoints: all start with the first, and draw one at each restart.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// The interval at which an endpoint writes its registry entry.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -81,6 +84,8 @@
 #[derive(Debug)]
 pub(super) struct EndpointState {
     instance: String,
+    /// The version of the software of this instance.
+    version: &'static str,
     weights: EngineWeights,
     running: u32,
     pub(super) is_draining: bool,
@@ -95,6 +100,7 @@
     pub(super) fn restart(&mut self) {
         *self = Self {
             instance: new_instance_id(),
+            version: VERSIONS[rand::rng().random_range(0..VERSIONS.len())],
             weights: self.weights.after_crash(),
             running: 0,
             is_draining: false,
@@ -130,6 +136,7 @@
     ) -> std::io::Result<Self> {
         let state = EndpointState {
             instance: new_instance_id(),
+            version: VERSIONS[0],
             weights: EngineWeights::starting_with(&spec.models, &spec.copies),
             running: 0,
             is_draining: false,
@@ -213,7 +220,7 @@
         let models = state.weights.models();
         let entry = json!({
             "service": self.spec.service, "address": self.spec.address, "zone": self.spec.zone,
-            "version": "v1", "slots": SLOTS, "cold_ms": 0, "seq": 1, "models": models,
+            "version": state.version, "slots": SLOTS, "cold_ms": 0, "seq": 1, "models": models,
             "state": if state.is_draining { "draining" } else { "ready" },
         });
         (state.instance.clone(), entry)
@@ -371,9 +378,7 @@
         }
         let is_cut = rand::rng().random_bool(faults.cut_share);
         if request.uri().path().contains("stream") {
-            let after = text(request.headers(), "last-event-id");
-            let after = after.and_then(|id| id.parse().ok()).unwrap_or(0);
-            return stream_response(&id, slot, after, is_cut);
+            return stream_response(&id, slot, last_event(request.headers()), is_cut);
         }
         sleep(RUN_TIME).await;
         if is_cut {
@@ -399,6 +404,7 @@
         Ok(RunSlot {
             endpoint: self.clone(),
             instance: state.instance.clone(),
+            version: state.version,
             weights,
         })
     }
@@ -414,6 +420,7 @@
 struct RunSlot {
     endpoint: EndpointStandin,
     instance: String,
+    version: &'static str,
     weights: Option<String>,
 }
 
@@ -443,6 +450,8 @@
     BegunRun {
         id: id.to_owned(),
         instance: slot.instance.clone(),
+        version: slot.version,
+        after: last_event(headers),
         service,
         target: format!("{} {}", request.method(), request.uri()),
         body: String::from_utf8_lossy(request.body()).into_owned(),
@@ -452,6 +461,12 @@
     }
 }
 
+/// Returns the number of the event after which a request goes on; 0 if it starts anew.
+fn last_event(headers: &HeaderMap) -> u32 {
+    let event = text(headers, "last-event-id");
+    event.and_then(|id| id.parse().ok()).unwrap_or(0)
+}
+
 /// Returns a response that breaks off in the middle of its body.
 fn cut_response(id: &str, slot: &RunSlot) -> Reply {
     let half = responses::body(id);
--- a/crates/oatpier-soak/src/standin/responses.rs
+++ b/crates/oatpier-soak/src/standin/responses.rs
@@ -21,7 +21,15 @@
 /// Returns the body of a complete stream.
 #[must_use]
 pub fn stream(id: &str) -> String {
-    (1..=EVENTS).map(|number| event(id, number)).collect()
+    stream_after(id, 0)
+}
+
+/// Returns the body of the rest of a stream after an event.
+#[must_use]
+pub fn stream_after(id: &str, after: u32) -> String {
+    (after + 1..=EVENTS)
+        .map(|number| event(id, number))
+        .collect()
 }
 
 /// Returns the stamp that an endpoint puts on its response.
--- a/crates/oatpier-soak/tests/testsuite/check.rs
+++ b/crates/oatpier-soak/tests/testsuite/check.rs
@@ -4,7 +4,8 @@
 
 use oatpier_soak::check::{LoadBound, SoakPromise, check};
 use oatpier_soak::history::{
-    BegunRun, CallEnd, CallKind, FaultScope, HistoryRow, NoticeKind, ObservedEvent, SentCall,
+    BegunRun, CallEnd, CallKind, FaultScope, HistoryRow, NoticeKind, ObservedEvent, ResumedCall,
+    SentCall,
 };
 use oatpier_soak::standin::settings::{LIMITED_KEY, UNKNOWN_KEY, workspace_of};
 use oatpier_soak::standin::{caller, responses};
@@ -22,6 +23,8 @@
     BegunRun {
         id: call.id.clone(),
         instance: instance.to_owned(),
+        version: "v1",
+        after: 0,
         service: call.service,
         target: call.target.clone(),
         body: call.body.clone(),
@@ -446,3 +449,43 @@
         ));
     }
 }
+
+/// A stream may be resumed within a response and taken up by its caller, but only at the version that began it. A run from
+/// the start at another version, before the first event, is allowed.
+#[test]
+fn finds_streams_that_go_on_at_another_version() {
+    let first = sent(CallKind::ResumableStream);
+    let returned = SentCall {
+        id: "c2".to_owned(),
+        resumed: Some(ResumedCall {
+            first: first.id.clone(),
+            after: 5,
+        }),
+        ..first.clone()
+    };
+    let run = |call: &SentCall, version, after| {
+        ObservedEvent::RunStarted(BegunRun {
+            version,
+            after,
+            ..run_of(call, version)
+        })
+    };
+    let breaks = |runs: &[ObservedEvent]| {
+        let sent = [first.clone(), returned.clone()].map(ObservedEvent::Sent);
+        let events = [&sent[..], runs].concat();
+        broken_by(events).contains(&SoakPromise::OneVersion)
+    };
+    let begun = run(&first, "v1", 0);
+    assert!(!breaks(&[
+        begun.clone(),
+        run(&first, "v1", 3),
+        run(&returned, "v1", 5)
+    ]));
+    assert!(!breaks(&[
+        run(&first, "v2", 0),
+        begun.clone(),
+        run(&first, "v1", 3)
+    ]));
+    assert!(breaks(&[begun.clone(), run(&first, "v2", 3)]));
+    assert!(breaks(&[begun, run(&returned, "v2", 5)]));
+}
