planner: A model that streams need at a software version is loaded at an engine of that version

Callers whose stream's engine had crashed would be refused although engines of its version serve: most models have one holder, the planner loads a missing one at any engine, and a model that an engine of another version holds shows no gap at all.

Cause: placement knows no versions. A request that is pinned to a version and finds the model at no engine of it now asks the planner, which loads the model at such an engine with the urgency of a missing one (reason `version`), unless one holds or loads it.

--- a/crates/oatpier-gateway/src/gateway/messaging.rs
+++ b/crates/oatpier-gateway/src/gateway/messaging.rs
@@ -75,6 +75,7 @@
             InnerMessage::StreamsBegun(records) => core.keep_origin_records(records),
             InnerMessage::OriginAsk(ask) => core.answer_origin_ask(from, &ask),
             InnerMessage::OriginAnswer(answer) => core.complete_origin_ask(*answer),
+            InnerMessage::PinnedWanted(needed) => core.note_pinned(needed),
             // Messages to sidecars.
             InnerMessage::Subscription(_)
             | InnerMessage::AdapterWanted(_)
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -8,7 +8,7 @@
 use oatpier_serving::choice::{
     self, ChoiceOutcome, ChoiceQuery, EndpointChoice, StreamNeed, ThrottledService, VersionPin,
 };
-use oatpier_serving::message::{AdapterRequest, InnerMessage};
+use oatpier_serving::message::{AdapterRequest, InnerMessage, PinnedModel};
 use oatpier_serving::site::{EngineRule, SiteConfig};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
@@ -100,6 +100,9 @@
             }
             ChoiceOutcome::NoModel { ready_in, load } => {
                 self.record_unserved(&mut state, context, now);
+                if ready_in.is_none() {
+                    self.request_pinned(&mut state, context, pin, now);
+                }
                 let pending = PendingModel { ready_in, load };
                 self.place_without_model(&mut state, context, pending, now)
             }
@@ -256,6 +259,38 @@
         })
     }
 
+    /// Asks the planner for a model at the version that a stream is pinned to.
+    fn request_pinned(
+        &self,
+        state: &mut CoreState,
+        context: &RequestContext,
+        pin: &VersionPin,
+        now: ClockTime,
+    ) {
+        let (Some(weights), VersionPin::Only(version)) = (&context.request.weights, pin) else {
+            return;
+        };
+        let needed = PinnedModel {
+            model: weights.model.clone(),
+            version: version.clone(),
+        };
+        let planner = state.peers.planner(now);
+        if planner == state.peers.own().address {
+            state.planner.note_pinned(needed, now);
+            self.changed.notify_waiters();
+        } else {
+            self.outlet
+                .send(planner, &InnerMessage::PinnedWanted(needed));
+        }
+    }
+
+    /// Records another gateway's request for a model at a version.
+    pub fn note_pinned(&self, needed: PinnedModel) {
+        let now = self.clock.now();
+        self.lock().planner.note_pinned(needed, now);
+        self.changed.notify_waiters();
+    }
+
     fn request_adapter(&self, weights: Option<&WeightsKey>, sidecar: SocketAddr, slots: usize) {
         if let Some(key) = weights.and_then(WeightsKey::adapter_key) {
             let request = AdapterRequest {
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -306,6 +306,7 @@
             | InnerMessage::StreamsBegun(_)
             | InnerMessage::OriginAsk(_)
             | InnerMessage::OriginAnswer(_)
+            | InnerMessage::PinnedWanted(_)
             | InnerMessage::CrashesSeen(_)
             | InnerMessage::CrashesCleared(_)
             | InnerMessage::Permit(_) => {}
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -531,7 +531,7 @@
         name: DaemonName::try_from("other").unwrap(),
         zone: ZoneName::try_from("near").unwrap(),
         every_ms: 60_000,
-        processor: 200,
+        processor: 500,
         is_behind: false,
         leaving: false,
         engines_heard: 0,
--- a/crates/oatpier-gateway/tests/testsuite/versions.rs
+++ b/crates/oatpier-gateway/tests/testsuite/versions.rs
@@ -7,11 +7,12 @@
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use oatpier_serving::message::InnerMessage;
+use oatpier_serving::origins::{OriginRecord, StreamKey, StreamOrigin};
 use tokio::time::sleep;
 
 use crate::support::{
-    EndpointStep, REQUEST_ID, STREAM_END, ScriptedEndpoint, TestGateway, chunk, request,
-    stream_start, versioned,
+    EndpointStep, REQUEST_ID, STREAM_END, ScriptedEndpoint, TestGateway, chunk, request, service,
+    status, stream_start, version, versioned,
 };
 
 fn event(number: u32) -> String {
@@ -298,3 +299,50 @@
     assert!(!answer.headers().contains_key("retry-after"));
     assert!(other.requests().is_empty());
 }
+
+/// Guards against streams that wait in vain: no endpoint of their version holds the model any more. The gateway that plans
+/// is asked to load it there.
+#[tokio::test]
+async fn the_planner_is_asked_for_a_model_at_the_version_of_a_stream() {
+    let (same, other) = (serving_endpoint(2).await, serving_endpoint(2).await);
+    let gateway = TestGateway::with_versions(2, &[(&same, "v1"), (&other, "v2")]);
+    gateway
+        .core
+        .apply_status(status(1, same.address, Vec::new()));
+    gateway.report_engine(&other, 0);
+    gateway.meet_gateways(&[gateway_address(1)]);
+    gateway.core.keep_origin_records(vec![OriginRecord {
+        key: StreamKey::new(None, "7a01"),
+        origin: Some(StreamOrigin {
+            service: service(),
+            version: version("v1"),
+        }),
+        expires_in_ms: 10_000,
+    }]);
+    let caller = [
+        ("resumes", "7a01"),
+        ("last-event-id", "1"),
+        ("x-oatpier-model", "m1"),
+        ("x-oatpier-token-usage", "400,10"),
+    ];
+    let asked = async {
+        loop {
+            let sent = gateway.outlet.sent();
+            let found = sent.into_iter().find_map(|(to, message)| match message {
+                InnerMessage::PinnedWanted(needed) => Some((to, needed)),
+                _ => None,
+            });
+            if let Some(found) = found {
+                return found;
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let (to, needed) = tokio::select! {
+        found = asked => found,
+        _ = gateway.send(request(&caller)) => unreachable!("the request waits for its model"),
+    };
+    assert_eq!(to, gateway_address(1));
+    assert_eq!(needed.version, version("v1"));
+    assert!(other.requests().is_empty());
+}
--- a/crates/oatpier-serving/src/message/mod.rs
+++ b/crates/oatpier-serving/src/message/mod.rs
@@ -23,7 +23,7 @@
 
 pub use capacity::{PaceStatus, RatedPermitAsk, ShareStatus};
 pub use limits::{LeavingReport, LimitReport, QuotaAnswer, QuotaAsk, TurnAsk, TurnReply};
-pub use origins::{OriginAnswer, OriginAsk};
+pub use origins::{OriginAnswer, OriginAsk, PinnedModel};
 
 /// Content of one datagram.
 #[derive(Debug, Clone, PartialEq)]
@@ -87,6 +87,8 @@
     OriginAsk(OriginAsk),
     /// Sent by a holder to a gateway: answers a question about a stream.
     OriginAnswer(Box<OriginAnswer>),
+    /// Sent by a gateway to the planner: a stream waits for a model at the version that began it.
+    PinnedWanted(PinnedModel),
 }
 
 impl InnerMessage {
@@ -123,6 +125,7 @@
             Self::StreamsBegun(_) => "streams-begun",
             Self::OriginAsk(_) => "origin-ask",
             Self::OriginAnswer(_) => "origin-answer",
+            Self::PinnedWanted(_) => "pinned-wanted",
         }
     }
 }
--- a/crates/oatpier-serving/src/message/origins.rs
+++ b/crates/oatpier-serving/src/message/origins.rs
@@ -1,10 +1,21 @@
 //! Messages between gateways about the versions at which streams began.
 
-use oatpier_types::names::PoolName;
+use oatpier_types::names::{ModelName, PoolName};
+use oatpier_types::software::SoftwareVersion;
 use serde::{Deserialize, Serialize};
 
 use crate::origins::{OriginAttestation, StreamKey};
 
+/// A model that interrupted streams need at the software version that began them.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct PinnedModel {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: SoftwareVersion,
+}
+
 /// Question of a gateway to a holder about a stream whose caller has returned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/oatpier-serving/src/planner/mod.rs
+++ b/crates/oatpier-serving/src/planner/mod.rs
@@ -20,6 +20,7 @@
 mod gain;
 mod lateness;
 mod moves;
+mod pinned;
 mod round;
 mod wanted;
 
@@ -39,6 +40,7 @@
 use crash_tracker::CrashTracker;
 use gain::LoadOption;
 use moves::MoveLimiter;
+use pinned::PinnedModels;
 use round::{EngineShare, EngineView, PlanRound};
 use wanted::WantedLoad;
 
@@ -98,6 +100,8 @@
     Speed,
     /// The model is to leave a fast engine for one whose streams end late there. This engine takes it over first.
     Swap,
+    /// Interrupted streams can go on only at this software version, and no engine of it holds the model.
+    Version,
 }
 
 impl LoadReason {
@@ -110,6 +114,7 @@
             Self::Room => "room",
             Self::Speed => "speed",
             Self::Swap => "swap",
+            Self::Version => "version",
         }
     }
 }
@@ -168,6 +173,7 @@
     /// Models whose loads crash the engines that carry them out.
     crashes: CrashTracker,
     moves: MoveLimiter,
+    pinned: PinnedModels,
     store_tokens: f64,
     refilled_at: ClockTime,
 }
@@ -200,6 +206,7 @@
             }
             self.plan_load(&mut round, &wanted, &mut outcome);
         }
+        self.plan_pinned(&mut round, &mut outcome);
         if round.speeds.is_uneven {
             self.plan_move(&mut round, &mut outcome);
         }
--- a/crates/oatpier-serving/src/planner/round.rs
+++ b/crates/oatpier-serving/src/planner/round.rs
@@ -6,6 +6,7 @@
 
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::ModelName;
+use oatpier_types::software::SoftwareVersion;
 use smallvec::SmallVec;
 
 use super::capacity::{EngineSpeed, FleetSpeeds};
@@ -267,6 +268,18 @@
         }
     }
 
+    /// Returns whether an engine of a software version holds a model or will hold it soon.
+    pub(super) fn serves_at(&self, model: &ModelName, version: &SoftwareVersion) -> bool {
+        let known = self.models.get(model);
+        let mut served_by = known.into_iter().flat_map(|view| &view.served_by);
+        served_by.any(|engine| self.has_version(*engine, Some(version)))
+    }
+
+    /// Returns whether an engine has a software version, or whether none is asked for.
+    pub(super) fn has_version(&self, engine: usize, version: Option<&SoftwareVersion>) -> bool {
+        version.is_none() || self.engines[engine].row.record.version.as_ref() == version
+    }
+
     /// Returns the requested models that no engine holds.
     pub(super) fn unreachable(&self) -> impl Iterator<Item = &ModelName> {
         let missing = self
--- a/crates/oatpier-serving/src/planner/wanted.rs
+++ b/crates/oatpier-serving/src/planner/wanted.rs
@@ -4,6 +4,7 @@
 
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::ModelName;
+use oatpier_types::software::SoftwareVersion;
 
 use super::LoadReason;
 use super::exchange::UNUSED_RATE_PER_S;
@@ -45,6 +46,8 @@
 pub(super) struct WantedLoad {
     pub(super) model: ModelName,
     pub(super) reason: LoadReason,
+    /// The software version that the engine must have, if it matters.
+    pub(super) version: Option<SoftwareVersion>,
     /// Gain of the load, in squared engine shares as counted by [`EngineShare::squared`].
     priority: f64,
     /// Request rate per second up to which other models may lose their last holder to this load.
@@ -83,15 +86,31 @@
         WantedLoad {
             model: model.clone(),
             reason: LoadReason::Unreachable,
+            version: None,
             priority: rate * MISSING_RATE_WEIGHT + missing_s * MISSING_WEIGHT_PER_S,
             max_displaced_rate: long_rate * DISPLACED_RATE_SHARE + missing_s * DISPLACED_RATE_PER_S,
         }
     }
 
+    /// Returns the load of a model that streams need at a software version, as urgent as that of a missing model.
+    pub(super) fn pinned_load(
+        &self,
+        model: &ModelName,
+        version: SoftwareVersion,
+        missing: &HashMap<ModelName, ClockTime>,
+    ) -> WantedLoad {
+        WantedLoad {
+            reason: LoadReason::Version,
+            version: Some(version),
+            ..self.missing_load(model, missing)
+        }
+    }
+
     fn replica_load(&self, model: ModelName) -> WantedLoad {
         let mut wanted = WantedLoad {
             model,
             reason: LoadReason::Busy,
+            version: None,
             priority: 0.0,
             max_displaced_rate: if self.speeds.is_uneven {
                 UNUSED_RATE_PER_S
@@ -136,13 +155,14 @@
         store_has_tokens: bool,
     ) -> Option<LoadOption> {
         let options = (0..self.engines.len())
+            .filter(|engine| self.has_version(*engine, wanted.version.as_ref()))
             .filter_map(|engine| self.load_option(engine, &wanted.model, wanted.reason));
         let best = options
             .filter(|option| store_has_tokens || !option.from_store)
             .filter(|option| option.displaced_rate <= wanted.max_displaced_rate)
             .max_by(|one, other| one.rank().total_cmp(&other.rank()))?;
         match wanted.reason {
-            LoadReason::Unreachable | LoadReason::Room => Some(best),
+            LoadReason::Unreachable | LoadReason::Room | LoadReason::Version => Some(best),
             LoadReason::Busy | LoadReason::Speed | LoadReason::Swap => {
                 (best.gain > MIN_REPLICA_GAIN).then_some(best)
             }
--- a/crates/oatpier-serving/tests/testsuite/planner.rs
+++ b/crates/oatpier-serving/tests/testsuite/planner.rs
@@ -6,16 +6,16 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use oatpier_serving::directory::EndpointDirectory;
+use oatpier_serving::directory::{EndpointDirectory, EndpointRecord};
 use oatpier_serving::engine::LocalCopies;
-use oatpier_serving::message::{LimitReport, ModelUse};
+use oatpier_serving::message::{LimitReport, ModelUse, PinnedModel};
 use oatpier_serving::notice::RequestRate;
 use oatpier_serving::peers::{FleetUses, TotalDemand};
 use oatpier_serving::planner::{FleetDemand, LoadPlanner, LoadReason, PlanOutcome};
 use oatpier_types::names::ModelName;
 
 use crate::support::{
-    address, at, directory, endpoint, engine_rule, model, record, service, status,
+    address, at, directory, endpoint, engine_rule, model, record, service, status, version,
 };
 
 /// Two engines that are full with a model in high demand, and one with models that are rarely requested.
@@ -398,3 +398,58 @@
     assert_eq!(outcome.planned[0].advice.load, model("m1"));
     assert_eq!(outcome.planned[0].endpoint, crate::support::endpoint("e2"));
 }
+
+/// Guards against streams that can't go on although engines of their version serve: no such engine holds the model any
+/// more, and the demand for it shows no gap because an engine of another version holds it.
+#[test]
+fn a_model_that_streams_need_at_a_version_is_loaded_there() {
+    let engines: [(&[&str], u32); 3] = [(&["m1", "m2"], 0), (&["m2", "m3"], 0), (&["m2"], 0)];
+    let mut directory = directory(&engines, at(800));
+    let listed = |number, models: &[&str], text| EndpointRecord {
+        version: Some(version(text)),
+        ..record(number, models)
+    };
+    let records = vec![
+        listed(1, &["m1", "m2"], "v2"),
+        listed(2, &["m2", "m3"], "v1"),
+        listed(3, &["m2"], "v2"),
+    ];
+    directory.apply_registry(records, at(850));
+    for (number, (models, running)) in (1..).zip(engines) {
+        directory.apply_status(status(number, models, running), at(900));
+    }
+    let rule = engine_rule(&["m1", "m2", "m3"]);
+    let served = demand(&[("m1", 1.0, 0.0), ("m2", 1.0, 0.0)]);
+    let loads = |needed: Option<&str>| {
+        let mut planner = LoadPlanner::default();
+        let nothing = Demand::new();
+        let uses = FleetUses::default();
+        let mut plan = |models: &Demand, now| {
+            let demand = FleetDemand {
+                models,
+                uses: &uses,
+            };
+            planner.plan(&rule, directory.service(&service()), demand, at(now))
+        };
+        plan(&nothing, 950);
+        if let Some(text) = needed {
+            let needed = PinnedModel {
+                model: model("m1"),
+                version: version(text),
+            };
+            planner.note_pinned(needed, at(990));
+        }
+        let demand = FleetDemand {
+            models: &served,
+            uses: &uses,
+        };
+        let outcome = planner.plan(&rule, directory.service(&service()), demand, at(1_000));
+        let loads = outcome.planned.into_iter();
+        let pinned = loads.filter(|load| load.reason == LoadReason::Version);
+        pinned.map(|load| load.endpoint).collect::<Vec<_>>()
+    };
+    assert_eq!(loads(None), []);
+    assert_eq!(loads(Some("v2")), []);
+    assert_eq!(loads(Some("v1")), [endpoint("e2")]);
+    assert_eq!(loads(Some("v9")), []);
+}
