entry: Ejections and reinstatements of endpoints are logged

The record of the resumed agent that gets no calls doesn't say whether its endpoint was ejected: nothing but `oatpier status`, while asked, names one. Lines `ejected an endpoint` with the fault, and `reinstated an endpoint`. No decision changes.

--- a/crates/oatpier-entry/src/core.rs
+++ b/crates/oatpier-entry/src/core.rs
@@ -9,6 +9,7 @@
 use oatpier_placement::demand::{DemandKey, DemandLedger, DemandSummary};
 use oatpier_policy::action::EntryActions;
 use oatpier_policy::event::{EntryEvent, RequestIntake};
+use oatpier_policy::health::HealthTransition;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::config::FleetConfig;
 use oatpier_types::ids::{Generation, RequestId};
@@ -235,6 +236,7 @@
                 state.policy.forget(&endpoint, now);
             }
         }
+        state.log_health_transitions();
         self.update_gauges(&state);
         drop(state);
         self.timer_changed.notify_one();
@@ -275,6 +277,7 @@
         }
         let report = endpoint.and_then(|endpoint| state.path_report(endpoint, event, now));
         let actions = state.policy.handle(request, event, now);
+        state.log_health_transitions();
         drop(state);
         if let Some(report) = report {
             // The ring counts events dropped because it is full.
@@ -316,6 +319,7 @@
         let mut fired = Vec::new();
         let mut state = self.lock();
         state.policy.fire_timers(now, &mut fired);
+        state.log_health_transitions();
         for (request, actions) in fired {
             if let Some(timers) = state.timers.get(&request) {
                 // The task of the request may have ended; its actions are no longer needed.
@@ -330,6 +334,18 @@
 }
 
 impl CoreState {
+    /// Logs the endpoints that were ejected or reinstated.
+    fn log_health_transitions(&mut self) {
+        for HealthTransition { endpoint, fault } in self.policy.take_health_transitions() {
+            let endpoint = endpoint.as_str();
+            if let Some(fault) = fault {
+                spdlog::warn!("ejected an endpoint", kv: { endpoint, fault = fault.as_str() });
+            } else {
+                spdlog::info!("reinstated an endpoint", kv: { endpoint });
+            }
+        }
+    }
+
     /// Stores an agent's contact, but keeps the known ticket if it is newer than the received one.
     fn update_contact(&mut self, endpoint: &EndpointName, fresh: AgentContact) {
         let known = self.agents.get(endpoint);
--- a/crates/oatpier-entry/src/policy.rs
+++ b/crates/oatpier-entry/src/policy.rs
@@ -3,6 +3,7 @@
 use oatpier_policy::action::EntryActions;
 use oatpier_policy::entry::EntryPolicy;
 use oatpier_policy::event::{EntryEvent, RequestIntake};
+use oatpier_policy::health::HealthTransition;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::config::FleetConfig;
 use oatpier_types::ids::RequestId;
@@ -34,6 +35,8 @@
     fn next_timer(&self) -> Option<ClockTime>;
     /// Fires the timers that are due.
     fn fire_timers(&mut self, now: ClockTime, fired: &mut Vec<(RequestId, EntryActions)>);
+    /// Returns the endpoints that were ejected or reinstated since the last call.
+    fn take_health_transitions(&mut self) -> Vec<HealthTransition>;
     /// Refuses new requests from now on.
     fn begin_stop(&mut self);
     /// Returns the number of requests without a final answer.
@@ -83,6 +86,10 @@
         Self::fire_timers(self, now, fired);
     }
 
+    fn take_health_transitions(&mut self) -> Vec<HealthTransition> {
+        Self::take_health_transitions(self)
+    }
+
     fn begin_stop(&mut self) {
         Self::begin_stop(self);
     }
--- a/crates/oatpier-entry/tests/testsuite/late.rs
+++ b/crates/oatpier-entry/tests/testsuite/late.rs
@@ -18,6 +18,7 @@
 use oatpier_entry::updates::CallersStatus;
 use oatpier_policy::action::{CancelMode, EntryAction, EntryActions};
 use oatpier_policy::event::{EntryEvent, RequestIntake};
+use oatpier_policy::health::HealthTransition;
 use oatpier_policy::outcome::{FinalAnswer, FinalCause};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::config::FleetConfig;
@@ -83,6 +84,9 @@
         None
     }
     fn fire_timers(&mut self, _: ClockTime, _: &mut Vec<(RequestId, EntryActions)>) {}
+    fn take_health_transitions(&mut self) -> Vec<HealthTransition> {
+        Vec::new()
+    }
     fn begin_stop(&mut self) {}
     fn in_flight(&self) -> usize {
         0
--- a/crates/oatpier-policy/src/entry/core.rs
+++ b/crates/oatpier-policy/src/entry/core.rs
@@ -8,7 +8,9 @@
 use oatpier_types::refusal::{Refusal, RefusalCause};
 
 use super::EntrySettings;
-use crate::health::{AttemptEvidence, HealthChange, HealthTracker};
+use crate::health::{
+    AttemptEvidence, EndpointFault, HealthChange, HealthTracker, HealthTransition,
+};
 use crate::index::{ClassIndex, EndpointIndex, GoalIndex};
 use crate::machine::AttemptContext;
 use crate::prefix::PrefixIndex;
@@ -23,6 +25,8 @@
     pub health: HealthTracker,
     pub prefix: PrefixIndex,
     pub retry: RetryBudget,
+    /// Endpoints that were ejected or reinstated and have not been logged yet.
+    pub transitions: Vec<HealthTransition>,
 }
 
 impl EntryCore {
@@ -34,6 +38,7 @@
             health: HealthTracker::new(settings.health),
             prefix: PrefixIndex::new(settings.prefix),
             retry: RetryBudget::new(settings.retry),
+            transitions: Vec::new(),
         }
     }
 
@@ -55,6 +60,14 @@
     fn reinstate(&mut self, endpoint: EndpointIndex, now: ClockTime) {
         self.health.reinstate(endpoint, now);
         self.table.set_ejected(endpoint, false);
+        self.record_transition(endpoint, None);
+    }
+
+    fn record_transition(&mut self, endpoint: EndpointIndex, fault: Option<EndpointFault>) {
+        self.transitions.push(HealthTransition {
+            endpoint: self.table.row(endpoint).name.clone(),
+            fault,
+        });
     }
 
     fn apply_change(&mut self, endpoint: EndpointIndex, change: HealthChange, now: ClockTime) {
@@ -64,6 +77,7 @@
                 if self.table.may_eject(endpoint) {
                     self.health.eject(endpoint, fault, now);
                     self.table.set_ejected(endpoint, true);
+                    self.record_transition(endpoint, Some(fault));
                 }
             }
         }
--- a/crates/oatpier-policy/src/entry/mod.rs
+++ b/crates/oatpier-policy/src/entry/mod.rs
@@ -20,7 +20,7 @@
 use crate::action::{EntryAction, EntryActions};
 use crate::attainment::AttainmentTracker;
 use crate::event::{EntryEvent, RequestIntake};
-use crate::health::HealthTracker;
+use crate::health::{HealthTracker, HealthTransition};
 use crate::index::{ClassIndex, EndpointIndex};
 use crate::limit::{ClassStatus, EntryLimiter};
 use crate::machine::{RequestLookup, RequestMachine};
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Returns the endpoints that were ejected or reinstated since the last call, in order.
+    pub fn take_health_transitions(&mut self) -> Vec<HealthTransition> {
+        std::mem::take(&mut self.core.transitions)
+    }
+
     /// Starts a request. The actions may already hold its final answer, if it is refused at once.
     /// `intake.request` must be a new id.
     pub fn start(&mut self, intake: RequestIntake, now: ClockTime) -> EntryActions {
--- a/crates/oatpier-policy/src/health.rs
+++ b/crates/oatpier-policy/src/health.rs
@@ -9,6 +9,7 @@
 
 use hdrhistogram::Histogram;
 use oatpier_types::clock::ClockTime;
+use oatpier_types::names::EndpointName;
 use oatpier_types::refusal::RefusalCause;
 use serde::{Deserialize, Serialize};
 
@@ -97,6 +98,28 @@
     Interrupting,
 }
 
+impl EndpointFault {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Dead => "dead",
+            Self::Frozen => "frozen",
+            Self::Slow => "slow",
+            Self::Interrupting => "interrupting",
+        }
+    }
+}
+
+/// An endpoint that was ejected or reinstated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthTransition {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The failure for which it was ejected; `None` if it was reinstated.
+    pub fault: Option<EndpointFault>,
+}
+
 /// A change of an endpoint's health that follows from an observation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HealthChange {
