Known red: an endpoint whose calls run at most once stays out after its agent has resumed

Deterministic, in the decisions alone: 20 at-most-once calls, two silences eject the paused endpoint, its agent reports again, and of 6,000 calls over a minute none goes there. With it a test that a paused agent, of which nothing has arrived since the ejection, gets no at-most-once call as a probe (passes), and one of the logged transitions (passes).

--- a/crates/oatpier-policy/tests/testsuite/health.rs
+++ b/crates/oatpier-policy/tests/testsuite/health.rs
@@ -4,14 +4,15 @@
 
 use oatpier_policy::entry::EntryPolicy;
 use oatpier_policy::event::{EntryEvent, RequestIntake};
-use oatpier_policy::health::EndpointFault;
+use oatpier_policy::health::{EndpointFault, HealthTransition};
 use oatpier_policy::index::EndpointIndex;
 use oatpier_types::clock::ClockTime;
 use oatpier_types::ids::RequestId;
 use oatpier_types::names::EndpointName;
 
 use crate::support::{
-    ZONES, at, first_frame, model_goal, name, policy, sent, status, stream_request, weights,
+    ZONES, at, at_most_once_call, ended, first_frame, model_goal, name, policy, queue_report, sent,
+    status, stream_request, weights,
 };
 
 /// Sends `count` requests with numbers from `from` on, fails the attempts at endpoints that are
@@ -249,3 +250,114 @@
     }
     now
 }
+
+/// A fleet of two endpoints of a plain service whose callers send at-most-once calls alone.
+struct OnceCallers {
+    policy: EntryPolicy,
+    calls: u128,
+}
+
+impl OnceCallers {
+    fn new() -> Self {
+        Self {
+            policy: policy(0, 2, 4),
+            calls: 0,
+        }
+    }
+
+    /// Sends a call at `now_ms` and returns its endpoint. A paused endpoint sends nothing.
+    fn send(&mut self, now_ms: u64, paused: Option<&str>) -> EndpointName {
+        self.calls += 1;
+        let request = RequestId(self.calls);
+        let intake = RequestIntake {
+            key: None,
+            ..at_most_once_call(self.calls)
+        };
+        let actions = self.policy.start(intake, at(now_ms));
+        let (endpoint, spec) = sent(&actions).expect("an attempt");
+        let attempt = spec.attempt;
+        if Some(endpoint.as_str()) != paused {
+            self.policy
+                .handle(request, &first_frame(attempt), at(now_ms + 1));
+            self.policy.handle(request, &ended(attempt), at(now_ms + 2));
+        }
+        endpoint
+    }
+
+    /// Sends calls until the paused endpoint is ejected.
+    fn eject(&mut self, paused: &str) -> EndpointIndex {
+        for number in 0..20 {
+            self.send(number, Some(paused));
+        }
+        let index = endpoint_index(&self.policy, paused);
+        for now_ms in (100..6_000).step_by(100) {
+            self.policy.fire_timers(at(now_ms), &mut Vec::new());
+        }
+        assert_eq!(
+            self.policy.health().fault(index),
+            Some(EndpointFault::Frozen)
+        );
+        index
+    }
+
+    fn report(&mut self, endpoint: &str, sequence: u64, now_ms: u64) {
+        let report = queue_report(1, sequence, 0);
+        self.policy
+            .on_queue_report(&name(endpoint), &report, at(now_ms));
+    }
+
+    /// Returns how many of the calls sent each 10 ms in a period go to an endpoint.
+    fn count_at(
+        &mut self,
+        endpoint: &str,
+        from_ms: u64,
+        to_ms: u64,
+        paused: Option<&str>,
+    ) -> usize {
+        let times = (from_ms..to_ms).step_by(10);
+        times
+            .filter(|now_ms| self.send(*now_ms, paused).as_str() == endpoint)
+            .count()
+    }
+}
+
+/// Guards against an endpoint that stays out for good: it was ejected while its agent was paused, its callers send
+/// at-most-once calls alone, and its agent has resumed.
+#[test]
+fn an_endpoint_whose_calls_run_at_most_once_is_used_again_after_its_agent_has_resumed() {
+    let mut callers = OnceCallers::new();
+    let index = callers.eject("api-0");
+    callers.report("api-0", 50, 10_000);
+    assert!(callers.count_at("api-0", 10_000, 70_000, None) > 0);
+    assert_eq!(callers.policy.health().fault(index), None);
+}
+
+/// Guards against at-most-once calls that are lost at a paused agent as probes of its endpoint. Nothing has arrived from
+/// the agent since the ejection.
+#[test]
+fn a_paused_agent_gets_no_call_that_runs_at_most_once_as_a_probe() {
+    let mut callers = OnceCallers::new();
+    callers.eject("api-0");
+    assert_eq!(callers.count_at("api-0", 10_000, 70_000, Some("api-0")), 0);
+}
+
+/// An operator finds in the log when an endpoint was ejected, and why.
+#[test]
+fn ejections_and_reinstatements_are_reported_once() {
+    let mut policy = policy(6, 0, 4);
+    let dead = |name: &EndpointName| name.as_str() == "engine-0";
+    run_requests(&mut policy, 0, 100, at(0), dead);
+    let ejected = HealthTransition {
+        endpoint: name("engine-0"),
+        fault: Some(EndpointFault::Dead),
+    };
+    let ejections = policy.take_health_transitions();
+    assert_eq!(ejections, std::slice::from_ref(&ejected));
+    assert_eq!(policy.take_health_transitions(), []);
+    run_requests(&mut policy, 100, 100, at(600), |_| false);
+    let reinstated = HealthTransition {
+        fault: None,
+        ..ejected
+    };
+    assert_eq!(policy.take_health_transitions(), [reinstated]);
+}
