policy: An ejected endpoint whose calls all run at most once is probed, once its agent reports again

Cause: probes of an ejected endpoint went out with requests that may be repeated only, and nothing but an answer in time reinstates it. Class: a recovery that waits for an input which the system itself has cut off.

Change: a call that runs at most once may probe if no repeatable request has done so for a whole further backoff, and if a queue report of the endpoint's agent has arrived since it was ejected or last failed a probe. A lost probe doubles the backoff as before.

Why it works: a resumed agent reports with its next heartbeat.

Weighed: a health check as the probe (an agent that answers says nothing of the service behind it, and a service has no call that is known to do no harm); reinstating by the report alone (all calls would go there again at once).

--- a/crates/oatpier-bench/src/cost/requests.rs
+++ b/crates/oatpier-bench/src/cost/requests.rs
@@ -7,7 +7,7 @@
 use oatpier_admission::policy::AgentPolicy;
 use oatpier_policy::entry::{EntryPolicy, EntrySettings};
 use oatpier_policy::event::{EntryEvent, RequestIntake};
-use oatpier_policy::router::{RequestRouter, RouteQuery, RouteView, RouterSettings};
+use oatpier_policy::router::{ProbeUse, RequestRouter, RouteQuery, RouteView, RouterSettings};
 use oatpier_types::clock::ClockTime;
 use oatpier_types::ids::{AttemptId, BootId, RequestId};
 use oatpier_types::names::ClassName;
@@ -59,7 +59,7 @@
             is_whole_answer: false,
             remaining: Duration::from_millis(320),
             excluded: &[],
-            may_probe: true,
+            probe: ProbeUse::Repeatable,
         };
         black_box(router.choose(view, &query, now)).expect("idle endpoints can serve");
     });
--- a/crates/oatpier-policy/src/health.rs
+++ b/crates/oatpier-policy/src/health.rs
@@ -148,6 +148,8 @@
 #[derive(Debug, Clone, Copy)]
 struct EjectionState {
     fault: EndpointFault,
+    /// When it was ejected or last failed a probe.
+    failed_at: ClockTime,
     probe_at: ClockTime,
     is_probing: bool,
 }
@@ -251,6 +253,7 @@
         };
         row.ejection = Some(EjectionState {
             fault,
+            failed_at: now,
             probe_at: now + row.backoff,
             is_probing: false,
         });
@@ -280,6 +283,26 @@
             .is_some_and(|ejection| ejection.probe_at <= now)
     }
 
+    /// Returns whether a probe has been due for a whole backoff without a request that may be repeated, and a report of the
+    /// endpoint's agent has arrived since the endpoint last failed.
+    ///
+    /// Endpoints whose requests all run at most once would never be probed otherwise. The report shows that the agent
+    /// is running, so that the probe is unlikely to be lost.
+    #[must_use]
+    pub fn probe_overdue(
+        &self,
+        endpoint: EndpointIndex,
+        reported_at: ClockTime,
+        now: ClockTime,
+    ) -> bool {
+        let Some(row) = self.rows.get(endpoint.as_usize()) else {
+            return false;
+        };
+        row.ejection.is_some_and(|ejection| {
+            ejection.probe_at + row.backoff <= now && reported_at > ejection.failed_at
+        })
+    }
+
     /// Records that a probe was sent. If it is lost, the next probe waits for the backoff.
     pub fn start_probe(&mut self, endpoint: EndpointIndex, now: ClockTime) {
         let row = self.row(endpoint);
@@ -397,6 +420,7 @@
         if ejection.is_probing {
             row.backoff = (row.backoff * 2).min(max_backoff);
             ejection.is_probing = false;
+            ejection.failed_at = now;
             ejection.probe_at = now + row.backoff;
         }
         None
--- a/crates/oatpier-policy/src/machine/dispatch.rs
+++ b/crates/oatpier-policy/src/machine/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::health::AttemptEvidence;
 use crate::index::EndpointIndex;
 use crate::outcome::FinalCause;
-use crate::router::{RouteChoice, RouteQuery};
+use crate::router::{ProbeUse, RouteChoice, RouteQuery};
 
 /// The reason for which an attempt is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,7 +81,11 @@
         excluded: &[EndpointIndex],
         turn: &mut EventTurn<'_>,
     ) -> Result<RouteChoice, Refusal> {
-        let is_first_idempotent = self.attempts == 0 && self.intake.repeat == Repeat::Idempotent;
+        let probe = match self.intake.repeat {
+            _ if self.attempts > 0 => ProbeUse::Never,
+            Repeat::Idempotent => ProbeUse::Repeatable,
+            Repeat::AtMostOnce => ProbeUse::AtMostOnce,
+        };
         let query = RouteQuery {
             goal: self.lookup.goal,
             tokens: self.intake.tokens,
@@ -89,7 +93,7 @@
             is_whole_answer: self.targets_whole_answer(),
             remaining: self.remaining(turn.now),
             excluded,
-            may_probe: is_first_idempotent,
+            probe,
         };
         turn.context.choose(&query, turn.now)
     }
--- a/crates/oatpier-policy/src/router.rs
+++ b/crates/oatpier-policy/src/router.rs
@@ -86,7 +86,18 @@
     /// Endpoints that must not be chosen because they already had an attempt.
     pub excluded: &'a [EndpointIndex],
     /// Whether the attempt may serve as a probe of an ejected endpoint.
-    pub may_probe: bool,
+    pub probe: ProbeUse,
+}
+
+/// Whether an attempt may serve as a probe of an ejected endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeUse {
+    /// It may not, because the request has had an attempt.
+    Never,
+    /// It may, because another attempt can follow if the probe is lost.
+    Repeatable,
+    /// It may if no other request has probed the endpoint for long, and its agent is known to be running.
+    AtMostOnce,
 }
 
 /// The endpoint chosen for an attempt.
@@ -318,18 +329,23 @@
     }
 }
 
-/// Returns an ejected endpoint that is due for a probe, if the attempt may be repeated.
+/// Returns an ejected endpoint that is due for a probe by this attempt.
 fn probe_choice(
     view: RouteView<'_>,
     query: &RouteQuery<'_>,
     list: &CandidateList,
     now: ClockTime,
 ) -> Option<RouteChoice> {
-    if !query.may_probe {
-        return None;
-    }
     let is_due = |index: &&EndpointIndex| {
-        view.health.probe_due(**index, now) && !query.excluded.contains(*index)
+        let is_due = match query.probe {
+            ProbeUse::Never => false,
+            ProbeUse::Repeatable => view.health.probe_due(**index, now),
+            ProbeUse::AtMostOnce => {
+                let reported_at = view.table.row(**index).reported_at();
+                view.health.probe_overdue(**index, reported_at, now)
+            }
+        };
+        is_due && !query.excluded.contains(*index)
     };
     let endpoint = *list
         .ejected()
--- a/crates/oatpier-policy/src/table/row.rs
+++ b/crates/oatpier-policy/src/table/row.rs
@@ -168,6 +168,12 @@
             .is_none_or(|known| known.sequence < report.sequence)
     }
 
+    /// Returns when the latest queue report of its agent arrived.
+    #[must_use]
+    pub fn reported_at(&self) -> ClockTime {
+        self.reported_at
+    }
+
     pub(super) fn apply_queue_report(
         &mut self,
         report: &QueueReport,
--- a/crates/oatpier-policy/tests/testsuite/health.rs
+++ b/crates/oatpier-policy/tests/testsuite/health.rs
@@ -361,3 +361,21 @@
     };
     assert_eq!(policy.take_health_transitions(), [reinstated]);
 }
+
+/// Guards against at-most-once calls that are lost one after the other as probes of an endpoint that does not recover,
+/// though its agent reports. Each lost probe doubles the time until the next.
+#[test]
+fn an_endpoint_that_fails_its_probes_gets_few_calls_that_run_at_most_once() {
+    let mut callers = OnceCallers::new();
+    callers.eject("api-0");
+    let mut lost = 0;
+    for second in 10..70 {
+        let now_ms = second * 1_000;
+        callers.report("api-0", 50 + second, now_ms);
+        lost += callers.count_at("api-0", now_ms, now_ms + 1_000, Some("api-0"));
+        callers
+            .policy
+            .fire_timers(at(now_ms + 999), &mut Vec::new());
+    }
+    assert!((1..=6).contains(&lost), "{lost} calls of 6,000");
+}
