gateway: A gateway that has just started tells a returning caller when to come back

A caller that returned with its stream to a gateway in its first second, before a report of the others had arrived, would get a final refusal, though the others may have the stream's record. Cause: the gateway counted only gateways that had reported, so that it took itself for alone. Found by reading. It now also counts those that sidecars have named, and answers with a time to return while most of them are missing. The test fails with the earlier count (NoRecord for NoAnswer).

--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -211,7 +211,8 @@
             addresses: others.as_slice().into(),
             place: state.peers.zone_place(&self.zone, now),
         };
-        state.origins.set_gateways(others, now);
+        let known = state.peers.count(now);
+        state.origins.set_gateways(others, known, now);
         drop(state);
         self.store_peers.send_if_modified(|published| {
             let is_changed = *published != peers;
--- a/crates/oatpier-serving/src/origins/book.rs
+++ b/crates/oatpier-serving/src/origins/book.rs
@@ -68,7 +68,7 @@
     record: OriginRecord,
 }
 
-/// The largest number of gateways that were live at once lately.
+/// The largest number of gateways that were known at once lately.
 #[derive(Debug, Clone, Copy, Default)]
 struct GatewayPeak {
     gateways: usize,
@@ -127,11 +127,12 @@
         self.longest_route = longest.unwrap_or_default();
     }
 
-    /// Replaces the other gateways, which hold records together with this one.
-    pub fn set_gateways(&mut self, mut others: Vec<SocketAddr>, now: ClockTime) {
+    /// Replaces the other live gateways, which hold records together with this one. `known` is the number of gateways with
+    /// this one and those that have only been named so far.
+    pub fn set_gateways(&mut self, mut others: Vec<SocketAddr>, known: usize, now: ClockTime) {
         others.push(self.own);
         others.sort_unstable();
-        self.peak.note(others.len(), now);
+        self.peak.note(others.len().max(known), now);
         self.ring.set_gateways(others);
     }
 
--- a/crates/oatpier-serving/src/origins/lookup.rs
+++ b/crates/oatpier-serving/src/origins/lookup.rs
@@ -29,7 +29,8 @@
 pub struct GatewayReach {
     /// Number of other gateways that hold the record.
     pub others: usize,
-    /// Whether most of the gateways that were live lately are. Otherwise, gateways beyond a partition may hold the record.
+    /// Whether most of the gateways that were known lately are live. Otherwise, gateways beyond a partition may hold the
+    /// record.
     pub has_majority: bool,
 }
 
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
@@ -301,7 +301,10 @@
         self.read_registry(number);
         let others = self.peers_of(number);
         let clock = self.clock();
-        self.gateways[number].book.set_gateways(others, clock);
+        let known = 1 + others.len();
+        self.gateways[number]
+            .book
+            .set_gateways(others, known, clock);
         if now.is_multiple_of(REPEAT_INTERVAL_MS) {
             let repeated = self.gateways[number].book.take_repeated();
             self.send(number, repeated);
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
@@ -115,7 +115,7 @@
     let (mut own, mut holder) = (book(true), OriginBook::new(address(2), true));
     observe(&mut own, &["v1"], 0);
     observe(&mut holder, &["v1"], 0);
-    own.set_gateways(vec![address(2)], at(0));
+    own.set_gateways(vec![address(2)], 2, at(0));
     assert_eq!(found(&own, "a", 20_000), Err(NO_ANSWER));
     let step = |holder: &OriginBook| {
         let stream_service = service();
@@ -143,8 +143,8 @@
 fn a_gateway_without_the_others_does_not_conclude_from_missing_records() {
     let mut book = book(true);
     observe(&mut book, &["v1"], 0);
-    book.set_gateways(vec![address(2), address(3)], at(0));
-    book.set_gateways(Vec::new(), at(11_000));
+    book.set_gateways(vec![address(2), address(3)], 3, at(0));
+    book.set_gateways(Vec::new(), 1, at(11_000));
     assert_eq!(found(&book, "a", 11_100), Err(NO_ANSWER));
 }
 
@@ -220,7 +220,7 @@
         let mut book = book(true);
         observe(&mut book, &["v1", "v2"], 0);
         let other = |number: u32| SocketAddr::from((Ipv4Addr::from(0x0a08_0000 + number), 7_380));
-        book.set_gateways((1..gateways).map(other).collect(), at(0));
+        book.set_gateways((1..gateways).map(other).collect(), 1, at(0));
         for stream in 0..100 {
             let sent = begin(&mut book, &stream.to_string(), Some("v1"), 10);
             assert!(sent.unwrap() <= HOLDERS, "{gateways} gateways");
@@ -232,3 +232,15 @@
         assert!(book.take_repeated().is_empty());
     }
 }
+
+/// Guards against a final refusal by a gateway that has just started and has no report of the others yet: they may know the
+/// stream.
+#[test]
+fn a_gateway_that_awaits_reports_of_others_tells_when_to_return() {
+    let mut book = book(false);
+    observe(&mut book, &["v1"], 0);
+    book.set_gateways(Vec::new(), 1, at(0));
+    assert_eq!(found(&book, "a", 100), Err(UNKNOWN));
+    book.set_gateways(Vec::new(), 5, at(200));
+    assert_eq!(found(&book, "a", 300), Err(NO_ANSWER));
+}
