gateway: A request that waits for a model at its version sleeps between its tries

At the gateway that plans, a request that waits for a model at its version took the whole processor, so that callers of that gateway would have waited with it. Cause: woke all waiting requests whenever one asked for a model at a version, and the one that asked was among them, since its wait begins before the placement. The planner looks each 150 ms by itself, so nobody needs waking.

--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -277,7 +277,6 @@
         let planner = state.peers.planner(now);
         if planner == state.peers.own().address {
             state.planner.note_pinned(needed, now);
-            self.changed.notify_waiters();
         } else {
             self.outlet
                 .send(planner, &InnerMessage::PinnedWanted(needed));
@@ -288,7 +287,6 @@
     pub fn note_pinned(&self, needed: PinnedModel) {
         let now = self.clock.now();
         self.lock().planner.note_pinned(needed, now);
-        self.changed.notify_waiters();
     }
 
     fn request_adapter(&self, weights: Option<&WeightsKey>, sidecar: SocketAddr, slots: usize) {
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -278,14 +278,21 @@
 
     /// Creates a gateway with one resumable route to endpoints with these versions of their software.
     pub fn with_versions(max_attempts: u32, endpoints: &[(&ScriptedEndpoint, &str)]) -> Self {
-        let gateway = Self::unconfigured();
         let records = (1..)
             .zip(endpoints)
             .map(|(number, (endpoint, text))| versioned(number, endpoint, text));
+        Self::with_resumable_route(max_attempts, records.collect())
+    }
+
+    /// Creates a gateway with one resumable route to these endpoints.
+    pub fn with_records(records: Vec<EndpointRecord>) -> Self {
+        Self::with_resumable_route(1, records)
+    }
+
+    fn with_resumable_route(max_attempts: u32, records: Vec<EndpointRecord>) -> Self {
+        let gateway = Self::unconfigured();
         let config = config(vec![route(RESUMABLE_STREAM, max_attempts)]);
-        gateway
-            .core
-            .apply_records(Some(Arc::new(config)), records.collect());
+        gateway.core.apply_records(Some(Arc::new(config)), records);
         gateway
     }
 
--- a/crates/oatpier-gateway/tests/testsuite/versions.rs
+++ b/crates/oatpier-gateway/tests/testsuite/versions.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
+use oatpier_serving::directory::EndpointRecord;
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::origins::{OriginRecord, StreamKey, StreamOrigin};
 use tokio::time::sleep;
 
 use crate::support::{
-    EndpointStep, REQUEST_ID, STREAM_END, ScriptedEndpoint, TestGateway, chunk, request, service,
-    status, stream_start, version, versioned,
+    EndpointStep, REQUEST_ID, STREAM_END, ScriptedEndpoint, TestGateway, chunk, record, request,
+    service, status, stream_start, version, versioned,
 };
 
 fn event(number: u32) -> String {
@@ -346,3 +347,37 @@
     assert_eq!(needed.version, version("v1"));
     assert!(other.requests().is_empty());
 }
+
+/// Guards against a request that takes the processor while it waits for a model at its version at the gateway that plans.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waits_for_a_model_at_its_version_sleeps_between_its_tries() {
+    let gateway = TestGateway::with_records(vec![
+        EndpointRecord {
+            version: Some(version("v1")),
+            ..record(1, SocketAddr::from(([127, 0, 0, 3], 9)))
+        },
+        EndpointRecord {
+            version: Some(version("v2")),
+            ..record(2, SocketAddr::from(([127, 0, 0, 4], 9)))
+        },
+    ]);
+    let reported = status(1, SocketAddr::from(([127, 0, 0, 3], 9)), Vec::new());
+    gateway.core.apply_status(reported);
+    gateway.core.keep_origin_records(vec![OriginRecord {
+        key: StreamKey::new(None, "7a01"),
+        origin: Some(StreamOrigin {
+            service: service(),
+            version: version("v1"),
+        }),
+        expires_in_ms: 10_000,
+    }]);
+    let caller = [
+        ("resumes", "7a01"),
+        ("last-event-id", "1"),
+        ("x-oatpier-model", "m1"),
+        ("x-oatpier-token-usage", "400,10"),
+    ];
+    // The paused clock advances only while all tasks sleep, so that the answer never comes otherwise.
+    let answer = gateway.send(request(&caller)).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+}
