--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -65,6 +65,8 @@
         .metrics
         .pace
         .count_wait(WaitCause::Slot, Duration::from_secs(1));
+    gateway.core.metrics.streams.count_broken("resumed");
+    gateway.core.metrics.streams.count_taken_up("answered");
     let admission = &gateway.core.metrics.admission;
     admission.count_refusal(RefusalStage::Arrival);
     admission.count_return_time(true);
