serving: The tracker of streams' origins is named like the other trackers; a clearer comment

`OriginBook` and its locals were a metaphor where the code has `DemandTracker`, `HealthTracker` and `CrashTracker`; the comment at `GatewayCore::place` said that a pinned request was not predicted, where it is not refused by the forecast.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -16,7 +16,7 @@
 use oatpier_serving::demand::DemandTracker;
 use oatpier_serving::directory::EndpointDirectory;
 use oatpier_serving::message::{EngineStatus, EngineUpdate};
-use oatpier_serving::origins::{OriginAttestation, OriginBook};
+use oatpier_serving::origins::{OriginAttestation, OriginTracker};
 use oatpier_serving::peers::PeerTable;
 use oatpier_serving::planner::LoadPlanner;
 use oatpier_serving::quota::grants::GrantCache;
@@ -123,7 +123,7 @@
     /// Era of the store at the last read; it changes when the store is restored from an older copy.
     pub(super) store_era: Option<StoreEra>,
     /// The versions at which streams begin.
-    pub(super) origins: OriginBook,
+    pub(super) origins: OriginTracker,
     /// Whether demand that can't be served has arrived since the last report to peers.
     pub(super) has_unserved_demand: bool,
 }
@@ -211,7 +211,7 @@
             shares: ShareState::default(),
             lengths: LengthEstimator::default(),
             store_age: StoreAge::default(),
-            origins: OriginBook::new(settings.inner_address(), settings.is_first_start),
+            origins: OriginTracker::new(settings.inner_address(), settings.is_first_start),
             has_unserved_demand: false,
         };
         Self {
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -49,8 +49,8 @@
 impl GatewayCore {
     /// Decides what to do with a request now.
     ///
-    /// A request that is pinned to a version was not predicted on arrival: what is known of the queue for its model is
-    /// about endpoints of all versions.
+    /// A request that is pinned to a version is not refused by the forecast on arrival, which covers endpoints of all
+    /// versions.
     pub fn place(
         &self,
         context: &RequestContext,
--- a/crates/oatpier-serving/src/origins/mod.rs
+++ b/crates/oatpier-serving/src/origins/mod.rs
@@ -7,10 +7,10 @@
 //!
 //! A version that can be found neither in a record nor that way is unknown, and the stream does not go on.
 
-mod book;
 mod lookup;
 mod ring;
 mod table;
+mod tracker;
 mod versions;
 
 use std::fmt;
@@ -21,13 +21,13 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-pub use book::{HolderLookup, HolderRecords, OriginBook, ResumedStream, StreamStart};
 pub use lookup::{
     GatewayReach, LookupLimits, LookupStep, OriginAttestation, OriginEvidence, OriginLookup,
     OriginSource, UnknownCause,
 };
 pub use ring::{HOLDERS, HolderRing};
 pub use table::{KeptOrigin, OriginTable};
+pub use tracker::{HolderLookup, HolderRecords, OriginTracker, ResumedStream, StreamStart};
 pub use versions::{FleetVersions, ObservedVersions, VersionView};
 
 /// Upper bound of the time for which a stream, with all its interruptions, is expected to last. Callers state how long
--- a/crates/oatpier-serving/src/origins/book.rs
+++ b/crates/oatpier-serving/src/origins/tracker.rs
@@ -90,7 +90,7 @@
 
 /// Records of streams and the versions of services, as one gateway knows them.
 #[derive(Debug)]
-pub struct OriginBook {
+pub struct OriginTracker {
     own: SocketAddr,
     versions: FleetVersions,
     records: OriginTable,
@@ -103,8 +103,8 @@
     longest_caller: Duration,
 }
 
-impl OriginBook {
-    /// Creates the book of the gateway at an address. `is_first_start` states that no stream can have begun before.
+impl OriginTracker {
+    /// Creates the tracker of the gateway at an address. `is_first_start` states that no stream can have begun before.
     #[must_use]
     pub fn new(own: SocketAddr, is_first_start: bool) -> Self {
         Self {
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
@@ -6,8 +6,8 @@
 
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::origins::{
-    HolderLookup, HolderRecords, LookupStep, ObservedVersions, OriginAttestation, OriginBook,
-    OriginRecord, ResumedStream, StreamKey, StreamStart,
+    HolderLookup, HolderRecords, LookupStep, ObservedVersions, OriginAttestation, OriginRecord,
+    OriginTracker, ResumedStream, StreamKey, StreamStart,
 };
 use oatpier_types::clock::ClockTime;
 use oatpier_types::software::SoftwareVersion;
@@ -58,7 +58,7 @@
 
 struct Gateway {
     address: SocketAddr,
-    book: OriginBook,
+    tracker: OriginTracker,
     /// Versions of the engines in the registry, as last read.
     view: Vec<SoftwareVersion>,
     read_at: Option<u64>,
@@ -73,11 +73,11 @@
 impl Gateway {
     fn new(number: usize, is_first_start: bool) -> Self {
         let address = gateway_address(number);
-        let mut book = OriginBook::new(address, is_first_start);
-        book.apply_config(&crate::support::config_with_resumable_route(STREAM_TIMEOUT));
+        let mut tracker = OriginTracker::new(address, is_first_start);
+        tracker.apply_config(&crate::support::config_with_resumable_route(STREAM_TIMEOUT));
         Self {
             address,
-            book,
+            tracker,
             view: Vec::new(),
             read_at: None,
             next_read: 0,
@@ -194,7 +194,10 @@
     }
 
     pub fn records(&self) -> usize {
-        self.gateways.iter().map(|gateway| gateway.book.len()).sum()
+        self.gateways
+            .iter()
+            .map(|gateway| gateway.tracker.len())
+            .sum()
     }
 
     /// Returns the number of streams that their callers took up again.
@@ -288,7 +291,7 @@
             let clock = self.clock();
             let gateway = &mut self.gateways[datagram.to];
             if gateway.is_reachable(now) {
-                gateway.book.keep(datagram.records, clock);
+                gateway.tracker.keep(datagram.records, clock);
             }
         }
     }
@@ -303,10 +306,10 @@
         let clock = self.clock();
         let known = 1 + others.len();
         self.gateways[number]
-            .book
+            .tracker
             .set_gateways(others, known, clock);
         if now.is_multiple_of(REPEAT_INTERVAL_MS) {
-            let repeated = self.gateways[number].book.take_repeated();
+            let repeated = self.gateways[number].tracker.take_repeated();
             self.send(number, repeated);
         }
         if self.rng.random_ratio(STREAM_PERCENT, 100) {
@@ -324,7 +327,7 @@
         gateway.next_read = now + READ_INTERVAL_MS;
         gateway.read_at = Some(now);
         let versions = ObservedVersions::of(engines.iter().map(Some)).unwrap();
-        gateway.book.observe(&service(), &versions, clock);
+        gateway.tracker.observe(&service(), &versions, clock);
         gateway.view = engines;
     }
 
@@ -378,8 +381,8 @@
             version: stream.versions.first(),
             timeout: STREAM_TIMEOUT,
         };
-        let book = &mut self.gateways[stream.gateway].book;
-        if let Some(records) = book.record(&start, clock) {
+        let tracker = &mut self.gateways[stream.gateway].tracker;
+        if let Some(records) = tracker.record(&start, clock) {
             stream.is_recorded = true;
             self.send(stream.gateway, records);
         }
@@ -478,7 +481,9 @@
         let HolderLookup {
             mut lookup,
             holders,
-        } = gateway.book.look_up(stream, age, MAX_REGISTRY_AGE, clock);
+        } = gateway
+            .tracker
+            .look_up(stream, age, MAX_REGISTRY_AGE, clock);
         let mut step = lookup.step(holders.is_empty());
         for (asked, holder) in (1..).zip(&holders) {
             if step != LookupStep::Ask {
@@ -512,6 +517,6 @@
             return None;
         }
         let age = answering.registry_age(self.now);
-        Some(answering.book.attest(stream, age, clock))
+        Some(answering.tracker.attest(stream, age, clock))
     }
 }
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oatpier_serving::origins::{
-    HOLDERS, LookupStep, ObservedVersions, OriginBook, OriginRecord, ResumedStream, StreamKey,
+    HOLDERS, LookupStep, ObservedVersions, OriginRecord, OriginTracker, ResumedStream, StreamKey,
     StreamOrigin, StreamStart, UnknownCause,
 };
 use oatpier_types::names::WorkspaceName;
@@ -18,19 +18,24 @@
     SocketAddr::from(([10, 9, 0, number], 7_380))
 }
 
-fn book(is_first_start: bool) -> OriginBook {
-    let mut book = OriginBook::new(address(1), is_first_start);
-    book.apply_config(&config_with_resumable_route(TIMEOUT));
-    book
+fn tracker(is_first_start: bool) -> OriginTracker {
+    let mut tracker = OriginTracker::new(address(1), is_first_start);
+    tracker.apply_config(&config_with_resumable_route(TIMEOUT));
+    tracker
 }
 
-fn observe(book: &mut OriginBook, versions: &[&str], now_ms: u64) {
+fn observe(tracker: &mut OriginTracker, versions: &[&str], now_ms: u64) {
     let versions: Vec<_> = versions.iter().map(|text| version(text)).collect();
     let observed = ObservedVersions::of(versions.iter().map(Some)).unwrap();
-    book.observe(&service(), &observed, at(now_ms));
+    tracker.observe(&service(), &observed, at(now_ms));
 }
 
-fn begin(book: &mut OriginBook, attempt: &str, text: Option<&str>, now_ms: u64) -> Option<usize> {
+fn begin(
+    tracker: &mut OriginTracker,
+    attempt: &str,
+    text: Option<&str>,
+    now_ms: u64,
+) -> Option<usize> {
     let begun_at = text.map(version);
     let start = StreamStart {
         workspace: None,
@@ -39,17 +44,19 @@
         version: begun_at.as_ref(),
         timeout: TIMEOUT,
     };
-    book.record(&start, at(now_ms)).map(|records| records.len())
+    tracker
+        .record(&start, at(now_ms))
+        .map(|records| records.len())
 }
 
 /// Returns the version that is found without asking, or why there is none.
-fn found(book: &OriginBook, attempt: &str, now_ms: u64) -> Result<String, LookupStep> {
+fn found(tracker: &OriginTracker, attempt: &str, now_ms: u64) -> Result<String, LookupStep> {
     let key = StreamKey::new(None, attempt);
-    found_by_key(book, Some(key), Duration::ZERO, now_ms)
+    found_by_key(tracker, Some(key), Duration::ZERO, now_ms)
 }
 
 fn found_by_key(
-    book: &OriginBook,
+    tracker: &OriginTracker,
     key: Option<StreamKey>,
     age: Duration,
     now_ms: u64,
@@ -59,7 +66,9 @@
         service: &stream_service,
         key,
     };
-    let lookup = book.look_up(stream, Some(age), MAX_AGE, at(now_ms)).lookup;
+    let lookup = tracker
+        .look_up(stream, Some(age), MAX_AGE, at(now_ms))
+        .lookup;
     match lookup.step(true) {
         LookupStep::Known(origin, ..) => Ok(origin.version.to_string()),
         step => Err(step),
@@ -72,11 +81,11 @@
 /// A gateway that has just started must not take the only version that it sees for the one of any stream.
 #[test]
 fn the_only_version_counts_only_once_it_has_served_for_longer_than_a_stream() {
-    let mut started = book(false);
+    let mut started = tracker(false);
     observe(&mut started, &["v2", "v2"], 1_000);
     assert_eq!(found(&started, "a", 4_900), Err(UNKNOWN));
     assert_eq!(found(&started, "a", 5_000), Ok("v2".to_owned()));
-    let mut first = book(true);
+    let mut first = tracker(true);
     observe(&mut first, &["v1"], 1_000);
     assert_eq!(found(&first, "a", 1_100), Ok("v1".to_owned()));
 }
@@ -84,27 +93,27 @@
 /// A version that has just replaced another one is not the version of streams that began before.
 #[test]
 fn a_new_only_version_is_not_that_of_earlier_streams() {
-    let mut book = book(true);
-    observe(&mut book, &["v1"], 0);
-    assert_eq!(begin(&mut book, "a", Some("v1"), 9_900), None);
-    observe(&mut book, &["v2"], 10_000);
-    assert_eq!(found(&book, "a", 10_100), Err(UNKNOWN));
-    assert_eq!(begin(&mut book, "a", Some("v1"), 10_200), Some(0));
-    assert_eq!(found(&book, "a", 10_300), Ok("v1".to_owned()));
-    assert_eq!(begin(&mut book, "b", Some("v2"), 10_200), Some(0));
-    assert_eq!(found(&book, "b", 10_300), Ok("v2".to_owned()));
-    assert_eq!(found(&book, "c", 14_100), Ok("v2".to_owned()));
+    let mut tracker = tracker(true);
+    observe(&mut tracker, &["v1"], 0);
+    assert_eq!(begin(&mut tracker, "a", Some("v1"), 9_900), None);
+    observe(&mut tracker, &["v2"], 10_000);
+    assert_eq!(found(&tracker, "a", 10_100), Err(UNKNOWN));
+    assert_eq!(begin(&mut tracker, "a", Some("v1"), 10_200), Some(0));
+    assert_eq!(found(&tracker, "a", 10_300), Ok("v1".to_owned()));
+    assert_eq!(begin(&mut tracker, "b", Some("v2"), 10_200), Some(0));
+    assert_eq!(found(&tracker, "b", 10_300), Ok("v2".to_owned()));
+    assert_eq!(found(&tracker, "c", 14_100), Ok("v2".to_owned()));
 }
 
 /// A gateway whose registry is old must not rely on the version in it.
 #[test]
 fn an_old_registry_does_not_show_which_version_serves_alone() {
-    let mut book = book(false);
-    observe(&mut book, &["v1"], 0);
+    let mut tracker = tracker(false);
+    observe(&mut tracker, &["v1"], 0);
     let key = Some(StreamKey::new(None, "a"));
-    let current = found_by_key(&book, key, MAX_AGE, 20_000);
+    let current = found_by_key(&tracker, key, MAX_AGE, 20_000);
     assert_eq!(current, Ok("v1".to_owned()));
-    let old = found_by_key(&book, key, TIMEOUT, 20_000);
+    let old = found_by_key(&tracker, key, TIMEOUT, 20_000);
     assert_eq!(old, Err(UNKNOWN));
 }
 
@@ -112,12 +121,12 @@
 /// there, so one of them has to answer.
 #[test]
 fn a_gateway_relies_on_the_only_version_that_it_sees_only_after_an_answer() {
-    let (mut own, mut holder) = (book(true), OriginBook::new(address(2), true));
+    let (mut own, mut holder) = (tracker(true), OriginTracker::new(address(2), true));
     observe(&mut own, &["v1"], 0);
     observe(&mut holder, &["v1"], 0);
     own.set_gateways(vec![address(2)], 2, at(0));
     assert_eq!(found(&own, "a", 20_000), Err(NO_ANSWER));
-    let step = |holder: &OriginBook| {
+    let step = |holder: &OriginTracker| {
         let stream_service = service();
         let stream = ResumedStream {
             service: &stream_service,
@@ -141,31 +150,31 @@
 /// A gateway that is cut off from most others must not take the absence of a record for an answer.
 #[test]
 fn a_gateway_without_the_others_does_not_conclude_from_missing_records() {
-    let mut book = book(true);
-    observe(&mut book, &["v1"], 0);
-    book.set_gateways(vec![address(2), address(3)], 3, at(0));
-    book.set_gateways(Vec::new(), 1, at(11_000));
-    assert_eq!(found(&book, "a", 11_100), Err(NO_ANSWER));
+    let mut tracker = tracker(true);
+    observe(&mut tracker, &["v1"], 0);
+    tracker.set_gateways(vec![address(2), address(3)], 3, at(0));
+    tracker.set_gateways(Vec::new(), 1, at(11_000));
+    assert_eq!(found(&tracker, "a", 11_100), Err(NO_ANSWER));
 }
 
 /// Guards against a stream that goes on at a version that was not known when it began.
 #[test]
 fn a_stream_of_an_endpoint_without_a_known_version_does_not_go_on() {
-    let mut book = book(true);
-    observe(&mut book, &["v1", "v2"], 0);
-    begin(&mut book, "a", None, 100);
-    assert_eq!(found(&book, "a", 200), Err(UNKNOWN));
+    let mut tracker = tracker(true);
+    observe(&mut tracker, &["v1", "v2"], 0);
+    begin(&mut tracker, "a", None, 100);
+    assert_eq!(found(&tracker, "a", 200), Err(UNKNOWN));
 }
 
 /// Callers choose the ids of their attempts. Two streams with one id must not continue each other.
 #[test]
 fn two_streams_with_one_id_at_two_versions_do_not_go_on() {
-    let mut book = book(true);
-    observe(&mut book, &["v1", "v2"], 0);
-    begin(&mut book, "a", Some("v1"), 100);
-    assert_eq!(found(&book, "a", 150), Ok("v1".to_owned()));
-    begin(&mut book, "a", Some("v2"), 200);
-    assert_eq!(found(&book, "a", 300), Err(UNKNOWN));
+    let mut tracker = tracker(true);
+    observe(&mut tracker, &["v1", "v2"], 0);
+    begin(&mut tracker, "a", Some("v1"), 100);
+    assert_eq!(found(&tracker, "a", 150), Ok("v1".to_owned()));
+    begin(&mut tracker, "a", Some("v2"), 200);
+    assert_eq!(found(&tracker, "a", 300), Err(UNKNOWN));
 }
 
 /// A caller must not learn anything of another workspace's stream.
@@ -173,8 +182,8 @@
 fn a_stream_of_another_workspace_is_unknown() {
     let name = |text| WorkspaceName::try_from(text).unwrap();
     let (one, other) = (name("one"), name("other"));
-    let mut book = book(true);
-    observe(&mut book, &["v1", "v2"], 0);
+    let mut tracker = tracker(true);
+    observe(&mut tracker, &["v1", "v2"], 0);
     let start = StreamStart {
         workspace: Some(&one),
         attempt: "a",
@@ -182,10 +191,10 @@
         version: Some(&version("v1")),
         timeout: TIMEOUT,
     };
-    book.record(&start, at(100));
+    tracker.record(&start, at(100));
     let found = |workspace| {
         let key = Some(StreamKey::new(Some(workspace), "a"));
-        found_by_key(&book, key, Duration::ZERO, 200)
+        found_by_key(&tracker, key, Duration::ZERO, 200)
     };
     assert_eq!(found(&one), Ok("v1".to_owned()));
     assert_eq!(found(&other), Err(UNKNOWN));
@@ -194,11 +203,11 @@
 /// Records last for as long as a caller may return, whatever the sender states, and their number is bounded.
 #[test]
 fn records_expire_and_their_number_is_bounded() {
-    let mut book = book(true);
-    observe(&mut book, &["v1", "v2"], 0);
-    begin(&mut book, "a", Some("v1"), 100);
-    assert_eq!(found(&book, "a", 4_099), Ok("v1".to_owned()));
-    assert_eq!(found(&book, "a", 4_100), Err(UNKNOWN));
+    let mut tracker = tracker(true);
+    observe(&mut tracker, &["v1", "v2"], 0);
+    begin(&mut tracker, "a", Some("v1"), 100);
+    assert_eq!(found(&tracker, "a", 4_099), Ok("v1".to_owned()));
+    assert_eq!(found(&tracker, "a", 4_100), Err(UNKNOWN));
     let record = |number: u32| OriginRecord {
         key: StreamKey::new(None, &number.to_string()),
         origin: Some(StreamOrigin {
@@ -207,29 +216,29 @@
         }),
         expires_in_ms: u32::MAX,
     };
-    book.keep((0..40_000).map(record).collect(), at(5_000));
-    assert!(book.len() <= 1 << 14, "{} records", book.len());
-    book.keep(vec![record(50_000)], at(65_001));
-    assert_eq!(book.len(), 1);
+    tracker.keep((0..40_000).map(record).collect(), at(5_000));
+    assert!(tracker.len() <= 1 << 14, "{} records", tracker.len());
+    tracker.keep(vec![record(50_000)], at(65_001));
+    assert_eq!(tracker.len(), 1);
 }
 
 /// Guards against a cost of a stream that grows with the number of gateways.
 #[test]
 fn a_stream_costs_as_many_messages_in_a_larger_fleet() {
     for gateways in [4_u32, 100, 357, 1_000] {
-        let mut book = book(true);
-        observe(&mut book, &["v1", "v2"], 0);
+        let mut tracker = tracker(true);
+        observe(&mut tracker, &["v1", "v2"], 0);
         let other = |number: u32| SocketAddr::from((Ipv4Addr::from(0x0a08_0000 + number), 7_380));
-        book.set_gateways((1..gateways).map(other).collect(), 1, at(0));
+        tracker.set_gateways((1..gateways).map(other).collect(), 1, at(0));
         for stream in 0..100 {
-            let sent = begin(&mut book, &stream.to_string(), Some("v1"), 10);
+            let sent = begin(&mut tracker, &stream.to_string(), Some("v1"), 10);
             assert!(sent.unwrap() <= HOLDERS, "{gateways} gateways");
         }
-        let repeated = book.take_repeated();
+        let repeated = tracker.take_repeated();
         let records: usize = repeated.iter().map(|batch| batch.records.len()).sum();
         assert!(records <= 100 * HOLDERS, "{gateways} gateways");
         assert!(repeated.len() <= records, "{gateways} gateways");
-        assert!(book.take_repeated().is_empty());
+        assert!(tracker.take_repeated().is_empty());
     }
 }
 
@@ -237,10 +246,10 @@
 /// stream.
 #[test]
 fn a_gateway_that_awaits_reports_of_others_tells_when_to_return() {
-    let mut book = book(false);
-    observe(&mut book, &["v1"], 0);
-    book.set_gateways(Vec::new(), 1, at(0));
-    assert_eq!(found(&book, "a", 100), Err(UNKNOWN));
-    book.set_gateways(Vec::new(), 5, at(200));
-    assert_eq!(found(&book, "a", 300), Err(NO_ANSWER));
+    let mut tracker = tracker(false);
+    observe(&mut tracker, &["v1"], 0);
+    tracker.set_gateways(Vec::new(), 1, at(0));
+    assert_eq!(found(&tracker, "a", 100), Err(UNKNOWN));
+    tracker.set_gateways(Vec::new(), 5, at(200));
+    assert_eq!(found(&tracker, "a", 300), Err(NO_ANSWER));
 }
