Observability: lines on interrupted requests name what the requests may share

The lines 'attempt failed' and 'stream broke off' had an id, a fingerprint of the whole content and an endpoint.

Both lines now have the route, weights, workspace and the first eight parts of the prompt; a broken stream also the number of chunks that its caller has, since engines are said to end when they begin to write. No decision changes.

--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -164,6 +164,7 @@
                             endpoint: &guard.endpoint,
                             version: self.run.version.as_ref(),
                             failure: AttemptFailure::Silent,
+                            chunks: self.pauses.chunks(),
                             is_resumed: false,
                         });
                     }
@@ -188,6 +189,7 @@
                 endpoint: &endpoint,
                 version: begun_at.as_ref(),
                 failure,
+                chunks: self.pauses.chunks(),
                 is_resumed,
             };
             self.run.log_broken_stream(&end);
@@ -334,6 +336,7 @@
             endpoint: &endpoint,
             version: version.as_ref(),
             failure,
+            chunks: self.pauses.chunks(),
             is_resumed: true,
         });
         Ok(())
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use oatpier_serving::choice::VersionPin;
-use oatpier_types::names::EndpointName;
+use oatpier_types::names::{EndpointName, WorkspaceName};
 use oatpier_types::software::SoftwareVersion;
 
 use super::attempt::AttemptFailure;
@@ -14,12 +14,17 @@
 use super::run::RequestRun;
 use crate::decisions::{DecisionLine, LinePriority};
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// The end of a stream at an endpoint, before the stream was complete.
 pub(super) struct StreamEnd<'a> {
     pub(super) endpoint: &'a EndpointName,
     /// The version of the endpoint's software, if known.
     pub(super) version: Option<&'a SoftwareVersion>,
     pub(super) failure: AttemptFailure,
+    /// Number of chunks that the caller has received.
+    pub(super) chunks: u32,
     /// Whether the stream goes on at another endpoint.
     pub(super) is_resumed: bool,
 }
@@ -27,7 +32,9 @@
 impl RequestRun {
     /// Logs a failed attempt.
     pub(super) fn log_failure(&self, placed: &PlacedSend, failure: AttemptFailure) {
-        let line = DecisionLine::new(LinePriority::Notable, "attempt failed")
+        let line = DecisionLine::new(LinePriority::Notable, "attempt failed");
+        let line = self
+            .with_content(line)
             .with("request", self.context.request.id.as_str())
             .with("fingerprint", self.context.fingerprint.short())
             .with("endpoint", placed.choice.endpoint.as_str())
@@ -48,13 +55,16 @@
             "cut at the caller"
         };
         let waited = self.core.clock.now().since(self.context.arrived);
-        let line = DecisionLine::new(LinePriority::Notable, "stream broke off")
+        let line = DecisionLine::new(LinePriority::Notable, "stream broke off");
+        let line = self
+            .with_content(line)
             .with("request", self.context.request.id.as_str())
             .with("fingerprint", self.context.fingerprint.short())
             .with("endpoint", end.endpoint.as_str())
             .with("version", end.version.map(ToString::to_string))
             .with("cause", end.failure.as_str())
             .with("outcome", outcome)
+            .with("chunks", end.chunks)
             .with("waited_ms", millis(waited));
         self.core.log.write(self.with_resumption_target(line, end));
         self.core.metrics.count_attempt(end.failure.as_str());
@@ -62,6 +72,24 @@
         self.core.metrics.streams.count_broken(resumption);
     }
 
+    /// Adds what the request has in common with others, so that lines on a crashed endpoint show what its requests
+    /// shared.
+    fn with_content(&self, line: DecisionLine) -> DecisionLine {
+        let context = &self.context;
+        let request = &context.request;
+        let parts: Vec<String> = request
+            .parts
+            .iter()
+            .take(MAX_LOGGED_PARTS)
+            .map(|part| format!("{:x}", part.id))
+            .collect();
+        let workspace = context.identity.workspace_name();
+        line.with("route", context.route.name.as_str())
+            .with("weights", request.weights.as_ref().map(ToString::to_string))
+            .with("workspace", workspace.map(WorkspaceName::as_str))
+            .with("prompt_parts", parts)
+    }
+
     /// Adds where the stream goes on, if it does.
     fn with_resumption_target(&self, line: DecisionLine, end: &StreamEnd<'_>) -> DecisionLine {
         if !end.is_resumed {
--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -197,3 +197,18 @@
     assert_eq!(series(&text), 201);
     assert!(text.contains("workspace_requests_total{workspace=\"other\",outcome=\"taken\"} 800"));
 }
+
+/// Guards against lines on crashed endpoints that don't show what the interrupted requests had in common.
+#[tokio::test]
+async fn a_failed_attempt_is_logged_with_what_its_request_may_share() {
+    let endpoint = ScriptedEndpoint::start(vec![EndpointStep::Close]).await;
+    let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
+    let parts = ("x-oatpier-prompt-prefix", "a1:500,b2:40,c3:100");
+    gateway.send(request(&[parts])).await;
+    let line = gateway.logged("attempt failed").join("");
+    assert!(
+        line.contains(r#""prompt_parts":["a1","b2","c3"]"#),
+        "{line}"
+    );
+    assert!(line.contains(r#""route":"draft""#), "{line}");
+}
