--- a/crates/oatpier-gateway/tests/testsuite/crashes.rs
+++ b/crates/oatpier-gateway/tests/testsuite/crashes.rs
@@ -1,9 +1,5 @@
 //! Tests of requests that crash the endpoints that run them.
 
-use std::net::Ipv4Addr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
-
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use oatpier_serving::crashes::CrashRecord;
@@ -12,12 +8,10 @@
 use oatpier_serving::fingerprint::{RequestContent, RequestFingerprint};
 use oatpier_serving::message::EngineStatus;
 use oatpier_serving::site::RouteKind;
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
 
+use crate::fragile::FragileFleet;
 use crate::support::{
-    EndpointStep, ScriptedEndpoint, TestGateway, endpoint_response, read_request, record, request,
-    status,
+    EndpointStep, ScriptedEndpoint, TestGateway, endpoint_response, record, request, status,
 };
 
 /// The body that crashes an endpoint.
@@ -27,84 +21,9 @@
 const CRASHES_ALLOWED: u32 = 3;
 const SENDS_ALLOWED_AFTER: u32 = 3;
 
-/// An endpoint that crashes at the first request with the body [`CRASHING`], and responds to all others.
-struct FragileEndpoint {
-    address: std::net::SocketAddr,
-    crashing: Arc<AtomicU32>,
-}
-
-impl FragileEndpoint {
-    async fn start() -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let crashing = Arc::new(AtomicU32::new(0));
-        tokio::spawn(serve_until_crash(listener, Arc::clone(&crashing)));
-        Self { address, crashing }
-    }
-
-    /// Returns the number of crashing requests that reached the endpoint.
-    fn crashing(&self) -> u32 {
-        self.crashing.load(Ordering::Relaxed)
-    }
-}
-
-/// Serves one connection after the other, and closes the listener with the first crashing request.
-async fn serve_until_crash(listener: TcpListener, crashing: Arc<AtomicU32>) {
-    while let Ok((mut stream, _)) = listener.accept().await {
-        while let Some(request) = read_request(&mut stream).await {
-            if request.ends_with(CRASHING) {
-                crashing.fetch_add(1, Ordering::Relaxed);
-                return;
-            }
-            answer(&mut stream).await;
-        }
-    }
-}
-
-async fn answer(stream: &mut TcpStream) {
-    let bytes = endpoint_response("200 OK", "world");
-    stream.write_all(bytes.as_bytes()).await.unwrap();
-}
-
-/// A gateway in front of one endpoint at a time. When the endpoint crashes, the registry lists another one.
-struct FragileFleet {
-    gateway: TestGateway,
-    endpoint: FragileEndpoint,
-    started: u8,
-    reached: u32,
-}
-
-impl FragileFleet {
-    async fn start() -> Self {
-        let endpoint = FragileEndpoint::start().await;
-        let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[]);
-        let fleet = Self {
-            gateway,
-            endpoint,
-            started: 1,
-            reached: 0,
-        };
-        fleet.register();
-        fleet
-    }
-
-    fn register(&self) {
-        let listed = record(self.started, self.endpoint.address);
-        self.gateway.core.apply_records(None, vec![listed]);
-    }
-
-    /// Sends a request, and replaces the endpoint if the request crashed it.
-    async fn send(&mut self, request: Request<Bytes>) -> http::Response<Bytes> {
-        let answer = self.gateway.send(request).await;
-        let reached = self.endpoint.crashing();
-        self.reached += reached;
-        if reached > 0 {
-            self.endpoint = FragileEndpoint::start().await;
-            self.started += 1;
-            self.register();
-        }
-        answer
-    }
+/// Returns whether a request has the body that crashes endpoints.
+fn is_crashing(request: &str) -> bool {
+    request.ends_with(CRASHING)
 }
 
 fn crashing_request(id: &'static str) -> Request<Bytes> {
@@ -121,7 +40,7 @@
 /// still healthy: of twelve repetitions under twelve ids, all would reach and crash one.
 #[tokio::test]
 async fn a_request_that_crashed_three_endpoints_reaches_at_most_three_more() {
-    let mut fleet = FragileFleet::start().await;
+    let mut fleet = FragileFleet::start(is_crashing).await;
     let ids = [
         "a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9", "b1", "b2", "b3",
     ];
@@ -146,7 +65,7 @@
 
 /// Creates a fleet whose gateway has seen one request crash three endpoints.
 async fn fleet_with_barred_request() -> FragileFleet {
-    let mut fleet = FragileFleet::start().await;
+    let mut fleet = FragileFleet::start(is_crashing).await;
     for id in ["a1", "a2", "a3"] {
         fleet.send(crashing_request(id)).await;
     }
@@ -172,9 +91,9 @@
     let fleet = fleet_with_barred_request().await;
     let crashes = queued_crashes(&fleet.gateway);
     assert_eq!(crashes.len(), 3);
-    let informed = FragileFleet::start().await;
+    let informed = FragileFleet::start(is_crashing).await;
     informed.gateway.core.apply_crashes(&crashes);
-    let started = FragileFleet::start().await;
+    let started = FragileFleet::start(is_crashing).await;
     started.gateway.core.apply_stored_crashes(&crashes, false);
     for mut fleet in [informed, started] {
         let answer = fleet.send(crashing_request("b1")).await;
@@ -242,9 +161,9 @@
 /// count at once: a request that is repeated within these seconds would crash two or three more engines.
 #[tokio::test]
 async fn a_crash_counts_as_soon_as_the_sidecar_reports_it() {
-    let fleet = FragileFleet::start().await;
+    let fleet = FragileFleet::start(is_crashing).await;
     let core = &fleet.gateway.core;
-    let engine = fleet.endpoint.address;
+    let engine = fleet.address();
     core.apply_status(status(1, engine, Vec::new()));
     fleet.gateway.send(crashing_request("a1")).await;
     assert!(queued_crashes(&fleet.gateway).is_empty());
