serving: Evidence of crashes by part of a prompt

Change: the shared parts of a prompt are decoded, also behind malformed ones; a tracker notes the parts of attempts whose endpoints crashed before their responses had progressed, clears parts that are answered, and decides on each request. Not in use yet. Why: an endpoint crashes as it begins to respond, so attempts that are under way and parts that are answered are innocent. Only successive crashes count, so an outage of many endpoints is one crash for each part. Ruled out: a plain count of crashes for each part; it bars what all prompts share.

--- a/crates/oatpier-serving/src/call.rs
+++ b/crates/oatpier-serving/src/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use oatpier_types::names::{AdapterName, ModelName};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::engine::AdapterKey;
@@ -23,8 +24,10 @@
     pub output_tokens: u32,
     /// The caller's estimate of the number of tokens of the response, if it gave one. It is often far off.
     pub expected_tokens: Option<u32>,
-    /// The parts of the prompt, in order.
+    /// The parts of the prompt, in order, up to the first one that can't be decoded.
     pub parts: SmallVec<[PromptPart; 4]>,
+    /// The parts of the prompt that other requests may share: all but the last one. They are distinct.
+    pub shared_parts: SmallVec<[PromptPartId; 4]>,
     /// The stream that the request takes up, if it does.
     pub resumption: Option<StreamResumption>,
 }
@@ -46,6 +49,24 @@
     pub last_event: Option<String>,
 }
 
+/// Identifier of a prompt part. Callers derive it from the content, so that the same id in the requests of two
+/// workspaces names the same content.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct PromptPartId(pub u64);
+
+impl fmt::Display for PromptPartId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
+
+impl fmt::Debug for PromptPartId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "PromptPartId({self})")
+    }
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/oatpier-serving/src/crashes/mod.rs
+++ b/crates/oatpier-serving/src/crashes/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`changes`]: changes that are to be written to the store.
 //! - [`broken_attempts`]: attempts whose connection broke, tracked until it is known whether their endpoint crashed.
+//! - [`prompt_parts`]: parts of prompts that crash endpoints, whatever else their requests contain.
 //! - [`suspects`]: requests that were running at crashed endpoints, and which of them are barred.
 //!
 //! An endpoint runs dozens of requests, and all of them become suspects when it crashes. A request is barred at its
@@ -14,6 +15,7 @@
 
 pub mod broken_attempts;
 pub mod changes;
+pub mod prompt_parts;
 pub mod suspects;
 
 use std::fmt;
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod planner;
 mod predicted_finish;
 mod prefill;
+mod prompt_parts;
 mod quota_fleet;
 mod quota_holder;
 mod quota_lease;
--- a/crates/oatpier-serving/tests/testsuite/support.rs
+++ b/crates/oatpier-serving/tests/testsuite/support.rs
@@ -15,7 +15,7 @@
 use oatpier_types::names::{AdapterName, ClassName, EndpointName, ModelName, PoolName, ZoneName};
 use oatpier_types::software::SoftwareVersion;
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
-use smallvec::smallvec;
+use smallvec::{SmallVec, smallvec};
 
 pub const SLOTS: u32 = 10;
 
@@ -141,6 +141,7 @@
         output_tokens: 100,
         expected_tokens: None,
         parts: smallvec![PromptPart { id: 7, tokens: 300 }],
+        shared_parts: SmallVec::new(),
         resumption: None,
     }
 }
