gateway: Requests with a part that crashes endpoints are refused at all gateways

Cause: evidence of crashes was kept for whole requests only. Change: the part tracker is asked before each send (first, failover, resume) and again after each wait. Crashes and answers are reported to all gateways and written to the store, which a gateway that was cut off, restarted or is new reads before it serves. A request with a barred part is refused at once, not run. A trial is granted by one gateway for all. crashes list and lift show and lift parts; two gauges; lines for parts suspected, barred, cleared, tried. Why: the second successive crash under a part that no request survived meanwhile is what only its cause brings about; each gateway sees few of the crashes, so the observations travel and are merged by part and incarnation. Ruled out: bars kept at one gateway; bars that a restart forgets.

--- a/crates/oatpier-gateway/src/crash_writer.rs
+++ b/crates/oatpier-gateway/src/crash_writer.rs
@@ -1,4 +1,4 @@
-//! Writes to the store which requests were running at endpoints when these ended.
+//! Writes to the store which requests and prompt parts were at endpoints when these ended.
 //!
 //! Writes are repeated until the store accepts them. They are unconditional, so a write that was carried out without
 //! an answer can be repeated safely.
@@ -84,7 +84,7 @@
 impl CrashWriter {
     fn push(&mut self, change: CrashChange) {
         if let Some(dropped) = self.queue.push(change) {
-            let fingerprint = dropped.record().fingerprint.to_string();
+            let fingerprint = dropped.subject();
             spdlog::warn!("dropped a crash record: too many are waiting for the store", kv: { fingerprint });
         }
     }
@@ -130,6 +130,10 @@
         match change {
             CrashChange::Put(record) => changes.put.push(record.clone()),
             CrashChange::Remove(record) => changes.remove.push(record.clone()),
+            CrashChange::PutPart(crash) => changes.put_parts.push(crash.clone()),
+            CrashChange::RemovePart(crash) => changes.remove_parts.push(crash.clone()),
+            // It takes effect when it is queued.
+            CrashChange::DropPart(_) => {}
         }
     }
     changes
--- a/crates/oatpier-gateway/src/gateway/accounting.rs
+++ b/crates/oatpier-gateway/src/gateway/accounting.rs
@@ -6,6 +6,8 @@
 
 use oatpier_serving::capacity::host::HostPace;
 use oatpier_serving::choice;
+use oatpier_serving::crashes::prompt_parts::PartAttempt;
+use oatpier_serving::crashes::prompt_parts::trials::PartTrial;
 use oatpier_serving::directory::RequestOutcome;
 use oatpier_serving::engine::EndpointLoad;
 use oatpier_serving::failures::EngineFailure;
@@ -16,6 +18,7 @@
 
 use super::core::{CoreState, GatewayCore};
 use super::placement::RequestContext;
+use super::prompt_parts;
 
 impl GatewayCore {
     /// Records the arrival of a request.
@@ -52,25 +55,32 @@
         }
     }
 
-    /// Records that a request is sent to an endpoint.
-    pub fn record_sent(&self, context: &RequestContext, endpoint: &EndpointName) -> SentPrompt {
+    /// Records that a request is sent to an endpoint, and the trial that it was granted.
+    pub fn record_sent(
+        &self,
+        context: &RequestContext,
+        endpoint: &EndpointName,
+        trial: Option<&PartTrial>,
+    ) -> (SentPrompt, PartAttempt) {
         let now = self.clock.now();
         let chain = choice::prefix_chain(&context.request);
         let mut state = self.lock();
         let weights = context.request.weights.as_ref();
         state.suspects.begin_run(context.fingerprint);
+        let attempt = prompt_parts::begin_attempt(&mut state, context, trial);
         state.directory.note_sent(endpoint, weights);
         state.directory.note_rest_probe(endpoint, now);
         let Some(weights) = weights else {
-            return state.directory.sent_without_prompt(endpoint);
+            return (state.directory.sent_without_prompt(endpoint), attempt);
         };
         let uncached =
             choice::uncached_tokens_at(&state.directory, endpoint, &context.request, now);
         state.directory.note_cached_prompt(endpoint, &chain, now);
         state.demand.note_sent(&weights.model, now);
-        state
+        let sent = state
             .directory
-            .note_prefill(endpoint, weights, uncached, now)
+            .note_prefill(endpoint, weights, uncached, now);
+        (sent, attempt)
     }
 
     /// Records that an endpoint has finished the prefill of a request's prompt, or will not start it.
@@ -175,6 +185,6 @@
         state.directory.note_replaced(endpoint, successor, now);
         Self::observe_versions(&mut state, now);
         drop(state);
-        self.resolve_broken_attempts();
+        self.resolve_broken();
     }
 }
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -7,6 +7,8 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use oatpier_platform::headers::{self, ForwardOptions, ResponseHead, ResponseKind};
+use oatpier_serving::crashes::prompt_parts::PartAttempt;
+use oatpier_serving::crashes::prompt_parts::trials::PartTrial;
 use oatpier_serving::directory::{ReceivedNotice, RequestOutcome};
 use oatpier_serving::notice::EndpointNotice;
 use oatpier_serving::prefill::SentPrompt;
@@ -133,6 +135,10 @@
     /// Whether the prefill of the prompt has not finished yet.
     is_prefill_pending: bool,
     permit: Option<HeldPermit>,
+    /// The suspected parts of the prompt.
+    parts: PartAttempt,
+    /// Whether the response is beyond its beginning.
+    has_progressed: bool,
     outcome: RequestOutcome,
 }
 
@@ -144,8 +150,9 @@
         context: &Arc<RequestContext>,
         endpoint: &EndpointName,
         permit: Option<HeldPermit>,
+        trial: Option<&PartTrial>,
     ) -> Self {
-        let sent = core.record_sent(context, endpoint);
+        let (sent, parts) = core.record_sent(context, endpoint, trial);
         Self {
             core: Arc::clone(core),
             context: Arc::clone(context),
@@ -154,6 +161,8 @@
             sent,
             is_prefill_pending: context.request.weights.is_some(),
             permit,
+            parts,
+            has_progressed: false,
             outcome: RequestOutcome::Abandoned,
         }
     }
@@ -189,6 +198,13 @@
             .observe_first_chunk(route, now.since(self.context.arrived));
     }
 
+    /// Records that the response is beyond its beginning, so that the prompt does not crash the endpoint.
+    pub fn record_progress(&mut self) {
+        if !std::mem::replace(&mut self.has_progressed, true) {
+            self.core.record_part_answer(&self.context, &self.parts);
+        }
+    }
+
     fn end_prefill(&mut self) {
         if std::mem::take(&mut self.is_prefill_pending) {
             self.core.record_prefill_end(&self.endpoint, &self.sent);
@@ -211,6 +227,20 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.end_prefill();
+        if matches!(self.outcome, RequestOutcome::Whole { .. }) {
+            self.record_progress();
+        }
+        if !self.has_progressed {
+            self.core.record_part_end(&self.parts);
+            if self.outcome == RequestOutcome::Broken {
+                self.core.record_broken_prompt(
+                    &self.context,
+                    &self.endpoint,
+                    &self.sent,
+                    &self.parts,
+                );
+            }
+        }
         self.core
             .record_end(&self.context, &self.endpoint, &self.sent, self.outcome);
     }
@@ -241,7 +271,14 @@
         removes_key: context.identity.keeps_key(),
     };
     let request = build_request(message, options);
-    let guard = AttemptGuard::begin(core, context, &endpoint, placed.permit.take());
+    let trial = placed.trial.take();
+    let guard = AttemptGuard::begin(
+        core,
+        context,
+        &endpoint,
+        placed.permit.take(),
+        trial.as_ref(),
+    );
     match core.client.send(placed.address, request).await {
         Ok(response) => check_head(core, context, response, guard),
         Err(error) => Err(finish_failed_send(&error, guard)),
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -12,6 +12,7 @@
 use oatpier_serving::capacity::exposure::LengthEstimator;
 use oatpier_serving::crashes::broken_attempts::AttemptWatch;
 use oatpier_serving::crashes::changes::CrashChange;
+use oatpier_serving::crashes::prompt_parts::tracker::PartTracker;
 use oatpier_serving::crashes::suspects::SuspectTable;
 use oatpier_serving::demand::DemandTracker;
 use oatpier_serving::directory::EndpointDirectory;
@@ -96,6 +97,8 @@
     pub(super) suspects: SuspectTable,
     /// Broken attempts, kept until it is known whether their endpoint ended.
     pub(super) broken_attempts: AttemptWatch,
+    /// Prompt parts that may crash endpoints.
+    pub(super) part_tracker: PartTracker,
     pub(super) peers: PeerTable,
     /// When subscriptions are sent to which sidecars.
     pub(super) subscription_schedule: SubscriptionSchedule,
@@ -157,6 +160,8 @@
     pub(super) turn_asks: PendingCalls<TurnAnswer>,
     /// Pending questions about the beginnings of streams.
     pub(super) origin_asks: PendingCalls<OriginAttestation>,
+    /// Pending requests for trials of prompt parts.
+    pub(super) trial_asks: PendingCalls<bool>,
     pub(super) claims: RingSender<DueClaim>,
     pub(super) shared_config: watch::Sender<Option<Arc<SiteConfig>>>,
     pub(super) config_sources: RingSender<SocketAddr>,
@@ -189,6 +194,7 @@
             ),
             suspects: SuspectTable::default(),
             broken_attempts: AttemptWatch::default(),
+            part_tracker: PartTracker::default(),
             peers: PeerTable::new(settings.inner_address(), settings.processor),
             subscription_schedule: SubscriptionSchedule::starting_at(rand::random_range(
                 0..MAX_START,
@@ -231,6 +237,7 @@
             quota_asks: PendingCalls::default(),
             turn_asks: PendingCalls::default(),
             origin_asks: PendingCalls::default(),
+            trial_asks: PendingCalls::default(),
             claims: inputs.claims,
             shared_config: inputs.shared_config,
             config_sources: inputs.config_sources,
@@ -335,7 +342,7 @@
         };
         Self::observe_versions(&mut state, now);
         drop(state);
-        self.resolve_broken_attempts();
+        self.resolve_broken();
         if changed {
             self.changed.notify_waiters();
         }
--- a/crates/oatpier-gateway/src/gateway/crashes.rs
+++ b/crates/oatpier-gateway/src/gateway/crashes.rs
@@ -56,11 +56,17 @@
             _ => {}
         }
         drop(state);
+        self.resolve_broken();
+    }
+
+    /// Checks whether the endpoints of broken attempts have ended, for whole requests and for parts of their prompts.
+    pub(super) fn resolve_broken(&self) {
         self.resolve_broken_attempts();
+        self.resolve_broken_prompts();
     }
 
     /// Checks whether the endpoints of broken attempts have ended.
-    pub(super) fn resolve_broken_attempts(&self) {
+    fn resolve_broken_attempts(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
         if state.broken_attempts.is_empty() {
@@ -208,13 +214,13 @@
             .note_suspects(table.suspects(), table.barred(now));
     }
 
-    fn queue_store_change(&self, change: CrashChange) {
+    pub(super) fn queue_store_change(&self, change: CrashChange) {
         // A full ring counts what it drops. Running gateways were informed already; only gateways that start later
         // will not know of the change.
         let _ = self.crash_changes.try_send(change);
     }
 
-    fn send_to_peers(&self, peers: &[SocketAddr], message: &InnerMessage) {
+    pub(super) fn send_to_peers(&self, peers: &[SocketAddr], message: &InnerMessage) {
         for peer in peers {
             self.outlet.send(*peer, message);
         }
--- a/crates/oatpier-gateway/src/gateway/local_responses.rs
+++ b/crates/oatpier-gateway/src/gateway/local_responses.rs
@@ -45,6 +45,11 @@
     Held,
     /// The request did not run and will not run any more, because it crashes the endpoints that run it.
     Barred,
+    /// The request did not run. Another one with a part of its prompt is at an endpoint, and its outcome must be known
+    /// first.
+    PartHeld,
+    /// The request did not run, because a part of its prompt crashes the endpoints that run requests with it.
+    PartBarred,
 }
 
 /// The `Retry-After` for a request that is held. The sidecar usually reports within half a second whether an
@@ -55,6 +60,9 @@
 const BARRED_BODY: &str =
     "barred: this request was not run; the endpoints that ran it before ended with it";
 
+/// The body of the response to a request with a barred part.
+const PART_BARRED_BODY: &str = "part-barred: this request was not run; endpoints ended as they began to respond to requests with a part of its prompt";
+
 /// The `Retry-After` for a request that names something unknown to this gateway; the next attempt reaches another
 /// gateway.
 const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -72,12 +80,13 @@
             | Self::Outdated
             | Self::LimitUnknown(_)
             | Self::ExpiredUnsent
-            | Self::Held => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Held
+            | Self::PartHeld => StatusCode::SERVICE_UNAVAILABLE,
             Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             // The response must be final: 503, 502 and 504 invite callers and intermediate proxies to retry, and a
             // 4xx would mean that the request is invalid.
-            Self::Barred => StatusCode::INTERNAL_SERVER_ERROR,
+            Self::Barred | Self::PartBarred => StatusCode::INTERNAL_SERVER_ERROR,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -105,6 +114,8 @@
             Self::Broken => "broken",
             Self::Held => "held",
             Self::Barred => "barred",
+            Self::PartHeld => "part-held",
+            Self::PartBarred => "part-barred",
         }
     }
 
@@ -114,7 +125,7 @@
             Self::NoConfiguration => Some(UNCONFIGURED_RETRY_AFTER),
             Self::OverLimit(after) | Self::LimitUnknown(after) => Some(after),
             Self::Outdated => Some(OUTDATED_RETRY_AFTER),
-            Self::Held => Some(HELD_RETRY_AFTER),
+            Self::Held | Self::PartHeld => Some(HELD_RETRY_AFTER),
             _ => None,
         }
     }
@@ -124,6 +135,7 @@
     pub fn reply(self, id: &str) -> Reply {
         let text = match self {
             Self::Barred => BARRED_BODY,
+            Self::PartBarred => PART_BARRED_BODY,
             other => other.as_str(),
         };
         self.reply_with_text(id, text)
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! - `placement_decision`: choice of the endpoint for a request.
 //! - [`attempt`]: one attempt at one endpoint.
 //! - [`permits`]: requests to sidecars for permits to send prompts to their engines.
+//! - `part_check`: check of the parts of a request's prompt before each send.
 //! - [`pauses`]: causes of late streams.
 //! - [`relay`]: answers forwarded as a stream of events.
 //! - [`local_responses`]: answers that the gateway itself generates.
@@ -15,6 +16,7 @@
 //! - `run_log`: decision lines about requests.
 //! - `accounting`: bookkeeping of request outcomes.
 //! - `crashes`: requests that crash the endpoints that run them.
+//! - `prompt_parts`: prompt parts that crash the endpoints that run requests with them.
 //! - `store_knowledge`: what is known of the store, and how old that is.
 //! - `notices`: what endpoints report about themselves in answer headers.
 //! - [`origins`]: the software versions at which streams begin.
@@ -40,12 +42,14 @@
 pub mod messaging;
 mod notices;
 pub mod origins;
+mod part_check;
 pub mod pauses;
 mod pending_calls;
 pub mod permits;
 pub mod placement;
 mod placement_decision;
 mod planning;
+mod prompt_parts;
 pub mod quota;
 pub mod relay;
 mod reports;
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -8,6 +8,7 @@
 use oatpier_serving::admission;
 use oatpier_serving::call::CallerRequest;
 use oatpier_serving::choice::{EndpointChoice, ThrottledService, VersionPin};
+use oatpier_serving::crashes::prompt_parts::trials::PartTrial;
 use oatpier_serving::fingerprint::RequestFingerprint;
 use oatpier_serving::quota::turns::{HeldTurn, MAX_TURN_ADVANCE};
 use oatpier_serving::site::{RouteKind, RouteRule};
@@ -179,4 +180,6 @@
     pub turn: Option<HeldTurn>,
     /// The permit to send the prompt, if one is needed.
     pub permit: Option<HeldPermit>,
+    /// The trial that was granted, if the prompt contains parts that may crash endpoints.
+    pub trial: Option<PartTrial>,
 }
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -256,6 +256,7 @@
             load_age,
             turn: None,
             permit: None,
+            trial: None,
         })
     }
 
--- a/crates/oatpier-gateway/src/gateway/planning.rs
+++ b/crates/oatpier-gateway/src/gateway/planning.rs
@@ -44,6 +44,7 @@
         if rounds.is_multiple_of(SNAPSHOT_ROUNDS) {
             log_snapshot(core);
             core.expire_suspects();
+            core.expire_part_suspects();
         }
         let round = plan_round(core);
         for load in round.loads {
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -38,6 +38,10 @@
 /// How long a stalled stream waits for a place at another endpoint. Meanwhile nothing is forwarded.
 const MAX_MOVE_WAIT: Duration = Duration::from_millis(200);
 
+/// Number of events that show that an endpoint is beyond the beginning of its response. One that crashes there may have
+/// sent the first event.
+const PROGRESS_EVENTS: u32 = 2;
+
 /// The bytes that end every event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -53,6 +57,8 @@
     last_event: Option<String>,
     /// Whether the last chunk ended at the end of an event.
     is_at_event_end: bool,
+    /// Number of complete events from the present endpoint, as far as they are told apart.
+    events: u32,
     /// The last bytes that were forwarded unchanged.
     tail: Vec<u8>,
     stall_timeout: Duration,
@@ -100,6 +106,7 @@
         splitter: resumable.then(EventSplitter::new),
         last_event: None,
         is_at_event_end: true,
+        events: 0,
         tail: Vec::new(),
         stall_timeout: (pause * STALL_TIMEOUT_PAUSES).max(MIN_STALL_TIMEOUT),
         is_recorded: false,
@@ -234,6 +241,7 @@
                         .into_data()
                         .ok()
                         .and_then(|data| self.process_chunk(data));
+                    self.record_progress();
                     if let Some(chunk) = chunk {
                         return StreamStep::Chunk(chunk);
                     }
@@ -269,6 +277,7 @@
                 self.last_event = Some(id.to_owned());
             }
             whole.extend_from_slice(&event.bytes);
+            self.events += 1;
         }
         self.is_at_event_end = splitter.rest().is_empty();
         (!whole.is_empty()).then(|| whole.freeze())
@@ -280,6 +289,15 @@
         let excess = self.tail.len().saturating_sub(EVENT_END.len());
         self.tail.drain(..excess);
         self.is_at_event_end = self.tail == EVENT_END;
+        self.events += u32::from(self.is_at_event_end);
+    }
+
+    /// Records once that the endpoint is beyond the beginning of its response.
+    fn record_progress(&mut self) {
+        let has_progressed = self.events >= PROGRESS_EVENTS;
+        if let Some(guard) = self.guard.as_mut().filter(|_| has_progressed) {
+            guard.record_progress();
+        }
     }
 
     fn record_chunk(&mut self) {
@@ -386,6 +404,7 @@
         self.guard = Some(response.guard);
         self.splitter = Some(EventSplitter::new());
         self.is_at_event_end = true;
+        self.events = 0;
         Ok(())
     }
 }
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::attempt::{self, AttemptFailure, CallerMessage};
 use super::core::GatewayCore;
 use super::local_responses::LocalResponse;
+use super::part_check::{self, PartCheck, PartStep};
 use super::permits::{self, PermitVerdict};
 use super::placement::{PlacedSend, Placement, RequestContext};
 use super::quota;
@@ -71,6 +72,8 @@
     /// Why no endpoint could be used when the request was refused because all of them are throttled: they asked for
     /// a rest period or are over their rate limit.
     pub(super) throttled: Option<ThrottledService>,
+    /// Waits and refusals because of the parts of the prompt.
+    pub(super) part_check: PartCheck,
 }
 
 /// The final outcome of a request.
@@ -99,6 +102,7 @@
             prediction: None,
             best_choice: None,
             throttled: None,
+            part_check: PartCheck::default(),
         }
     }
 
@@ -170,16 +174,24 @@
             }
             self.check_identity()?;
             self.check_suspect()?;
+            if self.check_parts()? == PartStep::Wait {
+                part_check::wait(changed).await;
+                continue;
+            }
             match core.place(&self.context, &skipped, &self.pin) {
                 Placement::Send(placed) => {
                     let Some(placed) = self.acquire_turn(placed, &mut skipped).await? else {
                         continue;
                     };
-                    if let Some(placed) = self.acquire_permit(placed).await? {
-                        self.check_suspect()?;
-                        self.renew_charge().await?;
-                        return Ok(placed);
-                    }
+                    let Some(placed) = self.acquire_permit(placed).await? else {
+                        continue;
+                    };
+                    self.check_suspect()?;
+                    let Some(placed) = self.acquire_trial(placed).await? else {
+                        continue;
+                    };
+                    self.renew_charge().await?;
+                    return Ok(placed);
                 }
                 Placement::Refuse(refused) => {
                     self.best_choice = refused.best;
@@ -310,7 +322,7 @@
         self.unless_run(LocalResponse::Refused(refusal))
     }
 
-    fn unless_run(&self, response: LocalResponse) -> LocalResponse {
+    pub(super) fn unless_run(&self, response: LocalResponse) -> LocalResponse {
         if self.ended_verdict == RunVerdict::NotRun {
             response
         } else {
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -172,6 +172,10 @@
                 "held_ms",
                 throttled.map(|throttled| millis(throttled.remaining)),
             )
+            .with(
+                "part",
+                self.part_check.refused_for.map(|part| part.to_string()),
+            )
             .with("expected_wait_ms", self.context.forecast.expected_ms())
             .with("return_ms", response.retry_after().map(millis))
             .with("status", response.status().as_u16())
--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -144,7 +144,7 @@
         for line in lines {
             self.log.write(line);
         }
-        self.resolve_broken_attempts();
+        self.resolve_broken();
         if !changes.is_empty() {
             self.endpoints_appeared.notify_one();
             self.changed.notify_waiters();
@@ -159,6 +159,7 @@
         };
         // The crashes must be known before the first configuration makes this gateway serve requests.
         self.apply_stored_crashes(&internal.crashes, has_returned);
+        self.apply_stored_part_crashes(&internal.part_crashes, has_returned);
         self.apply_parts(&internal.parts, knowledge.era);
         // A part holder that has just started resumes its parts at once, because their workspaces wait until then.
         self.maintain_parts(stop.phase() != StopPhase::Serving);
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     pub unreadable_entries: Gauge,
     suspects: Gauge,
     barred: Gauge,
+    suspected_parts: Gauge,
+    barred_parts: Gauge,
     /// Number of times that a ring was full.
     pub ring_full: Counter,
     /// Number of decision lines that were left out of the log.
@@ -125,6 +127,8 @@
             unreadable_entries: Gauge::default(),
             suspects: Gauge::default(),
             barred: Gauge::default(),
+            suspected_parts: Gauge::default(),
+            barred_parts: Gauge::default(),
             ring_full: Counter::default(),
             lines_left_out: Counter::default(),
         };
@@ -204,6 +208,14 @@
         self.barred.set(i64::try_from(barred).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of suspected prompt parts, and how many of them are barred from endpoints.
+    pub fn note_suspected_parts(&self, suspects: usize, barred: usize) {
+        self.suspected_parts
+            .set(i64::try_from(suspects).unwrap_or(i64::MAX));
+        self.barred_parts
+            .set(i64::try_from(barred).unwrap_or(i64::MAX));
+    }
+
     /// Counts an order to an engine, by its outcome.
     pub fn count_order(&self, cause: &'static str) {
         self.orders.get_or_create(&CauseLabels { cause }).inc();
@@ -250,6 +262,16 @@
             "Of these, requests that are not sent to endpoints any more",
             self.barred.clone(),
         );
+        registry.register(
+            "suspected_prompt_parts",
+            "Prompt parts at the beginning of a response at endpoints that crashed, not answered since",
+            self.suspected_parts.clone(),
+        );
+        registry.register(
+            "barred_prompt_parts",
+            "Of these, parts whose requests are not sent to endpoints any more",
+            self.barred_parts.clone(),
+        );
         registry.register(
             "orders",
             "Orders to the engine by answer",
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -307,6 +307,10 @@
             | InnerMessage::OriginAsk(_)
             | InnerMessage::OriginAnswer(_)
             | InnerMessage::PinnedWanted(_)
+            | InnerMessage::PartCrashesSeen(_)
+            | InnerMessage::PartsAnswered(_)
+            | InnerMessage::TrialAsk(_)
+            | InnerMessage::TrialAnswer(_)
             | InnerMessage::CrashesSeen(_)
             | InnerMessage::CrashesCleared(_)
             | InnerMessage::Permit(_) => {}
--- a/crates/oatpier-gateway/src/store_reader.rs
+++ b/crates/oatpier-gateway/src/store_reader.rs
@@ -371,6 +371,7 @@
             config: snapshot.config.as_deref().map_or(NO_CONFIG, config_digest),
             internal: InternalContents {
                 crashes: snapshot.crashes,
+                part_crashes: snapshot.part_crashes,
                 parts: snapshot.parts,
             },
             endpoints: snapshot.endpoints,
--- a/crates/oatpier-gateway/tests/testsuite/crashes.rs
+++ b/crates/oatpier-gateway/tests/testsuite/crashes.rs
@@ -58,7 +58,7 @@
     std::iter::from_fn(|| gateway.crash_changes.try_receive())
         .filter_map(|change| match change {
             CrashChange::Put(record) => Some(record),
-            CrashChange::Remove(_) => None,
+            _ => None,
         })
         .collect()
 }
--- a/crates/oatpier-gateway/tests/testsuite/fragile.rs
+++ b/crates/oatpier-gateway/tests/testsuite/fragile.rs
@@ -84,7 +84,8 @@
         self.endpoint.address
     }
 
-    fn register(&self) {
+    /// Lists the present endpoint in the registry.
+    pub fn register(&self) {
         let listed = record(self.started, self.endpoint.address);
         self.gateway.core.apply_records(None, vec![listed]);
     }
--- a/crates/oatpier-gateway/tests/testsuite/prompt_parts.rs
+++ b/crates/oatpier-gateway/tests/testsuite/prompt_parts.rs
@@ -2,9 +2,15 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
+use oatpier_serving::call::PromptPartId;
+use oatpier_serving::crashes::changes::CrashChange;
+use oatpier_serving::crashes::prompt_parts::PartCrash;
+use oatpier_serving::crashes::{CrashSite, RequestOrigin};
+use oatpier_serving::message::InnerMessage;
+use oatpier_types::names::{ClassName, EndpointName};
 
 use crate::fragile::FragileFleet;
-use crate::support::request;
+use crate::support::{TestGateway, request};
 
 /// The part that crashes endpoints.
 const CRASHING_PART: &str = "bad1:40";
@@ -59,3 +65,84 @@
         fleet.reached
     );
 }
+
+/// Returns the records of two successive crashes under the part.
+fn crashes() -> Vec<PartCrash> {
+    let crash = |generation: u32| PartCrash {
+        part: PromptPartId(0xbad1),
+        generation,
+        is_trial: false,
+        origin: RequestOrigin {
+            host: "a.example".into(),
+            workspace: None,
+            route: ClassName::try_from("draft").unwrap(),
+        },
+        site: CrashSite {
+            endpoint: EndpointName::try_from(format!("i-{generation}").as_str()).unwrap(),
+            started_ms: None,
+        },
+        seen_ms: 1_700_000_000_000,
+    };
+    vec![crash(1), crash(2)]
+}
+
+/// Sends a request with the part and one without it, and checks that only the second one reaches an endpoint.
+async fn check_barred(fleet: &mut FragileFleet) {
+    let refused = send_crashing(fleet, 1).await;
+    assert_eq!(refused.status(), StatusCode::INTERNAL_SERVER_ERROR);
+    assert!(refused.body().starts_with(b"part-barred"));
+    assert_eq!(fleet.reached, 0);
+    let served = send_sound(fleet, 2).await;
+    assert_eq!(served.status(), StatusCode::OK);
+}
+
+/// Guards against a part that is barred at one gateway only and crashes endpoints through each of the others.
+#[tokio::test]
+async fn a_part_that_other_gateways_report_is_barred() {
+    let mut fleet = FragileFleet::start(is_crashing).await;
+    fleet.gateway.core.apply_part_crashes(&crashes());
+    check_barred(&mut fleet).await;
+}
+
+/// Guards against a part that crashes endpoints anew through each gateway that has lost its state.
+#[tokio::test]
+async fn a_part_that_the_store_lists_is_barred() {
+    let mut fleet = FragileFleet::start(is_crashing).await;
+    let core = &fleet.gateway.core;
+    core.apply_stored_part_crashes(&crashes(), false);
+    check_barred(&mut fleet).await;
+    fleet.gateway.core.apply_stored_part_crashes(&[], false);
+    send_crashing(&mut fleet, 3).await;
+    assert_eq!(fleet.reached, 1, "the bar was lifted");
+}
+
+/// Returns the parts in all reports of crashes that the gateway has sent.
+fn reported_parts(gateway: &TestGateway) -> Vec<PromptPartId> {
+    let sent = gateway.outlet.sent().into_iter();
+    let crashes = sent.filter_map(|(_, message)| match message {
+        InnerMessage::PartCrashesSeen(crashes) => Some(crashes),
+        _ => None,
+    });
+    crashes.flatten().map(|crash| crash.part).collect()
+}
+
+/// Guards against crashes that only the gateway that saw them knows of: they are reported to the others and written to the
+/// store. The parts that sound requests have, too, are not.
+#[tokio::test]
+async fn a_crash_is_reported_and_stored_for_its_part_alone() {
+    let mut fleet = FragileFleet::start(is_crashing).await;
+    let other = "10.0.0.9:7000".parse().unwrap();
+    fleet.gateway.meet_gateways(&[other]);
+    send_sound(&mut fleet, 1).await;
+    send_crashing(&mut fleet, 2).await;
+    send_sound(&mut fleet, 3).await;
+    tokio::time::sleep(std::time::Duration::from_millis(250)).await;
+    send_sound(&mut fleet, 4).await;
+    fleet.register();
+    let part = PromptPartId(0xbad1);
+    assert_eq!(reported_parts(&fleet.gateway), [part]);
+    let changes = std::iter::from_fn(|| fleet.gateway.crash_changes.try_receive());
+    let stored = changes
+        .filter(|change| matches!(change, CrashChange::PutPart(crash) if crash.part == part));
+    assert_eq!(stored.count(), 1);
+}
--- a/crates/oatpier-serving/src/message/mod.rs
+++ b/crates/oatpier-serving/src/message/mod.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod limits;
 mod origins;
+mod trials;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,7 +15,9 @@
 use oatpier_types::names::{DaemonName, EndpointName, ModelName, PoolName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::call::PromptPartId;
 use crate::crashes::CrashRecord;
+use crate::crashes::prompt_parts::PartCrash;
 use crate::engine::{AdapterKey, EndpointLoad, HeldModel, LocalCopies, StartTime};
 use crate::failures::EngineFailure;
 use crate::fingerprint::RequestFingerprint;
@@ -24,6 +27,7 @@
 pub use capacity::{PaceStatus, RatedPermitAsk, ShareStatus};
 pub use limits::{LeavingReport, LimitReport, QuotaAnswer, QuotaAsk, TurnAsk, TurnReply};
 pub use origins::{OriginAnswer, OriginAsk, PinnedModel};
+pub use trials::{TrialAnswer, TrialAsk};
 
 /// Content of one datagram.
 #[derive(Debug, Clone, PartialEq)]
@@ -52,6 +56,16 @@
     /// Sent by a gateway to all others: suspect requests that were answered completely. The store distributes the same
     /// changes.
     CrashesCleared(Vec<RequestFingerprint>),
+    /// Sent by a gateway to all others: prompt parts that were at the beginning of a response at endpoints when those
+    /// crashed. The store distributes the same records.
+    PartCrashesSeen(Vec<PartCrash>),
+    /// Sent by a gateway to all others: suspected prompt parts whose requests were answered. The store distributes the same
+    /// changes.
+    PartsAnswered(Vec<PromptPartId>),
+    /// Sent by a gateway to the one that grants trials of prompt parts: requests one.
+    TrialAsk(TrialAsk),
+    /// Sent by that gateway: answers a request for a trial.
+    TrialAnswer(TrialAnswer),
     /// Sent by the planner to a sidecar: a model to load.
     Advice(LoadAdvice),
     /// Sent by a sidecar to another one: requests its right to load from the weight store.
@@ -108,6 +122,10 @@
             Self::StoreSeen(_) => "store-seen",
             Self::CrashesSeen(_) => "crashes-seen",
             Self::CrashesCleared(_) => "crashes-cleared",
+            Self::PartCrashesSeen(_) => "part-crashes-seen",
+            Self::PartsAnswered(_) => "parts-answered",
+            Self::TrialAsk(_) => "trial-ask",
+            Self::TrialAnswer(_) => "trial-answer",
             Self::Advice(_) => "advice",
             Self::RightAsk(_) => "right-ask",
             Self::Right(_) => "right",
--- a/crates/oatpier-serving/src/reads/digest.rs
+++ b/crates/oatpier-serving/src/reads/digest.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::crashes::CrashRecord;
+use crate::crashes::prompt_parts::PartCrash;
 use crate::directory::EndpointRecord;
 use crate::quota::lease::PartEntry;
 
@@ -36,6 +37,9 @@
     pub crashes: Vec<CrashRecord>,
     /// The holders of the parts of rate limits.
     pub parts: Vec<PartEntry>,
+    /// Prompt parts that were at the beginning of a response at endpoints when those crashed.
+    #[serde(default)]
+    pub part_crashes: Vec<PartCrash>,
 }
 
 /// A digest of [`InternalContents`], 0 if there are none.
@@ -52,7 +56,9 @@
     pub fn of(contents: &InternalContents) -> Self {
         let crashes = contents.crashes.iter().map(digest_crash);
         let parts = contents.parts.iter().map(digest_part);
-        Self(crashes.chain(parts).fold(0, |sum, row| sum ^ row))
+        let part_crashes = contents.part_crashes.iter().map(digest_part_crash);
+        let rows = crashes.chain(parts).chain(part_crashes);
+        Self(rows.fold(0, |sum, row| sum ^ row))
     }
 }
 
@@ -60,6 +66,10 @@
     xxh3_64(format!("{}/{};", crash.fingerprint, crash.site).as_bytes())
 }
 
+fn digest_part_crash(crash: &PartCrash) -> u64 {
+    xxh3_64(format!("part:{}/{};", crash.part, crash.site).as_bytes())
+}
+
 /// Returns the digest of the holder of a part. Renewals are left out because they are irrelevant to other
 /// gateways.
 fn digest_part(entry: &PartEntry) -> u64 {
--- a/crates/oatpier-serving/tests/testsuite/crash_fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/crash_fleet.rs
@@ -152,8 +152,11 @@
             return;
         }
         for change in &batch {
-            if !self.store.contains(change.record()) {
-                self.store.push(change.record().clone());
+            let CrashChange::Put(record) = change else {
+                unreachable!("the simulated gateways only add records of requests");
+            };
+            if !self.store.contains(record) {
+                self.store.push(record.clone());
             }
         }
         let draw = self.draw();
--- a/crates/oatpier-serving/tests/testsuite/store_fleet/world.rs
+++ b/crates/oatpier-serving/tests/testsuite/store_fleet/world.rs
@@ -378,6 +378,7 @@
     };
     InternalContents {
         crashes: Vec::new(),
+        part_crashes: Vec::new(),
         parts: vec![PartEntry {
             record,
             revision: number,
--- a/crates/oatpier/src/commands/crashes/list.rs
+++ b/crates/oatpier/src/commands/crashes/list.rs
@@ -1,4 +1,4 @@
-//! `oatpier crashes list`: lists the requests suspected of crashing endpoints.
+//! `oatpier crashes list`: lists the requests and prompt parts suspected of crashing endpoints.
 
 use clap::Command;
 
@@ -11,7 +11,7 @@
 /// Returns the clap definition of the subcommand.
 #[must_use]
 pub fn cli() -> Command {
-    Command::new("list").about("List the suspected requests, barred ones first")
+    Command::new("list").about("List the suspected requests and prompt parts, barred ones first")
 }
 
 /// Prints the list.
--- a/crates/oatpier/src/commands/crashes/mod.rs
+++ b/crates/oatpier/src/commands/crashes/mod.rs
@@ -1,4 +1,4 @@
-//! `oatpier crashes`: requests that were running on endpoints that crashed.
+//! `oatpier crashes`: requests and prompt parts that were on endpoints that crashed.
 
 mod lift;
 mod list;
@@ -15,7 +15,7 @@
 #[must_use]
 pub fn cli() -> Command {
     Command::new("crashes")
-        .about("List requests suspected of crashing endpoints, and allow them to run again")
+        .about("List requests and prompt parts suspected of crashing endpoints, and allow them to run again")
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(list::cli().arg(store_arg()))
--- a/crates/oatpier/tests/testsuite/crash_commands.rs
+++ b/crates/oatpier/tests/testsuite/crash_commands.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use oatpier_platform::store::{CrashChanges, StoreClient};
+use oatpier_serving::call::PromptPartId;
+use oatpier_serving::crashes::prompt_parts::PartCrash;
 use oatpier_serving::crashes::{CrashRecord, CrashSite, RequestOrigin};
 use oatpier_serving::fingerprint::RequestFingerprint;
 use oatpier_serving::quota::PartIndex;
@@ -35,7 +37,8 @@
     ];
     let changes = CrashChanges {
         put,
-        remove: Vec::new(),
+        put_parts: vec![part_crash("i-4", 1), part_crash("i-5", 2)],
+        ..CrashChanges::default()
     };
     let write = async {
         let client = StoreClient::new(address);
@@ -82,6 +85,36 @@
     }
 }
 
+fn part_crash(endpoint: &str, generation: u32) -> PartCrash {
+    let like = crash(SUSPECT, endpoint);
+    PartCrash {
+        part: PromptPartId(0xbad1),
+        generation,
+        is_trial: false,
+        origin: like.origin,
+        site: like.site,
+        seen_ms: 1_600_000_000_000,
+    }
+}
+
+#[test]
+fn suspected_prompt_parts_are_listed_and_lifted() {
+    let platform = Platform::start();
+    let address = store().to_string();
+    let shown = ["--json", "crashes", "list", "--store", &address];
+    let rows = platform.run_ok(&shown).document();
+    assert_eq!(rows[1]["fingerprint"], "part:bad1");
+    assert_eq!(rows[1]["barred"], true);
+    let lifting = ["crashes", "lift", "part:bad1", "--store", &address];
+    let run = platform.run_ok(&lifting);
+    assert!(run.stderr.contains("2 crashes"), "{}", run.stderr);
+    let run = platform.run(&lifting);
+    assert_eq!(run.code, 1);
+    assert!(run.stderr.contains("there is no suspected prompt part"));
+    let run = platform.run(&["crashes", "lift", "part:x", "--store", &address]);
+    assert!(run.stderr.contains("`part:x` is no prompt part"));
+}
+
 #[test]
 fn suspected_requests_are_listed_and_lifted() {
     let platform = Platform::start();
@@ -91,13 +124,13 @@
     assert_eq!(rows[0]["fingerprint"], BARRED);
     assert_eq!(rows[0]["barred"], true);
     assert_eq!(rows[0]["endpoints"].as_array().unwrap().len(), 3);
-    assert_eq!(rows[1]["fingerprint"], SUSPECT);
-    assert_eq!(rows[1]["barred"], false);
+    assert_eq!(rows[2]["fingerprint"], SUSPECT);
+    assert_eq!(rows[2]["barred"], false);
     let lifting = ["crashes", "lift", BARRED, "--store", &address];
     let run = platform.run_ok(&lifting);
     assert!(run.stderr.contains("3 crashes"), "{}", run.stderr);
     let rows = platform.run_ok(&shown).document();
-    assert_eq!(rows.as_array().unwrap().len(), 1);
+    assert_eq!(rows.as_array().unwrap().len(), 2);
     let run = platform.run(&lifting);
     assert_eq!(run.code, 1);
     assert!(run.stderr.contains("there is no suspected request"));
