serving: Sends to tell suspected parts apart pause longer with each crash, at all gateways

What callers would see: where two parts crash endpoints and were at the same crashes, one goes on to be sent: four sends more, three allowed. Cause: pauses between such sends were counted in the memory of the gateway that grants them, and began anew at its restart. Change: the pause follows from the part's crashes, which all gateways know and the store keeps. A simulated fleet of gateways and engines, with lost, doubled and late messages, restarts, outages of the store and crashes for other reasons, and five planted faults that its checks find. Why: a crash beyond those that bar a part was brought about by such a send, so their number needs no memory of its own.

--- a/crates/oatpier-serving/src/crashes/prompt_parts/suspect.rs
+++ b/crates/oatpier-serving/src/crashes/prompt_parts/suspect.rs
@@ -4,7 +4,7 @@
 use smallvec::SmallVec;
 
 use super::PartCrash;
-use super::trials::TRIAL_PAUSES;
+use super::trials::{TRIAL_PAUSES, contest_pause};
 use crate::call::PromptPartId;
 use crate::crashes::{CrashSite, RequestOrigin};
 
@@ -87,6 +87,14 @@
         pause.is_some_and(|pause| now.since(self.seen_at) >= *pause * factor)
     }
 
+    /// Returns whether a contested request with the part may be sent. Crashes beyond those that bar the part were brought about
+    /// by such requests. The pauses follow from them, so that they hold wherever the crashes are known.
+    pub(super) fn is_contest_due(&self, now: ClockTime) -> bool {
+        let beyond = self.known().saturating_sub(CRASHES_TO_BAR);
+        let pause = beyond.checked_sub(1).map(contest_pause);
+        pause.is_none_or(|pause| now.since(self.seen_at) >= pause)
+    }
+
     /// Adds a crash, or updates what is known of it. Returns whether it is a crash that was not known.
     pub(super) fn add(&mut self, crash: &PartCrash, status: CrashStatus) -> bool {
         let same_site = |known: &&mut SuspectCrash| known.site == crash.site;
--- a/crates/oatpier-serving/src/crashes/prompt_parts/table.rs
+++ b/crates/oatpier-serving/src/crashes/prompt_parts/table.rs
@@ -165,6 +165,13 @@
         suspect.is_some_and(|suspect| suspect.is_barred() && suspect.is_trial_due(0, now))
     }
 
+    /// Returns whether a contested request with these parts may be sent.
+    #[must_use]
+    pub fn is_contest_due(&self, parts: &[PromptPartId], now: ClockTime) -> bool {
+        let mut suspects = parts.iter().filter_map(|part| self.suspects.get(part));
+        suspects.all(|suspect| suspect.is_contest_due(now))
+    }
+
     /// Records that an attempt with a suspected part is sent.
     pub fn begin_test(&mut self, part: PromptPartId) {
         if let Some(suspect) = self.suspects.get_mut(&part) {
--- a/crates/oatpier-serving/src/crashes/prompt_parts/tracker.rs
+++ b/crates/oatpier-serving/src/crashes/prompt_parts/tracker.rs
@@ -222,7 +222,11 @@
         let table = &self.table;
         self.trials.retain(|part| table.contains(part));
         let is_known = trial.parts.iter().all(|part| table.contains(*part));
-        let is_due = trial.is_contested || table.is_trial_due(trial.part, now);
+        let is_due = if trial.is_contested {
+            table.is_contest_due(&trial.parts, now)
+        } else {
+            table.is_trial_due(trial.part, now)
+        };
         is_known && is_due && self.trials.grant(trial, now)
     }
 
--- a/crates/oatpier-serving/src/crashes/prompt_parts/trials.rs
+++ b/crates/oatpier-serving/src/crashes/prompt_parts/trials.rs
@@ -63,8 +63,7 @@
     fn note(&mut self, trial: &PartTrial, now: ClockTime) {
         self.open_since = Some(now);
         if trial.is_contested {
-            let factor = CONTEST_FACTOR.saturating_pow(self.contested.min(MAX_CONTEST_STEPS));
-            self.contested_at = now + CONTEST_PAUSE * factor;
+            self.contested_at = now + contest_pause(self.contested);
             self.contested += 1;
         }
     }
@@ -104,6 +103,11 @@
     }
 }
 
+/// Returns the pause after a contested request, by the number of those before it.
+pub(super) fn contest_pause(before: u32) -> Duration {
+    CONTEST_PAUSE * CONTEST_FACTOR.saturating_pow(before.min(MAX_CONTEST_STEPS))
+}
+
 /// Returns the gateway that grants trials.
 #[must_use]
 pub fn granting_gateway(gateways: impl Iterator<Item = SocketAddr>) -> Option<SocketAddr> {
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod messages;
 mod notices;
 mod pacing;
+mod part_fleet;
 mod part_store;
 mod peers;
 mod permits;
