wire: A caller that leaves is noticed also when it has sent its next request

What callers and endpoints saw: an endpoint worked on for a caller that had left, to the end of the response. Cause: hyper looks for the end of a connection only while its read buffer is empty. Bytes of a next request fill it, and stay there until the response is complete. Change: while a request is processed, a second future of the connection's task reads on, keeps the bytes for afterwards (up to the size of a head), and ends the connection when the caller has. Ruled out: a second descriptor for each connection (half of them are needed for endpoints); bytes kept back in the stream alone, since those of the same segment are in hyper's buffer already.

--- a/crates/oatpier-wire/src/server/connection.rs
+++ b/crates/oatpier-wire/src/server/connection.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use super::guard::{ConnectionActivity, GuardedStream, TrackedBody};
+use super::guard::{ConnectionActivity, GuardedStream, SharedStream, TrackedBody};
 use super::request_body::read_body;
 use super::{RequestHandler, ServerCounters, ServerLimits, ServerPhase};
 use crate::reply::{self, Reply};
@@ -43,22 +43,29 @@
         activity.begin();
         async move { Ok::<_, Infallible>(respond(&context, activity, request, caller).await) }
     });
-    let guarded = guard_stream(&context, stream, Arc::clone(&activity));
-    let connection = http1_builder(&context.limits).serve_connection(guarded, service);
+    let stream = guard_stream(&context, stream, Arc::clone(&activity));
+    let connection =
+        http1_builder(&context.limits).serve_connection(TokioIo::new(stream.clone()), service);
     let mut connection = pin!(connection);
+    let mut disconnected = pin!(stream.disconnected());
     let mut phase = context.phase.clone();
     let closed = async move {
         // An error means that the server was dropped, which closes the connection too.
         let _ = phase.wait_for(|phase| *phase == ServerPhase::Closed).await;
     };
-    let finished = tokio::select! {
-        result = connection.as_mut() => Some(result),
-        () = closed => None,
-    };
-    if finished.is_none() {
-        connection.as_mut().graceful_shutdown();
-        // The connection is closed either way, so an error is ignored.
-        let _ = connection.await;
+    tokio::select! {
+        // The connection comes first: it knows whether a request is being processed.
+        biased;
+        _ = connection.as_mut() => return,
+        () = disconnected.as_mut() => return,
+        () = closed => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    // The connection is closed either way, so an error is ignored.
+    tokio::select! {
+        biased;
+        _ = connection => {}
+        () = disconnected => {}
     }
 }
 
@@ -71,8 +78,8 @@
         let reply = reply::with_retry_after(reply, context.limits.retry_after);
         async move { Ok::<_, Infallible>(with_close(reply)) }
     });
-    let guarded = guard_stream(&context, stream, activity);
-    let connection = http1_builder(&context.limits).serve_connection(guarded, service);
+    let stream = guard_stream(&context, stream, activity);
+    let connection = http1_builder(&context.limits).serve_connection(TokioIo::new(stream), service);
     let max_time = context.limits.head_timeout + context.limits.write_timeout;
     // The connection is closed whether or not the response was sent.
     let _ = tokio::time::timeout(max_time, connection).await;
@@ -92,12 +99,12 @@
     context: &ConnectionContext,
     stream: TcpStream,
     activity: Arc<ConnectionActivity>,
-) -> TokioIo<GuardedStream> {
+) -> SharedStream {
     // A failure only delays small responses.
     let _ = stream.set_nodelay(true);
     let metered = MeteredStream::new(stream, Arc::clone(&context.counters.traffic));
     let counters = Arc::clone(&context.counters);
-    TokioIo::new(GuardedStream::new(
+    SharedStream::new(GuardedStream::new(
         metered,
         &context.limits,
         activity,
@@ -112,7 +119,10 @@
     caller: SocketAddr,
 ) -> http::Response<TrackedBody> {
     let reply = match read_body(request, &context.limits).await {
-        Ok(request) => context.handler.handle(request, caller).await,
+        Ok(request) => {
+            activity.complete();
+            context.handler.handle(request, caller).await
+        }
         Err(error) => {
             context
                 .counters
--- a/crates/oatpier-wire/src/server/guard.rs
+++ b/crates/oatpier-wire/src/server/guard.rs
@@ -1,13 +1,14 @@
 //! A server's stream that enforces timeouts on slow callers.
 
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::task::AtomicWaker;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -17,11 +18,16 @@
 use crate::reply::{BoxError, ReplyBody};
 use crate::stream::MeteredStream;
 
+/// How much is read at once while a request is being processed, in bytes. Usually there is nothing to read.
+const LOOKAHEAD_PIECE_BYTES: usize = 512;
+
 /// The current activity of a connection, set by its service and read by its stream.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionActivity {
-    /// Whether a request is being processed.
+    /// Whether a request is being received or processed.
     serving: AtomicBool,
+    /// Whether the request has been received in full.
+    received: AtomicBool,
     /// Whether bytes of a head have been received since the last request.
     head_begun: AtomicBool,
     /// Wakes the connection when a request has been processed. `hyper` does not read again by itself after a response,
@@ -33,9 +39,20 @@
     /// Records that a request's head was received.
     pub(crate) fn begin(&self) {
         self.serving.store(true, Ordering::Relaxed);
+        self.received.store(false, Ordering::Relaxed);
         self.head_begun.store(false, Ordering::Relaxed);
     }
 
+    /// Records that the request's body was received.
+    pub(crate) fn complete(&self) {
+        self.received.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a complete request is being processed.
+    fn is_processing(&self) -> bool {
+        self.serving.load(Ordering::Relaxed) && self.received.load(Ordering::Relaxed)
+    }
+
     fn end(&self) {
         self.serving.store(false, Ordering::Relaxed);
         self.finished.wake();
@@ -115,8 +132,14 @@
 }
 
 /// A stream that fails if the caller sends no complete head, or reads no byte, for too long.
+///
+/// While a request is being processed, bytes of the next one are kept back. `hyper` would stop reading once it has some,
+/// and so would not notice that the caller has disconnected.
 pub(crate) struct GuardedStream {
     inner: MeteredStream,
+    /// Bytes that were received while a request was being processed.
+    lookahead: BytesMut,
+    max_lookahead: usize,
     activity: Arc<ConnectionActivity>,
     counters: Arc<ServerCounters>,
     idle_timeout: Duration,
@@ -136,6 +159,8 @@
     ) -> Self {
         Self {
             inner,
+            lookahead: BytesMut::new(),
+            max_lookahead: limits.head_bytes,
             activity,
             counters,
             idle_timeout: limits.idle_timeout,
@@ -147,6 +172,38 @@
         }
     }
 
+    /// Ready when the caller has disconnected while a request is being processed. A caller that has sent more than can be
+    /// kept back is not observed.
+    pub(crate) fn poll_disconnect(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        while self.activity.is_processing() && self.lookahead.len() < self.max_lookahead {
+            let mut piece = [0; LOOKAHEAD_PIECE_BYTES];
+            let mut buffer = ReadBuf::new(&mut piece);
+            let read = ready!(Pin::new(&mut self.inner).poll_read(context, &mut buffer));
+            if read.is_err() || buffer.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            self.lookahead.extend_from_slice(buffer.filled());
+        }
+        Poll::Pending
+    }
+
+    /// Reads from the bytes that were kept back, or else from the connection.
+    fn poll_next_bytes(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.lookahead.is_empty() {
+            return Pin::new(&mut self.inner).poll_read(context, buffer);
+        }
+        if self.activity.is_processing() {
+            return Poll::Pending;
+        }
+        let count = self.lookahead.len().min(buffer.remaining());
+        buffer.put_slice(&self.lookahead.split_to(count));
+        Poll::Ready(Ok(()))
+    }
+
     /// Checks the timeout of the current wait. All bytes of a head share one timer, so that sending a head byte by byte
     /// does not extend the timeout.
     fn poll_read_wait(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -207,7 +264,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let polled = self.poll_next_bytes(context, buffer);
         if polled.is_pending() {
             return self.poll_read_wait(context);
         }
@@ -254,3 +311,63 @@
         self.after_write(context, polled)
     }
 }
+
+/// A stream that two futures of one task use: the one that serves the connection, and the one that waits for the caller to
+/// disconnect.
+#[derive(Clone)]
+pub(crate) struct SharedStream(Arc<Mutex<GuardedStream>>);
+
+impl SharedStream {
+    pub(crate) fn new(stream: GuardedStream) -> Self {
+        Self(Arc::new(Mutex::new(stream)))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GuardedStream> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the caller has disconnected while a request is being processed.
+    pub(crate) async fn disconnected(&self) {
+        poll_fn(|context| self.lock().poll_disconnect(context)).await;
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.lock()).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.lock()).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.lock()).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.lock().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.lock()).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.lock()).poll_shutdown(context)
+    }
+}
