gateway: Overload is measured by the wait of tasks for the processor

What callers saw: a gateway with more work than its processor can do took on more, noticed callers that had left long after that, and refused by turns. Cause: it measured a timer of its main task, which the runtime polls before the queue of connections; with 400 connections that wait 0.8 s each the timer is on time. Change: an empty task goes through the queue, and its wait counts. Ruled out: a shorter limit for the timer, which measures something else. Measured: overload::a_gateway_whose_connections_wait_for_the_processor_is_overloaded failed before and passes.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -262,7 +262,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records whether the timers of this process fire late.
+    /// Records whether this process has more work than its processor can do.
     pub fn set_behind(&self, behind: bool) {
         if self.behind.swap(behind, Ordering::Relaxed) != behind {
             let line = DecisionLine::new(LinePriority::Notable, "processor");
@@ -270,7 +270,7 @@
         }
     }
 
-    /// Returns whether the timers of this process fire late. Requests accepted now would be late as well.
+    /// Returns whether this process has more work than its processor can do. Requests accepted now would be late.
     #[must_use]
     pub fn is_behind(&self) -> bool {
         self.behind.load(Ordering::Relaxed)
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! - `store_knowledge`: what is known of the store, and how old that is.
 //! - `notices`: what endpoints report about themselves in answer headers.
 //! - [`origins`]: the software versions at which streams begin.
+//! - [`overload`]: whether the gateway has more work than its processor can do.
 //! - [`identity`]: authentication of requests, and the workspace they belong to.
 //! - [`quota`]: units of workspaces' limits.
 //! - `shares`: standings of workspaces that compete for engines.
@@ -42,6 +43,7 @@
 pub mod messaging;
 mod notices;
 pub mod origins;
+pub mod overload;
 mod part_check;
 pub mod pauses;
 mod pending_calls;
@@ -72,7 +74,7 @@
 use oatpier_serving::site::SiteConfig;
 use oatpier_wire::server::{self, ServerLimits};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 use crate::crash_writer::{CrashWriterInputs, write_crashes};
 use crate::exchange::{MessageOutlet, MessageSocket};
@@ -266,7 +268,7 @@
     tokio::select! {
         () = serving => {}
         () = refuse_after_stop(&core, &stop) => {}
-        () = watch_timer_delay(&core) => {}
+        () = overload::watch(&core) => {}
         () = messaging::run(Arc::clone(&core), &socket, exchange_inputs, &stop) => {}
     }
     stop.advance(StopPhase::Ended);
@@ -281,22 +283,6 @@
     std::future::pending::<()>().await;
 }
 
-/// Interval at which the process checks its own timer delay.
-const TIMER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Timer delay beyond which the process counts as overloaded. Requests accepted in that state would exceed their
-/// callers' timeouts unnoticed, and reach endpoints after that.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(300);
-
-/// Checks continuously whether the process is overloaded, and records it.
-pub async fn watch_timer_delay(core: &GatewayCore) {
-    loop {
-        let due = Instant::now() + TIMER_CHECK_INTERVAL;
-        sleep_until(due).await;
-        core.set_behind(due.elapsed() > MAX_TIMER_DELAY);
-    }
-}
-
 async fn serve_callers(listener: TcpListener, core: Arc<GatewayCore>, stop: &StopSignal) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
--- /dev/null
+++ b/crates/oatpier-gateway/src/gateway/overload.rs
@@ -0,0 +1,33 @@
+//! Detects that a gateway has more work than its processor can do.
+//!
+//! The connections of callers and endpoints are tasks of one runtime, which polls them in the order in which they became
+//! ready. With too many of them, each waits in that queue, whatever it is about: a request that has arrived, a response, or a
+//! caller that has disconnected. The main task is polled before the queue, so its timers fire in time all the while.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use super::core::GatewayCore;
+
+/// Interval at which the delay is measured.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Delay beyond which the gateway is overloaded. Requests accepted in that state would exceed their callers' timeouts
+/// unnoticed, and reach endpoints after that.
+const MAX_DELAY: Duration = Duration::from_millis(300);
+
+/// Measures continuously how long a task that is ready waits for the processor, and records whether that is too long.
+pub async fn watch(core: &GatewayCore) {
+    loop {
+        let due = Instant::now() + CHECK_INTERVAL;
+        sleep_until(due).await;
+        let mut probe = tokio::spawn(std::future::ready(()));
+        let is_late = timeout_at(due + MAX_DELAY, &mut probe).await.is_err();
+        core.set_behind(is_late);
+        if is_late {
+            // Only a runtime that shuts down ends the probe otherwise.
+            let _ = probe.await;
+        }
+    }
+}
--- a/crates/oatpier-gateway/tests/testsuite/overload.rs
+++ b/crates/oatpier-gateway/tests/testsuite/overload.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oatpier_gateway::gateway::watch_timer_delay;
+use oatpier_gateway::gateway::overload;
 use oatpier_serving::site::RouteKind;
 use tokio::task::JoinSet;
 use tokio::time::{advance, sleep};
@@ -31,7 +31,7 @@
         });
     }
     tokio::select! {
-        () = watch_timer_delay(&gateway.core) => {}
+        () = overload::watch(&gateway.core) => {}
         () = sleep(Duration::from_secs(5)) => {}
     }
     gateway.core.is_behind()
