gateway: Connections are closed unread while accepted ones wait for the processor

What callers saw: with most new connections of a zone at one gateway, each of them would wait longer than the one before, and leave at its deadline. Cause: connections are accepted in the main task, which goes before those that wait, so they are taken on faster than they are served. Change: while the oldest accepted connection has waited over 50 ms for its first turn, further ones are closed unread; their callers try another gateway at once, also requests that may run only once. A counter, and a line a second. Ruled out: a 503 after reading costs the work that there is no processor for; connections left in the backlog wait a second for nothing. Measured: two tests of the server.

--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -72,7 +72,7 @@
 };
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::site::SiteConfig;
-use oatpier_wire::server::{self, ServerLimits};
+use oatpier_wire::server::{self, ServerCounters, ServerLimits};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -121,6 +121,10 @@
 /// Divisor of the grace period: requests are refused after half of it at the latest, if it is short.
 const GRACE_DIVISOR: u32 = 2;
 
+/// Maximum time from accepting a connection until it is served. The callers of further ones are better off at another
+/// gateway at once.
+const MAX_START_DELAY: Duration = Duration::from_millis(50);
+
 /// Maximum size of a request head before a configuration sets another one, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
@@ -294,9 +298,15 @@
     let limits = ServerLimits {
         head_bytes: MAX_HEAD_BYTES,
         linger: LISTENER_LINGER,
+        max_start_delay: Some(MAX_START_DELAY),
         ..ServerLimits::default()
     };
-    let handler = Arc::new(GatewayHandler::new(core));
+    let handler = Arc::new(GatewayHandler::new(Arc::clone(&core)));
     let draining = stop.reached(StopPhase::Draining);
-    server::serve(listener, handler, limits, Arc::default(), draining).await;
+    let counters = Arc::<ServerCounters>::default();
+    let serving = server::serve(listener, handler, limits, Arc::clone(&counters), draining);
+    tokio::select! {
+        () = serving => {}
+        () = overload::report_closed_connections(&core, &counters) => {}
+    }
 }
--- a/crates/oatpier-gateway/src/gateway/overload.rs
+++ b/crates/oatpier-gateway/src/gateway/overload.rs
@@ -6,9 +6,11 @@
 
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep_until, timeout_at};
+use oatpier_wire::server::ServerCounters;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::core::GatewayCore;
+use crate::decisions::{DecisionLine, LinePriority};
 
 /// Interval at which the delay is measured.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -17,6 +19,28 @@
 /// unnoticed, and reach endpoints after that.
 const MAX_DELAY: Duration = Duration::from_millis(300);
 
+/// Interval at which connections that were closed unread are reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reports the connections that were closed unread because others waited too long for the processor.
+pub(super) async fn report_closed_connections(core: &GatewayCore, counters: &ServerCounters) {
+    let mut reported = 0;
+    loop {
+        sleep(REPORT_INTERVAL).await;
+        let closed = counters.closed_unread();
+        if closed > reported {
+            let line = DecisionLine::new(LinePriority::Notable, "connections closed unread")
+                .with("count", closed - reported)
+                .with("accepted", counters.accepted());
+            core.log.write(line);
+            core.metrics
+                .connections_closed_unread
+                .inc_by(closed - reported);
+            reported = closed;
+        }
+    }
+}
+
 /// Measures continuously how long a task that is ready waits for the processor, and records whether that is too long.
 pub async fn watch(core: &GatewayCore) {
     loop {
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -95,6 +95,8 @@
     barred_parts: Gauge,
     /// Number of times that a ring was full.
     pub ring_full: Counter,
+    /// Number of callers' connections that were closed unread because others waited too long for the processor.
+    pub connections_closed_unread: Counter,
     /// Number of decision lines that were left out of the log.
     pub lines_left_out: Counter,
 }
@@ -130,6 +132,7 @@
             suspected_parts: Gauge::default(),
             barred_parts: Gauge::default(),
             ring_full: Counter::default(),
+            connections_closed_unread: Counter::default(),
             lines_left_out: Counter::default(),
         };
         metrics.registry = Arc::new(metrics.register());
@@ -322,6 +325,11 @@
             "Times that a ring was full",
             self.ring_full.clone(),
         );
+        registry.register(
+            "connections_closed_unread",
+            "Callers' connections closed unread because others waited too long for the processor",
+            self.connections_closed_unread.clone(),
+        );
         registry.register(
             "log_lines_left_out",
             "Decision lines that were left out to bound the volume",
--- a/crates/oatpier-wire/src/server.rs
+++ b/crates/oatpier-wire/src/server.rs
@@ -25,8 +25,10 @@
 mod connection;
 mod guard;
 mod request_body;
+mod waiting;
 
 use connection::ConnectionContext;
+use waiting::WaitingConnections;
 
 /// How long to wait before accepting again after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -72,6 +74,9 @@
     pub linger: Duration,
     /// The `Retry-After` of each 503 response for too many connections.
     pub retry_after: Duration,
+    /// The maximum time from accepting a connection until the processor begins to serve it, if limited. While the oldest
+    /// accepted connection waits longer, further ones are closed unread, so that their callers can go elsewhere at once.
+    pub max_start_delay: Option<Duration>,
 }
 
 impl Default for ServerLimits {
@@ -86,6 +91,7 @@
             write_timeout: Duration::from_secs(10),
             linger: Duration::from_millis(500),
             retry_after: Duration::from_secs(1),
+            max_start_delay: None,
         }
     }
 }
@@ -95,6 +101,7 @@
 pub struct ServerCounters {
     pub(crate) accepted: AtomicU64,
     pub(crate) over_limit: AtomicU64,
+    pub(crate) closed_unread: AtomicU64,
     pub(crate) refused_requests: AtomicU64,
     pub(crate) stalled: AtomicU64,
     /// The byte counters of all connections.
@@ -114,6 +121,12 @@
         self.over_limit.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections that were closed unread because others waited too long for the processor.
+    #[must_use]
+    pub fn closed_unread(&self) -> u64 {
+        self.closed_unread.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of requests whose bodies were rejected, for example with 413 or 408, without calling the
     /// handler.
     #[must_use]
@@ -151,6 +164,7 @@
             phase: closed,
         }),
         connections: JoinSet::new(),
+        waiting: WaitingConnections::default(),
     };
     acceptor.accept_until(&listener, shutdown).await;
     closing.send_replace(ServerPhase::Closing);
@@ -176,6 +190,7 @@
 struct Acceptor {
     context: Arc<ConnectionContext>,
     connections: JoinSet<()>,
+    waiting: WaitingConnections,
 }
 
 impl Acceptor {
@@ -204,12 +219,23 @@
     fn start(&mut self, stream: TcpStream, caller: SocketAddr) {
         while self.connections.try_join_next().is_some() {}
         let context = Arc::clone(&self.context);
+        let max_delay = context.limits.max_start_delay;
+        if max_delay.is_some_and(|delay| self.waiting.longest() > delay) {
+            context
+                .counters
+                .closed_unread
+                .fetch_add(1, Ordering::Relaxed);
+            return;
+        }
         let open = self.connections.len();
         let limit = context.limits.connections;
         if open < limit {
             context.counters.accepted.fetch_add(1, Ordering::Relaxed);
-            self.connections
-                .spawn(connection::run(context, stream, caller));
+            let waiting = self.waiting.enter();
+            self.connections.spawn(async move {
+                drop(waiting);
+                connection::run(context, stream, caller).await;
+            });
             return;
         }
         context.counters.over_limit.fetch_add(1, Ordering::Relaxed);
--- a/crates/oatpier-wire/tests/testsuite/main.rs
+++ b/crates/oatpier-wire/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod attempt_codec;
 mod attempt_responses;
 mod client_verdicts;
+mod crowds;
 mod disconnects;
 mod event_splitter;
 mod peer_calls;
