gateway: A response without a length that ends before its first event has been broken off

What callers saw: an empty stream that looked complete, where the endpoint had ended before its first event; nothing was resumed, and the part of the prompt that had ended the endpoint was cleared. Cause: a stream was taken to be at the end of an event before it had any, also where nothing but the end of the connection tells its end. Change: such a stream is complete only after an event. One that ends within its first events clears no part. Ruled out: the answer's other path (oatpier-ports) calls all of these truncated; the platform's path doesn't go through it. Nothing is pooled after such a response, and it reaches the caller in chunks, as before.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -42,6 +43,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: ResponseBody,
+    /// Whether the body has a length or comes in chunks. Otherwise it ends with its connection.
+    pub is_framed: bool,
     /// Records the end of the attempt.
     pub guard: AttemptGuard,
 }
@@ -139,6 +142,8 @@
     parts: PartAttempt,
     /// Whether the response is beyond its beginning.
     has_progressed: bool,
+    /// Whether a response that looks complete is. One that ends with its connection may have ended with its endpoint.
+    is_end_certain: bool,
     outcome: RequestOutcome,
 }
 
@@ -163,6 +168,7 @@
             permit,
             parts,
             has_progressed: false,
+            is_end_certain: true,
             outcome: RequestOutcome::Abandoned,
         }
     }
@@ -227,7 +233,7 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.end_prefill();
-        if matches!(self.outcome, RequestOutcome::Whole { .. }) {
+        if matches!(self.outcome, RequestOutcome::Whole { .. }) && self.is_end_certain {
             self.record_progress();
         }
         if !self.has_progressed {
@@ -338,15 +344,26 @@
             guard.finish(RequestOutcome::Broken);
             Err(AttemptFailure::Spoilt)
         }
-        ResponseKind::Matching => Ok(OpenResponse {
-            status: parts.status,
-            headers: headers::build_response_headers(&parts.headers),
-            body,
-            guard,
-        }),
+        ResponseKind::Matching => {
+            let is_framed = is_framed(&parts.headers);
+            let mut guard = guard;
+            guard.is_end_certain = is_framed;
+            Ok(OpenResponse {
+                status: parts.status,
+                headers: headers::build_response_headers(&parts.headers),
+                body,
+                is_framed,
+                guard,
+            })
+        }
     }
 }
 
+/// Returns whether the end of a body can be told from the end of its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns whether a response comes from the endpoint itself, so that its statements about the endpoint can be
 /// trusted.
 fn is_from_endpoint(head: &ResponseHead, endpoint: &EndpointName) -> bool {
@@ -387,6 +404,7 @@
         status,
         headers,
         body,
+        is_framed: _,
         mut guard,
     } = response;
     guard.record_first_chunk();
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -55,7 +55,7 @@
     /// Splits a resumable stream into events.
     splitter: Option<EventSplitter>,
     last_event: Option<String>,
-    /// Whether the last chunk ended at the end of an event.
+    /// Whether the stream may end here: at the end of an event or, if its framing tells its end, before the first one.
     is_at_event_end: bool,
     /// Number of complete events from the present endpoint, as far as they are told apart.
     events: u32,
@@ -93,6 +93,7 @@
         status,
         headers,
         body,
+        is_framed,
         guard,
     } = response;
     let RouteKind::Stream { resumable, pause } = run.context.route.kind else {
@@ -105,7 +106,7 @@
         guard: Some(guard),
         splitter: resumable.then(EventSplitter::new),
         last_event: None,
-        is_at_event_end: true,
+        is_at_event_end: is_framed,
         events: 0,
         tail: Vec::new(),
         stall_timeout: (pause * STALL_TIMEOUT_PAUSES).max(MIN_STALL_TIMEOUT),
@@ -400,10 +401,10 @@
             response.guard.finish(RequestOutcome::ServerError);
             return Err(AttemptFailure::ServerError);
         }
+        self.is_at_event_end = response.is_framed;
         self.body = response.body;
         self.guard = Some(response.guard);
         self.splitter = Some(EventSplitter::new());
-        self.is_at_event_end = true;
         self.events = 0;
         Ok(())
     }
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -29,4 +29,5 @@
 mod store_reading;
 mod streams;
 mod support;
+mod unframed;
 mod versions;
--- a/crates/oatpier-gateway/tests/testsuite/prompt_parts.rs
+++ b/crates/oatpier-gateway/tests/testsuite/prompt_parts.rs
@@ -10,7 +10,9 @@
 use oatpier_types::names::{ClassName, EndpointName};
 
 use crate::fragile::FragileFleet;
-use crate::support::{TestGateway, request};
+use crate::support::{
+    EndpointStep, STREAM, STREAM_END, ScriptedEndpoint, TestGateway, request, stream_start,
+};
 
 /// The part that crashes endpoints.
 const CRASHING_PART: &str = "bad1:40";
@@ -146,3 +148,24 @@
         .filter(|change| matches!(change, CrashChange::PutPart(crash) if crash.part == part));
     assert_eq!(stored.count(), 1);
 }
+
+/// Guards against a suspected part that is cleared by an endpoint that ended as it began to respond: a response that ends
+/// with its connection looks the same.
+#[tokio::test]
+async fn a_response_that_ends_with_its_connection_at_its_beginning_clears_no_part() {
+    let framed = stream_start(&["data: 1\n\n"]) + STREAM_END;
+    let unframed = stream_start(&[]).replace("transfer-encoding: chunked\r\n", "") + "data: 1\n\n";
+    for (answer, cleared) in [(unframed, 0), (framed, 1)] {
+        let endpoint = ScriptedEndpoint::start(vec![EndpointStep::AnswerAndClose(answer)]).await;
+        let gateway = TestGateway::with_endpoints(STREAM, 1, &[&endpoint]);
+        gateway.meet_gateways(&["10.0.0.9:7000".parse().unwrap()]);
+        gateway.core.apply_part_crashes(&crashes()[..1]);
+        let shared = format!("f1:500,{CRASHING_PART}");
+        let reply = gateway.send(numbered(1, &shared)).await;
+        assert_eq!(reply.status(), StatusCode::OK);
+        let sent = gateway.outlet.sent().into_iter();
+        let answered =
+            sent.filter(|(_, message)| matches!(message, InnerMessage::PartsAnswered(_)));
+        assert_eq!(answered.count(), cleared);
+    }
+}
