gateway: Events that end in CR LF end streams

What callers saw: whole streams that couldn't be resumed were cut at their end if their events end in CR LF. Cause: only two LF counted as the end of an event there; resumable streams knew CR LF twice, but no mixture. Change: an empty line after the end of a line ends an event, with or without CR. Measured: streams::events_may_end_in_crlf_and_arrive_in_pieces failed before and passes, split at each byte.

--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -42,8 +42,11 @@
 /// sent the first event.
 const PROGRESS_EVENTS: u32 = 2;
 
-/// The bytes that end every event.
-const EVENT_END: &[u8] = b"\n\n";
+/// The bytes that end events: an empty line after the end of a line.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+
+/// The length of the longest of them.
+const MAX_EVENT_END: usize = 3;
 
 /// A stream that is being relayed.
 struct StreamRelay {
@@ -287,9 +290,9 @@
     /// Tracks whether the stream is at the end of an event. The end marker may be split over two chunks.
     fn track_event_end(&mut self, data: &[u8]) {
         self.tail.extend_from_slice(data);
-        let excess = self.tail.len().saturating_sub(EVENT_END.len());
+        let excess = self.tail.len().saturating_sub(MAX_EVENT_END);
         self.tail.drain(..excess);
-        self.is_at_event_end = self.tail == EVENT_END;
+        self.is_at_event_end = EVENT_ENDS.iter().any(|end| self.tail.ends_with(end));
         self.events += u32::from(self.is_at_event_end);
     }
 
--- a/crates/oatpier-gateway/tests/testsuite/streams.rs
+++ b/crates/oatpier-gateway/tests/testsuite/streams.rs
@@ -199,3 +199,29 @@
     let risk: f64 = risk.split([',', '}']).next().unwrap().parse().unwrap();
     assert!(risk < 0.2, "{line}");
 }
+
+/// Returns the body of a stream, unless it broke off.
+async fn served_body(kind: RouteKind, stream: String) -> Option<String> {
+    let engine = ScriptedEndpoint::start(vec![EndpointStep::Answer(stream)]).await;
+    let gateway = TestGateway::with_endpoints(kind, 1, &[&engine]);
+    let body = gateway.reply(request(&[])).await.into_body();
+    let body = body.collect().await.ok()?;
+    Some(String::from_utf8(body.to_bytes().to_vec()).unwrap())
+}
+
+/// Guards against whole streams that are cut because their events end in CR LF, or because the end of an event arrives in
+/// two pieces.
+#[tokio::test]
+async fn events_may_end_in_crlf_and_arrive_in_pieces() {
+    let events = "id: 1\r\ndata: 1\r\n\r\nid: 2\r\ndata: 2\r\n\r\n";
+    for split in 1..events.len() {
+        let (head, tail) = events.split_at(split);
+        let text = stream_start(&[head, tail]) + STREAM_END;
+        for kind in [PLAIN, RESUMABLE] {
+            let body = served_body(kind, text.clone()).await;
+            assert_eq!(body.as_deref(), Some(events), "split at {split}");
+        }
+    }
+    let cut = stream_start(&["id: 1\r\ndata: 1\r\n\r\n"]) + &chunk("id: 2\r\n") + STREAM_END;
+    assert_eq!(served_body(PLAIN, cut).await, None);
+}
--- a/crates/oatpier-wire/src/sse.rs
+++ b/crates/oatpier-wire/src/sse.rs
@@ -68,8 +68,8 @@
     /// Returns an error if the event is longer than [`MAX_EVENT_BYTES`]. The stream can't be used after an error.
     pub fn next_event(&mut self) -> Result<Option<SseEvent>, EventTooLong> {
         let Some(end) = find_end(&self.pending, self.searched) else {
-            // The end of an event may begin in the last three bytes.
-            self.searched = self.pending.len().saturating_sub(3);
+            // The end of an event may begin in the last two bytes.
+            self.searched = self.pending.len().saturating_sub(2);
             return check_length(self.pending.len()).map(|()| None);
         };
         check_length(end)?;
@@ -114,8 +114,8 @@
         let rest = &bytes[at..];
         if rest.starts_with(b"\n\n") {
             Some(at + 2)
-        } else if rest.starts_with(b"\r\n\r\n") {
-            Some(at + 4)
+        } else if rest.starts_with(b"\n\r\n") {
+            Some(at + 3)
         } else {
             None
         }
