--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -622,8 +622,8 @@
     pass_ms = 120\nretry_after_s = 0\nrequire_fencing = false\nlease_ms = 3000\nthaw_ms = 300\n\
     ceiling_window_s = 5\nceiling_overage = 1.1\n";
 
-/// Starts a role of the deploy file with a settings file of the platform's format.
-pub fn start_role(role: &str, block: &Block, machine: u8, store: SocketAddr, extra: &str, folder: &Folder) -> Process {
+/// Writes the settings file of a role in the platform's format.
+pub fn write_settings(role: &str, block: &Block, machine: u8, store: SocketAddr, extra: &str, folder: &Folder) -> PathBuf {
     let ip = block.ip(machine);
     let (class, memory) = if role == "gateway" { ("front", 260) } else { ("side", 192) };
     let listen = if role == "gateway" {
@@ -642,10 +642,18 @@
         block.port,
         block.port + 15,
     );
-    let name = format!("{role}-{machine}");
-    let settings = folder.0.join(format!("{name}.toml"));
-    let log = File::create(folder.0.join(format!("{name}.log")));
-    let (Ok(()), Ok(log)) = (std::fs::write(&settings, text), log) else { unable("no settings file") };
+    let settings = folder.0.join(format!("{role}-{machine}.toml"));
+    let draft = folder.0.join(format!("{role}-{machine}.draft"));
+    let is_written = std::fs::write(&draft, text).and_then(|()| std::fs::rename(&draft, &settings));
+    is_written.unwrap_or_else(|error| unable(&format!("no settings file: {error}")));
+    settings
+}
+
+/// Starts a role of the deploy file.
+pub fn start_role(role: &str, block: &Block, machine: u8, store: SocketAddr, extra: &str, folder: &Folder) -> Process {
+    let settings = write_settings(role, block, machine, store, extra, folder);
+    let log = File::create(folder.0.join(format!("{role}-{machine}.log")));
+    let log = log.unwrap_or_else(|error| unable(&format!("no log: {error}")));
     let mut command = Command::new("target/release/oatpierd");
     command.arg(role).env_clear().env("OATPIER_NODE_FILE", &settings);
     for name in ["PATH", "HOME", "LANG"] {
