--- a/review/standins/reused_address.rs
+++ b/review/standins/reused_address.rs
@@ -15,8 +15,7 @@
 const OTHER: &str = "wuno96b";
 const PATH: &str = "/lohu930/";
 const OTHER_PATH: &str = "/pufi791/";
-/// Engines of the service. The one that crashes is a share of 0.143 of them.
-const ENGINES: u8 = 7;
+/// The engine that crashes, one of seven of the service: a share of 0.143.
 const CRASHING: u8 = 3;
 /// Machine of the other service's own engine.
 const OTHER_MACHINE: u8 = 8;
