--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -10,7 +10,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -50,8 +50,25 @@
     }
 }
 
+/// Programs of the project that run now.
+static RUNNING: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+
+fn end_processes(is_ended: impl Fn(&Child) -> bool) {
+    let mut running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    running.retain_mut(|child| {
+        if is_ended(child) {
+            let _ = child.kill();
+            let _ = child.wait();
+            return false;
+        }
+        true
+    });
+}
+
+/// Ends the run, and all processes that it started.
 pub fn unable(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    end_processes(|_| true);
     std::process::exit(EXIT_UNABLE);
 }
 
@@ -586,13 +603,12 @@
 
 /// A program of the project, which is killed at the end.
 pub struct Process {
-    child: Child,
+    id: u32,
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        end_processes(|child| child.id() == self.id);
     }
 }
 
@@ -664,7 +680,9 @@
     let errors = log.try_clone().unwrap_or_else(|error| unable(&error.to_string()));
     command.stdin(Stdio::null()).stdout(log).stderr(errors);
     let child = command.spawn().unwrap_or_else(|error| unable(&format!("the daemon: {error}")));
-    Process { child }
+    let id = child.id();
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner).push(child);
+    Process { id }
 }
 
 /// Waits until a gateway says that it is ready.
