--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -329,18 +329,19 @@
 ) -> Result<OpenResponse, AttemptFailure> {
     let (parts, body) = response.into_parts();
     let head = headers::decode_response(parts.status.as_u16(), &parts.headers, &context.request.id);
-    if let Some(load) = head.load {
-        core.record_load(&guard.endpoint, load);
-    }
-    if let Some(pace) = head.host_pace {
-        core.record_host_pace(&guard.endpoint, pace);
-    }
     if is_from_endpoint(&head, &guard.endpoint) {
+        if let Some(load) = head.load {
+            core.record_load(&guard.endpoint, load);
+        }
+        if let Some(pace) = head.host_pace {
+            core.record_host_pace(&guard.endpoint, pace);
+        }
         guard.record_notice(head.notice, head.kind == ResponseKind::Matching);
     }
     match head.kind {
         ResponseKind::NotRun => Err(finish_refused(core, parts.status, &head, guard)),
         ResponseKind::Untrusted => {
+            body.close_connection();
             guard.finish(RequestOutcome::Broken);
             Err(AttemptFailure::Spoilt)
         }
--- a/crates/oatpier-gateway/tests/testsuite/failures.rs
+++ b/crates/oatpier-gateway/tests/testsuite/failures.rs
@@ -4,8 +4,8 @@
 use oatpier_serving::site::RouteKind;
 
 use crate::support::{
-    EndpointStep, ScriptedEndpoint, TestGateway, endpoint_response, not_executed_response, record,
-    request, status,
+    EndpointStep, ScriptedEndpoint, TestGateway, endpoint_response, not_executed_response,
+    other_instance_response, record, request, status,
 };
 
 async fn endpoint(step: EndpointStep) -> ScriptedEndpoint {
@@ -71,6 +71,40 @@
     assert!(!String::from_utf8_lossy(answer.body()).contains("another's"));
 }
 
+/// Guards against a request that runs twice, or runs although its caller is told that it did not: a late refusal of an
+/// earlier request arrives where the response to this request is expected.
+#[tokio::test]
+async fn a_refusal_of_another_request_neither_promises_nor_repeats() {
+    for status in ["503 Service Unavailable", "421 Misdirected Request"] {
+        let refusal = not_executed_response(status).replace(crate::support::REQUEST_ID, "another");
+        let endpoints = [
+            endpoint(EndpointStep::Answer(refusal.clone())).await,
+            endpoint(EndpointStep::Answer(refusal)).await,
+        ];
+        let gateway =
+            TestGateway::with_endpoints(RouteKind::Unsafe, 2, &[&endpoints[0], &endpoints[1]]);
+        let answer = gateway.send(request(&[])).await;
+        assert_eq!(answer.status(), StatusCode::BAD_GATEWAY, "{status}");
+        let sends = endpoints[0].requests().len() + endpoints[1].requests().len();
+        assert_eq!(sends, 1, "{status}");
+    }
+}
+
+/// Guards against a chain of wrong responses: after the response to another request, the real one is still to come on
+/// that connection, where the next request would take it for its own.
+#[tokio::test]
+async fn a_connection_that_brought_a_response_to_another_request_is_not_reused() {
+    let refusal = not_executed_response("503 Service Unavailable")
+        .replace(crate::support::REQUEST_ID, "another");
+    let steps = vec![EndpointStep::Answer(refusal), complete_response()];
+    let endpoint = ScriptedEndpoint::start(steps).await;
+    let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
+    let first = gateway.send(request(&[])).await.status();
+    let second = gateway.send(request(&[])).await.status();
+    assert_eq!([first, second], [StatusCode::BAD_GATEWAY, StatusCode::OK]);
+    assert_eq!(endpoint.connections(), 2);
+}
+
 #[tokio::test]
 async fn a_success_without_response_stamp_is_not_relayed() {
     let unstamped = endpoint_response("200 OK", "x").replace("x-oatpier-response-stamp", "x-other");
@@ -124,9 +158,10 @@
 /// response of the new instance.
 #[tokio::test]
 async fn a_restarted_engine_is_addressed_by_its_new_name() {
-    let other = "HTTP/1.1 421 Misdirected Request\r\nx-oatpier-instance-id: i-new\r\n\
-                 content-length: 0\r\n\r\n";
-    let steps = vec![EndpointStep::Answer(other.to_owned()), complete_response()];
+    let steps = vec![
+        EndpointStep::Answer(other_instance_response("i-new")),
+        complete_response(),
+    ];
     let endpoint = ScriptedEndpoint::start(steps).await;
     let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
     gateway
@@ -139,9 +174,10 @@
 /// An unknown instance uses the address of an endpoint that is gone. It gets no request under its own name.
 #[tokio::test]
 async fn an_unknown_instance_at_the_address_gets_no_request() {
-    let other = "HTTP/1.1 421 Misdirected Request\r\nx-oatpier-instance-id: i-new\r\n\
-                 content-length: 0\r\n\r\n";
-    let steps = vec![EndpointStep::Answer(other.to_owned()), complete_response()];
+    let steps = vec![
+        EndpointStep::Answer(other_instance_response("i-new")),
+        complete_response(),
+    ];
     let endpoint = ScriptedEndpoint::start(steps).await;
     let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
     let answer = gateway.send(request(&[])).await;
--- a/crates/oatpier-gateway/tests/testsuite/promises.rs
+++ b/crates/oatpier-gateway/tests/testsuite/promises.rs
@@ -5,7 +5,7 @@
 
 use crate::support::{
     EndpointStep, REQUEST_ID, ScriptedEndpoint, TestGateway, endpoint_response,
-    not_executed_response, request,
+    not_executed_response, other_instance_response, request,
 };
 
 /// How an attempt ends at an endpoint.
@@ -18,11 +18,15 @@
     ResponseTruncated,
     ResponseUnstamped,
     ResponseOfAnother,
+    RefusalOfAnother,
+    MisdirectionOfAnother,
+    RateLimitOfAnother,
+    UnnamedRefusal,
     ServerError,
     Silence,
 }
 
-const ENDINGS: [AttemptEnding; 9] = [
+const ENDINGS: [AttemptEnding; 13] = [
     AttemptEnding::NotExecuted,
     AttemptEnding::WeightsMissing,
     AttemptEnding::OtherInstance,
@@ -30,6 +34,10 @@
     AttemptEnding::ResponseTruncated,
     AttemptEnding::ResponseUnstamped,
     AttemptEnding::ResponseOfAnother,
+    AttemptEnding::RefusalOfAnother,
+    AttemptEnding::MisdirectionOfAnother,
+    AttemptEnding::RateLimitOfAnother,
+    AttemptEnding::UnnamedRefusal,
     AttemptEnding::ServerError,
     AttemptEnding::Silence,
 ];
@@ -52,11 +60,7 @@
             Self::WeightsMissing => {
                 EndpointStep::Answer(not_executed_response("421 Misdirected Request"))
             }
-            Self::OtherInstance => EndpointStep::Answer(
-                "HTTP/1.1 421 Misdirected Request\r\nx-oatpier-instance-id: i-new\r\n\
-                 content-length: 0\r\n\r\n"
-                    .to_owned(),
-            ),
+            Self::OtherInstance => EndpointStep::Answer(other_instance_response("i-new")),
             Self::ConnectionClosed => EndpointStep::Close,
             Self::ResponseTruncated => EndpointStep::AnswerAndClose(
                 complete.replace("content-length: 5", "content-length: 50"),
@@ -67,6 +71,16 @@
             Self::ResponseOfAnother => {
                 EndpointStep::Answer(complete.replace(REQUEST_ID, "another"))
             }
+            Self::RefusalOfAnother => EndpointStep::Answer(refusal_of_another("503 Unavailable")),
+            Self::MisdirectionOfAnother => EndpointStep::Answer(
+                other_instance_response("i-new").replace(REQUEST_ID, "another"),
+            ),
+            Self::RateLimitOfAnother => {
+                EndpointStep::Answer(refusal_of_another("429 Too Many Requests"))
+            }
+            Self::UnnamedRefusal => EndpointStep::Answer(
+                not_executed_response("503 Unavailable").replace("x-oatpier-request-id", "x-other"),
+            ),
             Self::ServerError => {
                 EndpointStep::Answer(endpoint_response("500 Internal Server Error", "failed"))
             }
@@ -75,6 +89,10 @@
     }
 }
 
+fn refusal_of_another(status: &str) -> String {
+    not_executed_response(status).replace(REQUEST_ID, "another")
+}
+
 /// Returns whether a status promises that the request has not run and never will.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -63,6 +64,7 @@
 pub struct ScriptedEndpoint {
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
+    connections: Arc<AtomicUsize>,
     ended: Arc<Notify>,
 }
 
@@ -73,15 +75,18 @@
         let requests = Arc::new(Mutex::new(Vec::new()));
         let steps = Arc::new(Mutex::new(VecDeque::from(steps)));
         let seen = Arc::clone(&requests);
+        let connections = Arc::new(AtomicUsize::new(0));
+        let accepted_count = Arc::clone(&connections);
         let ended = Arc::new(Notify::new());
         let ending = Arc::clone(&ended);
         tokio::spawn(async move {
-            let mut connections = JoinSet::new();
+            let mut open = JoinSet::new();
             loop {
                 tokio::select! {
                     accepted = listener.accept() => {
                         let Ok((stream, _)) = accepted else { return };
-                        connections.spawn(serve(stream, Arc::clone(&steps), Arc::clone(&seen)));
+                        accepted_count.fetch_add(1, Ordering::SeqCst);
+                        open.spawn(serve(stream, Arc::clone(&steps), Arc::clone(&seen)));
                     }
                     () = ending.notified() => return,
                 }
@@ -90,10 +95,16 @@
         Self {
             address,
             requests,
+            connections,
             ended,
         }
     }
 
+    /// Returns the number of connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     /// Stops the endpoint and closes all its connections.
     pub fn end(&self) {
         self.ended.notify_one();
@@ -172,7 +183,18 @@
 
 /// Returns a response that reports that the endpoint did not run the request.
 pub fn not_executed_response(status: &str) -> String {
-    format!("HTTP/1.1 {status}\r\nx-oatpier-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
+    format!(
+        "HTTP/1.1 {status}\r\nx-oatpier-request-id: {REQUEST_ID}\r\nx-oatpier-not-executed: 1\r\n\
+         content-length: 0\r\n\r\n"
+    )
+}
+
+/// Returns a response of an endpoint that is another instance than the request expects.
+pub fn other_instance_response(instance: &str) -> String {
+    format!(
+        "HTTP/1.1 421 Misdirected Request\r\nx-oatpier-request-id: {REQUEST_ID}\r\n\
+         x-oatpier-instance-id: {instance}\r\ncontent-length: 0\r\n\r\n"
+    )
 }
 
 /// Returns the head and the first events of a stream, with one chunk per event.
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -237,12 +237,17 @@
     }
 
     async fn respond(&self, request: Request<Bytes>) -> Reply {
-        match request.uri().path() {
+        let id = text(request.headers(), "x-oatpier-request-id");
+        let mut response = match request.uri().path() {
             "/report" => self.report(),
             "/health" => self.health(),
             "/order" => self.order(&request).await,
             _ => self.respond_to_request(request).await,
+        };
+        if let Some(id) = id {
+            set(response.headers_mut(), "x-oatpier-request-id", &id);
         }
+        response
     }
 
     /// Responds to a request that is meant for this instance, and adds the notices to the response.
--- a/crates/oatpier-wire/src/client/body.rs
+++ b/crates/oatpier-wire/src/client/body.rs
@@ -21,13 +21,17 @@
 
 impl ResponseBody {
     pub(super) fn new(inner: Incoming, sender: PooledSender, pool: Arc<ConnectionPool>) -> Self {
-        let mut body = Self {
+        Self {
             inner,
             sender: Some(sender),
             pool,
-        };
-        body.return_connection_at_end();
-        body
+        }
+    }
+
+    /// Drops the body and closes its connection, also after the body's end. Used if the response belongs to another
+    /// request, since the one to this request may still arrive on that connection.
+    pub fn close_connection(mut self) {
+        self.sender = None;
     }
 
     fn return_connection_at_end(&mut self) {
@@ -43,6 +47,12 @@
     }
 }
 
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        self.return_connection_at_end();
+    }
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
+++ b/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
@@ -177,6 +177,32 @@
     assert_eq!(client.traffic().received(), 5 * RESPONSE.len() as u64);
 }
 
+/// A response without a body is complete with its head. Its connection is reused, unless the caller closes it.
+#[tokio::test]
+async fn connection_of_an_empty_response_is_reused_until_it_is_closed() {
+    const EMPTY_RESPONSE: &[u8] = b"HTTP/1.1 503 Unavailable\r\ncontent-length: 0\r\n\r\n";
+    let connections = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&connections);
+    let address = serve_connections(move |mut stream| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        async move {
+            while read_head(&mut stream).await {
+                stream.write_all(EMPTY_RESPONSE).await.unwrap();
+            }
+        }
+    })
+    .await;
+    let client = client();
+    for _ in 0..3 {
+        drop(client.send(address, get("/")).await.unwrap());
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 1);
+    let response = client.send(address, get("/")).await.unwrap();
+    response.into_body().close_connection();
+    client.send(address, get("/")).await.unwrap();
+    assert_eq!(connections.load(Ordering::SeqCst), 2);
+}
+
 /// A caller disconnects while its request is in transit to a frozen peer. The peer must not receive the request when
 /// it resumes: an orderly close would still deliver it, seconds late. The connection must be reset, which discards
 /// data that was not received.
