Don't hold requests alike after a response to another request

From the extra response on, one gateway answered 184 requests 503 `held`.

Cause: an untrusted response ended its attempt as `Broken`, like a cut connection, so the request was watched as one that may have crashed its endpoint. The gateway then avoided that endpoint, so nothing showed that it was running, and all requests of the same content waited for up to 8 s.

Change: such an attempt ends as `Untrusted`.

Ruled out: the retry budget and lost places at the endpoint (`held` names the cause of 184 of 205 refusals at that gateway; the engines' own count of places shows ten for each burst).

Test, red before: `failures::requests_alike_are_not_held_after_a_response_to_another_request` (503 instead of 200).

--- a/crates/oatpier-gateway/src/gateway/accounting.rs
+++ b/crates/oatpier-gateway/src/gateway/accounting.rs
@@ -125,7 +125,7 @@
         outcome: RequestOutcome,
     ) {
         let failure = match outcome {
-            RequestOutcome::Broken => EngineFailure::Broken,
+            RequestOutcome::Broken | RequestOutcome::Untrusted => EngineFailure::Broken,
             RequestOutcome::ServerError => EngineFailure::ServerError,
             _ => return,
         };
--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -342,7 +342,7 @@
         ResponseKind::NotRun => Err(finish_refused(core, parts.status, &head, guard)),
         ResponseKind::Untrusted => {
             body.close_connection();
-            guard.finish(RequestOutcome::Broken);
+            guard.finish(RequestOutcome::Untrusted);
             Err(AttemptFailure::Spoilt)
         }
         ResponseKind::Matching => {
--- a/crates/oatpier-gateway/tests/testsuite/failures.rs
+++ b/crates/oatpier-gateway/tests/testsuite/failures.rs
@@ -1,5 +1,8 @@
 //! Tests of endpoints that die, fail, send invalid responses or stop responding.
 
+use std::time::Duration;
+
+use futures::future::join_all;
 use http::StatusCode;
 use oatpier_serving::site::RouteKind;
 
@@ -105,6 +108,31 @@
     assert_eq!(endpoint.connections(), 2);
 }
 
+/// Guards against requests that are held as suspects for seconds. An endpoint that responds to another request is running,
+/// so its response says nothing about whether requests like this one crash endpoints.
+#[tokio::test]
+async fn requests_alike_are_not_held_after_a_response_to_another_request() {
+    let other_response =
+        endpoint_response("200 OK", "another's").replace(crate::support::REQUEST_ID, "another");
+    let slow = EndpointStep::AnswerInParts(
+        String::new(),
+        Duration::from_millis(30),
+        endpoint_response("200 OK", "world"),
+    );
+    let mut steps = vec![slow; 4];
+    steps[0] = EndpointStep::Answer(other_response);
+    let endpoint = ScriptedEndpoint::start(steps).await;
+    let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
+    assert_eq!(
+        gateway.send(request(&[])).await.status(),
+        StatusCode::BAD_GATEWAY
+    );
+    let alike = (0..3).map(|_| gateway.send(request(&[])));
+    for answer in join_all(alike).await {
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+}
+
 #[tokio::test]
 async fn a_success_without_response_stamp_is_not_relayed() {
     let unstamped = endpoint_response("200 OK", "x").replace("x-oatpier-response-stamp", "x-other");
--- a/crates/oatpier-serving/src/directory/requests.rs
+++ b/crates/oatpier-serving/src/directory/requests.rs
@@ -27,8 +27,10 @@
     Unreachable,
     /// The connection was refused: nothing listens at the endpoint's address.
     ConnectionRefused,
-    /// The response was truncated, corrupt or missing.
+    /// The response was truncated, corrupt or missing. The endpoint may have crashed.
     Broken,
+    /// The endpoint sent a response that belongs to another request or can't be trusted, so it is running.
+    Untrusted,
     /// The caller disconnected, or the gateway gave up for reasons unrelated to the endpoint.
     Abandoned,
 }
@@ -213,7 +215,7 @@
                 row.failures.note(1.0, now);
                 self.apply_evidence(index, AttemptEvidence::ConnectFailed, now);
             }
-            RequestOutcome::Broken => {
+            RequestOutcome::Broken | RequestOutcome::Untrusted => {
                 row.failures.note(1.0, now);
                 self.apply_evidence(index, AttemptEvidence::Interrupted, now);
             }
