Take an engine's service from its own entry, not from its address (ROUTE)

An engine crashed for good and an engine of another service got its address.

Cause, three parts that each suffice: the sidecar stated the service that its settings named at its start; the gateway applied that statement, made while the predecessor was there, to whichever instance answered a 421; and an entry of the registry with another service was written into the row without rebuilding the index by service, so it corrected nothing.

Change: the registry entry of an instance says its service. Gateways tell it to sidecars that don't state one (a message of its own, so that earlier versions can decode the rest). A sidecar carries it over to a successor only if the engine's answers came closer together than addresses are reused (`reuse_after_s`), and a gateway lets a successor replace an engine only on a status update that names it and the same service. An entry with another service restarts the row and rebuilds the index. The sidecar's setting `service` is no longer read. The sidecar logs `engine listed` when it learns the service.

Why it works: what is kept is about an instance, whose service never changes; the one step from an instance to its successor is bounded by the time for which the platform leaves an address unused, measured at the sidecar on its own clock, so that late messages and pauses can only make it state nothing.

Tests, red before: `directory::a_status_of_the_predecessor_says_nothing_about_the_service_of_its_successor`, `directory::the_registry_moves_an_engine_to_its_service`; new: `engine_service`. Three tests took the fault for right: they let a successor in on a 421 and a status that doesn't name it (`restarted_engine_replaces_its_predecessor`, `successor_is_kept_when_its_sidecar_reports_its_start_time`, `a_restarted_engine_is_addressed_by_its_new_name`). The status names the successor in them now, and what they ask of the endpoint afterwards is unchanged; the last also asks for a refusal before.

Ruled out: reading the settings again (they may stay as they were), the age of a status at the gateway (relays may stand still while they hold it), no replacement before the registry lists the successor (loses engines that restart at once).

--- a/crates/oatpier-gateway/src/gateway/messaging.rs
+++ b/crates/oatpier-gateway/src/gateway/messaging.rs
@@ -88,6 +88,7 @@
             | InnerMessage::RatedPermitAsk(_)
             | InnerMessage::PermitDone(_)
             | InnerMessage::AttemptFailed(_)
+            | InnerMessage::EngineListed(_)
             | InnerMessage::RightAsk(_)
             | InnerMessage::Right(_) => {}
         }
--- a/crates/oatpier-gateway/src/gateway/subscriptions.rs
+++ b/crates/oatpier-gateway/src/gateway/subscriptions.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use oatpier_serving::directory::EndpointRow;
-use oatpier_serving::message::{GatewaySubscription, InnerMessage};
+use oatpier_serving::message::{EngineListing, GatewaySubscription, InnerMessage};
 use oatpier_serving::node::NodeBounds;
 use oatpier_serving::relays::{self, RelayCandidate};
 use oatpier_serving::site::{EngineRule, SiteConfig};
@@ -29,12 +29,18 @@
 pub(super) struct AddressedSubscription {
     sidecar: SocketAddr,
     subscription: GatewaySubscription,
+    /// The engine's service, unless its sidecar states it.
+    listing: Option<EngineListing>,
 }
 
 impl AddressedSubscription {
     pub(super) fn send(self, core: &GatewayCore) {
         let message = InnerMessage::Subscription(self.subscription);
         core.outlet.send(self.sidecar, &message);
+        if let Some(listing) = self.listing {
+            let message = InnerMessage::EngineListed(listing);
+            core.outlet.send(self.sidecar, &message);
+        }
     }
 }
 
@@ -135,7 +141,13 @@
         let rule = service_rule.engine.as_ref()?;
         let row = state.directory.row(endpoint)?;
         let address = row.record.address;
-        let is_heard = row.status(self.clock.now()).is_some();
+        let status = row.status(self.clock.now());
+        let is_heard = status.is_some();
+        let is_stated = status.is_some_and(|status| status.service.is_some());
+        let listing = (!is_stated).then(|| EngineListing {
+            engine: row.record.name.clone(),
+            service: row.record.service.clone(),
+        });
         let settings = Arc::clone(&self.settings.borrow());
         let engines = state.directory.service_size(service);
         let place = state.directory.place(service, endpoint)?;
@@ -153,6 +165,7 @@
         Some(AddressedSubscription {
             sidecar: SocketAddr::new(address.ip(), self.inner_port),
             subscription,
+            listing,
         })
     }
 }
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 //! - [`pace`]: the engine's pace, and when it is sent to gateways.
 //! - [`permit_waits`]: what requests for its permits wait for.
 //! - [`statuses`]: status updates to gateways, and when they are sent.
+//! - [`service`]: the service that the engine belongs to.
 //! - [`shares`]: updates of the engine's use by workspaces.
 //!
 //! One loop reads the engine's report, receives messages from gateways, sends the orders that
@@ -13,6 +14,7 @@
 pub mod pace;
 
 pub mod permit_waits;
+pub mod service;
 pub mod shares;
 pub mod statuses;
 
@@ -39,6 +41,7 @@
 
 use self::engine_link::EngineLink;
 use self::pace::PaceReporter;
+use self::service::ServiceTracker;
 use self::shares::ShareReporter;
 use self::statuses::StatusSender;
 
@@ -137,7 +140,8 @@
         pace: PaceReporter::new(address, inputs.metrics.pace.clone()),
         failures: FailureCount::default(),
         link: EngineLink::new(address, settings.name.clone()),
-        status_sender: StatusSender::new(address, settings.service.clone()),
+        service: ServiceTracker::default(),
+        status_sender: StatusSender::new(address),
         share_reporter: ShareReporter::new(address),
         socket,
         clock,
@@ -163,6 +167,7 @@
     /// Counts of the engine's requests and of those that failed.
     failures: FailureCount,
     link: EngineLink,
+    service: ServiceTracker,
     status_sender: StatusSender,
     share_reporter: ShareReporter,
     socket: MessageSocket,
@@ -195,6 +200,7 @@
             self.status_sender.set_waiting(&self.permits);
             let failing = self.failures.share_percent(self.clock.now());
             self.status_sender.set_failing(failing);
+            self.status_sender.set_service(self.service.service());
             self.status_sender
                 .send_due(&self.socket, &self.residency, now);
             self.send_pace(now);
@@ -290,6 +296,13 @@
                 self.permits.release(permit.id);
                 self.send_permits();
             }
+            InnerMessage::EngineListed(listing) => {
+                let is_known = self.service.service() == Some(&listing.service);
+                if self.link.instance() == Some(&listing.engine) && !is_known {
+                    self.log_engine("engine listed");
+                    self.service.set_service(listing.service);
+                }
+            }
             InnerMessage::AttemptFailed(failure) => self.failures.note_failure(failure, now),
             // Addressed to gateways.
             InnerMessage::Status(_)
@@ -321,8 +334,13 @@
     async fn refresh_report(&mut self) {
         let window = self.settings.borrow().bounds.load_window;
         self.residency.set_load_window(window);
+        let sent_at = self.clock.now();
         match self.link.report().await {
             Ok(mut report) => {
+                if self.note_answer(sent_at) {
+                    self.link.forget_instance();
+                    self.status_sender.set_instance(None);
+                }
                 if self.residency.is_restarted(&report) {
                     self.log_engine("engine restarted");
                     self.forget_engine();
@@ -348,6 +366,13 @@
         }
     }
 
+    /// Records that the engine has answered a call. Returns whether it may belong to another service than before.
+    fn note_answer(&mut self, sent_at: ClockTime) -> bool {
+        let reuse_after = self.settings.borrow().bounds.reuse_after;
+        self.service
+            .note_answer(sent_at, self.clock.now(), reuse_after)
+    }
+
     fn forget_engine(&mut self) {
         self.failures = FailureCount::default();
         self.permits.forget_load();
@@ -366,8 +391,10 @@
             return;
         };
         self.identify_at = Instant::now() + IDENTIFY_INTERVAL;
+        let sent_at = self.clock.now();
         match self.link.identify(&path).await {
             Ok(()) => {
+                self.note_answer(sent_at);
                 self.log_engine("engine named");
                 self.status_sender.set_instance(self.link.instance());
             }
--- a/crates/oatpier-gateway/src/sidecar/statuses.rs
+++ b/crates/oatpier-gateway/src/sidecar/statuses.rs
@@ -91,12 +91,12 @@
 }
 
 impl StatusSender {
-    /// Creates a sender for the engine at an address, and its service.
+    /// Creates a sender for the engine at an address.
     #[must_use]
-    pub fn new(engine: SocketAddr, service: Option<PoolName>) -> Self {
+    pub fn new(engine: SocketAddr) -> Self {
         Self {
             engine,
-            service,
+            service: None,
             instance: None,
             number: MessageNumber {
                 boot: rand::random(),
@@ -180,6 +180,11 @@
         self.instance = instance.cloned();
     }
 
+    /// Sets the engine's service, if it is certain.
+    pub fn set_service(&mut self, service: Option<&PoolName>) {
+        self.service = service.cloned();
+    }
+
     /// Sends the status updates that are due.
     pub fn send_due(
         &mut self,
@@ -385,6 +390,7 @@
 /// former.
 fn is_urgent(last_sent: &EngineStatus, status: &EngineStatus) -> bool {
     let changed = EngineStatus {
+        service: last_sent.service.clone(),
         models: last_sent.models.clone(),
         coming: last_sent.coming.clone(),
         adapter_room: last_sent.adapter_room,
--- a/crates/oatpier-gateway/tests/testsuite/failures.rs
+++ b/crates/oatpier-gateway/tests/testsuite/failures.rs
@@ -5,6 +5,7 @@
 use futures::future::join_all;
 use http::StatusCode;
 use oatpier_serving::site::RouteKind;
+use oatpier_types::names::EndpointName;
 
 use crate::support::{
     EndpointStep, ScriptedEndpoint, TestGateway, endpoint_response, not_executed_response,
@@ -182,8 +183,8 @@
 }
 
 /// Guards against refusals after the restart of an engine. The process at its address now has another instance name
-/// and rejects requests for the old one. Its sidecar reports it for the same service, so the caller gets the
-/// response of the new instance.
+/// and rejects requests for the old one. Once its sidecar reports that name for the same service, callers get the
+/// responses of the new instance.
 #[tokio::test]
 async fn a_restarted_engine_is_addressed_by_its_new_name() {
     let steps = vec![
@@ -192,9 +193,13 @@
     ];
     let endpoint = ScriptedEndpoint::start(steps).await;
     let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
-    gateway
-        .core
-        .apply_status(status(1, endpoint.address, Vec::new()));
+    let mut update = status(1, endpoint.address, Vec::new());
+    gateway.core.apply_status(update.clone());
+    let refused = gateway.send(request(&[])).await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    update.number.number += 1;
+    update.instance = EndpointName::try_from("i-new").ok();
+    gateway.core.apply_status(update);
     assert_eq!(gateway.send(request(&[])).await.status(), StatusCode::OK);
     assert!(endpoint.requests()[1].contains("x-oatpier-expect-instance: i-new"));
 }
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod departed_callers;
+mod engine_service;
 mod exchange;
 mod failures;
 mod forwarding;
--- a/crates/oatpier-gateway/tests/testsuite/statuses.rs
+++ b/crates/oatpier-gateway/tests/testsuite/statuses.rs
@@ -80,7 +80,7 @@
 #[test]
 fn status_updates_list_gateways_in_rotation() {
     let outlet = RecordingOutlet::default();
-    let mut sender = StatusSender::new(address(200), None);
+    let mut sender = StatusSender::new(address(200));
     sender.set_answering(true);
     let residency = residency();
     for second in 1..=5 {
@@ -107,7 +107,7 @@
 #[test]
 fn status_update_goes_to_two_gateways_of_each_zone() {
     let outlet = RecordingOutlet::default();
-    let mut sender = StatusSender::new(address(200), None);
+    let mut sender = StatusSender::new(address(200));
     sender.set_answering(true);
     for number in 0..60 {
         let zone = ["a", "b", "c"][usize::from(number % 3)];
@@ -132,7 +132,7 @@
 #[test]
 fn gateway_without_status_updates_is_sent_them_directly() {
     let outlet = RecordingOutlet::default();
-    let mut sender = StatusSender::new(address(200), None);
+    let mut sender = StatusSender::new(address(200));
     sender.set_answering(true);
     for number in 0..9 {
         sender.apply_subscription(address(number), &subscription("near", true), at(1_000));
@@ -156,7 +156,7 @@
 fn gateways_that_ask_one_after_the_other_get_one_status_each() {
     for gateways in [50_u8, 100, 200] {
         let outlet = RecordingOutlet::default();
-        let mut sender = StatusSender::new(address(201), None);
+        let mut sender = StatusSender::new(address(201));
         sender.set_answering(true);
         let residency = residency();
         for number in 0..gateways {
@@ -178,7 +178,7 @@
 #[test]
 fn a_new_adapter_is_sent_at_once_to_its_requester_and_a_lost_one_to_all() {
     let outlet = RecordingOutlet::default();
-    let mut sender = StatusSender::new(address(200), None);
+    let mut sender = StatusSender::new(address(200));
     sender.set_answering(true);
     sender.apply_subscription(address(1), &subscription("near", true), at(1_000));
     let mut residency = residency();
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -625,7 +625,6 @@
         callers: None,
         readiness: None,
         engine: None,
-        service: None,
         is_first_start: true,
         heartbeat: Duration::from_millis(1_200),
         store: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
@@ -636,6 +635,7 @@
             retry_ratio: 0.2,
             retry_slack: 56.0,
             retry_window: Duration::from_secs(10),
+            reuse_after: Duration::from_secs(2),
             load_window: Duration::from_secs(5),
             load_margin: 1.1,
             quota: QuotaBounds {
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -213,7 +213,7 @@
             changes.push(DirectoryChange::Restarted(name));
             return;
         }
-        if row.is_other_version(&record) {
+        if row.is_other_version(&record) || row.is_of_other_service(&record) {
             let index = self.indices.allocate();
             row.restart(record, index);
             self.has_new_versions = true;
@@ -372,9 +372,9 @@
 
     /// Records that another endpoint responded at the address, so this one is gone.
     ///
-    /// The sidecar knows a restarted engine long before the registry lists it. If the status update for the
-    /// address names the same service, the new engine replaces the old one immediately. Otherwise the
-    /// address may now belong to another service.
+    /// The sidecar knows a restarted engine long before the registry lists it. If its status update names the
+    /// successor and the same service, the new engine replaces the old one immediately. Otherwise the address
+    /// may now belong to another service; a status update that names another instance says nothing about it.
     pub fn note_replaced(
         &mut self,
         name: &EndpointName,
@@ -385,14 +385,20 @@
             return;
         };
         row.is_gone = true;
-        let is_same_service = row.status(now).is_some_and(|status| {
-            status.answers && status.service.as_ref() == Some(&row.record.service)
-        });
-        let Some(successor) = successor.filter(|_| is_same_service) else {
+        let Some(successor) = successor else {
             return;
         };
+        let status = row
+            .status(now)
+            .filter(|status| status.answers && status.instance.as_ref() == Some(successor));
+        let is_named = status.is_some();
+        let service = status.and_then(|status| status.service.as_ref());
+        let is_same_service = service == Some(&row.record.service);
         if self.rows.contains_key(successor) {
-            self.move_status(name, successor);
+            self.hand_over(name, successor, is_named);
+            return;
+        }
+        if !is_same_service {
             return;
         }
         if let Some(old) = self.rows.remove(name) {
@@ -402,9 +408,11 @@
         }
     }
 
-    /// Moves the status update received under the engine's previous name to its current name.
-    fn move_status(&mut self, name: &EndpointName, successor: &EndpointName) {
-        let status = self.rows.get_mut(name).and_then(|row| row.status.take());
+    /// Makes a listed endpoint the successor of another one at the same address. The status update received under the
+    /// previous name is moved if it is about the successor.
+    fn hand_over(&mut self, name: &EndpointName, successor: &EndpointName, moves_status: bool) {
+        let previous = self.rows.get_mut(name).filter(|_| moves_status);
+        let status = previous.and_then(|row| row.status.take());
         if let Some(row) = self.rows.get_mut(successor) {
             row.is_gone = false;
             row.status = status.or(row.status.take());
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -261,6 +261,11 @@
         known.is_some() && record.version.is_some() && *known != record.version
     }
 
+    /// Returns whether a registry entry states another service. Nothing known about the endpoint applies there.
+    pub(super) fn is_of_other_service(&self, record: &EndpointRecord) -> bool {
+        self.record.service != record.service
+    }
+
     /// Records that a request for a model has ended.
     pub(super) fn release_model(&mut self, model: &ModelName) {
         let Some(requests) = self.models.get_mut(model) else {
--- a/crates/oatpier-serving/src/message/mod.rs
+++ b/crates/oatpier-serving/src/message/mod.rs
@@ -103,6 +103,9 @@
     OriginAnswer(Box<OriginAnswer>),
     /// Sent by a gateway to the planner: a stream waits for a model at the version that began it.
     PinnedWanted(PinnedModel),
+    /// Sent by a gateway to a sidecar that doesn't state its engine's service: the service of the engine that the
+    /// gateway knows at the address.
+    EngineListed(EngineListing),
 }
 
 impl InnerMessage {
@@ -144,6 +147,7 @@
             Self::OriginAsk(_) => "origin-ask",
             Self::OriginAnswer(_) => "origin-answer",
             Self::PinnedWanted(_) => "pinned-wanted",
+            Self::EngineListed(_) => "engine-listed",
         }
     }
 }
@@ -213,7 +217,7 @@
     pub number: MessageNumber,
     /// Address of the engine.
     pub engine: SocketAddr,
-    /// Service of the engine.
+    /// Service of the engine, if it is certain.
     pub service: Option<PoolName>,
     /// Present instance of the engine, once its sidecar has queried it.
     pub instance: Option<EndpointName>,
@@ -303,6 +307,16 @@
     pub health_path: Arc<str>,
 }
 
+/// The service of an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EngineListing {
+    /// Instance of the engine.
+    pub engine: EndpointName,
+    /// Service that this instance belongs to.
+    pub service: PoolName,
+}
+
 /// Use of an adapter at one engine by a gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/oatpier-serving/src/node.rs
+++ b/crates/oatpier-serving/src/node.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use oatpier_types::names::{DaemonName, PoolName, ZoneName};
+use oatpier_types::names::{DaemonName, ZoneName};
 
 use crate::quota::bounds::QuotaBounds;
 
@@ -32,8 +32,6 @@
     pub engine: Option<SocketAddr>,
     /// The address of the platform's key-value store.
     pub store: SocketAddr,
-    /// The service of that engine.
-    pub service: Option<PoolName>,
     /// Whether the whole fleet is starting for the first time.
     pub is_first_start: bool,
     /// The interval at which endpoints renew their registry entries. An entry expires after three of them.
@@ -57,6 +55,8 @@
     pub config: Duration,
     /// Maximum time after an endpoint has started to drain during which it may still be sent new work.
     pub drain: Duration,
+    /// Minimum time after the end of an endpoint until an endpoint of another service may have its address.
+    pub reuse_after: Duration,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// Retries allowed per first attempt, over all gateways.
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -5,6 +5,7 @@
 use oatpier_serving::engine::{EndpointLoad, StartTime};
 use oatpier_serving::message::EngineStatus;
 use oatpier_serving::prefill::SentPrompt;
+use oatpier_types::names::{EndpointName, PoolName};
 
 use crate::support::{at, directory, endpoint, millis, model, record, request, status, version};
 
@@ -49,12 +50,13 @@
 
 /// Guards against refusals after a restart of engines. The registry lists the old name for one more
 /// heartbeat, and the new engine rejects every request addressed to the old name. If the sidecar at the
-/// address reports the same service, the new engine replaces the old one immediately, and the old entry
+/// address reports the new one for the same service, it replaces the old one immediately, and the old entry
 /// does not bring the old name back.
 #[test]
 fn restarted_engine_replaces_its_predecessor() {
     let mut directory = directory(&[(&["m1"], 0)], at(0));
-    directory.note_replaced(&endpoint("e1"), Some(&endpoint("e1b")), at(100));
+    directory.note_replaced(&endpoint("e1"), Some(&endpoint("e1b")), at(50));
+    directory.apply_status(status_naming("e1b", 2), at(100));
     assert!(directory.row(&endpoint("e1")).is_none());
     assert!(directory.row(&endpoint("e1b")).unwrap().is_open(at(100)));
     directory.apply_registry(vec![record(1, &["m1"])], at(200));
@@ -73,6 +75,48 @@
     assert!(!directory.row(&endpoint("e1")).unwrap().is_open(at(100)));
 }
 
+/// Guards against requests that run at an engine of another service. It got the address of an engine that crashed, and
+/// the latest status update is still about the predecessor.
+#[test]
+fn a_status_of_the_predecessor_says_nothing_about_the_service_of_its_successor() {
+    for instance in [None, Some(endpoint("e1"))] {
+        let mut directory = EndpointDirectory::default();
+        directory.apply_registry(vec![record(1, &["m1"])], at(0));
+        let mut status = status(1, &["m1"], 0);
+        status.instance = instance;
+        directory.apply_status(status, at(0));
+        directory.note_replaced(&endpoint("e1"), Some(&endpoint("other")), at(100));
+        assert!(directory.row(&endpoint("other")).is_none());
+        assert!(!directory.row(&endpoint("e1")).unwrap().is_open(at(100)));
+    }
+}
+
+/// Guards against an engine that stays with a service to which it does not belong, although the registry says so.
+#[test]
+fn the_registry_moves_an_engine_to_its_service() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![record(1, &["m1"])], at(0));
+    let mut replacing = status(1, &[], 0);
+    replacing.instance = Some(endpoint("other"));
+    directory.apply_status(replacing, at(10));
+    let other_service = PoolName::try_from("other-service").unwrap();
+    let listed = EndpointRecord {
+        name: endpoint("other"),
+        service: other_service.clone(),
+        ..record(1, &[])
+    };
+    let changes = directory.apply_registry(vec![record(1, &["m1"]), listed], at(20));
+    assert_eq!(changes, [DirectoryChange::Restarted(endpoint("other"))]);
+    let engines = |service: &PoolName| -> Vec<EndpointName> {
+        let rows = directory.service(service);
+        rows.filter(|row| row.is_open(at(30)))
+            .map(|row| row.record.name.clone())
+            .collect()
+    };
+    assert_eq!(engines(&record(1, &[]).service), []);
+    assert_eq!(engines(&other_service), [endpoint("other")]);
+}
+
 #[test]
 fn own_requests_count_until_the_endpoint_reports_its_load() {
     let mut directory = directory(&[(&["m1"], 2)], at(0));
@@ -143,6 +187,14 @@
     );
 }
 
+/// Returns a status update that names the engine's present instance.
+fn status_naming(instance: &str, number: u64) -> EngineStatus {
+    let mut status = status(1, &["m1"], 0);
+    status.number.number = number;
+    status.instance = Some(endpoint(instance));
+    status
+}
+
 /// Returns a status update with the start time of the engine and the message number of its sidecar.
 fn status_of_start(start: u64, number: u64, models: &[&str]) -> EngineStatus {
     let mut status = status(1, models, 0);
@@ -270,16 +322,20 @@
     assert!(directory.row(&name).unwrap().prefill.is_idle());
 }
 
-/// A response shows that another instance has the address before the sidecar names it, and the instance
-/// replaces its predecessor. The sidecar's next update has the start time of the new instance. It must not
-/// be taken for one more restart: the registry does not list the instance yet, so it would be dropped and
+/// A response shows that another instance has the address, and the instance replaces its predecessor once the
+/// sidecar names it. That update and the next one have the start time of the new instance. It must not be
+/// taken for one more restart: the registry does not list the instance yet, so it would be dropped and
 /// requests refused until it does.
 #[test]
 fn successor_is_kept_when_its_sidecar_reports_its_start_time() {
     let mut directory = directory(&[(&["m1"], 0)], at(0));
     directory.apply_status(status_of_start(1_000, 2, &["m1"]), at(10));
     directory.note_replaced(&endpoint("e1"), Some(&endpoint("e9")), at(100));
-    directory.apply_status(status_of_start(2_000, 3, &["m1"]), at(150));
+    for number in [3, 4] {
+        let mut status = status_of_start(2_000, number, &["m1"]);
+        status.instance = Some(endpoint("e9"));
+        directory.apply_status(status, at(150));
+    }
     directory.apply_registry(vec![record(1, &["m1"])], at(200));
     let row = directory.row(&endpoint("e9")).expect("it is still there");
     assert!(row.holds(&model("m1"), at(210)));
