End a stream whose event never ends

What callers saw: an endpoint that sends an event without end, or other bytes without an empty line, kept a resumable stream until the request's deadline, while the gateway kept all of those bytes in memory, without a limit.

Cause: the splitter reports an event over 1 MB, and the relay took that error for "no complete event yet" and read on.

Change: complete events before it are forwarded, then the stream fails as spoilt, its connection is closed, and it is resumed elsewhere. As the endpoint is running, this is no evidence that the request crashes endpoints.

Why it works: the splitter checks the length after each piece, and the relay now stops at its first error, so at most one event's limit and one piece are kept.

Test, red before (the stream ended with its deadline): `a_stream_with_an_event_without_end_is_resumed_elsewhere`. The other tests of `endless_responses` try each reader of an endpoint's bytes in gateway and sidecar against heads, bodies, trailers and streams without end: bytes read, connection closed, outcome. They passed before, too.

Ruled out: that the HTTP library keeps heads, chunk lines or trailers without a limit (read at most 64 KB in the tests).

--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -20,7 +20,7 @@
 use oatpier_types::names::EndpointName;
 use oatpier_wire::client::ResponseBody;
 use oatpier_wire::reply::{BoxError, Reply};
-use oatpier_wire::sse::EventSplitter;
+use oatpier_wire::sse::{EventSplitter, EventTooLong};
 use tokio::time::{timeout, timeout_at};
 
 use super::attempt::{self, AttemptFailure, AttemptGuard, OpenResponse};
@@ -122,7 +122,7 @@
         StreamStep::Chunk(chunk) => relay.first_chunk = Some(chunk),
         StreamStep::End => relay.finish(),
         StreamStep::Failed(failure) => {
-            relay.finish_broken();
+            relay.finish_failed(failure);
             return Err(failure);
         }
         StreamStep::Stalled | StreamStep::Expired => return Err(AttemptFailure::Silent),
@@ -193,7 +193,7 @@
                 }
             };
             let endpoint = self.endpoint.clone();
-            self.finish_broken();
+            self.finish_failed(failure);
             let begun_at = self.run.version.clone();
             let is_resumed = self.resume(failure, &endpoint).await.is_some();
             let end = StreamEnd {
@@ -241,13 +241,13 @@
             };
             match frame {
                 Some(Ok(frame)) => {
-                    let chunk = frame
-                        .into_data()
-                        .ok()
-                        .and_then(|data| self.process_chunk(data));
+                    let data = frame.into_data().unwrap_or_default();
+                    let processed = self.process_chunk(data);
                     self.record_progress();
-                    if let Some(chunk) = chunk {
-                        return StreamStep::Chunk(chunk);
+                    match processed {
+                        Ok(Some(chunk)) => return StreamStep::Chunk(chunk),
+                        Ok(None) => {}
+                        Err(EventTooLong) => return StreamStep::Failed(AttemptFailure::Spoilt),
                     }
                 }
                 None if self.is_at_event_end => return StreamStep::End,
@@ -268,23 +268,34 @@
     }
 
     /// Takes in a chunk and returns the part that is forwarded to the caller now.
-    fn process_chunk(&mut self, data: Bytes) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if nothing is left to forward before an event that is too long.
+    fn process_chunk(&mut self, data: Bytes) -> Result<Option<Bytes>, EventTooLong> {
         let Some(splitter) = &mut self.splitter else {
             self.track_event_end(&data);
-            return (!data.is_empty()).then_some(data);
+            return Ok((!data.is_empty()).then_some(data));
         };
         splitter.push(&data);
         let mut whole = BytesMut::new();
-        // An event over the size limit ends the stream: the remaining bytes then never end at the end of an event.
-        while let Ok(Some(event)) = splitter.next_event() {
+        let ended = loop {
+            let event = match splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break Ok(()),
+                Err(error) => break Err(error),
+            };
             if let Some(id) = headers::event_id(&event.bytes) {
                 self.last_event = Some(id.to_owned());
             }
             whole.extend_from_slice(&event.bytes);
             self.events += 1;
-        }
+        };
         self.is_at_event_end = splitter.rest().is_empty();
-        (!whole.is_empty()).then(|| whole.freeze())
+        if whole.is_empty() {
+            return ended.map(|()| None);
+        }
+        Ok(Some(whole.freeze()))
     }
 
     /// Tracks whether the stream is at the end of an event. The end marker may be split over two chunks.
@@ -328,9 +339,13 @@
         }
     }
 
-    fn finish_broken(&mut self) {
+    fn finish_failed(&mut self, failure: AttemptFailure) {
+        let outcome = match failure {
+            AttemptFailure::Spoilt => RequestOutcome::Untrusted,
+            _ => RequestOutcome::Broken,
+        };
         if let Some(guard) = self.guard.take() {
-            guard.finish(RequestOutcome::Broken);
+            guard.finish(outcome);
         }
     }
 
@@ -347,8 +362,8 @@
     async fn move_to(&mut self, mut placed: PlacedSend) -> Result<(), AttemptFailure> {
         let endpoint = self.endpoint.clone();
         let version = self.run.version.clone();
-        self.finish_broken();
         let failure = AttemptFailure::Silent;
+        self.finish_failed(failure);
         if self.run.handle_failure(&endpoint, failure).is_some() {
             return Err(failure);
         }
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 
 mod crashes;
 mod departed_callers;
+mod endless;
+mod endless_responses;
 mod engine_service;
 mod exchange;
 mod failures;
