Count a response's memory while it is read

What callers saw: nothing yet; by reading, a gateway before endpoints that send bodies without end reads up to 8 MB of each at once and counts none of it until a body is complete, so it goes on accepting requests until the platform kills it for its memory, with all its streams. One `Bytes` was kept for each chunk, several times the body's length where chunks have a few bytes.

Cause: `Limited::collect` knows the limit of one response, and the budget of all was charged after it.

Change: bytes are counted as they are read, into one buffer. New requests are refused at a quarter of the process's memory, as before; above half of it, a response beyond 64 KB that is still being read is given up as spoilt, and its connection closed.

Why it works: what is read counts before more is read, so responses in progress hold at most half of the memory and 64 KB each.

Ruled out: giving up at the quarter, where new requests are refused: `requests_are_refused_while_unread_responses_take_too_much_memory` has two sound responses that together exceed it, and both are to be delivered (tried, red). Waiting for memory instead of giving up: several endless bodies would wait for each other until their deadlines.

Test, red before (504 at its deadline): `a_large_body_is_given_up_while_memory_is_short`. `client_endless` tries the HTTP client that all readers use; it passed before, too.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use oatpier_platform::headers::{self, ForwardOptions, ResponseHead, ResponseKind};
 use oatpier_serving::crashes::prompt_parts::PartAttempt;
 use oatpier_serving::crashes::prompt_parts::trials::PartTrial;
@@ -18,6 +18,7 @@
 use oatpier_types::verdict::RunVerdict;
 use oatpier_wire::client::{ResponseBody, SendError, SendStage};
 
+use super::buffers::BufferLease;
 use super::core::GatewayCore;
 use super::permits::HeldPermit;
 use super::placement::{PlacedSend, RequestContext};
@@ -26,6 +27,9 @@
 /// be complete; the services respond with a few kilobytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
 
+/// The size up to which a response is read whatever the memory that others take, in bytes.
+const MIN_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
+
 /// The request as the caller sent it.
 #[derive(Debug, Clone)]
 pub struct CallerMessage {
@@ -67,7 +71,7 @@
     WeightsMissing,
     /// The response or its connection broke off.
     Cut,
-    /// The response is incomplete, belongs to another request, or does not come from the endpoint itself.
+    /// The response is incomplete or too large, belongs to another request, or does not come from the endpoint itself.
     Spoilt,
     /// No data arrived within the timeout.
     Silent,
@@ -109,6 +113,15 @@
         )
     }
 
+    /// Returns how the request ended at the endpoint if the attempt failed after the response's head.
+    #[must_use]
+    pub fn outcome_after_head(self) -> RequestOutcome {
+        match self {
+            Self::Spoilt => RequestOutcome::Untrusted,
+            _ => RequestOutcome::Broken,
+        }
+    }
+
     /// Returns the value used in logs and metrics.
     #[must_use]
     pub fn as_str(self) -> &'static str {
@@ -395,12 +408,23 @@
     AttemptFailure::WeightsMissing
 }
 
+/// A response that was read to its end.
+pub struct WholeResponse {
+    /// The response for the caller.
+    pub response: Response<Bytes>,
+    /// The memory that its body takes.
+    pub lease: BufferLease,
+}
+
 /// Reads a response body to its end.
 ///
 /// # Errors
 ///
-/// Returns an error if the response was cut off; the request has run then.
-pub async fn read_response(response: OpenResponse) -> Result<Response<Bytes>, AttemptFailure> {
+/// Returns an error if the response was cut off or is too large; the request may have run then.
+pub async fn read_response(
+    core: &GatewayCore,
+    response: OpenResponse,
+) -> Result<WholeResponse, AttemptFailure> {
     let OpenResponse {
         status,
         headers,
@@ -409,20 +433,40 @@
         mut guard,
     } = response;
     guard.record_first_chunk();
-    let Ok(collected) = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES)
-        .collect()
-        .await
-    else {
-        guard.finish(RequestOutcome::Broken);
-        return Err(AttemptFailure::Cut);
+    let (body, lease) = match read_body(core, body).await {
+        Ok(read) => read,
+        Err(failure) => {
+            guard.finish(failure.outcome_after_head());
+            return Err(failure);
+        }
     };
     if status.is_server_error() {
         guard.finish(RequestOutcome::ServerError);
     } else {
         guard.finish_whole();
     }
-    let mut response = Response::new(collected.to_bytes());
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    Ok(response)
+    Ok(WholeResponse { response, lease })
+}
+
+/// Reads a body into memory, which is counted as it is read.
+async fn read_body(
+    core: &GatewayCore,
+    mut body: ResponseBody,
+) -> Result<(Bytes, BufferLease), AttemptFailure> {
+    let mut bytes = BytesMut::new();
+    let mut lease = core.buffers.hold(0);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| AttemptFailure::Cut)?;
+        let data = frame.into_data().unwrap_or_default();
+        lease.grow(data.len());
+        bytes.extend_from_slice(&data);
+        let is_large = bytes.len() > MIN_BUFFERED_RESPONSE_BYTES;
+        if bytes.len() > MAX_BUFFERED_RESPONSE_BYTES || (is_large && core.is_memory_critical()) {
+            return Err(AttemptFailure::Spoilt);
+        }
+    }
+    Ok((bytes.freeze(), lease))
 }
--- a/crates/oatpier-gateway/src/gateway/buffers.rs
+++ b/crates/oatpier-gateway/src/gateway/buffers.rs
@@ -2,7 +2,8 @@
 //!
 //! Each is limited in size, but a caller that reads slowly holds its response for long, and a process that exceeds its
 //! memory is killed with all its streams. Therefore, a gateway refuses new requests while what it holds exceeds a share
-//! of its memory. Their callers are served by other gateways.
+//! of its memory. Their callers are served by other gateways. Above twice that share, it gives up large responses that
+//! are still being read.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -10,6 +11,9 @@
 /// The memory for bodies is the process's memory divided by this.
 const MEMORY_DIVISOR: usize = 4;
 
+/// Responses are given up if the memory for bodies exceeds the process's memory divided by this.
+const CRITICAL_DIVISOR: usize = 2;
+
 /// The bytes that are held, over all requests.
 #[derive(Debug, Default)]
 pub struct BufferBudget {
@@ -23,6 +27,12 @@
         self.held.load(Ordering::Relaxed) > memory_bytes / MEMORY_DIVISOR
     }
 
+    /// Returns whether responses that are still being read must be given up.
+    #[must_use]
+    pub fn is_critical(&self, memory_bytes: usize) -> bool {
+        self.held.load(Ordering::Relaxed) > memory_bytes / CRITICAL_DIVISOR
+    }
+
     /// Counts bytes until the lease is dropped.
     #[must_use]
     pub fn hold(self: &Arc<Self>, bytes: usize) -> BufferLease {
@@ -41,6 +51,14 @@
     bytes: usize,
 }
 
+impl BufferLease {
+    /// Counts more bytes.
+    pub fn grow(&mut self, bytes: usize) {
+        self.budget.held.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+    }
+}
+
 impl Drop for BufferLease {
     fn drop(&mut self) {
         self.budget.held.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -283,6 +283,13 @@
         self.buffers.is_exceeded(memory_bytes)
     }
 
+    /// Returns whether bodies take so much memory that large responses must be given up.
+    #[must_use]
+    pub fn is_memory_critical(&self) -> bool {
+        let memory_bytes = self.settings.borrow().memory_bytes;
+        self.buffers.is_critical(memory_bytes)
+    }
+
     /// Refuses new requests from now on.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -340,12 +340,8 @@
     }
 
     fn finish_failed(&mut self, failure: AttemptFailure) {
-        let outcome = match failure {
-            AttemptFailure::Spoilt => RequestOutcome::Untrusted,
-            _ => RequestOutcome::Broken,
-        };
         if let Some(guard) = self.guard.take() {
-            guard.finish(outcome);
+            guard.finish(failure.outcome_after_head());
         }
     }
 
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Response;
 use http_body_util::BodyExt;
 use oatpier_serving::choice::{EndpointChoice, StreamPrediction, ThrottledService, VersionPin};
 use oatpier_serving::crashes::suspects::SuspectVerdict;
@@ -17,7 +15,7 @@
 use smallvec::SmallVec;
 use tokio::time::{sleep_until, timeout_at};
 
-use super::attempt::{self, AttemptFailure, CallerMessage};
+use super::attempt::{self, AttemptFailure, CallerMessage, WholeResponse};
 use super::core::GatewayCore;
 use super::local_responses::LocalResponse;
 use super::part_check::{self, PartCheck, PartStep};
@@ -337,8 +335,8 @@
         if self.context.route.kind.is_stream() && response.status.is_success() {
             return relay::relay(self, response).await;
         }
-        let response = attempt::read_response(response).await?;
-        self.check_response(response)
+        let whole = attempt::read_response(&self.core, response).await?;
+        self.check_response(whole)
     }
 
     /// Returns the time after which an attempt without a response head counts as timed out.
@@ -382,7 +380,8 @@
         matches!(alternative, Placement::Send(_)) && self.core.take_retry(&self.context.service)
     }
 
-    fn check_response(&self, response: Response<Bytes>) -> Result<Reply, AttemptFailure> {
+    fn check_response(&self, whole: WholeResponse) -> Result<Reply, AttemptFailure> {
+        let WholeResponse { response, lease } = whole;
         let status = response.status();
         let may_retry = status.is_server_error()
             && self.context.route.kind == RouteKind::Safe
@@ -391,10 +390,7 @@
             return Err(AttemptFailure::ServerError);
         }
         self.log_response(status);
-        Ok(response.map(|body| {
-            let lease = self.core.buffers.hold(body.len());
-            LeasedBody::new(body, lease).boxed_unsync()
-        }))
+        Ok(response.map(|body| LeasedBody::new(body, lease).boxed_unsync()))
     }
 
     /// Returns how many endpoints the request may still be sent to, including the current one.
--- a/crates/oatpier-gateway/tests/testsuite/endless_responses.rs
+++ b/crates/oatpier-gateway/tests/testsuite/endless_responses.rs
@@ -119,6 +119,20 @@
     }
 }
 
+/// Guards against the memory of many responses that are read at once: each takes less than its own limit, and all together
+/// take more than the process has.
+#[tokio::test]
+async fn a_large_body_is_given_up_while_memory_is_short() {
+    let (beginning, _) = &endless_bodies()[1];
+    let step = EndpointStep::Answer(format!("{beginning}{}", "a".repeat(3 << 20)));
+    let endpoint = ScriptedEndpoint::start(vec![step]).await;
+    let gateway = gateway_before(RouteKind::Unsafe, 2, &[endpoint.address]);
+    let answer = gateway
+        .send(request(&[("x-oatpier-deadline-ms", "5000")]))
+        .await;
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
+}
+
 /// Guards against an event that is kept for as long as it goes on, so that its stream isn't resumed elsewhere either.
 #[tokio::test]
 async fn a_stream_with_an_event_without_end_is_resumed_elsewhere() {
