Take bytes that are no response for what they are, not for a crash

Cause: every error after a request was written ended the attempt as broken, which may mean that the endpoint crashed. While the endpoint isn't seen to serve, its request and all like it are suspects.

Change: the client's error says whether the peer sent something that is no response, or no rest of its body. The attempt is spoilt then, ends as `Untrusted`, counts against the endpoint as before, and is no evidence on its request.

Why it works: such an error needs bytes that were received, and an endpoint that has just sent them is running. A connection that ends or is reset is still taken for a possible crash, so the promise on requests that really end endpoints stays as it is.

Test, red before (503 `held`): `failures::requests_alike_are_not_held_after_bytes_that_are_no_response`.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -16,7 +16,7 @@
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
 use oatpier_types::verdict::RunVerdict;
-use oatpier_wire::client::{ResponseBody, SendError, SendStage};
+use oatpier_wire::client::{self, ResponseBody, SendError, SendStage};
 
 use super::buffers::BufferLease;
 use super::core::GatewayCore;
@@ -113,6 +113,16 @@
         )
     }
 
+    /// Returns the failure of an attempt whose response's body could not be read.
+    #[must_use]
+    pub fn of_body(error: &hyper::Error) -> Self {
+        if client::is_malformed(error) {
+            Self::Spoilt
+        } else {
+            Self::Cut
+        }
+    }
+
     /// Returns how the request ended at the endpoint if the attempt failed after the response's head.
     #[must_use]
     pub fn outcome_after_head(self) -> RequestOutcome {
@@ -327,6 +337,9 @@
             RequestOutcome::ConnectionRefused,
         ),
         SendStage::Queue => (AttemptFailure::Unsent, RequestOutcome::Abandoned),
+        SendStage::Response if error.is_malformed => {
+            (AttemptFailure::Spoilt, RequestOutcome::Untrusted)
+        }
         SendStage::Response => (AttemptFailure::Cut, RequestOutcome::Broken),
     };
     guard.finish(outcome);
@@ -459,7 +472,7 @@
     let mut bytes = BytesMut::new();
     let mut lease = core.buffers.hold(0);
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| AttemptFailure::Cut)?;
+        let frame = frame.map_err(|error| AttemptFailure::of_body(&error))?;
         let data = frame.into_data().unwrap_or_default();
         lease.grow(data.len());
         bytes.extend_from_slice(&data);
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -250,10 +250,11 @@
                         Err(EventTooLong) => return StreamStep::Failed(AttemptFailure::Spoilt),
                     }
                 }
+                Some(Err(error)) => return StreamStep::Failed(AttemptFailure::of_body(&error)),
                 None if self.is_at_event_end => return StreamStep::End,
                 // If an endpoint dies while it sends a stream without a length, the stream ends like a complete
                 // one, but in the middle of an event.
-                Some(Err(_)) | None => return StreamStep::Failed(AttemptFailure::Cut),
+                None => return StreamStep::Failed(AttemptFailure::Cut),
             }
         }
     }
--- a/crates/oatpier-gateway/tests/testsuite/failures.rs
+++ b/crates/oatpier-gateway/tests/testsuite/failures.rs
@@ -12,6 +12,8 @@
     other_instance_response, record, request, status,
 };
 
+const CHUNKED: &str = "transfer-encoding: chunked";
+
 async fn endpoint(step: EndpointStep) -> ScriptedEndpoint {
     ScriptedEndpoint::start(vec![step]).await
 }
@@ -113,15 +115,35 @@
 /// so its response says nothing about whether requests like this one crash endpoints.
 #[tokio::test]
 async fn requests_alike_are_not_held_after_a_response_to_another_request() {
-    let other_response =
-        endpoint_response("200 OK", "another's").replace(crate::support::REQUEST_ID, "another");
+    check_requests_alike_after(
+        endpoint_response("200 OK", "another's").replace(crate::support::REQUEST_ID, "another"),
+    )
+    .await;
+}
+
+/// As above, with bytes that are no response, or a head or a chunk without end. An endpoint that sends them is running.
+#[tokio::test]
+async fn requests_alike_are_not_held_after_bytes_that_are_no_response() {
+    let chunked = endpoint_response("200 OK", "").replace("content-length: 0", CHUNKED);
+    for bytes in [
+        "these bytes are no response\r\n\r\n".to_owned(),
+        format!("HTTP/1.1 200 OK\r\nx-filler: {}", "a".repeat(64 << 10)),
+        format!("{chunked}no length\r\n"),
+        format!("{chunked}4;{}", "a".repeat(64 << 10)),
+    ] {
+        check_requests_alike_after(bytes).await;
+    }
+}
+
+/// Sends a request to an endpoint that responds with these bytes, and then three at once.
+async fn check_requests_alike_after(bytes: String) {
     let slow = EndpointStep::AnswerInParts(
         String::new(),
         Duration::from_millis(30),
         endpoint_response("200 OK", "world"),
     );
     let mut steps = vec![slow; 4];
-    steps[0] = EndpointStep::Answer(other_response);
+    steps[0] = EndpointStep::Answer(bytes);
     let endpoint = ScriptedEndpoint::start(steps).await;
     let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
     assert_eq!(
--- a/crates/oatpier-wire/src/client.rs
+++ b/crates/oatpier-wire/src/client.rs
@@ -98,6 +98,8 @@
     pub stage: SendStage,
     /// Whether the call timed out.
     pub timed_out: bool,
+    /// Whether the peer sent bytes that are no response, so it is running.
+    pub is_malformed: bool,
     /// The cause of the failure.
     pub cause: String,
 }
@@ -113,10 +115,18 @@
             verdict,
             stage,
             timed_out: false,
+            is_malformed: false,
             cause: cause.to_string(),
         }
     }
 
+    fn response(address: SocketAddr, error: &hyper::Error) -> Self {
+        Self {
+            is_malformed: is_malformed(error),
+            ..Self::new(address, SendStage::Response, error)
+        }
+    }
+
     fn timeout(address: SocketAddr, stage: SendStage) -> Self {
         Self {
             timed_out: true,
@@ -240,11 +250,7 @@
                     return Err(SendError::new(address, SendStage::Queue, failure.error()));
                 }
                 None => {
-                    return Err(SendError::new(
-                        address,
-                        SendStage::Response,
-                        failure.error(),
-                    ));
+                    return Err(SendError::response(address, failure.error()));
                 }
             };
         }
@@ -311,6 +317,21 @@
     }
 }
 
+/// Returns whether an error means that a peer sent something other than a response or the rest of its body. The peer is
+/// running then, while a connection that broke may have broken with the peer.
+#[must_use]
+pub fn is_malformed(error: &hyper::Error) -> bool {
+    let cause = std::error::Error::source(error);
+    let cause = cause.and_then(|cause| cause.downcast_ref::<std::io::Error>());
+    let is_invalid = cause.is_some_and(|cause| {
+        matches!(
+            cause.kind(),
+            std::io::ErrorKind::InvalidData | std::io::ErrorKind::InvalidInput
+        )
+    });
+    is_invalid || error.is_parse()
+}
+
 fn with_host(address: SocketAddr, mut request: Request<Bytes>) -> Request<Bytes> {
     if !request.headers().contains_key(HOST)
         && let Ok(host) = HeaderValue::from_str(&address.to_string())
--- a/crates/oatpier-wire/src/peer.rs
+++ b/crates/oatpier-wire/src/peer.rs
@@ -247,6 +247,7 @@
         verdict,
         stage,
         timed_out: false,
+        is_malformed: false,
         cause,
     }
 }
