Soak: callers crowd at one gateway in some runs

Change: in every other seed nine in ten requests go to one gateway, then to the next, and for two seconds to each gateway that was killed or stopped a second before. The draws have generators of their own, so the other faults and requests of a seed stay. Ruled out: a crowd in every seed, since even load meets other faults. The plan's test fails if crowds are in all seeds or none, or miss a restarted gateway.

--- a/crates/oatpier-soak/src/inject.rs
+++ b/crates/oatpier-soak/src/inject.rs
@@ -124,6 +124,12 @@
             sleep(step.lasts).await;
             endpoint.change_notices(|notices| notices.limit_per_mille = None);
         }
+        SoakFault::Crowd(number) => {
+            fleet.crowd.send_replace(Some(*number));
+            sleep(step.lasts).await;
+            let is_present = |crowd: &mut Option<usize>| crowd.take_if(|at| at == number).is_some();
+            fleet.crowd.send_if_modified(is_present);
+        }
         SoakFault::CrashingRequest(kind) => send_crashing_requests(fleet, *kind, step.lasts).await,
     }
 }
--- a/crates/oatpier-soak/src/plan.rs
+++ b/crates/oatpier-soak/src/plan.rs
@@ -57,6 +57,8 @@
     Rest(usize, Duration),
     /// An endpoint reports a rate limit, in requests per 1,000 seconds.
     Limit(usize, u32),
+    /// Callers send nine in ten requests to this gateway.
+    Crowd(usize),
     /// A caller keeps sending, to each gateway in turn, a request that crashes the endpoints that run it.
     CrashingRequest(CallKind),
 }
@@ -99,6 +101,13 @@
 /// The longest duration of a drawn fault.
 const MAX_DURATION_MS: u64 = 3_000;
 
+/// The number of gateways in a row at which callers crowd.
+const CROWDS: u32 = 4;
+
+/// The time from the fault that restarts a gateway to the crowd there, and how long the crowd lasts.
+const RESTARTED_CROWD_DELAY: Duration = Duration::from_secs(1);
+const RESTARTED_CROWD_TIME: Duration = Duration::from_secs(2);
+
 /// Returns the faults of a soak that sends requests for `length`, in order of their start.
 #[must_use]
 pub fn plan(seed: u64, size: SoakSize, length: Duration) -> Vec<FaultStep> {
@@ -112,6 +121,7 @@
             steps.push(store_restore_step(seed, length));
             steps.extend(notice_steps(seed, size, length));
             steps.extend(turned_away_steps(seed, size, length));
+            steps.extend(crowd_steps(seed, size, length, &steps));
             steps.sort_by_key(|step| step.at);
             return steps;
         }
@@ -213,6 +223,32 @@
     steps
 }
 
+/// Returns the steps in which callers crowd at one gateway, in every other soak, drawn with a generator of their own: at one
+/// after the other, and for a while at each that has just been restarted.
+fn crowd_steps(seed: u64, size: SoakSize, length: Duration, steps: &[FaultStep]) -> Vec<FaultStep> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(5));
+    if rng.random_bool(0.5) {
+        return Vec::new();
+    }
+    let first = rng.random_range(0..size.gateways);
+    let lasts = length / CROWDS;
+    let crowds = (0..CROWDS).map(|number| FaultStep {
+        at: lasts * number,
+        lasts,
+        fault: SoakFault::Crowd((first + number as usize) % size.gateways),
+    });
+    let restarted = steps.iter().filter_map(|step| match step.fault {
+        SoakFault::KillGateway(gateway) | SoakFault::StopGateway(gateway) => Some(FaultStep {
+            at: step.at + RESTARTED_CROWD_DELAY,
+            lasts: RESTARTED_CROWD_TIME,
+            fault: SoakFault::Crowd(gateway),
+        }),
+        _ => None,
+    });
+    let all = crowds.chain(restarted);
+    all.filter(|step| step.at < length).collect()
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng, size: SoakSize) -> SoakFault {
     let gateway = rng.random_range(0..size.gateways);
     let engine = rng.random_range(0..size.engines);
--- a/crates/oatpier-soak/src/run.rs
+++ b/crates/oatpier-soak/src/run.rs
@@ -95,6 +95,7 @@
             seed,
             fleet.gateway_addresses.clone(),
             fleet.models.clone(),
+            fleet.crowd.subscribe(),
             fleet.history.clone(),
         );
         tokio::spawn(caller.run(stopped.clone()))
@@ -146,6 +147,8 @@
     pub(crate) gateways: Vec<SoakProcess>,
     pub(crate) sidecars: Vec<SoakProcess>,
     pub(crate) gateway_addresses: Vec<SocketAddr>,
+    /// The gateway at which callers crowd, if any.
+    pub(crate) crowd: watch::Sender<Option<usize>>,
     pub(crate) version: AtomicU64,
     probes: AtomicU64,
 }
@@ -211,6 +214,7 @@
             gateways: Vec::new(),
             sidecars: Vec::new(),
             gateway_addresses: Vec::new(),
+            crowd: watch::Sender::new(None),
             version: AtomicU64::new(2),
             probes: AtomicU64::new(0),
         };
--- a/crates/oatpier-soak/src/standin/caller.rs
+++ b/crates/oatpier-soak/src/standin/caller.rs
@@ -9,6 +9,7 @@
 use oatpier_wire::client::{ClientLimits, HttpClient, ResponseBody};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use super::responses::EVENTS;
@@ -25,6 +26,9 @@
 /// The number of times that a caller returns for the rest of a stream.
 const MAX_RETURNS: u32 = 3;
 
+/// The share of requests that go to the gateway at which callers crowd.
+const CROWD_SHARE: f64 = 0.9;
+
 /// The longest pause between two requests of a caller, in milliseconds.
 const MAX_PAUSE_MS: u64 = 40;
 
@@ -42,6 +46,20 @@
     }
 }
 
+/// Draws whether a request goes to the gateway at which callers crowd, with a random generator of its own.
+#[derive(Debug)]
+struct CrowdDraw {
+    rng: ChaCha8Rng,
+    gateway: watch::Receiver<Option<usize>>,
+}
+
+impl CrowdDraw {
+    fn draw_gateway(&mut self) -> Option<usize> {
+        let gateway = *self.gateway.borrow();
+        gateway.filter(|_| self.rng.random_bool(CROWD_SHARE))
+    }
+}
+
 /// A caller that sends drawn requests to drawn gateways.
 #[derive(Debug)]
 pub struct SoakCaller {
@@ -53,6 +71,7 @@
     returns: ChaCha8Rng,
     gateways: Vec<SocketAddr>,
     models: Vec<String>,
+    crowd: CrowdDraw,
     history: EventHistory,
 }
 
@@ -64,6 +83,7 @@
         seed: u64,
         gateways: Vec<SocketAddr>,
         models: Vec<String>,
+        crowd: watch::Receiver<Option<usize>>,
         history: EventHistory,
     ) -> Self {
         Self {
@@ -74,16 +94,21 @@
             returns: ChaCha8Rng::seed_from_u64(seed.rotate_left(13)),
             gateways,
             models,
+            crowd: CrowdDraw {
+                rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(29)),
+                gateway: crowd,
+            },
             history,
         }
     }
 
     /// Sends requests until it is dropped or `stop` is set. A request in progress is completed first.
-    pub async fn run(mut self, stop: tokio::sync::watch::Receiver<bool>) {
+    pub async fn run(mut self, stop: watch::Receiver<bool>) {
         let client = new_client();
         while !*stop.borrow() {
             let call = self.draw_call();
-            let gateway = self.rng.random_range(0..self.gateways.len());
+            let drawn = self.rng.random_range(0..self.gateways.len());
+            let gateway = self.crowd.draw_gateway().unwrap_or(drawn);
             let id = call.id.clone();
             self.history.record(ObservedEvent::Routed { id, gateway });
             let gateway = self.gateways[gateway];
--- a/crates/oatpier-soak/tests/testsuite/plan.rs
+++ b/crates/oatpier-soak/tests/testsuite/plan.rs
@@ -28,6 +28,35 @@
     assert!(steps.windows(2).any(overlap));
 }
 
+/// Guards against a load that comes evenly in every soak, and against crowds that never meet a gateway that has just started.
+#[test]
+fn callers_crowd_at_one_gateway_in_some_soaks_also_after_its_restart() {
+    let length = Duration::from_mins(1);
+    let crowds = |seed| -> Vec<FaultStep> {
+        let steps = plan(seed, SIZE, length).into_iter();
+        steps
+            .filter(|step| matches!(step.fault, SoakFault::Crowd(_)))
+            .collect()
+    };
+    let with_crowds = (0..50).filter(|seed| !crowds(*seed).is_empty()).count();
+    assert!((10..40).contains(&with_crowds), "{with_crowds}");
+    for seed in 0..50 {
+        let crowds = crowds(seed);
+        let restarts = plan(seed, SIZE, length).into_iter().filter_map(|step| {
+            let (SoakFault::KillGateway(gateway) | SoakFault::StopGateway(gateway)) = step.fault
+            else {
+                return None;
+            };
+            let at = step.at + Duration::from_secs(1);
+            (at < length && !crowds.is_empty()).then_some((at, SoakFault::Crowd(gateway)))
+        });
+        for (at, fault) in restarts {
+            let is_met = |step: &FaultStep| step.at == at && step.fault == fault;
+            assert!(crowds.iter().any(is_met), "seed {seed}");
+        }
+    }
+}
+
 /// If the store turned all gateways away, none could tell the others which endpoints leave.
 #[test]
 fn the_store_turns_some_gateways_away_and_never_all_of_them() {
