Ignore a late status of an engine's predecessor

What callers saw: nothing known; by reading. A copy of a status update that names the predecessor of an engine, and arrives after the engine has taken its place (each update comes through two relays), ended the engine at that gateway: it got no more requests from it, for good if the registry no longer listed the predecessor.

Cause: `apply_status` let `store_status` drop the late update, and went on to replace the engine by the instance that it names.

Change: the number is compared first, before anything is taken from the update.

Why it works: the successor keeps its predecessor's last update and its number, so a copy of an earlier one is never newer.

Test, red before: `directory::a_late_status_of_the_predecessor_does_not_end_its_successor`. Ruled out: that `hand_over` sets it right (only while the predecessor is listed).

--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -279,6 +279,10 @@
     /// Applies a sidecar's status update and returns whether it changed what the engine holds.
     pub fn apply_status(&mut self, status: EngineStatus, now: ClockTime) -> bool {
         let known = self.by_address.get(&status.engine);
+        let kept = known.and_then(|name| self.rows.get(name)?.status.as_ref());
+        if kept.is_some_and(|kept| !status.number.supersedes(kept.status.number)) {
+            return false;
+        }
         let replaced = status.instance.clone().zip(known.cloned());
         let changed = self.store_status(status, now);
         if let Some((instance, known)) = replaced
@@ -299,10 +303,6 @@
         else {
             return false;
         };
-        let kept = row.status.as_ref();
-        if kept.is_some_and(|kept| !status.number.supersedes(kept.status.number)) {
-            return false;
-        }
         if row.is_other_incarnation(status.start) {
             let record = EndpointRecord {
                 start: status.start,
--- a/crates/oatpier-serving/tests/testsuite/directory.rs
+++ b/crates/oatpier-serving/tests/testsuite/directory.rs
@@ -117,6 +117,19 @@
     assert_eq!(engines(&other_service), [endpoint("other")]);
 }
 
+/// Guards against an engine that gets no more requests. A status update of its predecessor arrives twice, the second time
+/// after the engine has taken its place.
+#[test]
+fn a_late_status_of_the_predecessor_does_not_end_its_successor() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![record(1, &["m1"])], at(0));
+    directory.apply_status(status_naming("e1", 2), at(0));
+    directory.apply_status(status_naming("e1b", 3), at(100));
+    let changed = directory.apply_status(status_naming("e1", 2), at(200));
+    assert!(!changed);
+    assert!(directory.row(&endpoint("e1b")).unwrap().is_open(at(200)));
+}
+
 #[test]
 fn own_requests_count_until_the_endpoint_reports_its_load() {
     let mut directory = directory(&[(&["m1"], 2)], at(0));
