Soak: endpoints refuse, and their links send each refusal once more, late

Cause: no run of the soak could show the fault TWICE: its endpoints refuse rarely, and nothing sent a response where another one was due. The draws have a generator of their own. The proxy's test asks for the repeated refusal's place.

--- a/crates/oatpier-soak/src/inject.rs
+++ b/crates/oatpier-soak/src/inject.rs
@@ -124,6 +124,16 @@
             sleep(step.lasts).await;
             endpoint.change_notices(|notices| notices.limit_per_mille = None);
         }
+        SoakFault::RepeatRefusals(number) => {
+            let faults = EndpointFaults {
+                refused_share: 0.3,
+                ..EndpointFaults::default()
+            };
+            let link = &fleet.links[*number];
+            let repeating = hold_mode(link, LinkMode::RepeatRefusals, step.lasts);
+            let refusing = hold_faults(&fleet.endpoints[*number], faults, step.lasts);
+            futures::future::join(repeating, refusing).await;
+        }
         SoakFault::Crowd(number) => {
             fleet.crowd.send_replace(Some(*number));
             sleep(step.lasts).await;
--- a/crates/oatpier-soak/src/plan.rs
+++ b/crates/oatpier-soak/src/plan.rs
@@ -57,6 +57,8 @@
     Rest(usize, Duration),
     /// An endpoint reports a rate limit, in requests per 1,000 seconds.
     Limit(usize, u32),
+    /// An endpoint refuses a share of its requests, and its link sends each refusal once more, late.
+    RepeatRefusals(usize),
     /// Callers send nine in ten requests to this gateway.
     Crowd(usize),
     /// A caller keeps sending, to each gateway in turn, a request that crashes the endpoints that run it.
@@ -101,6 +103,9 @@
 /// The longest duration of a drawn fault.
 const MAX_DURATION_MS: u64 = 3_000;
 
+/// The number of endpoints that repeat refusals in a soak.
+const REPEATING_ENDPOINTS: usize = 3;
+
 /// The number of gateways in a row at which callers crowd.
 const CROWDS: u32 = 4;
 
@@ -121,6 +126,7 @@
             steps.push(store_restore_step(seed, length));
             steps.extend(notice_steps(seed, size, length));
             steps.extend(turned_away_steps(seed, size, length));
+            steps.extend(repeat_steps(seed, size, length));
             steps.extend(crowd_steps(seed, size, length, &steps));
             steps.sort_by_key(|step| step.at);
             return steps;
@@ -223,6 +229,17 @@
     steps
 }
 
+/// Returns the steps in which refusals are repeated, drawn with a generator of their own.
+fn repeat_steps(seed: u64, size: SoakSize, length: Duration) -> Vec<FaultStep> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(41));
+    let repeating = (0..REPEATING_ENDPOINTS).map(|_| FaultStep {
+        at: length.mul_f64(rng.random_range(0.05..0.5)),
+        lasts: length.mul_f64(rng.random_range(0.2..0.4)),
+        fault: SoakFault::RepeatRefusals(rng.random_range(0..size.endpoints())),
+    });
+    repeating.collect()
+}
+
 /// Returns the steps in which callers crowd at one gateway, in every other soak, drawn with a generator of their own: at one
 /// after the other, and for a while at each that has just been restarted.
 fn crowd_steps(seed: u64, size: SoakSize, length: Duration, steps: &[FaultStep]) -> Vec<FaultStep> {
--- a/crates/oatpier-soak/src/proxy.rs
+++ b/crates/oatpier-soak/src/proxy.rs
@@ -1,11 +1,11 @@
-//! A TCP proxy that forwards bytes, delays them, holds them back or resets connections.
+//! A TCP proxy that forwards bytes, delays them, holds them back, repeats refusals or resets connections.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// How a link treats its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,8 +20,19 @@
     Silent,
     /// Forwards requests and holds back responses.
     OneWay,
+    /// Forwards everything. A refusal is sent once more where the response to the next request is expected.
+    RepeatRefusals,
 }
 
+/// The beginnings of responses that say that a request did not run.
+const REFUSALS: [&[u8]; 3] = [b"HTTP/1.1 421 ", b"HTTP/1.1 429 ", b"HTTP/1.1 503 "];
+
+/// Size of the pieces that are forwarded, in bytes.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// The end of a response without a body.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// A proxy in front of one address.
 #[derive(Debug)]
 pub struct FaultLink {
@@ -64,8 +75,9 @@
     };
     let (client_read, client_write) = client.into_split();
     let (upstream_read, upstream_write) = upstream.into_split();
-    let requests = copy(client_read, upstream_write, mode.clone(), false);
-    let responses = copy(upstream_read, client_write, mode.clone(), true);
+    let requested = Notify::new();
+    let requests = copy_requests(client_read, upstream_write, mode.clone(), &requested);
+    let responses = copy_responses(upstream_read, client_write, mode.clone(), &requested);
     tokio::select! {
         _ = futures::future::join(requests, responses) => {}
         () = wait_for_reset(mode) => {}
@@ -77,36 +89,75 @@
     let _ = mode.wait_for(|mode| *mode == LinkMode::Reset).await;
 }
 
-async fn copy(
+async fn copy_requests(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
     mut mode: watch::Receiver<LinkMode>,
-    is_response: bool,
+    requested: &Notify,
 ) {
-    let mut chunk = vec![0; 16 << 10];
-    loop {
-        let Ok(read) = from.read(&mut chunk).await else {
-            return;
-        };
-        let is_held = |mode: &LinkMode| match mode {
-            LinkMode::Silent => true,
-            LinkMode::OneWay => is_response,
-            LinkMode::Open | LinkMode::Delayed(_) | LinkMode::Reset => false,
-        };
-        if mode.wait_for(|mode| !is_held(mode)).await.is_err() {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while let Ok(read) = from.read(&mut chunk).await {
+        if pass(&chunk[..read], &mut to, &mut mode, false)
+            .await
+            .is_none()
+        {
             return;
         }
-        let current = *mode.borrow();
-        if let LinkMode::Delayed(delay) = current {
-            tokio::time::sleep(delay).await;
-        }
-        if read == 0 {
-            // A failure means that the other side has already closed.
-            let _ = to.shutdown().await;
-            return;
-        }
-        if to.write_all(&chunk[..read]).await.is_err() {
-            return;
+        requested.notify_one();
+    }
+}
+
+async fn copy_responses(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    mut mode: watch::Receiver<LinkMode>,
+    requested: &Notify,
+) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    let mut refusal: Option<Vec<u8>> = None;
+    loop {
+        tokio::select! {
+            biased;
+            () = requested.notified(), if refusal.is_some() => {
+                let repeated = refusal.take().filter(|_| *mode.borrow() == LinkMode::RepeatRefusals);
+                if let Some(repeated) = repeated && to.write_all(&repeated).await.is_err() {
+                    return;
+                }
+            }
+            read = from.read(&mut chunk) => {
+                let Ok(read) = read else { return };
+                let bytes = &chunk[..read];
+                if pass(bytes, &mut to, &mut mode, true).await.is_none() {
+                    return;
+                }
+                let is_refusal = REFUSALS.iter().any(|start| bytes.starts_with(start));
+                refusal = (is_refusal && bytes.ends_with(HEAD_END)).then(|| bytes.to_vec());
+            }
         }
     }
 }
+
+/// Passes bytes on as the mode says, or the end of the connection if there are none. Returns `None` if that was the end.
+async fn pass(
+    bytes: &[u8],
+    to: &mut (impl AsyncWrite + Unpin),
+    mode: &mut watch::Receiver<LinkMode>,
+    is_response: bool,
+) -> Option<()> {
+    let is_held = |mode: &LinkMode| match mode {
+        LinkMode::Silent => true,
+        LinkMode::OneWay => is_response,
+        LinkMode::Open | LinkMode::Delayed(_) | LinkMode::Reset | LinkMode::RepeatRefusals => false,
+    };
+    mode.wait_for(|mode| !is_held(mode)).await.ok()?;
+    let current = *mode.borrow();
+    if let LinkMode::Delayed(delay) = current {
+        tokio::time::sleep(delay).await;
+    }
+    if bytes.is_empty() {
+        // A failure means that the other side has already closed.
+        let _ = to.shutdown().await;
+        return None;
+    }
+    to.write_all(bytes).await.ok()
+}
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -60,6 +60,8 @@
     pub cut_share: f64,
     /// The share of orders that get no response and are carried out late.
     pub late_order_share: f64,
+    /// The share of requests that it refuses without running them.
+    pub refused_share: f64,
 }
 
 /// The fixed properties of an endpoint.
@@ -362,6 +364,10 @@
         let Some(id) = text(request.headers(), "x-oatpier-request-id") else {
             return not_run_response(StatusCode::BAD_REQUEST);
         };
+        let refused_share = self.lock().faults.refused_share;
+        if rand::rng().random_bool(refused_share) {
+            return not_run_response(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let slot = match self.take_slot(&request) {
             Ok(slot) => slot,
             Err(status) => return not_run_response(status),
--- a/crates/oatpier-soak/tests/testsuite/proxy.rs
+++ b/crates/oatpier-soak/tests/testsuite/proxy.rs
@@ -56,3 +56,23 @@
     link.set(LinkMode::Reset);
     assert!(stream.read_u8().await.is_err());
 }
+
+/// Guards against a fault that does nothing: the refusal is to come where the response to the next request is expected.
+#[tokio::test]
+async fn a_link_repeats_a_refusal_once_before_the_next_response() {
+    const REFUSAL: &[u8] = b"HTTP/1.1 503 Unavailable\r\n\r\n";
+    let (link, mut stream) = start_link().await;
+    link.set(LinkMode::RepeatRefusals);
+    let exchanges: [(&[u8], &[&[u8]]); 3] = [
+        (REFUSAL, &[REFUSAL]),
+        (b"a", &[REFUSAL, b"a"]),
+        (b"b", &[b"b"]),
+    ];
+    for (sent, expected) in exchanges {
+        stream.write_all(sent).await.unwrap();
+        let expected = expected.concat();
+        let mut received = vec![0; expected.len()];
+        stream.read_exact(&mut received).await.unwrap();
+        assert_eq!(received, expected);
+    }
+}
