Log and count what endpoints' responses say about a request that failed

A line `attempt failed` has the status of the response, whether it says that this request did not run, and whether an earlier request had used the connection; the metric oatpier_serving_endpoint_failures counts failures by status and by what they say.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -22,6 +22,7 @@
 use super::core::GatewayCore;
 use super::permits::HeldPermit;
 use super::placement::{PlacedSend, RequestContext};
+use super::received::ReceivedHead;
 
 /// The maximum size of a buffered response, in bytes. Larger ones would have to be relayed before they are known to
 /// be complete; the services respond with a few kilobytes.
@@ -309,7 +310,7 @@
         trial.as_ref(),
     );
     match core.client.send(placed.address, request).await {
-        Ok(response) => check_head(core, context, response, guard),
+        Ok(response) => check_head(core, context, response, guard, &mut placed.received),
         Err(error) => Err(finish_failed_send(&error, guard)),
     }
 }
@@ -352,9 +353,11 @@
     context: &RequestContext,
     response: Response<ResponseBody>,
     guard: AttemptGuard,
+    received: &mut Option<ReceivedHead>,
 ) -> Result<OpenResponse, AttemptFailure> {
     let (parts, body) = response.into_parts();
     let head = headers::decode_response(parts.status.as_u16(), &parts.headers, &context.request.id);
+    *received = Some(core.record_received(&head, parts.status, body.is_reused()));
     if is_from_endpoint(&head, &guard.endpoint) {
         if let Some(load) = head.load {
             core.record_load(&guard.endpoint, load);
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 mod planning;
 mod prompt_parts;
 pub mod quota;
+mod received;
 pub mod relay;
 mod reports;
 mod run;
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -22,6 +22,7 @@
 use super::origins::OriginFinding;
 use super::permits::HeldPermit;
 use super::quota::ChargeCell;
+use super::received::ReceivedHead;
 
 /// The maximum wait for an adapter, as a share of the time that the caller waits for the first chunk. After that a
 /// retry by the caller is more likely to succeed.
@@ -182,4 +183,6 @@
     pub permit: Option<HeldPermit>,
     /// The trial that was granted, if the prompt contains parts that may crash endpoints.
     pub trial: Option<PartTrial>,
+    /// The head of the response, once it has arrived.
+    pub received: Option<ReceivedHead>,
 }
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -257,6 +257,7 @@
             turn: None,
             permit: None,
             trial: None,
+            received: None,
         })
     }
 
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -32,6 +32,7 @@
 impl RequestRun {
     /// Logs a failed attempt.
     pub(super) fn log_failure(&self, placed: &PlacedSend, failure: AttemptFailure) {
+        let received = placed.received;
         let line = DecisionLine::new(LinePriority::Notable, "attempt failed");
         let line = self
             .with_content(line)
@@ -43,6 +44,9 @@
             .with("predicted_ms", millis(placed.choice.predicted))
             .with("queue_ms", millis(placed.choice.queue))
             .with("load_age_ms", placed.load_age.map(millis))
+            .with("response_status", received.map(|head| head.status.as_u16()))
+            .with("response_kind", received.map(|head| head.kind.as_str()))
+            .with("reused_connection", received.map(|head| head.is_reused))
             .with("store_age_ms", self.core.store_age_ms());
         self.core.log.write(line);
     }
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -34,6 +35,16 @@
     pub cause: &'static str,
 }
 
+/// Labels of an endpoint's response that is no success.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub struct FailureLabels {
+    /// The status.
+    pub status: u16,
+    /// What the response says about the request, as in the log.
+    pub kind: &'static str,
+}
+
 /// Label with a route.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -58,6 +69,7 @@
     registry: Arc<Registry>,
     requests: Family<RequestLabels, Counter>,
     attempts: Family<CauseLabels, Counter>,
+    endpoint_failures: Family<FailureLabels, Counter>,
     first_seconds: Family<RouteLabels, Histogram>,
     store_reads: Family<CauseLabels, Counter>,
     store_messages: Family<CauseLabels, Counter>,
@@ -107,6 +119,7 @@
             registry: Arc::default(),
             requests: Family::default(),
             attempts: Family::default(),
+            endpoint_failures: Family::default(),
             first_seconds: Family::new_with_constructor(first_chunk_histogram),
             store_reads: Family::default(),
             store_messages: Family::default(),
@@ -169,6 +182,15 @@
         self.attempts.get_or_create(&CauseLabels { cause }).inc();
     }
 
+    /// Counts an endpoint's response that is no success, by its status and what it says about the request.
+    pub fn count_endpoint_failure(&self, status: StatusCode, kind: &'static str) {
+        let labels = FailureLabels {
+            status: status.as_u16(),
+            kind,
+        };
+        self.endpoint_failures.get_or_create(&labels).inc();
+    }
+
     /// Records the time until the first chunk of an answer.
     pub fn observe_first_chunk(&self, route: &str, took: Duration) {
         let labels = RouteLabels {
@@ -249,6 +271,11 @@
             "Attempts at endpoints by end",
             self.attempts.clone(),
         );
+        registry.register(
+            "endpoint_failures",
+            "Responses of endpoints other than a success, by status and what they say about the request",
+            self.endpoint_failures.clone(),
+        );
         registry.register(
             "first_seconds",
             "Time until the first piece of an answer, by route",
--- a/crates/oatpier-gateway/tests/testsuite/observing.rs
+++ b/crates/oatpier-gateway/tests/testsuite/observing.rs
@@ -13,7 +13,8 @@
 use oatpier_types::names::WorkspaceName;
 
 use crate::support::{
-    EndpointStep, ScriptedEndpoint, TestGateway, endpoint_response, request, told, with_headers,
+    EndpointStep, ScriptedEndpoint, TestGateway, endpoint_response, not_executed_response, request,
+    told, with_headers,
 };
 
 #[tokio::test(start_paused = true)]
@@ -59,6 +60,11 @@
     gateway.core.metrics.count_advice("busy");
     gateway.core.metrics.count_message("pulse", "sent", 400);
     gateway.core.metrics.count_attempt("cut");
+    let status = http::StatusCode::SERVICE_UNAVAILABLE;
+    gateway
+        .core
+        .metrics
+        .count_endpoint_failure(status, "not-run");
     gateway.core.metrics.notices.count_notice("limit-named");
     gateway
         .core
@@ -212,3 +218,25 @@
     );
     assert!(line.contains(r#""route":"draft""#), "{line}");
 }
+
+/// Guards against lines that leave open whether an endpoint said that a request did not run.
+#[tokio::test]
+async fn a_failed_attempt_is_logged_with_what_its_response_said() {
+    let refusal = EndpointStep::Answer(not_executed_response("503 Service Unavailable"));
+    let complete = EndpointStep::Answer(endpoint_response("200 OK", ""));
+    let endpoint = ScriptedEndpoint::start(vec![complete, refusal]).await;
+    let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
+    gateway.send(request(&[])).await;
+    gateway.send(request(&[])).await;
+    let line = gateway.logged("attempt failed").join("");
+    for part in [
+        r#""response_status":503"#,
+        r#""response_kind":"not-run""#,
+        r#""reused_connection":true"#,
+    ] {
+        assert!(line.contains(part), "{part} is not in {line}");
+    }
+    let counted = "endpoint_failures_total{status=\"503\",kind=\"not-run\"} 1";
+    let text = gateway.core.metrics.encode();
+    assert!(text.contains(counted), "{text}");
+}
--- a/crates/oatpier-wire/src/client/body.rs
+++ b/crates/oatpier-wire/src/client/body.rs
@@ -16,6 +16,7 @@
 pub struct ResponseBody {
     inner: Incoming,
     sender: Option<PooledSender>,
+    is_reused: bool,
     pool: Arc<ConnectionPool>,
 }
 
@@ -23,11 +24,18 @@
     pub(super) fn new(inner: Incoming, sender: PooledSender, pool: Arc<ConnectionPool>) -> Self {
         Self {
             inner,
+            is_reused: sender.reused,
             sender: Some(sender),
             pool,
         }
     }
 
+    /// Returns whether an earlier request used the connection.
+    #[must_use]
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Drops the body and closes its connection, also after the body's end. Used if the response belongs to another
     /// request, since the one to this request may still arrive on that connection.
     pub fn close_connection(mut self) {
