--- a/crates/oatpier-gateway/tests/testsuite/promises.rs
+++ b/crates/oatpier-gateway/tests/testsuite/promises.rs
@@ -4,10 +4,17 @@
 use oatpier_serving::site::RouteKind;
 
 use crate::support::{
-    EndpointStep, REQUEST_ID, ScriptedEndpoint, TestGateway, endpoint_response,
+    EndpointStep, REQUEST_ID, STREAM, ScriptedEndpoint, TestGateway, endpoint_response,
     not_executed_response, other_instance_response, request,
 };
 
+/// Statuses that promise callers that a request has not run, of endpoints that do not state so.
+const UNSTATED_FAILURES: [&str; 3] = [
+    "408 Request Timeout",
+    "429 Too Many Requests",
+    "503 Service Unavailable",
+];
+
 /// How an attempt ends at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum AttemptEnding {
@@ -137,3 +144,56 @@
         "{status} after {first:?} and {second:?}"
     );
 }
+
+/// Guards against a promise that the endpoint never gave: it ran the request and failed with a status that tells callers
+/// that nothing ran.
+#[tokio::test]
+async fn a_failure_that_does_not_state_that_the_request_did_not_run_is_no_promise() {
+    for kind in [RouteKind::Unsafe, STREAM] {
+        for status in UNSTATED_FAILURES {
+            let failure = EndpointStep::Answer(endpoint_response(status, "failed"));
+            let endpoint = ScriptedEndpoint::start(vec![failure]).await;
+            let gateway = TestGateway::with_endpoints(kind, 2, &[&endpoint]);
+            let answer = gateway.send(request(&[])).await;
+            assert_eq!(
+                answer.status(),
+                StatusCode::BAD_GATEWAY,
+                "{kind:?}: {status}"
+            );
+            let headers = answer.headers();
+            assert!(
+                !headers.contains_key("x-oatpier-response-stamp"),
+                "{status}"
+            );
+            assert!(!headers.contains_key("retry-after"), "{status}");
+        }
+    }
+}
+
+/// Guards against a request that may run twice being answered with such a failure while another endpoint can serve it.
+#[tokio::test]
+async fn an_idempotent_request_is_retried_after_a_failure_that_states_nothing() {
+    for status in UNSTATED_FAILURES {
+        let step = EndpointStep::Answer(endpoint_response(status, "failed"));
+        let failing = ScriptedEndpoint::start(vec![step.clone(); 2]).await;
+        let complete = EndpointStep::Answer(endpoint_response("200 OK", "world"));
+        let other = ScriptedEndpoint::start(vec![complete.clone(), complete]).await;
+        let gateway = TestGateway::with_endpoints(RouteKind::Safe, 2, &[&failing, &other]);
+        for _ in 0..2 {
+            let answer = gateway.send(request(&[])).await;
+            assert_eq!(answer.status(), StatusCode::OK, "{status}");
+        }
+    }
+}
+
+/// Guards against a safe request whose caller is promised, after its last attempt, that it has not run.
+#[tokio::test]
+async fn an_idempotent_request_that_fails_everywhere_gets_no_promise() {
+    for status in UNSTATED_FAILURES {
+        let step = EndpointStep::Answer(endpoint_response(status, "failed"));
+        let endpoint = ScriptedEndpoint::start(vec![step]).await;
+        let gateway = TestGateway::with_endpoints(RouteKind::Safe, 1, &[&endpoint]);
+        let answer = gateway.send(request(&[])).await;
+        assert_eq!(answer.status(), StatusCode::BAD_GATEWAY, "{status}");
+    }
+}
