--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -282,26 +282,7 @@
             self.first_seconds.clone(),
         );
         self.register_store(&mut registry);
-        registry.register(
-            "suspect_requests",
-            "Requests that were at endpoints that ended, and have not run whole since",
-            self.suspects.clone(),
-        );
-        registry.register(
-            "barred_requests",
-            "Of these, requests that are not sent to endpoints any more",
-            self.barred.clone(),
-        );
-        registry.register(
-            "suspected_prompt_parts",
-            "Prompt parts at the beginning of a response at endpoints that crashed, not answered since",
-            self.suspected_parts.clone(),
-        );
-        registry.register(
-            "barred_prompt_parts",
-            "Of these, parts whose requests are not sent to endpoints any more",
-            self.barred_parts.clone(),
-        );
+        self.register_suspects(&mut registry);
         registry.register(
             "orders",
             "Orders to the engine by answer",
@@ -365,6 +346,29 @@
         registry
     }
 
+    fn register_suspects(&self, registry: &mut Registry) {
+        registry.register(
+            "suspect_requests",
+            "Requests that were at endpoints that ended, and have not run whole since",
+            self.suspects.clone(),
+        );
+        registry.register(
+            "barred_requests",
+            "Of these, requests that are not sent to endpoints any more",
+            self.barred.clone(),
+        );
+        registry.register(
+            "suspected_prompt_parts",
+            "Prompt parts at the beginning of a response at endpoints that crashed, not answered since",
+            self.suspected_parts.clone(),
+        );
+        registry.register(
+            "barred_prompt_parts",
+            "Of these, parts whose requests are not sent to endpoints any more",
+            self.barred_parts.clone(),
+        );
+    }
+
     fn register_store(&self, registry: &mut Registry) {
         registry.register(
             "store_reads",
