Pass on no endpoint's failure as a promise that the request did not run (REFUSED)

What callers saw: 408, 429 or 503, which promise that a request has not run and never will, though an endpoint had run it. A caller that relies on it sends an at-most-once request again. Cause: a response that names the request was passed on with its status, whatever that was. Whether the request ran was decided by the statement for it (not executed, or 421) for the gateway's own retries and refusals, but not for what the caller was told: there the status alone speaks, and an endpoint that failed with 503 after it had begun to work made the gateway promise what the endpoint had not stated. Change: a status that is a promise is relayed from no endpoint. Without the statement the attempt has failed as `unstated`: it may have run, it counts as a failure of the endpoint, a request that may be repeated goes to another endpoint within the budget, and every other caller gets 502, which promises nothing. Which statuses are promises is decoded in the adapter. Ruled out: late copies of refusals of other requests. Why it works: a promise now has one source, a refusal of the gateway whose verdict is not-run: every relayed response goes through check_response or is a success.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -78,6 +78,8 @@
     Silent,
     /// The endpoint failed with a server error, and another endpoint may succeed.
     ServerError,
+    /// The endpoint failed with a status that promises callers that the request did not run, and did not state so.
+    Unstated,
 }
 
 impl AttemptFailure {
@@ -91,7 +93,9 @@
             | Self::Refused
             | Self::Replaced
             | Self::WeightsMissing => RunVerdict::NotRun,
-            Self::Cut | Self::Spoilt | Self::Silent | Self::ServerError => RunVerdict::MayHaveRun,
+            Self::Cut | Self::Spoilt | Self::Silent | Self::ServerError | Self::Unstated => {
+                RunVerdict::MayHaveRun
+            }
         }
     }
 
@@ -147,6 +151,7 @@
             Self::Spoilt => "spoilt",
             Self::Silent => "silent",
             Self::ServerError => "server-error",
+            Self::Unstated => "unstated",
         }
     }
 }
@@ -456,7 +461,7 @@
             return Err(failure);
         }
     };
-    if status.is_server_error() {
+    if status.is_server_error() || headers::promises_not_run(status) {
         guard.finish(RequestOutcome::ServerError);
     } else {
         guard.finish_whole();
