Failing test: a copy of a refusal is taken for the response to the next send (REFUSED, TWICE)

What callers see: 503, which promises that the request has not run and never will, although it runs. An endpoint refuses a request and restarts meanwhile; the request is sent to the same address under the successor's name, with the same id, on the pooled connection of the refusal, and a late copy of the refusal, which names this very request, is taken for the response to the second send. By reading, the same copy lets the request go to another endpoint while it runs (TWICE).

--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod records;
 mod refusals;
 mod relayed;
+mod repeated_refusals;
 mod rests;
 mod returns;
 mod share_updates;
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -54,6 +54,8 @@
     AnswerAndClose(String),
     /// Responds with the first bytes, and with the others after a pause.
     AnswerInParts(String, Duration, String),
+    /// Responds with these bytes once it is notified, and with them again ahead of the next response on the connection.
+    AnswerTwice(String, Arc<Notify>),
     /// Closes the connection without a response.
     Close,
     /// Never responds.
@@ -121,9 +123,12 @@
     steps: Arc<Mutex<VecDeque<EndpointStep>>>,
     seen: Arc<Mutex<Vec<String>>>,
 ) {
+    let mut copy = String::new();
     while let Some(request) = read_request(&mut stream).await {
         seen.lock().unwrap().push(request);
         let step = steps.lock().unwrap().pop_front();
+        let late = std::mem::take(&mut copy);
+        stream.write_all(late.as_bytes()).await.unwrap();
         match step {
             Some(EndpointStep::Answer(bytes)) => stream.write_all(bytes.as_bytes()).await.unwrap(),
             Some(EndpointStep::AnswerAndClose(bytes)) => {
@@ -135,6 +140,11 @@
                 sleep(pause).await;
                 stream.write_all(rest.as_bytes()).await.unwrap();
             }
+            Some(EndpointStep::AnswerTwice(bytes, may_answer)) => {
+                may_answer.notified().await;
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                copy = bytes;
+            }
             Some(EndpointStep::Silence) => std::future::pending().await,
             Some(EndpointStep::Close) | None => return,
         }
