Send a request again only on a connection that brought no response to it (REFUSED, TWICE)

What callers saw: 503 for a request that runs, or a request that runs at two endpoints, after an endpoint refused it, restarted, and sent the refusal again.

Cause: a run excludes endpoints by name. A restarted endpoint's successor has another name and the same address, so a request that was refused there (421 of another instance, but also a 503 that came after the registry or a sidecar named the successor) is sent there again with the same id, on the pooled connection of the refusal. A late copy of the refusal names this very request, so comparing ids doesn't help.

Change: a run keeps the addresses from which a response to it came; another send to one of them goes on a new connection (ConnectionChoice::New).

Why it works: a copy comes on the connection of the response that it copies. A response that ends an attempt is either followed by the close of its connection (untrusted, timed out, body not read to its end) or leaves the connection in the pool; the latter is the only one on which a copy can meet the same id, and the second send no longer uses it. This holds for every response, not only for 421. Resumed streams go the same way. Ids are unique to a client's attempt, so no other run brings the same id to that connection; for others' ids the id tells.

Ruled out: closing each connection that brought a refusal. Other requests still use it (a_refusal_leaves_its_connection_to_other_requests, green before too), so the cost is one connection for each second send to the same address.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -314,7 +314,10 @@
         placed.permit.take(),
         trial.as_ref(),
     );
-    match core.client.send(placed.address, request).await {
+    let sending = core
+        .client
+        .send_on(placed.address, request, placed.connection);
+    match sending.await {
         Ok(response) => check_head(core, context, response, guard, &mut placed.received),
         Err(error) => Err(finish_failed_send(&error, guard)),
     }
--- a/crates/oatpier-gateway/src/gateway/placement.rs
+++ b/crates/oatpier-gateway/src/gateway/placement.rs
@@ -16,6 +16,7 @@
 use oatpier_types::names::PoolName;
 use oatpier_types::refusal::Refusal;
 use oatpier_types::software::SoftwareVersion;
+use oatpier_wire::client::ConnectionChoice;
 
 use super::arrivals::ArrivalForecast;
 use super::identity::CallerIdentity;
@@ -183,6 +184,8 @@
     pub permit: Option<HeldPermit>,
     /// The trial that was granted, if the prompt contains parts that may crash endpoints.
     pub trial: Option<PartTrial>,
+    /// The connections on which the request may be sent.
+    pub connection: ConnectionChoice,
     /// The head of the response, once it has arrived.
     pub received: Option<ReceivedHead>,
 }
--- a/crates/oatpier-gateway/src/gateway/placement_decision.rs
+++ b/crates/oatpier-gateway/src/gateway/placement_decision.rs
@@ -13,6 +13,7 @@
 use oatpier_types::clock::ClockTime;
 use oatpier_types::names::EndpointName;
 use oatpier_types::refusal::{Refusal, RefusalCause};
+use oatpier_wire::client::ConnectionChoice;
 
 use super::core::{CoreState, GatewayCore};
 use super::placement::{PlacedSend, Placement, PlacementRefusal, RequestContext};
@@ -257,6 +258,7 @@
             turn: None,
             permit: None,
             trial: None,
+            connection: ConnectionChoice::Any,
             received: None,
         })
     }
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -401,13 +401,14 @@
     }
 
     async fn resume_at(&mut self, placed: &mut PlacedSend) -> Result<(), AttemptFailure> {
+        self.run.choose_connection(placed);
         let run = &self.run;
         let after_event = self.last_event.as_deref();
         let sending = attempt::send(&run.core, &run.context, &run.message, placed, after_event);
         let deadline = run.core.clock.instant(run.context.deadline);
-        let response = timeout_at(deadline, sending)
-            .await
-            .map_err(|_| AttemptFailure::Silent)??;
+        let sent = timeout_at(deadline, sending).await;
+        self.run.record_response(placed);
+        let response = sent.map_err(|_| AttemptFailure::Silent)??;
         self.endpoint = response.guard.endpoint.clone();
         self.run.endpoint = Some(self.endpoint.clone());
         self.run.version.clone_from(&placed.version);
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -1,5 +1,6 @@
 //! One request from its placement to its final response.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use oatpier_types::refusal::{Refusal, RefusalCause};
 use oatpier_types::software::SoftwareVersion;
 use oatpier_types::verdict::{Repeat, RunVerdict};
+use oatpier_wire::client::ConnectionChoice;
 use oatpier_wire::reply::{LeasedBody, Reply};
 use smallvec::SmallVec;
 use tokio::time::{sleep_until, timeout_at};
@@ -52,6 +54,9 @@
     pub(super) message: CallerMessage,
     /// Endpoints that received at least one byte of the request.
     reached: SmallVec<[EndpointName; 2]>,
+    /// Addresses from which a response to this request came. An endpoint may send it again, late, on the same
+    /// connection, where it would be taken for the response to a second send.
+    responded: SmallVec<[SocketAddr; 2]>,
     /// Endpoints that the request is not sent to again.
     pub(super) excluded: SmallVec<[EndpointName; 2]>,
     /// The versions at which the request may be served from now on.
@@ -93,6 +98,7 @@
             context,
             message,
             reached: SmallVec::new(),
+            responded: SmallVec::new(),
             excluded: SmallVec::new(),
             ended_verdict: RunVerdict::NotRun,
             is_sending: false,
@@ -146,10 +152,12 @@
             self.endpoint = Some(placed.choice.endpoint.clone());
             self.version.clone_from(&placed.version);
             self.prediction = placed.choice.stream;
+            self.choose_connection(&mut placed);
             let failure = match self.attempt(&mut placed).await {
                 Ok(reply) => return RunOutcome::Relayed(reply),
                 Err(failure) => failure,
             };
+            self.record_response(&placed);
             self.log_failure(&placed, failure);
             if let Some(response) = self.handle_failure(&placed.choice.endpoint, failure) {
                 return RunOutcome::Local(response);
@@ -157,6 +165,21 @@
         }
     }
 
+    /// Chooses a new connection to an address from which a response to this request came. After a restart, the
+    /// successor of an endpoint has the same address, so excluding endpoints by name does not prevent such a send.
+    pub(super) fn choose_connection(&self, placed: &mut PlacedSend) {
+        if self.responded.contains(&placed.address) {
+            placed.connection = ConnectionChoice::New;
+        }
+    }
+
+    /// Records that a response to an attempt came, if one did.
+    pub(super) fn record_response(&mut self, placed: &PlacedSend) {
+        if placed.received.is_some() && !self.responded.contains(&placed.address) {
+            self.responded.push(placed.address);
+        }
+    }
+
     /// Waits until the request can be sent.
     ///
     /// When the gateway is being stopped, requests that still wait are refused. If they were kept until the process
--- a/crates/oatpier-gateway/tests/testsuite/repeated_refusals.rs
+++ b/crates/oatpier-gateway/tests/testsuite/repeated_refusals.rs
@@ -51,3 +51,22 @@
     ];
     assert_eq!(statuses, [StatusCode::OK; 3]);
 }
+
+/// Guards against a new connection for each refusal: other requests still use the connection on which one came.
+#[tokio::test]
+async fn a_refusal_leaves_its_connection_to_other_requests() {
+    let refusal = not_executed_response("503 Service Unavailable");
+    let endpoint = ScriptedEndpoint::start(vec![
+        EndpointStep::Answer(refusal),
+        EndpointStep::Answer(endpoint_response("200 OK", "world")),
+    ])
+    .await;
+    let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 1, &[&endpoint]);
+    let first = gateway.send(request(&[])).await.status();
+    let second = gateway.send(request(&[])).await.status();
+    assert_eq!(
+        [first, second],
+        [StatusCode::SERVICE_UNAVAILABLE, StatusCode::OK]
+    );
+    assert_eq!(endpoint.connections(), 1);
+}
--- a/crates/oatpier-wire/src/client.rs
+++ b/crates/oatpier-wire/src/client.rs
@@ -64,6 +64,15 @@
     }
 }
 
+/// Which connections a call may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// An idle connection, or a new one if there is none.
+    Any,
+    /// Only a new connection, on which no response to an earlier request can arrive.
+    New,
+}
+
 /// The stage at which a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendStage {
@@ -177,7 +186,21 @@
         address: SocketAddr,
         request: Request<Bytes>,
     ) -> Result<Response<ResponseBody>, SendError> {
-        self.send_until(address, request, None).await
+        self.send_on(address, request, ConnectionChoice::Any).await
+    }
+
+    /// Same as [`HttpClient::send`], with a choice of connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails; its verdict tells whether the request may have been executed.
+    pub async fn send_on(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        choice: ConnectionChoice,
+    ) -> Result<Response<ResponseBody>, SendError> {
+        self.send_until(address, request, choice, None).await
     }
 
     /// Same as [`HttpClient::send`], with a timeout for the response's head.
@@ -192,7 +215,9 @@
         timeout: Duration,
     ) -> Result<Response<ResponseBody>, SendError> {
         let deadline = Instant::now() + timeout;
-        self.send_until(address, request, Some(deadline)).await
+        let choice = ConnectionChoice::Any;
+        self.send_until(address, request, choice, Some(deadline))
+            .await
     }
 
     /// Sends a request and reads the whole response, of at most `limit` bytes, within `timeout`.
@@ -209,7 +234,9 @@
         limit: usize,
     ) -> Result<Response<Bytes>, SendError> {
         let deadline = Instant::now() + timeout;
-        let response = self.send_until(address, request, Some(deadline)).await?;
+        let choice = ConnectionChoice::Any;
+        let sending = self.send_until(address, request, choice, Some(deadline));
+        let response = sending.await?;
         let (parts, body) = response.into_parts();
         let collected = timeout_at(deadline, Limited::new(body, limit).collect())
             .await
@@ -222,11 +249,12 @@
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
+        choice: ConnectionChoice,
         deadline: Option<Instant>,
     ) -> Result<Response<ResponseBody>, SendError> {
         let mut request = with_host(address, request).map(Full::new);
         loop {
-            let mut sender = self.checkout(address, deadline).await?;
+            let mut sender = self.checkout(address, choice, deadline).await?;
             sender.head_limit.begin();
             let sending = sender.connection.try_send_request(request);
             let sent = match deadline {
@@ -263,11 +291,18 @@
     async fn checkout(
         &self,
         address: SocketAddr,
+        choice: ConnectionChoice,
         deadline: Option<Instant>,
     ) -> Result<PooledSender, SendError> {
         let connect_by = Instant::now() + self.limits.connect_timeout;
         let connect_by = deadline.map_or(connect_by, |deadline| deadline.min(connect_by));
-        timeout_at(connect_by, self.reuse_or_connect(address))
+        let connecting = async {
+            match choice {
+                ConnectionChoice::Any => self.reuse_or_connect(address).await,
+                ConnectionChoice::New => self.connect(address).await,
+            }
+        };
+        timeout_at(connect_by, connecting)
             .await
             .map_err(|_| SendError::timeout(address, SendStage::Connect))?
     }
