--- a/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
+++ b/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
@@ -7,7 +7,7 @@
 
 use http_body_util::BodyExt;
 use oatpier_types::verdict::RunVerdict;
-use oatpier_wire::client::{ClientLimits, HttpClient, SendStage};
+use oatpier_wire::client::{ClientLimits, ConnectionChoice, HttpClient, SendStage};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -232,3 +232,33 @@
     let reset = tokio::time::timeout(Duration::from_secs(20), resets.recv()).await;
     assert!(reset.expect("the connection is reset").is_some());
 }
+
+/// Guards against a response that is taken for the one to a later send of its request: an idle connection may bring it
+/// once more. A new connection is kept for later calls.
+#[tokio::test]
+async fn a_call_that_asks_for_a_new_connection_reuses_none() {
+    let connections = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&connections);
+    let address = serve_connections(move |mut stream| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        async move {
+            while read_head(&mut stream).await {
+                stream.write_all(RESPONSE).await.unwrap();
+            }
+        }
+    })
+    .await;
+    let client = client();
+    let mut reused = Vec::new();
+    for choice in [
+        ConnectionChoice::Any,
+        ConnectionChoice::New,
+        ConnectionChoice::Any,
+    ] {
+        let response = client.send_on(address, get("/"), choice).await.unwrap();
+        reused.push(response.body().is_reused());
+        response.into_body().collect().await.unwrap();
+    }
+    assert_eq!(reused, [false, false, true]);
+    assert_eq!(connections.load(Ordering::SeqCst), 2);
+}
