Relay no endpoint's status as a promise of the entry (REFUSED)

What callers would see: 408, 421, 429 or 503 of an endpoint behind an entry, without a verdict, or with a verdict that the endpoint had written itself (`oatpier-verdict: not-run`), though the endpoint may have run the request. The page tells callers that each error carries oatpier's verdict, the quickstart sends an at-most-once call again on 503, and so do common HTTP clients. Cause: the entry's own answers get a status that promises that nothing ran only with the verdict not-run (status_of); the head of an endpoint's answer went to the caller beside that rule, with all its headers. Change: a relayed error carries the verdict may-have-run, a verdict header of the endpoint is dropped, and the four statuses become 502 without `Retry-After`; the body stays. Which statuses are promises stands beside status_of. Ruled out: to fail the attempt as gateways do. Any caller could then get endpoints of a plain service ejected with requests that the service answers with 429. Final answers of the entry itself: outcome::a_request_that_may_have_run_gets_no_promise passes without a change. Measured: the three tests in relay failed before (408 relayed as 408; not-run of the endpoint beside its error and beside 400) and pass; 26 tests of the entry and the new one of the policy pass. Why it works: each relayed head passes build_reply, streamed or whole.

--- a/crates/oatpier-entry/src/sink.rs
+++ b/crates/oatpier-entry/src/sink.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::header::CONTENT_TYPE;
-use http::{HeaderMap, StatusCode};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use oatpier_policy::outcome::promises_not_run;
+use oatpier_types::verdict::RunVerdict;
 use oatpier_wire::reply::{self, BoxError, Reply};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::errors::{CallerError, RequestIdentity, identify};
+use crate::errors::{CallerError, RequestIdentity, VERDICT_HEADER, identify};
 
 /// Capacity of the channel of pieces to a caller.
 const PIECE_CAPACITY: usize = 16;
@@ -189,5 +191,22 @@
     for (name, value) in &head.headers {
         reply.headers_mut().insert(name.clone(), value.clone());
     }
+    set_verdict(&mut reply);
     identify(reply, identity)
 }
+
+/// Sets the verdict of a relayed answer. An endpoint's error says nothing about whether the request ran, whatever its
+/// status: a status that promises that it did not run is replaced by one that promises nothing.
+fn set_verdict(reply: &mut Reply) {
+    let status = reply.status();
+    let headers = reply.headers_mut();
+    headers.remove(VERDICT_HEADER);
+    if status.is_client_error() || status.is_server_error() {
+        let verdict = HeaderValue::from_static(RunVerdict::MayHaveRun.as_str());
+        headers.insert(VERDICT_HEADER, verdict);
+    }
+    if promises_not_run(status.as_u16()) {
+        headers.remove(RETRY_AFTER);
+        *reply.status_mut() = StatusCode::BAD_GATEWAY;
+    }
+}
--- a/crates/oatpier-entry/tests/testsuite/main.rs
+++ b/crates/oatpier-entry/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod hold;
 mod late;
 mod planner;
+mod relay;
 mod stops;
 mod support;
 mod whole;
--- a/crates/oatpier-policy/src/outcome.rs
+++ b/crates/oatpier-policy/src/outcome.rs
@@ -112,3 +112,10 @@
         FinalCause::Refused(_) | FinalCause::DeadlinePassed => 503,
     }
 }
+
+/// Returns whether callers take a status as a promise that the request did not run. Such a status is
+/// returned only with the verdict "not run", and no endpoint's answer is relayed with it.
+#[must_use]
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- a/crates/oatpier-policy/tests/testsuite/main.rs
+++ b/crates/oatpier-policy/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod fault_grid;
 mod health;
 mod limits;
+mod outcome;
 mod prefix;
 mod properties;
 mod requests;
