Take no engine's status for a statement that the request did not run (REFUSED)

What callers would see: an at-most-once request that runs twice, or whose caller gets 503 with the verdict not-run though an engine ran it; its idempotency key is free again, so that a resubmission runs too. Cause: the agent took 404, 429 and 503 of an engine for "not run" by the status alone. The stand-in answers them before a run only, so no test showed it. The id keeps the refusal of another request from being believed. Ruled out: to trust the statuses of the common engines. Servers and proxies before them answer 429 and 503 of their own, at any time. Not ruled out: engines without the header fail more at-most-once requests with 502 that they did refuse; whether an engine can send it is for operators to check. Why it works: relay is the only place that turns an engine's answer into a verdict, and it asks for the statement first. Test support: the stand-in's fault `fail-runs` answers a run with `fail-status`.

--- a/crates/oatpier-agent/src/attempt.rs
+++ b/crates/oatpier-agent/src/attempt.rs
@@ -195,11 +195,8 @@
     }
 
     async fn relay(&mut self, mut answer: EndpointAnswer) -> RunEnd {
-        if self.is_engine() && is_engine_refusal(answer.status) {
-            return Err(CallError {
-                verdict: RunVerdict::NotRun,
-                cause: format!("the engine answered {}", answer.status),
-            });
+        if self.is_engine() {
+            check_refusal(&answer, self.attempt())?;
         }
         let is_events = answer
             .headers
@@ -322,11 +319,33 @@
     Ok((taken.freeze(), tokens))
 }
 
-/// Returns whether a status means that the engine did not accept the request.
-fn is_engine_refusal(status: StatusCode) -> bool {
+/// Returns an error if the engine refused the attempt, or failed with a status of refusals.
+///
+/// The status alone does not tell whether the attempt ran: an engine may fail with it after it began to work. If it were
+/// taken for "not run", the entry would send an at-most-once request again.
+fn check_refusal(answer: &EndpointAnswer, attempt: AttemptId) -> RunEnd {
+    let verdict = if answer.states_not_run(attempt) {
+        RunVerdict::NotRun
+    } else if is_refusal_status(answer.status) {
+        RunVerdict::MayHaveRun
+    } else {
+        return Ok(());
+    };
+    Err(CallError {
+        verdict,
+        cause: format!("the engine answered {}", answer.status),
+    })
+}
+
+/// Returns whether engines use a status for refusals. Another engine may succeed.
+fn is_refusal_status(status: StatusCode) -> bool {
     matches!(
         status,
-        StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        StatusCode::NOT_FOUND
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
     )
 }
 
--- a/crates/oatpier-agent/tests/testsuite/attempt.rs
+++ b/crates/oatpier-agent/tests/testsuite/attempt.rs
@@ -18,7 +18,8 @@
     core: Arc<AgentCore>,
     pub spec: AttemptSpec,
     pub ticket: AdmissionTicket,
-    model: String,
+    /// Name of the model in the body.
+    pub model: String,
 }
 
 impl TestAttempt {
--- a/crates/oatpier-agent/tests/testsuite/main.rs
+++ b/crates/oatpier-agent/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod leave;
 mod membership;
 mod orders;
+mod refusals;
 mod release;
 mod requests;
 mod shape;
--- a/crates/oatpier-agent/tests/testsuite/requests.rs
+++ b/crates/oatpier-agent/tests/testsuite/requests.rs
@@ -22,7 +22,7 @@
 };
 const MILLI: Duration = Duration::from_millis(1);
 
-async fn serving() -> Fleet {
+pub async fn serving() -> Fleet {
     let fleet = Fleet::start(ONE_ENGINE, &["seats"]);
     fleet
         .until("the model is served", || fleet.serves(1, &["seats"]))
@@ -30,7 +30,7 @@
     fleet
 }
 
-fn runs(fleet: &Fleet) -> usize {
+pub fn runs(fleet: &Fleet) -> usize {
     fleet.engine(1).with_core(|core, _| core.runs().len())
 }
 
--- a/crates/oatpier-ports/src/endpoint.rs
+++ b/crates/oatpier-ports/src/endpoint.rs
@@ -3,11 +3,15 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use futures::stream::BoxStream;
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, HeaderName, Method, StatusCode};
 use oatpier_types::ids::AttemptId;
 use oatpier_types::verdict::RunVerdict;
 use thiserror::Error;
 
+/// Header of an engine's error that states that the request did not run and never will. Its value is the attempt id, so
+/// that the error of another request is not taken for that of this one.
+pub const NOT_EXECUTED_HEADER: HeaderName = HeaderName::from_static("x-not-executed");
+
 /// A request to an endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointCall {
@@ -37,6 +41,16 @@
     pub body: BoxStream<'static, Result<Bytes, CallError>>,
 }
 
+impl EndpointAnswer {
+    /// Returns whether an engine states that it did not run the attempt. No status alone states that.
+    #[must_use]
+    pub fn states_not_run(&self, attempt: AttemptId) -> bool {
+        let stated = self.headers.get(NOT_EXECUTED_HEADER);
+        !self.status.is_success()
+            && stated.is_some_and(|value| value.as_bytes() == attempt.to_string().as_bytes())
+    }
+}
+
 /// A failed call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Error)]
--- a/crates/oatpier-ports/tests/testsuite/endpoint_calls.rs
+++ b/crates/oatpier-ports/tests/testsuite/endpoint_calls.rs
@@ -144,6 +144,34 @@
     }
 }
 
+/// An engine fails after a run, or answers with the refusal of another request. If that were taken for a statement that
+/// this one did not run, it would run twice.
+#[tokio::test]
+async fn only_an_error_that_names_the_attempt_states_that_it_did_not_run() {
+    const OTHER_HEX: &str = "000000000000000000000000000000ac";
+    let cases = [
+        (503, Some(ATTEMPT_HEX), true),
+        (503, Some(OTHER_HEX), false),
+        (503, None, false),
+        (200, Some(ATTEMPT_HEX), false),
+    ];
+    for (status, stated, is_stated) in cases {
+        let headers: Vec<_> = stated
+            .map(|id| ("x-not-executed", id))
+            .into_iter()
+            .collect();
+        let server = FixedServer::start(status, &headers, "").await;
+        let answer = client(server.address, EndpointKind::Engine)
+            .run(call())
+            .await;
+        assert_eq!(
+            answer.unwrap().states_not_run(ATTEMPT),
+            is_stated,
+            "{status}: {stated:?}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn answers_with_a_detectable_end_are_complete() {
     let answers: [(&[u8], &[u8]); 4] = [
--- a/crates/oatpier-standin/src/engine/core.rs
+++ b/crates/oatpier-standin/src/engine/core.rs
@@ -87,6 +87,11 @@
         self.faults
     }
 
+    /// Returns the status with which the next request fails after its run, if it does.
+    pub(super) fn take_failure(&mut self) -> Option<u16> {
+        use_fault(&mut self.faults.fail_runs).then_some(self.faults.fail_status)
+    }
+
     /// Replaces all faults.
     pub fn set_faults(&mut self, now: ClockTime, faults: EngineFaults) {
         self.faults = faults;
--- a/crates/oatpier-standin/src/engine/http.rs
+++ b/crates/oatpier-standin/src/engine/http.rs
@@ -5,18 +5,19 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
+use oatpier_ports::endpoint::NOT_EXECUTED_HEADER;
 use oatpier_ports::engine::OrderError;
 use oatpier_types::engine::EngineOrder;
 use oatpier_types::ids::{AttemptId, OrderNumber};
 use serde::Serialize;
 
 use super::completion::{CompletionBody, full_answer, streamed_answer};
-use super::{EngineOptions, LocalEngine, SubmitError};
+use super::{EngineOptions, LocalEngine, OutputKind, RunStream, SubmitError};
 use crate::clock::StandinClock;
 use crate::serve::{
-    Answer, AnswerBody, BufferedRequest, DropConnection, RequestHandler, RunningServer, empty,
-    json, not_found, plain, start,
+    Answer, AnswerBody, BufferedRequest, CallerIds, DropConnection, RequestHandler, RunningServer,
+    empty, json, not_found, plain, start,
 };
 use crate::weights::SharedWeights;
 
@@ -139,19 +140,35 @@
     };
     let (engine_request, format) = body.into_request(request, chat);
     let streamed = format.stream;
+    let failure = engine.with_core(|core, _| core.take_failure());
     match engine.submit(engine_request) {
+        Ok(stream) if failure.is_some() => Ok(failed_answer(stream, failure).await),
         Ok(stream) if streamed => Ok(streamed_answer(format, stream)),
         Ok(stream) => full_answer(format, stream).await,
-        Err(error) => Ok(refusal(error)),
+        Err(error) => Ok(refusal(error, request)),
     }
 }
 
-fn refusal(error: SubmitError) -> Response<AnswerBody> {
-    match error {
+/// Lets a run end, and returns an error instead of its output.
+async fn failed_answer(mut run: RunStream, status: Option<u16>) -> Response<AnswerBody> {
+    while let Some(OutputKind::Token(_)) = run.next().await {}
+    let status = status.and_then(|status| StatusCode::from_u16(status).ok());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    plain(status, "the run failed")
+}
+
+/// Returns the answer to a request that the engine refuses, with the statement that it did not run.
+fn refusal(error: SubmitError, request: &BufferedRequest) -> Response<AnswerBody> {
+    let mut answer = match error {
         SubmitError::NotReady => plain(StatusCode::NOT_FOUND, "the model is not ready"),
         SubmitError::QueueFull => plain(StatusCode::TOO_MANY_REQUESTS, "too many wait"),
         SubmitError::PrefillOnly => plain(StatusCode::SERVICE_UNAVAILABLE, "wrong role"),
+    };
+    let attempt = CallerIds::of(request).attempt.to_string();
+    if let Ok(attempt) = HeaderValue::try_from(attempt) {
+        answer.headers_mut().insert(NOT_EXECUTED_HEADER, attempt);
     }
+    answer
 }
 
 fn control(engine: &LocalEngine, rest: &str, request: &BufferedRequest) -> Response<AnswerBody> {
--- a/crates/oatpier-standin/src/engine/options.rs
+++ b/crates/oatpier-standin/src/engine/options.rs
@@ -99,4 +99,8 @@
     pub cut_streams: u32,
     /// Number of tokens of a stream that breaks off.
     pub cut_after: u32,
+    /// Number of next requests that run to their end and are answered with `fail-status`.
+    pub fail_runs: u32,
+    /// Status of a request that fails after its run.
+    pub fail_status: u16,
 }
