Take an engine order's unspecified status for an unknown result

What would be seen: two models in the memory of one. An engine takes a load and answers 503 (or 400, 404, 408, 429); the agent frees the reservation and gives the memory to another load. Change: 409 and 422 are refusals, any other status than 202 is an unknown result, which keeps the memory and sends the order again under its number. Ruled out: a harm of the repetition. Orders carry numbers, and the path is that of an order without an answer. An engine that keeps answering 400 now gets the order each retry_delay instead of after the pause for rejected orders. Why it works: only stated refusals reach OrderOutcome::Rejected.

--- a/crates/oatpier-ports/src/engine.rs
+++ b/crates/oatpier-ports/src/engine.rs
@@ -27,8 +27,8 @@
         /// The cause.
         cause: String,
     },
-    /// No answer arrived: the order may be executed, now or later.
-    #[error("the engine gave no answer: {cause}")]
+    /// No answer arrived, or one that states nothing: the order may be executed, now or later.
+    #[error("the engine's answer is missing or states nothing: {cause}")]
     Unknown {
         /// The cause.
         cause: String,
--- a/crates/oatpier-ports/src/http/engine.rs
+++ b/crates/oatpier-ports/src/http/engine.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use super::{ExternalService, FetchError, had_no_effect, status_cause};
+use super::{ExternalService, FetchError, status_cause};
 use crate::engine::{EngineControl, OrderError, ReportError};
 
 /// Control interface of the engine at an address.
@@ -41,9 +41,10 @@
         match response.status() {
             StatusCode::ACCEPTED => Ok(()),
             StatusCode::CONFLICT => Err(stale_error(&response)),
-            status if had_no_effect(status) => Err(OrderError::Refused {
+            StatusCode::UNPROCESSABLE_ENTITY => Err(OrderError::Refused {
                 cause: status_cause(&response),
             }),
+            // No other status states that nothing changed, so the order's memory stays reserved.
             _ => Err(OrderError::Unknown {
                 cause: status_cause(&response),
             }),
