Take a store's unspecified status of a write for a lost answer

What would be seen: a write that took effect is reported as without effect, so that it is made a second time, or a change that is in force is reported as refused. Ruled out: reads. They have no effect that could be uncertain. Measured: unspecified_status_of_a_write_is_reported_as_lost failed before (400: Unavailable for all five writes) and passes; 25 tests of the ports and 28 of the stand-ins pass. Why it works: callers read the key again after a lost answer before they go on.

--- a/crates/oatpier-ports/src/http.rs
+++ b/crates/oatpier-ports/src/http.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ::http::{Method, Request, Response, StatusCode};
+use ::http::{Method, Request, Response};
 use bytes::Bytes;
 use oatpier_wire::client::{ClientLimits, HttpClient, SendError};
 
@@ -99,11 +99,6 @@
     }
 }
 
-/// Returns whether a status guarantees that the call had no effect.
-pub(crate) fn had_no_effect(status: StatusCode) -> bool {
-    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
-}
-
 /// Encodes a key as a part of a path: all but unreserved characters, `/` and `:` are
 /// percent-encoded.
 pub(crate) fn encode_key(key: &str) -> String {
--- a/crates/oatpier-ports/src/http/store.rs
+++ b/crates/oatpier-ports/src/http/store.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use super::{ExternalService, FetchError, encode_key, had_no_effect, status_cause};
+use super::{ExternalService, FetchError, encode_key, status_cause};
 use crate::store::{ExpectedValue, KeyChange, KeyStore, LeaseId, StoreError, StoredValue};
 
 /// Header with the revision of a value.
@@ -288,6 +288,14 @@
     }
 }
 
+/// Returns whether a status states that a write had no effect. Any other may come from a proxy, after the write.
+fn had_no_effect(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn unavailable(cause: String) -> StoreError {
     StoreError::Unavailable { cause }
 }
--- a/crates/oatpier-ports/tests/testsuite/store_calls.rs
+++ b/crates/oatpier-ports/tests/testsuite/store_calls.rs
@@ -162,6 +162,17 @@
     }
 }
 
+/// A write takes effect, and its answer has a status that is not specified for it, as from a proxy. If it were reported as
+/// without effect, a caller could write a second time.
+#[tokio::test]
+async fn unspecified_status_of_a_write_is_reported_as_lost() {
+    for status in [400, 404, 408, 421] {
+        let server = FixedServer::start(status, &[], "").await;
+        let outcomes = writes(&store(server.address)).await;
+        assert!(outcomes.iter().all(is_lost), "{status}: {outcomes:?}");
+    }
+}
+
 /// The service accepts a write, and the connection breaks before or during its answer, or the
 /// answer never arrives. The write may have taken effect. If it were reported as failed, a caller
 /// could write a second time, or report an accepted change as refused. Reads have no effect that
