--- a/crates/oatpier-serving/src/engine.rs
+++ b/crates/oatpier-serving/src/engine.rs
@@ -124,6 +124,6 @@
     Conflict,
     /// The order cannot be executed: the address belongs to another engine, or the order is invalid.
     Rejected,
-    /// No response: the order may have been accepted, or may still be accepted later.
+    /// No response, or one that states nothing: the order may have been accepted, or may still be accepted later.
     Unknown,
 }
