Take nothing from the retry budget for a request that is not sent again

What callers saw: fewer idempotent requests and refused requests get a second attempt than the budget allows, because requests that had no attempt left used it up. Cause: handle_failure took a retry before it looked at the number of attempts left. Each refusal on a route with one attempt cost one, and since failures count as `unstated`, so does a 408, 429 or 503 of an endpoint on such a route of idempotent requests. Change: the number of attempts left is checked first. Measured: retry_budget::a_request_without_further_attempts_takes_nothing_from_the_budget failed before at its first case (a stated refusal) and passes. Its second case (an unstated 503) was not seen to fail by itself. Tests: TestGateway::with_settings, so that a test can set the budget; no check changed.

--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -426,11 +426,12 @@
         if !self.ended_verdict.may_repeat(self.repeat()) {
             return Some(LocalResponse::Broken);
         }
-        let has_budget = failure.is_free_retry() || self.core.take_retry(&self.context.service);
-        if self.remaining_sends() == 0 || !has_budget {
-            return Some(self.refusal_after(failure));
+        let may_send = self.remaining_sends() > 0
+            && (failure.is_free_retry() || self.core.take_retry(&self.context.service));
+        if may_send {
+            return None;
         }
-        None
+        Some(self.refusal_after(failure))
     }
 
     fn repeat(&self) -> Repeat {
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod refusals;
 mod relayed;
 mod rests;
+mod retry_budget;
 mod returns;
 mod share_updates;
 mod shares;
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -250,6 +250,11 @@
 impl TestGateway {
     /// Creates a gateway without a configuration.
     pub fn unconfigured() -> Self {
+        Self::with_settings(settings())
+    }
+
+    /// Creates a gateway with these settings and without a configuration.
+    pub fn with_settings(settings: NodeSettings) -> Self {
         let outlet = Arc::new(RecordingOutlet::default());
         let metrics = ServingMetrics::default();
         let (log, lines) = DecisionLog::new("gateway", &metrics);
@@ -268,7 +273,7 @@
             config_sources: source_sender,
             claims: ring(8, RingRule::Drop, ServingMetrics::default().ring_full).0,
         };
-        let (_, feed) = watch::channel(Arc::new(settings()));
+        let (_, feed) = watch::channel(Arc::new(settings));
         let kept: Arc<dyn MessageOutlet> = outlet.clone();
         let core = Arc::new(GatewayCore::new(feed, inputs, kept));
         Self {
