Take the attempt after a failed resumption from the retry budget (BUDGET)

What callers saw: nothing; endpoints got more repeated requests than the budget allows, at a time when they fail. Cause: an endpoint's failure where a stream was to be resumed counted as `server-error`, whose next attempt is free because check_response has charged it. A resumption goes another way and had charged nothing. Change: such an attempt has failed as `unresumed`, whose next attempt is taken from the budget like that after a broken response. Measured: retry_budget::a_failed_resumption_takes_the_next_one_from_the_budget failed before (3 endpoints received the request where the budget allows 2) and passes; all 181 tests of the gateway pass.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -78,6 +78,8 @@
     Silent,
     /// The endpoint failed with a server error, and another endpoint may succeed.
     ServerError,
+    /// The endpoint failed instead of resuming a stream.
+    Unresumed,
     /// The endpoint failed with a status that promises callers that the request did not run, and did not state so.
     Unstated,
 }
@@ -93,9 +95,12 @@
             | Self::Refused
             | Self::Replaced
             | Self::WeightsMissing => RunVerdict::NotRun,
-            Self::Cut | Self::Spoilt | Self::Silent | Self::ServerError | Self::Unstated => {
-                RunVerdict::MayHaveRun
-            }
+            Self::Cut
+            | Self::Spoilt
+            | Self::Silent
+            | Self::ServerError
+            | Self::Unresumed
+            | Self::Unstated => RunVerdict::MayHaveRun,
         }
     }
 
@@ -151,6 +156,7 @@
             Self::Spoilt => "spoilt",
             Self::Silent => "silent",
             Self::ServerError => "server-error",
+            Self::Unresumed => "unresumed",
             Self::Unstated => "unstated",
         }
     }
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -414,7 +414,7 @@
         self.run.prediction = placed.choice.stream;
         if !response.status.is_success() {
             response.guard.finish(RequestOutcome::ServerError);
-            return Err(AttemptFailure::ServerError);
+            return Err(AttemptFailure::Unresumed);
         }
         self.is_at_event_end = response.is_framed;
         self.body = response.body;
--- a/crates/oatpier-gateway/tests/testsuite/retry_budget.rs
+++ b/crates/oatpier-gateway/tests/testsuite/retry_budget.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
+use http_body_util::BodyExt;
 use oatpier_serving::site::RouteKind;
 
 use crate::support::{
-    EndpointStep, ScriptedEndpoint, TestGateway, config, endpoint_response, not_executed_response,
-    record, request, route, service, settings,
+    EndpointStep, RESUMABLE_STREAM, STREAM_END, ScriptedEndpoint, TestGateway, config,
+    endpoint_response, not_executed_response, record, request, route, service, settings,
+    stream_start,
 };
 
 /// A window in which the budget is not refilled while a test runs.
@@ -33,6 +36,23 @@
     gateway
 }
 
+/// Guards against retries beyond the budget. A stream breaks off, and the endpoint at which it is to be resumed fails.
+#[tokio::test]
+async fn a_failed_resumption_takes_the_next_one_from_the_budget() {
+    let steps = vec![
+        EndpointStep::AnswerAndClose(stream_start(&["id: 1\ndata: 1\n\n"])),
+        EndpointStep::Answer(endpoint_response("500 Internal Server Error", "failed")),
+        EndpointStep::Answer(stream_start(&["id: 2\ndata: 2\n\n"]) + STREAM_END),
+    ];
+    let script = ScriptedEndpoint::start(steps).await;
+    let gateway = gateway_with_one_retry(RESUMABLE_STREAM, 3, &script);
+    let reply = gateway.reply(request(&[])).await;
+    assert_eq!(reply.status(), StatusCode::OK);
+    let body = reply.into_body().collect().await;
+    assert_eq!(script.requests().len(), 2);
+    assert!(body.is_err());
+}
+
 /// Guards against a budget used up by requests that are not sent again, so that others can't be either.
 #[tokio::test]
 async fn a_request_without_further_attempts_takes_nothing_from_the_budget() {
