--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod relayed;
 mod repeated_refusals;
 mod rests;
+mod retry_budget;
 mod returns;
 mod share_updates;
 mod shares;
