--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -7,21 +7,20 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use futures::stream;
-use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
-use oatpier_wire::reply::{self, BoxError, Reply};
+use http::{HeaderMap, Request, StatusCode};
+use oatpier_wire::reply::{self, Reply};
 use oatpier_wire::server::{self, RequestHandler, ServerLimits};
 use rand::RngExt;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::caller::CRASH_PATH;
 use super::notices::EndpointNotices;
-use super::responses::{self, not_run_response, set, set_stamp, text};
+use super::responses::{
+    self, cut_response, not_run_response, set, set_stamp, stream_response, text,
+};
 use super::store::StoreStandin;
 use super::weights::{EngineWeights, OrderOutcome};
 use crate::history::{BegunRun, EventHistory, ObservedEvent};
@@ -29,9 +28,8 @@
 /// The number of requests that an endpoint runs at the same time.
 const SLOTS: u32 = 8;
 
-/// The run time of a request without a stream, and the interval between events of a stream.
+/// The run time of a request without a stream.
 const RUN_TIME: Duration = Duration::from_millis(15);
-const EVENT_INTERVAL: Duration = Duration::from_millis(12);
 
 /// The software versions of endpoints: all start with the first, and draw one at each restart.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
@@ -380,20 +378,21 @@
             }
             // A complete run would clear the request of suspicion, so an endpoint that already stops cuts off its
             // response instead.
-            return cut_response(&id, &slot);
+            return cut_response(&id, &slot.instance);
         }
         let faults = self.lock().faults;
         if rand::rng().random_bool(faults.lost_share) {
             sleep(RUN_TIME).await;
-            return cut_response(&id, &slot);
+            return cut_response(&id, &slot.instance);
         }
         let is_cut = rand::rng().random_bool(faults.cut_share);
         if request.uri().path().contains("stream") {
-            return stream_response(&id, slot, last_event(request.headers()), is_cut);
+            let instance = slot.instance.clone();
+            return stream_response(&id, &instance, slot, last_event(request.headers()), is_cut);
         }
         sleep(RUN_TIME).await;
         if is_cut {
-            return cut_response(&id, &slot);
+            return cut_response(&id, &slot.instance);
         }
         let mut response = reply::text(StatusCode::OK, responses::body(&id));
         set_stamp(response.headers_mut(), &id, &slot.instance);
@@ -478,48 +477,6 @@
     event.and_then(|id| id.parse().ok()).unwrap_or(0)
 }
 
-/// Returns a response that breaks off in the middle of its body.
-fn cut_response(id: &str, slot: &RunSlot) -> Reply {
-    let half = responses::body(id);
-    let half = Bytes::from(half[..half.len() / 2].to_owned());
-    let frames = [Ok(Frame::data(half)), Err(BoxError::from("cut"))];
-    let mut response = streaming_response(stream::iter(frames));
-    set_stamp(response.headers_mut(), id, &slot.instance);
-    response
-}
-
-fn stream_response(id: &str, slot: RunSlot, after: u32, is_cut: bool) -> Reply {
-    let instance = slot.instance.clone();
-    let cut_after = if is_cut { after + 4 } else { u32::MAX };
-    let request_id = id.to_owned();
-    let due = Instant::now();
-    let frames = stream::unfold((after + 1, slot), move |(number, slot)| {
-        let id = request_id.clone();
-        async move {
-            if number > responses::EVENTS {
-                return None;
-            }
-            let offset = EVENT_INTERVAL * (number - after);
-            tokio::time::sleep_until(due + offset).await;
-            if number > cut_after {
-                return Some((Err(BoxError::from("cut")), (u32::MAX, slot)));
-            }
-            let event = Bytes::from(responses::event(&id, number));
-            Some((Ok(Frame::data(event)), (number + 1, slot)))
-        }
-    });
-    let mut response = streaming_response(frames);
-    set(response.headers_mut(), "content-type", "text/event-stream");
-    set_stamp(response.headers_mut(), id, &instance);
-    response
-}
-
-fn streaming_response(
-    frames: impl futures::Stream<Item = Result<Frame<Bytes>, BoxError>> + Send + 'static,
-) -> Reply {
-    Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)))
-}
-
 fn new_instance_id() -> String {
     format!("i-{:010x}", rand::rng().random::<u32>())
 }
