Soak: endpoints that fail with 500, 503, 429 or 408 after they began to run

What callers saw in the incident: 408, 429 and 503, which promise that a request did not run, for requests that had run. The soak could not see it: its endpoints refused before a run, or lost or cut responses after one, but never failed with a status of their own. Change: four endpoints of each soak fail for a while, each with one of the four statuses, in three of ten requests that have begun to run. The response carries the request's id and the stamp, and no statement that the request did not run. It is kept apart from the other faults of an endpoint, which end each other. Checks: TrueRefusal finds a promise of 408, 421, 429 or 503 for an at-most-once request that ran, as the users' rule says. Its planted breach now also has a request with a single response, and 500, 502 and 504, which promise nothing. Moved beside it: the faults of endpoints, to a file of their own.

--- a/crates/oatpier-soak/src/inject.rs
+++ b/crates/oatpier-soak/src/inject.rs
@@ -13,13 +13,17 @@
 use crate::proxy::{FaultLink, LinkMode};
 use crate::run::SoakFleet;
 use crate::standin::caller;
-use crate::standin::endpoint::{EndpointFaults, EndpointStandin};
+use crate::standin::endpoint::EndpointStandin;
+use crate::standin::faults::{EndpointFaults, RunFailure};
 use crate::standin::settings;
 use crate::standin::store::StoreMode;
 
 /// The interval between two sends of a crashing request.
 const CRASH_SEND_INTERVAL: Duration = Duration::from_millis(230);
 
+/// The share of requests that fail at an endpoint whose runs fail.
+const FAILED_RUN_SHARE: f64 = 0.3;
+
 /// Injects one fault at its start time, and records its end if it exempts gateways from checks.
 pub(crate) async fn run_step(fleet: &SoakFleet, step: &FaultStep, started: Instant) {
     sleep_until(started + step.at).await;
@@ -134,6 +138,9 @@
             let refusing = hold_faults(&fleet.endpoints[*number], faults, step.lasts);
             futures::future::join(repeating, refusing).await;
         }
+        SoakFault::FailRuns(number, status) => {
+            hold_run_failure(&fleet.endpoints[*number], *status, step.lasts).await;
+        }
         SoakFault::Crowd(number) => {
             fleet.crowd.send_replace(Some(*number));
             sleep(step.lasts).await;
@@ -175,3 +182,11 @@
     sleep(span).await;
     endpoint.set_faults(EndpointFaults::default());
 }
+
+async fn hold_run_failure(endpoint: &EndpointStandin, status: u16, span: Duration) {
+    let status = StatusCode::from_u16(status).ok();
+    let share = FAILED_RUN_SHARE;
+    endpoint.set_run_failure(status.map(|status| RunFailure { share, status }));
+    sleep(span).await;
+    endpoint.set_run_failure(None);
+}
--- a/crates/oatpier-soak/src/plan.rs
+++ b/crates/oatpier-soak/src/plan.rs
@@ -59,6 +59,9 @@
     Limit(usize, u32),
     /// An endpoint refuses a share of its requests, and its link sends each refusal once more, late.
     RepeatRefusals(usize),
+    /// An endpoint begins to run a share of its requests and then fails with this status, which says nothing on whether
+    /// they ran.
+    FailRuns(usize, u16),
     /// Callers send nine in ten requests to this gateway.
     Crowd(usize),
     /// A caller keeps sending, to each gateway in turn, a request that crashes the endpoints that run it.
@@ -106,6 +109,9 @@
 /// The number of endpoints that repeat refusals in a soak.
 const REPEATING_ENDPOINTS: usize = 3;
 
+/// The statuses with which endpoints fail after they began to run a request, each at one endpoint of a soak.
+const FAILED_RUN_STATUSES: [u16; 4] = [500, 503, 429, 408];
+
 /// The number of gateways in a row at which callers crowd.
 const CROWDS: u32 = 4;
 
@@ -128,6 +134,7 @@
             steps.extend(turned_away_steps(seed, size, length));
             steps.extend(repeat_steps(seed, size, length));
             steps.extend(crowd_steps(seed, size, length, &steps));
+            steps.extend(failed_run_steps(seed, size, length));
             steps.sort_by_key(|step| step.at);
             return steps;
         }
@@ -240,6 +247,19 @@
     repeating.collect()
 }
 
+/// Returns the steps in which runs fail after they began, drawn with a generator of their own.
+fn failed_run_steps(seed: u64, size: SoakSize, length: Duration) -> Vec<FaultStep> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(23));
+    let first = rng.random_range(0..size.endpoints());
+    let failing = FAILED_RUN_STATUSES.iter().enumerate();
+    let steps = failing.map(|(number, status)| FaultStep {
+        at: length.mul_f64(rng.random_range(0.05..0.6)),
+        lasts: length.mul_f64(rng.random_range(0.2..0.4)),
+        fault: SoakFault::FailRuns((first + number) % size.endpoints(), *status),
+    });
+    steps.collect()
+}
+
 /// Returns the steps in which callers crowd at one gateway, in every other soak, drawn with a generator of their own: at one
 /// after the other, and for a while at each that has just been restarted.
 fn crowd_steps(seed: u64, size: SoakSize, length: Duration, steps: &[FaultStep]) -> Vec<FaultStep> {
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -17,9 +17,10 @@
 use tokio::time::sleep;
 
 use super::caller::CRASH_PATH;
+use super::faults::{EndpointFaults, RunFailure};
 use super::notices::EndpointNotices;
 use super::responses::{
-    self, cut_response, not_run_response, set, set_stamp, stream_response, text,
+    self, cut_response, failed_response, not_run_response, set, set_stamp, stream_response, text,
 };
 use super::store::StoreStandin;
 use super::weights::{EngineWeights, OrderOutcome};
@@ -49,19 +50,6 @@
     "x-oatpier-not-executed",
 ];
 
-/// Faults of an endpoint, as shares of its requests or orders.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct EndpointFaults {
-    /// The share of requests that run and whose responses are lost.
-    pub lost_share: f64,
-    /// The share of responses that are cut off.
-    pub cut_share: f64,
-    /// The share of orders that get no response and are carried out late.
-    pub late_order_share: f64,
-    /// The share of requests that it refuses without running them.
-    pub refused_share: f64,
-}
-
 /// The fixed properties of an endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointSpec {
@@ -92,6 +80,8 @@
     /// Whether it serves without an entry in the registry.
     pub(super) is_unlisted: bool,
     faults: EndpointFaults,
+    /// The failure of runs, apart from the other faults because these end each other.
+    run_failure: Option<RunFailure>,
     notices: EndpointNotices,
 }
 
@@ -106,6 +96,7 @@
             is_draining: false,
             is_unlisted: false,
             faults: self.faults,
+            run_failure: self.run_failure,
             notices: EndpointNotices::default(),
         };
     }
@@ -142,6 +133,7 @@
             is_draining: false,
             is_unlisted: false,
             faults: EndpointFaults::default(),
+            run_failure: None,
             notices: EndpointNotices::default(),
         };
         let endpoint = Self {
@@ -231,6 +223,11 @@
         self.lock().faults = faults;
     }
 
+    /// Sets the failure of runs.
+    pub fn set_run_failure(&self, failure: Option<RunFailure>) {
+        self.lock().run_failure = failure;
+    }
+
     /// Changes the notices that the endpoint sends.
     pub fn change_notices(&self, change: impl FnOnce(&mut EndpointNotices)) {
         change(&mut self.lock().notices);
@@ -380,6 +377,11 @@
             // response instead.
             return cut_response(&id, &slot.instance);
         }
+        let run_failure = self.lock().run_failure;
+        if let Some(status) = run_failure.and_then(RunFailure::draw) {
+            sleep(RUN_TIME).await;
+            return failed_response(status, &id, &slot.instance);
+        }
         let faults = self.lock().faults;
         if rand::rng().random_bool(faults.lost_share) {
             sleep(RUN_TIME).await;
--- a/crates/oatpier-soak/src/standin/mod.rs
+++ b/crates/oatpier-soak/src/standin/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`store`]: the key-value store with the configuration and the registry.
 //! - [`endpoint`]: engines and plain services, with faults of their own.
+//! - [`faults`]: the faults of endpoints.
 //! - [`stops`]: how endpoints crash, drain and leave.
 //! - [`notices`]: notices that an endpoint sends in its responses.
 //! - [`weights`]: the models and adapters that an engine holds, and the effect of orders on them.
@@ -11,6 +12,7 @@
 
 pub mod caller;
 pub mod endpoint;
+pub mod faults;
 pub mod notices;
 pub mod responses;
 pub mod settings;
--- a/crates/oatpier-soak/src/standin/responses.rs
+++ b/crates/oatpier-soak/src/standin/responses.rs
@@ -55,6 +55,13 @@
     response
 }
 
+/// Returns the response of an instance that failed while it ran the request. It doesn't say that the request did not run.
+pub(super) fn failed_response(status: StatusCode, id: &str, instance: &str) -> Reply {
+    let mut response = reply::text(status, "");
+    set_stamp(response.headers_mut(), id, instance);
+    response
+}
+
 /// Returns a response that breaks off in the middle of its body.
 pub(super) fn cut_response(id: &str, instance: &str) -> Reply {
     let half = body(id);
--- a/crates/oatpier-soak/tests/testsuite/check.rs
+++ b/crates/oatpier-soak/tests/testsuite/check.rs
@@ -102,11 +102,17 @@
 
 #[test]
 fn a_refusal_of_a_request_that_ran_is_found() {
-    let call = sent(CallKind::Stream);
-    let runs = [run_of(&call, "i-1")];
-    for status in [408, 421, 429, 503] {
-        let end = Some(complete(status, None, ""));
-        assert_eq!(broken(&call, &runs, end), [SoakPromise::TrueRefusal]);
+    for kind in [CallKind::Stream, CallKind::Unsafe] {
+        let call = sent(kind);
+        let runs = [run_of(&call, "i-1")];
+        for status in [408, 421, 429, 503] {
+            let end = Some(complete(status, None, ""));
+            assert_eq!(broken(&call, &runs, end), [SoakPromise::TrueRefusal]);
+        }
+        for status in [500, 502, 504] {
+            let end = Some(complete(status, None, ""));
+            assert!(broken(&call, &runs, end).is_empty());
+        }
     }
 }
 
--- a/crates/oatpier-soak/tests/testsuite/plan.rs
+++ b/crates/oatpier-soak/tests/testsuite/plan.rs
@@ -69,3 +69,18 @@
     assert!(counts.iter().any(|count| *count > 0));
     assert!(counts.iter().all(|count| *count < SIZE.gateways));
 }
+
+/// Guards against soaks in which no endpoint fails with a status that gateways must not pass on.
+#[test]
+fn runs_fail_with_each_status_in_each_soak() {
+    for seed in 0..50 {
+        let steps = plan(seed, SIZE, Duration::from_secs(12)).into_iter();
+        let statuses = steps.filter_map(|step| match step.fault {
+            SoakFault::FailRuns(endpoint, status) if endpoint < SIZE.endpoints() => Some(status),
+            _ => None,
+        });
+        let mut statuses: Vec<u16> = statuses.collect();
+        statuses.sort_unstable();
+        assert_eq!(statuses, [408, 429, 500, 503], "seed {seed}");
+    }
+}
