--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod accounting;
 mod arrivals;
 pub mod attempt;
+pub mod attempt_failure;
 mod buffers;
 mod configuration;
 pub mod core;
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -23,7 +23,8 @@
 use oatpier_wire::sse::{EventSplitter, EventTooLong};
 use tokio::time::{timeout, timeout_at};
 
-use super::attempt::{self, AttemptFailure, AttemptGuard, OpenResponse};
+use super::attempt::{self, AttemptGuard, OpenResponse};
+use super::attempt_failure::AttemptFailure;
 use super::pauses::PauseTracker;
 use super::placement::PlacedSend;
 use super::run::RequestRun;
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -18,7 +18,8 @@
 use smallvec::SmallVec;
 use tokio::time::{sleep_until, timeout_at};
 
-use super::attempt::{self, AttemptFailure, CallerMessage, WholeResponse};
+use super::attempt::{self, CallerMessage, WholeResponse};
+use super::attempt_failure::AttemptFailure;
 use super::core::GatewayCore;
 use super::local_responses::LocalResponse;
 use super::part_check::{self, PartCheck, PartStep};
--- a/crates/oatpier-gateway/src/gateway/run_log.rs
+++ b/crates/oatpier-gateway/src/gateway/run_log.rs
@@ -7,7 +7,7 @@
 use oatpier_types::names::{EndpointName, WorkspaceName};
 use oatpier_types::software::SoftwareVersion;
 
-use super::attempt::AttemptFailure;
+use super::attempt_failure::AttemptFailure;
 use super::local_responses::LocalResponse;
 use super::pauses::StreamPause;
 use super::placement::PlacedSend;
