Judge an endpoint's unstated failure by its head

What callers saw: an idempotent request whose endpoint failed with 408, 429 or 503 waited for the rest of a body that stalled, and got 504 at its deadline, though another endpoint could serve it. Cause: the attempt failed as `unstated` only after the body had been read, which nobody gets to see. Change: check_head, through which each response goes, decides; the body is dropped, which costs a connection if it hasn't ended. Ruled out: reading on beside the next attempt, for the sake of the connection. Measured: promises::a_failure_that_states_nothing_is_not_read_to_its_end failed before (504 for 200) and passes; 184 tests of the gateway pass. Why it works: the status is all that is used of such a response. A resumed stream goes the same way, since it is sent by the same function.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -280,6 +280,10 @@
             guard.finish(RequestOutcome::Untrusted);
             Err(AttemptFailure::Spoilt)
         }
+        ResponseKind::Matching if headers::promises_not_run(parts.status) => {
+            guard.finish(RequestOutcome::ServerError);
+            Err(AttemptFailure::Unstated)
+        }
         ResponseKind::Matching => {
             let is_framed = is_framed(&parts.headers);
             let mut guard = guard;
@@ -362,7 +366,7 @@
             return Err(failure);
         }
     };
-    if status.is_server_error() || headers::promises_not_run(status) {
+    if status.is_server_error() {
         guard.finish(RequestOutcome::ServerError);
     } else {
         guard.finish_whole();
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use oatpier_platform::headers;
 use oatpier_serving::choice::{EndpointChoice, StreamPrediction, ThrottledService, VersionPin};
 use oatpier_serving::crashes::suspects::SuspectVerdict;
 use oatpier_serving::site::RouteKind;
@@ -405,14 +404,9 @@
         matches!(alternative, Placement::Send(_)) && self.core.take_retry(&self.context.service)
     }
 
-    /// Returns the response for the caller, unless another endpoint may succeed or its status would make a promise that
-    /// the endpoint did not give.
     fn check_response(&self, whole: WholeResponse) -> Result<Reply, AttemptFailure> {
         let WholeResponse { response, lease } = whole;
         let status = response.status();
-        if headers::promises_not_run(status) {
-            return Err(AttemptFailure::Unstated);
-        }
         let may_retry = status.is_server_error()
             && self.context.route.kind == RouteKind::Safe
             && self.remaining_sends() >= 2;
--- a/crates/oatpier-gateway/tests/testsuite/promises.rs
+++ b/crates/oatpier-gateway/tests/testsuite/promises.rs
@@ -209,3 +209,20 @@
         assert_eq!(answer.status(), StatusCode::BAD_GATEWAY, "{status}");
     }
 }
+
+/// Guards against an idempotent request that waits for the rest of such a failure until its deadline.
+#[tokio::test]
+async fn a_failure_that_states_nothing_is_not_read_to_its_end() {
+    let stalled = endpoint_response("503 Service Unavailable", "failed")
+        .replace("content-length: 6", "content-length: 600");
+    let failing = ScriptedEndpoint::start(vec![EndpointStep::Answer(stalled); 2]).await;
+    let complete = EndpointStep::Answer(endpoint_response("200 OK", "world"));
+    let other = ScriptedEndpoint::start(vec![complete.clone(), complete]).await;
+    let gateway = TestGateway::with_endpoints(RouteKind::Safe, 2, &[&failing, &other]);
+    for _ in 0..2 {
+        let answer = gateway
+            .send(request(&[("x-oatpier-deadline-ms", "2000")]))
+            .await;
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+}
