Test that a copy of a refusal does not end a resumed stream

Guards the resume of streams in: with the choice of the connection taken out of StreamRelay::resume_at the test fails (the stream is cut as `spoilt`), with it it passes.

--- a/crates/oatpier-gateway/tests/testsuite/repeated_refusals.rs
+++ b/crates/oatpier-gateway/tests/testsuite/repeated_refusals.rs
@@ -10,10 +10,23 @@
 use tokio::time::sleep;
 
 use crate::support::{
-    EndpointStep, ScriptedEndpoint, TestGateway, endpoint_response, not_executed_response,
-    other_instance_response, request, status,
+    EndpointStep, RESUMABLE_STREAM, STREAM_END, ScriptedEndpoint, TestGateway, endpoint_response,
+    not_executed_response, other_instance_response, record, request, status, stream_start,
 };
 
+async fn await_request(endpoint: &ScriptedEndpoint) {
+    while endpoint.requests().is_empty() {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Reports that the endpoint has restarted under another name.
+fn name_successor(gateway: &TestGateway, endpoint: &ScriptedEndpoint) {
+    let mut update = status(1, endpoint.address, Vec::new());
+    update.instance = EndpointName::try_from("i-new").ok();
+    gateway.core.apply_status(update);
+}
+
 /// Sends a request to an endpoint that refuses it and restarts meanwhile, so that the request is sent to its address
 /// again. Returns the status that the caller gets.
 async fn status_after_restart(refusal: String) -> StatusCode {
@@ -25,12 +38,8 @@
     .await;
     let gateway = TestGateway::with_endpoints(RouteKind::Unsafe, 2, &[&endpoint]);
     let restart = async {
-        while endpoint.requests().is_empty() {
-            sleep(Duration::from_millis(1)).await;
-        }
-        let mut update = status(1, endpoint.address, Vec::new());
-        update.instance = EndpointName::try_from("i-new").ok();
-        gateway.core.apply_status(update);
+        await_request(&endpoint).await;
+        name_successor(&gateway, &endpoint);
         may_answer.notify_one();
     };
     let (answer, ()) = tokio::join!(gateway.send(request(&[])), restart);
@@ -70,3 +79,37 @@
     );
     assert_eq!(endpoint.connections(), 1);
 }
+
+/// Guards against a stream that is cut because a copy of a refusal is taken for the response to its next send: it broke off
+/// and is resumed at an endpoint that refuses it and is listed under another name meanwhile.
+#[tokio::test]
+async fn a_copy_of_a_refusal_does_not_end_a_resumed_stream() {
+    let (may_break, may_refuse) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let no_chunk = "no length\r\n";
+    let first = stream_start(&["id: 1\ndata: a\n\n"]) + no_chunk;
+    let breaking = ScriptedEndpoint::start(vec![EndpointStep::AnswerTwice(
+        first,
+        Arc::clone(&may_break),
+    )])
+    .await;
+    let rest = stream_start(&["id: 2\ndata: b\n\n"]) + STREAM_END;
+    let restarting = ScriptedEndpoint::start(vec![
+        EndpointStep::AnswerTwice(other_instance_response("i-3"), Arc::clone(&may_refuse)),
+        EndpointStep::Answer(rest),
+    ])
+    .await;
+    let gateway = TestGateway::with_endpoints(RESUMABLE_STREAM, 2, &[&breaking]);
+    let faults = async {
+        await_request(&breaking).await;
+        let records = vec![record(1, breaking.address), record(2, restarting.address)];
+        gateway.core.apply_records(None, records);
+        may_break.notify_one();
+        await_request(&restarting).await;
+        let records = vec![record(1, breaking.address), record(3, restarting.address)];
+        gateway.core.apply_records(None, records);
+        may_refuse.notify_one();
+    };
+    let (answer, ()) = tokio::join!(gateway.send(request(&[])), faults);
+    assert_eq!(answer.body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(restarting.connections(), 2);
+}
