--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -23,7 +23,8 @@
 use oatpier_wire::sse::{EventSplitter, EventTooLong};
 use tokio::time::{timeout, timeout_at};
 
-use super::attempt::{self, AttemptFailure, AttemptGuard, OpenResponse};
+use super::attempt::{self, AttemptGuard, OpenResponse};
+use super::attempt_failure::AttemptFailure;
 use super::pauses::PauseTracker;
 use super::placement::PlacedSend;
 use super::run::RequestRun;
@@ -401,20 +402,21 @@
     }
 
     async fn resume_at(&mut self, placed: &mut PlacedSend) -> Result<(), AttemptFailure> {
+        self.run.choose_connection(placed);
         let run = &self.run;
         let after_event = self.last_event.as_deref();
         let sending = attempt::send(&run.core, &run.context, &run.message, placed, after_event);
         let deadline = run.core.clock.instant(run.context.deadline);
-        let response = timeout_at(deadline, sending)
-            .await
-            .map_err(|_| AttemptFailure::Silent)??;
+        let sent = timeout_at(deadline, sending).await;
+        self.run.record_response(placed);
+        let response = sent.map_err(|_| AttemptFailure::Silent)??;
         self.endpoint = response.guard.endpoint.clone();
         self.run.endpoint = Some(self.endpoint.clone());
         self.run.version.clone_from(&placed.version);
         self.run.prediction = placed.choice.stream;
         if !response.status.is_success() {
             response.guard.finish(RequestOutcome::ServerError);
-            return Err(AttemptFailure::ServerError);
+            return Err(AttemptFailure::Unresumed);
         }
         self.is_at_event_end = response.is_framed;
         self.body = response.body;
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -1,10 +1,10 @@
 //! One request from its placement to its final response.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use oatpier_platform::headers;
 use oatpier_serving::choice::{EndpointChoice, StreamPrediction, ThrottledService, VersionPin};
 use oatpier_serving::crashes::suspects::SuspectVerdict;
 use oatpier_serving::site::RouteKind;
@@ -12,11 +12,13 @@
 use oatpier_types::refusal::{Refusal, RefusalCause};
 use oatpier_types::software::SoftwareVersion;
 use oatpier_types::verdict::{Repeat, RunVerdict};
+use oatpier_wire::client::ConnectionChoice;
 use oatpier_wire::reply::{LeasedBody, Reply};
 use smallvec::SmallVec;
 use tokio::time::{sleep_until, timeout_at};
 
-use super::attempt::{self, AttemptFailure, CallerMessage, WholeResponse};
+use super::attempt::{self, CallerMessage, WholeResponse};
+use super::attempt_failure::AttemptFailure;
 use super::core::GatewayCore;
 use super::local_responses::LocalResponse;
 use super::part_check::{self, PartCheck, PartStep};
@@ -52,6 +54,9 @@
     pub(super) message: CallerMessage,
     /// Endpoints that received at least one byte of the request.
     reached: SmallVec<[EndpointName; 2]>,
+    /// Addresses from which a response to this request came. An endpoint may send it again, late, on the same
+    /// connection, where it would be taken for the response to a second send.
+    responded: SmallVec<[SocketAddr; 2]>,
     /// Endpoints that the request is not sent to again.
     pub(super) excluded: SmallVec<[EndpointName; 2]>,
     /// The versions at which the request may be served from now on.
@@ -93,6 +98,7 @@
             context,
             message,
             reached: SmallVec::new(),
+            responded: SmallVec::new(),
             excluded: SmallVec::new(),
             ended_verdict: RunVerdict::NotRun,
             is_sending: false,
@@ -146,10 +152,12 @@
             self.endpoint = Some(placed.choice.endpoint.clone());
             self.version.clone_from(&placed.version);
             self.prediction = placed.choice.stream;
+            self.choose_connection(&mut placed);
             let failure = match self.attempt(&mut placed).await {
                 Ok(reply) => return RunOutcome::Relayed(reply),
                 Err(failure) => failure,
             };
+            self.record_response(&placed);
             self.log_failure(&placed, failure);
             if let Some(response) = self.handle_failure(&placed.choice.endpoint, failure) {
                 return RunOutcome::Local(response);
@@ -157,6 +165,21 @@
         }
     }
 
+    /// Chooses a new connection to an address from which a response to this request came. After a restart, the
+    /// successor of an endpoint has the same address, so excluding endpoints by name does not prevent such a send.
+    pub(super) fn choose_connection(&self, placed: &mut PlacedSend) {
+        if self.responded.contains(&placed.address) {
+            placed.connection = ConnectionChoice::New;
+        }
+    }
+
+    /// Records that a response to an attempt came, if one did.
+    pub(super) fn record_response(&mut self, placed: &PlacedSend) {
+        if placed.received.is_some() && !self.responded.contains(&placed.address) {
+            self.responded.push(placed.address);
+        }
+    }
+
     /// Waits until the request can be sent.
     ///
     /// When the gateway is being stopped, requests that still wait are refused. If they were kept until the process
@@ -381,14 +404,9 @@
         matches!(alternative, Placement::Send(_)) && self.core.take_retry(&self.context.service)
     }
 
-    /// Returns the response for the caller, unless another endpoint may succeed or its status would make a promise that
-    /// the endpoint did not give.
     fn check_response(&self, whole: WholeResponse) -> Result<Reply, AttemptFailure> {
         let WholeResponse { response, lease } = whole;
         let status = response.status();
-        if headers::promises_not_run(status) {
-            return Err(AttemptFailure::Unstated);
-        }
         let may_retry = status.is_server_error()
             && self.context.route.kind == RouteKind::Safe
             && self.remaining_sends() >= 2;
@@ -426,11 +444,12 @@
         if !self.ended_verdict.may_repeat(self.repeat()) {
             return Some(LocalResponse::Broken);
         }
-        let has_budget = failure.is_free_retry() || self.core.take_retry(&self.context.service);
-        if self.remaining_sends() == 0 || !has_budget {
-            return Some(self.refusal_after(failure));
+        let may_send = self.remaining_sends() > 0
+            && (failure.is_free_retry() || self.core.take_retry(&self.context.service));
+        if may_send {
+            return None;
         }
-        None
+        Some(self.refusal_after(failure))
     }
 
     fn repeat(&self) -> Repeat {
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -54,6 +54,8 @@
     AnswerAndClose(String),
     /// Responds with the first bytes, and with the others after a pause.
     AnswerInParts(String, Duration, String),
+    /// Responds with these bytes once it is notified, and with them again ahead of the next response on the connection.
+    AnswerTwice(String, Arc<Notify>),
     /// Closes the connection without a response.
     Close,
     /// Never responds.
@@ -121,9 +123,12 @@
     steps: Arc<Mutex<VecDeque<EndpointStep>>>,
     seen: Arc<Mutex<Vec<String>>>,
 ) {
+    let mut copy = String::new();
     while let Some(request) = read_request(&mut stream).await {
         seen.lock().unwrap().push(request);
         let step = steps.lock().unwrap().pop_front();
+        let late = std::mem::take(&mut copy);
+        stream.write_all(late.as_bytes()).await.unwrap();
         match step {
             Some(EndpointStep::Answer(bytes)) => stream.write_all(bytes.as_bytes()).await.unwrap(),
             Some(EndpointStep::AnswerAndClose(bytes)) => {
@@ -135,6 +140,11 @@
                 sleep(pause).await;
                 stream.write_all(rest.as_bytes()).await.unwrap();
             }
+            Some(EndpointStep::AnswerTwice(bytes, may_answer)) => {
+                may_answer.notified().await;
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                copy = bytes;
+            }
             Some(EndpointStep::Silence) => std::future::pending().await,
             Some(EndpointStep::Close) | None => return,
         }
@@ -250,6 +260,11 @@
 impl TestGateway {
     /// Creates a gateway without a configuration.
     pub fn unconfigured() -> Self {
+        Self::with_settings(settings())
+    }
+
+    /// Creates a gateway with these settings and without a configuration.
+    pub fn with_settings(settings: NodeSettings) -> Self {
         let outlet = Arc::new(RecordingOutlet::default());
         let metrics = ServingMetrics::default();
         let (log, lines) = DecisionLog::new("gateway", &metrics);
@@ -268,7 +283,7 @@
             config_sources: source_sender,
             claims: ring(8, RingRule::Drop, ServingMetrics::default().ring_full).0,
         };
-        let (_, feed) = watch::channel(Arc::new(settings()));
+        let (_, feed) = watch::channel(Arc::new(settings));
         let kept: Arc<dyn MessageOutlet> = outlet.clone();
         let core = Arc::new(GatewayCore::new(feed, inputs, kept));
         Self {
--- a/crates/oatpier-soak/src/standin/endpoint.rs
+++ b/crates/oatpier-soak/src/standin/endpoint.rs
@@ -7,21 +7,21 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use futures::stream;
-use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
-use oatpier_wire::reply::{self, BoxError, Reply};
+use http::{HeaderMap, Request, StatusCode};
+use oatpier_wire::reply::{self, Reply};
 use oatpier_wire::server::{self, RequestHandler, ServerLimits};
 use rand::RngExt;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::caller::CRASH_PATH;
+use super::faults::{EndpointFaults, RunFailure};
 use super::notices::EndpointNotices;
-use super::responses::{self, not_run_response, set, set_stamp, text};
+use super::responses::{
+    self, cut_response, failed_response, not_run_response, set, set_stamp, stream_response, text,
+};
 use super::store::StoreStandin;
 use super::weights::{EngineWeights, OrderOutcome};
 use crate::history::{BegunRun, EventHistory, ObservedEvent};
@@ -29,9 +29,8 @@
 /// The number of requests that an endpoint runs at the same time.
 const SLOTS: u32 = 8;
 
-/// The run time of a request without a stream, and the interval between events of a stream.
+/// The run time of a request without a stream.
 const RUN_TIME: Duration = Duration::from_millis(15);
-const EVENT_INTERVAL: Duration = Duration::from_millis(12);
 
 /// The software versions of endpoints: all start with the first, and draw one at each restart.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
@@ -51,19 +50,6 @@
     "x-oatpier-not-executed",
 ];
 
-/// Faults of an endpoint, as shares of its requests or orders.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct EndpointFaults {
-    /// The share of requests that run and whose responses are lost.
-    pub lost_share: f64,
-    /// The share of responses that are cut off.
-    pub cut_share: f64,
-    /// The share of orders that get no response and are carried out late.
-    pub late_order_share: f64,
-    /// The share of requests that it refuses without running them.
-    pub refused_share: f64,
-}
-
 /// The fixed properties of an endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointSpec {
@@ -94,6 +80,8 @@
     /// Whether it serves without an entry in the registry.
     pub(super) is_unlisted: bool,
     faults: EndpointFaults,
+    /// The failure of runs, apart from the other faults because these end each other.
+    run_failure: Option<RunFailure>,
     notices: EndpointNotices,
 }
 
@@ -108,6 +96,7 @@
             is_draining: false,
             is_unlisted: false,
             faults: self.faults,
+            run_failure: self.run_failure,
             notices: EndpointNotices::default(),
         };
     }
@@ -144,6 +133,7 @@
             is_draining: false,
             is_unlisted: false,
             faults: EndpointFaults::default(),
+            run_failure: None,
             notices: EndpointNotices::default(),
         };
         let endpoint = Self {
@@ -233,6 +223,11 @@
         self.lock().faults = faults;
     }
 
+    /// Sets the failure of runs.
+    pub fn set_run_failure(&self, failure: Option<RunFailure>) {
+        self.lock().run_failure = failure;
+    }
+
     /// Changes the notices that the endpoint sends.
     pub fn change_notices(&self, change: impl FnOnce(&mut EndpointNotices)) {
         change(&mut self.lock().notices);
@@ -380,20 +375,26 @@
             }
             // A complete run would clear the request of suspicion, so an endpoint that already stops cuts off its
             // response instead.
-            return cut_response(&id, &slot);
+            return cut_response(&id, &slot.instance);
+        }
+        let run_failure = self.lock().run_failure;
+        if let Some(status) = run_failure.and_then(RunFailure::draw) {
+            sleep(RUN_TIME).await;
+            return failed_response(status, &id, &slot.instance);
         }
         let faults = self.lock().faults;
         if rand::rng().random_bool(faults.lost_share) {
             sleep(RUN_TIME).await;
-            return cut_response(&id, &slot);
+            return cut_response(&id, &slot.instance);
         }
         let is_cut = rand::rng().random_bool(faults.cut_share);
         if request.uri().path().contains("stream") {
-            return stream_response(&id, slot, last_event(request.headers()), is_cut);
+            let instance = slot.instance.clone();
+            return stream_response(&id, &instance, slot, last_event(request.headers()), is_cut);
         }
         sleep(RUN_TIME).await;
         if is_cut {
-            return cut_response(&id, &slot);
+            return cut_response(&id, &slot.instance);
         }
         let mut response = reply::text(StatusCode::OK, responses::body(&id));
         set_stamp(response.headers_mut(), &id, &slot.instance);
@@ -478,48 +479,6 @@
     event.and_then(|id| id.parse().ok()).unwrap_or(0)
 }
 
-/// Returns a response that breaks off in the middle of its body.
-fn cut_response(id: &str, slot: &RunSlot) -> Reply {
-    let half = responses::body(id);
-    let half = Bytes::from(half[..half.len() / 2].to_owned());
-    let frames = [Ok(Frame::data(half)), Err(BoxError::from("cut"))];
-    let mut response = streaming_response(stream::iter(frames));
-    set_stamp(response.headers_mut(), id, &slot.instance);
-    response
-}
-
-fn stream_response(id: &str, slot: RunSlot, after: u32, is_cut: bool) -> Reply {
-    let instance = slot.instance.clone();
-    let cut_after = if is_cut { after + 4 } else { u32::MAX };
-    let request_id = id.to_owned();
-    let due = Instant::now();
-    let frames = stream::unfold((after + 1, slot), move |(number, slot)| {
-        let id = request_id.clone();
-        async move {
-            if number > responses::EVENTS {
-                return None;
-            }
-            let offset = EVENT_INTERVAL * (number - after);
-            tokio::time::sleep_until(due + offset).await;
-            if number > cut_after {
-                return Some((Err(BoxError::from("cut")), (u32::MAX, slot)));
-            }
-            let event = Bytes::from(responses::event(&id, number));
-            Some((Ok(Frame::data(event)), (number + 1, slot)))
-        }
-    });
-    let mut response = streaming_response(frames);
-    set(response.headers_mut(), "content-type", "text/event-stream");
-    set_stamp(response.headers_mut(), id, &instance);
-    response
-}
-
-fn streaming_response(
-    frames: impl futures::Stream<Item = Result<Frame<Bytes>, BoxError>> + Send + 'static,
-) -> Reply {
-    Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)))
-}
-
 fn new_instance_id() -> String {
     format!("i-{:010x}", rand::rng().random::<u32>())
 }
