--- a/crates/oatpierd/tests/testsuite/soak.rs
+++ b/crates/oatpierd/tests/testsuite/soak.rs
@@ -74,3 +74,10 @@
 fn turned_away_gateways_leave_retired_endpoints_alone_with_seed_7() {
     soak(7, &LONG_SOAK);
 }
+
+/// A gateway passed on the status of an endpoint that failed after it had begun to run a request, and so promised that
+/// the request did not run.
+#[test]
+fn requests_whose_runs_failed_are_not_refused_with_seed_21() {
+    soak(21, &SHORT_SOAK);
+}
