Receive a request's body into one buffer

What callers saw: a gateway ran out of memory under callers that send bodies in very small chunks, although the bodies were short.

Cause: the server collected a body's frames, and kept one frame (32 bytes, and a reference that keeps the whole buffer it was read into) for each chunk. 2.4 MB in chunks of one byte took about 40 MB.

Change: frames are copied into one buffer that grows with the body and never over its limit, or over the length that the caller has stated.

Ruled out: a minimal chunk size, which would refuse legal requests; reading with larger buffers, since a frame still is a chunk.

Why it works: what is kept no longer depends on how the body is divided.

--- a/crates/oatpier-wire/src/server/request_body.rs
+++ b/crates/oatpier-wire/src/server/request_body.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use http::header::EXPECT;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
 use super::ServerLimits;
-use crate::reply::{self, BoxError, Reply};
+use crate::reply::{self, Reply};
 
 /// The maximum time for reading and discarding the rest of a rejected body, so that the caller can read the response
 /// before the connection is closed.
@@ -18,6 +18,9 @@
 /// The maximum number of bytes that are discarded.
 const MAX_DISCARD_BYTES: usize = 16 << 20;
 
+/// The smallest capacity of a buffer for a body, in bytes.
+const MIN_CAPACITY: usize = 1 << 10;
+
 /// An error while reading a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum BodyError {
@@ -58,24 +61,34 @@
         }
         return Err(BodyError::TooLarge { limit });
     }
-    let collecting = Limited::new(&mut body, limit).collect();
-    let collected = timeout(limits.body_timeout, collecting)
+    let received = timeout(limits.body_timeout, receive(&mut body, limit))
         .await
         .map_err(|_| BodyError::TooSlow {
             wait: limits.body_timeout,
         })?;
-    match collected {
-        Ok(collected) => Ok(Request::from_parts(parts, collected.to_bytes())),
-        Err(error) if is_over_limit(&error) => {
-            discard(&mut body).await;
-            Err(BodyError::TooLarge { limit })
+    match received {
+        Ok(bytes) => Ok(Request::from_parts(parts, bytes)),
+        Err(error) => {
+            if matches!(error, BodyError::TooLarge { .. }) {
+                discard(&mut body).await;
+            }
+            Err(error)
         }
-        Err(_) => Err(BodyError::Broken),
     }
 }
 
-fn is_over_limit(error: &BoxError) -> bool {
-    error.downcast_ref::<LengthLimitError>().is_some()
+/// Receives a body into one buffer. A frame may be as short as a chunk of one byte, and keeps the whole buffer that it was
+/// read into.
+async fn receive(body: &mut Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    let mut buffer = BodyBuffer::new(limit, body.size_hint().exact());
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Broken)?;
+        // Trailers are not passed on.
+        if let Some(data) = frame.data_ref() {
+            buffer.append(data)?;
+        }
+    }
+    Ok(buffer.into_bytes())
 }
 
 async fn discard(body: &mut Incoming) {
@@ -92,3 +105,42 @@
     // After the timeout the connection is closed with the rest unread.
     let _ = timeout(DISCARD_TIMEOUT, reading).await;
 }
+
+/// A buffer that grows with a body, up to the body's limit.
+struct BodyBuffer {
+    bytes: Vec<u8>,
+    /// The size at which the buffer stops growing, in bytes.
+    max_bytes: usize,
+    limit: usize,
+}
+
+impl BodyBuffer {
+    /// Creates an empty buffer for a body of at most `limit` bytes; `length` is the length that the caller has stated.
+    fn new(limit: usize, length: Option<u64>) -> Self {
+        let length = length.and_then(|length| usize::try_from(length).ok());
+        Self {
+            bytes: Vec::new(),
+            max_bytes: length.map_or(limit, |length| length.min(limit)),
+            limit,
+        }
+    }
+
+    fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        let needed = self.bytes.len() + data.len();
+        if needed > self.limit {
+            return Err(BodyError::TooLarge { limit: self.limit });
+        }
+        if needed > self.bytes.capacity() {
+            let doubled = self.bytes.capacity().saturating_mul(2).max(MIN_CAPACITY);
+            let capacity = doubled.min(self.max_bytes).max(needed);
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Returns the bytes, without unused capacity.
+    fn into_bytes(self) -> Bytes {
+        Bytes::from(self.bytes.into_boxed_slice())
+    }
+}
