Bound the memory of bodies over all connections

What callers saw: many large bodies at once, most of them without their end, ended the process: it ran out of memory.

Cause: each body has a limit, all bodies together had none while they were received (body_bytes x connections is 16 GB at a gateway, 40 GB at an entry). Entries and agents also held complete bodies without a bound; a gateway refuses above a quarter of its memory.

Change: the server counts the buffers of all bodies that are being received, up to an eighth of the process's memory, and the bodies of requests in the handler, up to a quarter (a gateway goes on counting those together with responses). When there is no room, bodies that have stalled for half a second are given up: received at a rate at which the largest body would miss the body timeout. If that isn't enough, the new body is refused. Both get 503 with Retry-After before anything has run, and their connection is closed. Bodies up to 64 KB have room of their own, a quarter on top; a single body always has room. Entries and agents have the new setting limits.memory_bytes, 256 MiB by default; a gateway takes limits.memory_mb of its VM.

Ruled out: reserving the stated length when a head arrives, since it costs a caller nothing to state one; giving up the oldest body, since under an honest rush no body would then be completed; waiting for room with part of a body held, for the same reason.

Why it works: every byte of a body that is kept is counted before it is kept, and who holds memory without making progress loses it to who needs it.

--- a/crates/oatpier-agent/src/work.rs
+++ b/crates/oatpier-agent/src/work.rs
@@ -28,6 +28,7 @@
 use crate::messages::RELEASE_PATH;
 use oatpier_duty::duty::{RingReceiver, RingSender, StopPhase, StopSignal};
 use oatpier_duty::messages::{PEER_PATH, STATUS_PATH};
+use oatpier_duty::observe::refusals::log_refused_bodies;
 
 /// Maximum number of frames of an attempt that are buffered for its entry.
 const MAX_BUFFERED_FRAMES: usize = 16;
@@ -92,9 +93,11 @@
     // refuse attempts explicitly. A closed port would give entries no answer.
     let ended = stop.clone();
     let closing = async move { ended.reached(StopPhase::Ended).await };
-    let serving = server::serve(listener, handler, limits, Arc::default(), closing);
+    let counters = Arc::default();
+    let serving = server::serve(listener, handler, limits, Arc::clone(&counters), closing);
     tokio::select! {
         () = serving => {}
+        () = log_refused_bodies(&counters) => {}
         () = reporter.run(&updates, &stop) => {}
     }
 }
--- a/crates/oatpier-duty/src/observe/mod.rs
+++ b/crates/oatpier-duty/src/observe/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod logs;
 pub mod metrics;
+pub mod refusals;
 pub mod trace;
 
 mod duty;
--- a/crates/oatpier-duty/src/settings/limits.rs
+++ b/crates/oatpier-duty/src/settings/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oatpier_wire::server::ServerLimits;
+use oatpier_wire::server::{BudgetLimits, ServerLimits};
 
 use super::reader::TableReader;
 
@@ -16,6 +16,9 @@
     pub header_bytes: usize,
     /// The maximum size of a request body, in bytes.
     pub body_bytes: usize,
+    /// The memory of the process, in bytes. An eighth of it is for bodies that are being received, and a quarter for those
+    /// of requests that are being processed; requests without room are refused.
+    pub memory_bytes: usize,
     /// The maximum number of concurrent connections.
     pub connections: usize,
     /// The maximum time to receive the head of a request.
@@ -33,6 +36,7 @@
         Self {
             header_bytes: 32 * 1024,
             body_bytes: 4 * 1024 * 1024,
+            memory_bytes: 256 * 1024 * 1024,
             connections: 10_000,
             header_time: Duration::from_secs(10),
             body_time: Duration::from_secs(30),
@@ -54,6 +58,7 @@
             body_timeout: self.body_time,
             idle_timeout: self.idle_time,
             write_timeout: self.write_time,
+            bodies: BudgetLimits::of_memory(self.memory_bytes),
             ..ServerLimits::default()
         }
     }
@@ -65,6 +70,7 @@
         let limits = Self {
             header_bytes: table.number("header_bytes", default.header_bytes, 8192..=1 << 20),
             body_bytes: table.number("body_bytes", default.body_bytes, 1024..=1 << 28),
+            memory_bytes: table.number("memory_bytes", default.memory_bytes, 1 << 24..=1 << 40),
             connections: table.number("connections", default.connections, 1..=1_000_000),
             header_time: table.optional("header_time", default.header_time),
             body_time: table.optional("body_time", default.body_time),
--- a/crates/oatpier-entry/src/callers.rs
+++ b/crates/oatpier-entry/src/callers.rs
@@ -25,6 +25,7 @@
 use crate::sink::CallerSink;
 use crate::updates::CallersUpdate;
 use oatpier_duty::duty::{RingReceiver, RingSender, StopPhase, StopSignal};
+use oatpier_duty::observe::refusals::log_refused_bodies;
 use oatpier_duty::observe::trace::extract_parent;
 
 /// Interval at which the planner duty receives the demand.
@@ -76,7 +77,7 @@
     let closing = wait_for_drain(Arc::clone(&core), stop.clone(), notice);
     let counters = Arc::<ServerCounters>::default();
     let serving = async {
-        server::serve(listener, handler, limits, counters, closing).await;
+        server::serve(listener, handler, limits, Arc::clone(&counters), closing).await;
         finish_work(&core).await;
     };
     tokio::select! {
@@ -84,6 +85,7 @@
         () = send_demand(&core, &planner) => {}
         () = apply_updates(&core, &updates) => {}
         () = core.run_timers() => {}
+        () = log_refused_bodies(&counters) => {}
     }
     stop.advance(StopPhase::Ended);
 }
--- a/crates/oatpier-entry/src/peers/mod.rs
+++ b/crates/oatpier-entry/src/peers/mod.rs
@@ -37,6 +37,7 @@
 use handler::PeerHandler;
 use oatpier_duty::duty::{RingReceiver, RingSender, RuntimeClock, StopPhase, StopSignal};
 use oatpier_duty::observe::metrics::MetricSet;
+use oatpier_duty::observe::refusals::log_refused_bodies;
 
 /// Interval at which the planner receives the fleet state.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(1);
@@ -141,8 +142,10 @@
     let ended = stop.clone();
     let closing = async move { ended.reached(StopPhase::Ended).await };
     let rings = inputs.rings;
+    let counters = Arc::default();
     tokio::select! {
-        () = server::serve(listener, handler, inputs.limits, Arc::default(), closing) => {}
+        () = server::serve(listener, handler, inputs.limits, Arc::clone(&counters), closing) => {}
+        () = log_refused_bodies(&counters) => {}
         () = driver.run_timers() => {}
         () = driver.publish(&rings, &inputs.can_serve) => {}
         () = hints::poll_vm_list(&driver, inputs.vms.as_ref(), &rings.updates, &inputs.metrics) => {}
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -74,7 +74,7 @@
 };
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::site::SiteConfig;
-use oatpier_wire::server::{self, ServerCounters, ServerLimits};
+use oatpier_wire::server::{self, BudgetLimits, ServerCounters, ServerLimits};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -289,6 +289,15 @@
     std::future::pending::<()>().await;
 }
 
+/// Returns the limits on the memory for callers' bodies, for a process with this much memory, in bytes.
+fn body_limits(memory_bytes: usize) -> BudgetLimits {
+    BudgetLimits {
+        // The handler counts complete bodies, together with responses.
+        complete_bytes: memory_bytes,
+        ..BudgetLimits::of_memory(memory_bytes)
+    }
+}
+
 async fn serve_callers(listener: TcpListener, core: Arc<GatewayCore>, stop: &StopSignal) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
@@ -301,6 +310,7 @@
         head_bytes: MAX_HEAD_BYTES,
         linger: LISTENER_LINGER,
         max_start_delay: Some(MAX_START_DELAY),
+        bodies: body_limits(core.settings.borrow().memory_bytes),
         ..ServerLimits::default()
     };
     let handler = Arc::new(GatewayHandler::new(Arc::clone(&core)));
@@ -309,6 +319,6 @@
     let serving = server::serve(listener, handler, limits, Arc::clone(&counters), draining);
     tokio::select! {
         () = serving => {}
-        () = overload::report_closed_connections(&core, &counters) => {}
+        () = overload::report_turned_away(&core, &counters) => {}
     }
 }
--- a/crates/oatpier-gateway/src/gateway/overload.rs
+++ b/crates/oatpier-gateway/src/gateway/overload.rs
@@ -19,24 +19,39 @@
 /// unnoticed, and reach endpoints after that.
 const MAX_DELAY: Duration = Duration::from_millis(300);
 
-/// Interval at which connections that were closed unread are reported.
+/// Interval at which connections and requests that the server turned away are reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reports the connections that were closed unread because others waited too long for the processor.
-pub(super) async fn report_closed_connections(core: &GatewayCore, counters: &ServerCounters) {
-    let mut reported = 0;
+/// A count of which only the part since the last report is reported.
+#[derive(Debug, Default)]
+struct ReportedCount(u64);
+
+impl ReportedCount {
+    /// Returns by how much the count has grown, if it has.
+    fn take_growth(&mut self, total: u64) -> Option<u64> {
+        let growth = total.saturating_sub(self.0);
+        self.0 = total;
+        (growth > 0).then_some(growth)
+    }
+}
+
+/// Reports the connections and requests that the server turned away without the handler.
+pub(super) async fn report_turned_away(core: &GatewayCore, counters: &ServerCounters) {
+    let mut closed_unread = ReportedCount::default();
+    let mut out_of_memory = ReportedCount::default();
     loop {
         sleep(REPORT_INTERVAL).await;
-        let closed = counters.closed_unread();
-        if closed > reported {
+        if let Some(count) = closed_unread.take_growth(counters.closed_unread()) {
             let line = DecisionLine::new(LinePriority::Notable, "connections closed unread")
-                .with("count", closed - reported)
+                .with("count", count)
                 .with("accepted", counters.accepted());
             core.log.write(line);
-            core.metrics
-                .connections_closed_unread
-                .inc_by(closed - reported);
-            reported = closed;
+            core.metrics.connections_closed_unread.inc_by(count);
+        }
+        if let Some(count) = out_of_memory.take_growth(counters.out_of_memory()) {
+            let line = DecisionLine::new(LinePriority::Notable, "bodies refused for memory");
+            core.log.write(line.with("count", count));
+            core.metrics.bodies_refused.inc_by(count);
         }
     }
 }
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -109,6 +109,8 @@
     pub ring_full: Counter,
     /// Number of callers' connections that were closed unread because others waited too long for the processor.
     pub connections_closed_unread: Counter,
+    /// Number of callers' requests that were refused because there was no memory for their bodies.
+    pub bodies_refused: Counter,
     /// Number of decision lines that were left out of the log.
     pub lines_left_out: Counter,
 }
@@ -146,6 +148,7 @@
             barred_parts: Gauge::default(),
             ring_full: Counter::default(),
             connections_closed_unread: Counter::default(),
+            bodies_refused: Counter::default(),
             lines_left_out: Counter::default(),
         };
         metrics.registry = Arc::new(metrics.register());
@@ -338,6 +341,11 @@
             "Callers' connections closed unread because others waited too long for the processor",
             self.connections_closed_unread.clone(),
         );
+        registry.register(
+            "bodies_refused",
+            "Callers' requests refused because there was no memory for their bodies",
+            self.bodies_refused.clone(),
+        );
         registry.register(
             "log_lines_left_out",
             "Decision lines that were left out to bound the volume",
--- a/crates/oatpier-wire/src/server.rs
+++ b/crates/oatpier-wire/src/server.rs
@@ -22,12 +22,17 @@
 use crate::reply::Reply;
 use crate::traffic::TrafficCounter;
 
+mod body_budget;
 mod connection;
 mod guard;
 mod request_body;
 mod waiting;
 
+pub use body_budget::BudgetLimits;
+
+use body_budget::BodyBudget;
 use connection::ConnectionContext;
+use request_body::BodyError;
 use waiting::WaitingConnections;
 
 /// How long to wait before accepting again after `accept` failed, for example for lack of file descriptors.
@@ -77,6 +82,8 @@
     /// The maximum time from accepting a connection until the processor begins to serve it, if limited. While the oldest
     /// accepted connection waits longer, further ones are closed unread, so that their callers can go elsewhere at once.
     pub max_start_delay: Option<Duration>,
+    /// The memory for the bodies of all requests together; requests without room receive a 503 response.
+    pub bodies: BudgetLimits,
 }
 
 impl Default for ServerLimits {
@@ -92,6 +99,7 @@
             linger: Duration::from_millis(500),
             retry_after: Duration::from_secs(1),
             max_start_delay: None,
+            bodies: BudgetLimits::default(),
         }
     }
 }
@@ -103,6 +111,7 @@
     pub(crate) over_limit: AtomicU64,
     pub(crate) closed_unread: AtomicU64,
     pub(crate) refused_requests: AtomicU64,
+    pub(crate) out_of_memory: AtomicU64,
     pub(crate) stalled: AtomicU64,
     /// The byte counters of all connections.
     pub traffic: Arc<TrafficCounter>,
@@ -134,6 +143,19 @@
         self.refused_requests.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of requests among them that were refused because there was no memory for their bodies.
+    #[must_use]
+    pub fn out_of_memory(&self) -> u64 {
+        self.out_of_memory.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_refused(&self, error: BodyError) {
+        self.refused_requests.fetch_add(1, Ordering::Relaxed);
+        if error.is_memory_short() {
+            self.out_of_memory.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     /// Returns the number of connections closed because the caller was too slow or idle for too long.
     #[must_use]
     pub fn stalled(&self) -> u64 {
@@ -156,12 +178,14 @@
     shutdown: impl Future<Output = ()>,
 ) {
     let (closing, closed) = watch::channel(ServerPhase::Open);
+    let budget = Arc::new(BodyBudget::new(limits.bodies));
     let mut acceptor = Acceptor {
         context: Arc::new(ConnectionContext {
             handler,
             limits,
             counters,
             phase: closed,
+            budget,
         }),
         connections: JoinSet::new(),
         waiting: WaitingConnections::default(),
--- a/crates/oatpier-wire/src/server/connection.rs
+++ b/crates/oatpier-wire/src/server/connection.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, StatusCode};
@@ -15,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::body_budget::BodyBudget;
 use super::guard::{ConnectionActivity, GuardedStream, SharedStream, TrackedBody};
 use super::request_body::read_body;
 use super::{RequestHandler, ServerCounters, ServerLimits, ServerPhase};
@@ -30,6 +30,7 @@
     pub(crate) limits: ServerLimits,
     pub(crate) counters: Arc<ServerCounters>,
     pub(crate) phase: watch::Receiver<ServerPhase>,
+    pub(crate) budget: Arc<BodyBudget>,
 }
 
 /// Serves a connection until it is closed.
@@ -118,24 +119,22 @@
     request: Request<Incoming>,
     caller: SocketAddr,
 ) -> http::Response<TrackedBody> {
-    let reply = match read_body(request, &context.limits).await {
-        Ok(request) => {
+    let (reply, lease) = match read_body(request, &context.limits, &context.budget).await {
+        Ok(received) => {
             activity.complete();
-            context.handler.handle(request, caller).await
+            let reply = context.handler.handle(received.request, caller).await;
+            (reply, received.lease)
         }
         Err(error) => {
-            context
-                .counters
-                .refused_requests
-                .fetch_add(1, Ordering::Relaxed);
-            with_close(error.reply())
+            context.counters.count_refused(error);
+            (with_close(error.reply()), None)
         }
     };
     let reply = match *context.phase.borrow() {
         ServerPhase::Open => reply,
         ServerPhase::Closing | ServerPhase::Closed => with_close(reply),
     };
-    reply.map(|body| TrackedBody::new(body, activity))
+    reply.map(|body| TrackedBody::new(body, activity, lease))
 }
 
 fn with_close(mut reply: Reply) -> Reply {
--- a/crates/oatpier-wire/src/server/guard.rs
+++ b/crates/oatpier-wire/src/server/guard.rs
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep, sleep};
 
+use super::body_budget::BodyLease;
 use super::{ServerCounters, ServerLimits};
 use crate::reply::{BoxError, ReplyBody};
 use crate::stream::MeteredStream;
@@ -63,11 +64,21 @@
 pub(crate) struct TrackedBody {
     inner: ReplyBody,
     activity: Arc<ConnectionActivity>,
+    /// The memory that the request's body takes until then.
+    _lease: Option<BodyLease>,
 }
 
 impl TrackedBody {
-    pub(crate) fn new(inner: ReplyBody, activity: Arc<ConnectionActivity>) -> Self {
-        Self { inner, activity }
+    pub(crate) fn new(
+        inner: ReplyBody,
+        activity: Arc<ConnectionActivity>,
+        lease: Option<BodyLease>,
+    ) -> Self {
+        Self {
+            inner,
+            activity,
+            _lease: lease,
+        }
     }
 }
 
--- a/crates/oatpier-wire/tests/testsuite/main.rs
+++ b/crates/oatpier-wire/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod attempt_codec;
 mod attempt_responses;
+mod body_memory;
 mod client_endless;
 mod client_verdicts;
 mod crowds;
