Limit the bodies that metrics, probes and questions may have

What callers saw: a sidecar, or the readiness probe of a gateway, took 32 bodies of 4 MiB each for requests that have no body.

Cause: the servers for /metrics, /live, /ready and for gateways' questions about the registry had the default limit of callers.

Change: 1 KB where requests have no body, 4 KB for questions, which are a position and two digests. Larger ones get 413.

Ruled out: refusing any body there, since a probe may send an empty chunked one.

Why it works: what these servers can hold of bodies is now connections x 1 KB or 4 KB.

--- a/crates/oatpier-duty/src/observe/duty.rs
+++ b/crates/oatpier-duty/src/observe/duty.rs
@@ -21,6 +21,9 @@
 /// The maximum number of concurrent connections to the observe address.
 const MAX_CONNECTIONS: usize = 64;
 
+/// The maximum size of a request's body at an observe address, in bytes. All requests there are without one.
+pub const MAX_OBSERVE_BODY_BYTES: usize = 1 << 10;
+
 /// The output to which spans are written, one JSON line each.
 pub type SpanOutput = Box<dyn Write + Send>;
 
@@ -63,6 +66,7 @@
     });
     let limits = ServerLimits {
         connections: MAX_CONNECTIONS,
+        body_bytes: MAX_OBSERVE_BODY_BYTES,
         ..ServerLimits::default()
     };
     let serving = server::serve(
--- a/crates/oatpier-duty/src/observe/mod.rs
+++ b/crates/oatpier-duty/src/observe/mod.rs
@@ -7,4 +7,4 @@
 
 mod duty;
 
-pub use duty::{MetricsText, ObserveHandler, ObserveInputs, observe};
+pub use duty::{MAX_OBSERVE_BODY_BYTES, MetricsText, ObserveHandler, ObserveInputs, observe};
--- a/crates/oatpier-gateway/src/observe.rs
+++ b/crates/oatpier-gateway/src/observe.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicBool;
 
 use oatpier_duty::duty::{StopPhase, StopSignal};
-use oatpier_duty::observe::{MetricsText, ObserveHandler};
+use oatpier_duty::observe::{MAX_OBSERVE_BODY_BYTES, MetricsText, ObserveHandler};
 use oatpier_wire::server::{self, ServerLimits};
 
 use crate::metrics::ServingMetrics;
@@ -55,6 +55,7 @@
     };
     let limits = ServerLimits {
         connections: MAX_OBSERVE_CONNECTIONS,
+        body_bytes: MAX_OBSERVE_BODY_BYTES,
         ..ServerLimits::default()
     };
     server::serve(
--- a/crates/oatpier-gateway/src/share/mod.rs
+++ b/crates/oatpier-gateway/src/share/mod.rs
@@ -34,6 +34,9 @@
 /// Maximum number of connections. Only gateways that can't read the store connect.
 const MAX_SHARE_CONNECTIONS: usize = 64;
 
+/// Maximum size of a question about the registry, in bytes. It is a position and two digests.
+const MAX_QUESTION_BYTES: usize = 4 << 10;
+
 /// Content type of the responses.
 const MESSAGE_PACK: &str = "application/msgpack";
 
@@ -122,6 +125,7 @@
     };
     let limits = ServerLimits {
         connections: MAX_SHARE_CONNECTIONS,
+        body_bytes: MAX_QUESTION_BYTES,
         ..ServerLimits::default()
     };
     let never = std::future::pending();
