Limit the receive buffer of each connection

What callers saw: a process runs out of memory with bytes that it never read. Bytes that have been received and not read count as its memory.

Cause: the kernel chooses the receive buffer of a connection, and lets it grow with the rate at which the caller sends, here up to 33 MB. A caller that sends on while its request is processed, or while the rest of its refused body is discarded, fills it.

Change: the listener sets the receive buffer of the connections it accepts: 32 KB, 16 KB for callers of a gateway. The kernel counts twice that.

Ruled out: setting it on the accepted connection, since the larger window has been announced by then; reading on and dropping the bytes, since bytes after a request are the next request.

Why it works: the window that a caller may fill unread is no longer the kernel's choice.

--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -127,6 +127,9 @@
 /// gateway at once.
 const MAX_START_DELAY: Duration = Duration::from_millis(50);
 
+/// Receive buffer of a caller's connection, in bytes. It holds the largest head.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+
 /// Maximum size of a request head before a configuration sets another one, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
@@ -310,6 +313,7 @@
         head_bytes: MAX_HEAD_BYTES,
         linger: LISTENER_LINGER,
         max_start_delay: Some(MAX_START_DELAY),
+        receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
         bodies: body_limits(core.settings.borrow().memory_bytes),
         ..ServerLimits::default()
     };
--- a/crates/oatpier-wire/src/server.rs
+++ b/crates/oatpier-wire/src/server.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::Request;
+use nix::sys::socket::{setsockopt, sockopt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -38,6 +39,9 @@
 /// How long to wait before accepting again after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The default receive buffer of a connection, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+
 /// The number of connections over the limit that receive a 503 response; further ones are closed at once.
 const MAX_REJECTED_CONNECTIONS: usize = 64;
 
@@ -82,6 +86,9 @@
     /// The maximum time from accepting a connection until the processor begins to serve it, if limited. While the oldest
     /// accepted connection waits longer, further ones are closed unread, so that their callers can go elsewhere at once.
     pub max_start_delay: Option<Duration>,
+    /// The receive buffer of each connection, in bytes. The kernel's own choice grows with the rate of a caller, up to
+    /// megabytes for each connection whose bytes are not read.
+    pub receive_buffer_bytes: usize,
     /// The memory for the bodies of all requests together; requests without room receive a 503 response.
     pub bodies: BudgetLimits,
 }
@@ -99,6 +106,7 @@
             linger: Duration::from_millis(500),
             retry_after: Duration::from_secs(1),
             max_start_delay: None,
+            receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
             bodies: BudgetLimits::default(),
         }
     }
@@ -179,6 +187,7 @@
 ) {
     let (closing, closed) = watch::channel(ServerPhase::Open);
     let budget = Arc::new(BodyBudget::new(limits.bodies));
+    limit_receive_buffers(&listener, limits.receive_buffer_bytes);
     let mut acceptor = Acceptor {
         context: Arc::new(ConnectionContext {
             handler,
@@ -200,6 +209,12 @@
     while acceptor.connections.join_next().await.is_some() {}
 }
 
+/// Limits the receive buffers of the connections that are accepted from now on, which inherit that of the listener.
+fn limit_receive_buffers(listener: &TcpListener, bytes: usize) {
+    // A failure leaves the kernel's own choice. It only matters if callers send what isn't read.
+    let _ = setsockopt(listener, sockopt::RcvBuf, &bytes);
+}
+
 /// The phase of a server's shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ServerPhase {
