Bound callers' connections by descriptors and memory, and close those that wait

What callers saw: callers that connect and complete no request keep all others out: until a timeout of up to a minute every further connection got 503. At a gateway 600 such connections took 652 descriptors where the platform gives 512, so that none would be left for endpoints and the store.

Cause: a gateway accepted 4,096 connections on every VM, whatever its descriptors (3,075 to 10,250) and its memory. limits.max_fds wasn't read. A connection that waits for its caller was never closed for another one.

Change: a gateway accepts three quarters of the descriptors that are left for sockets, and not more connections than fit in a third of its memory at 32 KB each (a head and a receive buffer). When all are taken, the connection that has waited for its caller longest, and for over a second, is closed: first those without a complete request, dropped, then those idle between requests, which end in order. If there is none, 503 with Retry-After as before. Connections with a request in progress stay. Log lines and metrics say how many were closed.

Ordinary clients that reach it lose idle connections, which they open anew.

Tests changed: connections_over_the_limit_get_503_until_one_is_free (oatpierd) held its connections with callers that send nothing, which now rightly give way after a second. They hold requests in progress instead, and the test waits until these have arrived: as strict as before, and independent of the second. rejects_excess_connections_with_503 (oatpier-wire) sets the wait to a minute.

Ruled out: refusing by address, since callers come through the platform's address; shorter timeouts, which ordinary callers on slow links would meet; closing the oldest connections at once, since a rush would then close what was just accepted.

Why it works: what connections can take is now part of the sum, and a connection is only kept for a caller that uses it.

--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! - `store_knowledge`: what is known of the store, and how old that is.
 //! - `notices`: what endpoints report about themselves in answer headers.
 //! - [`origins`]: the software versions at which streams begin.
+//! - [`caller_limits`]: limits on what callers send.
 //! - [`overload`]: whether the gateway has more work than its processor can do.
 //! - [`identity`]: authentication of requests, and the workspace they belong to.
 //! - [`quota`]: units of workspaces' limits.
@@ -35,6 +36,7 @@
 pub mod attempt;
 pub mod attempt_failure;
 mod buffers;
+pub mod caller_limits;
 mod configuration;
 pub mod core;
 mod crashes;
@@ -74,7 +76,7 @@
 };
 use oatpier_serving::node::NodeSettings;
 use oatpier_serving::site::SiteConfig;
-use oatpier_wire::server::{self, BudgetLimits, ServerCounters, ServerLimits};
+use oatpier_wire::server::{self, ServerCounters};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -86,6 +88,7 @@
 use crate::share::{ShareInputs, share};
 use crate::store_reader::{ReaderInputs, StoreEvent, StorePeers, read_store};
 
+use self::caller_limits::caller_limits;
 use self::core::{CoreInputs, GatewayCore};
 use self::handler::GatewayHandler;
 use self::messaging::MessagingInputs;
@@ -127,12 +130,6 @@
 /// gateway at once.
 const MAX_START_DELAY: Duration = Duration::from_millis(50);
 
-/// Receive buffer of a caller's connection, in bytes. It holds the largest head.
-const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
-
-/// Maximum size of a request head before a configuration sets another one, in bytes.
-const MAX_HEAD_BYTES: usize = 16 << 10;
-
 /// Inputs of the callers thread.
 struct CallersInputs {
     settings: SettingsFeed,
@@ -292,15 +289,6 @@
     std::future::pending::<()>().await;
 }
 
-/// Returns the limits on the memory for callers' bodies, for a process with this much memory, in bytes.
-fn body_limits(memory_bytes: usize) -> BudgetLimits {
-    BudgetLimits {
-        // The handler counts complete bodies, together with responses.
-        complete_bytes: memory_bytes,
-        ..BudgetLimits::of_memory(memory_bytes)
-    }
-}
-
 async fn serve_callers(listener: TcpListener, core: Arc<GatewayCore>, stop: &StopSignal) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
@@ -309,14 +297,7 @@
             return;
         }
     };
-    let limits = ServerLimits {
-        head_bytes: MAX_HEAD_BYTES,
-        linger: LISTENER_LINGER,
-        max_start_delay: Some(MAX_START_DELAY),
-        receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
-        bodies: body_limits(core.settings.borrow().memory_bytes),
-        ..ServerLimits::default()
-    };
+    let limits = caller_limits(&core.settings.borrow());
     let handler = Arc::new(GatewayHandler::new(Arc::clone(&core)));
     let draining = stop.reached(StopPhase::Draining);
     let counters = Arc::<ServerCounters>::default();
--- a/crates/oatpier-gateway/src/gateway/overload.rs
+++ b/crates/oatpier-gateway/src/gateway/overload.rs
@@ -38,6 +38,7 @@
 /// Reports the connections and requests that the server turned away without the handler.
 pub(super) async fn report_turned_away(core: &GatewayCore, counters: &ServerCounters) {
     let mut closed_unread = ReportedCount::default();
+    let mut closed_waiting = ReportedCount::default();
     let mut out_of_memory = ReportedCount::default();
     loop {
         sleep(REPORT_INTERVAL).await;
@@ -48,6 +49,11 @@
             core.log.write(line);
             core.metrics.connections_closed_unread.inc_by(count);
         }
+        if let Some(count) = closed_waiting.take_growth(counters.closed_waiting()) {
+            let line = DecisionLine::new(LinePriority::Notable, "connections closed for others");
+            core.log.write(line.with("count", count));
+            core.metrics.connections_closed_for_others.inc_by(count);
+        }
         if let Some(count) = out_of_memory.take_growth(counters.out_of_memory()) {
             let line = DecisionLine::new(LinePriority::Notable, "bodies refused for memory");
             core.log.write(line.with("count", count));
--- a/crates/oatpier-gateway/src/metrics.rs
+++ b/crates/oatpier-gateway/src/metrics.rs
@@ -109,6 +109,8 @@
     pub ring_full: Counter,
     /// Number of callers' connections that were closed unread because others waited too long for the processor.
     pub connections_closed_unread: Counter,
+    /// Number of callers' connections that waited for their callers and were closed for others.
+    pub connections_closed_for_others: Counter,
     /// Number of callers' requests that were refused because there was no memory for their bodies.
     pub bodies_refused: Counter,
     /// Number of decision lines that were left out of the log.
@@ -148,6 +150,7 @@
             barred_parts: Gauge::default(),
             ring_full: Counter::default(),
             connections_closed_unread: Counter::default(),
+            connections_closed_for_others: Counter::default(),
             bodies_refused: Counter::default(),
             lines_left_out: Counter::default(),
         };
@@ -341,6 +344,11 @@
             "Callers' connections closed unread because others waited too long for the processor",
             self.connections_closed_unread.clone(),
         );
+        registry.register(
+            "connections_closed_for_others",
+            "Callers' connections that waited for their callers and were closed for others",
+            self.connections_closed_for_others.clone(),
+        );
         registry.register(
             "bodies_refused",
             "Callers' requests refused because there was no memory for their bodies",
--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateways, with requests to scripted endpoints over loopback connections.
 
+mod caller_limits;
 mod crashes;
 mod departed_callers;
 mod endless;
--- a/crates/oatpier-gateway/tests/testsuite/support.rs
+++ b/crates/oatpier-gateway/tests/testsuite/support.rs
@@ -635,6 +635,7 @@
         zone: ZoneName::try_from("near").unwrap(),
         processor: 200,
         memory_bytes: 4 << 20,
+        descriptors: 4_096,
         inner_port: 7380,
         metrics: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         callers: None,
--- a/crates/oatpier-serving/src/node.rs
+++ b/crates/oatpier-serving/src/node.rs
@@ -20,6 +20,8 @@
     pub processor: u32,
     /// The memory that the process may use, in bytes.
     pub memory_bytes: usize,
+    /// The number of descriptors that the process may use.
+    pub descriptors: usize,
     /// The port for traffic between gateways and sidecars, the same on every VM.
     pub inner_port: u16,
     /// The listen address for metrics.
--- a/crates/oatpier-wire/src/server.rs
+++ b/crates/oatpier-wire/src/server.rs
@@ -23,9 +23,11 @@
 use crate::reply::Reply;
 use crate::traffic::TrafficCounter;
 
+mod activity;
 mod body_budget;
 mod connection;
 mod guard;
+mod open_connections;
 mod request_body;
 mod waiting;
 
@@ -33,6 +35,7 @@
 
 use body_budget::BodyBudget;
 use connection::ConnectionContext;
+use open_connections::OpenConnections;
 use request_body::BodyError;
 use waiting::WaitingConnections;
 
@@ -45,6 +48,9 @@
 /// The number of connections over the limit that receive a 503 response; further ones are closed at once.
 const MAX_REJECTED_CONNECTIONS: usize = 64;
 
+/// The number of connections over the limit that are served while as many others close.
+const MAX_CLOSING_CONNECTIONS: usize = 64;
+
 /// A handler of HTTP requests.
 pub trait RequestHandler: Send + Sync + 'static {
     /// Handles a request. If the caller disconnects, the future and the body of the reply are dropped.
@@ -64,8 +70,11 @@
 /// The limits of a server.
 #[derive(Debug, Clone)]
 pub struct ServerLimits {
-    /// The maximum number of connections; further ones receive a 503 response.
+    /// The maximum number of connections. For a further one, a connection that waits for its caller is closed; if there is
+    /// none, the further one receives a 503 response.
     pub connections: usize,
+    /// How long a connection may wait for its caller before it is closed for another one.
+    pub min_caller_wait: Duration,
     /// The maximum size of a request head in bytes; larger ones receive a 431 response.
     pub head_bytes: usize,
     /// The maximum size of a request body in bytes; larger ones receive a 413 response.
@@ -97,6 +106,7 @@
     fn default() -> Self {
         Self {
             connections: 4096,
+            min_caller_wait: Duration::from_secs(1),
             head_bytes: 32 << 10,
             body_bytes: 4 << 20,
             head_timeout: Duration::from_secs(5),
@@ -118,6 +128,7 @@
     pub(crate) accepted: AtomicU64,
     pub(crate) over_limit: AtomicU64,
     pub(crate) closed_unread: AtomicU64,
+    pub(crate) closed_waiting: AtomicU64,
     pub(crate) refused_requests: AtomicU64,
     pub(crate) out_of_memory: AtomicU64,
     pub(crate) stalled: AtomicU64,
@@ -144,6 +155,12 @@
         self.closed_unread.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections that waited for their callers and were closed for others.
+    #[must_use]
+    pub fn closed_waiting(&self) -> u64 {
+        self.closed_waiting.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of requests whose bodies were rejected, for example with 413 or 408, without calling the
     /// handler.
     #[must_use]
@@ -195,6 +212,7 @@
             counters,
             phase: closed,
             budget,
+            open: OpenConnections::default(),
         }),
         connections: JoinSet::new(),
         waiting: WaitingConnections::default(),
@@ -266,20 +284,38 @@
                 .fetch_add(1, Ordering::Relaxed);
             return;
         }
-        let open = self.connections.len();
-        let limit = context.limits.connections;
-        if open < limit {
+        if self.has_room() || self.close_waiting() {
             context.counters.accepted.fetch_add(1, Ordering::Relaxed);
             let waiting = self.waiting.enter();
+            let open = context.open.enter();
             self.connections.spawn(async move {
                 drop(waiting);
-                connection::run(context, stream, caller).await;
+                connection::run(context, open, stream, caller).await;
             });
             return;
         }
         context.counters.over_limit.fetch_add(1, Ordering::Relaxed);
-        if open < limit + MAX_REJECTED_CONNECTIONS {
+        let rejected = self.connections.len().saturating_sub(context.open.count());
+        if rejected < MAX_REJECTED_CONNECTIONS {
             self.connections.spawn(connection::reject(context, stream));
         }
     }
+
+    fn has_room(&self) -> bool {
+        self.context.open.count() < self.context.limits.connections
+    }
+
+    /// Closes a connection that waits for its caller, to make room for another one. Returns whether there is one.
+    fn close_waiting(&self) -> bool {
+        let context = &self.context;
+        if context.open.count() >= context.limits.connections + MAX_CLOSING_CONNECTIONS {
+            return false;
+        }
+        let is_closing = context.open.close_waiting(context.limits.min_caller_wait);
+        if is_closing {
+            let closed = &context.counters.closed_waiting;
+            closed.fetch_add(1, Ordering::Relaxed);
+        }
+        is_closing
+    }
 }
--- a/crates/oatpier-wire/src/server/connection.rs
+++ b/crates/oatpier-wire/src/server/connection.rs
@@ -14,8 +14,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::activity::ConnectionActivity;
 use super::body_budget::BodyBudget;
-use super::guard::{ConnectionActivity, GuardedStream, SharedStream, TrackedBody};
+use super::guard::{GuardedStream, SharedStream, TrackedBody};
+use super::open_connections::{OpenConnection, OpenConnections};
 use super::request_body::read_body;
 use super::{RequestHandler, ServerCounters, ServerLimits, ServerPhase};
 use crate::reply::{self, Reply};
@@ -31,11 +33,17 @@
     pub(crate) counters: Arc<ServerCounters>,
     pub(crate) phase: watch::Receiver<ServerPhase>,
     pub(crate) budget: Arc<BodyBudget>,
+    pub(super) open: OpenConnections,
 }
 
 /// Serves a connection until it is closed.
-pub(crate) async fn run(context: Arc<ConnectionContext>, stream: TcpStream, caller: SocketAddr) {
-    let activity = Arc::new(ConnectionActivity::default());
+pub(super) async fn run(
+    context: Arc<ConnectionContext>,
+    open: OpenConnection,
+    stream: TcpStream,
+    caller: SocketAddr,
+) {
+    let activity = Arc::clone(open.activity());
     let service = service_fn(|request| {
         let context = Arc::clone(&context);
         let activity = Arc::clone(&activity);
@@ -60,6 +68,8 @@
         _ = connection.as_mut() => return,
         () = disconnected.as_mut() => return,
         () = closed => {}
+        // A request that is incomplete is dropped; its caller may send it again.
+        wait = activity.close_requested() => if !wait.is_idle { return },
     }
     connection.as_mut().graceful_shutdown();
     // The connection is closed either way, so an error is ignored.
@@ -72,7 +82,7 @@
 
 /// Responds to one request on a connection over the limit.
 pub(crate) async fn reject(context: Arc<ConnectionContext>, stream: TcpStream) {
-    let activity = Arc::new(ConnectionActivity::default());
+    let activity = Arc::new(ConnectionActivity::new());
     let service = service_fn(|_request: Request<Incoming>| {
         let text = "too many connections; come back later\n";
         let reply = reply::text(StatusCode::SERVICE_UNAVAILABLE, text);
--- a/crates/oatpier-wire/src/server/guard.rs
+++ b/crates/oatpier-wire/src/server/guard.rs
@@ -3,17 +3,17 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures::task::AtomicWaker;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep, sleep};
 
+use super::activity::ConnectionActivity;
 use super::body_budget::BodyLease;
 use super::{ServerCounters, ServerLimits};
 use crate::reply::{BoxError, ReplyBody};
@@ -22,44 +22,6 @@
 /// How much is read at once while a request is being processed, in bytes. Usually there is nothing to read.
 const LOOKAHEAD_PIECE_BYTES: usize = 512;
 
-/// The current activity of a connection, set by its service and read by its stream.
-#[derive(Debug, Default)]
-pub(crate) struct ConnectionActivity {
-    /// Whether a request is being received or processed.
-    serving: AtomicBool,
-    /// Whether the request has been received in full.
-    received: AtomicBool,
-    /// Whether bytes of a head have been received since the last request.
-    head_begun: AtomicBool,
-    /// Wakes the connection when a request has been processed. `hyper` does not read again by itself after a response,
-    /// so without the wake-up no timer would start and an idle connection would be kept forever.
-    finished: AtomicWaker,
-}
-
-impl ConnectionActivity {
-    /// Records that a request's head was received.
-    pub(crate) fn begin(&self) {
-        self.serving.store(true, Ordering::Relaxed);
-        self.received.store(false, Ordering::Relaxed);
-        self.head_begun.store(false, Ordering::Relaxed);
-    }
-
-    /// Records that the request's body was received.
-    pub(crate) fn complete(&self) {
-        self.received.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether a complete request is being processed.
-    fn is_processing(&self) -> bool {
-        self.serving.load(Ordering::Relaxed) && self.received.load(Ordering::Relaxed)
-    }
-
-    fn end(&self) {
-        self.serving.store(false, Ordering::Relaxed);
-        self.finished.wake();
-    }
-}
-
 /// A reply's body that records the end of the request when it is dropped.
 pub(crate) struct TrackedBody {
     inner: ReplyBody,
--- a/crates/oatpier-wire/tests/testsuite/main.rs
+++ b/crates/oatpier-wire/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod crowds;
 mod disconnects;
 mod event_splitter;
+mod many_connections;
 mod peer_calls;
 mod server_limits;
 mod server_shutdown;
--- a/crates/oatpier-wire/tests/testsuite/server_limits.rs
+++ b/crates/oatpier-wire/tests/testsuite/server_limits.rs
@@ -11,7 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::support::{TestServer, exchange, get, read_to_close, wait_until};
+use crate::support::{HANG_TIMEOUT, TestServer, exchange, get, read_to_close, wait_until};
 
 const SHORT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -139,6 +139,7 @@
 async fn rejects_excess_connections_with_503() {
     let narrow = ServerLimits {
         connections: 1,
+        min_caller_wait: HANG_TIMEOUT,
         ..limits()
     };
     let server = server(narrow).await;
--- a/crates/oatpierd/tests/testsuite/support/http.rs
+++ b/crates/oatpierd/tests/testsuite/support/http.rs
@@ -69,6 +69,21 @@
     client.fetch(address, request, wait, 1 << 24).await.unwrap()
 }
 
+/// More tokens than an engine generates within the time limit of a test.
+const ENDLESS: u32 = 10_000_000;
+
+/// Returns a raw request for a stream that doesn't end within the time limit of a test.
+pub fn endless_chat() -> String {
+    let body = format!(
+        "{{\"model\": \"tables\", \"stream\": true, \"max_tokens\": {ENDLESS}, \
+         \"messages\": [{{\"role\": \"user\", \"content\": \"endless\"}}]}}"
+    );
+    let length = body.len();
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// Sends a chat completion and reads its whole answer; `None` if no answer began.
 pub async fn chat(
     client: &HttpClient,
