Keep room for short requests beside large bodies in progress

What callers saw: while a few callers with large bodies had requests that took long, a gateway refused every other request as well.

Cause: above a quarter of its memory for bodies and responses a gateway refused all requests, whatever they needed themselves. With complete bodies of legal size eight callers reach that on the smallest VM (30 MB of 120).

Change: requests with bodies up to 64 KB are accepted until a quarter more is held. Large bodies can't reach that: the last one that is accepted adds 4 MB at most, the room for short ones is 7.5 MB on the smallest VM.

Ruled out: counting no short bodies at all, since many short ones take memory too.

Measured: slow_callers::short_requests_are_served_while_large_bodies_are_held failed before (503 instead of 200) and passes; requests_are_refused_while_unread_responses_take_too_much_memory still passes.

Why it works: an ordinary request needs little of what is short, and now has a part that large bodies can't take.

--- a/crates/oatpier-gateway/src/gateway/buffers.rs
+++ b/crates/oatpier-gateway/src/gateway/buffers.rs
@@ -2,12 +2,15 @@
 //!
 //! Each is limited in size, but a caller that reads slowly holds its response for long, and a process that exceeds its
 //! memory is killed with all its streams. Therefore, a gateway refuses new requests while what it holds exceeds a share
-//! of its memory. Their callers are served by other gateways. Above twice that share, it gives up large responses that
+//! of its memory. Their callers are served by other gateways. Requests with short
+//! bodies have room of their own. Above twice that share, it gives up large responses that
 //! are still being read.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use oatpier_wire::server::body_room;
+
 /// The memory for bodies is the process's memory divided by this.
 const MEMORY_DIVISOR: usize = 4;
 
@@ -21,10 +24,12 @@
 }
 
 impl BufferBudget {
-    /// Returns whether what is held exceeds its share of the process's memory, in bytes.
+    /// Returns whether what is held exceeds its share of the process's memory, in bytes, for a request with a body of this
+    /// size.
     #[must_use]
-    pub fn is_exceeded(&self, memory_bytes: usize) -> bool {
-        self.held.load(Ordering::Relaxed) > memory_bytes / MEMORY_DIVISOR
+    pub fn is_exceeded(&self, memory_bytes: usize, body_bytes: usize) -> bool {
+        let room = body_room(memory_bytes / MEMORY_DIVISOR, body_bytes);
+        self.held.load(Ordering::Relaxed) > room
     }
 
     /// Returns whether responses that are still being read must be given up.
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -276,11 +276,11 @@
         self.behind.load(Ordering::Relaxed)
     }
 
-    /// Returns whether bodies take so much memory that new requests must be refused.
+    /// Returns whether bodies take so much memory that a new request with a body of this size, in bytes, must be refused.
     #[must_use]
-    pub fn is_memory_short(&self) -> bool {
+    pub fn is_memory_short(&self, body_bytes: usize) -> bool {
         let memory_bytes = self.settings.borrow().memory_bytes;
-        self.buffers.is_exceeded(memory_bytes)
+        self.buffers.is_exceeded(memory_bytes, body_bytes)
     }
 
     /// Returns whether bodies take so much memory that large responses must be given up.
--- a/crates/oatpier-gateway/src/gateway/handler.rs
+++ b/crates/oatpier-gateway/src/gateway/handler.rs
@@ -64,7 +64,7 @@
 async fn handle_request(core: &Arc<GatewayCore>, request: Request<Bytes>) -> Reply {
     let arrived = core.clock.now();
     let (head, body) = request.into_parts();
-    if core.is_behind() || core.is_memory_short() {
+    if core.is_behind() || core.is_memory_short(body.len()) {
         let refusal = core.refusal(RefusalCause::QueueFull, OVERLOADED_RETRY_AFTER);
         return reject_early(core, &head, LocalResponse::Refused(refusal));
     }
--- a/crates/oatpier-gateway/tests/testsuite/slow_callers.rs
+++ b/crates/oatpier-gateway/tests/testsuite/slow_callers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::StatusCode;
 use oatpier_gateway::gateway::handler::GatewayHandler;
 use oatpier_serving::site::RouteKind;
@@ -13,8 +14,8 @@
 use tokio::time::sleep;
 
 use crate::support::{
-    EndpointStep, REQUEST_ID, ScriptedEndpoint, TestGateway, endpoint_response, request,
-    stream_start,
+    EndpointStep, REQUEST_ID, ScriptedEndpoint, TestGateway, config, endpoint_response, record,
+    request, route, stream_start,
 };
 
 const STREAM: RouteKind = RouteKind::Stream {
@@ -30,6 +31,9 @@
 
 const CALLERS: usize = 3;
 
+/// A little more than the memory that the test's gateway has for bodies.
+const LARGE_BODY_BYTES: usize = (1 << 20) + (64 << 10);
+
 async fn start_server(gateway: &TestGateway, counters: &Arc<ServerCounters>) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -86,6 +90,33 @@
     assert!(counters.traffic.sent() < u64::try_from(RESPONSE_BYTES).unwrap());
 }
 
+/// Guards against callers with large bodies whose requests take long, and that keep out ordinary callers meanwhile.
+#[tokio::test]
+async fn short_requests_are_served_while_large_bodies_are_held() {
+    let answer = EndpointStep::Answer(endpoint_response("200 OK", "served"));
+    let endpoint = ScriptedEndpoint::start(vec![EndpointStep::Silence, answer]).await;
+    let gateway = TestGateway::unconfigured();
+    let mut config = config(vec![route(RouteKind::Unsafe, 1)]);
+    config.limits.body_bytes = LARGE_BODY_BYTES;
+    let records = vec![record(1, endpoint.address)];
+    gateway.core.apply_records(Some(Arc::new(config)), records);
+    let large_request = || request(&[]).map(|_| Bytes::from(vec![b'x'; LARGE_BODY_BYTES]));
+    let others = async {
+        while endpoint.requests().is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let refused = gateway.send(large_request()).await;
+        assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+        let served = gateway.send(request(&[])).await;
+        assert_eq!(served.status(), StatusCode::OK);
+    };
+    tokio::select! {
+        biased;
+        response = gateway.send(large_request()) => panic!("{response:?}"),
+        () = others => {}
+    }
+}
+
 /// Guards against a gateway that is killed for its memory while callers leave whole responses unread: it refuses new
 /// requests, which have not run, and serves again when the responses are gone.
 #[tokio::test]
--- a/crates/oatpier-wire/src/server.rs
+++ b/crates/oatpier-wire/src/server.rs
@@ -31,7 +31,7 @@
 mod request_body;
 mod waiting;
 
-pub use body_budget::BudgetLimits;
+pub use body_budget::{BudgetLimits, body_room};
 
 use body_budget::BodyBudget;
 use connection::ConnectionContext;
--- a/crates/oatpier-wire/src/server/body_budget.rs
+++ b/crates/oatpier-wire/src/server/body_budget.rs
@@ -136,14 +136,16 @@
     }
 }
 
+/// Returns the memory for bodies that a body of `bytes` may use; a short one may use more than `limit`.
+#[must_use]
+pub fn body_room(limit: usize, bytes: usize) -> usize {
+    let is_short = bytes <= SHORT_BODY_BYTES;
+    limit + if is_short { limit / SHORT_DIVISOR } else { 0 }
+}
+
 /// Returns whether a body of `bytes` fits beside `others` bytes of other bodies.
 fn has_room(limit: usize, others: usize, bytes: usize) -> bool {
-    let short_room = if bytes <= SHORT_BODY_BYTES {
-        limit / SHORT_DIVISOR
-    } else {
-        0
-    };
-    others == 0 || others + bytes <= limit + short_room
+    others == 0 || others + bytes <= body_room(limit, bytes)
 }
 
 /// A body that is being received.
