Keep back fewer bytes of a caller's next request

What callers saw: nothing yet; the test bytes_after_a_request stayed only 2.4 MB under its bound of 40.

Cause: while a request is processed, the server reads ahead to notice that the caller leaves, and kept up to a whole head of what came instead: 16 KB in a buffer that doubles, on each of 234 connections.

Change: 4 KB, and the rest stays unread, in a receive buffer that is limited by now.

Ruled out: not reading ahead, since callers that leave would go unnoticed.

The disconnect tests of oatpier-wire pass.

Why it works: callers that wait for a response seldom send the next request before it; those that do lose only that their leaving is noticed, and only beyond 4 KB.

--- a/crates/oatpier-gateway/src/gateway/buffers.rs
+++ b/crates/oatpier-gateway/src/gateway/buffers.rs
@@ -2,9 +2,8 @@
 //!
 //! Each is limited in size, but a caller that reads slowly holds its response for long, and a process that exceeds its
 //! memory is killed with all its streams. Therefore, a gateway refuses new requests while what it holds exceeds a share
-//! of its memory. Their callers are served by other gateways. Requests with short
-//! bodies have room of their own. Above twice that share, it gives up large responses that
-//! are still being read.
+//! of its memory. Their callers are served by other gateways. Requests with short bodies have room of their own. Above
+//! twice that share, it gives up large responses that are still being read.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/crates/oatpier-wire/src/server/guard.rs
+++ b/crates/oatpier-wire/src/server/guard.rs
@@ -22,6 +22,9 @@
 /// How much is read at once while a request is being processed, in bytes. Usually there is nothing to read.
 const LOOKAHEAD_PIECE_BYTES: usize = 512;
 
+/// The maximum number of bytes that are kept back while a request is being processed. More are left unread.
+const MAX_LOOKAHEAD_BYTES: usize = 4 << 10;
+
 /// A reply's body that records the end of the request when it is dropped.
 pub(crate) struct TrackedBody {
     inner: ReplyBody,
@@ -112,7 +115,6 @@
     inner: MeteredStream,
     /// Bytes that were received while a request was being processed.
     lookahead: BytesMut,
-    max_lookahead: usize,
     activity: Arc<ConnectionActivity>,
     counters: Arc<ServerCounters>,
     idle_timeout: Duration,
@@ -133,7 +135,6 @@
         Self {
             inner,
             lookahead: BytesMut::new(),
-            max_lookahead: limits.head_bytes,
             activity,
             counters,
             idle_timeout: limits.idle_timeout,
@@ -148,7 +149,7 @@
     /// Ready when the caller has disconnected while a request is being processed. A caller that has sent more than can be
     /// kept back is not observed.
     pub(crate) fn poll_disconnect(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        while self.activity.is_processing() && self.lookahead.len() < self.max_lookahead {
+        while self.activity.is_processing() && self.lookahead.len() < MAX_LOOKAHEAD_BYTES {
             let mut piece = [0; LOOKAHEAD_PIECE_BYTES];
             let mut buffer = ReadBuf::new(&mut piece);
             let read = ready!(Pin::new(&mut self.inner).poll_read(context, &mut buffer));
