Collect a prompt's text while its body is parsed

What callers saw: an entry took 158 MB for a single legal body of 4 MiB. Found by reading what each process does with complete bodies.

Cause: a prompt that is no text, for example a list of tokens, was buffered as a generic value for each form that it may have. A value takes 32 bytes, and a body may have one in every two bytes. Messages and parts were kept as lists in the same way.

Change: messages, prompt, parts and tokens are visited in order and only their text is kept. The text of strings, parts and messages is as before.

Ruled out: keeping the prompt's raw text, which needs a second pass and depends on white space; a limit on the number of values, which legal prompts of tokens would meet.

Why it works: what is kept while a body is parsed is a string of about its size.

--- a/crates/oatpier-entry/src/completion.rs
+++ b/crates/oatpier-entry/src/completion.rs
@@ -3,6 +3,9 @@
 use oatpier_types::prefix::BYTES_PER_TOKEN;
 use oatpier_types::request::TokenDemand;
 use serde::Deserialize;
+use smallvec::SmallVec;
+
+use crate::prompt_text::{ContentText, parse_messages, parse_prompt};
 
 /// Expected number of output tokens if the request sets no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
@@ -20,49 +23,10 @@
     max_tokens: Option<u32>,
     #[serde(default)]
     max_completion_tokens: Option<u32>,
-    #[serde(default)]
-    messages: Vec<ChatMessage>,
-    #[serde(default)]
-    prompt: Option<TextContent>,
-}
-
-#[derive(Debug, Clone)]
-#[derive(Deserialize)]
-struct ChatMessage {
-    #[serde(default)]
-    content: Option<TextContent>,
-}
-
-#[derive(Debug, Clone)]
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum TextContent {
-    Whole(String),
-    Parts(Vec<TextPart>),
-    Other(serde_json::Value),
-}
-
-#[derive(Debug, Clone)]
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum TextPart {
-    Plain(String),
-    Typed {
-        #[serde(default)]
-        text: String,
-    },
-}
-
-impl TextContent {
-    fn append_to(&self, text: &mut String) {
-        match self {
-            Self::Whole(whole) => text.push_str(whole),
-            Self::Parts(parts) => parts.iter().for_each(|part| match part {
-                TextPart::Plain(piece) | TextPart::Typed { text: piece } => text.push_str(piece),
-            }),
-            Self::Other(value) => text.push_str(&value.to_string()),
-        }
-    }
+    #[serde(default, deserialize_with = "parse_messages")]
+    messages: ContentText,
+    #[serde(default, deserialize_with = "parse_prompt")]
+    prompt: ContentText,
 }
 
 impl CompletionBody {
@@ -79,15 +43,9 @@
     /// one per line, or the prompt.
     #[must_use]
     pub fn prompt_text(&self) -> String {
-        let mut text = String::new();
-        let contents = self.messages.iter().map(|message| &message.content);
-        for (place, content) in contents.chain([&self.prompt]).flatten().enumerate() {
-            if place > 0 {
-                text.push('\n');
-            }
-            content.append_to(&mut text);
-        }
-        text
+        let lines = [self.messages.lines(), self.prompt.lines()];
+        let lines: SmallVec<[&str; 2]> = lines.into_iter().flatten().collect();
+        lines.join("\n")
     }
 
     /// Returns the estimated size of the request in tokens.
--- a/crates/oatpier-entry/src/lib.rs
+++ b/crates/oatpier-entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod peers;
 pub mod planner;
 pub mod policy;
+pub mod prompt_text;
 mod rings;
 pub mod run;
 pub mod sink;
--- a/crates/oatpierd/tests/crowdsuite/entries.rs
+++ b/crates/oatpierd/tests/crowdsuite/entries.rs
@@ -1,10 +1,12 @@
 //! Crowds before an entry.
 
+use http::Method;
+
 use crate::crowd::{BodyForm, CrowdPlan};
 use crate::gauge::{ProcessBounds, ProcessGauge};
 use crate::run_alone;
-use crate::support::fleet::{Daemon, Fleet, FleetSize, eventually};
-use crate::support::http::{StreamEnd, chat};
+use crate::support::fleet::{Daemon, Fleet, FleetOptions, FleetSize, eventually};
+use crate::support::http::{StreamEnd, chat, send};
 
 const SIZE: FleetSize = FleetSize {
     entries: 1,
@@ -79,3 +81,35 @@
     )
     .await;
 }
+
+/// The memory of an entry that gets a single body, in bytes.
+const SMALL_MEMORY_BYTES: usize = 64 << 20;
+
+/// Guards against a body that takes many times its size while it is parsed: a legal one with a value in every two bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_of_many_values_takes_bounded_memory() {
+    let _alone = run_alone().await;
+    let options = FleetOptions {
+        entry_limits: "memory_bytes = 67108864",
+        ..SIZE.into()
+    };
+    let fleet = Fleet::start(options).await;
+    let entry = &fleet.entries[0];
+    let gauge = ProcessGauge::start(entry.process.child.id());
+    let tokens = "0,".repeat(BODY_BYTES / 2 - 32);
+    let body = format!("{{\"model\": \"tables\", \"max_tokens\": 1, \"prompt\": [{tokens}0]}}");
+    assert!(body.len() <= BODY_BYTES);
+    send(
+        &fleet.client,
+        entry.serve,
+        Method::POST,
+        "/v1/completions",
+        body,
+    )
+    .await;
+    expect_service(&fleet).await;
+    gauge.finish(ProcessBounds {
+        memory_bytes: SMALL_MEMORY_BYTES,
+        ..BOUNDS
+    });
+}
