Keep the time that a body earns finite

A server whose body limit is zero would divide by a rate of zero, and the conversion to a duration would panic. No such limit is set today; found by reading. What is earned is now limited before the conversion.

Ruled out: refusing the limit, which is legal for a server without bodies.

Measured: the tests of oatpier-wire pass (57).

--- a/crates/oatpier-wire/src/server/body_budget.rs
+++ b/crates/oatpier-wire/src/server/body_budget.rs
@@ -182,8 +182,9 @@
     pub(crate) fn note_received(&mut self, bytes: usize) {
         let now = Instant::now();
         #[expect(clippy::cast_precision_loss, reason = "a frame is short")]
-        let earned = Duration::from_secs_f64(bytes as f64 / self.min_rate);
+        let earned_s = (bytes as f64 / self.min_rate).min(STALL_GRACE.as_secs_f64());
         if let Some(row) = self.budget.lock().bodies.get_mut(&self.key) {
+            let earned = Duration::from_secs_f64(earned_s);
             row.stalls_at = (row.stalls_at.max(now) + earned).min(now + STALL_GRACE);
         }
     }
