Tests of crowds: a single largest body, and plans by constructor

A single body of the largest legal size, chunked and with a length, is served by a gateway with 24 MB of memory: an eighth of that is less than the body.

The plans of incomplete bodies are built by one function; crowds, forms, sizes and bounds are as they were.

--- a/crates/oatpierd/tests/crowdsuite/crowd.rs
+++ b/crates/oatpierd/tests/crowdsuite/crowd.rs
@@ -27,7 +27,7 @@
     /// The number of callers.
     pub callers: usize,
     /// The forms of the callers' bodies, in turn.
-    pub forms: Vec<BodyForm>,
+    pub forms: [BodyForm; 2],
     /// The size of each body, in bytes.
     pub body_bytes: usize,
     /// The request line and the headers, without the framing of the body.
@@ -45,6 +45,23 @@
 }
 
 impl CrowdPlan {
+    /// Creates a crowd of callers most of which hold back the end of their bodies.
+    pub fn incomplete(
+        callers: usize,
+        forms: [BodyForm; 2],
+        body_bytes: usize,
+        head: &'static str,
+    ) -> Self {
+        Self {
+            callers,
+            forms,
+            body_bytes,
+            head,
+            complete_interval: 6,
+            trailing_bytes: 0,
+        }
+    }
+
     /// Sends all requests side by side, and returns when each caller has sent what it sends or can't send more.
     pub fn send(&self, target: SocketAddr) -> OpenCrowd {
         let callers: Vec<_> = (0..self.callers)
--- a/crates/oatpierd/tests/crowdsuite/entries.rs
+++ b/crates/oatpierd/tests/crowdsuite/entries.rs
@@ -53,14 +53,12 @@
 async fn bodies_in_chunks_take_bounded_memory() {
     expect_bounds(
         |fleet| &fleet.entries[0],
-        CrowdPlan {
-            callers: 80,
-            forms: vec![BodyForm::Chunks(256 << 10), BodyForm::Chunks(4 << 10)],
-            body_bytes: BODY_BYTES,
-            head: HEAD,
-            complete_interval: 6,
-            trailing_bytes: 0,
-        },
+        CrowdPlan::incomplete(
+            80,
+            [BodyForm::Chunks(256 << 10), BodyForm::Chunks(4 << 10)],
+            BODY_BYTES,
+            HEAD,
+        ),
     )
     .await;
 }
@@ -70,14 +68,12 @@
 async fn bodies_with_a_length_take_bounded_memory() {
     expect_bounds(
         |fleet| &fleet.entries[0],
-        CrowdPlan {
-            callers: 80,
-            forms: vec![BodyForm::Pieces(BODY_BYTES), BodyForm::Pieces(8 << 10)],
-            body_bytes: BODY_BYTES,
-            head: HEAD,
-            complete_interval: 6,
-            trailing_bytes: 0,
-        },
+        CrowdPlan::incomplete(
+            80,
+            [BodyForm::Pieces(BODY_BYTES), BodyForm::Pieces(8 << 10)],
+            BODY_BYTES,
+            HEAD,
+        ),
     )
     .await;
 }
--- a/crates/oatpierd/tests/crowdsuite/gateways.rs
+++ b/crates/oatpierd/tests/crowdsuite/gateways.rs
@@ -7,6 +7,7 @@
 use crate::gauge::ProcessBounds;
 use crate::run_alone;
 use crate::standins::BODY_BYTES;
+use crate::support::raw::RawCaller;
 
 const HEAD: &str = "POST /unsafe/crowd-NUMBER HTTP/1.1\r\nhost: soak.example\r\n\
     x-oatpier-request-id: NUMBER\r\nx-oatpier-deadline-ms: 4000\r\n\
@@ -51,14 +52,12 @@
 async fn bodies_in_large_chunks_take_bounded_memory() {
     expect_bounds(
         MEMORY_MB,
-        CrowdPlan {
-            callers: 24,
-            forms: vec![BodyForm::Chunks(256 << 10), BodyForm::Chunks(4 << 10)],
-            body_bytes: BODY_BYTES,
-            head: HEAD,
-            complete_interval: 6,
-            trailing_bytes: 0,
-        },
+        CrowdPlan::incomplete(
+            24,
+            [BodyForm::Chunks(256 << 10), BodyForm::Chunks(4 << 10)],
+            BODY_BYTES,
+            HEAD,
+        ),
     )
     .await;
 }
@@ -68,14 +67,12 @@
 async fn bodies_in_small_chunks_take_bounded_memory() {
     expect_bounds(
         SMALL_MEMORY_MB,
-        CrowdPlan {
-            callers: 24,
-            forms: vec![BodyForm::Chunks(1)],
-            body_bytes: 96 << 10,
-            head: HEAD,
-            complete_interval: 6,
-            trailing_bytes: 0,
-        },
+        CrowdPlan::incomplete(
+            24,
+            [BodyForm::Chunks(1), BodyForm::Chunks(1)],
+            96 << 10,
+            HEAD,
+        ),
     )
     .await;
 }
@@ -85,31 +82,48 @@
 async fn bodies_with_a_length_take_bounded_memory() {
     expect_bounds(
         MEMORY_MB,
-        CrowdPlan {
-            callers: 24,
-            forms: vec![BodyForm::Pieces(BODY_BYTES), BodyForm::Pieces(8 << 10)],
-            body_bytes: BODY_BYTES,
-            head: HEAD,
-            complete_interval: 6,
-            trailing_bytes: 0,
-        },
+        CrowdPlan::incomplete(
+            24,
+            [BodyForm::Pieces(BODY_BYTES), BodyForm::Pieces(8 << 10)],
+            BODY_BYTES,
+            HEAD,
+        ),
     )
     .await;
 }
 
+/// Guards against limits that refuse a single request of the largest legal size, in either form, on a small VM.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_single_body_of_the_largest_size_is_served() {
+    let _alone = run_alone().await;
+    let gateway = RunningGateway::start("memory_mb = 24").await;
+    for framing in ["transfer-encoding: chunked", "content-length: 4194304"] {
+        let is_chunked = framing.starts_with("transfer");
+        let head = HEAD.replace("NUMBER", if is_chunked { "1" } else { "2" });
+        let body = "x".repeat(BODY_BYTES);
+        let mut caller = RawCaller::connect(gateway.front);
+        caller.write(&format!("{head}connection: close\r\n{framing}\r\n\r\n"));
+        if is_chunked {
+            caller.write(&format!("{BODY_BYTES:x}\r\n{body}\r\n0\r\n\r\n"));
+        } else {
+            caller.write(&body);
+        }
+        let response = caller.read_to_close();
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+}
+
 /// Guards against a gateway whose callers take all descriptors, so that none is left for endpoints and the store.
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_of_callers_leave_descriptors_for_others() {
     expect_bounds(
         MEMORY_MB,
-        CrowdPlan {
-            callers: 600,
-            forms: vec![BodyForm::Pieces(512), BodyForm::Chunks(64)],
-            body_bytes: 1024,
-            head: HEAD,
-            complete_interval: 6,
-            trailing_bytes: 0,
-        },
+        CrowdPlan::incomplete(
+            600,
+            [BodyForm::Pieces(512), BodyForm::Chunks(64)],
+            1024,
+            HEAD,
+        ),
     )
     .await;
 }
@@ -119,7 +133,7 @@
 async fn bytes_after_a_request_take_bounded_memory() {
     let plan = CrowdPlan {
         callers: 400,
-        forms: vec![BodyForm::Pieces(1024)],
+        forms: [BodyForm::Pieces(1024); 2],
         body_bytes: 1024,
         head: HEAD,
         complete_interval: 1,
--- a/crates/oatpierd/tests/crowdsuite/observers.rs
+++ b/crates/oatpierd/tests/crowdsuite/observers.rs
@@ -24,14 +24,12 @@
 };
 
 fn plan() -> CrowdPlan {
-    CrowdPlan {
-        callers: 32,
-        forms: vec![BodyForm::Chunks(64 << 10), BodyForm::Pieces(8 << 10)],
-        body_bytes: 4 << 20,
-        head: HEAD,
-        complete_interval: 6,
-        trailing_bytes: 0,
-    }
+    CrowdPlan::incomplete(
+        32,
+        [BodyForm::Chunks(64 << 10), BodyForm::Pieces(8 << 10)],
+        4 << 20,
+        HEAD,
+    )
 }
 
 /// Checks that the platform's probe gets its answer.
