Tests: attempts of the crowd go to the agent's path for them

The crowd before an agent used a path that the agent doesn't serve. Crowd and bounds are as they were.

--- a/crates/oatpierd/tests/crowdsuite/agents.rs
+++ b/crates/oatpierd/tests/crowdsuite/agents.rs
@@ -3,7 +3,7 @@
 use crate::crowd::{BodyForm, CrowdPlan};
 use crate::entries::expect_bounds;
 
-const HEAD: &str = "POST /attempt HTTP/1.1\r\nhost: agent\r\n";
+const HEAD: &str = "POST /agent/attempt HTTP/1.1\r\nhost: agent\r\n";
 
 const BODY_BYTES: usize = 4 << 20;
 
