--- a/crates/oatpier-wire/src/server/body_budget.rs
+++ b/crates/oatpier-wire/src/server/body_budget.rs
@@ -29,7 +29,7 @@
 /// Bodies of requests that are being processed take the process's memory divided by this.
 const COMPLETE_DIVISOR: usize = 4;
 
-/// The limits of a [`BodyBudget`], in bytes. A single body is received and processed whatever its size.
+/// The limits on the memory that bodies take, in bytes. A single body is received and processed whatever its size.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BudgetLimits {
     /// Memory for bodies that are being received.
