--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -20,7 +20,7 @@
 //! - `store_knowledge`: what is known of the store, and how old that is.
 //! - `notices`: what endpoints report about themselves in answer headers.
 //! - [`origins`]: the software versions at which streams begin.
-//! - [`caller_limits`]: limits on what callers send.
+//! - [`mod@caller_limits`]: limits on what callers send.
 //! - [`overload`]: whether the gateway has more work than its processor can do.
 //! - [`identity`]: authentication of requests, and the workspace they belong to.
 //! - [`quota`]: units of workspaces' limits.
