Encode keys in the query of the store's next page

What callers saw: after a restart of all processes almost no request was served while an entry of another program stood among the endpoints' entries. Its name had `&`, `+`, `#`, `%` or a blank, and the list was longer than a page.

Cause: the next page is asked for by the key at the end of the last one, and that key went into the query as it was. `&` ended the value, `+` and `%XX` stood for other characters, `#` cut the rest off; a blank or `<` made the path invalid, and an invalid path silently became `/`. The read failed (404 or too many pages) each time, so a gateway that started never had a configuration. One that ran went on with what it knew.

Change: the key is percent-encoded with the function that the product's own store client uses for its paths, which moved to `oatpier_wire::percent`.

Evidence: both tests failed before. `a_gateway_starts_although_a_page_ends_with_a_key_of_any_characters` learned of no endpoint in 30 s, and `each_entry_is_read_once` failed with "the store responded with status 404" (smallest case: keys `A<` and `a`). The entry itself is reported as invalid and names no endpoint, as before.

--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod slow_callers;
 mod statuses;
 mod stops;
+mod store_pages;
 mod store_reading;
 mod streams;
 mod support;
--- a/crates/oatpier-gateway/tests/testsuite/store_reading.rs
+++ b/crates/oatpier-gateway/tests/testsuite/store_reading.rs
@@ -71,7 +71,7 @@
 }
 
 /// A gateway's threads for the store, in front of a store of its own.
-struct ReadingGateway {
+pub struct ReadingGateway {
     address: SocketAddr,
     store: watch::Sender<StoreState>,
     peers: watch::Sender<StorePeers>,
@@ -85,6 +85,11 @@
         Self::start_with(store, Arc::new(ScriptedStore { state: store_state })).await
     }
 
+    /// Starts the threads in front of a store whose state does not change.
+    pub async fn start_with_store(handler: Arc<dyn RequestHandler>) -> Self {
+        Self::start_with(watch::channel(None).0, handler).await
+    }
+
     async fn start_with(
         store: watch::Sender<StoreState>,
         handler: Arc<dyn RequestHandler>,
@@ -141,7 +146,7 @@
     }
 
     /// Waits until the endpoints known here are these, and returns the knowledge that says so.
-    async fn until_known(&self, names: &[&str]) -> StoreKnowledge {
+    pub async fn until_known(&self, names: &[&str]) -> StoreKnowledge {
         let waiting = async {
             loop {
                 let event = self.events.receive().await.unwrap();
--- a/crates/oatpier-ports/src/http.rs
+++ b/crates/oatpier-ports/src/http.rs
@@ -98,22 +98,3 @@
         format!("it answered {status}: {text}")
     }
 }
-
-/// Encodes a key as a part of a path: all but unreserved characters, `/` and `:` are
-/// percent-encoded.
-pub(crate) fn encode_key(key: &str) -> String {
-    key.bytes().fold(String::new(), |mut path, byte| {
-        if byte.is_ascii_alphanumeric() || b"-._~/:".contains(&byte) {
-            path.push(char::from(byte));
-        } else {
-            path.push('%');
-            path.push(hex_digit(byte >> 4));
-            path.push(hex_digit(byte & 0xf));
-        }
-        path
-    })
-}
-
-fn hex_digit(value: u8) -> char {
-    char::from_digit(u32::from(value), 16).map_or('0', |digit| digit.to_ascii_uppercase())
-}
--- a/crates/oatpier-ports/src/http/store.rs
+++ b/crates/oatpier-ports/src/http/store.rs
@@ -10,10 +10,11 @@
 use futures::future::BoxFuture;
 use oatpier_types::ids::Revision;
 use oatpier_types::verdict::RunVerdict;
+use oatpier_wire::percent;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use super::{ExternalService, FetchError, encode_key, status_cause};
+use super::{ExternalService, FetchError, status_cause};
 use crate::store::{ExpectedValue, KeyChange, KeyStore, LeaseId, StoreError, StoredValue};
 
 /// Header with the revision of a value.
@@ -67,7 +68,7 @@
         let lease = lease.map_or(String::new(), |lease| format!("&lease={}", lease.0));
         let path = format!(
             "/kv/{}?{}{lease}",
-            encode_key(key),
+            percent::encode(key),
             precondition_query(expected)
         );
         let bytes = value.len();
@@ -97,7 +98,7 @@
 impl KeyStore for HttpStore {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>> {
         Box::pin(async move {
-            let path = format!("/kv/{}", encode_key(key));
+            let path = format!("/kv/{}", percent::encode(key));
             let response = self.read(&path, Duration::ZERO).await?;
             match response.status() {
                 StatusCode::OK => stored_value(key, response).map(Some),
@@ -109,7 +110,7 @@
 
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<StoredValue>, StoreError>> {
         Box::pin(async move {
-            let path = format!("/list/{}", encode_key(prefix));
+            let path = format!("/list/{}", percent::encode(prefix));
             let response = self.read(&path, Duration::ZERO).await?;
             decode_rows(&response)?
                 .into_iter()
@@ -134,7 +135,11 @@
         expected: ExpectedValue,
     ) -> BoxFuture<'a, Result<(), StoreError>> {
         Box::pin(async move {
-            let path = format!("/kv/{}?{}", encode_key(key), precondition_query(expected));
+            let path = format!(
+                "/kv/{}?{}",
+                percent::encode(key),
+                precondition_query(expected)
+            );
             let response = self.write(Method::DELETE, &path, Bytes::new()).await?;
             match response.status() {
                 StatusCode::NO_CONTENT => Ok(()),
@@ -174,7 +179,7 @@
         wait: Duration,
     ) -> BoxFuture<'a, Result<Vec<KeyChange>, StoreError>> {
         Box::pin(async move {
-            let prefix = encode_key(prefix);
+            let prefix = percent::encode(prefix);
             let wait_ms = wait.as_millis();
             let path = format!("/watch/{prefix}?after={after}&wait_ms={wait_ms}");
             let response = self.read(&path, wait).await?;
--- a/crates/oatpier-wire/src/lib.rs
+++ b/crates/oatpier-wire/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`frame`]: length-prefixed messages on a byte stream.
 //! - [`server`]: an HTTP server with limits and a graceful shutdown.
 //! - [`reply`]: responses of request handlers.
+//! - [`percent`]: percent-encoding of texts in paths and queries.
 //! - [`sse`]: a parser that splits a byte stream into server-sent events.
 //! - [`traffic`]: counters of bytes sent and received.
 //!
@@ -20,6 +21,7 @@
 pub mod client;
 pub mod frame;
 pub mod peer;
+pub mod percent;
 pub mod reply;
 pub mod server;
 pub mod sse;
