Answer requests at endpoints before a stopped gateway is killed

What callers saw: in a planned stop of one gateway, in calm, requests that endpoints still worked on at the end of the grace period got no answer: their connections were cut by SIGKILL. Among them were requests that run at most once; a caller can't tell that from a connection that was closed before its request was read, and may send it again.

Cause: a stop had no last step.

Change: 0.5 s before SIGKILL (an eighth of the grace period, if that is shorter) requests without a response are given up with 502, which promises nothing; the connection to the endpoint is closed, so that it stops. Streams that have begun go on. The course of a stop has a module of its own.

--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -175,6 +175,8 @@
     pub(super) buffers: Arc<BufferBudget>,
     closed: AtomicBool,
     behind: AtomicBool,
+    /// Whether requests without a response are given up.
+    given_up: watch::Sender<bool>,
 }
 
 impl GatewayCore {
@@ -255,6 +257,7 @@
             buffers: Arc::default(),
             closed: AtomicBool::new(false),
             behind: AtomicBool::new(false),
+            given_up: watch::Sender::new(false),
         }
     }
 
@@ -301,6 +304,18 @@
         self.closed.load(Ordering::Relaxed)
     }
 
+    /// Gives up the requests that have no response yet, because the process is about to be killed.
+    pub fn give_up_requests(&self) {
+        self.given_up.send_replace(true);
+    }
+
+    /// Waits until requests without a response are given up.
+    pub(super) async fn requests_given_up(&self) {
+        let mut given_up = self.given_up.subscribe();
+        // The wait can't fail, because `self` owns the sender.
+        let _ = given_up.wait_for(|given_up| *given_up).await;
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> Option<Arc<SiteConfig>> {
--- a/crates/oatpier-gateway/src/gateway/local_responses.rs
+++ b/crates/oatpier-gateway/src/gateway/local_responses.rs
@@ -40,6 +40,8 @@
     ExpiredSent,
     /// The request was sent, and its response was lost or invalid.
     Broken,
+    /// The process is about to be killed, and the request was sent, so it may have run.
+    Stopped,
     /// The request did not run. It was at endpoints that ended, and may not run until the outcome of its earlier
     /// attempts is known.
     Held,
@@ -91,7 +93,7 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::ExpiredSent => StatusCode::GATEWAY_TIMEOUT,
-            Self::Broken => StatusCode::BAD_GATEWAY,
+            Self::Broken | Self::Stopped => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -112,6 +114,7 @@
             Self::ExpiredUnsent => "expired-unsent",
             Self::ExpiredSent => "expired-sent",
             Self::Broken => "broken",
+            Self::Stopped => "stopped",
             Self::Held => "held",
             Self::Barred => "barred",
             Self::PartHeld => "part-held",
--- a/crates/oatpier-gateway/src/gateway/mod.rs
+++ b/crates/oatpier-gateway/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 //! - `accounting`: bookkeeping of request outcomes.
 //! - `crashes`: requests that crash the endpoints that run them.
 //! - `prompt_parts`: prompt parts that crash the endpoints that run requests with them.
+//! - [`stopping`]: the course of a planned stop.
 //! - `store_knowledge`: what is known of the store, and how old that is.
 //! - `notices`: what endpoints report about themselves in answer headers.
 //! - [`origins`]: the software versions at which streams begin.
@@ -62,6 +63,7 @@
 mod run;
 mod run_log;
 mod shares;
+pub mod stopping;
 mod store_knowledge;
 mod subscriptions;
 mod turns;
@@ -78,7 +80,6 @@
 use oatpier_serving::site::SiteConfig;
 use oatpier_wire::server::{self, ServerCounters};
 use tokio::sync::watch;
-use tokio::time::sleep;
 
 use crate::crash_writer::{CrashWriterInputs, write_crashes};
 use crate::exchange::{MessageOutlet, MessageSocket};
@@ -92,6 +93,7 @@
 use self::core::{CoreInputs, GatewayCore};
 use self::handler::GatewayHandler;
 use self::messaging::MessagingInputs;
+use self::stopping::stop_requests;
 
 /// Capacity of the queue of store reads that wait to be applied. When it is full, the reader waits.
 const EVENT_RING: usize = 4;
@@ -108,10 +110,6 @@
 /// connections after two failures. A connection that was routed just before must still be answered.
 const LISTENER_LINGER: Duration = Duration::from_millis(3_200);
 
-/// Time from SIGTERM to refusing new requests on open connections and requests that still wait for an endpoint. By
-/// then the platform has removed the process from routing. A stream that began later might not end before SIGKILL.
-const REFUSE_DELAY: Duration = Duration::from_millis(2_600);
-
 /// Capacity of the queue of crash records to write. Engines that end together leave some hundred records. A record
 /// that finds the ring full is still known to the gateways that were sent it directly.
 const CRASH_RING: usize = 512;
@@ -123,9 +121,6 @@
 /// parts.
 const CLAIM_RING: usize = 8;
 
-/// Divisor of the grace period: requests are refused after half of it at the latest, if it is short.
-const GRACE_DIVISOR: u32 = 2;
-
 /// Maximum time from accepting a connection until it is served. The callers of further ones are better off at another
 /// gateway at once.
 const MAX_START_DELAY: Duration = Duration::from_millis(50);
@@ -273,22 +268,13 @@
     let serving = serve_callers(inputs.listener, Arc::clone(&core), &stop);
     tokio::select! {
         () = serving => {}
-        () = refuse_after_stop(&core, &stop) => {}
+        () = stop_requests(&core, &stop) => {}
         () = overload::watch(&core) => {}
         () = messaging::run(Arc::clone(&core), &socket, exchange_inputs, &stop) => {}
     }
     stop.advance(StopPhase::Ended);
 }
 
-/// Refuses new requests at a fixed time after a planned stop begins.
-async fn refuse_after_stop(core: &GatewayCore, stop: &StopSignal) {
-    stop.reached(StopPhase::Draining).await;
-    let grace = core.settings.borrow().bounds.grace;
-    sleep(REFUSE_DELAY.min(grace / GRACE_DIVISOR)).await;
-    core.close();
-    std::future::pending::<()>().await;
-}
-
 async fn serve_callers(listener: TcpListener, core: Arc<GatewayCore>, stop: &StopSignal) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
--- a/crates/oatpier-gateway/src/gateway/run.rs
+++ b/crates/oatpier-gateway/src/gateway/run.rs
@@ -15,7 +15,7 @@
 use oatpier_wire::client::ConnectionChoice;
 use oatpier_wire::reply::{LeasedBody, Reply};
 use smallvec::SmallVec;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::sleep_until;
 
 use super::attempt::{self, CallerMessage, WholeResponse};
 use super::attempt_failure::AttemptFailure;
@@ -112,13 +112,13 @@
     }
 
     pub(super) async fn serve(&mut self) -> Reply {
-        let deadline = self.core.clock.instant(self.context.deadline);
-        let outcome = match timeout_at(deadline, self.run_attempts()).await {
-            Ok(outcome) => outcome,
-            Err(_) if self.verdict() == RunVerdict::NotRun => {
-                RunOutcome::Local(LocalResponse::ExpiredUnsent)
-            }
-            Err(_) => RunOutcome::Local(LocalResponse::ExpiredSent),
+        let core = Arc::clone(&self.core);
+        let deadline = core.clock.instant(self.context.deadline);
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.run_attempts() => outcome,
+            () = sleep_until(deadline) => RunOutcome::Local(self.response_when_expired()),
+            () = core.requests_given_up() => RunOutcome::Local(self.response_when_stopped()),
         };
         match outcome {
             RunOutcome::Relayed(reply) => reply,
@@ -126,6 +126,23 @@
         }
     }
 
+    fn response_when_expired(&self) -> LocalResponse {
+        match self.verdict() {
+            RunVerdict::NotRun => LocalResponse::ExpiredUnsent,
+            _ => LocalResponse::ExpiredSent,
+        }
+    }
+
+    fn response_when_stopped(&self) -> LocalResponse {
+        match self.verdict() {
+            RunVerdict::NotRun => {
+                let refusal = self.core.refusal(RefusalCause::Leaving, Duration::ZERO);
+                LocalResponse::Refused(refusal)
+            }
+            _ => LocalResponse::Stopped,
+        }
+    }
+
     /// Answers the request with a response of the gateway.
     pub(super) fn refuse(&self, response: LocalResponse) -> Reply {
         self.log_local_response(response);
--- a/crates/oatpier-gateway/tests/testsuite/stops.rs
+++ b/crates/oatpier-gateway/tests/testsuite/stops.rs
@@ -1,15 +1,20 @@
-//! Tests of requests that wait in a gateway that is being stopped.
+//! Tests of requests in a gateway that is being stopped.
 
 use std::time::Duration;
 
-use http::StatusCode;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use oatpier_duty::duty::{StopPhase, StopSignal};
+use oatpier_gateway::gateway::stopping::stop_requests;
 use oatpier_serving::engine::{EndpointLoad, HeldModel};
 use oatpier_serving::message::EngineStatus;
 use oatpier_serving::site::RouteKind;
 use oatpier_types::names::ModelName;
 use tokio::time::{Instant, sleep};
 
-use crate::support::{ScriptedEndpoint, TestGateway, request, status};
+use crate::support::{
+    EndpointStep, RESUMABLE_STREAM, STREAM, ScriptedEndpoint, TestGateway, request, status,
+};
 
 /// The time until a stopped process is killed, in the settings of the tests.
 const GRACE: Duration = Duration::from_secs(8);
@@ -75,3 +80,41 @@
     };
     close_while_waiting(full, "m1").await;
 }
+
+/// Stops a gateway while an endpoint works on a request, and returns the answer and the time from the stop to it.
+async fn stop_while_sent(kind: RouteKind) -> (Response<Bytes>, Duration) {
+    let engine = ScriptedEndpoint::start(vec![EndpointStep::Silence]).await;
+    let gateway = TestGateway::with_endpoints(kind, 1, &[&engine]);
+    let stop = StopSignal::default();
+    let sending = gateway.send(request(&[]));
+    let stopping = async {
+        while engine.requests().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        stop.advance(StopPhase::Draining);
+        Instant::now()
+    };
+    let answering = async { tokio::join!(sending, stopping) };
+    tokio::select! {
+        () = stop_requests(&gateway.core, &stop) => unreachable!("the stop goes on until the process ends"),
+        (answer, stopped_at) = answering => (answer, stopped_at.elapsed()),
+    }
+}
+
+/// Guards against a connection that is closed without a response when a stopped process is killed, while an endpoint still
+/// works on its request. The caller could not tell that from a request that was never read.
+#[tokio::test(start_paused = true)]
+async fn a_request_at_an_endpoint_is_answered_before_the_process_is_killed() {
+    for kind in [RouteKind::Unsafe, RouteKind::Safe, STREAM, RESUMABLE_STREAM] {
+        let (answer, after) = stop_while_sent(kind).await;
+        assert_eq!(answer.status(), StatusCode::BAD_GATEWAY, "{kind:?}");
+        assert_eq!(answer.body().as_ref(), b"stopped\n");
+        assert!(!answer.headers().contains_key("retry-after"));
+        assert!(after < GRACE, "{kind:?}: answered {after:?} after the stop");
+        // Until then the endpoint may still respond.
+        assert!(
+            after > GRACE * 5 / 6,
+            "{kind:?}: answered {after:?} after the stop"
+        );
+    }
+}
