Limit the memory of large responses that are being read together

What callers saw: an endpoint in trouble sends bytes without end to many requests at once. The gateway keeps them, exceeds its memory and is killed; the requests and streams of all its other callers end with it.

Cause: what was counted was not what is taken. Each body grew by doubling, and only its bytes were counted, against half of the process's memory; the bytes of an event that isn't complete, up to 1 MB for each resumable stream, were not counted at all.

Change: a response that is being read counts with its capacity. A single one may be as large as before. Incomplete events count likewise.

`endless_responses::a_large_event_is_given_up_while_memory_is_short` failed with the check taken out: the stream waited for its deadline.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -18,7 +18,7 @@
 use oatpier_wire::client::{ResponseBody, SendError, SendStage};
 
 use super::attempt_failure::AttemptFailure;
-use super::buffers::BufferLease;
+use super::buffers::{BufferLease, MemoryShort, SMALL_RESPONSE_BYTES};
 use super::core::GatewayCore;
 use super::permits::HeldPermit;
 use super::placement::{PlacedSend, RequestContext};
@@ -28,9 +28,6 @@
 /// be complete; the services respond with a few kilobytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
 
-/// The size up to which a response is read whatever the memory that others take, in bytes.
-const MIN_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
-
 /// The request as the caller sent it.
 #[derive(Debug, Clone)]
 pub struct CallerMessage {
@@ -377,22 +374,29 @@
     Ok(WholeResponse { response, lease })
 }
 
-/// Reads a body into memory, which is counted as it is read.
+/// Reads a body into memory, which is counted as it is taken.
 async fn read_body(
     core: &GatewayCore,
     mut body: ResponseBody,
 ) -> Result<(Bytes, BufferLease), AttemptFailure> {
-    let mut bytes = BytesMut::new();
-    let mut lease = core.buffers.hold(0);
+    let mut bytes = Vec::new();
+    let mut lease = core.begin_response();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| AttemptFailure::of_body(&error))?;
         let data = frame.into_data().unwrap_or_default();
-        lease.grow(data.len());
-        bytes.extend_from_slice(&data);
-        let is_large = bytes.len() > MIN_BUFFERED_RESPONSE_BYTES;
-        if bytes.len() > MAX_BUFFERED_RESPONSE_BYTES || (is_large && core.is_memory_critical()) {
+        let length = bytes.len() + data.len();
+        let is_endless = length > MAX_BUFFERED_RESPONSE_BYTES;
+        let is_large = length > SMALL_RESPONSE_BYTES;
+        if is_endless || (is_large && core.is_memory_critical()) {
             return Err(AttemptFailure::Spoilt);
         }
+        if length > bytes.capacity() {
+            let capacity = length.next_power_of_two();
+            let room = lease.resize(capacity);
+            room.map_err(|MemoryShort| AttemptFailure::Spoilt)?;
+            bytes.reserve_exact(capacity - bytes.len());
+        }
+        bytes.extend_from_slice(&data);
     }
-    Ok((bytes.freeze(), lease))
+    Ok((Bytes::from(bytes), lease.complete()))
 }
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -35,7 +35,7 @@
 use rand::RngExt;
 use tokio::sync::{Notify, watch};
 
-use super::buffers::BufferBudget;
+use super::buffers::{BufferBudget, IncomingLease};
 use super::pending_calls::PendingCalls;
 use super::shares::ShareState;
 use super::store_knowledge::StoreAge;
@@ -293,6 +293,12 @@
         self.buffers.is_critical(memory_bytes)
     }
 
+    /// Starts to count the memory of a response that is being read.
+    pub(super) fn begin_response(&self) -> IncomingLease {
+        let memory_bytes = self.settings.borrow().memory_bytes;
+        self.buffers.begin_response(memory_bytes)
+    }
+
     /// Refuses new requests from now on.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
--- a/crates/oatpier-gateway/src/gateway/relay.rs
+++ b/crates/oatpier-gateway/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 
 use super::attempt::{self, AttemptGuard, OpenResponse};
 use super::attempt_failure::AttemptFailure;
+use super::buffers::{IncomingLease, MemoryShort};
 use super::pauses::PauseTracker;
 use super::placement::PlacedSend;
 use super::run::RequestRun;
@@ -58,6 +59,8 @@
     guard: Option<AttemptGuard>,
     /// Splits a resumable stream into events.
     splitter: Option<EventSplitter>,
+    /// The memory of the event that has not arrived completely.
+    rest: IncomingLease,
     last_event: Option<String>,
     /// Whether the stream may end here: at the end of an event or, if its framing tells its end, before the first one.
     is_at_event_end: bool,
@@ -109,6 +112,7 @@
         body,
         guard: Some(guard),
         splitter: resumable.then(EventSplitter::new),
+        rest: run.core.begin_response(),
         last_event: None,
         is_at_event_end: is_framed,
         events: 0,
@@ -273,7 +277,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if nothing is left to forward before an event that is too long.
+    /// Returns an error if nothing is left to forward before an event that is too long, or for which memory is short.
     fn process_chunk(&mut self, data: Bytes) -> Result<Option<Bytes>, EventTooLong> {
         let Some(splitter) = &mut self.splitter else {
             self.track_event_end(&data);
@@ -294,6 +298,8 @@
             self.events += 1;
         };
         self.is_at_event_end = splitter.rest().is_empty();
+        let room = self.rest.resize(splitter.rest().len());
+        let ended = ended.and(room.map_err(|MemoryShort| EventTooLong));
         if whole.is_empty() {
             return ended.map(|()| None);
         }
--- a/crates/oatpier-gateway/tests/testsuite/endless_responses.rs
+++ b/crates/oatpier-gateway/tests/testsuite/endless_responses.rs
@@ -1,7 +1,10 @@
 //! Endpoints that send bytes without end: what is held of them, when the connection is closed, and what callers get.
 
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
 
+use futures::future::{Either, select};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use oatpier_gateway::sidecar::engine_link::EngineLink;
@@ -12,8 +15,8 @@
 
 use crate::endless::EndlessEndpoint;
 use crate::support::{
-    EndpointStep, REQUEST_ID, STREAM, STREAM_END, ScriptedEndpoint, TestGateway, chunk,
-    endpoint_response, record, request, stream_start,
+    EndpointStep, REQUEST_ID, RESUMABLE_STREAM, STREAM, STREAM_END, ScriptedEndpoint, TestGateway,
+    chunk, endpoint_response, record, request, stream_start,
 };
 
 /// The most that a gateway reads of a head, in bytes.
@@ -157,6 +160,23 @@
     }
 }
 
+/// Guards against the memory of many events that are read at once: each takes less than its own limit, and all together take
+/// more than the process has.
+#[tokio::test]
+async fn a_large_event_is_given_up_while_memory_is_short() {
+    let part = stream_start(&["id: 1\ndata: ", &"a".repeat(700 << 10)]);
+    let step = EndpointStep::AnswerInParts(part, Duration::from_mins(1), String::new());
+    let endpoint = ScriptedEndpoint::start(vec![step; 2]).await;
+    let gateway = gateway_before(RESUMABLE_STREAM, 1, &[endpoint.address]);
+    let call = || gateway.send(request(&[("x-oatpier-deadline-ms", "5000")]));
+    let (first, second) = (pin!(call()), pin!(call()));
+    let (Either::Left((answer, _)) | Either::Right((answer, _))) = select(first, second).await;
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
+    // One that lasts until the deadline counts as silent.
+    let lines = gateway.logged("attempt failed");
+    assert!(lines[0].contains("\"spoilt\""), "{lines:?}");
+}
+
 /// A stream that can't be resumed is forwarded as it arrives, and cut off at the request's deadline.
 #[tokio::test]
 async fn a_plain_stream_without_end_is_cut_off_at_the_deadline() {
--- a/crates/oatpierd/tests/crowdsuite/main.rs
+++ b/crates/oatpierd/tests/crowdsuite/main.rs
@@ -1,10 +1,12 @@
-//! Crowds of callers that don't complete their requests.
+//! Crowds of callers that don't complete their requests, and endpoints whose responses have no end.
 //!
 //! Each test runs alone and checks what doesn't depend on the machine's speed: the process lives, its memory and its
 //! open descriptors stay under their bounds, and an ordinary request is answered while the crowd's connections are open.
 
 mod agents;
 mod crowd;
+mod endless;
+mod endpoints;
 mod entries;
 mod gateway;
 mod gateways;
--- a/crates/oatpierd/tests/crowdsuite/standins.rs
+++ b/crates/oatpierd/tests/crowdsuite/standins.rs
@@ -48,6 +48,8 @@
 pub struct PlatformStandins {
     pub block: AddressBlock,
     pub store: SocketAddr,
+    /// The contents of the store.
+    pub registry: StoreStandin,
     /// The gateway's connections to the endpoint.
     pub link: FaultLink,
     _endpoint: EndpointStandin,
@@ -82,10 +84,12 @@
             models: Vec::new(),
             copies: Vec::new(),
         };
-        let endpoint = EndpointStandin::start(spec, store, EventHistory::default()).unwrap();
+        let history = EventHistory::default();
+        let endpoint = EndpointStandin::start(spec, store.clone(), history).unwrap();
         Self {
             block,
             store: store_address,
+            registry: store,
             link,
             _endpoint: endpoint,
         }
