--- a/crates/oatpier-gateway/src/gateway/stopping.rs
+++ b/crates/oatpier-gateway/src/gateway/stopping.rs
@@ -29,7 +29,7 @@
     sleep(refuse_after).await;
     core.close();
     let last_response_time = LAST_RESPONSE_TIME.min(grace / LAST_RESPONSE_DIVISOR);
-    sleep(grace - last_response_time - refuse_after).await;
+    sleep(grace.saturating_sub(refuse_after + last_response_time)).await;
     core.give_up_requests();
     std::future::pending::<()>().await;
 }
