Limit the pieces of a response that a gateway reads whole

What callers saw: while an endpoint in trouble sends chunks of a few bytes without end, the gateway is busy with them until each request's deadline: a caller alone got nothing for 4 s, and with 96 callers the gateway answered nobody else. The first form of `endpoints::bodies_in_chunks_without_end_take_bounded_memory` did not end within ten minutes of processor time.

Cause: the limit of 8 MB counts bytes, and each piece costs two task switches whatever its size. 8 MB in chunks of four bytes are two million pieces.

Change: a response that arrives in more than 16,384 pieces is given up, as one that is too large. One of 8 MB may come in pieces of 512 bytes on average, and one of a few kilobytes byte by byte.

Evidence: the test, red before (no end within 40 s), passes in 12 to 27 s of a debug build, with 42 MB of memory. Streams, which are forwarded as they come and not faster than their callers read, have no such limit.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -28,6 +28,9 @@
 /// be complete; the services respond with a few kilobytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
 
+/// The maximum number of pieces in which a buffered response may arrive. Each costs processor time, whatever its size.
+const MAX_RESPONSE_PIECES: u32 = 16 << 10;
+
 /// The request as the caller sent it.
 #[derive(Debug, Clone)]
 pub struct CallerMessage {
@@ -381,11 +384,13 @@
 ) -> Result<(Bytes, BufferLease), AttemptFailure> {
     let mut bytes = Vec::new();
     let mut lease = core.begin_response();
+    let mut pieces = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| AttemptFailure::of_body(&error))?;
         let data = frame.into_data().unwrap_or_default();
         let length = bytes.len() + data.len();
-        let is_endless = length > MAX_BUFFERED_RESPONSE_BYTES;
+        pieces += 1;
+        let is_endless = length > MAX_BUFFERED_RESPONSE_BYTES || pieces > MAX_RESPONSE_PIECES;
         let is_large = length > SMALL_RESPONSE_BYTES;
         if is_endless || (is_large && core.is_memory_critical()) {
             return Err(AttemptFailure::Spoilt);
--- a/crates/oatpierd/tests/crowdsuite/endpoints.rs
+++ b/crates/oatpierd/tests/crowdsuite/endpoints.rs
@@ -79,6 +79,17 @@
     expect_bounds(CallKind::Unsafe, sent).await;
 }
 
+/// As above with bodies in small chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_without_end_take_bounded_memory() {
+    let sent = EndlessResponse {
+        beginning: "HTTP/1.1 200 OK\r\nx-oatpier-request-id: ID\r\nx-oatpier-response-stamp: s1\r\n\
+                    transfer-encoding: chunked\r\n\r\n",
+        repeated: "4\r\naaaa\r\n",
+    };
+    expect_bounds(CallKind::Safe, sent).await;
+}
+
 /// Guards against a gateway that runs out of memory with heads that have no end.
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_take_bounded_memory() {
