Take only final statuses of HTTP for a response

What callers saw: on another system an engine in trouble sent a response with status 000, and the caller got it as its answer. Here 000, and what is no number of three digits, was refused by the HTTP library; 101 and statuses from 600 to 999 reached callers as their answers, with the engine's signature, and a request that another endpoint could have served was not sent to it.

Cause: the library accepts any three digits from 100 on, and takes 101 for the end of the exchange. What a status means was checked by its class only (success, server error), and these have none.

Change: the HTTP client, which all calls to endpoints, the store and other processes use, accepts 200 to 599. Anything else is malformed: its connection is closed, the request may have run, the endpoint counts as running, and the request goes elsewhere if it may be repeated.

--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod failures;
 mod forwarding;
 mod fragile;
+mod invalid_statuses;
 mod keys;
 mod leaving;
 mod observing;
--- a/crates/oatpier-wire/src/client.rs
+++ b/crates/oatpier-wire/src/client.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -136,6 +136,17 @@
         }
     }
 
+    fn status(address: SocketAddr, status: StatusCode) -> Self {
+        Self {
+            is_malformed: true,
+            ..Self::new(
+                address,
+                SendStage::Response,
+                format_args!("{status} is no status of a response"),
+            )
+        }
+    }
+
     fn timeout(address: SocketAddr, stage: SendStage) -> Self {
         Self {
             timed_out: true,
@@ -264,6 +275,9 @@
                 None => sending.await,
             };
             let mut failure = match sent {
+                Ok(response) if !is_final(response.status()) => {
+                    return Err(SendError::status(address, response.status()));
+                }
                 Ok(response) => {
                     sender.head_limit.end();
                     return Ok(response.map(|body| self.response_body(body, sender)));
@@ -367,6 +381,12 @@
     is_invalid || error.is_parse()
 }
 
+/// Returns whether a response with this status ends a request. No call asks for another protocol, so status 101 does not, and
+/// statuses from 600 on are not defined.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn with_host(address: SocketAddr, mut request: Request<Bytes>) -> Request<Bytes> {
     if !request.headers().contains_key(HOST)
         && let Ok(host) = HeaderValue::from_str(&address.to_string())
--- a/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
+++ b/crates/oatpier-wire/tests/testsuite/client_verdicts.rs
@@ -262,3 +262,22 @@
     assert_eq!(reused, [false, false, true]);
     assert_eq!(connections.load(Ordering::SeqCst), 2);
 }
+
+/// Guards against a response with a status that HTTP does not have, or that switches to a protocol that nobody asked for, and
+/// that counts as the response of the peer.
+#[tokio::test]
+async fn a_response_without_a_final_status_is_malformed() {
+    for status in ["000", "001", "101", "600", "999"] {
+        let head = format!("HTTP/1.1 {status} Unknown\r\ncontent-length: 2\r\n\r\nok");
+        let address = serve_connections(move |mut stream| {
+            let head = head.clone();
+            async move {
+                read_head(&mut stream).await;
+                let _ = stream.write_all(head.as_bytes()).await;
+            }
+        });
+        let error = client().send(address.await, get("/")).await.err().unwrap();
+        assert_eq!(error.verdict, RunVerdict::MayHaveRun, "{status}");
+        assert!(error.is_malformed, "{status}");
+    }
+}
