Take only as much memory for a response as it has bytes

Cause: a buffer grew to the next power of two, and that remained counted while the response waited for its caller.

Change: a response with a length takes that, and is given up at once if it is over the limit. Others grow as before while they are read, and give back what they don't need.

--- a/crates/oatpier-gateway/src/gateway/attempt.rs
+++ b/crates/oatpier-gateway/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use oatpier_platform::headers::{self, ForwardOptions, ResponseHead, ResponseKind};
 use oatpier_serving::crashes::prompt_parts::PartAttempt;
 use oatpier_serving::crashes::prompt_parts::trials::PartTrial;
@@ -382,6 +383,11 @@
     core: &GatewayCore,
     mut body: ResponseBody,
 ) -> Result<(Bytes, BufferLease), AttemptFailure> {
+    let stated_length = body.size_hint().exact();
+    let stated_length = stated_length.and_then(|length| usize::try_from(length).ok());
+    if stated_length.is_some_and(|length| length > MAX_BUFFERED_RESPONSE_BYTES) {
+        return Err(AttemptFailure::Spoilt);
+    }
     let mut bytes = Vec::new();
     let mut lease = core.begin_response();
     let mut pieces = 0;
@@ -396,12 +402,15 @@
             return Err(AttemptFailure::Spoilt);
         }
         if length > bytes.capacity() {
-            let capacity = length.next_power_of_two();
+            let capacity = stated_length.unwrap_or(length.next_power_of_two());
+            let capacity = capacity.clamp(length, MAX_BUFFERED_RESPONSE_BYTES);
             let room = lease.resize(capacity);
             room.map_err(|MemoryShort| AttemptFailure::Spoilt)?;
             bytes.reserve_exact(capacity - bytes.len());
         }
         bytes.extend_from_slice(&data);
     }
-    Ok((Bytes::from(bytes), lease.complete()))
+    bytes.shrink_to_fit();
+    let lease = lease.complete(bytes.len());
+    Ok((Bytes::from(bytes), lease))
 }
--- a/crates/oatpier-gateway/src/gateway/buffers.rs
+++ b/crates/oatpier-gateway/src/gateway/buffers.rs
@@ -127,10 +127,11 @@
         Ok(())
     }
 
-    /// Ends the reading. The bytes remain counted until the lease is dropped.
+    /// Ends the reading of a response of this many bytes. They remain counted until the lease is dropped.
     #[must_use]
-    pub fn complete(mut self) -> BufferLease {
+    pub fn complete(mut self, bytes: usize) -> BufferLease {
         self.release_incoming();
+        self.lease.resize(bytes);
         let empty = self.lease.budget.hold(0);
         std::mem::replace(&mut self.lease, empty)
     }
