Don't rely on a sole version without a known stream lifetime

What callers could see, as another operator's report has it: after a kill of all gateways beside a change of version, a stream that is taken up goes on at the new version, and its text is joined from two.

One gap was found by reading: a gateway without a configuration takes streams to last no time, and so answers others that the only version it sees has served for longer than that. Its answer alone made a stream go on. It takes a gateway that has read the registry while its configuration is missing or invalid, so it is not shown that this ever happened.

Evidence: `a_gateway_without_a_configuration_does_not_say_which_version_serves_alone` failed before (the stream was known to have begun at `v2`).

--- a/crates/oatpier-serving/src/origins/tracker.rs
+++ b/crates/oatpier-serving/src/origins/tracker.rs
@@ -97,7 +97,7 @@
     ring: HolderRing,
     peak: GatewayPeak,
     repeated: Vec<RepeatedRecord>,
-    /// Longest timeout of a route whose streams may be resumed.
+    /// Longest timeout of a route whose streams may be resumed; zero if none is known.
     longest_route: Duration,
     /// Longest time that a caller of such a route has stated to wait.
     longest_caller: Duration,
@@ -261,8 +261,11 @@
         holders.filter(|holder| *holder != self.own).collect()
     }
 
-    /// Returns the longest time for which a stream lasts, with all its interruptions.
+    /// Returns the longest time for which a stream lasts, with all its interruptions. Without a configuration it is unknown.
     fn lifetime(&self) -> Duration {
+        if self.longest_route.is_zero() {
+            return MAX_STREAM_LIFETIME;
+        }
         let longest = self.longest_route.max(self.longest_caller);
         longest.min(MAX_STREAM_LIFETIME)
     }
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
@@ -147,6 +147,25 @@
     assert_eq!(step(&holder), Ok("v2".to_owned()));
 }
 
+/// Guards against a stream that goes on at another version because a gateway that has just started, and does not know yet how
+/// long streams may last, says that the only version has served for longer than that.
+#[test]
+fn a_gateway_without_a_configuration_does_not_say_which_version_serves_alone() {
+    let (mut own, mut holder) = (tracker(false), OriginTracker::new(address(2), false));
+    observe(&mut own, &["v2"], 1_000);
+    observe(&mut holder, &["v2"], 1_000);
+    own.set_gateways(vec![address(2)], 2, at(1_000));
+    let stream_service = service();
+    let stream = ResumedStream {
+        service: &stream_service,
+        key: Some(StreamKey::new(None, "a")),
+    };
+    let age = Some(Duration::ZERO);
+    let mut lookup = own.look_up(stream, age, MAX_AGE, at(1_100)).lookup;
+    lookup.add_answer(holder.attest(stream, age, at(1_100)));
+    assert_eq!(lookup.step(true), UNKNOWN);
+}
+
 /// A gateway that is cut off from most others must not take the absence of a record for an answer.
 #[test]
 fn a_gateway_without_the_others_does_not_conclude_from_missing_records() {
