Keep records of streams at sidecars too

Cause: the record of the version at which a stream began lay in the memory of four gateways. When all end at once no record is left, and an unknown stream rightly does not go on.

Change: a gateway sends each record also to two sidecars, chosen by the stream's key on a ring of all engines' sidecars, and asks them where gateways know nothing. Their answers count only as far as they hold a record. Where engines come and go, the gateway that made a record sends it to the sidecars that are new for it. No records are made, and no sidecar is asked, while a single version has served for longer than a stream lasts.

--- a/crates/oatpier-gateway/src/gateway/configuration.rs
+++ b/crates/oatpier-gateway/src/gateway/configuration.rs
@@ -58,6 +58,7 @@
             grants.retain(|workspace| limits.contains_key(workspace));
             self.shared_config.send_replace(Some(Arc::clone(&config)));
             state.config = Some(config);
+            self.update_record_sidecars(state);
         }
     }
 
--- a/crates/oatpier-gateway/src/gateway/origins.rs
+++ b/crates/oatpier-gateway/src/gateway/origins.rs
@@ -20,6 +20,7 @@
 use super::core::{CoreState, GatewayCore};
 use super::local_responses::LocalResponse;
 use super::placement::RequestContext;
+use super::subscriptions::engine_services;
 
 /// Timeout for a holder's answer: several times the network latency between availability zones plus the scheduling delay
 /// of a busy processor.
@@ -95,6 +96,18 @@
         }
     }
 
+    /// Updates which sidecars hold records, after engines have changed.
+    pub(super) fn update_record_sidecars(&self, state: &mut CoreState) {
+        let Some(config) = state.config.clone() else {
+            return;
+        };
+        let rows = engine_services(&config)
+            .flat_map(|(service, _)| state.directory.service(service))
+            .map(|row| SocketAddr::new(row.record.address.ip(), self.inner_port));
+        let sidecars = rows.collect();
+        state.origins.set_sidecars(sidecars);
+    }
+
     /// Records at which version a stream began, before an event of it goes to the caller. Returns whether it is recorded: no
     /// record is needed while a single version has served for longer than a stream lasts.
     pub(super) fn record_stream(
@@ -121,7 +134,8 @@
 
     /// Sends the records of the last interval to their holders once more.
     pub(super) fn repeat_origin_records(&self) {
-        let records = self.lock().origins.take_repeated();
+        let now = self.clock.now();
+        let records = self.lock().origins.take_repeated(now);
         self.send_origin_records(records);
     }
 
@@ -166,18 +180,26 @@
         let HolderLookup {
             mut lookup,
             holders,
+            sidecars,
         } = self.begin_lookup(stream);
-        let step = lookup.step(holders.is_empty());
+        let step = lookup.step(holders.is_empty() && sidecars.is_empty());
         let (Some(key), LookupStep::Ask) = (stream.key, &step) else {
             return step;
         };
-        let mut asks: FuturesUnordered<_> = holders
-            .into_iter()
-            .map(|holder| self.ask_holder(holder, stream.service, key))
+        let gateways = holders.into_iter().map(|holder| (holder, false));
+        let sidecars = sidecars.into_iter().map(|holder| (holder, true));
+        let mut asks: FuturesUnordered<_> = gateways
+            .chain(sidecars)
+            .map(async |(holder, is_sidecar)| {
+                let answer = self.ask_holder(holder, stream.service, key).await;
+                (answer, is_sidecar)
+            })
             .collect();
-        while let Some(answer) = asks.next().await {
-            if let Some(attestation) = answer {
-                lookup.add_answer(attestation);
+        while let Some((answer, is_sidecar)) = asks.next().await {
+            match answer {
+                Some(attestation) if is_sidecar => lookup.add_sidecar_answer(attestation),
+                Some(attestation) => lookup.add_answer(attestation),
+                None => {}
             }
             let step = lookup.step(asks.is_empty());
             if step != LookupStep::Ask {
@@ -190,7 +212,7 @@
     fn begin_lookup(&self, stream: ResumedStream<'_>) -> HolderLookup {
         let now = self.clock.now();
         let max_registry_age = self.settings.borrow().bounds.drain;
-        let state = self.lock();
+        let mut state = self.lock();
         let registry_age = state.store_age.age(now);
         state
             .origins
--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -140,6 +140,9 @@
             .map(|change| directory_line(directory, change))
             .collect();
         Self::observe_versions(&mut state, now);
+        if !changes.is_empty() {
+            self.update_record_sidecars(&mut state);
+        }
         drop(state);
         for line in lines {
             self.log.write(line);
--- a/crates/oatpier-gateway/src/sidecar/mod.rs
+++ b/crates/oatpier-gateway/src/sidecar/mod.rs
@@ -26,8 +26,9 @@
 use oatpier_duty::duty::{DutyProcess, RuntimeClock, StartError, StopPhase, StopSignal, bind};
 use oatpier_serving::engine::{EngineOrder, OrderAnswer};
 use oatpier_serving::failures::FailureCount;
-use oatpier_serving::message::{EngineUpdate, InnerMessage};
+use oatpier_serving::message::{EngineUpdate, InnerMessage, OriginAnswer};
 use oatpier_serving::node::NodeSettings;
+use oatpier_serving::origins::OriginTable;
 use oatpier_serving::permits::PermitIssuer;
 use oatpier_serving::residency::{EngineResidency, LoadPace, SequencedOrder};
 use oatpier_types::clock::ClockTime;
@@ -141,6 +142,7 @@
         failures: FailureCount::default(),
         link: EngineLink::new(address, settings.name.clone()),
         service: ServiceTracker::default(),
+        origins: OriginTable::default(),
         status_sender: StatusSender::new(address),
         share_reporter: ShareReporter::new(address),
         socket,
@@ -168,6 +170,8 @@
     failures: FailureCount,
     link: EngineLink,
     service: ServiceTracker,
+    /// Records of streams at any engine, which go on when all gateways end at once.
+    origins: OriginTable,
     status_sender: StatusSender,
     share_reporter: ShareReporter,
     socket: MessageSocket,
@@ -304,6 +308,19 @@
                 }
             }
             InnerMessage::AttemptFailed(failure) => self.failures.note_failure(failure, now),
+            InnerMessage::StreamsBegun(records) => {
+                for record in records {
+                    self.origins.keep(record, now);
+                }
+            }
+            InnerMessage::OriginAsk(ask) => {
+                let answer = OriginAnswer {
+                    id: ask.id,
+                    attestation: self.origins.attest(ask.key, now),
+                };
+                let message = InnerMessage::OriginAnswer(Box::new(answer));
+                MessageOutlet::send(&self.socket, from, &message);
+            }
             // Addressed to gateways.
             InnerMessage::Status(_)
             | InnerMessage::Spread(_)
@@ -316,8 +333,6 @@
             | InnerMessage::TurnAnswer(_)
             | InnerMessage::LimitSeen(_)
             | InnerMessage::LeavingSeen(_)
-            | InnerMessage::StreamsBegun(_)
-            | InnerMessage::OriginAsk(_)
             | InnerMessage::OriginAnswer(_)
             | InnerMessage::PinnedWanted(_)
             | InnerMessage::PartCrashesSeen(_)
--- a/crates/oatpier-gateway/tests/testsuite/versions.rs
+++ b/crates/oatpier-gateway/tests/testsuite/versions.rs
@@ -7,13 +7,14 @@
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use oatpier_serving::directory::EndpointRecord;
-use oatpier_serving::message::InnerMessage;
-use oatpier_serving::origins::{OriginRecord, StreamKey, StreamOrigin};
+use oatpier_serving::message::{InnerMessage, OriginAnswer};
+use oatpier_serving::origins::{OriginRecord, OriginTable, StreamKey, StreamOrigin};
+use oatpier_types::clock::ClockTime;
 use tokio::time::sleep;
 
 use crate::support::{
     EndpointStep, REQUEST_ID, STREAM_END, ScriptedEndpoint, TestGateway, chunk, record, request,
-    service, status, stream_start, version, versioned,
+    service, settings, status, stream_start, version, versioned,
 };
 
 fn event(number: u32) -> String {
@@ -267,6 +268,47 @@
     stream.check_rest(&answer, "record");
 }
 
+/// Guards against a stream that is given up, or that goes on at another version, because all gateways have ended. Its record is
+/// with the sidecars of engines.
+#[tokio::test]
+async fn a_gateway_asks_sidecars_for_the_version_of_a_stream() {
+    let stream = BrokenStream::begin().await;
+    let sidecar = SocketAddr::new(stream.other.address.ip(), settings().inner_port);
+    let mut table = OriginTable::default();
+    for (to, message) in stream.began.outlet.sent() {
+        if let InnerMessage::StreamsBegun(records) = message
+            && to == sidecar
+        {
+            let kept = records.into_iter();
+            kept.for_each(|record| table.keep(record, ClockTime::ZERO));
+        }
+    }
+    let answering = async {
+        let mut asked = 0;
+        loop {
+            for (to, message) in stream.returned.outlet.sent().drain(asked..) {
+                asked += 1;
+                if let InnerMessage::OriginAsk(ask) = message
+                    && to == sidecar
+                {
+                    stream.returned.core.complete_origin_ask(OriginAnswer {
+                        id: ask.id,
+                        attestation: table.attest(ask.key, ClockTime::ZERO),
+                    });
+                }
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    // The answers come first: on a busy machine one must not arrive after its timeout.
+    let answer = tokio::select! {
+        biased;
+        () = answering => unreachable!("questions are answered without end"),
+        answer = stream.returned.send(request(&RETURN)) => answer,
+    };
+    stream.check_rest(&answer, "record");
+}
+
 /// Guards against a caller that is kept waiting while the gateways that could know its stream don't answer. The refusal is
 /// true, and says when to return.
 #[tokio::test]
--- a/crates/oatpier-serving/src/message/origins.rs
+++ b/crates/oatpier-serving/src/message/origins.rs
@@ -16,7 +16,7 @@
     pub version: SoftwareVersion,
 }
 
-/// Question of a gateway to a holder about a stream whose caller has returned.
+/// Question of a gateway to a holder, a gateway or a sidecar, about a stream whose caller has returned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct OriginAsk {
--- a/crates/oatpier-serving/src/origins/lookup.rs
+++ b/crates/oatpier-serving/src/origins/lookup.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use super::{HOLDERS, StreamOrigin, VersionView};
+use super::{HOLDERS, SIDECAR_HOLDERS, StreamOrigin, VersionView};
 
 /// Number of answers that show that there is no record of a stream. A single holder may have missed it.
 const ATTESTATIONS: usize = 2;
@@ -29,6 +29,8 @@
 pub struct GatewayReach {
     /// Number of other gateways that hold the record.
     pub others: usize,
+    /// Number of sidecars that hold the record.
+    pub sidecars: usize,
     /// Whether most of the gateways that were known lately are live. Otherwise, gateways beyond a partition may hold the
     /// record.
     pub has_majority: bool,
@@ -68,7 +70,7 @@
 pub enum OriginSource {
     /// A record of this gateway.
     OwnRecord,
-    /// A record of another gateway.
+    /// A record of another gateway or of a sidecar.
     Record,
     /// A single version has served for longer than a stream lasts.
     SoleVersion,
@@ -113,6 +115,8 @@
     own: OriginAttestation,
     reach: GatewayReach,
     answers: SmallVec<[OriginAttestation; HOLDERS]>,
+    /// Answers of sidecars. They count only as far as they hold a record, because sidecars don't know the registry.
+    sidecar_answers: SmallVec<[OriginAttestation; SIDECAR_HOLDERS]>,
     limits: LookupLimits,
 }
 
@@ -130,6 +134,7 @@
             own,
             reach,
             answers: SmallVec::new(),
+            sidecar_answers: SmallVec::new(),
             limits,
         }
     }
@@ -139,13 +144,20 @@
         self.answers.push(answer);
     }
 
+    /// Adds the answer of a sidecar that holds records.
+    pub fn add_sidecar_answer(&mut self, answer: OriginAttestation) {
+        self.sidecar_answers.push(answer);
+    }
+
     /// Returns what follows from the answers so far. `is_last` states that no more will arrive.
     #[must_use]
     pub fn step(&self, is_last: bool) -> LookupStep {
         if let Some(found) = self.recorded() {
             return found;
         }
-        let is_complete = is_last || self.answers.len() == self.reach.others;
+        let has_all_answers = self.answers.len() == self.reach.others
+            && self.sidecar_answers.len() == self.reach.sidecars;
+        let is_complete = is_last || has_all_answers;
         if self.answers.len() < ATTESTATIONS && !is_complete {
             return LookupStep::Ask;
         }
@@ -155,8 +167,7 @@
         if !is_complete {
             return LookupStep::Ask;
         }
-        let has_answers = self.answers.len() == self.reach.others && self.reach.has_majority;
-        LookupStep::Unknown(if has_answers {
+        LookupStep::Unknown(if has_all_answers && self.reach.has_majority {
             UnknownCause::NoRecord
         } else {
             UnknownCause::NoAnswer
@@ -171,7 +182,8 @@
         } else {
             OriginSource::Record
         };
-        let found = own.or_else(|| self.answers.iter().find(has_record))?;
+        let mut answers = self.answers.iter().chain(&self.sidecar_answers);
+        let found = own.or_else(|| answers.find(has_record))?;
         let age = Duration::from_millis(u64::from(found.record_age_ms));
         Some(match &found.evidence {
             OriginEvidence::Began(origin) => LookupStep::Known(origin.clone(), source, age),
--- a/crates/oatpier-serving/src/origins/mod.rs
+++ b/crates/oatpier-serving/src/origins/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! What endpoints of two versions send does not fit together, so a stream may go on only at the version that began it. A
 //! caller that returns mostly reaches another gateway than before, often because that one ended. Gateways therefore send
-//! a record of each stream that begins to a few holders among them, chosen by the key of the stream. While a single
-//! version has served for longer than a stream can last, no records are made, because the version follows from that.
+//! a record of each stream that begins to a few holders among them, chosen by the key of the stream, and to a few sidecars,
+//! which go on when all gateways end at once. While a single version has served for longer than a stream can last, no
+//! records are made, because the version follows from that.
 //!
 //! A version that can be found neither in a record nor that way is unknown, and the stream does not go on.
 
@@ -25,7 +26,7 @@
     GatewayReach, LookupLimits, LookupStep, OriginAttestation, OriginEvidence, OriginLookup,
     OriginSource, UnknownCause,
 };
-pub use ring::{HOLDERS, HolderRing};
+pub use ring::{HOLDERS, HolderRing, SIDECAR_HOLDERS};
 pub use table::{KeptOrigin, OriginTable};
 pub use tracker::{HolderLookup, HolderRecords, OriginTracker, ResumedStream, StreamStart};
 pub use versions::{FleetVersions, ObservedVersions, VersionView};
--- a/crates/oatpier-serving/src/origins/ring.rs
+++ b/crates/oatpier-serving/src/origins/ring.rs
@@ -1,4 +1,4 @@
-//! Which gateways hold the record of a stream.
+//! Which processes hold the record of a stream.
 
 use std::net::SocketAddr;
 
@@ -10,53 +10,56 @@
 /// Number of gateways that hold the record of a stream, besides the one that made it.
 pub const HOLDERS: usize = 3;
 
-/// Number of positions of each gateway on the ring. With more of them the records are spread more evenly.
+/// Number of sidecars that hold the record of a stream, for the case that all gateways end at once.
+pub const SIDECAR_HOLDERS: usize = 2;
+
+/// Number of positions of each member on the ring. With more of them the records are spread more evenly.
 const POSITIONS: u8 = 16;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct RingPosition {
     hash: u64,
-    gateway: SocketAddr,
+    member: SocketAddr,
 }
 
-/// Consistent-hash ring of gateways. A gateway that joins or leaves changes the holders of few streams.
+/// Consistent-hash ring of members. A member that joins or leaves changes the holders of few streams.
 #[derive(Debug, Clone, Default)]
 pub struct HolderRing {
-    gateways: Vec<SocketAddr>,
+    members: Vec<SocketAddr>,
     /// Positions in ascending order.
     positions: Vec<RingPosition>,
 }
 
 impl HolderRing {
-    /// Replaces the gateways, which must be sorted.
-    pub fn set_gateways(&mut self, gateways: Vec<SocketAddr>) {
-        if self.gateways == gateways {
+    /// Replaces the members, which must be sorted.
+    pub fn set_members(&mut self, members: Vec<SocketAddr>) {
+        if self.members == members {
             return;
         }
-        let positions = gateways.iter().flat_map(|gateway| {
+        let positions = members.iter().flat_map(|member| {
             (0..POSITIONS).map(move |number| {
-                let text = format!("{gateway}#{number}");
+                let text = format!("{member}#{number}");
                 RingPosition {
                     hash: xxh3_64(text.as_bytes()),
-                    gateway: *gateway,
+                    member: *member,
                 }
             })
         });
         self.positions = positions.collect();
         self.positions.sort_unstable();
-        self.gateways = gateways;
+        self.members = members;
     }
 
-    /// Returns the number of gateways.
+    /// Returns the number of members.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.gateways.len()
+        self.members.len()
     }
 
-    /// Returns whether there are no gateways.
+    /// Returns whether there are no members.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.gateways.is_empty()
+        self.members.is_empty()
     }
 
     /// Returns the holders of a stream's record, at most [`HOLDERS`].
@@ -66,14 +69,14 @@
             .positions
             .partition_point(|position| position.hash < key.ring_position());
         let (before, after) = self.positions.split_at(start);
-        let wanted = HOLDERS.min(self.gateways.len());
+        let wanted = HOLDERS.min(self.members.len());
         let mut holders = SmallVec::new();
         for position in after.iter().chain(before) {
             if holders.len() == wanted {
                 break;
             }
-            if !holders.contains(&position.gateway) {
-                holders.push(position.gateway);
+            if !holders.contains(&position.member) {
+                holders.push(position.member);
             }
         }
         holders
--- a/crates/oatpier-serving/src/origins/table.rs
+++ b/crates/oatpier-serving/src/origins/table.rs
@@ -5,7 +5,10 @@
 
 use oatpier_types::clock::ClockTime;
 
-use super::{MAX_STREAM_LIFETIME, OriginEvidence, OriginRecord, StreamKey, StreamOrigin};
+use super::{
+    MAX_STREAM_LIFETIME, OriginAttestation, OriginEvidence, OriginRecord, StreamKey, StreamOrigin,
+    VersionView,
+};
 
 /// Maximum number of records. The oldest ones make room for further ones.
 const MAX_RECORDS: usize = 1 << 14;
@@ -15,6 +18,8 @@
     origin: Option<StreamOrigin>,
     kept_at: ClockTime,
     expires_at: ClockTime,
+    /// Whether this process made the record.
+    is_own: bool,
 }
 
 /// What the records say of a stream.
@@ -35,8 +40,17 @@
 }
 
 impl OriginTable {
-    /// Keeps a record. Two records of one key that differ leave the origin unclear.
+    /// Keeps a record of another process. Two records of one key that differ leave the origin unclear.
     pub fn keep(&mut self, record: OriginRecord, now: ClockTime) {
+        self.insert(record, false, now);
+    }
+
+    /// Keeps a record that this process has made.
+    pub fn keep_own(&mut self, record: OriginRecord, now: ClockTime) {
+        self.insert(record, true, now);
+    }
+
+    fn insert(&mut self, record: OriginRecord, is_own: bool, now: ClockTime) {
         self.remove_expired(now);
         let life = Duration::from_millis(u64::from(record.expires_in_ms)).min(MAX_STREAM_LIFETIME);
         let expires_at = now + life;
@@ -45,6 +59,7 @@
                 row.origin = None;
             }
             row.expires_at = row.expires_at.max(expires_at);
+            row.is_own |= is_own;
             return;
         }
         if self.order.len() >= MAX_RECORDS
@@ -57,10 +72,22 @@
             origin: record.origin,
             kept_at: now,
             expires_at,
+            is_own,
         };
         self.rows.insert(record.key, row);
     }
 
+    /// Returns the records that this process has made and that have not expired.
+    pub fn own_records(&self, now: ClockTime) -> impl Iterator<Item = OriginRecord> {
+        let rows = self.rows.iter();
+        let own = rows.filter(move |(_, row)| row.is_own && row.expires_at > now);
+        own.map(move |(key, row)| OriginRecord {
+            key: *key,
+            origin: row.origin.clone(),
+            expires_in_ms: whole_millis(row.expires_at.since(now)),
+        })
+    }
+
     /// Returns what the records say of a stream. Without a key there can be none of it.
     #[must_use]
     pub fn find(&self, key: Option<StreamKey>, now: ClockTime) -> KeptOrigin {
@@ -78,6 +105,21 @@
         }
     }
 
+    /// Returns what a process that knows nothing of the registry attests of a stream.
+    #[must_use]
+    pub fn attest(&self, key: StreamKey, now: ClockTime) -> OriginAttestation {
+        let kept = self.find(Some(key), now);
+        OriginAttestation {
+            evidence: kept.evidence,
+            record_age_ms: whole_millis(kept.age),
+            view: VersionView {
+                sole: None,
+                is_lasting: false,
+            },
+            registry_age_ms: u32::MAX,
+        }
+    }
+
     /// Returns the number of records.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -101,3 +143,7 @@
         }
     }
 }
+
+fn whole_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/oatpier-serving/src/origins/tracker.rs
+++ b/crates/oatpier-serving/src/origins/tracker.rs
@@ -11,8 +11,8 @@
 
 use super::{
     FleetVersions, GatewayReach, HOLDERS, HolderRing, LookupLimits, MAX_STREAM_LIFETIME,
-    ObservedVersions, OriginAttestation, OriginLookup, OriginRecord, OriginTable, StreamKey,
-    StreamOrigin,
+    ObservedVersions, OriginAttestation, OriginLookup, OriginRecord, OriginTable, SIDECAR_HOLDERS,
+    StreamKey, StreamOrigin,
 };
 use crate::site::SiteConfig;
 
@@ -37,7 +37,7 @@
 /// Records for one holder.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HolderRecords {
-    /// The gateway that holds them.
+    /// The gateway or sidecar that holds them.
     pub holder: SocketAddr,
     /// The records.
     pub records: Vec<OriginRecord>,
@@ -59,6 +59,8 @@
     pub lookup: OriginLookup,
     /// The other gateways that hold the record.
     pub holders: SmallVec<[SocketAddr; HOLDERS]>,
+    /// The sidecars that hold the record.
+    pub sidecars: SmallVec<[SocketAddr; SIDECAR_HOLDERS]>,
 }
 
 /// A record that is sent to a holder once more, because datagrams may be lost.
@@ -95,6 +97,10 @@
     versions: FleetVersions,
     records: OriginTable,
     ring: HolderRing,
+    /// The sidecars that hold records, as of the last time that they were needed.
+    sidecars: HolderRing,
+    /// The sidecars of the engines known now, if these have changed since.
+    changed_sidecars: Option<Vec<SocketAddr>>,
     peak: GatewayPeak,
     repeated: Vec<RepeatedRecord>,
     /// Longest timeout of a route whose streams may be resumed; zero if none is known.
@@ -112,6 +118,8 @@
             versions: FleetVersions::new(is_first_start),
             records: OriginTable::default(),
             ring: HolderRing::default(),
+            sidecars: HolderRing::default(),
+            changed_sidecars: None,
             peak: GatewayPeak::default(),
             repeated: Vec::new(),
             longest_route: Duration::ZERO,
@@ -133,7 +141,13 @@
         others.push(self.own);
         others.sort_unstable();
         self.peak.note(others.len().max(known), now);
-        self.ring.set_gateways(others);
+        self.ring.set_members(others);
+    }
+
+    /// Replaces the sidecars that hold records together with the gateways. The ring is made only when it is needed, because
+    /// engines come and go also while no records are made.
+    pub fn set_sidecars(&mut self, sidecars: Vec<SocketAddr>) {
+        self.changed_sidecars = Some(sidecars);
     }
 
     /// Records the versions of a service's endpoints.
@@ -174,8 +188,9 @@
             }),
             expires_in_ms: millis(start.timeout),
         };
-        self.records.keep(record.clone(), now);
-        let holders = self.other_holders(key);
+        self.records.keep_own(record.clone(), now);
+        let mut holders = self.other_holders(key).to_vec();
+        holders.extend(self.sidecar_holders(key, now));
         self.repeated
             .extend(holders.iter().map(|holder| RepeatedRecord {
                 holder: *holder,
@@ -188,8 +203,12 @@
         Some(sent.collect())
     }
 
-    /// Returns the records made since the last call, which are sent to their holders once more.
-    pub fn take_repeated(&mut self) -> Vec<HolderRecords> {
+    /// Returns the records made since the last call, which are sent to their holders once more, and earlier ones whose
+    /// sidecars have changed.
+    pub fn take_repeated(&mut self, now: ClockTime) -> Vec<HolderRecords> {
+        if self.records.own_records(now).next().is_some() {
+            self.update_sidecars(now);
+        }
         let mut repeated = std::mem::take(&mut self.repeated);
         repeated.sort_by_key(|row| row.holder);
         let by_holder = repeated.chunk_by(|one, other| one.holder == other.holder);
@@ -230,7 +249,7 @@
     /// Begins the lookup of where a stream began. Knowledge of the registry counts as current up to `max_registry_age`.
     #[must_use]
     pub fn look_up(
-        &self,
+        &mut self,
         stream: ResumedStream<'_>,
         registry_age: Option<Duration>,
         max_registry_age: Duration,
@@ -240,6 +259,10 @@
         let holders = stream
             .key
             .map_or_else(SmallVec::new, |key| self.other_holders(key));
+        // While a single version has served for long, there are no records.
+        let recorded_key = stream.key.filter(|_| !own.view.is_lasting);
+        let sidecars =
+            recorded_key.map_or_else(SmallVec::new, |key| self.sidecar_holders(key, now));
         let limits = LookupLimits {
             max_registry_age,
             lifetime: self.lifetime(),
@@ -249,11 +272,16 @@
             own,
             GatewayReach {
                 others: holders.len(),
+                sidecars: sidecars.len(),
                 has_majority: self.peak.is_majority(self.ring.len()),
             },
             limits,
         );
-        HolderLookup { lookup, holders }
+        HolderLookup {
+            lookup,
+            holders,
+            sidecars,
+        }
     }
 
     fn other_holders(&self, key: StreamKey) -> SmallVec<[SocketAddr; HOLDERS]> {
@@ -261,6 +289,35 @@
         holders.filter(|holder| *holder != self.own).collect()
     }
 
+    fn sidecar_holders(
+        &mut self,
+        key: StreamKey,
+        now: ClockTime,
+    ) -> SmallVec<[SocketAddr; SIDECAR_HOLDERS]> {
+        self.update_sidecars(now);
+        first_sidecars(&self.sidecars, key)
+    }
+
+    /// Applies a change of the sidecars. Records of this gateway are sent to those that hold them from now on.
+    fn update_sidecars(&mut self, now: ClockTime) {
+        let Some(mut sidecars) = self.changed_sidecars.take() else {
+            return;
+        };
+        sidecars.sort_unstable();
+        sidecars.dedup();
+        let before = self.sidecars.clone();
+        self.sidecars.set_members(sidecars);
+        for record in self.records.own_records(now) {
+            let known = first_sidecars(&before, record.key);
+            let holders = first_sidecars(&self.sidecars, record.key).into_iter();
+            let added = holders.filter(|holder| !known.contains(holder));
+            self.repeated.extend(added.map(|holder| RepeatedRecord {
+                holder,
+                record: record.clone(),
+            }));
+        }
+    }
+
     /// Returns the longest time for which a stream lasts, with all its interruptions. Without a configuration it is unknown.
     fn lifetime(&self) -> Duration {
         if self.longest_route.is_zero() {
@@ -271,6 +328,12 @@
     }
 }
 
+/// Returns the sidecars that hold the record of a stream.
+fn first_sidecars(ring: &HolderRing, key: StreamKey) -> SmallVec<[SocketAddr; SIDECAR_HOLDERS]> {
+    let holders = ring.holders(key).into_iter();
+    holders.take(SIDECAR_HOLDERS).collect()
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
@@ -7,7 +7,7 @@
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::origins::{
     HolderLookup, HolderRecords, LookupStep, ObservedVersions, OriginAttestation, OriginRecord,
-    OriginTracker, ResumedStream, StreamKey, StreamStart,
+    OriginTable, OriginTracker, ResumedStream, StreamKey, StreamStart,
 };
 use oatpier_types::clock::ClockTime;
 use oatpier_types::software::SoftwareVersion;
@@ -26,6 +26,8 @@
 /// Number of times that a holder is asked.
 const ASK_TRIES: u32 = 3;
 const REPEAT_INTERVAL_MS: u64 = 240;
+/// Number of engines, each with a sidecar.
+const ENGINES: usize = 6;
 /// Streams that begin at each gateway in each step, in percent.
 const STREAM_PERCENT: u32 = 10;
 
@@ -40,6 +42,8 @@
     CutFromAll,
     /// It does not reach the store.
     CutFromStore,
+    /// All gateways end and start again, and some sidecars with them.
+    KillAll,
 }
 
 /// What happens in a run.
@@ -54,6 +58,20 @@
     pub lost_percent: u32,
     /// One of these happens to a gateway each two seconds.
     pub faults: Vec<FleetFault>,
+    /// Sidecars that end whenever all gateways do.
+    pub lost_sidecars: usize,
+}
+
+/// A sidecar that holds records.
+#[derive(Default)]
+struct Sidecar {
+    table: OriginTable,
+    down_until: u64,
+}
+
+fn sidecar_address(number: usize) -> SocketAddr {
+    let number = u16::try_from(number).unwrap();
+    SocketAddr::from(([10, 9, 0, 2], 7_000 + number))
 }
 
 struct Gateway {
@@ -120,7 +138,7 @@
 }
 
 struct Datagram {
-    to: usize,
+    to: SocketAddr,
     due: u64,
     records: Vec<OriginRecord>,
 }
@@ -131,6 +149,7 @@
     rng: ChaCha8Rng,
     now: u64,
     gateways: Vec<Gateway>,
+    sidecars: Vec<Sidecar>,
     /// Versions of the engines that serve.
     engines: Vec<SoftwareVersion>,
     release: VecDeque<SoftwareVersion>,
@@ -154,7 +173,8 @@
             gateways: (0..plan.gateways)
                 .map(|number| Gateway::new(number, true))
                 .collect(),
-            engines: vec![version("v1"); 6],
+            sidecars: (0..ENGINES).map(|_| Sidecar::default()).collect(),
+            engines: vec![version("v1"); ENGINES],
             release: VecDeque::new(),
             streams: Vec::new(),
             returning: Vec::new(),
@@ -260,16 +280,9 @@
         match fault {
             FleetFault::Kill => {
                 let down_until = self.now + self.rng.random_range(300..1_500);
-                self.gateways[number] = Gateway {
-                    down_until,
-                    ..Gateway::new(number, false)
-                };
-                for stream in &mut self.streams {
-                    if stream.gateway == number {
-                        stream.breaks_at = self.now;
-                    }
-                }
+                self.kill(number, down_until);
             }
+            FleetFault::KillAll => self.kill_all(),
             FleetFault::Freeze => self.gateways[number].frozen_until = until,
             FleetFault::CutFromAll => {
                 self.gateways[number].cut_at = self.now;
@@ -280,6 +293,32 @@
         }
     }
 
+    fn kill(&mut self, number: usize, down_until: u64) {
+        self.gateways[number] = Gateway {
+            down_until,
+            ..Gateway::new(number, false)
+        };
+        for stream in &mut self.streams {
+            if stream.gateway == number {
+                stream.breaks_at = self.now;
+            }
+        }
+    }
+
+    fn kill_all(&mut self) {
+        let down_until = self.now + self.rng.random_range(100..800);
+        for number in 0..self.gateways.len() {
+            self.kill(number, down_until);
+        }
+        for _ in 0..self.plan.lost_sidecars {
+            let number = self.rng.random_range(0..self.sidecars.len());
+            self.sidecars[number] = Sidecar {
+                down_until,
+                ..Sidecar::default()
+            };
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let network = std::mem::take(&mut self.network);
@@ -289,7 +328,15 @@
                 continue;
             }
             let clock = self.clock();
-            let gateway = &mut self.gateways[datagram.to];
+            let number = usize::from(datagram.to.port() - 7_000);
+            if datagram.to.ip() == sidecar_address(0).ip() {
+                let sidecar = &mut self.sidecars[number];
+                let records = datagram.records.into_iter();
+                let kept = records.filter(|_| now >= sidecar.down_until);
+                kept.for_each(|record| sidecar.table.keep(record, clock));
+                continue;
+            }
+            let gateway = &mut self.gateways[number];
             if gateway.is_reachable(now) {
                 gateway.tracker.keep(datagram.records, clock);
             }
@@ -309,7 +356,7 @@
             .tracker
             .set_gateways(others, known, clock);
         if now.is_multiple_of(REPEAT_INTERVAL_MS) {
-            let repeated = self.gateways[number].tracker.take_repeated();
+            let repeated = self.gateways[number].tracker.take_repeated(clock);
             self.send(number, repeated);
         }
         if self.rng.random_ratio(STREAM_PERCENT, 100) {
@@ -328,6 +375,8 @@
         gateway.read_at = Some(now);
         let versions = ObservedVersions::of(engines.iter().map(Some)).unwrap();
         gateway.tracker.observe(&service(), &versions, clock);
+        let sidecars = (0..ENGINES).map(sidecar_address);
+        gateway.tracker.set_sidecars(sidecars.collect());
         gateway.view = engines;
     }
 
@@ -393,7 +442,7 @@
             self.messages += 1;
             let message = InnerMessage::StreamsBegun(batch.records.clone());
             assert!(rmp_serde::to_vec(&message).unwrap().len() < 16 << 10);
-            let to = usize::from(batch.holder.port() - 7_000);
+            let to = batch.holder;
             let is_cut = self.gateways[from].cut_until > self.now;
             let is_lost = self.rng.random_ratio(self.plan.lost_percent, 100);
             if is_cut || is_lost {
@@ -476,24 +525,28 @@
             service: &stream_service,
             key: Some(StreamKey::new(None, attempt)),
         };
-        let gateway = &self.gateways[number];
+        let gateway = &mut self.gateways[number];
         let age = gateway.registry_age(self.now);
         let HolderLookup {
             mut lookup,
             holders,
+            sidecars,
         } = gateway
             .tracker
             .look_up(stream, age, MAX_REGISTRY_AGE, clock);
-        let mut step = lookup.step(holders.is_empty());
-        for (asked, holder) in (1..).zip(&holders) {
+        let count = holders.len() + sidecars.len();
+        let mut step = lookup.step(count == 0);
+        for (asked, holder) in (1..).zip(holders.iter().chain(&sidecars)) {
             if step != LookupStep::Ask {
                 break;
             }
             let answer = (0..ASK_TRIES).find_map(|_| self.ask(number, *holder, stream));
-            if let Some(answer) = answer {
-                lookup.add_answer(answer);
+            match answer {
+                Some(answer) if sidecars.contains(holder) => lookup.add_sidecar_answer(answer),
+                Some(answer) => lookup.add_answer(answer),
+                None => {}
             }
-            step = lookup.step(asked == holders.len());
+            step = lookup.step(asked == count);
         }
         match step {
             LookupStep::Known(origin, ..) => Some(origin.version),
@@ -512,6 +565,12 @@
         let to = usize::from(holder.port() - 7_000);
         let is_lost = self.rng.random_ratio(self.plan.lost_percent, 100);
         let is_cut = self.gateways[from].cut_until > self.now;
+        if holder.ip() == sidecar_address(0).ip() {
+            let sidecar = &self.sidecars[to];
+            let is_away = is_lost || is_cut || self.now < sidecar.down_until;
+            let key = stream.key.filter(|_| !is_away);
+            return key.map(|key| sidecar.table.attest(key, clock));
+        }
         let answering = &self.gateways[to];
         if is_lost || is_cut || !answering.is_reachable(self.now) {
             return None;
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use oatpier_serving::origins::{
-    HOLDERS, LookupStep, ObservedVersions, OriginRecord, OriginTracker, ResumedStream, StreamKey,
-    StreamOrigin, StreamStart, UnknownCause,
+    HOLDERS, HolderRecords, LookupStep, ObservedVersions, OriginRecord, OriginTracker,
+    ResumedStream, StreamKey, StreamOrigin, StreamStart, UnknownCause,
 };
 use oatpier_types::names::WorkspaceName;
 
@@ -50,13 +50,13 @@
 }
 
 /// Returns the version that is found without asking, or why there is none.
-fn found(tracker: &OriginTracker, attempt: &str, now_ms: u64) -> Result<String, LookupStep> {
+fn found(tracker: &mut OriginTracker, attempt: &str, now_ms: u64) -> Result<String, LookupStep> {
     let key = StreamKey::new(None, attempt);
     found_by_key(tracker, Some(key), Duration::ZERO, now_ms)
 }
 
 fn found_by_key(
-    tracker: &OriginTracker,
+    tracker: &mut OriginTracker,
     key: Option<StreamKey>,
     age: Duration,
     now_ms: u64,
@@ -83,11 +83,11 @@
 fn the_only_version_counts_only_once_it_has_served_for_longer_than_a_stream() {
     let mut started = tracker(false);
     observe(&mut started, &["v2", "v2"], 1_000);
-    assert_eq!(found(&started, "a", 4_900), Err(UNKNOWN));
-    assert_eq!(found(&started, "a", 5_000), Ok("v2".to_owned()));
+    assert_eq!(found(&mut started, "a", 4_900), Err(UNKNOWN));
+    assert_eq!(found(&mut started, "a", 5_000), Ok("v2".to_owned()));
     let mut first = tracker(true);
     observe(&mut first, &["v1"], 1_000);
-    assert_eq!(found(&first, "a", 1_100), Ok("v1".to_owned()));
+    assert_eq!(found(&mut first, "a", 1_100), Ok("v1".to_owned()));
 }
 
 /// A version that has just replaced another one is not the version of streams that began before.
@@ -97,12 +97,12 @@
     observe(&mut tracker, &["v1"], 0);
     assert_eq!(begin(&mut tracker, "a", Some("v1"), 9_900), None);
     observe(&mut tracker, &["v2"], 10_000);
-    assert_eq!(found(&tracker, "a", 10_100), Err(UNKNOWN));
+    assert_eq!(found(&mut tracker, "a", 10_100), Err(UNKNOWN));
     assert_eq!(begin(&mut tracker, "a", Some("v1"), 10_200), Some(0));
-    assert_eq!(found(&tracker, "a", 10_300), Ok("v1".to_owned()));
+    assert_eq!(found(&mut tracker, "a", 10_300), Ok("v1".to_owned()));
     assert_eq!(begin(&mut tracker, "b", Some("v2"), 10_200), Some(0));
-    assert_eq!(found(&tracker, "b", 10_300), Ok("v2".to_owned()));
-    assert_eq!(found(&tracker, "c", 14_100), Ok("v2".to_owned()));
+    assert_eq!(found(&mut tracker, "b", 10_300), Ok("v2".to_owned()));
+    assert_eq!(found(&mut tracker, "c", 14_100), Ok("v2".to_owned()));
 }
 
 /// A gateway whose registry is old must not rely on the version in it.
@@ -111,9 +111,9 @@
     let mut tracker = tracker(false);
     observe(&mut tracker, &["v1"], 0);
     let key = Some(StreamKey::new(None, "a"));
-    let current = found_by_key(&tracker, key, MAX_AGE, 20_000);
+    let current = found_by_key(&mut tracker, key, MAX_AGE, 20_000);
     assert_eq!(current, Ok("v1".to_owned()));
-    let old = found_by_key(&tracker, key, TIMEOUT, 20_000);
+    let old = found_by_key(&mut tracker, key, TIMEOUT, 20_000);
     assert_eq!(old, Err(UNKNOWN));
 }
 
@@ -125,8 +125,8 @@
     observe(&mut own, &["v1"], 0);
     observe(&mut holder, &["v1"], 0);
     own.set_gateways(vec![address(2)], 2, at(0));
-    assert_eq!(found(&own, "a", 20_000), Err(NO_ANSWER));
-    let step = |holder: &OriginTracker| {
+    assert_eq!(found(&mut own, "a", 20_000), Err(NO_ANSWER));
+    let mut step = |holder: &OriginTracker| {
         let stream_service = service();
         let stream = ResumedStream {
             service: &stream_service,
@@ -173,7 +173,7 @@
     observe(&mut tracker, &["v1"], 0);
     tracker.set_gateways(vec![address(2), address(3)], 3, at(0));
     tracker.set_gateways(Vec::new(), 1, at(11_000));
-    assert_eq!(found(&tracker, "a", 11_100), Err(NO_ANSWER));
+    assert_eq!(found(&mut tracker, "a", 11_100), Err(NO_ANSWER));
 }
 
 /// Guards against a stream that goes on at a version that was not known when it began.
@@ -182,7 +182,7 @@
     let mut tracker = tracker(true);
     observe(&mut tracker, &["v1", "v2"], 0);
     begin(&mut tracker, "a", None, 100);
-    assert_eq!(found(&tracker, "a", 200), Err(UNKNOWN));
+    assert_eq!(found(&mut tracker, "a", 200), Err(UNKNOWN));
 }
 
 /// Callers choose the ids of their attempts. Two streams with one id must not continue each other.
@@ -191,9 +191,9 @@
     let mut tracker = tracker(true);
     observe(&mut tracker, &["v1", "v2"], 0);
     begin(&mut tracker, "a", Some("v1"), 100);
-    assert_eq!(found(&tracker, "a", 150), Ok("v1".to_owned()));
+    assert_eq!(found(&mut tracker, "a", 150), Ok("v1".to_owned()));
     begin(&mut tracker, "a", Some("v2"), 200);
-    assert_eq!(found(&tracker, "a", 300), Err(UNKNOWN));
+    assert_eq!(found(&mut tracker, "a", 300), Err(UNKNOWN));
 }
 
 /// A caller must not learn anything of another workspace's stream.
@@ -211,9 +211,9 @@
         timeout: TIMEOUT,
     };
     tracker.record(&start, at(100));
-    let found = |workspace| {
+    let mut found = |workspace| {
         let key = Some(StreamKey::new(Some(workspace), "a"));
-        found_by_key(&tracker, key, Duration::ZERO, 200)
+        found_by_key(&mut tracker, key, Duration::ZERO, 200)
     };
     assert_eq!(found(&one), Ok("v1".to_owned()));
     assert_eq!(found(&other), Err(UNKNOWN));
@@ -225,8 +225,8 @@
     let mut tracker = tracker(true);
     observe(&mut tracker, &["v1", "v2"], 0);
     begin(&mut tracker, "a", Some("v1"), 100);
-    assert_eq!(found(&tracker, "a", 4_099), Ok("v1".to_owned()));
-    assert_eq!(found(&tracker, "a", 4_100), Err(UNKNOWN));
+    assert_eq!(found(&mut tracker, "a", 4_099), Ok("v1".to_owned()));
+    assert_eq!(found(&mut tracker, "a", 4_100), Err(UNKNOWN));
     let record = |number: u32| OriginRecord {
         key: StreamKey::new(None, &number.to_string()),
         origin: Some(StreamOrigin {
@@ -253,12 +253,32 @@
             let sent = begin(&mut tracker, &stream.to_string(), Some("v1"), 10);
             assert!(sent.unwrap() <= HOLDERS, "{gateways} gateways");
         }
-        let repeated = tracker.take_repeated();
+        let repeated = tracker.take_repeated(at(20));
         let records: usize = repeated.iter().map(|batch| batch.records.len()).sum();
         assert!(records <= 100 * HOLDERS, "{gateways} gateways");
         assert!(repeated.len() <= records, "{gateways} gateways");
-        assert!(tracker.take_repeated().is_empty());
+        assert!(tracker.take_repeated(at(20)).is_empty());
+    }
+}
+
+/// Guards against records that leave with the engines of an earlier version, whose sidecars hold them.
+#[test]
+fn records_are_sent_to_the_sidecars_that_take_the_place_of_others() {
+    let sidecar = |number: u8| SocketAddr::from(([10, 9, 1, number], 7_380));
+    let mut tracker = tracker(true);
+    observe(&mut tracker, &["v1", "v2"], 0);
+    tracker.set_sidecars((1..=4).map(sidecar).collect());
+    for stream in 0..50 {
+        begin(&mut tracker, &stream.to_string(), Some("v1"), 10);
     }
+    tracker.take_repeated(at(20));
+    tracker.set_sidecars((5..=8).map(sidecar).collect());
+    let sent = tracker.take_repeated(at(30));
+    let records = |batch: &HolderRecords| batch.records.len();
+    assert_eq!(sent.iter().map(records).sum::<usize>(), 100);
+    assert!(sent.iter().all(|batch| batch.holder >= sidecar(5)));
+    tracker.set_sidecars((5..=8).map(sidecar).collect());
+    assert!(tracker.take_repeated(at(40)).is_empty());
 }
 
 /// Guards against a final refusal by a gateway that has just started and has no report of the others yet: they may know the
@@ -268,7 +288,7 @@
     let mut tracker = tracker(false);
     observe(&mut tracker, &["v1"], 0);
     tracker.set_gateways(Vec::new(), 1, at(0));
-    assert_eq!(found(&tracker, "a", 100), Err(UNKNOWN));
+    assert_eq!(found(&mut tracker, "a", 100), Err(UNKNOWN));
     tracker.set_gateways(Vec::new(), 5, at(200));
-    assert_eq!(found(&tracker, "a", 300), Err(NO_ANSWER));
+    assert_eq!(found(&mut tracker, "a", 300), Err(NO_ANSWER));
 }
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/mod.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/mod.rs
@@ -22,6 +22,7 @@
             FleetFault::CutFromAll,
             FleetFault::CutFromStore,
         ],
+        lost_sidecars: 2,
     }
 }
 
@@ -86,3 +87,36 @@
         assert!(percent >= 90, "seed {seed}: {}", fleet.summary());
     }
 }
+
+/// Guards against streams that are given up although their version serves: all gateways end at once, again and again.
+#[test]
+fn streams_go_on_after_all_gateways_have_ended() {
+    for seed in SEEDS {
+        let mut fleet = StreamFleet::new(FleetPlan {
+            faults: vec![FleetFault::KillAll],
+            lost_percent: 0,
+            lost_sidecars: 0,
+            ..plan(seed)
+        });
+        fleet.run();
+        assert_eq!(fleet.mixed(), 0, "seed {seed}: {}", fleet.summary());
+        let percent = fleet.percent_gone_on();
+        assert!(percent >= 90, "seed {seed}: {}", fleet.summary());
+    }
+}
+
+/// Guards against callers that get events of two versions after all gateways have ended: some sidecars end with them, single
+/// gateways are killed, frozen and cut off, and messages are lost, doubled and late. Half of the streams go on.
+#[test]
+fn no_caller_gets_events_of_two_versions_after_all_gateways_have_ended() {
+    for seed in SEEDS {
+        let base = plan(seed);
+        let mut faults = base.faults.clone();
+        faults.extend([FleetFault::KillAll; 4]);
+        let mut fleet = StreamFleet::new(FleetPlan { faults, ..base });
+        fleet.run();
+        assert_eq!(fleet.mixed(), 0, "seed {seed}: {}", fleet.summary());
+        let percent = fleet.percent_gone_on();
+        assert!(percent >= 50, "seed {seed}: {}", fleet.summary());
+    }
+}
