Report what is known when a wait for a configuration ends

What operators saw: `oatpier config wait` ended with "no answer" and without the processes that are behind, although earlier calls had named them: only the last call counted.

Change: the wait reports the last answer that it got; a failure counts only if there was none.

--- a/crates/oatpier/src/ops/wait.rs
+++ b/crates/oatpier/src/ops/wait.rs
@@ -58,23 +58,25 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the limit passes first, or no entry answers.
+/// Returns an error if the limit passes first, or no entry has answered until then.
 pub async fn wait_in_force(
     entries: &EntryClient,
     wanted: Generation,
     limit: Duration,
 ) -> Result<RolloutReport, CommandError> {
     let deadline = Instant::now() + limit;
+    let mut latest = None;
     loop {
         let answer = entries.config().await;
-        let report = answer.map(|answer| RolloutReport::new(wanted, &answer));
-        if let Ok(report) = &report
-            && report.is_complete()
-        {
-            return Ok(report.clone());
+        match answer.map(|answer| RolloutReport::new(wanted, &answer)) {
+            Ok(report) if report.is_complete() => return Ok(report),
+            // An earlier answer says more than a failed call.
+            Err(_) if matches!(latest, Some(Ok(_))) => {}
+            outcome => latest = Some(outcome),
         }
         if Instant::now() + POLL_INTERVAL >= deadline {
-            let behind = report?.behind;
+            let report: Option<RolloutReport> = latest.transpose()?;
+            let behind = report.map(|report| report.behind).unwrap_or_default();
             return Err(CommandError::NotInForce { wanted, behind });
         }
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/oatpier/tests/testsuite/entry_commands.rs
+++ b/crates/oatpier/tests/testsuite/entry_commands.rs
@@ -45,6 +45,21 @@
     assert!(run.stderr.contains("agent-1 (3) behind"), "{}", run.stderr);
 }
 
+/// Guards against a wait that ends with a failed call, and without the processes that it waited for, because the entry did not
+/// answer the last of several calls.
+#[test]
+fn wait_timeout_lists_processes_behind_after_a_failed_call() {
+    let platform = Platform::start();
+    let rows = [("entry-1", 4, "live"), ("agent-1", 3, "live")];
+    platform
+        .entry
+        .answer_once("/operator/config", generations(&rows));
+    let args = ["config", "wait", "--generation", "4", "--timeout", "300ms"];
+    let run = platform.run(&args);
+    assert_eq!(run.code, 4, "{}", run.stderr);
+    assert!(run.stderr.contains("agent-1 (3) behind"), "{}", run.stderr);
+}
+
 #[test]
 fn status_prints_tables() {
     let platform = Platform::start();
