--- a/crates/oatpier/tests/testsuite/entry_commands.rs
+++ b/crates/oatpier/tests/testsuite/entry_commands.rs
@@ -48,7 +48,7 @@
 /// Guards against a wait that ends with a failed call, and without the processes that it waited for, because the entry did not
 /// answer the last of several calls.
 #[test]
-fn wait_timeout_lists_processes_behind_after_a_failed_call() {
+fn a_failed_call_does_not_hide_the_processes_behind() {
     let platform = Platform::start();
     let rows = [("entry-1", 4, "live"), ("agent-1", 3, "live")];
     platform
--- a/crates/oatpier/tests/testsuite/fixture.rs
+++ b/crates/oatpier/tests/testsuite/fixture.rs
@@ -58,9 +58,6 @@
 class = "drafting"
 "#;
 
-/// A timeout of calls that a loaded machine does not reach.
-const SLOW_MACHINE: &str = "timeout = \"60s\"\n";
-
 /// A stand-in entry with canned answers.
 #[derive(Default)]
 pub struct FakeEntry {
@@ -154,7 +151,7 @@
             thread: Some(thread),
         };
         let settings = format!(
-            "operator = \"ada\"\nstore = \"{store_address}\"\nentries = [\"{entry_address}\"]\n{SLOW_MACHINE}"
+            "operator = \"ada\"\nstore = \"{store_address}\"\nentries = [\"{entry_address}\"]\n"
         );
         platform.write("oatpier.toml", &settings);
         platform
