Stop using an endpoint that the registry has ceased to list

Cause: an engine that its sidecar names before the registry lists it was kept for 2.2 s from then on, also when the registry had listed and removed it meanwhile. Once dropped, it was adopted again with each status update for as long as the entry of its predecessor stood, because nothing remembered that the registry had removed it.

Change: the grace ends with the first listing, and by the time of the registry that is applied; endpoints that have left or been replaced are remembered by name. While entries may be missing after an outage of the store, the grace goes on. Log lines name adoptions.

Why it works: that an engine runs is what a status update says; whether it may be used is what the registry says, and that is no longer forgotten with the row.

--- a/crates/oatpier-gateway/src/gateway/accounting.rs
+++ b/crates/oatpier-gateway/src/gateway/accounting.rs
@@ -184,7 +184,11 @@
         let mut state = self.lock();
         state.directory.note_replaced(endpoint, successor, now);
         Self::observe_versions(&mut state, now);
+        let lines = Self::take_adopted_lines(&mut state);
         drop(state);
+        for line in lines {
+            self.log.write(line);
+        }
         self.resolve_broken();
     }
 }
--- a/crates/oatpier-gateway/src/gateway/core.rs
+++ b/crates/oatpier-gateway/src/gateway/core.rs
@@ -369,7 +369,11 @@
             }
         };
         Self::observe_versions(&mut state, now);
+        let lines = Self::take_adopted_lines(&mut state);
         drop(state);
+        for line in lines {
+            self.log.write(line);
+        }
         self.resolve_broken();
         if changed {
             self.changed.notify_waiters();
--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -117,7 +117,7 @@
                 .write(line.with("change", format!("Kept({name:?})")));
         }
         if let Some(endpoints) = knowledge.endpoints {
-            self.apply_endpoints(endpoints);
+            self.apply_endpoints(endpoints, known_at);
         }
         self.can_serve.store(can_serve, Ordering::Relaxed);
         if let Some(delta) = knowledge.delta {
@@ -125,7 +125,7 @@
         }
     }
 
-    fn apply_endpoints(&self, endpoints: RegisteredEndpoints) {
+    fn apply_endpoints(&self, endpoints: RegisteredEndpoints, known_at: ClockTime) {
         let now = self.clock.now();
         let count = i64::try_from(endpoints.listed.len()).unwrap_or(i64::MAX);
         self.metrics.endpoints.set(count);
@@ -133,7 +133,7 @@
         let CoreState {
             directory, holder, ..
         } = &mut *state;
-        let changes = directory.apply_registered(endpoints, now);
+        let changes = directory.apply_registered(endpoints, known_at, now);
         holder.retain_endpoints(|endpoint| directory.row(endpoint).is_some());
         let lines: Vec<DecisionLine> = changes
             .iter()
@@ -168,6 +168,15 @@
         self.maintain_parts(stop.phase() != StopPhase::Serving);
     }
 
+    /// Returns the log lines about endpoints that have replaced their predecessors before the registry lists them.
+    pub(super) fn take_adopted_lines(state: &mut CoreState) -> Vec<DecisionLine> {
+        let adopted = state.directory.take_adopted();
+        let lines = adopted.iter();
+        lines
+            .map(|change| directory_line(&state.directory, change))
+            .collect()
+    }
+
     /// Records which copy of the store was read. Returns whether the store was restored from an older copy since the
     /// last read.
     pub fn note_era(&self, era: StoreEra) -> bool {
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -30,7 +30,7 @@
 use crate::prefill::PrefillEstimator;
 use crate::reads::RegisteredEndpoints;
 
-use departures::DepartedEndpoints;
+use departures::{DepartedEndpoints, DepartureCause};
 pub use notices::ReceivedNotice;
 pub use requests::RequestOutcome;
 pub use row::{AdapterState, EndpointRecord, EndpointRow, ReportedLimit};
@@ -60,6 +60,8 @@
 pub enum DirectoryChange {
     /// An endpoint was added.
     Appeared(EndpointName),
+    /// An endpoint replaced its predecessor before the registry listed it.
+    Adopted(EndpointName),
     /// An endpoint was removed.
     Gone(EndpointName),
     /// An endpoint restarted under the same name.
@@ -73,6 +75,7 @@
     #[must_use]
     pub fn endpoint(&self) -> &EndpointName {
         let (Self::Appeared(name)
+        | Self::Adopted(name)
         | Self::Gone(name)
         | Self::Restarted(name)
         | Self::Draining(name)) = self;
@@ -105,6 +108,8 @@
     prefixes: PrefixIndex,
     estimator: PrefillEstimator,
     departures: DepartedEndpoints,
+    /// Endpoints that have replaced their predecessors since they were last taken.
+    adopted: Vec<DirectoryChange>,
     status_lifetime: StatusLifetime,
     /// When an endpoint of each service last reported that its VM is disturbed.
     disturbed_at: HashMap<PoolName, ClockTime>,
@@ -130,6 +135,7 @@
             }),
             estimator: PrefillEstimator::default(),
             departures: DepartedEndpoints::default(),
+            adopted: Vec::new(),
             status_lifetime: StatusLifetime::default(),
             disturbed_at: HashMap::new(),
             has_new_versions: false,
@@ -144,33 +150,40 @@
         self.departures.note_store_return(now);
     }
 
-    /// Applies a registry of which no endpoint is kept, and returns the changes.
+    /// Applies a registry as read just now, of which no endpoint is kept, and returns the changes.
     pub fn apply_registry(
         &mut self,
         records: Vec<EndpointRecord>,
         now: ClockTime,
     ) -> Vec<DirectoryChange> {
-        self.apply_registered(records.into(), now)
+        self.apply_registered(records.into(), now, now)
     }
 
-    /// Applies the registry and returns the changes. An endpoint that it neither lists nor keeps is gone.
+    /// Applies the registry as it was at `known_at`, and returns the changes. An endpoint that it neither lists nor
+    /// keeps is gone.
     pub fn apply_registered(
         &mut self,
         endpoints: RegisteredEndpoints,
+        known_at: ClockTime,
         now: ClockTime,
     ) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
-        let RegisteredEndpoints { listed, kept } = endpoints;
+        let RegisteredEndpoints {
+            listed,
+            kept,
+            is_settling,
+        } = endpoints;
         let mut present: HashSet<EndpointName> = kept.into_iter().collect();
         present.extend(listed.iter().map(|record| record.name.clone()));
         for record in listed {
             let is_ignored =
-                self.is_superseded(&record, now) || self.departures.is_excluded(&record, now);
+                self.is_superseded(&record) || self.departures.is_excluded(&record, now);
             if !is_ignored {
                 self.apply_record(record, now, &mut changes);
             }
         }
-        self.drop_missing(&present, now, &mut changes);
+        let settled_at = (!is_settling).then_some(known_at);
+        self.drop_missing(&present, settled_at, now, &mut changes);
         if !changes.is_empty() {
             self.rebuild();
         }
@@ -179,12 +192,12 @@
 
     /// Returns whether the record is of an endpoint whose successor at the same address has already
     /// responded. The registry may still list such an endpoint.
-    fn is_superseded(&self, record: &EndpointRecord, now: ClockTime) -> bool {
+    fn is_superseded(&self, record: &EndpointRecord) -> bool {
         let present = self
             .by_address
             .get(&record.address)
             .and_then(|name| self.rows.get(name));
-        present.is_some_and(|row| row.record.name != record.name && row.is_adopted(now))
+        present.is_some_and(|row| row.record.name != record.name && row.adopted_at.is_some())
     }
 
     fn apply_record(
@@ -196,6 +209,7 @@
         let name = record.name.clone();
         let Some(row) = self.rows.get_mut(&name) else {
             let index = self.indices.allocate();
+            self.departures.forget(&name);
             self.rows
                 .insert(name.clone(), EndpointRow::new(record, index));
             changes.push(DirectoryChange::Appeared(name));
@@ -235,21 +249,25 @@
         };
     }
 
+    /// Removes the endpoints that are not present. `settled_at` is the time of the registry, unless entries of running
+    /// endpoints may be missing.
     fn drop_missing(
         &mut self,
         present: &HashSet<EndpointName>,
+        settled_at: Option<ClockTime>,
         now: ClockTime,
         changes: &mut Vec<DirectoryChange>,
     ) {
         let missing: Vec<EndpointName> = self
             .rows
             .iter()
-            .filter(|(name, row)| !present.contains(*name) && !row.is_adopted(now))
+            .filter(|(name, row)| !present.contains(*name) && !row.may_be_unlisted(settled_at))
             .map(|(name, _)| name.clone())
             .collect();
         for name in missing {
             if let Some(row) = self.rows.remove(&name) {
-                self.departures.record(&row.record, now);
+                self.departures
+                    .record(&row.record, DepartureCause::Unlisted, now);
             }
             changes.push(DirectoryChange::Gone(name));
         }
@@ -373,8 +391,9 @@
     /// Records that another endpoint responded at the address, so this one is gone.
     ///
     /// The sidecar knows a restarted engine long before the registry lists it. If its status update names the
-    /// successor and the same service, the new engine replaces the old one immediately. Otherwise the address
-    /// may now belong to another service; a status update that names another instance says nothing about it.
+    /// successor and the same service, the new engine replaces the old one immediately, unless the registry has
+    /// ceased to list it. Otherwise the address may now belong to another service; a status update that names
+    /// another instance says nothing about it.
     pub fn note_replaced(
         &mut self,
         name: &EndpointName,
@@ -398,16 +417,26 @@
             self.hand_over(name, successor, is_named);
             return;
         }
-        if !is_same_service {
+        if !is_same_service || self.departures.has_left(successor, now) {
             return;
         }
         if let Some(old) = self.rows.remove(name) {
+            self.departures
+                .record(&old.record, DepartureCause::Replaced, now);
+            self.departures.forget(successor);
             let row = self.adopt(old, successor.clone(), now);
             self.rows.insert(successor.clone(), row);
+            self.adopted
+                .push(DirectoryChange::Adopted(successor.clone()));
             self.rebuild();
         }
     }
 
+    /// Returns the endpoints that have replaced their predecessors, before the registry lists them, since the last call.
+    pub fn take_adopted(&mut self) -> Vec<DirectoryChange> {
+        std::mem::take(&mut self.adopted)
+    }
+
     /// Makes a listed endpoint the successor of another one at the same address. The status update received under the
     /// previous name is moved if it is about the successor.
     fn hand_over(&mut self, name: &EndpointName, successor: &EndpointName, moves_status: bool) {
--- a/crates/oatpier-serving/src/directory/row.rs
+++ b/crates/oatpier-serving/src/directory/row.rs
@@ -125,7 +125,7 @@
     /// The model that is being loaded according to the sidecar, and since when.
     pub(super) loading: Option<LoadingModel>,
     pub(super) is_gone: bool,
-    /// When it replaced its predecessor, before the registry listed it.
+    /// When it replaced its predecessor, until the registry lists it.
     pub(super) adopted_at: Option<ClockTime>,
     /// The latest incarnation that its registry entry has reported as draining. The entry may precede the
     /// incarnation's first status update.
@@ -236,8 +236,9 @@
         };
     }
 
-    /// Records which incarnation a registry entry reports as draining.
+    /// Records that a registry entry lists it, and which incarnation the entry reports as draining.
     pub(super) fn note_listed(&mut self, record: &EndpointRecord) {
+        self.adopted_at = None;
         if record.draining {
             self.listed_draining = record.start;
         }
@@ -308,10 +309,11 @@
             .is_some_and(|kept| now.since(kept.at) > kept.lifetime.overdue_after)
     }
 
-    /// Returns whether it replaced its predecessor so recently that the registry may not list it yet.
-    pub(super) fn is_adopted(&self, now: ClockTime) -> bool {
-        self.adopted_at
-            .is_some_and(|at| now.since(at) < REGISTRY_GRACE)
+    /// Returns whether it replaced its predecessor so recently that a registry of the time `settled_at` need not have
+    /// listed it yet. Without that time, entries of running endpoints may be missing.
+    pub(super) fn may_be_unlisted(&self, settled_at: Option<ClockTime>) -> bool {
+        let is_early = |adopted_at| settled_at.is_none_or(|at| at < adopted_at + REGISTRY_GRACE);
+        self.adopted_at.is_some_and(is_early)
     }
 
     /// Returns whether it may be sent new requests.
--- a/crates/oatpier-serving/src/reads/view.rs
+++ b/crates/oatpier-serving/src/reads/view.rs
@@ -52,6 +52,8 @@
     /// Endpoints that the store has ceased to list, and that may be about to register again after an outage.
     /// They are not added where they are not known.
     pub kept: Vec<EndpointName>,
+    /// Whether entries of running endpoints may be missing, because they expired in an outage that has just ended.
+    pub is_settling: bool,
 }
 
 impl From<Vec<EndpointRecord>> for RegisteredEndpoints {
@@ -59,6 +61,7 @@
         Self {
             listed,
             kept: Vec::new(),
+            is_settling: false,
         }
     }
 }
@@ -222,6 +225,7 @@
         RegisteredEndpoints {
             listed: self.listed().cloned().collect(),
             kept: self.kept().cloned().collect(),
+            is_settling: self.known_at < self.keep_until,
         }
     }
 
--- /dev/null
+++ b/crates/oatpier-serving/tests/testsuite/departures.rs
@@ -0,0 +1,145 @@
+//! Tests of endpoints that have left while older entries of their address are still listed.
+
+use oatpier_serving::directory::{EndpointDirectory, EndpointRecord};
+use oatpier_serving::message::EngineStatus;
+
+use crate::support::{address, at, endpoint, record, status};
+
+/// Interval between a sidecar's status updates in milliseconds.
+const STATUS_MS: u64 = 200;
+
+fn listed(name: &str) -> EndpointRecord {
+    EndpointRecord {
+        name: endpoint(name),
+        ..record(1, &["m1"])
+    }
+}
+
+/// Returns the status update of a time in milliseconds.
+fn status_naming(instance: &str, now: u64) -> EngineStatus {
+    let mut status = status(1, &["m1"], 0);
+    status.number.number = now;
+    status.instance = Some(endpoint(instance));
+    status
+}
+
+fn open_names(directory: &EndpointDirectory, now: u64) -> Vec<String> {
+    let rows = directory
+        .all()
+        .filter(|row| row.record.address == address(1));
+    let open = rows.filter(|row| row.is_open(at(now)));
+    open.map(|row| row.record.name.as_str().to_owned())
+        .collect()
+}
+
+/// An engine whose first start is still listed, and which its sidecar has named under its next name.
+fn restarted_engine() -> EndpointDirectory {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![listed("first")], at(0));
+    directory.apply_status(status_naming("first", 1), at(1));
+    directory.apply_status(status_naming("next", 100), at(100));
+    assert_eq!(open_names(&directory, 100), ["next"]);
+    directory
+}
+
+/// Guards against requests to an engine that was taken away soon after a crash: the grace for entries that are not listed
+/// yet counted for one that had been listed.
+#[test]
+fn a_successor_that_is_no_longer_listed_is_gone() {
+    let mut directory = restarted_engine();
+    directory.apply_registry(vec![listed("first"), listed("next")], at(300));
+    assert_eq!(open_names(&directory, 300), ["next"]);
+    directory.apply_registry(vec![listed("first")], at(900));
+    assert_eq!(open_names(&directory, 900), [""; 0]);
+}
+
+/// Guards against requests to an engine that was taken away soon after a crash: it took the place of its predecessor again
+/// with each status update.
+#[test]
+fn an_engine_that_has_left_does_not_replace_its_predecessor_again() {
+    let mut directory = restarted_engine();
+    directory.apply_registry(vec![listed("first"), listed("next")], at(300));
+    for now in (900..8_000).step_by(200) {
+        directory.apply_registry(vec![listed("first")], at(now));
+        directory.apply_status(status_naming("next", now), at(now + STATUS_MS / 2));
+        assert_eq!(open_names(&directory, now + STATUS_MS / 2), [""; 0]);
+    }
+}
+
+/// Like the test above, at a gateway that learned of the successor from the registry first.
+#[test]
+fn an_engine_that_has_left_does_not_replace_a_listed_predecessor() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![listed("first"), listed("next")], at(0));
+    directory.apply_status(status_naming("next", 100), at(100));
+    for now in (900..8_000).step_by(200) {
+        directory.apply_registry(vec![listed("first")], at(now));
+        directory.apply_status(status_naming("next", now), at(now + STATUS_MS / 2));
+        assert_eq!(open_names(&directory, now + STATUS_MS / 2), [""; 0]);
+    }
+}
+
+/// Like the test above, when a response and not a status update names the engine.
+#[test]
+fn a_response_does_not_bring_back_an_engine_that_has_left() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![listed("first"), listed("next")], at(0));
+    directory.apply_registry(vec![listed("first")], at(900));
+    directory.apply_status(status_naming("next", 1_000), at(1_000));
+    directory.note_replaced(&endpoint("first"), Some(&endpoint("next")), at(1_100));
+    assert_eq!(open_names(&directory, 1_100), [""; 0]);
+}
+
+/// Guards against an engine that never registers but gets requests for good.
+#[test]
+fn an_engine_that_is_not_listed_in_time_does_not_replace_its_predecessor_again() {
+    let mut directory = restarted_engine();
+    directory.apply_registry(vec![listed("first")], at(2_400));
+    directory.apply_status(status_naming("next", 2_500), at(2_500));
+    assert_eq!(open_names(&directory, 2_500), [""; 0]);
+}
+
+/// The predecessor's entry, which the registry lists for a few heartbeats, must not bring it back beside its successor.
+#[test]
+fn a_listed_successor_keeps_its_predecessor_away() {
+    let mut directory = restarted_engine();
+    for now in (300..90_000).step_by(600) {
+        directory.apply_registry(vec![listed("first"), listed("next")], at(now));
+        assert_eq!(open_names(&directory, now), ["next"]);
+    }
+}
+
+/// An engine whose entry expired while it did not reach the store serves again once it is listed again.
+#[test]
+fn an_engine_that_is_listed_again_serves_again() {
+    let mut directory = restarted_engine();
+    directory.apply_registry(vec![listed("first"), listed("next")], at(300));
+    directory.apply_registry(vec![listed("first")], at(900));
+    directory.apply_registry(vec![listed("next")], at(1_500));
+    directory.apply_status(status_naming("next", 1_600), at(1_600));
+    assert_eq!(open_names(&directory, 1_600), ["next"]);
+}
+
+/// An engine may crash once more after one that has left at the same address.
+#[test]
+fn a_further_start_replaces_an_engine_that_has_left() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![listed("first"), listed("next")], at(0));
+    directory.apply_registry(vec![listed("first")], at(900));
+    directory.apply_status(status_naming("next", 1_000), at(1_000));
+    assert_eq!(open_names(&directory, 1_000), [""; 0]);
+    directory.apply_status(status_naming("third", 1_200), at(1_200));
+    assert_eq!(open_names(&directory, 1_200), ["third"]);
+}
+
+/// A status update of the predecessor that arrives late, from an earlier start of the sidecar, does not end its successor.
+#[test]
+fn a_status_of_a_replaced_engine_does_not_end_its_successor() {
+    let mut directory = restarted_engine();
+    directory.apply_registry(vec![listed("first"), listed("next")], at(300));
+    let mut late = status_naming("first", 90);
+    late.number.boot = 0;
+    directory.apply_status(late, at(400));
+    directory.apply_status(status_naming("next", 500), at(500));
+    assert_eq!(open_names(&directory, 500), ["next"]);
+}
--- a/crates/oatpier-serving/tests/testsuite/main.rs
+++ b/crates/oatpier-serving/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod crashing_loads;
 mod demand;
 mod demand_waves;
+mod departures;
 mod directory;
 mod engine_pace;
 mod failures;
--- a/crates/oatpier-serving/tests/testsuite/store_fleet/gateway.rs
+++ b/crates/oatpier-serving/tests/testsuite/store_fleet/gateway.rs
@@ -165,7 +165,9 @@
             self.directory.note_store_restored(at(now));
         }
         if let Some(endpoints) = knowledge.endpoints {
-            self.directory.apply_registered(endpoints, at(now));
+            let known_at = at(now) - knowledge.age;
+            self.directory
+                .apply_registered(endpoints, known_at, at(now));
         }
         knowledge.delta
     }
