Test endpoints that stop in the head of a response

The tests cut the head at each byte, with a length, chunks, no framing and an interim response: callers of requests that run at most once get 502, the others the response of another endpoint, and a stream that goes on is broken off, not ended.

--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod caller_limits;
 mod crashes;
 mod departed_callers;
+mod early_ends;
 mod endless;
 mod endless_responses;
 mod engine_service;
