Test entries that no endpoint writes

A report of another system: one odd entry among those of the engines, very deeply nested, with a number too large or with a port out of range, made the machines that read the list end again and again, or stop to follow it.

It can't happen here: each value is decoded by itself with serde_json, whose recursion is limited and which skips unknown fields without recursion; an entry that can't be decoded is logged once and left out. The tests put 50 such values between two sound entries, follow a change of the list, and serve requests beside those that can be decoded, with 4,294,967,295 slots among them. By reading: records of configurations, entries and agents are decoded by the same library with its limit.

--- a/crates/oatpier-gateway/tests/testsuite/main.rs
+++ b/crates/oatpier-gateway/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod stops;
 mod store_pages;
 mod store_reading;
+mod strange_entries;
 mod streams;
 mod support;
 mod unframed;
