Do not take a gap in a gateway's view of the versions for knowledge

Cause: that a single version has served for longer than a stream lasts was kept from the time that the version was first seen, whatever the gateway missed since. After its next read it claimed the old version, and another gateway that sees the same version now but has seen the other one a second ago did not contradict. A gateway that is back hears of the others one by one, so that it may ask only some that do not hold the record. An answer of a gateway without any knowledge of the registry counted as an answer, too.

Change: a gateway whose views of the registry are more than 2 s apart claims nothing by itself for the lifetime of a stream, and asks sidecars, too; a version that has replaced another one within that time is not stated as the only one; answers without knowledge of the registry count for nothing. Where all gateways have the gap, as after an outage of the store, two that agree suffice, with a majority live: streams begin only at endpoints that a gateway knows. The messages are unchanged.

Why it works: the claim now needs a gateway that has followed the registry all the while, or the word of several, and one that has seen the other version contradicts for as long as its streams may return.

--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -255,7 +255,10 @@
     pub(super) fn note_store_known(&self, at: ClockTime, source: KnowledgeSource) {
         let now = self.clock.now();
         let bound = self.settings.borrow().bounds.drain;
-        let line = self.lock().store_age.note_known(at, source, bound, now);
+        let mut state = self.lock();
+        state.origins.note_registry_known(at);
+        let line = state.store_age.note_known(at, source, bound, now);
+        drop(state);
         if let Some(line) = line {
             self.log.write(line);
         }
--- a/crates/oatpier-serving/src/origins/lookup.rs
+++ b/crates/oatpier-serving/src/origins/lookup.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// What the gateway that looks a stream up knows by itself.
+#[derive(Debug, Clone)]
+pub struct OwnKnowledge {
+    /// What it would answer to another gateway.
+    pub attestation: OriginAttestation,
+    /// Whether it has seen a single version for longer than a stream lasts, though perhaps with gaps.
+    pub has_lasted: bool,
+}
+
 /// How the version of a stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OriginSource {
@@ -113,6 +122,7 @@
 pub struct OriginLookup {
     service: PoolName,
     own: OriginAttestation,
+    own_has_lasted: bool,
     reach: GatewayReach,
     answers: SmallVec<[OriginAttestation; HOLDERS]>,
     /// Answers of sidecars. They count only as far as they hold a record, because sidecars don't know the registry.
@@ -125,13 +135,14 @@
     #[must_use]
     pub fn new(
         service: PoolName,
-        own: OriginAttestation,
+        own: OwnKnowledge,
         reach: GatewayReach,
         limits: LookupLimits,
     ) -> Self {
         Self {
             service,
-            own,
+            own: own.attestation,
+            own_has_lasted: own.has_lasted,
             reach,
             answers: SmallVec::new(),
             sidecar_answers: SmallVec::new(),
@@ -197,30 +208,51 @@
     /// stream lasts, and none knows of another one. A new version may have been registered since, so that this is not
     /// known without an answer: the holders have records of the streams that began there.
     fn lasting_version(&self) -> Option<&SoftwareVersion> {
-        let is_alone = self.reach.others == 0 && self.reach.has_majority;
-        if self.answers.is_empty() && !is_alone {
+        if self.usable_answers().next().is_none() && !self.is_alone() {
             return None;
         }
-        let usable = || {
-            let all = self.answers.iter().chain([&self.own]);
-            all.filter(|known| known.registry_age() < self.limits.lifetime)
-        };
+        let usable = || self.usable_answers().chain(self.usable_own());
         let lasting = usable().filter(|known| known.view.is_lasting);
-        let newest = lasting.min_by_key(|known| known.registry_age_ms)?;
+        let newest = lasting.min_by_key(|known| known.registry_age_ms);
+        let newest = newest.or_else(|| self.agreed_own())?;
         let version = newest.view.sole.as_ref()?;
         let is_current = newest.registry_age() <= self.limits.max_registry_age;
-        if !is_current && !self.is_store_away() {
+        if !is_current && !self.has_quorum() {
             return None;
         }
         let mut soles = usable().map(|known| known.view.sole.as_ref());
         soles.all(|sole| sole == Some(version)).then_some(version)
     }
 
-    /// Returns whether gateways agree that the registry can't be read, so that no new version was registered. Those beyond
-    /// a partition may still read it.
-    fn is_store_away(&self) -> bool {
-        let is_alone = self.reach.others == 0;
-        self.reach.has_majority && (is_alone || self.answers.len() >= ATTESTATIONS)
+    /// Returns the answers of gateways that know the registry.
+    fn usable_answers(&self) -> impl Iterator<Item = &OriginAttestation> {
+        self.answers.iter().filter(|known| self.is_usable(known))
+    }
+
+    fn usable_own(&self) -> Option<&OriginAttestation> {
+        Some(&self.own).filter(|known| self.is_usable(known))
+    }
+
+    fn is_usable(&self, known: &OriginAttestation) -> bool {
+        known.registry_age() < self.limits.lifetime
+    }
+
+    /// Returns what this gateway knows, if its knowledge of the registry had a gap and others agree that there was no other
+    /// version: streams begin only at endpoints that a gateway knows.
+    fn agreed_own(&self) -> Option<&OriginAttestation> {
+        self.usable_own()
+            .filter(|_| self.own_has_lasted && self.has_quorum())
+    }
+
+    fn is_alone(&self) -> bool {
+        self.reach.others == 0 && self.reach.has_majority
+    }
+
+    /// Returns whether enough gateways have answered, and most of those that were known lately are live. If they agree
+    /// that the registry can't be read, no new version was registered; those beyond a partition may still read it.
+    fn has_quorum(&self) -> bool {
+        let has_answers = self.usable_answers().count() >= ATTESTATIONS;
+        self.is_alone() || (self.reach.has_majority && has_answers)
     }
 
     fn known(&self, version: &SoftwareVersion) -> LookupStep {
--- a/crates/oatpier-serving/src/origins/mod.rs
+++ b/crates/oatpier-serving/src/origins/mod.rs
@@ -4,7 +4,8 @@
 //! caller that returns mostly reaches another gateway than before, often because that one ended. Gateways therefore send
 //! a record of each stream that begins to a few holders among them, chosen by the key of the stream, and to a few sidecars,
 //! which go on when all gateways end at once. While a single version has served for longer than a stream can last, no
-//! records are made, because the version follows from that.
+//! records are made, because the version follows from that. A gateway that was cut off or stood still may have missed a
+//! version that came and went, so that its own view does not show this.
 //!
 //! A version that can be found neither in a record nor that way is unknown, and the stream does not go on.
 
@@ -24,7 +25,7 @@
 
 pub use lookup::{
     GatewayReach, LookupLimits, LookupStep, OriginAttestation, OriginEvidence, OriginLookup,
-    OriginSource, UnknownCause,
+    OriginSource, OwnKnowledge, UnknownCause,
 };
 pub use ring::{HOLDERS, HolderRing, SIDECAR_HOLDERS};
 pub use table::{KeptOrigin, OriginTable};
--- a/crates/oatpier-serving/src/origins/tracker.rs
+++ b/crates/oatpier-serving/src/origins/tracker.rs
@@ -11,8 +11,8 @@
 
 use super::{
     FleetVersions, GatewayReach, HOLDERS, HolderRing, LookupLimits, MAX_STREAM_LIFETIME,
-    ObservedVersions, OriginAttestation, OriginLookup, OriginRecord, OriginTable, SIDECAR_HOLDERS,
-    StreamKey, StreamOrigin,
+    ObservedVersions, OriginAttestation, OriginLookup, OriginRecord, OriginTable, OwnKnowledge,
+    SIDECAR_HOLDERS, StreamKey, StreamOrigin,
 };
 use crate::site::SiteConfig;
 
@@ -150,6 +150,11 @@
         self.changed_sidecars = Some(sidecars);
     }
 
+    /// Records that the registry is known as it was at `known_at`.
+    pub fn note_registry_known(&mut self, known_at: ClockTime) {
+        self.versions.note_registry_known(known_at);
+    }
+
     /// Records the versions of a service's endpoints.
     pub fn observe(&mut self, service: &PoolName, versions: &ObservedVersions, now: ClockTime) {
         self.versions.observe(service, versions, now);
@@ -176,7 +181,7 @@
     ) -> Option<Vec<HolderRecords>> {
         self.longest_caller = self.longest_caller.max(start.timeout);
         let lifetime = self.lifetime();
-        if self.versions.is_lasting(start.service, lifetime, now) {
+        if self.versions.has_lasted(start.service, lifetime, now) {
             return None;
         }
         let key = StreamKey::new(start.workspace, start.attempt);
@@ -263,9 +268,14 @@
         let recorded_key = stream.key.filter(|_| !own.view.is_lasting);
         let sidecars =
             recorded_key.map_or_else(SmallVec::new, |key| self.sidecar_holders(key, now));
+        let lifetime = self.lifetime();
         let limits = LookupLimits {
             max_registry_age,
-            lifetime: self.lifetime(),
+            lifetime,
+        };
+        let own = OwnKnowledge {
+            attestation: own,
+            has_lasted: self.versions.has_lasted(stream.service, lifetime, now),
         };
         let lookup = OriginLookup::new(
             stream.service.clone(),
--- a/crates/oatpier-serving/src/origins/versions.rs
+++ b/crates/oatpier-serving/src/origins/versions.rs
@@ -8,6 +8,9 @@
 use oatpier_types::software::SoftwareVersion;
 use serde::{Deserialize, Serialize};
 
+/// Longest time between two views of the registry in which no version can have come and gone unseen.
+const MAX_REGISTRY_GAP: Duration = Duration::from_secs(2);
+
 /// The versions of a service's endpoints at one moment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ObservedVersions {
@@ -50,6 +53,8 @@
     Sole {
         version: SoftwareVersion,
         since: KnownSince,
+        /// Whether another version was seen before.
+        is_successor: bool,
     },
     Several,
 }
@@ -58,9 +63,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct VersionView {
-    /// The only version that serves now, if there is just one.
+    /// The only version that serves now, if there is just one and no other has been seen for as long as a stream lasts.
     pub sole: Option<SoftwareVersion>,
-    /// Whether it has served alone for longer than a stream lasts, so that no records are made of streams.
+    /// Whether it is known without a gap that it has served alone for longer than a stream lasts.
     pub is_lasting: bool,
 }
 
@@ -69,6 +74,10 @@
 pub struct FleetVersions {
     is_first_start: bool,
     services: HashMap<PoolName, ServiceVersions>,
+    /// The time of the latest view of the registry.
+    known_at: Option<ClockTime>,
+    /// When the latest gap between two views ended, in which versions may have come and gone unseen.
+    gap_ended_at: Option<ClockTime>,
 }
 
 impl FleetVersions {
@@ -78,7 +87,18 @@
         Self {
             is_first_start,
             services: HashMap::new(),
+            known_at: None,
+            gap_ended_at: None,
+        }
+    }
+
+    /// Records that the registry is known as it was at `known_at`.
+    pub fn note_registry_known(&mut self, known_at: ClockTime) {
+        let is_gap = |before| known_at.since(before) > MAX_REGISTRY_GAP;
+        if self.known_at.is_some_and(is_gap) {
+            self.gap_ended_at = Some(known_at);
         }
+        self.known_at = self.known_at.max(Some(known_at));
     }
 
     /// Records the versions of a service's endpoints.
@@ -98,30 +118,42 @@
             (ObservedVersions::Sole(sole), _) => ServiceVersions::Sole {
                 version: sole.clone(),
                 since,
+                is_successor: known.is_some(),
             },
         };
         self.services.insert(service.clone(), observed);
     }
 
-    /// Returns whether a single version has served for as long as a stream lasts. Its streams need no records.
+    /// Returns whether only a single version has been seen for as long as a stream lasts. Its streams need no records.
     #[must_use]
-    pub fn is_lasting(&self, service: &PoolName, lifetime: Duration, now: ClockTime) -> bool {
+    pub fn has_lasted(&self, service: &PoolName, lifetime: Duration, now: ClockTime) -> bool {
         match self.services.get(service) {
             Some(ServiceVersions::Sole { since, .. }) => since.covers(lifetime, now),
             Some(ServiceVersions::Several) | None => false,
         }
     }
 
+    /// Returns whether the registry was known without a gap for as long as a stream lasts.
+    fn is_gapless(&self, lifetime: Duration, now: ClockTime) -> bool {
+        self.gap_ended_at
+            .is_none_or(|ended_at| now.since(ended_at) >= lifetime)
+    }
+
     /// Returns what is known of a service's versions, for streams that last up to `lifetime`.
     #[must_use]
     pub fn view(&self, service: &PoolName, lifetime: Duration, now: ClockTime) -> VersionView {
+        let has_lasted = self.has_lasted(service, lifetime, now);
         let sole = match self.services.get(service) {
-            Some(ServiceVersions::Sole { version, .. }) => Some(version.clone()),
-            Some(ServiceVersions::Several) | None => None,
+            Some(ServiceVersions::Sole {
+                version,
+                is_successor,
+                ..
+            }) if has_lasted || !is_successor => Some(version.clone()),
+            _ => None,
         };
         VersionView {
             sole,
-            is_lasting: self.is_lasting(service, lifetime, now),
+            is_lasting: has_lasted && self.is_gapless(lifetime, now),
         }
     }
 }
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
@@ -28,6 +28,10 @@
 const REPEAT_INTERVAL_MS: u64 = 240;
 /// Number of engines, each with a sidecar.
 const ENGINES: usize = 6;
+/// Time between two visits of another version.
+const VISIT_INTERVAL_MS: u64 = 8_000;
+/// Time after which a gateway that was cut off hears of one more of the others.
+const REJOIN_MS: u64 = 150;
 /// Streams that begin at each gateway in each step, in percent.
 const STREAM_PERCENT: u32 = 10;
 
@@ -54,6 +58,8 @@
     pub seconds: u64,
     /// Whether engines of other versions come and go.
     pub releases: bool,
+    /// Whether engines of another version join for a short time, each time while a gateway is cut off or frozen.
+    pub visits: bool,
     /// Share of messages that are lost. As many are doubled or late.
     pub lost_percent: u32,
     /// One of these happens to a gateway each two seconds.
@@ -153,6 +159,8 @@
     /// Versions of the engines that serve.
     engines: Vec<SoftwareVersion>,
     release: VecDeque<SoftwareVersion>,
+    visit_at: u64,
+    visit_until: u64,
     streams: Vec<CallerStream>,
     returning: Vec<CallerStream>,
     network: Vec<Datagram>,
@@ -176,6 +184,8 @@
             sidecars: (0..ENGINES).map(|_| Sidecar::default()).collect(),
             engines: vec![version("v1"); ENGINES],
             release: VecDeque::new(),
+            visit_at: 0,
+            visit_until: 0,
             streams: Vec::new(),
             returning: Vec::new(),
             network: Vec::new(),
@@ -243,6 +253,7 @@
 
     fn step(&mut self) {
         self.release_engines();
+        self.visit();
         if self.now.is_multiple_of(2_000) && self.now > 0 {
             self.inject_fault();
         }
@@ -270,6 +281,31 @@
         }
     }
 
+    /// Lets engines of another version serve for a while. One gateway is out of step from before until after that.
+    fn visit(&mut self) {
+        if !self.plan.visits {
+            return;
+        }
+        let now = self.now;
+        if now.is_multiple_of(VISIT_INTERVAL_MS) && now > 0 {
+            let number = self.rng.random_range(0..self.gateways.len());
+            let until = now + self.rng.random_range(2_500..4_000);
+            let gateway = &mut self.gateways[number];
+            if self.rng.random_ratio(1, 2) {
+                gateway.frozen_until = until;
+            } else {
+                gateway.cut_at = now;
+                gateway.cut_until = until;
+                gateway.store_cut_until = until;
+            }
+            self.visit_at = now + 200;
+            self.visit_until = now + self.rng.random_range(1_400..2_300);
+        }
+        let is_visit = now >= self.visit_at && now < self.visit_until;
+        let served = if is_visit { "v2" } else { "v1" };
+        self.engines[..ENGINES / 2].fill(version(served));
+    }
+
     fn inject_fault(&mut self) {
         if self.plan.faults.is_empty() {
             return;
@@ -373,6 +409,7 @@
         }
         gateway.next_read = now + READ_INTERVAL_MS;
         gateway.read_at = Some(now);
+        gateway.tracker.note_registry_known(clock);
         let versions = ObservedVersions::of(engines.iter().map(Some)).unwrap();
         gateway.tracker.observe(&service(), &versions, clock);
         let sidecars = (0..ENGINES).map(sidecar_address);
@@ -392,7 +429,12 @@
         let others = self.gateways.iter().filter(|other| {
             other.address != own.address && now >= other.down_until && !is_noticed(other)
         });
-        others.map(|other| other.address).collect()
+        let heard = if self.plan.visits && own.cut_until > 0 {
+            usize::try_from(now.saturating_sub(own.cut_until) / REJOIN_MS).unwrap()
+        } else {
+            self.gateways.len()
+        };
+        others.take(heard).map(|other| other.address).collect()
     }
 
     fn begin_stream(&mut self, number: usize) {
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
@@ -292,3 +292,86 @@
     tracker.set_gateways(Vec::new(), 5, at(200));
     assert_eq!(found(&mut tracker, "a", 300), Err(NO_ANSWER));
 }
+
+/// A lookup by the gateway of `own`, which hears of one other gateway, and that gateway's answer.
+fn found_with_answer(
+    own: &mut OriginTracker,
+    other: &OriginTracker,
+    other_age: Option<Duration>,
+    now_ms: u64,
+) -> Result<String, LookupStep> {
+    let stream_service = service();
+    let stream = ResumedStream {
+        service: &stream_service,
+        key: Some(StreamKey::new(None, "a")),
+    };
+    let age = Some(Duration::ZERO);
+    let mut lookup = own.look_up(stream, age, MAX_AGE, at(now_ms)).lookup;
+    lookup.add_answer(other.attest(stream, other_age, at(now_ms)));
+    match lookup.step(true) {
+        LookupStep::Known(origin, ..) => Ok(origin.version.to_string()),
+        step => Err(step),
+    }
+}
+
+/// Returns the tracker of a gateway that knew five others and hears of one of them, after it was cut off.
+fn returned_tracker() -> OriginTracker {
+    let mut tracker = tracker(true);
+    observe(&mut tracker, &["v1"], 0);
+    tracker.set_gateways((2..=6).map(address).collect(), 6, at(0));
+    tracker.note_registry_known(at(9_000));
+    tracker.set_gateways(vec![address(2)], 6, at(14_000));
+    tracker.note_registry_known(at(14_000));
+    tracker
+}
+
+fn other_tracker(is_first_start: bool) -> OriginTracker {
+    let mut other = OriginTracker::new(address(2), is_first_start);
+    other.apply_config(&config_with_resumable_route(TIMEOUT));
+    other.note_registry_known(at(14_000));
+    other
+}
+
+/// Guards against a stream that goes on at another version at a gateway that was cut off while that version came and went. The only
+/// gateway that it hears of has no record, but has seen both versions.
+#[test]
+fn a_gateway_that_was_cut_off_does_not_claim_that_there_was_one_version() {
+    let mut own = returned_tracker();
+    let mut other = other_tracker(true);
+    observe(&mut other, &["v1"], 0);
+    observe(&mut other, &["v1", "v2"], 10_000);
+    observe(&mut other, &["v1"], 13_000);
+    let found = found_with_answer(&mut own, &other, Some(Duration::ZERO), 14_100);
+    assert_eq!(found, Err(NO_ANSWER));
+}
+
+/// Like the test above. The only gateway that it hears of has just started and knows nothing of earlier versions.
+#[test]
+fn a_gateway_that_was_cut_off_does_not_rely_on_one_that_has_just_started() {
+    let mut own = returned_tracker();
+    let mut other = other_tracker(false);
+    observe(&mut other, &["v1"], 13_900);
+    let found = found_with_answer(&mut own, &other, Some(Duration::ZERO), 14_100);
+    assert_eq!(found, Err(NO_ANSWER));
+}
+
+/// A gateway that was cut off relies on one that has followed the registry all the while.
+#[test]
+fn a_gateway_that_was_cut_off_relies_on_one_that_was_not() {
+    let mut own = returned_tracker();
+    let mut other = other_tracker(true);
+    observe(&mut other, &["v1"], 0);
+    let found = found_with_answer(&mut own, &other, Some(Duration::ZERO), 14_100);
+    assert_eq!(found, Ok("v1".to_owned()));
+}
+
+/// Guards against a stream that goes on at another version because a gateway without any knowledge of the registry has answered.
+#[test]
+fn an_answer_without_knowledge_of_the_registry_shows_nothing() {
+    let mut own = tracker(true);
+    observe(&mut own, &["v1"], 0);
+    own.set_gateways(vec![address(2)], 2, at(0));
+    let other = other_tracker(false);
+    let found = found_with_answer(&mut own, &other, None, 14_100);
+    assert_eq!(found, Err(UNKNOWN));
+}
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/mod.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/mod.rs
@@ -15,6 +15,7 @@
         gateways: 5,
         seconds: 40,
         releases: true,
+        visits: false,
         lost_percent: 5,
         faults: vec![
             FleetFault::Kill,
@@ -120,3 +121,20 @@
         assert!(percent >= 50, "seed {seed}: {}", fleet.summary());
     }
 }
+
+/// Guards against callers that get events of two versions because a gateway was cut off or stood still while engines of a new
+/// version joined and left again: it goes by the version that it has known all along.
+#[test]
+fn no_caller_gets_events_of_two_versions_at_a_gateway_that_was_out_of_step() {
+    for seed in SEEDS {
+        let mut fleet = StreamFleet::new(FleetPlan {
+            releases: false,
+            visits: true,
+            faults: vec![FleetFault::Kill],
+            ..plan(seed)
+        });
+        fleet.run();
+        assert_eq!(fleet.mixed(), 0, "seed {seed}: {}", fleet.summary());
+        assert!(fleet.returned() > 200, "seed {seed}: {}", fleet.summary());
+    }
+}
