Ask other gateways about streams whose callers do not name them

Callers saw: a stream that was taken up with Last-Event-Id alone went on at the version that the gateway took for the only one, also where the gateway was cut off from the store and others knew of a new version (ORDER, by a report of another system).

Cause: without the first attempt there was no key, so that no holder was asked, and having no holder to ask counted as being the only gateway. Its own view then sufficed, up to the lifetime of a stream old.

Change: the lookup runs under the request's own attempt, the key under which its stream is recorded anyway. The key is no longer optional.

Evidence: versions::a_stream_without_a_name_is_not_taken_up_without_an_answer failed before (200 for 503) and passes; a_stream_without_a_name_goes_on_if_another_gateway_knows_a_single_version passes before and after.

Why it works: being alone now means that no other gateway is live, not that there is no question to ask.

--- a/crates/oatpier-gateway/src/gateway/origins.rs
+++ b/crates/oatpier-gateway/src/gateway/origins.rs
@@ -13,7 +13,6 @@
     ResumedStream, StreamKey, StreamStart, UnknownCause,
 };
 use oatpier_types::clock::ClockTime;
-use oatpier_types::names::PoolName;
 use oatpier_types::refusal::{Refusal, RefusalCause};
 use oatpier_types::software::SoftwareVersion;
 
@@ -57,10 +56,12 @@
         return Ok(());
     }
     let workspace = context.identity.workspace_name();
-    let attempt = resumption.first_attempt.as_deref();
+    // Without the first attempt there is no record to be found, but others still tell which versions they know.
+    let attempt = resumption.first_attempt.as_ref();
+    let attempt = attempt.unwrap_or(&context.request.id);
     let stream = ResumedStream {
         service: &context.service,
-        key: attempt.map(|attempt| StreamKey::new(workspace, attempt)),
+        key: StreamKey::new(workspace, attempt),
     };
     match core.find_origin(stream).await {
         LookupStep::Known(origin, source, age) => {
@@ -157,7 +158,7 @@
         let now = self.clock.now();
         let stream = ResumedStream {
             service: &ask.service,
-            key: Some(ask.key),
+            key: ask.key,
         };
         let state = self.lock();
         let attestation = state.origins.attest(stream, state.store_age.age(now), now);
@@ -183,15 +184,15 @@
             sidecars,
         } = self.begin_lookup(stream);
         let step = lookup.step(holders.is_empty() && sidecars.is_empty());
-        let (Some(key), LookupStep::Ask) = (stream.key, &step) else {
+        if step != LookupStep::Ask {
             return step;
-        };
+        }
         let gateways = holders.into_iter().map(|holder| (holder, false));
         let sidecars = sidecars.into_iter().map(|holder| (holder, true));
         let mut asks: FuturesUnordered<_> = gateways
             .chain(sidecars)
             .map(async |(holder, is_sidecar)| {
-                let answer = self.ask_holder(holder, stream.service, key).await;
+                let answer = self.ask_holder(holder, stream).await;
                 (answer, is_sidecar)
             })
             .collect();
@@ -222,15 +223,14 @@
     async fn ask_holder(
         &self,
         holder: SocketAddr,
-        service: &PoolName,
-        key: StreamKey,
+        stream: ResumedStream<'_>,
     ) -> Option<OriginAttestation> {
         for _ in 0..ASK_TRIES {
             let send = |id| {
                 let ask = OriginAsk {
                     id,
-                    key,
-                    service: service.clone(),
+                    key: stream.key,
+                    service: stream.service.clone(),
                 };
                 self.outlet.send(holder, &InnerMessage::OriginAsk(ask));
             };
--- a/crates/oatpier-gateway/tests/testsuite/versions.rs
+++ b/crates/oatpier-gateway/tests/testsuite/versions.rs
@@ -423,3 +423,28 @@
     let answer = gateway.send(request(&caller)).await;
     assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
 }
+
+/// Guards against a stream that goes on at another version because its caller does not name it: the gateway, which may be out of
+/// step, relied on its own view without asking.
+#[tokio::test]
+async fn a_stream_without_a_name_is_not_taken_up_without_an_answer() {
+    let one = serving_endpoint(2).await;
+    let gateway = TestGateway::with_versions(1, &[(&one, "v1")]);
+    gateway.meet_gateways(&[gateway_address(1)]);
+    let answer = gateway.send(request(&[("last-event-id", "1")])).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert!(one.requests().is_empty());
+}
+
+/// A stream whose caller does not name it goes on while other gateways agree that there is a single version.
+#[tokio::test]
+async fn a_stream_without_a_name_goes_on_if_another_gateway_knows_a_single_version() {
+    let one = serving_endpoint(2).await;
+    let gateway = TestGateway::with_versions(1, &[(&one, "v1")]);
+    let other = TestGateway::with_versions(1, &[(&one, "v1")]);
+    gateway.meet_gateways(&[gateway_address(1)]);
+    let sending = gateway.send(request(&[("last-event-id", "1")]));
+    let answer = with_answers(&gateway, &other, sending).await;
+    assert_eq!(&answer.body()[..], (event(2) + &event(3)).as_bytes());
+}
--- a/crates/oatpier-serving/src/origins/table.rs
+++ b/crates/oatpier-serving/src/origins/table.rs
@@ -88,10 +88,10 @@
         })
     }
 
-    /// Returns what the records say of a stream. Without a key there can be none of it.
+    /// Returns what the records say of a stream.
     #[must_use]
-    pub fn find(&self, key: Option<StreamKey>, now: ClockTime) -> KeptOrigin {
-        let row = key.and_then(|key| self.rows.get(&key));
+    pub fn find(&self, key: StreamKey, now: ClockTime) -> KeptOrigin {
+        let row = self.rows.get(&key);
         let Some(row) = row.filter(|row| row.expires_at > now) else {
             return KeptOrigin {
                 evidence: OriginEvidence::NoRecord,
@@ -108,7 +108,7 @@
     /// Returns what a process that knows nothing of the registry attests of a stream.
     #[must_use]
     pub fn attest(&self, key: StreamKey, now: ClockTime) -> OriginAttestation {
-        let kept = self.find(Some(key), now);
+        let kept = self.find(key, now);
         OriginAttestation {
             evidence: kept.evidence,
             record_age_ms: whole_millis(kept.age),
--- a/crates/oatpier-serving/src/origins/tracker.rs
+++ b/crates/oatpier-serving/src/origins/tracker.rs
@@ -48,8 +48,8 @@
 pub struct ResumedStream<'a> {
     /// The service that the request goes to.
     pub service: &'a PoolName,
-    /// The key of the stream; `None` if the request does not name it.
-    pub key: Option<StreamKey>,
+    /// The key of the stream.
+    pub key: StreamKey,
 }
 
 /// A lookup and the holders to ask.
@@ -261,13 +261,13 @@
         now: ClockTime,
     ) -> HolderLookup {
         let own = self.attest(stream, registry_age, now);
-        let holders = stream
-            .key
-            .map_or_else(SmallVec::new, |key| self.other_holders(key));
+        let holders = self.other_holders(stream.key);
         // While a single version has served for long, there are no records.
-        let recorded_key = stream.key.filter(|_| !own.view.is_lasting);
-        let sidecars =
-            recorded_key.map_or_else(SmallVec::new, |key| self.sidecar_holders(key, now));
+        let sidecars = if own.view.is_lasting {
+            SmallVec::new()
+        } else {
+            self.sidecar_holders(stream.key, now)
+        };
         let lifetime = self.lifetime();
         let limits = LookupLimits {
             max_registry_age,
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/fleet.rs
@@ -565,7 +565,7 @@
         let stream_service = service();
         let stream = ResumedStream {
             service: &stream_service,
-            key: Some(StreamKey::new(None, attempt)),
+            key: StreamKey::new(None, attempt),
         };
         let gateway = &mut self.gateways[number];
         let age = gateway.registry_age(self.now);
@@ -610,8 +610,7 @@
         if holder.ip() == sidecar_address(0).ip() {
             let sidecar = &self.sidecars[to];
             let is_away = is_lost || is_cut || self.now < sidecar.down_until;
-            let key = stream.key.filter(|_| !is_away);
-            return key.map(|key| sidecar.table.attest(key, clock));
+            return (!is_away).then(|| sidecar.table.attest(stream.key, clock));
         }
         let answering = &self.gateways[to];
         if is_lost || is_cut || !answering.is_reachable(self.now) {
--- a/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
+++ b/crates/oatpier-serving/tests/testsuite/stream_origins/knowledge.rs
@@ -52,12 +52,12 @@
 /// Returns the version that is found without asking, or why there is none.
 fn found(tracker: &mut OriginTracker, attempt: &str, now_ms: u64) -> Result<String, LookupStep> {
     let key = StreamKey::new(None, attempt);
-    found_by_key(tracker, Some(key), Duration::ZERO, now_ms)
+    found_by_key(tracker, key, Duration::ZERO, now_ms)
 }
 
 fn found_by_key(
     tracker: &mut OriginTracker,
-    key: Option<StreamKey>,
+    key: StreamKey,
     age: Duration,
     now_ms: u64,
 ) -> Result<String, LookupStep> {
@@ -110,7 +110,7 @@
 fn an_old_registry_does_not_show_which_version_serves_alone() {
     let mut tracker = tracker(false);
     observe(&mut tracker, &["v1"], 0);
-    let key = Some(StreamKey::new(None, "a"));
+    let key = StreamKey::new(None, "a");
     let current = found_by_key(&mut tracker, key, MAX_AGE, 20_000);
     assert_eq!(current, Ok("v1".to_owned()));
     let old = found_by_key(&mut tracker, key, TIMEOUT, 20_000);
@@ -130,7 +130,7 @@
         let stream_service = service();
         let stream = ResumedStream {
             service: &stream_service,
-            key: Some(StreamKey::new(None, "a")),
+            key: StreamKey::new(None, "a"),
         };
         let age = Some(Duration::ZERO);
         let mut lookup = own.look_up(stream, age, MAX_AGE, at(20_000)).lookup;
@@ -158,7 +158,7 @@
     let stream_service = service();
     let stream = ResumedStream {
         service: &stream_service,
-        key: Some(StreamKey::new(None, "a")),
+        key: StreamKey::new(None, "a"),
     };
     let age = Some(Duration::ZERO);
     let mut lookup = own.look_up(stream, age, MAX_AGE, at(1_100)).lookup;
@@ -212,7 +212,7 @@
     };
     tracker.record(&start, at(100));
     let mut found = |workspace| {
-        let key = Some(StreamKey::new(Some(workspace), "a"));
+        let key = StreamKey::new(Some(workspace), "a");
         found_by_key(&mut tracker, key, Duration::ZERO, 200)
     };
     assert_eq!(found(&one), Ok("v1".to_owned()));
@@ -303,7 +303,7 @@
     let stream_service = service();
     let stream = ResumedStream {
         service: &stream_service,
-        key: Some(StreamKey::new(None, "a")),
+        key: StreamKey::new(None, "a"),
     };
     let age = Some(Duration::ZERO);
     let mut lookup = own.look_up(stream, age, MAX_AGE, at(now_ms)).lookup;
