Take removals that other gateways have seen before the own first read

Callers would see: a gateway that starts just after an engine was taken away, while the entry of the engine's first start is still listed, takes the engine for one that isn't listed yet and sends it requests for over two seconds (DRAIN).

Cause: a gateway that has just started knows no history of the registry, and the sidecar says no more than that the engine runs.

Evidence: departures::an_engine_whose_removal_another_gateway_has_seen_is_not_used failed before (with the new call doing nothing) and passes; a_removal_that_was_seen_earlier_does_not_end_a_listed_engine guards against the opposite.

Why it works: what was removed is known to whoever has read the store since, and a message about it arrives within one interval of reads.

--- a/crates/oatpier-gateway/src/gateway/store_knowledge.rs
+++ b/crates/oatpier-gateway/src/gateway/store_knowledge.rs
@@ -11,7 +11,9 @@
 use oatpier_serving::directory::{DirectoryChange, EndpointDirectory, EndpointRecord};
 use oatpier_serving::message::InnerMessage;
 use oatpier_serving::quota::lease::StoreEra;
-use oatpier_serving::reads::{KnowledgeSource, RegisteredEndpoints, StoreDelta, StoreKnowledge};
+use oatpier_serving::reads::{
+    KnowledgeSource, RegisteredEndpoints, RemovedEndpoint, StoreDelta, StoreKnowledge,
+};
 use oatpier_serving::site::SiteConfig;
 use oatpier_types::clock::ClockTime;
 
@@ -204,12 +206,34 @@
         }
     }
 
-    /// Queues a store delta from another gateway of the availability zone.
+    /// Applies a store delta from another gateway of the availability zone, as far as it names endpoints that have left,
+    /// and queues it.
     pub fn queue_store_delta(&self, from: SocketAddr, delta: StoreDelta) {
+        self.note_removed(&delta.removed);
         // A full ring counts what it drops. The store is then read at the usual time, as without the delta.
         let _ = self.store_deltas.try_send(ReceivedDelta { from, delta });
     }
 
+    /// Records endpoints that another gateway has seen the registry cease to list. This gateway may have started since.
+    fn note_removed(&self, removed: &[RemovedEndpoint]) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let changes = state.directory.note_removed(removed, now);
+        let lines: Vec<DecisionLine> = changes
+            .iter()
+            .map(|change| directory_line(&state.directory, change))
+            .collect();
+        Self::observe_versions(&mut state, now);
+        drop(state);
+        for line in lines {
+            self.log.write(line);
+        }
+        if !changes.is_empty() {
+            self.resolve_broken();
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Records why the store could not be read.
     pub fn note_store_failure(&self, reason: String) {
         self.lock().store_age.note_failure(reason);
--- a/crates/oatpier-serving/src/directory/departures.rs
+++ b/crates/oatpier-serving/src/directory/departures.rs
@@ -13,6 +13,7 @@
 
 use super::EndpointRecord;
 use crate::engine::StartTime;
+use crate::reads::RemovedEndpoint;
 
 /// Time for which an endpoint that has left is remembered after it was last named. A copy of the store is some
 /// seconds old.
@@ -74,6 +75,22 @@
         self.departed.insert(record.name.clone(), departure);
     }
 
+    /// Records that another gateway has seen the registry cease to list an incarnation that is not used here.
+    pub(super) fn record_removed(&mut self, removed: &RemovedEndpoint, now: ClockTime) {
+        let known = self.departed.get(&removed.name);
+        if known.is_some_and(|departure| departure.is_remembered(now)) {
+            return;
+        }
+        let departure = Departure {
+            start: removed.start,
+            was_draining: false,
+            cause: DepartureCause::Unlisted,
+            at: now,
+            named_at: now,
+        };
+        self.departed.insert(removed.name.clone(), departure);
+    }
+
     /// Removes an endpoint that is used again.
     pub(super) fn forget(&mut self, name: &EndpointName) {
         self.departed.remove(name);
--- a/crates/oatpier-serving/src/directory/mod.rs
+++ b/crates/oatpier-serving/src/directory/mod.rs
@@ -28,7 +28,7 @@
 use crate::origins::ObservedVersions;
 use crate::pacing::StatusLifetime;
 use crate::prefill::PrefillEstimator;
-use crate::reads::RegisteredEndpoints;
+use crate::reads::{RegisteredEndpoints, RemovedEndpoint};
 
 use departures::{DepartedEndpoints, DepartureCause};
 pub use notices::ReceivedNotice;
@@ -273,6 +273,31 @@
         }
     }
 
+    /// Records endpoints that another gateway has seen the registry cease to list, and returns the changes. One that
+    /// is listed here is left to the registry, because the message may be about an earlier time.
+    pub fn note_removed(
+        &mut self,
+        removed: &[RemovedEndpoint],
+        now: ClockTime,
+    ) -> Vec<DirectoryChange> {
+        let mut changes = Vec::new();
+        for endpoint in removed {
+            let name = &endpoint.name;
+            let is_listed = |row: &EndpointRow| row.adopted_at.is_none();
+            if self.rows.get(name).is_some_and(is_listed) {
+                continue;
+            }
+            self.departures.record_removed(endpoint, now);
+            if self.rows.remove(name).is_some() {
+                changes.push(DirectoryChange::Gone(name.clone()));
+            }
+        }
+        if !changes.is_empty() {
+            self.rebuild();
+        }
+        changes
+    }
+
     fn rebuild(&mut self) {
         self.has_new_versions = true;
         self.by_address.clear();
--- a/crates/oatpier-serving/tests/testsuite/departures.rs
+++ b/crates/oatpier-serving/tests/testsuite/departures.rs
@@ -2,6 +2,7 @@
 
 use oatpier_serving::directory::{EndpointDirectory, EndpointRecord};
 use oatpier_serving::message::EngineStatus;
+use oatpier_serving::reads::RemovedEndpoint;
 
 use crate::support::{address, at, endpoint, record, status};
 
@@ -143,3 +144,46 @@
     directory.apply_status(status_naming("next", 500), at(500));
     assert_eq!(open_names(&directory, 500), ["next"]);
 }
+
+/// Guards against requests to an engine that left before this gateway started: another gateway has told of it, while the entry of
+/// the engine's first start is still listed.
+#[test]
+fn an_engine_whose_removal_another_gateway_has_seen_is_not_used() {
+    let removed = [RemovedEndpoint {
+        name: endpoint("next"),
+        start: None,
+    }];
+    let mut told_before = EndpointDirectory::default();
+    told_before.note_removed(&removed, at(0));
+    told_before.apply_registry(vec![listed("first")], at(10));
+    let mut told_after = EndpointDirectory::default();
+    told_after.apply_registry(vec![listed("first")], at(10));
+    told_after.apply_status(status_naming("next", 20), at(20));
+    assert_eq!(open_names(&told_after, 20), ["next"]);
+    told_after.note_removed(&removed, at(50));
+    for mut directory in [told_before, told_after] {
+        assert_eq!(
+            open_names(&directory, 50)
+                .iter()
+                .filter(|name| *name == "next")
+                .count(),
+            0
+        );
+        directory.apply_status(status_naming("next", 100), at(100));
+        assert_eq!(open_names(&directory, 100), [""; 0]);
+    }
+}
+
+/// A message about an earlier removal does not end an engine that is listed.
+#[test]
+fn a_removal_that_was_seen_earlier_does_not_end_a_listed_engine() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_registry(vec![listed("next")], at(0));
+    let removed = RemovedEndpoint {
+        name: endpoint("next"),
+        start: None,
+    };
+    directory.note_removed(&[removed], at(50));
+    directory.apply_status(status_naming("next", 100), at(100));
+    assert_eq!(open_names(&directory, 100), ["next"]);
+}
