Test engines that crash and leave at one address by a property

No start that a read of the registry has shown to be gone is used, and each that runs is used within 1.2 s.

--- a/crates/oatpier-serving/tests/testsuite/departures.rs
+++ b/crates/oatpier-serving/tests/testsuite/departures.rs
@@ -1,8 +1,12 @@
 //! Tests of endpoints that have left while older entries of their address are still listed.
 
+use std::collections::BTreeMap;
+
 use oatpier_serving::directory::{EndpointDirectory, EndpointRecord};
 use oatpier_serving::message::EngineStatus;
 use oatpier_serving::reads::RemovedEndpoint;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use crate::support::{address, at, endpoint, record, status};
 
@@ -187,3 +191,114 @@
     directory.apply_status(status_naming("next", 100), at(100));
     assert_eq!(open_names(&directory, 100), ["next"]);
 }
+
+const STEP_MS: u64 = 100;
+/// Time between two reads of the registry.
+const READ_MS: u64 = 900;
+/// Time after its last heartbeat for which an entry is listed.
+const ENTRY_MS: u64 = 3_600;
+/// Time within which a running engine is used by a gateway.
+const USE_MS: u64 = 1_200;
+
+/// An engine that starts, crashes and leaves at one address, as its entries and its sidecar show it.
+struct LivingEngine {
+    rng: ChaCha8Rng,
+    starts: u32,
+    /// When the present start began, or the next one begins.
+    up_at: u64,
+    crashes_at: u64,
+    /// When the entry of the present start is removed, if it leaves.
+    leaves_at: Option<u64>,
+    /// When each listed entry expires.
+    entries: BTreeMap<String, u64>,
+}
+
+impl LivingEngine {
+    fn new(seed: u64) -> Self {
+        let mut engine = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            starts: 0,
+            up_at: 0,
+            crashes_at: 0,
+            leaves_at: None,
+            entries: BTreeMap::new(),
+        };
+        engine.plan_start(0);
+        engine
+    }
+
+    fn name(&self) -> String {
+        format!("start-{}", self.starts)
+    }
+
+    /// Plans the next start, and its end: a crash, or a removal after which the engine serves on for a while.
+    fn plan_start(&mut self, now: u64) {
+        self.starts += 1;
+        self.up_at = now + self.rng.random_range(3..15) * STEP_MS;
+        let ends_at = self.up_at + self.rng.random_range(6..60) * STEP_MS;
+        let leaves = self.rng.random_ratio(1, 2);
+        self.leaves_at = leaves.then_some(ends_at);
+        let lingers = self.rng.random_range(20..60) * STEP_MS;
+        self.crashes_at = if leaves { ends_at + lingers } else { ends_at };
+    }
+
+    fn is_up(&self, now: u64) -> bool {
+        now >= self.up_at && now < self.crashes_at
+    }
+
+    fn has_left(&self, now: u64) -> bool {
+        self.leaves_at.is_some_and(|leaves_at| now >= leaves_at)
+    }
+
+    fn step(&mut self, now: u64) {
+        if now >= self.crashes_at {
+            self.plan_start(now);
+        }
+        self.entries.retain(|_, expires_at| now < *expires_at);
+        let name = self.name();
+        if self.has_left(now) {
+            self.entries.remove(&name);
+        } else if self.is_up(now) {
+            self.entries.insert(name, now + ENTRY_MS);
+        }
+    }
+
+    fn listed(&self) -> Vec<EndpointRecord> {
+        self.entries.keys().map(|name| listed(name)).collect()
+    }
+}
+
+/// Guards against requests to an engine that a read of the registry has shown to be gone, and against an engine that is not used
+/// although it runs: it crashes and leaves again and again, and entries of its earlier starts are still listed.
+#[test]
+fn a_gateway_uses_the_start_that_has_not_left() {
+    for seed in 1..60 {
+        let mut engine = LivingEngine::new(seed);
+        let mut directory = EndpointDirectory::default();
+        // The registry is read at another phase than the engine's changes.
+        let phase = seed * 130 % READ_MS / STEP_MS * STEP_MS;
+        let mut left_by_read = None;
+        for now in (0..120_000).step_by(usize::try_from(STEP_MS).unwrap()) {
+            engine.step(now);
+            if now % READ_MS == phase {
+                directory.apply_registry(engine.listed(), at(now));
+                left_by_read = engine.has_left(now).then(|| engine.name());
+            }
+            if engine.is_up(now) && now.is_multiple_of(STATUS_MS) {
+                directory.apply_status(status_naming(&engine.name(), now + 1), at(now));
+            }
+            let open = open_names(&directory, now);
+            let is_used_after = left_by_read
+                .as_ref()
+                .is_some_and(|name| open.contains(name));
+            assert!(!is_used_after, "seed {seed}, {now} ms: {open:?}");
+            let is_settled = engine.is_up(now) && now >= engine.up_at + USE_MS;
+            let is_used = open.contains(&engine.name());
+            assert!(
+                is_used || !is_settled || engine.has_left(now),
+                "seed {seed}, {now} ms: {} in {open:?}",
+                engine.name()
+            );
+        }
+    }
+}
